--- /dev/null
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Demo, benches and soak runs against real processes, never shipped.
+
+fn main() {}
--- /dev/null
+++ b/crates/geraniumpost-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings and the checked configuration document.
--- /dev/null
+++ b/crates/geraniumpost-core/src/requests/mod.rs
@@ -0,0 +1,1 @@
+//! Decisions on requests.
--- /dev/null
+++ b/crates/geraniumpost-net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated datagrams and multiplexed links between geraniumpost processes.
--- /dev/null
+++ b/crates/geraniumpost-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters to the platform: key-value service, workers and minions.
--- /dev/null
+++ b/crates/geraniumpost/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scheduler for latency-critical and batch work that share VMs.
--- /dev/null
+++ b/crates/geraniumpost/src/main.rs
@@ -0,0 +1,3 @@
+//! The one shipped binary.
+
+fn main() {}
--- /dev/null
+++ b/xtask/src/cargo.rs
@@ -0,0 +1,39 @@
+//! Starts cargo for the chores that build and run other crates.
+
+use std::path::Path;
+use std::process::Command;
+
+use eyre::{Result, WrapErr, ensure};
+
+/// Runs all tests of the workspace.
+///
+/// # Errors
+///
+/// Fails if cargo cannot be started or a test fails.
+pub fn test(root: &Path, rest: &[String]) -> Result<()> {
+    cargo(root, &["test", "--workspace"], rest)
+}
+
+/// Builds the shipped binary and the bench tool in release mode and starts the latter.
+///
+/// # Errors
+///
+/// Fails if a build fails or the chore reports that something was wrong.
+pub fn bench_tool(root: &Path, chore: &str, rest: &[String]) -> Result<()> {
+    cargo(root, &["build", "--release", "--quiet", "--bins", "-p", "geraniumpost"], &[])?;
+    let run = ["run", "--release", "--quiet", "-p", "geraniumpost-bench", "--", chore];
+    cargo(root, &run, rest)
+}
+
+/// Runs one cargo command in the workspace's root.
+fn cargo(root: &Path, words: &[&str], rest: &[String]) -> Result<()> {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let status = Command::new(cargo)
+        .args(words)
+        .args(rest)
+        .current_dir(root)
+        .status()
+        .wrap_err("starting cargo")?;
+    ensure!(status.success(), "cargo {} failed", words.join(" "));
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,60 @@
+//! Every chore of the repository: `cargo xtask help` lists them.
+//!
+//! This crate depends on no other crate of the workspace, so that `cargo xtask codegen` works
+//! even while the generated code does not compile. Demos and benches live in `geraniumpost-bench`
+//! and are only started from here.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use eyre::Result;
+
+mod cargo;
+mod codegen;
+
+fn main() -> Result<()> {
+    let matches = cli().get_matches();
+    match matches.subcommand() {
+        Some(("codegen", m)) => codegen::run(&root(), m.get_flag("check")),
+        Some(("test", m)) => cargo::test(&root(), &rest(m)),
+        Some((chore, m)) => cargo::bench_tool(&root(), chore, &rest(m)),
+        None => Ok(()),
+    }
+}
+
+/// Builds the command line.
+fn cli() -> Command {
+    Command::new("xtask")
+        .about("Chores of the geraniumpost repository")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("codegen").about("Regenerate the schema crate's types").arg(
+                Arg::new("check")
+                    .long("check")
+                    .action(ArgAction::SetTrue)
+                    .help("Only fail if the committed code differs"),
+            ),
+        )
+        .subcommand(passing("test", "Run all tests; further words go to `cargo test`"))
+        .subcommand(passing("demo", "Run the whole system once on loopback, or hold it up"))
+        .subcommand(passing("bench", "Measure: `bench --help` lists the benches"))
+        .subcommand(passing("soak", "Run random failures against real processes"))
+}
+
+/// Builds a subcommand whose words are passed on as they are.
+fn passing(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .disable_help_flag(true)
+        .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true))
+}
+
+/// Returns the words to pass on.
+fn rest(m: &ArgMatches) -> Vec<String> {
+    m.get_many::<String>("rest").unwrap_or_default().cloned().collect()
+}
+
+/// Returns the workspace's root folder.
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).ancestors().nth(1).unwrap_or(Path::new(".")).to_owned()
+}
