--- a/crates/geraniumpost-core/src/lib.rs
+++ b/crates/geraniumpost-core/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod jobs;
 pub mod placement;
 pub mod requests;
+mod result_code;
 mod time;
 
+pub use result_code::ResultCode;
 pub use time::{Micros, Millis};
--- a/crates/geraniumpost-core/src/requests/admission.rs
+++ b/crates/geraniumpost-core/src/requests/admission.rs
@@ -14,7 +14,7 @@
     AnswerLost,
     /// The attempt is on record already; its answer goes its way, and nothing is to be done.
     Duplicate,
-    /// A question barred the attempt before it arrived: it does not run.
+    /// A question barred the attempt before it arrived, or its key: it does not run here.
     Barred,
     /// So many attempts came since that this one may have run and been forgotten.
     Forgotten,
--- a/crates/geraniumpost-core/src/requests/attempt_ledger.rs
+++ b/crates/geraniumpost-core/src/requests/attempt_ledger.rs
@@ -78,14 +78,10 @@
             return Admission::Forgotten;
         }
         if let Some(first) = self.keys.get(key) {
-            return self.join(id, first, key);
-        }
-        self.records.insert(id, AttemptRecord::new(AttemptState::Queued, key.clone()));
-        if !key.is_empty() {
-            let records = &self.records;
-            let is_active = |id| records.get(&id).is_some_and(AttemptRecord::is_active);
-            self.keys.insert(key.clone(), id, is_active);
+            return self.join(id, first);
         }
+        self.records.insert(id, AttemptRecord::new(AttemptState::Queued));
+        self.enter_key(key, id);
         Admission::Queue
     }
 
@@ -102,8 +98,11 @@
         }
     }
 
-    /// Takes in that a waiting attempt was refused or cancelled: it never runs, and its key is free
-    /// again. Returns the attempts that joined it, which are to be refused like it.
+    /// Takes in that a waiting attempt was refused or cancelled: it never runs, and neither does any
+    /// other with its key here. Returns the attempts that joined it, to be refused like it.
+    ///
+    /// The key stays barred because the entry now moves the key's claim to another agent; a repeat
+    /// that another entry sent here under the old claim would otherwise run a second time.
     #[must_use]
     pub fn not_run(&mut self, id: RequestId) -> Vec<RequestId> {
         match self.records.get(&id) {
@@ -153,8 +152,9 @@
 
     /// Answers a repeat, known as `id`, of the request with `key` that was sent to `incarnation`.
     ///
-    /// Of a running one the repeat gets the answer when it comes. `NeverStarted` bars nothing: the
-    /// entry must send the request itself to this agent, where the key still catches the first one.
+    /// Of one that waits or runs, the repeat gets the answer when it comes. A key not on record is
+    /// barred, so that after `NeverStarted` the claim may be moved to another agent although the
+    /// first request may still be on its way here.
     #[must_use]
     pub fn ask_key(
         &mut self,
@@ -167,11 +167,13 @@
         if incarnation != self.incarnation {
             return AskReply::Unknown;
         }
-        let Some(first) = self.keys.get(key) else { return self.ask_unseen_key() };
-        match self.join(id, first, key) {
+        let Some(first) = self.keys.get(key) else { return self.ask_unseen_key(id, key) };
+        match self.join(id, first) {
             Admission::Join(_) => AskReply::Running,
             Admission::Replay(answer) => AskReply::Finished(answer),
-            _ => AskReply::AnswerLost,
+            Admission::Barred => AskReply::NeverStarted { joined: Vec::new() },
+            Admission::AnswerLost => AskReply::AnswerLost,
+            _ => AskReply::Unknown,
         }
     }
 
@@ -198,17 +200,19 @@
         [self.records.len(), self.kept.len(), self.kept_bytes, self.keys.len()]
     }
 
-    fn join(&mut self, id: RequestId, first: RequestId, key: &Name) -> Admission<A> {
+    fn join(&mut self, id: RequestId, first: RequestId) -> Admission<A> {
         let reply = self.reply_of(first);
         let (admission, active) = match reply {
             AskReply::Running => (Admission::Join(first), true),
             AskReply::Finished(answer) => (Admission::Replay(answer), false),
-            _ => (Admission::AnswerLost, false),
+            AskReply::NeverStarted { .. } => (Admission::Barred, false),
+            AskReply::AnswerLost => (Admission::AnswerLost, false),
+            AskReply::Unknown => (Admission::Forgotten, false),
         };
         if self.records.contains_key(&id) {
             return admission;
         }
-        let record = AttemptRecord::new(AttemptState::Joined(first), key.clone());
+        let record = AttemptRecord::new(AttemptState::Joined(first));
         self.records.insert(id, record);
         match self.records.get_mut(&first) {
             Some(record) if active => record.joined.push(id),
@@ -222,7 +226,8 @@
             Some(AttemptState::Queued | AttemptState::Running) => AskReply::Running,
             Some(AttemptState::Finished(Some(answer))) => AskReply::Finished(answer.clone()),
             Some(AttemptState::Barred) => AskReply::NeverStarted { joined: Vec::new() },
-            _ => AskReply::AnswerLost,
+            Some(AttemptState::Finished(None)) => AskReply::AnswerLost,
+            Some(AttemptState::Joined(_)) | None => AskReply::Unknown,
         }
     }
 
@@ -230,24 +235,35 @@
         if self.floors.may_have_known(id) {
             return AskReply::Unknown;
         }
-        self.records.insert(id, AttemptRecord::new(AttemptState::Barred, Name::default()));
+        self.records.insert(id, AttemptRecord::new(AttemptState::Barred));
         self.end(id, &[]);
         AskReply::NeverStarted { joined: Vec::new() }
     }
 
-    const fn ask_unseen_key(&self) -> AskReply<A> {
-        if self.keys.forgot() {
+    fn ask_unseen_key(&mut self, id: RequestId, key: &Name) -> AskReply<A> {
+        if self.keys.forgot() || self.records.contains_key(&id) {
             return AskReply::Unknown;
         }
+        let record = AttemptRecord::new(AttemptState::Barred);
+        self.records.insert(id, record);
+        self.enter_key(key, id);
+        self.end(id, &[]);
         AskReply::NeverStarted { joined: Vec::new() }
     }
 
+    fn enter_key(&mut self, key: &Name, id: RequestId) {
+        if key.is_empty() {
+            return;
+        }
+        let records = &self.records;
+        let is_active = |id| records.get(&id).is_some_and(AttemptRecord::is_active);
+        self.keys.insert(key.clone(), id, is_active);
+    }
+
     fn bar(&mut self, id: RequestId) -> Vec<RequestId> {
         let Some(record) = self.records.get_mut(&id) else { return Vec::new() };
         record.state = AttemptState::Barred;
         let joined = std::mem::take(&mut record.joined);
-        let key = std::mem::take(&mut record.key);
-        self.keys.remove(&key, id);
         self.end(id, &joined);
         joined
     }
--- a/crates/geraniumpost-core/src/requests/attempt_record.rs
+++ b/crates/geraniumpost-core/src/requests/attempt_record.rs
@@ -1,4 +1,4 @@
-use geraniumpost_schema::{Name, RequestId};
+use geraniumpost_schema::RequestId;
 
 /// Where an attempt stands.
 #[derive(Debug)]
@@ -19,13 +19,12 @@
 #[derive(Debug)]
 pub(super) struct AttemptRecord<A> {
     pub(super) state: AttemptState<A>,
-    pub(super) key: Name,
     pub(super) joined: Vec<RequestId>,
 }
 
 impl<A> AttemptRecord<A> {
-    pub(super) const fn new(state: AttemptState<A>, key: Name) -> Self {
-        Self { state, key, joined: Vec::new() }
+    pub(super) const fn new(state: AttemptState<A>) -> Self {
+        Self { state, joined: Vec::new() }
     }
 
     /// Whether the attempt may still change.
--- a/crates/geraniumpost-core/src/requests/key_index.rs
+++ b/crates/geraniumpost-core/src/requests/key_index.rs
@@ -2,7 +2,7 @@
 
 use geraniumpost_schema::{Name, RequestId};
 
-/// Which attempt ran for an idempotency key.
+/// Which attempt runs, ran or was barred for an idempotency key.
 #[derive(Debug)]
 pub(super) struct KeyIndex {
     most: usize,
@@ -33,9 +33,6 @@
         self.order.push_back((key, id));
         for _ in 0..self.order.len().saturating_sub(self.most) {
             let Some((key, id)) = self.order.pop_front() else { return };
-            if self.first.get(&key) != Some(&id) {
-                continue;
-            }
             if is_active(id) {
                 self.order.push_back((key, id));
                 continue;
@@ -45,15 +42,7 @@
         }
     }
 
-    /// Frees `key` again because `id` did not run for it.
-    pub(super) fn remove(&mut self, key: &Name, id: RequestId) {
-        if self.first.get(key) == Some(&id) {
-            self.first.remove(key);
-        }
-    }
-
-    /// Whether any key of an attempt that ran has been forgotten, so that an unknown key may be one
-    /// that ran.
+    /// Whether any key has been forgotten, so that an unknown key may be one that ran.
     pub(super) const fn forgot(&self) -> bool {
         self.forgot
     }
