--- a/crates/geraniumpost-core/src/requests/member.rs
+++ b/crates/geraniumpost-core/src/requests/member.rs
@@ -13,6 +13,7 @@
 pub(super) struct Retired {
     pub(super) incarnation: u64,
     pub(super) sequence: u64,
+    pub(super) state: AgentState,
 }
 
 /// What the [`super::Membership`] knows of one agent.
@@ -62,14 +63,18 @@
 
     /// Starts over with a new incarnation and remembers the old one.
     pub(super) fn supersede(&mut self, beat: &Heartbeat, now: Millis) {
-        let old = Retired { incarnation: self.beat.incarnation, sequence: self.beat.sequence };
+        let Heartbeat { incarnation, sequence, state, .. } = self.beat;
         let mut retired = std::mem::take(&mut self.retired);
-        retired.retain(|known| known.incarnation != beat.incarnation);
-        retired.push(old);
+        let known = retired.iter().position(|known| known.incarnation == beat.incarnation);
+        let was = known.map(|index| retired.remove(index).state);
+        retired.push(Retired { incarnation, sequence, state });
         if retired.len() > MOST_RETIRED {
             retired.remove(0);
         }
         *self = Self { retired, ..Self::new(beat, now) };
+        if was == Some(AgentState::Draining) {
+            self.beat.state = AgentState::Draining;
+        }
     }
 
     pub(super) fn view(&self) -> AgentView {
--- a/crates/geraniumpost-core/src/requests/router.rs
+++ b/crates/geraniumpost-core/src/requests/router.rs
@@ -66,7 +66,7 @@
         let considered = self.draw(service, ask, rng);
         let cheapest = considered.iter().flatten().min_by_key(|seen| seen.cost_us);
         let Some(agent) = cheapest.map(|seen| Arc::clone(&seen.agent)) else {
-            return Err(reason(service));
+            return last_resort(service, ask);
         };
         let why = if considered[1].is_some() { Why::Cheapest } else { Why::Only };
         Ok(Choice { agent, considered, why })
@@ -156,8 +156,13 @@
     due.find(|agent| agent.counters().claim_probe(ask.now, ask.harmless))
 }
 
-fn reason(service: &ServiceView) -> NoAgent {
-    if service.routable() == 0 { NoAgent::NoneReady } else { NoAgent::AllTried }
+fn last_resort(service: &ServiceView, ask: &RouteAsk<'_>) -> Result<Choice, NoAgent> {
+    let mut ejected = service.ejected().filter(|agent| !ask.tried.contains(agent.name()));
+    if let Some(agent) = ejected.next() {
+        return Ok(Choice::of(agent, Why::LastResort));
+    }
+    let none_ready = service.routable() == 0 && service.ejected().next().is_none();
+    Err(if none_ready { NoAgent::NoneReady } else { NoAgent::AllTried })
 }
 
 /// Returns a number below `len` by multiplication, which is cheaper than a division and whose bias
--- a/crates/geraniumpost-core/src/requests/why.rs
+++ b/crates/geraniumpost-core/src/requests/why.rs
@@ -12,6 +12,9 @@
     /// It was ejected and a probe was due.
     #[display("probe")]
     Probe,
+    /// All others are gone, and an ejected agent is better than a certain refusal.
+    #[display("last-resort")]
+    LastResort,
     /// A naive policy took it, in benches.
     #[display("baseline")]
     Baseline,
