--- a/crates/geraniumpost-core/src/requests/ejector.rs
+++ b/crates/geraniumpost-core/src/requests/ejector.rs
@@ -96,7 +96,7 @@
 impl Record {
     fn count(&mut self, agent: &AgentView, success: bool, now: Millis, limits: &EjectionLimits) {
         if now.since(self.window) > limits.window_ms {
-            self.roll(now, limits);
+            self.roll(agent, now, limits);
         }
         self.total += u64::from(agent.counters().take_successes());
         if success {
@@ -108,13 +108,16 @@
         }
     }
 
-    /// Halves the counts, and forgives one ejection to an agent that has been well since.
-    fn roll(&mut self, now: Millis, limits: &EjectionLimits) {
+    /// Halves the counts, and forgives one ejection for each window that an agent worked well.
+    ///
+    /// Time spent ejected does not count as working well, or the pause would stop growing as soon
+    /// as it is longer than a window.
+    fn roll(&mut self, agent: &AgentView, now: Millis, limits: &EjectionLimits) {
         let windows = now.since(self.window) / limits.window_ms.max(1);
         let halvings = windows.min(63) as u32;
         self.total >>= halvings;
         self.failures >>= halvings;
-        if self.failures == 0 {
+        if self.failures == 0 && !agent.counters().is_ejected() {
             self.ejections = self.ejections.saturating_sub(halvings);
         }
         self.window = now;
@@ -154,6 +157,7 @@
             return EjectionChange::None;
         }
         agent.counters().restore();
+        self.window = now;
         EjectionChange::Restored
     }
 }
