--- /dev/null
+++ b/crates/geraniumpost-net/src/shared_key.rs
@@ -0,0 +1,52 @@
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// Bytes of a full proof.
+pub(crate) const PROOF_BYTES: usize = 32;
+
+/// The key that all processes of one deployment share.
+///
+/// # Example
+///
+/// ```
+/// use geraniumpost_net::SharedKey;
+/// let key = SharedKey::from("sixteen characters or more");
+/// assert_eq!(format!("{key:?}"), "SharedKey(..)");
+/// ```
+#[derive(Clone)]
+pub struct SharedKey(Hmac<Sha256>);
+
+impl SharedKey {
+    /// Returns the proof over `parts`; each part is preceded by its length, so that no two lists
+    /// of parts give the same bytes.
+    pub(crate) fn prove(&self, parts: &[&[u8]]) -> [u8; PROOF_BYTES] {
+        self.mac(parts).finalize().into_bytes().into()
+    }
+
+    /// Checks a proof, or its first bytes, in constant time.
+    pub(crate) fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        !proof.is_empty() && self.mac(parts).verify_truncated_left(proof).is_ok()
+    }
+
+    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = self.0.clone();
+        for part in parts {
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+impl From<&str> for SharedKey {
+    fn from(text: &str) -> Self {
+        Self(<Hmac<Sha256> as Mac>::new_from_slice(text.as_bytes()).expect("HMAC takes any key"))
+    }
+}
+
+impl std::fmt::Debug for SharedKey {
+    /// Hides the key, so that no log line can give it away.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SharedKey(..)")
+    }
+}
