--- a/crates/geraniumpost-net/src/frame.rs
+++ b/crates/geraniumpost-net/src/frame.rs
@@ -88,10 +88,14 @@
         }
     }
 
-    /// Gives the connection back after the handshake, which reads no byte too many because the
-    /// other side waits for an answer to each of its frames.
-    pub(crate) fn into_inner(self) -> R {
-        self.from
+    /// Continues to read where another reader stopped, with what that one had read ahead.
+    pub(crate) fn resume(from: R, buf: BytesMut) -> Self {
+        Self { buf, ..Self::new(from) }
+    }
+
+    /// Gives the connection back with the bytes read ahead of the last frame.
+    pub(crate) fn into_parts(self) -> (R, BytesMut) {
+        (self.from, self.buf)
     }
 
     /// Gives access to the connection for the handshake's answers.
--- a/crates/geraniumpost-net/src/handshake.rs
+++ b/crates/geraniumpost-net/src/handshake.rs
@@ -30,6 +30,22 @@
     pub incarnation: u64,
 }
 
+/// A connection whose both sides are proved, ready for [`open_link`](crate::open_link).
+#[derive(Debug)]
+pub struct Connection {
+    pub(crate) stream: TcpStream,
+    /// Bytes read ahead: the connecting side sends its first frames right behind its proof, so
+    /// they may arrive with it, and a reader that dropped them would lose a request silently.
+    pub(crate) read_ahead: BytesMut,
+}
+
+impl From<FrameReader<TcpStream>> for Connection {
+    fn from(reader: FrameReader<TcpStream>) -> Self {
+        let (stream, read_ahead) = reader.into_parts();
+        Self { stream, read_ahead }
+    }
+}
+
 /// Connects to `address` and proves both sides.
 ///
 /// # Errors
@@ -39,7 +55,7 @@
     address: SocketAddr,
     me: &Identity,
     key: &SharedKey,
-) -> Result<(TcpStream, Identity), NetError> {
+) -> Result<(Connection, Identity), NetError> {
     let connecting = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -57,17 +73,17 @@
     stream: TcpStream,
     me: &Identity,
     key: &SharedKey,
-) -> Result<(TcpStream, Identity), NetError> {
+) -> Result<(Connection, Identity), NetError> {
     stream.set_nodelay(true)?;
     let accepting = prove_accepting(stream, me, key);
     timeout(HANDSHAKE_TIMEOUT, accepting).await.unwrap_or(Err(NetError::TimedOut))
 }
 
-async fn prove_connecting<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: S,
+async fn prove_connecting(
+    stream: TcpStream,
     me: &Identity,
     key: &SharedKey,
-) -> Result<(S, Identity), NetError> {
+) -> Result<(Connection, Identity), NetError> {
     let mut reader = FrameReader::new(stream).largest(LARGEST);
     let hello = Hello { name: me.name.clone(), incarnation: me.incarnation, nonce: rand::random() };
     send(&mut reader, Link::Hello(hello.clone())).await?;
@@ -80,14 +96,14 @@
     let proof = prove(key, CONNECTING, &hello, &challenge);
     send(&mut reader, Link::Proof(Proof { proof })).await?;
     let peer = Identity { name: challenge.name, incarnation: challenge.incarnation };
-    Ok((reader.into_inner(), peer))
+    Ok((reader.into(), peer))
 }
 
-async fn prove_accepting<S: AsyncRead + AsyncWrite + Unpin>(
-    stream: S,
+async fn prove_accepting(
+    stream: TcpStream,
     me: &Identity,
     key: &SharedKey,
-) -> Result<(S, Identity), NetError> {
+) -> Result<(Connection, Identity), NetError> {
     let mut reader = FrameReader::new(stream).largest(LARGEST);
     let Link::Hello(hello) = receive(&mut reader).await? else {
         return Err(NetError::Handshake);
@@ -107,7 +123,7 @@
         return Err(NetError::WrongKey);
     }
     let peer = Identity { name: hello.name, incarnation: hello.incarnation };
-    Ok((reader.into_inner(), peer))
+    Ok((reader.into(), peer))
 }
 
 async fn send<S: AsyncRead + AsyncWrite + Unpin>(
--- a/crates/geraniumpost-net/src/link.rs
+++ b/crates/geraniumpost-net/src/link.rs
@@ -2,10 +2,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use crate::{Frame, FrameReader, NetError, encode_frame};
+use crate::{Connection, Frame, FrameReader, NetError, encode_frame};
 
 /// Frames that may wait in each direction of a link. A full queue means that the other side does
 /// not read; the sender then learns at once that its frame was never sent.
@@ -63,14 +62,15 @@
 /// The reading task ends when the connection or the receiver does, the writing task when the
 /// connection fails or all senders are dropped; `on_error` learns why a connection was cut.
 pub fn open_link<O, I>(
-    stream: TcpStream,
+    connection: Connection,
     on_error: impl Fn(NetError) + Clone + Send + 'static,
 ) -> (LinkSender<O>, LinkReceiver<I>)
 where
     O: Serialize + Send + Sync + 'static,
     I: DeserializeOwned + Send + 'static,
 {
-    let (read, write) = stream.into_split();
+    let (read, write) = connection.stream.into_split();
+    let reader = FrameReader::resume(read, connection.read_ahead);
     let (out_tx, out_rx) = mpsc::channel(QUEUE);
     let (in_tx, in_rx) = mpsc::channel(QUEUE);
     let on_write_error = on_error.clone();
@@ -80,7 +80,7 @@
         }
     });
     tokio::spawn(async move {
-        if let Err(e) = read_frames(FrameReader::new(read), in_tx).await {
+        if let Err(e) = read_frames(reader, in_tx).await {
             on_error(e);
         }
         // A connection whose reading half is over is of no use: ending the writer tells the
--- a/crates/geraniumpost-net/tests/net.rs
+++ b/crates/geraniumpost-net/tests/net.rs
@@ -95,6 +95,9 @@
     (listener, address)
 }
 
+/// The connecting side sends its first frame right behind its proof, and both arrive in one read.
+/// A handshake that dropped what it read ahead lost the frame: the caller's first request after a
+/// reconnect hung until its deadline.
 #[tokio::test]
 async fn link_carries_frames_both_ways_and_ends_with_its_senders() {
     let (listener, address) = pair().await;
