fix(schema): give left-out tables the defaults of their keys

Cause: the generator fills a table whose default is {} with zeros, so a document without a quota gave a quota of no processors and no jobs, and one without a policy a hold of 0 ms. Seen by the test left_out_tables_have_the_defaults_of_the_schema of geraniumpost-config.

Ruled out: spelling the defaults twice in the schema (they would drift), and filling them in before serde reads a document (every other reader would still get zeros).

Change: codegen writes out the defaults of the referenced definition.

Conclusion: quota/10000 and hold 10000 ms where 0 stood before.

--- a/crates/geraniumpost-schema/src/generated.rs
+++ b/crates/geraniumpost-schema/src/generated.rs
@@ -1379,31 +1379,31 @@
     }
     pub(super) fn agent_settings_log() -> super::LogSettings {
         super::LogSettings {
-            decisions: Default::default(),
-            level: Default::default(),
+            decisions: true,
+            level: super::LogLevel::Info,
         }
     }
     pub(super) fn customer_quota() -> super::Quota {
         super::Quota {
-            accelerators: Default::default(),
-            jobs: Default::default(),
-            memory_mb: Default::default(),
-            milli_cpus: Default::default(),
+            accelerators: 1000000_u32,
+            jobs: 10000_u32,
+            memory_mb: 1000000000_u64,
+            milli_cpus: 1000000000_u64,
         }
     }
     pub(super) fn document_policy() -> super::Policy {
         super::Policy {
-            claim_ttl_s: Default::default(),
-            evictions_per_minute: Default::default(),
-            hold_ms: Default::default(),
-            outage_hold_s: Default::default(),
-            retry_budget_permille: Default::default(),
+            claim_ttl_s: 86400_u64,
+            evictions_per_minute: 20_u32,
+            hold_ms: 10000_u64,
+            outage_hold_s: 600_u64,
+            retry_budget_permille: 100_u32,
         }
     }
     pub(super) fn entry_settings_log() -> super::LogSettings {
         super::LogSettings {
-            decisions: Default::default(),
-            level: Default::default(),
+            decisions: true,
+            level: super::LogLevel::Info,
         }
     }
     pub(super) fn job_class_priority() -> super::Priority {
@@ -1417,9 +1417,9 @@
     }
     pub(super) fn service_reserve() -> super::Reserve {
         super::Reserve {
-            accelerators: Default::default(),
-            memory_mb: Default::default(),
-            milli_cpus: Default::default(),
+            accelerators: 0_u32,
+            memory_mb: 0_u64,
+            milli_cpus: 0_u64,
         }
     }
 }
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -64,6 +64,8 @@
     }
     let mut space = TypeSpace::new(&settings);
     let mut merged = merged(root)?;
+    let definitions = merged["definitions"].clone();
+    spell_defaults(&mut merged, &definitions);
     strip_constraints(&mut merged);
     let schema = serde_json::from_value(merged).wrap_err("reading the merged schema")?;
     space.add_root_schema(schema).wrap_err("translating the schema")?;
@@ -102,6 +104,33 @@
     Ok(serde_json::json!({ "definitions": definitions }))
 }
 
+/// Writes out the defaults that an empty default of a table stands for.
+///
+/// The generator fills a left-out table whose default is `{}` with zeros, not with the defaults of
+/// the table's own keys, so a customer without a quota could run nothing at all.
+fn spell_defaults(value: &mut serde_json::Value, definitions: &serde_json::Value) {
+    let name = value["$ref"].as_str().and_then(|text| text.strip_prefix("#/definitions/"));
+    let target = name.map_or(&serde_json::Value::Null, |name| &definitions[name]);
+    let empty = value["default"].as_object().is_some_and(serde_json::Map::is_empty);
+    if let Some(properties) = target["properties"].as_object().filter(|_| empty) {
+        let own = properties.iter().map(|(key, node)| (key.clone(), node["default"].clone()));
+        value["default"] = own.collect::<serde_json::Map<_, _>>().into();
+    }
+    match value {
+        serde_json::Value::Object(map) => {
+            for inner in map.values_mut() {
+                spell_defaults(inner, definitions);
+            }
+        }
+        serde_json::Value::Array(items) => {
+            for inner in items {
+                spell_defaults(inner, definitions);
+            }
+        }
+        _ => {}
+    }
+}
+
 /// Removes the constraints that [`CHECKED_ELSEWHERE`] names.
 fn strip_constraints(value: &mut serde_json::Value) {
     match value {
