feat(config): check settings and documents as a whole

Cause: operators need every error of a file at once, each numbered, with line and what to write instead.

Ruled out: serde's own errors (they stop at the first, and know no line of a JSON value); the validator's messages (they quote secrets).

Change: load_entry, load_agent, parse_*, check_document, check_document_value, check_membership and check_entry_membership report Problems of codes 1001 to 1204.

--- a/crates/geraniumpost-config/src/lib.rs
+++ b/crates/geraniumpost-config/src/lib.rs
@@ -1,1 +1,35 @@
 //! Checked settings and the checked configuration document.
+//!
+//! Every check reports all problems of a file at once, each with a numbered [`Code`], its line and
+//! what to write instead, because an operator who mends one error a run mends nothing in a hurry.
+//! The numbers are explained in `docs/RESULT_CODES.md`.
+//!
+//! ```
+//! let report = geraniumpost_config::parse_agent("name = 'Agent 1'", "agent.toml").unwrap_err();
+//! assert!(report.to_string().contains("agent.toml:1: error 1008: name"));
+//! ```
+
+mod code;
+mod document;
+mod json_lines;
+mod lines;
+mod membership;
+mod problem;
+mod report;
+mod rules;
+mod schema;
+mod settings;
+mod settings_rules;
+mod toml_source;
+mod translate;
+
+pub use code::Code;
+pub use document::{
+    MAX_DOCUMENT_BYTES, check_document, check_document_value, encode_document, token_digest,
+};
+pub use lines::Lines;
+pub use membership::{check_entry_membership, check_membership};
+pub use problem::Problem;
+pub use report::Report;
+pub use schema::{Schema, SchemaKind};
+pub use settings::{load_agent, load_entry, parse_agent, parse_entry};
--- /dev/null
+++ b/crates/geraniumpost-config/src/schema.rs
@@ -0,0 +1,135 @@
+use std::sync::LazyLock;
+
+use geraniumpost_schema::{DOCUMENT_SCHEMA, SETTINGS_SCHEMA};
+use jsonschema::Validator;
+use serde_json::{Map, Value, json};
+
+use crate::translate::translate;
+use crate::{Problem, Report};
+
+/// Root definitions that files are held against.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SchemaKind {
+    /// Settings of an entry.
+    Entry,
+    /// Settings of an agent.
+    Agent,
+    /// The configuration document.
+    Document,
+}
+
+impl SchemaKind {
+    /// Returns the name of the root definition.
+    pub const fn definition(self) -> &'static str {
+        match self {
+            Self::Entry => "EntrySettings",
+            Self::Agent => "AgentSettings",
+            Self::Document => "Document",
+        }
+    }
+}
+
+/// A compiled schema with its definitions, from which forms and references are rendered too.
+#[derive(Debug)]
+pub struct Schema {
+    kind: SchemaKind,
+    definitions: Map<String, Value>,
+    validator: Validator,
+}
+
+static ENTRY: LazyLock<Schema> = LazyLock::new(|| Schema::compile(SchemaKind::Entry));
+static AGENT: LazyLock<Schema> = LazyLock::new(|| Schema::compile(SchemaKind::Agent));
+static DOCUMENT: LazyLock<Schema> = LazyLock::new(|| Schema::compile(SchemaKind::Document));
+
+impl Schema {
+    /// Returns the schema of `kind`, compiled at its first use.
+    pub fn of(kind: SchemaKind) -> &'static Self {
+        match kind {
+            SchemaKind::Entry => &ENTRY,
+            SchemaKind::Agent => &AGENT,
+            SchemaKind::Document => &DOCUMENT,
+        }
+    }
+
+    /// Returns all definitions of the schema file by name.
+    pub const fn definitions(&self) -> &Map<String, Value> {
+        &self.definitions
+    }
+
+    /// Returns the definition of the root value.
+    pub fn root(&self) -> &Value {
+        &self.definitions[self.kind.definition()]
+    }
+
+    /// Returns the definition that `node` refers to, or `node` itself.
+    pub fn resolve<'a>(&'a self, node: &'a Value) -> &'a Value {
+        let name = node["$ref"].as_str().and_then(|text| text.strip_prefix("#/definitions/"));
+        name.and_then(|name| self.definitions.get(name)).unwrap_or(node)
+    }
+
+    /// Returns the schema node of the value at a JSON pointer.
+    pub fn node_at(&self, pointer: &str) -> Option<&Value> {
+        let mut node = self.root();
+        for key in pointer.split('/').skip(1) {
+            node = self.resolve(child(node, key)?);
+        }
+        Some(node)
+    }
+
+    /// Reports every value that the schema does not allow.
+    pub(crate) fn check(&self, value: &Value) -> Report {
+        let errors = self.validator.iter_errors(value);
+        Report::from(errors.flat_map(|error| translate(self, &error)).collect::<Vec<Problem>>())
+    }
+
+    fn compile(kind: SchemaKind) -> Self {
+        let definitions = definitions();
+        let root = json!({
+            "$schema": "http://json-schema.org/draft-07/schema#",
+            "$ref": format!("#/definitions/{}", kind.definition()),
+            "definitions": definitions.clone(),
+        });
+        let validator = jsonschema::validator_for(&root).expect("schema files are valid schemas");
+        Self { kind, definitions, validator }
+    }
+}
+
+/// Joins the definitions of both schema files, which refer to each other's.
+fn definitions() -> Map<String, Value> {
+    let mut joined = Map::new();
+    for text in [SETTINGS_SCHEMA, DOCUMENT_SCHEMA] {
+        let mut file: Value = serde_json::from_str(text).expect("schema files are valid JSON");
+        bound_integers(&mut file);
+        joined.extend(file["definitions"].as_object().cloned().unwrap_or_default());
+    }
+    joined
+}
+
+/// Returns the node of the member `key`, which may be listed, one of a map or one of a list.
+fn child<'a>(node: &'a Value, key: &str) -> Option<&'a Value> {
+    let listed = node["properties"].get(key);
+    let other = node.get("additionalProperties").filter(|node| node.is_object());
+    listed.or(other).or_else(|| node.get("items"))
+}
+
+/// Gives every integer the bounds of its Rust type.
+///
+/// The validator ignores `format`, so a number over the type's range would pass it and then fail
+/// in `serde`, whose message names neither key nor line.
+fn bound_integers(node: &mut Value) {
+    let top = match node.get("format").and_then(Value::as_str) {
+        Some("uint32") => Some(u64::from(u32::MAX)),
+        Some("uint64") => Some(1 << 53),
+        _ => None,
+    };
+    match node {
+        Value::Object(map) => {
+            if let Some(top) = top {
+                map.entry("maximum").or_insert(Value::from(top));
+            }
+            map.values_mut().for_each(bound_integers);
+        }
+        Value::Array(items) => items.iter_mut().for_each(bound_integers),
+        _ => {}
+    }
+}
