feat(shell): log decisions and export metrics

Cause: operators need a line for each decision and figures they can read, and neither may hold up a request.

Ruled out: a blocking log queue (a slow terminal would stop routing); naming metrics in two places (page and code drift apart).

Change: logs::start with an asynchronous sink that drops and counts when full, decision! with one escaped line a decision, Metrics with an exporter in the text format of Prometheus, both made from one list of descriptions.

Conclusion: ready for the wiring of entry and agent.

--- a/crates/geraniumpost/src/lib.rs
+++ b/crates/geraniumpost/src/lib.rs
@@ -1,1 +1,4 @@
 //! Scheduler for latency-critical and batch work that share VMs.
+
+pub mod logs;
+pub mod metrics;
--- /dev/null
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -0,0 +1,195 @@
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+use super::description::{DESCRIPTIONS, Description};
+
+/// Bounds of the duration histograms in seconds, closest where targets lie.
+const BOUNDS: [f64; 16] =
+    [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 30.0];
+
+/// Meters of one process with their exporter.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Instruments fall silent when their provider is dropped.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    outcomes: Counter<u64>,
+    request_duration: Histogram<f64>,
+    in_flight: Gauge<u64>,
+    retries: Counter<u64>,
+    ejections: Counter<u64>,
+    heartbeats: Counter<u64>,
+    agents: Gauge<u64>,
+    store_calls: Counter<u64>,
+    store_call_duration: Histogram<f64>,
+    store_up: Gauge<u64>,
+    config_revision: Gauge<u64>,
+    planner_term: Gauge<u64>,
+    jobs: Gauge<u64>,
+    placements: Counter<u64>,
+    evictions: Counter<u64>,
+    dropped: Counter<u64>,
+}
+
+impl Metrics {
+    /// Creates the meters and their exporter.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be registered.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("geraniumpost")
+            .without_scope_info()
+            .without_target_info()
+            .build()
+            .map_err(|error| eyre!("metrics exporter: {error}"))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("geraniumpost");
+        Ok(Self {
+            requests: counter(&meter, "requests"),
+            outcomes: counter(&meter, "outcomes"),
+            request_duration: histogram(&meter, "request_duration"),
+            in_flight: gauge(&meter, "in_flight"),
+            retries: counter(&meter, "retries"),
+            ejections: counter(&meter, "ejections"),
+            heartbeats: counter(&meter, "heartbeats"),
+            agents: gauge(&meter, "agents"),
+            store_calls: counter(&meter, "store_calls"),
+            store_call_duration: histogram(&meter, "store_call_duration"),
+            store_up: gauge(&meter, "store_up"),
+            config_revision: gauge(&meter, "config_revision"),
+            planner_term: gauge(&meter, "planner_term"),
+            jobs: gauge(&meter, "jobs"),
+            placements: counter(&meter, "placements"),
+            evictions: counter(&meter, "evictions"),
+            dropped: counter(&meter, "dropped"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request by its service and customer.
+    pub fn request(&self, service: &str, customer: &str) {
+        self.requests.add(1, &[label("service", service), label("customer", customer)]);
+    }
+
+    /// Counts a final answer and its time.
+    pub fn outcome(&self, service: &str, code: u16, took: Duration) {
+        let service = label("service", service);
+        self.outcomes.add(1, &[service.clone(), KeyValue::new("code", i64::from(code))]);
+        self.request_duration.record(took.as_secs_f64(), &[service]);
+    }
+
+    /// Notes how many requests are carried now.
+    pub fn in_flight(&self, requests: u64) {
+        self.in_flight.record(requests, &[]);
+    }
+
+    /// Counts an attempt after the first.
+    pub fn retry(&self, why: &str) {
+        self.retries.add(1, &[label("why", why)]);
+    }
+
+    /// Counts an agent left out of routing.
+    pub fn ejection(&self, domain: &str) {
+        self.ejections.add(1, &[label("domain", domain)]);
+    }
+
+    /// Counts a heartbeat from an `agent` or `entry`.
+    pub fn heartbeat(&self, from: &str) {
+        self.heartbeats.add(1, &[label("from", from)]);
+    }
+
+    /// Notes how many agents are in `state`.
+    pub fn agents(&self, state: &str, count: u64) {
+        self.agents.record(count, &[label("state", state)]);
+    }
+
+    /// Counts a store call, its time and what it tells of the store.
+    pub fn store_call(&self, operation: &str, result: &str, took: Duration) {
+        let operation = label("operation", operation);
+        self.store_calls.add(1, &[operation.clone(), label("result", result)]);
+        self.store_call_duration.record(took.as_secs_f64(), &[operation]);
+    }
+
+    /// Notes whether the store answers.
+    pub fn store_up(&self, up: bool) {
+        self.store_up.record(u64::from(up), &[]);
+    }
+
+    /// Notes the revision in force.
+    pub fn config_revision(&self, revision: u64) {
+        self.config_revision.record(revision, &[]);
+    }
+
+    /// Notes the planner term held, 0 for none.
+    pub fn planner_term(&self, term: u64) {
+        self.planner_term.record(term, &[]);
+    }
+
+    /// Notes how many jobs are in `state`.
+    pub fn jobs(&self, state: &str, count: u64) {
+        self.jobs.record(count, &[label("state", state)]);
+    }
+
+    /// Counts a task placed.
+    pub fn placement(&self, class: &str) {
+        self.placements.add(1, &[label("class", class)]);
+    }
+
+    /// Counts a task evicted.
+    pub fn eviction(&self, why: &str) {
+        self.evictions.add(1, &[label("why", why)]);
+    }
+
+    /// Counts datagrams, frames or log lines dropped.
+    pub fn dropped(&self, what: &str, why: &str, count: u64) {
+        self.dropped.add(count, &[label("what", what), label("why", why)]);
+    }
+
+    /// Renders all metrics in the text format of Prometheus.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub fn render(&self) -> Result<String> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf).wrap_err("metrics")?;
+        String::from_utf8(buf).wrap_err("metrics")
+    }
+}
+
+fn label(key: &'static str, value: &str) -> KeyValue {
+    KeyValue::new(key, value.to_owned())
+}
+
+fn meaning(name: &str) -> &'static str {
+    let described = DESCRIPTIONS.iter().find(|item| item.name == name);
+    described.map_or("", |item: &Description| item.meaning)
+}
+
+fn counter(meter: &Meter, name: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(meaning(name)).build()
+}
+
+fn gauge(meter: &Meter, name: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(meaning(name)).build()
+}
+
+fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(meaning(name))
+        .with_unit("s")
+        .with_boundaries(BOUNDS.to_vec())
+        .build()
+}
--- /dev/null
+++ b/crates/geraniumpost/src/metrics/mod.rs
@@ -0,0 +1,7 @@
+//! Metrics that an operator reads at `/metrics`; the list is in `docs/METRICS.md`.
+
+mod description;
+mod instruments;
+
+pub use description::{DESCRIPTIONS, Description, Kind};
+pub use instruments::Metrics;
--- /dev/null
+++ b/crates/geraniumpost/tests/metrics.rs
@@ -0,0 +1,58 @@
+//! Every metric that the page lists is exported under the name it gives, and no other.
+
+use std::time::Duration;
+
+use geraniumpost::metrics::{DESCRIPTIONS, Metrics};
+
+fn all_used() -> Metrics {
+    let metrics = Metrics::new().unwrap();
+    metrics.request("filing", "claro");
+    metrics.outcome("filing", 2000, Duration::from_millis(3));
+    metrics.in_flight(2);
+    metrics.retry("refused");
+    metrics.ejection("surco");
+    metrics.heartbeat("agent");
+    metrics.agents("ready", 11);
+    metrics.store_call("get", "ok", Duration::from_millis(2));
+    metrics.store_up(true);
+    metrics.config_revision(7);
+    metrics.planner_term(3);
+    metrics.jobs("running", 4);
+    metrics.placement("study");
+    metrics.eviction("harm");
+    metrics.dropped("datagram", "unproved", 1);
+    metrics
+}
+
+#[test]
+fn every_described_metric_is_exported() {
+    let text = all_used().render().unwrap();
+    for item in DESCRIPTIONS {
+        let head = format!("# HELP {} {}", item.exported(), item.meaning);
+        assert!(text.contains(&head), "{} is missing in\n{text}", item.exported());
+    }
+    assert_eq!(text.matches("# HELP ").count(), DESCRIPTIONS.len(), "{text}");
+}
+
+#[test]
+fn labels_and_values_are_exported() {
+    let text = all_used().render().unwrap();
+    assert!(
+        text.contains("geraniumpost_outcomes_total{code=\"2000\",service=\"filing\"} 1"),
+        "{text}"
+    );
+    assert!(text.contains("geraniumpost_config_revision 7"), "{text}");
+    assert!(
+        text.contains(
+            "geraniumpost_request_duration_seconds_bucket{service=\"filing\",le=\"0.005\"} 1"
+        ),
+        "{text}"
+    );
+}
+
+#[test]
+fn two_processes_in_one_do_not_share_metrics() {
+    let (one, other) = (Metrics::new().unwrap(), Metrics::new().unwrap());
+    one.config_revision(1);
+    assert!(!other.render().unwrap().contains("config_revision 1"));
+}
