feat: stand-ins of the platform and adapters to them

Cause: nothing can run end to end without a key-value service, workers and minions, and the shell needs one narrow adapter per outside system. Change: one binary and library functions for store, worker, minion and relay, each with faults on a control listener of its own; adapters that tell calls without effect from uncertain ones. Ruled out: control pages on the served listener, since a stand-in that plays dead could not be revived; hyper-util's pooled client, which neither bounds connections nor hands back what it did not write.

--- /dev/null
+++ b/crates/geraniumpost-platform/src/http/client.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
+use tokio::time::{Instant, timeout_at};
+
+use super::connection::Connection;
+use super::whole::read_whole;
+use super::{Exchange, SendError};
+
+/// Client of one address with a bounded number of connections, reused when idle.
+#[derive(Debug)]
+pub(crate) struct Client {
+    address: SocketAddr,
+    host: HeaderValue,
+    most_answer: usize,
+    /// One permit per exchange in progress.
+    turns: Semaphore,
+    /// One permit per open connection, in progress, idle or closing.
+    open: Arc<Semaphore>,
+    idle: Mutex<Vec<Connection>>,
+}
+
+impl Client {
+    /// Creates a client with at most `connections` connections and answers of `most_answer` bytes.
+    pub(crate) fn new(address: SocketAddr, connections: usize, most_answer: usize) -> Self {
+        let host = HeaderValue::from_str(&address.to_string());
+        Self {
+            address,
+            host: host.expect("a socket address is a header value"),
+            most_answer,
+            turns: Semaphore::new(connections),
+            open: Arc::new(Semaphore::new(connections)),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and reads the whole answer before the timeout.
+    pub(crate) async fn exchange(
+        &self,
+        mut req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        let ends = Instant::now() + timeout;
+        req.headers_mut().insert(HOST, self.host.clone());
+        let method = req.method().clone();
+        let turn = timeout_at(ends, self.turns.acquire()).await;
+        let Ok(Ok(_turn)) = turn else {
+            return Err(SendError::NotSent("all connections are in use".to_owned()));
+        };
+        let (mut connection, answer) = self.send(req, ends).await?;
+        let whole = read_whole(&method, answer, self.most_answer);
+        let whole = timeout_at(ends, whole).await.map_err(|_| SendError::TimedOut)??;
+        // Reuse follows only on a whole answer; after anything else the connection is closed, lest
+        // the rest of one answer be taken for the beginning of another.
+        if timeout_at(ends, connection.ready()).await == Ok(true) {
+            self.lock().push(connection);
+        }
+        Ok(whole)
+    }
+
+    /// Sends a request on an idle or a new connection.
+    async fn send(
+        &self,
+        req: Request<Full<Bytes>>,
+        ends: Instant,
+    ) -> Result<(Connection, Response<Incoming>), SendError> {
+        let idle = self.take_idle();
+        let opening = async {
+            match idle {
+                Some(connection) => Ok(connection),
+                None => self.open().await,
+            }
+        };
+        let late = |_| SendError::NotSent("timed out while connecting".to_owned());
+        let mut connection = timeout_at(ends, opening).await.map_err(late)??;
+        let answer = timeout_at(ends, connection.send(req)).await;
+        let answer = answer.map_err(|_| SendError::TimedOut)??;
+        Ok((connection, answer))
+    }
+
+    async fn open(&self) -> Result<Connection, SendError> {
+        let permit = Arc::clone(&self.open).acquire_owned().await;
+        let permit = permit.map_err(|e| SendError::NotSent(e.to_string()))?;
+        Connection::open(self.address, permit).await
+    }
+
+    /// Takes the idle connection that was used last; closed ones are dropped on the way.
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.lock();
+        idle.retain(Connection::is_ready);
+        idle.pop()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/geraniumpost-platform/src/lib.rs
+++ b/crates/geraniumpost-platform/src/lib.rs
@@ -1,1 +1,13 @@
 //! Adapters to the platform: key-value service, workers and minions.
+//!
+//! One module per outside system, so that another protocol is one module's change. Every error
+//! tells whether the call certainly had no effect, because on that word others are started anew.
+
+mod http;
+pub mod minion;
+pub mod store;
+pub mod worker;
+
+pub use minion::{Answer, Minion, MinionError};
+pub use store::{Expect, LeaseId, Store, StoreError, Versioned, Watched};
+pub use worker::{Started, TaskOrder, Worker, WorkerError, WorkerTask};
--- /dev/null
+++ b/crates/geraniumpost-platform/src/store/client.rs
@@ -0,0 +1,217 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
+use http::request::Builder;
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode};
+use http_body_util::Full;
+
+use super::path::kv_path;
+use super::{Expect, LeaseId, StoreError, Versioned, Watched};
+use crate::http::{Client, Exchange, SendError};
+
+/// Header that binds a key to a lease.
+const LEASE: HeaderName = HeaderName::from_static("x-lease");
+/// Connections kept to the store; a watch in progress takes one.
+const CONNECTIONS: usize = 32;
+/// Largest value read; the store holds at most a megabyte.
+const MAX_VALUE: usize = 2 << 20;
+/// Time for a call unless [`Store::timeout`] sets another.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Client of the platform's key-value service, cheap to clone.
+///
+/// Every call is counted, because the platform counts them too and a watch is one.
+#[derive(Debug, Clone)]
+pub struct Store {
+    client: Arc<Client>,
+    calls: Arc<AtomicU64>,
+    timeout: Duration,
+}
+
+impl Store {
+    /// Creates a client of the service at `address`; connections are opened when needed.
+    pub fn new(address: SocketAddr) -> Self {
+        let client = Arc::new(Client::new(address, CONNECTIONS, MAX_VALUE));
+        Self { client, calls: Arc::default(), timeout: TIMEOUT }
+    }
+
+    /// Sets the time for a call, after which it fails as [`StoreError::Uncertain`].
+    #[must_use]
+    pub const fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Returns the number of calls made through this client and its clones.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Reads a key.
+    pub async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let exchange = self.read(&kv_path("kv", key), self.timeout).await?;
+        match exchange.status {
+            StatusCode::OK => Ok(Some(versioned(exchange)?)),
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => Err(unexpected(&exchange)),
+        }
+    }
+
+    /// Writes a key if the condition holds and returns the new revision.
+    ///
+    /// Without a lease the key loses the one it may have had.
+    pub async fn put(
+        &self,
+        key: &str,
+        value: impl Into<Bytes> + Send,
+        expect: Expect,
+        lease: Option<LeaseId>,
+    ) -> Result<u64, StoreError> {
+        let mut req = condition(Request::put(kv_path("kv", key)), expect);
+        if let Some(lease) = lease {
+            req = req.header(LEASE, u64::from(lease));
+        }
+        let exchange = self.call(req, value.into(), self.timeout).await?;
+        match exchange.status {
+            StatusCode::OK => revision(&exchange.headers),
+            StatusCode::PRECONDITION_FAILED => Err(conflict(&exchange)),
+            StatusCode::GONE => Err(StoreError::LeaseGone),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge),
+            _ => Err(unexpected(&exchange)),
+        }
+    }
+
+    /// Removes a key that stands at `revision`.
+    pub async fn delete(&self, key: &str, revision: u64) -> Result<(), StoreError> {
+        let req = Request::delete(kv_path("kv", key));
+        let req = condition(req, Expect::Revision(revision));
+        let exchange = self.call(req, Bytes::new(), self.timeout).await?;
+        match exchange.status {
+            StatusCode::NO_CONTENT => Ok(()),
+            StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: None }),
+            StatusCode::PRECONDITION_FAILED => Err(conflict(&exchange)),
+            _ => Err(unexpected(&exchange)),
+        }
+    }
+
+    /// Creates a lease that ends `ttl` after its last renewal.
+    pub async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let req = Request::post(format!("/v1/leases?ttl_ms={}", ttl.as_millis()));
+        let exchange = self.call(req, Bytes::new(), self.timeout).await?;
+        let id = std::str::from_utf8(&exchange.body).ok().and_then(|text| text.parse().ok());
+        match (exchange.status, id) {
+            (StatusCode::CREATED, Some::<u64>(id)) => Ok(id.into()),
+            (StatusCode::CREATED, None) => {
+                Err(StoreError::Uncertain("the lease's id is missing".to_owned()))
+            }
+            _ => Err(unexpected(&exchange)),
+        }
+    }
+
+    /// Renews a lease.
+    pub async fn keep_alive(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.on_lease(Method::PUT, lease).await
+    }
+
+    /// Ends a lease and removes the keys bound to it.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.on_lease(Method::DELETE, lease).await
+    }
+
+    /// Waits at most `wait` for a change of the key after revision `after`.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        let path = kv_path("watch", key);
+        let path = format!("{path}?after={after}&wait_ms={}", wait.as_millis());
+        let exchange = self.read(&path, self.timeout + wait).await?;
+        match exchange.status {
+            StatusCode::OK => Ok(Watched::Written(versioned(exchange)?)),
+            StatusCode::NOT_MODIFIED => Ok(Watched::Unchanged),
+            StatusCode::NOT_FOUND => {
+                Ok(Watched::Removed { revision: revision(&exchange.headers)? })
+            }
+            _ => Err(unexpected(&exchange)),
+        }
+    }
+
+    async fn on_lease(&self, method: Method, lease: LeaseId) -> Result<(), StoreError> {
+        let req = Request::builder().method(method).uri(format!("/v1/leases/{lease}"));
+        let exchange = self.call(req, Bytes::new(), self.timeout).await?;
+        match exchange.status {
+            StatusCode::NO_CONTENT => Ok(()),
+            StatusCode::NOT_FOUND => Err(StoreError::LeaseGone),
+            _ => Err(unexpected(&exchange)),
+        }
+    }
+
+    /// Reads a page; a read has no effect, so a connection that broke is worth a second try.
+    async fn read(&self, path: &str, timeout: Duration) -> Result<Exchange, StoreError> {
+        let first = self.send(Request::get(path), Bytes::new(), timeout).await;
+        match first {
+            Err(SendError::Failed(_)) => self.call(Request::get(path), Bytes::new(), timeout).await,
+            other => Ok(other?),
+        }
+    }
+
+    async fn call(
+        &self,
+        req: Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Exchange, StoreError> {
+        Ok(self.send(req, body, timeout).await?)
+    }
+
+    async fn send(
+        &self,
+        req: Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let req = req.body(Full::new(body)).map_err(|e| SendError::NotSent(e.to_string()))?;
+        self.client.exchange(req, timeout).await
+    }
+}
+
+fn condition(req: Builder, expect: Expect) -> Builder {
+    match expect {
+        Expect::Absent => req.header(IF_NONE_MATCH, "*"),
+        Expect::Revision(revision) => req.header(IF_MATCH, format!("\"{revision}\"")),
+    }
+}
+
+fn versioned(exchange: Exchange) -> Result<Versioned, StoreError> {
+    Ok(Versioned { revision: revision(&exchange.headers)?, value: exchange.body })
+}
+
+fn tag(headers: &HeaderMap) -> Option<u64> {
+    headers.get(ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
+}
+
+fn revision(headers: &HeaderMap) -> Result<u64, StoreError> {
+    tag(headers).ok_or_else(|| StoreError::Uncertain("the revision is missing".to_owned()))
+}
+
+fn conflict(exchange: &Exchange) -> StoreError {
+    StoreError::Conflict { current: tag(&exchange.headers) }
+}
+
+/// Judges a status that no call expects.
+///
+/// The service answers 4xx and 503 without doing anything; another 5xx may come from in between,
+/// after the write took effect.
+fn unexpected(exchange: &Exchange) -> StoreError {
+    let reason = exchange.status.to_string();
+    let refused =
+        exchange.status.is_client_error() || exchange.status == StatusCode::SERVICE_UNAVAILABLE;
+    if refused { StoreError::Refused(reason) } else { StoreError::Uncertain(reason) }
+}
--- /dev/null
+++ b/crates/geraniumpost-standin/src/relay/serve.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eyre::Result;
+use http::{Method, StatusCode};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinSet;
+
+use super::shared::Shared;
+use super::{Protocol, tcp, udp};
+use crate::Standin;
+use crate::http::{Reply, json, serve_control, status};
+
+/// Runs a relay to `to` until the returned handle is dropped.
+///
+/// Its control listener serves `GET /fault`, `POST /fault` and `POST /cut`.
+pub async fn spawn_in_process(
+    listen: SocketAddr,
+    control: SocketAddr,
+    protocol: Protocol,
+    to: SocketAddr,
+) -> Result<Standin> {
+    let shared = Arc::new(Shared::new());
+    let mut tasks = JoinSet::new();
+    let pages = Arc::clone(&shared);
+    let control = serve_control(
+        control,
+        &mut tasks,
+        Arc::new(move |method, path, body| page(&pages, method, path, body)),
+    );
+    let control = control.await?;
+    let address = match protocol {
+        Protocol::Tcp => {
+            let listener = TcpListener::bind(listen).await?;
+            let address = listener.local_addr()?;
+            tasks.spawn(tcp::relay(listener, to, shared));
+            address
+        }
+        Protocol::Udp => {
+            let socket = UdpSocket::bind(listen).await?;
+            let address = socket.local_addr()?;
+            tasks.spawn(udp::relay(socket, to, shared));
+            address
+        }
+    };
+    Ok(Standin::new(address, control, tasks))
+}
+
+fn page(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Result<Option<Reply>> {
+    let done = || Some(status(StatusCode::NO_CONTENT));
+    Ok(match (method, path) {
+        (&Method::GET, "/fault") => Some(json(&shared.faults())),
+        (&Method::POST, "/fault") => {
+            shared.set_faults(serde_json::from_slice(body)?);
+            done()
+        }
+        (&Method::POST, "/cut") => {
+            shared.cut();
+            done()
+        }
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/geraniumpost-standin/src/worker/serve.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use http::{Method, StatusCode};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use super::WorkerOptions;
+use super::service::answer;
+use super::shared::Shared;
+use crate::Standin;
+use crate::http::{Down, Reply, Server, json, serve_control, status};
+
+/// Interval at which ends of tasks are recorded although nobody asks.
+const WORK_TICK: Duration = Duration::from_millis(20);
+
+/// Runs a worker until the returned handle is dropped.
+///
+/// Its control listener serves `GET /record`, `GET /fault` and `POST /fault`.
+pub async fn spawn_in_process(
+    listen: SocketAddr,
+    control: SocketAddr,
+    options: WorkerOptions,
+) -> Result<Standin> {
+    let (up, down) = watch::channel(Down::No);
+    let shared = Arc::new(Shared::open(options, up)?);
+    let server = Server::bind(listen, down).await?;
+    let address = server.address();
+    let mut tasks = JoinSet::new();
+    let pages = Arc::clone(&shared);
+    let control = serve_control(
+        control,
+        &mut tasks,
+        Arc::new(move |method, path, body| page(&pages, method, path, body)),
+    );
+    let control = control.await?;
+    let ticking = Arc::clone(&shared);
+    tasks.spawn(server.run(move |req| answer(Arc::clone(&shared), req)));
+    tasks.spawn(work(ticking));
+    Ok(Standin::new(address, control, tasks))
+}
+
+async fn work(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(WORK_TICK);
+    loop {
+        ticks.tick().await;
+        shared.change(|_, _| ());
+    }
+}
+
+fn page(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Result<Option<Reply>> {
+    Ok(match (method, path) {
+        (&Method::GET, "/record") => Some(json(&shared.record())),
+        (&Method::GET, "/fault") => Some(json(&shared.faults())),
+        (&Method::POST, "/fault") => {
+            shared.set_faults(serde_json::from_slice(body)?);
+            Some(status(StatusCode::NO_CONTENT))
+        }
+        _ => None,
+    })
+}
