test: adapters against the stand-ins, with faults

Cause: the adapters' word "certainly not sent" is what lets a request or a job be given to another VM, so it must hold while connections break.

--- /dev/null
+++ b/crates/geraniumpost-platform/tests/store.rs
@@ -0,0 +1,229 @@
+//! The store's adapter against the stand-in, with and without faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use geraniumpost_platform::{Expect, Store, StoreError, Versioned, Watched};
+use geraniumpost_standin::Standin;
+use geraniumpost_standin::http::Down;
+use geraniumpost_standin::store::{StoreCounts, StoreFaults, spawn_in_process};
+
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const SHORT: Duration = Duration::from_millis(300);
+
+async fn store() -> (Standin, Store) {
+    let standin = spawn_in_process(ANY, ANY).await.unwrap();
+    let store = Store::new(standin.address());
+    (standin, store)
+}
+
+async fn set(standin: &Standin, faults: StoreFaults) {
+    standin.control().set_faults(&faults).await.unwrap();
+}
+
+/// Names each case of a write while the store is out of service in some way.
+macro_rules! write_while_down {
+    ($($(#[$doc:meta])* $name:ident: $down:expr => $error:pat,)*) => {$(
+        $(#[$doc])*
+        #[tokio::test]
+        async fn $name() {
+            let (standin, store) = store().await;
+            let store = store.timeout(SHORT);
+            let first = store.put("job/1", "old", Expect::Absent, None).await.unwrap();
+            set(&standin, StoreFaults { down: $down, ..StoreFaults::default() }).await;
+            let result = store.put("job/1", "new", Expect::Revision(first), None).await;
+            assert_matches!(result, Err($error));
+            set(&standin, StoreFaults::default()).await;
+            let value = store.get("job/1").await.unwrap().unwrap().value;
+            assert_eq!(value, "old");
+        }
+    )*};
+}
+
+write_while_down! {
+    /// The store's process is gone and its port refuses connections. Nothing can have been
+    /// written, and an operator's change may be repeated at once.
+    write_to_a_refused_port_had_no_effect: Down::Refuse => StoreError::Refused(_),
+    /// The store says that it is not available. It has not written, and says so.
+    write_answered_unavailable_had_no_effect: Down::Unavailable => StoreError::Refused(_),
+    /// The store takes the request and never answers. The write may be under way, so an operator
+    /// must not be told that it failed.
+    write_never_answered_is_uncertain: Down::Hang => StoreError::Uncertain(_),
+}
+
+#[tokio::test]
+async fn written_value_is_read_back_with_its_revision() {
+    let (_standin, store) = store().await;
+    assert_eq!(store.get("config").await, Ok(None));
+    let revision = store.put("config", "a", Expect::Absent, None).await.unwrap();
+    let read = store.get("config").await.unwrap().unwrap();
+    assert_eq!(read, Versioned { revision, value: "a".into() });
+}
+
+#[tokio::test]
+async fn keys_with_odd_characters_stay_apart() {
+    let (_standin, store) = store().await;
+    store.put("claim/a?b", "1", Expect::Absent, None).await.unwrap();
+    store.put("claim/a", "2", Expect::Absent, None).await.unwrap();
+    assert_eq!(store.get("claim/a?b").await.unwrap().unwrap().value, "1");
+    assert_eq!(store.get("claim/a").await.unwrap().unwrap().value, "2");
+}
+
+/// Two operators change the same setting at once. The second one's write must lose and must say
+/// at which revision the setting stands now, or the first one's change would vanish unseen.
+#[tokio::test]
+async fn second_of_two_writers_loses_and_sees_the_first() {
+    let (_standin, store) = store().await;
+    let base = store.put("config", "a", Expect::Absent, None).await.unwrap();
+    let won = store.put("config", "b", Expect::Revision(base), None).await.unwrap();
+    let lost = store.put("config", "c", Expect::Revision(base), None).await;
+    assert_eq!(lost, Err(StoreError::Conflict { current: Some(won) }));
+    let absent = store.put("config", "d", Expect::Absent, None).await;
+    assert_eq!(absent, Err(StoreError::Conflict { current: Some(won) }));
+    let missing = store.put("other", "e", Expect::Revision(won), None).await;
+    assert_eq!(missing, Err(StoreError::Conflict { current: None }));
+}
+
+#[tokio::test]
+async fn removal_needs_the_current_revision() {
+    let (_standin, store) = store().await;
+    let first = store.put("job/1", "a", Expect::Absent, None).await.unwrap();
+    let second = store.put("job/1", "b", Expect::Revision(first), None).await.unwrap();
+    let stale = store.delete("job/1", first).await;
+    assert_eq!(stale, Err(StoreError::Conflict { current: Some(second) }));
+    store.delete("job/1", second).await.unwrap();
+    assert_eq!(store.get("job/1").await, Ok(None));
+    assert_eq!(store.delete("job/1", second).await, Err(StoreError::Conflict { current: None }));
+}
+
+/// The write takes effect and its reply is lost. Were this taken for a failure, an operator's
+/// accepted change would be reported as rejected while it is in force everywhere.
+#[tokio::test]
+async fn lost_reply_is_uncertain_and_the_write_is_there() {
+    let (standin, store) = store().await;
+    set(&standin, StoreFaults { lose_replies: 1, ..StoreFaults::default() }).await;
+    let lost = store.put("config", "a", Expect::Absent, None).await;
+    assert_matches!(lost, Err(e @ StoreError::Uncertain(_)) if !e.had_no_effect());
+    assert_eq!(store.get("config").await.unwrap().unwrap().value, "a");
+    assert_eq!(standin.control().read::<StoreCounts>("counts").await.unwrap().lost_replies, 1);
+}
+
+/// The same seed must lose the same replies, or a failure seen once could not be replayed.
+#[tokio::test]
+async fn replies_lost_by_chance_follow_the_seed() {
+    let mut patterns = Vec::new();
+    for _ in 0..2 {
+        let (standin, store) = store().await;
+        set(&standin, StoreFaults { lose_permille: 400, seed: 7, ..StoreFaults::default() }).await;
+        let mut lost = Vec::new();
+        for n in 0..40 {
+            let put = store.put(&format!("k/{n}"), "v", Expect::Absent, None).await;
+            lost.push(put.is_err());
+        }
+        patterns.push(lost);
+    }
+    assert_eq!(patterns[0], patterns[1]);
+    let lost = patterns[0].iter().filter(|lost| **lost).count();
+    assert!((5..35).contains(&lost), "{lost} of 40 lost");
+}
+
+/// The platform limits the rate of writes. What is over it was not written and can be sent later.
+#[tokio::test]
+async fn write_over_the_rate_limit_had_no_effect() {
+    let (standin, store) = store().await;
+    set(&standin, StoreFaults { writes_per_second: 2, ..StoreFaults::default() }).await;
+    for key in ["a", "b"] {
+        store.put(key, "v", Expect::Absent, None).await.unwrap();
+    }
+    let over = store.put("c", "v", Expect::Absent, None).await;
+    assert_matches!(over, Err(e @ StoreError::Refused(_)) if e.had_no_effect());
+    assert_eq!(store.get("c").await, Ok(None));
+}
+
+/// The store restarts and all kept connections end while nobody looks. The next call must go over
+/// a new connection, or each restart would turn a write into an uncertain one.
+#[tokio::test]
+async fn connection_closed_while_idle_is_replaced() {
+    let (standin, store) = store().await;
+    for round in 0..10 {
+        let key = format!("k/{round}");
+        store.put(&key, "v", Expect::Absent, None).await.unwrap();
+        set(&standin, StoreFaults { down: Down::Close, ..StoreFaults::default() }).await;
+        set(&standin, StoreFaults::default()).await;
+        wait_for_close().await;
+    }
+}
+
+/// The client's connection task must have run once after the close.
+async fn wait_for_close() {
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+#[tokio::test]
+async fn value_over_a_megabyte_is_rejected() {
+    let (_standin, store) = store().await;
+    let full = vec![7; 1 << 20];
+    store.put("full", full.clone(), Expect::Absent, None).await.unwrap();
+    assert_eq!(store.get("full").await.unwrap().unwrap().value, full);
+    let over = store.put("over", vec![7; (1 << 20) + 1], Expect::Absent, None).await;
+    assert_eq!(over, Err(StoreError::TooLarge));
+}
+
+/// A planner is paused for longer than its lease. Its key must be gone, and what it still writes
+/// under the lapsed lease must fail, or two planners would act at once.
+#[tokio::test]
+async fn lapsed_lease_takes_its_keys_along() {
+    let (_standin, store) = store().await;
+    let lease = store.grant(Duration::from_millis(100)).await.unwrap();
+    let revision = store.put("planner", "p", Expect::Absent, Some(lease)).await.unwrap();
+    let seen = store.watch("planner", revision, Duration::from_secs(5)).await.unwrap();
+    assert_matches!(seen, Watched::Removed { revision: removed } if removed > revision);
+    assert_eq!(store.keep_alive(lease).await, Err(StoreError::LeaseGone));
+    let late = store.put("planner", "p", Expect::Absent, Some(lease)).await;
+    assert_eq!(late, Err(StoreError::LeaseGone));
+}
+
+#[tokio::test]
+async fn renewed_lease_keeps_its_keys_until_revoked() {
+    let (_standin, store) = store().await;
+    let lease = store.grant(Duration::from_millis(600)).await.unwrap();
+    store.put("planner", "p", Expect::Absent, Some(lease)).await.unwrap();
+    for _ in 0..8 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        store.keep_alive(lease).await.unwrap();
+    }
+    assert!(store.get("planner").await.unwrap().is_some());
+    store.revoke(lease).await.unwrap();
+    assert_eq!(store.get("planner").await, Ok(None));
+}
+
+#[tokio::test]
+async fn watch_sees_a_change_or_none() {
+    let (_standin, store) = store().await;
+    let first = store.put("config", "a", Expect::Absent, None).await.unwrap();
+    let none = store.watch("config", first, Duration::from_millis(50)).await;
+    assert_eq!(none, Ok(Watched::Unchanged));
+    let watching = store.clone();
+    let seen = tokio::spawn(async move {
+        watching.watch("config", first, Duration::from_secs(10)).await.unwrap()
+    });
+    let revision = store.put("config", "b", Expect::Revision(first), None).await.unwrap();
+    let expected = Versioned { revision, value: "b".into() };
+    assert_eq!(seen.await.unwrap(), Watched::Written(expected));
+}
+
+#[tokio::test]
+async fn client_and_store_count_the_same_calls() {
+    let (standin, store) = store().await;
+    let lease = store.grant(Duration::from_secs(5)).await.unwrap();
+    store.put("k", "v", Expect::Absent, Some(lease)).await.unwrap();
+    store.put("k", "v", Expect::Absent, None).await.unwrap_err();
+    store.get("k").await.unwrap();
+    store.watch("k", 99, Duration::ZERO).await.unwrap();
+    store.keep_alive(lease).await.unwrap();
+    store.revoke(lease).await.unwrap();
+    let counts: StoreCounts = standin.control().read("counts").await.unwrap();
+    assert_eq!(counts.total(), store.calls());
+    assert_eq!((counts.put, counts.conflicts, counts.watch, counts.writes()), (2, 1, 1, 5));
+}
