--- a/crates/geraniumpost-core/src/lib.rs
+++ b/crates/geraniumpost-core/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod jobs;
 pub mod placement;
 pub mod requests;
+mod result_code;
 mod time;
 
+pub use result_code::ResultCode;
 pub use time::{Micros, Millis};
