feat(shell): keep the configuration in force

Cause: a request must find its customer with one hash and one look-up, and a process must carry changes into the store and adopt others' by the core's rules.

Ruled out: locks on a request's path; adopting in the order of the tasks that happen to run (the holder checks the revision once more).

--- /dev/null
+++ b/crates/geraniumpost/src/config/keeper.rs
@@ -0,0 +1,121 @@
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use bytes::Bytes;
+use geraniumpost_core::Millis;
+use geraniumpost_core::config::{Adoption, AdoptionAction, AdoptionEvent, Source, StoredDocument};
+use geraniumpost_platform::{Store, StoreError};
+use geraniumpost_schema::{Document, Name};
+
+use super::{CONFIG_KEY, ConfigHolder, InForce, Wanted};
+
+/// A readable document with the id of its change, as far as that is known.
+type Readable = (Name, Document);
+
+/// Keeps the configuration of one process: feeds what is heard to the adoption rule and puts what
+/// it decides in force.
+#[derive(Debug)]
+pub struct ConfigKeeper {
+    holder: Arc<ConfigHolder>,
+    adoption: Mutex<Adoption<Readable>>,
+    origin: Instant,
+}
+
+impl ConfigKeeper {
+    /// Creates a keeper that gathers peers' answers for `gather_ms` after the start.
+    pub fn new(holder: Arc<ConfigHolder>, gather_ms: u64) -> Self {
+        Self { holder, adoption: Mutex::new(Adoption::new(gather_ms)), origin: Instant::now() }
+    }
+
+    /// Returns the holder that requests read.
+    pub const fn holder(&self) -> &Arc<ConfigHolder> {
+        &self.holder
+    }
+
+    /// Begins: nothing is known yet.
+    pub fn start(&self) -> Vec<Wanted> {
+        self.on(AdoptionEvent::Started)
+    }
+
+    /// Takes note that time has passed; to be called a few times a second.
+    pub fn tick(&self) -> Vec<Wanted> {
+        self.on(AdoptionEvent::Tick)
+    }
+
+    /// Takes note that a peer has `revision` in force, as its heartbeats say.
+    pub fn offered(&self, peer: &Name, revision: u64) -> Vec<Wanted> {
+        self.on(AdoptionEvent::Offered { source: Source::Peer(peer.clone()), revision })
+    }
+
+    /// Takes a document that a peer has sent as JSON.
+    pub fn received(&self, peer: &Name, revision: u64, json: &[u8]) -> Vec<Wanted> {
+        match serde_json::from_slice(json) {
+            Ok(document) => {
+                self.adopt_from(Source::Peer(peer.clone()), revision, Name::default(), document)
+            }
+            Err(error) => self.unreadable(revision, &error),
+        }
+    }
+
+    /// Reads the store and adopts what it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer; what is in force then stays.
+    pub async fn refresh(&self, store: &Store) -> Result<(), StoreError> {
+        match store.get(CONFIG_KEY).await? {
+            Some(found) => drop(self.stored(found.revision, &found.value)),
+            None => drop(self.on(AdoptionEvent::StoreEmpty)),
+        }
+        Ok(())
+    }
+
+    /// Takes the value of [`CONFIG_KEY`] that the store has answered, as a watch does.
+    pub fn stored(&self, revision: u64, value: &Bytes) -> Vec<Wanted> {
+        let read = serde_json::from_slice::<StoredDocument>(value).and_then(|stored| {
+            let change_id = stored.change_id();
+            Ok((change_id, serde_json::from_value::<Document>(stored.document)?))
+        });
+        match read {
+            Ok((change_id, document)) => {
+                self.adopt_from(Source::Store, revision, change_id, document)
+            }
+            Err(error) => self.unreadable(revision, &error),
+        }
+    }
+
+    fn adopt_from(
+        &self,
+        source: Source,
+        revision: u64,
+        change_id: Name,
+        document: Document,
+    ) -> Vec<Wanted> {
+        self.on(AdoptionEvent::Received { source, revision, document: (change_id, document) })
+    }
+
+    /// A newer program may have written what this one cannot read; it keeps what it has.
+    fn unreadable(&self, revision: u64, error: &serde_json::Error) -> Vec<Wanted> {
+        spdlog::error!("configuration {revision} cannot be read and is not adopted: {error}");
+        self.on(AdoptionEvent::Unreadable { revision })
+    }
+
+    fn on(&self, event: AdoptionEvent<Readable>) -> Vec<Wanted> {
+        let now = Millis(self.origin.elapsed().as_millis() as u64);
+        let mut adoption = self.adoption.lock().unwrap_or_else(PoisonError::into_inner);
+        let actions = adoption.on(event, now);
+        actions.into_iter().filter_map(|action| self.carry_out(action)).collect()
+    }
+
+    fn carry_out(&self, action: AdoptionAction<Readable>) -> Option<Wanted> {
+        match action {
+            AdoptionAction::AskAll => Some(Wanted::AskAll),
+            AdoptionAction::Fetch { source, .. } => Some(Wanted::Fetch(source)),
+            AdoptionAction::Adopt { revision, document: (change_id, document) } => {
+                spdlog::info!("configuration {revision} is in force, change {change_id}");
+                self.holder.adopt(InForce::new(revision, change_id, document));
+                None
+            }
+        }
+    }
+}
