--- a/crates/geraniumpost/src/config/in_force.rs
+++ b/crates/geraniumpost/src/config/in_force.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -52,12 +52,12 @@
     /// Creates the state before the first revision: nobody is known.
     pub fn none() -> Self {
         let document = Document {
-            classes: Default::default(),
-            customers: Default::default(),
-            domains: Default::default(),
-            operators: Default::default(),
+            classes: BTreeMap::default(),
+            customers: BTreeMap::default(),
+            domains: BTreeMap::default(),
+            operators: BTreeMap::default(),
             policy: Policy::default(),
-            services: Default::default(),
+            services: BTreeMap::default(),
         };
         Self::new(0, Name::default(), document)
     }
