feat(console): serve the operators' API and a console of forms

Cause: operators drive the system by forms or by API; both must yield the one validated document, and neither may undo a colleague's change.

Ruled out: cookies for changes by the API (a browser sends them by itself); building a form's document on an entry that is behind the form's revision (it would undo what came between); adopting the document of a repeat in place of the one written under its change id.

Change: Route, Call and Reply as plain data around Console::answer; codes 4001 to 4014; pages rendered from the JSON Schema by maud; token by cookie with HttpOnly, SameSite=Strict, a proof in each form and a check of Origin; a first document by a token made from the settings' shared key; JobsHandle and forward for the planner.

Conclusion: the entry has to bind the listener and give status and planner.

--- a/crates/geraniumpost/src/config/keeper.rs
+++ b/crates/geraniumpost/src/config/keeper.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Takes a document that this process has just committed itself.
+    pub fn committed(&self, revision: u64, change_id: Name, document: Document) {
+        self.adopt_from(Source::Store, revision, change_id, document);
+    }
+
     fn adopt_from(
         &self,
         source: Source,
--- a/crates/geraniumpost/src/config/writer.rs
+++ b/crates/geraniumpost/src/config/writer.rs
@@ -5,18 +5,21 @@
 };
 use geraniumpost_platform::{Expect, Store, StoreError};
 
-use super::CONFIG_KEY;
+use super::{CONFIG_KEY, ConfigKeeper};
 
 /// Pause after a call that failed, so that a store in trouble is not pressed.
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// Carries one operator's change into the store and tells what became of it.
-pub async fn write_change(store: &Store, change: Change) -> ChangeOutcome {
+///
+/// What is read on the way is adopted. A repeat that finds its change made already is so answered
+/// from the document that was written then, whatever document the repeat carries.
+pub async fn write_change(store: &Store, keeper: &ConfigKeeper, change: Change) -> ChangeOutcome {
     let mut protocol = ChangeProtocol::new(change);
     let mut action = protocol.begin();
     loop {
         let event = match action {
-            ChangeAction::Read => read(store).await,
+            ChangeAction::Read => read(store, keeper).await,
             ChangeAction::Write { expected, value } => write(store, expected, &value).await,
             ChangeAction::Done(outcome) => return outcome,
         };
@@ -27,11 +30,14 @@
     }
 }
 
-async fn read(store: &Store) -> ChangeEvent {
+async fn read(store: &Store, keeper: &ConfigKeeper) -> ChangeEvent {
     match store.get(CONFIG_KEY).await {
         Ok(None) => ChangeEvent::Read(None),
         Ok(Some(found)) => match serde_json::from_slice::<StoredDocument>(&found.value) {
-            Ok(stored) => ChangeEvent::Read(Some((found.revision, stored))),
+            Ok(stored) => {
+                keeper.stored(found.revision, &found.value);
+                ChangeEvent::Read(Some((found.revision, stored)))
+            }
             Err(error) => {
                 spdlog::error!("the stored configuration cannot be read: {error}");
                 ChangeEvent::Failed
--- /dev/null
+++ b/crates/geraniumpost/src/console/context.rs
@@ -0,0 +1,47 @@
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use geraniumpost_platform::Store;
+use geraniumpost_schema::Name;
+use serde_json::Value;
+
+use super::{ApiError, JobAsk};
+use crate::config::ConfigKeeper;
+use crate::metrics::Metrics;
+
+/// Reads one part of the process's state as JSON.
+pub type ValueHandle = Arc<dyn Fn() -> Value + Send + Sync>;
+
+/// Carries a call on jobs to the region's planner, here or on another entry.
+pub type JobsHandle = Arc<
+    dyn Fn(JobAsk) -> Pin<Box<dyn Future<Output = Result<Value, ApiError>> + Send>> + Send + Sync,
+>;
+
+/// What the console needs of its entry.
+#[derive(Clone)]
+pub struct ConsoleContext {
+    /// Name of the entry.
+    pub name: Name,
+    /// The configuration in force here.
+    pub keeper: Arc<ConfigKeeper>,
+    /// The platform's key-value service.
+    pub store: Store,
+    /// Meters that `/metrics` shows.
+    pub metrics: Arc<Metrics>,
+    /// Token that may write the first document, see [`first_token`](super::first_token).
+    pub first_token: String,
+    /// State of entry, agents and jobs for `/api/status`.
+    pub status: ValueHandle,
+    /// Revision in force on every known process for `/api/in-force`, as
+    /// `[{"name": ..., "role": "entry" or "agent", "revision": ...}]`.
+    pub in_force: ValueHandle,
+    /// The planner.
+    pub jobs: JobsHandle,
+}
+
+impl std::fmt::Debug for ConsoleContext {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("ConsoleContext").field("name", &self.name).finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/console/mod.rs
@@ -0,0 +1,33 @@
+//! The operators' API and the console of forms, served on a listener of their own.
+//!
+//! What a page shows is made by pure functions from plain data; reading and writing happens in
+//! [`Console`] alone. See `docs/OPERATIONS.md` for what operators do here.
+
+mod api;
+mod api_code;
+mod api_error;
+mod api_jobs;
+mod call;
+mod context;
+mod form;
+mod identity;
+mod job_ask;
+mod job_call;
+mod job_request;
+mod pages;
+mod posts;
+mod reply;
+mod route;
+mod serve;
+
+pub use api_code::ApiCode;
+pub use api_error::ApiError;
+pub use call::Call;
+pub use context::{ConsoleContext, JobsHandle, ValueHandle};
+pub use identity::{first_token, form_proof};
+pub use job_ask::JobAsk;
+pub use job_call::{JobCall, forward};
+pub use job_request::JobRequest;
+pub use reply::Reply;
+pub use route::Route;
+pub use serve::Console;
--- /dev/null
+++ b/crates/geraniumpost/src/console/pages/edit.rs
@@ -0,0 +1,112 @@
+use geraniumpost_config::{Problem, Schema};
+use maud::{Markup, html};
+use serde_json::Value;
+
+use super::fields::Fields;
+use super::{Frame, Section};
+use crate::console::ApiError;
+
+/// One value being edited.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct EditView {
+    /// Name of the value, empty for a new one.
+    pub(crate) name: String,
+    /// Its value, or what the operator has typed.
+    pub(crate) value: Value,
+    /// Problems of the last attempt.
+    pub(crate) problems: Vec<Problem>,
+    /// Why the last attempt was not made.
+    pub(crate) error: Option<ApiError>,
+    /// Revision that the form edits.
+    pub(crate) revision: u64,
+    /// Id of the change that the form makes.
+    pub(crate) change_id: String,
+    /// Whether the value is in the document already.
+    pub(crate) exists: bool,
+}
+
+/// Renders the form of one named value.
+pub(crate) fn edit(frame: &Frame, section: Section, schema: &Schema, view: &EditView) -> Markup {
+    let node = &schema.definitions()[section.definition];
+    let path = format!("{}.{}", section.key, view.name);
+    let title = if view.exists {
+        format!("{} {}", section.one, view.name)
+    } else {
+        format!("New {}", section.one)
+    };
+    let action = format!("/config/{}", section.key);
+    frame.page(
+        &title,
+        html! {
+            (notices(view, &path))
+            form method="post" action=(action) {
+                (frame.hidden(&view.change_id, view.revision))
+                label for="name" { "name" }
+                input id="name" name="name" value=(view.name) readonly[view.exists] required;
+                (Fields { schema, problems: &view.problems, path: &path }.table(node, &view.value, ""))
+                button { "Save" }
+            }
+            @if view.exists {
+                form method="post" action={ (action) "/" (view.name) "/delete" } {
+                    (frame.hidden(&view.change_id, view.revision))
+                    button { "Remove " (view.name) }
+                }
+            }
+        },
+    )
+}
+
+/// Renders the form of the policy.
+pub(crate) fn policy(frame: &Frame, schema: &Schema, view: &EditView) -> Markup {
+    let node = &schema.definitions()["Policy"];
+    frame.page(
+        "Policy",
+        html! {
+            (notices(view, "policy"))
+            form method="post" action="/config/policy" {
+                (frame.hidden(&view.change_id, view.revision))
+                (Fields { schema, problems: &view.problems, path: "policy" }.table(node, &view.value, ""))
+                button { "Save" }
+            }
+        },
+    )
+}
+
+/// Tells why the last attempt was not made, and every problem that has no field here.
+fn notices(view: &EditView, path: &str) -> Markup {
+    let inside = format!("{path}.");
+    let elsewhere = view.problems.iter().filter(|problem| !problem.path.starts_with(&inside));
+    html! {
+        @if let Some(error) = &view.error {
+            p class="note" { (error.message) " (" (error.code) ")" }
+            (changes(&error.details["changes"]))
+            p { "Your values are kept below; saving again makes them anew on the revision in force." }
+        }
+        @for problem in elsewhere {
+            p class="problem" {
+                (problem.path) ": " (problem.message) " " (problem.advice)
+                " (" (problem.code.number()) ")"
+            }
+        }
+    }
+}
+
+fn changes(changes: &Value) -> Markup {
+    let Some(changes) = changes.as_array() else { return html! {} };
+    html! {
+        table {
+            tr { th { "changed by" } th { "change" } th { "what" } }
+            @for change in changes {
+                tr {
+                    td { (super::home::plain(&change["changed_by"])) }
+                    td { (super::home::plain(&change["change_id"])) }
+                    td {
+                        @for path in change["paths"].as_array().into_iter().flatten() {
+                            (super::home::plain(path)) br;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/console/pages/fields.rs
@@ -0,0 +1,103 @@
+use geraniumpost_config::{Problem, Schema};
+use maud::{Markup, html};
+use serde_json::Value;
+
+use super::home::plain;
+
+/// What the fields of a form are made from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Fields<'a> {
+    pub(super) schema: &'a Schema,
+    /// Problems of the last attempt, shown beside their fields.
+    pub(super) problems: &'a [Problem],
+    /// Path of the form's value in the document.
+    pub(super) path: &'a str,
+}
+
+impl Fields<'_> {
+    /// Renders the fields of a table; `prefix` is what their names start with.
+    pub(super) fn table(&self, node: &Value, value: &Value, prefix: &str) -> Markup {
+        let properties = node["properties"].as_object();
+        html! {
+            @for (key, node) in properties.into_iter().flatten() {
+                (self.field(&format!("{prefix}{key}"), node, &value[key.as_str()]))
+            }
+        }
+    }
+
+    fn field(&self, name: &str, node: &Value, value: &Value) -> Markup {
+        let inner = self.schema.resolve(node);
+        let meaning = node["description"].as_str().unwrap_or_default();
+        if inner["type"] == "object" {
+            return html! {
+                fieldset {
+                    legend { (name) }
+                    small { (meaning) }
+                    (self.table(inner, value, &format!("{name}.")))
+                }
+            };
+        }
+        let default = node.get("default").unwrap_or(&Value::Null);
+        html! {
+            label for=(name) { (name) }
+            (input(name, inner, default, value))
+            small {
+                (meaning) " " (range(inner))
+                @if !default.is_null() { " Default: " (plain(default)) "." }
+            }
+            @for problem in self.problems_at(name) {
+                small class="problem" {
+                    (problem.message) " " (problem.advice) " (" (problem.code.number()) ")"
+                }
+            }
+            @if name == "token_sha256" { (token_field()) }
+        }
+    }
+
+    fn problems_at(&self, name: &str) -> impl Iterator<Item = &Problem> {
+        let path = format!("{}.{name}", self.path);
+        self.problems.iter().filter(move |problem| problem.path == path)
+    }
+}
+
+fn input(name: &str, node: &Value, default: &Value, value: &Value) -> Markup {
+    let shown = if value.is_null() { default } else { value };
+    if let Some(choices) = node["enum"].as_array() {
+        return html! {
+            select id=(name) name=(name) {
+                @for choice in choices {
+                    option value=(plain(choice)) selected[choice == shown] { (plain(choice)) }
+                }
+            }
+        };
+    }
+    match node["type"].as_str() {
+        Some("boolean") => html! {
+            input id=(name) name=(name) type="checkbox" value="on" checked[shown == &Value::Bool(true)];
+        },
+        Some("integer") => html! {
+            input id=(name) name=(name) type="text" inputmode="numeric" value=(plain(value))
+                placeholder=(plain(default));
+        },
+        _ => html! {
+            input id=(name) name=(name) type="text" size="70" value=(plain(value));
+        },
+    }
+}
+
+/// Spares the operator the hashing; the token itself is never stored or shown.
+fn token_field() -> Markup {
+    html! {
+        label for="token" { "or a new token" }
+        input id="token" name="token" type="password" autocomplete="new-password";
+        small { "Only its hash is kept; note the token down before." }
+    }
+}
+
+fn range(node: &Value) -> String {
+    match (node["minimum"].as_u64(), node["maximum"].as_u64()) {
+        (Some(low), Some(high)) => format!("From {low} to {high}."),
+        (Some(low), None) => format!("{low} or more."),
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/console/pages/home.rs
@@ -0,0 +1,45 @@
+use maud::{Markup, html};
+use serde_json::Value;
+
+use super::Frame;
+
+/// Renders the state of the entry and who has which revision in force.
+pub(crate) fn home(frame: &Frame, status: &Value, in_force: &Value) -> Markup {
+    let processes = in_force["processes"].as_array().map_or(&[][..], Vec::as_slice);
+    let behind = processes.iter().filter(|p| p["revision"].as_u64() != Some(frame.revision));
+    let behind = behind.count();
+    frame.page(
+        "Status",
+        html! {
+            h2 { "Configuration in force" }
+            @if behind == 0 {
+                p { "All " (processes.len()) " known processes have revision " (frame.revision) "." }
+            } @else {
+                p class="note" {
+                    (behind) " of " (processes.len()) " known processes have another revision."
+                }
+            }
+            table {
+                tr { th { "process" } th { "role" } th { "revision" } }
+                @for process in processes {
+                    tr {
+                        td { (plain(&process["name"])) }
+                        td { (plain(&process["role"])) }
+                        td { (plain(&process["revision"])) }
+                    }
+                }
+            }
+            h2 { "State" }
+            pre { (format!("{:#}", status["state"])) }
+        },
+    )
+}
+
+/// Returns a value as a person reads it.
+pub(super) fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/console/pages/jobs.rs
@@ -0,0 +1,82 @@
+use maud::{Markup, html};
+use serde_json::Value;
+
+use super::Frame;
+use super::home::plain;
+
+/// Renders the list of jobs and the form that submits one.
+pub(crate) fn jobs(frame: &Frame, list: &Value, document: &Value) -> Markup {
+    let rows = list.as_array().or_else(|| list["jobs"].as_array());
+    let choices = |key: &str| -> Vec<String> {
+        document[key].as_object().into_iter().flatten().map(|(name, _)| name.clone()).collect()
+    };
+    frame.page(
+        "Jobs",
+        html! {
+            table {
+                tr { th { "job" } th { "customer" } th { "class" } th { "state" } th { "worker" } }
+                @for job in rows.into_iter().flatten() {
+                    tr {
+                        td { a href={ "/jobs/" (plain(&job["id"])) } { (plain(&job["id"])) } }
+                        td { (plain(&job["customer"])) }
+                        td { (plain(&job["class"])) }
+                        td { (plain(&job["state"])) }
+                        td { (plain(&job["worker"])) }
+                    }
+                }
+            }
+            h2 { "Submit a job" }
+            form method="post" action="/jobs" {
+                (frame.hidden("", frame.revision))
+                label for="id" { "id" }
+                input id="id" name="id" required;
+                small { "Submitting the same job under the same id again is no second job." }
+                (select("customer", &choices("customers")))
+                (select("class", &choices("classes")))
+                (number("milli_cpus", "Thousandths of a processor."))
+                (number("memory_mb", "Mebibytes of memory."))
+                (number("accelerators", "Whole accelerators, may be left empty."))
+                label for="command" { "command" }
+                input id="command" name="command" size="70" required;
+                button { "Submit" }
+            }
+        },
+    )
+}
+
+/// Renders one job and why it is where it is.
+pub(crate) fn job(frame: &Frame, id: &str, status: &Value, explain: &Value) -> Markup {
+    frame.page(
+        &format!("Job {id}"),
+        html! {
+            table {
+                @for (key, value) in status.as_object().into_iter().flatten() {
+                    tr { th { (key) } td { (plain(value)) } }
+                }
+            }
+            h2 { "Why it is where it is" }
+            pre { (format!("{explain:#}")) }
+            form method="post" action={ "/jobs/" (id) "/cancel" } {
+                (frame.hidden("", frame.revision))
+                button { "Cancel the job" }
+            }
+        },
+    )
+}
+
+fn select(name: &str, choices: &[String]) -> Markup {
+    html! {
+        label for=(name) { (name) }
+        select id=(name) name=(name) {
+            @for choice in choices { option value=(choice) { (choice) } }
+        }
+    }
+}
+
+fn number(name: &str, meaning: &str) -> Markup {
+    html! {
+        label for=(name) { (name) }
+        input id=(name) name=(name) inputmode="numeric";
+        small { (meaning) }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/console/pages/mod.rs
@@ -0,0 +1,16 @@
+//! Pages of the console, made by pure functions from plain data.
+
+mod edit;
+mod fields;
+mod home;
+mod jobs;
+mod layout;
+mod login;
+mod section;
+
+pub(super) use edit::{EditView, edit, policy};
+pub(super) use home::home;
+pub(super) use jobs::{job, jobs};
+pub(super) use layout::{Frame, failure};
+pub(super) use login::login;
+pub(super) use section::{Section, overview, section};
--- a/crates/geraniumpost/tests/config_in_force.rs
+++ b/crates/geraniumpost/tests/config_in_force.rs
@@ -76,7 +76,7 @@
 #[tokio::test]
 async fn a_change_is_written_and_adopted_by_another_process() {
     let (_standin, store) = store().await;
-    let outcome = write_change(&store, change("one", 0, 2)).await;
+    let outcome = write_change(&store, &keeper(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = outcome else { panic!("{outcome:?}") };
     let keeper = keeper();
     assert_eq!(keeper.start(), vec![Wanted::AskAll]);
@@ -90,11 +90,11 @@
 #[tokio::test]
 async fn a_lost_reply_is_read_back() {
     let (standin, store) = store().await;
-    let first = write_change(&store, change("one", 0, 2)).await;
+    let first = write_change(&store, &keeper(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = first else { panic!("{first:?}") };
     let faults = StoreFaults { lose_replies: 1, ..StoreFaults::default() };
     standin.control().set_faults(&faults).await.unwrap();
-    let outcome = write_change(&store, change("two", revision, 3)).await;
+    let outcome = write_change(&store, &keeper(), change("two", revision, 3)).await;
     let ChangeOutcome::Committed { revision: second } = outcome else { panic!("{outcome:?}") };
     let found = store.get(geraniumpost::config::CONFIG_KEY).await.unwrap().unwrap();
     assert_eq!(found.revision, second);
@@ -103,10 +103,10 @@
 #[tokio::test]
 async fn two_operators_conflict_and_the_second_learns_who_was_first() {
     let (_standin, store) = store().await;
-    let first = write_change(&store, change("one", 0, 2)).await;
+    let first = write_change(&store, &keeper(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = first else { panic!("{first:?}") };
-    write_change(&store, change("two", revision, 3)).await;
-    let outcome = write_change(&store, change("three", revision, 4)).await;
+    write_change(&store, &keeper(), change("two", revision, 3)).await;
+    let outcome = write_change(&store, &keeper(), change("three", revision, 4)).await;
     let ChangeOutcome::Conflict { changes, .. } = outcome else { panic!("{outcome:?}") };
     assert_eq!(changes[0].change_id.as_str(), "two");
     assert_eq!(changes[0].paths, [Name::from("customers.claro.weight")]);
@@ -117,7 +117,10 @@
     let (standin, store) = store().await;
     let faults = StoreFaults { down: Down::Unavailable, ..StoreFaults::default() };
     standin.control().set_faults(&faults).await.unwrap();
-    assert_matches!(write_change(&store, change("one", 0, 2)).await, ChangeOutcome::Unavailable);
+    assert_matches!(
+        write_change(&store, &keeper(), change("one", 0, 2)).await,
+        ChangeOutcome::Unavailable
+    );
     assert!(keeper().refresh(&store).await.is_err());
 }
 
