feat(cli): add the operators' commands

Cause: operators work from a shell too, and their scripts need exit codes and JSON.

Ruled out: a token as an argument (it would show in the list of processes); set without a revision (it would overwrite a colleague's change unseen).

Change: clap builder with entry, agent, check, config get|set|check, job submit|status|cancel|list, status and explain; each yields plain text and a status that run prints; check also holds settings against documents.

Conclusion: main only has to call cli::run with the two roles.

--- a/crates/geraniumpost-config/src/lib.rs
+++ b/crates/geraniumpost-config/src/lib.rs
@@ -9,6 +9,7 @@
 //! assert!(report.to_string().contains("agent.toml:1: error 1008: name"));
 //! ```
 
+mod any;
 mod code;
 mod document;
 mod json_lines;
@@ -23,6 +24,7 @@
 mod toml_source;
 mod translate;
 
+pub use any::{AnyFile, load_any};
 pub use code::Code;
 pub use document::{
     MAX_DOCUMENT_BYTES, check_document, check_document_value, encode_document, token_digest,
--- a/crates/geraniumpost-config/src/settings.rs
+++ b/crates/geraniumpost-config/src/settings.rs
@@ -44,7 +44,7 @@
     parse(text, file, SchemaKind::Agent, settings_rules::agent)
 }
 
-fn read(path: &Path) -> Result<String, Report> {
+pub(crate) fn read(path: &Path) -> Result<String, Report> {
     std::fs::read_to_string(path).map_err(|error| {
         let problem = Problem::new(Code::Unreadable, "").message(format!("{error}."));
         Report::of(problem.at(&path.display().to_string(), 0))
--- /dev/null
+++ b/crates/geraniumpost/src/cli/check.rs
@@ -0,0 +1,84 @@
+//! `geraniumpost check`: files by themselves, and whether they agree.
+
+use std::path::Path;
+
+use clap::ArgMatches;
+use geraniumpost_config::{
+    AnyFile, Report, SchemaKind, check_entry_membership, check_membership, load_any,
+};
+use geraniumpost_schema::Document;
+use serde_json::json;
+
+use super::{ExitStatus, Finished};
+
+/// Checks every file and reports the problems of all.
+pub(super) fn check(args: &ArgMatches) -> Finished {
+    let paths: Vec<&String> = args.get_many("files").into_iter().flatten().collect();
+    let mut report = Report::default();
+    let mut files = Vec::new();
+    for path in paths {
+        match load_any(Path::new(path)) {
+            Ok(file) => files.push((path.as_str(), file)),
+            Err(found) => report.problems.extend(found.problems),
+        }
+    }
+    report.problems.extend(disagreements(&files).problems);
+    let as_json = args.get_flag("json");
+    if !report.is_empty() {
+        return refused(&report, as_json);
+    }
+    let lines = files.iter().map(|(path, file)| format!("{path}: ok, {}\n", kind(file)));
+    if as_json {
+        return Finished::success(format!("{}\n", json!({ "problems": [] })));
+    }
+    Finished::success(lines.collect::<String>())
+}
+
+/// Tells that one file is fine.
+pub(super) fn accepted(path: &str, as_json: bool) -> Finished {
+    if as_json {
+        return Finished::success(format!("{}\n", json!({ "problems": [] })));
+    }
+    Finished::success(format!("{path}: ok\n"))
+}
+
+/// Tells what is wrong; as JSON on standard output, where a program reads it.
+pub(super) fn refused(report: &Report, as_json: bool) -> Finished {
+    if as_json {
+        let out = format!("{}\n", json!({ "problems": report.problems }));
+        return Finished { status: ExitStatus::Refused, out, err: String::new() };
+    }
+    Finished::failure(ExitStatus::Refused, format!("{report}\n"))
+}
+
+/// Holds every settings file against every document that was given.
+fn disagreements(files: &[(&str, AnyFile)]) -> Report {
+    let mut problems = Vec::new();
+    for (path, file) in files {
+        for document in files.iter().filter_map(|(_, file)| as_document(file)) {
+            let found = match file {
+                AnyFile::Entry(settings) => check_entry_membership(settings, document),
+                AnyFile::Agent(settings) => check_membership(settings, document),
+                AnyFile::Document(_) => Ok(()),
+            };
+            let found = found.err().unwrap_or_default().problems;
+            problems.extend(found.into_iter().map(|problem| problem.at(path, 0)));
+        }
+    }
+    Report::from(problems)
+}
+
+const fn as_document(file: &AnyFile) -> Option<&Document> {
+    match file {
+        AnyFile::Document(document) => Some(document),
+        _ => None,
+    }
+}
+
+const fn kind(file: &AnyFile) -> &'static str {
+    match file.kind() {
+        SchemaKind::Entry => "settings of an entry",
+        SchemaKind::Agent => "settings of an agent",
+        SchemaKind::Document => "a document",
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/cli/run.rs
@@ -0,0 +1,49 @@
+use std::io::Write as _;
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use eyre::Result;
+use geraniumpost_config::{Report, load_agent, load_entry};
+
+use super::{ExitStatus, Finished, Roles, check, command, execute};
+
+/// Runs the program: reads the command line, does what it asks, prints and returns the exit code.
+pub fn run(roles: Roles) -> ExitCode {
+    let matches = command().get_matches();
+    let finished = match matches.subcommand() {
+        Some(("entry", args)) => role(args, load_entry, roles.entry),
+        Some(("agent", args)) => role(args, load_agent, roles.agent),
+        _ => operator(&matches),
+    };
+    // A closed pipe, as from `| head`, is no failure of the command.
+    let _ = std::io::stdout().write_all(finished.out.as_bytes());
+    let _ = std::io::stderr().write_all(finished.err.as_bytes());
+    finished.status.into()
+}
+
+/// Checks the settings of a role and runs it.
+fn role<T>(
+    args: &ArgMatches,
+    load: fn(&std::path::Path) -> Result<T, Report>,
+    run: fn(T) -> Result<()>,
+) -> Finished {
+    let path = args.get_one::<String>("settings").map(String::as_str).unwrap_or_default();
+    let settings = match load(path.as_ref()) {
+        Ok(settings) => settings,
+        Err(report) => return check::refused(&report, args.get_flag("json")),
+    };
+    if args.get_flag("check") {
+        return check::accepted(path, args.get_flag("json"));
+    }
+    match run(settings) {
+        Ok(()) => Finished::success(""),
+        Err(error) => Finished::failure(ExitStatus::Refused, format!("error: {error:#}\n")),
+    }
+}
+
+fn operator(matches: &ArgMatches) -> Finished {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(execute(matches)),
+        Err(error) => Finished::failure(ExitStatus::Refused, format!("error: {error}\n")),
+    }
+}
--- a/crates/geraniumpost/src/lib.rs
+++ b/crates/geraniumpost/src/lib.rs
@@ -1,5 +1,6 @@
 //! Scheduler for latency-critical and batch work that share VMs.
 
+pub mod cli;
 pub mod client;
 pub mod config;
 pub mod console;
--- a/crates/geraniumpost/tests/console.rs
+++ b/crates/geraniumpost/tests/console.rs
@@ -1,16 +1,12 @@
 //! The operators' API and the console's forms, against the store's stand-in.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+mod common;
+
 use std::time::Duration;
 
+use common::{ANY, context, document};
 use geraniumpost::client::ApiClient;
-use geraniumpost::config::{ConfigHolder, ConfigKeeper};
-use geraniumpost::console::{
-    ApiCode, ApiError, Call, Console, ConsoleContext, JobAsk, JobCall, Reply, first_token,
-    form_proof,
-};
-use geraniumpost::metrics::Metrics;
+use geraniumpost::console::{ApiCode, ApiError, Call, Console, Reply, first_token, form_proof};
 use geraniumpost_config::token_digest;
 use geraniumpost_platform::Store;
 use geraniumpost_schema::Name;
@@ -20,8 +16,6 @@
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
-const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-
 /// An entry's console with the store beside it.
 struct Bench {
     standin: Standin,
@@ -110,40 +104,6 @@
     }
 }
 
-fn context(store: Store) -> ConsoleContext {
-    ConsoleContext {
-        name: Name::from("entry-1"),
-        keeper: Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), 100)),
-        store,
-        metrics: Arc::new(Metrics::new().unwrap()),
-        first_token: first_token("0123456789abcdef"),
-        status: Arc::new(|| json!({ "agents": 11 })),
-        in_force: Arc::new(|| json!([{ "name": "agent-1", "role": "agent", "revision": 1 }])),
-        jobs: Arc::new(|ask| Box::pin(async move { planner(&ask) })),
-    }
-}
-
-/// A planner that knows no job but repeats what it is asked.
-fn planner(ask: &JobAsk) -> Result<Value, ApiError> {
-    match &ask.call {
-        JobCall::Submit { id, job } => Ok(json!({ "id": id, "state": "pending", "job": job })),
-        JobCall::Status { id } => Ok(json!({ "id": id, "state": "<b>odd</b>" })),
-        JobCall::Explain { id } => Ok(json!({ "id": id, "why": "waits for room" })),
-        JobCall::List => Ok(json!([{ "id": "study-1", "state": "running" }])),
-        JobCall::Cancel { .. } => Err(ApiError::new(404, 3010, "There is no such job.")),
-    }
-}
-
-fn document(weight: u32) -> Value {
-    json!({
-        "customers": { "claro": { "token_sha256": token_digest("c"), "weight": weight } },
-        "services": { "filing": {} },
-        "classes": { "study": {} },
-        "domains": { "surco": { "region": "lima" } },
-        "operators": { "rosa": { "token_sha256": token_digest("o") } },
-    })
-}
-
 fn body(reply: &Reply) -> Value {
     serde_json::from_slice(&reply.body).unwrap_or_default()
 }
