--- /dev/null
+++ b/crates/geraniumpost-config/tests/examples.rs
@@ -0,0 +1,79 @@
+//! The examples of both deployments are valid, agree with their documents and with each other.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use geraniumpost_config::{
+    AnyFile, check_entry_membership, check_membership, load_any, token_digest,
+};
+use geraniumpost_schema::{AgentSettings, Document, EntrySettings};
+
+/// All files of one deployment.
+struct Deployment {
+    entries: Vec<EntrySettings>,
+    agents: Vec<AgentSettings>,
+    document: Document,
+}
+
+fn directory(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name)
+}
+
+fn load(name: &str) -> Deployment {
+    let (mut entries, mut agents, mut documents) = (Vec::new(), Vec::new(), Vec::new());
+    for file in std::fs::read_dir(directory(name)).unwrap() {
+        match load_any(&file.unwrap().path()) {
+            Ok(AnyFile::Entry(settings)) => entries.push(settings),
+            Ok(AnyFile::Agent(settings)) => agents.push(settings),
+            Ok(AnyFile::Document(document)) => documents.push(document),
+            Err(report) => panic!("{report}"),
+        }
+    }
+    assert_eq!(documents.len(), 1);
+    Deployment { entries, agents, document: documents.remove(0) }
+}
+
+/// Names the examples with the number of their failure domains and their service.
+macro_rules! deployments {
+    ($($name:ident: $directory:literal, $domains:literal, $service:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            let deployment = load($directory);
+            assert_eq!(deployment.document.domains.len(), $domains);
+            assert_eq!(deployment.entries.len(), $domains, "one entry in each domain");
+            assert_eq!(deployment.agents.len(), $domains, "one agent in each domain");
+            agrees(&deployment, $service);
+        })*
+    };
+}
+
+deployments! {
+    espectro_andino_is_whole: "espectro-andino", 4, "filing";
+    sarkar_is_whole: "sarkar", 3, "kiosk";
+}
+
+fn agrees(deployment: &Deployment, service: &str) {
+    let Deployment { entries, agents, document } = deployment;
+    let beats: BTreeSet<SocketAddr> = entries.iter().map(|entry| entry.datagrams).collect();
+    assert_eq!(beats.len(), entries.len(), "two entries share an address");
+    for entry in entries {
+        check_entry_membership(entry, document).unwrap();
+        let mut known: BTreeSet<SocketAddr> = entry.peers.iter().copied().collect();
+        known.insert(entry.datagrams);
+        assert_eq!(known, beats, "{} does not know all entries", entry.name);
+    }
+    for agent in agents {
+        check_membership(agent, document).unwrap();
+        assert_eq!(agent.service.as_deref(), Some(service));
+        assert!(agent.entries.iter().all(|entry| beats.contains(entry)), "{}", agent.name);
+    }
+    let keys: BTreeSet<&str> = entries.iter().map(|entry| entry.shared_key.as_str()).collect();
+    assert_eq!(keys.len(), 1);
+    assert!(keys.iter().all(|key| key.starts_with("replace-me")));
+    for (name, customer) in &document.customers {
+        assert_eq!(*customer.token_sha256, token_digest(&format!("example token of {name}")));
+    }
+    let service = &document.services[service];
+    assert_eq!((service.slots, service.connections), (8, 64), "the sizes of the users' minions");
+}
