feat(core): add job records, bucket values and the VM ledger

Cause: a job's life, its place in the store and the account of a VM had no code. Ruled out: states for running and evicting in the record; an agent's inventory tells them again, so that they would only cost writes. Change: JobRecord with named transitions, Bucket as the value of a group commit with tombstones, VmLedger with holds, adoption and final reports. Conclusion: the API is there to build the planner on.

--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/codes.rs
@@ -0,0 +1,59 @@
+//! Numbered result codes of jobs, 3000 to 3999.
+//!
+//! Every code stands in [`TABLE`] with its name and what a user is to do.
+
+/// The job was recorded.
+pub const ACCEPTED: u16 = 3000;
+/// The job was recorded by an earlier submission with the same content.
+pub const ALREADY_ACCEPTED: u16 = 3001;
+/// The job has finished.
+pub const FINISHED: u16 = 3002;
+/// The cancellation was recorded; the job never completes.
+pub const CANCELLED: u16 = 3003;
+/// The id is taken by a job with other content.
+pub const ID_TAKEN: u16 = 3101;
+/// No such job.
+pub const UNKNOWN_JOB: u16 = 3102;
+/// The job finished before the cancellation.
+pub const FINISHED_BEFORE_CANCEL: u16 = 3103;
+/// The job id is not 1 to 128 letters, digits, dots, dashes or underscores.
+pub const BAD_ID: u16 = 3104;
+/// The command is longer than allowed.
+pub const COMMAND_TOO_LONG: u16 = 3105;
+/// The class is not in the configuration.
+pub const UNKNOWN_CLASS: u16 = 3106;
+/// The customer has as many unfinished jobs as its quota allows.
+pub const TOO_MANY_JOBS: u16 = 3107;
+/// No worker could ever hold the job.
+pub const IMPOSSIBLE: u16 = 3108;
+/// The store value for this id is nearly full.
+pub const RECORDS_FULL: u16 = 3201;
+/// This process does not plan for the region, or not yet.
+pub const NOT_PLANNER: u16 = 3202;
+/// The store could not be reached to record the request.
+pub const NOT_RECORDED: u16 = 3203;
+/// The job failed as often as its class allows.
+pub const FAILED_TOO_OFTEN: u16 = 3301;
+/// The job's runs were lost with their workers too often.
+pub const LOST_TOO_OFTEN: u16 = 3302;
+
+/// Code, name and advice of each result, for `docs/RESULT_CODES.md`.
+pub const TABLE: &[(u16, &str, &str)] = &[
+    (ACCEPTED, "accepted", "The job is recorded and will complete once."),
+    (ALREADY_ACCEPTED, "already accepted", "An earlier submission recorded this job."),
+    (FINISHED, "finished", "The job has finished; read its state and result."),
+    (CANCELLED, "cancelled", "The cancellation is recorded; no result will be taken."),
+    (ID_TAKEN, "id taken", "Another job has this id; choose a new one."),
+    (UNKNOWN_JOB, "unknown job", "Check the id and the region."),
+    (FINISHED_BEFORE_CANCEL, "finished before cancel", "The job had finished; its result stands."),
+    (BAD_ID, "bad id", "Use 1 to 128 letters, digits, dots, dashes or underscores."),
+    (COMMAND_TOO_LONG, "command too long", "Shorten the command to 4096 bytes."),
+    (UNKNOWN_CLASS, "unknown class", "Name a class of the configuration."),
+    (TOO_MANY_JOBS, "too many jobs", "Wait for jobs to finish or raise the customer's quota."),
+    (IMPOSSIBLE, "impossible", "Ask for no more than the largest worker offers."),
+    (RECORDS_FULL, "records full", "Come back after the time given."),
+    (NOT_PLANNER, "not planner", "Come back after the time given; a planner is being chosen."),
+    (NOT_RECORDED, "not recorded", "Submit again with the same id; it runs once."),
+    (FAILED_TOO_OFTEN, "failed too often", "See the reason of the last run."),
+    (LOST_TOO_OFTEN, "lost too often", "The job may be what ends its workers."),
+];
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/job_record.rs
@@ -0,0 +1,258 @@
+use geraniumpost_schema::Name;
+use serde::{Deserialize, Serialize};
+
+use super::{JobSpec, JobState, Transition, TransitionError, codes};
+
+/// Lost runs after which the job itself is suspected of ending its workers.
+const MAX_LOSSES: u32 = 20;
+/// Longest result or reason kept, in bytes, so that a record stays small.
+const MAX_TEXT: usize = 256;
+
+/// One job as the store keeps it.
+///
+/// Every change goes through [`JobRecord::apply`]. The epoch numbers runs: it grows each time a run
+/// ends without finishing the job, so that reports and orders of an earlier run can be told from
+/// those of the current one.
+///
+/// # Example
+///
+/// ```
+/// use geraniumpost_core::jobs::{JobRecord, JobSpec, JobState, Transition};
+/// use geraniumpost_schema::Resources;
+/// let spec = JobSpec {
+///     id: "study-7".into(),
+///     customer: "carrier-a".into(),
+///     class: "study".into(),
+///     need: Resources { milli_cpus: 500, memory_mb: 64, accelerators: 0 },
+///     command: "coordinate".into(),
+/// };
+/// let mut record = JobRecord::new(spec, 1_000);
+/// record.apply(Transition::Assign { worker: "agent-1".into() }, 2_000)?;
+/// record.apply(Transition::Evicted { checkpoint: "cp-1".into() }, 3_000)?;
+/// assert_eq!((record.state(), record.epoch()), (JobState::Pending, 2));
+/// assert_eq!(record.checkpoint().as_str(), "cp-1");
+/// # Ok::<(), geraniumpost_core::jobs::TransitionError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(flatten)]
+    spec: JobSpec,
+    state: JobState,
+    epoch: u64,
+    worker: Name,
+    checkpoint: Name,
+    attempts: u32,
+    losses: u32,
+    evictions: u32,
+    submitted_ms: u64,
+    finished_ms: u64,
+    not_before_ms: u64,
+    code: u16,
+    result: String,
+}
+
+impl JobRecord {
+    /// Creates the record of a job submitted at wall time `submitted_ms`.
+    pub fn new(spec: JobSpec, submitted_ms: u64) -> Self {
+        Self {
+            spec,
+            state: JobState::Pending,
+            epoch: 1,
+            worker: Name::default(),
+            checkpoint: Name::default(),
+            attempts: 0,
+            losses: 0,
+            evictions: 0,
+            submitted_ms,
+            finished_ms: 0,
+            not_before_ms: 0,
+            code: codes::ACCEPTED,
+            result: String::new(),
+        }
+    }
+
+    /// Applies one step at wall time `wall_ms` and returns the state reached.
+    ///
+    /// A cancellation recorded first wins: whatever its run still says, the job ends cancelled. A
+    /// completion recorded first wins as well: the cancellation is told that the job had finished.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the step is impossible in this state; the record is then unchanged.
+    pub fn apply(&mut self, step: Transition, wall_ms: u64) -> Result<JobState, TransitionError> {
+        match (self.state, step) {
+            (JobState::Done | JobState::Failed | JobState::Cancelled, _) => {
+                return Err(TransitionError::Finished);
+            }
+            (JobState::Pending, Transition::Assign { worker }) => self.assign(worker),
+            (JobState::Pending | JobState::CancelWanted, Transition::Cancel) => {
+                self.cancel_at(wall_ms);
+            }
+            (JobState::Pending, Transition::GiveUp { reason }) => {
+                self.finish(JobState::Failed, codes::IMPOSSIBLE, reason, wall_ms);
+            }
+            (JobState::Pending, _) => return Err(TransitionError::NotAssigned),
+            (_, Transition::Assign { .. } | Transition::GiveUp { .. }) => {
+                return Err(TransitionError::NotPending);
+            }
+            (JobState::Assigned, Transition::Cancel) => self.state = JobState::CancelWanted,
+            (JobState::CancelWanted, _) => {
+                self.finish(JobState::Cancelled, codes::CANCELLED, String::new(), wall_ms);
+            }
+            (JobState::Assigned, end) => self.end_run(end, wall_ms),
+        }
+        Ok(self.state)
+    }
+
+    /// Notes a newer checkpoint of the current run and returns whether it was new.
+    pub fn note_checkpoint(&mut self, checkpoint: &Name) -> bool {
+        if checkpoint.is_empty() || *checkpoint == self.checkpoint {
+            return false;
+        }
+        self.checkpoint = checkpoint.clone();
+        true
+    }
+
+    fn assign(&mut self, worker: Name) {
+        self.state = JobState::Assigned;
+        self.worker = worker;
+    }
+
+    fn cancel_at(&mut self, wall_ms: u64) {
+        if self.state == JobState::Pending {
+            self.finish(JobState::Cancelled, codes::CANCELLED, String::new(), wall_ms);
+        }
+    }
+
+    fn end_run(&mut self, end: Transition, wall_ms: u64) {
+        match end {
+            Transition::Complete { result } => {
+                self.finish(JobState::Done, codes::FINISHED, result, wall_ms);
+            }
+            Transition::Evicted { checkpoint } => {
+                self.evictions += 1;
+                self.requeue(&checkpoint);
+            }
+            Transition::Lost { checkpoint } => self.lose(&checkpoint, wall_ms),
+            Transition::RunFailed { reason, max_attempts, not_before_ms } => {
+                self.fail_run(reason, max_attempts, not_before_ms, wall_ms);
+            }
+            _ => self.requeue(&Name::default()),
+        }
+    }
+
+    fn lose(&mut self, checkpoint: &Name, wall_ms: u64) {
+        self.losses += 1;
+        if self.losses > MAX_LOSSES {
+            self.finish(JobState::Failed, codes::LOST_TOO_OFTEN, String::new(), wall_ms);
+        } else {
+            self.requeue(checkpoint);
+        }
+    }
+
+    fn fail_run(&mut self, reason: String, max_attempts: u32, not_before_ms: u64, wall_ms: u64) {
+        self.attempts += 1;
+        if self.attempts >= max_attempts {
+            self.finish(JobState::Failed, codes::FAILED_TOO_OFTEN, reason, wall_ms);
+            return;
+        }
+        self.requeue(&Name::default());
+        self.not_before_ms = not_before_ms;
+        self.result = shortened(reason);
+    }
+
+    fn requeue(&mut self, checkpoint: &Name) {
+        self.note_checkpoint(checkpoint);
+        self.state = JobState::Pending;
+        self.worker = Name::default();
+        self.epoch += 1;
+    }
+
+    fn finish(&mut self, state: JobState, code: u16, result: String, wall_ms: u64) {
+        self.state = state;
+        self.code = code;
+        self.result = shortened(result);
+        self.finished_ms = wall_ms.max(1);
+    }
+
+    /// Returns what the customer asked for.
+    pub const fn spec(&self) -> &JobSpec {
+        &self.spec
+    }
+
+    /// Returns the job's id.
+    pub const fn id(&self) -> &Name {
+        &self.spec.id
+    }
+
+    /// Returns where the job stands.
+    pub const fn state(&self) -> JobState {
+        self.state
+    }
+
+    /// Returns the number of the current run, or of the next one while the job is pending.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the agent of the current or last run, empty if there is none.
+    pub const fn worker(&self) -> &Name {
+        &self.worker
+    }
+
+    /// Returns the checkpoint that the next run resumes from, empty if there is none.
+    pub const fn checkpoint(&self) -> &Name {
+        &self.checkpoint
+    }
+
+    /// Returns how many runs failed by themselves.
+    pub const fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Returns how many runs were lost with their worker.
+    pub const fn losses(&self) -> u32 {
+        self.losses
+    }
+
+    /// Returns how many runs were evicted.
+    pub const fn evictions(&self) -> u32 {
+        self.evictions
+    }
+
+    /// Returns the wall time of submission.
+    pub const fn submitted_ms(&self) -> u64 {
+        self.submitted_ms
+    }
+
+    /// Returns the wall time of the end, 0 while unfinished.
+    pub const fn finished_ms(&self) -> u64 {
+        self.finished_ms
+    }
+
+    /// Returns the wall time before which the next run must not start.
+    pub const fn not_before_ms(&self) -> u64 {
+        self.not_before_ms
+    }
+
+    /// Returns the result code of the job's end, [`codes::ACCEPTED`] while unfinished.
+    pub const fn code(&self) -> u16 {
+        self.code
+    }
+
+    /// Returns the result, or the reason of the last failed run.
+    pub fn result(&self) -> &str {
+        &self.result
+    }
+}
+
+/// Bounds a text from outside; control characters would grow sixfold when encoded.
+fn shortened(text: String) -> String {
+    let mut text = text.replace(char::is_control, " ");
+    let mut end = text.len().min(MAX_TEXT);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    text.truncate(end);
+    text
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/ledger/mod.rs
@@ -0,0 +1,27 @@
+//! The agent's account of its VM; see `docs/design/0203-vm-ledger.md`.
+
+mod adoption;
+mod hold;
+mod ledger_action;
+mod ledger_config;
+mod ledger_counters;
+mod ledger_event;
+mod lists;
+mod orders;
+mod phase;
+mod task;
+mod tick;
+mod vm_ledger;
+mod worker_calls;
+mod worker_task;
+
+use adoption::Adoption;
+use hold::Hold;
+pub use ledger_action::LedgerAction;
+pub use ledger_config::LedgerConfig;
+pub use ledger_counters::LedgerCounters;
+pub use ledger_event::LedgerEvent;
+use phase::Phase;
+use task::Task;
+pub use vm_ledger::VmLedger;
+pub use worker_task::WorkerTask;
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/ledger/orders.rs
@@ -0,0 +1,206 @@
+//! What the planner orders.
+
+use geraniumpost_schema::{
+    HeartbeatAck, Name, Resources, StartTask, TaskRef, TaskReport, TaskState, Throttle,
+};
+
+use super::{LedgerAction, Phase, Task, VmLedger};
+use crate::Millis;
+
+impl VmLedger {
+    pub(super) fn on_ack(&mut self, ack: &HeartbeatAck) {
+        let grants = ack.term > 0 && ack.hold_ms > 0 && ack.incarnation == self.incarnation;
+        if grants && self.obeys(ack.term) {
+            self.hold.extend(ack);
+        }
+    }
+
+    pub(super) fn on_supersede(&mut self, term: u64, actions: &mut Vec<LedgerAction>) {
+        if !self.obeys(term) {
+            return;
+        }
+        if self.is_complete() {
+            actions.push(self.inventory());
+        } else {
+            self.inventory_owed = true;
+        }
+    }
+
+    pub(super) fn on_start(
+        &mut self,
+        start: StartTask,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        if !self.obeys(start.term) || !self.is_complete() {
+            return;
+        }
+        if self.knows(&start.job, start.epoch) {
+            self.counters.stale_epochs += 1;
+            self.repeat_report(&start.job, start.epoch, actions);
+        } else if !self.hold.covers(start.term, now) {
+            self.counters.without_hold += 1;
+        } else if let Some(reason) = self.reason_to_refuse(&start) {
+            self.refuse(&start, reason, now, actions);
+        } else {
+            self.reserve_and_start(start, now, actions);
+        }
+    }
+
+    fn knows(&self, job: &Name, epoch: u64) -> bool {
+        self.epochs.get(job).is_some_and(|&(known, _)| epoch <= known)
+    }
+
+    /// The planner repeats a start until it hears of the run, so it is told again.
+    fn repeat_report(&self, job: &Name, epoch: u64, actions: &mut Vec<LedgerAction>) {
+        if let Some(task) = self.tasks.get(job).filter(|task| task.epoch == epoch) {
+            actions.push(LedgerAction::Report(task.report()));
+        }
+    }
+
+    fn reason_to_refuse(&mut self, start: &StartTask) -> Option<&'static str> {
+        if self.draining {
+            return Some("the VM is leaving");
+        }
+        if self.tasks.get(&start.job).is_some_and(|task| task.phase.is_live()) {
+            return Some("an earlier run of the job has not ended");
+        }
+        if !self.has_room(start.need) {
+            self.counters.too_large += 1;
+            return Some("the VM has no room");
+        }
+        None
+    }
+
+    /// Keeps the refusal as a run that ended, so that a repeat of the order can't start it later.
+    fn refuse(
+        &mut self,
+        start: &StartTask,
+        reason: &str,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        if self.tasks.get(&start.job).is_some_and(|task| task.phase.is_live()) {
+            actions.push(LedgerAction::Report(bare_report(
+                &start.job,
+                start.epoch,
+                TaskState::Refused,
+                reason,
+            )));
+            return;
+        }
+        let phase = Phase::Ended(TaskState::Refused);
+        let mut task = Task::new(start.job.clone(), start.epoch, start.need, phase, now);
+        reason.clone_into(&mut task.result);
+        self.remember(&start.job, start.epoch, now);
+        actions.push(LedgerAction::Report(task.report()));
+        self.tasks.insert(start.job.clone(), task);
+    }
+
+    fn reserve_and_start(
+        &mut self,
+        start: StartTask,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let mut task = Task::new(start.job.clone(), start.epoch, start.need, Phase::Starting, now);
+        task.checkpoint = start.checkpoint.clone();
+        task.lease_until = now.plus(self.config.worker_lease_ms);
+        task.order = Some(start.clone());
+        task.start_called = Some(now);
+        self.remember(&start.job, start.epoch, now);
+        actions.push(LedgerAction::Report(task.report()));
+        self.tasks.insert(start.job.clone(), task);
+        actions.push(LedgerAction::Start(start));
+    }
+
+    pub(super) fn on_evict(
+        &mut self,
+        order: &TaskRef,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        if !self.obeys(order.term) || !self.is_complete() {
+            return;
+        }
+        let Some(task) = self.tasks.get_mut(&order.job).filter(|t| t.epoch == order.epoch) else {
+            return self.bar(order, now, actions);
+        };
+        let (job, epoch) = (order.job.clone(), order.epoch);
+        match task.phase {
+            Phase::Running => {
+                task.enter(Phase::Checkpointing, now);
+                actions.push(LedgerAction::Checkpoint { job, epoch });
+            }
+            Phase::Starting => {
+                task.enter(Phase::Stopping(TaskState::Evicted), now);
+                actions.push(LedgerAction::Stop { job, epoch });
+            }
+            Phase::Ended(_) => actions.push(LedgerAction::Report(task.report())),
+            Phase::Checkpointing | Phase::Stopping(_) => {}
+        }
+    }
+
+    pub(super) fn on_stop(
+        &mut self,
+        order: &TaskRef,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        if !self.obeys(order.term) || !self.is_complete() {
+            return;
+        }
+        let Some(task) = self.tasks.get_mut(&order.job).filter(|t| t.epoch == order.epoch) else {
+            return self.bar(order, now, actions);
+        };
+        if task.is_ended() {
+            actions.push(LedgerAction::Report(task.report()));
+        } else if !matches!(task.phase, Phase::Stopping(_)) {
+            task.enter(Phase::Stopping(TaskState::Stopped), now);
+            let (job, epoch) = (order.job.clone(), order.epoch);
+            actions.push(LedgerAction::Stop { job, epoch });
+        }
+    }
+
+    /// Promises that a run unknown here will never start, however late its order arrives.
+    fn bar(&mut self, order: &TaskRef, now: Millis, actions: &mut Vec<LedgerAction>) {
+        self.remember(&order.job, order.epoch, now);
+        let reason = "the run is not here and will not start";
+        let report = bare_report(&order.job, order.epoch, TaskState::Stopped, reason);
+        actions.push(LedgerAction::Report(report));
+    }
+
+    pub(super) fn on_throttle(&mut self, order: &Throttle, actions: &mut Vec<LedgerAction>) {
+        if !self.obeys(order.term) {
+            return;
+        }
+        let task = self.tasks.get(&order.job).filter(|task| task.epoch == order.epoch);
+        if task.is_some_and(|task| task.phase.goes_on()) {
+            let (job, epoch) = (order.job.clone(), order.epoch);
+            actions.push(LedgerAction::Throttle { job, epoch, permille: order.permille });
+        }
+    }
+
+    pub(super) fn on_settled(&mut self, order: &TaskRef, actions: &mut Vec<LedgerAction>) {
+        if !self.obeys(order.term) {
+            return;
+        }
+        let task = self.tasks.get(&order.job).filter(|task| task.epoch == order.epoch);
+        if task.is_some_and(Task::is_ended) {
+            self.tasks.remove(&order.job);
+            let (job, epoch) = (order.job.clone(), order.epoch);
+            actions.push(LedgerAction::Forget { job, epoch });
+        }
+    }
+}
+
+fn bare_report(job: &Name, epoch: u64, state: TaskState, reason: &str) -> TaskReport {
+    TaskReport {
+        job: job.clone(),
+        epoch,
+        state,
+        checkpoint: Name::default(),
+        result: reason.to_owned(),
+        usage: Resources::default(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/ledger/task.rs
@@ -0,0 +1,102 @@
+use geraniumpost_schema::{Name, Resources, StartTask, TaskReport, TaskState};
+
+use super::Phase;
+use crate::{Millis, jobs::at_least};
+
+/// One run in the ledger.
+#[derive(Debug, Clone)]
+pub(super) struct Task {
+    pub(super) job: Name,
+    pub(super) epoch: u64,
+    pub(super) need: Resources,
+    pub(super) usage: Resources,
+    pub(super) peak: Resources,
+    pub(super) phase: Phase,
+    pub(super) checkpoint: Name,
+    pub(super) result: String,
+    /// When the phase began.
+    pub(super) since: Millis,
+    /// When a call was last made or a report last sent for this phase.
+    pub(super) last_call: Millis,
+    pub(super) last_report: Millis,
+    pub(super) last_renewal: Millis,
+    /// When the worker will surely have ended the task by itself.
+    pub(super) lease_until: Millis,
+    pub(super) failed_checkpoints: u32,
+    /// When the worker was last asked to start it, until its answer is there.
+    pub(super) start_called: Option<Millis>,
+    /// The order, kept to repeat the call to the worker; none for an adopted task.
+    pub(super) order: Option<StartTask>,
+}
+
+impl Task {
+    pub(super) fn new(job: Name, epoch: u64, need: Resources, phase: Phase, now: Millis) -> Self {
+        Self {
+            job,
+            epoch,
+            need,
+            usage: Resources::default(),
+            peak: Resources::default(),
+            phase,
+            checkpoint: Name::default(),
+            result: String::new(),
+            since: now,
+            last_call: now,
+            last_report: now,
+            last_renewal: now,
+            lease_until: now,
+            failed_checkpoints: 0,
+            start_called: None,
+            order: None,
+        }
+    }
+
+    /// Returns what the task counts for: never below what was seen of it.
+    pub(super) fn size(&self) -> Resources {
+        if self.phase.is_live() { at_least(self.need, self.peak) } else { Resources::default() }
+    }
+
+    pub(super) fn enter(&mut self, phase: Phase, now: Millis) {
+        self.phase = phase;
+        self.since = now;
+        self.last_call = now;
+    }
+
+    pub(super) fn observe(&mut self, usage: Resources, checkpoint: &Name) {
+        self.usage = usage;
+        self.peak = at_least(self.peak, usage);
+        if !checkpoint.is_empty() {
+            self.checkpoint = checkpoint.clone();
+        }
+    }
+
+    /// Returns whether a start whose answer was lost may still reach the worker.
+    ///
+    /// Until then the worker's "no such task" doesn't mean that there will be none.
+    pub(super) fn start_may_arrive(&self, now: Millis, settle_ms: u64) -> bool {
+        self.start_called.is_some_and(|called| now < called.plus(settle_ms))
+    }
+
+    pub(super) fn report(&self) -> TaskReport {
+        TaskReport {
+            job: self.job.clone(),
+            epoch: self.epoch,
+            state: self.phase.report(),
+            checkpoint: self.checkpoint.clone(),
+            result: self.result.clone(),
+            usage: self.usage,
+        }
+    }
+
+    pub(super) const fn is_ended(&self) -> bool {
+        matches!(self.phase, Phase::Ended(_))
+    }
+
+    /// Returns how the task ends once the worker's word is there.
+    pub(super) const fn end_state(&self) -> TaskState {
+        match self.phase {
+            Phase::Stopping(state) | Phase::Ended(state) => state,
+            _ => TaskState::Lapsed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/ledger/worker_calls.rs
@@ -0,0 +1,130 @@
+//! What the worker answers to calls about one task.
+
+use geraniumpost_schema::{Name, TaskState};
+
+use super::{LedgerAction, LedgerEvent, Phase, Task, VmLedger};
+use crate::Millis;
+
+/// Tries at a checkpoint before an eviction falls back on the latest one written.
+const CHECKPOINT_TRIES: u32 = 3;
+
+impl VmLedger {
+    pub(super) fn on_worker(
+        &mut self,
+        answer: LedgerEvent,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        match answer {
+            LedgerEvent::Listed { asked, tasks } => self.on_listed(asked, tasks, now, actions),
+            LedgerEvent::Started { job, epoch } => self.on_started(&job, epoch, now, actions),
+            LedgerEvent::StartRefused { job, epoch, reason } => {
+                self.on_start_refused(&job, epoch, reason, now, actions);
+            }
+            LedgerEvent::Checkpointed { job, epoch, checkpoint } => {
+                self.on_checkpointed(&job, epoch, checkpoint, now, actions);
+            }
+            LedgerEvent::CheckpointFailed { job, epoch } => {
+                self.on_checkpoint_failed(&job, epoch, now, actions);
+            }
+            LedgerEvent::Stopped { job, epoch } => self.on_stopped(&job, epoch, now, actions),
+            LedgerEvent::Renewed { job, epoch } => self.on_renewed(&job, epoch, now),
+            _ => {}
+        }
+    }
+
+    pub(super) fn run(&mut self, job: &Name, epoch: u64) -> Option<&mut Task> {
+        self.tasks.get_mut(job).filter(|task| task.epoch == epoch)
+    }
+
+    fn on_started(&mut self, job: &Name, epoch: u64, now: Millis, actions: &mut Vec<LedgerAction>) {
+        let lease_until = now.plus(self.config.worker_lease_ms);
+        let Some(task) = self.run(job, epoch) else { return };
+        task.lease_until = task.lease_until.max(lease_until);
+        task.start_called = None;
+        if task.phase == Phase::Starting {
+            task.enter(Phase::Running, now);
+            actions.push(LedgerAction::Report(task.report()));
+        }
+    }
+
+    fn on_start_refused(
+        &mut self,
+        job: &Name,
+        epoch: u64,
+        reason: String,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(task) = self.run(job, epoch) else { return };
+        task.start_called = None;
+        match task.phase {
+            Phase::Starting => {
+                task.result = reason;
+                self.end(job, TaskState::Refused, now, actions);
+            }
+            Phase::Stopping(state) => self.end(job, state, now, actions),
+            _ => {}
+        }
+    }
+
+    fn on_checkpointed(
+        &mut self,
+        job: &Name,
+        epoch: u64,
+        checkpoint: Name,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(task) = self.run(job, epoch) else { return };
+        if task.is_ended() {
+            return;
+        }
+        task.checkpoint = checkpoint;
+        if task.phase == Phase::Checkpointing {
+            stop_for_eviction(task, now, actions);
+        }
+    }
+
+    fn on_checkpoint_failed(
+        &mut self,
+        job: &Name,
+        epoch: u64,
+        now: Millis,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(task) = self.run(job, epoch) else { return };
+        if task.phase != Phase::Checkpointing {
+            return;
+        }
+        task.failed_checkpoints += 1;
+        if task.failed_checkpoints < CHECKPOINT_TRIES {
+            task.last_call = now;
+            actions.push(LedgerAction::Checkpoint { job: job.clone(), epoch });
+        } else {
+            stop_for_eviction(task, now, actions);
+        }
+    }
+
+    fn on_stopped(&mut self, job: &Name, epoch: u64, now: Millis, actions: &mut Vec<LedgerAction>) {
+        let settle_ms = self.config.settle_ms;
+        let Some(task) = self.run(job, epoch) else { return };
+        if let Phase::Stopping(state) = task.phase
+            && !task.start_may_arrive(now, settle_ms)
+        {
+            self.end(job, state, now, actions);
+        }
+    }
+
+    fn on_renewed(&mut self, job: &Name, epoch: u64, now: Millis) {
+        let lease_until = now.plus(self.config.worker_lease_ms);
+        if let Some(task) = self.run(job, epoch) {
+            task.lease_until = task.lease_until.max(lease_until);
+        }
+    }
+}
+
+fn stop_for_eviction(task: &mut Task, now: Millis, actions: &mut Vec<LedgerAction>) {
+    task.enter(Phase::Stopping(TaskState::Evicted), now);
+    actions.push(LedgerAction::Stop { job: task.job.clone(), epoch: task.epoch });
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/store/stored.rs
@@ -0,0 +1,23 @@
+use crate::jobs::JobRecord;
+
+/// A record with its encoding, kept so that a commit only encodes what changed.
+#[derive(Debug, Clone)]
+pub(super) struct Stored {
+    record: JobRecord,
+    encoded: String,
+}
+
+impl Stored {
+    pub(super) fn new(record: JobRecord) -> Self {
+        let encoded = serde_json::to_string(&record).unwrap_or_default();
+        Self { record, encoded }
+    }
+
+    pub(super) const fn record(&self) -> &JobRecord {
+        &self.record
+    }
+
+    pub(super) fn encoded(&self) -> &str {
+        &self.encoded
+    }
+}
