feat(core): decide placement by room, quota and priority

Cause: jobs need a worker, and the jobs module needs the shape of the decision to build on. Change: Fleet, Wish, Placer and Decision; refusal of what no worker or quota can hold; the order is priority, then age. Seen on the way: a customer without a quota in the document gets a quota of 0 of everything, as the generated default of the whole object is 0 and not the defaults of its fields (schema crate).

--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/fleet.rs
@@ -0,0 +1,221 @@
+use std::collections::HashMap;
+
+use geraniumpost_schema::{Name, Resources};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
+
+use super::group::Group;
+use super::interner::Interner;
+use super::row::{NO_SERVICE, Row};
+use super::{TaskView, WorkerState, WorkerView, amounts};
+
+new_key_type! {
+    /// Key of a worker in a [`Fleet`].
+    pub struct WorkerKey;
+}
+
+/// The workers of a region with their tasks, indexed for placement.
+///
+/// Its owner applies every start, end and report to it; [`super::Placer`] only reads it.
+///
+/// # Example
+///
+/// ```
+/// use geraniumpost_core::{Millis, placement::{Fleet, TaskView, WorkerView}};
+/// use geraniumpost_schema::{Name, Resources};
+/// let capacity = Resources { milli_cpus: 8000, memory_mb: 8192, accelerators: 0 };
+/// let need = Resources { milli_cpus: 1000, memory_mb: 1024, accelerators: 0 };
+/// let mut fleet = Fleet::default();
+/// fleet.put_worker(WorkerView::new("w1", "surco", "rack-1", capacity));
+/// let worker = Name::from("w1");
+/// assert!(fleet.add_task(&worker, TaskView::new("j1", "entel", "study", need, Millis(0))));
+/// assert_eq!(fleet.holding(&Name::from("entel")), need);
+/// assert!(fleet.remove_task(&Name::from("j1")).is_some());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    workers: SlotMap<WorkerKey, WorkerView>,
+    rows: SecondaryMap<WorkerKey, Row>,
+    by_name: HashMap<Name, WorkerKey>,
+    by_job: HashMap<Name, WorkerKey>,
+    holdings: HashMap<Name, Resources>,
+    groups: HashMap<(Name, Name), Group>,
+    services: Interner,
+    places: Interner,
+    total: Resources,
+    settling: bool,
+}
+
+impl Fleet {
+    /// Sets whether workers may still be about to announce themselves.
+    ///
+    /// A planner that has just taken over knows no worker yet. Without this every job would look
+    /// impossible for a second, and customers would be told so.
+    pub const fn set_settling(&mut self, settling: bool) {
+        self.settling = settling;
+    }
+
+    /// Returns whether workers may still be about to announce themselves.
+    pub const fn settling(&self) -> bool {
+        self.settling
+    }
+
+    /// Adds a worker, or replaces the one of that name together with its tasks.
+    pub fn put_worker(&mut self, mut view: WorkerView) -> WorkerKey {
+        self.remove_worker(&view.name.clone());
+        let tasks = std::mem::take(&mut view.tasks);
+        let service = view.service.as_ref().map_or(NO_SERVICE, |name| self.services.intern(name));
+        let rack = self.places.intern(&view.rack);
+        let domain = self.places.intern(&view.domain);
+        self.total = amounts::plus(&self.total, &view.allowance());
+        let row = Row::new(&view, service, rack, domain);
+        let name = view.name.clone();
+        let key = self.workers.insert(view);
+        self.rows.insert(key, row);
+        self.by_name.insert(name.clone(), key);
+        for task in tasks {
+            self.add_task(&name, task);
+        }
+        key
+    }
+
+    /// Removes a worker with its tasks; what only it could run becomes impossible.
+    pub fn remove_worker(&mut self, worker: &Name) -> Option<WorkerView> {
+        let key = *self.by_name.get(worker)?;
+        let view = self.workers[key].clone();
+        for task in &view.tasks {
+            self.remove_task(&task.job);
+        }
+        self.total = amounts::minus(&self.total, &view.allowance());
+        self.by_name.remove(worker);
+        self.workers.remove(key);
+        self.rows.remove(key);
+        Some(view)
+    }
+
+    /// Adds a task to a worker; false if the worker is unknown or the job already runs.
+    pub fn add_task(&mut self, worker: &Name, task: TaskView) -> bool {
+        let Some(&key) = self.by_name.get(worker) else { return false };
+        if self.by_job.contains_key(&task.job) {
+            return false;
+        }
+        let held = task.held();
+        let row = &mut self.rows[key];
+        let holding = self.holdings.entry(task.customer.clone()).or_insert(amounts::NONE);
+        *holding = amounts::plus(holding, &held);
+        let group = self.groups.entry((task.customer.clone(), task.class.clone())).or_default();
+        group.add(row.rack, row.domain);
+        self.by_job.insert(task.job.clone(), key);
+        self.workers[key].tasks.push(task);
+        row.refresh(&self.workers[key]);
+        true
+    }
+
+    /// Removes a task after its agent's word that it ended.
+    pub fn remove_task(&mut self, job: &Name) -> Option<TaskView> {
+        let key = self.by_job.remove(job)?;
+        let tasks = &mut self.workers[key].tasks;
+        let at = tasks.iter().position(|task| task.job == *job)?;
+        let task = tasks.swap_remove(at);
+        let row = &mut self.rows[key];
+        row.refresh(&self.workers[key]);
+        let (rack, domain) = (row.rack, row.domain);
+        self.release(&task.customer, &task.held());
+        let of = (task.customer.clone(), task.class.clone());
+        if let Some(group) = self.groups.get_mut(&of) {
+            group.remove(rack, domain);
+            if group.is_empty() {
+                self.groups.remove(&of);
+            }
+        }
+        Some(task)
+    }
+
+    /// Takes over a report on a running task; false if the job does not run.
+    pub fn update_task(&mut self, job: &Name, change: impl FnOnce(TaskView) -> TaskView) -> bool {
+        let Some(&key) = self.by_job.get(job) else { return false };
+        let Some(task) = self.workers[key].tasks.iter_mut().find(|task| task.job == *job) else {
+            return false;
+        };
+        let before = task.held();
+        *task = change(task.clone());
+        let (after, customer) = (task.held(), task.customer.clone());
+        self.release(&customer, &before);
+        let holding = self.holdings.entry(customer).or_insert(amounts::NONE);
+        *holding = amounts::plus(holding, &after);
+        self.rows[key].refresh(&self.workers[key]);
+        true
+    }
+
+    /// Takes over a worker's state; false if the worker is unknown.
+    pub fn set_state(&mut self, worker: &Name, state: WorkerState) -> bool {
+        self.update_worker(worker, |view| view.state = state)
+    }
+
+    /// Takes over the service's load and p99; false if the worker is unknown.
+    pub fn set_load(&mut self, worker: &Name, load_permille: u32, p99_us: u64) -> bool {
+        self.update_worker(worker, |view| {
+            view.load_permille = load_permille;
+            view.p99_us = p99_us;
+        })
+    }
+
+    /// Returns a worker.
+    pub fn worker(&self, worker: &Name) -> Option<&WorkerView> {
+        self.by_name.get(worker).map(|key| &self.workers[*key])
+    }
+
+    /// Returns the worker that runs a job.
+    pub fn worker_of(&self, job: &Name) -> Option<&WorkerView> {
+        self.by_job.get(job).map(|key| &self.workers[*key])
+    }
+
+    /// Returns all workers.
+    pub fn workers(&self) -> impl Iterator<Item = &WorkerView> {
+        self.workers.values()
+    }
+
+    /// Returns what a customer's tasks hold.
+    pub fn holding(&self, customer: &Name) -> Resources {
+        self.holdings.get(customer).copied().unwrap_or(amounts::NONE)
+    }
+
+    /// Returns what batch work may hold on all workers together.
+    pub const fn total(&self) -> &Resources {
+        &self.total
+    }
+
+    pub(super) const fn rows(&self) -> &SecondaryMap<WorkerKey, Row> {
+        &self.rows
+    }
+
+    pub(super) fn view(&self, key: WorkerKey) -> &WorkerView {
+        &self.workers[key]
+    }
+
+    pub(super) fn key(&self, worker: &Name) -> Option<WorkerKey> {
+        self.by_name.get(worker).copied()
+    }
+
+    pub(super) fn service_names(&self) -> &[Name] {
+        self.services.names()
+    }
+
+    pub(super) fn group(&self, customer: &Name, class: &Name) -> Option<&Group> {
+        self.groups.get(&(customer.clone(), class.clone()))
+    }
+
+    fn update_worker(&mut self, worker: &Name, change: impl FnOnce(&mut WorkerView)) -> bool {
+        let Some(&key) = self.by_name.get(worker) else { return false };
+        change(&mut self.workers[key]);
+        self.rows[key].refresh(&self.workers[key]);
+        true
+    }
+
+    fn release(&mut self, customer: &Name, held: &Resources) {
+        let Some(holding) = self.holdings.get_mut(customer) else { return };
+        *holding = amounts::minus(holding, held);
+        if *holding == amounts::NONE {
+            self.holdings.remove(customer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/policy.rs
@@ -0,0 +1,63 @@
+use std::collections::HashMap;
+
+use geraniumpost_schema::{Document, JobClass, Name, Resources};
+
+use super::amounts;
+
+/// What placement takes from the configuration document.
+#[derive(Debug, Clone, Default)]
+pub struct PlacementPolicy {
+    customers: HashMap<Name, CustomerShare>,
+    classes: HashMap<Name, JobClass>,
+    targets_us: HashMap<Name, u64>,
+    evictions_per_minute: u32,
+}
+
+/// A customer's weight and quota.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CustomerShare {
+    pub weight: u32,
+    pub quota: Resources,
+}
+
+impl From<&Document> for PlacementPolicy {
+    fn from(document: &Document) -> Self {
+        let share = |name: &Name| {
+            let customer = &document.customers[name];
+            CustomerShare { weight: customer.weight, quota: amounts::of_quota(&customer.quota) }
+        };
+        let target = |ms: u64| ms.saturating_mul(1000);
+        Self {
+            customers: document.customers.keys().map(|name| (name.clone(), share(name))).collect(),
+            classes: document.classes.clone().into_iter().collect(),
+            targets_us: document
+                .services
+                .iter()
+                .map(|(name, service)| (name.clone(), target(service.target_p99_ms)))
+                .collect(),
+            evictions_per_minute: document.policy.evictions_per_minute,
+        }
+    }
+}
+
+impl PlacementPolicy {
+    pub(super) fn customer(&self, customer: &Name) -> Option<CustomerShare> {
+        self.customers.get(customer).copied()
+    }
+
+    pub(super) fn class(&self, class: &Name) -> JobClass {
+        self.classes.get(class).cloned().unwrap_or_default()
+    }
+
+    /// Returns the latency that batch work must not push a service over, in microseconds.
+    pub(super) fn target_us(&self, service: &Name) -> u64 {
+        self.targets_us.get(service).copied().unwrap_or(DEFAULT_TARGET_US)
+    }
+
+    pub(super) const fn evictions_per_minute(&self) -> u32 {
+        self.evictions_per_minute
+    }
+}
+
+/// The document's default for a service without a target, for services not in it.
+const DEFAULT_TARGET_US: u64 = 200_000;
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/reason.rs
@@ -0,0 +1,95 @@
+use derive_more::Display;
+use geraniumpost_schema::{Name, Resources};
+
+use super::{Candidate, Resource};
+use crate::Millis;
+
+/// Why a decision was taken, in the words an operator reads in logs and in `explain`.
+#[derive(Debug, Display, Clone, PartialEq)]
+pub enum Reason {
+    /// The worker with the least predicted harm among those with room.
+    #[display("least predicted harm of {weighed} with room [{}]", list(best))]
+    LeastHarm {
+        /// Workers that had room.
+        weighed: u32,
+        /// The best of them, the chosen one first.
+        best: Vec<Candidate>,
+    },
+    /// No worker has room now.
+    #[display("no open worker has room for {} now", amount(need))]
+    NoRoom {
+        /// What is looked for.
+        need: Resources,
+    },
+    /// The customer holds what its quota allows.
+    #[display("customer {customer} is at its quota of {resource}")]
+    OverQuota {
+        /// The customer.
+        customer: Name,
+        /// The resource that is used up.
+        resource: Resource,
+    },
+    /// The job backs off after a failure.
+    #[display("backs off until {until} ms")]
+    BackOff {
+        /// Earliest start.
+        until: Millis,
+    },
+    /// Workers may still be about to announce themselves.
+    #[display("workers are still announcing themselves")]
+    Settling,
+    /// No worker is large enough.
+    #[display("needs {needed} of {resource}, the largest worker {largest} offers {offered}")]
+    TooLarge {
+        /// The resource that no worker has enough of.
+        resource: Resource,
+        /// How much the job needs.
+        needed: u64,
+        /// The worker that offers most of it.
+        largest: Name,
+        /// How much that is.
+        offered: u64,
+    },
+    /// The customer's quota is smaller than this one job.
+    #[display("needs {needed} of {resource}, customer {customer} has a quota of {quota}")]
+    BeyondQuota {
+        /// The customer.
+        customer: Name,
+        /// The resource.
+        resource: Resource,
+        /// How much the job needs.
+        needed: u64,
+        /// How much the customer may ever hold.
+        quota: u64,
+    },
+    /// The configuration knows no such customer.
+    #[display("customer {customer} is not in the configuration")]
+    UnknownCustomer {
+        /// The customer.
+        customer: Name,
+    },
+    /// An urgent job needs the room.
+    #[display("cheapest room for urgent {for_job}, losing {lost_ms} ms of work")]
+    RoomForUrgent {
+        /// The urgent job.
+        for_job: Name,
+        /// Work since the latest checkpoint.
+        lost_ms: u64,
+    },
+    /// An urgent job waits until evicted tasks have stopped.
+    #[display("waits for evicted tasks to stop on {worker}")]
+    AwaitsEviction {
+        /// Where the room is being made.
+        worker: Name,
+    },
+}
+
+/// Writes candidates apart.
+fn list(best: &[Candidate]) -> String {
+    best.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
+}
+
+/// Writes an amount.
+pub(super) fn amount(need: &Resources) -> String {
+    format!("{}m/{}MiB/{}acc", need.milli_cpus, need.memory_mb, need.accelerators)
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/wish.rs
@@ -0,0 +1,87 @@
+use geraniumpost_schema::{Name, Priority, Resources};
+
+use crate::Millis;
+
+/// A job that waits for a worker.
+///
+/// # Example
+///
+/// ```
+/// use geraniumpost_core::{Millis, placement::Wish};
+/// use geraniumpost_schema::{Name, Priority, Resources};
+/// let need = Resources { milli_cpus: 4000, memory_mb: 8192, accelerators: 0 };
+/// let wish = Wish::new("study-7", "entel", "coordination", need)
+///     .priority(Priority::Urgent)
+///     .submitted(Millis(5));
+/// assert_eq!(wish.job(), &Name::from("study-7"));
+/// ```
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wish {
+    pub(super) job: Name,
+    pub(super) customer: Name,
+    pub(super) class: Name,
+    pub(super) need: Resources,
+    pub(super) priority: Priority,
+    pub(super) submitted: Millis,
+    pub(super) not_before: Millis,
+    pub(super) excluded: Vec<Name>,
+}
+
+impl Wish {
+    /// Creates a wish of normal priority that has waited since the clock's origin.
+    pub fn new(
+        job: impl Into<Name>,
+        customer: impl Into<Name>,
+        class: impl Into<Name>,
+        need: Resources,
+    ) -> Self {
+        Self {
+            job: job.into(),
+            customer: customer.into(),
+            class: class.into(),
+            need,
+            priority: Priority::Normal,
+            submitted: Millis(0),
+            not_before: Millis(0),
+            excluded: Vec::new(),
+        }
+    }
+
+    /// Sets the priority, usually that of the job's class.
+    #[must_use]
+    pub const fn priority(mut self, priority: Priority) -> Self {
+        self.priority = priority;
+        self
+    }
+
+    /// Sets since when the job waits, which is what aging counts from.
+    #[must_use]
+    pub const fn submitted(mut self, at: Millis) -> Self {
+        self.submitted = at;
+        self
+    }
+
+    /// Sets the earliest start, for retries that back off.
+    #[must_use]
+    pub const fn not_before(mut self, at: Millis) -> Self {
+        self.not_before = at;
+        self
+    }
+
+    /// Sets the workers that must not be given this job.
+    #[must_use]
+    pub fn excluded(mut self, workers: Vec<Name>) -> Self {
+        self.excluded = workers;
+        self
+    }
+
+    /// Returns the job's id.
+    pub const fn job(&self) -> &Name {
+        &self.job
+    }
+
+    /// Returns the declared need.
+    pub const fn need(&self) -> &Resources {
+        &self.need
+    }
+}
