feat(core): add the planner lease and the planner

Cause: nothing decided who plans, what is committed when, and when a run may be given to another worker. Ruled out: effects sent before their commit; a lease judged by the store's word alone, as a paused holder doesn't hear it. Change: PlannerLease over a store lease and a term record, Planner with group commits whose effects wait for the store, holds, and bars for runs of unknown fate. The amounts of placement are used in place of own ones. Conclusion: the API is ready for wiring.

--- a/crates/geraniumpost-core/src/jobs/job_record.rs
+++ b/crates/geraniumpost-core/src/jobs/job_record.rs
@@ -88,8 +88,8 @@
             (JobState::Pending | JobState::CancelWanted, Transition::Cancel) => {
                 self.cancel_at(wall_ms);
             }
-            (JobState::Pending, Transition::GiveUp { reason }) => {
-                self.finish(JobState::Failed, codes::IMPOSSIBLE, reason, wall_ms);
+            (JobState::Pending, Transition::GiveUp { code, reason }) => {
+                self.finish(JobState::Failed, code, reason, wall_ms);
             }
             (JobState::Pending, _) => return Err(TransitionError::NotAssigned),
             (_, Transition::Assign { .. } | Transition::GiveUp { .. }) => {
@@ -133,6 +133,7 @@
                 self.evictions += 1;
                 self.requeue(&checkpoint);
             }
+            Transition::Stopped { checkpoint } => self.requeue(&checkpoint),
             Transition::Lost { checkpoint } => self.lose(&checkpoint, wall_ms),
             Transition::RunFailed { reason, max_attempts, not_before_ms } => {
                 self.fail_run(reason, max_attempts, not_before_ms, wall_ms);
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/lease/holder.rs
@@ -0,0 +1,13 @@
+use derive_more::{Constructor, Display};
+use geraniumpost_schema::Name;
+use serde::{Deserialize, Serialize};
+
+/// One process that plans or has planned.
+#[derive(Debug, Display, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, Constructor)]
+#[display("{name}#{incarnation}")]
+pub struct Holder {
+    /// Name of the entry.
+    pub name: Name,
+    /// Random number drawn at the entry's start.
+    pub incarnation: u64,
+}
--- a/crates/geraniumpost-core/src/jobs/ledger/task.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/task.rs
@@ -1,7 +1,7 @@
 use geraniumpost_schema::{Name, Resources, StartTask, TaskReport, TaskState};
 
 use super::Phase;
-use crate::{Millis, jobs::at_least};
+use crate::{Millis, placement::amounts::larger};
 
 /// One run in the ledger.
 #[derive(Debug, Clone)]
@@ -53,7 +53,7 @@
 
     /// Returns what the task counts for: never below what was seen of it.
     pub(super) fn size(&self) -> Resources {
-        if self.phase.is_live() { at_least(self.need, self.peak) } else { Resources::default() }
+        if self.phase.is_live() { larger(&self.need, &self.peak) } else { Resources::default() }
     }
 
     pub(super) fn enter(&mut self, phase: Phase, now: Millis) {
@@ -64,7 +64,7 @@
 
     pub(super) fn observe(&mut self, usage: Resources, checkpoint: &Name) {
         self.usage = usage;
-        self.peak = at_least(self.peak, usage);
+        self.peak = larger(&self.peak, &usage);
         if !checkpoint.is_empty() {
             self.checkpoint = checkpoint.clone();
         }
--- a/crates/geraniumpost-core/src/jobs/ledger/vm_ledger.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/vm_ledger.rs
@@ -5,7 +5,7 @@
 use super::{Adoption, Hold, LedgerAction, LedgerConfig, LedgerCounters, LedgerEvent, Phase, Task};
 use crate::{
     Millis,
-    jobs::{fits, minus, plus},
+    placement::amounts::{self, fits, minus, plus},
 };
 
 /// The agent's account of its VM: what runs on it and what still fits.
@@ -93,12 +93,12 @@
 
     /// Returns what the VM offers to batch work in all.
     pub const fn offered(&self) -> Resources {
-        minus(self.capacity, self.reserve)
+        minus(&self.capacity, &self.reserve)
     }
 
     /// Returns what live tasks hold.
     pub fn reserved(&self) -> Resources {
-        self.tasks.values().fold(Resources::default(), |sum, task| plus(sum, task.size()))
+        self.tasks.values().fold(amounts::NONE, |sum, task| plus(&sum, &task.size()))
     }
 
     /// Returns how many tasks may be using the VM.
@@ -130,7 +130,7 @@
     }
 
     pub(super) fn has_room(&self, need: Resources) -> bool {
-        fits(need, minus(self.offered(), self.reserved()))
+        fits(&need, &minus(&self.offered(), &self.reserved()))
     }
 
     /// Adopts a higher term and returns whether orders under `term` are obeyed.
--- a/crates/geraniumpost-core/src/jobs/mod.rs
+++ b/crates/geraniumpost-core/src/jobs/mod.rs
@@ -8,23 +8,30 @@
 //!
 //! See `docs/design/0201-job-records.md` and `docs/design/0202-planner-and-holds.md`.
 
-mod amounts;
 pub mod codes;
 mod job_record;
 mod job_spec;
 mod job_state;
+mod lease;
 mod ledger;
 mod moment;
+mod planner;
 mod store;
 mod transition;
 mod transition_error;
 
-pub use amounts::{at_least, fits, minus, plus};
 pub use job_record::JobRecord;
 pub use job_spec::JobSpec;
 pub use job_state::JobState;
+pub use lease::{
+    Holder, LeaseAction, LeaseConfig, LeaseEvent, PlannerLease, Standing, Takeover, TermRecord,
+    alive_key, term_key,
+};
 pub use ledger::{LedgerAction, LedgerConfig, LedgerCounters, LedgerEvent, VmLedger, WorkerTask};
 pub use moment::Moment;
+pub use planner::{
+    JobAnswer, JobView, Planner, PlannerAction, PlannerConfig, PlannerCounters, PlannerEvent,
+};
 pub use store::{BUCKETS, Bucket, BucketError, Tombstones, bucket_key, bucket_of};
 pub use transition::Transition;
 pub use transition_error::TransitionError;
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/planner/mod.rs
@@ -0,0 +1,37 @@
+//! The planner of a region; see `docs/design/0202-planner-and-holds.md`.
+
+mod agent_view;
+mod agents;
+mod commits;
+mod effect;
+mod job_answer;
+mod job_view;
+mod placing;
+#[expect(clippy::module_inception, reason = "the type gives the folder its name")]
+mod planner;
+mod planner_action;
+mod planner_config;
+mod planner_counters;
+mod planner_event;
+mod predecessors;
+mod records;
+mod reports;
+mod requests;
+mod run;
+mod runs;
+mod slot;
+mod wanted;
+
+use agent_view::AgentView;
+use effect::Effect;
+pub use job_answer::JobAnswer;
+pub use job_view::JobView;
+pub use planner::Planner;
+pub use planner_action::PlannerAction;
+pub use planner_config::PlannerConfig;
+pub use planner_counters::PlannerCounters;
+pub use planner_event::PlannerEvent;
+use predecessors::Predecessors;
+use run::Run;
+use slot::{Slot, Stage};
+use wanted::Wanted;
--- /dev/null
+++ b/crates/geraniumpost-core/src/jobs/planner/placing.rs
@@ -0,0 +1,135 @@
+//! Carrying out placement decisions.
+
+use geraniumpost_schema::{Name, Priority, Resources, Throttle, ToAgent};
+
+use super::{Effect, Planner, PlannerAction, Run};
+use crate::{
+    Millis,
+    jobs::{JobRecord, Moment, Standing, Transition, codes},
+    placement::{Decision, Fleet, Observation, Wish},
+};
+
+impl Planner {
+    /// Lets `decide` place what waits, and carries its decisions out.
+    ///
+    /// `decide` is the placement policy; it also logs its decisions. A start is only committed here:
+    /// its order goes out when the commit is known to be in the store.
+    pub fn place(
+        &mut self,
+        standing: Standing,
+        moment: Moment,
+        decide: impl FnOnce(Millis, &[Wish], &Fleet) -> Vec<Decision>,
+    ) -> Vec<PlannerAction> {
+        let mut actions = Vec::new();
+        self.standing = standing;
+        if !standing.may_assign() || !self.is_ready() || self.stepped_down {
+            return actions;
+        }
+        self.show_workers(moment.clock);
+        let wishes = self.wishes(moment);
+        for decision in decide(moment.clock, &wishes, &self.fleet) {
+            self.carry_out(decision, moment, &mut actions);
+        }
+        self.flush(moment, &mut actions);
+        actions
+    }
+
+    fn wishes(&self, moment: Moment) -> Vec<Wish> {
+        self.pending
+            .iter()
+            .filter_map(|job| self.record(job))
+            .map(|record| self.wish(record, moment))
+            .collect()
+    }
+
+    fn wish(&self, record: &JobRecord, moment: Moment) -> Wish {
+        let spec = record.spec();
+        let class = self.classes.get(&spec.class);
+        Wish::new(spec.id.clone(), spec.customer.clone(), spec.class.clone(), spec.need)
+            .priority(class.map_or(Priority::Normal, |class| class.priority))
+            .submitted(on_clock(record.submitted_ms(), moment))
+            .not_before(on_clock(record.not_before_ms(), moment))
+    }
+
+    fn carry_out(&mut self, decision: Decision, moment: Moment, actions: &mut Vec<PlannerAction>) {
+        match decision {
+            Decision::Start { job, worker, need, .. } => {
+                self.assign(&job, &worker, need, moment, actions);
+            }
+            Decision::Evict { job, .. } => {
+                self.want_evicted(&job);
+            }
+            Decision::Throttle { job, permille, .. } => {
+                self.throttle(&job, permille, moment, actions);
+            }
+            Decision::Impossible { job, why, .. } => {
+                self.give_up(&job, codes::IMPOSSIBLE, why.to_string(), moment);
+            }
+            Decision::GiveUp { job, why } => {
+                self.give_up(&job, codes::FAILED_TOO_OFTEN, why.to_string(), moment);
+            }
+            Decision::Quarantine { worker, .. } => self.quarantine(&worker, true),
+            Decision::Release { worker, .. } => self.quarantine(&worker, false),
+            Decision::Wait { .. } => {}
+        }
+    }
+
+    fn assign(
+        &mut self,
+        job: &Name,
+        worker: &Name,
+        need: Resources,
+        moment: Moment,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let step = Transition::Assign { worker: worker.clone() };
+        if self.change(job, step, moment).is_err() {
+            return;
+        }
+        let Some(record) = self.record(job).cloned() else { return };
+        let epoch = record.epoch();
+        self.add_run(&record, Run::new(worker.clone(), epoch, need), moment.clock);
+        let effect = Effect::Assigned { job: job.clone(), epoch };
+        self.after_commit(job, effect, moment, actions);
+    }
+
+    fn throttle(
+        &mut self,
+        job: &Name,
+        permille: u32,
+        moment: Moment,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        let Some(run) = self.runs.get(job).filter(|run| run.seen) else { return };
+        let (agent, epoch) = (run.agent.clone(), run.epoch);
+        self.fleet.update_task(job, |task| task.permille(permille));
+        let order = Throttle { term: self.term, job: job.clone(), epoch, permille };
+        actions.push(PlannerAction::Observe(Observation::Throttled {
+            job: job.clone(),
+            worker: agent.clone(),
+            permille,
+            at: moment.clock,
+        }));
+        actions.push(PlannerAction::Send { agent, frame: ToAgent::Throttle(order) });
+    }
+
+    fn give_up(&mut self, job: &Name, code: u16, reason: String, moment: Moment) {
+        // Only a job that was running or finished in the meantime refuses this, rightly.
+        let _ = self.change(job, Transition::GiveUp { code, reason }, moment);
+    }
+
+    fn quarantine(&mut self, worker: &Name, quarantined: bool) {
+        if let Some(view) = self.agents.get_mut(worker) {
+            view.quarantined = quarantined;
+        }
+    }
+}
+
+/// Returns a wall time of a record as an instant of this process's clock.
+const fn on_clock(wall_ms: u64, moment: Moment) -> Millis {
+    if wall_ms >= moment.wall_ms {
+        moment.clock.plus(wall_ms - moment.wall_ms)
+    } else {
+        Millis(moment.clock.0.saturating_sub(moment.wall_ms - wall_ms))
+    }
+}
--- a/crates/geraniumpost-core/src/jobs/transition.rs
+++ b/crates/geraniumpost-core/src/jobs/transition.rs
@@ -15,6 +15,11 @@
     },
     /// The agent refused the run, which truly never started.
     Refused,
+    /// The run was stopped on order, or barred before it began.
+    Stopped {
+        /// Latest checkpoint known, empty to keep the recorded one.
+        checkpoint: Name,
+    },
     /// The run ended without a result: its worker, or the agent's hold on it, was lost.
     Lost {
         /// Latest checkpoint known, empty to keep the recorded one.
@@ -36,9 +41,11 @@
     },
     /// The customer or an operator cancels.
     Cancel,
-    /// No worker could ever hold the job.
+    /// A pending job is given up, as no worker could ever hold it or as it fails everywhere.
     GiveUp {
-        /// The resource and the largest worker.
+        /// Result code of the end.
+        code: u16,
+        /// What the customer is told, such as the resource and the largest worker.
         reason: String,
     },
 }
