test(core): drive planners, leases and ledgers through faults

Cause: nothing showed that the protocol keeps its promises under faults. Ruled out: a cluster simulator; a small fake store, workers and two entries do. It found one fault: a lease that lapsed while its term record was being rewritten came back under the same term, and the new planner wrote empty records over all jobs. The lease now drops that write, and a planner that meets its own term with a later commit steps down.

--- a/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
+++ b/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
@@ -113,6 +113,9 @@
         if self.tenure.take().is_some() {
             actions.push(LeaseAction::Lost(why));
         }
+        // A term must not come back: a planner that began anew under it would take the records that
+        // its forerunner wrote for its own, and write its empty ones over them.
+        self.writing = None;
         self.settled = false;
         self.valid_until = Millis(0);
         self.hold_until = Millis(0);
@@ -300,7 +303,7 @@
 
     /// Begins a tenure, or resumes the one that only a store outage had interrupted.
     fn on_term_written(&mut self, revision: u64, now: Millis, actions: &mut Vec<LeaseAction>) {
-        let Some(record) = self.writing.take() else { return };
+        let Some(record) = self.writing.take() else { return self.rest(now) };
         if now >= self.claimed_at.plus(self.config.ttl_ms) {
             return self.rest(now);
         }
@@ -350,6 +353,21 @@
         value.starts_with(format!("{} ", self.me).as_bytes())
     }
 
+    /// Returns whether this event answers the store call that is open.
+    pub const fn awaits(&self, event: &LeaseEvent) -> bool {
+        let Some((step, _)) = self.step else { return false };
+        match event {
+            LeaseEvent::AliveRead(_) => matches!(step, Step::Look | Step::CheckClaim),
+            LeaseEvent::Granted(_) => matches!(step, Step::Grant),
+            LeaseEvent::Claimed(_) => matches!(step, Step::Claim),
+            LeaseEvent::TermRead(_) => matches!(step, Step::ReadTerm | Step::CheckRewrite),
+            LeaseEvent::TermWritten(_) => matches!(step, Step::WriteTerm | Step::Rewrite),
+            LeaseEvent::KeptAlive(_) => matches!(step, Step::KeepAlive),
+            LeaseEvent::CallFailed => true,
+            _ => false,
+        }
+    }
+
     /// Returns this process as a holder.
     pub const fn holder(&self) -> &Holder {
         &self.me
--- a/crates/geraniumpost-core/src/jobs/planner/commits.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/commits.rs
@@ -113,6 +113,8 @@
         } else if read.term() == self.term && read.sequence() == slot.sequence {
             let revision = revision.unwrap_or_default();
             self.on_commit_done(bucket, revision, moment, actions);
+        } else if read.term() == self.term && read.sequence() > slot.sequence {
+            self.step_down("another planner wrote under the same term", actions);
         } else if slot.fenced && read.term() < self.term {
             self.step_down("a bucket was rolled back", actions);
         } else {
--- /dev/null
+++ b/crates/geraniumpost-core/tests/jobs_world/agent.rs
@@ -0,0 +1,92 @@
+use geraniumpost_core::Millis;
+use geraniumpost_core::jobs::{LedgerAction, LedgerConfig, LedgerEvent, VmLedger};
+use geraniumpost_schema::{AgentState, Heartbeat, Load, Name, Resources};
+
+use crate::worker::{LEASE_MS, Worker};
+
+pub const CAPACITY: Resources = Resources { milli_cpus: 4_000, memory_mb: 4_000, accelerators: 0 };
+
+/// An agent process beside its worker.
+pub struct Agent {
+    pub name: Name,
+    pub incarnation: u64,
+    pub ledger: VmLedger,
+    pub worker: Worker,
+    pub frozen_until: u64,
+    pub down_until: u64,
+    /// Events that came while the process was frozen.
+    pub inbox: Vec<LedgerEvent>,
+    pub sequence: u64,
+}
+
+impl Agent {
+    pub fn new(at: usize) -> Self {
+        Self {
+            name: format!("agent-{at}").into(),
+            incarnation: 1,
+            ledger: ledger(1),
+            worker: Worker::default(),
+            frozen_until: 0,
+            down_until: 0,
+            inbox: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    pub fn restart(&mut self) {
+        self.incarnation += 1;
+        self.ledger = ledger(self.incarnation);
+        self.inbox.clear();
+        self.frozen_until = 0;
+    }
+
+    pub fn lose_vm(&mut self, now: u64) {
+        self.restart();
+        self.worker.lose_all();
+        self.down_until = now + 3_000;
+    }
+
+    pub const fn is_up(&self, now: u64) -> bool {
+        now >= self.down_until && now >= self.frozen_until
+    }
+
+    pub fn handle(&mut self, event: LedgerEvent, now: u64) -> Vec<LedgerAction> {
+        self.ledger.handle(event, Millis(now))
+    }
+
+    pub fn heartbeat(&mut self) -> Heartbeat {
+        self.sequence += 1;
+        Heartbeat {
+            agent: self.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            service: Name::default(),
+            region: "lima".into(),
+            domain: "surco".into(),
+            rack: self.name.clone(),
+            address: Name::default(),
+            state: AgentState::Ready,
+            slots: 0,
+            load: Load { in_flight: 0, queued: 0, service_us: 0, p99_us: 0, failures_permille: 0 },
+            config_revision: 1,
+            entries_digest: 0,
+            term: self.ledger.term(),
+            has_worker: true,
+            capacity: CAPACITY,
+            reserved: self.ledger.reserved(),
+            tasks: self.ledger.live() as u32,
+        }
+    }
+}
+
+fn ledger(incarnation: u64) -> VmLedger {
+    let config = LedgerConfig {
+        worker_lease_ms: LEASE_MS,
+        list_ms: 300,
+        repeat_ms: 300,
+        usage_ms: 1_000,
+        settle_ms: 500,
+        remember_ms: 60_000,
+    };
+    VmLedger::new(incarnation, CAPACITY, config)
+}
--- /dev/null
+++ b/crates/geraniumpost-core/tests/jobs_world/store.rs
@@ -0,0 +1,84 @@
+use std::collections::BTreeMap;
+
+/// Outcome of a call as its caller sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Read(Option<(u64, Vec<u8>)>),
+    Granted(u64),
+    Written(Option<u64>),
+    Kept(bool),
+    Failed,
+}
+
+#[derive(Debug, Clone)]
+pub enum Call {
+    Get(String),
+    Put { key: String, value: Vec<u8>, expected: Option<u64>, lease: Option<u64> },
+    Grant(u64),
+    KeepAlive(u64),
+    Revoke(u64),
+}
+
+/// A key-value service with compare-and-swap and leases that counts its calls.
+#[derive(Debug, Default)]
+pub struct Store {
+    values: BTreeMap<String, (u64, Vec<u8>, Option<u64>)>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    revision: u64,
+    pub reads: u64,
+    pub writes: u64,
+    pub written: Vec<(String, Vec<u8>)>,
+}
+
+impl Store {
+    pub fn run(&mut self, call: Call, now: u64) -> Answer {
+        self.expire(now);
+        match call {
+            Call::Get(key) => {
+                self.reads += 1;
+                Answer::Read(self.values.get(&key).map(|(at, value, _)| (*at, value.clone())))
+            }
+            Call::Put { key, value, expected, lease } => self.put(key, value, expected, lease),
+            Call::Grant(ttl) => {
+                self.writes += 1;
+                self.revision += 1;
+                self.leases.insert(self.revision, (now + ttl, ttl));
+                Answer::Granted(self.revision)
+            }
+            Call::KeepAlive(lease) => {
+                self.writes += 1;
+                let known = self.leases.get_mut(&lease).map(|(until, ttl)| *until = now + *ttl);
+                Answer::Kept(known.is_some())
+            }
+            Call::Revoke(lease) => {
+                self.leases.remove(&lease);
+                self.expire(now);
+                Answer::Failed
+            }
+        }
+    }
+
+    fn put(
+        &mut self,
+        key: String,
+        value: Vec<u8>,
+        expected: Option<u64>,
+        lease: Option<u64>,
+    ) -> Answer {
+        self.writes += 1;
+        let found = self.values.get(&key).map(|(at, ..)| *at);
+        if found != expected || lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Answer::Written(None);
+        }
+        self.revision += 1;
+        self.written.push((key.clone(), value.clone()));
+        self.values.insert(key, (self.revision, value, lease));
+        Answer::Written(Some(self.revision))
+    }
+
+    fn expire(&mut self, now: u64) {
+        self.leases.retain(|_, (until, _)| now < *until);
+        let leases = &self.leases;
+        self.values.retain(|_, (.., lease)| lease.is_none_or(|id| leases.contains_key(&id)));
+    }
+}
