--- a/crates/geraniumpost-standin/src/worker/task.rs
+++ b/crates/geraniumpost-standin/src/worker/task.rs
@@ -8,7 +8,8 @@
     need: Resources,
     command: Command,
     state: TaskState,
-    progress_us: u64,
+    /// Work done at full speed in nanoseconds, which any speed in thousandths keeps exact.
+    progress_ns: u64,
     permille: u64,
     at: u64,
     lease_ends: u64,
@@ -33,7 +34,7 @@
             need: order.need,
             command,
             state: TaskState::Running,
-            progress_us: progress_of(&order.checkpoint),
+            progress_ns: progress_of(&order.checkpoint).saturating_mul(1000),
             permille: 1000,
             at: now,
             lease_ends: now.saturating_add(order.lease_ms.saturating_mul(1000)),
@@ -57,7 +58,7 @@
     }
 
     pub(super) const fn progress_us(&self) -> u64 {
-        self.progress_us
+        self.progress_ns / 1000
     }
 
     pub(super) fn result(&self) -> &str {
@@ -81,8 +82,8 @@
             _ => (self.lease_ends, TaskState::Lapsed),
         };
         let until = now.min(ends);
-        self.progress_us += until.saturating_sub(self.at) * self.permille / 1000;
-        self.progress_us = self.progress_us.min(self.command.work_us());
+        self.progress_ns += until.saturating_sub(self.at) * self.permille;
+        self.progress_ns = self.progress_ns.min(self.work_ns());
         self.at = until.max(self.at);
         if ends > now {
             return None;
@@ -94,7 +95,7 @@
     pub(super) fn end(&mut self, state: TaskState) {
         self.state = state;
         if state == TaskState::Done {
-            self.progress_us = self.command.work_us();
+            self.progress_ns = self.work_ns();
         }
         self.result = match state {
             TaskState::Done => format!("done {} {}", self.id, self.command.work_us()),
@@ -114,7 +115,7 @@
     }
 
     pub(super) fn save(&mut self) -> &str {
-        self.checkpoint = format!("{}-{}-{}", self.id, self.epoch, self.progress_us);
+        self.checkpoint = format!("{}-{}-{}", self.id, self.epoch, self.progress_us());
         &self.checkpoint
     }
 
@@ -135,9 +136,14 @@
         if self.command.fails() { TaskState::Failed } else { TaskState::Done }
     }
 
+    const fn work_ns(&self) -> u64 {
+        self.command.work_us().saturating_mul(1000)
+    }
+
     fn work_ends(&self) -> Option<u64> {
-        let left = self.command.work_us().saturating_sub(self.progress_us);
-        let time = if left == 0 { Some(0) } else { (left * 1000).checked_div(self.permille) };
+        let left = self.work_ns().saturating_sub(self.progress_ns);
+        let time = if left == 0 { Some(0) } else { left.checked_next_multiple_of(self.permille) };
+        let time = time.map(|left| left.checked_div(self.permille).unwrap_or(0));
         time.map(|time| self.at + time)
     }
 
