feat: harness with processes, addresses of its own and two checkers

Cause: the promises about requests and jobs can only be judged by comparing what really ran with what was told, and failure tests must start, freeze and end real processes without leaving any. Change: a crate for demo, soak and failure tests; each harness reserves a loopback address, so that tests side by side do not take each other's ports; checkers over the records of minions and workers. Ruled out: free ports by binding port 0, which another process may take before the restart.

--- /dev/null
+++ b/crates/geraniumpost-harness/src/binaries.rs
@@ -0,0 +1,43 @@
+use std::path::{Path, PathBuf};
+
+use eyre::{Result, WrapErr, bail};
+
+/// Paths of the binaries that the harness starts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Binaries {
+    geraniumpost: PathBuf,
+    standin: PathBuf,
+}
+
+impl Binaries {
+    /// Takes the shipped binary at `geraniumpost` and the stand-ins' binary beside it.
+    pub fn new(geraniumpost: impl Into<PathBuf>) -> Self {
+        let geraniumpost = geraniumpost.into();
+        let standin = geraniumpost.with_file_name("geraniumpost-standin");
+        Self { geraniumpost, standin }
+    }
+
+    /// Finds the binaries in the folder of the running executable or one above it.
+    ///
+    /// Cargo puts binaries into the profile's folder and test executables into `deps` below it.
+    pub fn beside_current_exe() -> Result<Self> {
+        let exe = std::env::current_exe().wrap_err("finding the running executable")?;
+        for folder in exe.ancestors().skip(1).take(2) {
+            let candidate = folder.join("geraniumpost");
+            if candidate.is_file() {
+                return Ok(Self::new(candidate));
+            }
+        }
+        bail!("no geraniumpost beside {}; build it with cargo build first", exe.display())
+    }
+
+    /// Returns the shipped binary.
+    pub fn geraniumpost(&self) -> &Path {
+        &self.geraniumpost
+    }
+
+    /// Returns the stand-ins' binary.
+    pub fn standin(&self) -> &Path {
+        &self.standin
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-harness/tests/check_jobs.rs
@@ -0,0 +1,131 @@
+//! The checker of jobs must find each broken promise and nothing else.
+
+use std::collections::BTreeMap;
+
+use geraniumpost_harness::check::{JobSeen, JobViolation, check_jobs};
+use geraniumpost_standin::worker::{WorkerEvent, WorkerEventKind};
+
+use WorkerEventKind::{Checkpointed, Done, Lapsed, Overfilled, Started, Stopped};
+
+fn event(at_us: u64, worker: &str, epoch: u64, kind: WorkerEventKind, detail: &str) -> WorkerEvent {
+    WorkerEvent {
+        at_us,
+        worker: worker.to_owned(),
+        task: "study".to_owned(),
+        epoch,
+        kind,
+        progress_us: 0,
+        detail: detail.to_owned(),
+    }
+}
+
+fn completed(result: &str) -> Vec<JobSeen> {
+    vec![JobSeen { id: "study".to_owned(), result: Some(result.to_owned()) }]
+}
+
+fn open() -> Vec<JobSeen> {
+    vec![JobSeen { id: "study".to_owned(), result: None }]
+}
+
+fn study() -> String {
+    "study".to_owned()
+}
+
+fn overlap() -> JobViolation {
+    JobViolation::Overlap {
+        job: study(),
+        first: 1,
+        first_worker: "w1".to_owned(),
+        second: 2,
+        second_worker: "w2".to_owned(),
+    }
+}
+
+/// Names each case of records, jobs, lost workers and what the checker finds.
+macro_rules! finds {
+    ($($name:ident: [$($event:expr),* $(,)?], $jobs:expr, lost: $lost:expr => $found:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let record = vec![$($event),*];
+            let lost: &[(&str, u64)] = &$lost;
+            let lost: BTreeMap<String, u64> =
+                lost.iter().map(|(name, at)| ((*name).to_owned(), *at)).collect();
+            let found: Vec<JobViolation> = $found.into();
+            assert_eq!(check_jobs(&record, &$jobs, &lost), found);
+        }
+    )*};
+}
+
+finds! {
+    one_run_is_right:
+        [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
+        completed("r"), lost: [] => [];
+    move_with_its_checkpoint_is_right:
+        [
+            event(1, "w1", 1, Started, ""), event(2, "w1", 1, Checkpointed, "c"),
+            event(3, "w1", 1, Stopped, ""), event(4, "w2", 2, Started, "c"),
+            event(5, "w2", 2, Done, "r"),
+        ],
+        completed("r"), lost: [] => [];
+    run_again_after_a_lost_vm_is_right:
+        [
+            event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r"),
+            event(9, "w2", 2, Started, ""), event(10, "w2", 2, Done, "r"),
+        ],
+        completed("r"), lost: [("w1", 5)] => [];
+    run_that_ended_with_its_vm_is_right:
+        [
+            event(1, "w1", 1, Started, ""), event(9, "w2", 2, Started, ""),
+            event(10, "w2", 2, Done, "r"),
+        ],
+        completed("r"), lost: [("w1", 5)] => [];
+    two_places_at_once:
+        [
+            event(1, "w1", 1, Started, ""), event(2, "w2", 2, Started, ""),
+            event(3, "w1", 1, Lapsed, ""), event(4, "w2", 2, Done, "r"),
+        ],
+        completed("r"), lost: [] => [overlap()];
+    first_run_that_never_ended:
+        [event(1, "w1", 1, Started, ""), event(4, "w2", 2, Started, ""), event(5, "w2", 2, Done, "r")],
+        completed("r"), lost: [] => [overlap()];
+    same_epoch_again:
+        [
+            event(1, "w1", 1, Started, ""), event(2, "w1", 1, Lapsed, ""),
+            event(3, "w2", 1, Started, ""), event(4, "w2", 1, Done, "r"),
+        ],
+        completed("r"), lost: []
+        => [JobViolation::EpochNotHigher { job: study(), first: 1, second: 1 }];
+    resumed_from_nowhere:
+        [event(1, "w1", 1, Started, "c"), event(2, "w1", 1, Done, "r")],
+        completed("r"), lost: []
+        => [JobViolation::UnknownCheckpoint { job: study(), checkpoint: "c".to_owned() }];
+    checkpoint_thrown_away:
+        [
+            event(1, "w1", 1, Started, ""), event(2, "w1", 1, Checkpointed, "c"),
+            event(3, "w1", 1, Stopped, ""), event(4, "w2", 2, Started, ""),
+            event(5, "w2", 2, Done, "r"),
+        ],
+        completed("r"), lost: []
+        => [JobViolation::LostCheckpoint {
+            job: study(), expected: "c".to_owned(), resumed: String::new(),
+        }];
+    done_twice:
+        [
+            event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r"),
+            event(3, "w2", 2, Started, ""), event(4, "w2", 2, Done, "r"),
+        ],
+        completed("r"), lost: [] => [JobViolation::DoneTwice { job: study(), times: 2 }];
+    result_from_nowhere:
+        [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
+        completed("other"), lost: []
+        => [JobViolation::UnknownResult { job: study(), result: "other".to_owned() }];
+    result_lost:
+        [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
+        open(), lost: [] => [JobViolation::LostResult(study())];
+    job_lost: [], open(), lost: [] => [JobViolation::Lost(study())];
+    worker_overfilled:
+        [event(1, "w1", 1, Started, ""), event(1, "w1", 1, Overfilled, "9 of 8"),
+         event(2, "w1", 1, Done, "r")],
+        completed("r"), lost: []
+        => [JobViolation::Overfilled { worker: "w1".to_owned(), held: "9 of 8".to_owned() }];
+}
