feat(harness): fleets of real processes and callers that note what they were told

Cause: the failure tests and the demo need the same deployment. Change: a fleet starts store, minions and workers in the test's process, entries and agents as processes with generated settings, and a relay on each way to the platform; callers send a seeded mix and keep each last word for the checker.

--- /dev/null
+++ b/crates/geraniumpost-harness/src/agent_place.rs
@@ -0,0 +1,84 @@
+use std::path::Path;
+
+use eyre::Result;
+use geraniumpost_schema::AgentSettings;
+use geraniumpost_standin::Standin;
+use geraniumpost_standin::minion::{MinionCounts, MinionEvent};
+use geraniumpost_standin::worker::WorkerEvent;
+
+use crate::{Binaries, Process};
+
+/// A VM: an agent, its minion, its worker and the relays between them.
+#[derive(Debug)]
+pub struct AgentPlace {
+    pub(crate) settings: AgentSettings,
+    pub(crate) minion: Standin,
+    pub(crate) minion_relay: Standin,
+    pub(crate) worker: Standin,
+    pub(crate) worker_relay: Standin,
+    pub(crate) process: Process,
+}
+
+impl AgentPlace {
+    pub(crate) fn start_process(
+        binaries: &Binaries,
+        folder: &Path,
+        settings: &AgentSettings,
+    ) -> Result<Process> {
+        let file = folder.join(format!("{}.toml", settings.name));
+        std::fs::write(&file, toml::to_string(settings)?)?;
+        let log = folder.join(format!("{}.log", settings.name));
+        let words = ["agent", "--settings", &file.to_string_lossy()];
+        Process::start(&settings.name, binaries.geraniumpost(), &words, log)
+    }
+
+    /// Returns the agent's name.
+    pub fn name(&self) -> &str {
+        &self.settings.name
+    }
+
+    /// Returns the minion.
+    pub const fn minion(&self) -> &Standin {
+        &self.minion
+    }
+
+    /// Returns the relay between agent and minion.
+    pub const fn minion_relay(&self) -> &Standin {
+        &self.minion_relay
+    }
+
+    /// Returns the worker.
+    pub const fn worker(&self) -> &Standin {
+        &self.worker
+    }
+
+    /// Returns the relay between agent and worker.
+    pub const fn worker_relay(&self) -> &Standin {
+        &self.worker_relay
+    }
+
+    /// Returns the agent's process.
+    pub const fn process(&self) -> &Process {
+        &self.process
+    }
+
+    /// Returns the agent's process, to end or restart it.
+    pub const fn process_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
+
+    /// Returns what the minion really ran.
+    pub async fn minion_record(&self) -> Result<Vec<MinionEvent>> {
+        self.minion.control().read("record").await
+    }
+
+    /// Returns what the minion has counted.
+    pub async fn minion_counts(&self) -> Result<MinionCounts> {
+        self.minion.control().read("counts").await
+    }
+
+    /// Returns what the worker really ran.
+    pub async fn worker_record(&self) -> Result<Vec<WorkerEvent>> {
+        self.worker.control().read("record").await
+    }
+}
--- a/crates/geraniumpost-harness/src/check/requests.rs
+++ b/crates/geraniumpost-harness/src/check/requests.rs
@@ -34,7 +34,7 @@
 fn check_word(told: &Told, all: &[Told], runs: &BTreeMap<&str, usize>) -> Option<RequestViolation> {
     let id = &told.request_id;
     match &told.word {
-        Word::NotRun => {
+        Word::NotRun | Word::Unreachable => {
             runs.contains_key(id.as_str()).then(|| RequestViolation::RanAlthoughNotRun(id.clone()))
         }
         Word::Answered { status, body } => check_answer(told, all, runs, *status, body),
--- a/crates/geraniumpost-harness/src/check/told.rs
+++ b/crates/geraniumpost-harness/src/check/told.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 
 /// The last word that a caller got about a request.
@@ -16,6 +18,8 @@
     MayHaveRun,
     /// No word at all: the entry died or the caller stopped waiting.
     Nothing,
+    /// No connection to the entry; not one byte was sent.
+    Unreachable,
 }
 
 /// A request and what its caller was told.
@@ -33,6 +37,10 @@
     pub answer_bytes: usize,
     /// What the caller was told.
     pub word: Word,
+    /// `X-Result-Code` of the answer, 0 if there was none.
+    pub code: u16,
+    /// Time from sending to the last word.
+    pub took: Duration,
 }
 
 impl Told {
--- /dev/null
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -0,0 +1,231 @@
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use eyre::Result;
+use geraniumpost_core::config::{Change, StoredDocument};
+use geraniumpost_platform::{Expect, Store};
+use geraniumpost_schema::{AgentSettings, EntrySettings, LogSettings, Name};
+use geraniumpost_standin::minion::{MinionEvent, MinionOptions};
+use geraniumpost_standin::relay::Protocol;
+use geraniumpost_standin::store::{StoreCounts, StoreFaults};
+use geraniumpost_standin::worker::{Resources, WorkerEvent, WorkerOptions};
+use geraniumpost_standin::{Standin, minion, relay, store, worker};
+
+use crate::plan::{REGION, SERVICE, SHARED_KEY};
+use crate::{
+    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Plan, Process, Scratch, Send, wait_until,
+};
+
+/// Key of the configuration in the store.
+const CONFIG_KEY: &str = "geraniumpost/config";
+/// Any free port; only processes that restart need fixed ones.
+const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Time for all processes to find each other.
+const READY: Duration = Duration::from_secs(20);
+
+/// A whole deployment on loopback: stand-ins in this process, the system's own as processes.
+///
+/// All of it ends when the handle is dropped. If that happens in a panic, the logs are kept.
+#[derive(Debug)]
+pub struct Fleet {
+    // The processes go first, so that they are not left to log the stand-ins' disappearance.
+    entries: Vec<EntryPlace>,
+    agents: Vec<AgentPlace>,
+    store: Standin,
+    _addresses: Loopback,
+    _scratch: Scratch,
+}
+
+impl Fleet {
+    /// Starts a deployment and waits until each entry reaches each minion.
+    pub async fn start(binaries: &Binaries, plan: &Plan) -> Result<Self> {
+        let fleet = Self::start_cold(binaries, plan).await?;
+        fleet.ready().await;
+        Ok(fleet)
+    }
+
+    /// Starts a deployment without waiting.
+    pub async fn start_cold(binaries: &Binaries, plan: &Plan) -> Result<Self> {
+        let mut addresses = Loopback::reserve()?;
+        let scratch = Scratch::create()?;
+        let store = store::spawn_in_process(ANY, ANY).await?;
+        seed(&store, plan).await?;
+        let settings = entry_settings(plan, &mut addresses);
+        let datagrams: Vec<SocketAddr> = settings.iter().map(|s| s.datagrams).collect();
+        let mut entries = Vec::new();
+        for mut settings in settings {
+            let to = store.address();
+            let relay = relay::spawn_in_process(ANY, ANY, Protocol::Tcp, to).await?;
+            settings.store = relay.address();
+            settings.peers = datagrams.clone();
+            settings.peers.retain(|peer| *peer != settings.datagrams);
+            entries.push(EntryPlace::start(binaries, scratch.path(), settings, relay)?);
+        }
+        let mut agents = Vec::new();
+        for number in 0..plan.agents {
+            let settings = agent_settings(plan, number, addresses.next_address(), &datagrams);
+            agents.push(start_agent(binaries, &scratch, plan, settings).await?);
+        }
+        Ok(Self { entries, agents, store, _addresses: addresses, _scratch: scratch })
+    }
+
+    /// Waits until each entry reaches each minion.
+    pub async fn ready(&self) {
+        for entry in 0..self.entries.len() {
+            for agent in 0..self.agents.len() {
+                let what = format!("entry {entry} reaches the minion of agent {agent}");
+                wait_until(&what, READY, || self.reaches(entry, agent)).await;
+            }
+        }
+    }
+
+    /// Sends a request to an entry and tells whether it ran beside the agent.
+    async fn reaches(&self, entry: usize, agent: usize) -> bool {
+        let caller = self.caller(entry);
+        let told = caller.send(&Send::get()).await;
+        let record = self.agents[agent].minion_record().await.unwrap_or_default();
+        record.iter().any(|event| event.request_id == told.request_id)
+    }
+
+    /// Returns a caller that uses an entry.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].callers())
+    }
+
+    /// Returns the entries.
+    pub fn entries(&self) -> &[EntryPlace] {
+        &self.entries
+    }
+
+    /// Returns an entry's process, to end or restart it.
+    pub fn entry(&mut self, number: usize) -> &mut Process {
+        self.entries[number].process_mut()
+    }
+
+    /// Returns the agents with their VMs.
+    pub fn agents(&self) -> &[AgentPlace] {
+        &self.agents
+    }
+
+    /// Returns an agent's process, to end or restart it.
+    pub fn agent(&mut self, number: usize) -> &mut Process {
+        self.agents[number].process_mut()
+    }
+
+    /// Returns the key-value service.
+    pub const fn store(&self) -> &Standin {
+        &self.store
+    }
+
+    /// Replaces the faults of the key-value service.
+    pub async fn set_store_faults(&self, faults: StoreFaults) -> Result<()> {
+        self.store.control().set_faults(&faults).await
+    }
+
+    /// Returns the calls that the key-value service has counted.
+    pub async fn store_counts(&self) -> Result<StoreCounts> {
+        self.store.control().read("counts").await
+    }
+
+    /// Returns what all minions really ran.
+    pub async fn minion_record(&self) -> Result<Vec<MinionEvent>> {
+        let mut record = Vec::new();
+        for agent in &self.agents {
+            record.extend(agent.minion_record().await?);
+        }
+        Ok(record)
+    }
+
+    /// Returns what all workers really ran.
+    pub async fn worker_record(&self) -> Result<Vec<WorkerEvent>> {
+        let mut record = Vec::new();
+        for agent in &self.agents {
+            record.extend(agent.worker_record().await?);
+        }
+        Ok(record)
+    }
+}
+
+/// Writes the configuration that the deployment starts with.
+async fn seed(store: &Standin, plan: &Plan) -> Result<()> {
+    let change = Change {
+        change_id: Name::from("seed"),
+        changed_by: Name::from("rosa"),
+        based_on: 0,
+        document: plan.document.clone(),
+    };
+    let value = serde_json::to_vec(&StoredDocument::after(None, &change))?;
+    Store::new(store.address()).put(CONFIG_KEY, value, Expect::Absent, None).await?;
+    Ok(())
+}
+
+fn entry_settings(plan: &Plan, addresses: &mut Loopback) -> Vec<EntrySettings> {
+    let settings = (0..plan.entries).map(|number| EntrySettings {
+        name: Name::from(format!("entry-{number}")),
+        region: Name::from(REGION),
+        domain: domain(plan, number),
+        callers: addresses.next_address(),
+        console: addresses.next_address(),
+        datagrams: addresses.next_address(),
+        store: ANY,
+        shared_key: SHARED_KEY.to_owned(),
+        peers: Vec::new(),
+        heartbeat_ms: plan.heartbeat_ms,
+        drain_ms: plan.drain_ms,
+        log: LogSettings::default(),
+    });
+    settings.collect()
+}
+
+fn agent_settings(
+    plan: &Plan,
+    number: usize,
+    listen: SocketAddr,
+    entries: &[SocketAddr],
+) -> AgentSettings {
+    AgentSettings {
+        name: Name::from(format!("agent-{number}")),
+        region: Name::from(REGION),
+        domain: domain(plan, number),
+        rack: Name::from(format!("rack-{}", number / 3)),
+        listen,
+        entries: entries.to_vec(),
+        shared_key: SHARED_KEY.to_owned(),
+        service: Some(Name::from(SERVICE)),
+        minion: None,
+        worker: None,
+        metrics: None,
+        milli_cpus: plan.milli_cpus,
+        memory_mb: plan.memory_mb,
+        accelerators: 0,
+        heartbeat_ms: plan.heartbeat_ms,
+        drain_ms: plan.drain_ms,
+        log: LogSettings::default(),
+    }
+}
+
+async fn start_agent(
+    binaries: &Binaries,
+    scratch: &Scratch,
+    plan: &Plan,
+    mut settings: AgentSettings,
+) -> Result<AgentPlace> {
+    let name = settings.name.to_string();
+    let options = MinionOptions { name: name.clone(), slots: plan.slots, ..Default::default() };
+    let minion = minion::spawn_in_process(ANY, ANY, options).await?;
+    let capacity =
+        Resources { milli_cpus: plan.milli_cpus, memory_mb: plan.memory_mb, accelerators: 0 };
+    let options = WorkerOptions { name, capacity, ..WorkerOptions::default() };
+    let worker = worker::spawn_in_process(ANY, ANY, options).await?;
+    let relay = |to| relay::spawn_in_process(ANY, ANY, Protocol::Tcp, to);
+    let minion_relay = relay(minion.address()).await?;
+    let worker_relay = relay(worker.address()).await?;
+    settings.minion = Some(minion_relay.address());
+    settings.worker = Some(worker_relay.address());
+    let process = AgentPlace::start_process(binaries, scratch.path(), &settings)?;
+    Ok(AgentPlace { settings, minion, minion_relay, worker, worker_relay, process })
+}
+
+fn domain(plan: &Plan, number: usize) -> Name {
+    Name::from(plan.domains[number % plan.domains.len()].as_str())
+}
--- a/crates/geraniumpost-harness/src/lib.rs
+++ b/crates/geraniumpost-harness/src/lib.rs
@@ -2,13 +2,29 @@
 //!
 //! The demo, the soak runs and the failure tests share it; it is never shipped.
 
+mod agent_place;
 mod binaries;
+mod caller;
 pub mod check;
+mod entry_place;
+mod fleet;
+mod load;
 mod loopback;
+mod plan;
 mod process;
+mod scratch;
+mod send;
 mod wait;
 
+pub use agent_place::AgentPlace;
 pub use binaries::Binaries;
+pub use caller::Caller;
+pub use entry_place::EntryPlace;
+pub use fleet::Fleet;
+pub use load::Load;
 pub use loopback::Loopback;
+pub use plan::{CUSTOMER, CUSTOMER_TOKEN, OPERATOR_TOKEN, Plan, REGION, SERVICE, SHARED_KEY};
 pub use process::Process;
+pub use scratch::Scratch;
+pub use send::Send;
 pub use wait::{wait_for, wait_until};
--- /dev/null
+++ b/crates/geraniumpost-harness/src/plan.rs
@@ -0,0 +1,113 @@
+use geraniumpost_config::token_digest;
+use serde_json::{Value, json};
+
+/// Name of the service whose minions are started.
+pub const SERVICE: &str = "filing";
+/// Name of the customer that calls.
+pub const CUSTOMER: &str = "claro";
+/// Bearer token of that customer.
+pub const CUSTOMER_TOKEN: &str = "token-of-claro";
+/// Bearer token of the operator.
+pub const OPERATOR_TOKEN: &str = "token-of-rosa";
+/// Region that everything runs in.
+pub const REGION: &str = "lima";
+/// Key that all processes share.
+pub const SHARED_KEY: &str = "a key for tests and demos only";
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub(crate) entries: usize,
+    pub(crate) agents: usize,
+    pub(crate) domains: Vec<String>,
+    pub(crate) heartbeat_ms: u64,
+    pub(crate) drain_ms: u64,
+    pub(crate) milli_cpus: u64,
+    pub(crate) memory_mb: u64,
+    pub(crate) slots: u64,
+    pub(crate) document: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            agents: 3,
+            domains: vec!["miraflores".to_owned(), "surco".to_owned()],
+            heartbeat_ms: 200,
+            drain_ms: 10_000,
+            milli_cpus: 64_000,
+            memory_mb: 250_000,
+            slots: 8,
+            document: document(),
+        }
+    }
+}
+
+impl Plan {
+    /// Sets the number of entries.
+    #[must_use]
+    pub const fn entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    /// Sets the number of agents, each beside a minion and a worker.
+    #[must_use]
+    pub const fn agents(mut self, agents: usize) -> Self {
+        self.agents = agents;
+        self
+    }
+
+    /// Sets the interval of heartbeats in milliseconds.
+    #[must_use]
+    pub const fn heartbeat_ms(mut self, heartbeat_ms: u64) -> Self {
+        self.heartbeat_ms = heartbeat_ms;
+        self
+    }
+
+    /// Sets the longest time of a planned stop in milliseconds.
+    #[must_use]
+    pub const fn drain_ms(mut self, drain_ms: u64) -> Self {
+        self.drain_ms = drain_ms;
+        self
+    }
+
+    /// Sets the size of each VM.
+    #[must_use]
+    pub const fn vm(mut self, milli_cpus: u64, memory_mb: u64) -> Self {
+        self.milli_cpus = milli_cpus;
+        self.memory_mb = memory_mb;
+        self
+    }
+
+    /// Changes the configuration document that the store holds at the start.
+    #[must_use]
+    pub fn document(mut self, change: impl FnOnce(&mut Value)) -> Self {
+        change(&mut self.document);
+        self
+    }
+}
+
+/// Returns the document of a small deployment.
+fn document() -> Value {
+    json!({
+        "customers": {
+            CUSTOMER: { "token_sha256": token_digest(CUSTOMER_TOKEN), "max_in_flight": 10_000 },
+        },
+        "services": { SERVICE: { "deadline_ms": 10_000 } },
+        "classes": {
+            "study": {},
+            "urgent": { "priority": "urgent" },
+            "scavenger": { "priority": "scavenger" },
+        },
+        "domains": {
+            "miraflores": { "region": REGION },
+            "surco": { "region": REGION },
+            "callao": { "region": REGION },
+            "ate": { "region": REGION },
+        },
+        "operators": { "rosa": { "token_sha256": token_digest(OPERATOR_TOKEN) } },
+        "policy": { "hold_ms": 2000 },
+    })
+}
--- /dev/null
+++ b/crates/geraniumpost-harness/src/send.rs
@@ -0,0 +1,82 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+
+static NEXT: AtomicU64 = AtomicU64::new(0);
+
+/// A request of a caller; every one gets an id of its own.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Send {
+    pub(crate) method: Method,
+    pub(crate) request_id: String,
+    pub(crate) key: String,
+    pub(crate) body: Bytes,
+    pub(crate) work_ms: u64,
+    pub(crate) answer_bytes: usize,
+    pub(crate) timeout: Duration,
+}
+
+impl Send {
+    /// A request that may run any number of times.
+    pub fn get() -> Self {
+        Self::new(Method::GET)
+    }
+
+    /// A request that may run at most once.
+    pub fn post() -> Self {
+        Self::new(Method::POST)
+    }
+
+    fn new(method: Method) -> Self {
+        let (key, timeout) = (String::new(), Duration::from_secs(10));
+        let request_id = next_id();
+        Self { method, request_id, key, body: Bytes::new(), work_ms: 0, answer_bytes: 0, timeout }
+    }
+
+    /// Returns the same request under a new id, as a caller repeats it.
+    #[must_use]
+    pub fn again(&self) -> Self {
+        Self { request_id: next_id(), ..self.clone() }
+    }
+
+    /// Sets the `Idempotency-Key`.
+    #[must_use]
+    pub fn key(mut self, key: impl Into<String>) -> Self {
+        self.key = key.into();
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets the time that the minion works, in milliseconds.
+    #[must_use]
+    pub const fn work_ms(mut self, work_ms: u64) -> Self {
+        self.work_ms = work_ms;
+        self
+    }
+
+    /// Sets the least size of the answer.
+    #[must_use]
+    pub const fn answer_bytes(mut self, answer_bytes: usize) -> Self {
+        self.answer_bytes = answer_bytes;
+        self
+    }
+
+    /// Sets the deadline that the request carries.
+    #[must_use]
+    pub const fn timeout(mut self, timeout: Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+fn next_id() -> String {
+    format!("r-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
+}
--- a/crates/geraniumpost-harness/tests/check_requests.rs
+++ b/crates/geraniumpost-harness/tests/check_requests.rs
@@ -1,5 +1,7 @@
 //! The checker of requests must find each broken promise and nothing else.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use geraniumpost_harness::check::{RequestViolation, Told, Word, check_requests};
 use geraniumpost_standin::minion::{MinionEvent, MinionEventKind, expected_answer};
@@ -29,6 +31,8 @@
         body: "badge".into(),
         answer_bytes: 0,
         word,
+        code: 0,
+        took: Duration::ZERO,
     }
 }
 
@@ -66,6 +70,9 @@
     run_despite_not_run:
         [told("a", "", Word::NotRun)], [started("a")]
         => [RequestViolation::RanAlthoughNotRun("a".to_owned())];
+    run_despite_unreachable:
+        [told("a", "", Word::Unreachable)], [started("a")]
+        => [RequestViolation::RanAlthoughNotRun("a".to_owned())];
     second_run_of_one_request:
         [told("a", "", answered("a"))], [started("a"), started("a")] => [twice("a")];
     second_run_of_one_key:
