--- a/crates/geraniumpost-harness/src/agent_place.rs
+++ b/crates/geraniumpost-harness/src/agent_place.rs
@@ -2,21 +2,22 @@
 
 use eyre::Result;
 use geraniumpost_schema::AgentSettings;
-use geraniumpost_standin::Standin;
 use geraniumpost_standin::minion::{MinionCounts, MinionEvent};
+use geraniumpost_standin::now_us;
 use geraniumpost_standin::worker::WorkerEvent;
 
-use crate::{Binaries, Process};
+use crate::{Binaries, Process, StandinPlace};
 
 /// A VM: an agent, its minion, its worker and the relays between them.
 #[derive(Debug)]
 pub struct AgentPlace {
     pub(crate) settings: AgentSettings,
-    pub(crate) minion: Standin,
-    pub(crate) minion_relay: Standin,
-    pub(crate) worker: Standin,
-    pub(crate) worker_relay: Standin,
+    pub(crate) minion: StandinPlace,
+    pub(crate) minion_relay: StandinPlace,
+    pub(crate) worker: StandinPlace,
+    pub(crate) worker_relay: StandinPlace,
     pub(crate) process: Process,
+    pub(crate) lost_at_us: Option<u64>,
 }
 
 impl AgentPlace {
@@ -38,22 +39,22 @@
     }
 
     /// Returns the minion.
-    pub const fn minion(&self) -> &Standin {
+    pub const fn minion(&self) -> &StandinPlace {
         &self.minion
     }
 
     /// Returns the relay between agent and minion.
-    pub const fn minion_relay(&self) -> &Standin {
+    pub const fn minion_relay(&self) -> &StandinPlace {
         &self.minion_relay
     }
 
     /// Returns the worker.
-    pub const fn worker(&self) -> &Standin {
+    pub const fn worker(&self) -> &StandinPlace {
         &self.worker
     }
 
     /// Returns the relay between agent and worker.
-    pub const fn worker_relay(&self) -> &Standin {
+    pub const fn worker_relay(&self) -> &StandinPlace {
         &self.worker_relay
     }
 
@@ -67,9 +68,22 @@
         &mut self.process
     }
 
+    /// Ends agent, minion and worker at once, as the loss of their VM does.
+    pub fn lose(&mut self) {
+        self.process.kill();
+        self.minion.lose();
+        self.worker.lose();
+        self.lost_at_us = Some(now_us());
+    }
+
+    /// Returns when the VM was lost, see [`now_us`].
+    pub const fn lost_at_us(&self) -> Option<u64> {
+        self.lost_at_us
+    }
+
     /// Returns what the minion really ran.
     pub async fn minion_record(&self) -> Result<Vec<MinionEvent>> {
-        self.minion.control().read("record").await
+        self.minion.record().await
     }
 
     /// Returns what the minion has counted.
@@ -79,6 +93,6 @@
 
     /// Returns what the worker really ran.
     pub async fn worker_record(&self) -> Result<Vec<WorkerEvent>> {
-        self.worker.control().read("record").await
+        self.worker.record().await
     }
 }
--- a/crates/geraniumpost-harness/src/entry_place.rs
+++ b/crates/geraniumpost-harness/src/entry_place.rs
@@ -3,15 +3,14 @@
 
 use eyre::Result;
 use geraniumpost_schema::EntrySettings;
-use geraniumpost_standin::Standin;
 
-use crate::{Binaries, Process};
+use crate::{Binaries, Process, StandinPlace};
 
 /// An entry with the relay between it and the store.
 #[derive(Debug)]
 pub struct EntryPlace {
     settings: EntrySettings,
-    store_relay: Standin,
+    store_relay: StandinPlace,
     process: Process,
 }
 
@@ -20,7 +19,7 @@
         binaries: &Binaries,
         folder: &Path,
         settings: EntrySettings,
-        store_relay: Standin,
+        store_relay: StandinPlace,
     ) -> Result<Self> {
         let file = folder.join(format!("{}.toml", settings.name));
         std::fs::write(&file, toml::to_string(&settings)?)?;
@@ -41,7 +40,7 @@
     }
 
     /// Returns the relay between this entry and the store.
-    pub const fn store_relay(&self) -> &Standin {
+    pub const fn store_relay(&self) -> &StandinPlace {
         &self.store_relay
     }
 
--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -6,19 +7,19 @@
 use geraniumpost_platform::{Expect, Store};
 use geraniumpost_schema::{AgentSettings, EntrySettings, LogSettings, Name};
 use geraniumpost_standin::minion::{MinionEvent, MinionOptions};
-use geraniumpost_standin::relay::Protocol;
 use geraniumpost_standin::store::{StoreCounts, StoreFaults};
 use geraniumpost_standin::worker::{Resources, WorkerEvent, WorkerOptions};
-use geraniumpost_standin::{Standin, minion, relay, store, worker};
 
 use crate::plan::{REGION, SERVICE, SHARED_KEY};
+use crate::standins::Standins;
 use crate::{
-    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Plan, Process, Scratch, Send, wait_until,
+    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Plan, Process, Scratch, Send, StandinPlace,
+    wait_until,
 };
 
 /// Key of the configuration in the store.
 const CONFIG_KEY: &str = "geraniumpost/config";
-/// Any free port; only processes that restart need fixed ones.
+/// Stands in settings until the real address is known.
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Time for all processes to find each other.
 const READY: Duration = Duration::from_secs(20);
@@ -31,7 +32,7 @@
     // The processes go first, so that they are not left to log the stand-ins' disappearance.
     entries: Vec<EntryPlace>,
     agents: Vec<AgentPlace>,
-    store: Standin,
+    store: StandinPlace,
     _addresses: Loopback,
     _scratch: Scratch,
 }
@@ -48,14 +49,19 @@
     pub async fn start_cold(binaries: &Binaries, plan: &Plan) -> Result<Self> {
         let mut addresses = Loopback::reserve()?;
         let scratch = Scratch::create()?;
-        let store = store::spawn_in_process(ANY, ANY).await?;
-        seed(&store, plan).await?;
         let settings = entry_settings(plan, &mut addresses);
         let datagrams: Vec<SocketAddr> = settings.iter().map(|s| s.datagrams).collect();
+        let mut standins = Standins {
+            binaries,
+            folder: scratch.path(),
+            addresses: &mut addresses,
+            as_processes: plan.standins_as_processes,
+        };
+        let store = standins.store().await?;
+        seed(&store, plan).await?;
         let mut entries = Vec::new();
         for mut settings in settings {
-            let to = store.address();
-            let relay = relay::spawn_in_process(ANY, ANY, Protocol::Tcp, to).await?;
+            let relay = standins.relay(store.address()).await?;
             settings.store = relay.address();
             settings.peers = datagrams.clone();
             settings.peers.retain(|peer| *peer != settings.datagrams);
@@ -63,8 +69,9 @@
         }
         let mut agents = Vec::new();
         for number in 0..plan.agents {
-            let settings = agent_settings(plan, number, addresses.next_address(), &datagrams);
-            agents.push(start_agent(binaries, &scratch, plan, settings).await?);
+            let listen = standins.addresses.next_address();
+            let settings = agent_settings(plan, number, listen, &datagrams);
+            agents.push(start_agent(&mut standins, plan, settings).await?);
         }
         Ok(Self { entries, agents, store, _addresses: addresses, _scratch: scratch })
     }
@@ -112,8 +119,19 @@
         self.agents[number].process_mut()
     }
 
+    /// Loses an agent's whole VM at once.
+    pub fn lose_vm(&mut self, number: usize) {
+        self.agents[number].lose();
+    }
+
+    /// Returns the VMs that were lost and when, see [`check_jobs`](crate::check::check_jobs).
+    pub fn lost_vms(&self) -> BTreeMap<String, u64> {
+        let lost = self.agents.iter().filter_map(|a| Some((a.name().to_owned(), a.lost_at_us()?)));
+        lost.collect()
+    }
+
     /// Returns the key-value service.
-    pub const fn store(&self) -> &Standin {
+    pub const fn store(&self) -> &StandinPlace {
         &self.store
     }
 
@@ -147,7 +165,7 @@
 }
 
 /// Writes the configuration that the deployment starts with.
-async fn seed(store: &Standin, plan: &Plan) -> Result<()> {
+async fn seed(store: &StandinPlace, plan: &Plan) -> Result<()> {
     let change = Change {
         change_id: Name::from("seed"),
         changed_by: Name::from("rosa"),
@@ -205,25 +223,24 @@
 }
 
 async fn start_agent(
-    binaries: &Binaries,
-    scratch: &Scratch,
+    standins: &mut Standins<'_>,
     plan: &Plan,
     mut settings: AgentSettings,
 ) -> Result<AgentPlace> {
     let name = settings.name.to_string();
     let options = MinionOptions { name: name.clone(), slots: plan.slots, ..Default::default() };
-    let minion = minion::spawn_in_process(ANY, ANY, options).await?;
+    let minion = standins.minion(options).await?;
     let capacity =
         Resources { milli_cpus: plan.milli_cpus, memory_mb: plan.memory_mb, accelerators: 0 };
     let options = WorkerOptions { name, capacity, ..WorkerOptions::default() };
-    let worker = worker::spawn_in_process(ANY, ANY, options).await?;
-    let relay = |to| relay::spawn_in_process(ANY, ANY, Protocol::Tcp, to);
-    let minion_relay = relay(minion.address()).await?;
-    let worker_relay = relay(worker.address()).await?;
+    let worker = standins.worker(options).await?;
+    let minion_relay = standins.relay(minion.address()).await?;
+    let worker_relay = standins.relay(worker.address()).await?;
     settings.minion = Some(minion_relay.address());
     settings.worker = Some(worker_relay.address());
-    let process = AgentPlace::start_process(binaries, scratch.path(), &settings)?;
-    Ok(AgentPlace { settings, minion, minion_relay, worker, worker_relay, process })
+    let process = AgentPlace::start_process(standins.binaries, standins.folder, &settings)?;
+    let lost_at_us = None;
+    Ok(AgentPlace { settings, minion, minion_relay, worker, worker_relay, process, lost_at_us })
 }
 
 fn domain(plan: &Plan, number: usize) -> Name {
--- /dev/null
+++ b/crates/geraniumpost-harness/src/operator.rs
@@ -0,0 +1,72 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::plan::OPERATOR_TOKEN;
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// An operator who uses the HTTP interface beside an entry's console.
+#[derive(Debug, Clone, Copy)]
+pub struct Operator {
+    console: SocketAddr,
+}
+
+impl Operator {
+    /// Creates an operator who uses the console at this address.
+    pub const fn new(console: SocketAddr) -> Self {
+        Self { console }
+    }
+
+    /// Reads a page; a body that is no JSON comes as a string.
+    pub async fn get(&self, path: &str) -> Result<(StatusCode, Value)> {
+        self.call(Method::GET, path, &Value::Null).await
+    }
+
+    /// Makes one call; `Null` stands for no body.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<(StatusCode, Value)> {
+        let call = self.exchange(method, path, body);
+        timeout(TIMEOUT, call).await.wrap_err_with(|| format!("no answer to {path}"))?
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Result<(StatusCode, Value)> {
+        let stream = TcpStream::connect(self.console).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(connection);
+        let body = if body.is_null() { Bytes::new() } else { serde_json::to_vec(body)?.into() };
+        let req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.console.to_string())
+            .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
+            .header("content-type", "application/json")
+            .header("accept", "application/json")
+            .body(Full::new(body))?;
+        let answer = sender.send_request(req).await?;
+        let status = answer.status();
+        let body = answer.into_body().collect().await?.to_bytes();
+        driver.abort();
+        let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
+        Ok((status, serde_json::from_slice(&body).unwrap_or_else(|_| text())))
+    }
+}
--- a/crates/geraniumpost-harness/src/plan.rs
+++ b/crates/geraniumpost-harness/src/plan.rs
@@ -25,6 +25,7 @@
     pub(crate) milli_cpus: u64,
     pub(crate) memory_mb: u64,
     pub(crate) slots: u64,
+    pub(crate) standins_as_processes: bool,
     pub(crate) document: Value,
 }
 
@@ -39,6 +40,7 @@
             milli_cpus: 64_000,
             memory_mb: 250_000,
             slots: 8,
+            standins_as_processes: false,
             document: document(),
         }
     }
@@ -81,6 +83,13 @@
         self
     }
 
+    /// Starts store, minions and workers as processes of their own.
+    #[must_use]
+    pub const fn standins_as_processes(mut self) -> Self {
+        self.standins_as_processes = true;
+        self
+    }
+
     /// Changes the configuration document that the store holds at the start.
     #[must_use]
     pub fn document(mut self, change: impl FnOnce(&mut Value)) -> Self {
