--- a/crates/geraniumpost-harness/src/check/mod.rs
+++ b/crates/geraniumpost-harness/src/check/mod.rs
@@ -6,6 +6,7 @@
 mod jobs;
 mod request_violation;
 mod requests;
+mod summary;
 mod told;
 
 pub use job_seen::JobSeen;
@@ -13,4 +14,5 @@
 pub use jobs::check_jobs;
 pub use request_violation::RequestViolation;
 pub use requests::check_requests;
+pub use summary::Summary;
 pub use told::{Told, Word};
--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -9,18 +9,23 @@
 use geraniumpost_standin::minion::{MinionEvent, MinionOptions};
 use geraniumpost_standin::store::{StoreCounts, StoreFaults};
 use geraniumpost_standin::worker::{Resources, WorkerEvent, WorkerOptions};
+use tokio::sync::{Semaphore, SemaphorePermit};
 
+use crate::check::{Summary, Told, check_requests};
 use crate::plan::{REGION, SERVICE, SHARED_KEY};
 use crate::standins::Standins;
 use crate::{
-    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Plan, Process, Scratch, Send, StandinPlace,
-    wait_until,
+    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Operator, Plan, Process, Scratch, Send,
+    StandinPlace, wait_until,
 };
 
 /// Key of the configuration in the store.
 const CONFIG_KEY: &str = "geraniumpost/config";
 /// Stands in settings until the real address is known.
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Deployments of one test process that run at once; more would only measure the machine.
+const MOST_AT_ONCE: usize = 4;
+static ROOM: Semaphore = Semaphore::const_new(MOST_AT_ONCE);
 /// Time for all processes to find each other.
 const READY: Duration = Duration::from_secs(20);
 
@@ -35,6 +40,7 @@
     store: StandinPlace,
     _addresses: Loopback,
     _scratch: Scratch,
+    _room: SemaphorePermit<'static>,
 }
 
 impl Fleet {
@@ -47,6 +53,7 @@
 
     /// Starts a deployment without waiting.
     pub async fn start_cold(binaries: &Binaries, plan: &Plan) -> Result<Self> {
+        let room = ROOM.acquire().await?;
         let mut addresses = Loopback::reserve()?;
         let scratch = Scratch::create()?;
         let settings = entry_settings(plan, &mut addresses);
@@ -73,7 +80,7 @@
             let settings = agent_settings(plan, number, listen, &datagrams);
             agents.push(start_agent(&mut standins, plan, settings).await?);
         }
-        Ok(Self { entries, agents, store, _addresses: addresses, _scratch: scratch })
+        Ok(Self { entries, agents, store, _addresses: addresses, _scratch: scratch, _room: room })
     }
 
     /// Waits until each entry reaches each minion.
@@ -145,6 +152,32 @@
         self.store.control().read("counts").await
     }
 
+    /// Waits until no minion runs anything and then panics if any promise to callers was broken.
+    pub async fn assert_promises_to_callers(&self, told: &[Told]) {
+        let quiet = || async {
+            let mut running = 0;
+            for agent in self.agents.iter().filter(|agent| agent.lost_at_us().is_none()) {
+                running += agent.minion_counts().await.map_or(1, |counts| counts.running);
+            }
+            running == 0
+        };
+        wait_until("all minions are idle", READY, quiet).await;
+        let record = self.minion_record().await.expect("the minions' records can be read");
+        let found = check_requests(told, &record);
+        let summary: Summary = told.iter().collect();
+        assert!(found.is_empty(), "{} broken promises: {found:#?}\n{summary}", found.len());
+    }
+
+    /// Returns the addresses of all entries for callers.
+    pub fn callers_addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryPlace::callers).collect()
+    }
+
+    /// Returns an operator who uses an entry's console.
+    pub fn operator(&self, entry: usize) -> Operator {
+        Operator::new(self.entries[entry].console())
+    }
+
     /// Returns what all minions really ran.
     pub async fn minion_record(&self) -> Result<Vec<MinionEvent>> {
         let mut record = Vec::new();
--- a/crates/geraniumpost-harness/src/operator.rs
+++ b/crates/geraniumpost-harness/src/operator.rs
@@ -7,11 +7,11 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use serde_json::Value;
+use serde_json::{Value, json};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::plan::OPERATOR_TOKEN;
+use crate::plan::{CUSTOMER, OPERATOR_TOKEN};
 
 /// Time for one call.
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,6 +33,23 @@
         self.call(Method::GET, path, &Value::Null).await
     }
 
+    /// Submits a job of the customer's class `study`; the same job again is no second one.
+    pub async fn submit(
+        &self,
+        job: &str,
+        milli_cpus: u64,
+        command: &str,
+    ) -> Result<(StatusCode, Value)> {
+        let body = json!({
+            "customer": CUSTOMER,
+            "class": "study",
+            "milli_cpus": milli_cpus,
+            "memory_mb": 512,
+            "command": command,
+        });
+        self.call(Method::PUT, &format!("/api/jobs/{job}"), &body).await
+    }
+
     /// Makes one call; `Null` stands for no body.
     pub async fn call(
         &self,
