feat(console): answer in the planner's codes

Cause: the planner's answers reach operators through the API, and a job's id may hold what other names may not.

Ruled out: showing the record as stored (its keys are cut short to save room).

--- a/crates/geraniumpost-config/src/lib.rs
+++ b/crates/geraniumpost-config/src/lib.rs
@@ -16,6 +16,7 @@
 mod lines;
 mod membership;
 mod problem;
+mod reference;
 mod report;
 mod rules;
 mod schema;
@@ -32,6 +33,7 @@
 pub use lines::Lines;
 pub use membership::{check_entry_membership, check_membership};
 pub use problem::Problem;
+pub use reference::reference;
 pub use report::Report;
 pub use schema::{Schema, SchemaKind};
 pub use settings::{load_agent, load_entry, parse_agent, parse_entry};
--- a/crates/geraniumpost-core/src/config/change_protocol.rs
+++ b/crates/geraniumpost-core/src/config/change_protocol.rs
@@ -9,7 +9,7 @@
 /// the loss was noticed. An operator told "failed" would repeat the change over a colleague's. So a
 /// lost reply is settled by reading the value back: of all changes based on one revision only one
 /// can be in the store, and the list of changes in the stored value tells which. See
-/// `docs/design/0301-configuration.md`.
+/// `docs/design/0401-configuration.md`.
 #[derive(Debug, Clone)]
 pub struct ChangeProtocol {
     change: Change,
--- a/crates/geraniumpost-core/src/config/mod.rs
+++ b/crates/geraniumpost-core/src/config/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`ChangeProtocol`] carries one operator's change into the store, whatever becomes of the replies.
 //! [`Adoption`] decides in every process which revision is in force: never a lower one than before.
-//! The reasons are in `docs/design/0301-configuration.md`.
+//! The reasons are in `docs/design/0401-configuration.md`.
 
 mod adoption;
 mod adoption_action;
--- a/crates/geraniumpost/src/console/posts.rs
+++ b/crates/geraniumpost/src/console/posts.rs
@@ -7,7 +7,7 @@
 use super::form::Form;
 use super::identity::{form_proof, known, own_form};
 use super::pages::{self, EditView, Frame, Section};
-use super::route::label;
+use super::route::{job_id, label};
 use super::{ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, api, api_jobs};
 
 /// How long a browser keeps the token.
@@ -95,7 +95,7 @@
             pages::jobs(frame, &list, &document(context))
         }
         ["jobs", id] => {
-            let id = label(id)?;
+            let id = job_id(id)?;
             let status = JobCall::Status { id: id.clone() };
             let status = api_jobs::ask(status, call, operator.clone(), context).await?;
             let explain = JobCall::Explain { id: id.clone() };
@@ -124,14 +124,14 @@
             remove(section(key)?, name, form, operator, context).await
         }
         ["jobs"] => {
-            let id = label(form.get("id"))?;
+            let id = job_id(form.get("id"))?;
             let body = job_body(form).to_string();
             let submit = api_jobs::submission(id.clone(), body.as_bytes(), context)?;
             api_jobs::ask(submit, call, operator, context).await?;
             Ok(Reply::see(&format!("/jobs/{id}")))
         }
         ["jobs", id, "cancel"] => {
-            let id = label(id)?;
+            let id = job_id(id)?;
             let cancel = JobCall::Cancel { id: id.clone() };
             api_jobs::ask(cancel, call, operator, context).await?;
             Ok(Reply::see(&format!("/jobs/{id}")))
--- a/crates/geraniumpost/src/console/route.rs
+++ b/crates/geraniumpost/src/console/route.rs
@@ -1,10 +1,13 @@
+use geraniumpost_core::jobs::codes;
 use geraniumpost_schema::Name;
 use http::Method;
 
 use super::{ApiCode, ApiError};
 
-/// Longest name of a job or a change.
+/// Longest name of a change or of a value in the document.
 const MAX_LABEL: usize = 63;
+/// Longest id of a job.
+const MAX_JOB_ID: usize = 128;
 
 /// Page or call that a path names.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -65,9 +68,9 @@
             ["api", "in-force"] => only(method, &Method::GET, Self::InForce),
             ["metrics"] => only(method, &Method::GET, Self::Metrics),
             ["api", "jobs"] => only(method, &Method::GET, Self::Jobs),
-            ["api", "jobs", id] => Self::job(method, label(id)?),
+            ["api", "jobs", id] => Self::job(method, job_id(id)?),
             ["api", "jobs", id, "explain"] => {
-                only(method, &Method::GET, Self::ExplainJob(label(id)?))
+                only(method, &Method::GET, Self::ExplainJob(job_id(id)?))
             }
             ["api", ..] => Err(ApiCode::NotFound.into()),
             _ => Self::page(method, &parts),
@@ -97,6 +100,17 @@
     if method == wanted { Ok(route) } else { Err(ApiCode::WrongMethod.into()) }
 }
 
+/// Reads the id of a job out of a path or a form.
+pub(super) fn job_id(text: &str) -> Result<Name, ApiError> {
+    let plain = text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-'));
+    if plain && (1..=MAX_JOB_ID).contains(&text.len()) {
+        return Ok(Name::from(text));
+    }
+    let message = format!("`{}` is no id of a job.", text.chars().take(80).collect::<String>());
+    Err(ApiError::new(400, codes::BAD_ID, message)
+        .advice("Use 1 to 128 letters, digits, dots, dashes or underscores."))
+}
+
 /// Reads a name out of a path or a header.
 pub(super) fn label(text: &str) -> Result<Name, ApiError> {
     let first = text.bytes().next().is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
--- a/crates/geraniumpost/tests/console.rs
+++ b/crates/geraniumpost/tests/console.rs
@@ -144,7 +144,6 @@
     no_revision: PUT "/api/config", "o", "{}" => RevisionMissing;
     invalid_document: POST "/api/config/check", "o", "{}" => DocumentInvalid;
     not_utf8: POST "/api/config/check", "o", b"\xff\xfe".to_vec() => Malformed;
-    job_of_no_name: GET "/api/jobs/Study%201", "o", "" => Malformed;
     job_unreadable: PUT "/api/jobs/study-1", "o", "{\"class\":" => Malformed;
     job_of_unknown_customer: PUT "/api/jobs/study-1", "o",
         "{\"customer\":\"x\",\"class\":\"study\",\"milli_cpus\":1,\"memory_mb\":1,\"command\":\"c\"}"
@@ -157,6 +156,14 @@
         => Malformed;
 }
 
+#[tokio::test]
+async fn an_id_that_no_job_can_have_is_refused() {
+    let (bench, _) = Bench::with_document().await;
+    let reply = bench.call(Method::GET, "/api/jobs/Study%201", "o", Vec::new()).await;
+    assert_eq!((reply.status, body(&reply)["code"].as_u64()), (400, Some(3104)));
+    assert_eq!(bench.call(Method::GET, "/api/jobs/Study-1", "o", Vec::new()).await.status, 200);
+}
+
 #[tokio::test]
 async fn problems_of_a_document_come_all_at_once() {
     let (bench, _) = Bench::with_document().await;
