--- a/crates/geraniumpost-config/src/reference.rs
+++ b/crates/geraniumpost-config/src/reference.rs
@@ -12,7 +12,7 @@
 ///
 /// ```
 /// use geraniumpost_config::{SchemaKind, reference};
-/// assert!(reference(SchemaKind::Agent).contains("| `rack` | text | required |"));
+/// assert!(reference(SchemaKind::Agent).contains("| `rack` | label | required |"));
 /// ```
 pub fn reference(kind: SchemaKind) -> String {
     let schema = Schema::of(kind);
@@ -82,6 +82,8 @@
         "IP:port".to_owned()
     } else if pattern.contains("{64}") {
         "64 hexadecimal digits".to_owned()
+    } else if pattern.starts_with("^[a-z0-9]") {
+        "label".to_owned()
     } else if let Some(least) = node["minLength"].as_u64() {
         format!("text of {least} or more")
     } else {
--- a/crates/geraniumpost-config/tests/document.rs
+++ b/crates/geraniumpost-config/tests/document.rs
@@ -173,3 +173,18 @@
     assert_eq!(report.problems[0].code.number(), 1201);
     assert!(report.problems[0].advice.contains("`surco`"));
 }
+
+/// The size that the users expect within two years must leave the store's megabyte mostly free.
+#[test]
+fn a_document_of_160_customers_is_small() {
+    let mut value = document();
+    for number in 0..160 {
+        let name = format!("engineering-team-{number}");
+        let quota = json!({ "milli_cpus": 320_000, "memory_mb": 1_200_000, "jobs": 400 });
+        value["customers"][&name] = json!({ "token_sha256": token_digest(&name), "quota": quota });
+    }
+    let document = check_document_value(value).unwrap();
+    let size = geraniumpost_config::encode_document(&document).len();
+    println!("a document of 160 customers has {size} bytes");
+    assert!(size < 50_000, "{size}");
+}
