feat(shell): follow the configuration in the store

Cause: an accepted change must be in force on every entry within seconds, and an idle entry must leave the store its rates.

Ruled out: polling (either slow or costly); a watch without an end (a connection that has gone silent would hide every change).

Change: follow_store reads, then watches for ten seconds at a time, and pauses with jitter after a failure; follow_peers gathers alone, for agents; noise on the console's port and odd values in a good document are tested.

--- a/crates/geraniumpost-config/tests/random_bytes.rs
+++ b/crates/geraniumpost-config/tests/random_bytes.rs
@@ -21,7 +21,20 @@
         Just("~/"),
         Just(""),
     ];
-    let leaf = prop_oneof![
+    let map_of =
+        move |inner: BoxedStrategy<Value>| prop::collection::btree_map(key.clone(), inner, 0..8);
+    leaf().prop_recursive(5, 60, 8, move |inner| {
+        let map = map_of(inner.clone().boxed());
+        prop_oneof![
+            map.prop_map(|map| map.into_iter().map(|(k, v)| (k.to_owned(), v)).collect()),
+            prop::collection::vec(inner, 0..4).prop_map(Value::from),
+        ]
+    })
+}
+
+/// Single values of all types.
+fn leaf() -> impl Strategy<Value = Value> + Clone {
+    prop_oneof![
         Just(Value::Null),
         any::<bool>().prop_map(Value::from),
         any::<u64>().prop_map(Value::from),
@@ -29,14 +42,7 @@
         any::<f64>().prop_map(Value::from),
         "\\PC{0,12}".prop_map(Value::from),
         Just(Value::from("500ms")),
-    ];
-    leaf.prop_recursive(5, 60, 8, move |inner| {
-        let map = prop::collection::btree_map(key.clone(), inner.clone(), 0..8);
-        prop_oneof![
-            map.prop_map(|map| map.into_iter().map(|(k, v)| (k.to_owned(), v)).collect()),
-            prop::collection::vec(inner, 0..4).prop_map(Value::from),
-        ]
-    })
+    ]
 }
 
 /// TOML of the settings' own keys with odd values.
@@ -89,6 +95,33 @@
         }
     }
 
+    /// One value of a good document is replaced by anything: it is refused with a problem at that
+    /// value, or accepted and then read the same again.
+    #[test]
+    fn any_value_in_a_good_document(at in 0..12_usize, leaf in leaf()) {
+        let mut value: Value = serde_json::from_str(include_str!("../../../examples/sarkar/document.json")).unwrap();
+        let pointers = [
+            "/customers/hospitals/weight", "/customers/hospitals/quota/jobs",
+            "/customers/hospitals/token_sha256", "/customers/hospitals", "/services/kiosk/slots",
+            "/services/kiosk/keyed_in_outage", "/services/kiosk/reserve/memory_mb",
+            "/classes/reindex/priority", "/classes/gate-log/max_attempts", "/domains/howrah/region",
+            "/operators", "/policy/outage_hold_s",
+        ];
+        let place = value.pointer_mut(pointers[at]).expect("the example has it");
+        *place = leaf;
+        match check_document_value(value) {
+            Ok(document) => {
+                let again = serde_json::to_value(&document).expect("a document is JSON");
+                prop_assert_eq!(check_document_value(again).expect("and accepted again"), document);
+            }
+            Err(report) => {
+                let path = pointers[at][1..].replace('/', ".");
+                let near = report.problems.iter().any(|p| p.path.starts_with(&path));
+                prop_assert!(near, "{path}: {report}");
+            }
+        }
+    }
+
     /// What is accepted is read the same again; what is refused has a problem and no empty line.
     #[test]
     fn any_json_as_a_document(value in value()) {
--- /dev/null
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -0,0 +1,95 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumpost_platform::{Store, StoreError, Watched};
+use tokio::sync::mpsc;
+
+use super::{CONFIG_KEY, ConfigKeeper, Wanted};
+
+/// Longest wait of a watch.
+///
+/// The platform counts a waiting watch as a call, which this makes one in ten seconds. A watch whose
+/// connection has gone silent costs as much; meanwhile the peers' beats tell of a change.
+const WAIT: Duration = Duration::from_secs(10);
+/// Interval at which the gathering of a starting process is looked at.
+const TICK: Duration = Duration::from_millis(100);
+/// Shortest pause after a call that failed; up to twice as long, so that entries that lost the
+/// store together do not come back together.
+const PAUSE_MS: u64 = 500;
+
+/// Follows the configuration in the store until the receiver of `wanted` is dropped.
+///
+/// What peers have to be asked for is sent through `wanted`; the store is read here.
+pub async fn follow_store(keeper: Arc<ConfigKeeper>, store: Store, wanted: mpsc::Sender<Wanted>) {
+    tokio::select! {
+        () = wanted.closed() => {}
+        () = gather(&keeper, &wanted) => {}
+        () = watch(&keeper, &store, &wanted) => {}
+    }
+}
+
+/// Gathers the configuration from peers alone, as agents do, until the receiver is dropped.
+pub async fn follow_peers(keeper: Arc<ConfigKeeper>, wanted: mpsc::Sender<Wanted>) {
+    tokio::select! {
+        () = wanted.closed() => {}
+        () = gather(&keeper, &wanted) => {}
+    }
+}
+
+/// Asks for what a starting process lacks, and keeps the time of the adoption rule.
+async fn gather(keeper: &ConfigKeeper, wanted: &mpsc::Sender<Wanted>) {
+    send(keeper.start(), wanted).await;
+    let mut ticks = tokio::time::interval(TICK);
+    loop {
+        ticks.tick().await;
+        send(keeper.tick(), wanted).await;
+    }
+}
+
+async fn watch(keeper: &ConfigKeeper, store: &Store, wanted: &mpsc::Sender<Wanted>) {
+    // The first call is a read, which answers at once where a watch would wait for a change.
+    let mut read = true;
+    loop {
+        let outcome = if read {
+            keeper.refresh(store).await.map(|()| Vec::new())
+        } else {
+            wait(keeper, store).await
+        };
+        read = outcome.is_err();
+        match outcome {
+            Ok(asked) => send(asked, wanted).await,
+            Err(error) => {
+                spdlog::warn!("the configuration cannot be read from the store: {error}");
+                let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
+            }
+        }
+    }
+}
+
+async fn wait(keeper: &ConfigKeeper, store: &Store) -> Result<Vec<Wanted>, StoreError> {
+    let after = keeper.holder().load().revision();
+    match store.watch(CONFIG_KEY, after, WAIT).await? {
+        Watched::Written(found) if found.revision > after => {
+            let asked = keeper.stored(found.revision, &found.value);
+            if keeper.holder().load().revision() == after {
+                // It could not be read; the watch would return at once, again and again.
+                tokio::time::sleep(WAIT).await;
+            }
+            Ok(asked)
+        }
+        Watched::Unchanged => Ok(Vec::new()),
+        // Nobody removes the document; should it happen, what is in force stays.
+        Watched::Removed { .. } | Watched::Written(_) => {
+            tokio::time::sleep(WAIT).await;
+            Ok(Vec::new())
+        }
+    }
+}
+
+async fn send(asked: Vec<Wanted>, wanted: &mpsc::Sender<Wanted>) {
+    for one in asked {
+        // A closed channel ends the task at its next turn.
+        let _ = wanted.send(one).await;
+    }
+}
--- a/crates/geraniumpost/src/config/mod.rs
+++ b/crates/geraniumpost/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration in force in this process, and the ways in which it changes.
 
 mod caller;
+mod follow;
 mod holder;
 mod in_force;
 mod keeper;
@@ -8,6 +9,7 @@
 mod writer;
 
 pub use caller::Caller;
+pub use follow::{follow_peers, follow_store};
 pub use holder::ConfigHolder;
 pub use in_force::InForce;
 pub use keeper::ConfigKeeper;
--- a/crates/geraniumpost/tests/console.rs
+++ b/crates/geraniumpost/tests/console.rs
@@ -14,6 +14,7 @@
 use geraniumpost_standin::store::{StoreFaults, spawn_in_process};
 use http::Method;
 use proptest::prelude::*;
+use proptest::strategy::ValueTree as _;
 use serde_json::{Value, json};
 
 /// An entry's console with the store beside it.
@@ -377,6 +378,36 @@
     assert!(client.call(Method::GET, "/api/status", Vec::new()).await.is_err());
 }
 
+/// Strangers send anything to the console's port: broken heads, half requests, plain noise. Each
+/// connection ends or is answered, and an operator's call right after is answered as ever.
+#[tokio::test]
+async fn noise_on_the_port_harms_nobody() {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let (bench, _) = Bench::with_document().await;
+    let listener = tokio::net::TcpListener::bind(ANY).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = bench.console.clone().serve(listener, std::future::pending());
+    let served = tokio::spawn(served);
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let noise = prop_oneof![
+        prop::collection::vec(any::<u8>(), 0..300),
+        "(GET|PUT|POST) /(api/config|login|%|\\PC{0,9}) HTTP/1\\.[019]\r\n(Host: x\r\n|If-Match: \\PC{0,9}\r\n|Content-Length: [0-9]{1,20}\r\n|Transfer-Encoding: chunked\r\n){0,4}\r\n(zz\r\n|5\r\nhello\r\n){0,3}"
+            .prop_map(String::into_bytes),
+    ];
+    for _ in 0..200 {
+        let bytes = noise.new_tree(&mut runner).unwrap().current();
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.shutdown().await;
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer);
+        assert!(tokio::time::timeout(Duration::from_secs(15), read).await.is_ok(), "{bytes:?}");
+    }
+    let status = ApiClient::new(address, "o").call(Method::GET, "/api/status", Vec::new()).await;
+    assert_eq!(status.unwrap().status, 200);
+    assert!(!served.is_finished());
+}
+
 /// Strings that lead into the routes, among others that do not.
 fn path() -> impl Strategy<Value = String> {
     let part = prop_oneof![
