feat(bench): compare placement policies on generated streams

Cause: a change of policy needs figures before and after. Change: bench placement runs seeded streams (noise waves, wrong sizes, a black-hole worker, waves of cancellations, poison jobs, both users' sizes and one with three services) through the placer, first fit, random, dominant share with and without measured sizes, and the paper's SIDRF.

--- /dev/null
+++ b/crates/geraniumpost-bench/src/placement_bench.rs
@@ -0,0 +1,149 @@
+//! `bench placement`: what a placement policy does to services and to batch work.
+//!
+//! Generated streams with fixed seeds run through the placer and through naive policies on a
+//! small model of workers whose tasks slow each other. The model stands for the effect of
+//! a decision; it is no cluster simulator: nothing is sent, lost or reordered.
+
+mod contender;
+mod dice;
+mod naive;
+mod scenario;
+mod tally;
+mod timing;
+mod worker_model;
+mod world;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::Result;
+use geraniumpost_core::placement::Placer;
+use geraniumpost_schema::Document;
+
+use contender::Contender;
+use naive::{Naive, Order, Pick};
+use scenario::Scenario;
+use tally::Figures;
+
+/// Builds the subcommand.
+pub fn cli() -> Command {
+    Command::new("placement")
+        .about("Compare the placement policy with naive ones on generated streams")
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_parser(value_parser!(u64))
+                .default_value("1")
+                .help("First seed of the generated streams"),
+        )
+        .arg(
+            Arg::new("runs")
+                .long("runs")
+                .value_parser(value_parser!(u64))
+                .default_value("5")
+                .help("Streams per site, with successive seeds"),
+        )
+        .arg(
+            Arg::new("only")
+                .long("only")
+                .default_value("")
+                .help("Run only policies with this word"),
+        )
+}
+
+/// Runs the bench and prints its tables.
+pub fn run(matches: &ArgMatches) -> Result<()> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
+    let only = matches.get_one::<String>("only").cloned().unwrap_or_default();
+    let (seed, runs) = (number("seed"), number("runs"));
+    for site in 0..scenario::all(seed).len() {
+        compare(site, seed, runs, &only);
+    }
+    timing::run(seed);
+    Ok(())
+}
+
+/// Prints the table of one site: the mean over its streams.
+fn compare(site: usize, seed: u64, runs: u64, only: &str) {
+    let scenarios: Vec<Scenario> =
+        (seed..seed + runs).map(|s| scenario::all(s).swap_remove(site)).collect();
+    let jobs = scenarios.iter().map(|s| s.jobs.len()).sum::<usize>() / scenarios.len();
+    println!(
+        "\n{}: {} workers, {jobs} jobs an hour, seeds {seed}..{}",
+        scenarios[0].name,
+        scenarios[0].workers.len(),
+        seed + runs
+    );
+    println!(
+        "| policy | p99 slowdown | mean slowdown | late % | core h | jobs done | evictions \
+         | throttles | wasted core h | urgent p99 s | urgent max s | sound jobs given up |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for name in POLICIES.iter().filter(|name| name.contains(only)) {
+        let all: Vec<Figures> = std::thread::scope(|scope| {
+            let run = |(i, scenario)| {
+                let document = scenario::document(scenario);
+                world::run(scenario, contender(name, &document), seed + i as u64)
+            };
+            let threads: Vec<_> =
+                scenarios.iter().enumerate().map(|job| scope.spawn(move || run(job))).collect();
+            threads.into_iter().map(|t| t.join().expect("a run panicked")).collect()
+        });
+        print_row(name, &Figures::mean(&all));
+    }
+}
+
+fn print_row(name: &str, f: &Figures) {
+    println!(
+        "| {name} | {:.2} | {:.3} | {:.2} | {:.1} | {:.0} | {:.1} | {:.0} | {:.2} | {:.1} | {:.1} \
+         | {:.1} |",
+        f.p99_slowdown,
+        f.mean_slowdown,
+        f.late_percent,
+        f.core_hours,
+        f.completed,
+        f.evictions,
+        f.throttles,
+        f.wasted_core_hours,
+        f.urgent_p99_s,
+        f.urgent_max_s,
+        f.wronged,
+    );
+}
+
+/// The contest: ours first.
+const POLICIES: [&str; 6] =
+    ["placer", "first fit", "random", "dominant share", "dominant share, measured sizes", "sidrf"];
+
+/// Builds a policy by name.
+fn contender(name: &'static str, document: &Document) -> Contender {
+    let naive = |order, pick, measures_usage| {
+        let mut policy = Naive::new(order, pick, document);
+        Contender {
+            measures_usage,
+            decide: Box::new(move |now, wishes, fleet, rng| policy.place(now, wishes, fleet, rng)),
+            learn: Box::new(|_, _| {}),
+        }
+    };
+    match name {
+        "first fit" => naive(Order::Fifo, Pick::First, false),
+        "random" => naive(Order::Fifo, Pick::Random, false),
+        "dominant share" => naive(Order::DominantShare, Pick::Random, false),
+        "dominant share, measured sizes" => naive(Order::DominantShare, Pick::Random, true),
+        "sidrf" => naive(Order::Sidrf, Pick::Random, false),
+        _ => ours(document),
+    }
+}
+
+fn ours(document: &Document) -> Contender {
+    let placer = Rc::new(RefCell::new(Placer::new(document)));
+    let learner = Rc::clone(&placer);
+    Contender {
+        measures_usage: true,
+        decide: Box::new(move |now, wishes, fleet, rng| {
+            placer.borrow_mut().place(now, wishes, fleet, rng)
+        }),
+        learn: Box::new(move |now, seen| learner.borrow_mut().observe(now, seen)),
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-bench/src/placement_bench/contender.rs
@@ -0,0 +1,16 @@
+use geraniumpost_core::Millis;
+use geraniumpost_core::placement::{Decision, Fleet, Observation, Wish};
+use rand::rngs::StdRng;
+
+/// What a policy decides.
+pub type Decide = Box<dyn FnMut(Millis, &[Wish], &Fleet, &mut StdRng) -> Vec<Decision>>;
+/// What a policy learns from.
+pub type Learn = Box<dyn FnMut(Millis, &Observation)>;
+
+/// A policy in the contest.
+pub struct Contender {
+    /// Whether measured usage reaches the policy's fleet.
+    pub measures_usage: bool,
+    pub decide: Decide,
+    pub learn: Learn,
+}
--- /dev/null
+++ b/crates/geraniumpost-bench/src/placement_bench/tally.rs
@@ -0,0 +1,110 @@
+/// What a run is judged by.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    slowdowns: Vec<(f64, f64)>,
+    late: f64,
+    requests: f64,
+    urgent_waits: Vec<u64>,
+    /// Processor milliseconds of jobs completed.
+    pub useful: f64,
+    /// Processor milliseconds that were run and lost.
+    pub wasted: f64,
+    pub completed: u32,
+    pub evictions: u32,
+    pub throttles: u32,
+    /// Sound jobs that were given up.
+    pub wronged: u32,
+    pub quarantines: u32,
+}
+
+/// The figures of a run.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Figures {
+    pub p99_slowdown: f64,
+    pub mean_slowdown: f64,
+    /// Share of requests on a minion over its target, in percent.
+    pub late_percent: f64,
+    pub core_hours: f64,
+    pub completed: f64,
+    pub evictions: f64,
+    pub throttles: f64,
+    pub wasted_core_hours: f64,
+    pub urgent_p99_s: f64,
+    pub urgent_max_s: f64,
+    pub wronged: f64,
+}
+
+const CORE_HOUR: f64 = 1000.0 * 3_600_000.0;
+
+impl Tally {
+    /// Notes a service's slowdown, weighed by its requests.
+    pub fn latency(&mut self, slowdown: f64, requests: f64, late: bool) {
+        self.slowdowns.push((slowdown, requests));
+        self.requests += requests;
+        if late {
+            self.late += requests;
+        }
+    }
+
+    /// Notes how long an urgent job waited for its first start.
+    pub fn urgent(&mut self, waited: u64) {
+        self.urgent_waits.push(waited);
+    }
+
+    /// Returns the figures.
+    pub fn figures(mut self) -> Figures {
+        self.slowdowns.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.urgent_waits.sort_unstable();
+        let weighed: f64 = self.slowdowns.iter().map(|(s, r)| s * r).sum();
+        let wait = |q: f64| {
+            let at = (q * self.urgent_waits.len() as f64) as usize;
+            let last = self.urgent_waits.len().saturating_sub(1);
+            self.urgent_waits.get(at.min(last)).copied().unwrap_or(0) as f64 / 1e3
+        };
+        Figures {
+            p99_slowdown: quantile(&self.slowdowns, 0.99 * self.requests),
+            mean_slowdown: weighed / self.requests,
+            late_percent: 100.0 * self.late / self.requests,
+            core_hours: self.useful / CORE_HOUR,
+            completed: self.completed.into(),
+            evictions: self.evictions.into(),
+            throttles: self.throttles.into(),
+            wasted_core_hours: self.wasted / CORE_HOUR,
+            urgent_p99_s: wait(0.99),
+            urgent_max_s: wait(1.0),
+            wronged: self.wronged.into(),
+        }
+    }
+}
+
+/// Returns the value at which `weight` of the sorted list is passed.
+fn quantile(sorted: &[(f64, f64)], weight: f64) -> f64 {
+    let mut sum = 0.0;
+    for (value, part) in sorted {
+        sum += part;
+        if sum >= weight {
+            return *value;
+        }
+    }
+    sorted.last().map_or(0.0, |last| last.0)
+}
+
+impl Figures {
+    /// Returns the mean over several runs.
+    pub fn mean(all: &[Self]) -> Self {
+        let mean = |of: fn(&Self) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64;
+        Self {
+            p99_slowdown: mean(|f| f.p99_slowdown),
+            mean_slowdown: mean(|f| f.mean_slowdown),
+            late_percent: mean(|f| f.late_percent),
+            core_hours: mean(|f| f.core_hours),
+            completed: mean(|f| f.completed),
+            evictions: mean(|f| f.evictions),
+            throttles: mean(|f| f.throttles),
+            wasted_core_hours: mean(|f| f.wasted_core_hours),
+            urgent_p99_s: mean(|f| f.urgent_p99_s),
+            urgent_max_s: mean(|f| f.urgent_max_s),
+            wronged: mean(|f| f.wronged),
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-bench/src/placement_bench/timing.rs
@@ -0,0 +1,74 @@
+use std::time::Instant;
+
+use geraniumpost_core::Millis;
+use geraniumpost_core::placement::{Decision, Fleet, Placer, TaskView, Wish, WorkerView};
+use geraniumpost_schema::{Name, Resources};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::scenario::{self, CAPACITY, RESERVE};
+
+/// Fleets that a decision is timed on: workers and tasks.
+const SIZES: [(usize, usize); 3] = [(11, 100), (100, 900), (570, 5200)];
+/// Decisions timed on each.
+const DECISIONS: usize = 2000;
+
+/// Prints the time per decision.
+pub fn run(seed: u64) {
+    println!("\n| workers | tasks | one job, median us | p99 us | 80 jobs, us per job |");
+    println!("| --- | --- | --- | --- | --- |");
+    for (workers, tasks) in SIZES {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = fleet(workers, tasks, &mut rng);
+        let scenario = scenario::all(seed).swap_remove(2);
+        let mut placer = Placer::new(&scenario::document(&scenario));
+        let mut times: Vec<f64> =
+            (0..DECISIONS).map(|i| time(&mut placer, &mut fleet, i, &mut rng)).collect();
+        times.sort_by(f64::total_cmp);
+        let wishes: Vec<Wish> = (0..80).map(|i| wish(1_000_000 + i, &mut rng)).collect();
+        let begun = Instant::now();
+        let decided = placer.place(Millis(9_000_000), &wishes, &fleet, &mut rng);
+        let each = begun.elapsed().as_secs_f64() * 1e6 / decided.len() as f64;
+        let (median, p99) = (times[DECISIONS / 2], times[DECISIONS * 99 / 100]);
+        println!("| {workers} | {tasks} | {median:.1} | {p99:.1} | {each:.1} |");
+    }
+}
+
+/// Times one decision, then takes its effect back so that the fleet stays as full as it is.
+fn time(placer: &mut Placer, fleet: &mut Fleet, number: usize, rng: &mut StdRng) -> f64 {
+    let wishes = [wish(number, rng)];
+    let now = Millis(10_000 + number as u64);
+    let begun = Instant::now();
+    let decided = placer.place(now, &wishes, fleet, rng);
+    let taken = begun.elapsed().as_secs_f64() * 1e6;
+    assert!(matches!(decided[..], [Decision::Start { .. }]), "the fleet has room: {decided:?}");
+    taken
+}
+
+fn wish(number: usize, rng: &mut StdRng) -> Wish {
+    let milli_cpus = rng.random_range(500..4000);
+    let need = Resources { milli_cpus, memory_mb: milli_cpus * 2, accelerators: 0 };
+    let class = ["study", "logs", "encode", "index"][rng.random_range(0..4)];
+    let customer = ["entel", "claro", "bitel"][rng.random_range(0..3)];
+    Wish::new(format!("new-{number}"), customer, class, need)
+}
+
+fn fleet(workers: usize, tasks: usize, rng: &mut StdRng) -> Fleet {
+    let mut fleet = Fleet::default();
+    for i in 0..workers {
+        let rack = format!("rack-{}", i / 3);
+        let domain = ["north", "south", "east", "west"][i / 3 % 4];
+        let view = WorkerView::new(format!("w{i}"), domain, rack, CAPACITY).reserve(RESERVE);
+        let service = ["filing", "kiosk", "search"][i % 3];
+        let load = rng.random_range(100..900);
+        fleet.put_worker(view.service(service).load(load, 60_000));
+    }
+    for i in 0..tasks {
+        let class = ["study", "logs", "encode", "index"][rng.random_range(0..4)];
+        let customer = ["entel", "claro", "bitel"][rng.random_range(0..3)];
+        let need = Resources { milli_cpus: 4000, memory_mb: 9000, accelerators: 0 };
+        let task = TaskView::new(format!("t{i}"), customer, class, need, Millis(0));
+        fleet.add_task(&Name::from(format!("w{}", i % workers)), task);
+    }
+    fleet
+}
--- a/crates/geraniumpost-core/src/placement/task_view.rs
+++ b/crates/geraniumpost-core/src/placement/task_view.rs
@@ -95,6 +95,16 @@
         &self.job
     }
 
+    /// Returns the customer.
+    pub const fn customer(&self) -> &Name {
+        &self.customer
+    }
+
+    /// Returns when the task began.
+    pub const fn started_at(&self) -> Millis {
+        self.started
+    }
+
     /// Returns what the task counts for: never below what it was seen to use.
     ///
     /// Declared sizes are far off. A task that outgrew its size would otherwise let a second one
--- a/crates/geraniumpost-core/src/placement/wish.rs
+++ b/crates/geraniumpost-core/src/placement/wish.rs
@@ -84,4 +84,29 @@
     pub const fn need(&self) -> &Resources {
         &self.need
     }
+
+    /// Returns the customer.
+    pub const fn customer(&self) -> &Name {
+        &self.customer
+    }
+
+    /// Returns the class.
+    pub const fn class(&self) -> &Name {
+        &self.class
+    }
+
+    /// Returns the priority.
+    pub const fn urgency(&self) -> Priority {
+        self.priority
+    }
+
+    /// Returns since when the job waits.
+    pub const fn submitted_at(&self) -> Millis {
+        self.submitted
+    }
+
+    /// Returns the earliest start.
+    pub const fn earliest_start(&self) -> Millis {
+        self.not_before
+    }
 }
--- a/crates/geraniumpost-core/src/placement/worker_view.rs
+++ b/crates/geraniumpost-core/src/placement/worker_view.rs
@@ -90,6 +90,11 @@
         &self.name
     }
 
+    /// Returns the tasks on the worker.
+    pub fn running(&self) -> &[TaskView] {
+        &self.tasks
+    }
+
     /// Returns what batch work may ever hold here.
     pub const fn allowance(&self) -> Resources {
         amounts::minus(&self.capacity, &self.reserve)
