feat(core): learn sizes, harm and fault, and act on pressure

Cause: a placement by room alone lets noisy batch slow services, lets a black-hole worker swallow the queue, and lets urgent jobs wait for half a minute. Change: learned sizes; a ridge regression of late p99 measurements on the classes that ran at their own time, drawn towards class and global means; least convex harm as the score; weighted dominant shares with aging and kept workers for starved jobs; evictions for urgent jobs; throttle, evict and lift with two bounds and a budget; quarantine with probes; spread as a tie-breaker. Usage and Started observations now name the declared need and the reserved one. Ruled out: charging a measurement to the present tasks, as the one to blame may be gone.

--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -1,15 +1,13 @@
 //! Demo, benches and soak runs against real processes, never shipped.
 
 use clap::Command;
-use eyre::Result;
 
 mod placement_bench;
 
-fn main() -> Result<()> {
+fn main() {
     let matches = cli().get_matches();
-    match matches.subcommand() {
-        Some(("bench", m)) => bench(m),
-        _ => Ok(()),
+    if let Some(("bench", m)) = matches.subcommand() {
+        bench(m);
     }
 }
 
@@ -20,9 +18,8 @@
 }
 
 /// Runs one bench.
-fn bench(m: &clap::ArgMatches) -> Result<()> {
-    match m.subcommand() {
-        Some(("placement", m)) => placement_bench::run(m),
-        _ => Ok(()),
+fn bench(m: &clap::ArgMatches) {
+    if let Some(("placement", m)) = m.subcommand() {
+        placement_bench::run(m);
     }
 }
--- a/crates/geraniumpost-bench/src/placement_bench.rs
+++ b/crates/geraniumpost-bench/src/placement_bench.rs
@@ -17,7 +17,6 @@
 use std::rc::Rc;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use eyre::Result;
 use geraniumpost_core::placement::Placer;
 use geraniumpost_schema::Document;
 
@@ -53,7 +52,7 @@
 }
 
 /// Runs the bench and prints its tables.
-pub fn run(matches: &ArgMatches) -> Result<()> {
+pub fn run(matches: &ArgMatches) {
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
     let only = matches.get_one::<String>("only").cloned().unwrap_or_default();
     let (seed, runs) = (number("seed"), number("runs"));
@@ -61,7 +60,6 @@
         compare(site, seed, runs, &only);
     }
     timing::run(seed);
-    Ok(())
 }
 
 /// Prints the table of one site: the mean over its streams.
@@ -122,6 +120,7 @@
         let mut policy = Naive::new(order, pick, document);
         Contender {
             measures_usage,
+            judges_failures: false,
             decide: Box::new(move |now, wishes, fleet, rng| policy.place(now, wishes, fleet, rng)),
             learn: Box::new(|_, _| {}),
         }
@@ -141,6 +140,7 @@
     let learner = Rc::clone(&placer);
     Contender {
         measures_usage: true,
+        judges_failures: true,
         decide: Box::new(move |now, wishes, fleet, rng| {
             placer.borrow_mut().place(now, wishes, fleet, rng)
         }),
--- a/crates/geraniumpost-bench/src/placement_bench/contender.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/contender.rs
@@ -11,6 +11,8 @@
 pub struct Contender {
     /// Whether measured usage reaches the policy's fleet.
     pub measures_usage: bool,
+    /// Whether the policy itself says when a job has failed too often.
+    pub judges_failures: bool,
     pub decide: Decide,
     pub learn: Learn,
 }
--- a/crates/geraniumpost-bench/src/placement_bench/world.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/world.rs
@@ -86,7 +86,7 @@
         world.stop(now);
         world.step(now);
         world.deliver(now);
-        if now % PLACE_MS == 0 {
+        if now.is_multiple_of(PLACE_MS) {
             world.decide(now);
         }
     }
@@ -205,7 +205,7 @@
         let alone = service.base_us * queueing(load);
         let late = alone * effect.slowdown > service.target_ms as f64 * 1000.0;
         self.tally.latency(effect.slowdown, load, late);
-        if now % REPORT_MS == 0 {
+        if now.is_multiple_of(REPORT_MS) {
             self.report(now, worker, load, alone * effect.slowdown, tasks);
         }
         self.progress(now, tasks, &effect);
@@ -248,6 +248,7 @@
                 job: job.name.clone(),
                 customer: job.customer.clone(),
                 class: self.scenario.classes[job.class].name.into(),
+                need: job.declared,
                 usage: Resources { milli_cpus, ..job.real },
                 at: Millis(now),
             };
@@ -280,7 +281,7 @@
             return;
         }
         let over =
-            |at: &&usize| real(at).real.memory_mb as i64 - real(at).declared.memory_mb as i64;
+            |at: &&usize| real(at).real.memory_mb.saturating_sub(real(at).declared.memory_mb);
         let Some(&victim) = tasks.iter().max_by_key(over) else { return };
         debug_assert_eq!(self.running[victim].worker, worker);
         self.running[victim].left = f64::NAN;
@@ -433,6 +434,7 @@
             customer: truth.customer.clone(),
             class: class.name.into(),
             worker: worker.clone(),
+            need,
             at: Millis(now),
         };
         (self.contender.learn)(Millis(now), &seen);
@@ -440,6 +442,9 @@
 
     /// Gives up jobs that failed too often, as the jobs module does.
     fn give_up(&mut self) {
+        if self.contender.judges_failures {
+            return;
+        }
         let over =
             |(job, waiting): (&usize, &Waiting)| (waiting.failures >= MAX_ATTEMPTS).then_some(*job);
         let given_up: Vec<usize> = self.waiting.iter().filter_map(over).collect();
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/draft.rs
@@ -0,0 +1,91 @@
+use std::collections::HashMap;
+
+use geraniumpost_schema::{Name, Resources};
+
+use super::group::Group;
+use super::{Fleet, Wish, WorkerKey, amounts};
+
+/// Room and holdings as they will be once this call's decisions are carried out.
+#[derive(Debug, Default)]
+pub struct Draft {
+    /// The workers.
+    pub rows: Vec<DraftRow>,
+    holdings: HashMap<Name, Resources>,
+    groups: HashMap<(Name, Name), Group>,
+    slopes: HashMap<Name, Vec<f64>>,
+    hopeless: Vec<Resources>,
+}
+
+/// A worker in a draft.
+#[derive(Debug, Clone, Copy)]
+pub struct DraftRow {
+    /// The worker.
+    pub key: WorkerKey,
+    /// What is free for batch work.
+    pub free: Resources,
+    /// Number of its service.
+    pub service: u32,
+    /// Number of its rack.
+    pub rack: u32,
+    /// Number of its failure domain.
+    pub domain: u32,
+    /// Busy share of the minion's slots.
+    pub load: f64,
+    /// Predicted p99 of its service, in targets.
+    pub forecast: f64,
+    /// Jobs it may still be given.
+    pub limit: u32,
+    /// Whether it is kept for a job.
+    pub held: bool,
+}
+
+impl Draft {
+    /// Takes a job's start into account.
+    pub fn start(&mut self, at: usize, wish: &Wish, need: &Resources, added: f64) {
+        let row = &mut self.rows[at];
+        row.free = amounts::minus(&row.free, need);
+        row.forecast += added;
+        row.limit -= 1;
+        let holding = self.holdings.entry(wish.customer.clone()).or_insert(amounts::NONE);
+        *holding = amounts::plus(holding, need);
+        let of = (wish.customer.clone(), wish.class.clone());
+        self.groups.entry(of).or_default().add(row.rack, row.domain);
+    }
+
+    /// Keeps a worker for one job from now on.
+    pub fn hold(&mut self, worker: WorkerKey) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.key == worker) {
+            row.held = true;
+        }
+    }
+
+    /// Returns what a customer will hold.
+    pub fn holding(&self, customer: &Name, fleet: &Fleet) -> Resources {
+        let drafted = self.holdings.get(customer).copied().unwrap_or(amounts::NONE);
+        amounts::plus(&fleet.holding(customer), &drafted)
+    }
+
+    /// Returns where this call starts tasks of the same customer and class.
+    pub fn group(&self, wish: &Wish) -> Option<&Group> {
+        if self.groups.is_empty() {
+            return None;
+        }
+        self.groups.get(&(wish.customer.clone(), wish.class.clone()))
+    }
+
+    /// Returns a class's slope for each service, asking for it once per call.
+    pub fn slopes(&mut self, class: &Name, ask: impl FnOnce() -> Vec<f64>) -> &[f64] {
+        self.slopes.entry(class.clone()).or_insert_with(ask)
+    }
+
+    /// Returns whether no worker has room for a need, as a smaller one already found none.
+    pub fn is_hopeless(&self, need: &Resources) -> bool {
+        self.hopeless.iter().any(|smaller| amounts::fits(smaller, need))
+    }
+
+    /// Notes that no worker has room for a need; room only shrinks within a call.
+    pub fn note_hopeless(&mut self, need: &Resources) {
+        self.hopeless.retain(|larger| !amounts::fits(need, larger));
+        self.hopeless.push(*need);
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/eviction_budget.rs
@@ -0,0 +1,26 @@
+use std::collections::VecDeque;
+
+use crate::Millis;
+
+const MINUTE_MS: u64 = 60_000;
+
+/// Bounds evictions, so that a wave of noise does not become a wave of evictions.
+#[derive(Debug, Clone, Default)]
+pub struct EvictionBudget {
+    spent: VecDeque<Millis>,
+}
+
+impl EvictionBudget {
+    /// Returns how many evictions may still be ordered this minute.
+    pub fn left(&mut self, now: Millis, per_minute: u32) -> u32 {
+        while self.spent.front().is_some_and(|at| now.since(*at) >= MINUTE_MS) {
+            self.spent.pop_front();
+        }
+        per_minute.saturating_sub(self.spent.len() as u32)
+    }
+
+    /// Notes an eviction.
+    pub fn spend(&mut self, now: Millis) {
+        self.spent.push_back(now);
+    }
+}
--- a/crates/geraniumpost-core/src/placement/fleet.rs
+++ b/crates/geraniumpost-core/src/placement/fleet.rs
@@ -42,6 +42,8 @@
     services: Interner,
     places: Interner,
     total: Resources,
+    shapes: Vec<(Resources, usize)>,
+    version: u64,
     settling: bool,
 }
 
@@ -67,7 +69,10 @@
         let rack = self.places.intern(&view.rack);
         let domain = self.places.intern(&view.domain);
         self.total = amounts::plus(&self.total, &view.allowance());
-        let row = Row::new(&view, service, rack, domain);
+        self.add_shape(view.allowance());
+        self.version += 1;
+        let mut row = Row::new(&view, service, rack, domain);
+        row.version = self.version;
         let name = view.name.clone();
         let key = self.workers.insert(view);
         self.rows.insert(key, row);
@@ -86,6 +91,7 @@
             self.remove_task(&task.job);
         }
         self.total = amounts::minus(&self.total, &view.allowance());
+        self.remove_shape(&view.allowance());
         self.by_name.remove(worker);
         self.workers.remove(key);
         self.rows.remove(key);
@@ -99,14 +105,14 @@
             return false;
         }
         let held = task.held();
-        let row = &mut self.rows[key];
+        let (rack, domain) = (self.rows[key].rack, self.rows[key].domain);
         let holding = self.holdings.entry(task.customer.clone()).or_insert(amounts::NONE);
         *holding = amounts::plus(holding, &held);
         let group = self.groups.entry((task.customer.clone(), task.class.clone())).or_default();
-        group.add(row.rack, row.domain);
+        group.add(rack, domain);
         self.by_job.insert(task.job.clone(), key);
         self.workers[key].tasks.push(task);
-        row.refresh(&self.workers[key]);
+        self.refresh(key);
         true
     }
 
@@ -116,9 +122,8 @@
         let tasks = &mut self.workers[key].tasks;
         let at = tasks.iter().position(|task| task.job == *job)?;
         let task = tasks.swap_remove(at);
-        let row = &mut self.rows[key];
-        row.refresh(&self.workers[key]);
-        let (rack, domain) = (row.rack, row.domain);
+        self.refresh(key);
+        let (rack, domain) = (self.rows[key].rack, self.rows[key].domain);
         self.release(&task.customer, &task.held());
         let of = (task.customer.clone(), task.class.clone());
         if let Some(group) = self.groups.get_mut(&of) {
@@ -142,7 +147,7 @@
         self.release(&customer, &before);
         let holding = self.holdings.entry(customer).or_insert(amounts::NONE);
         *holding = amounts::plus(holding, &after);
-        self.rows[key].refresh(&self.workers[key]);
+        self.refresh(key);
         true
     }
 
@@ -204,10 +209,41 @@
         self.groups.get(&(customer.clone(), class.clone()))
     }
 
+    /// Returns whether some worker could hold a need if it were empty.
+    pub(super) fn could_hold(&self, need: &Resources) -> bool {
+        self.shapes.iter().any(|(shape, _)| amounts::fits(need, shape))
+    }
+
+    /// Returns the most that any worker could ever give to a task of a need, if one could.
+    pub(super) fn largest_for(&self, need: &Resources) -> Option<Resources> {
+        let holders = self.shapes.iter().filter(|(shape, _)| amounts::fits(need, shape));
+        holders.map(|(shape, _)| *shape).max_by_key(|shape| (shape.memory_mb, shape.milli_cpus))
+    }
+
+    fn add_shape(&mut self, allowance: Resources) {
+        match self.shapes.iter_mut().find(|(shape, _)| *shape == allowance) {
+            Some((_, count)) => *count += 1,
+            None => self.shapes.push((allowance, 1)),
+        }
+    }
+
+    fn remove_shape(&mut self, allowance: &Resources) {
+        let Some(at) = self.shapes.iter().position(|(shape, _)| shape == allowance) else { return };
+        self.shapes[at].1 -= 1;
+        if self.shapes[at].1 == 0 {
+            self.shapes.swap_remove(at);
+        }
+    }
+
+    fn refresh(&mut self, key: WorkerKey) {
+        self.version += 1;
+        self.rows[key].refresh(&self.workers[key], self.version);
+    }
+
     fn update_worker(&mut self, worker: &Name, change: impl FnOnce(&mut WorkerView)) -> bool {
         let Some(&key) = self.by_name.get(worker) else { return false };
         change(&mut self.workers[key]);
-        self.rows[key].refresh(&self.workers[key]);
+        self.refresh(key);
         true
     }
 
--- a/crates/geraniumpost-core/src/placement/interner.rs
+++ b/crates/geraniumpost-core/src/placement/interner.rs
@@ -21,6 +21,11 @@
         id
     }
 
+    /// Returns the number of `name`, if it was ever seen.
+    pub fn get(&self, name: &Name) -> Option<u32> {
+        self.ids.get(name).copied()
+    }
+
     /// Returns the names in the order of their numbers.
     pub fn names(&self) -> &[Name] {
         &self.names
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/learning.rs
@@ -0,0 +1,71 @@
+use geraniumpost_schema::{Name, Resources};
+
+use super::gauge::Gauge;
+use super::task_view::FULL_SPEED;
+use super::{Observation, Placer, amounts};
+use crate::Millis;
+
+impl Placer {
+    /// Learns from a report, which may be late: it is charged to who ran at its own time.
+    pub fn observe(&mut self, _now: Millis, observation: &Observation) {
+        match observation {
+            Observation::Started { job, class, worker, need, at, .. } => {
+                self.history.start(worker, job, class, need.milli_cpus, *at);
+                self.blame.start(job, worker, *at);
+            }
+            Observation::Ended { job, worker, outcome, at } => {
+                self.history.end(worker, job, *at);
+                self.blame.end(job, worker, *outcome, *at);
+                self.speeds.remove(job);
+                self.evicting.remove(job);
+                self.outgrown.remove(job);
+                self.explanations.forget(job);
+            }
+            Observation::Throttled { job, worker, permille, at } => {
+                let before = self.speeds.insert(job.clone(), *permille).unwrap_or(FULL_SPEED);
+                self.history.throttle(worker, job, before, *permille, *at);
+            }
+            Observation::Latency { worker, service, load_permille, p99_us, at } => {
+                self.observe_latency(worker, service, *load_permille, *p99_us, *at);
+            }
+            Observation::Usage { job, customer, class, need, usage, .. } => {
+                self.observe_usage(job, customer, class, need, usage);
+            }
+        }
+    }
+
+    fn observe_latency(
+        &mut self,
+        worker: &Name,
+        service: &Name,
+        load_permille: u32,
+        p99_us: u64,
+        at: Millis,
+    ) {
+        let target = self.policy.target_us(service).max(1) as f64;
+        let (p99, load) = (p99_us as f64 / target, f64::from(load_permille) / 1000.0);
+        let mut ran = Vec::new();
+        for span in self.history.at(worker, at) {
+            ran.push((self.model.class(&span.class), span.milli_cpus));
+        }
+        let excess = self.model.observe(service, load, &ran, p99);
+        self.gauges
+            .entry(worker.clone())
+            .and_modify(|gauge| gauge.observe(p99, excess, at))
+            .or_insert_with(|| Gauge::new(p99, excess, at));
+    }
+
+    fn observe_usage(
+        &mut self,
+        job: &Name,
+        customer: &Name,
+        class: &Name,
+        need: &Resources,
+        usage: &Resources,
+    ) {
+        self.sizes.observe(customer, class, job, need, usage);
+        if !amounts::fits(usage, need) {
+            self.outgrown.insert(job.clone());
+        }
+    }
+}
--- a/crates/geraniumpost-core/src/placement/mod.rs
+++ b/crates/geraniumpost-core/src/placement/mod.rs
@@ -5,24 +5,43 @@
 //! policy are in `docs/design/0300-placement.md`, its figures in
 //! `docs/measurements/placement.md`.
 
-// Rows and policy carry what the next rounds read.
-#![allow(dead_code)]
-
 pub mod amounts;
+mod blame;
 mod candidate;
+mod deciding;
 mod decision;
+mod draft;
+mod eviction_budget;
+mod explanations;
 mod fleet;
+mod forecasts;
+mod gauge;
 mod group;
+mod harm_model;
+mod history;
+mod holds;
 mod interner;
+mod learning;
 mod observation;
 mod outcome;
 mod placer;
 mod policy;
+mod pressure;
+mod queue;
 mod reason;
+mod refusing;
+mod relieving;
 mod resource;
+mod ridge;
 mod row;
+mod scan;
+mod size_sample;
+mod sizes;
+mod span;
 mod task_view;
+mod urgent_room;
 mod wish;
+mod worker_record;
 mod worker_state;
 mod worker_view;
 
--- a/crates/geraniumpost-core/src/placement/observation.rs
+++ b/crates/geraniumpost-core/src/placement/observation.rs
@@ -16,6 +16,8 @@
         class: Name,
         /// Where it runs.
         worker: Name,
+        /// What is reserved for it.
+        need: Resources,
         /// When it began.
         at: Millis,
     },
@@ -62,6 +64,8 @@
         customer: Name,
         /// Its class.
         class: Name,
+        /// What it declared.
+        need: Resources,
         /// What it was seen to use.
         usage: Resources,
         /// When it was measured.
--- a/crates/geraniumpost-core/src/placement/policy.rs
+++ b/crates/geraniumpost-core/src/placement/policy.rs
@@ -45,8 +45,10 @@
         self.customers.get(customer).copied()
     }
 
-    pub(super) fn class(&self, class: &Name) -> JobClass {
-        self.classes.get(class).cloned().unwrap_or_default()
+    /// Returns after how many failures on sound workers a job of a class is given up.
+    pub(super) fn max_attempts(&self, class: &Name) -> u32 {
+        let default = || JobClass::default().max_attempts;
+        self.classes.get(class).map_or_else(default, |class| class.max_attempts)
     }
 
     /// Returns the latency that batch work must not push a service over, in microseconds.
--- a/crates/geraniumpost-core/src/placement/reason.rs
+++ b/crates/geraniumpost-core/src/placement/reason.rs
@@ -68,6 +68,68 @@
         /// The customer.
         customer: Name,
     },
+    /// Every worker with room has a service that the job would push over its target.
+    #[display("would push a service to {after_permille} permille of its target at best, on {best}")]
+    TooHarmful {
+        /// The best worker.
+        best: Name,
+        /// Its predicted p99 with the job, in thousandths of the target.
+        after_permille: u32,
+    },
+    /// A service nears its target.
+    #[display("p99 at {p99_permille} permille of the target, {harm_permille} of it by this task")]
+    Pressed {
+        /// Smoothed p99, in thousandths of the target.
+        p99_permille: u32,
+        /// What the task adds by the model.
+        harm_permille: u32,
+    },
+    /// A service is calm again.
+    #[display("p99 at {p99_permille} permille of the target")]
+    Calm {
+        /// Smoothed p99, in thousandths of the target.
+        p99_permille: u32,
+    },
+    /// The tasks of a VM use more than is theirs.
+    #[display(
+        "tasks use {used} of {resource}, {allowed} is theirs; this one outgrew its size most"
+    )]
+    Outgrown {
+        /// The resource.
+        resource: Resource,
+        /// What the tasks use together.
+        used: u64,
+        /// What they may use.
+        allowed: u64,
+    },
+    /// The worker failed several different jobs in a row.
+    #[display("failed {jobs} different jobs in a row, probed at {until} ms")]
+    FailsJobs {
+        /// How many.
+        jobs: u32,
+        /// When it is given one job again.
+        until: Millis,
+    },
+    /// The worker is given one job at a time to see whether it is sound.
+    #[display("probed with one job at a time")]
+    Probed,
+    /// The worker's probe ran well.
+    #[display("its probe ran well")]
+    Sound,
+    /// The job failed on several workers that are not to blame.
+    #[display("failed {failures} times on sound workers, last on {last}")]
+    FailsEverywhere {
+        /// How often.
+        failures: u32,
+        /// Where it failed last.
+        last: Name,
+    },
+    /// The job waited long and is next on a worker that is kept for it.
+    #[display("waited long; {worker} is kept for it")]
+    Kept {
+        /// The worker.
+        worker: Name,
+    },
     /// An urgent job needs the room.
     #[display("cheapest room for urgent {for_job}, losing {lost_ms} ms of work")]
     RoomForUrgent {
--- /dev/null
+++ b/crates/geraniumpost-core/src/placement/refusing.rs
@@ -0,0 +1,70 @@
+use geraniumpost_schema::{Name, Resources};
+
+use super::{Decision, Fleet, Placer, Reason, Resource, Wish, amounts};
+
+impl Placer {
+    /// Returns the refusal of a job that could never run, or that has failed too often.
+    pub(super) fn refusal(&mut self, wish: &Wish, fleet: &Fleet) -> Option<Decision> {
+        let job = wish.job.clone();
+        let Some(share) = self.policy.customer(&wish.customer) else {
+            let why = Reason::UnknownCustomer { customer: wish.customer.clone() };
+            return Some(Decision::Wait { job, why });
+        };
+        if let Some(resource) = amounts::excess(&wish.need, &share.quota) {
+            return Some(beyond_quota(wish, resource, &share.quota));
+        }
+        if !fleet.could_hold(&wish.need) {
+            return Some(too_large(wish, fleet));
+        }
+        self.fails_everywhere(wish)
+    }
+
+    /// Gives a job up that failed as often as its class allows on workers not to blame.
+    fn fails_everywhere(&mut self, wish: &Wish) -> Option<Decision> {
+        let failed_on = self.blame.failed_on(&wish.job);
+        let last = failed_on.last()?.clone();
+        let failures = failed_on.len() as u32;
+        if failures < self.policy.max_attempts(&wish.class) {
+            return None;
+        }
+        self.blame.forget(&wish.job);
+        let why = Reason::FailsEverywhere { failures, last };
+        Some(Decision::GiveUp { job: wish.job.clone(), why })
+    }
+}
+
+fn beyond_quota(wish: &Wish, resource: Resource, quota: &Resources) -> Decision {
+    let why = Reason::BeyondQuota {
+        customer: wish.customer.clone(),
+        resource,
+        needed: resource.of(&wish.need),
+        quota: resource.of(quota),
+    };
+    Decision::Impossible { job: wish.job.clone(), resource, largest: Name::default(), why }
+}
+
+/// Refuses a job that no worker can hold, naming what is short.
+///
+/// Lost workers count, as they may come back; a job that only a removed worker could hold is told
+/// so here at its next turn.
+fn too_large(wish: &Wish, fleet: &Fleet) -> Decision {
+    let job = wish.job.clone();
+    let nearest = fleet.workers().min_by(|a, b| {
+        let short = |room: Resources| amounts::dominant(&wish.need, &room);
+        short(a.allowance()).total_cmp(&short(b.allowance())).then_with(|| a.name.cmp(&b.name))
+    });
+    let (Some(worker), false) = (nearest, fleet.settling()) else {
+        return Decision::Wait { job, why: Reason::Settling };
+    };
+    let resource = amounts::excess(&wish.need, &worker.allowance());
+    let resource = resource.unwrap_or(Resource::Processors);
+    let most = |a: &&super::WorkerView| resource.of(&a.allowance());
+    let largest = fleet.workers().max_by_key(most).unwrap_or(worker);
+    let why = Reason::TooLarge {
+        resource,
+        needed: resource.of(&wish.need),
+        largest: largest.name.clone(),
+        offered: resource.of(&largest.allowance()),
+    };
+    Decision::Impossible { job, resource, largest: largest.name.clone(), why }
+}
--- a/crates/geraniumpost-core/src/placement/resource.rs
+++ b/crates/geraniumpost-core/src/placement/resource.rs
@@ -1,4 +1,5 @@
 use derive_more::Display;
+use geraniumpost_schema::Resources;
 
 /// A kind of resource, named in refusals so that a customer knows what to change.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash)]
@@ -13,3 +14,15 @@
     #[display("accelerators")]
     Accelerators,
 }
+
+impl Resource {
+    /// Returns the amount of this resource.
+    #[must_use]
+    pub const fn of(self, amount: &Resources) -> u64 {
+        match self {
+            Self::Processors => amount.milli_cpus,
+            Self::Memory => amount.memory_mb,
+            Self::Accelerators => amount.accelerators as u64,
+        }
+    }
+}
--- a/crates/geraniumpost-core/src/placement/row.rs
+++ b/crates/geraniumpost-core/src/placement/row.rs
@@ -18,10 +18,8 @@
     pub domain: u32,
     /// Busy share of the minion's slots in thousandths.
     pub load_permille: u32,
-    /// Recent p99 of the service.
-    pub p99_us: u64,
-    /// Tasks on the worker.
-    pub tasks: u32,
+    /// Changes with every change of the worker, so that what was computed from it can be kept.
+    pub version: u64,
     /// Whether the worker takes new work.
     pub open: bool,
 }
@@ -35,20 +33,18 @@
             rack,
             domain,
             load_permille: view.load_permille,
-            p99_us: view.p99_us,
-            tasks: 0,
+            version: 0,
             open: true,
         };
-        row.refresh(view);
+        row.refresh(view, 0);
         row
     }
 
     /// Takes over what changes while a worker runs.
-    pub fn refresh(&mut self, view: &WorkerView) {
+    pub fn refresh(&mut self, view: &WorkerView, version: u64) {
         self.free = view.free();
         self.load_permille = view.load_permille;
-        self.p99_us = view.p99_us;
-        self.tasks = view.tasks.len() as u32;
+        self.version = version;
         self.open = view.state == WorkerState::Healthy;
     }
 }
--- a/crates/geraniumpost-core/src/placement/task_view.rs
+++ b/crates/geraniumpost-core/src/placement/task_view.rs
@@ -105,6 +105,11 @@
         self.started
     }
 
+    /// Returns the processors it may use at its present speed, in thousandths.
+    pub(super) fn active_milli_cpus(&self) -> f64 {
+        self.held().milli_cpus as f64 * f64::from(self.permille) / f64::from(FULL_SPEED)
+    }
+
     /// Returns what the task counts for: never below what it was seen to use.
     ///
     /// Declared sizes are far off. A task that outgrew its size would otherwise let a second one
