--- a/crates/geraniumpost-harness/src/operator.rs
+++ b/crates/geraniumpost-harness/src/operator.rs
@@ -57,7 +57,18 @@
         path: &str,
         body: &Value,
     ) -> Result<(StatusCode, Value)> {
-        let call = self.exchange(method, path, body);
+        let call = self.exchange(method, path, None, body);
+        timeout(TIMEOUT, call).await.wrap_err_with(|| format!("no answer to {path}"))?
+    }
+
+    /// Writes a page, which holds only for a revision (`If-Match`).
+    pub async fn put_if_match(
+        &self,
+        path: &str,
+        revision: u64,
+        body: &Value,
+    ) -> Result<(StatusCode, Value)> {
+        let call = self.exchange(Method::PUT, path, Some(revision), body);
         timeout(TIMEOUT, call).await.wrap_err_with(|| format!("no answer to {path}"))?
     }
 
@@ -65,20 +76,24 @@
         &self,
         method: Method,
         path: &str,
+        revision: Option<u64>,
         body: &Value,
     ) -> Result<(StatusCode, Value)> {
         let stream = TcpStream::connect(self.console).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(connection);
         let body = if body.is_null() { Bytes::new() } else { serde_json::to_vec(body)?.into() };
-        let req = Request::builder()
+        let mut req = Request::builder()
             .method(method)
             .uri(path)
             .header("host", self.console.to_string())
             .header("authorization", format!("Bearer {OPERATOR_TOKEN}"))
             .header("content-type", "application/json")
-            .header("accept", "application/json")
-            .body(Full::new(body))?;
+            .header("accept", "application/json");
+        if let Some(revision) = revision {
+            req = req.header("if-match", format!("\"{revision}\""));
+        }
+        let req = req.body(Full::new(body))?;
         let answer = sender.send_request(req).await?;
         let status = answer.status();
         let body = answer.into_body().collect().await?.to_bytes();
