--- a/crates/geraniumpost-core/src/jobs/planner/reports.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/reports.rs
@@ -200,6 +200,7 @@
             customer: record.spec().customer.clone(),
             class: record.spec().class.clone(),
             worker: record.worker().clone(),
+            need: record.spec().need,
             at: moment.clock,
         }));
     }
@@ -213,6 +214,7 @@
             job: report.job.clone(),
             customer: record.spec().customer.clone(),
             class: record.spec().class.clone(),
+            need: record.spec().need,
             usage: report.usage,
             at: moment.clock,
         }));
--- a/crates/geraniumpost-core/src/requests/retry_policy.rs
+++ b/crates/geraniumpost-core/src/requests/retry_policy.rs
@@ -104,6 +104,7 @@
         match outcome {
             Outcome::Answered => NextStep::Deliver,
             Outcome::RunTimedOut => self.fail(ResultCode::TimedOut),
+            Outcome::RunAnswerLost => self.fail(ResultCode::FirstAnswerLost),
             Outcome::RunFailed => self.failed(ResultCode::MinionFailed, now, budget),
             Outcome::RunTruncated => self.failed(ResultCode::AnswerTruncated, now, budget),
             Outcome::Unknown => self.doubtful(now, budget),
--- a/crates/geraniumpost-schema/src/generated.rs
+++ b/crates/geraniumpost-schema/src/generated.rs
@@ -758,6 +758,7 @@
     RunFailed,
     RunTruncated,
     RunTimedOut,
+    RunAnswerLost,
     Unknown,
 }
 impl ::std::fmt::Display for Outcome {
@@ -773,6 +774,7 @@
             Self::RunFailed => f.write_str("RunFailed"),
             Self::RunTruncated => f.write_str("RunTruncated"),
             Self::RunTimedOut => f.write_str("RunTimedOut"),
+            Self::RunAnswerLost => f.write_str("RunAnswerLost"),
             Self::Unknown => f.write_str("Unknown"),
         }
     }
@@ -793,6 +795,7 @@
             "RunFailed" => Ok(Self::RunFailed),
             "RunTruncated" => Ok(Self::RunTruncated),
             "RunTimedOut" => Ok(Self::RunTimedOut),
+            "RunAnswerLost" => Ok(Self::RunAnswerLost),
             "Unknown" => Ok(Self::Unknown),
             _ => Err("invalid value".into()),
         }
