--- a/crates/geraniumpost-core/src/requests/agent_gauge.rs
+++ b/crates/geraniumpost-core/src/requests/agent_gauge.rs
@@ -82,17 +82,12 @@
         now.since(Millis(self.reported_at.load(Relaxed)))
     }
 
-    /// Requests at the agent, as well as this entry can know.
+    /// Requests of other entries at the agent when it reported last.
     ///
     /// What the report counted beyond this entry's own requests belongs to other entries; this
-    /// entry's own are counted as they are now. A report older than `stale_after_ms` says little:
-    /// other entries are then taken to send as much as this one does, since all stand behind one
-    /// balancer. Without that an agent that reported "idle" long ago would look idle to everyone.
-    pub fn outstanding(&self, now: Millis, stale_after_ms: u64) -> u32 {
-        let own = self.in_flight();
-        let others = self.others.load(Relaxed);
-        let stale = self.report_age(now) > stale_after_ms;
-        own.saturating_add(if stale { others.max(own) } else { others })
+    /// entry's own are counted as they are now.
+    pub fn others(&self) -> u32 {
+        self.others.load(Relaxed)
     }
 
     /// Smoothed service time in microseconds, 0 if unknown.
--- a/crates/geraniumpost-core/src/requests/baseline_router.rs
+++ b/crates/geraniumpost-core/src/requests/baseline_router.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, RngCore};
 
-use super::{AgentView, Choice, NoAgent, RouteAsk, Router, ServiceView, Why};
+use super::{AgentView, Choice, NoAgent, Peers, RouteAsk, Router, ServiceView, Why};
 
 /// Policies that the [`Router`] is measured against in benches and tests; none is used in service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,9 +35,9 @@
         }
         let agent = match self {
             Self::RoundRobin(next) => in_turn(&usable, next),
-            Self::LeastLoaded => least(&usable, |agent| load(agent, ask)),
+            Self::LeastLoaded => least(&usable, load),
             Self::LeastReported => least(&usable, reported),
-            Self::WeightedRandom => weighted(service, &usable, ask, rng),
+            Self::WeightedRandom => weighted(&usable, ask, rng),
         };
         Ok(Choice::of(agent, Why::Baseline))
     }
@@ -60,8 +60,8 @@
     usable.iter().min_by_key(|agent| load(agent)).expect("checked to be non-empty")
 }
 
-fn load(agent: &AgentView, ask: &RouteAsk<'_>) -> u32 {
-    agent.counters().outstanding(ask.now, u64::MAX)
+fn load(agent: &AgentView) -> u32 {
+    agent.counters().others() + agent.counters().in_flight()
 }
 
 fn reported(agent: &AgentView) -> u32 {
@@ -70,13 +70,12 @@
 }
 
 fn weighted<'a>(
-    service: &ServiceView,
     usable: &[&'a Arc<AgentView>],
     ask: &RouteAsk<'_>,
     rng: &mut impl RngCore,
 ) -> &'a Arc<AgentView> {
-    let router = Router::default();
-    let weight = |agent: &AgentView| 1.0 / (router.cost_us(service, agent, ask) + 1) as f64;
+    let (router, peers) = (Router::default(), Peers::of(usable.iter().map(|agent| &***agent)));
+    let weight = |agent: &AgentView| 1.0 / (router.cost_us(agent, &peers, ask) + 1) as f64;
     let total: f64 = usable.iter().map(|agent| weight(agent)).sum();
     let mut left = rng.random::<f64>() * total;
     let found = usable.iter().find(|agent| {
--- a/crates/geraniumpost-core/src/requests/router.rs
+++ b/crates/geraniumpost-core/src/requests/router.rs
@@ -2,18 +2,14 @@
 
 use rand::RngCore;
 
-use super::{AgentView, Choice, Considered, NoAgent, RouteAsk, RouterTuning, ServiceView, Why};
+use super::{
+    AgentView, Choice, Considered, NoAgent, Peers, RouteAsk, RouterTuning, ServiceView, Why,
+};
 
-/// Draws from one tier before the tier is searched in order.
-const DRAWS: usize = 4;
 /// Agents weighed from the nearest tier that has any, and again from the next one.
 const PER_TIER: usize = 2;
 /// Largest share of failures that is weighed, in thousandths; it bounds the cost's growth.
 const MOST_FAILURES: u64 = 950;
-/// An agent is never taken to be faster than this fraction of the typical service time.
-///
-/// A minion that fails at once reports a short service time; believed, it would draw all requests.
-const FASTEST_SHARE: u64 = 4;
 
 /// Power of two choices over (requests at the agent) x (smoothed service time).
 ///
@@ -73,14 +69,19 @@
     }
 
     /// Expected cost of one more request at `agent`, in microseconds of waiting.
-    pub fn cost_us(&self, service: &ServiceView, agent: &AgentView, ask: &RouteAsk<'_>) -> u64 {
+    ///
+    /// The number of other entries' requests in a report is believed less and less until the report
+    /// is `fresh_ms` old, and their usual number takes its place. Otherwise all entries would send
+    /// their requests to whoever reported "idle" last until its next report, again and again.
+    pub fn cost_us(&self, agent: &AgentView, peers: &Peers, ask: &RouteAsk<'_>) -> u64 {
         let gauge = agent.counters();
-        let typical = service.typical_us();
-        let known = gauge.service_us();
-        let service_us = if known == 0 { typical } else { known.max(typical / FASTEST_SHARE) };
-        let outstanding = gauge.outstanding(ask.now, self.tuning.stale_after_ms);
+        let fresh_ms = self.tuning.fresh_ms;
+        let age = gauge.report_age(ask.now).min(fresh_ms);
+        let others = u64::from(gauge.others()) * (fresh_ms - age) + peers.others() * age;
+        let own = u64::from(gauge.in_flight()) + 1;
+        let service_us = peers.service_us(gauge.service_us());
+        let busy = service_us.saturating_mul(own * fresh_ms + others) / fresh_ms;
         let failures = u64::from(gauge.failures_permille()).min(MOST_FAILURES);
-        let busy = service_us.saturating_mul(u64::from(outstanding) + 1);
         busy.saturating_mul(1000) / (1000 - failures) / u64::from(agent.slot_count())
     }
 
@@ -93,11 +94,9 @@
         let mut considered = [const { None }; Choice::MOST];
         let mut len = 0;
         for tier in 0..ServiceView::TIERS {
-            let indexes = draw_tier(service, tier, ask, rng);
-            for index in indexes.into_iter().flatten() {
+            for index in draw_tier(service, tier, ask, rng).into_iter().flatten() {
                 let agent = Arc::clone(service.agent(index));
-                let way = self.tuning.tier_cost_us(tier);
-                let cost_us = self.cost_us(service, &agent, ask).saturating_add(way);
+                let cost_us = self.tuning.tier_cost_us(tier);
                 considered[len] = Some(Considered { agent, cost_us });
                 len += 1;
             }
@@ -105,10 +104,20 @@
                 break;
             }
         }
+        self.weigh(ask, &mut considered);
         considered
     }
+
+    /// Adds to each drawn agent's surcharge what waiting there costs.
+    fn weigh(&self, ask: &RouteAsk<'_>, considered: &mut [Option<Considered>; Choice::MOST]) {
+        let peers = Peers::of(considered.iter().flatten().map(|one| &*one.agent));
+        for one in considered.iter_mut().flatten() {
+            one.cost_us = one.cost_us.saturating_add(self.cost_us(&one.agent, &peers, ask));
+        }
+    }
 }
 
+/// Draws two different usable agents of a tier, or as many as there are.
 fn draw_tier(
     service: &ServiceView,
     tier: usize,
@@ -116,35 +125,22 @@
     rng: &mut impl RngCore,
 ) -> [Option<u32>; PER_TIER] {
     let indexes = service.tier(tier);
-    let mut drawn = [None; PER_TIER];
-    let mut len = 0;
-    for _ in 0..DRAWS {
-        if len == PER_TIER || indexes.is_empty() {
-            return drawn;
-        }
-        let index = indexes[below(indexes.len(), rng)];
-        if drawn[0] != Some(index) && usable(service.agent(index), ask) {
-            drawn[len] = Some(index);
-            len += 1;
-        }
-    }
+    let len = indexes.len();
     if len == 0 {
-        drawn[0] = search(service, indexes, ask, rng);
+        return [None; PER_TIER];
     }
-    drawn
-}
-
-/// Finds any usable agent, starting at random; needed only when most agents of the tier were tried
-/// or have been ejected since the snapshot was made.
-fn search(
-    service: &ServiceView,
-    indexes: &[u32],
-    ask: &RouteAsk<'_>,
-    rng: &mut impl RngCore,
-) -> Option<u32> {
-    let start = below(indexes.len(), rng);
-    let mut turn = indexes.iter().cycle().skip(start).take(indexes.len());
-    turn.find(|&&index| usable(service.agent(index), ask)).copied()
+    let find = |start: usize, taken: Option<usize>| {
+        let mut turn = (start..start + len).map(|position| position % len);
+        turn.find(|&position| {
+            Some(position) != taken && usable(service.agent(indexes[position]), ask)
+        })
+    };
+    let first = find(below(len, rng), None);
+    let second = match first {
+        Some(first) if len > 1 => find(first + 1 + below(len - 1, rng), Some(first)),
+        _ => None,
+    };
+    [first, second].map(|position| position.map(|position| indexes[position]))
 }
 
 fn usable(agent: &AgentView, ask: &RouteAsk<'_>) -> bool {
--- a/crates/geraniumpost-core/src/requests/router_tuning.rs
+++ b/crates/geraniumpost-core/src/requests/router_tuning.rs
@@ -3,13 +3,13 @@
 pub struct RouterTuning {
     pub(super) domain_cost_us: u64,
     pub(super) region_cost_us: u64,
-    pub(super) stale_after_ms: u64,
+    pub(super) fresh_ms: u64,
 }
 
 impl RouterTuning {
     /// Returns the figures for failure domains half a millisecond apart and heartbeats of 500 ms.
     pub const fn new() -> Self {
-        Self { domain_cost_us: 1_000, region_cost_us: 50_000, stale_after_ms: 1_200 }
+        Self { domain_cost_us: 1_000, region_cost_us: 50_000, fresh_ms: 100 }
     }
 
     /// Sets what leaving the own failure domain costs, in microseconds of waiting.
@@ -26,10 +26,11 @@
         self
     }
 
-    /// Sets the age in milliseconds from which a report is no longer believed.
+    /// Sets the age in milliseconds, at least 1, from which a report of others' requests is no longer
+    /// believed.
     #[must_use]
-    pub const fn stale_after_ms(mut self, ms: u64) -> Self {
-        self.stale_after_ms = ms;
+    pub const fn fresh_ms(mut self, ms: u64) -> Self {
+        self.fresh_ms = if ms == 0 { 1 } else { ms };
         self
     }
 
--- a/crates/geraniumpost-core/src/requests/service_view.rs
+++ b/crates/geraniumpost-core/src/requests/service_view.rs
@@ -2,16 +2,12 @@
 
 use super::{AgentView, Place};
 
-/// Service time taken for an agent of which nothing is known yet, in microseconds.
-const UNKNOWN_SERVICE_US: u64 = 10_000;
-
 /// The agents of one service, sorted by how near they are to this entry.
 #[derive(Debug, Default)]
 pub struct ServiceView {
     agents: Vec<Arc<AgentView>>,
     tiers: [Vec<u32>; Self::TIERS],
     ejected: Vec<u32>,
-    typical_us: u64,
 }
 
 impl ServiceView {
@@ -23,7 +19,7 @@
     /// Agents that may not be routed to are left out of the tiers, so that a decision draws from
     /// usable agents only and takes as long among 570 agents as among 11.
     pub fn new(agents: Vec<Arc<AgentView>>, here: &Place) -> Self {
-        let mut view = Self { typical_us: typical_us(&agents), ..Self::default() };
+        let mut view = Self::default();
         for (index, agent) in agents.iter().enumerate() {
             let index = index as u32;
             if agent.is_routable() {
@@ -41,11 +37,6 @@
         &self.agents
     }
 
-    /// Median service time of the agents in microseconds.
-    pub const fn typical_us(&self) -> u64 {
-        self.typical_us
-    }
-
     pub(super) fn tier(&self, tier: usize) -> &[u32] {
         &self.tiers[tier]
     }
@@ -70,10 +61,3 @@
     }
     usize::from(place.domain() != here.domain())
 }
-
-fn typical_us(agents: &[Arc<AgentView>]) -> u64 {
-    let known = agents.iter().map(|agent| agent.counters().service_us()).filter(|&us| us > 0);
-    let mut known: Vec<u64> = known.collect();
-    known.sort_unstable();
-    known.get(known.len() / 2).copied().unwrap_or(UNKNOWN_SERVICE_US)
-}
