feat(cli): wait until a change is in force

Cause: a script that changes the configuration wants to go on when it holds.

Ruled out: waiting inside the entry's call (a lost connection would leave the caller without the answer that the change was accepted).

--- a/crates/geraniumpost/src/cli/command.rs
+++ b/crates/geraniumpost/src/cli/command.rs
@@ -96,6 +96,13 @@
                 .help("Revision that is changed, if FILE does not name it"),
         )
         .arg(Arg::new("change-id").long("change-id").help("Name of the change, drawn if left out"))
+        .arg(
+            Arg::new("wait-s")
+                .long("wait-s")
+                .value_parser(value_parser!(u64).range(1..=600))
+                .conflicts_with("first")
+                .help("Seconds to wait until every known process has the change in force"),
+        )
         .arg(
             Arg::new("first")
                 .long("first")
--- a/crates/geraniumpost/src/cli/config_commands.rs
+++ b/crates/geraniumpost/src/cli/config_commands.rs
@@ -1,5 +1,7 @@
 //! `geraniumpost config get|set|check`.
 
+use std::time::{Duration, Instant};
+
 use clap::ArgMatches;
 use geraniumpost_config::load_entry;
 use http::Method;
@@ -9,6 +11,9 @@
 use crate::client::ApiClient;
 use crate::console::first_token;
 
+/// Pause between two looks at what is in force.
+const WAIT_STEP: Duration = Duration::from_millis(200);
+
 pub(super) async fn execute(args: &ArgMatches) -> Result<Finished, Finished> {
     match args.subcommand() {
         Some(("get", args)) => get(args).await,
@@ -37,11 +42,7 @@
         .header("x-change-id", &change_id);
     let body = document.to_string().into_bytes();
     match remote::call(&client, Method::PUT, "/api/config", body, json).await {
-        Ok(done) if json => Ok(Finished::success(format!("{done}\n"))),
-        Ok(done) => {
-            let revision = text::plain(&done["revision"]);
-            Ok(Finished::success(format!("accepted as revision {revision}, change {change_id}\n")))
-        }
+        Ok(done) => accepted(args, &done).await,
         Err(mut failed) => {
             if failed.status == ExitStatus::Unreachable {
                 let hint = format!("repeat with --change-id {change_id}; it is not made twice\n");
@@ -52,6 +53,45 @@
     }
 }
 
+/// Tells of an accepted change, after waiting for it to be in force if that was asked for.
+async fn accepted(args: &ArgMatches, done: &Value) -> Result<Finished, Finished> {
+    let json = args.get_flag("json");
+    let (revision, change_id) = (text::plain(&done["revision"]), text::plain(&done["change_id"]));
+    let mut out = format!("accepted as revision {revision}, change {change_id}\n");
+    if json {
+        out = format!("{done}\n");
+    }
+    let Some(seconds) = args.get_one::<u64>("wait-s").copied() else {
+        return Ok(Finished::success(out));
+    };
+    let behind = match wait(args, done["revision"].as_u64().unwrap_or_default(), seconds).await {
+        Ok(behind) => behind,
+        // The change is accepted all the same, and the operator must still learn that.
+        Err(failed) => return Err(Finished { out: out + &failed.out, ..failed }),
+    };
+    if behind.is_empty() {
+        let end = if json { "" } else { "in force on every known process\n" };
+        return Ok(Finished::success(out + end));
+    }
+    let err = format!("error: not in force after {seconds} s on {}\n", behind.join(", "));
+    Ok(Finished { status: ExitStatus::Refused, out, err })
+}
+
+/// Waits for a revision and returns the names of the processes that do not have it in the end.
+async fn wait(args: &ArgMatches, revision: u64, seconds: u64) -> Result<Vec<String>, Finished> {
+    let client = remote::client(args)?;
+    let until = Instant::now() + Duration::from_secs(seconds);
+    loop {
+        let path = "/api/in-force";
+        let known = remote::call(&client, Method::GET, path, Vec::new(), false).await?;
+        let behind = text::behind(&known, revision);
+        if behind.is_empty() || Instant::now() >= until {
+            return Ok(behind);
+        }
+        tokio::time::sleep(WAIT_STEP).await;
+    }
+}
+
 fn set_client(args: &ArgMatches) -> Result<ApiClient, Finished> {
     let Some(path) = args.get_one::<String>("first") else { return remote::client(args) };
     let settings = load_entry(path.as_ref());
--- a/crates/geraniumpost/src/cli/text.rs
+++ b/crates/geraniumpost/src/cli/text.rs
@@ -46,6 +46,13 @@
     text
 }
 
+/// Returns the names of the processes that have a lower revision in force.
+pub(super) fn behind(in_force: &Value, revision: u64) -> Vec<String> {
+    let processes = items(&in_force["processes"]).iter();
+    let late = processes.filter(|process| process["revision"].as_u64().unwrap_or(0) < revision);
+    late.map(|process| plain(&process["name"])).collect()
+}
+
 /// Renders the list of jobs.
 pub(super) fn jobs(list: &Value) -> String {
     let rows = if list.is_array() { items(list) } else { items(&list["jobs"]) };
--- a/crates/geraniumpost/tests/cli.rs
+++ b/crates/geraniumpost/tests/cli.rs
@@ -129,6 +129,18 @@
     assert!(now.out.contains("\"weight\":5"), "{now:?}");
 }
 
+/// The stand-in agent of these tests stays at revision 1. An operator who waits must learn that the
+/// change is not in force everywhere, and by whom.
+#[tokio::test]
+async fn waiting_tells_who_is_behind() {
+    let bench = Bench::with_document("wait").await;
+    let file = bench.got("edited.json", |d| d["policy"]["hold_ms"] = json!(20_000)).await;
+    let done = bench.run(&["config", "set", &file, "--wait-s", "1"]).await;
+    assert_eq!(done.status, ExitStatus::Refused, "{done:?}");
+    assert!(done.out.starts_with("accepted as revision 2"), "{done:?}");
+    assert!(done.err.contains("not in force after 1 s on agent-1"), "{done:?}");
+}
+
 /// Two operators edit what they got at the same time; the second must be told what the first did.
 #[tokio::test]
 async fn the_second_operator_is_told_what_the_first_changed() {
