fix(console): let the settings' key write the first document only

Cause: an entry that has just started has nothing in force and took the token made from the shared key; with the revision in If-Match it could have replaced the operators' document.

Ruled out: asking the store on every such call (it may be down).

Change: who is known by that token may only write in place of nothing, and has no say over jobs.

Conclusion: the token is of no use once a document exists anywhere.

--- a/crates/geraniumpost/src/console/api.rs
+++ b/crates/geraniumpost/src/console/api.rs
@@ -5,6 +5,7 @@
 use geraniumpost_schema::{Document, Name};
 use serde_json::{Value, json};
 
+use super::identity::beyond_first;
 use super::route::label;
 use super::{ApiCode, ApiError, Call, ConsoleContext};
 use crate::config::write_change;
@@ -68,6 +69,9 @@
     based_on: u64,
     document: Document,
 ) -> Result<Value, ApiError> {
+    if based_on != 0 {
+        beyond_first(&operator)?;
+    }
     let value = serde_json::to_value(&document).unwrap_or_default();
     let change = Change {
         change_id: change_id.clone(),
--- a/crates/geraniumpost/src/console/api_jobs.rs
+++ b/crates/geraniumpost/src/console/api_jobs.rs
@@ -3,6 +3,7 @@
 use geraniumpost_schema::Name;
 use serde_json::Value;
 
+use super::identity::beyond_first;
 use super::{ApiCode, ApiError, Call, ConsoleContext, JobAsk, JobCall, JobRequest};
 
 /// Longest command of a job.
@@ -29,6 +30,7 @@
     operator: Name,
     context: &ConsoleContext,
 ) -> Result<Value, ApiError> {
+    beyond_first(&operator)?;
     let token = call.token().to_owned();
     (context.jobs)(JobAsk { call: job_call, operator, token, forwarded: call.forwarded }).await
 }
--- a/crates/geraniumpost/src/console/identity.rs
+++ b/crates/geraniumpost/src/console/identity.rs
@@ -6,7 +6,9 @@
 use super::{ApiCode, ApiError, Call, ConsoleContext};
 
 /// Name under which the first document is written, when no operator is known yet.
-const FIRST_OPERATOR: &str = "first";
+///
+/// It is no label, so no operator of a document can bear it.
+const FIRST_OPERATOR: &str = "(first)";
 
 /// Returns the token that may write the first document.
 ///
@@ -49,6 +51,17 @@
     now.operator(token).cloned()
 }
 
+/// Refuses everything but the writing of the first document to who is only known by the settings.
+///
+/// An entry that has just started has no document in force while the store may well hold one.
+/// Without this, the shared key could then replace the document that operators have written.
+pub(super) fn beyond_first(operator: &Name) -> Result<(), ApiError> {
+    if **operator == *FIRST_OPERATOR {
+        return Err(ApiCode::NoConfiguration.into());
+    }
+    Ok(())
+}
+
 /// Refuses a form that another site has made the operator's browser send.
 pub(super) fn own_form(call: &Call, proof: &str) -> Result<(), ApiError> {
     let right = token_digest(proof) == token_digest(&form_proof(call.token()));
--- a/crates/geraniumpost/tests/console.rs
+++ b/crates/geraniumpost/tests/console.rs
@@ -121,6 +121,24 @@
     assert_eq!(body(&again)["code"], 4001, "the first token is of no use afterwards");
 }
 
+/// An entry has just started and has nothing in force, while the store holds the operators'
+/// document. Whoever has the settings could otherwise put another document in its place.
+#[tokio::test]
+async fn the_settings_key_replaces_no_document() {
+    let (bench, revision) = Bench::with_document().await;
+    let started = Console::new(context(Store::new(bench.standin.address())));
+    let started = Bench { standin: spawn_in_process(ANY, ANY).await.unwrap(), console: started };
+    let token = first_token("0123456789abcdef");
+    let forced = started.put(&token, Some(revision), "forced", &document(9)).await;
+    assert_eq!((forced.status, body(&forced)["code"].as_u64()), (503, Some(4013)));
+    let jobs = started.call(Method::DELETE, "/api/jobs/study-1", &token, Vec::new()).await;
+    assert_eq!(body(&jobs)["code"], 4013);
+    let late = started.put(&token, Some(0), "late", &document(9)).await;
+    assert_eq!(late.status, 409, "{late:?}");
+    let config = bench.other_entry().await.get("/api/config").await;
+    assert_eq!(config["document"]["customers"]["claro"]["weight"], 1);
+}
+
 /// Names cases of refused calls: method, path, token, body, and the code of the refusal.
 macro_rules! refused {
     ($($name:ident: $method:ident $path:literal, $token:literal, $body:expr => $code:ident;)*) => {
