fix(config): read settings without a parser that panics

Cause: toml_edit 0.23 panics on "log = =\nlog.level = " (a broken key that is taken for a table afterwards); found by the random keys of any_keys_as_settings. An operator's typing error would have ended the process with a stack trace.

Change: the toml crate's own tree, which has spans as well and goes on after an error, so that every line that is not TOML is reported.

Conclusion: settings of any bytes are read or reported.

--- a/crates/geraniumpost-config/src/toml_source.rs
+++ b/crates/geraniumpost-config/src/toml_source.rs
@@ -1,7 +1,7 @@
 use std::ops::Range;
 
 use serde_json::{Map, Value};
-use toml_edit::{Item, Table, TableLike, Value as TomlValue};
+use toml::de::{DeArray, DeTable, DeValue};
 
 use crate::lines::{joined, line_at};
 use crate::{Code, Lines, Problem, Report};
@@ -17,20 +17,28 @@
     ///
     /// # Errors
     ///
-    /// Reports the first place at which the text is not TOML; what follows it means nothing.
+    /// Reports every line that is not TOML. The keys are not looked at then, since what a broken
+    /// line was to say is not known, and a key taken for missing would only mislead.
     pub(crate) fn parse(text: &str, file: &str) -> Result<Self, Report> {
-        let document = toml_edit::Document::parse(text).map_err(|error| {
-            let line = error.span().map_or(1, |span| line_at(text, span.start));
-            let message = error.message().replace('\n', ", ");
-            Report::of(Problem::new(Code::Syntax, "").message(message + ".").at(file, line))
-        })?;
+        let (table, errors) = DeTable::parse_recoverable(text);
+        let mut problems: Vec<Problem> =
+            errors.iter().map(|error| syntax(text, file, error)).collect();
+        problems.sort_by_key(|problem| problem.line);
+        problems.dedup_by_key(|problem| problem.line);
+        Report::from(problems).or(())?;
         let mut reader = Reader { text, lines: Lines::default() };
         reader.lines.insert("", 1);
-        let value = reader.table(document.as_table(), "");
+        let value = reader.table(table.get_ref(), "");
         Ok(Self { value, lines: reader.lines })
     }
 }
 
+fn syntax(text: &str, file: &str, error: &toml::de::Error) -> Problem {
+    let line = error.span().map_or(1, |span| line_at(text, span.start));
+    let message = error.message().replace('\n', ", ");
+    Problem::new(Code::Syntax, "").message(format!("Not TOML: {message}.")).at(file, line)
+}
+
 /// Collects lines while it turns TOML into JSON.
 struct Reader<'a> {
     text: &'a str,
@@ -38,61 +46,42 @@
 }
 
 impl Reader<'_> {
-    fn table(&mut self, table: &Table, path: &str) -> Value {
-        self.entries(table, path)
-    }
-
-    fn entries(&mut self, table: &dyn TableLike, path: &str) -> Value {
+    fn table(&mut self, table: &DeTable<'_>, path: &str) -> Value {
         let mut map = Map::new();
-        for (key, item) in table.iter() {
-            let inner = joined(path, key);
-            let span = table.key(key).and_then(toml_edit::Key::span).or_else(|| item.span());
-            self.note(&inner, span);
-            map.insert(key.to_owned(), self.item(item, &inner));
+        for (key, value) in table {
+            let inner = joined(path, key.get_ref());
+            self.note(&inner, key.span());
+            map.insert(key.get_ref().to_string(), self.value(value.get_ref(), &inner));
         }
         Value::Object(map)
     }
 
-    fn item(&mut self, item: &Item, path: &str) -> Value {
-        match item {
-            Item::None => Value::Null,
-            Item::Value(value) => self.value(value, path),
-            Item::Table(table) => self.table(table, path),
-            Item::ArrayOfTables(tables) => {
-                let items = tables.iter().enumerate();
-                let read = |(index, table): (usize, &Table)| {
-                    let inner = joined(path, &index.to_string());
-                    self.note(&inner, table.span());
-                    self.table(table, &inner)
-                };
-                Value::Array(items.map(read).collect())
+    fn value(&mut self, value: &DeValue<'_>, path: &str) -> Value {
+        match value {
+            DeValue::String(text) => Value::from(text.as_ref()),
+            DeValue::Integer(number) => {
+                // A number too large for its type stays a text, which the schema reports.
+                let read = i64::from_str_radix(number.as_str(), number.radix());
+                read.map_or_else(|_| Value::from(number.as_str()), Value::from)
             }
+            DeValue::Float(number) => number.as_str().parse::<f64>().unwrap_or(f64::NAN).into(),
+            DeValue::Boolean(flag) => Value::from(*flag),
+            DeValue::Datetime(instant) => Value::from(instant.to_string()),
+            DeValue::Array(array) => self.array(array, path),
+            DeValue::Table(table) => self.table(table, path),
         }
     }
 
-    fn value(&mut self, value: &TomlValue, path: &str) -> Value {
-        match value {
-            TomlValue::String(text) => Value::from(text.value().clone()),
-            TomlValue::Integer(number) => Value::from(*number.value()),
-            TomlValue::Float(number) => Value::from(*number.value()),
-            TomlValue::Boolean(flag) => Value::from(*flag.value()),
-            TomlValue::Datetime(instant) => Value::from(instant.value().to_string()),
-            TomlValue::InlineTable(table) => self.entries(table, path),
-            TomlValue::Array(array) => {
-                let items = array.iter().enumerate();
-                let read = |(index, item): (usize, &TomlValue)| {
-                    let inner = joined(path, &index.to_string());
-                    self.note(&inner, item.span());
-                    self.value(item, &inner)
-                };
-                Value::Array(items.map(read).collect())
-            }
-        }
+    fn array(&mut self, array: &DeArray<'_>, path: &str) -> Value {
+        let items = array.iter().enumerate().map(|(index, item)| {
+            let inner = joined(path, &index.to_string());
+            self.note(&inner, item.span());
+            self.value(item.get_ref(), &inner)
+        });
+        Value::Array(items.collect())
     }
 
-    fn note(&mut self, path: &str, span: Option<Range<usize>>) {
-        if let Some(span) = span {
-            self.lines.insert(path, line_at(self.text, span.start));
-        }
+    fn note(&mut self, path: &str, span: Range<usize>) {
+        self.lines.insert(path, line_at(self.text, span.start));
     }
 }
--- a/crates/geraniumpost-config/tests/settings.rs
+++ b/crates/geraniumpost-config/tests/settings.rs
@@ -64,6 +64,10 @@
     unspecified: "10.0.1.4:7100" => "0.0.0.0:7100", [(1017, 6, "listen")];
     port_zero: "10.0.1.4:7100" => "10.0.1.4:0", [(1017, 6, "listen")];
     nested_table: "rack = \"r1\"" => "rack = \"r1\"\nlog.level = \"loud\"", [(1011, 6, "log.level")];
+    every_line_that_is_no_toml: "name = \"agent-1\"\nregion = \"lima\"" => "name = = 3\nregion = lima",
+        [(1002, 2, ""), (1002, 3, "")];
+    huge_number: "rack = " => "heartbeat_ms = 99999999999999999999\nrack = ", [(1005, 5, "heartbeat_ms")];
+    hexadecimal_number: "rack = " => "heartbeat_ms = 0xfffff\nrack = ", [(1007, 5, "heartbeat_ms")];
     not_toml: "rack = " => "rack == ", [(1002, 5, "")];
 }
 
@@ -74,6 +78,13 @@
         [(1004, 1, "region"), (1008, 2, "name"), (1003, 3, "regoin")];
 }
 
+/// The parser used before panicked where a key is first broken and then taken for a table.
+#[test]
+fn a_broken_key_that_is_also_a_table_is_reported() {
+    let report = parse_agent("log = =\nlog.level = \n", "f.toml").unwrap_err();
+    assert!(seen(&report).iter().all(|(code, ..)| *code == 1002), "{report}");
+}
+
 #[test]
 fn good_settings_are_read_with_their_defaults() {
     let agent = parse_agent(AGENT, "f.toml").unwrap();
