--- /dev/null
+++ b/crates/geraniumpost/tests/console/served.rs
@@ -0,0 +1,62 @@
+//! The console on a real listener.
+
+use std::time::Duration;
+
+use geraniumpost::client::ApiClient;
+use http::Method;
+use proptest::prelude::*;
+use proptest::strategy::ValueTree as _;
+
+use crate::bench::Bench;
+use crate::common::ANY;
+
+/// The whole way over HTTP, with a body too large on the way and a stop at the end.
+#[tokio::test]
+async fn served_over_http_until_stopped() {
+    let (bench, revision) = Bench::with_document().await;
+    let listener = tokio::net::TcpListener::bind(ANY).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let wait = async move { drop(stopped.await) };
+    let served = tokio::spawn(bench.console.clone().serve(listener, wait));
+    let client = ApiClient::new(address, "o");
+    let status = client.call(Method::GET, "/api/status", Vec::new()).await.unwrap();
+    assert_eq!((status.status, status.body["revision"].as_u64()), (200, Some(revision)));
+    let large = client.call(Method::POST, "/api/config/check", vec![b' '; (1 << 20) + 1]).await;
+    assert!(large.is_err() || large.is_ok_and(|reply| reply.body["code"] == 4004));
+    let metrics = ApiClient::new(address, "").call(Method::GET, "/metrics", Vec::new()).await;
+    assert_eq!(metrics.unwrap().status, 200);
+    drop(stop);
+    tokio::time::timeout(Duration::from_secs(5), served).await.unwrap().unwrap();
+    assert!(client.call(Method::GET, "/api/status", Vec::new()).await.is_err());
+}
+
+/// Strangers send anything to the console's port: broken heads, half requests, plain noise. Each
+/// connection ends or is answered, and an operator's call right after is answered as ever.
+#[tokio::test]
+async fn noise_on_the_port_harms_nobody() {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let (bench, _) = Bench::with_document().await;
+    let listener = tokio::net::TcpListener::bind(ANY).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = bench.console.clone().serve(listener, std::future::pending());
+    let served = tokio::spawn(served);
+    let mut runner = proptest::test_runner::TestRunner::deterministic();
+    let noise = prop_oneof![
+        prop::collection::vec(any::<u8>(), 0..300),
+        "(GET|PUT|POST) /(api/config|login|%|\\PC{0,9}) HTTP/1\\.[019]\r\n(Host: x\r\n|If-Match: \\PC{0,9}\r\n|Content-Length: [0-9]{1,20}\r\n|Transfer-Encoding: chunked\r\n){0,4}\r\n(zz\r\n|5\r\nhello\r\n){0,3}"
+            .prop_map(String::into_bytes),
+    ];
+    for _ in 0..200 {
+        let bytes = noise.new_tree(&mut runner).unwrap().current();
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let _ = stream.write_all(&bytes).await;
+        let _ = stream.shutdown().await;
+        let mut answer = Vec::new();
+        let read = stream.read_to_end(&mut answer);
+        assert!(tokio::time::timeout(Duration::from_secs(15), read).await.is_ok(), "{bytes:?}");
+    }
+    let status = ApiClient::new(address, "o").call(Method::GET, "/api/status", Vec::new()).await;
+    assert_eq!(status.unwrap().status, 200);
+    assert!(!served.is_finished());
+}
