feat: serve requests through entries and agents

Cause: the thin path needs real processes between callers and minions. Change: entry (callers' HTTP, routing, retries and questions over another link, claims of keys in the store, beats between entries, configuration pushed to agents) and agent (links, fair slots, record of attempts, heartbeats, planned stop) around the core's decisions.

--- a/crates/geraniumpost-platform/src/lib.rs
+++ b/crates/geraniumpost-platform/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod store;
 pub mod worker;
 
-pub use minion::{Answer, Minion, MinionError};
+pub use minion::{Answer, Minion, MinionError, strip_hop_by_hop};
 pub use store::{Expect, LeaseId, Store, StoreError, Versioned, Watched};
 pub use worker::{Started, TaskOrder, Worker, WorkerError, WorkerTask};
--- /dev/null
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -0,0 +1,162 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use geraniumpost_core::ResultCode;
+use geraniumpost_schema::Name;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::Incoming as HyperBody;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::{sleep, timeout};
+
+use super::dispatch::dispatch;
+use super::incoming::Head;
+use super::{EntryContext, Incoming, Reply};
+use crate::stop_signal::stopped;
+
+/// Path that the platform's balancer asks whether this entry takes new connections.
+const HEALTH: &str = "/healthz";
+/// Time in which the head of a request must arrive.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+/// Connections at once; more wait in the listener's queue.
+const CONNECTIONS: usize = 10_000;
+/// How long a leaving entry still accepts, so that the balancer sees it as not ready first.
+const NOT_READY: Duration = Duration::from_millis(500);
+/// Pause after an accept that failed, most often for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// When a caller who has too much in flight should come back, in milliseconds.
+const LIMIT_RETRY_MS: u64 = 100;
+
+/// Serves callers until the entry is asked to stop, and then finishes what is under way.
+///
+/// The order matters: first "not ready", so that the balancer sends nobody any more; then no more
+/// accepts; then the requests in flight to their end, for at most `drain_ms`.
+pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+    let graceful = GracefulShutdown::new();
+    let room = Arc::new(Semaphore::new(CONNECTIONS));
+    let mut leaving = std::pin::pin!(async {
+        stopped(&mut stop).await;
+        cx.drain();
+        sleep(NOT_READY).await;
+    });
+    loop {
+        tokio::select! {
+            accepted = accept(&listener, &room) => {
+                if let Some((stream, permit)) = accepted {
+                    spawn(&cx, stream, permit, &graceful);
+                }
+            }
+            () = &mut leaving => break,
+        }
+    }
+    drop(listener);
+    let longest = Duration::from_millis(cx.settings.drain_ms);
+    if timeout(longest, graceful.shutdown()).await.is_err() {
+        spdlog::warn!("stopping with requests under way: drain_ms is over");
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    room: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(room).acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => Some((stream, permit)),
+        Err(error) => {
+            spdlog::warn!("accepting callers: {error}");
+            sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+fn spawn(
+    cx: &Arc<EntryContext>,
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    graceful: &GracefulShutdown,
+) {
+    // Answers are short; waiting to fill packets would only delay them.
+    let _ = stream.set_nodelay(true);
+    let cx = Arc::clone(cx);
+    let service = service_fn(move |req| {
+        let cx = Arc::clone(&cx);
+        async move { Ok::<_, Infallible>(answer(&cx, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIME)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            spdlog::debug!("caller's connection: {error}");
+        }
+        drop(permit);
+    });
+}
+
+async fn answer(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
+    if req.uri().path() == HEALTH {
+        return health(cx);
+    }
+    let began = Instant::now();
+    let (parts, body) = req.into_parts();
+    let head = Head::read(&parts, &cx.keeper.holder().load(), &cx.clock);
+    let head = match head {
+        Ok(head) => head,
+        Err(code) => {
+            cx.metrics.outcome("", code.number(), began.elapsed());
+            return Reply::without_answer(code, 0).into_response(&Name::default());
+        }
+    };
+    let (id, (service, customer)) = (head.id(), head.labels());
+    cx.metrics.request(&service, &customer);
+    let reply = match read_body(cx, head, body).await {
+        Ok(req) => admit(cx, &req).await,
+        Err(code) => Reply::without_answer(code, 0),
+    };
+    cx.metrics.outcome(&service, reply.code().number(), began.elapsed());
+    reply.into_response(&id)
+}
+
+/// Reads the whole body before anything is reserved for the request, so that a caller who sends
+/// slowly holds no slot that others need.
+async fn read_body(cx: &EntryContext, head: Head, body: HyperBody) -> Result<Incoming, ResultCode> {
+    let reading = Limited::new(body, head.largest()).collect();
+    match timeout(head.time(&cx.clock), reading).await {
+        Ok(Ok(body)) => Ok(head.with_body(body.to_bytes())),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
+        Ok(Err(_)) => Err(ResultCode::Malformed),
+        Err(_) => Err(ResultCode::DeadlineTooShort),
+    }
+}
+
+/// Lets the request in under its customer's limit and carries it to its last word.
+async fn admit(cx: &EntryContext, req: &Incoming) -> Reply {
+    let permit = cx.limits.load().enter(&req.caller.name);
+    match permit {
+        Ok(_permit) => dispatch(cx, req).await,
+        Err(code) => Reply::without_answer(code, LIMIT_RETRY_MS),
+    }
+}
+
+fn health(cx: &EntryContext) -> Response<Full<Bytes>> {
+    let ready = !cx.is_draining() && cx.keeper.holder().load().revision() > 0;
+    let (status, text) = if ready {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    };
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/geraniumpost/src/entry/role.rs
@@ -0,0 +1,106 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use geraniumpost_net::SharedKey;
+use geraniumpost_platform::Store;
+use geraniumpost_schema::EntrySettings;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+
+use super::{EntryContext, callers, datagrams, links, views};
+use crate::config::{ConfigHolder, ConfigKeeper, Wanted, follow_store};
+use crate::console::{Console, ConsoleContext, first_token};
+use crate::datagram_socket::DatagramSocket;
+use crate::metrics::Metrics;
+use crate::stop_signal::{stop_signal, stopped};
+use crate::{logs, planner, runtime};
+
+/// How long a starting entry gathers its peers' revisions before it takes the highest.
+const GATHER_MS: u64 = 1_000;
+/// Longest wait for one call of the store. It answers in milliseconds; a call that takes this long
+/// is lost, and whoever made it should say so in time.
+const STORE_TIME: Duration = Duration::from_secs(2);
+
+/// Runs `geraniumpost entry` until it is told to stop and its requests are finished.
+///
+/// # Errors
+///
+/// Fails if an address of the settings cannot be had.
+pub fn run(settings: EntrySettings) -> Result<()> {
+    logs::start(&settings.log, &settings.name)?;
+    runtime::start()?.block_on(serve(settings))
+}
+
+async fn serve(settings: EntrySettings) -> Result<()> {
+    let stop = stop_signal()?;
+    let callers = listen(settings.callers).await?;
+    let console = listen(settings.console).await?;
+    let key = SharedKey::from(settings.shared_key.as_str());
+    let socket = Arc::new(DatagramSocket::bind(settings.datagrams, key).await?);
+    let store = Store::new(settings.store).timeout(STORE_TIME);
+    let keeper = Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), GATHER_MS));
+    let metrics = Arc::new(Metrics::new()?);
+    let (planner_tx, planner_rx) = mpsc::unbounded_channel();
+    let cx = Arc::new(EntryContext::new(settings, store, keeper, metrics, planner_tx));
+    spdlog::info!("entry {} incarnation {:x}", cx.me.name, cx.me.incarnation);
+    start_tasks(&cx, &socket);
+    let jobs = planner::start(&cx, planner_rx, stop.clone());
+    let console = tokio::spawn(serve_console(Arc::clone(&cx), console, jobs, stop.clone()));
+    callers::serve(Arc::clone(&cx), callers, stop).await;
+    // The console ends by itself; a failure there has been logged.
+    let _ = console.await;
+    Ok(())
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("TCP on {address}"))
+}
+
+fn start_tasks(cx: &Arc<EntryContext>, socket: &Arc<DatagramSocket>) {
+    let (wanted_tx, wanted) = mpsc::channel(16);
+    let following = follow_store(Arc::clone(&cx.keeper), cx.store.clone(), wanted_tx);
+    tokio::spawn(following);
+    tokio::spawn(fetch_wanted(Arc::clone(cx), wanted));
+    tokio::spawn(follow_limits(Arc::clone(cx)));
+    tokio::spawn(datagrams::hear(Arc::clone(cx), Arc::clone(socket)));
+    tokio::spawn(datagrams::announce(Arc::clone(cx), Arc::clone(socket)));
+}
+
+async fn fetch_wanted(cx: Arc<EntryContext>, mut wanted: mpsc::Receiver<Wanted>) {
+    while let Some(one) = wanted.recv().await {
+        links::fetch(&cx, &[one]);
+    }
+}
+
+/// Puts the figures of each new revision in place and passes the revision on to all agents.
+async fn follow_limits(cx: Arc<EntryContext>) {
+    let mut revisions = cx.keeper.holder().subscribe();
+    loop {
+        cx.adopt_limits();
+        links::push_config(&cx);
+        if revisions.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve_console(
+    cx: Arc<EntryContext>,
+    listener: TcpListener,
+    jobs: crate::console::JobsHandle,
+    mut stop: watch::Receiver<bool>,
+) {
+    let (status, in_force) = (Arc::clone(&cx), Arc::clone(&cx));
+    let context = ConsoleContext {
+        name: cx.me.name.clone(),
+        keeper: Arc::clone(&cx.keeper),
+        store: cx.store.clone(),
+        metrics: Arc::clone(&cx.metrics),
+        first_token: first_token(&cx.settings.shared_key),
+        status: Arc::new(move || views::status(&status)),
+        in_force: Arc::new(move || views::in_force(&in_force)),
+        jobs,
+    };
+    Console::new(context).serve(listener, stopped(&mut stop)).await;
+}
--- a/crates/geraniumpost/src/main.rs
+++ b/crates/geraniumpost/src/main.rs
@@ -1,3 +1,10 @@
 //! The one shipped binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+use geraniumpost::cli::{Roles, run};
+use geraniumpost::{agent, entry};
+
+fn main() -> ExitCode {
+    run(Roles { entry: entry::run, agent: agent::run })
+}
--- a/crates/geraniumpost/src/metrics/mod.rs
+++ b/crates/geraniumpost/src/metrics/mod.rs
@@ -2,6 +2,8 @@
 
 mod description;
 mod instruments;
+mod serve;
 
 pub use description::{DESCRIPTIONS, Description, Kind};
 pub use instruments::Metrics;
+pub use serve::serve;
