--- a/crates/geraniumpost/src/metrics/mod.rs
+++ b/crates/geraniumpost/src/metrics/mod.rs
@@ -6,4 +6,4 @@
 
 pub use description::{DESCRIPTIONS, Description, Kind};
 pub use instruments::Metrics;
-pub use serve::serve;
+pub use serve::serve_metrics;
