perf(core): size processors by the median, memory by a high quantile

Change: the median for processors, as a task short of them only slows and running tasks count for what they use anyway; 0.85 stays for memory, whose want kills. The bench now also shows work kept, which a long job at the end of the hour does not distort.

--- a/crates/geraniumpost-bench/src/placement_bench.rs
+++ b/crates/geraniumpost-bench/src/placement_bench.rs
@@ -74,10 +74,10 @@
         seed + runs
     );
     println!(
-        "| policy | p99 slowdown | mean slowdown | late % | core h | jobs done | evictions \
+        "| policy | p99 slowdown | mean slowdown | late % | core h done | core h kept | jobs done | evictions \
          | throttles | wasted core h | urgent p99 s | urgent max s | sound jobs given up |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for name in POLICIES.iter().filter(|name| name.contains(only)) {
         let all: Vec<Figures> = std::thread::scope(|scope| {
             let run = |(i, scenario)| {
@@ -94,12 +94,13 @@
 
 fn print_row(name: &str, f: &Figures) {
     println!(
-        "| {name} | {:.2} | {:.3} | {:.2} | {:.1} | {:.0} | {:.1} | {:.0} | {:.2} | {:.1} | {:.1} \
-         | {:.1} |",
+        "| {name} | {:.2} | {:.3} | {:.2} | {:.1} | {:.1} | {:.0} | {:.1} | {:.0} | {:.2} | {:.1} \
+         | {:.1} | {:.1} |",
         f.p99_slowdown,
         f.mean_slowdown,
         f.late_percent,
         f.core_hours,
+        f.kept_core_hours,
         f.completed,
         f.evictions,
         f.throttles,
--- a/crates/geraniumpost-bench/src/placement_bench/tally.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/tally.rs
@@ -7,6 +7,8 @@
     urgent_waits: Vec<u64>,
     /// Processor milliseconds of jobs completed.
     pub useful: f64,
+    /// Processor milliseconds of work done, that of unfinished jobs included.
+    pub done: f64,
     /// Processor milliseconds that were run and lost.
     pub wasted: f64,
     pub completed: u32,
@@ -25,6 +27,8 @@
     /// Share of requests on a minion over its target, in percent.
     pub late_percent: f64,
     pub core_hours: f64,
+    /// Work done less work lost, that of unfinished jobs included.
+    pub kept_core_hours: f64,
     pub completed: f64,
     pub evictions: f64,
     pub throttles: f64,
@@ -66,6 +70,7 @@
             mean_slowdown: weighed / self.requests,
             late_percent: 100.0 * self.late / self.requests,
             core_hours: self.useful / CORE_HOUR,
+            kept_core_hours: (self.done - self.wasted) / CORE_HOUR,
             completed: self.completed.into(),
             evictions: self.evictions.into(),
             throttles: self.throttles.into(),
@@ -98,6 +103,7 @@
             mean_slowdown: mean(|f| f.mean_slowdown),
             late_percent: mean(|f| f.late_percent),
             core_hours: mean(|f| f.core_hours),
+            kept_core_hours: mean(|f| f.kept_core_hours),
             completed: mean(|f| f.completed),
             evictions: mean(|f| f.evictions),
             throttles: mean(|f| f.throttles),
--- a/crates/geraniumpost-bench/src/placement_bench/world.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/world.rs
@@ -264,6 +264,8 @@
             }
             let done = TICK_MS as f64 * effect.speed * f64::from(task.permille) / 1000.0;
             task.left -= done;
+            let cores = self.scenario.jobs[task.job].real.milli_cpus as f64;
+            self.tally.done += done * cores;
             if now - task.checkpointed >= CHECKPOINT_MS {
                 task.checkpointed = now;
                 task.saved = task.left;
--- a/crates/geraniumpost-core/src/placement/size_sample.rs
+++ b/crates/geraniumpost-core/src/placement/size_sample.rs
@@ -6,8 +6,10 @@
 const REMEMBERED: usize = 32;
 /// Tasks without which a sample says nothing.
 const ENOUGH: usize = 3;
-/// Share of the tasks that the learned size suffices for.
-const QUANTILE: f64 = 0.85;
+/// Share of the tasks that the learned processors suffice for; a task short of them only slows.
+const PROCESSORS_QUANTILE: f64 = 0.5;
+/// Share of the tasks that the learned memory suffices for; a task short of it is killed.
+const MEMORY_QUANTILE: f64 = 0.85;
 
 /// Peak usage over declared need of the latest tasks of one customer and class.
 #[derive(Debug, Clone, Default)]
@@ -43,8 +45,8 @@
             }
             self.peaks.push_back(Peak { job: job.clone(), processors, memory });
         }
-        self.processors = self.quantile(|peak| peak.processors);
-        self.memory = self.quantile(|peak| peak.memory);
+        self.processors = self.quantile(PROCESSORS_QUANTILE, |peak| peak.processors);
+        self.memory = self.quantile(MEMORY_QUANTILE, |peak| peak.memory);
     }
 
     /// Returns a declared need scaled by what was seen.
@@ -57,12 +59,12 @@
         }
     }
 
-    fn quantile(&self, of: impl Fn(&Peak) -> f64) -> f64 {
+    fn quantile(&self, quantile: f64, of: impl Fn(&Peak) -> f64) -> f64 {
         if self.peaks.len() < ENOUGH {
             return 0.0;
         }
         let mut ratios: Vec<f64> = self.peaks.iter().map(of).collect();
         ratios.sort_by(f64::total_cmp);
-        ratios[((ratios.len() - 1) as f64 * QUANTILE).ceil() as usize]
+        ratios[((ratios.len() - 1) as f64 * quantile).ceil() as usize]
     }
 }
