fix(config): log an outage of the store once

Cause: seen in a trial with six processes: each entry wrote a line per failed read, about one and a half a second, for as long as the store was down.

Change: one line when reading begins to fail and one when it works again; a revision taken from a peer is said to be so.

--- a/crates/geraniumpost/src/config/follow.rs
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -49,6 +49,7 @@
 async fn watch(keeper: &ConfigKeeper, store: &Store, wanted: &mpsc::Sender<Wanted>) {
     // The first call is a read, which answers at once where a watch would wait for a change.
     let mut read = true;
+    let mut down = false;
     loop {
         let outcome = if read {
             keeper.refresh(store).await.map(|()| Vec::new())
@@ -56,10 +57,10 @@
             wait(keeper, store).await
         };
         read = outcome.is_err();
+        note(&mut down, outcome.as_ref().err());
         match outcome {
             Ok(asked) => send(asked, wanted).await,
-            Err(error) => {
-                spdlog::warn!("the configuration cannot be read from the store: {error}");
+            Err(_) => {
                 let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
                 tokio::time::sleep(Duration::from_millis(pause)).await;
             }
@@ -67,6 +68,18 @@
     }
 }
 
+/// Logs the beginning and the end of an outage, not each call of it.
+fn note(down: &mut bool, error: Option<&StoreError>) {
+    match error {
+        Some(error) if !*down => {
+            spdlog::warn!("the configuration cannot be read from the store: {error}");
+        }
+        None if *down => spdlog::info!("the configuration can be read from the store again"),
+        _ => {}
+    }
+    *down = error.is_some();
+}
+
 async fn wait(keeper: &ConfigKeeper, store: &Store) -> Result<Vec<Wanted>, StoreError> {
     let after = keeper.holder().load().revision();
     match store.watch(CONFIG_KEY, after, WAIT).await? {
--- a/crates/geraniumpost/src/config/keeper.rs
+++ b/crates/geraniumpost/src/config/keeper.rs
@@ -117,7 +117,8 @@
             AdoptionAction::AskAll => Some(Wanted::AskAll),
             AdoptionAction::Fetch { source, .. } => Some(Wanted::Fetch(source)),
             AdoptionAction::Adopt { revision, document: (change_id, document) } => {
-                spdlog::info!("configuration {revision} is in force, change {change_id}");
+                let change = if change_id.is_empty() { "from a peer" } else { &change_id };
+                spdlog::info!("configuration {revision} is in force, change {change}");
                 self.holder.adopt(InForce::new(revision, change_id, document));
                 None
             }
