perf(core): let measured processors replace learned ones, keep fewer workers for the starved

Change: once a task at full speed is measured, its processors count as max(declared, seen) and not as what was learned of its like; workers are kept after ten minutes, one in sixteen at most; a VM's tasks count as overgrown in processors only beyond what the service leaves.

--- a/crates/geraniumpost-core/src/placement/deciding.rs
+++ b/crates/geraniumpost-core/src/placement/deciding.rs
@@ -11,11 +11,11 @@
 /// How long room is kept for an urgent job while evicted tasks stop.
 const URGENT_HOLD_MS: u64 = 5_000;
 /// Wait after which a worker is kept for a job that finds no room.
-const STARVED_MS: u64 = 180_000;
+const STARVED_MS: u64 = 600_000;
 /// How long a worker is kept for a starved job before another one is tried.
 const STARVED_HOLD_MS: u64 = 900_000;
 /// One worker in this many may be kept for starved jobs.
-const HOLD_SHARE: usize = 8;
+const HOLD_SHARE: usize = 16;
 /// Predicted p99, in targets, over which a job rather waits.
 const TOO_HARMFUL: f64 = 1.0;
 /// Harm, in targets, that is not worth waiting for.
--- a/crates/geraniumpost-core/src/placement/relieving.rs
+++ b/crates/geraniumpost-core/src/placement/relieving.rs
@@ -72,7 +72,7 @@
 /// Memory cannot be throttled: left alone, the kernel kills a task and its work since the
 /// checkpoint is lost.
 fn overfull(view: &WorkerView) -> Option<Decision> {
-    let allowed = view.allowance();
+    let allowed = allowed(view);
     let none = amounts::NONE;
     let used = view.tasks.iter().fold(none, |sum, task| amounts::plus(&sum, &task.usage));
     let resource = amounts::excess(&used, &allowed)?;
@@ -90,6 +90,14 @@
     Some(Decision::Evict { job: job(task), worker, for_job: Name::default(), why })
 }
 
+/// Returns what a VM's tasks may use now: of the service's processors also those that it leaves
+/// idle, as batch gives them back by being slowed.
+fn allowed(view: &WorkerView) -> Resources {
+    let taken = view.reserve.milli_cpus * u64::from(view.load_permille.min(1000)) / 1000;
+    let milli_cpus = view.capacity.milli_cpus.saturating_sub(taken);
+    Resources { milli_cpus, ..view.allowance() }
+}
+
 fn over(resource: Resource, usage: &Resources, need: &Resources) -> u64 {
     resource.of(usage).saturating_sub(resource.of(need))
 }
--- a/crates/geraniumpost-core/src/placement/task_view.rs
+++ b/crates/geraniumpost-core/src/placement/task_view.rs
@@ -115,6 +115,10 @@
     /// Declared sizes are far off. A task that outgrew its size would otherwise let a second one
     /// in, and the VM would hold more than it has.
     pub fn held(&self) -> Resources {
-        amounts::larger(&amounts::larger(&self.need, &self.learned), &self.usage)
+        let held = amounts::larger(&amounts::larger(&self.need, &self.learned), &self.usage);
+        if self.usage.milli_cpus == 0 || self.permille < FULL_SPEED {
+            return held;
+        }
+        Resources { milli_cpus: self.need.milli_cpus.max(self.usage.milli_cpus), ..held }
     }
 }
