test: requests go the whole path between real processes

Cause: the thin path must hold between processes before anything is built on it. The first run showed two faults: idle links were given up as silent every second, because a pong in the same millisecond as its ping counted as none (compared with <, now <=); and the harness waited for an idle entry to route into a far domain, which the router rightly does not do, so it now reads the entry's status.

--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -15,7 +15,7 @@
 use crate::plan::{REGION, SERVICE, SHARED_KEY};
 use crate::standins::Standins;
 use crate::{
-    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Operator, Plan, Process, Scratch, Send,
+    AgentPlace, Binaries, Caller, EntryPlace, Loopback, Operator, Plan, Process, Scratch,
     StandinPlace, wait_until,
 };
 
@@ -93,12 +93,17 @@
         }
     }
 
-    /// Sends a request to an entry and tells whether it ran beside the agent.
+    /// Tells whether an entry has a link to the agent and both have a configuration in force.
+    ///
+    /// Requests do not show it: an idle entry sends them to its own failure domain alone.
     async fn reaches(&self, entry: usize, agent: usize) -> bool {
-        let caller = self.caller(entry);
-        let told = caller.send(&Send::get()).await;
-        let record = self.agents[agent].minion_record().await.unwrap_or_default();
-        record.iter().any(|event| event.request_id == told.request_id)
+        let Ok((_, status)) = self.operator(entry).get("/api/status").await else { return false };
+        let name = self.agents[agent].name();
+        let agents = status["state"]["agents"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let found = agents.iter().find(|seen| seen["name"] == name);
+        found.is_some_and(|seen| {
+            seen["connected"] == true && seen["revision"].as_u64().unwrap_or(0) > 0
+        })
     }
 
     /// Returns a caller that uses an entry.
--- a/crates/geraniumpost/src/agent/role.rs
+++ b/crates/geraniumpost/src/agent/role.rs
@@ -11,7 +11,7 @@
 use super::{AgentContext, heartbeats, links, minion_runs};
 use crate::config::{ConfigHolder, ConfigKeeper, follow_peers};
 use crate::datagram_socket::DatagramSocket;
-use crate::metrics::{self, Metrics};
+use crate::metrics::{Metrics, serve_metrics};
 use crate::stop_signal::{stop_signal, stopped};
 use crate::{logs, runtime};
 
@@ -68,7 +68,10 @@
     tokio::spawn(heartbeats::announce(Arc::clone(cx), Arc::clone(socket)));
     tokio::spawn(heartbeats::hear(Arc::clone(cx), Arc::clone(socket)));
     if let Some(address) = cx.settings.metrics {
-        metrics::serve(address, Arc::clone(&cx.metrics)).await?;
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.wrap_err_with(|| format!("metrics on {address}"))?;
+        let metrics = Arc::clone(&cx.metrics);
+        tokio::spawn(serve_metrics(listener, metrics, std::future::pending()));
     }
     Ok(())
 }
--- a/crates/geraniumpost/src/entry/link_keeper.rs
+++ b/crates/geraniumpost/src/entry/link_keeper.rs
@@ -129,7 +129,7 @@
 impl PingRecord {
     fn is_silent(&mut self, link: &AgentLink, now: Millis) -> bool {
         let since_look = now.since(std::mem::replace(&mut self.looked_at, now));
-        let answered = self.asked_at.is_some_and(|asked| link.silent_ms(now) < now.since(asked));
+        let answered = self.asked_at.is_some_and(|asked| link.silent_ms(now) <= now.since(asked));
         // After a pause of this process the answers lie unread in the socket: that is no silence.
         let paused = since_look > 2 * PING.as_millis() as u64;
         if answered || paused {
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -82,8 +82,7 @@
                 request = req.id,
                 customer = req.caller.name,
                 service = req.service_name,
-                attempt = attempt,
-                choice = choice
+                attempt = attempt; choice
             ),
             Err(why) => decision!(
                 "route",
--- a/crates/geraniumpost/src/logs.rs
+++ b/crates/geraniumpost/src/logs.rs
@@ -113,6 +113,8 @@
 
 /// Logs one routing or placement decision with its fields, if decisions are logged.
 ///
+/// What follows a semicolon writes its own fields, as the decisions of the core do.
+///
 /// The fields are not evaluated when decisions are off, so that it costs one load then.
 ///
 /// # Example
@@ -122,6 +124,14 @@
 /// ```
 #[macro_export]
 macro_rules! decision {
+    ($kind:literal, $($key:ident = $value:expr),+ ; $fields:expr) => {
+        if $crate::logs::decisions_on() {
+            $crate::logs::write_decision(format_args!(
+                concat!("decision=", $kind, $(" ", stringify!($key), "={}"),+, " {}"),
+                $($value),+, $fields
+            ));
+        }
+    };
     ($kind:literal, $($key:ident = $value:expr),+ $(,)?) => {
         if $crate::logs::decisions_on() {
             $crate::logs::write_decision(format_args!(
--- /dev/null
+++ b/crates/geraniumpost/tests/thin_path.rs
@@ -0,0 +1,44 @@
+//! The whole path as separate processes.
+
+use geraniumpost_harness::check::Word;
+use geraniumpost_harness::{Binaries, Fleet, Plan, Send};
+
+fn binaries() -> Binaries {
+    Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_come_back_whole_through_either_entry() {
+    let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
+    let mut told = Vec::new();
+    for number in 0..40 {
+        let send = if number % 2 == 0 { Send::get() } else { Send::post() };
+        let send = send.body(vec![number; 3000]).answer_bytes(20_000);
+        told.push(fleet.caller(usize::from(number) % 2).send(&send).await);
+    }
+    assert!(told.iter().all(|told| matches!(told.word, Word::Answered { .. })), "{told:#?}");
+    fleet.assert_promises_to_callers(&told).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeat_with_the_same_key_gets_the_first_answer_through_another_entry() {
+    let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
+    let send = Send::post().key("badge-17").body("visitor");
+    let first = fleet.caller(0).send(&send).await;
+    let again = fleet.caller(1).send(&send.again()).await;
+    let Word::Answered { body, .. } = &first.word else { panic!("{first:#?}") };
+    let Word::Answered { body: repeated, .. } = &again.word else { panic!("{again:#?}") };
+    assert_eq!(body, repeated);
+    fleet.assert_promises_to_callers(&[first, again]).await;
+}
+
+/// A pong that arrived in the same millisecond as its ping was sent did not count as an answer, so
+/// entries gave up healthy links every second. Callers saw needless retries and, beside a full retry
+/// budget, refusals.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_links_are_not_taken_for_silent() {
+    let mut fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    let log = fleet.entry(0).output();
+    assert!(!log.contains("is silent"), "{log}");
+}
