--- a/crates/geraniumpost/src/config/follow.rs
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -58,12 +58,11 @@
         };
         read = outcome.is_err();
         note(&mut down, outcome.as_ref().err());
-        match outcome {
-            Ok(asked) => send(asked, wanted).await,
-            Err(_) => {
-                let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
-                tokio::time::sleep(Duration::from_millis(pause)).await;
-            }
+        if let Ok(asked) = outcome {
+            send(asked, wanted).await;
+        } else {
+            let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
         }
     }
 }
