feat(shell): count store calls and log settings that contradict the document

Cause: the metrics of the store were listed and never recorded, and a process whose domain or service the document does not know stayed idle without a word.

Ruled out: counting in each caller of the store (one would be forgotten).

Change: Store::observer tells operation, result and time of each call; Metrics::observed records them; follow_agreement holds each revision put in force against the settings, in entry and agent.

Conclusion: in_flight, agents, jobs, placements and evictions are still to be recorded by entry and planner.

--- a/crates/geraniumpost-platform/src/lib.rs
+++ b/crates/geraniumpost-platform/src/lib.rs
@@ -9,5 +9,5 @@
 pub mod worker;
 
 pub use minion::{Answer, Minion, MinionError, strip_hop_by_hop};
-pub use store::{Expect, LeaseId, Store, StoreError, Versioned, Watched};
+pub use store::{CallResult, Expect, LeaseId, Store, StoreCall, StoreError, Versioned, Watched};
 pub use worker::{Started, TaskOrder, Worker, WorkerError, WorkerTask};
--- a/crates/geraniumpost-platform/src/store/client.rs
+++ b/crates/geraniumpost-platform/src/store/client.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
@@ -10,7 +10,7 @@
 use http_body_util::Full;
 
 use super::path::kv_path;
-use super::{Expect, LeaseId, StoreError, Versioned, Watched};
+use super::{CallResult, Expect, LeaseId, StoreCall, StoreError, Versioned, Watched};
 use crate::http::{Client, Exchange, SendError};
 
 /// Header that binds a key to a lease.
@@ -25,18 +25,23 @@
 /// Client of the platform's key-value service, cheap to clone.
 ///
 /// Every call is counted, because the platform counts them too and a watch is one.
-#[derive(Debug, Clone)]
+#[derive(derive_more::Debug, Clone)]
 pub struct Store {
     client: Arc<Client>,
     calls: Arc<AtomicU64>,
     timeout: Duration,
+    #[debug(skip)]
+    observer: Option<Observer>,
 }
 
+/// Takes note of each call, as metrics do.
+type Observer = Arc<dyn Fn(StoreCall) + Send + Sync>;
+
 impl Store {
     /// Creates a client of the service at `address`; connections are opened when needed.
     pub fn new(address: SocketAddr) -> Self {
         let client = Arc::new(Client::new(address, CONNECTIONS, MAX_VALUE));
-        Self { client, calls: Arc::default(), timeout: TIMEOUT }
+        Self { client, calls: Arc::default(), timeout: TIMEOUT, observer: None }
     }
 
     /// Sets the time for a call, after which it fails as [`StoreError::Uncertain`].
@@ -46,6 +51,13 @@
         self
     }
 
+    /// Tells `observer` of each call at its end.
+    #[must_use]
+    pub fn observer(mut self, observer: impl Fn(StoreCall) + Send + Sync + 'static) -> Self {
+        self.observer = Some(Arc::new(observer));
+        self
+    }
+
     /// Returns the number of calls made through this client and its clones.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
@@ -178,7 +190,37 @@
     ) -> Result<Exchange, SendError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let req = req.body(Full::new(body)).map_err(|e| SendError::NotSent(e.to_string()))?;
-        self.client.exchange(req, timeout).await
+        let operation = operation(req.method(), req.uri().path());
+        let begin = Instant::now();
+        let outcome = self.client.exchange(req, timeout).await;
+        if let Some(observer) = &self.observer {
+            observer(StoreCall { operation, result: result(&outcome), took: begin.elapsed() });
+        }
+        outcome
+    }
+}
+
+fn operation(method: &Method, path: &str) -> &'static str {
+    match (path.split('/').nth(2), method) {
+        (Some("watch"), _) => "watch",
+        (Some("leases"), _) => "lease",
+        (_, &Method::PUT) => "put",
+        (_, &Method::DELETE) => "delete",
+        _ => "get",
+    }
+}
+
+/// Judges a call as [`unexpected`] does, without knowing what was asked.
+fn result(outcome: &Result<Exchange, SendError>) -> CallResult {
+    match outcome {
+        Ok(exchange) => match exchange.status {
+            StatusCode::PRECONDITION_FAILED => CallResult::Conflict,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => CallResult::Refused,
+            status if status.is_server_error() => CallResult::Lost,
+            _ => CallResult::Ok,
+        },
+        Err(SendError::NotSent(_)) => CallResult::Refused,
+        Err(_) => CallResult::Lost,
     }
 }
 
--- a/crates/geraniumpost-platform/tests/store.rs
+++ b/crates/geraniumpost-platform/tests/store.rs
@@ -227,3 +227,34 @@
     assert_eq!(counts.total(), store.calls());
     assert_eq!((counts.put, counts.conflicts, counts.watch, counts.writes()), (2, 1, 1, 5));
 }
+
+/// Metrics are made from what the observer is told; an outage must not look like health.
+#[tokio::test]
+async fn every_call_is_told_to_the_observer() {
+    let (standin, store) = store().await;
+    let told = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let notes = std::sync::Arc::clone(&told);
+    let store = store.timeout(SHORT).observer(move |call| {
+        notes.lock().unwrap().push((call.operation, call.result.to_string()));
+    });
+    store.put("a", "1", Expect::Absent, None).await.unwrap();
+    store.put("a", "2", Expect::Absent, None).await.unwrap_err();
+    store.get("none").await.unwrap();
+    store.watch("a", 9, Duration::from_millis(1)).await.unwrap();
+    store.grant(Duration::from_secs(1)).await.unwrap();
+    set(&standin, StoreFaults { down: Down::Unavailable, ..StoreFaults::default() }).await;
+    store.delete("a", 1).await.unwrap_err();
+    set(&standin, StoreFaults { down: Down::Hang, ..StoreFaults::default() }).await;
+    store.get("a").await.unwrap_err();
+    let told: Vec<(&str, String)> = told.lock().unwrap().clone();
+    let expected = [
+        ("put", "ok"),
+        ("put", "conflict"),
+        ("get", "ok"),
+        ("watch", "ok"),
+        ("lease", "ok"),
+        ("delete", "refused"),
+        ("get", "lost"),
+    ];
+    assert_eq!(told, expected.map(|(operation, result)| (operation, result.to_owned())));
+}
--- a/crates/geraniumpost/src/agent/role.rs
+++ b/crates/geraniumpost/src/agent/role.rs
@@ -2,14 +2,15 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
+use geraniumpost_config::check_membership;
 use geraniumpost_net::SharedKey;
-use geraniumpost_schema::{AgentSettings, ToEntry};
+use geraniumpost_schema::{AgentSettings, Document, ToEntry};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
 use super::{AgentContext, heartbeats, links, minion_runs};
-use crate::config::{ConfigHolder, ConfigKeeper, follow_peers};
+use crate::config::{ConfigHolder, ConfigKeeper, follow_agreement, follow_peers};
 use crate::datagram_socket::DatagramSocket;
 use crate::metrics::{Metrics, serve_metrics};
 use crate::stop_signal::{stop_signal, stopped};
@@ -61,6 +62,9 @@
     tokio::spawn(follow_peers(Arc::clone(&cx.keeper), wanted_tx));
     // Entries push their revision when a heartbeat shows an older one, so nothing is asked for.
     tokio::spawn(async move { while wanted.recv().await.is_some() {} });
+    let settings = cx.settings.clone();
+    let check = move |document: &Document| check_membership(&settings, document);
+    tokio::spawn(follow_agreement(Arc::clone(cx.keeper.holder()), check));
     adopt_limits(cx);
     tokio::spawn(follow_limits(Arc::clone(cx)));
     tokio::spawn(tick_desk(Arc::clone(cx)));
--- a/crates/geraniumpost/src/config/mod.rs
+++ b/crates/geraniumpost/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration in force in this process, and the ways in which it changes.
 
+mod agreement;
 mod caller;
 mod follow;
 mod holder;
@@ -8,6 +9,7 @@
 mod wanted;
 mod writer;
 
+pub use agreement::follow_agreement;
 pub use caller::Caller;
 pub use follow::{follow_peers, follow_store};
 pub use holder::ConfigHolder;
--- a/crates/geraniumpost/src/entry/role.rs
+++ b/crates/geraniumpost/src/entry/role.rs
@@ -2,14 +2,15 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
+use geraniumpost_config::check_entry_membership;
 use geraniumpost_net::SharedKey;
 use geraniumpost_platform::Store;
-use geraniumpost_schema::EntrySettings;
+use geraniumpost_schema::{Document, EntrySettings};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
 use super::{EntryContext, callers, datagrams, links, views};
-use crate::config::{ConfigHolder, ConfigKeeper, Wanted, follow_store};
+use crate::config::{ConfigHolder, ConfigKeeper, Wanted, follow_agreement, follow_store};
 use crate::console::{Console, ConsoleContext, first_token};
 use crate::datagram_socket::DatagramSocket;
 use crate::metrics::Metrics;
@@ -41,6 +42,7 @@
     let store = Store::new(settings.store).timeout(STORE_TIME);
     let keeper = Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), GATHER_MS));
     let metrics = Arc::new(Metrics::new()?);
+    let store = metrics.observed(store);
     let (planner_tx, planner_rx) = mpsc::unbounded_channel();
     let cx = Arc::new(EntryContext::new(settings, store, keeper, metrics, planner_tx));
     spdlog::info!("entry {} incarnation {:x}", cx.me.name, cx.me.incarnation);
@@ -61,6 +63,9 @@
     let (wanted_tx, wanted) = mpsc::channel(16);
     let following = follow_store(Arc::clone(&cx.keeper), cx.store.clone(), wanted_tx);
     tokio::spawn(following);
+    let settings = cx.settings.clone();
+    let check = move |document: &Document| check_entry_membership(&settings, document);
+    tokio::spawn(follow_agreement(Arc::clone(cx.keeper.holder()), check));
     tokio::spawn(fetch_wanted(Arc::clone(cx), wanted));
     tokio::spawn(follow_limits(Arc::clone(cx)));
     tokio::spawn(datagrams::hear(Arc::clone(cx), Arc::clone(socket)));
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -1,6 +1,8 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, eyre};
+use geraniumpost_platform::Store;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -121,6 +123,16 @@
         self.store_call_duration.record(took.as_secs_f64(), &[operation]);
     }
 
+    /// Returns the store with each of its calls counted here.
+    #[must_use]
+    pub fn observed(self: &Arc<Self>, store: Store) -> Store {
+        let metrics = Arc::clone(self);
+        store.observer(move |call| {
+            metrics.store_call(call.operation, &call.result.to_string(), call.took);
+            metrics.store_up(call.result.is_healthy());
+        })
+    }
+
     /// Notes whether the store answers.
     pub fn store_up(&self, up: bool) {
         self.store_up.record(u64::from(up), &[]);
--- a/crates/geraniumpost/tests/config_fleet.rs
+++ b/crates/geraniumpost/tests/config_fleet.rs
@@ -205,6 +205,11 @@
     );
     assert!(committed > 10, "only {committed} changes were accepted: {told:#?}");
     never_reverts(&seen.lock().unwrap());
+    let metrics = client(consoles[0]).call(Method::GET, "/metrics", Vec::new()).await.unwrap();
+    let metrics = metrics.body.as_str().unwrap_or_default().to_owned();
+    for text in ["store_calls_total{operation=\"watch\"", "geraniumpost_store_up 1"] {
+        assert!(metrics.contains(text), "{text} is missing in {metrics}");
+    }
 }
 
 /// Waits until every process that any entry knows has the revision, and returns how long it took.
