feat(entry): record agents by state and attempts in flight

Cause: both gauges were listed and never recorded.

Change: gauges::record counts what routing sees, at each look for silent agents; the page names the states that are told apart.

Figures: a fleet of three agents shows three as ready.

Conclusion: jobs, placements and evictions wait for the planner's wiring.

--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -8,8 +8,8 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
-use super::EntryContext;
 use super::link_keeper::{Target, keep_link};
+use super::{EntryContext, gauges};
 use crate::datagram_socket::DatagramSocket;
 use crate::drop_reason::reason;
 
@@ -177,4 +177,5 @@
         keepers.0.remove(&agent);
     }
     cx.peers().tick(now);
+    gauges::record(cx);
 }
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod context;
 mod datagrams;
 mod dispatch;
+mod gauges;
 mod incoming;
 mod link_event;
 mod link_keeper;
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -78,7 +78,7 @@
         "service",
         "Time from a request's arrival to its answer.",
     ),
-    Description::new("in_flight", Kind::Gauge, "", "Requests being carried now."),
+    Description::new("in_flight", Kind::Gauge, "", "Attempts at agents being carried now."),
     Description::new(
         "retries",
         Kind::Counter,
@@ -101,7 +101,7 @@
         "agents",
         Kind::Gauge,
         "state",
-        "Agents known, by `ready`, `draining`, `suspect` or `gone`.",
+        "Agents known, by `ready`, `draining`, `ejected` or `disconnected`.",
     ),
     Description::new(
         "store_calls",
--- a/crates/geraniumpost/tests/config_fleet.rs
+++ b/crates/geraniumpost/tests/config_fleet.rs
@@ -207,7 +207,11 @@
     never_reverts(&seen.lock().unwrap());
     let metrics = client(consoles[0]).call(Method::GET, "/metrics", Vec::new()).await.unwrap();
     let metrics = metrics.body.as_str().unwrap_or_default().to_owned();
-    for text in ["store_calls_total{operation=\"watch\"", "geraniumpost_store_up 1"] {
+    for text in [
+        "store_calls_total{operation=\"watch\"",
+        "geraniumpost_store_up 1",
+        "agents{state=\"ready\"} 3",
+    ] {
         assert!(metrics.contains(text), "{text} is missing in {metrics}");
     }
 }
