fix(metrics): show lost log lines, and name labels as the code does

Cause: the page told of lines lost by the log and of a label that nothing writes.

Figures: 40,000 decisions on a log that stands still are counted once over two readings.

--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -140,6 +140,6 @@
         "dropped",
         Kind::Counter,
         "what, why",
-        "Datagrams, frames and log lines dropped; `unproved` ones came from a stranger.",
+        "Datagrams, links, frames, late answers and log lines dropped; `wrong_key` ones came from a stranger.",
     ),
 ];
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, eyre};
@@ -9,6 +10,7 @@
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use super::description::{DESCRIPTIONS, Description};
+use crate::logs;
 
 /// Bounds of the duration histograms in seconds, closest where targets lie.
 const BOUNDS: [f64; 16] =
@@ -37,6 +39,7 @@
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
+    log_lines_lost: AtomicU64,
 }
 
 impl Metrics {
@@ -74,6 +77,7 @@
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
+            log_lines_lost: AtomicU64::new(0),
             registry,
             _provider: provider,
         })
@@ -174,10 +178,19 @@
     ///
     /// Fails if a metric cannot be encoded.
     pub fn render(&self) -> Result<String> {
+        self.note_lost_lines(logs::dropped());
         let mut buf = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buf).wrap_err("metrics")?;
         String::from_utf8(buf).wrap_err("metrics")
     }
+
+    /// Adds the log lines lost since the last look; the log itself cannot reach the meters.
+    fn note_lost_lines(&self, lost: u64) {
+        let before = self.log_lines_lost.fetch_max(lost, Ordering::Relaxed);
+        if lost > before {
+            self.dropped("log", "queue_full", lost - before);
+        }
+    }
 }
 
 fn label(key: &'static str, value: &str) -> KeyValue {
--- a/crates/geraniumpost/tests/logs_overflow.rs
+++ b/crates/geraniumpost/tests/logs_overflow.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use geraniumpost::metrics::Metrics;
 use geraniumpost::{decision, logs};
 use geraniumpost_schema::{LogLevel, LogSettings};
 use spdlog::sink::WriteSink;
@@ -40,4 +41,8 @@
     drop(release);
     assert!(took < Duration::from_secs(5), "40,000 lines took {took:?}");
     assert!(logs::dropped() > 20_000, "{} lines were dropped", logs::dropped());
+    let metrics = Metrics::new().unwrap();
+    metrics.render().unwrap();
+    let shown = format!("dropped_total{{what=\"log\",why=\"queue_full\"}} {}", logs::dropped());
+    assert!(metrics.render().unwrap().contains(&shown), "counted once, however often it is read");
 }
