feat(bench): measure requests by an open loop against real processes

Cause: added latency, bursts, overload and failover need figures from the same run, with waiting counted from when each request was due. Change: bench requests (latency, throughput, burst, overload, failover) and the demo.

--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -1,25 +1,47 @@
 //! Demo, benches and soak runs against real processes, never shipped.
+//!
+//! `cargo xtask demo`, `cargo xtask bench` and `cargo xtask soak` start it in release mode.
 
-use clap::Command;
+use clap::{ArgMatches, Command};
+use eyre::Result;
 
+mod demo;
 mod placement_bench;
+mod requests_bench;
 
-fn main() {
+fn main() -> Result<()> {
     let matches = cli().get_matches();
-    if let Some(("bench", m)) = matches.subcommand() {
-        bench(m);
+    match matches.subcommand() {
+        Some(("bench", m)) => bench(m),
+        Some(("demo", m)) => block_on(demo::run(m)),
+        _ => Ok(()),
     }
 }
 
 /// Builds the command line.
 fn cli() -> Command {
-    let bench = Command::new("bench").about("Measure").subcommand_required(true);
-    Command::new("geraniumpost-bench").subcommand(bench.subcommand(placement_bench::cli()))
+    let bench = Command::new("bench")
+        .about("Measure")
+        .subcommand_required(true)
+        .subcommand(placement_bench::cli())
+        .subcommand(requests_bench::cli());
+    Command::new("geraniumpost-bench")
+        .about("Demo, benches and soak runs of geraniumpost")
+        .subcommand_required(true)
+        .subcommand(bench)
+        .subcommand(demo::cli())
 }
 
 /// Runs one bench.
-fn bench(m: &clap::ArgMatches) {
-    if let Some(("placement", m)) = m.subcommand() {
-        placement_bench::run(m);
+fn bench(m: &ArgMatches) -> Result<()> {
+    match m.subcommand() {
+        Some(("placement", m)) => placement_bench::run(m),
+        Some(("requests", m)) => return block_on(requests_bench::run(m)),
+        _ => {}
     }
+    Ok(())
+}
+
+fn block_on(work: impl Future<Output = Result<()>>) -> Result<()> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(work)
 }
--- a/xtask/src/cargo.rs
+++ b/xtask/src/cargo.rs
@@ -20,7 +20,20 @@
 ///
 /// Fails if a build fails or the chore reports that something was wrong.
 pub fn bench_tool(root: &Path, chore: &str, rest: &[String]) -> Result<()> {
-    cargo(root, &["build", "--release", "--quiet", "--bins", "-p", "geraniumpost"], &[])?;
+    cargo(
+        root,
+        &[
+            "build",
+            "--release",
+            "--quiet",
+            "--bins",
+            "-p",
+            "geraniumpost",
+            "-p",
+            "geraniumpost-standin",
+        ],
+        &[],
+    )?;
     let run = ["run", "--release", "--quiet", "-p", "geraniumpost-bench", "--", chore];
     cargo(root, &run, rest)
 }
