--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -1,12 +1,16 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, eyre};
+use geraniumpost_platform::Store;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder as _, Registry, TextEncoder};
 
 use super::description::{DESCRIPTIONS, Description};
+use crate::logs;
 
 /// Bounds of the duration histograms in seconds, closest where targets lie.
 const BOUNDS: [f64; 16] =
@@ -35,6 +39,7 @@
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
+    log_lines_lost: AtomicU64,
 }
 
 impl Metrics {
@@ -72,6 +77,7 @@
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
+            log_lines_lost: AtomicU64::new(0),
             registry,
             _provider: provider,
         })
@@ -121,6 +127,16 @@
         self.store_call_duration.record(took.as_secs_f64(), &[operation]);
     }
 
+    /// Returns the store with each of its calls counted here.
+    #[must_use]
+    pub fn observed(self: &Arc<Self>, store: Store) -> Store {
+        let metrics = Arc::clone(self);
+        store.observer(move |call| {
+            metrics.store_call(call.operation, &call.result.to_string(), call.took);
+            metrics.store_up(call.result.is_healthy());
+        })
+    }
+
     /// Notes whether the store answers.
     pub fn store_up(&self, up: bool) {
         self.store_up.record(u64::from(up), &[]);
@@ -162,10 +178,19 @@
     ///
     /// Fails if a metric cannot be encoded.
     pub fn render(&self) -> Result<String> {
+        self.note_lost_lines(logs::dropped());
         let mut buf = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buf).wrap_err("metrics")?;
         String::from_utf8(buf).wrap_err("metrics")
     }
+
+    /// Adds the log lines lost since the last look; the log itself cannot reach the meters.
+    fn note_lost_lines(&self, lost: u64) {
+        let before = self.log_lines_lost.fetch_max(lost, Ordering::Relaxed);
+        if lost > before {
+            self.dropped("log", "queue_full", lost - before);
+        }
+    }
 }
 
 fn label(key: &'static str, value: &str) -> KeyValue {
