perf(core): count throttled tasks by their share, and wait longer for a harmless place

Cause: a task throttled to a quarter still held all its processors, and after 30 s of patience a noisy job started beside a pressed service only to be throttled. Change: a throttled task holds its share (the worker enforces it) and is sped up only if there is room; a job that would push a service over 0.85 of its target waits up to ten minutes while quieter ones start; calm begins at 0.75 of the target.

--- a/crates/geraniumpost-core/src/placement/deciding.rs
+++ b/crates/geraniumpost-core/src/placement/deciding.rs
@@ -17,13 +17,13 @@
 /// One worker in this many may be kept for starved jobs.
 const HOLD_SHARE: usize = 16;
 /// Predicted p99, in targets, over which a job rather waits.
-const TOO_HARMFUL: f64 = 1.0;
+const TOO_HARMFUL: f64 = 0.85;
 /// Harm, in targets, that is not worth waiting for.
 const HARMLESS: f64 = 0.02;
 /// How long a normal job waits for a harmless place.
-const NORMAL_PATIENCE_MS: u64 = 30_000;
+const NORMAL_PATIENCE_MS: u64 = 600_000;
 /// How long a scavenger waits for a harmless place.
-const SCAVENGER_PATIENCE_MS: u64 = 300_000;
+const SCAVENGER_PATIENCE_MS: u64 = 900_000;
 /// One start in this many goes to another of the good candidates, so that pairs are learned.
 const EXPLORE_ONE_IN: u32 = 50;
 /// Predicted p99, in targets, up to which a start may explore.
--- a/crates/geraniumpost-core/src/placement/gauge.rs
+++ b/crates/geraniumpost-core/src/placement/gauge.rs
@@ -5,7 +5,7 @@
 /// Smoothed latency, in targets, from which a service counts as pressed.
 const HIGH: f64 = 0.9;
 /// Smoothed latency, in targets, under which a service counts as calm.
-const LOW: f64 = 0.65;
+const LOW: f64 = 0.75;
 
 /// A service's recent latency on one worker, with two bounds so that noise between them does
 /// nothing.
--- a/crates/geraniumpost-core/src/placement/task_view.rs
+++ b/crates/geraniumpost-core/src/placement/task_view.rs
@@ -105,9 +105,18 @@
         self.started
     }
 
+    /// Returns the processors it takes at full speed, in thousandths.
+    pub(super) fn full_milli_cpus(&self) -> u64 {
+        let seen = self.need.milli_cpus.max(self.usage.milli_cpus);
+        if self.permille < FULL_SPEED || self.usage.milli_cpus == 0 {
+            return seen.max(self.learned.milli_cpus);
+        }
+        seen
+    }
+
     /// Returns the processors it may use at its present speed, in thousandths.
     pub(super) fn active_milli_cpus(&self) -> f64 {
-        self.held().milli_cpus as f64 * f64::from(self.permille) / f64::from(FULL_SPEED)
+        self.full_milli_cpus() as f64 * f64::from(self.permille) / f64::from(FULL_SPEED)
     }
 
     /// Returns what the task counts for: never below what it was seen to use.
@@ -116,9 +125,13 @@
     /// in, and the VM would hold more than it has.
     pub fn held(&self) -> Resources {
         let held = amounts::larger(&amounts::larger(&self.need, &self.learned), &self.usage);
-        if self.usage.milli_cpus == 0 || self.permille < FULL_SPEED {
-            return held;
-        }
-        Resources { milli_cpus: self.need.milli_cpus.max(self.usage.milli_cpus), ..held }
+        let milli_cpus = if self.permille < FULL_SPEED {
+            held.milli_cpus * u64::from(self.permille) / u64::from(FULL_SPEED)
+        } else if self.usage.milli_cpus > 0 {
+            self.need.milli_cpus
+        } else {
+            held.milli_cpus
+        };
+        Resources { milli_cpus: milli_cpus.max(self.usage.milli_cpus), ..held }
     }
 }
