perf(core): keep a little room free for urgent jobs while some come

Change: for every eight urgent starts of the last two minutes one worker keeps room for the largest of them, at most on one worker in four; nothing is kept where none came.

--- a/crates/geraniumpost-core/src/placement/deciding.rs
+++ b/crates/geraniumpost-core/src/placement/deciding.rs
@@ -103,6 +103,7 @@
             excluded: &excluded,
             kept: hold.map(|hold| hold.worker),
             takes_held: false,
+            urgent: wish.priority == Priority::Urgent,
             groups: [fleet.group(&wish.customer, &wish.class), draft.group(wish)],
         };
         let found = scan.run(draft);
@@ -140,6 +141,9 @@
         let worker = name(&chosen);
         draft.start(chosen.at, wish, need, chosen.added);
         self.holds.drop(&wish.job);
+        if wish.priority == Priority::Urgent {
+            self.urgent_demand.note(now, need);
+        }
         Decision::Start { job: wish.job.clone(), worker, need: *need, score: chosen.score, why }
     }
 
--- a/crates/geraniumpost-core/src/placement/draft.rs
+++ b/crates/geraniumpost-core/src/placement/draft.rs
@@ -10,6 +10,8 @@
 pub struct Draft {
     /// The workers.
     pub rows: Vec<DraftRow>,
+    /// Room that workers with [`DraftRow::spare`] keep free.
+    pub room: Resources,
     holdings: HashMap<Name, Resources>,
     groups: HashMap<(Name, Name), Group>,
     slopes: HashMap<Name, Vec<f64>>,
@@ -37,9 +39,23 @@
     pub limit: u32,
     /// Whether it is kept for a job.
     pub held: bool,
+    /// Whether it keeps room free for urgent jobs.
+    pub spare: bool,
 }
 
 impl Draft {
+    /// Keeps room for urgent jobs free on the workers that have or nearly have it.
+    pub fn keep_rooms(&mut self, rooms: usize, room: Resources) {
+        self.room = room;
+        let open = self.rows.iter().enumerate().filter(|(_, row)| !row.held && row.limit > 0);
+        let mut short: Vec<(u64, usize)> =
+            open.map(|(at, row)| (amounts::minus(&room, &row.free).milli_cpus, at)).collect();
+        short.sort_unstable();
+        for (_, at) in short.into_iter().take(rooms) {
+            self.rows[at].spare = true;
+        }
+    }
+
     /// Takes a job's start into account.
     pub fn start(&mut self, at: usize, wish: &Wish, need: &Resources, added: f64) {
         let row = &mut self.rows[at];
--- a/crates/geraniumpost-core/src/placement/mod.rs
+++ b/crates/geraniumpost-core/src/placement/mod.rs
@@ -39,6 +39,7 @@
 mod sizes;
 mod span;
 mod task_view;
+mod urgent_demand;
 mod urgent_room;
 mod wish;
 mod worker_record;
--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -14,6 +14,7 @@
 use super::holds::Holds;
 use super::queue::Queue;
 use super::sizes::Sizes;
+use super::urgent_demand::UrgentDemand;
 use super::{Decision, Fleet, PlacementPolicy, Wish};
 use crate::Millis;
 
@@ -48,6 +49,7 @@
     pub(super) forecasts: Forecasts,
     pub(super) blame: Blame,
     pub(super) holds: Holds,
+    pub(super) urgent_demand: UrgentDemand,
     pub(super) budget: EvictionBudget,
     pub(super) outgrown: BTreeSet<Name>,
     pub(super) evicting: BTreeMap<Name, Millis>,
@@ -70,6 +72,7 @@
             forecasts: Forecasts::default(),
             blame: Blame::default(),
             holds: Holds::default(),
+            urgent_demand: UrgentDemand::default(),
             budget: EvictionBudget::default(),
             outgrown: BTreeSet::new(),
             evicting: BTreeMap::new(),
@@ -99,6 +102,10 @@
         let mut decisions = self.blame.review(now);
         decisions.extend(self.relieve(now, fleet));
         let mut draft = self.draft(fleet);
+        let rooms = self.urgent_demand.rooms(now, draft.rows.len());
+        if rooms > 0 {
+            draft.keep_rooms(rooms, self.urgent_demand.room());
+        }
         let mut queue = Queue::new(now, wishes, fleet, &self.policy);
         while let Some(wish) = queue.pop() {
             let decided = self.decide(now, wish, fleet, &mut draft, rng);
@@ -148,6 +155,7 @@
                 forecast,
                 limit: u32::MAX,
                 held: false,
+                spare: false,
             });
         }
         self.close(fleet, &mut draft);
--- a/crates/geraniumpost-core/src/placement/scan.rs
+++ b/crates/geraniumpost-core/src/placement/scan.rs
@@ -28,6 +28,8 @@
     pub kept: Option<WorkerKey>,
     /// Whether workers kept for other jobs may be taken.
     pub takes_held: bool,
+    /// Whether the job may use room kept free for urgent ones.
+    pub urgent: bool,
     /// Where tasks of the same customer and class run, and are about to.
     pub groups: [Option<&'a Group>; 2],
 }
@@ -59,7 +61,7 @@
     pub fn run(&self, draft: &Draft) -> Found {
         let mut found = Found::default();
         for (at, row) in draft.rows.iter().enumerate() {
-            if !self.may_take(row) {
+            if !self.may_take(row, &draft.room) {
                 continue;
             }
             found.weighed += 1;
@@ -68,10 +70,13 @@
         found
     }
 
-    fn may_take(&self, row: &DraftRow) -> bool {
+    fn may_take(&self, row: &DraftRow, room: &Resources) -> bool {
         let kept = self.takes_held || !row.held || self.kept == Some(row.key);
         kept && row.limit > 0
             && amounts::fits(self.need, &row.free)
+            && (!row.spare
+                || self.urgent
+                || amounts::fits(&amounts::plus(self.need, room), &row.free))
             && !self.excluded.contains(&row.key)
     }
 
