perf(core): let services come up to their target, give lifted speed its room

Cause: throttling began at 0.9 of the target and calm at 0.75, and a task sped up in the same call as a start was not counted against the room. Change: throttle over the target, lift under 0.85 of it if the model predicts no more than the target; lifted processors are taken from the draft; packing is only a tie-breaker (0.005).

--- a/crates/geraniumpost-bench/src/placement_bench/world.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/world.rs
@@ -455,9 +455,12 @@
         }
     }
 
+    /// Gives a job up; whatever it had saved is lost with it.
     fn drop_job(&mut self, job: usize) {
-        self.waiting.remove(&job);
-        if !self.scenario.jobs[job].poison {
+        let Some(waiting) = self.waiting.remove(&job) else { return };
+        let truth = &self.scenario.jobs[job];
+        self.tally.wasted += (truth.work_ms - waiting.left) * truth.real.milli_cpus as f64;
+        if !truth.poison {
             self.tally.wronged += 1;
         }
     }
--- a/crates/geraniumpost-core/src/placement/draft.rs
+++ b/crates/geraniumpost-core/src/placement/draft.rs
@@ -3,7 +3,7 @@
 use geraniumpost_schema::{Name, Resources};
 
 use super::group::Group;
-use super::{Fleet, Wish, WorkerKey, amounts};
+use super::{Decision, Fleet, Wish, WorkerKey, amounts};
 
 /// Room and holdings as they will be once this call's decisions are carried out.
 #[derive(Debug, Default)]
@@ -56,6 +56,19 @@
         }
     }
 
+    /// Takes the processors away that sped up tasks take back; else a start in the same call would
+    /// be given them too.
+    pub fn speed_up(&mut self, decisions: &[Decision], fleet: &Fleet) {
+        for decision in decisions {
+            let Decision::Throttle { job, worker, permille, .. } = decision else { continue };
+            let Some(key) = fleet.key(worker) else { continue };
+            let task = fleet.view(key).tasks.iter().find(|task| task.job == *job);
+            let Some(row) = self.rows.iter_mut().find(|row| row.key == key) else { continue };
+            let more = task.map_or(0, |task| task.more_milli_cpus(*permille));
+            row.free.milli_cpus = row.free.milli_cpus.saturating_sub(more);
+        }
+    }
+
     /// Takes a job's start into account.
     pub fn start(&mut self, at: usize, wish: &Wish, need: &Resources, added: f64) {
         let row = &mut self.rows[at];
--- a/crates/geraniumpost-core/src/placement/gauge.rs
+++ b/crates/geraniumpost-core/src/placement/gauge.rs
@@ -3,9 +3,9 @@
 /// Weight of a new measurement in the smoothed one.
 const SMOOTHING: f64 = 0.3;
 /// Smoothed latency, in targets, from which a service counts as pressed.
-const HIGH: f64 = 0.9;
+const HIGH: f64 = 1.0;
 /// Smoothed latency, in targets, under which a service counts as calm.
-const LOW: f64 = 0.75;
+const LOW: f64 = 0.85;
 
 /// A service's recent latency on one worker, with two bounds so that noise between them does
 /// nothing.
--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -102,6 +102,7 @@
         let mut decisions = self.blame.review(now);
         decisions.extend(self.relieve(now, fleet));
         let mut draft = self.draft(fleet);
+        draft.speed_up(&decisions, fleet);
         let rooms = self.urgent_demand.rooms(now, draft.rows.len());
         if rooms > 0 {
             draft.keep_rooms(rooms, self.urgent_demand.room());
--- a/crates/geraniumpost-core/src/placement/pressure.rs
+++ b/crates/geraniumpost-core/src/placement/pressure.rs
@@ -23,7 +23,7 @@
 /// Least harm, in targets, for which a task is slowed.
 const WORTH_SLOWING: f64 = 0.05;
 /// Predicted latency, in targets, up to which a task is sped up again.
-const ROOM_TO_LIFT: f64 = 0.9;
+const ROOM_TO_LIFT: f64 = 1.0;
 
 /// What to do about one worker's service.
 pub struct Pressure<'a> {
@@ -60,9 +60,7 @@
             return None;
         }
         let permille = (task.permille * 2).min(FULL_SPEED);
-        let more =
-            task.full_milli_cpus() * u64::from(permille - task.permille) / u64::from(FULL_SPEED);
-        if more > self.view.free().milli_cpus {
+        if task.more_milli_cpus(permille) > self.view.free().milli_cpus {
             return None;
         }
         let why = Reason::Calm { p99_permille: permille_of(self.gauge.smoothed) };
--- a/crates/geraniumpost-core/src/placement/scan.rs
+++ b/crates/geraniumpost-core/src/placement/scan.rs
@@ -9,7 +9,7 @@
 /// Candidates that a decision names.
 const NAMED: usize = 3;
 /// Weight of packing: a worker that the job fills is taken before one that it breaks up.
-const PACKING: f64 = 0.02;
+const PACKING: f64 = 0.005;
 /// Weight of each task of the same customer and class on the rack, and half of it in the domain.
 const SPREADING: f64 = 0.01;
 /// Processors that a slope is counted for, in thousandths.
--- a/crates/geraniumpost-core/src/placement/task_view.rs
+++ b/crates/geraniumpost-core/src/placement/task_view.rs
@@ -114,6 +114,12 @@
         seen
     }
 
+    /// Returns the processors it would take in addition at another speed, in thousandths.
+    pub(super) fn more_milli_cpus(&self, permille: u32) -> u64 {
+        let faster = permille.saturating_sub(self.permille);
+        self.full_milli_cpus() * u64::from(faster) / u64::from(FULL_SPEED)
+    }
+
     /// Returns the processors it may use at its present speed, in thousandths.
     pub(super) fn active_milli_cpus(&self) -> f64 {
         self.full_milli_cpus() as f64 * f64::from(self.permille) / f64::from(FULL_SPEED)
