perf(core): look groups up once per scan and relieve only freshly measured workers

Cause: four hash look-ups for each worker and job made up most of a scan, and each call copied all gauges. Change: counts near each worker are laid out once per scan; only workers measured since the last call are looked at. The timing now includes the latency reports that come in between.

--- a/crates/geraniumpost-bench/src/placement_bench/timing.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/timing.rs
@@ -1,7 +1,9 @@
 use std::time::Instant;
 
 use geraniumpost_core::Millis;
-use geraniumpost_core::placement::{Decision, Fleet, Placer, TaskView, Wish, WorkerView};
+use geraniumpost_core::placement::{
+    Decision, Fleet, Observation, Placer, TaskView, Wish, WorkerView,
+};
 use geraniumpost_schema::{Name, Resources};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -12,6 +14,8 @@
 const SIZES: [(usize, usize); 3] = [(11, 100), (100, 900), (570, 5200)];
 /// Decisions timed on each.
 const DECISIONS: usize = 2000;
+/// Job starts a second that the users expect within two years.
+const STARTS_PER_SECOND: usize = 80;
 
 /// Prints the time per decision.
 pub fn run(seed: u64) {
@@ -22,10 +26,12 @@
         let mut fleet = fleet(workers, tasks, &mut rng);
         let scenario = scenario::all(seed).swap_remove(2);
         let mut placer = Placer::new(&scenario::document(&scenario));
+        (0..workers).for_each(|at| report(&mut placer, &mut fleet, at, 0));
         let mut times: Vec<f64> =
             (0..DECISIONS).map(|i| time(&mut placer, &mut fleet, i, &mut rng)).collect();
         times.sort_by(f64::total_cmp);
-        let wishes: Vec<Wish> = (0..80).map(|i| wish(1_000_000 + i, &mut rng)).collect();
+        let wishes: Vec<Wish> =
+            (0..STARTS_PER_SECOND).map(|i| wish(1_000_000 + i, &mut rng)).collect();
         let begun = Instant::now();
         let decided = placer.place(Millis(9_000_000), &wishes, &fleet, &mut rng);
         let each = begun.elapsed().as_secs_f64() * 1e6 / decided.len() as f64;
@@ -34,10 +40,26 @@
     }
 }
 
-/// Times one decision, then takes its effect back so that the fleet stays as full as it is.
+/// Reports a worker's latency.
+fn report(placer: &mut Placer, fleet: &mut Fleet, at: usize, now: u64) {
+    let worker = Name::from(format!("w{at}"));
+    let service = ["filing", "kiosk", "search"][at % 3].into();
+    let (load_permille, p99_us) = (300 + (now % 400) as u32, 50_000);
+    fleet.set_load(&worker, load_permille, p99_us);
+    let at = Millis(now);
+    placer.observe(at, &Observation::Latency { worker, service, load_permille, p99_us, at });
+}
+
+/// Times one decision between the reports that come in while 80 jobs start in a second; the fleet
+/// stays as full as it is.
 fn time(placer: &mut Placer, fleet: &mut Fleet, number: usize, rng: &mut StdRng) -> f64 {
+    let workers = fleet.workers().count();
+    let now = Millis(10_000 + number as u64 * 1000 / STARTS_PER_SECOND as u64);
+    for i in 0..workers.div_ceil(STARTS_PER_SECOND) {
+        let at = (number * workers.div_ceil(STARTS_PER_SECOND) + i) % workers;
+        report(placer, fleet, at, now.0);
+    }
     let wishes = [wish(number, rng)];
-    let now = Millis(10_000 + number as u64);
     let begun = Instant::now();
     let decided = placer.place(now, &wishes, fleet, rng);
     let taken = begun.elapsed().as_secs_f64() * 1e6;
--- a/crates/geraniumpost-core/src/placement/deciding.rs
+++ b/crates/geraniumpost-core/src/placement/deciding.rs
@@ -3,6 +3,7 @@
 
 use super::draft::Draft;
 use super::holds::Hold;
+use super::nearness::Nearness;
 use super::scan::{Found, Scan, Scored};
 use super::urgent_room::UrgentRoom;
 use super::{Candidate, Decision, Fleet, Placer, Reason, Wish, WorkerKey, amounts};
@@ -97,6 +98,7 @@
         let slopes = draft.slopes(&wish.class, ask).to_vec();
         let avoided = wish.excluded.iter().chain(self.blame.failed_on(&wish.job));
         let excluded: Vec<WorkerKey> = avoided.filter_map(|name| fleet.key(name)).collect();
+        let groups = [fleet.group(&wish.customer, &wish.class), draft.group(wish)];
         let mut scan = Scan {
             need,
             slopes: &slopes,
@@ -104,7 +106,7 @@
             kept: hold.map(|hold| hold.worker),
             takes_held: false,
             urgent: wish.priority == Priority::Urgent,
-            groups: [fleet.group(&wish.customer, &wish.class), draft.group(wish)],
+            nearness: &Nearness::new(fleet.places(), &groups),
         };
         let found = scan.run(draft);
         if found.best.is_empty() && excluded.len() > wish.excluded.len() {
--- a/crates/geraniumpost-core/src/placement/fleet.rs
+++ b/crates/geraniumpost-core/src/placement/fleet.rs
@@ -205,6 +205,11 @@
         self.services.names()
     }
 
+    /// Returns how many racks and domains there are.
+    pub(super) fn places(&self) -> usize {
+        self.places.names().len()
+    }
+
     pub(super) fn group(&self, customer: &Name, class: &Name) -> Option<&Group> {
         self.groups.get(&(customer.clone(), class.clone()))
     }
--- a/crates/geraniumpost-core/src/placement/learning.rs
+++ b/crates/geraniumpost-core/src/placement/learning.rs
@@ -49,6 +49,7 @@
             ran.push((self.model.class(&span.class), span.milli_cpus));
         }
         let excess = self.model.observe(service, load, &ran, p99);
+        self.measured.insert(worker.clone());
         self.gauges
             .entry(worker.clone())
             .and_modify(|gauge| gauge.observe(p99, excess, at))
--- a/crates/geraniumpost-core/src/placement/mod.rs
+++ b/crates/geraniumpost-core/src/placement/mod.rs
@@ -22,6 +22,7 @@
 mod holds;
 mod interner;
 mod learning;
+mod nearness;
 mod observation;
 mod outcome;
 mod placer;
--- a/crates/geraniumpost-core/src/placement/pressure.rs
+++ b/crates/geraniumpost-core/src/placement/pressure.rs
@@ -1,11 +1,9 @@
-use std::collections::BTreeMap;
-
 use geraniumpost_schema::{Name, Priority};
 
 use super::gauge::Gauge;
 use super::harm_model::HarmModel;
 use super::task_view::FULL_SPEED;
-use super::{Decision, Fleet, Reason, TaskView, WorkerView};
+use super::{Decision, Reason, TaskView, WorkerView};
 use crate::Millis;
 
 /// How long a service must be pressed before a task is slowed.
@@ -120,18 +118,6 @@
     }
 }
 
-/// Returns the workers that a measure may be due on.
-pub fn due<'a>(
-    gauges: &'a BTreeMap<Name, Gauge>,
-    fleet: &'a Fleet,
-) -> impl Iterator<Item = (&'a WorkerView, &'a Gauge)> {
-    gauges
-        .iter()
-        .filter(|(_, gauge)| gauge.hot_since.is_some() || gauge.calm_since.is_some())
-        .filter_map(|(name, gauge)| fleet.worker(name).map(|view| (view, gauge)))
-        .filter(|(view, _)| !view.tasks.is_empty())
-}
-
 fn permille_of(targets: f64) -> u32 {
     (targets.max(0.0) * 1000.0) as u32
 }
--- a/crates/geraniumpost-core/src/placement/relieving.rs
+++ b/crates/geraniumpost-core/src/placement/relieving.rs
@@ -2,7 +2,7 @@
 
 use geraniumpost_schema::{Name, Priority, Resources};
 
-use super::pressure::{Pressure, due};
+use super::pressure::Pressure;
 use super::task_view::FULL_SPEED;
 use super::{Decision, Fleet, Placer, Reason, Resource, TaskView, WorkerView, amounts};
 use crate::Millis;
@@ -14,8 +14,11 @@
     /// Slows, evicts or speeds up tasks beside services, and where tasks outgrew their VM.
     pub(super) fn relieve(&mut self, now: Millis, fleet: &Fleet) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        let gauges = self.gauges.clone();
-        for (view, gauge) in due(&gauges, fleet) {
+        for worker in std::mem::take(&mut self.measured) {
+            let (Some(view), Some(gauge)) = (fleet.worker(&worker), self.gauges.get(&worker))
+            else {
+                continue;
+            };
             let pressure = Pressure { now, view, gauge, model: &self.model };
             let slowed = pressure.relieve().or_else(|| pressure.lift());
             let evicted = if slowed.is_none() { pressure.evict() } else { None };
--- a/crates/geraniumpost-core/src/placement/scan.rs
+++ b/crates/geraniumpost-core/src/placement/scan.rs
@@ -1,8 +1,8 @@
 use geraniumpost_schema::Resources;
 
 use super::draft::{Draft, DraftRow};
-use super::group::Group;
 use super::harm_model::pressing;
+use super::nearness::Nearness;
 use super::row::NO_SERVICE;
 use super::{WorkerKey, amounts};
 
@@ -30,8 +30,8 @@
     pub takes_held: bool,
     /// Whether the job may use room kept free for urgent ones.
     pub urgent: bool,
-    /// Where tasks of the same customer and class run, and are about to.
-    pub groups: [Option<&'a Group>; 2],
+    /// How many tasks of the same customer and class run, or are about to, near each worker.
+    pub nearness: &'a Nearness,
 }
 
 /// What a scan found.
@@ -84,7 +84,8 @@
         let added = self.added(row);
         let after = row.forecast + added;
         let left = 1.0 - amounts::dominant(self.need, &row.free);
-        let score = harm(after) - harm(row.forecast) + PACKING * left + SPREADING * self.near(row);
+        let score =
+            harm(after) - harm(row.forecast) + PACKING * left + SPREADING * self.nearness.of(row);
         Scored { at, score, added, after }
     }
 
@@ -96,16 +97,6 @@
         let slope = self.slopes.get(row.service as usize).copied().unwrap_or(0.0);
         slope * self.need.milli_cpus as f64 / UNIT_MILLI_CPUS * pressing(row.load)
     }
-
-    fn near(&self, row: &DraftRow) -> f64 {
-        let of = |group: &Group| {
-            let count = |id, counts: &std::collections::HashMap<u32, u32>| {
-                f64::from(counts.get(&id).copied().unwrap_or(0))
-            };
-            count(row.rack, &group.racks) + 0.5 * count(row.domain, &group.domains)
-        };
-        self.groups.iter().flatten().map(|group| of(group)).sum()
-    }
 }
 
 /// Returns the harm of a p99 given in targets.
