fix(core): weigh a worker's failures against runs that had the same chance

Cause: new tests showed two faults. A burst of poison jobs set both workers of a site aside although sound jobs started beside them; and a probe that ran well released its worker without saying so. Change: three failures set a worker aside only if no run that began as late still goes on, six in any case; a run is sound after twice the longest time to failure there (5 s to 2 min) instead of 30 s; a job that fails on a second worker takes its failure back from the first; a released worker is announced.

--- a/crates/geraniumpost-core/src/placement/blame.rs
+++ b/crates/geraniumpost-core/src/placement/blame.rs
@@ -6,8 +6,6 @@
 use super::{Decision, Reason, RunOutcome};
 use crate::Millis;
 
-/// A run this old has outlived the usual time to failure and speaks for its worker.
-const SOUND_AFTER_MS: u64 = 30_000;
 /// Jobs with failures over which those that are gone are looked for.
 const MANY: usize = 64;
 
@@ -41,7 +39,7 @@
     pub fn end(&mut self, job: &Name, worker: &Name, outcome: RunOutcome, at: Millis) {
         let began = self.runs.remove(job).map_or(at, |run| run.began);
         match outcome {
-            RunOutcome::Failed => self.fail(job, worker, at),
+            RunOutcome::Failed => self.fail(job, worker, began, at),
             RunOutcome::Completed => {
                 self.failed_on.remove(job);
                 self.vouch(worker, began);
@@ -71,8 +69,10 @@
         let old: Vec<(Name, Millis)> = self
             .runs
             .values()
-            .filter(|run| now.since(run.began) >= SOUND_AFTER_MS)
-            .filter(|run| self.workers.contains_key(&run.worker))
+            .filter(|run| {
+                let record = self.workers.get(&run.worker);
+                record.is_some_and(|record| now.since(run.began) >= record.sound_after())
+            })
             .map(|run| (run.worker.clone(), run.began))
             .collect();
         for (worker, began) in old {
@@ -80,7 +80,9 @@
         }
         let mut changed = Vec::new();
         for (worker, record) in &mut self.workers {
-            let Some(standing) = record.review(now) else { continue };
+            let mut on = self.runs.values().filter(|run| run.worker == *worker);
+            let pending = on.any(|run| record.counts_since(run.began));
+            let Some(standing) = record.review(now, pending) else { continue };
             changed.push(announce(worker, &standing, record));
         }
         for decision in &changed {
@@ -113,13 +115,16 @@
         self.failed_on.get(job).map_or(&[], Vec::as_slice)
     }
 
-    fn fail(&mut self, job: &Name, worker: &Name, at: Millis) {
+    fn fail(&mut self, job: &Name, worker: &Name, began: Millis, at: Millis) {
         let record = self.workers.entry(worker.clone()).or_default();
         let set_aside = record.is_set_aside();
         let elsewhere = self.failed_on.get(job).is_some_and(|on| on.iter().any(|w| w != worker));
         // A job that failed elsewhere too says little about this worker.
         if !elsewhere || set_aside {
-            record.fail(job, at);
+            record.fail(job, began, at);
+        }
+        if elsewhere && !set_aside {
+            self.acquit_workers_of(job);
         }
         if !set_aside {
             self.failed_on.entry(job.clone()).or_default().push(worker.clone());
@@ -133,6 +138,15 @@
         }
     }
 
+    /// Takes a job's failures back from its workers once it has failed on several.
+    fn acquit_workers_of(&mut self, job: &Name) {
+        for worker in self.failed_on.get(job).into_iter().flatten() {
+            if let Some(record) = self.workers.get_mut(worker).filter(|r| !r.is_set_aside()) {
+                record.acquit(job);
+            }
+        }
+    }
+
     fn acquit_jobs_of(&mut self, worker: &Name) {
         self.failed_on.retain(|_, on| {
             on.retain(|name| name != worker);
--- a/crates/geraniumpost-core/src/placement/worker_record.rs
+++ b/crates/geraniumpost-core/src/placement/worker_record.rs
@@ -2,8 +2,17 @@
 
 use crate::Millis;
 
-/// Different jobs that a worker must fail in a row to be set aside.
+/// Different jobs that a worker must fail in a row to be set aside, if no run that had the same
+/// chance goes on.
 const JOBS_TO_QUARANTINE: usize = 3;
+/// Different jobs that set a worker aside in any case.
+const JOBS_IN_ANY_CASE: usize = 6;
+/// A run is sound once it has lasted this many times the longest time to a failure, ...
+const SOUND_TIMES: u64 = 2;
+/// ... but at least this long, ...
+const SOUND_LEAST_MS: u64 = 5_000;
+/// ... and at most this long.
+const SOUND_MOST_MS: u64 = 120_000;
 /// Different jobs after which a worker gets one job at a time.
 const JOBS_TO_DOUBT: usize = 2;
 /// How long failures count.
@@ -40,39 +49,57 @@
 pub struct WorkerRecord {
     standing: Standing,
     failures: Vec<Failure>,
+    vouched: bool,
 }
 
 /// A job that failed here.
 #[derive(Debug, Clone)]
 struct Failure {
     job: Name,
+    began: Millis,
     at: Millis,
 }
 
 impl WorkerRecord {
     /// Notes a failure; several of one job count once.
-    pub fn fail(&mut self, job: &Name, at: Millis) {
+    pub fn fail(&mut self, job: &Name, began: Millis, at: Millis) {
+        self.acquit(job);
+        self.failures.push(Failure { job: job.clone(), began, at });
+    }
+
+    /// Takes back a failure that turned out to be the job's own.
+    pub fn acquit(&mut self, job: &Name) {
         self.failures.retain(|failure| failure.job != *job);
-        self.failures.push(Failure { job: job.clone(), at });
     }
 
-    /// Clears the worker if a sound run began after its latest failure, or while it was probed.
+    /// Returns how long a run here must last to speak for the worker.
+    pub fn sound_after(&self) -> u64 {
+        let longest = self.failures.iter().map(|failure| failure.at.since(failure.began)).max();
+        (longest.unwrap_or(0) * SOUND_TIMES).clamp(SOUND_LEAST_MS, SOUND_MOST_MS)
+    }
+
+    /// Clears failures of runs that began no later than a sound one, or ends a probe.
     pub fn vouch(&mut self, began: Millis) {
         match self.standing {
-            Standing::Trusted => self.failures.retain(|failure| failure.at > began),
-            Standing::Probing { since, .. } if began >= since => *self = Self::default(),
+            Standing::Trusted => self.failures.retain(|failure| failure.began > began),
+            Standing::Probing { since, .. } if began >= since => self.vouched = true,
             _ => {}
         }
     }
 
-    /// Moves time on and returns the standing if it changed.
-    pub fn review(&mut self, now: Millis) -> Option<Standing> {
+    /// Moves time on and returns the standing if it changed; `pending` tells whether a run that
+    /// had the same chance as the failed ones still goes on.
+    pub fn review(&mut self, now: Millis, pending: bool) -> Option<Standing> {
         self.failures.retain(|failure| now.since(failure.at) < WINDOW_MS);
-        let next = self.next(now);
+        let next = self.next(now, pending);
         if next == self.standing {
             return None;
         }
         self.standing = next;
+        if next == Standing::Trusted {
+            self.failures.clear();
+        }
+        self.vouched = false;
         Some(next)
     }
 
@@ -94,7 +121,7 @@
     pub fn counts_since(&self, began: Millis) -> bool {
         match self.standing {
             Standing::Probing { since, .. } => began >= since,
-            _ => self.failures.first().is_some_and(|failure| began >= failure.at),
+            _ => self.failures.iter().any(|failure| began >= failure.began),
         }
     }
 
@@ -108,9 +135,10 @@
         self.standing == Standing::Trusted && self.failures.is_empty()
     }
 
-    fn next(&self, now: Millis) -> Standing {
+    fn next(&self, now: Millis, pending: bool) -> Standing {
+        let needed = if pending { JOBS_IN_ANY_CASE } else { JOBS_TO_QUARANTINE };
         match self.standing {
-            Standing::Trusted if self.failures.len() >= JOBS_TO_QUARANTINE => set_aside(now, 0),
+            Standing::Trusted if self.failures.len() >= needed => set_aside(now, 0),
             Standing::Quarantined { until, doublings } if now >= until => {
                 Standing::Probing { since: now, doublings }
             }
@@ -119,6 +147,7 @@
             {
                 set_aside(now, (doublings + 1).min(MOST_DOUBLINGS))
             }
+            Standing::Probing { .. } if self.vouched => Standing::Trusted,
             standing => standing,
         }
     }
--- /dev/null
+++ b/crates/geraniumpost-core/tests/placement_support/mod.rs
@@ -0,0 +1,156 @@
+//! What the tests of placement share: a small site that applies decisions as a planner would.
+
+#![allow(dead_code)]
+
+use geraniumpost_core::Millis;
+use geraniumpost_core::placement::{
+    Decision, Fleet, Observation, Placer, RunOutcome, TaskView, Wish, WorkerView,
+};
+use geraniumpost_schema::{Document, Name, Priority, Resources};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+pub const fn amount(milli_cpus: u64, memory_mb: u64) -> Resources {
+    Resources { milli_cpus, memory_mb, accelerators: 0 }
+}
+
+pub fn name(text: &str) -> Name {
+    Name::from(text)
+}
+
+pub fn document() -> Document {
+    serde_json::from_value(serde_json::json!({
+        "customers": {
+            "entel": {"token_sha256": "0", "quota": {}},
+            "claro": {"token_sha256": "0", "quota": {"milli_cpus": 4000}},
+            "bitel": {"token_sha256": "0", "weight": 3, "quota": {}},
+        },
+        "services": {"filing": {"target_p99_ms": 100}},
+        "classes": {}, "domains": {}, "operators": {},
+        "policy": {"evictions_per_minute": 4},
+    }))
+    .expect("a document")
+}
+
+pub fn worker(text: &str, rack: &str) -> WorkerView {
+    WorkerView::new(text, format!("domain-of-{rack}"), rack, amount(16_000, 64_000))
+}
+
+pub fn wish(job: &str, class: &str, need: Resources) -> Wish {
+    Wish::new(job, "entel", class, need)
+}
+
+/// A planner's view of a few workers.
+pub struct Site {
+    pub placer: Placer,
+    pub fleet: Fleet,
+    rng: StdRng,
+}
+
+impl Site {
+    pub fn new(workers: impl IntoIterator<Item = WorkerView>) -> Self {
+        let mut fleet = Fleet::default();
+        for worker in workers {
+            fleet.put_worker(worker);
+        }
+        Self { placer: Placer::new(&document()), fleet, rng: StdRng::seed_from_u64(7) }
+    }
+
+    /// Decides and applies starts and throttles.
+    pub fn place(&mut self, now: u64, wishes: &[Wish]) -> Vec<Decision> {
+        let decided = self.placer.place(Millis(now), wishes, &self.fleet, &mut self.rng);
+        for decision in &decided {
+            match decision {
+                Decision::Start { job, worker, need, .. } => {
+                    let wish = wishes.iter().find(|wish| wish.job() == job).expect("a wish");
+                    self.start(now, wish, worker, *need);
+                }
+                Decision::Throttle { job, worker, permille, .. } => {
+                    self.fleet.update_task(job, |task| task.permille(*permille));
+                    self.observe(
+                        now,
+                        Observation::Throttled {
+                            job: job.clone(),
+                            worker: worker.clone(),
+                            permille: *permille,
+                            at: Millis(now),
+                        },
+                    );
+                }
+                _ => {}
+            }
+        }
+        decided
+    }
+
+    /// Starts a job by hand.
+    pub fn start(&mut self, now: u64, wish: &Wish, worker: &Name, need: Resources) {
+        let (customer, class) = (wish.customer().clone(), wish.class().clone());
+        let job = wish.job().clone();
+        let task =
+            TaskView::new(job.clone(), customer.clone(), class.clone(), *wish.need(), Millis(now));
+        let task = task.learned(need).priority(wish.urgency());
+        assert!(self.fleet.add_task(worker, task), "{job} is started twice");
+        let (worker, at) = (worker.clone(), Millis(now));
+        self.observe(now, Observation::Started { job, customer, class, worker, need, at });
+    }
+
+    pub fn end(&mut self, now: u64, job: &Name, outcome: RunOutcome) {
+        let worker = self.fleet.worker_of(job).expect("a running job").name().clone();
+        self.fleet.remove_task(job);
+        let (job, at) = (job.clone(), Millis(now));
+        self.observe(now, Observation::Ended { job, worker, outcome, at });
+    }
+
+    pub fn latency(&mut self, now: u64, worker: &str, load_permille: u32, p99_ms: u64, at: u64) {
+        let (worker, p99_us, at) = (name(worker), p99_ms * 1000, Millis(at));
+        self.fleet.set_load(&worker, load_permille, p99_us);
+        let service = name("filing");
+        self.observe(now, Observation::Latency { worker, service, load_permille, p99_us, at });
+    }
+
+    pub fn usage(&mut self, now: u64, job: &str, need: Resources, usage: Resources) {
+        let (customer, class) = (name("entel"), name("study"));
+        let (job, at) = (name(job), Millis(now));
+        self.observe(now, Observation::Usage { job, customer, class, need, usage, at });
+    }
+
+    /// Decides without taking anything over.
+    pub fn clone_place(&self, now: u64, wishes: &[Wish]) -> Vec<Decision> {
+        let mut rng = StdRng::seed_from_u64(7);
+        self.placer.clone().place(Millis(now), wishes, &self.fleet, &mut rng)
+    }
+
+    pub fn observe(&mut self, now: u64, seen: Observation) {
+        self.placer.observe(Millis(now), &seen);
+    }
+}
+
+/// Returns where a job was started, if it was.
+pub fn started(decided: &[Decision], of: &str) -> Option<Name> {
+    decided.iter().find_map(|decision| match decision {
+        Decision::Start { job, worker, .. } if job.as_str() == of => Some(worker.clone()),
+        _ => None,
+    })
+}
+
+/// Returns the score of a job's start.
+pub fn score(decided: &[Decision], of: &str) -> f64 {
+    let score = decided.iter().find_map(|decision| match decision {
+        Decision::Start { job, score, .. } if job.as_str() == of => Some(*score),
+        _ => None,
+    });
+    score.unwrap_or_else(|| panic!("{of} was not started: {decided:?}"))
+}
+
+pub fn evicted(decided: &[Decision]) -> Vec<Name> {
+    let of = |decision: &Decision| match decision {
+        Decision::Evict { job, .. } => Some(job.clone()),
+        _ => None,
+    };
+    decided.iter().filter_map(of).collect()
+}
+
+pub fn urgent(job: &str, need: Resources) -> Wish {
+    wish(job, "check", need).priority(Priority::Urgent)
+}
