--- a/crates/geraniumpost-core/src/placement/deciding.rs
+++ b/crates/geraniumpost-core/src/placement/deciding.rs
@@ -48,9 +48,10 @@
         }
         let need = self.size(wish, fleet);
         if let Some(why) = self.over_quota(wish, &need, fleet, draft) {
+            self.give_up_hold(wish, draft);
             return vec![wait(wish, why)];
         }
-        let hold = self.holds.of(&wish.job);
+        let hold = self.holds.of(&wish.job).map(|hold| hold.worker);
         if hold.is_none() && wish.priority != Priority::Urgent && draft.is_hopeless(&need) {
             return vec![self.starve(now, wish, &need, fleet, draft)];
         }
@@ -77,7 +78,8 @@
         draft: &Draft,
     ) -> Option<Reason> {
         let quota = self.policy.customer(&wish.customer)?.quota;
-        let held = draft.holding(&wish.customer, fleet);
+        let own = self.holds.of(&wish.job).map_or(amounts::NONE, |hold| hold.need);
+        let held = amounts::minus(&draft.holding(&wish.customer, fleet), &own);
         let resource = amounts::excess(&amounts::plus(&held, need), &quota)?;
         Some(Reason::OverQuota { customer: wish.customer.clone(), resource })
     }
@@ -86,7 +88,7 @@
         &self,
         wish: &Wish,
         need: &Resources,
-        hold: Option<Hold>,
+        hold: Option<WorkerKey>,
         fleet: &Fleet,
         draft: &mut Draft,
     ) -> Found {
@@ -103,8 +105,7 @@
             need,
             slopes: &slopes,
             excluded: &excluded,
-            kept: hold.map(|hold| hold.worker),
-            takes_held: false,
+            kept: hold,
             urgent: wish.priority == Priority::Urgent,
             nearness: &Nearness::new(fleet.places(), &groups),
         };
@@ -142,7 +143,7 @@
         let why = Reason::LeastHarm { weighed: found.weighed, best: candidates.collect() };
         let worker = name(&chosen);
         draft.start(chosen.at, wish, need, chosen.added);
-        self.holds.drop(&wish.job);
+        self.give_up_hold(wish, draft);
         if wish.priority == Priority::Urgent {
             self.urgent_demand.note(now, need);
         }
@@ -183,7 +184,8 @@
         let avoided: Vec<&Name> =
             wish.excluded.iter().chain(self.blame.failed_on(&wish.job)).collect();
         let allowed = |key: WorkerKey| {
-            let open = draft.rows.iter().any(|row| row.key == key && row.limit > 0 && !row.held);
+            let open =
+                draft.rows.iter().any(|row| row.key == key && row.limit > 0 && !row.is_held());
             open && !avoided.contains(&&fleet.view(key).name)
         };
         let evicting = &self.evicting;
@@ -192,8 +194,7 @@
             return vec![wait(wish, Reason::NoRoom { need: *need })];
         };
         let until = now.plus(URGENT_HOLD_MS);
-        self.holds.put(&wish.job, Hold { worker: room.worker, until, evicting: true });
-        draft.hold(room.worker);
+        self.keep(wish, room.worker, need, until, true, draft);
         let worker = fleet.view(room.worker).name.clone();
         let mut decisions = Vec::new();
         for victim in room.victims {
@@ -210,6 +211,27 @@
         decisions
     }
 
+    fn give_up_hold(&mut self, wish: &Wish, draft: &mut Draft) {
+        if let Some(hold) = self.holds.drop(&wish.job) {
+            draft.release(&hold);
+        }
+    }
+
+    fn keep(
+        &mut self,
+        wish: &Wish,
+        worker: WorkerKey,
+        need: &Resources,
+        until: Millis,
+        evicting: bool,
+        draft: &mut Draft,
+    ) {
+        let customer = wish.customer.clone();
+        let hold = Hold { worker, customer, need: *need, until, evicting };
+        draft.hold(&hold);
+        self.holds.put(&wish.job, hold);
+    }
+
     /// Keeps a worker for a job that has waited long, as smaller jobs would take all room that
     /// becomes free before it is enough.
     fn starve(
@@ -229,8 +251,7 @@
         let kept = if starved { nearest_room(need, fleet, draft) } else { None };
         let Some(worker) = kept else { return wait(wish, Reason::NoRoom { need: *need }) };
         let until = now.plus(STARVED_HOLD_MS);
-        self.holds.put(&wish.job, Hold { worker, until, evicting: false });
-        draft.hold(worker);
+        self.keep(wish, worker, need, until, false, draft);
         wait(wish, Reason::Kept { worker: fleet.view(worker).name.clone() })
     }
 }
@@ -238,7 +259,7 @@
 /// Returns the worker that could hold a need and is nearest to having room for it.
 fn nearest_room(need: &Resources, fleet: &Fleet, draft: &Draft) -> Option<WorkerKey> {
     let could = |key: WorkerKey| amounts::fits(need, &fleet.view(key).allowance());
-    let open = draft.rows.iter().filter(|row| !row.held && row.limit > 0 && could(row.key));
+    let open = draft.rows.iter().filter(|row| !row.is_held() && row.limit > 0 && could(row.key));
     let short = |free: &Resources| amounts::dominant(&amounts::minus(need, free), need);
     open.min_by(|a, b| short(&a.free).total_cmp(&short(&b.free))).map(|row| row.key)
 }
--- a/crates/geraniumpost-core/src/placement/draft.rs
+++ b/crates/geraniumpost-core/src/placement/draft.rs
@@ -3,6 +3,7 @@
 use geraniumpost_schema::{Name, Resources};
 
 use super::group::Group;
+use super::holds::Hold;
 use super::{Decision, Fleet, Wish, WorkerKey, amounts};
 
 /// Room and holdings as they will be once this call's decisions are carried out.
@@ -37,17 +38,24 @@
     pub forecast: f64,
     /// Jobs it may still be given.
     pub limit: u32,
-    /// Whether it is kept for a job.
-    pub held: bool,
+    /// Room that is kept there for a job.
+    pub held: Resources,
     /// Whether it keeps room free for urgent jobs.
     pub spare: bool,
 }
 
+impl DraftRow {
+    /// Returns whether room is kept there for a job.
+    pub fn is_held(&self) -> bool {
+        self.held != amounts::NONE
+    }
+}
+
 impl Draft {
     /// Keeps room for urgent jobs free on the workers that have or nearly have it.
     pub fn keep_rooms(&mut self, rooms: usize, room: Resources) {
         self.room = room;
-        let open = self.rows.iter().enumerate().filter(|(_, row)| !row.held && row.limit > 0);
+        let open = self.rows.iter().enumerate().filter(|(_, row)| !row.is_held() && row.limit > 0);
         let mut short: Vec<(u64, usize)> =
             open.map(|(at, row)| (amounts::minus(&room, &row.free).milli_cpus, at)).collect();
         short.sort_unstable();
@@ -75,17 +83,36 @@
         row.free = amounts::minus(&row.free, need);
         row.forecast += added;
         row.limit -= 1;
-        let holding = self.holdings.entry(wish.customer.clone()).or_insert(amounts::NONE);
-        *holding = amounts::plus(holding, need);
+        let (rack, domain) = (row.rack, row.domain);
+        self.add_holding(&wish.customer, need);
         let of = (wish.customer.clone(), wish.class.clone());
-        self.groups.entry(of).or_default().add(row.rack, row.domain);
+        self.groups.entry(of).or_default().add(rack, domain);
     }
 
-    /// Keeps a worker for one job from now on.
-    pub fn hold(&mut self, worker: WorkerKey) {
-        if let Some(row) = self.rows.iter_mut().find(|row| row.key == worker) {
-            row.held = true;
+    /// Keeps room on a worker, and within its customer's quota, for one job from now on.
+    ///
+    /// Without the quota's part, smaller jobs of the same customer could use it up while tasks are
+    /// being evicted, and these would have been evicted for nothing.
+    pub fn hold(&mut self, hold: &Hold) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.key == hold.worker) {
+            row.held = hold.need;
         }
+        self.add_holding(&hold.customer, &hold.need);
+    }
+
+    /// Gives what was kept for a job free again.
+    pub fn release(&mut self, hold: &Hold) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.key == hold.worker) {
+            row.held = amounts::NONE;
+        }
+        if let Some(holding) = self.holdings.get_mut(&hold.customer) {
+            *holding = amounts::minus(holding, &hold.need);
+        }
+    }
+
+    fn add_holding(&mut self, customer: &Name, need: &Resources) {
+        let holding = self.holdings.entry(customer.clone()).or_insert(amounts::NONE);
+        *holding = amounts::plus(holding, need);
     }
 
     /// Returns what a customer will hold.
--- a/crates/geraniumpost-core/src/placement/holds.rs
+++ b/crates/geraniumpost-core/src/placement/holds.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-use geraniumpost_schema::Name;
+use geraniumpost_schema::{Name, Resources};
 
 use super::{Fleet, WorkerKey};
 use crate::Millis;
@@ -13,10 +13,14 @@
 }
 
 /// A worker kept for a job.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Hold {
     /// The worker.
     pub worker: WorkerKey,
+    /// The job's customer, whose quota must last until the job starts.
+    pub customer: Name,
+    /// What is kept there.
+    pub need: Resources,
     /// When the hold lapses.
     pub until: Millis,
     /// Whether tasks were evicted for it.
@@ -37,13 +41,13 @@
     }
 
     /// Returns the hold of a job.
-    pub fn of(&self, job: &Name) -> Option<Hold> {
-        self.by_job.get(job).copied()
+    pub fn of(&self, job: &Name) -> Option<&Hold> {
+        self.by_job.get(job)
     }
 
-    /// Returns all workers that are kept.
-    pub fn workers(&self) -> impl Iterator<Item = WorkerKey> {
-        self.by_job.values().map(|hold| hold.worker)
+    /// Returns all holds.
+    pub fn all(&self) -> impl Iterator<Item = &Hold> {
+        self.by_job.values()
     }
 
     /// Returns how many workers are kept without evictions.
@@ -57,7 +61,7 @@
     }
 
     /// Gives a job's worker free.
-    pub fn drop(&mut self, job: &Name) {
-        self.by_job.remove(job);
+    pub fn drop(&mut self, job: &Name) -> Option<Hold> {
+        self.by_job.remove(job)
     }
 }
--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -15,7 +15,7 @@
 use super::queue::Queue;
 use super::sizes::Sizes;
 use super::urgent_demand::UrgentDemand;
-use super::{Decision, Fleet, PlacementPolicy, Wish};
+use super::{Decision, Fleet, PlacementPolicy, Wish, amounts};
 use crate::Millis;
 
 /// Decides what starts where, what yields and what cannot run.
@@ -157,7 +157,7 @@
                 load: f64::from(row.load_permille) / 1000.0,
                 forecast,
                 limit: u32::MAX,
-                held: false,
+                held: amounts::NONE,
                 spare: false,
             });
         }
@@ -176,10 +176,6 @@
         self.blame.doubted().for_each(|name| {
             limit(name);
         });
-        for worker in self.holds.workers() {
-            if let Some(row) = draft.rows.iter_mut().find(|row| row.key == worker) {
-                row.held = true;
-            }
-        }
+        self.holds.all().for_each(|hold| draft.hold(hold));
     }
 }
--- a/crates/geraniumpost-core/src/placement/scan.rs
+++ b/crates/geraniumpost-core/src/placement/scan.rs
@@ -26,8 +26,6 @@
     pub excluded: &'a [WorkerKey],
     /// Worker kept for this job, if one is.
     pub kept: Option<WorkerKey>,
-    /// Whether workers kept for other jobs may be taken.
-    pub takes_held: bool,
     /// Whether the job may use room kept free for urgent ones.
     pub urgent: bool,
     /// How many tasks of the same customer and class run, or are about to, near each worker.
@@ -71,15 +69,24 @@
     }
 
     fn may_take(&self, row: &DraftRow, room: &Resources) -> bool {
-        let kept = self.takes_held || !row.held || self.kept == Some(row.key);
-        kept && row.limit > 0
+        row.limit > 0
             && amounts::fits(self.need, &row.free)
-            && (!row.spare
-                || self.urgent
-                || amounts::fits(&amounts::plus(self.need, room), &row.free))
+            && amounts::fits(&self.with_kept(row, room), &row.free)
             && !self.excluded.contains(&row.key)
     }
 
+    /// Returns the need together with what must stay free for other jobs.
+    fn with_kept(&self, row: &DraftRow, room: &Resources) -> Resources {
+        let mut need = *self.need;
+        if self.kept != Some(row.key) {
+            need = amounts::plus(&need, &row.held);
+        }
+        if row.spare && !self.urgent {
+            need = amounts::plus(&need, room);
+        }
+        need
+    }
+
     fn score(&self, at: usize, row: &DraftRow) -> Scored {
         let added = self.added(row);
         let after = row.forecast + added;
