--- a/crates/geraniumpost-core/src/placement/scan.rs
+++ b/crates/geraniumpost-core/src/placement/scan.rs
@@ -1,15 +1,15 @@
 use geraniumpost_schema::Resources;
 
 use super::draft::{Draft, DraftRow};
-use super::group::Group;
 use super::harm_model::pressing;
+use super::nearness::Nearness;
 use super::row::NO_SERVICE;
 use super::{WorkerKey, amounts};
 
 /// Candidates that a decision names.
 const NAMED: usize = 3;
 /// Weight of packing: a worker that the job fills is taken before one that it breaks up.
-const PACKING: f64 = 0.02;
+const PACKING: f64 = 0.005;
 /// Weight of each task of the same customer and class on the rack, and half of it in the domain.
 const SPREADING: f64 = 0.01;
 /// Processors that a slope is counted for, in thousandths.
@@ -26,10 +26,10 @@
     pub excluded: &'a [WorkerKey],
     /// Worker kept for this job, if one is.
     pub kept: Option<WorkerKey>,
-    /// Whether workers kept for other jobs may be taken.
-    pub takes_held: bool,
-    /// Where tasks of the same customer and class run, and are about to.
-    pub groups: [Option<&'a Group>; 2],
+    /// Whether the job may use room kept free for urgent ones.
+    pub urgent: bool,
+    /// How many tasks of the same customer and class run, or are about to, near each worker.
+    pub nearness: &'a Nearness,
 }
 
 /// What a scan found.
@@ -59,7 +59,7 @@
     pub fn run(&self, draft: &Draft) -> Found {
         let mut found = Found::default();
         for (at, row) in draft.rows.iter().enumerate() {
-            if !self.may_take(row) {
+            if !self.may_take(row, &draft.room) {
                 continue;
             }
             found.weighed += 1;
@@ -68,18 +68,31 @@
         found
     }
 
-    fn may_take(&self, row: &DraftRow) -> bool {
-        let kept = self.takes_held || !row.held || self.kept == Some(row.key);
-        kept && row.limit > 0
+    fn may_take(&self, row: &DraftRow, room: &Resources) -> bool {
+        row.limit > 0
             && amounts::fits(self.need, &row.free)
+            && amounts::fits(&self.with_kept(row, room), &row.free)
             && !self.excluded.contains(&row.key)
     }
 
+    /// Returns the need together with what must stay free for other jobs.
+    fn with_kept(&self, row: &DraftRow, room: &Resources) -> Resources {
+        let mut need = *self.need;
+        if self.kept != Some(row.key) {
+            need = amounts::plus(&need, &row.held);
+        }
+        if row.spare && !self.urgent {
+            need = amounts::plus(&need, room);
+        }
+        need
+    }
+
     fn score(&self, at: usize, row: &DraftRow) -> Scored {
         let added = self.added(row);
         let after = row.forecast + added;
         let left = 1.0 - amounts::dominant(self.need, &row.free);
-        let score = harm(after) - harm(row.forecast) + PACKING * left + SPREADING * self.near(row);
+        let score =
+            harm(after) - harm(row.forecast) + PACKING * left + SPREADING * self.nearness.of(row);
         Scored { at, score, added, after }
     }
 
@@ -91,16 +104,6 @@
         let slope = self.slopes.get(row.service as usize).copied().unwrap_or(0.0);
         slope * self.need.milli_cpus as f64 / UNIT_MILLI_CPUS * pressing(row.load)
     }
-
-    fn near(&self, row: &DraftRow) -> f64 {
-        let of = |group: &Group| {
-            let count = |id, counts: &std::collections::HashMap<u32, u32>| {
-                f64::from(counts.get(&id).copied().unwrap_or(0))
-            };
-            count(row.rack, &group.racks) + 0.5 * count(row.domain, &group.domains)
-        };
-        self.groups.iter().flatten().map(|group| of(group)).sum()
-    }
 }
 
 /// Returns the harm of a p99 given in targets.
