fix(core): keep adopted tasks and unseen workers from misleading decisions

Cause: a worker's list has no declared sizes, so that an agent that restarted would have counted adopted tasks by lagged usage; a planner cut from its agents would have failed waiting jobs as impossible after its first seconds. Ruled out: sizes in the worker's list, which is the platform's; stopping grants to agents without a link, as answers to heartbeats go out before the planner hears of them and must all be counted. Change: the planner repeats its order for each run that an inventory lists, the ledger starts nothing while a size is unknown; a job must be impossible for a minute, with a healthy worker in view, before it is given up.

--- a/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
+++ b/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns when this process must stop granting holds if nothing else happens.
+    pub fn hold_until(&self) -> Millis {
+        if self.tenure.is_some() { self.hold_until.max(self.valid_until) } else { Millis(0) }
+    }
+
     /// Returns the longest hold that may be granted, which the next planner is sure to wait out.
     pub fn hold_ms(&self) -> u64 {
         let recorded = self.tenure.as_ref().map_or(0, |tenure| tenure.record.hold_ms);
--- a/crates/geraniumpost-core/src/jobs/ledger/hold.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/hold.rs
@@ -37,6 +37,10 @@
         self.until = self.until.max(until);
     }
 
+    pub(super) const fn until(&self) -> Millis {
+        self.until
+    }
+
     /// Returns whether tasks may go on.
     pub(super) fn is_valid(&self, now: Millis) -> bool {
         now < self.until
--- a/crates/geraniumpost-core/src/jobs/ledger/lists.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/lists.rs
@@ -54,7 +54,7 @@
             TaskState::Starting | TaskState::Running => Phase::Running,
             ended => Phase::Ended(ended),
         };
-        let mut task = Task::new(found.job.clone(), found.epoch, found.need, phase, now);
+        let mut task = Task::new(found.job.clone(), found.epoch, None, phase, now);
         task.observe(found.usage, &found.checkpoint);
         task.result.clone_from(&found.result);
         task.lease_until = now.plus(self.config.worker_lease_ms);
--- a/crates/geraniumpost-core/src/jobs/ledger/orders.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/orders.rs
@@ -37,7 +37,10 @@
         }
         if self.knows(&start.job, start.epoch) {
             self.counters.stale_epochs += 1;
+            self.learn_need(&start);
             self.repeat_report(&start.job, start.epoch, actions);
+        } else if self.has_unsized() {
+            // The order is repeated; what the VM holds is not known before all sizes are.
         } else if !self.hold.covers(start.term, now) {
             self.counters.without_hold += 1;
         } else if let Some(reason) = self.reason_to_refuse(&start) {
@@ -51,6 +54,13 @@
         self.epochs.get(job).is_some_and(|&(known, _)| epoch <= known)
     }
 
+    /// Takes the declared size of an adopted task from the planner's repeated order.
+    fn learn_need(&mut self, start: &StartTask) {
+        if let Some(task) = self.run(&start.job, start.epoch) {
+            task.need.get_or_insert(start.need);
+        }
+    }
+
     /// The planner repeats a start until it hears of the run, so it is told again.
     fn repeat_report(&self, job: &Name, epoch: u64, actions: &mut Vec<LedgerAction>) {
         if let Some(task) = self.tasks.get(job).filter(|task| task.epoch == epoch) {
@@ -90,7 +100,7 @@
             return;
         }
         let phase = Phase::Ended(TaskState::Refused);
-        let mut task = Task::new(start.job.clone(), start.epoch, start.need, phase, now);
+        let mut task = Task::new(start.job.clone(), start.epoch, Some(start.need), phase, now);
         reason.clone_into(&mut task.result);
         self.remember(&start.job, start.epoch, now);
         actions.push(LedgerAction::Report(task.report()));
@@ -103,7 +113,8 @@
         now: Millis,
         actions: &mut Vec<LedgerAction>,
     ) {
-        let mut task = Task::new(start.job.clone(), start.epoch, start.need, Phase::Starting, now);
+        let mut task =
+            Task::new(start.job.clone(), start.epoch, Some(start.need), Phase::Starting, now);
         task.checkpoint = start.checkpoint.clone();
         task.lease_until = now.plus(self.config.worker_lease_ms);
         task.order = Some(start.clone());
--- a/crates/geraniumpost-core/src/jobs/ledger/task.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/task.rs
@@ -8,7 +8,8 @@
 pub(super) struct Task {
     pub(super) job: Name,
     pub(super) epoch: u64,
-    pub(super) need: Resources,
+    /// Declared size; of an adopted task it is not known until the planner tells it again.
+    pub(super) need: Option<Resources>,
     pub(super) usage: Resources,
     pub(super) peak: Resources,
     pub(super) phase: Phase,
@@ -30,7 +31,13 @@
 }
 
 impl Task {
-    pub(super) fn new(job: Name, epoch: u64, need: Resources, phase: Phase, now: Millis) -> Self {
+    pub(super) fn new(
+        job: Name,
+        epoch: u64,
+        need: Option<Resources>,
+        phase: Phase,
+        now: Millis,
+    ) -> Self {
         Self {
             job,
             epoch,
@@ -53,7 +60,8 @@
 
     /// Returns what the task counts for: never below what was seen of it.
     pub(super) fn size(&self) -> Resources {
-        if self.phase.is_live() { larger(&self.need, &self.peak) } else { Resources::default() }
+        let need = self.need.unwrap_or_default();
+        if self.phase.is_live() { larger(&need, &self.peak) } else { Resources::default() }
     }
 
     pub(super) fn enter(&mut self, phase: Phase, now: Millis) {
--- a/crates/geraniumpost-core/src/jobs/ledger/tick.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/tick.rs
@@ -17,6 +17,7 @@
         self.repeat_stops(now, actions);
         self.end_expired(now, actions);
         self.repeat_reports(now, actions);
+        self.ask_for_sizes(now, actions);
         self.forget_epochs(now);
     }
 
@@ -101,6 +102,15 @@
         }
     }
 
+    /// Sends the inventory again while sizes are missing; the planner answers it with its orders.
+    fn ask_for_sizes(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
+        let due = now.since(self.last_unsized) >= self.config.repeat_ms;
+        if due && self.is_complete() && self.has_unsized() {
+            self.last_unsized = now;
+            actions.push(self.inventory());
+        }
+    }
+
     fn forget_epochs(&mut self, now: Millis) {
         let keep = self.config.remember_ms;
         let tasks = &self.tasks;
--- a/crates/geraniumpost-core/src/jobs/ledger/vm_ledger.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/vm_ledger.rs
@@ -36,6 +36,7 @@
     pub(super) inventory_owed: bool,
     pub(super) draining: bool,
     pub(super) last_list: Option<Millis>,
+    pub(super) last_unsized: Millis,
     pub(super) tasks: BTreeMap<Name, Task>,
     pub(super) epochs: BTreeMap<Name, (u64, Millis)>,
     pub(super) counters: LedgerCounters,
@@ -55,6 +56,7 @@
             inventory_owed: false,
             draining: false,
             last_list: None,
+            last_unsized: Millis(0),
             tasks: BTreeMap::new(),
             epochs: BTreeMap::new(),
             counters: LedgerCounters::default(),
@@ -129,6 +131,19 @@
         })
     }
 
+    /// Returns whether a live task's declared size is not known, as after an adoption.
+    ///
+    /// The worker's list has only lagged usage, which may be far below what the task was promised; a
+    /// start that fits beside the usage could overfill the VM a moment later.
+    pub(super) fn has_unsized(&self) -> bool {
+        self.tasks.values().any(|task| task.phase.is_live() && task.need.is_none())
+    }
+
+    /// Returns when the hold ends, for a check just before a call to the worker.
+    pub const fn hold_until(&self) -> Millis {
+        self.hold.until()
+    }
+
     pub(super) fn has_room(&self, need: Resources) -> bool {
         fits(&need, &minus(&self.offered(), &self.reserved()))
     }
--- a/crates/geraniumpost-core/src/jobs/ledger/worker_task.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/worker_task.rs
@@ -7,8 +7,6 @@
     pub job: Name,
     /// Number of the run.
     pub epoch: u64,
-    /// Declared size, as the start named it.
-    pub need: Resources,
     /// State at the worker: `Running`, `Done`, `Failed`, `Stopped` or `Lapsed`.
     pub state: TaskState,
     /// Latest checkpoint, empty if none.
--- a/crates/geraniumpost-core/src/jobs/planner/agent_view.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/agent_view.rs
@@ -8,7 +8,6 @@
     /// Whether that incarnation has listed its runs under this planner's term.
     pub(super) inventoried: bool,
     pub(super) asked: Millis,
-    pub(super) unlinked_since: Millis,
     pub(super) draining: bool,
     pub(super) quarantined: bool,
     /// When the last hold granted to it ends.
--- a/crates/geraniumpost-core/src/jobs/planner/agents.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/agents.rs
@@ -27,9 +27,6 @@
         }
         self.describe(heartbeat, now);
         let Some(view) = self.agents.get_mut(&heartbeat.agent) else { return (0, 0) };
-        if view.link.is_none() && now.since(view.unlinked_since) >= self.config.unlinked_ms {
-            return (0, 0);
-        }
         view.hold_until = view.hold_until.max(now.plus(hold_ms));
         (self.term, hold_ms)
     }
@@ -40,7 +37,6 @@
         let new = !self.agents.contains_key(agent);
         let view = self.agents.entry(agent.clone()).or_default();
         if new {
-            view.unlinked_since = now;
             view.shown = WorkerState::Lost;
         }
         let drains = heartbeat.state == AgentState::Draining;
@@ -86,12 +82,11 @@
         self.send_supersede(agent, actions);
     }
 
-    pub(super) fn on_link_down(&mut self, agent: &Name, incarnation: u64, moment: Moment) {
+    pub(super) fn on_link_down(&mut self, agent: &Name, incarnation: u64) {
         let Some(view) = self.agents.get_mut(agent) else { return };
         if view.link == Some(incarnation) {
             view.link = None;
             view.inventoried = false;
-            view.unlinked_since = moment.clock;
         }
     }
 
--- a/crates/geraniumpost-core/src/jobs/planner/placing.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/placing.rs
@@ -27,7 +27,14 @@
         }
         self.show_workers(moment.clock);
         let wishes = self.wishes(moment);
-        for decision in decide(moment.clock, &wishes, &self.fleet) {
+        let decisions = decide(moment.clock, &wishes, &self.fleet);
+        let impossible = |job: &Name| {
+            let is =
+                |d: &Decision| matches!(d, Decision::Impossible { job: other, .. } if other == job);
+            decisions.iter().any(is)
+        };
+        self.impossible.retain(|job, _| impossible(job));
+        for decision in decisions {
             self.carry_out(decision, moment, &mut actions);
         }
         self.flush(moment, &mut actions);
@@ -63,7 +70,7 @@
                 self.throttle(&job, permille, moment, actions);
             }
             Decision::Impossible { job, why, .. } => {
-                self.give_up(&job, codes::IMPOSSIBLE, why.to_string(), moment);
+                self.doubt(&job, why.to_string(), moment);
             }
             Decision::GiveUp { job, why } => {
                 self.give_up(&job, codes::FAILED_TOO_OFTEN, why.to_string(), moment);
@@ -113,6 +120,15 @@
         actions.push(PlannerAction::Send { agent, frame: ToAgent::Throttle(order) });
     }
 
+    /// Gives a job up once it has been impossible for a while, so that no job that was accepted is
+    /// failed because its worker, or all workers, were out of sight for a moment.
+    fn doubt(&mut self, job: &Name, reason: String, moment: Moment) {
+        let since = *self.impossible.entry(job.clone()).or_insert(moment.clock);
+        if moment.clock.since(since) >= self.config.impossible_ms {
+            self.give_up(job, codes::IMPOSSIBLE, reason, moment);
+        }
+    }
+
     fn give_up(&mut self, job: &Name, code: u16, reason: String, moment: Moment) {
         // Only a job that was running or finished in the meantime refuses this, rightly.
         let _ = self.change(job, Transition::GiveUp { code, reason }, moment);
--- a/crates/geraniumpost-core/src/jobs/planner/planner.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/planner.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     jobs::{BUCKETS, JobRecord, Moment, Standing, Takeover, bucket_of},
-    placement::Fleet,
+    placement::{Fleet, WorkerState},
 };
 
 /// The planner of a region for one term.
@@ -45,6 +45,7 @@
     pub(super) unfinished: BTreeMap<Name, u32>,
     pub(super) fleet: Fleet,
     pub(super) predecessors: Predecessors,
+    pub(super) impossible: BTreeMap<Name, crate::Millis>,
     pub(super) settling_until: crate::Millis,
     /// As told with the event in hand.
     pub(super) standing: Standing,
@@ -71,6 +72,7 @@
             unfinished: BTreeMap::new(),
             fleet,
             predecessors: Predecessors::new(takeover),
+            impossible: BTreeMap::new(),
             settling_until: takeover.at.plus(config.settling_ms),
             standing: Standing::Follower,
             stepped_down: false,
@@ -145,7 +147,7 @@
                 self.on_link_up(&agent, incarnation, moment, actions);
             }
             PlannerEvent::LinkDown { agent, incarnation } => {
-                self.on_link_down(&agent, incarnation, moment);
+                self.on_link_down(&agent, incarnation);
             }
             PlannerEvent::Leaving { agent } => self.on_leaving(&agent, moment),
             PlannerEvent::CommitDone { bucket, revision } => {
@@ -165,7 +167,7 @@
     fn on_tick(&mut self, moment: Moment, actions: &mut Vec<PlannerAction>) {
         let now = moment.clock;
         self.read_unknown(moment, actions);
-        self.fleet.set_settling(now < self.settling_until);
+        self.fleet.set_settling(self.is_settling(now));
         if self.predecessors.newly_settled(now) {
             actions.push(PlannerAction::EarlierSettled);
         }
@@ -178,6 +180,12 @@
         self.drive_all(now, actions);
     }
 
+    /// Returns whether workers may be missing from view, so that nothing can be called impossible.
+    fn is_settling(&self, now: crate::Millis) -> bool {
+        let healthy = |view: &AgentView| view.shown == WorkerState::Healthy;
+        now < self.settling_until || !self.agents.values().any(healthy)
+    }
+
     /// Returns whether all records are read and fenced, so that work is taken.
     pub fn is_ready(&self) -> bool {
         self.slots.iter().all(|slot| slot.fenced)
--- a/crates/geraniumpost-core/src/jobs/planner/planner_config.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/planner_config.rs
@@ -15,10 +15,11 @@
     pub drift_margin_ms: u64,
     /// How long after its start a planner expects agents to announce themselves.
     pub settling_ms: u64,
-    /// How long an agent is granted holds while no link to it can be made.
-    pub unlinked_ms: u64,
     /// How long a silent agent without runs is remembered for what its VM could hold.
     pub forget_agent_ms: u64,
+    /// How long placement must call a job impossible before it is given up. Workers come and go, and
+    /// a planner that is cut from its agents sees none that could run anything.
+    pub impossible_ms: u64,
     /// How long the record of a finished job is kept.
     pub keep_finished_ms: u64,
     /// Back-off after the first failed run; doubled with each further one.
@@ -37,8 +38,8 @@
             worker_lease_ms: 6_000,
             drift_margin_ms: 500,
             settling_ms: 5_000,
-            unlinked_ms: 120_000,
             forget_agent_ms: 600_000,
+            impossible_ms: 60_000,
             keep_finished_ms: 86_400_000,
             backoff_ms: 1_000,
             max_backoff_ms: 60_000,
--- a/crates/geraniumpost-core/src/jobs/planner/reports.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/reports.rs
@@ -33,7 +33,7 @@
         self.bar_missing(agent, inventory);
     }
 
-    /// Sees to the runs that the agent should have but has not.
+    /// Sees to the runs that the agent should have but has not, and tells the sizes of the others.
     ///
     /// A start that is merely lost is sent again. In any other case the run may have begun: the agent
     /// is told to bar it, and the job waits for that word.
@@ -42,15 +42,19 @@
             inventory.tasks.iter().any(|task| task.job == *job && task.epoch == epoch)
         };
         for (job, run) in self.runs.iter_mut().filter(|(_, run)| run.agent == *agent) {
-            if !run.committed || listed(job, run.epoch) {
+            if !run.committed {
+                continue;
+            }
+            run.last_order = None;
+            self.restless.insert(job.clone());
+            if listed(job, run.epoch) {
+                run.sized = false;
                 continue;
             }
             if run.seen || !run.may_start(inventory.incarnation) {
                 run.wanted = Wanted::Stop;
             }
             run.seen = false;
-            run.last_order = None;
-            self.restless.insert(job.clone());
         }
     }
 
--- a/crates/geraniumpost-core/src/jobs/planner/run.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/run.rs
@@ -21,6 +21,8 @@
     pub(super) inherited: bool,
     /// Whether the agent has said that it runs.
     pub(super) seen: bool,
+    /// Whether the agent's process knows the run's size, which only a start tells.
+    pub(super) sized: bool,
     pub(super) last_order: Option<Millis>,
 }
 
@@ -35,6 +37,7 @@
             sent_to: None,
             inherited: false,
             seen: false,
+            sized: true,
             last_order: None,
         }
     }
@@ -48,7 +51,7 @@
 
     /// Returns whether nothing more has to be ordered.
     pub(super) const fn is_settled(&self) -> bool {
-        self.seen && matches!(self.wanted, Wanted::Run)
+        self.seen && self.sized && matches!(self.wanted, Wanted::Run)
     }
 
     /// Returns whether a start may still be sent to this incarnation of the agent.
--- a/crates/geraniumpost-core/src/jobs/planner/runs.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/runs.rs
@@ -27,9 +27,9 @@
         let ready = self.agents.get(&run.agent).and_then(AgentView::ready);
         let (Some(incarnation), true, true) = (ready, run.committed, paced) else { return };
         let frame = match run.wanted {
-            Wanted::Run if run.seen => return,
+            Wanted::Run if run.is_settled() => return,
             Wanted::Run if !self.standing.may_assign() => return,
-            Wanted::Run if run.may_start(incarnation) => self.start_order(job),
+            Wanted::Run if run.seen || run.may_start(incarnation) => self.start_order(job),
             Wanted::Evict => Some(ToAgent::Evict(self.task_ref(job, run.epoch))),
             Wanted::Run | Wanted::Stop => Some(ToAgent::Stop(self.task_ref(job, run.epoch))),
         };
@@ -39,6 +39,7 @@
         run.last_order = Some(now);
         if starts {
             run.sent_to = Some(incarnation);
+            run.sized = true;
         }
         actions.push(PlannerAction::Send { agent: run.agent.clone(), frame });
     }
--- a/crates/geraniumpost-core/tests/jobs_world/worker.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/worker.rs
@@ -9,6 +9,7 @@
 #[derive(Debug, Clone)]
 struct Running {
     task: WorkerTask,
+    need: Resources,
     lease_until: u64,
     ends_at: u64,
 }
@@ -45,7 +46,8 @@
     }
 
     pub fn load(&self) -> Resources {
-        self.running().fold(amounts::NONE, |sum, task| amounts::plus(&sum, &task.need))
+        let running = self.tasks.values().filter(|one| one.task.state == TaskState::Running);
+        running.fold(amounts::NONE, |sum, one| amounts::plus(&sum, &one.need))
     }
 
     /// Runs a call and returns its answer.
@@ -59,14 +61,14 @@
                     let task = WorkerTask {
                         job: order.job.clone(),
                         epoch: order.epoch,
-                        need: order.need,
                         state: TaskState::Running,
                         checkpoint: order.checkpoint,
                         result: String::new(),
-                        usage: order.need,
+                        usage: Resources { milli_cpus: 1, memory_mb: 1, accelerators: 0 },
                     };
                     let (lease_until, ends_at) = (now + LEASE_MS, now + length);
-                    self.tasks.insert(key, Running { task, lease_until, ends_at });
+                    self.tasks
+                        .insert(key, Running { task, need: order.need, lease_until, ends_at });
                 }
                 Some(LedgerEvent::Started { job: order.job, epoch: order.epoch })
             }
