feat: drive the planner lease and planner on entries

Cause: nothing ran the planner's decisions in the entry process. Ruled out: acting on the hold's figures alone when a heartbeat is answered; a process that was paused would grant holds under a lapsed lease for a moment. Result: not run yet in processes.

--- a/crates/geraniumpost-core/src/jobs/lease/lease_event.rs
+++ b/crates/geraniumpost-core/src/jobs/lease/lease_event.rs
@@ -23,6 +23,8 @@
     EarlierSettled,
     /// The configuration changed.
     Configure(LeaseConfig),
+    /// The planner has found that another one took over, or that it can't go on.
+    StepDown,
     /// This process leaves and should let another plan.
     Resign,
 }
--- a/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
+++ b/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
@@ -94,6 +94,7 @@
             LeaseEvent::Tick => self.on_tick(now, &mut actions),
             LeaseEvent::EarlierSettled => self.settled = true,
             LeaseEvent::Configure(config) => self.configure(config, now),
+            LeaseEvent::StepDown => self.step_down(now, &mut actions),
             LeaseEvent::Resign => self.resign(&mut actions),
             answer => self.on_answer(answer, now, &mut actions),
         }
@@ -126,6 +127,12 @@
         self.hold_until = Millis(0);
     }
 
+    /// Lets the planner go, and leaves the lease to run out, so that another process goes first.
+    fn step_down(&mut self, now: Millis, actions: &mut Vec<LeaseAction>) {
+        self.lose("the planner stepped down", actions);
+        self.next = now.plus(2 * self.config.ttl_ms);
+    }
+
     fn resign(&mut self, actions: &mut Vec<LeaseAction>) {
         self.resigned = true;
         let held = self.tenure.is_some();
--- a/crates/geraniumpost-core/tests/jobs_world/world.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/world.rs
@@ -383,7 +383,11 @@
                     let actions = self.entries[at].lease(LeaseEvent::EarlierSettled, self.now);
                     self.do_lease(at, actions);
                 }
-                PlannerAction::StepDown(_) | PlannerAction::Observe(_) => {}
+                PlannerAction::StepDown(_) => {
+                    let actions = self.entries[at].lease(LeaseEvent::StepDown, self.now);
+                    self.do_lease(at, actions);
+                }
+                PlannerAction::Observe(_) => {}
             }
         }
     }
--- a/crates/geraniumpost/src/entry/context.rs
+++ b/crates/geraniumpost/src/entry/context.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use geraniumpost_core::Millis;
 use geraniumpost_core::requests::{
     AgentView, EjectionChange, Ejector, EntryLimits, Membership, MembershipLimits, Place,
     RetryBudget, Router, Snapshot,
@@ -60,6 +61,7 @@
     in_force: Mutex<HashMap<Name, u64>>,
     planner: mpsc::UnboundedSender<PlannerInput>,
     hold_ms: AtomicU64,
+    hold_until: AtomicU64,
 }
 
 impl EntryContext {
@@ -96,6 +98,7 @@
             in_force: Mutex::default(),
             planner,
             hold_ms: AtomicU64::new(0),
+            hold_until: AtomicU64::new(0),
             settings,
         }
     }
@@ -168,8 +171,10 @@
         self.metrics.planner_term(term);
     }
 
-    /// Sets how long agents may go on with their tasks after a heartbeat, 0 for no word on it.
-    pub fn set_hold_ms(&self, hold_ms: u64) {
+    /// Sets how long agents may go on with their tasks after a heartbeat, 0 for no word on it, and
+    /// until when that may be granted.
+    pub fn set_hold(&self, hold_ms: u64, until: Millis) {
+        self.hold_until.store(until.0, Ordering::SeqCst);
         self.hold_ms.store(hold_ms, Ordering::SeqCst);
     }
 
@@ -183,6 +188,9 @@
             return (0, 0);
         }
         let hold = (self.term(), self.hold_ms.load(Ordering::SeqCst));
+        // A process that was paused may still find the figures of a lease that has long lapsed.
+        let lapsed = self.clock.now().0 >= self.hold_until.load(Ordering::SeqCst);
+        let hold = if lapsed { (0, 0) } else { hold };
         self.tell_planner(PlannerInput::Heartbeat(Box::new(beat.clone())));
         hold
     }
--- /dev/null
+++ b/crates/geraniumpost/src/planner/decisions.rs
@@ -0,0 +1,32 @@
+use std::collections::HashMap;
+use std::mem::{Discriminant, discriminant};
+
+use geraniumpost_core::placement::{Decision, Reason};
+use geraniumpost_schema::Name;
+
+/// Writes a line for each placement decision.
+///
+/// A job that waits is decided on several times a second; it gets a line when the kind of its reason
+/// changes, as thousands of waiting jobs would otherwise drown everything else.
+#[derive(Debug, Default)]
+pub(super) struct DecisionLog {
+    waits: HashMap<Name, Discriminant<Reason>>,
+}
+
+impl DecisionLog {
+    /// Logs the decisions of one round.
+    pub(super) fn write(&mut self, decisions: &[Decision]) {
+        let mut waits = HashMap::new();
+        for decision in decisions {
+            if let Decision::Wait { job, why } = decision {
+                let kind = discriminant(why);
+                waits.insert(job.clone(), kind);
+                if self.waits.get(job) == Some(&kind) {
+                    continue;
+                }
+            }
+            crate::decision!("place", what = decision);
+        }
+        self.waits = waits;
+    }
+}
