feat: run jobs through agents, and prove it between processes

Cause: agents had no ledger, so that no job could run. Ruled out: taking a worker's yes to a stop for the end of the run; a task that completed just before would be computed again, so that the list is read then. Change: one task owns the VM's ledger; calls to the worker go in order for each job, renewals at once; a start or renewal is checked against the hold once more just before it is written. Process tests for completion, cancellation, death of the planner, restart of an agent, a 17 s store outage and the loss of a VM.

--- a/crates/geraniumpost-core/src/jobs/ledger/ledger_event.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/ledger_event.rs
@@ -68,7 +68,7 @@
         /// Run.
         epoch: u64,
     },
-    /// The worker has ended the task.
+    /// The worker knows no such task, or has ended it; not for one that ended by itself.
     Stopped {
         /// Job.
         job: Name,
--- a/crates/geraniumpost-core/tests/jobs_world/worker.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/worker.rs
@@ -82,10 +82,10 @@
                 Some(LedgerEvent::Checkpointed { job, epoch, checkpoint })
             }
             LedgerAction::Stop { job, epoch } => {
-                let found = self.tasks.get_mut(&(job.clone(), epoch));
-                if let Some(one) = found
-                    && one.task.state == TaskState::Running
-                {
+                if let Some(one) = self.tasks.get_mut(&(job.clone(), epoch)) {
+                    if one.task.state != TaskState::Running {
+                        return None;
+                    }
                     one.task.state = TaskState::Stopped;
                 }
                 Some(LedgerEvent::Stopped { job, epoch })
--- /dev/null
+++ b/crates/geraniumpost/src/agent/tasks/desk.rs
@@ -0,0 +1,170 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use geraniumpost_core::Millis;
+use geraniumpost_core::jobs::{LedgerAction, LedgerConfig, LedgerEvent, VmLedger};
+use geraniumpost_platform::Worker;
+use geraniumpost_schema::{AgentSettings, HeartbeatAck, Name, Resources, ToAgent, ToEntry};
+use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
+
+use super::{CallQueue, TaskEvent, TaskFigures, TaskOrder};
+use crate::agent::AgentContext;
+
+/// Interval of the ledger's clock.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The task that owns the VM's ledger.
+struct Desk {
+    cx: Arc<AgentContext>,
+    ledger: VmLedger,
+    calls: CallQueue,
+    drained: bool,
+}
+
+/// Runs until the agent's process ends.
+pub(super) async fn run(
+    cx: Arc<AgentContext>,
+    worker: Worker,
+    mut orders: mpsc::UnboundedReceiver<TaskEvent>,
+) {
+    let (answers_tx, mut answers) = mpsc::unbounded_channel();
+    let mut revisions: watch::Receiver<u64> = cx.keeper.holder().subscribe();
+    let mut desk = Desk::new(cx, worker, answers_tx);
+    desk.reserve();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            Some(event) = orders.recv() => desk.on_event(event),
+            Some(answer) = answers.recv() => desk.handle(answer),
+            Ok(()) = revisions.changed() => desk.reserve(),
+            _ = ticks.tick() => desk.tick(),
+            else => return,
+        }
+        desk.publish();
+    }
+}
+
+impl Desk {
+    fn new(
+        cx: Arc<AgentContext>,
+        worker: Worker,
+        answers: mpsc::UnboundedSender<LedgerEvent>,
+    ) -> Self {
+        let capacity = capacity(&cx.settings);
+        let ledger = VmLedger::new(cx.me.incarnation, capacity, LedgerConfig::default());
+        let calls = CallQueue::new(worker, cx.clock, answers);
+        Self { cx, ledger, calls, drained: false }
+    }
+
+    fn on_event(&mut self, event: TaskEvent) {
+        match event {
+            TaskEvent::Order(TaskOrder { message, .. }) => self.on_order(message),
+            TaskEvent::HeartbeatSent { sequence, at } => {
+                self.handle_at(LedgerEvent::HeartbeatSent(sequence), at);
+            }
+            TaskEvent::Hold { sequence, term, hold_ms } => {
+                let ack = self.ack(sequence, term, hold_ms);
+                self.handle(LedgerEvent::Ack(ack));
+            }
+            // Reports go over every link; entries that don't plan drop them.
+            TaskEvent::LinkUp(_) => {}
+        }
+    }
+
+    fn on_order(&mut self, order: ToAgent) {
+        let event = match order {
+            ToAgent::Start(order) => LedgerEvent::Start(order),
+            ToAgent::Evict(order) => LedgerEvent::Evict(order),
+            ToAgent::Stop(order) => LedgerEvent::Stop(order),
+            ToAgent::Throttle(order) => LedgerEvent::Throttle(order),
+            ToAgent::Settled(order) => LedgerEvent::Settled(order),
+            ToAgent::Supersede(term) => LedgerEvent::Supersede(term),
+            _ => return,
+        };
+        self.handle(event);
+    }
+
+    /// Builds the part of the answer that the ledger reads.
+    fn ack(&self, sequence: u64, term: u64, hold_ms: u64) -> HeartbeatAck {
+        HeartbeatAck {
+            entry: Name::default(),
+            sequence,
+            incarnation: self.cx.me.incarnation,
+            config_revision: 0,
+            term,
+            hold_ms,
+            entries_digest: 0,
+            entries: Vec::new(),
+        }
+    }
+
+    fn reserve(&mut self) {
+        let reserve = self.cx.service().reserve.clone();
+        self.handle(LedgerEvent::Reserve(Resources {
+            milli_cpus: reserve.milli_cpus,
+            memory_mb: reserve.memory_mb,
+            accelerators: reserve.accelerators,
+        }));
+    }
+
+    fn tick(&mut self) {
+        if self.cx.is_draining() && !self.drained {
+            self.drained = true;
+            self.handle(LedgerEvent::Drain);
+        }
+        self.handle(LedgerEvent::Tick);
+    }
+
+    fn handle(&mut self, event: LedgerEvent) {
+        self.handle_at(event, self.cx.clock.now());
+    }
+
+    fn handle_at(&mut self, event: LedgerEvent, now: Millis) {
+        let actions = self.ledger.handle(event, now);
+        self.calls.set_hold_until(self.ledger.hold_until());
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: LedgerAction) {
+        let job = match &action {
+            LedgerAction::Report(report) => {
+                return self.cx.broadcast(&ToEntry::Report(report.clone()));
+            }
+            LedgerAction::Inventory(inventory) => {
+                return self.cx.broadcast(&ToEntry::Inventory(inventory.clone()));
+            }
+            LedgerAction::Renew { .. } | LedgerAction::List => return self.calls.at_once(action),
+            LedgerAction::Start(order) => order.job.clone(),
+            LedgerAction::Checkpoint { job, .. }
+            | LedgerAction::Stop { job, .. }
+            | LedgerAction::Throttle { job, .. }
+            | LedgerAction::Forget { job, .. } => job.clone(),
+        };
+        self.calls.push(&job, action);
+    }
+
+    /// Lets heartbeats tell what the VM holds.
+    fn publish(&self) {
+        let figures = TaskFigures {
+            term: self.ledger.term(),
+            reserved: self.ledger.reserved(),
+            tasks: self.ledger.live() as u32,
+        };
+        if self.cx.task_figures() != figures {
+            self.cx.set_task_figures(figures);
+        }
+    }
+}
+
+fn capacity(settings: &AgentSettings) -> Resources {
+    Resources {
+        milli_cpus: settings.milli_cpus,
+        memory_mb: settings.memory_mb,
+        accelerators: settings.accelerators,
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -0,0 +1,159 @@
+//! Jobs from submission to result as separate processes.
+
+use std::time::Duration;
+
+use geraniumpost_harness::check::{JobSeen, check_jobs};
+use geraniumpost_harness::{Binaries, Fleet, Plan, wait_for, wait_until};
+use geraniumpost_standin::http::Down;
+use geraniumpost_standin::store::StoreFaults;
+use geraniumpost_standin::worker::WorkerEventKind;
+use http::{Method, StatusCode};
+use serde_json::Value;
+
+/// Time for a planner to be there, after a start or a takeover.
+const PLANNED: Duration = Duration::from_secs(30);
+
+async fn fleet(plan: &Plan) -> Fleet {
+    let fleet = Fleet::start(&Binaries::new(env!("CARGO_BIN_EXE_geraniumpost")), plan).await;
+    fleet.unwrap()
+}
+
+/// Submits until it is recorded; repeats do no harm.
+async fn submit(fleet: &Fleet, job: &str, command: &str) {
+    wait_until("a planner takes the job", PLANNED, || async {
+        for entry in 0..fleet.entries().len() {
+            let told = fleet.operator(entry).submit(job, 1_000, command).await;
+            if told.is_ok_and(|(status, _)| status.is_success()) {
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+}
+
+async fn status(fleet: &Fleet, job: &str) -> Option<Value> {
+    for entry in 0..fleet.entries().len() {
+        let told = fleet.operator(entry).get(&format!("/api/jobs/{job}")).await;
+        if let Ok((StatusCode::OK, value)) = told {
+            return Some(value);
+        }
+    }
+    None
+}
+
+async fn reaches(fleet: &Fleet, job: &str, state: &str, time: Duration) -> Value {
+    wait_for(&format!("{job} {state}"), time, || async {
+        status(fleet, job).await.filter(|value| value["state"] == state)
+    })
+    .await
+}
+
+async fn check(fleet: &Fleet, done: &[(&str, Value)]) {
+    let record = fleet.worker_record().await.unwrap();
+    let seen = |(id, value): &(&str, Value)| JobSeen {
+        id: (*id).to_owned(),
+        result: value["result"].as_str().map(str::to_owned),
+    };
+    let jobs: Vec<JobSeen> = done.iter().map(seen).collect();
+    let found = check_jobs(&record, &jobs, &fleet.lost_vms());
+    assert!(found.is_empty(), "{found:#?}\n{record:#?}");
+}
+
+async fn starts(fleet: &Fleet, job: &str) -> usize {
+    let record = fleet.worker_record().await.unwrap();
+    record.iter().filter(|e| e.task == job && e.kind == WorkerEventKind::Started).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_completes_once_and_is_known_on_both_entries() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:300").await;
+    let done = reaches(&fleet, "study-1", "done", Duration::from_secs(20)).await;
+    for entry in 0..2 {
+        let (status, value) = fleet.operator(entry).get("/api/jobs/study-1").await.unwrap();
+        assert_eq!((status, &value["state"]), (StatusCode::OK, &done["state"]));
+    }
+    let (_, why) = fleet.operator(0).get("/api/jobs/study-1/explain").await.unwrap();
+    assert!(why["why"].is_string(), "{why}");
+    submit(&fleet, "study-1", "sleep:300").await;
+    assert_eq!(starts(&fleet, "study-1").await, 1);
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_job_stops_and_stays_cancelled() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:60000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let cancel = fleet.operator(1).call(Method::DELETE, "/api/jobs/study-1", &Value::Null).await;
+    assert!(cancel.unwrap().0.is_success());
+    reaches(&fleet, "study-1", "cancelled", Duration::from_secs(10)).await;
+    check(&fleet, &[]).await;
+}
+
+// The entry that plans dies while a study runs. Without a takeover nobody would renew the study's
+// hold, and its result would never be recorded.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_study_survives_the_death_of_the_planner() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:12000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let planning = planner(&fleet);
+    fleet.entry(planning).kill();
+    let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+fn planner(fleet: &Fleet) -> usize {
+    for (number, entry) in fleet.entries().iter().enumerate() {
+        if entry.process().output().contains("this entry plans in term") {
+            return number;
+        }
+    }
+    panic!("no entry plans");
+}
+
+// The agent beside a running study dies and comes back. If it didn't take the study over, the study
+// would be run a second time, or end for want of a renewal.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_agent_adopts_a_running_study() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:8000").await;
+    let running = reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let agent = fleet.agents().iter().position(|one| running["worker"] == one.name()).unwrap();
+    fleet.agent(agent).kill();
+    fleet.agent(agent).restart().unwrap();
+    let done = reaches(&fleet, "study-1", "done", Duration::from_secs(40)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 1, "adopted, not started anew");
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+// The store is down for longer than the planner's lease lasts. If the planner stopped granting holds
+// then, every running study of the region would be cut off by a mere outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_outage_stops_no_running_study() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:15000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let down = StoreFaults { down: Down::Hang, ..StoreFaults::default() };
+    fleet.set_store_faults(down).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(17)).await;
+    fleet.set_store_faults(StoreFaults::default()).await.unwrap();
+    let done = reaches(&fleet, "study-1", "done", Duration::from_secs(30)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 1, "it ran on through the outage");
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+// A VM is lost with the study that runs on it. The study would be lost with it if nobody noticed that
+// its hold had run out.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_study_on_a_lost_vm_runs_elsewhere() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:3000").await;
+    let running = reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let agent = fleet.agents().iter().position(|one| running["worker"] == one.name()).unwrap();
+    fleet.lose_vm(agent);
+    let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    check(&fleet, &[("study-1", done)]).await;
+}
