--- a/crates/geraniumpost-core/src/jobs/planner/planner.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/planner.rs
@@ -167,11 +167,11 @@
     fn on_tick(&mut self, moment: Moment, actions: &mut Vec<PlannerAction>) {
         let now = moment.clock;
         self.read_unknown(moment, actions);
-        self.fleet.set_settling(self.is_settling(now));
         if self.predecessors.newly_settled(now) {
             actions.push(PlannerAction::EarlierSettled);
         }
         self.show_workers(now);
+        self.fleet.set_settling(self.is_settling(now));
         self.ask_inventories(now, actions);
         if self.is_ready() {
             self.lose_lapsed(moment, actions);
--- /dev/null
+++ b/crates/geraniumpost-core/tests/jobs_planner.rs
@@ -0,0 +1,411 @@
+//! When the planner may give a run away, and when it has to step down.
+
+use assert_matches::assert_matches;
+use geraniumpost_core::Millis;
+use geraniumpost_core::jobs::{
+    BUCKETS, Bucket, Holder, JobAnswer, JobRecord, JobSpec, JobState, Moment, Planner,
+    PlannerAction, PlannerConfig, PlannerEvent, Standing, Takeover, TermRecord, Transition,
+    bucket_of, codes,
+};
+use geraniumpost_core::placement::{Decision, Reason};
+use geraniumpost_schema::{
+    AgentState, Document, Heartbeat, Inventory, Load, Name, Resources, TaskReport, TaskState,
+    ToAgent,
+};
+
+const HOLD_MS: u64 = 10_000;
+const OUTAGE_MS: u64 = 60_000;
+const LEASE_MS: u64 = 6_000;
+const NEED: Resources = Resources { milli_cpus: 1_000, memory_mb: 100, accelerators: 0 };
+
+fn document() -> Document {
+    serde_json::from_value(serde_json::json!({
+        "customers": {"entel": {"token_sha256": "0", "quota": {}}},
+        "services": {}, "classes": {"study": {}}, "domains": {}, "operators": {}
+    }))
+    .expect("a document")
+}
+
+fn spec(job: &str) -> JobSpec {
+    JobSpec {
+        id: job.into(),
+        customer: "entel".into(),
+        class: "study".into(),
+        need: NEED,
+        command: String::new(),
+    }
+}
+
+/// A planner of term 2 with a store that takes every commit.
+struct Bench {
+    planner: Planner,
+    now: u64,
+    sent: Vec<(Name, ToAgent)>,
+    replies: Vec<JobAnswer>,
+    stepped_down: bool,
+    commits: u64,
+    reads: u64,
+    bytes: usize,
+}
+
+impl Bench {
+    fn new(records: &[JobRecord]) -> Self {
+        let config = geraniumpost_core::jobs::LeaseConfig {
+            outage_hold_ms: OUTAGE_MS,
+            hold_ms: HOLD_MS,
+            ..Default::default()
+        };
+        let first = TermRecord::first(Holder::new("entry-1".into(), 1), &config);
+        let second = first.next(Holder::new("entry-2".into(), 2), &config);
+        let takeover = Takeover::new(&second, Millis(1_000));
+        let mut planner = Planner::new(&takeover, PlannerConfig::default());
+        planner.configure(&document());
+        let mut bench = Self {
+            planner,
+            now: 1_000,
+            sent: Vec::new(),
+            replies: Vec::new(),
+            stepped_down: false,
+            commits: 0,
+            reads: 0,
+            bytes: 0,
+        };
+        let reads = bench.raw(PlannerEvent::Tick);
+        assert_eq!(reads.len(), BUCKETS);
+        for bucket in 0..BUCKETS {
+            let mut stored = Bucket::default();
+            for record in records.iter().filter(|one| bucket_of(one.id()) == bucket) {
+                stored.put(record.clone());
+            }
+            let found = Some((7, stored.encode(1, 3)));
+            bench.tell(PlannerEvent::ReadDone { bucket, found });
+        }
+        assert!(bench.planner.is_ready());
+        bench
+    }
+
+    fn moment(&self) -> Moment {
+        Moment::new(Millis(self.now), 1_000_000 + self.now, 7)
+    }
+
+    fn raw(&mut self, event: PlannerEvent) -> Vec<PlannerAction> {
+        self.planner.handle(event, Standing::Leader { term: 2 }, self.moment())
+    }
+
+    fn tell(&mut self, event: PlannerEvent) {
+        let actions = self.raw(event);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<PlannerAction>) {
+        for action in actions {
+            match action {
+                PlannerAction::Commit { bucket, value, .. } => {
+                    self.commits += 1;
+                    self.bytes += value.len();
+                    let done = PlannerEvent::CommitDone { bucket, revision: 8 + self.commits };
+                    self.tell(done);
+                }
+                PlannerAction::Send { agent, frame } => self.sent.push((agent, frame)),
+                PlannerAction::Reply { answer, .. } => self.replies.push(answer),
+                PlannerAction::StepDown(_) => self.stepped_down = true,
+                PlannerAction::Read { .. } => self.reads += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn tick_at(&mut self, now: u64) {
+        self.now = now;
+        self.tell(PlannerEvent::Tick);
+    }
+
+    fn beat(&mut self, agent: &str) {
+        let beat = heartbeat(agent);
+        let leader = Standing::Leader { term: 2 };
+        let hold = self.planner.heartbeat(&beat, HOLD_MS, leader, Millis(self.now));
+        assert_eq!(hold, (2, HOLD_MS));
+    }
+
+    fn link(&mut self, agent: &str, tasks: Vec<TaskReport>) {
+        let agent = Name::from(agent);
+        self.tell(PlannerEvent::LinkUp { agent: agent.clone(), incarnation: 5 });
+        let inventory = Inventory { incarnation: 5, term: 2, tasks };
+        self.tell(PlannerEvent::Inventory { agent, inventory });
+    }
+
+    fn report(&mut self, agent: &str, report: TaskReport) {
+        self.tell(PlannerEvent::Report { agent: agent.into(), report });
+    }
+
+    fn assign(&mut self, job: &str, worker: &str) {
+        let start = Decision::Start {
+            job: job.into(),
+            worker: worker.into(),
+            need: NEED,
+            score: 0.0,
+            why: Reason::Settling,
+        };
+        let leader = Standing::Leader { term: 2 };
+        let actions = self.planner.place(leader, self.moment(), |_, _, _| vec![start]);
+        self.carry_out(actions);
+    }
+
+    fn state(&self, job: &str) -> (JobState, u64) {
+        let record = self.planner.job(job).expect("kept").record;
+        (record.state(), record.epoch())
+    }
+}
+
+fn heartbeat(agent: &str) -> Heartbeat {
+    Heartbeat {
+        agent: agent.into(),
+        incarnation: 5,
+        sequence: 1,
+        service: Name::default(),
+        region: "lima".into(),
+        domain: "surco".into(),
+        rack: "rack-1".into(),
+        address: Name::default(),
+        state: AgentState::Ready,
+        slots: 0,
+        load: Load { in_flight: 0, queued: 0, service_us: 0, p99_us: 0, failures_permille: 0 },
+        config_revision: 1,
+        entries_digest: 0,
+        term: 2,
+        has_worker: true,
+        capacity: Resources { milli_cpus: 64_000, memory_mb: 64_000, accelerators: 0 },
+        reserved: Resources::default(),
+        tasks: 0,
+    }
+}
+
+fn report(job: &str, epoch: u64, state: TaskState) -> TaskReport {
+    TaskReport {
+        job: job.into(),
+        epoch,
+        state,
+        checkpoint: Name::default(),
+        result: "result".to_owned(),
+        usage: Resources::default(),
+    }
+}
+
+fn assigned(job: &str) -> JobRecord {
+    let mut record = JobRecord::new(spec(job), 1);
+    record.apply(Transition::Assign { worker: "agent-1".into() }, 2).expect("pending");
+    record
+}
+
+/// Time from the last possible hold to the end of the worker's lease, with what clocks may lose.
+const LEASES_MS: u64 = 2 * LEASE_MS + 2 * LEASE_MS / 100 + 500;
+
+// An agent falls silent with a study on its VM. It may only be cut off: until its hold and its
+// worker's leases have run out the study may still be running, and a second start would double it.
+#[test]
+fn a_silent_agents_run_is_given_away_only_when_it_has_surely_ended() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    bench.tell(PlannerEvent::HolderGone(Holder::new("entry-1".into(), 1)));
+    bench.beat("agent-1");
+    bench.link("agent-1", vec![report("study-1", 1, TaskState::Running)]);
+    bench.now = 50_000;
+    bench.beat("agent-1");
+    bench.tell(PlannerEvent::LinkDown { agent: "agent-1".into(), incarnation: 5 });
+    bench.tick_at(50_000 + HOLD_MS + LEASES_MS - 1);
+    assert_eq!(bench.state("study-1"), (JobState::Assigned, 1));
+    bench.tick_at(50_000 + HOLD_MS + LEASES_MS);
+    assert_eq!(bench.state("study-1"), (JobState::Pending, 2));
+}
+
+// A planner takes over and cannot reach an agent. The planner before it may be cut from the store
+// and still keep that agent's study going.
+#[test]
+fn an_unreached_agents_run_waits_for_the_planner_before() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    let held = 1_000 + OUTAGE_MS + OUTAGE_MS / 100 + HOLD_MS;
+    bench.tick_at(held + LEASES_MS - 1);
+    assert_eq!(bench.state("study-1"), (JobState::Assigned, 1));
+    bench.tick_at(held + LEASES_MS);
+    assert_eq!(bench.state("study-1"), (JobState::Pending, 2));
+}
+
+#[test]
+fn proof_that_the_planner_before_stopped_shortens_the_wait() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    bench.now = 2_000;
+    bench.tell(PlannerEvent::HolderGone(Holder::new("entry-1".into(), 1)));
+    bench.tick_at(2_000 + HOLD_MS + LEASES_MS - 1);
+    assert_eq!(bench.state("study-1"), (JobState::Assigned, 1));
+    bench.tick_at(2_000 + HOLD_MS + LEASES_MS);
+    assert_eq!(bench.state("study-1"), (JobState::Pending, 2));
+}
+
+// An agent lists its runs to a new planner and a study is missing. The earlier planner's start may be
+// lost, or may have run and ended; only the agent's word that it will never start settles it.
+#[test]
+fn a_run_missing_from_an_inventory_is_barred_first() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    bench.beat("agent-1");
+    bench.link("agent-1", Vec::new());
+    bench.tick_at(1_100);
+    let stop = |(_, frame): &(Name, ToAgent)| matches!(frame, ToAgent::Stop(_));
+    assert!(bench.sent.iter().any(stop), "{:?}", bench.sent);
+    assert!(!bench.sent.iter().any(|(_, frame)| matches!(frame, ToAgent::Start(_))));
+    assert_eq!(bench.state("study-1"), (JobState::Assigned, 1));
+    bench.report("agent-1", report("study-1", 1, TaskState::Stopped));
+    assert_eq!(bench.state("study-1"), (JobState::Pending, 2));
+}
+
+// Two runs of one study both say that they completed. The regulator would get two results.
+#[test]
+fn a_late_second_result_is_refused_and_counted() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    bench.beat("agent-1");
+    bench.link("agent-1", vec![report("study-1", 1, TaskState::Running)]);
+    bench.report("agent-1", report("study-1", 1, TaskState::Evicted));
+    assert_eq!(bench.state("study-1"), (JobState::Pending, 2));
+    bench.assign("study-1", "agent-1");
+    bench.report("agent-1", report("study-1", 1, TaskState::Done));
+    assert_eq!(bench.state("study-1"), (JobState::Assigned, 2));
+    bench.report("agent-1", report("study-1", 2, TaskState::Done));
+    assert_eq!(bench.state("study-1"), (JobState::Done, 2));
+    assert_eq!(bench.planner.counters().late_results, 1);
+}
+
+/// Reads a bucket back after a commit of unknown outcome, and finds this in the store.
+fn read_back(term: u64, sequence: u64) -> Bench {
+    let mut bench = Bench::new(&[]);
+    bench.now += 1_000;
+    let actions = bench.raw(PlannerEvent::Submit { spec: spec("study-1"), reply: 1 });
+    let bucket = assert_matches!(&actions[..], [PlannerAction::Commit { bucket, .. }] => *bucket);
+    let read = bench.raw(PlannerEvent::CommitUnknown { bucket });
+    assert_eq!(read, [PlannerAction::Read { bucket }]);
+    let found = Some((90, Bucket::default().encode(term, sequence)));
+    bench.tell(PlannerEvent::ReadDone { bucket, found });
+    bench.tick_at(bench.now + 1_000);
+    bench
+}
+
+macro_rules! read_backs {
+    ($($name:ident: ($term:literal, $sequence:literal) => $down:literal, $replies:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let bench = read_back($term, $sequence);
+            assert_eq!((bench.stepped_down, bench.replies.len()), ($down, $replies));
+        }
+    )*};
+}
+
+// The reply to a commit is lost. What the store has tells whether it took effect, is to be repeated,
+// or whether another planner wrote; a planner that guessed would lose jobs or answer for nothing.
+read_backs! {
+    own_commit_took_effect: (2, 2) => false, 1;
+    own_commit_is_repeated: (2, 1) => false, 1;
+    a_later_planner_wrote: (3, 1) => true, 0;
+    another_planner_has_the_same_term: (2, 9) => true, 0;
+    an_earlier_planner_wrote: (1, 9) => true, 0;
+}
+
+// A planner sees no worker at all, as its network is cut. Every waiting job would be failed as
+// impossible, though the customer had been told that it was accepted.
+#[test]
+fn a_job_is_not_given_up_while_workers_are_out_of_sight() {
+    let mut bench = Bench::new(&[]);
+    bench.now += 1_000;
+    bench.tell(PlannerEvent::Submit { spec: spec("study-1"), reply: 1 });
+    for second in 10..400 {
+        bench.tick_at(second * 1_000);
+        assert!(bench.planner.fleet().settling());
+    }
+    assert_eq!(bench.state("study-1"), (JobState::Pending, 1));
+}
+
+#[test]
+fn what_no_worker_could_hold_is_refused_at_once() {
+    let mut bench = Bench::new(&[]);
+    bench.beat("agent-1");
+    bench.link("agent-1", Vec::new());
+    bench.tick_at(7_000);
+    bench.beat("agent-1");
+    let need = Resources { memory_mb: 99_000, ..NEED };
+    let large = JobSpec { need, ..spec("study-1") };
+    bench.tell(PlannerEvent::Submit { spec: large, reply: 1 });
+    assert_eq!(bench.replies[0].code, codes::IMPOSSIBLE);
+    assert!(bench.replies[0].detail.contains("agent-1"), "{:?}", bench.replies);
+}
+
+/// Carries jobs through submission, start and completion at 80 a second, with the tick of the shell.
+fn stream(seconds: u64) -> Bench {
+    let mut bench = Bench::new(&[]);
+    bench.beat("agent-1");
+    bench.link("agent-1", Vec::new());
+    bench.commits = 0;
+    bench.bytes = 0;
+    for tick in 0..seconds * 20 {
+        bench.tick_at(2_000 + tick * 50);
+        bench.beat("agent-1");
+        for job in tick * 4..tick * 4 + 4 {
+            bench.tell(PlannerEvent::Submit { spec: spec(&format!("job-{job}")), reply: job });
+            if let Some(ready) = job.checked_sub(40) {
+                bench.assign(&format!("job-{ready}"), "agent-1");
+            }
+            if let Some(done) = job.checked_sub(80) {
+                bench.report("agent-1", report(&format!("job-{done}"), 1, TaskState::Done));
+            }
+        }
+    }
+    bench
+}
+
+#[test]
+fn store_calls_stay_few_at_80_starts_a_second() {
+    let bench = stream(20);
+    let jobs = bench.planner.counters().completed;
+    let per_second = bench.commits as f64 / 20.0;
+    let per_job = bench.commits as f64 / jobs as f64;
+    let kb = bench.bytes as f64 / 20.0 / 1_000.0;
+    println!("{jobs} jobs: {per_second:.1} writes/s, {per_job:.2} a job, {kb:.0} KB/s");
+    assert!(per_second <= 80.5, "{per_second}");
+    assert!(per_job <= 1.5, "{per_job}");
+}
+
+#[test]
+fn an_idle_planner_writes_no_records() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    bench.beat("agent-1");
+    bench.link("agent-1", vec![report("study-1", 1, TaskState::Running)]);
+    (bench.commits, bench.reads) = (0, 0);
+    for tick in 0..1_200 {
+        bench.tick_at(2_000 + tick * 50);
+        bench.beat("agent-1");
+        bench.report("agent-1", report("study-1", 1, TaskState::Running));
+    }
+    assert_eq!((bench.commits, bench.reads), (0, 0));
+}
+
+// An auction is called off and its studies are cancelled all at once. If each took a write of its
+// own, the store would be busy for half a minute and nothing else would start.
+#[test]
+fn a_wave_of_cancellations_takes_few_writes() {
+    let mut bench = Bench::new(&[]);
+    for job in 0..4_000 {
+        bench.tell(PlannerEvent::Submit { spec: spec(&format!("job-{job}")), reply: job });
+    }
+    bench.tick_at(10_000);
+    bench.commits = 0;
+    bench.replies.clear();
+    let began = std::time::Instant::now();
+    for job in 0..4_000 {
+        let cancel = PlannerEvent::Cancel {
+            job: format!("job-{job}").into(),
+            customer: "entel".into(),
+            reply: job,
+        };
+        bench.tell(cancel);
+    }
+    bench.tick_at(11_000);
+    println!("4000 cancellations: {} writes, {:?}", bench.commits, began.elapsed());
+    assert_eq!(bench.replies.len(), 4_000);
+    assert!(bench.replies.iter().all(|answer| answer.code == codes::CANCELLED));
+    assert!(bench.commits <= 2 * BUCKETS as u64, "{}", bench.commits);
+}
