feat: let a superseded planner go, and move tasks before an agent leaves

Cause: a planner cut from the store went on answering operators from old records after another had taken over; an agent told to stop left its tasks without renewals. Ruled out: asking the store, which is what it is cut from; beats of the other entries tell the higher term. Change: a higher term heard of ends the own tenure; an agent that leaves waits, within drain_ms, until the planner has moved its tasks. Process tests for a paused planner, one cut from the store, and a planned stop of an agent.

--- a/crates/geraniumpost-core/tests/jobs_planner.rs
+++ b/crates/geraniumpost-core/tests/jobs_planner.rs
@@ -272,6 +272,29 @@
     assert_eq!(bench.planner.counters().late_results, 1);
 }
 
+// The planner dies between hearing of a completion and recording it. If the agent had been told to
+// forget by then, nobody would know that the study was done, and it would run again.
+#[test]
+fn an_agent_keeps_its_report_until_the_completion_is_recorded() {
+    let mut bench = Bench::new(&[assigned("study-1")]);
+    bench.beat("agent-1");
+    bench.link("agent-1", vec![report("study-1", 1, TaskState::Running)]);
+    bench.now += 1_000;
+    let report = report("study-1", 1, TaskState::Done);
+    let told = PlannerEvent::Report { agent: "agent-1".into(), report };
+    let settles = |actions: &[PlannerAction]| {
+        let is = |action: &PlannerAction| {
+            matches!(action, PlannerAction::Send { frame: ToAgent::Settled(_), .. })
+        };
+        actions.iter().any(is)
+    };
+    let actions = bench.raw(told.clone());
+    assert!(actions.iter().any(|action| matches!(action, PlannerAction::Commit { .. })));
+    assert!(!settles(&actions) && !settles(&bench.raw(told)));
+    let done = PlannerEvent::CommitDone { bucket: bucket_of("study-1"), revision: 90 };
+    assert!(settles(&bench.raw(done)));
+}
+
 /// Reads a bucket back after a commit of unknown outcome, and finds this in the store.
 fn read_back(term: u64, sequence: u64) -> Bench {
     let mut bench = Bench::new(&[]);
--- a/crates/geraniumpost/src/agent/role.rs
+++ b/crates/geraniumpost/src/agent/role.rs
@@ -112,11 +112,19 @@
     cx.broadcast(&ToEntry::Leaving);
     heartbeats::announce_once(cx, socket).await;
     let latest = Instant::now() + Duration::from_millis(cx.settings.drain_ms);
-    while !cx.desk().is_empty() && Instant::now() < latest {
+    while !is_idle(cx) && Instant::now() < latest {
         sleep(DESK_TICK).await;
     }
-    if !cx.desk().is_empty() {
-        spdlog::warn!("stopping with requests under way: drain_ms is over");
+    if !is_idle(cx) {
+        spdlog::warn!("stopping with requests or tasks under way: drain_ms is over");
     }
     sleep(LINGER).await;
 }
+
+/// Returns whether nothing is under way.
+///
+/// The planner moves the tasks of a leaving VM; an agent that went first would leave them without
+/// renewals, and the work since their last checkpoint would be lost.
+fn is_idle(cx: &AgentContext) -> bool {
+    cx.desk().is_empty() && cx.task_figures().tasks == 0
+}
--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/desk.rs
@@ -177,6 +177,7 @@
     }
 
     fn tick(&mut self) {
+        self.heed_higher_term();
         self.lease(LeaseEvent::Tick);
         if self.planner.is_none() {
             return;
@@ -191,6 +192,20 @@
         self.replies.retain(|_, (_, answer)| !answer.is_closed());
     }
 
+    /// Steps down when another entry says that it plans under a higher term.
+    ///
+    /// A planner cut from the store would otherwise not hear of its successor, and go on answering
+    /// operators from records that are no longer true.
+    fn heed_higher_term(&mut self) {
+        let Some(own) = self.planner.as_ref().map(Planner::term) else { return };
+        let now = self.cx.clock.now();
+        let highest = self.cx.peers().planner(now).map_or(0, |(term, _)| term);
+        if highest > own {
+            spdlog::warn!("planner: another entry plans in term {highest}");
+            self.lease(LeaseEvent::StepDown);
+        }
+    }
+
     fn prove_predecessors(&mut self) {
         let Some(takeover) = &mut self.takeover else { return };
         let gone = predecessors::gone(&self.cx, takeover, self.cx.clock.now());
--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -5,6 +5,7 @@
 use geraniumpost_harness::check::{JobSeen, check_jobs};
 use geraniumpost_harness::{Binaries, Fleet, Plan, wait_for, wait_until};
 use geraniumpost_standin::http::Down;
+use geraniumpost_standin::relay::{Direction, RelayFaults};
 use geraniumpost_standin::store::StoreFaults;
 use geraniumpost_standin::worker::WorkerEventKind;
 use http::{Method, StatusCode};
@@ -157,3 +158,61 @@
     let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
     check(&fleet, &[("study-1", done)]).await;
 }
+
+// A VM is to be replaced while a study runs on it. The study would lose its work so far if the agent
+// just left; it is checkpointed and resumes elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_moves_a_study_with_its_checkpoint() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:4000").await;
+    let running = reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let agent = fleet.agents().iter().position(|one| running["worker"] == one.name()).unwrap();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.agent(agent).term().unwrap();
+    let done = reaches(&fleet, "study-1", "done", Duration::from_secs(40)).await;
+    assert_ne!(done["worker"], running["worker"]);
+    assert_eq!(done["evictions"], 1, "{done}");
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+// The planner's VM is paused for longer than its lease lasts, and wakes up beside its successor. Both
+// would plan if it acted before it looked at its clock.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_that_was_paused_leaves_the_work_to_its_successor() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:20000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let planning = planner(&fleet);
+    fleet.entry(planning).freeze().unwrap();
+    tokio::time::sleep(Duration::from_secs(13)).await;
+    fleet.entry(planning).thaw().unwrap();
+    submit(&fleet, "study-2", "sleep:500").await;
+    let second = reaches(&fleet, "study-2", "done", Duration::from_secs(40)).await;
+    let first = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    check(&fleet, &[("study-1", first), ("study-2", second)]).await;
+}
+
+// The planner is cut from the store but not from the agents, and another entry takes over. Agents
+// must follow the higher term at once, or both planners would keep and move the same studies.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planner_cut_from_the_store_is_followed_by_another() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:20000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let planning = planner(&fleet);
+    let cut = RelayFaults { refuse_new: true, ..RelayFaults::default() };
+    let stall = Direction { stall: true, ..Direction::default() };
+    let cut = RelayFaults { forward: stall, back: stall, ..cut };
+    let relay = fleet.entries()[planning].store_relay().control();
+    relay.set_faults(&cut).await.unwrap();
+    let other = fleet.operator(1 - planning);
+    wait_until("the other entry plans", PLANNED, || async {
+        let told = other.submit("study-2", 1_000, "sleep:500").await;
+        told.is_ok_and(|(status, _)| status.is_success())
+    })
+    .await;
+    let second = reaches(&fleet, "study-2", "done", Duration::from_secs(40)).await;
+    let first = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 1, "it ran on through the takeover");
+    check(&fleet, &[("study-1", first), ("study-2", second)]).await;
+}
