--- /dev/null
+++ b/crates/geraniumpost-core/tests/jobs_planner/bench.rs
@@ -0,0 +1,192 @@
+use geraniumpost_core::Millis;
+use geraniumpost_core::jobs::{
+    BUCKETS, Bucket, Holder, JobAnswer, JobRecord, JobSpec, JobState, LeaseConfig, Moment, Planner,
+    PlannerAction, PlannerConfig, PlannerEvent, Standing, Takeover, TermRecord, Transition,
+    bucket_of,
+};
+use geraniumpost_core::placement::{Decision, Reason};
+use geraniumpost_schema::{
+    AgentState, Document, Heartbeat, Inventory, Load, Name, Resources, TaskReport, TaskState,
+    ToAgent,
+};
+
+pub const HOLD_MS: u64 = 10_000;
+pub const OUTAGE_MS: u64 = 60_000;
+pub const LEASE_MS: u64 = 6_000;
+pub const NEED: Resources = Resources { milli_cpus: 1_000, memory_mb: 100, accelerators: 0 };
+
+pub fn document() -> Document {
+    serde_json::from_value(serde_json::json!({
+        "customers": {"entel": {"token_sha256": "0", "quota": {}}},
+        "services": {}, "classes": {"study": {}}, "domains": {}, "operators": {}
+    }))
+    .expect("a document")
+}
+
+pub fn spec(job: &str) -> JobSpec {
+    JobSpec {
+        id: job.into(),
+        customer: "entel".into(),
+        class: "study".into(),
+        need: NEED,
+        command: String::new(),
+    }
+}
+
+/// A planner of term 2 with a store that takes every commit.
+pub struct Bench {
+    pub planner: Planner,
+    pub now: u64,
+    pub sent: Vec<(Name, ToAgent)>,
+    pub replies: Vec<JobAnswer>,
+    pub stepped_down: bool,
+    pub commits: u64,
+    pub reads: u64,
+    pub bytes: usize,
+}
+
+impl Bench {
+    pub fn new(records: &[JobRecord]) -> Self {
+        let config =
+            LeaseConfig { outage_hold_ms: OUTAGE_MS, hold_ms: HOLD_MS, ..Default::default() };
+        let first = TermRecord::first(Holder::new("entry-1".into(), 1), &config);
+        let second = first.next(Holder::new("entry-2".into(), 2), &config);
+        let takeover = Takeover::new(&second, Millis(1_000));
+        let mut planner = Planner::new(&takeover, PlannerConfig::default());
+        planner.configure(&document());
+        let mut bench = Self {
+            planner,
+            now: 1_000,
+            sent: Vec::new(),
+            replies: Vec::new(),
+            stepped_down: false,
+            commits: 0,
+            reads: 0,
+            bytes: 0,
+        };
+        let reads = bench.raw(PlannerEvent::Tick);
+        assert_eq!(reads.len(), BUCKETS);
+        for bucket in 0..BUCKETS {
+            let mut stored = Bucket::default();
+            for record in records.iter().filter(|one| bucket_of(one.id()) == bucket) {
+                stored.put(record.clone());
+            }
+            let found = Some((7, stored.encode(1, 3)));
+            bench.tell(PlannerEvent::ReadDone { bucket, found });
+        }
+        assert!(bench.planner.is_ready());
+        bench
+    }
+
+    pub fn moment(&self) -> Moment {
+        Moment::new(Millis(self.now), 1_000_000 + self.now, 7)
+    }
+
+    pub fn raw(&mut self, event: PlannerEvent) -> Vec<PlannerAction> {
+        self.planner.handle(event, Standing::Leader { term: 2 }, self.moment())
+    }
+
+    pub fn tell(&mut self, event: PlannerEvent) {
+        let actions = self.raw(event);
+        self.carry_out(actions);
+    }
+
+    pub fn carry_out(&mut self, actions: Vec<PlannerAction>) {
+        for action in actions {
+            match action {
+                PlannerAction::Commit { bucket, value, .. } => {
+                    self.commits += 1;
+                    self.bytes += value.len();
+                    let done = PlannerEvent::CommitDone { bucket, revision: 8 + self.commits };
+                    self.tell(done);
+                }
+                PlannerAction::Send { agent, frame } => self.sent.push((agent, frame)),
+                PlannerAction::Reply { answer, .. } => self.replies.push(answer),
+                PlannerAction::StepDown(_) => self.stepped_down = true,
+                PlannerAction::Read { .. } => self.reads += 1,
+                _ => {}
+            }
+        }
+    }
+
+    pub fn tick_at(&mut self, now: u64) {
+        self.now = now;
+        self.tell(PlannerEvent::Tick);
+    }
+
+    pub fn beat(&mut self, agent: &str) {
+        let beat = heartbeat(agent);
+        let leader = Standing::Leader { term: 2 };
+        let hold = self.planner.heartbeat(&beat, HOLD_MS, leader, Millis(self.now));
+        assert_eq!(hold, (2, HOLD_MS));
+    }
+
+    pub fn link(&mut self, agent: &str, tasks: Vec<TaskReport>) {
+        let agent = Name::from(agent);
+        self.tell(PlannerEvent::LinkUp { agent: agent.clone(), incarnation: 5 });
+        let inventory = Inventory { incarnation: 5, term: 2, tasks };
+        self.tell(PlannerEvent::Inventory { agent, inventory });
+    }
+
+    pub fn report(&mut self, agent: &str, report: TaskReport) {
+        self.tell(PlannerEvent::Report { agent: agent.into(), report });
+    }
+
+    pub fn assign(&mut self, job: &str, worker: &str) {
+        let start = Decision::Start {
+            job: job.into(),
+            worker: worker.into(),
+            need: NEED,
+            score: 0.0,
+            why: Reason::Settling,
+        };
+        let leader = Standing::Leader { term: 2 };
+        let actions = self.planner.place(leader, self.moment(), |_, _, _| vec![start]);
+        self.carry_out(actions);
+    }
+
+    pub fn state(&self, job: &str) -> (JobState, u64) {
+        let record = self.planner.job(job).expect("kept").record;
+        (record.state(), record.epoch())
+    }
+}
+
+pub fn heartbeat(agent: &str) -> Heartbeat {
+    Heartbeat {
+        agent: agent.into(),
+        incarnation: 5,
+        sequence: 1,
+        service: Name::default(),
+        region: "lima".into(),
+        domain: "surco".into(),
+        rack: "rack-1".into(),
+        address: Name::default(),
+        state: AgentState::Ready,
+        slots: 0,
+        load: Load { in_flight: 0, queued: 0, service_us: 0, p99_us: 0, failures_permille: 0 },
+        config_revision: 1,
+        entries_digest: 0,
+        term: 2,
+        has_worker: true,
+        capacity: Resources { milli_cpus: 64_000, memory_mb: 64_000, accelerators: 0 },
+        reserved: Resources::default(),
+        tasks: 0,
+    }
+}
+
+pub fn report(job: &str, epoch: u64, state: TaskState) -> TaskReport {
+    TaskReport {
+        job: job.into(),
+        epoch,
+        state,
+        checkpoint: Name::default(),
+        result: "result".to_owned(),
+        usage: Resources::default(),
+    }
+}
+
+pub fn assigned(job: &str) -> JobRecord {
+    let mut record = JobRecord::new(spec(job), 1);
+    record.apply(Transition::Assign { worker: "agent-1".into() }, 2).expect("pending");
+    record
+}
