test(core): name the case of a term that came back

Cause: the random case that showed the fault no longer met it once the driver's delays had changed, so that nothing guarded the mend. Change: a named case of the lease for it. Conclusion: kept beside the random one.

--- a/crates/geraniumpost-core/tests/jobs_lease.rs
+++ b/crates/geraniumpost-core/tests/jobs_lease.rs
@@ -98,6 +98,24 @@
     assert_eq!(lease.standing(at), Standing::Leader { term: 1 });
 }
 
+// The last hold runs out while the holder, back from an outage, rewrites its term. The driver found
+// that it then began anew under its old term: its empty planner took the records in the store for its
+// own and wrote over them, and every accepted job was lost.
+#[test]
+fn a_term_let_go_never_comes_back() {
+    let mut lease = leader();
+    let own = TermRecord::first(holder(1), &CONFIG);
+    let at = Millis(60_000);
+    lease.handle(LeaseEvent::Tick, at);
+    lease.handle(LeaseEvent::AliveRead(None), at);
+    lease.handle(LeaseEvent::Granted(8), at);
+    lease.handle(LeaseEvent::Claimed(true), at);
+    lease.handle(LeaseEvent::TermRead(Some((10, value(&own)))), at);
+    let late = lease.handle(LeaseEvent::TermWritten(Some(11)), Millis(61_500));
+    assert_matches!(&late[..], [LeaseAction::Lost(_)]);
+    assert_eq!(lease.standing(Millis(61_500)), Standing::Follower);
+}
+
 // Another entry took over while the holder was cut off. It must learn that from the first look and
 // let go, or agents that only it reaches would be kept from the new planner.
 #[test]
