--- a/crates/geraniumpost/src/config/follow.rs
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -49,6 +49,7 @@
 async fn watch(keeper: &ConfigKeeper, store: &Store, wanted: &mpsc::Sender<Wanted>) {
     // The first call is a read, which answers at once where a watch would wait for a change.
     let mut read = true;
+    let mut down = false;
     loop {
         let outcome = if read {
             keeper.refresh(store).await.map(|()| Vec::new())
@@ -56,15 +57,26 @@
             wait(keeper, store).await
         };
         read = outcome.is_err();
-        match outcome {
-            Ok(asked) => send(asked, wanted).await,
-            Err(error) => {
-                spdlog::warn!("the configuration cannot be read from the store: {error}");
-                let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
-                tokio::time::sleep(Duration::from_millis(pause)).await;
-            }
+        note(&mut down, outcome.as_ref().err());
+        if let Ok(asked) = outcome {
+            send(asked, wanted).await;
+        } else {
+            let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+}
+
+/// Logs the beginning and the end of an outage, not each call of it.
+fn note(down: &mut bool, error: Option<&StoreError>) {
+    match error {
+        Some(error) if !*down => {
+            spdlog::warn!("the configuration cannot be read from the store: {error}");
         }
+        None if *down => spdlog::info!("the configuration can be read from the store again"),
+        _ => {}
     }
+    *down = error.is_some();
 }
 
 async fn wait(keeper: &ConfigKeeper, store: &Store) -> Result<Vec<Wanted>, StoreError> {
