fix(entry): tell waiting requests when a silent agent is forgotten

Cause: an agent whose VM is paused is forgotten after three and a half heartbeats, which ends the task that watches its link without a word to the requests that wait on it. With heartbeats of 200 ms this comes before the pings run out, and they waited until the agent thawed or their deadline. Change: taking a link out of use tells whoever waits on it, whatever the reason. Conclusion: found by the failure test frozen_agent_harms_nobody_when_it_thaws.

--- a/crates/geraniumpost/src/entry/link_keeper.rs
+++ b/crates/geraniumpost/src/entry/link_keeper.rs
@@ -75,8 +75,13 @@
     cx.tell_planner(PlannerInput::LinkUp(Arc::clone(link)));
 }
 
+/// Takes a link out of use.
+///
+/// Whoever waits on it is told so, whatever the reason: an agent that has gone silent is forgotten
+/// sooner than its pings run out, and its attempts would otherwise wait for their whole deadline.
 fn go_down(cx: &EntryContext, link: &Arc<AgentLink>) {
     cx.links.remove(link);
+    link.tell_silent();
     set_connected(cx, link, false);
     cx.tell_planner(PlannerInput::LinkDown(Arc::clone(link)));
 }
@@ -109,7 +114,6 @@
         let now = cx.clock.now();
         if pings.is_silent(link, now) {
             spdlog::warn!("link to {} is silent", link.peer().name);
-            link.tell_silent();
             return;
         }
         if link.is_waited_on() || turn % IDLE_PINGS == 0 {
