fix(entry): answer connections that still wait to be accepted at a stop

Cause: closing the listener resets connections that the system has completed and nobody has accepted yet. Change: a leaving entry takes what is queued before it closes the listener. Ruled out: a longer time of being not ready, which only moves the moment.

--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -56,7 +56,7 @@
             () = &mut leaving => break,
         }
     }
-    drop(listener);
+    serve_queued(&cx, listener, &room, &graceful);
     let longest = Duration::from_millis(cx.settings.drain_ms);
     if timeout(longest, graceful.shutdown()).await.is_err() {
         spdlog::warn!("stopping with requests under way: drain_ms is over");
@@ -78,6 +78,26 @@
     }
 }
 
+/// Takes the connections that wait to be accepted and closes the listener.
+///
+/// The system has completed these connections and their callers may have sent requests already.
+/// Closing the listener over them resets them, which callers notice as requests without any word
+/// during a planned stop.
+fn serve_queued(
+    cx: &Arc<EntryContext>,
+    listener: TcpListener,
+    room: &Arc<Semaphore>,
+    graceful: &GracefulShutdown,
+) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let permit = Arc::clone(room).try_acquire_owned();
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        let (Ok(permit), Ok(stream)) = (permit, stream) else { continue };
+        spawn(cx, stream, permit, graceful);
+    }
+}
+
 fn spawn(
     cx: &Arc<EntryContext>,
     stream: TcpStream,
