--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -170,6 +170,7 @@
         let record = self.minion_record().await.expect("the minions' records can be read");
         let found = check_requests(told, &record);
         let summary: Summary = told.iter().collect();
+        println!("{summary}");
         assert!(found.is_empty(), "{} broken promises: {found:#?}\n{summary}", found.len());
     }
 
--- a/crates/geraniumpost-harness/src/load.rs
+++ b/crates/geraniumpost-harness/src/load.rs
@@ -28,6 +28,7 @@
 impl Load {
     /// Starts `callers` callers; the seed decides what each of them sends where.
     pub fn start(entries: &[SocketAddr], callers: u64, seed: u64) -> Self {
+        println!("load of {callers} callers with seed {seed}");
         let stop = Arc::new(AtomicBool::new(false));
         let mut running = JoinSet::new();
         for number in 0..callers {
