fix(entry): judge no agent by its silence right after a pause

Cause: an entry whose VM was paused takes all agents for dead when it goes on, because by the clock they have been silent, while their heartbeats lie unread in its socket. Callers were told that there is no agent (2003). Change: after a gap between two looks agents are not judged for two heartbeats.

--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -10,6 +10,7 @@
 
 use super::EntryContext;
 use super::link_keeper::{Target, keep_link};
+use super::pauses::Pauses;
 use crate::datagram_socket::DatagramSocket;
 use crate::drop_reason::reason;
 
@@ -25,11 +26,14 @@
     let mut keepers = Keepers::default();
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut pauses = Pauses::new(cx.clock.now());
     loop {
         let (from, received) = tokio::select! {
             received = socket.receive() => received,
             _ = ticks.tick() => {
-                tick(&cx, &mut keepers);
+                if pauses.may_judge(cx.clock.now(), cx.settings.heartbeat_ms) {
+                    tick(&cx, &mut keepers);
+                }
                 continue;
             }
         };
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod link_event;
 mod link_keeper;
 mod links;
+mod pauses;
 mod peers;
 mod reply;
 mod role;
