test: store outages while callers and operators go on

Cause: requests and the configuration in force must not depend on the store being up. Change: ten failure tests with fixed seeds: a store that refuses, hangs, is unavailable, slow or loses replies; restarts and stops in an outage; two operators at once; a lost reply to a change; a revision over restarts.

--- /dev/null
+++ b/crates/geraniumpost/tests/failures_store.rs
@@ -0,0 +1,177 @@
+//! Outages of the key-value service while callers and operators go on.
+
+use std::time::Duration;
+
+use geraniumpost_harness::check::{Summary, Told, Word};
+use geraniumpost_harness::{Binaries, Fleet, Load, Plan, Send, wait_until};
+use geraniumpost_standin::http::Down;
+use geraniumpost_standin::store::StoreFaults;
+use http::StatusCode;
+use serde_json::Value;
+
+const LONG: Duration = Duration::from_secs(15);
+
+async fn fleet(plan: Plan) -> Fleet {
+    let binaries = Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"));
+    Fleet::start(&binaries, &plan).await.unwrap()
+}
+
+async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+fn down(down: Down) -> StoreFaults {
+    StoreFaults { down, ..StoreFaults::default() }
+}
+
+/// Returns the summary of the requests that need no claim in the store.
+fn unkeyed(told: &[Told]) -> Summary {
+    told.iter().filter(|told| told.key.is_empty()).collect()
+}
+
+async fn revision(fleet: &Fleet, entry: usize) -> u64 {
+    let answer = fleet.operator(entry).get("/api/config").await;
+    answer.ok().and_then(|(_, body)| body["revision"].as_u64()).unwrap_or(0)
+}
+
+/// Names each case of a store that is out of service in some way under load.
+macro_rules! outages {
+    ($($(#[$doc:meta])* $name:ident: $faults:expr, seed: $seed:expr;)*) => {$(
+        $(#[$doc])*
+        #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+        async fn $name() {
+            let fleet = fleet(Plan::default()).await;
+            fleet.set_store_faults($faults).await.unwrap();
+            let load = Load::start(&fleet.callers_addresses(), 8, $seed);
+            pass(2500).await;
+            fleet.set_store_faults(StoreFaults::default()).await.unwrap();
+            pass(500).await;
+            let told = load.stop().await;
+            fleet.assert_promises_to_callers(&told).await;
+            let summary = unkeyed(&told);
+            assert_eq!(summary.answered, summary.codes.values().sum::<usize>(), "{summary}");
+        }
+    )*};
+}
+
+outages! {
+    /// The store's processes are gone. Requests without a key go on with the configuration in
+    /// force; those with a key are told that they did not run.
+    refused_store_stops_no_request: down(Down::Refuse), seed: 21;
+    /// The store takes calls and answers none. Nothing may wait for it.
+    hanging_store_stops_no_request: down(Down::Hang), seed: 22;
+    /// The store answers everything with 503.
+    unavailable_store_stops_no_request: down(Down::Unavailable), seed: 23;
+    /// The store answers slowly.
+    slow_store_stops_no_request: StoreFaults { slow_ms: 400, ..StoreFaults::default() }, seed: 24;
+    /// Half of the replies to claims are lost after they took effect. A badge whose claim is
+    /// uncertain must not print twice when its caller repeats it.
+    lost_replies_double_nothing:
+        StoreFaults { lose_permille: 500, seed: 5, ..StoreFaults::default() }, seed: 25;
+}
+
+/// An entry and an agent are replaced while the store is down. The new ones must serve with the
+/// configuration that the others hold, and not wait for the store.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn processes_restarted_in_an_outage_serve() {
+    let mut fleet = fleet(Plan::default()).await;
+    let before = revision(&fleet, 0).await;
+    fleet.set_store_faults(down(Down::Refuse)).await.unwrap();
+    fleet.entry(0).restart().unwrap();
+    fleet.agent(0).restart().unwrap();
+    fleet.ready().await;
+    assert_eq!(revision(&fleet, 0).await, before);
+}
+
+/// Entry and agent are stopped while the store is down and callers are at work. The stop must
+/// neither wait for the store nor cut anything off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn stop_in_an_outage_cuts_off_nothing() {
+    let mut fleet = fleet(Plan::default()).await;
+    fleet.set_store_faults(down(Down::Hang)).await.unwrap();
+    let callers: Vec<_> = (0..6)
+        .map(|_| {
+            let caller = fleet.caller(0);
+            tokio::spawn(async move { caller.send(&Send::post().work_ms(800)).await })
+        })
+        .collect();
+    pass(300).await;
+    fleet.entry(0).term().unwrap();
+    fleet.agent(1).term().unwrap();
+    let mut told = Vec::new();
+    for caller in callers {
+        told.push(caller.await.unwrap());
+    }
+    fleet.assert_promises_to_callers(&told).await;
+    assert!(told.iter().all(|told| matches!(told.word, Word::Answered { .. })), "{told:#?}");
+    assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+    assert!(fleet.agent(1).ended(LONG).await.unwrap().success());
+}
+
+/// Reads the document from an entry and changes the customer's weight.
+async fn change(fleet: &Fleet, entry: usize, based_on: u64, weight: u64) -> (StatusCode, Value) {
+    let operator = fleet.operator(entry);
+    let (_, config) = operator.get("/api/config").await.unwrap();
+    let mut document = config["document"].clone();
+    document["customers"]["claro"]["weight"] = weight.into();
+    operator.put_if_match("/api/config", based_on, &document).await.unwrap()
+}
+
+/// Two operators change the same revision at once, each through another entry. One wins; the other
+/// is told so, and the winner's change is in force everywhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn one_of_two_operators_wins() {
+    let fleet = fleet(Plan::default()).await;
+    let base = revision(&fleet, 0).await;
+    let (a, b) = tokio::join!(change(&fleet, 0, base, 3), change(&fleet, 1, base, 4));
+    let won = [&a, &b].into_iter().filter(|(status, _)| status.is_success()).count();
+    assert_eq!(won, 1, "{a:?} {b:?}");
+    let (lost, winner) = if a.0.is_success() { (&b, &a) } else { (&a, &b) };
+    assert!(lost.0.is_client_error(), "{lost:?}");
+    let wanted = winner.1["revision"].as_u64().unwrap();
+    for entry in 0..2 {
+        wait_until("the winner's change is in force", LONG, || async {
+            revision(&fleet, entry).await == wanted
+        })
+        .await;
+    }
+}
+
+/// The store loses the reply to an operator's change after it took effect. The operator must be
+/// told that it is in force, which the entry can find out by reading it back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn change_with_a_lost_reply_is_reported_as_made() {
+    let fleet = fleet(Plan::default()).await;
+    let base = revision(&fleet, 0).await;
+    let faults = StoreFaults { lose_permille: 1000, ..StoreFaults::default() };
+    fleet.set_store_faults(faults).await.unwrap();
+    let (status, body) = change(&fleet, 0, base, 5).await;
+    assert!(status.is_success(), "{status} {body}");
+    let wanted = body["revision"].as_u64().unwrap();
+    assert!(wanted > base);
+    wait_until("the change is in force", LONG, || async { revision(&fleet, 1).await == wanted })
+        .await;
+}
+
+/// A change is made, then the store goes down, and one process after the other is replaced. None
+/// of them may come back with the old configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn revision_never_goes_back_over_restarts() {
+    let mut fleet = fleet(Plan::default()).await;
+    let base = revision(&fleet, 0).await;
+    let (status, body) = change(&fleet, 0, base, 6).await;
+    assert!(status.is_success(), "{status} {body}");
+    let wanted = body["revision"].as_u64().unwrap();
+    wait_until("the change is in force", LONG, || async { revision(&fleet, 1).await == wanted })
+        .await;
+    fleet.set_store_faults(down(Down::Refuse)).await.unwrap();
+    for entry in [1, 0] {
+        fleet.entry(entry).restart().unwrap();
+        wait_until("the restarted entry has a configuration", LONG, || async {
+            let seen = revision(&fleet, entry).await;
+            assert!(seen == 0 || seen == wanted, "revision {seen} after {wanted}");
+            seen == wanted
+        })
+        .await;
+    }
+}
