feat(agent): announce an address other than the one listened on

Cause: between VMs addresses may be translated, and the failure tests need a relay between entries and agents to cut and silence their links.

--- a/crates/geraniumpost-config/src/settings_rules.rs
+++ b/crates/geraniumpost-config/src/settings_rules.rs
@@ -14,8 +14,8 @@
     [("callers", false), ("console", true), ("datagrams", true), ("store", true)];
 
 /// Addresses of an agent; those told to other processes are marked.
-const AGENT_ADDRESSES: [(&str, bool); 4] =
-    [("listen", true), ("minion", true), ("worker", true), ("metrics", false)];
+const AGENT_ADDRESSES: [(&str, bool); 5] =
+    [("listen", true), ("announce", true), ("minion", true), ("worker", true), ("metrics", false)];
 
 /// Checks the settings of an entry.
 pub(crate) fn entry(settings: &Value) -> Vec<Problem> {
--- a/crates/geraniumpost-harness/src/agent_place.rs
+++ b/crates/geraniumpost-harness/src/agent_place.rs
@@ -12,6 +12,7 @@
 #[derive(Debug)]
 pub struct AgentPlace {
     pub(crate) settings: AgentSettings,
+    pub(crate) link_relay: Option<StandinPlace>,
     pub(crate) minion: StandinPlace,
     pub(crate) minion_relay: StandinPlace,
     pub(crate) worker: StandinPlace,
@@ -38,6 +39,11 @@
         &self.settings.name
     }
 
+    /// Returns the relay between all entries and the agent, if the plan has one.
+    pub const fn link_relay(&self) -> Option<&StandinPlace> {
+        self.link_relay.as_ref()
+    }
+
     /// Returns the minion.
     pub const fn minion(&self) -> &StandinPlace {
         &self.minion
--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -246,6 +246,7 @@
         domain: domain(plan, number),
         rack: Name::from(format!("rack-{}", number / 3)),
         listen,
+        announce: None,
         entries: entries.to_vec(),
         shared_key: SHARED_KEY.to_owned(),
         service: Some(Name::from(SERVICE)),
@@ -273,13 +274,29 @@
         Resources { milli_cpus: plan.milli_cpus, memory_mb: plan.memory_mb, accelerators: 0 };
     let options = WorkerOptions { name, capacity, ..WorkerOptions::default() };
     let worker = standins.worker(options).await?;
+    let link_relay = if plan.relayed_links {
+        let relay = standins.relay(settings.listen).await?;
+        settings.announce = Some(relay.address());
+        Some(relay)
+    } else {
+        None
+    };
     let minion_relay = standins.relay(minion.address()).await?;
     let worker_relay = standins.relay(worker.address()).await?;
     settings.minion = Some(minion_relay.address());
     settings.worker = Some(worker_relay.address());
     let process = AgentPlace::start_process(standins.binaries, standins.folder, &settings)?;
     let lost_at_us = None;
-    Ok(AgentPlace { settings, minion, minion_relay, worker, worker_relay, process, lost_at_us })
+    Ok(AgentPlace {
+        settings,
+        link_relay,
+        minion,
+        minion_relay,
+        worker,
+        worker_relay,
+        process,
+        lost_at_us,
+    })
 }
 
 fn domain(plan: &Plan, number: usize) -> Name {
--- a/crates/geraniumpost-harness/src/plan.rs
+++ b/crates/geraniumpost-harness/src/plan.rs
@@ -26,6 +26,7 @@
     pub(crate) memory_mb: u64,
     pub(crate) slots: u64,
     pub(crate) standins_as_processes: bool,
+    pub(crate) relayed_links: bool,
     pub(crate) document: Value,
 }
 
@@ -41,6 +42,7 @@
             memory_mb: 250_000,
             slots: 8,
             standins_as_processes: false,
+            relayed_links: false,
             document: document(),
         }
     }
@@ -90,6 +92,13 @@
         self
     }
 
+    /// Puts a relay between the entries and each agent.
+    #[must_use]
+    pub const fn relayed_links(mut self) -> Self {
+        self.relayed_links = true;
+        self
+    }
+
     /// Changes the configuration document that the store holds at the start.
     #[must_use]
     pub fn document(mut self, change: impl FnOnce(&mut Value)) -> Self {
--- a/crates/geraniumpost-schema/src/generated.rs
+++ b/crates/geraniumpost-schema/src/generated.rs
@@ -45,6 +45,9 @@
     ///Accelerators of the VM.
     #[serde(default)]
     pub accelerators: u32,
+    ///Where entries reach `listen`, as IP:port, if addresses are translated on the way.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub announce: ::std::option::Option<::std::net::SocketAddr>,
     ///Failure domain this process runs in.
     pub domain: crate::Name,
     ///Longest time a planned stop waits for requests in flight.
--- a/crates/geraniumpost/src/agent/heartbeats.rs
+++ b/crates/geraniumpost/src/agent/heartbeats.rs
@@ -66,7 +66,7 @@
         region: settings.region.clone(),
         domain: settings.domain.clone(),
         rack: settings.rack.clone(),
-        address: settings.listen.to_string().into(),
+        address: settings.announce.unwrap_or(settings.listen).to_string().into(),
         state: if cx.is_draining() { AgentState::Draining } else { AgentState::Ready },
         slots: cx.service().slots,
         load: cx.desk().load(),
