--- a/crates/geraniumpost-core/src/placement/draft.rs
+++ b/crates/geraniumpost-core/src/placement/draft.rs
@@ -3,13 +3,16 @@
 use geraniumpost_schema::{Name, Resources};
 
 use super::group::Group;
-use super::{Fleet, Wish, WorkerKey, amounts};
+use super::holds::Hold;
+use super::{Decision, Fleet, Wish, WorkerKey, amounts};
 
 /// Room and holdings as they will be once this call's decisions are carried out.
 #[derive(Debug, Default)]
 pub struct Draft {
     /// The workers.
     pub rows: Vec<DraftRow>,
+    /// Room that workers with [`DraftRow::spare`] keep free.
+    pub room: Resources,
     holdings: HashMap<Name, Resources>,
     groups: HashMap<(Name, Name), Group>,
     slopes: HashMap<Name, Vec<f64>>,
@@ -35,28 +38,81 @@
     pub forecast: f64,
     /// Jobs it may still be given.
     pub limit: u32,
-    /// Whether it is kept for a job.
-    pub held: bool,
+    /// Room that is kept there for a job.
+    pub held: Resources,
+    /// Whether it keeps room free for urgent jobs.
+    pub spare: bool,
+}
+
+impl DraftRow {
+    /// Returns whether room is kept there for a job.
+    pub fn is_held(&self) -> bool {
+        self.held != amounts::NONE
+    }
 }
 
 impl Draft {
+    /// Keeps room for urgent jobs free on the workers that have or nearly have it.
+    pub fn keep_rooms(&mut self, rooms: usize, room: Resources) {
+        self.room = room;
+        let open = self.rows.iter().enumerate().filter(|(_, row)| !row.is_held() && row.limit > 0);
+        let mut short: Vec<(u64, usize)> =
+            open.map(|(at, row)| (amounts::minus(&room, &row.free).milli_cpus, at)).collect();
+        short.sort_unstable();
+        for (_, at) in short.into_iter().take(rooms) {
+            self.rows[at].spare = true;
+        }
+    }
+
+    /// Takes the processors away that sped up tasks take back; else a start in the same call would
+    /// be given them too.
+    pub fn speed_up(&mut self, decisions: &[Decision], fleet: &Fleet) {
+        for decision in decisions {
+            let Decision::Throttle { job, worker, permille, .. } = decision else { continue };
+            let Some(key) = fleet.key(worker) else { continue };
+            let task = fleet.view(key).tasks.iter().find(|task| task.job == *job);
+            let Some(row) = self.rows.iter_mut().find(|row| row.key == key) else { continue };
+            let more = task.map_or(0, |task| task.more_milli_cpus(*permille));
+            row.free.milli_cpus = row.free.milli_cpus.saturating_sub(more);
+        }
+    }
+
     /// Takes a job's start into account.
     pub fn start(&mut self, at: usize, wish: &Wish, need: &Resources, added: f64) {
         let row = &mut self.rows[at];
         row.free = amounts::minus(&row.free, need);
         row.forecast += added;
         row.limit -= 1;
-        let holding = self.holdings.entry(wish.customer.clone()).or_insert(amounts::NONE);
-        *holding = amounts::plus(holding, need);
+        let (rack, domain) = (row.rack, row.domain);
+        self.add_holding(&wish.customer, need);
         let of = (wish.customer.clone(), wish.class.clone());
-        self.groups.entry(of).or_default().add(row.rack, row.domain);
+        self.groups.entry(of).or_default().add(rack, domain);
+    }
+
+    /// Keeps room on a worker, and within its customer's quota, for one job from now on.
+    ///
+    /// Without the quota's part, smaller jobs of the same customer could use it up while tasks are
+    /// being evicted, and these would have been evicted for nothing.
+    pub fn hold(&mut self, hold: &Hold) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.key == hold.worker) {
+            row.held = hold.need;
+        }
+        self.add_holding(&hold.customer, &hold.need);
     }
 
-    /// Keeps a worker for one job from now on.
-    pub fn hold(&mut self, worker: WorkerKey) {
-        if let Some(row) = self.rows.iter_mut().find(|row| row.key == worker) {
-            row.held = true;
+    /// Gives what was kept for a job free again.
+    pub fn release(&mut self, hold: &Hold) {
+        if let Some(row) = self.rows.iter_mut().find(|row| row.key == hold.worker) {
+            row.held = amounts::NONE;
         }
+        if let Some(holding) = self.holdings.get_mut(&hold.customer) {
+            *holding = amounts::minus(holding, &hold.need);
+        }
+    }
+
+    fn add_holding(&mut self, customer: &Name, need: &Resources) {
+        let holding = self.holdings.entry(customer.clone()).or_insert(amounts::NONE);
+        *holding = amounts::plus(holding, need);
     }
 
     /// Returns what a customer will hold.
--- a/crates/geraniumpost-core/src/placement/pressure.rs
+++ b/crates/geraniumpost-core/src/placement/pressure.rs
@@ -1,11 +1,9 @@
-use std::collections::BTreeMap;
-
 use geraniumpost_schema::{Name, Priority};
 
 use super::gauge::Gauge;
 use super::harm_model::HarmModel;
 use super::task_view::FULL_SPEED;
-use super::{Decision, Fleet, Reason, TaskView, WorkerView};
+use super::{Decision, Reason, TaskView, WorkerView};
 use crate::Millis;
 
 /// How long a service must be pressed before a task is slowed.
@@ -23,7 +21,7 @@
 /// Least harm, in targets, for which a task is slowed.
 const WORTH_SLOWING: f64 = 0.05;
 /// Predicted latency, in targets, up to which a task is sped up again.
-const ROOM_TO_LIFT: f64 = 0.8;
+const ROOM_TO_LIFT: f64 = 1.0;
 
 /// What to do about one worker's service.
 pub struct Pressure<'a> {
@@ -60,6 +58,9 @@
             return None;
         }
         let permille = (task.permille * 2).min(FULL_SPEED);
+        if task.more_milli_cpus(permille) > self.view.free().milli_cpus {
+            return None;
+        }
         let why = Reason::Calm { p99_permille: permille_of(self.gauge.smoothed) };
         Some(self.throttle(task, permille, why))
     }
@@ -117,18 +118,6 @@
     }
 }
 
-/// Returns the workers that a measure may be due on.
-pub fn due<'a>(
-    gauges: &'a BTreeMap<Name, Gauge>,
-    fleet: &'a Fleet,
-) -> impl Iterator<Item = (&'a WorkerView, &'a Gauge)> {
-    gauges
-        .iter()
-        .filter(|(_, gauge)| gauge.hot_since.is_some() || gauge.calm_since.is_some())
-        .filter_map(|(name, gauge)| fleet.worker(name).map(|view| (view, gauge)))
-        .filter(|(view, _)| !view.tasks.is_empty())
-}
-
 fn permille_of(targets: f64) -> u32 {
     (targets.max(0.0) * 1000.0) as u32
 }
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -29,6 +29,10 @@
 const CONNECTIONS: usize = 10_000;
 /// How long a leaving entry still accepts, so that the balancer sees it as not ready first.
 const NOT_READY: Duration = Duration::from_millis(500);
+/// Longest time in which a starting entry lets nobody in.
+const LONGEST_START: Duration = Duration::from_secs(3);
+/// Pause between two looks at whether a starting entry can serve.
+const START_LOOK: Duration = Duration::from_millis(20);
 /// Pause after an accept that failed, most often for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// When a caller who has too much in flight should come back, in milliseconds.
@@ -46,23 +50,47 @@
         cx.drain();
         sleep(NOT_READY).await;
     });
-    loop {
+    let mut left = tokio::select! {
+        () = able_to_serve(&cx) => false,
+        () = &mut leaving => true,
+    };
+    while !left {
         tokio::select! {
             accepted = accept(&listener, &room) => {
                 if let Some((stream, permit)) = accepted {
                     spawn(&cx, stream, permit, &graceful);
                 }
             }
-            () = &mut leaving => break,
+            () = &mut leaving => left = true,
         }
     }
-    drop(listener);
+    serve_queued(&cx, listener, &room, &graceful);
     let longest = Duration::from_millis(cx.settings.drain_ms);
     if timeout(longest, graceful.shutdown()).await.is_err() {
         spdlog::warn!("stopping with requests under way: drain_ms is over");
     }
 }
 
+/// Waits until a starting entry has a configuration and an agent, or for [`LONGEST_START`].
+///
+/// Without a configuration every token is unknown, and without agents nothing can run; callers
+/// would be turned away, although the entry serves them a moment later. Until then their
+/// connections wait in the listener's queue, and the balancer's question goes unanswered.
+async fn able_to_serve(cx: &EntryContext) {
+    let able = || {
+        cx.keeper.holder().load().revision() > 0
+            && cx.snapshot.load().agents().any(|agent| agent.is_routable())
+    };
+    let waiting = async {
+        while !able() {
+            sleep(START_LOOK).await;
+        }
+    };
+    if timeout(LONGEST_START, waiting).await.is_err() {
+        spdlog::warn!("no configuration or no agent yet; callers are let in all the same");
+    }
+}
+
 async fn accept(
     listener: &TcpListener,
     room: &Arc<Semaphore>,
@@ -78,6 +106,26 @@
     }
 }
 
+/// Takes the connections that wait to be accepted and closes the listener.
+///
+/// The system has completed these connections and their callers may have sent requests already.
+/// Closing the listener over them resets them, which callers notice as requests without any word
+/// during a planned stop.
+fn serve_queued(
+    cx: &Arc<EntryContext>,
+    listener: TcpListener,
+    room: &Arc<Semaphore>,
+    graceful: &GracefulShutdown,
+) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let permit = Arc::clone(room).try_acquire_owned();
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        let (Ok(permit), Ok(stream)) = (permit, stream) else { continue };
+        spawn(cx, stream, permit, graceful);
+    }
+}
+
 fn spawn(
     cx: &Arc<EntryContext>,
     stream: TcpStream,
