feat(core): spare one slot for customers under their share

The model drew exponential times only.

Change: the last of four or more slots goes only to customers under their share while others are active. The differential test now reaches loads at which that counts (whole cycles of runs); the twin has the same rule.

--- a/crates/geraniumpost-core/src/requests/fair_queue.rs
+++ b/crates/geraniumpost-core/src/requests/fair_queue.rs
@@ -20,6 +20,9 @@
 /// Most slot time that a customer may be ahead of its share when it wakes, in rounds of all slots.
 const BURST_ROUNDS: u64 = 4;
 
+/// Fewest slots of which one is spared for customers under their share.
+const LEAST_TO_SPARE: usize = 4;
+
 /// A request on the minion.
 #[derive(Debug, Clone, Copy)]
 struct Running {
@@ -31,7 +34,8 @@
 ///
 /// Start-time fair queueing: each customer has a virtual time that grows by the slot time it used
 /// over its weight, and the customer furthest behind goes next. A customer that wakes starts a
-/// small allowance before the present virtual time, so it is served next but has saved nothing up. Without this a burst of one
+/// small allowance before the present virtual time, so it is served next but has saved nothing up.
+/// One slot stays free of customers over their share while others are active. Without this a burst of one
 /// customer fills the queue, and every other customer waits behind it.
 ///
 /// What would miss its deadline by the smoothed service time is refused when it comes, so that the
@@ -65,6 +69,7 @@
     times: ServiceTimes,
     reserve: SlotReserve,
     draining: bool,
+    now: Millis,
 }
 
 impl<T> FairQueue<T> {
@@ -82,6 +87,7 @@
             times: ServiceTimes::default(),
             reserve: SlotReserve::new(),
             draining: false,
+            now: Millis(0),
         }
     }
 
@@ -199,6 +205,7 @@
     }
 
     fn flow_of(&mut self, waiting: &Waiting<T>, now: Millis) -> FlowKey {
+        self.now = now;
         let key = match self.by_customer.get(waiting.customer()) {
             Some(&key) => key,
             None => self.add_flow(waiting.customer().clone()),
@@ -265,6 +272,7 @@
     }
 
     fn fill(&mut self, now: Millis) -> Vec<QueueAction<T>> {
+        self.now = now;
         let mut actions = Vec::new();
         loop {
             let mut turn = self.order.iter().map(|&(_, key)| key);
@@ -325,6 +333,9 @@
         if self.running.len() >= self.limits.slots {
             return false;
         }
+        if self.is_last_for_others(key) {
+            return false;
+        }
         let is_long = |flow: &Flow<T>| self.reserve.is_long(flow.service.mean_us());
         if !is_long(&self.flows[key]) {
             return true;
@@ -333,6 +344,22 @@
         self.reserve.leaves_room(held, self.limits.slots)
     }
 
+    /// Whether one slot is left, and `key` holds its share of slots while others are active.
+    ///
+    /// Requests of one length that started together end together, so without a slot to spare a
+    /// quiet customer's request waits for up to a whole run of the others.
+    fn is_last_for_others(&self, key: FlowKey) -> bool {
+        if self.running.len() + 1 < self.limits.slots || self.limits.slots < LEAST_TO_SPARE {
+            return false;
+        }
+        let active = self.flows.values().filter(|flow| flow.is_active(self.now));
+        let weights: u64 = active.map(|flow| u64::from(flow.weight)).sum();
+        let flow = &self.flows[key];
+        let share = self.slots() * u64::from(flow.weight);
+        let holds_share = flow.running as u64 * weights >= share;
+        holds_share && flow.busy_milli() * weights >= share * 1000
+    }
+
     fn measure(&mut self, now: Millis) {
         let Some(window_ms) = self.reserve.window(now) else { return };
         self.flows.values_mut().for_each(|flow| flow.measure(window_ms));
--- a/crates/geraniumpost-core/src/requests/flow.rs
+++ b/crates/geraniumpost-core/src/requests/flow.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 use super::Waiting;
-use super::slot_reserve::SlotUse;
+use super::slot_reserve::{ACTIVE_MS, SlotUse};
 use super::smoothed::Smoothed;
 use crate::{Micros, Millis};
 
@@ -40,6 +40,11 @@
         self.queue.is_empty() && self.running == 0
     }
 
+    /// Whether the customer asked for something of late.
+    pub(super) const fn is_active(&self, now: Millis) -> bool {
+        now.since(self.used_at) <= ACTIVE_MS
+    }
+
     /// Charges the customer for a run expected to take the smoothed time; returns the charge.
     pub(super) fn charge(&mut self) -> u64 {
         let charge = self.cost(self.service.mean_us());
--- a/crates/geraniumpost-core/src/requests/slot_reserve.rs
+++ b/crates/geraniumpost-core/src/requests/slot_reserve.rs
@@ -4,7 +4,7 @@
 /// of eight slots then takes half a brisk request's time or more.
 const LONG_TIMES: u64 = 8;
 /// How long a customer counts as active after its last request.
-const ACTIVE_MS: u64 = 1_000;
+pub(super) const ACTIVE_MS: u64 = 1_000;
 /// How often the use of slots is measured.
 const WINDOW_MS: u64 = 200;
 /// Thousandths of a slot kept free beyond what brisk customers use.
--- a/crates/geraniumpost-core/tests/requests_fair_share.rs
+++ b/crates/geraniumpost-core/tests/requests_fair_share.rs
@@ -3,7 +3,7 @@
 mod requests_support;
 
 use requests_support::cases;
-use requests_support::minion_model::{CAPACITY, Discipline, MEAN_US, Seen, Source, run};
+use requests_support::minion_model::{CAPACITY, Discipline, MEAN_US, SLOTS, Seen, Source, run};
 
 const QUEUE: usize = 32;
 /// Most that a customer's 99th percentile may grow beside a burst.
@@ -42,6 +42,29 @@
     burst_of_studies_forty_times_as_long: 0.75, 40 * MEAN_US;
 }
 
+fn check_even(load: f64) {
+    let share = CAPACITY / 2.0;
+    let quiet = Source { even: true, ..Source::new("quiet", share * load) };
+    let burst = Source { even: true, ..Source::new("burst", share * 10.0) };
+    for seed in 1..=2 {
+        let alone = run(&[quiet], Discipline::Fair, QUEUE, 40, seed);
+        let beside = run(&[quiet, burst], Discipline::Fair, QUEUE, 40, seed);
+        let growth = beside[0].latency(0.99) as f64 / alone[0].latency(0.99) as f64;
+        let used = (beside[0].slot_us + beside[1].slot_us) as f64 / (40.0 * 1e6 * SLOTS as f64);
+        println!("even load={load} seed={seed} growth={growth:.2} slots used={used:.3}");
+        assert!(growth <= MOST_GROWTH, "seed {seed}: 99th percentile grew by {growth:.2}");
+        assert!(used >= 0.87, "seed {seed}: {used:.3} of the slots used");
+    }
+}
+
+// All requests take equally long, so those of a burst that started together end together. Without a
+// slot to spare, a quiet customer's request that comes just after waits for a whole run of them.
+cases! { check_even;
+    even_burst_beside_a_tenth_of_the_share: 0.1;
+    even_burst_beside_half_of_the_share: 0.5;
+    even_burst_beside_eight_tenths_of_the_share: 0.8;
+}
+
 /// The first moments of a burst: a customer that wakes with hundreds of requests used to have its
 /// first 32 served before everybody else's, and a caller of another customer waited four service
 /// times more just then.
@@ -132,4 +155,6 @@
     let seen = run(&sources, Discipline::Fair, QUEUE, 20, 1);
     let ratio = seen[1].slot_us as f64 / seen[0].slot_us as f64;
     assert!((2.8..3.2).contains(&ratio), "{ratio:.2}");
+    let used = (seen[0].slot_us + seen[1].slot_us) as f64 / (20.0 * 1e6 * SLOTS as f64);
+    assert!(used > 0.97, "no slot is spared when all are over their shares: {used:.3}");
 }
--- a/crates/geraniumpost-core/tests/requests_support/minion_model.rs
+++ b/crates/geraniumpost-core/tests/requests_support/minion_model.rs
@@ -26,11 +26,21 @@
     pub from_us: u64,
     /// Mean service time of its requests.
     pub mean_us: u64,
+    /// Whether each request takes just the mean, instead of a time drawn around it.
+    pub even: bool,
 }
 
 impl Source {
     pub const fn new(name: &'static str, per_second: f64) -> Self {
-        Self { name, per_second, weight: 1, deadline_ms: 2_000, from_us: 0, mean_us: MEAN_US }
+        Self {
+            name,
+            per_second,
+            weight: 1,
+            deadline_ms: 2_000,
+            from_us: 0,
+            mean_us: MEAN_US,
+            even: false,
+        }
     }
 }
 
@@ -170,7 +180,8 @@
     fn arrive(&mut self, index: usize) {
         let source = self.sources[index];
         let gap = self.exponential(1e6 / source.per_second);
-        let took_us = self.exponential(source.mean_us as f64);
+        let drawn_us = self.exponential(source.mean_us as f64);
+        let took_us = if source.even { source.mean_us } else { drawn_us };
         self.push(self.now_us + gap, Event::Arrive(index));
         let job = Job { source: index, sequence: self.order, arrived_us: self.now_us, took_us };
         self.jobs.insert(job.sequence, job);
--- a/crates/geraniumpost-core/tests/requests_support/naive_queue.rs
+++ b/crates/geraniumpost-core/tests/requests_support/naive_queue.rs
@@ -23,6 +23,7 @@
     times: Times,
     used_us: u64,
     busy_milli: u64,
+    used_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -43,6 +44,7 @@
     latest: u64,
     times: Times,
     measured_ms: u64,
+    now_ms: u64,
 }
 
 impl Times {
@@ -96,9 +98,11 @@
         if now_ms >= deadline_ms {
             return vec![Decided::Refuse(sequence, Refusal::Deadline, 1)];
         }
+        self.now_ms = now_ms;
         let customer = self.customer(number, weight);
+        self.customers[customer].used_ms = now_ms;
         let request = Waiting { sequence, customer, deadline_ms };
-        if self.running.len() < self.slots {
+        if self.queued(customer) == 0 && self.may_take(customer) {
             self.wake(customer);
             return vec![self.run(request)];
         }
@@ -161,6 +165,7 @@
             decided.extend(gone.iter().map(|g| refuse(g.sequence, Refusal::Deadline, wait_us)));
         }
         self.measure(now_ms);
+        decided.extend(self.fill(now_ms));
         decided
     }
 
@@ -181,7 +186,7 @@
         let known = self.customers.iter().position(|one| one.number == number);
         known.unwrap_or_else(|| {
             let times = self.times;
-            let (virtual_time, used_us, busy_milli) = (0, 0, 0);
+            let (virtual_time, used_us, busy_milli, used_ms) = (0, 0, 0, 0);
             self.customers.push(Customer {
                 number,
                 weight,
@@ -189,6 +194,7 @@
                 times,
                 used_us,
                 busy_milli,
+                used_ms,
             });
             self.customers.len() - 1
         })
@@ -213,10 +219,12 @@
     }
 
     fn fill(&mut self, now_ms: u64) -> Vec<Decided> {
+        self.now_ms = now_ms;
         let mut decided = Vec::new();
-        while self.running.len() < self.slots && !self.waiting.is_empty() {
+        loop {
             let behind = |one: &&Waiting| (self.customers[one.customer].virtual_time, one.customer);
-            let first = *self.waiting.iter().min_by_key(behind).expect("checked to be non-empty");
+            let may = self.waiting.iter().filter(|one| self.may_take(one.customer));
+            let Some(first) = may.min_by_key(behind).copied() else { return decided };
             self.waiting.retain(|one| one.sequence != first.sequence);
             if self.customers[first.customer].misses(first.deadline_ms, now_ms) {
                 decided.push(refuse(first.sequence, Refusal::Deadline, self.drain_us()));
@@ -224,7 +232,20 @@
                 decided.push(self.run(first));
             }
         }
-        decided
+    }
+
+    /// Whether a slot is free, and not the last one while the customer is over its share.
+    fn may_take(&self, customer: usize) -> bool {
+        let left = self.slots - self.running.len().min(self.slots);
+        if left != 1 || self.slots < 4 {
+            return left > 0;
+        }
+        let one = self.customers[customer];
+        let active = self.customers.iter().filter(|one| self.now_ms - one.used_ms <= 1_000);
+        let weights: u64 = active.map(|one| one.weight).sum();
+        let share = self.slots as u64 * one.weight;
+        let running = self.running.iter().filter(|run| run.1 == customer).count() as u64;
+        running * weights < share || one.busy_milli * weights < share * 1000
     }
 
     fn queued(&self, customer: usize) -> u64 {
