fix(core): remember keys longer than their attempts

A repeat that is sent to the claim's agent after that, and not asked for by key, would run a second time.

Ruled out: a larger index with attempts, several hundred bytes a key; refusing all unknown keys once any is forgotten, which would end all keyed requests.

Change: of 131,072 keys more a 16-byte digest is kept; such a key does not run and is "unknown". LedgerLimits::keys takes both bounds.

--- a/crates/geraniumpost-core/src/requests/admission.rs
+++ b/crates/geraniumpost-core/src/requests/admission.rs
@@ -16,6 +16,7 @@
     Duplicate,
     /// A question barred the attempt before it arrived, or its key: it does not run here.
     Barred,
-    /// So many attempts came since that this one may have run and been forgotten.
+    /// So many attempts came since that this one, or another with its key, may have run and been
+    /// forgotten: it does not run.
     Forgotten,
 }
--- a/crates/geraniumpost-core/src/requests/attempt_ledger.rs
+++ b/crates/geraniumpost-core/src/requests/attempt_ledger.rs
@@ -4,6 +4,7 @@
 
 use super::attempt_record::{AttemptRecord, AttemptState};
 use super::key_index::KeyIndex;
+use super::key_standing::KeyStanding;
 use super::sequence_floors::SequenceFloors;
 use super::{Admission, AskReply, LedgerLimits};
 use crate::Millis;
@@ -62,7 +63,7 @@
             ended: VecDeque::new(),
             kept: VecDeque::new(),
             kept_bytes: 0,
-            keys: KeyIndex::new(limits.keys),
+            keys: KeyIndex::new(limits.keys, limits.faded_keys),
             floors: SequenceFloors::default(),
         }
     }
@@ -77,8 +78,12 @@
         if self.floors.may_have_known(id) {
             return Admission::Forgotten;
         }
-        if let Some(first) = self.keys.get(key) {
-            return self.join(id, first);
+        if !key.is_empty() {
+            match self.keys.standing(key) {
+                KeyStanding::First(first) => return self.join(id, first),
+                KeyStanding::Faded => return self.doubt(id),
+                KeyStanding::New | KeyStanding::Forgotten => {}
+            }
         }
         self.records.insert(id, AttemptRecord::new(AttemptState::Queued));
         self.enter_key(key, id);
@@ -167,7 +172,11 @@
         if incarnation != self.incarnation {
             return AskReply::Unknown;
         }
-        let Some(first) = self.keys.get(key) else { return self.ask_unseen_key(id, key) };
+        let first = match self.keys.standing(key) {
+            KeyStanding::First(first) => first,
+            KeyStanding::New => return self.bar_unseen_key(id, key),
+            KeyStanding::Faded | KeyStanding::Forgotten => return AskReply::Unknown,
+        };
         match self.join(id, first) {
             Admission::Join(_) => AskReply::Running,
             Admission::Replay(answer) => AskReply::Finished(answer),
@@ -221,13 +230,20 @@
         admission
     }
 
+    /// Enters an attempt whose key came before and is no longer on record.
+    fn doubt(&mut self, id: RequestId) -> Admission<A> {
+        self.records.insert(id, AttemptRecord::new(AttemptState::Doubtful));
+        self.end(id, &[]);
+        Admission::Forgotten
+    }
+
     fn reply_of(&self, id: RequestId) -> AskReply<A> {
         match self.records.get(&id).map(|record| &record.state) {
             Some(AttemptState::Queued | AttemptState::Running) => AskReply::Running,
             Some(AttemptState::Finished(Some(answer))) => AskReply::Finished(answer.clone()),
             Some(AttemptState::Barred) => AskReply::NeverStarted { joined: Vec::new() },
             Some(AttemptState::Finished(None)) => AskReply::AnswerLost,
-            Some(AttemptState::Joined(_)) | None => AskReply::Unknown,
+            Some(AttemptState::Joined(_) | AttemptState::Doubtful) | None => AskReply::Unknown,
         }
     }
 
@@ -240,8 +256,8 @@
         AskReply::NeverStarted { joined: Vec::new() }
     }
 
-    fn ask_unseen_key(&mut self, id: RequestId, key: &Name) -> AskReply<A> {
-        if self.keys.forgot() || self.records.contains_key(&id) {
+    fn bar_unseen_key(&mut self, id: RequestId, key: &Name) -> AskReply<A> {
+        if self.records.contains_key(&id) {
             return AskReply::Unknown;
         }
         let record = AttemptRecord::new(AttemptState::Barred);
--- a/crates/geraniumpost-core/src/requests/attempt_record.rs
+++ b/crates/geraniumpost-core/src/requests/attempt_record.rs
@@ -13,6 +13,8 @@
     Finished(Option<A>),
     /// It takes the answer of another attempt with the same key.
     Joined(RequestId),
+    /// It repeats one that may have run and is no longer on record, so it does not run.
+    Doubtful,
 }
 
 /// What an agent remembers of one attempt.
--- a/crates/geraniumpost-core/src/requests/key_index.rs
+++ b/crates/geraniumpost-core/src/requests/key_index.rs
@@ -2,27 +2,37 @@
 
 use geraniumpost_schema::{Name, RequestId};
 
+use super::faded_keys::FadedKeys;
+use super::key_standing::KeyStanding;
+
 /// Which attempt runs, ran or was barred for an idempotency key.
 #[derive(Debug)]
 pub(super) struct KeyIndex {
     most: usize,
     first: HashMap<Name, RequestId>,
     order: VecDeque<(Name, RequestId)>,
-    forgot: bool,
+    faded: FadedKeys,
 }
 
 impl KeyIndex {
-    pub(super) fn new(most: usize) -> Self {
-        Self { most, first: HashMap::new(), order: VecDeque::new(), forgot: false }
+    pub(super) fn new(most: usize, most_faded: usize) -> Self {
+        let faded = FadedKeys::new(most_faded);
+        Self { most, first: HashMap::new(), order: VecDeque::new(), faded }
     }
 
-    /// Returns the attempt that ran or runs for `key`.
-    pub(super) fn get(&self, key: &Name) -> Option<RequestId> {
-        self.first.get(key).copied()
+    /// Returns what is known of `key`.
+    pub(super) fn standing(&self, key: &Name) -> KeyStanding {
+        if let Some(&first) = self.first.get(key) {
+            return KeyStanding::First(first);
+        }
+        if self.faded.contains(key) {
+            return KeyStanding::Faded;
+        }
+        if self.faded.forgot() { KeyStanding::Forgotten } else { KeyStanding::New }
     }
 
-    /// Notes that `id` runs for `key`; forgets the oldest key beyond the bound unless `is_active`
-    /// says that its attempt still waits or runs.
+    /// Notes that `id` runs for `key`; the oldest key beyond the bound fades unless `is_active` says
+    /// that its attempt still waits or runs.
     pub(super) fn insert(
         &mut self,
         key: Name,
@@ -38,15 +48,10 @@
                 continue;
             }
             self.first.remove(&key);
-            self.forgot = true;
+            self.faded.insert(&key);
         }
     }
 
-    /// Whether any key has been forgotten, so that an unknown key may be one that ran.
-    pub(super) const fn forgot(&self) -> bool {
-        self.forgot
-    }
-
     pub(super) fn len(&self) -> usize {
         self.first.len()
     }
--- a/crates/geraniumpost-core/src/requests/ledger_limits.rs
+++ b/crates/geraniumpost-core/src/requests/ledger_limits.rs
@@ -9,10 +9,12 @@
     pub(super) answer_ms: u64,
     pub(super) records: usize,
     pub(super) keys: usize,
+    pub(super) faded_keys: usize,
 }
 
 impl LedgerLimits {
-    /// Returns bounds of some 12 MB: two minutes of answers, the last 16,384 attempts and keys.
+    /// Returns bounds of some 20 MB at most: two minutes of answers (8 MB), the last 16,384 attempts
+    /// and keys, and of 131,072 more keys that they came.
     pub const fn new() -> Self {
         Self {
             answers: 4_096,
@@ -20,6 +22,7 @@
             answer_ms: 120_000,
             records: 16_384,
             keys: 16_384,
+            faded_keys: 131_072,
         }
     }
 
@@ -39,10 +42,12 @@
         self
     }
 
-    /// Sets how many idempotency keys are remembered.
+    /// Sets how many idempotency keys are remembered with their attempts, and of how many more it is
+    /// remembered that they came.
     #[must_use]
-    pub const fn keys(mut self, keys: usize) -> Self {
+    pub const fn keys(mut self, keys: usize, faded: usize) -> Self {
         self.keys = keys;
+        self.faded_keys = faded;
         self
     }
 }
--- a/crates/geraniumpost-core/tests/requests_ledger.rs
+++ b/crates/geraniumpost-core/tests/requests_ledger.rs
@@ -203,7 +203,7 @@
 
     #[test]
     fn a_small_record_forgets_but_never_lies(steps in prop::collection::vec(step(40), 1..300)) {
-        let limits = LedgerLimits::new().answers(2, 3, 50).records(4).keys(100);
+        let limits = LedgerLimits::new().answers(2, 3, 50).records(4).keys(2, 100);
         let mut ledger = AttemptLedger::<u64>::new(OWN, limits);
         let (mut ran, mut barred) = (HashSet::new(), HashSet::new());
         let mut key_of: HashMap<u64, u64> = HashMap::new();
@@ -245,7 +245,7 @@
                 }
             }
             let [_, answers, bytes, keys] = ledger.sizes();
-            prop_assert!(answers <= 2 && bytes <= 3 && keys <= 100);
+            prop_assert!(answers <= 2 && bytes <= 3 && keys <= 6);
         }
     }
 }
@@ -299,16 +299,34 @@
     assert_eq!(ledger.admit(id(1), &key_name(1), Millis(0)), Admission::Barred);
 }
 
-/// The agent has forgotten keys, and a repeat asks for one it does not know. It may be one of those
-/// forgotten, which ran.
-#[test]
-fn an_unknown_key_may_be_a_forgotten_one() {
-    let mut ledger = AttemptLedger::<u64>::new(OWN, LedgerLimits::new().keys(2));
-    for n in 1..=3 {
+/// Runs one request under each key, so that a ledger of small bounds lets the oldest go.
+fn ledger_with_keys(limits: LedgerLimits, keys: u64) -> AttemptLedger<u64> {
+    let mut ledger = AttemptLedger::new(OWN, limits);
+    for n in 1..=keys {
         assert_eq!(ledger.admit(id(n), &key_name(n), Millis(0)), Admission::Queue);
         assert!(ledger.start(id(n)));
         ledger.finish(id(n), n, 1, Millis(0));
     }
+    ledger
+}
+
+/// A kiosk repeats a badge print hours later, and its entry sends it to the agent that ran it. The
+/// agent has many newer keys, and must still know that this one came.
+#[test]
+fn a_key_of_long_ago_does_not_run_again() {
+    let mut ledger = ledger_with_keys(LedgerLimits::new().keys(2, 10), 6);
+    assert_eq!(ledger.admit(id(9), &key_name(1), Millis(0)), Admission::Forgotten);
+    assert!(!ledger.start(id(9)));
+    assert_eq!(ledger.ask(id(9), OWN, Millis(0)), AskReply::Unknown);
+    assert_eq!(ledger.ask_key(id(10), &key_name(2), OWN, Millis(0)), AskReply::Unknown);
+    assert_eq!(ledger.admit(id(11), &key_name(7), Millis(0)), Admission::Queue);
+}
+
+/// The agent has forgotten keys altogether, and a repeat asks for one it does not know. It may be
+/// one of those forgotten, which ran.
+#[test]
+fn an_unknown_key_may_be_a_forgotten_one() {
+    let mut ledger = ledger_with_keys(LedgerLimits::new().keys(2, 0), 3);
     assert_eq!(ledger.ask_key(id(9), &key_name(1), OWN, Millis(0)), AskReply::Unknown);
     assert_eq!(ledger.ask_key(id(9), &key_name(3), OWN, Millis(0)), AskReply::Finished(3));
 }
