--- a/crates/geraniumpost-core/src/requests/ledger_limits.rs
+++ b/crates/geraniumpost-core/src/requests/ledger_limits.rs
@@ -13,16 +13,16 @@
 }
 
 impl LedgerLimits {
-    /// Returns bounds of some 20 MB at most: two minutes of answers (8 MB), the last 16,384 attempts
-    /// and keys, and of 131,072 more keys that they came.
+    /// Returns bounds of some 20 MB at most: two minutes of answers (8 MB), the last 16,384 attempts,
+    /// 8,192 keys, and of 65,536 more keys that they came.
     pub const fn new() -> Self {
         Self {
             answers: 4_096,
             answer_bytes: 8 << 20,
             answer_ms: 120_000,
             records: 16_384,
-            keys: 16_384,
-            faded_keys: 131_072,
+            keys: 8_192,
+            faded_keys: 65_536,
         }
     }
 
