fix(entry): end callers' connections only after their requests at a stop

Cause: hyper's graceful shutdown closes a connection of which it has read nothing yet, even with a request on its way, and idle kept connections without a warning.

--- a/crates/geraniumpost-harness/src/caller.rs
+++ b/crates/geraniumpost-harness/src/caller.rs
@@ -4,19 +4,15 @@
 use bytes::Bytes;
 use eyre::{Result, ensure};
 use geraniumpost_core::ResultCode;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 
-use crate::Send;
 use crate::check::{Told, Word};
 use crate::plan::{CUSTOMER_TOKEN, SERVICE};
+use crate::{KeptCaller, Send};
 
 /// How much longer than the request's deadline a caller waits for a word.
-const PATIENCE: Duration = Duration::from_secs(5);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(5);
 
 /// A caller of the service that opens a connection for each request.
 #[derive(Debug, Clone)]
@@ -38,42 +34,25 @@
         self
     }
 
-    /// Sends a request and waits for the last word about it.
+    /// Opens a connection that is kept for further requests.
+    pub async fn keep(&self) -> Result<KeptCaller> {
+        KeptCaller::open(self.clone()).await
+    }
+
+    /// Sends a request on a connection of its own and waits for the last word about it.
     pub async fn send(&self, send: &Send) -> Told {
         let start = Instant::now();
-        let (word, code) = match TcpStream::connect(self.entry).await {
-            Err(_) => (Word::Unreachable, 0),
-            Ok(stream) => {
-                let exchange = self.exchange(stream, send);
-                let word = timeout(send.timeout + PATIENCE, exchange).await;
-                word.map_or((Word::Nothing, 0), |word| word.unwrap_or((Word::Nothing, 0)))
-            }
-        };
-        Told {
-            request_id: send.request_id.clone(),
-            key: send.key.clone(),
-            idempotent: send.method == Method::GET,
-            body: send.body.clone(),
-            answer_bytes: send.answer_bytes,
-            word,
-            code,
-            took: start.elapsed(),
+        match self.keep().await {
+            Ok(mut kept) => kept.send(send).await,
+            Err(_) => send.told(Word::Unreachable, 0, start.elapsed()),
         }
     }
 
-    async fn exchange(&self, stream: TcpStream, send: &Send) -> Result<(Word, u16)> {
-        stream.set_nodelay(true)?;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let driver = tokio::spawn(connection);
-        let answer = sender.send_request(self.request(send)?).await?;
-        let code = code_of(&answer);
-        let status = answer.status();
-        let body = answer.into_body().collect().await?.to_bytes();
-        driver.abort();
-        Ok((word_of(code, status, body)?, code))
+    pub(crate) const fn entry(&self) -> SocketAddr {
+        self.entry
     }
 
-    fn request(&self, send: &Send) -> Result<Request<Full<Bytes>>> {
+    pub(crate) fn request(&self, send: &Send) -> Result<Request<Full<Bytes>>> {
         let mut req = Request::builder()
             .method(send.method.clone())
             .uri(format!("/{SERVICE}/check"))
@@ -90,12 +69,12 @@
     }
 }
 
-fn code_of<B>(answer: &Response<B>) -> u16 {
+pub(crate) fn code_of<B>(answer: &Response<B>) -> u16 {
     let code = answer.headers().get("x-result-code");
     code.and_then(|code| code.to_str().ok()?.parse().ok()).unwrap_or(0)
 }
 
-fn word_of(code: u16, status: StatusCode, body: Bytes) -> Result<Word> {
+pub(crate) fn word_of(code: u16, status: StatusCode, body: Bytes) -> Result<Word> {
     let known = ResultCode::ALL.iter().find(|known| known.number() == code);
     ensure!(known.is_some(), "no known result code in an answer of status {status}: {code}");
     Ok(match known {
--- a/crates/geraniumpost-harness/src/send.rs
+++ b/crates/geraniumpost-harness/src/send.rs
@@ -4,6 +4,8 @@
 use bytes::Bytes;
 use http::Method;
 
+use crate::check::{Told, Word};
+
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
 /// A request of a caller; every one gets an id of its own.
@@ -77,6 +79,22 @@
     }
 }
 
+impl Send {
+    /// Notes what its caller was told.
+    pub(crate) fn told(&self, word: Word, code: u16, took: Duration) -> Told {
+        Told {
+            request_id: self.request_id.clone(),
+            key: self.key.clone(),
+            idempotent: self.method == Method::GET,
+            body: self.body.clone(),
+            answer_bytes: self.answer_bytes,
+            word,
+            code,
+            took,
+        }
+    }
+}
+
 fn next_id() -> String {
     format!("r-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
 }
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -5,17 +5,17 @@
 use bytes::Bytes;
 use geraniumpost_core::ResultCode;
 use geraniumpost_schema::Name;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming as HyperBody;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
+use super::conversations::Conversations;
 use super::dispatch::dispatch;
 use super::incoming::Head;
 use super::{EntryContext, Incoming, Reply};
@@ -43,7 +43,7 @@
 /// The order matters: first "not ready", so that the balancer sends nobody any more; then no more
 /// accepts; then the requests in flight to their end, for at most `drain_ms`.
 pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let graceful = GracefulShutdown::new();
+    let conversations = Conversations::new();
     let room = Arc::new(Semaphore::new(CONNECTIONS));
     let mut leaving = std::pin::pin!(async {
         stopped(&mut stop).await;
@@ -58,15 +58,15 @@
         tokio::select! {
             accepted = accept(&listener, &room) => {
                 if let Some((stream, permit)) = accepted {
-                    spawn(&cx, stream, permit, &graceful);
+                    spawn(&cx, stream, permit, &conversations);
                 }
             }
             () = &mut leaving => left = true,
         }
     }
-    serve_queued(&cx, listener, &room, &graceful);
+    serve_queued(&cx, listener, &room, &conversations);
     let longest = Duration::from_millis(cx.settings.drain_ms);
-    if timeout(longest, graceful.shutdown()).await.is_err() {
+    if timeout(longest, conversations.finish()).await.is_err() {
         spdlog::warn!("stopping with requests under way: drain_ms is over");
     }
 }
@@ -115,14 +115,14 @@
     cx: &Arc<EntryContext>,
     listener: TcpListener,
     room: &Arc<Semaphore>,
-    graceful: &GracefulShutdown,
+    conversations: &Conversations,
 ) {
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
         let permit = Arc::clone(room).try_acquire_owned();
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         let (Ok(permit), Ok(stream)) = (permit, stream) else { continue };
-        spawn(cx, stream, permit, graceful);
+        spawn(cx, stream, permit, conversations);
     }
 }
 
@@ -130,12 +130,14 @@
     cx: &Arc<EntryContext>,
     stream: TcpStream,
     permit: OwnedSemaphorePermit,
-    graceful: &GracefulShutdown,
+    conversations: &Conversations,
 ) {
     // Answers are short; waiting to fill packets would only delay them.
     let _ = stream.set_nodelay(true);
-    let cx = Arc::clone(cx);
+    let conversation = conversations.begin();
+    let (cx, asked) = (Arc::clone(cx), conversation.asked());
     let service = service_fn(move |req| {
+        asked.notify_one();
         let cx = Arc::clone(&cx);
         async move { Ok::<_, Infallible>(answer(&cx, req).await) }
     });
@@ -143,16 +145,27 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIME)
         .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = conversation.hold(connection).await {
             spdlog::debug!("caller's connection: {error}");
         }
         drop(permit);
     });
 }
 
+/// Answers a request, and asks for its connection to be closed if the entry is leaving.
+///
+/// A balancer keeps its connections. Closed by the entry's end, one of them may have the next
+/// request on its way already, which would end without a word.
 async fn answer(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
+    let mut response = respond(cx, req).await;
+    if cx.is_draining() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn respond(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
     if req.uri().path() == HEALTH {
         return health(cx);
     }
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod claims;
 mod context;
+mod conversations;
 mod datagrams;
 mod dispatch;
 mod gauges;
--- a/crates/geraniumpost/tests/failures_requests.rs
+++ b/crates/geraniumpost/tests/failures_requests.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use geraniumpost_harness::check::{Summary, Word};
-use geraniumpost_harness::{Binaries, Fleet, Plan, Send, failures, pass, wait_until};
+use geraniumpost_harness::check::{Summary, Told, Word};
+use geraniumpost_harness::{Binaries, Caller, Fleet, Plan, Send, failures, pass, wait_until};
 use geraniumpost_standin::now_us;
 
 const LONG: Duration = Duration::from_secs(15);
@@ -14,6 +14,17 @@
     Fleet::start(&binaries, &plan).await.unwrap()
 }
 
+/// Sends requests on kept connections until none can be opened any more.
+async fn balance(caller: Caller) -> Vec<Told> {
+    let mut told = Vec::new();
+    while let Ok(mut kept) = caller.keep().await {
+        while kept.is_open().await {
+            told.push(kept.send(&Send::post().work_ms(5)).await);
+        }
+    }
+    told
+}
+
 failures! {
     /// Nothing fails. Every caller gets the whole answer to its own request, and no minion is
     /// given more than its slots, though two entries send to it.
@@ -118,7 +129,7 @@
     /// later callers are not let in, and the balancer sends them elsewhere.
     async fn stopped_entry_cuts_off_no_request() {
         let mut fleet = fleet(Plan::default()).await;
-        let load = fleet.load(CALLERS, 7);
+        let load = fleet.load(60, 7);
         pass(500).await;
         fleet.entry(1).term().unwrap();
         let status = fleet.entry(1).ended(LONG).await.unwrap();
@@ -130,6 +141,23 @@
         assert_eq!((summary.nothing, summary.may_have_run), (0, 0), "{summary}");
     }
 
+    /// An entry is stopped while a balancer sends to it on connections that it keeps. Each of these
+    /// must be closed after an answer and not under a request.
+    async fn stopped_entry_cuts_off_no_kept_connection() {
+        let mut fleet = fleet(Plan::default()).await;
+        let balancers: Vec<_> = (0..40).map(|_| tokio::spawn(balance(fleet.caller(0)))).collect();
+        pass(500).await;
+        fleet.entry(0).term().unwrap();
+        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+        let mut told = Vec::new();
+        for balancer in balancers {
+            told.extend(balancer.await.unwrap());
+        }
+        fleet.assert_promises_to_callers(&told).await;
+        let summary = Summary::of(&told);
+        assert!(summary.all_answered(), "{summary}");
+    }
+
     /// The operator's tool sends the stop signal twice, as impatient people do. The second one
     /// must not cut off what the first one lets finish.
     async fn second_stop_signal_cuts_off_nothing() {
