--- a/crates/geraniumpost-core/tests/placement_faults.rs
+++ b/crates/geraniumpost-core/tests/placement_faults.rs
@@ -139,3 +139,25 @@
     let given_up = decided.iter().filter(|d| matches!(d, Decision::GiveUp { .. })).count();
     assert_eq!(given_up, 6);
 }
+
+/// A study failed once for want of memory and once on a VM that turned out to be broken. Held
+/// against it, the second failure would cost it its last attempt.
+#[test]
+fn failures_on_a_worker_set_aside_are_not_held_against_jobs() {
+    let mut site = Site::new([worker("w1", "r1"), worker("w2", "r2"), worker("hole", "r3")]);
+    let need = amount(1000, 1000);
+    let study = wish("unlucky", "study", need);
+    for (now, on) in [(0, "hole"), (100_000, "w1"), (200_000, "w2")] {
+        site.start(now, &study, &name(on), need);
+        site.end(now + 1000, study.job(), RunOutcome::Failed);
+        if on == "hole" {
+            for job in ["a", "b"] {
+                site.start(now, &wish(job, "study", need), &name(on), need);
+                site.end(now + 1000, &name(job), RunOutcome::Failed);
+            }
+            site.place(now + 1000, &[]);
+        }
+    }
+    let decided = site.place(300_000, &[study]);
+    assert!(!decided.iter().any(|d| matches!(d, Decision::GiveUp { .. })), "{decided:?}");
+}
--- a/crates/geraniumpost-core/tests/placement_harm.rs
+++ b/crates/geraniumpost-core/tests/placement_harm.rs
@@ -4,8 +4,10 @@
 
 use assert_matches::assert_matches;
 use geraniumpost_core::Millis;
-use geraniumpost_core::placement::{Decision, RunOutcome, TaskView};
+use geraniumpost_core::placement::{Decision, Reason, RunOutcome, TaskView};
 use placement_support::{Site, amount, evicted, name, score, started, wish, worker};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 const BIG: geraniumpost_schema::Resources = amount(8000, 8000);
 
@@ -59,6 +61,33 @@
     }
 }
 
+/// The same noise slows a busy minion more than an idle one, so what a job would add is predicted
+/// by the load; else noise would be kept from idle minions and heaped on busy ones.
+#[test]
+fn predicted_harm_grows_with_load() {
+    let mut site = Site::new([worker("w1", "r1").service("filing")]);
+    learn(&mut site);
+    let now = 900_000;
+    (0..6).for_each(|i| site.latency(now + i, "w1", 500, 300, now + i));
+    let added = |load_permille| {
+        let mut fleet = site.fleet.clone();
+        fleet.set_load(&name("w1"), load_permille, 0);
+        let after = |milli_cpus| {
+            let study = [wish("a", "study", amount(milli_cpus, 1)).submitted(Millis(now))];
+            let mut placer = site.placer.clone();
+            let mut rng = StdRng::seed_from_u64(1);
+            match &placer.place(Millis(now), &study, &fleet, &mut rng)[0] {
+                Decision::Wait { why: Reason::TooHarmful { after_permille, .. }, .. } => {
+                    f64::from(*after_permille)
+                }
+                other => panic!("{other}"),
+            }
+        };
+        after(16_000) - after(4000)
+    };
+    assert!(added(900) > 1.5 * added(300), "{} and {}", added(900), added(300));
+}
+
 /// A job that would push the only service with room over its target waits while quieter ones
 /// start, but not for ever.
 #[test]
@@ -150,3 +179,23 @@
     site.usage(1500, "grown", amount(1000, 25_000), amount(1000, 40_000));
     assert_eq!(evicted(&site.place(1500, &[])), Vec::<geraniumpost_schema::Name>::new());
 }
+
+/// A slowed task is sped up in the very moment in which a new job is placed. Given to both, the
+/// processors would be too few.
+#[test]
+fn processors_of_a_task_sped_up_are_not_given_to_another() {
+    let mut site = site();
+    learn(&mut site);
+    site.start(900_000, &wish("slow", "logs", BIG), &name("w1"), BIG);
+    site.fleet.update_task(&name("slow"), |task| task.permille(500));
+    let mut lifted = false;
+    for now in (900_000..930_000).step_by(1000) {
+        site.latency(now, "w1", 500, 30, now);
+        let all = wish("all", "logs", amount(12_000, 100)).excluded(vec![name("w2")]);
+        let decided = site.clone_place(now, &[all]);
+        let lifts = decided.iter().any(|d| matches!(d, Decision::Throttle { permille: 1000, .. }));
+        assert!(!lifts || started(&decided, "all").is_none(), "{decided:?}");
+        lifted |= lifts;
+    }
+    assert!(lifted, "the task is never sped up");
+}
