feat: count jobs, placements and evictions in the metrics

Cause: the planner's figures were in no metric. Change: jobs by state each second, placements by class when a run has started, evictions by reason when they are decided (moves off a leaving VM are not among them).

--- a/crates/geraniumpost-core/src/jobs/job_state.rs
+++ b/crates/geraniumpost-core/src/jobs/job_state.rs
@@ -30,6 +30,16 @@
 }
 
 impl JobState {
+    /// All states, in the order of a job's life.
+    pub const ALL: [Self; 6] = [
+        Self::Pending,
+        Self::Assigned,
+        Self::CancelWanted,
+        Self::Done,
+        Self::Failed,
+        Self::Cancelled,
+    ];
+
     /// Returns whether nothing can happen to the job any more.
     pub const fn is_final(self) -> bool {
         matches!(self, Self::Done | Self::Failed | Self::Cancelled)
--- a/crates/geraniumpost-core/src/jobs/planner/planner.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/planner.rs
@@ -224,6 +224,16 @@
         self.slots.iter().flat_map(|slot| slot.bucket.records())
     }
 
+    /// Returns how many records are in each state, in the order of
+    /// [`JobState::ALL`](crate::jobs::JobState::ALL).
+    pub fn count_by_state(&self) -> [u64; 6] {
+        let mut counts = [0; 6];
+        for record in self.records() {
+            counts[record.state() as usize] += 1;
+        }
+        counts
+    }
+
     /// Returns how many jobs wait and how many are assigned.
     pub fn queue(&self) -> (usize, usize) {
         (self.pending.len(), self.runs.len())
--- a/crates/geraniumpost/src/planner/decisions.rs
+++ b/crates/geraniumpost/src/planner/decisions.rs
@@ -4,6 +4,8 @@
 use geraniumpost_core::placement::{Decision, Reason};
 use geraniumpost_schema::Name;
 
+use crate::metrics::Metrics;
+
 /// Writes a line for each placement decision.
 ///
 /// A job that waits is decided on several times a second; it gets a line when the kind of its reason
@@ -14,8 +16,8 @@
 }
 
 impl DecisionLog {
-    /// Logs the decisions of one round.
-    pub(super) fn write(&mut self, decisions: &[Decision]) {
+    /// Logs the decisions of one round and counts the evictions among them.
+    pub(super) fn write(&mut self, decisions: &[Decision], metrics: &Metrics) {
         let mut waits = HashMap::new();
         for decision in decisions {
             if let Decision::Wait { job, why } = decision {
@@ -25,6 +27,9 @@
                     continue;
                 }
             }
+            if let Decision::Evict { for_job, .. } = decision {
+                metrics.eviction(if for_job.is_empty() { "service" } else { "urgent" });
+            }
             crate::decision!("place", what = decision);
         }
         self.waits = waits;
--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/desk.rs
@@ -4,10 +4,10 @@
 
 use geraniumpost_core::Millis;
 use geraniumpost_core::jobs::{
-    Holder, LeaseAction, LeaseConfig, LeaseEvent, Moment, Planner, PlannerAction, PlannerConfig,
-    PlannerEvent, PlannerLease, Standing, Takeover, bucket_key,
+    Holder, JobState, LeaseAction, LeaseConfig, LeaseEvent, Moment, Planner, PlannerAction,
+    PlannerConfig, PlannerEvent, PlannerLease, Standing, Takeover, bucket_key,
 };
-use geraniumpost_core::placement::Placer;
+use geraniumpost_core::placement::{Observation, Placer};
 use geraniumpost_schema::{Heartbeat, Name, ToEntry};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -17,13 +17,15 @@
     AgentLinks, DecisionLog, PlannerInput, Question, StoreAnswer, calls, lease_calls, predecessors,
     store_calls,
 };
-use crate::console::{ApiError, job_reply};
+use crate::console::{ApiError, job_reply, state_name};
 use crate::entry::EntryContext;
 
 /// Interval of the planner's clock.
 const TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two rounds of placement.
 const PLACE_MS: u64 = 200;
+/// Interval at which jobs are counted for the metrics.
+const COUNT_MS: u64 = 1_000;
 /// Holds shorter than this would lapse between two heartbeats.
 const SHORTEST_HOLD_MS: u64 = 2_000;
 
@@ -42,6 +44,7 @@
     replies: HashMap<u64, (Name, Answer)>,
     next_reply: u64,
     placed_at: Millis,
+    counted_at: Millis,
 }
 
 /// Runs until the entry's process ends.
@@ -89,6 +92,7 @@
             replies: HashMap::new(),
             next_reply: 0,
             placed_at: Millis(0),
+            counted_at: Millis(0),
         }
     }
 
@@ -189,9 +193,20 @@
             self.placed_at = now;
             self.place();
         }
+        if now.since(self.counted_at) >= COUNT_MS {
+            self.counted_at = now;
+            self.count_jobs();
+        }
         self.replies.retain(|_, (_, answer)| !answer.is_closed());
     }
 
+    fn count_jobs(&self) {
+        let counts = self.planner.as_ref().map(Planner::count_by_state).unwrap_or_default();
+        for (state, count) in JobState::ALL.iter().zip(counts) {
+            self.cx.metrics.jobs(state_name(*state), count);
+        }
+    }
+
     /// Steps down when another entry says that it plans under a higher term.
     ///
     /// A planner cut from the store would otherwise not hear of its successor, and go on answering
@@ -220,10 +235,10 @@
         let moment = self.moment();
         let standing = self.lease.standing(moment.clock);
         let Some(planner) = &mut self.planner else { return };
-        let (placer, log) = (&mut self.placer, &mut self.log);
+        let (placer, log, metrics) = (&mut self.placer, &mut self.log, &self.cx.metrics);
         let actions = planner.place(standing, moment, |now, wishes, fleet| {
             let decisions = placer.place(now, wishes, fleet, &mut rand::rng());
-            log.write(&decisions);
+            log.write(&decisions, metrics);
             decisions
         });
         self.carry_out(actions);
@@ -269,6 +284,9 @@
                 }
             }
             PlannerAction::Observe(observation) => {
+                if let Observation::Started { class, .. } = &observation {
+                    self.cx.metrics.placement(class);
+                }
                 self.placer.observe(self.cx.clock.now(), &observation);
             }
             PlannerAction::EarlierSettled => self.lease(LeaseEvent::EarlierSettled),
@@ -310,6 +328,7 @@
         self.planner = None;
         self.takeover = None;
         self.replies.clear();
+        self.count_jobs();
     }
 
     /// Lets heartbeats be answered, and others know, as this entry's standing is now.
--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -79,6 +79,11 @@
     assert!(why["why"].is_string(), "{why}");
     submit(&fleet, "study-1", "sleep:300").await;
     assert_eq!(starts(&fleet, "study-1").await, 1);
+    let (_, metrics) = fleet.operator(planner(&fleet)).get("/metrics").await.unwrap();
+    let placed = |line: &str| {
+        line.starts_with("geraniumpost_placements_total{") && line.contains("class=\"study\"")
+    };
+    assert!(metrics.as_str().is_some_and(|text| text.lines().any(placed)), "{metrics}");
     check(&fleet, &[("study-1", done)]).await;
 }
 
