perf(core): leave settled runs out of the planner's ticks

Cause: a run whose size was told again stayed among those to be driven until its next report, so that each tick after a takeover looked at every run. Ruled out: an index by agent; the list is short once settled runs leave it. Change: a settled run leaves the list when it is next looked at.

--- a/crates/geraniumpost-core/src/jobs/planner/runs.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/runs.rs
@@ -22,12 +22,15 @@
     /// Sends the order that one run needs, if it is due.
     pub(super) fn drive(&mut self, job: &Name, now: Millis, actions: &mut Vec<PlannerAction>) {
         let Some(run) = self.runs.get(job) else { return };
+        if run.is_settled() {
+            self.restless.remove(job);
+            return;
+        }
         let resend_ms = self.config.resend_ms;
         let paced = run.last_order.is_none_or(|last| now.since(last) >= resend_ms);
         let ready = self.agents.get(&run.agent).and_then(AgentView::ready);
         let (Some(incarnation), true, true) = (ready, run.committed, paced) else { return };
         let frame = match run.wanted {
-            Wanted::Run if run.is_settled() => return,
             Wanted::Run if !self.standing.may_assign() => return,
             Wanted::Run if run.seen || run.may_start(incarnation) => self.start_order(job),
             Wanted::Evict => Some(ToAgent::Evict(self.task_ref(job, run.epoch))),
--- a/crates/geraniumpost-core/tests/jobs_planner/main.rs
+++ b/crates/geraniumpost-core/tests/jobs_planner/main.rs
@@ -5,7 +5,8 @@
 use assert_matches::assert_matches;
 use bench::{Bench, HOLD_MS, LEASE_MS, NEED, OUTAGE_MS, assigned, report, spec};
 use geraniumpost_core::jobs::{
-    BUCKETS, Bucket, Holder, JobSpec, JobState, PlannerAction, PlannerEvent, bucket_of, codes,
+    BUCKETS, Bucket, Holder, JobRecord, JobSpec, JobState, PlannerAction, PlannerEvent, Transition,
+    bucket_of, codes,
 };
 use geraniumpost_schema::{Name, Resources, TaskState, ToAgent};
 
@@ -244,3 +245,31 @@
     assert!(bench.replies.iter().all(|answer| answer.code == codes::CANCELLED));
     assert!(bench.commits <= 2 * BUCKETS as u64, "{}", bench.commits);
 }
+
+#[test]
+fn a_tick_is_cheap_with_570_workers_and_5200_tasks() {
+    let name = |number: u64| format!("agent-{}", number % 570);
+    let record = |number: u64| {
+        let mut record = JobRecord::new(spec(&format!("job-{number}")), 1);
+        let worker = name(number).into();
+        record.apply(Transition::Assign { worker }, 2).expect("pending");
+        record
+    };
+    let records: Vec<JobRecord> = (0..5_200).map(record).collect();
+    let mut bench = Bench::new(&records);
+    for agent in 0..570 {
+        bench.beat(&name(agent));
+        let jobs = (0..5_200).filter(|job| job % 570 == agent);
+        let running = |job| report(&format!("job-{job}"), 1, TaskState::Running);
+        bench.link(&name(agent), jobs.map(running).collect());
+    }
+    bench.tick_at(1_500);
+    let began = std::time::Instant::now();
+    for tick in 0..100 {
+        bench.tick_at(2_000 + tick * 50);
+    }
+    let took = began.elapsed() / 100;
+    println!("a tick takes {took:?}");
+    assert_eq!(bench.planner.queue(), (0, 5_200));
+    assert!(took.as_millis() < 20, "{took:?}");
+}
