fix: count holds by the longest granted of late

Cause: an answer to a heartbeat may go out just before hold_ms is lowered, and was then counted by the shorter hold; the agent could have gone on for longer than the planner thought. A question that came while the planner was let go was answered as uncertain, though it was certainly not recorded. Ruled out: the hold in the input from the entry; the recorded one is an upper bound at no cost. Change: holds are counted by the recorded longest one. Process tests measure the start of an urgent job and the store's calls.

--- a/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
+++ b/crates/geraniumpost-core/src/jobs/lease/planner_lease.rs
@@ -80,10 +80,16 @@
         if self.tenure.is_some() { self.hold_until.max(self.valid_until) } else { Millis(0) }
     }
 
+    /// Returns the longest hold granted of late, by which holds are to be counted.
+    ///
+    /// An answer to a heartbeat may have gone out just before the configuration was lowered.
+    pub fn longest_hold_ms(&self) -> u64 {
+        self.tenure.as_ref().map_or(0, |tenure| tenure.record.hold_ms)
+    }
+
     /// Returns the longest hold that may be granted, which the next planner is sure to wait out.
     pub fn hold_ms(&self) -> u64 {
-        let recorded = self.tenure.as_ref().map_or(0, |tenure| tenure.record.hold_ms);
-        recorded.min(self.config.hold_ms)
+        self.longest_hold_ms().min(self.config.hold_ms)
     }
 
     /// Takes one event in and returns what is to be done, in order.
--- a/crates/geraniumpost-core/src/jobs/planner/agents.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/agents.rs
@@ -12,8 +12,8 @@
 impl Planner {
     /// Takes in a heartbeat and returns the term and hold to answer with, both 0 for no hold.
     ///
-    /// `hold_ms` is what [`PlannerLease::hold_ms`](crate::jobs::PlannerLease::hold_ms) allows. The
-    /// hold is counted here from the answer and at the agent from the heartbeat, which is earlier,
+    /// `hold_ms` is at least what the answer grants, see
+    /// [`PlannerLease::longest_hold_ms`](crate::jobs::PlannerLease::longest_hold_ms). The hold is counted here from the answer and at the agent from the heartbeat, which is earlier,
     /// so that the agent always stops first.
     pub fn heartbeat(
         &mut self,
--- a/crates/geraniumpost-core/tests/jobs_lease.rs
+++ b/crates/geraniumpost-core/tests/jobs_lease.rs
@@ -171,5 +171,10 @@
     assert_eq!(lease.hold_ms(), 50_000);
     let shorter = LeaseConfig { hold_ms: 2_000, ..CONFIG };
     lease.handle(LeaseEvent::Configure(shorter), Millis(3_020));
-    assert_eq!(lease.hold_ms(), 2_000, "a shorter one counts at once");
+    assert_eq!(lease.hold_ms(), 2_000, "a shorter one is granted at once");
+    assert_eq!(lease.longest_hold_ms(), 50_000, "but what was granted before still counts");
+    lease.handle(LeaseEvent::EarlierSettled, Millis(3_030));
+    lease.handle(LeaseEvent::Tick, Millis(5_000));
+    lease.handle(LeaseEvent::KeptAlive(true), Millis(5_010));
+    assert_eq!(lease.longest_hold_ms(), 50_000);
 }
--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/desk.rs
@@ -17,7 +17,7 @@
     AgentLinks, DecisionLog, PlannerInput, Question, StoreAnswer, calls, lease_calls, predecessors,
     store_calls,
 };
-use crate::console::{ApiError, job_reply, state_name};
+use crate::console::{ApiCode, ApiError, job_reply, state_name};
 use crate::entry::EntryContext;
 
 /// Interval of the planner's clock.
@@ -133,7 +133,7 @@
             return;
         }
         let now = self.cx.clock.now();
-        let (hold_ms, standing) = (self.lease.hold_ms(), self.lease.standing(now));
+        let (hold_ms, standing) = (self.lease.longest_hold_ms(), self.lease.standing(now));
         if let Some(planner) = &mut self.planner {
             planner.heartbeat(beat, hold_ms, standing, now);
         }
@@ -152,8 +152,11 @@
     }
 
     fn on_question(&mut self, question: Question) {
-        let Some(planner) = &self.planner else { return };
         let Question { call, answer } = question;
+        let Some(planner) = &self.planner else {
+            let _ = answer.send(Err(ApiCode::NoPlanner.into()));
+            return;
+        };
         let reply = self.next_reply;
         let Some(event) = calls::event(&call, reply) else {
             // The asker may have left.
--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -1,15 +1,15 @@
 //! Jobs from submission to result as separate processes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumpost_harness::check::{JobSeen, check_jobs};
-use geraniumpost_harness::{Binaries, Fleet, Plan, wait_for, wait_until};
+use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, wait_for, wait_until};
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::relay::{Direction, RelayFaults};
 use geraniumpost_standin::store::StoreFaults;
 use geraniumpost_standin::worker::WorkerEventKind;
 use http::{Method, StatusCode};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// Time for a planner to be there, after a start or a takeover.
 const PLANNED: Duration = Duration::from_secs(30);
@@ -221,3 +221,48 @@
     assert_eq!(starts(&fleet, "study-1").await, 1, "it ran on through the takeover");
     check(&fleet, &[("study-1", first), ("study-2", second)]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_urgent_job_starts_within_its_bound() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:100").await;
+    let body = json!({
+        "customer": CUSTOMER,
+        "class": "urgent",
+        "milli_cpus": 1_000,
+        "memory_mb": 512,
+        "command": "sleep:5000",
+    });
+    let began = Instant::now();
+    let told = fleet.operator(0).call(Method::PUT, "/api/jobs/urgent-1", &body).await.unwrap();
+    assert!(told.0.is_success(), "{told:?}");
+    reaches(&fleet, "urgent-1", "running", Duration::from_millis(3_500)).await;
+    println!("urgent job running after {:?}", began.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_asked_little() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-0", "sleep:10").await;
+    reaches(&fleet, "study-0", "done", Duration::from_secs(20)).await;
+    let idle_from = calls(&fleet).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let idle = (calls(&fleet).await - idle_from) as f64 / 10.0;
+    let busy_from = calls(&fleet).await;
+    for job in 1..=20 {
+        submit(&fleet, &format!("study-{job}"), "sleep:10").await;
+    }
+    for job in 1..=20 {
+        reaches(&fleet, &format!("study-{job}"), "done", Duration::from_secs(30)).await;
+    }
+    let each = (calls(&fleet).await - busy_from) as f64 / 20.0;
+    println!("store calls: {idle:.2}/s idle for 2 entries, {each:.2} a job one after the other");
+    assert!(idle <= 2.0, "{idle}");
+    assert!(each <= 4.0, "{each}");
+}
+
+/// Returns the calls that the store has counted, each waiting watch as one.
+async fn calls(fleet: &Fleet) -> u64 {
+    let counts = fleet.store_counts().await.unwrap();
+    counts.get + counts.put + counts.delete + counts.grant + counts.keep_alive + counts.watch
+}
