fix(core): pause after a refused run

Cause: a job that an agent refuses was placed again at once, on the same agent as likely as not, at several commits a second. Ruled out: counting refusals as attempts; the job is not at fault. Change: a refused run is followed by a pause of 0.3 to 0.6 s.

--- a/crates/geraniumpost-core/src/jobs/job_record.rs
+++ b/crates/geraniumpost-core/src/jobs/job_record.rs
@@ -138,7 +138,11 @@
             Transition::RunFailed { reason, max_attempts, not_before_ms } => {
                 self.fail_run(reason, max_attempts, not_before_ms, wall_ms);
             }
-            _ => self.requeue(&Name::default()),
+            Transition::Refused { not_before_ms } => {
+                self.requeue(&Name::default());
+                self.not_before_ms = not_before_ms;
+            }
+            Transition::Assign { .. } | Transition::Cancel | Transition::GiveUp { .. } => {}
         }
     }
 
--- a/crates/geraniumpost-core/src/jobs/planner/reports.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/reports.rs
@@ -8,6 +8,9 @@
     placement::{Observation, RunOutcome},
 };
 
+/// Shortest pause after a refused run.
+const REFUSED_MS: u64 = 300;
+
 impl Planner {
     pub(super) fn on_inventory(
         &mut self,
@@ -166,7 +169,10 @@
             TaskState::Done => Transition::Complete { result: report.result.clone() },
             TaskState::Failed => self.failure(report, moment),
             TaskState::Evicted => Transition::Evicted { checkpoint },
-            TaskState::Refused => Transition::Refused,
+            TaskState::Refused => {
+                let wait = moment.jitter(REFUSED_MS, REFUSED_MS);
+                Transition::Refused { not_before_ms: moment.wall_ms + wait }
+            }
             TaskState::Stopped => Transition::Stopped { checkpoint },
             _ => Transition::Lost { checkpoint },
         }
--- a/crates/geraniumpost-core/src/jobs/transition.rs
+++ b/crates/geraniumpost-core/src/jobs/transition.rs
@@ -14,7 +14,11 @@
         checkpoint: Name,
     },
     /// The agent refused the run, which truly never started.
-    Refused,
+    Refused {
+        /// Wall time before which the next run must not start. Without a pause, a job that one agent
+        /// refuses again and again would take several commits a second.
+        not_before_ms: u64,
+    },
     /// The run was stopped on order, or barred before it began.
     Stopped {
         /// Latest checkpoint known, empty to keep the recorded one.
--- a/crates/geraniumpost-core/tests/jobs_record.rs
+++ b/crates/geraniumpost-core/tests/jobs_record.rs
@@ -43,7 +43,7 @@
 ends_of_a_run! {
     a_completion_finishes: Transition::Complete { result: "ok".into() } => Done, epoch 1;
     an_eviction_requeues: Transition::Evicted { checkpoint: "cp".into() } => Pending, epoch 2;
-    a_refusal_requeues: Transition::Refused => Pending, epoch 2;
+    a_refusal_requeues: Transition::Refused { not_before_ms: 5 } => Pending, epoch 2;
     a_loss_requeues: Transition::Lost { checkpoint: "cp".into() } => Pending, epoch 2;
     a_failure_requeues: failure(2) => Pending, epoch 2;
     the_last_failure_finishes: failure(1) => Failed, epoch 1;
@@ -182,7 +182,7 @@
     match step {
         Step::Assign => Transition::Assign { worker: "agent-1".into() },
         Step::Evict => Transition::Evicted { checkpoint: "cp".into() },
-        Step::Refuse => Transition::Refused,
+        Step::Refuse => Transition::Refused { not_before_ms: 5 },
         Step::Lose => Transition::Lost { checkpoint: "".into() },
         Step::Fail => failure(3),
         Step::Complete => Transition::Complete { result: "ok".into() },
