--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -222,6 +222,45 @@
     check(&fleet, &[("study-1", first), ("study-2", second)]).await;
 }
 
+// An agent's process is paused while its worker goes on. The worker ends the study when its lease runs
+// out, and the study runs elsewhere; when the agent wakes up it must not take it for its own again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_study_leaves_an_agent_that_is_paused_for_long() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:12000").await;
+    let running = reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let agent = fleet.agents().iter().position(|one| running["worker"] == one.name()).unwrap();
+    fleet.agent(agent).freeze().unwrap();
+    wait_until("it runs elsewhere", Duration::from_mins(1), || async {
+        let value = status(&fleet, "study-1").await;
+        value.is_some_and(|v| v["state"] == "running" && v["worker"] != running["worker"])
+    })
+    .await;
+    fleet.agent(agent).thaw().unwrap();
+    let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 2);
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+// All entries are replaced at once. Nothing but the store remembers the study then, and nobody renews
+// its hold until one of the new entries plans.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_study_runs_on_while_all_entries_are_replaced() {
+    let plan = Plan::default().document(|document| document["policy"]["hold_ms"] = json!(20_000));
+    let mut fleet = fleet(&plan).await;
+    submit(&fleet, "study-1", "sleep:18000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    for entry in 0..2 {
+        fleet.entry(entry).kill();
+    }
+    for entry in 0..2 {
+        fleet.entry(entry).restart().unwrap();
+    }
+    let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 1, "it ran on");
+    check(&fleet, &[("study-1", done)]).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_urgent_job_starts_within_its_bound() {
     let fleet = fleet(&Plan::default()).await;
