--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod placement_bench;
 mod requests_bench;
+mod routing_bench;
 
 fn main() -> Result<()> {
     let matches = cli().get_matches();
@@ -24,7 +25,8 @@
         .about("Measure")
         .subcommand_required(true)
         .subcommand(placement_bench::cli())
-        .subcommand(requests_bench::cli());
+        .subcommand(requests_bench::cli())
+        .subcommand(routing_bench::cli());
     Command::new("geraniumpost-bench")
         .about("Demo, benches and soak runs of geraniumpost")
         .subcommand_required(true)
@@ -36,6 +38,7 @@
 fn bench(m: &ArgMatches) -> Result<()> {
     match m.subcommand() {
         Some(("placement", m)) => placement_bench::run(m),
+        Some(("routing", m)) => routing_bench::run(m),
         Some(("requests", m)) => return block_on(requests_bench::run(m)),
         _ => {}
     }
--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -14,7 +14,8 @@
 use super::holds::Holds;
 use super::queue::Queue;
 use super::sizes::Sizes;
-use super::{Decision, Fleet, PlacementPolicy, Wish};
+use super::urgent_demand::UrgentDemand;
+use super::{Decision, Fleet, PlacementPolicy, Wish, amounts};
 use crate::Millis;
 
 /// Decides what starts where, what yields and what cannot run.
@@ -45,9 +46,11 @@
     pub(super) history: History,
     pub(super) model: HarmModel,
     pub(super) gauges: BTreeMap<Name, Gauge>,
+    pub(super) measured: BTreeSet<Name>,
     pub(super) forecasts: Forecasts,
     pub(super) blame: Blame,
     pub(super) holds: Holds,
+    pub(super) urgent_demand: UrgentDemand,
     pub(super) budget: EvictionBudget,
     pub(super) outgrown: BTreeSet<Name>,
     pub(super) evicting: BTreeMap<Name, Millis>,
@@ -67,9 +70,11 @@
             history: History::default(),
             model: HarmModel::default(),
             gauges: BTreeMap::new(),
+            measured: BTreeSet::new(),
             forecasts: Forecasts::default(),
             blame: Blame::default(),
             holds: Holds::default(),
+            urgent_demand: UrgentDemand::default(),
             budget: EvictionBudget::default(),
             outgrown: BTreeSet::new(),
             evicting: BTreeMap::new(),
@@ -99,6 +104,11 @@
         let mut decisions = self.blame.review(now);
         decisions.extend(self.relieve(now, fleet));
         let mut draft = self.draft(fleet);
+        draft.speed_up(&decisions, fleet);
+        let rooms = self.urgent_demand.rooms(now, draft.rows.len());
+        if rooms > 0 {
+            draft.keep_rooms(rooms, self.urgent_demand.room());
+        }
         let mut queue = Queue::new(now, wishes, fleet, &self.policy);
         while let Some(wish) = queue.pop() {
             let decided = self.decide(now, wish, fleet, &mut draft, rng);
@@ -147,7 +157,8 @@
                 load: f64::from(row.load_permille) / 1000.0,
                 forecast,
                 limit: u32::MAX,
-                held: false,
+                held: amounts::NONE,
+                spare: false,
             });
         }
         self.close(fleet, &mut draft);
@@ -165,10 +176,6 @@
         self.blame.doubted().for_each(|name| {
             limit(name);
         });
-        for worker in self.holds.workers() {
-            if let Some(row) = draft.rows.iter_mut().find(|row| row.key == worker) {
-                row.held = true;
-            }
-        }
+        self.holds.all().for_each(|hold| draft.hold(hold));
     }
 }
