feat(bench): measure hedging in the routing model

Ruled out: a delay that follows the observed 95th percentile; the fixed 30 ms is that percentile of the model's service time.

Change: scenarios in which an attempt that takes 30 ms is followed by one elsewhere, at most one for 20 requests; the later answer is dropped. Service times belong to the run or to the request. All streams differ from those before, because a time is drawn for each request now.

Conclusion: not adopted: it pays only where the tail comes from the run and not from the request, and the users' slow requests are large ones.

--- a/crates/geraniumpost-bench/src/routing_bench.rs
+++ b/crates/geraniumpost-bench/src/routing_bench.rs
@@ -13,6 +13,7 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use contender::Contender;
+use fleet_model::HEDGE_US;
 use scenario::Scenario;
 use tally::Tally;
 
@@ -34,15 +35,20 @@
 pub fn run(matches: &ArgMatches) {
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
     timing::print(number("decisions"), number("seed"));
+    let [seed, runs, seconds] = ["seed", "runs", "seconds"].map(number);
     for scenario in Scenario::all() {
-        compare(&scenario, number("seed"), number("runs"), number("seconds"));
+        compare(&scenario, &Contender::ALL, seed, runs, seconds);
+    }
+    println!("\nA second attempt after {} ms, at most one for 20 requests", HEDGE_US / 1000);
+    for scenario in Scenario::hedging() {
+        compare(&scenario, &Contender::HEDGING, seed, runs, seconds);
     }
 }
 
-fn compare(scenario: &Scenario, seed: u64, runs: u64, seconds: u64) {
+fn compare(scenario: &Scenario, contenders: &[Contender], seed: u64, runs: u64, seconds: u64) {
     println!("\n{} (seeds {seed} to {}, {seconds} s each)", scenario.title, seed + runs - 1);
     println!("{}", Tally::HEADER);
-    for contender in Contender::ALL {
+    for &contender in contenders {
         let mut tally = Tally::default();
         for seed in seed..seed + runs {
             fleet_model::run(scenario, contender, seed, seconds, &mut tally);
--- a/crates/geraniumpost-bench/src/routing_bench/contender.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/contender.rs
@@ -8,6 +8,8 @@
     Product,
     /// The product's policy without ejection of failing agents.
     WithoutEjection,
+    /// The product's policy, with a second attempt elsewhere for what takes long.
+    Hedged,
     RoundRobin,
     LeastReported,
     LeastLoaded,
@@ -31,10 +33,14 @@
         Self::WeightedRandom,
     ];
 
+    /// The policies of the scenarios on hedging.
+    pub const HEDGING: [Self; 2] = [Self::Product, Self::Hedged];
+
     pub const fn title(self) -> &'static str {
         match self {
             Self::Product => "geraniumpost",
             Self::WithoutEjection => "without ejection",
+            Self::Hedged => "with hedging",
             Self::RoundRobin => "round robin",
             Self::LeastReported => "least reported",
             Self::LeastLoaded => "least loaded",
@@ -45,7 +51,9 @@
     /// Starts the policy at entry number `entry`, so that entries do not go in step.
     pub fn policy(self, entry: usize) -> Policy {
         match self {
-            Self::Product | Self::WithoutEjection => Policy::Router(Router::default()),
+            Self::Product | Self::WithoutEjection | Self::Hedged => {
+                Policy::Router(Router::default())
+            }
             Self::RoundRobin => Policy::Baseline(BaselineRouter::RoundRobin(entry * 3)),
             Self::LeastReported => Policy::Baseline(BaselineRouter::LeastReported),
             Self::LeastLoaded => Policy::Baseline(BaselineRouter::LeastLoaded),
@@ -54,7 +62,7 @@
     }
 
     pub fn ejects(self) -> bool {
-        self == Self::Product
+        matches!(self, Self::Product | Self::Hedged)
     }
 }
 
--- a/crates/geraniumpost-bench/src/routing_bench/fleet_model.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/fleet_model.rs
@@ -5,7 +5,7 @@
 use geraniumpost_core::requests::{
     AgentView, EjectionChange, Ejector, InFlight, Place, RouteAsk, Snapshot,
 };
-use geraniumpost_schema::Load;
+use geraniumpost_schema::{Load, Name};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -20,6 +20,10 @@
 const NEAR_US: u64 = 50;
 const FAR_US: u64 = 500;
 const DOMAINS: [&str; 4] = ["miraflores", "surco", "callao", "ate"];
+/// How long an attempt may take before a second one is sent elsewhere: three mean service times.
+pub const HEDGE_US: u64 = 3 * MEAN_US;
+/// Second attempts are at most one for this many requests.
+const REQUESTS_PER_HEDGE: u64 = 20;
 /// Answers before this instant are not counted.
 const WARM_US: u64 = 2_000_000;
 
@@ -33,6 +37,8 @@
     Done(u64),
     /// An answer is back at its entry.
     Answer(u64),
+    /// A request has taken long.
+    Hedge(u64),
     /// An agent reports its load to all entries.
     Beat(usize),
 }
@@ -42,6 +48,10 @@
     entry: usize,
     agent: usize,
     came_us: u64,
+    /// Service time, if it belongs to the request.
+    inherent_us: u64,
+    /// The other attempt at the same request.
+    twin: Option<u64>,
     failed: bool,
     near: bool,
     load: Load,
@@ -75,6 +85,8 @@
     order: u64,
     rng: SmallRng,
     now_us: u64,
+    requests: u64,
+    hedges: u64,
     tally: &'a mut Tally,
 }
 
@@ -90,6 +102,8 @@
         order: 0,
         rng: SmallRng::seed_from_u64(seed),
         now_us: 0,
+        requests: 0,
+        hedges: 0,
         tally,
     };
     model.start();
@@ -140,6 +154,7 @@
                 Event::Reach(job) => self.reach(job),
                 Event::Done(job) => self.done(job),
                 Event::Answer(job) => self.answer(job),
+                Event::Hedge(job) => self.hedge(job),
                 Event::Beat(agent) => self.beat(agent),
             }
         }
@@ -159,7 +174,17 @@
         let rate = capacity * self.scenario.load / self.scenario.entries as f64;
         let gap = self.exponential(1.0 / rate);
         self.push(gap, Event::Arrive(number));
-        let ask = RouteAsk::new(self.now()).harmless(true);
+        self.requests += 1;
+        let inherent_us = self.exponential(MEAN_US as f64);
+        let id = self.send(number, self.now_us, inherent_us, &[]);
+        if self.contender == Contender::Hedged {
+            self.push(HEDGE_US, Event::Hedge(id));
+        }
+    }
+
+    /// Routes one attempt and returns its number.
+    fn send(&mut self, number: usize, came_us: u64, inherent_us: u64, tried: &[Name]) -> u64 {
+        let ask = RouteAsk::new(self.now()).harmless(true).tried(tried);
         let entry = &mut self.entries[number];
         let service = entry.snapshot.service("filing").expect("agents never die here");
         let choice = entry.policy.choose(service, &ask, &mut entry.rng).expect("some are ready");
@@ -168,19 +193,37 @@
         let job = Job {
             entry: number,
             agent: view.name().parse().expect("agents are named by number"),
-            came_us: self.now_us,
+            came_us,
+            inherent_us,
+            twin: None,
             failed: false,
             near,
             load: Load::default(),
             guard: Some(view.counters().begin()),
         };
+        self.order += 1;
         let id = self.order;
         self.jobs.insert(id, job);
         self.push(way_us(near), Event::Reach(id));
+        id
+    }
+
+    /// Sends a second attempt elsewhere if the first has no answer yet and the budget allows it.
+    fn hedge(&mut self, first: u64) {
+        let Some(job) = self.jobs.get(&first) else { return };
+        if self.hedges * REQUESTS_PER_HEDGE >= self.requests {
+            return;
+        }
+        self.hedges += 1;
+        let (entry, came_us, inherent_us) = (job.entry, job.came_us, job.inherent_us);
+        let tried = [Name::from(job.agent.to_string())];
+        let second = self.send(entry, came_us, inherent_us, &tried);
+        self.jobs.get_mut(&first).expect("it is still under way").twin = Some(second);
+        self.jobs.get_mut(&second).expect("it was just sent").twin = Some(first);
     }
 
     fn reach(&mut self, id: u64) {
-        let agent = self.jobs[&id].agent;
+        let Some(agent) = self.jobs.get(&id).map(|job| job.agent) else { return };
         self.agents[agent].requests += 1;
         if self.agents[agent].running < SLOTS {
             self.run(agent, id);
@@ -194,7 +237,11 @@
 
     fn run(&mut self, agent: usize, id: u64) {
         self.agents[agent].running += 1;
-        let normal = self.exponential(MEAN_US as f64);
+        if self.now_us >= WARM_US {
+            self.tally.run();
+        }
+        let drawn = self.exponential(MEAN_US as f64);
+        let normal = if self.scenario.inherent { self.jobs[&id].inherent_us } else { drawn };
         let took = match self.scenario.odd {
             Odd::Slow(times) if agent == 0 => normal * times,
             Odd::Fails if agent == 0 => FAILS_IN_US,
@@ -216,6 +263,11 @@
         if let Some(next) = self.agents[agent].waiting.pop_front() {
             self.run(agent, next);
         }
+        if self.jobs[&id].guard.is_none() {
+            // The other attempt was answered first, so nobody waits for this one.
+            self.jobs.remove(&id);
+            return;
+        }
         self.jobs.get_mut(&id).expect("it is still under way").load = self.load(agent);
         self.push(way_us(near), Event::Answer(id));
     }
@@ -232,7 +284,10 @@
 
     fn answer(&mut self, id: u64) {
         let Some(mut job) = self.jobs.remove(&id) else { return };
-        drop(job.guard.take());
+        if job.guard.take().is_none() {
+            return;
+        }
+        self.forget_twin(&job);
         let now = self.now();
         let entry = &mut self.entries[job.entry];
         let name = job.agent.to_string();
@@ -253,6 +308,19 @@
         }
     }
 
+    /// Cancels the other attempt: it leaves its agent's queue, or runs on for nobody.
+    fn forget_twin(&mut self, job: &Job) {
+        let Some(id) = job.twin else { return };
+        let Some(twin) = self.jobs.get_mut(&id) else { return };
+        twin.guard = None;
+        let waiting = &mut self.agents[twin.agent].waiting;
+        let before = waiting.len();
+        waiting.retain(|&other| other != id);
+        if waiting.len() < before {
+            self.jobs.remove(&id);
+        }
+    }
+
     fn beat(&mut self, agent: usize) {
         let (load, now, name) = (self.load(agent), self.now(), agent.to_string());
         for entry in &self.entries {
--- a/crates/geraniumpost-bench/src/routing_bench/scenario.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/scenario.rs
@@ -11,6 +11,8 @@
     /// Whether answers carry the agent's load.
     pub load_on_answers: bool,
     pub odd: Odd,
+    /// Whether the service time belongs to the request and is the same wherever it runs.
+    pub inherent: bool,
 }
 
 /// What is wrong with the first agent's minion.
@@ -33,6 +35,7 @@
             beat_us: 500_000,
             load_on_answers: true,
             odd: Odd::Nothing,
+            inherent: false,
         }
     }
 
@@ -54,6 +57,21 @@
         ]
     }
 
+    /// Scenarios on hedging.
+    pub const fn hedging() -> [Self; 5] {
+        let slow = Self { odd: Odd::Slow(5), ..Self::new("one minion 5 times slower, 0.6", 0.6) };
+        [
+            Self::new("times belong to runs, load 0.3", 0.3),
+            Self::new("times belong to runs, load 0.6", 0.6),
+            Self { inherent: true, ..Self::new("times belong to requests, load 0.3", 0.3) },
+            Self { inherent: true, ..Self::new("times belong to requests, load 0.6", 0.6) },
+            Self {
+                inherent: true,
+                ..slow.titled("to requests, one minion 5 times slower, load 0.6")
+            },
+        ]
+    }
+
     const fn titled(self, title: &'static str) -> Self {
         Self { title, ..self }
     }
--- a/crates/geraniumpost-bench/src/routing_bench/tally.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/tally.rs
@@ -11,19 +11,20 @@
     longest_queue: usize,
     busiest: f64,
     own_domain: u64,
+    runs: u64,
 }
 
 impl Default for Tally {
     fn default() -> Self {
         let bounds = Histogram::new_with_bounds(1, LONGEST_US, 3);
         let latencies_us = bounds.expect("the bounds are in order");
-        Self { latencies_us, failed: 0, longest_queue: 0, busiest: 0.0, own_domain: 0 }
+        Self { latencies_us, failed: 0, longest_queue: 0, busiest: 0.0, own_domain: 0, runs: 0 }
     }
 }
 
 impl Tally {
     pub const HEADER: &str = "policy             p50 ms   p99 ms p99.9 ms  failed  longest queue  \
-                              busiest/mean  own domain";
+                              busiest/mean  own domain  runs/answer";
 
     /// Counts an answer or a failure.
     pub fn answer(&mut self, latency_us: u64, failed: bool, own_domain: bool) {
@@ -35,6 +36,11 @@
         self.own_domain += u64::from(own_domain);
     }
 
+    /// Counts a run on a minion.
+    pub fn run(&mut self) {
+        self.runs += 1;
+    }
+
     /// Notes how many requests waited at an agent.
     pub fn queue(&mut self, waiting: usize) {
         self.longest_queue = self.longest_queue.max(waiting);
@@ -53,7 +59,7 @@
         let all = self.latencies_us.len() + self.failed;
         let share = |count: u64| count as f64 * 100.0 / all.max(1) as f64;
         format!(
-            "{title:<17} {:>7.1} {:>8.1} {:>8.1} {:>6.2}% {:>14} {:>13.2} {:>10.1}%",
+            "{title:<17} {:>7.1} {:>8.1} {:>8.1} {:>6.2}% {:>14} {:>13.2} {:>10.1}% {:>12.3}",
             ms(0.5),
             ms(0.99),
             ms(0.999),
@@ -61,6 +67,7 @@
             self.longest_queue,
             self.busiest,
             share(self.own_domain),
+            self.runs as f64 / all.max(1) as f64,
         )
     }
 }
--- a/crates/geraniumpost-bench/src/routing_bench/timing.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/timing.rs
@@ -17,7 +17,7 @@
     println!("one decision in ns, median of batches of {BATCH} (worst batch), {decisions} each");
     println!("policy                   11 agents         100 agents         570 agents");
     for contender in Contender::ALL {
-        if contender == Contender::WithoutEjection {
+        if matches!(contender, Contender::WithoutEjection | Contender::Hedged) {
             continue;
         }
         let cells = [11, 100, 570].map(|agents| cell(contender, agents, decisions, seed));
