fix(entry): give every request an id that minion, log and answer share

Change: the id is read or drawn first, sent on to the minion and echoed on every answer. Measured: new process test fails before (ids [""]) and passes after.

--- a/crates/geraniumpost-harness/src/caller.rs
+++ b/crates/geraniumpost-harness/src/caller.rs
@@ -58,10 +58,12 @@
             .uri(format!("/{SERVICE}/check"))
             .header("host", self.entry.to_string())
             .header("authorization", format!("Bearer {}", self.token))
-            .header("x-request-id", &send.request_id)
             .header("x-request-timeout-ms", send.timeout.as_millis().to_string())
             .header("x-work-ms", send.work_ms)
             .header("x-answer-bytes", send.answer_bytes);
+        if !send.request_id.is_empty() {
+            req = req.header("x-request-id", &send.request_id);
+        }
         if !send.key.is_empty() {
             req = req.header("idempotency-key", &send.key);
         }
--- a/crates/geraniumpost-harness/src/send.rs
+++ b/crates/geraniumpost-harness/src/send.rs
@@ -43,6 +43,12 @@
         Self { request_id: next_id(), ..self.clone() }
     }
 
+    /// Leaves the id out, so that the entry gives one.
+    #[must_use]
+    pub fn without_id(self) -> Self {
+        Self { request_id: String::new(), ..self }
+    }
+
     /// Sets the `Idempotency-Key`.
     #[must_use]
     pub fn key(mut self, key: impl Into<String>) -> Self {
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use geraniumpost_core::ResultCode;
-use geraniumpost_schema::Name;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming as HyperBody;
@@ -17,7 +16,7 @@
 
 use super::conversations::Conversations;
 use super::dispatch::dispatch;
-use super::incoming::Head;
+use super::incoming::{Head, request_id};
 use super::{EntryContext, Incoming, Reply};
 use crate::stop_signal::stopped;
 
@@ -176,7 +175,7 @@
         Ok(head) => head,
         Err(code) => {
             cx.metrics.outcome("", code.number(), began.elapsed());
-            return Reply::without_answer(code, 0).into_response(&Name::default());
+            return Reply::without_answer(code, 0).into_response(&request_id(&parts.headers));
         }
     };
     let (id, (service, customer)) = (head.id(), head.labels());
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/incoming.rs
@@ -74,14 +74,15 @@
         let key = text(&parts.headers, headers::IDEMPOTENCY_KEY)?;
         let idempotent = parts.method.is_idempotent();
         let target = parts.uri.path_and_query().map_or(path, http::uri::PathAndQuery::as_str);
+        let id = request_id(&parts.headers);
         let request = Incoming {
-            id: request_id(&parts.headers)?,
+            headers: for_minion(parts.headers.clone(), &caller.name, &id),
+            id,
             caller: Arc::clone(caller),
             service_name: Name::from(first),
             service: Arc::clone(service),
             method: parts.method.clone(),
             path: target.to_owned(),
-            headers: for_minion(parts.headers.clone(), &caller.name),
             body: Bytes::new(),
             kind: RequestKind::of(idempotent, key.is_some()),
             key: key.map_or_else(Name::default, |key| digest(&caller.name, key)),
@@ -132,9 +133,10 @@
     Ok(Some(text))
 }
 
-fn request_id(headers: &HeaderMap) -> Result<Name, ResultCode> {
-    let given = text(headers, headers::REQUEST_ID)?;
-    Ok(given.map_or_else(|| Name::from(format!("{:016x}", rand::random::<u64>())), Name::from))
+/// Returns the caller's id for the request, or a fresh one; an unreadable id is replaced as well.
+pub fn request_id(headers: &HeaderMap) -> Name {
+    let given = text(headers, headers::REQUEST_ID).ok().flatten();
+    given.map_or_else(|| Name::from(format!("{:016x}", rand::random::<u64>())), Name::from)
 }
 
 fn deadline(headers: &HeaderMap, service: &Service, clock: &Clock) -> Result<Millis, ResultCode> {
@@ -144,14 +146,19 @@
     Ok(clock.now().plus(ms.min(LONGEST_TIMEOUT_MS)))
 }
 
-/// Prepares the caller's headers for the minion: its token stays here, its name goes along.
-fn for_minion(mut headers: HeaderMap, customer: &str) -> Vec<HeaderField> {
+/// Prepares the caller's headers for the minion: its token stays here, its name and the request's id
+/// go along.
+fn for_minion(mut headers: HeaderMap, customer: &str, id: &Name) -> Vec<HeaderField> {
     strip_hop_by_hop(&mut headers);
     headers.remove(header::AUTHORIZATION);
     headers.remove(headers::TIMEOUT_MS);
-    headers.remove("x-customer");
+    let own = [(headers::CUSTOMER, customer), (headers::REQUEST_ID, id)];
+    for (name, _) in own {
+        headers.remove(name);
+    }
     let mut fields = headers::to_fields(&headers);
-    fields.push(HeaderField { name: "x-customer".to_owned(), value: customer.to_owned() });
+    let own = own.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    fields.extend(own.map(|(name, value)| HeaderField { name, value }));
     fields
 }
 
--- a/crates/geraniumpost/src/headers.rs
+++ b/crates/geraniumpost/src/headers.rs
@@ -7,6 +7,8 @@
 pub const TIMEOUT_MS: &str = "x-request-timeout-ms";
 /// Id of a request, chosen by the caller or else by the entry, and echoed.
 pub const REQUEST_ID: &str = "x-request-id";
+/// Name of the customer, told to the minion instead of the customer's token.
+pub const CUSTOMER: &str = "x-customer";
 /// Key by which a caller's repeat is told from a new request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Numbered result of a request, see `docs/RESULT_CODES.md`.
--- a/crates/geraniumpost/tests/thin_path.rs
+++ b/crates/geraniumpost/tests/thin_path.rs
@@ -42,3 +42,14 @@
     let log = fleet.entry(0).output();
     assert!(!log.contains("is silent"), "{log}");
 }
+
+/// A caller gives no id. The minion's log, the entry's log and the answer must still speak of the same
+/// request, or nobody can follow it when something went wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_an_id_gets_one_that_the_minion_sees() {
+    let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
+    fleet.caller(0).send(&Send::get().without_id()).await;
+    let record = fleet.minion_record().await.unwrap();
+    let ids: Vec<&str> = record.iter().map(|event| event.request_id.as_str()).collect();
+    assert!(ids.iter().any(|id| id.len() == 16), "{ids:?}");
+}
