fix(core): let no stop overtake the start it is for

Cause: a stop ordered while the worker was being asked for the start could reach the worker first. Its word that there is no such task then ended the run, and the start took effect: a study ran in two places. Ruled out: counting from when the start was asked for, as before; a call may be open for longer, and its answer may come before the stop's. Change: the call of a start is open, lost or settled; a stop is sent to the worker only once the start is settled or was lost for a while, and a list counts only if asked for after that. The shell says when a start's answer is lost.

--- a/crates/geraniumpost-core/src/jobs/ledger/ledger_config.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/ledger_config.rs
@@ -12,6 +12,8 @@
     /// Shortest time between the two lists of an adoption. A start sent by the agent's previous
     /// process may reach the worker within it.
     pub settle_ms: u64,
+    /// Longest time that a call to the worker is open.
+    pub longest_call_ms: u64,
     /// How long the epoch of a settled run is remembered, so that a delayed order for it is refused.
     pub remember_ms: u64,
 }
@@ -24,6 +26,7 @@
             repeat_ms: 1_000,
             usage_ms: 10_000,
             settle_ms: 1_000,
+            longest_call_ms: 10_000,
             remember_ms: 600_000,
         }
     }
--- a/crates/geraniumpost-core/src/jobs/ledger/ledger_event.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/ledger_event.rs
@@ -52,6 +52,13 @@
         /// The worker's reason.
         reason: String,
     },
+    /// The answer to a start was lost; it may still take effect.
+    StartUncertain {
+        /// Job.
+        job: Name,
+        /// Run.
+        epoch: u64,
+    },
     /// The worker wrote a checkpoint.
     Checkpointed {
         /// Job.
--- a/crates/geraniumpost-core/src/jobs/ledger/lists.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/lists.rs
@@ -4,7 +4,7 @@
 
 use geraniumpost_schema::{Name, TaskState};
 
-use super::{Adoption, LedgerAction, Phase, Task, VmLedger, WorkerTask};
+use super::{Adoption, LedgerAction, Phase, StartCall, Task, VmLedger, WorkerTask};
 use crate::Millis;
 
 impl VmLedger {
@@ -71,7 +71,7 @@
             return;
         }
         task.observe(found.usage, &found.checkpoint);
-        task.start_called = None;
+        task.start = StartCall::Settled;
         match found.state {
             TaskState::Starting | TaskState::Running => {
                 if task.phase == Phase::Starting {
@@ -100,12 +100,11 @@
         now: Millis,
         actions: &mut Vec<LedgerAction>,
     ) {
-        let settle_ms = self.config.settle_ms;
         let vanished: Vec<Name> = self
             .tasks
             .values()
             .filter(|task| task.phase.is_live() && task.phase != Phase::Starting)
-            .filter(|task| task.since < asked && !task.start_may_arrive(now, settle_ms))
+            .filter(|task| task.since < asked && !task.start_may_arrive(now, &self.config))
             .filter(|task| !listed.contains_key(&(task.job.clone(), task.epoch)))
             .map(|task| task.job.clone())
             .collect();
--- a/crates/geraniumpost-core/src/jobs/ledger/orders.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/orders.rs
@@ -4,7 +4,7 @@
     HeartbeatAck, Name, Resources, StartTask, TaskRef, TaskReport, TaskState, Throttle,
 };
 
-use super::{LedgerAction, Phase, Task, VmLedger};
+use super::{LedgerAction, Phase, StartCall, Task, VmLedger};
 use crate::Millis;
 
 impl VmLedger {
@@ -118,7 +118,7 @@
         task.checkpoint = start.checkpoint.clone();
         task.lease_until = now.plus(self.config.worker_lease_ms);
         task.order = Some(start.clone());
-        task.start_called = Some(now);
+        task.start = StartCall::Open(now);
         self.remember(&start.job, start.epoch, now);
         actions.push(LedgerAction::Report(task.report()));
         self.tasks.insert(start.job.clone(), task);
@@ -144,8 +144,9 @@
                 actions.push(LedgerAction::Checkpoint { job, epoch });
             }
             Phase::Starting => {
-                task.enter(Phase::Stopping(TaskState::Evicted), now);
-                actions.push(LedgerAction::Stop { job, epoch });
+                if task.begin_stop(TaskState::Evicted, now, &self.config) {
+                    actions.push(LedgerAction::Stop { job, epoch });
+                }
             }
             Phase::Ended(_) => actions.push(LedgerAction::Report(task.report())),
             Phase::Checkpointing | Phase::Stopping(_) => {}
@@ -167,9 +168,10 @@
         if task.is_ended() {
             actions.push(LedgerAction::Report(task.report()));
         } else if !matches!(task.phase, Phase::Stopping(_)) {
-            task.enter(Phase::Stopping(TaskState::Stopped), now);
             let (job, epoch) = (order.job.clone(), order.epoch);
-            actions.push(LedgerAction::Stop { job, epoch });
+            if task.begin_stop(TaskState::Stopped, now, &self.config) {
+                actions.push(LedgerAction::Stop { job, epoch });
+            }
         }
     }
 
--- a/crates/geraniumpost-core/src/jobs/ledger/task.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/task.rs
@@ -1,6 +1,6 @@
 use geraniumpost_schema::{Name, Resources, StartTask, TaskReport, TaskState};
 
-use super::Phase;
+use super::{LedgerConfig, Phase, StartCall};
 use crate::{Millis, placement::amounts::larger};
 
 /// One run in the ledger.
@@ -24,8 +24,9 @@
     /// When the worker will surely have ended the task by itself.
     pub(super) lease_until: Millis,
     pub(super) failed_checkpoints: u32,
-    /// When the worker was last asked to start it, until its answer is there.
-    pub(super) start_called: Option<Millis>,
+    pub(super) start: StartCall,
+    /// Whether the worker was asked to end it in this phase.
+    pub(super) stop_sent: bool,
     /// The order, kept to repeat the call to the worker; none for an adopted task.
     pub(super) order: Option<StartTask>,
 }
@@ -53,7 +54,8 @@
             last_renewal: now,
             lease_until: now,
             failed_checkpoints: 0,
-            start_called: None,
+            start: StartCall::Settled,
+            stop_sent: false,
             order: None,
         }
     }
@@ -78,11 +80,21 @@
         }
     }
 
-    /// Returns whether a start whose answer was lost may still reach the worker.
-    ///
-    /// Until then the worker's "no such task" doesn't mean that there will be none.
-    pub(super) fn start_may_arrive(&self, now: Millis, settle_ms: u64) -> bool {
-        self.start_called.is_some_and(|called| now < called.plus(settle_ms))
+    /// Returns whether the call that starts the task may still reach the worker.
+    pub(super) fn start_may_arrive(&self, now: Millis, config: &LedgerConfig) -> bool {
+        self.start.may_arrive(now, config.settle_ms, config.longest_call_ms)
+    }
+
+    /// Begins to end the task and returns whether the worker can be told so at once.
+    pub(super) fn begin_stop(
+        &mut self,
+        state: TaskState,
+        now: Millis,
+        config: &LedgerConfig,
+    ) -> bool {
+        self.enter(Phase::Stopping(state), now);
+        self.stop_sent = !self.start_may_arrive(now, config);
+        self.stop_sent
     }
 
     pub(super) fn report(&self) -> TaskReport {
--- a/crates/geraniumpost-core/src/jobs/ledger/tick.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/tick.rs
@@ -2,7 +2,7 @@
 
 use geraniumpost_schema::{Name, TaskState};
 
-use super::{LedgerAction, Phase, Task, VmLedger};
+use super::{LedgerAction, Phase, StartCall, Task, VmLedger};
 use crate::Millis;
 
 impl VmLedger {
@@ -42,12 +42,15 @@
     fn repeat_starts(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
         for task in self.tasks.values_mut() {
             let due = now.since(task.last_call) >= self.config.repeat_ms;
+            let open = matches!(task.start, StartCall::Open(_))
+                && task.start_may_arrive(now, &self.config);
             if task.phase == Phase::Starting
                 && due
+                && !open
                 && let Some(order) = &task.order
             {
                 task.last_call = now;
-                task.start_called = Some(now);
+                task.start = StartCall::Open(now);
                 task.lease_until = now.plus(self.config.worker_lease_ms);
                 actions.push(LedgerAction::Start(order.clone()));
             }
@@ -60,16 +63,19 @@
     fn lapse(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
         for task in self.tasks.values_mut().filter(|task| task.phase.goes_on()) {
             self.counters.lapsed += 1;
-            task.enter(Phase::Stopping(TaskState::Lapsed), now);
-            actions.push(LedgerAction::Stop { job: task.job.clone(), epoch: task.epoch });
+            if task.begin_stop(TaskState::Lapsed, now, &self.config) {
+                actions.push(LedgerAction::Stop { job: task.job.clone(), epoch: task.epoch });
+            }
         }
     }
 
     fn repeat_stops(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
         for task in self.tasks.values_mut() {
             let due = now.since(task.last_call) >= self.config.repeat_ms;
-            if matches!(task.phase, Phase::Stopping(_)) && due {
+            let may_stop = !task.start_may_arrive(now, &self.config);
+            if matches!(task.phase, Phase::Stopping(_)) && may_stop && (due || !task.stop_sent) {
                 task.last_call = now;
+                task.stop_sent = true;
                 actions.push(LedgerAction::Stop { job: task.job.clone(), epoch: task.epoch });
             }
         }
@@ -83,6 +89,7 @@
             .values()
             .filter(|task| matches!(task.phase, Phase::Stopping(_)))
             .filter(|task| now >= task.lease_until.plus(margin))
+            .filter(|task| !task.start_may_arrive(now, &self.config))
             .map(|task| task.job.clone())
             .collect();
         for job in expired {
--- a/crates/geraniumpost-core/src/jobs/ledger/worker_calls.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/worker_calls.rs
@@ -2,7 +2,7 @@
 
 use geraniumpost_schema::{Name, TaskState};
 
-use super::{LedgerAction, LedgerEvent, Phase, Task, VmLedger};
+use super::{LedgerAction, LedgerEvent, Phase, StartCall, Task, VmLedger};
 use crate::Millis;
 
 /// Tries at a checkpoint before an eviction falls back on the latest one written.
@@ -21,6 +21,9 @@
             LedgerEvent::StartRefused { job, epoch, reason } => {
                 self.on_start_refused(&job, epoch, reason, now, actions);
             }
+            LedgerEvent::StartUncertain { job, epoch } => {
+                self.on_start_uncertain(&job, epoch, now);
+            }
             LedgerEvent::Checkpointed { job, epoch, checkpoint } => {
                 self.on_checkpointed(&job, epoch, checkpoint, now, actions);
             }
@@ -38,13 +41,31 @@
     }
 
     fn on_started(&mut self, job: &Name, epoch: u64, now: Millis, actions: &mut Vec<LedgerAction>) {
-        let lease_until = now.plus(self.config.worker_lease_ms);
+        let config = self.config;
+        let Some(task) = self.run(job, epoch) else { return };
+        task.lease_until = task.lease_until.max(now.plus(config.worker_lease_ms));
+        let first = std::mem::replace(&mut task.start, StartCall::Settled) != StartCall::Settled;
+        match task.phase {
+            Phase::Starting => {
+                task.enter(Phase::Running, now);
+                actions.push(LedgerAction::Report(task.report()));
+            }
+            // The stop was held back until now. A list asked for earlier doesn't count any more.
+            Phase::Stopping(state) if first => {
+                task.begin_stop(state, now, &config);
+                actions.push(LedgerAction::Stop { job: job.clone(), epoch });
+            }
+            _ => {}
+        }
+    }
+
+    fn on_start_uncertain(&mut self, job: &Name, epoch: u64, now: Millis) {
+        let config = self.config;
         let Some(task) = self.run(job, epoch) else { return };
-        task.lease_until = task.lease_until.max(lease_until);
-        task.start_called = None;
-        if task.phase == Phase::Starting {
-            task.enter(Phase::Running, now);
-            actions.push(LedgerAction::Report(task.report()));
+        if matches!(task.start, StartCall::Open(_)) {
+            task.start = StartCall::Lost(now);
+            let lease_until = now.plus(config.settle_ms + config.worker_lease_ms);
+            task.lease_until = task.lease_until.max(lease_until);
         }
     }
 
@@ -57,7 +78,7 @@
         actions: &mut Vec<LedgerAction>,
     ) {
         let Some(task) = self.run(job, epoch) else { return };
-        task.start_called = None;
+        task.start = StartCall::Settled;
         match task.phase {
             Phase::Starting => {
                 task.result = reason;
@@ -107,10 +128,10 @@
     }
 
     fn on_stopped(&mut self, job: &Name, epoch: u64, now: Millis, actions: &mut Vec<LedgerAction>) {
-        let settle_ms = self.config.settle_ms;
+        let config = self.config;
         let Some(task) = self.run(job, epoch) else { return };
         if let Phase::Stopping(state) = task.phase
-            && !task.start_may_arrive(now, settle_ms)
+            && !task.start_may_arrive(now, &config)
         {
             self.end(job, state, now, actions);
         }
--- a/crates/geraniumpost-core/tests/jobs_ledger.rs
+++ b/crates/geraniumpost-core/tests/jobs_ledger.rs
@@ -226,14 +226,40 @@
 #[test]
 fn a_stop_waits_for_a_start_that_may_still_arrive() {
     let mut bench = Bench::ready();
+    let stops = |actions: &[LedgerAction]| {
+        actions.iter().any(|action| matches!(action, LedgerAction::Stop { .. }))
+    };
     assert!(starts(&bench.start(1, "study-1", 1, 100)));
-    bench.tell(LedgerEvent::Stop(order(1, "study-1", 1)));
+    assert_eq!(bench.tell(LedgerEvent::Stop(order(1, "study-1", 1))), []);
+    bench.now += 2_000;
+    assert!(!stops(&bench.tell(LedgerEvent::Tick)), "the call is still open");
+    bench.tell(LedgerEvent::StartUncertain { job: "study-1".into(), epoch: 1 });
     let stopped = || LedgerEvent::Stopped { job: "study-1".into(), epoch: 1 };
     assert_eq!(bench.tell(stopped()), []);
-    bench.now += 1_000;
+    bench.now += 999;
+    assert!(!stops(&bench.tell(LedgerEvent::Tick)), "it may still be on its way");
+    bench.now += 1;
+    assert!(stops(&bench.tell(LedgerEvent::Tick)));
     assert_eq!(reported(&bench.tell(stopped())), [TaskState::Stopped]);
 }
 
+// The planner cancels while the worker is being asked for the start. The list that was asked for
+// before the start took effect doesn't have the task, which is no word of its end.
+#[test]
+fn a_list_older_than_the_start_does_not_end_it() {
+    let mut bench = Bench::ready();
+    assert!(starts(&bench.start(1, "study-1", 1, 100)));
+    bench.tell(LedgerEvent::Stop(order(1, "study-1", 1)));
+    bench.now += 10;
+    let asked = Millis(bench.now);
+    bench.now += 10;
+    let started = LedgerEvent::Started { job: "study-1".into(), epoch: 1 };
+    assert_matches!(&bench.tell(started)[..], [LedgerAction::Stop { .. }]);
+    assert_eq!(bench.tell(LedgerEvent::Listed { asked, tasks: Vec::new() }), []);
+    bench.now += 10;
+    assert_eq!(reported(&bench.list(&[])), [TaskState::Stopped]);
+}
+
 // A start that was thought lost takes effect after the ledger had ended the run. Nobody would know of
 // the task, and it would hold the VM for as long as it likes.
 #[test]
@@ -359,8 +385,8 @@
                     naive.known.insert((job, at));
                     bench.tell(LedgerEvent::Stop(order(1, &name(job), at)));
                     if naive.live.remove(&job).is_some() {
-                        bench.now += 1_000;
-                        bench.hold(1);
+                        let started = LedgerEvent::Started { job: name(job), epoch: at };
+                        bench.tell(started);
                         bench.tell(LedgerEvent::Stopped { job: name(job), epoch: at });
                     }
                 }
--- a/crates/geraniumpost-core/tests/jobs_world/agent.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/agent.rs
@@ -86,6 +86,7 @@
         repeat_ms: 300,
         usage_ms: 1_000,
         settle_ms: 500,
+        longest_call_ms: 1_000,
         remember_ms: 60_000,
     };
     VmLedger::new(incarnation, CAPACITY, config)
--- a/crates/geraniumpost-core/tests/jobs_world/main.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/main.rs
@@ -159,3 +159,11 @@
     settlement_sent: SettledOrder;
     takeover_inventory_asked: Supersede;
 }
+
+// A stop overtakes the start it is for. The worker says that there is no such task, and begins it a
+// moment later; its word arrives after the one on the start, and the study runs in two places.
+#[test]
+fn a_stop_does_not_overtake_its_start() {
+    let world = drive(9_631_381_433_693_569_758, 10, &[]);
+    check_ends(&world);
+}
--- a/crates/geraniumpost-core/tests/jobs_world/world/agents.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/world/agents.rs
@@ -85,7 +85,13 @@
             worker.run(call, now, length)
         };
         let Some(event) = event else { return };
-        if !self.is_lost() {
+        let event = match event {
+            LedgerEvent::Started { job, epoch } if self.is_lost() => {
+                LedgerEvent::StartUncertain { job, epoch }
+            }
+            event => event,
+        };
+        if matches!(event, LedgerEvent::StartUncertain { .. }) || !self.is_lost() {
             let delay = self.delay().min(100);
             self.fly(delay, Flight::ToAgent { agent, incarnation, event });
         }
--- a/crates/geraniumpost/src/agent/tasks/worker_calls.rs
+++ b/crates/geraniumpost/src/agent/tasks/worker_calls.rs
@@ -12,7 +12,8 @@
 
 /// Makes one call and sends its outcome, if the ledger can conclude anything from it.
 ///
-/// A call whose answer is lost has no outcome: the ledger repeats it, or learns from the next list.
+/// A call whose answer is lost has no outcome, but for a start: the ledger repeats it, or learns from
+/// the next list.
 pub(super) async fn make(
     worker: &Worker,
     call: LedgerAction,
@@ -23,8 +24,12 @@
     // Asked again here, as the process may have been paused since the ledger decided.
     let held = clock.now().0 < hold_until.load(Ordering::SeqCst);
     let outcome = match call {
-        LedgerAction::Start(_) | LedgerAction::Renew { .. } if !held => None,
-        LedgerAction::Start(order) => start(worker, order).await,
+        LedgerAction::Renew { .. } if !held => None,
+        LedgerAction::Start(StartTask { job, epoch, .. }) if !held => {
+            let reason = "the hold has lapsed".to_owned();
+            Some(LedgerEvent::StartRefused { job, epoch, reason })
+        }
+        LedgerAction::Start(order) => Some(start(worker, order).await),
         LedgerAction::Renew { job, epoch } => Some(renew(worker, job, epoch).await),
         LedgerAction::Checkpoint { job, epoch } => Some(checkpoint(worker, job, epoch).await),
         LedgerAction::Stop { job, epoch } => stop(worker, job, epoch, clock).await,
@@ -55,18 +60,18 @@
     }
 }
 
-async fn start(worker: &Worker, order: StartTask) -> Option<LedgerEvent> {
+async fn start(worker: &Worker, order: StartTask) -> LedgerEvent {
     let StartTask { job, epoch, need, command, checkpoint, .. } = order;
     let order = TaskOrder { epoch, lease: lease(), need, command, checkpoint };
     match worker.start(&job, &order).await {
-        Ok(_) => Some(LedgerEvent::Started { job, epoch }),
+        Ok(_) => LedgerEvent::Started { job, epoch },
         Err(WorkerError::Uncertain(why)) => {
             spdlog::warn!("job {job} epoch {epoch}: the start is uncertain: {why}");
-            None
+            LedgerEvent::StartUncertain { job, epoch }
         }
         Err(error) => {
             let reason = error.to_string();
-            Some(LedgerEvent::StartRefused { job, epoch, reason })
+            LedgerEvent::StartRefused { job, epoch, reason }
         }
     }
 }
