feat(planner): show queue, shares, evictions and workers in the status

Cause: operators saw agents and entries, but not why jobs wait: neither queue nor customers' shares. Change: the planner publishes a summary each second; the status of another entry names the planner's console instead.

--- a/crates/geraniumpost/src/entry/context.rs
+++ b/crates/geraniumpost/src/entry/context.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniumpost_core::Millis;
 use geraniumpost_core::requests::{
     AgentView, EjectionChange, Ejector, EntryLimits, Membership, MembershipLimits, Place,
@@ -11,6 +11,7 @@
 use geraniumpost_net::{Identity, SharedKey};
 use geraniumpost_platform::Store;
 use geraniumpost_schema::{EntryPeer, EntrySettings, Heartbeat, Name, RequestId};
+use serde_json::Value;
 use tokio::sync::mpsc;
 
 use super::Peers;
@@ -61,6 +62,7 @@
     in_force: Mutex<HashMap<Name, u64>>,
     planner: mpsc::UnboundedSender<PlannerInput>,
     hold_ms: AtomicU64,
+    shown: ArcSwapOption<Value>,
     hold_until: AtomicU64,
 }
 
@@ -98,6 +100,7 @@
             in_force: Mutex::default(),
             planner,
             hold_ms: AtomicU64::new(0),
+            shown: ArcSwapOption::empty(),
             hold_until: AtomicU64::new(0),
             settings,
         }
@@ -195,6 +198,16 @@
         hold
     }
 
+    /// Shows the planner's state to operators, `None` while this entry does not plan.
+    pub fn show_planner(&self, state: Option<Value>) {
+        self.shown.store(state.map(Arc::new));
+    }
+
+    /// Returns the planner's state as last shown.
+    pub fn planner_shown(&self) -> Option<Arc<Value>> {
+        self.shown.load_full()
+    }
+
     /// Tells the planner something; an entry that is stopping has none any more.
     pub fn tell_planner(&self, input: PlannerInput) {
         let _ = self.planner.send(input);
--- a/crates/geraniumpost/src/entry/views.rs
+++ b/crates/geraniumpost/src/entry/views.rs
@@ -41,9 +41,19 @@
         "store_calls": cx.store.calls(),
         "agents": agents.collect::<Vec<_>>(),
         "entries": entries,
+        "planner": planner(cx),
     })
 }
 
+/// Shows the planner's state, or on which entry to ask for it.
+fn planner(cx: &EntryContext) -> Value {
+    if let Some(shown) = cx.planner_shown() {
+        return Value::clone(&shown);
+    }
+    let elsewhere = cx.peers().planner(cx.clock.now());
+    elsewhere.map_or(Value::Null, |(term, console)| json!({ "term": term, "console": console }))
+}
+
 fn entries(cx: &EntryContext, now: Millis) -> Vec<Value> {
     let peers = cx.peers();
     let entries = peers.beats(now).map(|(beat, age)| {
--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/desk.rs
@@ -15,7 +15,7 @@
 
 use super::{
     AgentLinks, DecisionLog, PlannerInput, Question, StoreAnswer, calls, lease_calls, predecessors,
-    store_calls,
+    store_calls, summary,
 };
 use crate::console::{ApiCode, ApiError, job_reply, state_name};
 use crate::entry::EntryContext;
@@ -187,7 +187,7 @@
         self.heed_higher_term();
         self.lease(LeaseEvent::Tick);
         if self.planner.is_none() {
-            return;
+            return self.cx.show_planner(None);
         }
         self.prove_predecessors();
         self.tell(PlannerEvent::Tick);
@@ -208,6 +208,9 @@
         for (state, count) in JobState::ALL.iter().zip(counts) {
             self.cx.metrics.jobs(state_name(*state), count);
         }
+        let in_force = self.cx.keeper.holder().load();
+        let shown = self.planner.as_ref().map(|p| summary::summary(p, in_force.document()));
+        self.cx.show_planner(shown);
     }
 
     /// Steps down when another entry says that it plans under a higher term.
--- a/crates/geraniumpost/src/planner/mod.rs
+++ b/crates/geraniumpost/src/planner/mod.rs
@@ -14,6 +14,7 @@
 mod question;
 mod store_answer;
 mod store_calls;
+mod summary;
 
 use std::sync::Arc;
 
--- a/crates/geraniumpost/tests/thin_path.rs
+++ b/crates/geraniumpost/tests/thin_path.rs
@@ -1,7 +1,7 @@
 //! The whole path as separate processes.
 
 use geraniumpost_harness::check::Word;
-use geraniumpost_harness::{Binaries, Fleet, Plan, Send};
+use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, Send, wait_until};
 
 fn binaries() -> Binaries {
     Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"))
@@ -53,3 +53,24 @@
     let ids: Vec<&str> = record.iter().map(|event| event.request_id.as_str()).collect();
     assert!(ids.iter().any(|id| id.len() == 16), "{ids:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_shows_queue_shares_and_workers() {
+    let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
+    let time = std::time::Duration::from_secs(20);
+    wait_until("a planner takes the job", time, || async {
+        let told = fleet.operator(0).submit("study-1", 2_000, "sleep:8000").await;
+        told.is_ok_and(|(status, _)| status.is_success())
+    })
+    .await;
+    wait_until("the planner shows what the customer holds", time, || async {
+        let mut held = 0;
+        for entry in 0..fleet.entries().len() {
+            let (_, status) = fleet.operator(entry).get("/api/status").await.unwrap_or_default();
+            let customer = &status["state"]["planner"]["customers"][CUSTOMER];
+            held += customer["held"]["milli_cpus"].as_u64().unwrap_or(0);
+        }
+        held == 2_000
+    })
+    .await;
+}
