--- a/crates/geraniumpost-bench/src/placement_bench/scenario.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/scenario.rs
@@ -96,7 +96,7 @@
     offered: f64,
 }
 
-/// Returns the two users' sites of today and a larger one with several services.
+/// Returns the two users' sites of today, a larger one with several services, and a calm day.
 pub fn all(seed: u64) -> Vec<Scenario> {
     let service = |name, base_us, target_ms| ServiceTruth { name, base_us, target_ms };
     let sites = [
@@ -125,6 +125,13 @@
             ],
             offered: 0.85,
         },
+        Site {
+            name: "espectro on a calm day",
+            domains: &["miraflores", "surco", "callao", "ate"],
+            workers: 11,
+            services: vec![service("filing", 60_000.0, 200)],
+            offered: 0.35,
+        },
     ];
     sites.iter().enumerate().map(|(i, site)| build(site, seed * 1000 + i as u64)).collect()
 }
