--- a/crates/geraniumpost-bench/src/placement_bench.rs
+++ b/crates/geraniumpost-bench/src/placement_bench.rs
@@ -75,9 +75,11 @@
     );
     println!(
         "| policy | p99 slowdown | mean slowdown | late % | core h done | core h kept | jobs done | evictions \
-         | throttles | wasted core h | urgent p99 s | urgent max s | sound jobs given up |"
+         | throttles | wasted core h | urgent in 3.5 s % | urgent p99 s | urgent max s | sound jobs given up | VM overfull % | memory kills |"
+    );
+    println!(
+        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for name in POLICIES.iter().filter(|name| name.contains(only)) {
         let all: Vec<Figures> = std::thread::scope(|scope| {
             let run = |(i, scenario)| {
@@ -95,7 +97,7 @@
 fn print_row(name: &str, f: &Figures) {
     println!(
         "| {name} | {:.2} | {:.3} | {:.2} | {:.1} | {:.1} | {:.0} | {:.1} | {:.0} | {:.2} | {:.1} \
-         | {:.1} | {:.1} |",
+         | {:.1} | {:.1} | {:.1} | {:.2} | {:.0} |",
         f.p99_slowdown,
         f.mean_slowdown,
         f.late_percent,
@@ -105,9 +107,12 @@
         f.evictions,
         f.throttles,
         f.wasted_core_hours,
+        f.urgent_in_time_percent,
         f.urgent_p99_s,
         f.urgent_max_s,
         f.wronged,
+        f.overfull_percent,
+        f.kills,
     );
 }
 
--- a/crates/geraniumpost-bench/src/placement_bench/tally.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/tally.rs
@@ -17,6 +17,10 @@
     /// Sound jobs that were given up.
     pub wronged: u32,
     pub quarantines: u32,
+    /// Tasks killed for want of memory.
+    pub kills: u32,
+    overfull: f64,
+    steps: f64,
 }
 
 /// The figures of a run.
@@ -35,9 +39,17 @@
     pub wasted_core_hours: f64,
     pub urgent_p99_s: f64,
     pub urgent_max_s: f64,
+    /// Share of urgent jobs that started within 3.5 s, in percent.
+    pub urgent_in_time_percent: f64,
     pub wronged: f64,
+    /// Share of time in which a VM wanted more processors than it has, in percent.
+    pub overfull_percent: f64,
+    /// Tasks killed for want of memory.
+    pub kills: f64,
 }
 
+/// How soon urgent jobs must start.
+const URGENT_WITHIN_MS: u64 = 3_500;
 const CORE_HOUR: f64 = 1000.0 * 3_600_000.0;
 
 impl Tally {
@@ -50,6 +62,12 @@
         }
     }
 
+    /// Notes whether a VM wanted more processors than it has in one step.
+    pub fn step(&mut self, overfull: bool) {
+        self.steps += 1.0;
+        self.overfull += f64::from(u8::from(overfull));
+    }
+
     /// Notes how long an urgent job waited for its first start.
     pub fn urgent(&mut self, waited: u64) {
         self.urgent_waits.push(waited);
@@ -60,6 +78,7 @@
         self.slowdowns.sort_by(|a, b| a.0.total_cmp(&b.0));
         self.urgent_waits.sort_unstable();
         let weighed: f64 = self.slowdowns.iter().map(|(s, r)| s * r).sum();
+        let in_time = self.urgent_waits.iter().filter(|wait| **wait <= URGENT_WITHIN_MS).count();
         let wait = |q: f64| {
             let at = (q * self.urgent_waits.len() as f64) as usize;
             let last = self.urgent_waits.len().saturating_sub(1);
@@ -77,7 +96,10 @@
             wasted_core_hours: self.wasted / CORE_HOUR,
             urgent_p99_s: wait(0.99),
             urgent_max_s: wait(1.0),
+            urgent_in_time_percent: 100.0 * in_time as f64 / self.urgent_waits.len().max(1) as f64,
             wronged: self.wronged.into(),
+            overfull_percent: 100.0 * self.overfull / self.steps,
+            kills: self.kills.into(),
         }
     }
 }
@@ -110,7 +132,10 @@
             wasted_core_hours: mean(|f| f.wasted_core_hours),
             urgent_p99_s: mean(|f| f.urgent_p99_s),
             urgent_max_s: mean(|f| f.urgent_max_s),
+            urgent_in_time_percent: mean(|f| f.urgent_in_time_percent),
             wronged: mean(|f| f.wronged),
+            overfull_percent: mean(|f| f.overfull_percent),
+            kills: mean(|f| f.kills),
         }
     }
 }
--- a/crates/geraniumpost-bench/src/placement_bench/worker_model.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/worker_model.rs
@@ -21,6 +21,8 @@
     pub slowdown: f64,
     /// Speed of batch tasks, 1 if nothing is short.
     pub speed: f64,
+    /// Whether more processors are wanted than there are.
+    pub overfull: bool,
     /// What the service itself takes.
     pub service: Resources,
 }
@@ -50,5 +52,6 @@
         memory_mb: SERVICE_MEMORY_MB,
         accelerators: 0,
     };
-    Effect { slowdown: (1.0 + pressing).powf(1.25) + 5.0 * short, speed, service }
+    let slowdown = (1.0 + pressing).powf(1.25) + 5.0 * short;
+    Effect { slowdown, speed, overfull: total > 1.0, service }
 }
--- a/crates/geraniumpost-bench/src/placement_bench/world.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/world.rs
@@ -204,12 +204,13 @@
         let service = &self.scenario.services[truth.service];
         let alone = service.base_us * queueing(load);
         let late = alone * effect.slowdown > service.target_ms as f64 * 1000.0;
+        self.tally.step(effect.overfull);
         self.tally.latency(effect.slowdown, load, late);
         if now.is_multiple_of(REPORT_MS) {
             self.report(now, worker, load, alone * effect.slowdown, tasks);
         }
         self.progress(now, tasks, &effect);
-        self.out_of_memory(now, worker, tasks, &effect);
+        self.out_of_memory(tasks, &effect);
     }
 
     fn pressing(&self, now: u64, task: &Running, service: usize) -> Pressing {
@@ -276,7 +277,7 @@
     }
 
     /// Lets the kernel kill the task that is most over its size when memory runs out.
-    fn out_of_memory(&mut self, now: u64, worker: usize, tasks: &[usize], effect: &Effect) {
+    fn out_of_memory(&mut self, tasks: &[usize], effect: &Effect) {
         let real = |at: &usize| &self.scenario.jobs[self.running[*at].job];
         let used: u64 = tasks.iter().map(|at| real(at).real.memory_mb).sum();
         if used + effect.service.memory_mb <= CAPACITY.memory_mb {
@@ -285,9 +286,8 @@
         let over =
             |at: &&usize| real(at).real.memory_mb.saturating_sub(real(at).declared.memory_mb);
         let Some(&victim) = tasks.iter().max_by_key(over) else { return };
-        debug_assert_eq!(self.running[victim].worker, worker);
         self.running[victim].left = f64::NAN;
-        let _ = now;
+        self.tally.kills += 1;
     }
 
     /// Ends tasks that completed or failed in this step.
--- a/crates/geraniumpost-core/src/placement/reason.rs
+++ b/crates/geraniumpost-core/src/placement/reason.rs
@@ -21,6 +21,12 @@
         /// What is looked for.
         need: Resources,
     },
+    /// An urgent job finds no room, and no more tasks may be evicted this minute.
+    #[display("no room for {} now, and the evictions of this minute are spent", amount(need))]
+    EvictionsSpent {
+        /// What is looked for.
+        need: Resources,
+    },
     /// The customer holds what its quota allows.
     #[display("customer {customer} is at its quota of {resource}")]
     OverQuota {
--- a/crates/geraniumpost-core/tests/placement_differential.rs
+++ b/crates/geraniumpost-core/tests/placement_differential.rs
@@ -171,7 +171,7 @@
                         let kept = wishes.iter().filter(|other| holders.contains(other.job()));
                         prop_assert!(!twin.within_quota_beside(wish, kept));
                     }
-                    Reason::NoRoom { .. } => {
+                    Reason::NoRoom { .. } | Reason::EvictionsSpent { .. } => {
                         let kept = kept(holders, wish, &twin);
                         prop_assert!(
                             twin.rooms(wish.need()) <= kept,
