test: an accepted change is in force everywhere, restarts included

Cause: accepted means in force within seconds on every entry and agent, also on those replaced then. Change: one failure test that changes the document three times and restarts an agent and an entry right after each.

--- a/crates/geraniumpost/tests/failures_store.rs
+++ b/crates/geraniumpost/tests/failures_store.rs
@@ -1,6 +1,6 @@
 //! Outages of the key-value service while callers and operators go on.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumpost_harness::check::{Summary, Word};
 use geraniumpost_harness::{Binaries, Fleet, Plan, Send, pass, wait_until};
@@ -166,3 +166,34 @@
         .await;
     }
 }
+
+/// Tells whether an entry shows a revision in force on all entries and agents.
+async fn in_force_everywhere(fleet: &Fleet, entry: usize, wanted: u64) -> bool {
+    let Ok((_, body)) = fleet.operator(entry).get("/api/in-force").await else { return false };
+    let processes = body["processes"].as_array().cloned().unwrap_or_default();
+    processes.len() == fleet.entries().len() + fleet.agents().len()
+        && processes.iter().all(|process| process["revision"] == wanted)
+}
+
+/// A change is accepted, and in the same moment an agent and an entry are replaced. The change is
+/// in force on all of them a few seconds later, and each entry says so.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn accepted_change_is_in_force_everywhere_within_seconds() {
+    let mut fleet = fleet(Plan::default()).await;
+    for weight in 7..10 {
+        let base = revision(&fleet, 0).await;
+        let (status, body) = change(&fleet, 0, base, weight).await;
+        assert!(status.is_success(), "{status} {body}");
+        let accepted = Instant::now();
+        fleet.agent(2).restart().unwrap();
+        fleet.entry(1).restart().unwrap();
+        let wanted = body["revision"].as_u64().unwrap();
+        for entry in 0..2 {
+            wait_until("the change is in force everywhere", LONG, || {
+                in_force_everywhere(&fleet, entry, wanted)
+            })
+            .await;
+        }
+        println!("in force everywhere after {:?}", accepted.elapsed());
+    }
+}
