feat(entry): find the other entries by a roster in the store

Cause: VMs are replaced at any time, and an entry whose settings name only peers long gone saw none of the others. Ruled out: a lease-bound key per entry (no listing by prefix is promised) and renewing each minute (calls that grow with the entries for no more than what beats tell already).

--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -70,14 +70,17 @@
         for mut settings in settings {
             let relay = standins.relay(store.address()).await?;
             settings.store = relay.address();
-            settings.peers = datagrams.clone();
-            settings.peers.retain(|peer| *peer != settings.datagrams);
+            if plan.peers_in_settings {
+                settings.peers = datagrams.clone();
+                settings.peers.retain(|peer| *peer != settings.datagrams);
+            }
             entries.push(EntryPlace::start(binaries, scratch.path(), settings, relay)?);
         }
+        let known = if plan.peers_in_settings { &datagrams[..] } else { &datagrams[..1] };
         let mut agents = Vec::new();
         for number in 0..plan.agents {
             let listen = standins.addresses.next_address();
-            let settings = agent_settings(plan, number, listen, &datagrams);
+            let settings = agent_settings(plan, number, listen, known);
             agents.push(start_agent(&mut standins, plan, settings).await?);
         }
         Ok(Self { entries, agents, store, _addresses: addresses, _scratch: scratch, _room: room })
--- a/crates/geraniumpost-harness/src/plan.rs
+++ b/crates/geraniumpost-harness/src/plan.rs
@@ -26,6 +26,7 @@
     pub(crate) memory_mb: u64,
     pub(crate) slots: u64,
     pub(crate) standins_as_processes: bool,
+    pub(crate) peers_in_settings: bool,
     pub(crate) relayed_links: bool,
     pub(crate) document: Value,
 }
@@ -42,6 +43,7 @@
             memory_mb: 250_000,
             slots: 8,
             standins_as_processes: false,
+            peers_in_settings: true,
             relayed_links: false,
             document: document(),
         }
@@ -85,6 +87,13 @@
         self
     }
 
+    /// Leaves peers out of the entries' settings, and all entries but the first out of the agents'.
+    #[must_use]
+    pub const fn no_peers_in_settings(mut self) -> Self {
+        self.peers_in_settings = false;
+        self
+    }
+
     /// Starts store, minions and workers as processes of their own.
     #[must_use]
     pub const fn standins_as_processes(mut self) -> Self {
--- a/crates/geraniumpost/src/clock.rs
+++ b/crates/geraniumpost/src/clock.rs
@@ -1,4 +1,4 @@
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use geraniumpost_core::Millis;
 
@@ -24,3 +24,10 @@
         Duration::from_millis(deadline.since(self.now()))
     }
 }
+
+/// Returns the wall clock in milliseconds since 1970, for records that outlive the process. It may
+/// jump, so nothing that must hold is decided by it.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod reply;
 mod role;
+mod roster;
 mod route;
 mod views;
 
--- a/crates/geraniumpost/src/entry/role.rs
+++ b/crates/geraniumpost/src/entry/role.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
+use super::roster::keep_roster;
 use super::{EntryContext, callers, datagrams, links, views};
 use crate::config::{ConfigHolder, ConfigKeeper, Wanted, follow_agreement, follow_store};
 use crate::console::{Console, ConsoleContext, first_token};
@@ -69,6 +70,7 @@
     tokio::spawn(fetch_wanted(Arc::clone(cx), wanted));
     tokio::spawn(follow_limits(Arc::clone(cx)));
     tokio::spawn(datagrams::hear(Arc::clone(cx), Arc::clone(socket)));
+    tokio::spawn(keep_roster(Arc::clone(cx)));
     tokio::spawn(datagrams::announce(Arc::clone(cx), Arc::clone(socket)));
 }
 
--- a/crates/geraniumpost/src/lib.rs
+++ b/crates/geraniumpost/src/lib.rs
@@ -22,4 +22,4 @@
 mod runtime;
 mod stop_signal;
 
-pub use clock::Clock;
+pub use clock::{Clock, wall_ms};
--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/desk.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use geraniumpost_core::Millis;
 use geraniumpost_core::jobs::{
@@ -19,6 +19,7 @@
 };
 use crate::console::{ApiCode, ApiError, job_reply, state_name};
 use crate::entry::EntryContext;
+use crate::wall_ms;
 
 /// Interval of the planner's clock.
 const TICK: Duration = Duration::from_millis(50);
@@ -361,8 +362,3 @@
         ..LeaseConfig::default()
     }
 }
-
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_millis() as u64
-}
--- a/crates/geraniumpost/tests/thin_path.rs
+++ b/crates/geraniumpost/tests/thin_path.rs
@@ -74,3 +74,13 @@
     })
     .await;
 }
+
+/// All entries that a new entry's settings name have been replaced since. Without the store's roster it
+/// would see none of the others, and agents that know one of them would never hear of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_find_each_other_by_the_store() {
+    let plan = Plan::default().no_peers_in_settings();
+    let fleet = Fleet::start(&binaries(), &plan).await.unwrap();
+    let told = fleet.caller(1).send(&Send::get()).await;
+    assert!(matches!(told.word, Word::Answered { .. }), "{told:#?}");
+}
