--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/desk.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use geraniumpost_core::Millis;
 use geraniumpost_core::jobs::{
@@ -15,10 +15,11 @@
 
 use super::{
     AgentLinks, DecisionLog, PlannerInput, Question, StoreAnswer, calls, lease_calls, predecessors,
-    store_calls,
+    store_calls, summary,
 };
 use crate::console::{ApiCode, ApiError, job_reply, state_name};
 use crate::entry::EntryContext;
+use crate::wall_ms;
 
 /// Interval of the planner's clock.
 const TICK: Duration = Duration::from_millis(50);
@@ -187,7 +188,7 @@
         self.heed_higher_term();
         self.lease(LeaseEvent::Tick);
         if self.planner.is_none() {
-            return;
+            return self.cx.show_planner(None);
         }
         self.prove_predecessors();
         self.tell(PlannerEvent::Tick);
@@ -208,6 +209,9 @@
         for (state, count) in JobState::ALL.iter().zip(counts) {
             self.cx.metrics.jobs(state_name(*state), count);
         }
+        let in_force = self.cx.keeper.holder().load();
+        let shown = self.planner.as_ref().map(|p| summary::summary(p, in_force.document()));
+        self.cx.show_planner(shown);
     }
 
     /// Steps down when another entry says that it plans under a higher term.
@@ -358,8 +362,3 @@
         ..LeaseConfig::default()
     }
 }
-
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since.as_millis() as u64
-}
