fix(entry): let a refused key run when its caller comes back

Cause: an agent that refuses a keyed request bars its key for good, so that the claim may move.

Ruled out: freeing the key at the agent on refusal; a repeat under the old claim could then run there while the new agent runs it.

Change: the key that an agent is told holds the claim's revision, and an agent that a standing claim led to may be chosen next, under the moved claim. With keyed_in_outage = "home" the key stands alone, as there is no claim; such a request and one under a claim are not told as repeats of each other, which depended on chance before.

--- a/crates/geraniumpost/src/entry/attempt.rs
+++ b/crates/geraniumpost/src/entry/attempt.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use super::route::Target;
 use super::{AgentLink, EntryContext, Incoming, LinkEvent};
 
 /// How long a question may go unanswered.
@@ -20,6 +21,7 @@
 pub struct Attempt {
     id: RequestId,
     agent: Arc<AgentView>,
+    key: Name,
     link: Option<Arc<AgentLink>>,
     events_tx: mpsc::UnboundedSender<LinkEvent>,
     events: mpsc::UnboundedReceiver<LinkEvent>,
@@ -30,21 +32,16 @@
 impl Attempt {
     /// Sends a request to an agent; [`Attempt::is_sent`] tells whether a byte of it may be on its
     /// way.
-    pub fn send(
-        cx: &EntryContext,
-        req: &Incoming,
-        agent: &Arc<AgentView>,
-        incarnation: u64,
-        number: u32,
-    ) -> Self {
+    pub fn send(cx: &EntryContext, req: &Incoming, target: &Target, number: u32) -> Self {
         let (events_tx, events) = mpsc::unbounded_channel();
         let id = cx.next_id();
-        let link = cx.links.to_incarnation(agent.name(), incarnation);
-        let head = ToAgent::Request(request_head(cx, req, id, number));
+        let Target { agent, key, .. } = target;
+        let link = cx.links.to_incarnation(agent.name(), target.incarnation);
+        let head = ToAgent::Request(request_head(cx, req, id, key, number));
         let link = link.filter(|l| l.send_for(id, head, req.body.clone(), &events_tx));
-        let agent = Arc::clone(agent);
+        let (agent, key) = (Arc::clone(agent), key.clone());
         let in_flight = agent.counters().begin();
-        Self { id, agent, link, events_tx, events, finished: false, _in_flight: in_flight }
+        Self { id, agent, key, link, events_tx, events, finished: false, _in_flight: in_flight }
     }
 
     /// Returns whether a byte of the request may have been written.
@@ -114,7 +111,7 @@
         let id = self.id;
         if req.kind == RequestKind::Keyed {
             let deadline_ms = cx.clock.until(req.deadline).as_millis() as u64;
-            return ToAgent::AskKey(AskKey { id, key: req.key.clone(), incarnation, deadline_ms });
+            return ToAgent::AskKey(AskKey { id, key: self.key.clone(), incarnation, deadline_ms });
         }
         ToAgent::Ask(Ask { id, incarnation })
     }
@@ -140,7 +137,13 @@
     NoAnswer,
 }
 
-fn request_head(cx: &EntryContext, req: &Incoming, id: RequestId, number: u32) -> RequestHead {
+fn request_head(
+    cx: &EntryContext,
+    req: &Incoming,
+    id: RequestId,
+    key: &Name,
+    number: u32,
+) -> RequestHead {
     RequestHead {
         id,
         service: req.service_name.clone(),
@@ -150,7 +153,7 @@
         path: req.path.clone(),
         headers: req.headers.clone(),
         idempotent: req.kind == RequestKind::Idempotent,
-        key: if req.kind == RequestKind::Keyed { req.key.clone() } else { Name::default() },
+        key: key.clone(),
         deadline_ms: cx.clock.until(req.deadline).as_millis() as u64,
         attempt: number,
     }
--- a/crates/geraniumpost/src/entry/dispatch.rs
+++ b/crates/geraniumpost/src/entry/dispatch.rs
@@ -54,7 +54,7 @@
     policy: &mut RetryPolicy,
     target: Target,
 ) -> Ended {
-    let mut attempt = Attempt::send(cx, req, &target.agent, target.incarnation, policy.attempt());
+    let mut attempt = Attempt::send(cx, req, &target, policy.attempt());
     let mut event = if attempt.is_sent() {
         wait(cx, req, &mut attempt).await
     } else if target.repeat {
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -19,6 +19,12 @@
     pub agent: Arc<AgentView>,
     /// The incarnation that must get it.
     pub incarnation: u64,
+    /// The key that the agent is told, empty without one.
+    ///
+    /// It holds the revision of the claim. An agent that refuses a key bars it for good, so that the
+    /// claim may be moved; under the moved claim's revision the same agent may run it again. Otherwise
+    /// a key that every agent refused once for want of room could never run.
+    pub key: Name,
     /// Whether an earlier request with the same key may have run there.
     pub repeat: bool,
 }
@@ -57,10 +63,15 @@
             RequestKind::Keyed => self.keyed(cx, req, attempt).await?,
             RequestKind::Idempotent | RequestKind::Once => {
                 let agent = self.choose(cx, req, attempt)?;
-                Target { incarnation: agent.incarnation(), agent, repeat: false }
+                let key = Name::default();
+                Target { incarnation: agent.incarnation(), agent, key, repeat: false }
             }
         };
-        self.tried.push(target.agent.name().clone());
+        // An agent that a standing claim led to was not chosen, and has barred the claim's revision
+        // alone: it may be chosen next.
+        if !target.repeat {
+            self.tried.push(target.agent.name().clone());
+        }
         Ok(target)
     }
 
@@ -112,18 +123,24 @@
             Some(held) => claims.shift(&req.key, held, &agent, remember).await,
         };
         match claim {
-            Ok(claim) => self.follow(cx, claim),
+            Ok(claim) => self.follow(cx, req, claim),
             Err(error) => Self::without_store(cx, req, &error),
         }
     }
 
-    fn follow(&mut self, cx: &EntryContext, claim: Claim) -> Result<Target, NoTarget> {
+    fn follow(
+        &mut self,
+        cx: &EntryContext,
+        req: &Incoming,
+        claim: Claim,
+    ) -> Result<Target, NoTarget> {
         let snapshot = cx.snapshot.load();
         let agent = snapshot.agent(&claim.agent).cloned();
         let (incarnation, repeat) = (claim.incarnation, !claim.own);
+        let key = Name::from(format!("{}@{}", req.key, claim.revision));
         self.claim = Some(claim);
         let agent = agent.ok_or(NoTarget::HolderGone)?;
-        Ok(Target { agent, incarnation, repeat })
+        Ok(Target { agent, incarnation, key, repeat })
     }
 
     /// The store is down: the service decides whether keyed requests wait for it or rely on one
@@ -140,7 +157,8 @@
         let snapshot = cx.snapshot.load();
         let agent = home(routable(&snapshot, &req.service_name), &req.key);
         let agent = Arc::clone(agent.ok_or(NoTarget::NoAgent)?);
-        Ok(Target { incarnation: agent.incarnation(), agent, repeat: false })
+        let key = req.key.clone();
+        Ok(Target { incarnation: agent.incarnation(), agent, key, repeat: false })
     }
 }
 
--- a/crates/geraniumpost/tests/failures_requests.rs
+++ b/crates/geraniumpost/tests/failures_requests.rs
@@ -222,6 +222,36 @@
         assert!(told.iter().all(|told| told.word == *first), "{told:#?}");
     }
 
+    /// The only minion is full when a badge print with a key comes, and the caller is told to come
+    /// back. It comes back with the same key when there is room again, and must get its badge.
+    async fn refused_key_runs_when_it_comes_back() {
+        let plan = Plan::default().agents(1).document(|document| {
+            for service in document["services"].as_object_mut().unwrap().values_mut() {
+                service["slots"] = 1.into();
+                service["queue"] = 1.into();
+            }
+        });
+        let fleet = fleet(plan).await;
+        let busy: Vec<_> = (0..2)
+            .map(|_| {
+                let caller = fleet.caller(0);
+                tokio::spawn(async move { caller.send(&Send::post().work_ms(600)).await })
+            })
+            .collect();
+        pass(200).await;
+        let badge = Send::post().key("badge").body("badge");
+        let mut told = vec![fleet.caller(0).send(&badge.again()).await];
+        assert!(matches!(told[0].word, Word::NotRun), "{told:#?}");
+        for caller in busy {
+            told.push(caller.await.unwrap());
+        }
+        for entry in [0, 1] {
+            told.push(fleet.caller(entry).send(&badge.again()).await);
+            assert!(matches!(told.last().unwrap().word, Word::Answered { .. }), "{told:#?}");
+        }
+        fleet.assert_promises_to_callers(&told).await;
+    }
+
     /// An agent and an entry die in the same moment, and again after they came back.
     async fn pairs_of_kills_double_nothing() {
         let mut fleet = fleet(Plan::default()).await;
