fix(core): say once that an agent cannot be ejected

Change: said once until the agent succeeds or goes. The test of the cap now fails each agent nine times and counts the reports, too; another one claims probes from four threads.

--- a/crates/geraniumpost-core/src/requests/ejection_change.rs
+++ b/crates/geraniumpost-core/src/requests/ejection_change.rs
@@ -19,7 +19,8 @@
     /// The agent passed its probe and gets ordinary work again.
     #[display("restored")]
     Restored,
-    /// The agent should go, but too many of its service are gone already.
+    /// The agent should go, but too many of its service are gone already; said once until it
+    /// succeeds or goes.
     #[display("kept because too many agents are ejected")]
     Capped,
 }
--- a/crates/geraniumpost-core/src/requests/ejector.rs
+++ b/crates/geraniumpost-core/src/requests/ejector.rs
@@ -15,6 +15,7 @@
     window: Millis,
     ejections: u32,
     probe_at: Millis,
+    capped: bool,
 }
 
 /// Keeps work from minions that fail what they are given, and tries them again now and then.
@@ -82,7 +83,7 @@
         }
         let ejected = service.agents().iter().filter(|other| other.counters().is_ejected()).count();
         if ejected >= limits.most(service.agents().len()) {
-            return EjectionChange::Capped;
+            return record.capped();
         }
         record.eject(agent, now, &limits)
     }
@@ -100,6 +101,7 @@
         }
         self.total += u64::from(agent.counters().take_successes());
         if success {
+            self.capped = false;
             self.streak = 0;
         } else {
             self.total += 1;
@@ -131,6 +133,7 @@
 
     fn eject(&mut self, agent: &AgentView, now: Millis, limits: &EjectionLimits) -> EjectionChange {
         self.ejections += 1;
+        self.capped = false;
         (self.total, self.failures) = (0, 0);
         let probe_at = now.plus(limits.pause_ms(self.ejections));
         self.probe_at = probe_at;
@@ -138,6 +141,16 @@
         EjectionChange::Ejected { probe_at, ejections: self.ejections }
     }
 
+    /// Says once that the agent should go: each further failure says the same, and when everything
+    /// fails there are as many of them as requests.
+    const fn capped(&mut self) -> EjectionChange {
+        if self.capped {
+            return EjectionChange::None;
+        }
+        self.capped = true;
+        EjectionChange::Capped
+    }
+
     /// A failure before the probe was due belongs to a request that was sent before the ejection;
     /// counted, the requests in flight at that moment would double the pause again and again.
     fn failed_again(
--- a/crates/geraniumpost-core/tests/requests_routing.rs
+++ b/crates/geraniumpost-core/tests/requests_routing.rs
@@ -280,14 +280,15 @@
 fn not_all_agents_are_ejected() {
     let snapshot = fleet(11);
     let mut ejector = Ejector::default();
-    for _ in 0..5 {
+    let mut changes = Vec::new();
+    for _ in 0..9 {
         for index in 0..11 {
-            fail(&mut ejector, &snapshot, &format!("a{index}"), 0);
+            changes.push(fail(&mut ejector, &snapshot, &format!("a{index}"), 0));
         }
     }
     let ejected = snapshot.agents().filter(|one| one.counters().is_ejected()).count();
-    assert_eq!(ejected, 3);
-    assert_eq!(fail(&mut ejector, &snapshot, "a10", 1), EjectionChange::Capped);
+    let capped = changes.iter().filter(|&&change| change == EjectionChange::Capped).count();
+    assert_eq!((ejected, capped), (3, 8), "each of the others is logged once");
 }
 
 /// An ejected agent is tried with one request. Sent at once by every waiting request, the probes
@@ -314,6 +315,28 @@
     assert_eq!(probes(8_100, false), 1);
 }
 
+/// Many threads route at the moment when a probe is due. Two of them probing would risk two callers'
+/// requests on a minion that most likely still fails.
+#[test]
+fn one_thread_probes() {
+    let snapshot = fleet(2);
+    let mut ejector = Ejector::default();
+    for _ in 0..5 {
+        fail(&mut ejector, &snapshot, "a1", 0);
+    }
+    for due in [1_000, 6_000, 11_000] {
+        let claim = || {
+            let gauge = snapshot.agent("a1").unwrap().counters();
+            (0..1_000).filter(|_| gauge.claim_probe(Millis(due), true)).count()
+        };
+        let probes: usize = std::thread::scope(|scope| {
+            let threads: Vec<_> = (0..4).map(|_| scope.spawn(claim)).collect();
+            threads.into_iter().map(|thread| thread.join().unwrap()).sum()
+        });
+        assert_eq!(probes, 1, "at {due} ms");
+    }
+}
+
 /// One of two agents is ejected and the other one dies. The ejected one may still answer, and
 /// refusing outright would be worse for the caller.
 #[test]
