fix(entry): wait for the agent's last word at the deadline

Cause: entry and agent count the same deadline, the agent from a moment later. So the entry always gave up first: a badge print that ran into its deadline was told as 2004, "nobody can know", and 2007, "started and timed out", was never told.

Ruled out: a shorter deadline for the agent, which takes the time from the minion.

Change: the entry waits up to 50 ms longer; the agent's word ends it at once.

--- a/crates/geraniumpost/src/entry/attempt.rs
+++ b/crates/geraniumpost/src/entry/attempt.rs
@@ -13,6 +13,12 @@
 /// How long a question may go unanswered.
 const ASK_PATIENCE: Duration = Duration::from_millis(800);
 
+/// How long the agent's last word is waited for after the deadline.
+///
+/// The agent counts the same deadline from when the request reached it. Without this time the entry
+/// would always be first, and tell callers that nobody can know what the agent just says.
+const LAST_WORD: Duration = Duration::from_millis(50);
+
 /// One attempt at a request: sent to one incarnation of an agent.
 ///
 /// Dropping it tells the agent that nobody waits any more, which is what happens when the caller
@@ -54,9 +60,11 @@
         &self.agent
     }
 
-    /// Waits for the agent's next word until the request's deadline, and `None` after it.
+    /// Waits for the agent's next word until the request's deadline and a little longer, and `None`
+    /// after that.
     pub async fn next(&mut self, cx: &EntryContext, req: &Incoming) -> Option<LinkEvent> {
-        let event = timeout(cx.clock.until(req.deadline), self.events.recv()).await.ok().flatten();
+        let patience = cx.clock.until(req.deadline) + LAST_WORD;
+        let event = timeout(patience, self.events.recv()).await.ok().flatten();
         self.finished |= matches!(event, Some(LinkEvent::Answer(..)));
         event
     }
--- a/crates/geraniumpost/tests/failures_minions.rs
+++ b/crates/geraniumpost/tests/failures_minions.rs
@@ -143,6 +143,20 @@
         assert!(Summary::of(&told).answered > 0, "{}", Summary::of(&told));
     }
 
+    /// A badge print takes longer than its caller gave it. The agent knows that it was started, and
+    /// the caller must be told so, and not that nobody can know.
+    async fn request_past_its_deadline_is_told_as_started() {
+        let fleet = fleet(Plan::default()).await;
+        let send = Send::post().work_ms(900).timeout(Duration::from_millis(300));
+        let mut told = Vec::new();
+        for number in 0..6 {
+            told.push(fleet.caller(number % 2).send(&send.again()).await);
+        }
+        let codes: Vec<u16> = told.iter().map(|told| told.code).collect();
+        assert_eq!(codes, [2007; 6], "{told:#?}");
+        fleet.assert_promises_to_callers(&told).await;
+    }
+
     /// Requests run into their deadline while the minions still work on them.
     async fn requests_past_their_deadline_free_no_slot_early() {
         let fleet = fleet(Plan::default()).await;
