--- a/crates/geraniumpost-core/src/placement/mod.rs
+++ b/crates/geraniumpost-core/src/placement/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`Placer::place`] is a pure decision over a [`Fleet`] that its caller keeps up to date. The
 //! placer proposes; the agent's ledger has the last word on what fits. The reasons for the
-//! policy are in `docs/design/0300-placement.md`, its figures in
-//! `docs/measurements/placement.md`.
+//! policy are in `docs/design/0300-placement.md` and `docs/design/0301-harm-and-pressure.md`, its
+//! figures in `docs/measurements/placement.md`.
 
 pub mod amounts;
 mod blame;
