fix(core): learn a service anew when its target changes

Cause: harm is learned in units of the target, so that a raised target went on holding batch off by the old one. Change: configure drops what is known of services with another target; lost evictions are forgotten even while nothing else is reviewed. Measured: the new test fails without the mechanism.

--- a/crates/geraniumpost-core/src/placement/harm_model.rs
+++ b/crates/geraniumpost-core/src/placement/harm_model.rs
@@ -58,6 +58,13 @@
         self.classes.get(class).unwrap_or(CLASSES).min(CLASSES) as usize
     }
 
+    /// Keeps what is known of some services and returns whether any was forgotten.
+    pub fn keep(&mut self, mut is_kept: impl FnMut(&Name) -> bool) -> bool {
+        let before = self.services.len();
+        self.services.retain(|service, _| is_kept(service));
+        self.services.len() < before
+    }
+
     /// Learns from a measurement beside the tasks that ran then, given by class number and
     /// processors; returns how far it lay over the prediction.
     pub fn observe(&mut self, service: &Name, load: f64, ran: &[(usize, f64)], p99: f64) -> f64 {
--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -86,8 +86,16 @@
     }
 
     /// Takes over a newer configuration and keeps what was learned.
+    ///
+    /// Harm is learned in units of the target, so that a service with another target is learned
+    /// anew; else batch would be held off, or let in, by the old one for minutes.
     pub fn configure(&mut self, document: &Document) {
-        self.policy = document.into();
+        let policy = PlacementPolicy::from(document);
+        let old = std::mem::replace(&mut self.policy, policy);
+        if self.model.keep(|service| self.policy.target_us(service) == old.target_us(service)) {
+            self.gauges.clear();
+            self.forecasts = Forecasts::default();
+        }
     }
 
     /// Decides on all jobs that wait, and on tasks that press on services.
@@ -140,6 +148,7 @@
             self.history.keep(is_there);
             self.blame.keep_workers(is_there);
         }
+        self.evicting.retain(|_, at| now.since(*at) < EVICTION_LOST_MS);
         if self.holds.is_empty() && !self.blame.is_large() && !self.explanations.is_large() {
             return;
         }
@@ -147,7 +156,6 @@
         self.holds.review(now, fleet, |job| waiting.contains(job));
         self.blame.keep(|job| waiting.contains(job));
         self.explanations.trim(now, |job| fleet.worker_of(job).is_some());
-        self.evicting.retain(|_, at| now.since(*at) < EVICTION_LOST_MS);
     }
 
     fn draft(&mut self, fleet: &Fleet) -> Draft {
--- a/crates/geraniumpost-core/tests/placement_harm.rs
+++ b/crates/geraniumpost-core/tests/placement_harm.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use geraniumpost_core::Millis;
 use geraniumpost_core::placement::{Decision, Reason, RunOutcome, TaskView};
-use placement_support::{Site, amount, evicted, name, score, started, wish, worker};
+use placement_support::{Site, amount, document, evicted, name, score, started, wish, worker};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -101,6 +101,23 @@
     assert_matches!(site.clone_place(900_000, &[at(200_000)])[0], Decision::Start { .. });
 }
 
+/// An operator raises a service's target. What was learned in units of the old one must not go on
+/// holding batch work off, or studies wait for minutes without cause.
+#[test]
+fn a_raised_target_takes_hold_at_once() {
+    let mut site = Site::new([worker("w1", "r1").service("filing")]);
+    learn(&mut site);
+    site.fleet.set_load(&name("w1"), 900, 80_000);
+    let study = [wish("a", "study", amount(15_000, 100)).submitted(Millis(900_000))];
+    assert_matches!(site.clone_place(900_000, &study)[0], Decision::Wait { .. });
+    let mut document = document();
+    document.services.get_mut(&name("filing")).expect("the service").target_p99_ms = 1000;
+    site.placer.configure(&document);
+    assert_matches!(site.clone_place(900_000, &study)[0], Decision::Start { .. });
+    site.latency(900_000, "w1", 900, 80, 900_000);
+    assert_matches!(site.clone_place(900_000, &study)[0], Decision::Start { .. });
+}
+
 /// A wave of noise presses a service. The noisy task is slowed first, the quiet one is left alone,
 /// and after the wave it is sped up again; nobody is evicted.
 #[test]
