feat(core): propose nothing beyond the ledger's own count

Cause: the planner counts a throttled task by its share and a measured one by what it uses; a ledger that counts them in full refuses the start, and the job waits out a back-off. Change: Fleet::set_reserved takes a heartbeat's reserved amount over; what is free is free by both counts.

--- a/crates/geraniumpost-core/src/placement/fleet.rs
+++ b/crates/geraniumpost-core/src/placement/fleet.rs
@@ -156,6 +156,11 @@
         self.update_worker(worker, |view| view.state = state)
     }
 
+    /// Takes over what the agent's ledger holds reserved; false if the worker is unknown.
+    pub fn set_reserved(&mut self, worker: &Name, reserved: Resources) -> bool {
+        self.update_worker(worker, |view| view.reserved = reserved)
+    }
+
     /// Takes over the service's load and p99; false if the worker is unknown.
     pub fn set_load(&mut self, worker: &Name, load_permille: u32, p99_us: u64) -> bool {
         self.update_worker(worker, |view| {
--- a/crates/geraniumpost-core/src/placement/worker_view.rs
+++ b/crates/geraniumpost-core/src/placement/worker_view.rs
@@ -23,6 +23,7 @@
     pub(super) service: Option<Name>,
     pub(super) load_permille: u32,
     pub(super) p99_us: u64,
+    pub(super) reserved: Resources,
     pub(super) state: WorkerState,
     pub(super) tasks: Vec<TaskView>,
 }
@@ -44,6 +45,7 @@
             service: None,
             load_permille: 0,
             p99_us: 0,
+            reserved: amounts::NONE,
             state: WorkerState::Healthy,
             tasks: Vec::new(),
         }
@@ -71,6 +73,16 @@
         self
     }
 
+    /// Sets what the agent's ledger holds reserved by its latest heartbeat.
+    ///
+    /// The ledger may count a throttled or a measured task for more than the planner does. What it
+    /// would refuse is not worth proposing: the job would wait out a back-off for nothing.
+    #[must_use]
+    pub const fn reserved(mut self, reserved: Resources) -> Self {
+        self.reserved = reserved;
+        self
+    }
+
     /// Sets whether the worker takes work.
     #[must_use]
     pub const fn state(mut self, state: WorkerState) -> Self {
@@ -105,8 +117,8 @@
         self.tasks.iter().fold(amounts::NONE, |sum, task| amounts::plus(&sum, &task.held()))
     }
 
-    /// Returns what is free for batch work.
+    /// Returns what is free for batch work, by the planner's count and by the ledger's.
     pub fn free(&self) -> Resources {
-        amounts::minus(&self.allowance(), &self.held())
+        amounts::minus(&self.allowance(), &amounts::larger(&self.held(), &self.reserved))
     }
 }
--- a/crates/geraniumpost-core/tests/placement_basics.rs
+++ b/crates/geraniumpost-core/tests/placement_basics.rs
@@ -106,3 +106,13 @@
     let decided = place(&[Wish::new("j", "entel", "study", amount(5000, 1))], &fleet);
     assert_matches!(decided[0], Decision::Wait { why: Reason::NoRoom { .. }, .. });
 }
+
+/// The agent's ledger holds more than the planner knows of. A start there would be refused and the
+/// job would wait out a back-off, so it is not proposed.
+#[test]
+fn proposes_nothing_that_the_ledger_would_refuse() {
+    let mut fleet = fleet();
+    assert!(fleet.set_reserved(&Name::from("w1"), amount(6000, 1)));
+    let decided = place(&[Wish::new("j", "entel", "study", amount(5000, 1))], &fleet);
+    assert_matches!(decided[0], Decision::Wait { why: Reason::NoRoom { .. }, .. });
+}
