--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -60,6 +60,8 @@
 
 /// Age at which an eviction without an end is thought lost, and may be ordered again.
 const EVICTION_LOST_MS: u64 = 30_000;
+/// Gauges over twice the workers from which those of gone workers are dropped.
+const MANY_GAUGES: usize = 64;
 
 impl Placer {
     /// Creates a placer that has learned nothing yet.
@@ -84,8 +86,16 @@
     }
 
     /// Takes over a newer configuration and keeps what was learned.
+    ///
+    /// Harm is learned in units of the target, so that a service with another target is learned
+    /// anew; else batch would be held off, or let in, by the old one for minutes.
     pub fn configure(&mut self, document: &Document) {
-        self.policy = document.into();
+        let policy = PlacementPolicy::from(document);
+        let old = std::mem::replace(&mut self.policy, policy);
+        if self.model.keep(|service| self.policy.target_us(service) == old.target_us(service)) {
+            self.gauges.clear();
+            self.forecasts = Forecasts::default();
+        }
     }
 
     /// Decides on all jobs that wait, and on tasks that press on services.
@@ -128,8 +138,17 @@
         self.explanations.text(job)
     }
 
-    /// Forgets what concerns jobs that are gone.
+    /// Forgets what concerns jobs and workers that are gone.
     fn review(&mut self, now: Millis, wishes: &[Wish], fleet: &Fleet) {
+        // VMs are replaced at any time and under new names; what is known of the old
+        // ones would pile up.
+        if self.gauges.len() > fleet.rows().len() * 2 + MANY_GAUGES {
+            let is_there = |worker: &Name| fleet.worker(worker).is_some();
+            self.gauges.retain(|worker, _| is_there(worker));
+            self.history.keep(is_there);
+            self.blame.keep_workers(is_there);
+        }
+        self.evicting.retain(|_, at| now.since(*at) < EVICTION_LOST_MS);
         if self.holds.is_empty() && !self.blame.is_large() && !self.explanations.is_large() {
             return;
         }
@@ -137,7 +156,6 @@
         self.holds.review(now, fleet, |job| waiting.contains(job));
         self.blame.keep(|job| waiting.contains(job));
         self.explanations.trim(now, |job| fleet.worker_of(job).is_some());
-        self.evicting.retain(|_, at| now.since(*at) < EVICTION_LOST_MS);
     }
 
     fn draft(&mut self, fleet: &Fleet) -> Draft {
