feat(bench): measure slopes of agents, requests, changes and job records

Ruled out: hundreds of real agents, which need 15 MB each and as many minions; counting by /proc/PID/io, which leaves out sockets. Change: `bench capacity` runs real entries and agents beside light agents in the bench's process, which speak the real protocol and count it, and fits lines with their scatter.

--- /dev/null
+++ b/crates/geraniumpost-bench/src/capacity_bench.rs
@@ -0,0 +1,83 @@
+//! Measures how the use of each role grows with agents, requests, documents and job records, and
+//! fits the slopes that `docs/CAPACITY.md` is worked out from.
+
+mod agents;
+mod changes;
+mod deployment;
+mod fit;
+#[cfg(test)]
+mod fit_tests;
+mod flow;
+mod light_agent;
+mod light_agents;
+mod meter;
+mod probe;
+mod rates;
+mod records;
+mod requests;
+mod traffic;
+mod traffic_counts;
+
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use deployment::Deployment;
+use eyre::Result;
+use geraniumpost_harness::Binaries;
+
+/// Seed of the schedules of requests.
+const SEED: u64 = 20_261_202;
+/// Real entries.
+const ENTRIES: usize = 2;
+/// Real agents.
+const AGENTS: usize = 2;
+
+/// Builds the command line of `bench capacity`.
+pub fn cli() -> Command {
+    Command::new("capacity")
+        .about("Slopes of messages, processor time, memory and store calls, for docs/CAPACITY.md")
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_parser(value_parser!(u64).range(1..))
+                .default_value("4")
+                .help("Length of each measured point"),
+        )
+}
+
+/// Runs all parts and prints their tables.
+///
+/// # Errors
+///
+/// Fails if a process cannot be started or a change is refused.
+pub async fn run(m: &ArgMatches) -> Result<()> {
+    let seconds = *m.get_one::<u64>("seconds").unwrap_or(&4);
+    let time = Duration::from_secs(seconds);
+    println!("seed {SEED}, {seconds} s a point, {ENTRIES} entries, {AGENTS} real agents");
+    println!("machine: {}", machine());
+    records::run()?;
+    let binaries = Binaries::beside_current_exe()?;
+    let mut deployment = Deployment::start(&binaries, ENTRIES, AGENTS).await?;
+    requests::run(&deployment, time).await?;
+    agents::run(&mut deployment, time).await?;
+    changes::run(&deployment, time).await?;
+    println!("\nmachine at the end: {}", machine());
+    Ok(())
+}
+
+/// Returns how many processors there are and how much others use them, since builds beside the
+/// measurement make its processor times larger.
+fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let load = load.split_whitespace().next().unwrap_or("unknown").to_owned();
+    format!("{cores} cores, load average {load}")
+}
+
+/// Returns the head of a table of slopes whose last column is the figure at `goal`.
+fn slopes_head(unit: &str, goal: &str) -> String {
+    format!(
+        "\n| slope per {unit} | slope | standard error | at 0 | R2 | at {goal} |\n\
+         | --- | --- | --- | --- | --- | --- |"
+    )
+}
--- /dev/null
+++ b/crates/geraniumpost-bench/src/capacity_bench/changes.rs
@@ -0,0 +1,96 @@
+use std::time::Duration;
+
+use eyre::Result;
+use geraniumpost_config::token_digest;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::deployment::Deployment;
+use super::fit::Fit;
+use super::rates::Rates;
+use super::{ENTRIES, slopes_head};
+
+/// Customers in the document; each stands for a team.
+const CUSTOMERS: [usize; 4] = [1, 40, 80, 160];
+/// Changes made with each document.
+const CHANGES: u32 = 4;
+/// Pause after each change, in which all pushes that it sets off end.
+const PAUSE: Duration = Duration::from_millis(800);
+/// Bytes of a document that the table is worked out for.
+const GOAL: f64 = 36_000.0;
+
+/// Measures what a change of the configuration costs, by the size of the document.
+pub async fn run(deployment: &Deployment, time: Duration) -> Result<()> {
+    let (idle, ()) = deployment.measure(sleep(time)).await?;
+    println!("\n## Changes of the configuration with {} light agents\n", deployment.light().len());
+    println!(
+        "| customers | document B | pushes to an agent | B to an agent | entry ms of a core \
+         | store calls | slowest in force ms |\n|{}",
+        " --- |".repeat(7)
+    );
+    let (mut bytes, mut times, mut in_force) = (Vec::new(), Vec::new(), Vec::new());
+    for customers in CUSTOMERS {
+        let (_, document) = deployment.document().await?;
+        let document = with_customers(document, customers);
+        let size = document.to_string().len() as f64;
+        let (rates, slowest) = deployment.measure(change(deployment, document)).await?;
+        let slowest = slowest?;
+        let cost = Cost::of_one(&rates, &idle, deployment.light().len());
+        println!(
+            "| {customers} | {size:.0} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} |",
+            cost.pushes,
+            cost.bytes,
+            cost.entry_ms,
+            cost.store_calls,
+            slowest.as_secs_f64() * 1e3
+        );
+        bytes.push((size, cost.bytes));
+        times.push((size, cost.entry_ms));
+        in_force.push((size, slowest.as_secs_f64() * 1e3));
+    }
+    println!("{}", slopes_head("byte of the document", "36,000 B"));
+    println!("{}", Fit::new(&bytes).row("B to an agent for a change", GOAL));
+    println!("{}", Fit::new(&times).row("entry, ms of a core for a change", GOAL));
+    println!("{}", Fit::new(&in_force).row("slowest in force, ms", GOAL));
+    Ok(())
+}
+
+/// What one change costs beyond what runs all the time.
+struct Cost {
+    pushes: f64,
+    bytes: f64,
+    entry_ms: f64,
+    store_calls: f64,
+}
+
+impl Cost {
+    fn of_one(rates: &Rates, idle: &Rates, agents: usize) -> Self {
+        let seconds_each = rates.seconds / f64::from(CHANGES);
+        let frames = (rates.traffic.frames_in - idle.traffic.frames_in) / agents as f64;
+        Self {
+            pushes: frames.count * seconds_each,
+            bytes: frames.bytes * seconds_each,
+            entry_ms: (rates.entry_cpu - idle.entry_cpu) * seconds_each * 1e3,
+            store_calls: (rates.store_calls - idle.store_calls) * seconds_each * ENTRIES as f64,
+        }
+    }
+}
+
+/// Makes some changes one after the other and returns the longest time until all were in force.
+async fn change(deployment: &Deployment, mut document: Value) -> Result<Duration> {
+    let mut slowest = Duration::ZERO;
+    for number in 0..CHANGES {
+        document["customers"]["team-0"]["weight"] = json!(number + 1);
+        slowest = slowest.max(deployment.change(&document).await?);
+        sleep(PAUSE).await;
+    }
+    Ok(slowest)
+}
+
+fn with_customers(mut document: Value, count: usize) -> Value {
+    for number in 0..count {
+        let token = token_digest(&format!("token-of-team-{number}"));
+        document["customers"][format!("team-{number}")] = json!({ "token_sha256": token });
+    }
+    document
+}
--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -5,9 +5,11 @@
 use clap::{ArgMatches, Command};
 use eyre::Result;
 
+mod capacity_bench;
 mod demo;
 mod placement_bench;
 mod requests_bench;
+mod usage;
 
 fn main() -> Result<()> {
     let matches = cli().get_matches();
@@ -23,6 +25,7 @@
     let bench = Command::new("bench")
         .about("Measure")
         .subcommand_required(true)
+        .subcommand(capacity_bench::cli())
         .subcommand(placement_bench::cli())
         .subcommand(requests_bench::cli());
     Command::new("geraniumpost-bench")
@@ -35,6 +38,7 @@
 /// Runs one bench.
 fn bench(m: &ArgMatches) -> Result<()> {
     match m.subcommand() {
+        Some(("capacity", m)) => return block_on(capacity_bench::run(m)),
         Some(("placement", m)) => placement_bench::run(m),
         Some(("requests", m)) => return block_on(requests_bench::run(m)),
         _ => {}
--- a/crates/geraniumpost-bench/src/requests_bench.rs
+++ b/crates/geraniumpost-bench/src/requests_bench.rs
@@ -1,10 +1,9 @@
 //! Measures requests: an open loop with a fixed schedule, so that waiting is counted.
 
-mod direct;
-mod figures;
-mod open_loop;
+pub mod direct;
+pub mod figures;
+pub mod open_loop;
 mod scenarios;
-mod usage;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::Result;
--- a/crates/geraniumpost-bench/src/requests_bench/scenarios.rs
+++ b/crates/geraniumpost-bench/src/requests_bench/scenarios.rs
@@ -9,7 +9,7 @@
 use super::direct::{Ask, Target};
 use super::figures::Figures;
 use super::open_loop::open_loop;
-use super::usage::Usage;
+use crate::usage::Usage;
 
 /// Agents of each run; three domains' worth on one machine.
 const AGENTS: usize = 3;
--- a/crates/geraniumpost-harness/src/entry_place.rs
+++ b/crates/geraniumpost-harness/src/entry_place.rs
@@ -39,6 +39,11 @@
         self.settings.console
     }
 
+    /// Returns the address for datagrams of agents and other entries.
+    pub const fn datagrams(&self) -> SocketAddr {
+        self.settings.datagrams
+    }
+
     /// Returns the relay between this entry and the store.
     pub const fn store_relay(&self) -> &StandinPlace {
         &self.store_relay
