--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod placement_bench;
 mod requests_bench;
+mod routing_bench;
 mod usage;
 
 fn main() -> Result<()> {
@@ -27,7 +28,8 @@
         .subcommand_required(true)
         .subcommand(capacity_bench::cli())
         .subcommand(placement_bench::cli())
-        .subcommand(requests_bench::cli());
+        .subcommand(requests_bench::cli())
+        .subcommand(routing_bench::cli());
     Command::new("geraniumpost-bench")
         .about("Demo, benches and soak runs of geraniumpost")
         .subcommand_required(true)
@@ -40,6 +42,7 @@
     match m.subcommand() {
         Some(("capacity", m)) => return block_on(capacity_bench::run(m)),
         Some(("placement", m)) => placement_bench::run(m),
+        Some(("routing", m)) => routing_bench::run(m),
         Some(("requests", m)) => return block_on(requests_bench::run(m)),
         _ => {}
     }
