feat(bench): measure jobs, kept answers and idle store calls in bench capacity

Change: jobs through one planner with real agents and workers; memory by answers kept; store calls over all points of the idle part; documents counted as pushed, with their defaults.

--- a/crates/geraniumpost-bench/src/capacity_bench.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench.rs
@@ -8,6 +8,7 @@
 #[cfg(test)]
 mod fit_tests;
 mod flow;
+mod jobs;
 mod light_agent;
 mod light_agents;
 mod meter;
@@ -59,6 +60,7 @@
     let binaries = Binaries::beside_current_exe()?;
     let mut deployment = Deployment::start(&binaries, ENTRIES, AGENTS).await?;
     requests::run(&deployment, time).await?;
+    jobs::run(&deployment, time).await?;
     agents::run(&mut deployment, time).await?;
     changes::run(&deployment, time).await?;
     println!("\nmachine at the end: {}", machine());
--- a/crates/geraniumpost-bench/src/capacity_bench/agents.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/agents.rs
@@ -26,9 +26,9 @@
     println!("Figures of one entry; in and out as the light agents counted them.\n");
     println!(
         "| agents | % of a core | MB | datagrams in/s | B in/s | datagrams out/s | B out/s \
-         | frames in/s | B in/s | frames out/s | B out/s | store calls/s | status KB | status ms |"
+         | frames in/s | B in/s | frames out/s | B out/s | status KB | status ms |"
     );
-    println!("|{}", " --- |".repeat(14));
+    println!("|{}", " --- |".repeat(13));
     let mut points = Vec::new();
     for count in COUNTS {
         deployment.grow_to(count).await?;
@@ -48,12 +48,12 @@
     fit("entry, datagram B out/s", |p| p.rates.traffic.datagrams_in.bytes / ENTRIES as f64);
     fit("entry, link B in/s", |p| p.rates.traffic.frames_out.bytes / ENTRIES as f64);
     fit("entry, link B out/s", |p| p.rates.traffic.frames_in.bytes / ENTRIES as f64);
-    fit("entry, store calls/s", |p| p.rates.store_calls);
     fit("console, status KB", |p| p.status_bytes / 1e3);
     fit("console, status ms", |p| p.status_ms);
     if let Some(last) = points.last() {
         sizes(last, entries);
     }
+    idle_calls(&points);
     Ok(())
 }
 
@@ -67,13 +67,13 @@
 }
 
 fn row(point: &Point) -> String {
-    let Rates { entry_cpu, entry_mb, traffic, store_calls, .. } = point.rates;
+    let Rates { entry_cpu, entry_mb, traffic, .. } = point.rates;
     let entries = ENTRIES as f64;
     let flows =
         [traffic.datagrams_out, traffic.datagrams_in, traffic.frames_out, traffic.frames_in]
             .map(|flow| format!("{:.1} | {:.0}", flow.count / entries, flow.bytes / entries));
     format!(
-        "| {:.0} | {:.2} | {entry_mb:.1} | {} | {store_calls:.2} | {:.1} | {:.2} |",
+        "| {:.0} | {:.2} | {entry_mb:.1} | {} | {:.1} | {:.2} |",
         point.agents,
         entry_cpu * 100.0,
         flows.join(" | "),
@@ -95,3 +95,15 @@
     );
     println!("a heartbeat is {beat:.0} B long, its answer {ack:.0} B");
 }
+
+/// Prints the store's calls over all points: a watch lasts longer than one point.
+fn idle_calls(points: &[Point]) {
+    let seconds: f64 = points.iter().map(|p| p.rates.seconds).sum();
+    let calls: f64 = points.iter().map(|p| p.rates.store_calls * p.rates.seconds).sum();
+    let writes: f64 = points.iter().map(|p| p.rates.store_writes * p.rates.seconds).sum();
+    println!(
+        "the store, idle, by {ENTRIES} entries over {seconds:.0} s: {:.2} calls/s, {:.2} writes/s",
+        calls / seconds,
+        writes / seconds
+    );
+}
--- a/crates/geraniumpost-bench/src/capacity_bench/changes.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/changes.rs
@@ -8,10 +8,10 @@
 use super::deployment::Deployment;
 use super::fit::Fit;
 use super::rates::Rates;
-use super::{ENTRIES, slopes_head};
+use super::slopes_head;
 
 /// Customers in the document; each stands for a team.
-const CUSTOMERS: [usize; 4] = [1, 40, 80, 160];
+const CUSTOMERS: [usize; 4] = [1, 80, 160, 320];
 /// Changes made with each document.
 const CHANGES: u32 = 4;
 /// Pause after each change, in which all pushes that it sets off end.
@@ -32,9 +32,10 @@
     for customers in CUSTOMERS {
         let (_, document) = deployment.document().await?;
         let document = with_customers(document, customers);
-        let size = document.to_string().len() as f64;
         let (rates, slowest) = deployment.measure(change(deployment, document)).await?;
         let slowest = slowest?;
+        // Entries fill in the defaults, so the document pushed is longer than the one put.
+        let size = deployment.document().await?.1.to_string().len() as f64;
         let cost = Cost::of_one(&rates, &idle, deployment.light().len());
         println!(
             "| {customers} | {size:.0} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} |",
@@ -71,7 +72,7 @@
             pushes: frames.count * seconds_each,
             bytes: frames.bytes * seconds_each,
             entry_ms: (rates.entry_cpu - idle.entry_cpu) * seconds_each * 1e3,
-            store_calls: (rates.store_calls - idle.store_calls) * seconds_each * ENTRIES as f64,
+            store_calls: (rates.store_calls - idle.store_calls) * seconds_each,
         }
     }
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
@@ -11,8 +11,8 @@
     open_datagram, open_link, seal_datagram,
 };
 use geraniumpost_schema::{
-    AgentState, AnswerHead, Datagram, Heartbeat, HeartbeatAck, Load, Name, Outcome, Pong,
-    RequestId, Resources, ToAgent, ToEntry,
+    AgentState, AnswerHead, Datagram, Heartbeat, HeartbeatAck, Inventory, Load, Name, Outcome,
+    Pong, RequestId, Resources, ToAgent, ToEntry,
 };
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -42,6 +42,7 @@
     sequence: AtomicU64,
     revision: AtomicU64,
     entries_digest: AtomicU64,
+    term: AtomicU64,
     traffic: Arc<Traffic>,
 }
 
@@ -69,6 +70,7 @@
             sequence: AtomicU64::new(1),
             revision: AtomicU64::new(0),
             entries_digest: AtomicU64::new(0),
+            term: AtomicU64::new(0),
             traffic,
         });
         tasks.spawn(Arc::clone(&agent).announce());
@@ -110,6 +112,7 @@
     }
 
     fn acknowledged(&self, ack: &HeartbeatAck) {
+        self.term.fetch_max(ack.term, Ordering::Relaxed);
         if !ack.entries.is_empty() {
             self.entries_digest.store(ack.entries_digest, Ordering::Relaxed);
         }
@@ -147,6 +150,12 @@
                 let before = self.revision.fetch_max(adopt.revision, Ordering::Relaxed);
                 Some(ToEntry::InForce(before.max(adopt.revision)).into())
             }
+            ToAgent::Supersede(term) => {
+                self.term.fetch_max(term, Ordering::Relaxed);
+                let incarnation = self.me.incarnation;
+                let inventory = Inventory { incarnation, term, tasks: Vec::new() };
+                Some(ToEntry::Inventory(inventory).into())
+            }
             ToAgent::Request(head) => Some(answered(head.id)),
             _ => None,
         }
@@ -173,7 +182,7 @@
             },
             config_revision: self.revision(),
             entries_digest: self.entries_digest.load(Ordering::Relaxed),
-            term: 3,
+            term: self.term.load(Ordering::Relaxed),
             has_worker: true,
             capacity: Resources { milli_cpus: 64_000, memory_mb: 250_000, accelerators: 1 },
             reserved: Resources { milli_cpus: 32_000, memory_mb: 125_000, accelerators: 1 },
--- a/crates/geraniumpost-bench/src/capacity_bench/probe.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/probe.rs
@@ -36,18 +36,18 @@
     /// Returns the use in a second since an earlier moment.
     pub fn since(&self, then: &Self) -> Rates {
         let seconds = (self.at - then.at).as_secs_f64();
-        let entries = self.entries.len() as f64;
-        let calls = (self.store.total() - then.store.total()) as f64;
-        let writes = (self.store.writes() - then.store.writes()) as f64;
+        let (now, before) = (&self.store, &then.store);
         Rates {
             seconds,
             entry_cpu: busy(&self.entries, &then.entries) / seconds,
+            entries_cpu: busy(&self.entries, &then.entries) * self.entries.len() as f64 / seconds,
             entry_mb: megabytes(&self.entries),
             agent_cpu: busy(&self.agents, &then.agents) / seconds,
             agent_mb: megabytes(&self.agents),
             traffic: (self.traffic - then.traffic) / seconds,
-            store_calls: calls / seconds / entries,
-            store_writes: writes / seconds / entries,
+            store_calls: (now.total() - before.total()) as f64 / seconds,
+            store_writes: (now.writes() - before.writes()) as f64 / seconds,
+            store_bytes: (now.bytes_written - before.bytes_written) as f64 / seconds,
         }
     }
 }
