fix(agent): copy small answers out of the buffer they were read into

Cause: a minion's body is a slice of the connection's read buffer and holds all of it while the agent keeps the answer, up to 4,096 of them; `size` counts only the body. Ruled out: fewer answers kept, which costs callers certainty; copying every body. Change: bodies up to 64 KB are copied when they are kept.

--- a/crates/geraniumpost-bench/src/capacity_bench.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench.rs
@@ -4,6 +4,7 @@
 mod agents;
 mod changes;
 mod deployment;
+mod entries;
 mod fit;
 #[cfg(test)]
 mod fit_tests;
@@ -11,6 +12,7 @@
 mod jobs;
 mod light_agent;
 mod light_agents;
+mod light_entries;
 mod meter;
 mod probe;
 mod rates;
@@ -63,6 +65,7 @@
     jobs::run(&deployment, time).await?;
     agents::run(&mut deployment, time).await?;
     changes::run(&deployment, time).await?;
+    entries::run(&deployment, time).await?;
     println!("\nmachine at the end: {}", machine());
     Ok(())
 }
--- /dev/null
+++ b/crates/geraniumpost-bench/src/capacity_bench/entries.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use eyre::Result;
+use tokio::time::sleep;
+
+use super::deployment::Deployment;
+use super::fit::Fit;
+use super::light_entries::LightEntries;
+use super::{AGENTS, ENTRIES, slopes_head};
+
+/// Light entries beside the real ones.
+const COUNTS: [usize; 4] = [2, 6, 14, 22];
+/// Entries in all that the table is worked out for: two for each of 8 failure domains.
+const GOAL: f64 = 16.0;
+/// Time for real agents and entries to learn of new entries.
+const LEARN: Duration = Duration::from_secs(3);
+
+/// Measures the beats between entries, and the heartbeats of real agents, by the number of entries.
+pub async fn run(deployment: &Deployment, time: Duration) -> Result<()> {
+    println!("\n## Beats of real entries and heartbeats of real agents, heard by light entries\n");
+    println!(
+        "| entries | beat B | B out/s of one entry | heartbeat B | heartbeats/s of one agent \
+         | B out/s of one agent |\n|{}",
+        " --- |".repeat(6)
+    );
+    let datagrams = deployment.fleet().entries().iter().map(|entry| entry.datagrams()).collect();
+    let mut light = LightEntries::new(datagrams);
+    let (mut lengths, mut agents) = (Vec::new(), Vec::new());
+    for count in COUNTS {
+        light.grow_to(count).await?;
+        sleep(LEARN).await;
+        let before = light.heard();
+        let (rates, ()) = deployment.measure(sleep(time)).await?;
+        let after = light.heard();
+        let beats = (after.0 - before.0) / rates.seconds;
+        let heartbeats = (after.1 - before.1) / rates.seconds;
+        let all = (count + ENTRIES) as f64;
+        // A real entry beats every other entry; the light ones see all of it but the other real one.
+        let to_one = beats.bytes / (ENTRIES * count) as f64;
+        let agent = heartbeats / (AGENTS * count) as f64;
+        println!(
+            "| {all:.0} | {:.0} | {:.0} | {:.0} | {:.1} | {:.0} |",
+            beats.bytes / beats.count,
+            to_one * (all - 1.0),
+            agent.bytes / agent.count,
+            agent.count * all,
+            agent.bytes * all
+        );
+        lengths.push((all, to_one));
+        agents.push((all, agent.bytes * all));
+    }
+    println!("{}", slopes_head("entry", "16 entries"));
+    println!("{}", Fit::new(&lengths).row("beats, B/s from one entry to one other", GOAL));
+    println!("{}", Fit::new(&agents).row("heartbeats, B/s of one agent", GOAL));
+    Ok(())
+}
--- a/crates/geraniumpost/src/agent/kept_answer.rs
+++ b/crates/geraniumpost/src/agent/kept_answer.rs
@@ -4,6 +4,9 @@
 use geraniumpost_net::Frame;
 use geraniumpost_schema::{AnswerHead, HeaderField, Load, Outcome, RequestId, ToEntry};
 
+/// Largest body that is copied; copying a larger one would cost more than it saves.
+const MOST_COPIED: usize = 64 * 1024;
+
 /// The final word on an attempt, kept for whoever asks later and cheap to clone.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KeptAnswer(Arc<Parts>);
@@ -19,8 +22,13 @@
 
 impl KeptAnswer {
     /// Keeps a minion's whole answer.
+    ///
+    /// The body is a slice of the buffer that the connection was read into and would hold all of
+    /// it, some kilobytes for a badge of a hundred bytes. Thousands of answers kept so would show
+    /// as an agent that outgrows its memory, though [`Self::size`] counts little. Hence the copy.
     pub fn answered(status: u16, headers: Vec<HeaderField>, body: Bytes) -> Self {
         let outcome = Outcome::Answered;
+        let body = if body.len() <= MOST_COPIED { Bytes::copy_from_slice(&body) } else { body };
         Self(Arc::new(Parts { outcome, status, headers, body, retry_after_ms: 0 }))
     }
 
--- /dev/null
+++ b/crates/geraniumpost/tests/kept_answer.rs
@@ -0,0 +1,26 @@
+//! An agent keeps thousands of answers for whoever asks for one again. A small body that is only a
+//! slice holds the whole buffer it was read into; the operator sees an agent that outgrows its
+//! memory and is ended by its VM, with all that it knew about what ran.
+
+use bytes::Bytes;
+use geraniumpost::agent::KeptAnswer;
+
+macro_rules! cases {
+    ($($name:ident: $body:expr => released $released:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                let buf = Bytes::from(vec![7; 256 * 1024]);
+                let kept = KeptAnswer::answered(200, Vec::new(), buf.slice(..$body));
+                assert_eq!(buf.is_unique(), $released);
+                assert_eq!(kept.size(), $body);
+            }
+        )+
+    };
+}
+
+cases! {
+    a_small_body_releases_its_buffer: 64 => released true;
+    a_body_of_64_kb_releases_its_buffer: 64 * 1024 => released true;
+    a_large_body_is_not_copied: 64 * 1024 + 1 => released false;
+}
