perf(entry): tell the list of entries when it changes, not in every beat

Cause: each beat carried all entries, so that the bytes of beats grew with the square of the entries: 7.2 KB/s out of one entry with 8 of them, 27.7 KB/s with 16, where all control may cost 13 KB/s. Ruled out: a digest in the beat, which needs a new message and saves no more; longer intervals, which slow the finding of a lost planner. Change: the list goes out when it has changed and with every tenth beat, against a lost one.

--- a/crates/geraniumpost-schema/src/generated.rs
+++ b/crates/geraniumpost-schema/src/generated.rs
@@ -345,7 +345,7 @@
     pub draining: bool,
     pub incarnation: u64,
     pub peer: EntryPeer,
-    ///Entries this entry knows.
+    ///Entries this entry knows, or none if it has told them lately.
     pub peers: ::std::vec::Vec<EntryPeer>,
     pub sequence: u64,
     ///Whether the entry's last store call succeeded.
--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -73,7 +73,7 @@
             term: cx.term(),
             store_up: true,
             draining: cx.is_draining(),
-            peers: peers.list(),
+            peers: peers.list_to_tell(sequence),
         };
         (beat, peers.take_addresses())
     };
--- a/crates/geraniumpost/src/entry/peers.rs
+++ b/crates/geraniumpost/src/entry/peers.rs
@@ -11,16 +11,19 @@
 const FORGET_MS: u64 = 60_000;
 /// How long an entry counts as planning after its last beat.
 const PLANS_MS: u64 = 5_000;
+/// Every how many beats an unchanged list is told again, since a beat with a changed one may be lost.
+const TELL_EVERY: u64 = 10;
 
 /// The other entries, by their beats.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Peers {
     own: EntryPeer,
     known: BTreeMap<Name, Heard>,
     hinted: BTreeSet<SocketAddr>,
+    told: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Heard {
     beat: EntryBeat,
     at: Millis,
@@ -29,7 +32,7 @@
 impl Peers {
     /// Knows only this entry.
     pub const fn new(own: EntryPeer) -> Self {
-        Self { own, known: BTreeMap::new(), hinted: BTreeSet::new() }
+        Self { own, known: BTreeMap::new(), hinted: BTreeSet::new(), told: 0 }
     }
 
     /// Takes in a beat; late and repeated ones are ignored.
@@ -71,6 +74,18 @@
         list
     }
 
+    /// Returns the list for the beat numbered `sequence`: whole if it has changed since the last beat
+    /// and with every tenth one, otherwise empty.
+    ///
+    /// With the list in every beat, the bytes of beats grow with the square of the entries; 16 of
+    /// them then spend more on it than all control may cost, see `docs/CAPACITY.md`.
+    pub fn list_to_tell(&mut self, sequence: u64) -> Vec<EntryPeer> {
+        let list = self.list();
+        let digest = entry_list::digest(&list);
+        let unchanged = std::mem::replace(&mut self.told, digest) == digest;
+        if unchanged && !sequence.is_multiple_of(TELL_EVERY) { Vec::new() } else { list }
+    }
+
     /// Returns the digest of the list.
     pub fn digest(&self) -> u64 {
         entry_list::digest(&self.list())
