--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -10,6 +10,7 @@
 mod placement_bench;
 mod requests_bench;
 mod routing_bench;
+mod soak;
 mod usage;
 
 fn main() -> Result<()> {
@@ -17,6 +18,7 @@
     match matches.subcommand() {
         Some(("bench", m)) => bench(m),
         Some(("demo", m)) => block_on(demo::run(m)),
+        Some(("soak", m)) => block_on(soak::run(m)),
         _ => Ok(()),
     }
 }
@@ -35,6 +37,7 @@
         .subcommand_required(true)
         .subcommand(bench)
         .subcommand(demo::cli())
+        .subcommand(soak::cli())
 }
 
 /// Runs one bench.
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod claims;
 mod context;
+mod conversations;
 mod datagrams;
 mod dispatch;
 mod gauges;
@@ -19,6 +20,7 @@
 mod peers;
 mod reply;
 mod role;
+mod roster;
 mod route;
 mod views;
 
--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -1,15 +1,15 @@
 //! Jobs from submission to result as separate processes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumpost_harness::check::{JobSeen, check_jobs};
-use geraniumpost_harness::{Binaries, Fleet, Plan, wait_for, wait_until};
+use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, wait_for, wait_until};
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::relay::{Direction, RelayFaults};
 use geraniumpost_standin::store::StoreFaults;
 use geraniumpost_standin::worker::WorkerEventKind;
 use http::{Method, StatusCode};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 /// Time for a planner to be there, after a start or a takeover.
 const PLANNED: Duration = Duration::from_secs(30);
@@ -79,6 +79,11 @@
     assert!(why["why"].is_string(), "{why}");
     submit(&fleet, "study-1", "sleep:300").await;
     assert_eq!(starts(&fleet, "study-1").await, 1);
+    let (_, metrics) = fleet.operator(planner(&fleet)).get("/metrics").await.unwrap();
+    let placed = |line: &str| {
+        line.starts_with("geraniumpost_placements_total{") && line.contains("class=\"study\"")
+    };
+    assert!(metrics.as_str().is_some_and(|text| text.lines().any(placed)), "{metrics}");
     check(&fleet, &[("study-1", done)]).await;
 }
 
@@ -216,3 +221,87 @@
     assert_eq!(starts(&fleet, "study-1").await, 1, "it ran on through the takeover");
     check(&fleet, &[("study-1", first), ("study-2", second)]).await;
 }
+
+// An agent's process is paused while its worker goes on. The worker ends the study when its lease runs
+// out, and the study runs elsewhere; when the agent wakes up it must not take it for its own again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_study_leaves_an_agent_that_is_paused_for_long() {
+    let mut fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:12000").await;
+    let running = reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    let agent = fleet.agents().iter().position(|one| running["worker"] == one.name()).unwrap();
+    fleet.agent(agent).freeze().unwrap();
+    wait_until("it runs elsewhere", Duration::from_mins(1), || async {
+        let value = status(&fleet, "study-1").await;
+        value.is_some_and(|v| v["state"] == "running" && v["worker"] != running["worker"])
+    })
+    .await;
+    fleet.agent(agent).thaw().unwrap();
+    let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 2);
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+// All entries are replaced at once. Nothing but the store remembers the study then, and nobody renews
+// its hold until one of the new entries plans.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_study_runs_on_while_all_entries_are_replaced() {
+    let plan = Plan::default().document(|document| document["policy"]["hold_ms"] = json!(20_000));
+    let mut fleet = fleet(&plan).await;
+    submit(&fleet, "study-1", "sleep:18000").await;
+    reaches(&fleet, "study-1", "running", Duration::from_secs(20)).await;
+    for entry in 0..2 {
+        fleet.entry(entry).kill();
+    }
+    for entry in 0..2 {
+        fleet.entry(entry).restart().unwrap();
+    }
+    let done = reaches(&fleet, "study-1", "done", Duration::from_mins(1)).await;
+    assert_eq!(starts(&fleet, "study-1").await, 1, "it ran on");
+    check(&fleet, &[("study-1", done)]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_urgent_job_starts_within_its_bound() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-1", "sleep:100").await;
+    let body = json!({
+        "customer": CUSTOMER,
+        "class": "urgent",
+        "milli_cpus": 1_000,
+        "memory_mb": 512,
+        "command": "sleep:5000",
+    });
+    let began = Instant::now();
+    let told = fleet.operator(0).call(Method::PUT, "/api/jobs/urgent-1", &body).await.unwrap();
+    assert!(told.0.is_success(), "{told:?}");
+    reaches(&fleet, "urgent-1", "running", Duration::from_millis(3_500)).await;
+    println!("urgent job running after {:?}", began.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_asked_little() {
+    let fleet = fleet(&Plan::default()).await;
+    submit(&fleet, "study-0", "sleep:10").await;
+    reaches(&fleet, "study-0", "done", Duration::from_secs(20)).await;
+    let idle_from = calls(&fleet).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let idle = (calls(&fleet).await - idle_from) as f64 / 10.0;
+    let busy_from = calls(&fleet).await;
+    for job in 1..=20 {
+        submit(&fleet, &format!("study-{job}"), "sleep:10").await;
+    }
+    for job in 1..=20 {
+        reaches(&fleet, &format!("study-{job}"), "done", Duration::from_secs(30)).await;
+    }
+    let each = (calls(&fleet).await - busy_from) as f64 / 20.0;
+    println!("store calls: {idle:.2}/s idle for 2 entries, {each:.2} a job one after the other");
+    assert!(idle <= 2.0, "{idle}");
+    assert!(each <= 4.0, "{each}");
+}
+
+/// Returns the calls that the store has counted, each waiting watch as one.
+async fn calls(fleet: &Fleet) -> u64 {
+    let counts = fleet.store_counts().await.unwrap();
+    counts.get + counts.put + counts.delete + counts.grant + counts.keep_alive + counts.watch
+}
