--- a/crates/geraniumpost-bench/src/capacity_bench/entries.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/entries.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use geraniumpost_harness::EntryPlace;
 use tokio::time::sleep;
 
 use super::deployment::Deployment;
@@ -26,7 +27,7 @@
          | B out/s of one agent |\n|{}",
         " --- |".repeat(6)
     );
-    let datagrams = deployment.fleet().entries().iter().map(|entry| entry.datagrams()).collect();
+    let datagrams = deployment.fleet().entries().iter().map(EntryPlace::datagrams).collect();
     let mut light = LightEntries::new(datagrams);
     let (mut lengths, mut agents) = (Vec::new(), Vec::new());
     for count in COUNTS {
--- a/crates/geraniumpost-bench/src/capacity_bench/fit_tests.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/fit_tests.rs
@@ -12,7 +12,8 @@
                 for (found, wanted) in
                     [(fit.slope, slope), (fit.base, base), (fit.error, error), (fit.r2, r2)]
                 {
-                    assert!(found == wanted || (found - wanted).abs() < 1e-9, "{fit:?}");
+                    let same = found.total_cmp(&wanted).is_eq();
+                    assert!(same || (found - wanted).abs() < 1e-9, "{fit:?}");
                 }
             }
         )+
