--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -5,11 +5,13 @@
 use clap::{ArgMatches, Command};
 use eyre::Result;
 
+mod capacity_bench;
 mod demo;
 mod placement_bench;
 mod requests_bench;
 mod routing_bench;
 mod soak;
+mod usage;
 
 fn main() -> Result<()> {
     let matches = cli().get_matches();
@@ -26,6 +28,7 @@
     let bench = Command::new("bench")
         .about("Measure")
         .subcommand_required(true)
+        .subcommand(capacity_bench::cli())
         .subcommand(placement_bench::cli())
         .subcommand(requests_bench::cli())
         .subcommand(routing_bench::cli());
@@ -40,6 +43,7 @@
 /// Runs one bench.
 fn bench(m: &ArgMatches) -> Result<()> {
     match m.subcommand() {
+        Some(("capacity", m)) => return block_on(capacity_bench::run(m)),
         Some(("placement", m)) => placement_bench::run(m),
         Some(("routing", m)) => routing_bench::run(m),
         Some(("requests", m)) => return block_on(requests_bench::run(m)),
