--- a/crates/geraniumpost-platform/src/lib.rs
+++ b/crates/geraniumpost-platform/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! One module per outside system, so that another protocol is one module's change. Every error
 //! tells whether the call certainly had no effect, because on that word others are started anew.
+//! See `docs/design/0501-platform-adapters.md`.
 
 mod http;
 pub mod minion;
