feat(jobs): checkpoint tasks now and then and before their hold ends

Cause: a lapsed hold stopped tasks without a checkpoint and nothing wrote one in between, so replacing the planner twice made 7 of 8 jobs begin anew, and a lost VM cost all its studies had done. Ruled out: a fixed time before the hold's end (holds from 2 to 600 s are allowed; half of what was granted fits all) and checkpoints ordered by the planner (it is away just when they are needed). Change: the agent asks for one every two minutes, and once when half of the hold is left. An overload also stays the reason told to a caller when later agents were not reached. Conclusion: adopted; the cost of a checkpoint on real workers is not known here.

--- a/crates/geraniumpost-core/src/jobs/ledger/hold.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/hold.rs
@@ -17,6 +17,7 @@
     sent: VecDeque<(u64, Millis)>,
     term: u64,
     until: Millis,
+    granted_ms: u64,
 }
 
 impl Hold {
@@ -34,7 +35,10 @@
         if ack.term > self.term {
             self.term = ack.term;
         }
-        self.until = self.until.max(until);
+        if until > self.until {
+            self.until = until;
+            self.granted_ms = ack.hold_ms;
+        }
     }
 
     pub(super) const fn until(&self) -> Millis {
@@ -46,6 +50,12 @@
         now < self.until
     }
 
+    /// Returns for how long the hold was last granted, if half of that or less is left.
+    pub(super) fn fading(&self, now: Millis) -> Option<u64> {
+        let left_ms = self.until.since(now);
+        (left_ms > 0 && 2 * left_ms <= self.granted_ms).then_some(self.granted_ms)
+    }
+
     /// Returns whether this process ever had a hold.
     ///
     /// A process that just started has none yet. It neither renews nor stops what it adopted: the
--- a/crates/geraniumpost-core/src/jobs/ledger/ledger_config.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/ledger_config.rs
@@ -14,6 +14,8 @@
     pub settle_ms: u64,
     /// Longest time that a call to the worker is open.
     pub longest_call_ms: u64,
+    /// Interval of checkpoints of a running task: the most work that the loss of its VM costs.
+    pub checkpoint_ms: u64,
     /// How long the epoch of a settled run is remembered, so that a delayed order for it is refused.
     pub remember_ms: u64,
 }
@@ -27,6 +29,7 @@
             usage_ms: 10_000,
             settle_ms: 1_000,
             longest_call_ms: 10_000,
+            checkpoint_ms: 120_000,
             remember_ms: 600_000,
         }
     }
--- a/crates/geraniumpost-core/src/jobs/ledger/task.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/task.rs
@@ -21,6 +21,8 @@
     pub(super) last_call: Millis,
     pub(super) last_report: Millis,
     pub(super) last_renewal: Millis,
+    /// When a checkpoint was last asked for while it ran.
+    pub(super) last_checkpoint: Millis,
     /// When the worker will surely have ended the task by itself.
     pub(super) lease_until: Millis,
     pub(super) failed_checkpoints: u32,
@@ -52,6 +54,7 @@
             last_call: now,
             last_report: now,
             last_renewal: now,
+            last_checkpoint: now,
             lease_until: now,
             failed_checkpoints: 0,
             start: StartCall::Settled,
--- a/crates/geraniumpost-core/src/jobs/ledger/tick.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/tick.rs
@@ -11,6 +11,7 @@
         if self.hold.is_valid(now) {
             self.renew(now, actions);
             self.repeat_starts(now, actions);
+            self.checkpoint(now, actions);
         } else if self.hold.was_granted() {
             self.lapse(now, actions);
         }
@@ -38,6 +39,24 @@
         }
     }
 
+    /// Has running tasks write checkpoints, now and then and shortly before the hold ends.
+    ///
+    /// A VM may be lost at any time, and when no planner extends the hold its tasks are stopped. The
+    /// work since the last checkpoint is then done again, which nobody sees but in studies that miss
+    /// their deadline. A planner that comes back in time costs one checkpoint too many.
+    fn checkpoint(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
+        let interval = self.config.checkpoint_ms;
+        // Within a hold that fades, one checkpoint is enough.
+        let least = self.hold.fading(now).map_or(interval, |granted_ms| granted_ms.min(interval));
+        for task in self.tasks.values_mut().filter(|task| task.phase == Phase::Running) {
+            if now.since(task.last_checkpoint) >= least {
+                task.last_checkpoint = now;
+                let (job, epoch) = (task.job.clone(), task.epoch);
+                actions.push(LedgerAction::Checkpoint { job, epoch });
+            }
+        }
+    }
+
     /// Repeats a start whose answer was lost; the worker knows a repeat by job and epoch.
     fn repeat_starts(&mut self, now: Millis, actions: &mut Vec<LedgerAction>) {
         for task in self.tasks.values_mut() {
--- a/crates/geraniumpost-core/src/requests/retry_policy.rs
+++ b/crates/geraniumpost-core/src/requests/retry_policy.rs
@@ -223,8 +223,11 @@
         NextStep::Retry
     }
 
+    /// An overload stays the reason when later agents were not reached: it tells the caller more.
     fn note_refusal(&mut self, code: ResultCode, retry_after_ms: u64) {
-        self.refused = Some(code);
+        if self.refused != Some(ResultCode::Overloaded) {
+            self.refused = Some(code);
+        }
         let sooner = self.retry_after_ms == 0 || retry_after_ms < self.retry_after_ms;
         if retry_after_ms > 0 && sooner {
             self.retry_after_ms = retry_after_ms;
--- a/crates/geraniumpost-core/tests/jobs_ledger.rs
+++ b/crates/geraniumpost-core/tests/jobs_ledger.rs
@@ -289,6 +289,52 @@
         if report.state == TaskState::Evicted && report.checkpoint.as_str() == "cp-1");
 }
 
+fn checkpoints(actions: &[LedgerAction]) -> usize {
+    actions.iter().filter(|action| matches!(action, LedgerAction::Checkpoint { .. })).count()
+}
+
+// Both entries are replaced at once and nobody extends the hold. The study is stopped, and without a
+// checkpoint it would begin anew and miss its deadline.
+#[test]
+fn a_study_is_checkpointed_before_its_hold_ends() {
+    let mut bench = Bench::ready();
+    bench.run("study-1", 1);
+    bench.now += 5_000;
+    bench.hold(1);
+    assert_eq!(checkpoints(&bench.tell(LedgerEvent::Tick)), 0);
+    bench.now += HOLD_MS - 1_000;
+    assert_eq!(checkpoints(&bench.tell(LedgerEvent::Tick)), 1);
+    bench.now += 100;
+    assert_eq!(checkpoints(&bench.tell(LedgerEvent::Tick)), 0, "once is enough");
+    let written =
+        LedgerEvent::Checkpointed { job: "study-1".into(), epoch: 1, checkpoint: "cp-1".into() };
+    bench.tell(written);
+    bench.now += 2_000;
+    let mut actions = bench.tell(LedgerEvent::Tick);
+    assert!(actions.iter().any(|action| matches!(action, LedgerAction::Stop { .. })));
+    actions.extend(bench.tell(LedgerEvent::Stopped { job: "study-1".into(), epoch: 1 }));
+    let lapsed = actions.iter().find_map(|action| match action {
+        LedgerAction::Report(report) if report.state == TaskState::Lapsed => Some(report),
+        _ => None,
+    });
+    assert_eq!(lapsed.expect("the lapse is reported").checkpoint.as_str(), "cp-1");
+}
+
+// A VM is lost without a word. What its study did since the last checkpoint is lost with it, so there
+// must be one every few minutes.
+#[test]
+fn a_long_study_is_checkpointed_now_and_then() {
+    let mut bench = Bench::ready();
+    bench.run("study-1", 1);
+    let mut written = 0;
+    for _ in 0..600 {
+        bench.now += 1_000;
+        bench.hold(1);
+        written += checkpoints(&bench.tell(LedgerEvent::Tick));
+    }
+    assert_eq!(written, 5, "one every two minutes");
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Start(u8, u64, u64),
--- a/crates/geraniumpost-core/tests/jobs_world/agent.rs
+++ b/crates/geraniumpost-core/tests/jobs_world/agent.rs
@@ -87,6 +87,7 @@
         usage_ms: 1_000,
         settle_ms: 500,
         longest_call_ms: 1_000,
+        checkpoint_ms: 5_000,
         remember_ms: 60_000,
     };
     VmLedger::new(incarnation, CAPACITY, config)
