refactor: name the state and the drivers of requests, tasks and planner for what they are

Cause: a newcomer's read-through stumbled over 'desk' (three unlike things) and 'conversations'. Change: RequestState, the drivers of planner and tasks, OpenConnections; nothing else.

--- a/crates/geraniumpost/src/agent/context.rs
+++ b/crates/geraniumpost/src/agent/context.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::tasks::{TaskEvent, TaskFigures, TaskOrder};
-use super::{KnownEntries, RequestDesk};
+use super::{KnownEntries, RequestState};
 use crate::Clock;
 use crate::config::ConfigKeeper;
 use crate::metrics::Metrics;
@@ -38,7 +38,7 @@
     pub minion: ArcSwapOption<Minion>,
     /// Entries to announce to.
     pub entries: Mutex<KnownEntries>,
-    desk: Mutex<RequestDesk>,
+    requests: Mutex<RequestState>,
     minion_limits: Mutex<(usize, usize)>,
     links: Mutex<SlotMap<LinkKey, LinkSender<ToEntry>>>,
     orders: mpsc::UnboundedSender<TaskEvent>,
@@ -66,7 +66,7 @@
             metrics,
             minion: ArcSwapOption::empty(),
             entries: Mutex::new(KnownEntries::new(&settings.entries)),
-            desk: Mutex::new(RequestDesk::new(incarnation)),
+            requests: Mutex::new(RequestState::new(incarnation)),
             minion_limits: Mutex::default(),
             links: Mutex::default(),
             orders,
@@ -77,9 +77,9 @@
         }
     }
 
-    /// Locks the desk for one short decision; never held across an await.
-    pub fn desk(&self) -> MutexGuard<'_, RequestDesk> {
-        self.desk.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Locks the requests for one short decision; never held across an await.
+    pub fn requests(&self) -> MutexGuard<'_, RequestState> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the entries known.
@@ -113,7 +113,7 @@
     /// Begins to leave: nothing new is taken from here on.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
-        self.desk().drain();
+        self.requests().drain();
     }
 
     /// Returns whether the agent leaves.
--- a/crates/geraniumpost/src/agent/heartbeats.rs
+++ b/crates/geraniumpost/src/agent/heartbeats.rs
@@ -69,7 +69,7 @@
         address: settings.announce.unwrap_or(settings.listen).to_string().into(),
         state: if cx.is_draining() { AgentState::Draining } else { AgentState::Ready },
         slots: cx.service().slots,
-        load: cx.desk().load(),
+        load: cx.requests().load(),
         config_revision: cx.keeper.holder().load().revision(),
         entries_digest: cx.entries().digest(),
         term,
--- a/crates/geraniumpost/src/agent/links.rs
+++ b/crates/geraniumpost/src/agent/links.rs
@@ -57,12 +57,12 @@
             ToAgent::Request(head) => {
                 let deadline = now.plus(head.deadline_ms);
                 let work = with_own_limits(cx, Work { head, body, deadline });
-                let starts = cx.desk().arrive(work, link, now);
+                let starts = cx.requests().arrive(work, link, now);
                 minion_runs::start_all(cx, starts);
             }
-            ToAgent::Cancel(id) => cx.desk().cancel(id),
-            ToAgent::Ask(ask) => cx.desk().ask(&ask, link, now),
-            ToAgent::AskKey(ask) => cx.desk().ask_key(&ask, link, now),
+            ToAgent::Cancel(id) => cx.requests().cancel(id),
+            ToAgent::Ask(ask) => cx.requests().ask(&ask, link, now),
+            ToAgent::AskKey(ask) => cx.requests().ask_key(&ask, link, now),
             ToAgent::Ping(number) => pong(cx, link, number),
             ToAgent::Adopt(adopt) => {
                 drop(cx.keeper.received(&entry.name, adopt.revision, &body));
@@ -91,7 +91,7 @@
 }
 
 fn pong(cx: &AgentContext, link: &LinkSender<ToEntry>, number: u64) {
-    let load = cx.desk().load();
+    let load = cx.requests().load();
     let _ = link.send(ToEntry::Pong(Pong { number, load }));
 }
 
--- a/crates/geraniumpost/src/agent/minion_runs.rs
+++ b/crates/geraniumpost/src/agent/minion_runs.rs
@@ -33,7 +33,7 @@
     let in_time = timeout(time, &mut sending).await;
     let answer = in_time.unwrap_or_else(|_| {
         let late = KeptAnswer::without_answer(Outcome::RunTimedOut, 0);
-        cx.desk().finished(id, late.clone(), cx.clock.now());
+        cx.requests().finished(id, late.clone(), cx.clock.now());
         late
     });
     let success = answer.is_success();
@@ -44,9 +44,9 @@
     let took = Micros(began.elapsed().as_micros() as u64);
     let now = cx.clock.now();
     let next = {
-        let mut desk = cx.desk();
-        desk.finished(id, answer, now);
-        desk.left(id, took, success, now)
+        let mut requests = cx.requests();
+        requests.finished(id, answer, now);
+        requests.left(id, took, success, now)
     };
     start_all(&cx, next);
 }
--- a/crates/geraniumpost/src/agent/request_desk.rs
+++ b/crates/geraniumpost/src/agent/request_state.rs
@@ -31,14 +31,14 @@
 /// queue must change together: a question that bars an attempt and takes it out of the queue in two
 /// steps would let a slot start it in between. Each method returns the work to start.
 #[derive(Debug)]
-pub struct RequestDesk {
+pub struct RequestState {
     queue: FairQueue<Work>,
     ledger: AttemptLedger<KeptAnswer>,
     reply_to: HashMap<RequestId, LinkSender<ToEntry>>,
 }
 
-impl RequestDesk {
-    /// Creates the empty desk of the agent's `incarnation`.
+impl RequestState {
+    /// Creates the empty state of the agent's `incarnation`.
     pub fn new(incarnation: u64) -> Self {
         Self {
             queue: FairQueue::new(QueueLimits::default()),
--- a/crates/geraniumpost/src/agent/role.rs
+++ b/crates/geraniumpost/src/agent/role.rs
@@ -19,7 +19,7 @@
 /// How long a starting agent gathers its peers' revisions before it takes the highest.
 const GATHER_MS: u64 = 1_000;
 /// Interval at which waiting requests are looked at.
-const DESK_TICK: Duration = Duration::from_millis(20);
+const REQUEST_TICK: Duration = Duration::from_millis(20);
 /// How long a leaving agent stays after its last answer, so that the answer is written and the
 /// entries' questions about it are still answered.
 const LINGER: Duration = Duration::from_millis(300);
@@ -67,7 +67,7 @@
     tokio::spawn(follow_agreement(Arc::clone(cx.keeper.holder()), check));
     adopt_limits(cx);
     tokio::spawn(follow_limits(Arc::clone(cx)));
-    tokio::spawn(tick_desk(Arc::clone(cx)));
+    tokio::spawn(tick_requests(Arc::clone(cx)));
     tokio::spawn(links::serve(Arc::clone(cx), listener));
     tokio::spawn(heartbeats::announce(Arc::clone(cx), Arc::clone(socket)));
     tokio::spawn(heartbeats::hear(Arc::clone(cx), Arc::clone(socket)));
@@ -94,22 +94,22 @@
 /// Sets slots, queue and connections as the service in force says.
 fn adopt_limits(cx: &AgentContext) {
     let service = cx.service();
-    cx.desk().set_limits(&service);
+    cx.requests().set_limits(&service);
     cx.set_minion_limits(service.connections as usize, service.max_body_kb as usize * 1024);
 }
 
-async fn tick_desk(cx: Arc<AgentContext>) {
-    let mut ticks = tokio::time::interval(DESK_TICK);
+async fn tick_requests(cx: Arc<AgentContext>) {
+    let mut ticks = tokio::time::interval(REQUEST_TICK);
     loop {
         ticks.tick().await;
-        let starts = cx.desk().tick(cx.clock.now());
+        let starts = cx.requests().tick(cx.clock.now());
         minion_runs::start_all(&cx, starts);
     }
 }
 
 /// Leaves without cutting anything off: first nothing new, then the end of what is under way.
 ///
-/// The announcement goes over every link and as heartbeats, and should all of it be lost, the desk
+/// The announcement goes over every link and as heartbeats, and should all of it be lost, the queue
 /// refuses what still comes, which entries may send elsewhere.
 async fn leave(cx: &Arc<AgentContext>, socket: &DatagramSocket) {
     cx.drain();
@@ -117,7 +117,7 @@
     heartbeats::announce_once(cx, socket).await;
     let latest = Instant::now() + Duration::from_millis(cx.settings.drain_ms);
     while !is_idle(cx) && Instant::now() < latest {
-        sleep(DESK_TICK).await;
+        sleep(REQUEST_TICK).await;
     }
     if !is_idle(cx) {
         spdlog::warn!("stopping with requests or tasks under way: drain_ms is over");
@@ -130,5 +130,5 @@
 /// The planner moves the tasks of a leaving VM; an agent that went first would leave them without
 /// renewals, and the work since their last checkpoint would be lost.
 fn is_idle(cx: &AgentContext) -> bool {
-    cx.desk().is_empty() && cx.task_figures().tasks == 0
+    cx.requests().is_empty() && cx.task_figures().tasks == 0
 }
--- a/crates/geraniumpost/src/agent/tasks/desk.rs
+++ b/crates/geraniumpost/src/agent/tasks/driver.rs
@@ -15,7 +15,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// The task that owns the VM's ledger.
-struct Desk {
+struct Driver {
     cx: Arc<AgentContext>,
     ledger: VmLedger,
     calls: CallQueue,
@@ -30,24 +30,24 @@
 ) {
     let (answers_tx, mut answers) = mpsc::unbounded_channel();
     let mut revisions: watch::Receiver<u64> = cx.keeper.holder().subscribe();
-    let mut desk = Desk::new(cx, worker, answers_tx);
-    desk.reserve();
+    let mut driver = Driver::new(cx, worker, answers_tx);
+    driver.reserve();
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             biased;
-            Some(event) = orders.recv() => desk.on_event(event),
-            Some(answer) = answers.recv() => desk.handle(answer),
-            Ok(()) = revisions.changed() => desk.reserve(),
-            _ = ticks.tick() => desk.tick(),
+            Some(event) = orders.recv() => driver.on_event(event),
+            Some(answer) = answers.recv() => driver.handle(answer),
+            Ok(()) = revisions.changed() => driver.reserve(),
+            _ = ticks.tick() => driver.tick(),
             else => return,
         }
-        desk.publish();
+        driver.publish();
     }
 }
 
-impl Desk {
+impl Driver {
     fn new(
         cx: Arc<AgentContext>,
         worker: Worker,
--- a/crates/geraniumpost/src/agent/tasks/mod.rs
+++ b/crates/geraniumpost/src/agent/tasks/mod.rs
@@ -4,7 +4,7 @@
 //! job, so that a stop never overtakes the start it is for.
 
 mod call_queue;
-mod desk;
+mod driver;
 mod task_event;
 mod task_figures;
 mod task_order;
@@ -26,6 +26,6 @@
 /// Starts the task that keeps the VM's ledger, if there is a worker.
 pub fn start(cx: &Arc<AgentContext>, orders: mpsc::UnboundedReceiver<TaskEvent>) {
     if let Some(address) = cx.settings.worker {
-        tokio::spawn(desk::run(Arc::clone(cx), Worker::new(address), orders));
+        tokio::spawn(driver::run(Arc::clone(cx), Worker::new(address), orders));
     }
 }
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -14,9 +14,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
-use super::conversations::Conversations;
 use super::dispatch::dispatch;
 use super::incoming::{Head, request_id};
+use super::open_connections::OpenConnections;
 use super::{EntryContext, Incoming, Reply};
 use crate::stop_signal::stopped;
 
@@ -42,7 +42,7 @@
 /// The order matters: first "not ready", so that the balancer sends nobody any more; then no more
 /// accepts; then the requests in flight to their end, for at most `drain_ms`.
 pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let conversations = Conversations::new();
+    let open_connections = OpenConnections::new();
     let room = Arc::new(Semaphore::new(CONNECTIONS));
     let mut leaving = std::pin::pin!(async {
         stopped(&mut stop).await;
@@ -57,15 +57,15 @@
         tokio::select! {
             accepted = accept(&listener, &room) => {
                 if let Some((stream, permit)) = accepted {
-                    spawn(&cx, stream, permit, &conversations);
+                    spawn(&cx, stream, permit, &open_connections);
                 }
             }
             () = &mut leaving => left = true,
         }
     }
-    serve_queued(&cx, listener, &room, &conversations);
+    serve_queued(&cx, listener, &room, &open_connections);
     let longest = Duration::from_millis(cx.settings.drain_ms);
-    if timeout(longest, conversations.finish()).await.is_err() {
+    if timeout(longest, open_connections.finish()).await.is_err() {
         spdlog::warn!("stopping with requests under way: drain_ms is over");
     }
 }
@@ -114,14 +114,14 @@
     cx: &Arc<EntryContext>,
     listener: TcpListener,
     room: &Arc<Semaphore>,
-    conversations: &Conversations,
+    open_connections: &OpenConnections,
 ) {
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
         let permit = Arc::clone(room).try_acquire_owned();
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         let (Ok(permit), Ok(stream)) = (permit, stream) else { continue };
-        spawn(cx, stream, permit, conversations);
+        spawn(cx, stream, permit, open_connections);
     }
 }
 
@@ -129,12 +129,12 @@
     cx: &Arc<EntryContext>,
     stream: TcpStream,
     permit: OwnedSemaphorePermit,
-    conversations: &Conversations,
+    open_connections: &OpenConnections,
 ) {
     // Answers are short; waiting to fill packets would only delay them.
     let _ = stream.set_nodelay(true);
-    let conversation = conversations.begin();
-    let (cx, asked) = (Arc::clone(cx), conversation.asked());
+    let open_connection = open_connections.begin();
+    let (cx, asked) = (Arc::clone(cx), open_connection.asked());
     let service = service_fn(move |req| {
         asked.notify_one();
         let cx = Arc::clone(&cx);
@@ -145,7 +145,7 @@
         .header_read_timeout(HEAD_TIME)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
-        if let Err(error) = conversation.hold(connection).await {
+        if let Err(error) = open_connection.hold(connection).await {
             spdlog::debug!("caller's connection: {error}");
         }
         drop(permit);
--- a/crates/geraniumpost/src/entry/conversations.rs
+++ b/crates/geraniumpost/src/entry/open_connections.rs
@@ -16,7 +16,7 @@
 /// when a request is on its way. A caller who has just connected then sees its connection close
 /// without a word. So a new connection is let alone until its first request has been read.
 #[derive(Debug)]
-pub(super) struct Conversations {
+pub(super) struct OpenConnections {
     leaving: watch::Sender<bool>,
     /// Every connection holds a sender; the channel closes with the last of them.
     open: mpsc::Sender<Infallible>,
@@ -25,13 +25,13 @@
 
 /// One connection of a caller.
 #[derive(Debug)]
-pub(super) struct Conversation {
+pub(super) struct OpenConnection {
     leaving: watch::Receiver<bool>,
     asked: Arc<Notify>,
     _open: mpsc::Sender<Infallible>,
 }
 
-impl Conversations {
+impl OpenConnections {
     /// Begins without connections.
     pub(super) fn new() -> Self {
         let (open, ended) = mpsc::channel(1);
@@ -39,9 +39,9 @@
     }
 
     /// Takes in a connection.
-    pub(super) fn begin(&self) -> Conversation {
+    pub(super) fn begin(&self) -> OpenConnection {
         let (leaving, open) = (self.leaving.subscribe(), self.open.clone());
-        Conversation { leaving, asked: Arc::default(), _open: open }
+        OpenConnection { leaving, asked: Arc::default(), _open: open }
     }
 
     /// Asks all connections to end after their requests and waits until the last one has.
@@ -53,7 +53,7 @@
     }
 }
 
-impl Conversation {
+impl OpenConnection {
     /// Returns what is to be notified of each request.
     pub(super) fn asked(&self) -> Arc<Notify> {
         Arc::clone(&self.asked)
--- a/crates/geraniumpost/src/planner/desk.rs
+++ b/crates/geraniumpost/src/planner/driver.rs
@@ -33,7 +33,7 @@
 type Answer = oneshot::Sender<Result<Value, ApiError>>;
 
 /// The task that owns the lease and, while this entry plans, the planner.
-struct Desk {
+struct Driver {
     cx: Arc<EntryContext>,
     lease: PlannerLease,
     planner: Option<Planner>,
@@ -57,7 +57,7 @@
 ) {
     let (answers_tx, mut answers) = mpsc::unbounded_channel();
     let mut revisions = cx.keeper.holder().subscribe();
-    let mut desk = Desk::new(cx, answers_tx);
+    let mut driver = Driver::new(cx, answers_tx);
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -65,18 +65,18 @@
         // tick judges whose hold has lapsed.
         tokio::select! {
             biased;
-            Some(input) = inputs.recv() => desk.on_input(input),
-            Some(answer) = answers.recv() => desk.on_answer(answer),
-            Ok(()) = revisions.changed() => desk.configure(),
-            Some(question) = questions.recv() => desk.on_question(question),
-            Ok(()) = stop.changed() => desk.lease(LeaseEvent::Resign),
-            _ = ticks.tick() => desk.tick(),
+            Some(input) = inputs.recv() => driver.on_input(input),
+            Some(answer) = answers.recv() => driver.on_answer(answer),
+            Ok(()) = revisions.changed() => driver.configure(),
+            Some(question) = questions.recv() => driver.on_question(question),
+            Ok(()) = stop.changed() => driver.lease(LeaseEvent::Resign),
+            _ = ticks.tick() => driver.tick(),
             else => return,
         }
     }
 }
 
-impl Desk {
+impl Driver {
     fn new(cx: Arc<EntryContext>, answers: mpsc::UnboundedSender<StoreAnswer>) -> Self {
         let me = Holder::new(cx.me.name.clone(), cx.me.incarnation);
         let placer = Placer::new(cx.keeper.holder().load().document());
--- a/crates/geraniumpost/src/planner/mod.rs
+++ b/crates/geraniumpost/src/planner/mod.rs
@@ -6,7 +6,7 @@
 mod agent_links;
 mod calls;
 mod decisions;
-mod desk;
+mod driver;
 mod handle;
 mod input;
 mod lease_calls;
@@ -36,6 +36,6 @@
     stop: watch::Receiver<bool>,
 ) -> JobsHandle {
     let (questions_tx, questions) = mpsc::unbounded_channel();
-    tokio::spawn(desk::run(Arc::clone(cx), inputs, questions, stop));
+    tokio::spawn(driver::run(Arc::clone(cx), inputs, questions, stop));
     handle::jobs_handle(Arc::clone(cx), questions_tx)
 }
