fix(planner): feed the services' latencies to the harm model

Ruled out: observing each heartbeat (the model is tuned for one a second) and percentiles of minions without requests (old ones, which say nothing of who runs there now). Change: once a second for each worker whose minion has requests. Its effect between processes is not measured and stands on the list of what is not proved.

--- a/crates/geraniumpost/src/planner/driver.rs
+++ b/crates/geraniumpost/src/planner/driver.rs
@@ -25,6 +25,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two rounds of placement.
 const PLACE_MS: u64 = 200;
+/// Interval at which the placer learns of the latency beside one worker.
+const LEARN_MS: u64 = 1_000;
 /// Interval at which jobs are counted for the metrics.
 const COUNT_MS: u64 = 1_000;
 /// Holds shorter than this would lapse between two heartbeats.
@@ -46,6 +48,7 @@
     next_reply: u64,
     placed_at: Millis,
     counted_at: Millis,
+    learned_at: HashMap<Name, Millis>,
 }
 
 /// Runs until the entry's process ends.
@@ -94,6 +97,7 @@
             next_reply: 0,
             placed_at: Millis(0),
             counted_at: Millis(0),
+            learned_at: HashMap::new(),
         }
     }
 
@@ -125,7 +129,8 @@
                 self.on_told(link.peer().name.clone(), message);
             }
             // Silence proves nothing; the lapse of the hold does, and the planner waits for it.
-            PlannerInput::Told(..) | PlannerInput::Lost(_) => {}
+            PlannerInput::Lost(agent) => drop(self.learned_at.remove(&agent)),
+            PlannerInput::Told(..) => {}
         }
     }
 
@@ -138,10 +143,32 @@
         if let Some(planner) = &mut self.planner {
             planner.heartbeat(beat, hold_ms, standing, now);
         }
+        self.observe_latency(beat, now);
         let news = self.links.seen(&beat.agent);
         self.tell_all(news);
     }
 
+    /// Lets the placer learn how the service beside the worker does, now and then.
+    ///
+    /// Without requests the percentile is an old one, which says nothing of who runs there now.
+    fn observe_latency(&mut self, beat: &Heartbeat, now: Millis) {
+        let load = beat.load;
+        let due = self.learned_at.get(&beat.agent).is_none_or(|at| now.since(*at) >= LEARN_MS);
+        if self.planner.is_none() || !due || load.in_flight == 0 || load.p99_us == 0 {
+            return;
+        }
+        self.learned_at.insert(beat.agent.clone(), now);
+        let load_permille = load.in_flight * 1000 / beat.slots.max(1);
+        let observation = Observation::Latency {
+            worker: beat.agent.clone(),
+            service: beat.service.clone(),
+            load_permille,
+            p99_us: load.p99_us,
+            at: now,
+        };
+        self.placer.observe(now, &observation);
+    }
+
     fn on_told(&mut self, agent: Name, message: ToEntry) {
         let event = match message {
             ToEntry::Report(report) => PlannerEvent::Report { agent, report },
