--- a/crates/geraniumpost-core/tests/requests_basics.rs
+++ b/crates/geraniumpost-core/tests/requests_basics.rs
@@ -1,5 +1,7 @@
 //! Plain uses of each decision on requests, one after the other.
 
+mod requests_support;
+
 use assert_matches::assert_matches;
 use geraniumpost_core::requests::{
     Admission, AgentView, AskReply, AttemptLedger, EjectionChange, Ejector, FairQueue, Heard,
@@ -7,32 +9,12 @@
     RouteAsk, Router, Snapshot, Waiting,
 };
 use geraniumpost_core::{Micros, Millis};
-use geraniumpost_schema::{AgentState, Heartbeat, Load, Name, RequestId, Resources};
+use geraniumpost_schema::{AgentState, Heartbeat, Name, RequestId};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 fn beat(agent: &str, incarnation: u64, sequence: u64, state: AgentState) -> Heartbeat {
-    let none = Resources { milli_cpus: 0, memory_mb: 0, accelerators: 0 };
-    Heartbeat {
-        agent: agent.into(),
-        incarnation,
-        sequence,
-        service: "filing".into(),
-        region: "lima".into(),
-        domain: "surco".into(),
-        rack: "r1".into(),
-        address: "127.0.0.1:7000".into(),
-        state,
-        slots: 8,
-        load: Load::default(),
-        config_revision: 1,
-        entries_digest: 0,
-        term: 0,
-        has_worker: false,
-        capacity: none,
-        reserved: none,
-        tasks: 0,
-    }
+    Heartbeat { state, ..requests_support::beat(agent, incarnation, sequence) }
 }
 
 fn agents(count: u64) -> Vec<AgentView> {
