--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -0,0 +1,137 @@
+//! What is written, and what waits for it.
+
+use super::{Coordinator, Effect, WriteBatch};
+use crate::tuning::{WRITE_BYTES, WRITE_RECORDS, WRITES_AT_ONCE};
+use crate::{Answer, JobId, JobState, Now, TaskId, ToAgent};
+
+/// A write under way.
+#[derive(Debug)]
+pub(super) struct Batch {
+    jobs: Vec<Written>,
+    removed: Vec<JobId>,
+}
+
+/// One record of a write under way.
+#[derive(Debug)]
+struct Written {
+    job: JobId,
+    version: u64,
+    state: JobState,
+    then: Vec<Deferred>,
+}
+
+/// What is done once a version of a record is committed.
+#[derive(Debug, Clone)]
+pub(super) enum Deferred {
+    /// Answer a request.
+    Reply(u64, Answer),
+    /// Give the start order of a placement.
+    Start(TaskId, u32),
+}
+
+impl Coordinator {
+    /// Marks a record as changed, and returns its version.
+    pub(super) fn touch(&mut self, id: JobId) -> u64 {
+        let Some(job) = self.jobs.get_mut(&id) else { return 0 };
+        job.version += 1;
+        self.dirty.insert(id);
+        job.version
+    }
+
+    /// Takes note that a batch is written.
+    ///
+    /// The shell reports a batch only once no earlier attempt at it, or at an earlier batch, can
+    /// still change the store; an older record could otherwise replace a newer one.
+    pub fn written(&mut self, number: u64, now: Now) {
+        let Some(batch) = self.batches.remove(&number) else { return };
+        for written in batch.jobs {
+            if let Some(job) = self.jobs.get_mut(&written.job) {
+                job.durable = job.durable.max(written.version);
+                job.writing = false;
+                job.shown = written.state;
+            }
+            for deferred in written.then {
+                self.release(deferred, now);
+            }
+        }
+        for id in batch.removed {
+            self.jobs.remove(&id);
+        }
+        self.acknowledge();
+    }
+
+    fn release(&mut self, deferred: Deferred, now: Now) {
+        match deferred {
+            Deferred::Reply(ticket, answer) => {
+                self.effects.push(Effect::Reply { ticket, answer });
+            }
+            Deferred::Start(task, run) => self.start_committed(task, run, now),
+        }
+    }
+
+    /// Lets minions forget the ends that the store holds.
+    pub(super) fn acknowledge(&mut self) {
+        let jobs = &self.jobs;
+        let durable = |id: &JobId, version: u64| {
+            jobs.get(id).is_none_or(|job| job.durable >= version)
+        };
+        for (id, minion) in &mut self.minions {
+            let mut up_to = None;
+            while let Some((number, change)) = minion.unacknowledged.front() {
+                if change.as_ref().is_some_and(|(job, version)| !durable(job, *version)) {
+                    break;
+                }
+                up_to = Some(*number);
+                minion.unacknowledged.pop_front();
+            }
+            if let Some(up_to) = up_to {
+                let message = ToAgent::Acknowledge { minion: id.clone(), up_to };
+                self.effects.push(Effect::Tell { agent: minion.agent.clone(), message });
+            }
+        }
+    }
+
+    /// Gathers changed records into writes, as far as writes may begin.
+    pub(super) fn gather_writes(&mut self) {
+        while self.batches.len() < WRITES_AT_ONCE {
+            let Some(write) = self.gather_write() else { return };
+            self.effects.push(Effect::Write(write));
+        }
+    }
+
+    fn gather_write(&mut self) -> Option<WriteBatch> {
+        let number = self.next_batch;
+        let mut write = WriteBatch { number, put: Vec::new(), remove: Vec::new() };
+        let mut written = Vec::new();
+        let mut bytes = 0;
+        for id in self.dirty.iter().copied().collect::<Vec<_>>() {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                self.dirty.remove(&id);
+                continue;
+            };
+            if job.writing {
+                continue;
+            }
+            if written.len() >= WRITE_RECORDS || bytes >= WRITE_BYTES {
+                break;
+            }
+            self.dirty.remove(&id);
+            job.writing = true;
+            let record = job.record.encode();
+            bytes += record.len();
+            write.put.push((id, record));
+            let then = std::mem::take(&mut job.after_commit);
+            let (version, state) = (job.version, job.record.state);
+            written.push(Written { job: id, version, state, then });
+        }
+        let room = WRITE_RECORDS - written.len();
+        let removed: Vec<_> = self.expired.drain(..room.min(self.expired.len())).collect();
+        write.remove.clone_from(&removed);
+        if written.is_empty() && removed.is_empty() {
+            return None;
+        }
+        self.next_batch += 1;
+        self.batches.insert(number, Batch { jobs: written, removed });
+        Some(write)
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/effect.rs
@@ -0,0 +1,39 @@
+use geraniumpost_schema::Name;
+
+use crate::{Answer, JobId, ToAgent};
+
+/// What the shell has to do for the coordinator.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Write records, and report it with [`Coordinator::written`](super::Coordinator::written).
+    Write(WriteBatch),
+    /// Answer a request.
+    Reply {
+        /// The request's ticket.
+        ticket: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Send a message to an agent.
+    Tell {
+        /// The agent.
+        agent: Name,
+        /// The message.
+        message: ToAgent,
+    },
+    /// A minion has obeyed a newer coordinator: check who coordinates.
+    Superseded,
+    /// Something was decided that the log should tell.
+    Note(String),
+}
+
+/// Records that are written together or not at all.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WriteBatch {
+    /// Names the batch when it is reported as written.
+    pub number: u64,
+    /// Records to write.
+    pub put: Vec<(JobId, Vec<u8>)>,
+    /// Records to remove.
+    pub remove: Vec<JobId>,
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -0,0 +1,138 @@
+//! Agents, their leases, and minions that come and go.
+
+use geraniumpost_schema::Name;
+
+use super::minion::Minion;
+use super::run::OrderState;
+use super::{Coordinator, Effect};
+use crate::tuning::{LAPSE_MARGIN_MS, LAPSE_PERCENT, STORE_LOST_MS, STORE_SILENCE_MS};
+use crate::{EndKind, MinionInfo, Now, ToAgent};
+
+/// What the coordinator knows of one agent.
+#[derive(Debug, Default)]
+pub(super) struct Agent {
+    linked: bool,
+    /// The incarnation beside it.
+    minion: Option<Name>,
+}
+
+impl Coordinator {
+    /// Takes note of a new link from an agent.
+    pub(super) fn agent_linked(&mut self, agent: &Name) {
+        self.agents.entry(agent.clone()).or_default().linked = true;
+        for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
+            minion.linked = true;
+            minion.looked = false;
+        }
+        self.note(format!("agent={agent} event=linked"));
+    }
+
+    /// Takes note that an agent's link is gone; what its minion runs goes on until its lease lapses.
+    pub fn agent_lost(&mut self, agent: &Name, now: Now) {
+        if let Some(known) = self.agents.get_mut(agent) {
+            known.linked = false;
+        }
+        for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
+            minion.linked = false;
+            minion.looked = false;
+            for task in &minion.runs {
+                let Some(run) = self.runs.get_mut(task) else { continue };
+                if let OrderState::Sent { .. } = run.order {
+                    // The order may be anywhere between here and the minion.
+                    run.unanswered = true;
+                    run.order = OrderState::Unknown { since_ms: now.steady_ms };
+                }
+            }
+        }
+        self.note(format!("agent={agent} event=lost"));
+    }
+
+    /// Answers an agent's beat, and extends the lease of what its minion runs.
+    pub(super) fn extend_lease(&mut self, agent: &Name, sent_at_ms: u64, minion_ok: bool, now: Now) {
+        let silent_ms = now.steady_ms.saturating_sub(self.confirmed_ms);
+        // A successor may have been waiting for so long that it takes the work for ended.
+        let extend = minion_ok && silent_ms < STORE_LOST_MS;
+        let hold_ms = if extend { self.hold_ms } else { 0 };
+        if extend {
+            // The agent counts from its own sending, which was earlier than this moment.
+            let lapsed_ms = now.steady_ms + hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS;
+            for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
+                minion.lapsed_ms = minion.lapsed_ms.max(lapsed_ms);
+            }
+        }
+        let store_ok = silent_ms < STORE_SILENCE_MS;
+        let message = ToAgent::Lease { sent_at_ms, hold_ms, fence: self.fence, store_ok };
+        self.effects.push(Effect::Tell { agent: agent.clone(), message });
+    }
+
+    /// Takes in what a minion says of itself.
+    pub(super) fn minion_reported(&mut self, agent: &Name, info: MinionInfo, now: Now) {
+        let id = info.id.clone();
+        let before = self.agents.entry(agent.clone()).or_default().minion.replace(id.clone());
+        if let Some(before) = before.filter(|before| *before != id) {
+            self.minion_gone(&before, now);
+        }
+        // Records may name incarnations beside this agent that no longer exist.
+        let gone: Vec<Name> = self
+            .minions
+            .iter()
+            .filter(|(other, minion)| minion.agent == *agent && **other != id)
+            .map(|(other, _)| other.clone())
+            .collect();
+        for other in gone {
+            self.minion_gone(&other, now);
+        }
+        let linked = self.agents.get(agent).is_some_and(|agent| agent.linked);
+        let inherited_ms = self.inherited_ms;
+        let minion = self
+            .minions
+            .entry(id.clone())
+            .or_insert_with(|| Minion::new(info.clone(), agent.clone(), inherited_ms));
+        if minion.known && info.sequence < minion.info.sequence {
+            return;
+        }
+        let drains = info.draining && !(minion.known && minion.info.draining);
+        minion.info = info;
+        minion.known = true;
+        minion.linked = linked;
+        self.placing_due = true;
+        if drains {
+            self.note(format!("minion={id} agent={agent} event=draining"));
+        }
+        if self.minions.get(&id).is_some_and(|minion| minion.info.draining) {
+            self.evacuate(&id, now);
+        }
+    }
+
+    /// Takes note that an incarnation and all its runs are gone.
+    pub(super) fn minion_gone(&mut self, id: &Name, now: Now) {
+        let Some(minion) = self.minions.get(id) else { return };
+        let runs: Vec<_> = minion.runs.iter().copied().collect();
+        self.note(format!("minion={id} event=gone runs={}", runs.len()));
+        for task in runs {
+            self.end_run(task, EndKind::Lapsed, &Name::default(), now);
+        }
+        self.minions.remove(id);
+        for agent in self.agents.values_mut().filter(|agent| agent.minion.as_ref() == Some(id)) {
+            agent.minion = None;
+        }
+    }
+
+    /// Ends what ran on minions whose leases have surely lapsed.
+    pub(super) fn lapse(&mut self, now: Now) {
+        let lapsed: Vec<Name> = self
+            .minions
+            .iter()
+            .filter(|(_, minion)| now.steady_ms >= minion.lapsed_ms && !minion.runs.is_empty())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            let Some(minion) = self.minions.get(&id) else { continue };
+            let runs: Vec<_> = minion.runs.iter().copied().collect();
+            self.note(format!("minion={id} event=lapsed runs={}", runs.len()));
+            for task in runs {
+                self.end_run(task, EndKind::Lapsed, &Name::default(), now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/looks.rs
@@ -0,0 +1,117 @@
+//! Minions' own lists, compared with what should be there.
+
+use geraniumpost_schema::Name;
+
+use super::run::OrderState;
+use super::Coordinator;
+use crate::{Look, Now, RunningTask, TaskId};
+
+/// What to do about a run that a minion's lists do not show.
+enum Missing {
+    /// Nothing: its order may still be on its way.
+    Wait,
+    /// Give the start order again.
+    Start,
+    /// Its end was seen, or it will never begin.
+    Over,
+}
+
+impl Coordinator {
+    /// Takes in a minion's lists.
+    pub(super) fn look(&mut self, agent: &Name, look: Look, now: Now) {
+        let Some(minion) = self.minions.get(&look.minion) else { return };
+        if minion.agent != *agent {
+            return;
+        }
+        let id = look.minion.clone();
+        for end in look.ended {
+            self.take_end(&id, end, now);
+        }
+        if let Some(running) = look.running {
+            let seen: std::collections::HashSet<TaskId> =
+                running.iter().map(|row| row.task).collect();
+            for row in running {
+                self.seen_running(&id, row, look.orders_before, now);
+            }
+            if !look.more_ends {
+                self.find_missing(&id, &seen, look.orders_before, now);
+            }
+            if let Some(minion) = self.minions.get_mut(&id) {
+                self.placing_due |= !minion.looked;
+                minion.looked = true;
+            }
+            self.adjust_pace(&id, now);
+        }
+        self.acknowledge();
+    }
+
+    fn seen_running(&mut self, minion: &Name, row: RunningTask, orders_before: u64, now: Now) {
+        let Some(run) = self.runs.get_mut(&row.task) else {
+            self.stop_stranger(minion, row.task, row.run);
+            return;
+        };
+        if run.place.minion != *minion || run.number != row.run {
+            let strange = run.place.minion != *minion || run.number > row.run;
+            if strange {
+                self.stop_stranger(minion, row.task, row.run);
+            }
+            return;
+        }
+        if row.percent != run.percent || run.pace == 0 {
+            run.percent = row.percent;
+            run.progressed_ms = now.steady_ms;
+        }
+        run.gauge = row.gauge;
+        if !run.stopping() {
+            run.order = OrderState::Started { number: orders_before };
+            self.run_began(row.task, now);
+        }
+        if !row.saved.is_empty()
+            && let Some(job) = self.jobs.get_mut(&row.task.job)
+        {
+            let hint = job.hints.entry(row.task).or_default();
+            if hint.saved != row.saved {
+                hint.saved = row.saved;
+            }
+        }
+    }
+
+    fn find_missing(
+        &mut self,
+        id: &Name,
+        seen: &std::collections::HashSet<TaskId>,
+        orders_before: u64,
+        now: Now,
+    ) {
+        let Some(minion) = self.minions.get(id) else { return };
+        let absent: Vec<TaskId> =
+            minion.runs.iter().filter(|task| !seen.contains(task)).copied().collect();
+        for task in absent {
+            let Some(run) = self.runs.get(&task) else { continue };
+            match judge(run.order, orders_before) {
+                Missing::Wait => {}
+                Missing::Start => self.send_start(task, now),
+                Missing::Over => {
+                    let number = run.number;
+                    self.note(format!("decision=missing task={task} run={number} minion={id}"));
+                    self.requeue(task, 0, false, now);
+                }
+            }
+        }
+    }
+}
+
+/// Judges a run that is in neither list of its minion.
+fn judge(order: OrderState, orders_before: u64) -> Missing {
+    match order {
+        OrderState::Unknown { .. } => Missing::Start,
+        OrderState::Started { number }
+        | OrderState::Over { number }
+        | OrderState::Barred { number, .. }
+            if number <= orders_before =>
+        {
+            Missing::Over
+        }
+        _ => Missing::Wait,
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -0,0 +1,81 @@
+use std::collections::{BTreeSet, VecDeque};
+
+use geraniumpost_schema::Name;
+
+use crate::{Demand, JobId, MinionInfo, TaskId};
+
+/// What the coordinator knows of one minion.
+#[derive(Debug)]
+pub(super) struct Minion {
+    pub(super) info: MinionInfo,
+    pub(super) agent: Name,
+    /// Whether its agent's link is open.
+    pub(super) linked: bool,
+    /// Whether it was heard of, or only stands in records.
+    pub(super) known: bool,
+    /// Whether its lists have been read over the present link.
+    pub(super) looked: bool,
+    /// When all that it runs has surely ended if no lease is extended any more.
+    pub(super) lapsed_ms: u64,
+    /// What the runs placed there occupy; filling tasks count memory only.
+    pub(super) used: Demand,
+    /// Processors that filling tasks there would use if they could.
+    pub(super) fill_cpus: i64,
+    /// Tasks there that serve within a bound.
+    pub(super) serving: u32,
+    pub(super) runs: BTreeSet<TaskId>,
+    /// Number of the last end that was taken in.
+    pub(super) last_end: u64,
+    /// Ends taken in and not acknowledged: number, job and version that must be durable.
+    pub(super) unacknowledged: VecDeque<(u64, Option<(JobId, u64)>)>,
+    /// Failed runs since the last good one.
+    pub(super) failures: u32,
+    /// The job of the last failed run.
+    pub(super) failed_job: Option<JobId>,
+    /// Gets no work before this time.
+    pub(super) shunned_ms: u64,
+    /// When the pace of what fills there last changed.
+    pub(super) paced_ms: u64,
+    /// Share that filling tasks there work at.
+    pub(super) fill_percent: u8,
+}
+
+impl Minion {
+    pub(super) fn new(info: MinionInfo, agent: Name, lapsed_ms: u64) -> Self {
+        Self {
+            info,
+            agent,
+            linked: false,
+            known: false,
+            looked: false,
+            lapsed_ms,
+            used: Demand::default(),
+            fill_cpus: 0,
+            serving: 0,
+            runs: BTreeSet::new(),
+            last_end: 0,
+            unacknowledged: VecDeque::new(),
+            failures: 0,
+            failed_job: None,
+            shunned_ms: 0,
+            paced_ms: 0,
+            fill_percent: 100,
+        }
+    }
+
+    /// Returns whether new runs may be placed there.
+    pub(super) fn open(&self, now_ms: u64) -> bool {
+        let healthy = now_ms >= self.shunned_ms;
+        self.known && self.linked && self.looked && !self.info.draining && healthy
+    }
+
+    /// Returns what is free.
+    pub(super) fn free(&self) -> Demand {
+        self.info.capacity - self.used
+    }
+
+    /// Returns whether it has a label.
+    pub(super) fn has_label(&self, label: &Name) -> bool {
+        self.info.labels.contains(label)
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -0,0 +1,197 @@
+//! The coordinator: every job, every minion's view, and all decisions on them.
+
+mod asking;
+mod commits;
+mod effect;
+mod ends;
+mod job;
+mod leases;
+mod looks;
+mod minion;
+mod order_results;
+mod ordering;
+mod pacing;
+mod placing;
+mod run;
+mod timers;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use geraniumpost_schema::Name;
+
+use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
+
+pub use effect::{Effect, WriteBatch};
+
+use commits::Batch;
+use job::Job;
+use leases::Agent;
+use minion::Minion;
+use run::Run;
+
+/// Decides which task runs where, for one service or many, while its fencing token is the highest.
+///
+/// Two processes may both believe that they coordinate. Correctness rests on the store, which
+/// writes a batch only for the holder of the coordinator's key, and on minions, which obey only the
+/// highest token; never on when a lease ends. See docs/design/0601-jobs-on-a-shared-store.md.
+#[derive(Debug)]
+pub struct Coordinator {
+    fence: u64,
+    hold_ms: u64,
+    jobs: BTreeMap<JobId, Job>,
+    /// Jobs that may have waiting tasks.
+    open: BTreeSet<JobId>,
+    /// Jobs whose record differs from the store's.
+    dirty: BTreeSet<JobId>,
+    /// Finished jobs to be removed from the store.
+    expired: Vec<JobId>,
+    runs: BTreeMap<TaskId, Run>,
+    minions: BTreeMap<Name, Minion>,
+    agents: HashMap<Name, Agent>,
+    batches: HashMap<u64, Batch>,
+    next_batch: u64,
+    /// When the store last confirmed this coordinator, on the steady clock.
+    confirmed_ms: u64,
+    /// When leases that a predecessor may have extended have surely lapsed.
+    inherited_ms: u64,
+    /// Whether something changed that may let a task be placed.
+    placing_due: bool,
+    effects: Vec<Effect>,
+}
+
+impl Coordinator {
+    /// Returns a coordinator without jobs, whose orders carry the token `fence`.
+    pub fn new(fence: u64, now: Now) -> Self {
+        Self {
+            fence,
+            hold_ms: 0,
+            jobs: BTreeMap::new(),
+            open: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            expired: Vec::new(),
+            runs: BTreeMap::new(),
+            minions: BTreeMap::new(),
+            agents: HashMap::new(),
+            batches: HashMap::new(),
+            next_batch: 1,
+            confirmed_ms: now.steady_ms,
+            inherited_ms: now.steady_ms,
+            placing_due: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Sets how long a lease lets minions hold their tasks, in milliseconds.
+    #[must_use]
+    pub const fn hold_ms(mut self, hold_ms: u64) -> Self {
+        self.hold_ms = hold_ms;
+        self
+    }
+
+    /// Sets when, on the steady clock, every lease of a predecessor has surely lapsed.
+    #[must_use]
+    pub const fn inherited_until(mut self, steady_ms: u64) -> Self {
+        self.inherited_ms = steady_ms;
+        self
+    }
+
+    /// Takes over the records that the store holds.
+    #[must_use]
+    pub fn with_records(mut self, records: Vec<(JobId, JobRecord)>, now: Now) -> Self {
+        for (id, record) in records {
+            self.adopt(id, record, now);
+        }
+        self.placing_due = true;
+        self
+    }
+
+    /// Returns the fencing token.
+    pub const fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Returns how many jobs are known, and how many runs may exist.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.jobs.len(), self.runs.len())
+    }
+
+    /// Takes a message from an agent.
+    pub fn from_agent(&mut self, agent: &Name, message: FromAgent, now: Now) {
+        match message {
+            FromAgent::Hello { .. } => self.agent_linked(agent),
+            FromAgent::Beat { sent_at_ms, minion_ok } => {
+                self.extend_lease(agent, sent_at_ms, minion_ok, now);
+            }
+            FromAgent::Minion(info) => self.minion_reported(agent, info, now),
+            FromAgent::MinionGone { minion } => self.minion_gone(&minion, now),
+            FromAgent::Look(look) => self.look(agent, look, now),
+            FromAgent::Result(result) => self.order_result(result, now),
+        }
+    }
+
+    /// Returns what is to be done now: decides placements that became possible, and gathers records
+    /// to write.
+    pub fn take_effects(&mut self, now: Now) -> Vec<Effect> {
+        if self.placing_due {
+            self.place_waiting(now);
+        }
+        self.gather_writes();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes note that the store confirmed this coordinator at a time on the steady clock.
+    pub const fn store_confirmed(&mut self, steady_ms: u64) {
+        if steady_ms > self.confirmed_ms {
+            self.confirmed_ms = steady_ms;
+        }
+    }
+
+    fn note(&mut self, line: String) {
+        self.effects.push(Effect::Note(line));
+    }
+
+    /// Puts a job from the store in place, with the runs that may exist.
+    fn adopt(&mut self, id: JobId, record: JobRecord, now: Now) {
+        let placed: Vec<_> = record
+            .occurrences
+            .iter()
+            .flat_map(|occurrence| placed_tasks(id, occurrence))
+            .collect();
+        let is_final = record.state.is_final();
+        self.jobs.insert(id, Job::loaded(record));
+        if !is_final {
+            self.open.insert(id);
+        }
+        for (task, number, place) in placed {
+            let order = if is_final {
+                run::OrderState::Stopping { at_ms: 0 }
+            } else {
+                run::OrderState::Unknown { since_ms: now.steady_ms }
+            };
+            let spec = self.step_spec(task).cloned().unwrap_or_default();
+            self.insert_run(task, Run::new(place, number, order, &spec, now.steady_ms));
+        }
+    }
+}
+
+/// Lists the tasks of an occurrence whose last run may exist.
+fn placed_tasks(
+    job: JobId,
+    occurrence: &crate::Occurrence,
+) -> Vec<(TaskId, u32, crate::Place)> {
+    let mut placed = Vec::new();
+    for (step, tasks) in occurrence.steps.iter().enumerate() {
+        for (index, task) in tasks.iter().enumerate() {
+            if let crate::TaskPhase::Placed(place) = &task.phase {
+                let id = TaskId {
+                    job,
+                    occurrence: occurrence.number,
+                    step: step as u16,
+                    index: index as u32,
+                };
+                placed.push((id, task.run, place.clone()));
+            }
+        }
+    }
+    placed
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -0,0 +1,113 @@
+//! What becomes of orders.
+
+use super::run::OrderState;
+use super::{Coordinator, Effect};
+use crate::tuning::{AFTER_NO_ROOM_MS, SICK_MS};
+use crate::{Now, OrderOutcome, OrderResult, OrderVerb, TaskId};
+
+/// Unanswered starts after which a run is given up at its minion.
+const MOST_STARTS: u32 = 4;
+
+impl Coordinator {
+    /// Takes in what became of an order.
+    pub(super) fn order_result(&mut self, result: OrderResult, now: Now) {
+        if result.outcome == OrderOutcome::Superseded {
+            self.effects.push(Effect::Superseded);
+            return;
+        }
+        if result.outcome == OrderOutcome::Gone {
+            self.minion_gone(&result.minion, now);
+            return;
+        }
+        let ours = self.runs.get(&result.task).is_some_and(|run| {
+            run.number == result.run && run.place.minion == result.minion
+        });
+        if !ours {
+            return;
+        }
+        match result.verb {
+            OrderVerb::Start => self.start_result(&result, now),
+            OrderVerb::Stop => self.stop_result(&result, now),
+            OrderVerb::Pace => {}
+        }
+    }
+
+    fn start_result(&mut self, result: &OrderResult, now: Now) {
+        let Some(run) = self.runs.get_mut(&result.task) else { return };
+        if run.stopping() {
+            return;
+        }
+        let OrderResult { task, number, .. } = *result;
+        if result.outcome != OrderOutcome::Done {
+            let (unanswered, starts) = (run.unanswered, run.starts);
+            self.note(format!(
+                "decision=start_failed job={} task={task} run={} minion={} why=\"{}\" starts={starts} \
+                 unanswered={unanswered}",
+                task.job, result.run, result.minion, result.outcome
+            ));
+        }
+        let Some(run) = self.runs.get_mut(&result.task) else { return };
+        match result.outcome {
+            OrderOutcome::Done => {
+                run.order = OrderState::Started { number };
+                self.run_began(task, now);
+            }
+            OrderOutcome::RunIsOver => run.order = OrderState::Over { number },
+            OrderOutcome::Unanswered => {
+                run.unanswered = true;
+                run.order = OrderState::Unknown { since_ms: now.steady_ms };
+                if run.starts >= MOST_STARTS {
+                    self.send_stop(task, now);
+                }
+            }
+            OrderOutcome::TooLate | OrderOutcome::NotSent => {
+                run.order = OrderState::Unknown { since_ms: now.steady_ms };
+            }
+            OrderOutcome::Unhealthy => {
+                if let Some(minion) = self.minions.get_mut(&result.minion) {
+                    minion.shunned_ms = now.steady_ms + SICK_MS;
+                }
+                self.place_elsewhere(task, now);
+            }
+            _ => self.place_elsewhere(task, now),
+        }
+    }
+
+    /// Gives a refused run up at its minion.
+    ///
+    /// If an earlier copy of the order had no answer, it may still be carried out when there is
+    /// room again, beside the run elsewhere: the task would run twice. A stop bars it first.
+    fn place_elsewhere(&mut self, task: TaskId, now: Now) {
+        if self.runs.get(&task).is_some_and(|run| run.unanswered) {
+            self.send_stop(task, now);
+        } else {
+            self.requeue(task, AFTER_NO_ROOM_MS, true, now);
+        }
+    }
+
+    fn stop_result(&mut self, result: &OrderResult, now: Now) {
+        let taken = matches!(result.outcome, OrderOutcome::Done | OrderOutcome::RunIsOver);
+        let Some(run) = self.runs.get_mut(&result.task) else { return };
+        if taken && run.stopping() {
+            run.order = OrderState::Barred { at_ms: now.steady_ms, number: result.number };
+        }
+    }
+
+    /// Takes note that a run is at work.
+    pub(super) fn run_began(&mut self, task: TaskId, now: Now) {
+        let Some(run) = self.runs.get_mut(&task) else { return };
+        if run.started_ms.is_none() {
+            run.started_ms = Some(now.steady_ms);
+            run.progressed_ms = now.steady_ms;
+        }
+        let minion = run.place.minion.clone();
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.begun = true;
+        }
+        let fills = self.step_spec(task).is_some_and(|step| step.fills);
+        let percent = self.minions.get(&minion).map_or(100, |minion| minion.fill_percent);
+        if fills && percent < 100 {
+            self.send_pace(task, percent);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -0,0 +1,253 @@
+//! Which task is placed next, and where.
+
+use geraniumpost_schema::Name;
+
+use super::commits::Deferred;
+use super::job::Job;
+use super::minion::Minion;
+use super::run::{OrderState, Run, occupied};
+use super::Coordinator;
+use crate::tuning::MEMORY_FOR_FILLING_PERCENT;
+use crate::{Demand, JobId, Now, Place, StepSpec, TaskId, TaskPhase};
+
+/// Sorts jobs: those that can still meet their objective, then by urgency, then by due time.
+type Rank = (u8, u32, u64);
+
+/// How well a place suits; smaller is better.
+type Fit = (bool, bool, i64);
+
+impl Coordinator {
+    /// Places all waiting tasks that find room, in the order of their jobs' ranks.
+    pub(super) fn place_waiting(&mut self, now: Now) {
+        self.placing_due = false;
+        let mut order: Vec<(Rank, JobId)> = self
+            .open
+            .iter()
+            .filter_map(|id| Some((rank(self.jobs.get(id)?, now), *id)))
+            .collect();
+        order.sort_unstable();
+        for (_, id) in order {
+            self.place_job(id, now);
+        }
+    }
+
+    fn place_job(&mut self, id: JobId, now: Now) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let mut ready = Vec::new();
+        for occurrence in &job.record.occurrences {
+            for (number, step) in job.record.spec.steps.iter().enumerate() {
+                let waiting =
+                    occurrence.steps[number].iter().any(|task| task.phase == TaskPhase::Waiting);
+                let due =
+                    waiting && step.after.iter().all(|&s| occurrence.step_done(usize::from(s)));
+                if due {
+                    ready.push((occurrence.number, number as u16));
+                }
+            }
+        }
+        let mut placed = 0;
+        for (occurrence, step) in ready {
+            placed += self.place_step(id, occurrence, step, now);
+        }
+        if placed > 0 {
+            self.touch(id);
+        }
+    }
+
+    /// Places the waiting tasks of one step; returns how many.
+    fn place_step(&mut self, id: JobId, occurrence: u32, step: u16, now: Now) -> u32 {
+        let first = TaskId { job: id, occurrence, step, index: 0 };
+        let Some(spec) = self.step_spec(first).cloned() else { return 0 };
+        let waiting = self.waiting_tasks(first, &spec, now);
+        if waiting.is_empty() || (spec.gang && waiting.len() < spec.count as usize) {
+            return 0;
+        }
+        let rack = self.wanted_rack(first, &spec, waiting.len(), now);
+        let gang_run = spec.gang.then(|| self.next_gang_run(first, &spec));
+        let mut placed = Vec::new();
+        for task in waiting {
+            let Some(minion) = self.choose(task, &spec, rack.as_ref(), now) else {
+                // Tasks of a step ask for the same, so that the others find no room either.
+                break;
+            };
+            self.assign(task, &minion, gang_run, now);
+            placed.push(task);
+        }
+        if spec.gang && placed.len() < spec.count as usize {
+            for task in placed {
+                self.stop_run(task, now);
+            }
+            return 0;
+        }
+        if let Some(task) = placed.first() {
+            let count = placed.len();
+            let minion = self.runs.get(task).map(|run| run.place.minion.clone()).unwrap_or_default();
+            self.note(format!(
+                "decision=place job={id} step={occurrence}.{step} tasks={count} first_on={minion}"
+            ));
+        }
+        placed.len() as u32
+    }
+
+    fn waiting_tasks(&self, first: TaskId, spec: &StepSpec, now: Now) -> Vec<TaskId> {
+        let Some(job) = self.jobs.get(&first.job) else { return Vec::new() };
+        let may_begin = |task: &TaskId| {
+            job.hints.get(task).is_none_or(|hint| hint.not_before_ms <= now.steady_ms)
+        };
+        let waits = |task: &TaskId| {
+            !self.runs.contains_key(task)
+                && self.task_record(*task).is_some_and(|r| r.phase == TaskPhase::Waiting)
+        };
+        (0..spec.count)
+            .map(|index| TaskId { index, ..first })
+            .filter(|task| may_begin(task) && waits(task))
+            .collect()
+    }
+
+    fn next_gang_run(&self, first: TaskId, spec: &StepSpec) -> u32 {
+        let runs = (0..spec.count).map(|index| TaskId { index, ..first });
+        let runs = runs.filter_map(|task| self.task_record(task)).map(|record| record.run);
+        runs.max().unwrap_or(0) + 1
+    }
+
+    /// Gives a task its place; its start order leaves once this is committed.
+    fn assign(&mut self, task: TaskId, minion: &Name, run: Option<u32>, now: Now) {
+        let Some(agent) = self.minions.get(minion).map(|m| m.agent.clone()) else { return };
+        let place = Place { minion: minion.clone(), agent };
+        let mut number = 0;
+        self.change_tasks(task, false, |record| {
+            record.run = run.unwrap_or(record.run + 1);
+            record.phase = TaskPhase::Placed(place.clone());
+            number = record.run;
+        });
+        let spec = self.step_spec(task).cloned().unwrap_or_default();
+        let run = Run::new(place, number, OrderState::Committing, &spec, now.steady_ms);
+        self.insert_run(task, run);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.after_commit.push(Deferred::Start(task, number));
+        }
+    }
+
+    /// Returns whether a task could be placed on another minion than its present one.
+    pub(super) fn has_other_place(&self, task: TaskId, now: Now) -> bool {
+        let Some(spec) = self.step_spec(task) else { return false };
+        self.choose(task, spec, None, now).is_some()
+    }
+
+    /// Chooses the minion for a task.
+    fn choose(&self, task: TaskId, spec: &StepSpec, rack: Option<&Name>, now: Now) -> Option<Name> {
+        let job = self.jobs.get(&task.job)?;
+        let avoid = job.hints.get(&task).and_then(|hint| hint.avoid.as_ref());
+        let fits = |minion: &&Minion| {
+            suits(minion, &job.record.terms.service, spec, now)
+                && self.spread_allows(task, spec, minion)
+        };
+        let fit = |minion: &&Minion| -> Fit {
+            let far = rack.is_some_and(|rack| !minion.has_label(rack));
+            let avoided = avoid == Some(&minion.info.id);
+            (avoided, far, preference(minion, spec))
+        };
+        let best = self.minions.values().filter(fits).min_by_key(fit)?;
+        Some(best.info.id.clone())
+    }
+
+    fn spread_allows(&self, task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
+        if spec.most_per_minion == 0 {
+            return true;
+        }
+        let first = TaskId { index: 0, ..task };
+        let last = TaskId { index: u32::MAX, ..task };
+        (minion.runs.range(first..=last).count() as u32) < spec.most_per_minion
+    }
+
+    /// Returns the rack on which a step's tasks should run: where its data lies, where its other
+    /// tasks run, or where all of them fit.
+    fn wanted_rack(&self, first: TaskId, spec: &StepSpec, tasks: usize, now: Now) -> Option<Name> {
+        if !spec.data_rack.is_empty() {
+            return Some(spec.data_rack.clone());
+        }
+        if !spec.same_rack {
+            return None;
+        }
+        let others = (0..spec.count).map(|index| TaskId { index, ..first });
+        let placed = others.filter_map(|task| self.runs.get(&task)).next();
+        if let Some(minion) = placed.and_then(|run| self.minions.get(&run.place.minion)) {
+            return minion.info.labels.last().cloned();
+        }
+        let service = &self.jobs.get(&first.job)?.record.terms.service;
+        let mut racks: std::collections::BTreeMap<&Name, usize> = std::collections::BTreeMap::new();
+        for minion in self.minions.values().filter(|m| suits(m, service, spec, now)) {
+            if let Some(rack) = minion.info.labels.last() {
+                *racks.entry(rack).or_default() += how_many(minion, spec);
+            }
+        }
+        let best = racks.into_iter().max_by_key(|(_, room)| (*room).min(tasks))?;
+        Some(best.0.clone())
+    }
+}
+
+/// Returns whether a minion can take one task of a step.
+fn suits(minion: &Minion, service: &Name, spec: &StepSpec, now: Now) -> bool {
+    minion.open(now.steady_ms)
+        && minion.info.service == *service
+        && (spec.required_label.is_empty() || minion.has_label(&spec.required_label))
+        && occupied(spec).fits(room_for(minion, spec))
+}
+
+/// Returns what is free for a task of a step.
+fn room_for(minion: &Minion, spec: &StepSpec) -> Demand {
+    let mut free = minion.free();
+    if spec.fills {
+        let kept = minion.info.capacity.memory_mb * (100 - MEMORY_FOR_FILLING_PERCENT) / 100;
+        free.memory_mb -= kept;
+    }
+    free
+}
+
+/// Returns how many tasks of a step a minion can take.
+fn how_many(minion: &Minion, spec: &StepSpec) -> usize {
+    let (free, need) = (room_for(minion, spec), occupied(spec));
+    let by = |free: i64, need: i64| if need > 0 { free.max(0) / need } else { i64::MAX };
+    by(free.milli_cpus, need.milli_cpus)
+        .min(by(free.memory_mb, need.memory_mb))
+        .min(by(free.accelerators, need.accelerators))
+        .min(i64::from(spec.count)) as usize
+}
+
+/// Returns how little a minion suits a task that fits there.
+///
+/// What fills goes where most processors are left over for it, and away from what serves. What
+/// serves gathers on few minions, so that the others are left to what fills; the rest goes beside
+/// it, as it takes no more than it declares.
+fn preference(minion: &Minion, spec: &StepSpec) -> i64 {
+    /// Weight of one serving task against processors, in thousandths of a processor.
+    const BESIDE_SERVING: i64 = 1_000_000;
+    let free_cpus = minion.free().milli_cpus;
+    if spec.fills {
+        let left_over = free_cpus - minion.fill_cpus;
+        let beside = if minion.serving > 0 { BESIDE_SERVING } else { 0 };
+        return beside - left_over;
+    }
+    if spec.serves() {
+        return free_cpus + minion.fill_cpus * 2 - i64::from(minion.serving) * BESIDE_SERVING;
+    }
+    let beside = if minion.serving > 0 { -BESIDE_SERVING } else { 0 };
+    beside - free_cpus + minion.fill_cpus
+}
+
+/// Ranks a job.
+fn rank(job: &Job, now: Now) -> Rank {
+    let terms = &job.record.terms;
+    let objective_ms = terms.objective_ms(job.chain_ms);
+    let due_ms = job.record.occurrences.first().map_or(job.record.accepted_ms, |o| o.due_ms);
+    let age_ms = now.wall_ms.saturating_sub(due_ms);
+    // A late job is still worth something up to three times its objective, and nothing after it.
+    let lateness = if job.record.spec.persistent() || age_ms <= objective_ms {
+        0
+    } else if age_ms <= 3 * objective_ms {
+        1
+    } else {
+        2
+    };
+    (lateness, terms.priority, due_ms + objective_ms)
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/entry_message.rs
@@ -0,0 +1,77 @@
+use geraniumpost_schema::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{JobId, JobSpec, JobState, QueueTerms};
+
+/// What an entry asks of the coordinator for a caller.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// Accept a job; the same job again is no second one.
+    Submit {
+        /// The job.
+        job: JobId,
+        /// What to run.
+        spec: JobSpec,
+        /// How its queue wants it treated.
+        terms: QueueTerms,
+    },
+    /// Cancel a job.
+    Cancel(JobId),
+    /// Tell a job's state.
+    State(JobId),
+    /// Count a queue's jobs that have not begun.
+    Pending(Name),
+}
+
+/// What the coordinator answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The job is accepted and committed.
+    Accepted,
+    /// The job is not accepted and never will be by this request.
+    Refused {
+        /// When to try again, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The job can never run as it is.
+    Invalid,
+    /// The job's state, as committed.
+    State(JobState),
+    /// The cancellation is committed, or the job was over already.
+    Cancelled,
+    /// There is no such job.
+    Unknown,
+    /// Jobs that have not begun.
+    Pending(u64),
+}
+
+/// What an entry sends to the coordinator.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FromEntry {
+    /// Is the coordinator alive?
+    Ping,
+    /// A caller's request.
+    Ask {
+        /// Names the answer.
+        ticket: u64,
+        /// The request.
+        ask: Ask,
+    },
+}
+
+/// What the coordinator sends to an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// The coordinator is alive.
+    Pong {
+        /// Whether it reaches the store.
+        store_ok: bool,
+    },
+    /// The answer to a request.
+    Answer {
+        /// The request's ticket.
+        ticket: u64,
+        /// The answer.
+        answer: Answer,
+    },
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/job_state.rs
@@ -0,0 +1,29 @@
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// State of a job as callers see it.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobState {
+    /// Accepted, and no task has started.
+    #[display("queued")]
+    Queued,
+    /// At least one task has started.
+    #[display("running")]
+    Running,
+    /// All tasks are done.
+    #[display("completed")]
+    Completed,
+    /// A task or gang failed as often as its queue allows.
+    #[display("failed")]
+    Failed,
+    /// Cancelled by its submitter.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl JobState {
+    /// Returns whether the job will never run again.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -0,0 +1,52 @@
+//! Jobs of many steps and tasks: records, placement and the coordinator's decisions, without I/O.
+//!
+//! A [`Coordinator`] holds every job and every minion's view. Events go in through its methods,
+//! [`Effect`]s come out; what must last is in [`JobRecord`]s, which it asks to be written before
+//! anything depends on them (docs/design/0601-jobs-on-a-shared-store.md).
+//!
+//! # Example
+//!
+//! ```
+//! use geraniumpost_batch::{Ask, Coordinator, Demand, Effect, JobId, JobSpec, Now, QueueTerms, StepSpec};
+//!
+//! let mut coordinator = Coordinator::new(7, Now::default());
+//! let step = StepSpec { count: 2, demand: Demand::default(), ..StepSpec::default() };
+//! let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
+//! let ask = Ask::Submit { job: JobId(1), spec, terms: QueueTerms::default() };
+//! coordinator.ask(1, ask, Now::default());
+//! // Nothing is answered before the record is written.
+//! assert!(matches!(coordinator.effects()[..], [Effect::Write(_)]));
+//! ```
+
+mod agent_message;
+mod coordinator;
+mod demand;
+mod entry_message;
+mod job_id;
+mod job_record;
+mod job_spec;
+mod job_state;
+mod look;
+mod minion_info;
+mod now;
+mod order;
+mod spec_error;
+mod step_spec;
+mod task_id;
+pub mod tuning;
+
+pub use agent_message::{FromAgent, ToAgent};
+pub use coordinator::{Coordinator, Effect, WriteBatch};
+pub use demand::Demand;
+pub use entry_message::{Answer, Ask, FromEntry, ToEntry};
+pub use job_id::{JobId, JobIdError};
+pub use job_record::{JobRecord, Occurrence, Place, TaskPhase, TaskRecord};
+pub use job_spec::{JobSpec, MAX_TASKS, QueueTerms};
+pub use job_state::JobState;
+pub use look::{EndKind, EndedTask, Look, RunningTask};
+pub use minion_info::MinionInfo;
+pub use now::Now;
+pub use order::{Order, OrderKind, OrderOutcome, OrderResult, OrderVerb};
+pub use spec_error::SpecError;
+pub use step_spec::StepSpec;
+pub use task_id::{TaskId, TaskIdError};
--- /dev/null
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -0,0 +1,56 @@
+//! Timeouts, limits and weights of the coordinator, each with its unit and its grounds.
+
+/// How long a finished job's state can be asked for, in milliseconds: the two minutes that callers
+/// were promised, and a tenth more.
+pub const KEEP_FINISHED_MS: u64 = 132_000;
+/// Records in one write: the store takes 32 entries in a transaction, and one is the coordinator's.
+pub const WRITE_RECORDS: usize = 30;
+/// Bytes of records in one write; keeps a transaction's body well below the store's largest value.
+pub const WRITE_BYTES: usize = 400_000;
+/// Writes under way at once. One suffices at the store's usual 4 ms; when an answer takes a quarter
+/// of a second, four keep 120 records a round trip moving.
+pub const WRITES_AT_ONCE: usize = 4;
+/// Pause after which an order without an answer is given again, in milliseconds. It follows the
+/// agent's own timeout, so it only has to be longer than a round trip.
+pub const REPEAT_ORDER_MS: u64 = 300;
+/// Time after which an order whose result never came is given again, in milliseconds: the agent's
+/// timeout for a call, with room for a slow agent.
+pub const ORDER_RESULT_MS: u64 = 2_500;
+/// Pause before a task that failed runs again, in milliseconds.
+pub const AFTER_FAILURE_MS: u64 = 50;
+/// Pause before a task that a minion had no room for is placed again, in milliseconds.
+pub const AFTER_NO_ROOM_MS: u64 = 150;
+/// How much later than the granted time a lease has surely lapsed: minions' clocks may be 2% slow.
+pub const LAPSE_PERCENT: u64 = 103;
+/// Margin on top of [`LAPSE_PERCENT`] in milliseconds, for the way of the last call.
+pub const LAPSE_MARGIN_MS: u64 = 250;
+/// Failed runs in a row, of different jobs, after which a minion is taken for sick. Jobs' own
+/// faults are about one in a hundred runs, so two in a row are one in ten thousand.
+pub const SICK_FAILURES: u32 = 2;
+/// How long a minion that seems sick gets no work, in milliseconds; after it one task tries it.
+pub const SICK_MS: u64 = 2_500;
+/// A run whose progress stands still for so long, in milliseconds, is taken for stuck.
+pub const STUCK_MS: u64 = 1_800;
+/// Share of a minion's memory, in percent, that tasks taking left-over processors do not fill, so
+/// that urgent small tasks and tasks that serve always find some.
+pub const MEMORY_FOR_FILLING_PERCENT: i64 = 85;
+/// Share of the latency bound, in percent, above which what fills beside a serving task is paced
+/// down.
+pub const HOT_PERCENT: u32 = 80;
+/// Share of the latency bound, in percent, below which what fills may work faster again.
+pub const COOL_PERCENT: u32 = 55;
+/// Shortest time between two changes of pace on one minion, in milliseconds: a change acts after
+/// 100 ms and the gauge covers half a second.
+pub const PACE_EVERY_MS: u64 = 600;
+/// Stop orders are given again after so many milliseconds without an end.
+pub const REPEAT_STOP_MS: u64 = 1_500;
+/// Wait that a refused caller is told, in milliseconds.
+pub const RETRY_AFTER_MS: u64 = 1_000;
+/// How long a coordinator that the store does not confirm goes on extending leases, in
+/// milliseconds. It covers the outages of the store that operators report, so that running work
+/// outlives them; a successor waits for it before it takes work for ended on minions that it cannot
+/// reach.
+pub const STORE_LOST_MS: u64 = 8_000;
+/// Age of the store's last confirmation from which on a coordinator tells its peers that it misses
+/// the store, in milliseconds.
+pub const STORE_SILENCE_MS: u64 = 1_500;
--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use eyre::Result;
 use geraniumpost_core::config::{Change, StoredDocument};
-use geraniumpost_platform::{Expect, Store};
+use geraniumpost_outside::{Expect, Store};
 use geraniumpost_schema::{AgentSettings, EntrySettings, LogSettings, Name};
 use geraniumpost_standin::minion::{MinionEvent, MinionOptions};
 use geraniumpost_standin::store::{StoreCounts, StoreFaults};
--- a/crates/geraniumpost-harness/tests/standin_place.rs
+++ b/crates/geraniumpost-harness/tests/standin_place.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumpost_harness::{Scratch, StandinPlace};
-use geraniumpost_platform::{TaskOrder, Worker};
+use geraniumpost_outside::{TaskOrder, Worker};
 use geraniumpost_schema::{Name, Resources};
 use geraniumpost_standin::worker::{WorkerEvent, WorkerOptions, spawn_in_process};
 
--- a/crates/geraniumpost-platform/src/http/client.rs
+++ b/crates/geraniumpost-outside/src/http/client.rs
@@ -16,7 +16,7 @@
 
 /// Client of one address with a bounded number of connections, reused when idle.
 #[derive(Debug)]
-pub(crate) struct Client {
+pub struct Client {
     address: SocketAddr,
     host: HeaderValue,
     most_answer: usize,
@@ -29,7 +29,7 @@
 
 impl Client {
     /// Creates a client with at most `connections` connections and answers of `most_answer` bytes.
-    pub(crate) fn new(address: SocketAddr, connections: usize, most_answer: usize) -> Self {
+    pub fn new(address: SocketAddr, connections: usize, most_answer: usize) -> Self {
         let host = HeaderValue::from_str(&address.to_string());
         Self {
             address,
@@ -42,7 +42,7 @@
     }
 
     /// Sends a request and reads the whole answer before the timeout.
-    pub(crate) async fn exchange(
+    pub async fn exchange(
         &self,
         mut req: Request<Full<Bytes>>,
         timeout: Duration,
@@ -54,7 +54,11 @@
         let Ok(Ok(_turn)) = turn else {
             return Err(SendError::NotSent("all connections are in use".to_owned()));
         };
-        let (mut connection, answer) = self.send(req, ends).await?;
+        let sent = self.send(req, ends).await;
+        if matches!(sent, Err(SendError::TimedOut)) {
+            self.drop_idle();
+        }
+        let (mut connection, answer) = sent?;
         let whole = read_whole(&method, answer, self.most_answer);
         let whole = timeout_at(ends, whole).await.map_err(|_| SendError::TimedOut)??;
         // Reuse follows only on a whole answer; after anything else the connection is closed, lest
@@ -98,6 +102,14 @@
         idle.pop()
     }
 
+    /// Closes the idle connections.
+    ///
+    /// What lies between two ends can lose track of all their connections at once, without a reset;
+    /// each would then cost one more call its whole timeout, although a new connection works.
+    fn drop_idle(&self) {
+        self.lock().clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/geraniumpost-platform/src/http/mod.rs
+++ b/crates/geraniumpost-outside/src/http/mod.rs
@@ -6,6 +6,6 @@
 mod send_error;
 mod whole;
 
-pub(crate) use client::Client;
-pub(crate) use exchange::Exchange;
-pub(crate) use send_error::SendError;
+pub use client::Client;
+pub use exchange::Exchange;
+pub use send_error::SendError;
--- a/crates/geraniumpost-platform/src/http/send_error.rs
+++ b/crates/geraniumpost-outside/src/http/send_error.rs
@@ -2,7 +2,7 @@
 
 /// Why a request has no whole answer.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
-pub(crate) enum SendError {
+pub enum SendError {
     /// Not one byte of the request was written.
     #[display("not sent: {_0}")]
     NotSent(#[error(not(source))] String),
--- a/crates/geraniumpost-platform/src/lib.rs
+++ b/crates/geraniumpost-outside/src/lib.rs
@@ -4,7 +4,7 @@
 //! tells whether the call certainly had no effect, because on that word others are started anew.
 //! See `docs/design/0501-platform-adapters.md`.
 
-mod http;
+pub mod http;
 pub mod minion;
 pub mod store;
 pub mod worker;
--- a/crates/geraniumpost-platform/tests/minion.rs
+++ b/crates/geraniumpost-outside/tests/minion.rs
@@ -5,7 +5,7 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
-use geraniumpost_platform::{Answer, Minion, MinionError};
+use geraniumpost_outside::{Answer, Minion, MinionError};
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::minion::{
--- a/crates/geraniumpost-platform/tests/store.rs
+++ b/crates/geraniumpost-outside/tests/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use geraniumpost_platform::{Expect, Store, StoreError, Versioned, Watched};
+use geraniumpost_outside::{Expect, Store, StoreError, Versioned, Watched};
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::store::{StoreCounts, StoreFaults, spawn_in_process};
--- a/crates/geraniumpost-platform/tests/worker.rs
+++ b/crates/geraniumpost-outside/tests/worker.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use geraniumpost_platform::{Started, TaskOrder, Worker, WorkerError, WorkerTask};
+use geraniumpost_outside::{Started, TaskOrder, Worker, WorkerError, WorkerTask};
 use geraniumpost_schema::{Name, Resources, TaskState};
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::http::Down;
--- a/crates/geraniumpost/src/agent/context.rs
+++ b/crates/geraniumpost/src/agent/context.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use geraniumpost_net::{Identity, LinkSender, SharedKey};
-use geraniumpost_platform::Minion;
+use geraniumpost_outside::Minion;
 use geraniumpost_schema::{AgentSettings, HeartbeatAck, Name, Service, ToEntry};
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::mpsc;
--- a/crates/geraniumpost/src/agent/minion_runs.rs
+++ b/crates/geraniumpost/src/agent/minion_runs.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumpost_core::Micros;
-use geraniumpost_platform::{Answer, MinionError};
+use geraniumpost_outside::{Answer, MinionError};
 use geraniumpost_schema::Outcome;
 use http::Method;
 use tokio::time::timeout;
--- a/crates/geraniumpost/src/agent/tasks/call_queue.rs
+++ b/crates/geraniumpost/src/agent/tasks/call_queue.rs
@@ -4,7 +4,7 @@
 
 use geraniumpost_core::Millis;
 use geraniumpost_core::jobs::{LedgerAction, LedgerEvent};
-use geraniumpost_platform::Worker;
+use geraniumpost_outside::Worker;
 use geraniumpost_schema::Name;
 use tokio::sync::mpsc;
 
--- a/crates/geraniumpost/src/agent/tasks/driver.rs
+++ b/crates/geraniumpost/src/agent/tasks/driver.rs
@@ -3,7 +3,7 @@
 
 use geraniumpost_core::Millis;
 use geraniumpost_core::jobs::{LedgerAction, LedgerConfig, LedgerEvent, VmLedger};
-use geraniumpost_platform::Worker;
+use geraniumpost_outside::Worker;
 use geraniumpost_schema::{AgentSettings, HeartbeatAck, Name, Resources, ToAgent, ToEntry};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
--- a/crates/geraniumpost/src/agent/tasks/mod.rs
+++ b/crates/geraniumpost/src/agent/tasks/mod.rs
@@ -16,7 +16,7 @@
 
 use std::sync::Arc;
 
-use geraniumpost_platform::Worker;
+use geraniumpost_outside::Worker;
 use tokio::sync::mpsc;
 
 use call_queue::CallQueue;
--- a/crates/geraniumpost/src/agent/tasks/worker_calls.rs
+++ b/crates/geraniumpost/src/agent/tasks/worker_calls.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use geraniumpost_core::jobs::{LedgerAction, LedgerConfig, LedgerEvent, WorkerTask};
-use geraniumpost_platform::{TaskOrder, Worker, WorkerError};
+use geraniumpost_outside::{TaskOrder, Worker, WorkerError};
 use geraniumpost_schema::{Name, StartTask};
 use tokio::sync::mpsc;
 
@@ -118,7 +118,7 @@
     }
 }
 
-fn listed(task: geraniumpost_platform::WorkerTask) -> WorkerTask {
+fn listed(task: geraniumpost_outside::WorkerTask) -> WorkerTask {
     WorkerTask {
         job: task.id,
         epoch: task.epoch,
--- /dev/null
+++ b/crates/geraniumpost/src/batch/agent/mod.rs
@@ -0,0 +1,47 @@
+//! The agent: hears the minion's heartbeats, keeps its lease, and passes orders and ends on.
+
+mod beats;
+mod finder;
+mod link;
+mod looking;
+mod ordering;
+mod state;
+
+use std::sync::Arc;
+
+use eyre::{ContextCompat, Result};
+use geraniumpost_platform::{Minion, NodeSettings, Store};
+use tokio::sync::watch;
+
+use super::http_server;
+use state::State;
+
+/// Serves until the process is asked to stop. It keeps nothing that must last: the minion goes on
+/// under its lease, and the next process finds all in the minion's own lists.
+///
+/// # Errors
+///
+/// Fails if an address is missing or taken.
+pub async fn serve(settings: NodeSettings) -> Result<()> {
+    let stop = crate::stop_signal::stop_signal()?;
+    let minion = settings.minion.wrap_err("no address of the minion")?;
+    let heartbeats = settings.heartbeats.wrap_err("no address for heartbeats")?;
+    spdlog::info!("event=start role=job-agent node={} minion={minion}", settings.node);
+    let store = Arc::new(Store::new(settings.store));
+    let state = Arc::new(State::new(settings.node.clone(), Minion::new(minion)));
+    let listener = http_server::bind(heartbeats).await?;
+    let (known_tx, known) = watch::channel(None);
+    tokio::spawn(finder::find(store, Arc::clone(&state), known_tx));
+    tokio::spawn(link::keep(Arc::clone(&state), known));
+    tokio::spawn(looking::look_always(Arc::clone(&state)));
+    let on_beat = Arc::clone(&state);
+    let serving = tokio::spawn(http_server::serve(listener, stop.clone(), move |req| {
+        beats::answer(req, Arc::clone(&on_beat))
+    }));
+    crate::stop_signal::stopped(&mut stop.clone()).await;
+    // Heartbeats whose requests have arrived are answered; they take a millisecond.
+    let _ = tokio::time::timeout(std::time::Duration::from_millis(300), serving).await;
+    spdlog::info!("event=stop role=job-agent node={}", settings.node);
+    spdlog::default_logger().flush();
+    Ok(())
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -0,0 +1,295 @@
+//! An entry as a candidate: it learns who coordinates, and takes over when nobody does.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use geraniumpost_batch::tuning::{LAPSE_MARGIN_MS, LAPSE_PERCENT, STORE_LOST_MS};
+use geraniumpost_platform::{CommitError, Item, NodeSettings, Put, Store};
+use geraniumpost_schema::Name;
+use rand::Rng as _;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::super::entry::LinkState;
+use super::super::{BootClock, FromPeer, ToPeer, peer_link};
+use super::doorway::{Doorway, Inputs};
+use super::record::CoordinatorRecord;
+use super::term::Term;
+use super::{COORDINATOR_KEY, ENTRY_PREFIX, Known};
+
+/// Longest time one call to the store may take here.
+const CALL: Duration = Duration::from_millis(700);
+/// Pause after the store failed.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Silence after which a coordinator is taken for lost, in milliseconds: three missing answers.
+const SILENCE_MS: u64 = 900;
+/// Refused links in a row after which a coordinator is taken for gone.
+const REFUSALS: u32 = 2;
+/// How long a coordinator may miss the store before another entry that reaches it takes over, in
+/// milliseconds, on top of the time after which it says so.
+const STORE_MISSED_MS: u64 = 300;
+/// Longest random pause before a takeover, so that candidates seldom meet.
+const STAGGER_MS: u64 = 120;
+/// Longest time a probe of another entry may take.
+const PROBE: Duration = Duration::from_millis(300);
+/// How long an entry that reaches no other one waits before it takes over all the same, in
+/// milliseconds: it may be the one that is cut off, and would take the agents' coordinator away.
+const ALONE_MS: u64 = 3_000;
+/// Longest time for which a lease is ever extended, in milliseconds.
+const LONGEST_HOLD_MS: u64 = 5_000;
+/// Kept below the longest hold that minions allow, in milliseconds.
+const HOLD_MARGIN_MS: u64 = 500;
+
+/// A candidate for coordinating.
+pub struct Candidate {
+    store: Arc<Store>,
+    node: Name,
+    address: SocketAddr,
+    incarnation: u64,
+    /// A larger share of a processor makes a better coordinator.
+    handicap_ms: u64,
+    hold_ms: u64,
+    known: watch::Sender<Option<Known>>,
+    link: watch::Receiver<LinkState>,
+    confirmed_ms: Arc<AtomicU64>,
+}
+
+/// How a coordinator was lost, which decides what it may still do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    /// Its process is gone, or it has stepped down.
+    Gone,
+    /// It may live on, and extend leases until it notices.
+    Silent,
+}
+
+impl Candidate {
+    /// Returns a candidate that publishes the coordinator through `known`.
+    pub fn new(
+        settings: &NodeSettings,
+        store: Arc<Store>,
+        known: watch::Sender<Option<Known>>,
+        link: watch::Receiver<LinkState>,
+    ) -> Self {
+        let hold_ms = settings.bounds.max_hold_ms.saturating_sub(HOLD_MARGIN_MS);
+        Self {
+            store,
+            node: settings.node.clone(),
+            address: SocketAddr::new(settings.ip, settings.peer_port),
+            incarnation: rand::rng().random(),
+            handicap_ms: (20.0 / settings.cpu_share.max(0.05)) as u64,
+            hold_ms: hold_ms.min(LONGEST_HOLD_MS),
+            known,
+            link,
+            confirmed_ms: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    /// Runs for as long as the process does. Once that is asked to stop, it only learns who
+    /// coordinates, for the callers that are still served.
+    pub async fn run(self, listener: TcpListener, stop: watch::Receiver<bool>) {
+        let (inputs_tx, inputs) = watch::channel::<Inputs>(None);
+        let doorway = Doorway {
+            inputs,
+            confirmed_ms: Arc::clone(&self.confirmed_ms),
+            link: self.link.clone(),
+        };
+        tokio::spawn(Arc::new(doorway).serve(listener));
+        self.announce().await;
+        loop {
+            self.once(&inputs_tx, &stop).await;
+        }
+    }
+
+    /// Lets the other entries find this one.
+    async fn announce(&self) {
+        let put = Put {
+            write: vec![(format!("{ENTRY_PREFIX}{}", self.node), self.address.to_string().into())],
+            ..Put::default()
+        };
+        while let Err(error) = self.store.commit(&put, CALL).await {
+            spdlog::debug!("event=announce_failed why=\"{error}\"");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Learns who coordinates, and waits until that changes or takes over.
+    async fn once(&self, inputs: &watch::Sender<Inputs>, stop: &watch::Receiver<bool>) {
+        let Ok(item) = self.store.get(COORDINATOR_KEY, CALL).await else {
+            tokio::time::sleep(PAUSE).await;
+            return;
+        };
+        let Some((record, revision)) = read(item.as_ref()) else {
+            self.stagger().await;
+            self.take_over(item.as_ref(), Loss::Gone, inputs, stop).await;
+            return;
+        };
+        if record.vacant {
+            self.stagger().await;
+            self.take_over(item.as_ref(), Loss::Gone, inputs, stop).await;
+            return;
+        }
+        if record.node == self.node {
+            // An earlier process on this VM, or an earlier term of this one.
+            self.take_over(item.as_ref(), Loss::Gone, inputs, stop).await;
+            return;
+        }
+        let known = Known { address: record.address, fence: record.term };
+        self.known.send_if_modified(|present| {
+            let news = *present != Some(known);
+            *present = Some(known);
+            if news {
+                spdlog::info!(
+                    "event=coordinator_known node={} fence={} revision={revision}",
+                    record.node,
+                    record.term
+                );
+            }
+            news
+        });
+        let loss = self.lost(&known).await;
+        if self.may_take_over(&record, loss).await {
+            self.stagger().await;
+            self.take_over(item.as_ref(), loss, inputs, stop).await;
+        }
+    }
+
+    async fn stagger(&self) {
+        let pause_ms = self.handicap_ms + rand::rng().random_range(0..STAGGER_MS);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+
+    /// Waits until the coordinator seems lost.
+    async fn lost(&self, known: &Known) -> Loss {
+        loop {
+            tokio::time::sleep(PAUSE).await;
+            let link = *self.link.borrow();
+            if link.address != Some(known.address) {
+                continue;
+            }
+            let now_ms = BootClock.now_ms();
+            if link.denied {
+                return Loss::Gone;
+            }
+            // A path that refuses connections says nothing of the process behind it.
+            let silent_ms = now_ms.saturating_sub(link.heard_ms);
+            if link.refused >= REFUSALS || silent_ms >= SILENCE_MS {
+                return Loss::Silent;
+            }
+            if link.store_lost_ms.is_some_and(|since| now_ms >= since + STORE_MISSED_MS) {
+                return Loss::Silent;
+            }
+        }
+    }
+
+    /// Asks the other entries whether the coordinator answers them.
+    ///
+    /// An entry that is cut off sees the coordinator vanish while it serves everybody else. Were it
+    /// to take over, agents would obey a coordinator that none of them reaches, and all work would
+    /// stop; its users would see jobs that do not begin.
+    async fn may_take_over(&self, record: &CoordinatorRecord, loss: Loss) -> bool {
+        let link = *self.link.borrow();
+        let silent_ms = BootClock.now_ms().saturating_sub(link.heard_ms);
+        if loss == Loss::Silent && link.refused == 0 && silent_ms < SILENCE_MS {
+            // It says itself that it misses the store, which this entry has just read.
+            return link.store_lost_ms.is_some();
+        }
+        let Ok((items, _)) = self.store.list(ENTRY_PREFIX, CALL).await else { return false };
+        let others: Vec<SocketAddr> = items
+            .iter()
+            .filter(|item| !item.key.ends_with(&format!("/{}", self.node)))
+            .filter(|item| !item.key.ends_with(&format!("/{}", record.node)))
+            .filter_map(|item| std::str::from_utf8(&item.value).ok()?.parse().ok())
+            .collect();
+        let mut probes = tokio::task::JoinSet::new();
+        for address in &others {
+            probes.spawn(probe(*address));
+        }
+        let mut answers = 0;
+        while let Some(answered) = probes.join_next().await {
+            match answered {
+                Ok(Some(true)) => {
+                    spdlog::info!("event=coordinator_answers_others node={}", record.node);
+                    tokio::time::sleep(PAUSE).await;
+                    return false;
+                }
+                Ok(Some(false)) => answers += 1,
+                _ => {}
+            }
+        }
+        answers > 0 || others.is_empty() || loss == Loss::Gone || silent_ms > ALONE_MS
+    }
+
+    /// Takes the coordinator's key, if it still is as it was read, and coordinates.
+    async fn take_over(
+        &self,
+        item: Option<&Item>,
+        loss: Loss,
+        inputs: &watch::Sender<Inputs>,
+        stop: &watch::Receiver<bool>,
+    ) {
+        if *stop.borrow() {
+            return tokio::time::sleep(PAUSE).await;
+        }
+        let revision = item.map_or(0, |item| item.revision);
+        // A revision of the store is higher than any before it, whatever was written or removed.
+        let before = read(item).map_or(0, |(record, _)| record.term);
+        let record = CoordinatorRecord {
+            node: self.node.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+            term: before.max(revision) + 1,
+            barrier: 0,
+            vacant: false,
+        };
+        let put = Put {
+            expect: vec![(COORDINATOR_KEY.to_owned(), revision)],
+            write: vec![(COORDINATOR_KEY.to_owned(), record.encode())],
+            remove: Vec::new(),
+        };
+        let taken = match self.store.commit(&put, CALL).await {
+            Ok(taken) => taken,
+            Err(CommitError::Conflict(_)) => return,
+            Err(CommitError::NotDone(_)) => return tokio::time::sleep(PAUSE).await,
+            // The next reading shows whether it was carried out; the key then names this process,
+            // and is simply taken again.
+            Err(CommitError::Unknown(_)) => return,
+        };
+        let now_ms = BootClock.now_ms();
+        let hold_ms = self.hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS;
+        let notices_ms = if loss == Loss::Gone { 0 } else { STORE_LOST_MS };
+        let term = Term {
+            store: Arc::clone(&self.store),
+            record,
+            revision: taken,
+            hold_ms: self.hold_ms,
+            inherited_ms: now_ms + hold_ms + notices_ms,
+            confirmed_ms: Arc::clone(&self.confirmed_ms),
+        };
+        let fence = term.record.term;
+        spdlog::info!("event=take_over fence={fence} revision={taken} after={loss:?}");
+        self.known.send_replace(Some(Known { address: self.address, fence }));
+        term.run(inputs, stop.clone()).await;
+        self.known.send_replace(None);
+    }
+}
+
+fn read(item: Option<&Item>) -> Option<(CoordinatorRecord, u64)> {
+    let item = item?;
+    CoordinatorRecord::decode(&item.value).ok().map(|record| (record, item.revision))
+}
+
+/// Asks an entry whether the coordinator answers it.
+async fn probe(address: SocketAddr) -> Option<bool> {
+    let asking = async {
+        let (tx, mut rx) = peer_link::dial::<FromPeer, ToPeer>(address).await.ok()?;
+        tx.send(FromPeer::Probe).ok()?;
+        match rx.next().await?.head {
+            ToPeer::Probed { coordinator_answers } => Some(coordinator_answers),
+            _ => None,
+        }
+    };
+    tokio::time::timeout(PROBE, asking).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -0,0 +1,179 @@
+//! Drives the coordinator's decisions: messages in, effects out.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use geraniumpost_batch::{Ask, Coordinator, Effect, FromAgent, ToEntry, WriteBatch};
+use geraniumpost_net::LinkSender;
+use geraniumpost_schema::Name;
+use tokio::sync::mpsc;
+
+use super::super::{BootClock, ToPeer};
+
+/// Pause between two ticks: timeouts are hundreds of milliseconds.
+const TICK: Duration = Duration::from_millis(100);
+/// Messages taken in before decisions are made on all of them.
+const TOGETHER: usize = 64;
+
+/// A process at the other end of a link.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Peer {
+    /// An entry.
+    Entry {
+        /// Its name.
+        node: Name,
+        /// The link.
+        link: u64,
+    },
+    /// An agent.
+    Agent {
+        /// Its name.
+        node: Name,
+        /// The link.
+        link: u64,
+    },
+}
+
+/// What reaches the driver.
+#[derive(Debug)]
+pub enum Input {
+    /// A link has opened.
+    Opened(Peer, LinkSender<ToPeer>),
+    /// A link has closed.
+    Closed(Peer),
+    /// An entry asks for a caller.
+    Ask {
+        /// The entry's link.
+        link: u64,
+        /// Its ticket.
+        ticket: u64,
+        /// What it asks.
+        ask: Ask,
+    },
+    /// An agent says something.
+    Agent(Name, FromAgent),
+    /// A batch is written.
+    Written(u64),
+    /// The store has confirmed that this entry coordinates, at this time on the boot clock.
+    Confirmed(u64),
+}
+
+/// Why a coordinator's term ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TermEnd {
+    /// A minion has obeyed a newer coordinator.
+    Superseded,
+    /// All inputs have closed.
+    Closed,
+}
+
+/// The driver of one term.
+pub struct Driver {
+    coordinator: Coordinator,
+    writes: mpsc::Sender<WriteBatch>,
+    entries: HashMap<u64, LinkSender<ToPeer>>,
+    agents: HashMap<Name, (u64, LinkSender<ToPeer>)>,
+    /// Who is owed an answer: the entry's link, and its ticket.
+    owed: HashMap<u64, (u64, u64)>,
+    next_ticket: u64,
+}
+
+impl Driver {
+    /// Returns a driver that hands records to `writes`.
+    pub fn new(coordinator: Coordinator, writes: mpsc::Sender<WriteBatch>) -> Self {
+        Self {
+            coordinator,
+            writes,
+            entries: HashMap::new(),
+            agents: HashMap::new(),
+            owed: HashMap::new(),
+            next_ticket: 1,
+        }
+    }
+
+    /// Decides until the term ends.
+    pub async fn run(mut self, inputs: &mut mpsc::Receiver<Input>) -> TermEnd {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(TOGETHER);
+        loop {
+            tokio::select! {
+                count = inputs.recv_many(&mut batch, TOGETHER) => if count == 0 {
+                    return TermEnd::Closed;
+                },
+                _ = ticks.tick() => self.coordinator.tick(BootClock.now()),
+            }
+            for input in batch.drain(..) {
+                self.take(input);
+            }
+            for effect in self.coordinator.take_effects(BootClock.now()) {
+                if effect == Effect::Superseded {
+                    return TermEnd::Superseded;
+                }
+                self.perform(effect).await;
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = BootClock.now();
+        match input {
+            Input::Opened(Peer::Entry { link, .. }, tx) => {
+                self.entries.insert(link, tx);
+            }
+            Input::Opened(Peer::Agent { node, link }, tx) => {
+                // A link that replaces another one is a new beginning, whatever the old one still
+                // carries.
+                if self.agents.insert(node.clone(), (link, tx)).is_some() {
+                    self.coordinator.agent_lost(&node, now);
+                }
+                let hello = FromAgent::Hello { agent: node.clone() };
+                self.coordinator.from_agent(&node, hello, now);
+            }
+            Input::Closed(Peer::Entry { link, .. }) => {
+                self.entries.remove(&link);
+            }
+            Input::Closed(Peer::Agent { node, link }) => {
+                if self.agents.get(&node).is_some_and(|(present, _)| *present == link) {
+                    self.agents.remove(&node);
+                    self.coordinator.agent_lost(&node, now);
+                }
+            }
+            Input::Ask { link, ticket, ask } => {
+                let own = self.next_ticket;
+                self.next_ticket += 1;
+                self.owed.insert(own, (link, ticket));
+                self.coordinator.ask(own, ask, now);
+            }
+            Input::Agent(node, said) => self.coordinator.from_agent(&node, said, now),
+            Input::Written(batch) => self.coordinator.written(batch, now),
+            Input::Confirmed(at_ms) => self.coordinator.store_confirmed(at_ms),
+        }
+    }
+
+    async fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write(batch) => {
+                // The writer has room for every batch that may be under way at once.
+                if self.writes.send(batch).await.is_err() {
+                    spdlog::debug!("event=writer_ended");
+                }
+            }
+            Effect::Reply { ticket, answer } => {
+                let Some((link, ticket)) = self.owed.remove(&ticket) else { return };
+                if let Some(tx) = self.entries.get(&link) {
+                    // An entry whose link is gone asks again on the next one.
+                    let _ = tx.send(ToPeer::Entry(ToEntry::Answer { ticket, answer }));
+                }
+            }
+            Effect::Tell { agent, message } => {
+                if let Some((_, tx)) = self.agents.get(&agent) {
+                    // An order that is lost with its link is given again on the next one.
+                    let _ = tx.send(ToPeer::Agent(message));
+                }
+            }
+            Effect::Note(line) => spdlog::info!("{line}"),
+            Effect::Superseded => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -0,0 +1,29 @@
+//! Who coordinates, and the coordinator's own process.
+
+mod candidate;
+mod doorway;
+mod driver;
+mod record;
+mod term;
+mod writer;
+
+use std::net::SocketAddr;
+
+pub use candidate::Candidate;
+pub use record::CoordinatorRecord;
+
+/// Key of the record that names the coordinator.
+pub const COORDINATOR_KEY: &str = "geraniumpost/coordinator";
+/// Prefix of the keys by which entries find each other.
+pub const ENTRY_PREFIX: &str = "geraniumpost/entry/";
+/// Prefix of the keys of jobs.
+pub const JOB_PREFIX: &str = "geraniumpost/job/";
+
+/// A coordinator as others know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Known {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its fencing token.
+    pub fence: u64,
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -0,0 +1,119 @@
+//! One term of coordinating, from taking over to its end.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use geraniumpost_batch::{Coordinator, JobId, JobRecord};
+use geraniumpost_platform::Store;
+use tokio::sync::{mpsc, watch};
+
+use super::super::BootClock;
+use super::JOB_PREFIX;
+use super::doorway::Inputs;
+use super::driver::Driver;
+use super::record::CoordinatorRecord;
+use super::writer::{TermLost, Timeout, Writer};
+
+/// Messages that may wait for the coordinator.
+const QUEUE: usize = 4_096;
+/// Batches that may wait for the writer; the coordinator gathers no more than it lets be under way.
+const BATCHES: usize = 8;
+/// Longest time one page of records may take to be read.
+const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause after the store failed.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// A term that was just taken.
+pub struct Term {
+    pub store: Arc<Store>,
+    pub record: CoordinatorRecord,
+    /// Revision of the coordinator's key.
+    pub revision: u64,
+    /// How long minions hold their tasks, in milliseconds.
+    pub hold_ms: u64,
+    /// When leases that a predecessor extended have surely lapsed, on the boot clock.
+    pub inherited_ms: u64,
+    pub confirmed_ms: Arc<AtomicU64>,
+}
+
+impl Term {
+    /// Coordinates until the term is lost or the process is asked to stop.
+    pub async fn run(self, doorway: &watch::Sender<Inputs>, stop: watch::Receiver<bool>) {
+        let (tx, mut rx) = mpsc::channel(QUEUE);
+        self.confirmed_ms.store(BootClock.now_ms(), Ordering::Relaxed);
+        // Links are taken at once; their messages wait until the records are read.
+        doorway.send_replace(Some(tx.clone()));
+        let records = self.read_records(stop.clone()).await;
+        let Some(records) = records else {
+            doorway.send_replace(None);
+            return;
+        };
+        let now = BootClock.now();
+        spdlog::info!(
+            "event=coordinating fence={} term={} jobs={}",
+            self.record.term,
+            self.record.term,
+            records.len()
+        );
+        let coordinator = Coordinator::new(self.record.term, now)
+            .hold_ms(self.hold_ms)
+            .inherited_until(self.inherited_ms)
+            .with_records(records, now);
+        let (writes_tx, mut writes) = mpsc::channel(BATCHES);
+        let mut writer = Writer {
+            store: self.store,
+            record: self.record,
+            revision: self.revision,
+            inputs: tx,
+            confirmed_ms: self.confirmed_ms,
+            timeout: Timeout::default(),
+        };
+        let driver = Driver::new(coordinator, writes_tx);
+        let ended = tokio::select! {
+            end = driver.run(&mut rx) => {
+                spdlog::warn!("event=term_ended why=\"{end:?}\"");
+                Err(TermLost)
+            }
+            end = writer.run(&mut writes, stop) => end,
+        };
+        doorway.send_replace(None);
+        match ended {
+            Ok(()) => writer.step_down().await,
+            Err(error) => spdlog::warn!("event=term_lost why=\"{error}\""),
+        }
+    }
+
+    async fn read_records(
+        &self,
+        stop: watch::Receiver<bool>,
+    ) -> Option<Vec<(JobId, JobRecord)>> {
+        loop {
+            if *stop.borrow() {
+                return None;
+            }
+            match self.store.list(JOB_PREFIX, READ_TIMEOUT).await {
+                Ok((items, _)) => {
+                    self.confirmed_ms.store(BootClock.now_ms(), Ordering::Relaxed);
+                    return Some(items.iter().filter_map(read_record).collect());
+                }
+                Err(error) => {
+                    spdlog::warn!("event=read_failed what=records why=\"{error}\"");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+fn read_record(item: &geraniumpost_platform::Item) -> Option<(JobId, JobRecord)> {
+    let id = item.key.strip_prefix(JOB_PREFIX).and_then(|id| id.parse().ok());
+    match (id, JobRecord::decode(&item.value)) {
+        (Some(id), Ok(record)) => Some((id, record)),
+        (_, result) => {
+            let why = result.err().map_or_else(|| "key".to_owned(), |error| error.to_string());
+            spdlog::error!("event=record_unreadable key={} why=\"{why}\"", item.key);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -0,0 +1,272 @@
+//! Writes the coordinator's records, each batch only while this entry coordinates.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use geraniumpost_batch::WriteBatch;
+use geraniumpost_batch::tuning::WRITES_AT_ONCE;
+use geraniumpost_platform::{CommitError, Item, Put, Store};
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+use super::super::BootClock;
+use super::driver::Input;
+use super::record::CoordinatorRecord;
+use super::{COORDINATOR_KEY, JOB_PREFIX};
+
+/// Shortest time given to a call, in milliseconds: the store's usual 4 ms, and the pauses of a
+/// small VM whose processor time is used up.
+const SHORTEST_TIMEOUT_MS: u64 = 250;
+/// Longest time given to a call, in milliseconds.
+const LONGEST_TIMEOUT_MS: u64 = 2_000;
+/// How much longer than usual a call may take.
+const TIMES_USUAL: u64 = 6;
+/// Pause after the store refused a call.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Time without a confirmed write after which the coordinator's key is read, so that a lost term
+/// is noticed while nothing is written.
+const CONFIRM_EVERY: Duration = Duration::from_millis(600);
+
+/// The term is lost: another entry holds the coordinator's key.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+#[display("another entry coordinates")]
+pub struct TermLost;
+
+/// The writer of one term.
+pub struct Writer {
+    pub store: Arc<Store>,
+    pub record: CoordinatorRecord,
+    /// Revision of the coordinator's key.
+    pub revision: u64,
+    pub inputs: mpsc::Sender<Input>,
+    pub confirmed_ms: Arc<AtomicU64>,
+    pub timeout: Timeout,
+}
+
+/// How long a call may take, learnt from how long calls take.
+#[derive(Debug, Clone, Copy)]
+pub struct Timeout {
+    usual_ms: u64,
+    now_ms: u64,
+}
+
+impl Default for Timeout {
+    fn default() -> Self {
+        Self { usual_ms: 4, now_ms: SHORTEST_TIMEOUT_MS }
+    }
+}
+
+impl Timeout {
+    /// Returns the time to give to the next call.
+    pub const fn get(self) -> Duration {
+        Duration::from_millis(self.now_ms)
+    }
+
+    /// Takes note of a call that was answered after `took`.
+    pub fn answered(&mut self, took: Duration) {
+        self.usual_ms = (self.usual_ms * 3 + took.as_millis() as u64) / 4;
+        let wanted_ms = self.usual_ms * TIMES_USUAL;
+        self.now_ms = wanted_ms.clamp(SHORTEST_TIMEOUT_MS, LONGEST_TIMEOUT_MS);
+    }
+
+    /// Takes note of a call without an answer: a store that is slow must not look lost for ever.
+    pub fn unanswered(&mut self) {
+        self.now_ms = (self.now_ms * 2).min(LONGEST_TIMEOUT_MS);
+    }
+}
+
+type Done = (WriteBatch, Result<u64, CommitError>, Duration);
+
+impl Writer {
+    /// Writes batches until the term is lost, or until `stop` turns true and all is written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if another entry holds the coordinator's key.
+    pub async fn run(
+        &mut self,
+        batches: &mut mpsc::Receiver<WriteBatch>,
+        mut stop: watch::Receiver<bool>,
+    ) -> Result<(), TermLost> {
+        let mut queue: VecDeque<WriteBatch> = VecDeque::new();
+        let mut under_way: JoinSet<Done> = JoinSet::new();
+        let mut uncertain = false;
+        let mut confirm = tokio::time::interval(CONFIRM_EVERY);
+        confirm.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            if uncertain && under_way.is_empty() {
+                self.bar_earlier_writes().await?;
+                uncertain = false;
+            }
+            while !uncertain && under_way.len() < WRITES_AT_ONCE {
+                let Some(batch) = queue.pop_front() else { break };
+                under_way.spawn(self.write(batch));
+            }
+            tokio::select! {
+                batch = batches.recv() => match batch {
+                    Some(batch) => queue.push_back(batch),
+                    None => return Ok(()),
+                },
+                Some(done) = under_way.join_next() => {
+                    let Ok((batch, result, took)) = done else { return Err(TermLost) };
+                    uncertain |= self.settle(batch, result, took, &mut queue).await?;
+                }
+                _ = confirm.tick(), if under_way.is_empty() && !uncertain => self.confirm().await?,
+                () = crate::stop_signal::stopped(&mut stop), if under_way.is_empty() && queue.is_empty() => {
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    fn write(&self, batch: WriteBatch) -> impl Future<Output = Done> + Send + use<> {
+        let key = |id| format!("{JOB_PREFIX}{id}");
+        let put = Put {
+            expect: vec![(COORDINATOR_KEY.to_owned(), self.revision)],
+            write: batch.put.iter().map(|(id, record)| (key(id), record.clone())).collect(),
+            remove: batch.remove.iter().map(key).collect(),
+        };
+        let store = Arc::clone(&self.store);
+        let timeout = self.timeout.get();
+        async move {
+            let began = tokio::time::Instant::now();
+            let result = store.commit(&put, timeout).await;
+            (batch, result, began.elapsed())
+        }
+    }
+
+    /// Takes the result of a write; returns whether it may still be carried out.
+    async fn settle(
+        &mut self,
+        batch: WriteBatch,
+        result: Result<u64, CommitError>,
+        took: Duration,
+        queue: &mut VecDeque<WriteBatch>,
+    ) -> Result<bool, TermLost> {
+        match result {
+            Ok(_) => {
+                self.timeout.answered(took);
+                self.note_confirmed().await;
+                let _ = self.inputs.send(Input::Written(batch.number)).await;
+                Ok(false)
+            }
+            Err(CommitError::Conflict(_)) => Err(TermLost),
+            Err(CommitError::NotDone(why)) => {
+                spdlog::debug!("event=write_refused why=\"{why}\"");
+                queue.push_front(batch);
+                tokio::time::sleep(PAUSE).await;
+                Ok(false)
+            }
+            Err(CommitError::Unknown(why)) => {
+                self.timeout.unanswered();
+                spdlog::warn!("event=write_unanswered records={} why=\"{why}\"", batch.put.len());
+                queue.push_front(batch);
+                Ok(true)
+            }
+        }
+    }
+
+    /// Makes sure that no earlier write can be carried out any more.
+    ///
+    /// A write without an answer may be carried out seconds later, after a newer one of the same
+    /// record, and would put the older one back: after the loss of all processes an ended task
+    /// would seem to run. Every write requires the revision of the coordinator's key, so rewriting
+    /// that key bars them all.
+    async fn bar_earlier_writes(&mut self) -> Result<(), TermLost> {
+        loop {
+            self.record.barrier += 1;
+            let put = Put {
+                expect: vec![(COORDINATOR_KEY.to_owned(), self.revision)],
+                write: vec![(COORDINATOR_KEY.to_owned(), self.record.encode())],
+                remove: Vec::new(),
+            };
+            let began = tokio::time::Instant::now();
+            match self.store.commit(&put, self.timeout.get()).await {
+                Ok(revision) => {
+                    self.timeout.answered(began.elapsed());
+                    self.revision = revision;
+                    self.note_confirmed().await;
+                    return Ok(());
+                }
+                Err(CommitError::Conflict(_)) => {
+                    // An unanswered attempt of ours has been carried out, or the term is lost.
+                    if self.read_revision().await? {
+                        return Ok(());
+                    }
+                }
+                Err(CommitError::NotDone(_)) => tokio::time::sleep(PAUSE).await,
+                Err(CommitError::Unknown(_)) => {
+                    self.timeout.unanswered();
+                    if self.read_revision().await? {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the coordinator's key; returns whether its revision has changed by our own doing.
+    async fn read_revision(&mut self) -> Result<bool, TermLost> {
+        loop {
+            match self.store.get(COORDINATOR_KEY, self.timeout.get()).await {
+                Ok(item) => {
+                    let revision = self.own(item)?;
+                    let changed = revision != self.revision;
+                    self.revision = revision;
+                    self.note_confirmed().await;
+                    return Ok(changed);
+                }
+                Err(error) => {
+                    spdlog::debug!("event=read_failed why=\"{error}\"");
+                    self.timeout.unanswered();
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Checks that the term lasts, while nothing is written.
+    async fn confirm(&mut self) -> Result<(), TermLost> {
+        let began = tokio::time::Instant::now();
+        match self.store.get(COORDINATOR_KEY, self.timeout.get()).await {
+            Ok(item) => {
+                self.timeout.answered(began.elapsed());
+                self.revision = self.own(item)?;
+                self.note_confirmed().await;
+            }
+            Err(error) => spdlog::debug!("event=confirm_failed why=\"{error}\""),
+        }
+        Ok(())
+    }
+
+    /// Returns the key's revision if the term is still ours.
+    fn own(&self, item: Option<Item>) -> Result<u64, TermLost> {
+        let item = item.ok_or(TermLost)?;
+        let record = CoordinatorRecord::decode(&item.value).map_err(|_| TermLost)?;
+        let ours = record.incarnation == self.record.incarnation && record.term == self.record.term;
+        if ours { Ok(item.revision) } else { Err(TermLost) }
+    }
+
+    async fn note_confirmed(&self) {
+        let now_ms = BootClock.now_ms();
+        self.confirmed_ms.store(now_ms, Ordering::Relaxed);
+        // The driver ends only with the term.
+        let _ = self.inputs.send(Input::Confirmed(now_ms)).await;
+    }
+
+    /// Gives the term up, so that the next coordinator need not wait for anything.
+    pub async fn step_down(&mut self) {
+        self.record.vacant = true;
+        let put = Put {
+            expect: vec![(COORDINATOR_KEY.to_owned(), self.revision)],
+            write: vec![(COORDINATOR_KEY.to_owned(), self.record.encode())],
+            remove: Vec::new(),
+        };
+        if let Err(error) = self.store.commit(&put, self.timeout.get()).await {
+            spdlog::warn!("event=step_down_unanswered why=\"{error}\"");
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/entry/callers.rs
@@ -0,0 +1,128 @@
+//! Callers' requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geraniumpost_batch::{Answer as Told, Ask, JobId};
+use geraniumpost_platform::{DEADLINE_HEADER, Route, decode_job, encode_pending, encode_state};
+use http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+
+use super::Shared;
+use super::relay::NoAnswer;
+use super::super::http_server::{Answer, empty};
+
+/// How long a caller waits that does not say so.
+const DEFAULT_DEADLINE_MS: u64 = 3_000;
+/// Part of a caller's deadline that is left for the way back, in milliseconds.
+const WAY_BACK_MS: u64 = 150;
+/// How long a request that cannot be sent is held: a takeover takes about this long, and a caller
+/// told to come back would lose more.
+const UNSENT: Duration = Duration::from_millis(1_200);
+/// Seconds after which a refused caller should come back.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Answers one request.
+pub async fn answer(req: Request<Incoming>, shared: Arc<Shared>) -> Answer {
+    let stopping = *shared.stop.borrow();
+    let mut answer = handle(req, &shared).await;
+    if stopping {
+        // The next request of this caller reaches an entry that stays.
+        answer.headers_mut().insert("connection", HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+async fn handle(req: Request<Incoming>, shared: &Shared) -> Answer {
+    let Some(routes) = shared.routes.load_full() else {
+        return refuse("no configuration yet");
+    };
+    let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let Some(route) = routes.find(host, req.uri().path()) else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    let deadline = deadline(&req);
+    let rest = &req.uri().path()[route.prefix.len()..];
+    if rest.is_empty() && req.method() == Method::GET {
+        return relay(shared, Ask::Pending(route.terms.queue.clone()), deadline).await;
+    }
+    let Ok(job) = rest.parse::<JobId>() else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    match *req.method() {
+        Method::GET => relay(shared, Ask::State(job), deadline).await,
+        Method::DELETE => relay(shared, Ask::Cancel(job), deadline).await,
+        Method::POST => submit(req, shared, job, route, routes.largest_body, deadline).await,
+        _ => empty(StatusCode::METHOD_NOT_ALLOWED),
+    }
+}
+
+async fn submit(
+    req: Request<Incoming>,
+    shared: &Shared,
+    job: JobId,
+    route: &Route,
+    largest: usize,
+    deadline: Duration,
+) -> Answer {
+    let body = match Limited::new(req.into_body(), largest).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            spdlog::info!("decision=refuse job={job} why=\"body: {error}\"");
+            return empty(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+    };
+    let spec = match decode_job(&body) {
+        Ok(spec) => spec,
+        Err(error) => {
+            spdlog::info!("decision=refuse job={job} why=\"{error}\"");
+            return empty(StatusCode::BAD_REQUEST);
+        }
+    };
+    relay(shared, Ask::Submit { job, spec, terms: route.terms.clone() }, deadline).await
+}
+
+/// Has the coordinator answer, and translates what it says.
+async fn relay(shared: &Shared, ask: Ask, deadline: Duration) -> Answer {
+    match shared.relay.ask(ask, UNSENT, deadline).await {
+        Ok(Told::Accepted | Told::Cancelled) => empty(StatusCode::OK),
+        Ok(Told::State(state)) => json(encode_state(state)),
+        Ok(Told::Pending(count)) => json(encode_pending(count)),
+        Ok(Told::Unknown) => empty(StatusCode::GONE),
+        Ok(Told::Invalid) => empty(StatusCode::BAD_REQUEST),
+        Ok(Told::Refused { retry_after_ms }) => {
+            let mut answer = empty(StatusCode::TOO_MANY_REQUESTS);
+            let seconds = retry_after_ms.div_ceil(1_000);
+            answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+            answer
+        }
+        Err(NoAnswer::NotSent) => refuse("no coordinator"),
+        Err(NoAnswer::Unknown) => {
+            spdlog::warn!("decision=give_up why=\"coordinator did not answer\"");
+            empty(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
+}
+
+/// Says that the request has not run and will not.
+fn refuse(why: &str) -> Answer {
+    spdlog::info!("decision=refuse why=\"{why}\" retry_after_s={RETRY_AFTER_S}");
+    let mut answer = empty(StatusCode::SERVICE_UNAVAILABLE);
+    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    answer
+}
+
+fn json(body: String) -> Answer {
+    let mut answer = Answer::new(Full::new(Bytes::from(body)));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+fn deadline(req: &Request<Incoming>) -> Duration {
+    let stated = req.headers().get(DEADLINE_HEADER).and_then(|value| value.to_str().ok());
+    let ms = stated.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_DEADLINE_MS);
+    Duration::from_millis(ms.saturating_sub(WAY_BACK_MS).max(1))
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -0,0 +1,78 @@
+//! The entry: callers' requests, readiness, and a candidate for coordinating.
+
+mod callers;
+mod configuration;
+mod readiness;
+mod relay;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use eyre::{ContextCompat, Result};
+use geraniumpost_platform::{NodeSettings, Routes, Store};
+use tokio::sync::watch;
+
+use super::coordination::{Candidate, Known};
+use super::http_server;
+
+pub use relay::{LinkState, Relay};
+
+/// Time for which a stopping entry still takes connections: the balancer asks once a second, and
+/// turns away from an entry after two misses.
+const LEAVING_TIME: Duration = Duration::from_millis(2_800);
+/// Part of the grace period that is kept for requests under way, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 1_200;
+
+/// What the entry's tasks share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The configuration in force; none before the first was read.
+    pub routes: ArcSwapOption<Routes>,
+    /// Relays requests to the coordinator.
+    pub relay: Relay,
+    /// Whether the process was asked to stop.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// Serves until the process is asked to stop.
+///
+/// # Errors
+///
+/// Fails if an address is missing or taken.
+pub async fn serve(settings: NodeSettings) -> Result<()> {
+    let stop = crate::stop_signal::stop_signal()?;
+    let callers = settings.callers.wrap_err("no address for callers")?;
+    let ready = settings.ready.wrap_err("no address for the balancer")?;
+    spdlog::info!("event=start role=job-entry node={} callers={callers}", settings.node);
+    let store = Arc::new(Store::new(settings.store));
+    let (known_tx, known) = watch::channel::<Option<Known>>(None);
+    let relay = Relay::start(settings.node.clone(), known);
+    let shared =
+        Arc::new(Shared { routes: ArcSwapOption::empty(), relay, stop: stop.clone() });
+    tokio::spawn(configuration::follow(Arc::clone(&store), Arc::clone(&shared)));
+    let peers = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
+    let candidate = Candidate::new(&settings, store, known_tx, shared.relay.state());
+    tokio::spawn(candidate.run(peers, stop.clone()));
+    let ready = http_server::bind(ready).await?;
+    let callers = http_server::bind(callers).await?;
+    let (closing_tx, closing) = watch::channel(false);
+    let on_ready = Arc::clone(&shared);
+    tokio::spawn(http_server::serve(ready, closing.clone(), move |req| {
+        std::future::ready(readiness::answer(&req, &on_ready))
+    }));
+    let on_call = Arc::clone(&shared);
+    let serving = tokio::spawn(http_server::serve(callers, closing, move |req| {
+        callers::answer(req, Arc::clone(&on_call))
+    }));
+    crate::stop_signal::stopped(&mut stop.clone()).await;
+    tokio::time::sleep(LEAVING_TIME).await;
+    closing_tx.send_replace(true);
+    let rest = settings.bounds.grace_ms.saturating_sub(LAST_ANSWERS_MS);
+    let rest = Duration::from_millis(rest).saturating_sub(LEAVING_TIME);
+    let _ = tokio::time::timeout(rest, serving).await;
+    spdlog::info!("event=stop role=job-entry node={}", settings.node);
+    spdlog::default_logger().flush();
+    Ok(())
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/entry/readiness.rs
@@ -0,0 +1,22 @@
+use geraniumpost_platform::READY_PATH;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+
+use super::Shared;
+use super::super::http_server::{Answer, empty};
+
+/// How long the coordinator may be silent before callers are better served elsewhere, in
+/// milliseconds: longer than a takeover takes, as every entry waits for that.
+const SILENCE_MS: u64 = 3_000;
+
+/// Answers the balancer: ready with a configuration and a coordinator, until asked to stop.
+pub fn answer(req: &Request<Incoming>, shared: &Shared) -> Answer {
+    if req.uri().path() != READY_PATH {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    let configured = shared.routes.load().is_some();
+    let stopping = *shared.stop.borrow();
+    let answered = shared.relay.silent_ms() < SILENCE_MS;
+    let ready = configured && answered && !stopping;
+    empty(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/http_server.rs
@@ -0,0 +1,84 @@
+//! The HTTP server that callers, the balancer and minions reach.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// A whole answer.
+pub type Answer = Response<Full<Bytes>>;
+
+/// Time in which the head of a request must arrive.
+const HEAD_TIME: Duration = Duration::from_secs(5);
+/// Pause after an accept failed, as when all descriptors are in use.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Binds an address.
+///
+/// # Errors
+///
+/// Fails if the address is taken.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("binding {address}"))
+}
+
+/// Serves requests until `stop` turns true, and then until those under way are answered.
+pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = crate::stop_signal::stopped(&mut stop) => break,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                spdlog::warn!("event=accept_failed why=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // Without it small answers wait for the other side's acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let handle = handle.clone();
+        let service = service_fn(move |req| {
+            let answer = handle(req);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIME)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                spdlog::debug!("event=connection_ended why=\"{error}\"");
+            }
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+/// Returns an answer without a body.
+pub fn empty(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/mod.rs
@@ -0,0 +1,49 @@
+//! Jobs of many steps on a shared store: the entry that callers reach, and the agent beside each
+//! minion.
+//!
+//! Each entry can coordinate; one does, and holds the coordinator's key in the store. See
+//! `docs/design/0601-jobs-on-a-shared-store.md`.
+
+pub mod agent;
+mod boot_clock;
+pub mod coordination;
+pub mod entry;
+mod http_server;
+mod peer_link;
+mod peer_message;
+
+pub use boot_clock::BootClock;
+pub use peer_message::{FromPeer, ToPeer};
+
+use eyre::Result;
+use geraniumpost_platform::load_settings;
+
+/// Runs `geraniumpost job-entry` until it is told to stop.
+///
+/// # Errors
+///
+/// Fails on unusable settings, or if an address cannot be bound.
+pub fn run_entry() -> Result<()> {
+    let settings = load_settings()?;
+    start_logs(&settings.node)?;
+    crate::runtime::start_small()?.block_on(entry::serve(settings))
+}
+
+/// Runs `geraniumpost job-agent` until it is told to stop.
+///
+/// # Errors
+///
+/// Fails on unusable settings, or if an address cannot be bound.
+pub fn run_agent() -> Result<()> {
+    let settings = load_settings()?;
+    start_logs(&settings.node)?;
+    crate::runtime::start_small()?.block_on(agent::serve(settings))
+}
+
+fn start_logs(node: &geraniumpost_schema::Name) -> Result<()> {
+    let settings = geraniumpost_schema::LogSettings {
+        level: geraniumpost_schema::LogLevel::Info,
+        decisions: true,
+    };
+    crate::logs::start(&settings, node)
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/peer_link.rs
@@ -0,0 +1,44 @@
+//! Links between the system's own processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use geraniumpost_net::{Connection, FrameReader, LinkReceiver, LinkSender, open_link};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest time a connection between two VMs may take; the way there and back takes about 1 ms, and
+/// a small VM may be busy for some tens of them.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Opens a link to another process.
+///
+/// # Errors
+///
+/// Fails if nothing accepts the connection within [`CONNECT_TIMEOUT`].
+pub async fn dial<O, I>(address: SocketAddr) -> Result<(LinkSender<O>, LinkReceiver<I>)>
+where
+    O: Serialize + Send + Sync + 'static,
+    I: DeserializeOwned + Send + 'static,
+{
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    Ok(open(stream.wrap_err("no answer")??)?)
+}
+
+/// Makes a link of a connection.
+///
+/// # Errors
+///
+/// Fails if the connection is gone already.
+pub fn open<O, I>(stream: TcpStream) -> std::io::Result<(LinkSender<O>, LinkReceiver<I>)>
+where
+    O: Serialize + Send + Sync + 'static,
+    I: DeserializeOwned + Send + 'static,
+{
+    stream.set_nodelay(true)?;
+    let connection = Connection::from(FrameReader::new(stream));
+    Ok(open_link(connection, |error| spdlog::debug!("event=link_ended why=\"{error}\"")))
+}
--- /dev/null
+++ b/crates/geraniumpost/src/batch/peer_message.rs
@@ -0,0 +1,40 @@
+use geraniumpost_batch::{FromAgent, FromEntry, ToAgent, ToEntry};
+use geraniumpost_schema::Name;
+use serde::{Deserialize, Serialize};
+
+/// What a process sends on a link that it opened to an entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FromPeer {
+    /// The first message: an entry that relays callers' requests.
+    Entry {
+        /// Its name.
+        node: Name,
+    },
+    /// The first message: an agent.
+    Agent {
+        /// Its name.
+        node: Name,
+    },
+    /// The first and only message: does the coordinator answer you?
+    Probe,
+    /// From an agent.
+    AgentSays(FromAgent),
+    /// From an entry.
+    EntrySays(FromEntry),
+}
+
+/// What an entry answers on a link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToPeer {
+    /// This entry does not coordinate; the link ends.
+    NotCoordinating,
+    /// The answer to a probe.
+    Probed {
+        /// Whether the coordinator has answered lately.
+        coordinator_answers: bool,
+    },
+    /// To an agent.
+    Agent(ToAgent),
+    /// To an entry.
+    Entry(ToEntry),
+}
--- a/crates/geraniumpost/src/cli/command.rs
+++ b/crates/geraniumpost/src/cli/command.rs
@@ -45,6 +45,14 @@
         )
         .subcommand(role("entry", "Run an entry: callers' HTTP, routing, console"))
         .subcommand(role("agent", "Run the agent beside an endpoint"))
+        .subcommand(
+            Command::new("job-entry")
+                .about("Run an entry for jobs of many steps, with settings from the platform"),
+        )
+        .subcommand(
+            Command::new("job-agent")
+                .about("Run the agent beside a minion, with settings from the platform"),
+        )
         .subcommand(check())
         .subcommand(config())
         .subcommand(job())
--- a/crates/geraniumpost/src/cli/run.rs
+++ b/crates/geraniumpost/src/cli/run.rs
@@ -13,6 +13,8 @@
     let finished = match matches.subcommand() {
         Some(("entry", args)) => role(args, load_entry, roles.entry),
         Some(("agent", args)) => role(args, load_agent, roles.agent),
+        Some(("job-entry", _)) => finished((roles.job_entry)()),
+        Some(("job-agent", _)) => finished((roles.job_agent)()),
         _ => operator(&matches),
     };
     // A closed pipe, as from `| head`, is no failure of the command.
@@ -35,7 +37,11 @@
     if args.get_flag("check") {
         return check::accepted(path, args.get_flag("json"));
     }
-    match run(settings) {
+    finished(run(settings))
+}
+
+fn finished(result: Result<()>) -> Finished {
+    match result {
         Ok(()) => Finished::success(""),
         Err(error) => Finished::failure(ExitStatus::Refused, format!("error: {error:#}\n")),
     }
--- a/crates/geraniumpost/src/config/follow.rs
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumpost_platform::{Store, StoreError, Watched};
+use geraniumpost_outside::{Store, StoreError, Watched};
 use tokio::sync::mpsc;
 
 use super::{CONFIG_KEY, ConfigKeeper, Wanted};
--- a/crates/geraniumpost/src/config/keeper.rs
+++ b/crates/geraniumpost/src/config/keeper.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use geraniumpost_core::Millis;
 use geraniumpost_core::config::{Adoption, AdoptionAction, AdoptionEvent, Source, StoredDocument};
-use geraniumpost_platform::{Store, StoreError};
+use geraniumpost_outside::{Store, StoreError};
 use geraniumpost_schema::{Document, Name};
 
 use super::{CONFIG_KEY, ConfigHolder, InForce, Wanted};
--- a/crates/geraniumpost/src/config/writer.rs
+++ b/crates/geraniumpost/src/config/writer.rs
@@ -3,7 +3,7 @@
 use geraniumpost_core::config::{
     Change, ChangeAction, ChangeEvent, ChangeOutcome, ChangeProtocol, StoredDocument,
 };
-use geraniumpost_platform::{Expect, Store, StoreError};
+use geraniumpost_outside::{Expect, Store, StoreError};
 
 use super::{CONFIG_KEY, ConfigKeeper};
 
--- a/crates/geraniumpost/src/console/context.rs
+++ b/crates/geraniumpost/src/console/context.rs
@@ -2,7 +2,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::Name;
 use serde_json::Value;
 
--- a/crates/geraniumpost/src/entry/claims.rs
+++ b/crates/geraniumpost/src/entry/claims.rs
@@ -3,7 +3,7 @@
 
 use geraniumpost_core::Millis;
 use geraniumpost_core::requests::AgentView;
-use geraniumpost_platform::{Expect, LeaseId, Store, StoreError};
+use geraniumpost_outside::{Expect, LeaseId, Store, StoreError};
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
--- a/crates/geraniumpost/src/entry/context.rs
+++ b/crates/geraniumpost/src/entry/context.rs
@@ -9,7 +9,7 @@
     RetryBudget, Router, Snapshot,
 };
 use geraniumpost_net::{Identity, SharedKey};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::{EntryPeer, EntrySettings, Heartbeat, Name, RequestId};
 use serde_json::Value;
 use tokio::sync::mpsc;
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/incoming.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use geraniumpost_core::requests::RequestKind;
 use geraniumpost_core::{Millis, ResultCode};
-use geraniumpost_platform::strip_hop_by_hop;
+use geraniumpost_outside::strip_hop_by_hop;
 use geraniumpost_schema::{HeaderField, Name, Service};
 use http::request::Parts;
 use http::{HeaderMap, Method, header};
--- a/crates/geraniumpost/src/entry/role.rs
+++ b/crates/geraniumpost/src/entry/role.rs
@@ -4,7 +4,7 @@
 use eyre::{Result, WrapErr};
 use geraniumpost_config::check_entry_membership;
 use geraniumpost_net::SharedKey;
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::{Document, EntrySettings};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
--- a/crates/geraniumpost/src/entry/roster.rs
+++ b/crates/geraniumpost/src/entry/roster.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumpost_platform::{Expect, Store, StoreError};
+use geraniumpost_outside::{Expect, Store, StoreError};
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -3,7 +3,7 @@
 
 use geraniumpost_core::ResultCode;
 use geraniumpost_core::requests::{AgentView, RequestKind, RouteAsk, ServiceView, Snapshot};
-use geraniumpost_platform::StoreError;
+use geraniumpost_outside::StoreError;
 use geraniumpost_schema::{KeyedInOutage, Name};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
--- a/crates/geraniumpost/src/lib.rs
+++ b/crates/geraniumpost/src/lib.rs
@@ -6,6 +6,7 @@
 //! operators type. `ARCHITECTURE.md` shows how they work together.
 
 pub mod agent;
+pub mod batch;
 pub mod cli;
 pub mod client;
 mod clock;
--- a/crates/geraniumpost/src/logs.rs
+++ b/crates/geraniumpost/src/logs.rs
@@ -1,6 +1,6 @@
 //! The log: levels, and one line for each routing or placement decision.
 //!
-//! Lines are written to standard error by a thread of their own. When that thread cannot keep up,
+//! Lines are written to standard output by a thread of their own. When that thread cannot keep up,
 //! lines are dropped and counted instead of holding up a request; [`dropped`] tells how many.
 
 use std::fmt::{self, Write as _};
@@ -20,13 +20,13 @@
 static DECISIONS: AtomicBool = AtomicBool::new(false);
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-/// Starts logging to standard error as the settings ask for.
+/// Starts logging to standard output as the settings ask for.
 ///
 /// # Errors
 ///
 /// Fails if the writing thread cannot be started.
 pub fn start(settings: &LogSettings, process: &str) -> Result<()> {
-    let sink = StdStreamSink::builder().stderr().style_mode(StyleMode::Never).build_arc()?;
+    let sink = StdStreamSink::builder().stdout().style_mode(StyleMode::Never).build_arc()?;
     start_with(settings, process, sink)
 }
 
--- a/crates/geraniumpost/src/main.rs
+++ b/crates/geraniumpost/src/main.rs
@@ -3,8 +3,13 @@
 use std::process::ExitCode;
 
 use geraniumpost::cli::{Roles, run};
-use geraniumpost::{agent, entry};
+use geraniumpost::{agent, batch, entry};
 
 fn main() -> ExitCode {
-    run(Roles { entry: entry::run, agent: agent::run })
+    run(Roles {
+        entry: entry::run,
+        agent: agent::run,
+        job_entry: batch::run_entry,
+        job_agent: batch::run_agent,
+    })
 }
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, eyre};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
--- a/crates/geraniumpost/src/planner/lease_calls.rs
+++ b/crates/geraniumpost/src/planner/lease_calls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geraniumpost_core::jobs::{LeaseAction, LeaseEvent, alive_key, term_key};
-use geraniumpost_platform::{Expect, Store, StoreError};
+use geraniumpost_outside::{Expect, Store, StoreError};
 use geraniumpost_schema::Name;
 use tokio::sync::mpsc;
 
--- a/crates/geraniumpost/src/planner/store_calls.rs
+++ b/crates/geraniumpost/src/planner/store_calls.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use geraniumpost_core::jobs::PlannerEvent;
-use geraniumpost_platform::{Expect, Store, StoreError};
+use geraniumpost_outside::{Expect, Store, StoreError};
 use tokio::sync::mpsc;
 
 use super::StoreAnswer;
--- a/crates/geraniumpost/tests/cli.rs
+++ b/crates/geraniumpost/tests/cli.rs
@@ -9,7 +9,7 @@
 use common::{ANY, context, document};
 use geraniumpost::cli::{ExitStatus, Finished, command, execute};
 use geraniumpost::console::Console;
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::store::{StoreFaults, spawn_in_process};
--- a/crates/geraniumpost/tests/common/mod.rs
+++ b/crates/geraniumpost/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use geraniumpost::console::{ApiError, ConsoleContext, JobAsk, JobCall, first_token};
 use geraniumpost::metrics::Metrics;
 use geraniumpost_config::token_digest;
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::Name;
 use serde_json::{Value, json};
 
--- a/crates/geraniumpost/tests/config_fleet.rs
+++ b/crates/geraniumpost/tests/config_fleet.rs
@@ -9,7 +9,7 @@
 use geraniumpost::config::CONFIG_KEY;
 use geraniumpost_core::config::StoredDocument;
 use geraniumpost_harness::{Binaries, EntryPlace, Fleet, OPERATOR_TOKEN, Plan};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::store::StoreFaults;
 use http::Method;
--- a/crates/geraniumpost/tests/config_follow.rs
+++ b/crates/geraniumpost/tests/config_follow.rs
@@ -9,7 +9,7 @@
 };
 use geraniumpost_config::{check_document_value, token_digest};
 use geraniumpost_core::config::{Change, ChangeOutcome};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::{Document, Name};
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::store::{StoreFaults, spawn_in_process};
--- a/crates/geraniumpost/tests/config_in_force.rs
+++ b/crates/geraniumpost/tests/config_in_force.rs
@@ -8,7 +8,7 @@
 use geraniumpost::config::{ConfigHolder, ConfigKeeper, InForce, Wanted, write_change};
 use geraniumpost_config::{check_document_value, token_digest};
 use geraniumpost_core::config::{Change, ChangeOutcome, Source};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::{Document, Name};
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::http::Down;
--- a/crates/geraniumpost/tests/console/api.rs
+++ b/crates/geraniumpost/tests/console/api.rs
@@ -1,7 +1,7 @@
 //! Calls of the operators' API.
 
 use geraniumpost::console::{ApiCode, ApiError, Console, first_token};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_standin::store::{StoreFaults, spawn_in_process};
 use http::Method;
 use serde_json::json;
--- a/crates/geraniumpost/tests/console/bench.rs
+++ b/crates/geraniumpost/tests/console/bench.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geraniumpost::console::{Call, Console, Reply, first_token, form_proof};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::store::spawn_in_process;
 use http::Method;
--- a/crates/geraniumpost/tests/console/random.rs
+++ b/crates/geraniumpost/tests/console/random.rs
@@ -1,7 +1,7 @@
 //! Whatever is sent to the console is answered.
 
 use geraniumpost::console::{Call, Console, form_proof};
-use geraniumpost_platform::Store;
+use geraniumpost_outside::Store;
 use geraniumpost_schema::Name;
 use http::Method;
 use proptest::prelude::*;
