feat(batch): learn by image pair what filling work harms, and place and pace by it

Cause: filling work gathered on the one minion without serving tasks, and all of it was paced when any tail rose. Change: the core's HarmModel is fed with gauges; filling goes where it works fastest without expected harm, blamed images are paced. Standing tasks leave 6% of the processors free.

--- a/crates/geraniumpost-batch/src/coordinator/commits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -72,9 +72,8 @@
     /// Lets minions forget the ends that the store holds.
     pub(super) fn acknowledge(&mut self) {
         let jobs = &self.jobs;
-        let durable = |id: &JobId, version: u64| {
-            jobs.get(id).is_none_or(|job| job.durable >= version)
-        };
+        let durable =
+            |id: &JobId, version: u64| jobs.get(id).is_none_or(|job| job.durable >= version);
         for (id, minion) in &mut self.minions {
             let mut up_to = None;
             while let Some((number, change)) = minion.unacknowledged.front() {
--- a/crates/geraniumpost-batch/src/coordinator/ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ends.rs
@@ -2,12 +2,10 @@
 
 use geraniumpost_schema::Name;
 
-use super::run::{OrderState, Run};
 use super::Coordinator;
+use super::run::{OrderState, Run};
 use crate::tuning::{AFTER_FAILURE_MS, SICK_FAILURES, SICK_MS};
-use crate::{
-    EndKind, EndedTask, JobId, JobState, Now, StepSpec, TaskId, TaskPhase, TaskRecord,
-};
+use crate::{EndKind, EndedTask, JobId, JobState, Now, StepSpec, TaskId, TaskPhase, TaskRecord};
 
 impl Coordinator {
     /// Takes in the end of a run from a minion's list.
@@ -72,8 +70,8 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         job.hints.remove(&task);
         job.record.occurrences.retain(|occurrence| !occurrence.done());
-        let over =
-            job.record.occurrences.is_empty() && job.record.next_occurrence >= job.record.repetitions();
+        let over = job.record.occurrences.is_empty()
+            && job.record.next_occurrence >= job.record.repetitions();
         if over {
             self.finish(task.job, JobState::Completed, now);
         }
@@ -233,18 +231,23 @@
         minion.runs.insert(task);
         minion.used += run.occupied;
         minion.fill_cpus += run.fill_cpus;
-        minion.serving += u32::from(run.serves);
+        minion.serving += u32::from(run.serving_cpus.is_some());
+        minion.serving_cpus += run.serving_cpus.unwrap_or(0);
+        let id = run.place.minion.clone();
         self.runs.insert(task, run);
+        self.count_images(task, &id, true);
     }
 
     /// Removes a run, and what it occupied.
     fn remove_run(&mut self, task: TaskId) -> Option<Run> {
         let run = self.runs.remove(&task)?;
+        self.count_images(task, &run.place.minion, false);
         if let Some(minion) = self.minions.get_mut(&run.place.minion) {
             minion.runs.remove(&task);
             minion.used -= run.occupied;
             minion.fill_cpus -= run.fill_cpus;
-            minion.serving -= u32::from(run.serves);
+            minion.serving -= u32::from(run.serving_cpus.is_some());
+            minion.serving_cpus -= run.serving_cpus.unwrap_or(0);
         }
         Some(run)
     }
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -48,7 +48,13 @@
     }
 
     /// Answers an agent's beat, and extends the lease of what its minion runs.
-    pub(super) fn extend_lease(&mut self, agent: &Name, sent_at_ms: u64, minion_ok: bool, now: Now) {
+    pub(super) fn extend_lease(
+        &mut self,
+        agent: &Name,
+        sent_at_ms: u64,
+        minion_ok: bool,
+        now: Now,
+    ) {
         let silent_ms = now.steady_ms.saturating_sub(self.confirmed_ms);
         // A successor may have been waiting for so long that it takes the work for ended.
         let extend = minion_ok && silent_ms < STORE_LOST_MS;
--- a/crates/geraniumpost-batch/src/coordinator/looks.rs
+++ b/crates/geraniumpost-batch/src/coordinator/looks.rs
@@ -2,8 +2,8 @@
 
 use geraniumpost_schema::Name;
 
-use super::run::OrderState;
 use super::Coordinator;
+use super::run::OrderState;
 use crate::{Look, Now, RunningTask, TaskId};
 
 /// What to do about a run that a minion's lists do not show.
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -1,7 +1,8 @@
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use geraniumpost_schema::Name;
 
+use super::harm::Serving;
 use crate::{Demand, JobId, MinionInfo, TaskId};
 
 /// What the coordinator knows of one minion.
@@ -21,6 +22,8 @@
     pub(super) used: Demand,
     /// Processors that filling tasks there would use if they could.
     pub(super) fill_cpus: i64,
+    /// Processors that serving tasks there reserve.
+    pub(super) serving_cpus: i64,
     /// Tasks there that serve within a bound.
     pub(super) serving: u32,
     pub(super) runs: BTreeSet<TaskId>,
@@ -36,8 +39,33 @@
     pub(super) shunned_ms: u64,
     /// When the pace of what fills there last changed.
     pub(super) paced_ms: u64,
-    /// Share that filling tasks there work at.
-    pub(super) fill_percent: u8,
+    /// What serves there, by image.
+    pub(super) serving_images: BTreeMap<Name, Serving>,
+    /// What fills there, by image.
+    pub(super) fill_images: BTreeMap<Name, Filling>,
+}
+
+/// The filling tasks of one image on a minion.
+#[derive(Debug, Clone)]
+pub(super) struct Filling {
+    pub(super) runs: i32,
+    /// Processors that they would use, in thousandths.
+    pub(super) milli_cpus: i64,
+    /// Share that they are told to work at.
+    pub(super) percent: u8,
+}
+
+impl Default for Filling {
+    fn default() -> Self {
+        Self { runs: 0, milli_cpus: 0, percent: 100 }
+    }
+}
+
+impl Filling {
+    /// Returns the processors that they use at their pace, in thousandths.
+    pub(super) fn working(&self) -> f64 {
+        self.milli_cpus as f64 * f64::from(self.percent) / 100.0
+    }
 }
 
 impl Minion {
@@ -51,6 +79,7 @@
             lapsed_ms,
             used: Demand::default(),
             fill_cpus: 0,
+            serving_cpus: 0,
             serving: 0,
             runs: BTreeSet::new(),
             last_end: 0,
@@ -59,7 +88,8 @@
             failed_job: None,
             shunned_ms: 0,
             paced_ms: 0,
-            fill_percent: 100,
+            serving_images: BTreeMap::new(),
+            fill_images: BTreeMap::new(),
         }
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -4,6 +4,7 @@
 mod commits;
 mod effect;
 mod ends;
+mod harm;
 mod job;
 mod leases;
 mod looks;
@@ -17,6 +18,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use geraniumpost_core::placement::HarmModel;
 use geraniumpost_schema::Name;
 
 use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
@@ -54,6 +56,8 @@
     confirmed_ms: u64,
     /// When leases that a predecessor may have extended have surely lapsed.
     inherited_ms: u64,
+    /// How much images that fill slow images that serve.
+    harm: HarmModel,
     /// Whether something changed that may let a task be placed.
     placing_due: bool,
     effects: Vec<Effect>,
@@ -76,6 +80,7 @@
             next_batch: 1,
             confirmed_ms: now.steady_ms,
             inherited_ms: now.steady_ms,
+            harm: HarmModel::default(),
             placing_due: false,
             effects: Vec::new(),
         }
@@ -152,11 +157,8 @@
 
     /// Puts a job from the store in place, with the runs that may exist.
     fn adopt(&mut self, id: JobId, record: JobRecord, now: Now) {
-        let placed: Vec<_> = record
-            .occurrences
-            .iter()
-            .flat_map(|occurrence| placed_tasks(id, occurrence))
-            .collect();
+        let placed: Vec<_> =
+            record.occurrences.iter().flat_map(|occurrence| placed_tasks(id, occurrence)).collect();
         let is_final = record.state.is_final();
         self.jobs.insert(id, Job::loaded(record));
         if !is_final {
@@ -175,10 +177,7 @@
 }
 
 /// Lists the tasks of an occurrence whose last run may exist.
-fn placed_tasks(
-    job: JobId,
-    occurrence: &crate::Occurrence,
-) -> Vec<(TaskId, u32, crate::Place)> {
+fn placed_tasks(job: JobId, occurrence: &crate::Occurrence) -> Vec<(TaskId, u32, crate::Place)> {
     let mut placed = Vec::new();
     for (step, tasks) in occurrence.steps.iter().enumerate() {
         for (index, task) in tasks.iter().enumerate() {
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -19,9 +19,10 @@
             self.minion_gone(&result.minion, now);
             return;
         }
-        let ours = self.runs.get(&result.task).is_some_and(|run| {
-            run.number == result.run && run.place.minion == result.minion
-        });
+        let ours = self
+            .runs
+            .get(&result.task)
+            .is_some_and(|run| run.number == result.run && run.place.minion == result.minion);
         if !ours {
             return;
         }
@@ -104,9 +105,11 @@
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.begun = true;
         }
-        let fills = self.step_spec(task).is_some_and(|step| step.fills);
-        let percent = self.minions.get(&minion).map_or(100, |minion| minion.fill_percent);
-        if fills && percent < 100 {
+        let image = self.step_spec(task).filter(|step| step.fills).map(|step| step.image.clone());
+        let Some(image) = image else { return };
+        let filling = self.minions.get(&minion).and_then(|minion| minion.fill_images.get(&image));
+        let percent = filling.map_or(100, |filling| filling.percent);
+        if self.runs.get(&task).is_some_and(|run| run.pace != percent) {
             self.send_pace(task, percent);
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -2,12 +2,14 @@
 
 use geraniumpost_schema::Name;
 
+use super::Coordinator;
 use super::commits::Deferred;
 use super::job::Job;
 use super::minion::Minion;
 use super::run::{OrderState, Run, occupied};
-use super::Coordinator;
-use crate::tuning::MEMORY_FOR_FILLING_PERCENT;
+use crate::tuning::{
+    CPUS_FOR_STANDING_PERCENT, MEMORY_FOR_FILLING_PERCENT, SERVING_UNUSED_PERCENT,
+};
 use crate::{Demand, JobId, Now, Place, StepSpec, TaskId, TaskPhase};
 
 /// Sorts jobs: those that can still meet their objective, then by urgency, then by due time.
@@ -20,11 +22,8 @@
     /// Places all waiting tasks that find room, in the order of their jobs' ranks.
     pub(super) fn place_waiting(&mut self, now: Now) {
         self.placing_due = false;
-        let mut order: Vec<(Rank, JobId)> = self
-            .open
-            .iter()
-            .filter_map(|id| Some((rank(self.jobs.get(id)?, now), *id)))
-            .collect();
+        let mut order: Vec<(Rank, JobId)> =
+            self.open.iter().filter_map(|id| Some((rank(self.jobs.get(id)?, now), *id))).collect();
         order.sort_unstable();
         for (_, id) in order {
             self.place_job(id, now);
@@ -81,7 +80,8 @@
         }
         if let Some(task) = placed.first() {
             let count = placed.len();
-            let minion = self.runs.get(task).map(|run| run.place.minion.clone()).unwrap_or_default();
+            let minion =
+                self.runs.get(task).map(|run| run.place.minion.clone()).unwrap_or_default();
             self.note(format!(
                 "decision=place job={id} step={occurrence}.{step} tasks={count} first_on={minion}"
             ));
@@ -139,25 +139,34 @@
         let job = self.jobs.get(&task.job)?;
         let avoid = job.hints.get(&task).and_then(|hint| hint.avoid.as_ref());
         let fits = |minion: &&Minion| {
-            suits(minion, &job.record.terms.service, spec, now)
-                && self.spread_allows(task, spec, minion)
+            suits(minion, &job.record.terms.service, spec, now) && spread_allows(task, spec, minion)
         };
         let fit = |minion: &&Minion| -> Fit {
             let far = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoid == Some(&minion.info.id);
-            (avoided, far, preference(minion, spec))
+            (avoided, far, self.preference(minion, spec))
         };
         let best = self.minions.values().filter(fits).min_by_key(fit)?;
         Some(best.info.id.clone())
     }
 
-    fn spread_allows(&self, task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
-        if spec.most_per_minion == 0 {
-            return true;
+    /// Returns how little a minion suits a task that fits there.
+    ///
+    /// What fills goes where it will work fastest without harm. What serves gathers on few minions,
+    /// so that others are left to what fills; the rest goes where most is free.
+    fn preference(&self, minion: &Minion, spec: &StepSpec) -> i64 {
+        /// Weight of one serving task against processors, in thousandths of a processor.
+        const BESIDE_SERVING: i64 = 1_000_000;
+        let free_cpus = minion.free().milli_cpus;
+        if spec.fills {
+            let speed = fill_speed(minion, spec.demand.milli_cpus);
+            let harmless = self.harmlessness(minion, &spec.image, spec.demand.milli_cpus);
+            return -(speed as f64 * harmless) as i64;
+        }
+        if spec.serves() {
+            return free_cpus + minion.fill_cpus * 2 - i64::from(minion.serving) * BESIDE_SERVING;
         }
-        let first = TaskId { index: 0, ..task };
-        let last = TaskId { index: u32::MAX, ..task };
-        (minion.runs.range(first..=last).count() as u32) < spec.most_per_minion
+        -free_cpus + minion.fill_cpus
     }
 
     /// Returns the rack on which a step's tasks should run: where its data lies, where its other
@@ -169,8 +178,8 @@
         if !spec.same_rack {
             return None;
         }
-        let others = (0..spec.count).map(|index| TaskId { index, ..first });
-        let placed = others.filter_map(|task| self.runs.get(&task)).next();
+        let mut others = (0..spec.count).map(|index| TaskId { index, ..first });
+        let placed = others.find_map(|task| self.runs.get(&task));
         if let Some(minion) = placed.and_then(|run| self.minions.get(&run.place.minion)) {
             return minion.info.labels.last().cloned();
         }
@@ -186,6 +195,15 @@
     }
 }
 
+fn spread_allows(task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
+    if spec.most_per_minion == 0 {
+        return true;
+    }
+    let first = TaskId { index: 0, ..task };
+    let last = TaskId { index: u32::MAX, ..task };
+    (minion.runs.range(first..=last).count() as u32) < spec.most_per_minion
+}
+
 /// Returns whether a minion can take one task of a step.
 fn suits(minion: &Minion, service: &Name, spec: &StepSpec, now: Now) -> bool {
     minion.open(now.steady_ms)
@@ -201,6 +219,10 @@
         let kept = minion.info.capacity.memory_mb * (100 - MEMORY_FOR_FILLING_PERCENT) / 100;
         free.memory_mb -= kept;
     }
+    if spec.persistent && !spec.fills {
+        let kept = minion.info.capacity.milli_cpus * (100 - CPUS_FOR_STANDING_PERCENT) / 100;
+        free.milli_cpus -= kept;
+    }
     free
 }
 
@@ -214,25 +236,13 @@
         .min(i64::from(spec.count)) as usize
 }
 
-/// Returns how little a minion suits a task that fits there.
-///
-/// What fills goes where most processors are left over for it, and away from what serves. What
-/// serves gathers on few minions, so that the others are left to what fills; the rest goes beside
-/// it, as it takes no more than it declares.
-fn preference(minion: &Minion, spec: &StepSpec) -> i64 {
-    /// Weight of one serving task against processors, in thousandths of a processor.
-    const BESIDE_SERVING: i64 = 1_000_000;
-    let free_cpus = minion.free().milli_cpus;
-    if spec.fills {
-        let left_over = free_cpus - minion.fill_cpus;
-        let beside = if minion.serving > 0 { BESIDE_SERVING } else { 0 };
-        return beside - left_over;
-    }
-    if spec.serves() {
-        return free_cpus + minion.fill_cpus * 2 - i64::from(minion.serving) * BESIDE_SERVING;
-    }
-    let beside = if minion.serving > 0 { -BESIDE_SERVING } else { 0 };
-    beside - free_cpus + minion.fill_cpus
+/// Returns the speed at which a filling task would work on a minion, in millionths of full speed.
+fn fill_speed(minion: &Minion, milli_cpus: i64) -> i64 {
+    let unused = minion.free().milli_cpus + minion.serving_cpus * SERVING_UNUSED_PERCENT / 100;
+    let wanted = (minion.fill_cpus + milli_cpus).max(1);
+    let share = (unused.max(0) * 10_000 / wanted).min(10_000);
+    // Among minions at full speed, the one with the most room keeps it longest.
+    share * 100 + (unused - wanted) / 1_000
 }
 
 /// Ranks a job.
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -10,8 +10,9 @@
     pub(super) occupied: Demand,
     /// Left-over processors that it would use if it could, in thousandths.
     pub(super) fill_cpus: i64,
-    /// Whether it serves users within a latency bound.
-    pub(super) serves: bool,
+    /// Processors that it reserves to serve users within a latency bound, in thousandths; `None`
+    /// for a run that serves nobody.
+    pub(super) serving_cpus: Option<i64>,
     /// When it was first seen at work.
     pub(super) started_ms: Option<u64>,
     /// Its progress, and when that last changed.
@@ -60,7 +61,7 @@
             order,
             occupied: occupied(spec),
             fill_cpus: if spec.fills { spec.demand.milli_cpus } else { 0 },
-            serves: spec.serves(),
+            serving_cpus: spec.serves().then_some(spec.demand.milli_cpus),
             started_ms: None,
             percent: 0,
             progressed_ms: now_ms,
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -2,11 +2,9 @@
 
 use geraniumpost_schema::Name;
 
-use super::run::OrderState;
 use super::Coordinator;
-use crate::tuning::{
-    KEEP_FINISHED_MS, ORDER_RESULT_MS, REPEAT_ORDER_MS, REPEAT_STOP_MS, STUCK_MS,
-};
+use super::run::OrderState;
+use crate::tuning::{KEEP_FINISHED_MS, ORDER_RESULT_MS, REPEAT_ORDER_MS, REPEAT_STOP_MS, STUCK_MS};
 use crate::{JobId, Now, TaskId};
 
 impl Coordinator {
@@ -49,7 +47,9 @@
             .collect();
         for (task, order) in due {
             match order {
-                OrderState::Stopping { .. } | OrderState::Barred { .. } => self.send_stop(task, now),
+                OrderState::Stopping { .. } | OrderState::Barred { .. } => {
+                    self.send_stop(task, now)
+                }
                 _ if self.looked_at(task) => self.send_start(task, now),
                 _ => {}
             }
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -34,11 +34,18 @@
 /// Share of a minion's memory, in percent, that tasks taking left-over processors do not fill, so
 /// that urgent small tasks and tasks that serve always find some.
 pub const MEMORY_FOR_FILLING_PERCENT: i64 = 85;
+/// Share of a minion's processors, in percent, that tasks without end may reserve. They never make
+/// room again, and short urgent tasks would otherwise wait behind them for ever; those take about a
+/// twentieth of the fleet on the users' ordinary days.
+pub const CPUS_FOR_STANDING_PERCENT: i64 = 94;
+/// Share of its reserved processors that a serving task leaves unused, in percent: users declare for
+/// their peaks, and such tasks were seen at under half of it.
+pub const SERVING_UNUSED_PERCENT: i64 = 50;
 /// Share of the latency bound, in percent, above which what fills beside a serving task is paced
-/// down.
-pub const HOT_PERCENT: u32 = 80;
+/// down. Tails of up to nine tenths of their bound were seen without anything that fills.
+pub const HOT_PERCENT: u32 = 96;
 /// Share of the latency bound, in percent, below which what fills may work faster again.
-pub const COOL_PERCENT: u32 = 55;
+pub const COOL_PERCENT: u32 = 85;
 /// Shortest time between two changes of pace on one minion, in milliseconds: a change acts after
 /// 100 ms and the gauge covers half a second.
 pub const PACE_EVERY_MS: u64 = 600;
--- a/crates/geraniumpost-core/src/placement/mod.rs
+++ b/crates/geraniumpost-core/src/placement/mod.rs
@@ -52,6 +52,7 @@
 pub use candidate::Candidate;
 pub use decision::Decision;
 pub use fleet::{Fleet, WorkerKey};
+pub use harm_model::HarmModel;
 pub use observation::Observation;
 pub use outcome::RunOutcome;
 pub use placer::Placer;
--- a/crates/geraniumpost/src/batch/agent/finder.rs
+++ b/crates/geraniumpost/src/batch/agent/finder.rs
@@ -56,7 +56,11 @@
     known.send_if_modified(|present| {
         let news = *present != Some(found);
         if news {
-            spdlog::info!("event=coordinator_known address={} fence={}", found.address, found.fence);
+            spdlog::info!(
+                "event=coordinator_known address={} fence={}",
+                found.address,
+                found.fence
+            );
         }
         *present = Some(found);
         news
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -84,10 +84,7 @@
         }
     }
 
-    async fn read_records(
-        &self,
-        stop: watch::Receiver<bool>,
-    ) -> Option<Vec<(JobId, JobRecord)>> {
+    async fn read_records(&self, stop: watch::Receiver<bool>) -> Option<Vec<(JobId, JobRecord)>> {
         loop {
             if *stop.borrow() {
                 return None;
--- a/crates/geraniumpost/src/batch/entry/callers.rs
+++ b/crates/geraniumpost/src/batch/entry/callers.rs
@@ -11,9 +11,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use super::super::http_server::{Answer, empty};
 use super::Shared;
 use super::relay::NoAnswer;
-use super::super::http_server::{Answer, empty};
 
 /// How long a caller waits that does not say so.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -49,8 +49,7 @@
     let store = Arc::new(Store::new(settings.store));
     let (known_tx, known) = watch::channel::<Option<Known>>(None);
     let relay = Relay::start(settings.node.clone(), known);
-    let shared =
-        Arc::new(Shared { routes: ArcSwapOption::empty(), relay, stop: stop.clone() });
+    let shared = Arc::new(Shared { routes: ArcSwapOption::empty(), relay, stop: stop.clone() });
     tokio::spawn(configuration::follow(Arc::clone(&store), Arc::clone(&shared)));
     let peers = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
     let candidate = Candidate::new(&settings, store, known_tx, shared.relay.state());
--- a/crates/geraniumpost/src/batch/entry/readiness.rs
+++ b/crates/geraniumpost/src/batch/entry/readiness.rs
@@ -2,8 +2,8 @@
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 
-use super::Shared;
 use super::super::http_server::{Answer, empty};
+use super::Shared;
 
 /// How long the coordinator may be silent before callers are better served elsewhere, in
 /// milliseconds: longer than a takeover takes, as every entry waits for that.
