fix(batch): let what fills stand still when a tail stays over its bound, and survive SIGHUP

Change: after 1.5 s over the bound all filling on that minion stands still and none is added; SIGHUP is handled.

--- a/crates/geraniumpost-batch/src/coordinator/harm.rs
+++ b/crates/geraniumpost-batch/src/coordinator/harm.rs
@@ -12,7 +12,7 @@
 
 use super::Coordinator;
 use super::minion::Minion;
-use crate::TaskId;
+use crate::{Now, TaskId};
 
 /// Load that the model is told: minions do not report it, so its swing is part of the residual.
 const LOAD: f64 = 0.5;
@@ -39,9 +39,10 @@
 
 impl Coordinator {
     /// Learns from a minion's gauges.
-    pub(super) fn observe_harm(&mut self, id: &Name) {
+    pub(super) fn observe_harm(&mut self, id: &Name, now: Now) {
         let Some(minion) = self.minions.get(id) else { return };
         let (mut tails, mut ran) = (BTreeMap::<Name, f64>::new(), Vec::new());
+        let mut over = Vec::new();
         for task in &minion.runs {
             let (Some(run), Some(step)) = (self.runs.get(task), self.step_spec(*task)) else {
                 continue;
@@ -50,10 +51,21 @@
                 let tail = f64::from(run.gauge) / f64::from(step.latency_bound_ms);
                 let worst = tails.entry(step.image.clone()).or_default();
                 *worst = worst.max(tail);
+                over.push((*task, tail > 1.0));
             } else if step.fills && run.started_ms.is_some() {
                 ran.push((step.image.clone(), f64::from(run.gauge)));
             }
         }
+        let mut longest_ms = 0;
+        for (task, is_over) in over {
+            let Some(run) = self.runs.get_mut(&task) else { continue };
+            run.over_ms = is_over.then(|| run.over_ms.unwrap_or(now.steady_ms));
+            let since = run.over_ms.map_or(0, |since| now.steady_ms - since + 1);
+            longest_ms = longest_ms.max(since);
+        }
+        if let Some(minion) = self.minions.get_mut(id) {
+            minion.over_for_ms = longest_ms;
+        }
         let ran: Vec<_> =
             ran.into_iter().map(|(image, cpus)| (self.harm.class(&image), cpus)).collect();
         for (image, tail) in tails {
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -39,6 +39,8 @@
     pub(super) shunned_ms: u64,
     /// When the pace of what fills there last changed.
     pub(super) paced_ms: u64,
+    /// For how long some serving task there has been over its bound, in milliseconds.
+    pub(super) over_for_ms: u64,
     /// What serves there, by image.
     pub(super) serving_images: BTreeMap<Name, Serving>,
     /// What fills there, by image.
@@ -88,6 +90,7 @@
             failed_job: None,
             shunned_ms: 0,
             paced_ms: 0,
+            over_for_ms: 0,
             serving_images: BTreeMap::new(),
             fill_images: BTreeMap::new(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -16,6 +16,9 @@
 const RISE_PERCENT: u8 = 25;
 /// What a pace is multiplied with if nobody in particular is to blame, in percent.
 const FALL_PERCENT: u32 = 60;
+/// How long a tail may stay over its bound before all that fills beside it stands still, in
+/// milliseconds: two changes of pace by blame, and half of the time for which users bear it.
+const OVER_TOO_LONG_MS: u64 = 1_500;
 /// Share of the excess, in percent, that the blamed images must explain together.
 const EXPLAINED_PERCENT: f64 = 50.0;
 
@@ -26,7 +29,7 @@
     /// the measured tail is the only sign. Those images are paced down that the model of pairs
     /// blames, as far as it blames them; the others work on.
     pub(super) fn adjust_pace(&mut self, id: &Name, now: Now) {
-        self.observe_harm(id);
+        self.observe_harm(id, now);
         let Some(minion) = self.minions.get(id) else { return };
         if now.steady_ms < minion.paced_ms + PACE_EVERY_MS || minion.fill_images.is_empty() {
             return;
@@ -34,7 +37,9 @@
         let (hot, cool) = (f64::from(HOT_PERCENT) / 100.0, f64::from(COOL_PERCENT) / 100.0);
         let worst = minion.serving_images.iter().max_by(|a, b| a.1.tail.total_cmp(&b.1.tail));
         let (image, tail) = worst.map_or_else(Default::default, |(i, s)| (i.clone(), s.tail));
-        let changes = if tail >= hot {
+        let changes = if minion.over_for_ms >= OVER_TOO_LONG_MS {
+            self.stand_still(id)
+        } else if tail >= hot {
             self.slow_down(id, &image, tail - cool)
         } else if tail <= cool {
             self.speed_up(id, cool - tail)
@@ -79,6 +84,12 @@
         changes
     }
 
+    /// Lets all that fills stand still: whoever was blamed, the tail has not come down.
+    fn stand_still(&self, id: &Name) -> Vec<(Name, u8)> {
+        let Some(minion) = self.minions.get(id) else { return Vec::new() };
+        minion.fill_images.keys().map(|image| (image.clone(), 0)).collect()
+    }
+
     /// Chooses who may work faster, the least harmful first, as far as the tail leaves room.
     fn speed_up(&self, id: &Name, room: f64) -> Vec<(Name, u8)> {
         let Some(minion) = self.minions.get(id) else { return Vec::new() };
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -208,6 +208,7 @@
 fn suits(minion: &Minion, service: &Name, spec: &StepSpec, now: Now) -> bool {
     minion.open(now.steady_ms)
         && minion.info.service == *service
+        && !(spec.fills && minion.over_for_ms > 0)
         && (spec.required_label.is_empty() || minion.has_label(&spec.required_label))
         && occupied(spec).fits(room_for(minion, spec))
 }
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -22,6 +22,8 @@
     pub(super) pace: u8,
     /// Its last gauge.
     pub(super) gauge: u32,
+    /// Since when its tail has been over its bound, on the steady clock.
+    pub(super) over_ms: Option<u64>,
     /// Start orders given.
     pub(super) starts: u32,
     /// Whether a start order had no answer, so that a copy of it may be carried out later.
@@ -67,6 +69,7 @@
             progressed_ms: now_ms,
             pace: 100,
             gauge: 0,
+            over_ms: None,
             starts: 0,
             unanswered: false,
         }
--- a/crates/geraniumpost/src/batch/agent/mod.rs
+++ b/crates/geraniumpost/src/batch/agent/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use eyre::{ContextCompat, Result};
-use geraniumpost_platform::{Minion, NodeSettings, Store};
+use geraniumpost_platform::{Minion, NodeSettings, Store, load_settings};
 use tokio::sync::watch;
 
 use super::http_server;
@@ -24,6 +24,7 @@
 /// Fails if an address is missing or taken.
 pub async fn serve(settings: NodeSettings) -> Result<()> {
     let stop = crate::stop_signal::stop_signal()?;
+    crate::stop_signal::on_reload(|| load_settings().map(drop))?;
     let minion = settings.minion.wrap_err("no address of the minion")?;
     let heartbeats = settings.heartbeats.wrap_err("no address for heartbeats")?;
     spdlog::info!("event=start role=job-agent node={} minion={minion}", settings.node);
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -11,7 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use eyre::{ContextCompat, Result};
-use geraniumpost_platform::{NodeSettings, Routes, Store};
+use geraniumpost_platform::{NodeSettings, Routes, Store, load_settings};
 use tokio::sync::watch;
 
 use super::coordination::{Candidate, Known};
@@ -43,6 +43,7 @@
 /// Fails if an address is missing or taken.
 pub async fn serve(settings: NodeSettings) -> Result<()> {
     let stop = crate::stop_signal::stop_signal()?;
+    crate::stop_signal::on_reload(|| load_settings().map(drop))?;
     let callers = settings.callers.wrap_err("no address for callers")?;
     let ready = settings.ready.wrap_err("no address for the balancer")?;
     spdlog::info!("event=start role=job-entry node={} callers={callers}", settings.node);
--- a/crates/geraniumpost/src/stop_signal.rs
+++ b/crates/geraniumpost/src/stop_signal.rs
@@ -32,3 +32,24 @@
     // An error means that nobody can ask any more, which is a stop as well.
     let _ = stop.wait_for(|asked| *asked).await;
 }
+
+/// Takes note of SIGHUP, which tells that the settings file has changed.
+///
+/// Without a handler the signal would end the process. What the file says of this process cannot
+/// change while it runs, so the file is only read and checked.
+///
+/// # Errors
+///
+/// Fails if the handler cannot be installed.
+pub fn on_reload(check: impl Fn() -> Result<()> + Send + 'static) -> Result<()> {
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP handler")?;
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            match check() {
+                Ok(()) => spdlog::info!("event=reload outcome=unchanged"),
+                Err(error) => spdlog::warn!("event=reload outcome=kept why=\"{error:#}\""),
+            }
+        }
+    });
+    Ok(())
+}
