feat(batch): learn harm from changes between looks and move work that stands still

Cause: harm was learnt from tail levels, in which the own load of serving tasks (swinging by half within 14 to 20 s) hides who presses; paces ended at 0 for 60 to 85% of the filling work while tails were at half of their bounds. Changes: the model learns from changes 0.7 s apart, all weighted alike; paces follow from the room below 0.75 of the bound, those who press hardest yield first; filling waits below 0.4 of its speed; what stands still for 1.2 s moves; serving packs on few minions, beside its own image first.

--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -43,6 +43,10 @@
     pub(super) over_for_ms: u64,
     /// What serves there, by image.
     pub(super) serving_images: BTreeMap<Name, Serving>,
+    /// When its gauges were last learnt from, on the steady clock.
+    pub(super) learnt_ms: u64,
+    /// Processors in use by filling images then, in thousandths.
+    pub(super) fill_used: BTreeMap<Name, f64>,
     /// What fills there, by image.
     pub(super) fill_images: BTreeMap<Name, Filling>,
 }
@@ -64,9 +68,9 @@
 }
 
 impl Filling {
-    /// Returns the processors that they use at their pace, in thousandths.
-    pub(super) fn working(&self) -> f64 {
-        self.milli_cpus as f64 * f64::from(self.percent) / 100.0
+    /// Returns the processors that they use at a share of their speed, in thousandths.
+    pub(super) fn at(&self, percent: u8) -> f64 {
+        self.milli_cpus as f64 * f64::from(percent) / 100.0
     }
 }
 
@@ -92,6 +96,8 @@
             paced_ms: 0,
             over_for_ms: 0,
             serving_images: BTreeMap::new(),
+            learnt_ms: 0,
+            fill_used: BTreeMap::new(),
             fill_images: BTreeMap::new(),
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -18,7 +18,6 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use geraniumpost_core::placement::HarmModel;
 use geraniumpost_schema::Name;
 
 use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
@@ -26,6 +25,7 @@
 pub use effect::{Effect, WriteBatch};
 
 use commits::Batch;
+use harm::Harm;
 use job::Job;
 use leases::Agent;
 use minion::Minion;
@@ -57,7 +57,7 @@
     /// When leases that a predecessor may have extended have surely lapsed.
     inherited_ms: u64,
     /// How much images that fill slow images that serve.
-    harm: HarmModel,
+    harm: Harm,
     /// Whether something changed that may let a task be placed.
     placing_due: bool,
     effects: Vec<Effect>,
@@ -80,7 +80,7 @@
             next_batch: 1,
             confirmed_ms: now.steady_ms,
             inherited_ms: now.steady_ms,
-            harm: HarmModel::default(),
+            harm: Harm::default(),
             placing_due: false,
             effects: Vec::new(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -110,7 +110,7 @@
         let filling = self.minions.get(&minion).and_then(|minion| minion.fill_images.get(&image));
         let percent = filling.map_or(100, |filling| filling.percent);
         if self.runs.get(&task).is_some_and(|run| run.pace != percent) {
-            self.send_pace(task, percent);
+            self.send_pace(task, percent, now);
         }
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/ordering.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ordering.rs
@@ -45,10 +45,11 @@
     }
 
     /// Tells a run at which share to work.
-    pub(super) fn send_pace(&mut self, task: TaskId, percent: u8) {
+    pub(super) fn send_pace(&mut self, task: TaskId, percent: u8, now: Now) {
         self.send(task, OrderKind::Pace { percent });
         if let Some(run) = self.runs.get_mut(&task) {
             run.pace = percent;
+            run.parked_ms = (percent == 0).then(|| run.parked_ms.unwrap_or(now.steady_ms));
         }
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -12,6 +12,10 @@
 };
 use crate::{Demand, JobId, Now, Place, StepSpec, TaskId, TaskPhase};
 
+/// Speed below which a filling task waits rather than begin, in millionths of full speed: bound to a
+/// minion that cannot bear it, it would miss the first one that can.
+const LEAST_FILL_SPEED: i64 = 400_000;
+
 /// Sorts jobs: those that can still meet their objective, then by urgency, then by due time.
 type Rank = (u8, u32, u64);
 
@@ -146,25 +150,29 @@
             let avoided = avoid == Some(&minion.info.id);
             (avoided, far, self.preference(minion, spec))
         };
-        let best = self.minions.values().filter(fits).min_by_key(fit)?;
+        let worth_it = |minion: &&Minion| !spec.fills || -fit(minion).2 >= LEAST_FILL_SPEED;
+        let best = self.minions.values().filter(fits).min_by_key(fit).filter(worth_it)?;
         Some(best.info.id.clone())
     }
 
     /// Returns how little a minion suits a task that fits there.
     ///
-    /// What fills goes where it will work fastest without harm. What serves gathers on few minions,
-    /// so that others are left to what fills; the rest goes where most is free.
+    /// What fills goes where it will work fastest without harm. What serves goes where only its own
+    /// image serves: what fills there has then but one image to be harmless to, while three images
+    /// together rule out nearly everything. The rest goes where most is free.
     fn preference(&self, minion: &Minion, spec: &StepSpec) -> i64 {
         /// Weight of one serving task against processors, in thousandths of a processor.
         const BESIDE_SERVING: i64 = 1_000_000;
         let free_cpus = minion.free().milli_cpus;
         if spec.fills {
             let speed = fill_speed(minion, spec.demand.milli_cpus);
-            let harmless = self.harmlessness(minion, &spec.image, spec.demand.milli_cpus);
+            let harmless = self.harmless_share(minion, &spec.image, spec.demand.milli_cpus);
             return -(speed as f64 * harmless) as i64;
         }
         if spec.serves() {
-            return free_cpus + minion.fill_cpus * 2 - i64::from(minion.serving) * BESIDE_SERVING;
+            let own = minion.serving_images.get(&spec.image).map_or(0, |serving| serving.runs);
+            let company = i64::from(minion.serving + 4 * own);
+            return free_cpus + minion.fill_cpus * 2 - company * BESIDE_SERVING;
         }
         -free_cpus + minion.fill_cpus
     }
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -13,6 +13,7 @@
         self.lapse(now);
         self.begin_all_due(now);
         self.repeat_orders(now);
+        self.move_parked(now);
         self.expire(now);
         // Tasks that waited for a pause to pass may be placed now.
         self.placing_due |= !self.open.is_empty();
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -37,15 +37,13 @@
 /// Share of a minion's processors, in percent, that tasks without end may reserve. They never make
 /// room again, and short urgent tasks would otherwise wait behind them for ever; those take about a
 /// twentieth of the fleet on the users' ordinary days.
-pub const CPUS_FOR_STANDING_PERCENT: i64 = 94;
+pub const CPUS_FOR_STANDING_PERCENT: i64 = 97;
 /// Share of its reserved processors that a serving task leaves unused, in percent: users declare for
 /// their peaks, and such tasks were seen at under half of it.
 pub const SERVING_UNUSED_PERCENT: i64 = 50;
-/// Share of the latency bound, in percent, above which what fills beside a serving task is paced
-/// down. Tails of up to nine tenths of their bound were seen without anything that fills.
-pub const HOT_PERCENT: u32 = 96;
-/// Share of the latency bound, in percent, below which what fills may work faster again.
-pub const COOL_PERCENT: u32 = 85;
+/// Tail up to which minions are filled, in bounds. Tails swing by a tenth of the bound between two
+/// looks; nearer to the bound a small error of the model would cross it.
+pub const FILL_TO_TAIL: f64 = 0.75;
 /// Shortest time between two changes of pace on one minion, in milliseconds: a change acts after
 /// 100 ms and the gauge covers half a second.
 pub const PACE_EVERY_MS: u64 = 600;
--- a/crates/geraniumpost-core/src/placement/harm_model.rs
+++ b/crates/geraniumpost-core/src/placement/harm_model.rs
@@ -15,6 +15,9 @@
 const PAIR_STRENGTH: f64 = 4.0;
 /// Evidence at which a class counts as much as the mean of all classes.
 const CLASS_STRENGTH: f64 = 20.0;
+/// Weight of a change: the inverse of the variance of changes beside which nothing changed, seen at
+/// 0.05 squared, and a fifth of that, as [`PAIR_STRENGTH`] is a fifth of what slopes scatter by.
+const CHANGE_WEIGHT: f64 = 80.0;
 /// Measurements between two solutions.
 const SOLVE_EVERY: u32 = 16;
 /// Classes told apart; further ones share the last number, so that matrices stay small.
@@ -25,8 +28,10 @@
 /// A service's p99, in units of its target, is its own curve over load plus a slope for each class
 /// that runs beside it. A pair rarely seen is drawn towards its class's mean over all services,
 /// and a class rarely seen towards the mean of all classes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct HarmModel {
+    /// Slope of a class that nothing is known of, in targets.
+    unknown: f64,
     classes: Interner,
     services: BTreeMap<Name, ServiceModel>,
     class_means: Vec<f64>,
@@ -47,7 +52,26 @@
     0.3 + 0.7 * load
 }
 
+impl Default for HarmModel {
+    fn default() -> Self {
+        Self {
+            unknown: UNKNOWN_SLOPE,
+            classes: Interner::default(),
+            services: BTreeMap::new(),
+            class_means: Vec::new(),
+            mean: None,
+        }
+    }
+}
+
 impl HarmModel {
+    /// Sets the slope of classes that nothing is known of.
+    #[must_use]
+    pub const fn unknown_slope(mut self, slope: f64) -> Self {
+        self.unknown = slope;
+        self
+    }
+
     /// Returns the number of a class.
     pub fn class(&mut self, class: &Name) -> usize {
         self.classes.intern(class).min(CLASSES) as usize
@@ -69,19 +93,30 @@
     /// processors; returns how far it lay over the prediction.
     pub fn observe(&mut self, service: &Name, load: f64, ran: &[(usize, f64)], p99: f64) -> f64 {
         let predicted = self.predict(service, load, ran);
-        let inputs = inputs(load, ran);
+        // Noise grows with latency, so what is measured high counts less.
+        let weight = 1.0 / (p99 * p99).max(0.01);
+        self.take_in(service, &inputs(load, ran), p99, weight);
+        p99 - predicted
+    }
+
+    /// Learns from by how much a measurement changed beside changes of what ran, in which the
+    /// service's own part cancels.
+    ///
+    /// All changes count alike: the large ones tell most, and their noise is no larger.
+    pub fn observe_change(&mut self, service: &Name, load: f64, ran: &[(usize, f64)], change: f64) {
+        self.take_in(service, &inputs(load, ran), change, CHANGE_WEIGHT);
+    }
+
+    fn take_in(&mut self, service: &Name, inputs: &[Input], value: f64, weight: f64) {
         let model = self
             .services
             .entry(service.clone())
             .or_insert_with(|| ServiceModel { ridge: Ridge::new(), unsolved: SOLVE_EVERY });
-        // Noise grows with latency, so what is measured high counts less.
-        let weight = 1.0 / (p99 * p99).max(0.01);
-        model.ridge.observe(&inputs, p99, weight);
+        model.ridge.observe(inputs, value, weight);
         model.unsolved += 1;
         if model.unsolved >= SOLVE_EVERY {
             self.solve(service);
         }
-        p99 - predicted
     }
 
     /// Returns the p99 of a service alone at a load, in targets.
@@ -112,13 +147,13 @@
     }
 
     fn class_mean(&self, class: usize) -> f64 {
-        let mean = self.mean.unwrap_or(UNKNOWN_SLOPE);
+        let mean = self.mean.unwrap_or(self.unknown);
         self.class_means.get(class).copied().unwrap_or(mean)
     }
 
     fn solve(&mut self, service: &Name) {
         let means = self.class_means.clone();
-        let mean = self.mean.unwrap_or(UNKNOWN_SLOPE);
+        let mean = self.mean.unwrap_or(self.unknown);
         if let Some(model) = self.services.get_mut(service) {
             model.unsolved = 0;
             let least = |at: usize| if at < ALONE { f64::MIN } else { 0.0 };
@@ -133,9 +168,9 @@
     /// Takes the means anew that rarely seen pairs and classes are drawn towards.
     fn average(&mut self) {
         let classes = self.classes.names().len().min(CLASSES as usize + 1);
-        let mean = self.mean.unwrap_or(UNKNOWN_SLOPE);
+        let mean = self.mean.unwrap_or(self.unknown);
         let mut means = vec![mean; classes];
-        let (mut sum, mut weights) = (UNKNOWN_SLOPE, 1.0);
+        let (mut sum, mut weights) = (self.unknown, 1.0);
         for (class, of_class) in means.iter_mut().enumerate() {
             let (mut of, mut evidence) = (mean * CLASS_STRENGTH, CLASS_STRENGTH);
             for model in self.services.values() {
