fix(batch): let a new incarnation share its agent's lease

The lapse time was kept by minion and began anew at the takeover's bound, which had long passed. It belongs to the agent. A successor bars what its predecessor may have started.

--- a/crates/geraniumpost-batch/src/coordinator/ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ends.rs
@@ -223,10 +223,9 @@
 
     /// Enters a run, and what it occupies.
     pub(super) fn insert_run(&mut self, task: TaskId, run: Run) {
-        let inherited_ms = self.inherited_ms;
         let minion = self.minions.entry(run.place.minion.clone()).or_insert_with(|| {
             let info = crate::MinionInfo { id: run.place.minion.clone(), ..Default::default() };
-            super::Minion::new(info, run.place.agent.clone(), inherited_ms)
+            super::Minion::new(info, run.place.agent.clone())
         });
         minion.runs.insert(task);
         minion.used += run.occupied;
@@ -239,7 +238,7 @@
     }
 
     /// Removes a run, and what it occupied.
-    fn remove_run(&mut self, task: TaskId) -> Option<Run> {
+    pub(super) fn remove_run(&mut self, task: TaskId) -> Option<Run> {
         let run = self.runs.remove(&task)?;
         self.count_images(task, &run.place.minion, false);
         if let Some(minion) = self.minions.get_mut(&run.place.minion) {
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -14,6 +14,9 @@
     linked: bool,
     /// The incarnation beside it.
     minion: Option<Name>,
+    /// When all that runs beside it has surely ended if its lease is not extended any more. It
+    /// belongs to the agent: a new incarnation is held under the lease that the agent has.
+    lapsed_ms: u64,
 }
 
 impl Coordinator {
@@ -62,9 +65,12 @@
         if extend {
             // The agent counts from its own sending, which was earlier than this moment.
             let lapsed_ms = now.steady_ms + hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS;
-            for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
-                minion.lapsed_ms = minion.lapsed_ms.max(lapsed_ms);
-            }
+            let known = self.agents.entry(agent.clone()).or_default();
+            known.lapsed_ms = known.lapsed_ms.max(lapsed_ms);
+        }
+        for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
+            self.placing_due |= minion_ok && !minion.answers;
+            minion.answers = minion_ok;
         }
         let store_ok = silent_ms < STORE_SILENCE_MS;
         let message = ToAgent::Lease { sent_at_ms, hold_ms, fence: self.fence, store_ok };
@@ -89,11 +95,10 @@
             self.minion_gone(&other, now);
         }
         let linked = self.agents.get(agent).is_some_and(|agent| agent.linked);
-        let inherited_ms = self.inherited_ms;
         let minion = self
             .minions
             .entry(id.clone())
-            .or_insert_with(|| Minion::new(info.clone(), agent.clone(), inherited_ms));
+            .or_insert_with(|| Minion::new(info.clone(), agent.clone()));
         if minion.known && info.sequence < minion.info.sequence {
             return;
         }
@@ -124,12 +129,17 @@
         }
     }
 
+    fn has_lapsed(&self, agent: &Name, now: Now) -> bool {
+        let lapsed_ms = self.agents.get(agent).map_or(0, |agent| agent.lapsed_ms);
+        now.steady_ms >= lapsed_ms.max(self.inherited_ms)
+    }
+
     /// Ends what ran on minions whose leases have surely lapsed.
     pub(super) fn lapse(&mut self, now: Now) {
         let lapsed: Vec<Name> = self
             .minions
             .iter()
-            .filter(|(_, minion)| now.steady_ms >= minion.lapsed_ms && !minion.runs.is_empty())
+            .filter(|(_, minion)| !minion.runs.is_empty() && self.has_lapsed(&minion.agent, now))
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -16,8 +16,8 @@
     pub(super) known: bool,
     /// Whether its lists have been read over the present link.
     pub(super) looked: bool,
-    /// When all that it runs has surely ended if no lease is extended any more.
-    pub(super) lapsed_ms: u64,
+    /// Whether it answers its agent.
+    pub(super) answers: bool,
     /// What the runs placed there occupy; filling tasks count memory only.
     pub(super) used: Demand,
     /// Processors that filling tasks there would use if they could.
@@ -75,14 +75,14 @@
 }
 
 impl Minion {
-    pub(super) fn new(info: MinionInfo, agent: Name, lapsed_ms: u64) -> Self {
+    pub(super) fn new(info: MinionInfo, agent: Name) -> Self {
         Self {
             info,
             agent,
             linked: false,
             known: false,
             looked: false,
-            lapsed_ms,
+            answers: true,
             used: Demand::default(),
             fill_cpus: 0,
             serving_cpus: 0,
@@ -104,7 +104,7 @@
 
     /// Returns whether new runs may be placed there.
     pub(super) fn open(&self, now_ms: u64) -> bool {
-        let healthy = now_ms >= self.shunned_ms;
+        let healthy = self.answers && now_ms >= self.shunned_ms;
         self.known && self.linked && self.looked && !self.info.draining && healthy
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -171,7 +171,10 @@
                 run::OrderState::Unknown { since_ms: now.steady_ms }
             };
             let spec = self.step_spec(task).cloned().unwrap_or_default();
-            self.insert_run(task, Run::new(place, number, order, &spec, now.steady_ms));
+            let mut run = Run::new(place, number, order, &spec, now.steady_ms);
+            // The predecessor's order may have left, and may be carried out later than ours.
+            run.unanswered = true;
+            self.insert_run(task, run);
         }
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -61,7 +61,7 @@
                     self.send_stop(task, now);
                 }
             }
-            OrderOutcome::TooLate | OrderOutcome::NotSent => {
+            OrderOutcome::TooLate => {
                 run.order = OrderState::Unknown { since_ms: now.steady_ms };
             }
             OrderOutcome::Unhealthy => {
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -77,9 +77,7 @@
             placed.push(task);
         }
         if spec.gang && placed.len() < spec.count as usize {
-            for task in placed {
-                self.stop_run(task, now);
-            }
+            self.take_back(&placed);
             return 0;
         }
         if let Some(task) = placed.first() {
@@ -93,6 +91,21 @@
         placed.len() as u32
     }
 
+    /// Takes placements back that were decided just now, as the rest of their gang found no room.
+    fn take_back(&mut self, placed: &[TaskId]) {
+        for task in placed {
+            self.remove_run(*task);
+            self.change_tasks(*task, false, |record| {
+                record.run -= 1;
+                record.phase = TaskPhase::Waiting;
+            });
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                let waits = |then: &Deferred| matches!(then, Deferred::Start(t, _) if t == task);
+                job.after_commit.retain(|then| !waits(then));
+            }
+        }
+    }
+
     fn waiting_tasks(&self, first: TaskId, spec: &StepSpec, now: Now) -> Vec<TaskId> {
         let Some(job) = self.jobs.get(&first.job) else { return Vec::new() };
         let may_begin = |task: &TaskId| {
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -49,7 +49,7 @@
         for (task, order) in due {
             match order {
                 OrderState::Stopping { .. } | OrderState::Barred { .. } => {
-                    self.send_stop(task, now)
+                    self.send_stop(task, now);
                 }
                 _ if self.looked_at(task) => self.send_start(task, now),
                 _ => {}
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -15,7 +15,7 @@
 //! let ask = Ask::Submit { job: JobId(1), spec, terms: QueueTerms::default() };
 //! coordinator.ask(1, ask, Now::default());
 //! // Nothing is answered before the record is written.
-//! assert!(matches!(coordinator.effects()[..], [Effect::Write(_)]));
+//! assert!(matches!(coordinator.take_effects(Now::default())[..], [.., Effect::Write(_)]));
 //! ```
 
 mod agent_message;
--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -0,0 +1,179 @@
+//! Leases of what runs, and minions that come, leave and vanish.
+
+use assert_matches::assert_matches;
+use geraniumpost_batch::tuning::STORE_LOST_MS;
+use geraniumpost_batch::{EndKind, FromAgent, OrderKind, OrderOutcome};
+
+use crate::world::{HOLD_MS, World, agent, step};
+
+/// An agent is cut off while its minion runs on. Its task must not begin elsewhere before the
+/// minion has surely ended it, or a user gets two results.
+#[test]
+fn work_of_a_lost_agent_waits_for_its_lease() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.coordinator.agent_lost(&agent("m1"), world.now);
+    world.join("m2", |info| info);
+    world.pass(HOLD_MS);
+    assert!(world.orders.is_empty());
+    world.pass(600);
+    assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2" && order.run == 2);
+}
+
+/// The agent comes back in time: the task has run all the while and goes on.
+#[test]
+fn work_of_a_returning_agent_goes_on() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    let before = world.places();
+    let minion = before[0].1.clone();
+    world.coordinator.agent_lost(&agent(&minion), world.now);
+    world.pass(2_000);
+    world.join(&minion, |info| info);
+    world.pass(2 * HOLD_MS / 5);
+    world.beat(&minion);
+    assert!(world.orders.is_empty());
+    assert_eq!(world.places(), before);
+}
+
+/// A successor reaches no agent of a minion that its predecessor may still be extending the lease
+/// of. It waits until that has surely ended.
+#[test]
+fn successor_waits_for_inherited_leases() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.take_over();
+    world.join("m2", |info| info);
+    world.pass(HOLD_MS - 200);
+    assert!(world.orders.is_empty());
+    world.pass(400);
+    assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
+}
+
+/// A coordinator that the store has not confirmed for long may have a successor, which takes work
+/// for ended after a time. It must not extend leases beyond that.
+#[test]
+fn unconfirmed_coordinator_extends_no_lease() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.now.steady_ms += STORE_LOST_MS + 1;
+    let beat = FromAgent::Beat { sent_at_ms: 5, minion_ok: true };
+    world.coordinator.from_agent(&agent("m1"), beat, world.now);
+    let effects = world.coordinator.take_effects(world.now);
+    let lease = effects.iter().find_map(|effect| match effect {
+        geraniumpost_batch::Effect::Tell {
+            message: geraniumpost_batch::ToAgent::Lease { hold_ms, store_ok, .. },
+            ..
+        } => Some((*hold_ms, *store_ok)),
+        _ => None,
+    });
+    assert_eq!(lease, Some((0, false)));
+}
+
+/// A minion says that it leaves. It gets no new work, and what it cannot finish moves.
+#[test]
+fn leaving_minion_is_emptied() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let mut long = step(1);
+    long.estimate_ms = 60_000;
+    world.submit(1, vec![long]);
+    world.obey();
+    world.join("m2", |info| info);
+    world.submit(2, vec![step(1)]);
+    world.obey();
+    world.join("m1", |mut info| {
+        info.draining = true;
+        info.sequence = 2;
+        info.remaining_ms = Some(3_000);
+        info
+    });
+    let stops: Vec<_> = world.orders.iter().filter(|o| o.kind == OrderKind::Stop).collect();
+    assert_eq!(stops.len(), 1);
+    world.obey();
+    world.look("m1");
+    world.pass(200);
+    assert!(!world.orders.is_empty());
+    assert!(world.orders.iter().all(|order| &*order.minion == "m2"));
+}
+
+/// A heartbeat that was delayed arrives after a newer one, and says that a leaving minion is ready.
+/// It is older, so it changes nothing.
+#[test]
+fn delayed_heartbeat_changes_nothing() {
+    let mut world = World::new();
+    world.join("m1", |mut info| {
+        info.draining = true;
+        info.sequence = 5;
+        info
+    });
+    world.join("m1", |mut info| {
+        info.sequence = 4;
+        info
+    });
+    world.submit(1, vec![step(1)]);
+    assert!(world.orders.is_empty());
+}
+
+/// A standing task ends, however it ends: it is started again, for ever.
+#[test]
+fn standing_task_is_started_again() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    let mut standing = step(1);
+    standing.persistent = true;
+    world.submit(1, vec![standing]);
+    for kind in [EndKind::Failed, EndKind::Failed, EndKind::Failed, EndKind::Lapsed, EndKind::Done]
+    {
+        world.obey();
+        assert_eq!(world.places().len(), 1, "before it ended as {kind}");
+        world.end_all(kind);
+        world.pass(300);
+    }
+    assert_eq!(world.orders.len(), 1);
+}
+
+/// A minion starts anew beside an agent whose lease is valid, long after the coordinator took over.
+/// What begins there at once must not be taken for ended before the next beat renews the lease: it
+/// would run twice.
+#[test]
+fn new_incarnation_shares_its_agents_lease() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.pass(2 * HOLD_MS);
+    world.beat("m1");
+    let info = geraniumpost_batch::MinionInfo {
+        id: "m1-b".into(),
+        service: "study".into(),
+        capacity: geraniumpost_batch::Demand {
+            milli_cpus: 4_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        sequence: 1,
+        ..Default::default()
+    };
+    world.say("m1", FromAgent::Minion(info));
+    world.look("m1-b");
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    assert_eq!(world.places().len(), 1);
+    world.pass(300);
+    assert!(world.orders.is_empty());
+}
+
+/// A minion does not answer its agent, which sends no start to it. The tasks go elsewhere at once,
+/// and none is placed there until it answers.
+#[test]
+fn silent_minion_gets_no_work() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![step(1)]);
+    let order = world.orders.remove(0);
+    let minion = order.minion.clone();
+    let sent_at_ms = world.now.steady_ms;
+    world.say(&minion, FromAgent::Beat { sent_at_ms, minion_ok: false });
+    world.result(&order, geraniumpost_batch::OrderVerb::Start, OrderOutcome::NotSent);
+    world.pass(300);
+    world.submit(2, vec![step(3)]);
+    assert_eq!(world.orders.len(), 4);
+    assert!(world.orders.iter().all(|order| order.minion != minion));
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -0,0 +1,8 @@
+//! The coordinator's decisions, without any network.
+
+mod filling;
+mod leases;
+mod promises;
+mod random;
+mod steps;
+mod world;
--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/steps.rs
@@ -0,0 +1,144 @@
+//! Steps: their order, gangs, spread, labels and repetitions.
+
+use geraniumpost_batch::{Answer, Ask, EndKind, JobId, JobSpec, OrderKind, StepSpec};
+
+use crate::world::{COMPLETED, World, step, task, terms};
+
+#[test]
+fn steps_follow_their_predecessors() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let second = StepSpec { after: vec![0], ..step(1) };
+    world.submit(1, vec![step(2), second]);
+    world.obey();
+    world.end(&"m1".into(), task(1, 0, 0), EndKind::Done);
+    world.look("m1");
+    assert!(world.orders.is_empty());
+    world.end(&"m1".into(), task(1, 0, 1), EndKind::Done);
+    world.look("m1");
+    assert_eq!(world.orders.len(), 1);
+    assert_eq!(world.orders[0].task, task(1, 1, 0));
+    world.obey();
+    world.end_all(EndKind::Done);
+    assert_eq!(world.state(1), COMPLETED);
+}
+
+/// Some members of a gang are started, and the others find no room. Those that wait would hold
+/// their room in vain, so none is started before all fit.
+#[test]
+fn gang_starts_whole_or_not_at_all() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let gang = StepSpec { gang: true, ..step(20) };
+    world.submit(1, vec![gang]);
+    assert!(world.orders.is_empty());
+    world.join("m2", |info| info);
+    world.pass(200);
+    assert_eq!(world.orders.len(), 20);
+    assert!(world.orders.iter().all(|order| order.run == 1));
+}
+
+/// One member of a gang fails, which breaks the others. All start again with one common number.
+#[test]
+fn broken_gang_starts_again_together() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![StepSpec { gang: true, ..step(3) }]);
+    world.obey();
+    let places = world.places();
+    for (at, (task, minion, _)) in places.iter().enumerate() {
+        world.end(minion, *task, if at == 0 { EndKind::Failed } else { EndKind::Broken });
+    }
+    world.look("m1");
+    world.look("m2");
+    world.pass(300);
+    let starts = world.orders.iter().filter(|order| order.kind != OrderKind::Stop);
+    let starts: Vec<_> = starts.map(|order| order.run).collect();
+    assert_eq!(starts, [2, 2, 2]);
+}
+
+#[test]
+fn spread_bound_holds_per_minion() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![StepSpec { most_per_minion: 2, ..step(6) }]);
+    world.obey();
+    assert_eq!(world.running["m1"].len(), 2);
+    assert_eq!(world.running["m2"].len(), 2);
+}
+
+#[test]
+fn label_is_required() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.join("m2", |mut info| {
+        info.labels = vec!["b".into(), "r2".into()];
+        info
+    });
+    world.submit(1, vec![StepSpec { required_label: "b".into(), ..step(1) }]);
+    assert_eq!(&*world.orders[0].minion, "m2");
+}
+
+#[test]
+fn work_goes_to_the_rack_of_its_data() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.join("m2", |mut info| {
+        info.labels = vec!["a".into(), "r2".into()];
+        info
+    });
+    world.submit(1, vec![StepSpec { data_rack: "r2".into(), ..step(3) }]);
+    assert!(world.orders.iter().all(|order| &*order.minion == "m2"));
+}
+
+#[test]
+fn no_minion_is_given_more_than_it_holds() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(40)]);
+    assert_eq!(world.orders.len(), 16);
+}
+
+/// Repetitions begin when they are due, not before, and the job is complete after the last.
+#[test]
+fn repetitions_begin_when_due() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let spec = JobSpec {
+        payload: "work".into(),
+        steps: vec![step(1)],
+        repeat: 2,
+        first_due_ms: world.now.wall_ms + 1_000,
+        interval_ms: 2_000,
+    };
+    world.ask(Ask::Submit { job: JobId(1), spec, terms: terms() });
+    world.pass(900);
+    assert!(world.orders.is_empty());
+    world.pass(200);
+    assert_eq!(world.orders.len(), 1);
+    world.obey();
+    world.end_all(EndKind::Done);
+    assert_ne!(world.state(1), COMPLETED);
+    world.pass(2_000);
+    assert_eq!(world.orders.len(), 1);
+    assert_eq!(world.orders[0].task.occurrence, 1);
+    world.obey();
+    world.end_all(EndKind::Done);
+    assert_eq!(world.state(1), COMPLETED);
+}
+
+/// A step that waits for itself could never begin, and its caller would wait for ever.
+#[test]
+fn impossible_order_of_steps_is_refused() {
+    let mut world = World::new();
+    let ticket = world.submit(1, vec![StepSpec { after: vec![0], ..step(1) }]);
+    assert_eq!(world.answer(ticket), Some(Answer::Invalid));
+    assert_eq!(world.state(1), Answer::Unknown);
+}
+
+#[test]
+fn pending_counts_jobs_that_have_not_begun() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.submit(2, vec![step(40)]);
+    world.submit(3, vec![step(1)]);
+    let pending = |world: &mut World| {
+        let ticket = world.ask(Ask::Pending("studies".into()));
+        world.answer(ticket)
+    };
+    assert_eq!(pending(&mut world), Some(Answer::Pending(3)));
+    world.obey();
+    assert_eq!(pending(&mut world), Some(Answer::Pending(1)));
+}
--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -0,0 +1,327 @@
+//! A coordinator with a store that keeps what it is told, and minions that do what they are told.
+
+use std::collections::BTreeMap;
+
+use geraniumpost_batch::{
+    Answer, Ask, Coordinator, Demand, Effect, EndKind, EndedTask, FromAgent, JobId, JobRecord,
+    JobSpec, JobState, Look, MinionInfo, Now, Order, OrderKind, OrderOutcome, OrderResult,
+    OrderVerb, QueueTerms, RunningTask, StepSpec, TaskId, ToAgent, WriteBatch,
+};
+use geraniumpost_schema::Name;
+
+/// How long leases hold in these tests, in milliseconds.
+pub const HOLD_MS: u64 = 5_000;
+
+/// Everything around one coordinator.
+pub struct World {
+    pub coordinator: Coordinator,
+    pub now: Now,
+    pub store: BTreeMap<JobId, Vec<u8>>,
+    /// Writes that were asked for and not confirmed yet.
+    pub writes: Vec<WriteBatch>,
+    /// Whether writes are confirmed at once.
+    pub writes_pass: bool,
+    pub answers: BTreeMap<u64, Answer>,
+    /// Orders that no minion has taken yet.
+    pub orders: Vec<Order>,
+    /// Ends acknowledged to minions.
+    pub acknowledged: BTreeMap<Name, u64>,
+    /// What runs: by minion, the task and its run.
+    pub running: BTreeMap<Name, BTreeMap<TaskId, u32>>,
+    pub notes: Vec<String>,
+    ends: BTreeMap<Name, Vec<EndedTask>>,
+    gauges: BTreeMap<TaskId, u32>,
+    results: u64,
+    tickets: u64,
+    fence: u64,
+}
+
+impl World {
+    pub fn new() -> Self {
+        let now = Now { steady_ms: 100_000, wall_ms: 1_000_000 };
+        Self {
+            coordinator: Coordinator::new(1, now).hold_ms(HOLD_MS),
+            now,
+            store: BTreeMap::new(),
+            writes: Vec::new(),
+            writes_pass: true,
+            answers: BTreeMap::new(),
+            orders: Vec::new(),
+            acknowledged: BTreeMap::new(),
+            running: BTreeMap::new(),
+            notes: Vec::new(),
+            ends: BTreeMap::new(),
+            gauges: BTreeMap::new(),
+            results: 0,
+            tickets: 0,
+            fence: 1,
+        }
+    }
+
+    /// Adds minions of 16 processors and 64 GB, linked and looked at.
+    pub fn with_minions(mut self, names: &[&str]) -> Self {
+        for name in names {
+            self.join(name, |info| info);
+        }
+        self
+    }
+
+    pub fn join(&mut self, name: &str, change: impl Fn(MinionInfo) -> MinionInfo) {
+        let agent = agent(name);
+        self.say(name, FromAgent::Hello { agent });
+        let info = MinionInfo {
+            id: name.into(),
+            service: "study".into(),
+            domain: "surco".into(),
+            capacity: Demand { milli_cpus: 16_000, memory_mb: 64_000, accelerators: 0 },
+            labels: vec!["a".into(), "r1".into()],
+            draining: false,
+            remaining_ms: None,
+            sequence: 1,
+        };
+        self.say(name, FromAgent::Minion(change(info)));
+        self.beat(name);
+        self.look(name);
+    }
+
+    pub fn say(&mut self, minion: &str, message: FromAgent) {
+        self.coordinator.from_agent(&agent(minion), message, self.now);
+        self.settle();
+    }
+
+    pub fn beat(&mut self, minion: &str) {
+        let sent_at_ms = self.now.steady_ms;
+        self.say(minion, FromAgent::Beat { sent_at_ms, minion_ok: true });
+    }
+
+    /// Lets a minion's agent pass its lists on.
+    pub fn look(&mut self, minion: &str) {
+        let name = Name::from(minion);
+        let running = self.running.get(&name).into_iter().flatten();
+        let running = running.map(|(task, run)| RunningTask {
+            task: *task,
+            run: *run,
+            saved: Name::default(),
+            percent: 100,
+            gauge: self.gauges.get(task).copied().unwrap_or(0),
+        });
+        let acknowledged = self.acknowledged.get(&name).copied().unwrap_or(0);
+        let ended = self.ends.get(&name).into_iter().flatten();
+        let look = Look {
+            minion: name.clone(),
+            running: Some(running.collect()),
+            ended: ended.filter(|end| end.sequence > acknowledged).cloned().collect(),
+            more_ends: false,
+            orders_before: self.results,
+        };
+        self.say(minion, FromAgent::Look(look));
+    }
+
+    pub fn set_gauge(&mut self, task: TaskId, gauge: u32) {
+        self.gauges.insert(task, gauge);
+    }
+
+    /// Does what the coordinator asks for; writes pass if they may.
+    pub fn settle(&mut self) {
+        loop {
+            let effects = self.coordinator.take_effects(self.now);
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.perform(effect);
+            }
+        }
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write(batch) if self.writes_pass => self.write(batch),
+            Effect::Write(batch) => self.writes.push(batch),
+            Effect::Reply { ticket, answer } => {
+                self.answers.insert(ticket, answer);
+            }
+            Effect::Tell { message: ToAgent::Order(order), .. } => self.orders.push(order),
+            Effect::Tell { message: ToAgent::Acknowledge { minion, up_to }, .. } => {
+                self.acknowledged.insert(minion, up_to);
+            }
+            Effect::Note(line) => self.notes.push(line),
+            Effect::Tell { .. } | Effect::Superseded => {}
+        }
+    }
+
+    fn write(&mut self, batch: WriteBatch) {
+        for (job, record) in batch.put {
+            self.store.insert(job, record);
+        }
+        for job in batch.remove {
+            self.store.remove(&job);
+        }
+        self.coordinator.written(batch.number, self.now);
+    }
+
+    /// Confirms the writes that were held back.
+    pub fn pass_writes(&mut self) {
+        self.writes_pass = true;
+        for batch in std::mem::take(&mut self.writes) {
+            self.write(batch);
+        }
+        self.settle();
+    }
+
+    /// Lets minions carry out the orders that they got.
+    pub fn obey(&mut self) {
+        while !self.orders.is_empty() {
+            for order in std::mem::take(&mut self.orders) {
+                self.obey_one(order);
+            }
+        }
+    }
+
+    pub fn obey_one(&mut self, order: Order) {
+        let runs = self.running.entry(order.minion.clone()).or_default();
+        let verb = OrderVerb::from(&order.kind);
+        match &order.kind {
+            OrderKind::Start { .. } => {
+                runs.insert(order.task, order.run);
+            }
+            OrderKind::Stop => {
+                if runs.get(&order.task) == Some(&order.run) {
+                    self.end(&order.minion.clone(), order.task, EndKind::Stopped);
+                }
+            }
+            OrderKind::Pace { .. } => {}
+        }
+        self.result(&order, verb, OrderOutcome::Done);
+    }
+
+    pub fn result(&mut self, order: &Order, verb: OrderVerb, outcome: OrderOutcome) {
+        self.results += 1;
+        let result = OrderResult {
+            minion: order.minion.clone(),
+            task: order.task,
+            run: order.run,
+            verb,
+            outcome,
+            number: self.results,
+        };
+        let minion = order.minion.clone();
+        self.say(&minion, FromAgent::Result(result));
+    }
+
+    /// Ends a run in a minion's lists; the coordinator hears of it with the next look.
+    pub fn end(&mut self, minion: &Name, task: TaskId, kind: EndKind) {
+        let run = self.running.get_mut(minion).and_then(|runs| runs.remove(&task));
+        let run = run.expect("the task runs there");
+        let ends = self.ends.entry(minion.clone()).or_default();
+        let sequence = ends.len() as u64 + 1;
+        ends.push(EndedTask { sequence, task, run, kind, saved: Name::default() });
+    }
+
+    /// Ends everything that runs, and lets all minions be looked at.
+    pub fn end_all(&mut self, kind: EndKind) {
+        for (minion, runs) in self.running.clone() {
+            for task in runs.into_keys() {
+                self.end(&minion, task, kind);
+            }
+            self.look(&minion);
+        }
+    }
+
+    pub fn pass(&mut self, ms: u64) {
+        let mut left = ms;
+        while left > 0 {
+            let step = left.min(100);
+            self.now.steady_ms += step;
+            self.now.wall_ms += step;
+            left -= step;
+            self.coordinator.store_confirmed(self.now.steady_ms);
+            self.coordinator.tick(self.now);
+            self.settle();
+        }
+    }
+
+    pub fn ask(&mut self, ask: Ask) -> u64 {
+        self.tickets += 1;
+        self.coordinator.ask(self.tickets, ask, self.now);
+        self.settle();
+        self.tickets
+    }
+
+    pub fn submit(&mut self, id: u64, steps: Vec<StepSpec>) -> u64 {
+        self.submit_as(id, steps, terms())
+    }
+
+    pub fn submit_as(&mut self, id: u64, steps: Vec<StepSpec>, terms: QueueTerms) -> u64 {
+        let spec = JobSpec { payload: "work".into(), steps, ..JobSpec::default() };
+        self.ask(Ask::Submit { job: JobId(id), spec, terms })
+    }
+
+    pub fn answer(&self, ticket: u64) -> Option<Answer> {
+        self.answers.get(&ticket).copied()
+    }
+
+    pub fn state(&mut self, id: u64) -> Answer {
+        let ticket = self.ask(Ask::State(JobId(id)));
+        self.answer(ticket).expect("states are told at once")
+    }
+
+    /// Returns where tasks run, in the order of their ids.
+    pub fn places(&self) -> Vec<(TaskId, Name, u32)> {
+        let mut places: Vec<_> = self
+            .running
+            .iter()
+            .flat_map(|(minion, runs)| runs.iter().map(|(t, r)| (*t, minion.clone(), *r)))
+            .collect();
+        places.sort();
+        places
+    }
+
+    /// Loses the coordinator, and lets another one take over from the store.
+    pub fn take_over(&mut self) {
+        self.fence += 1;
+        let records = self.store.iter().map(|(id, bytes)| {
+            (*id, JobRecord::decode(bytes).expect("the record was written by this version"))
+        });
+        self.coordinator = Coordinator::new(self.fence, self.now)
+            .hold_ms(HOLD_MS)
+            .inherited_until(self.now.steady_ms + HOLD_MS)
+            .with_records(records.collect(), self.now);
+        self.orders.clear();
+        self.writes.clear();
+        self.settle();
+    }
+}
+
+pub fn agent(minion: &str) -> Name {
+    // The incarnation is behind a dash: "m1" and "m1-b" are lives of one machine.
+    Name::from(format!("agent-{}", minion.split('-').next().unwrap_or(minion)))
+}
+
+pub fn terms() -> QueueTerms {
+    QueueTerms {
+        queue: "studies".into(),
+        service: "study".into(),
+        priority: 1,
+        max_attempts: 2,
+        stretch_percent: 200,
+        target_ms: 500,
+        needs_approval: false,
+    }
+}
+
+/// A step of tasks that take a processor and a gigabyte each.
+pub fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        demand: Demand { milli_cpus: 1_000, memory_mb: 1_000, accelerators: 0 },
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    }
+}
+
+pub const fn task(job: u64, step: u16, index: u32) -> TaskId {
+    TaskId { job: JobId(job), occurrence: 0, step, index }
+}
+
+pub const COMPLETED: Answer = Answer::State(JobState::Completed);
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -251,11 +251,10 @@
         };
         let taken = match self.store.commit(&put, CALL).await {
             Ok(taken) => taken,
-            Err(CommitError::Conflict(_)) => return,
             Err(CommitError::NotDone(_)) => return tokio::time::sleep(PAUSE).await,
-            // The next reading shows whether it was carried out; the key then names this process,
-            // and is simply taken again.
-            Err(CommitError::Unknown(_)) => return,
+            // The next reading shows who holds the key. If an unanswered call was carried out, the
+            // key names this process, and is simply taken again.
+            Err(CommitError::Conflict(_) | CommitError::Unknown(_)) => return,
         };
         let now_ms = BootClock.now_ms();
         let hold_ms = self.hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS;
--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -11,7 +11,7 @@
 
 /// How long a watch waits. A connection that has gone silent is noticed after it, and the bound on
 /// a configuration is two seconds; so one second costs a call a second and keeps the bound.
-const WATCH: Duration = Duration::from_millis(1_000);
+const WATCH: Duration = Duration::from_secs(1);
 /// Longest time a reading may take.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause after the store failed.
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -138,7 +138,7 @@
 impl Task {
     async fn run(mut self) {
         loop {
-            let known = self.known.borrow_and_update().clone();
+            let known = *self.known.borrow_and_update();
             let Some(known) = known else {
                 tokio::select! {
                     changed = self.known.changed() => if changed.is_err() { return },
