feat(batch): count the doubt of a slope as harm, and slow down with every look near the bound

Change: one standard deviation is added to each slope; changes at the highest business are learnt; paces fall with every look from 0.95 of the bound on, all filling stands still after 0.8 s over it.

--- a/crates/geraniumpost-batch/src/coordinator/harm.rs
+++ b/crates/geraniumpost-batch/src/coordinator/harm.rs
@@ -32,6 +32,8 @@
 /// hard, which are the more frequent ones. Too low a figure costs users their tails until it is
 /// learnt; too high a one costs some speed.
 const UNKNOWN_SLOPE: f64 = 0.3;
+/// Most that doubt adds to a slope, for each 16 processors.
+const MOST_DOUBT: f64 = 0.15;
 /// Shortest time between two looks that are compared, in milliseconds: each gauge covers half a
 /// second, and windows that overlap show only a part of a change.
 const LEARN_EVERY_MS: u64 = 700;
@@ -84,7 +86,9 @@
     /// Returns how much processors of a filling image add to the business of a serving one.
     fn press(&self, serving: &Name, filling: &Name, milli_cpus: f64) -> f64 {
         let class = self.model.known_class(filling);
-        self.model.slope(serving, class) * HarmModel::strength(milli_cpus, LOAD)
+        // A pair that seems harmless by mistake would be filled without limit.
+        let doubt = self.model.doubt(serving, class).min(MOST_DOUBT);
+        (self.model.slope(serving, class) + doubt) * HarmModel::strength(milli_cpus, LOAD)
     }
 
     /// Takes in a tail, and returns how busy it shows the image.
@@ -146,8 +150,7 @@
                 continue;
             }
             let last = std::mem::replace(&mut serving.business, business);
-            // At the highest figure the queue has lost count of who fills it.
-            if last > 0.0 && last < BUSIEST && business < BUSIEST {
+            if last > 0.0 {
                 self.harm.learn(&image, business - last, &changes);
             }
         }
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -24,9 +24,12 @@
 const LITTLE_DONE_PERCENT: u8 = 15;
 /// Tasks moved at once; each move fills a place that the next one counted with.
 const MOVES_AT_ONCE: u32 = 2;
+/// Tail in bounds from which on paces fall with every look; they rise only now and then, so that the
+/// effect of one change is seen before the next.
+const URGENT_TAIL: f64 = 0.95;
 /// How long a tail may stay over its bound before all that fills beside it stands still, in
-/// milliseconds: two changes of pace, and half of the time for which users bear it.
-const OVER_TOO_LONG_MS: u64 = 1_500;
+/// milliseconds: two looks, in which paces by blame did not help.
+const OVER_TOO_LONG_MS: u64 = 800;
 
 impl Coordinator {
     /// Sets the pace of what fills on a minion by the tail latencies of what serves there.
@@ -37,7 +40,12 @@
     pub(super) fn adjust_pace(&mut self, id: &Name, now: Now) {
         self.observe_harm(id, now);
         let Some(minion) = self.minions.get(id) else { return };
-        if now.steady_ms < minion.paced_ms + PACE_EVERY_MS || minion.fill_images.is_empty() {
+        if minion.fill_images.is_empty() {
+            return;
+        }
+        let worst = minion.serving_images.values().map(|serving| serving.tail).fold(0.0, f64::max);
+        let may_rise = now.steady_ms >= minion.paced_ms + PACE_EVERY_MS;
+        if !may_rise && worst < URGENT_TAIL {
             return;
         }
         let stand_still = minion.over_for_ms >= OVER_TOO_LONG_MS;
@@ -49,14 +57,14 @@
             let wanted = if wanted < LEAST_PERCENT { 0 } else { wanted };
             let enough =
                 wanted.abs_diff(present) >= LEAST_CHANGE || (wanted == 0) != (present == 0);
-            if enough || (wanted == 100 && present < 100) {
+            let rises = wanted > present;
+            if (enough || (wanted == 100 && rises)) && (may_rise || !rises) {
                 changes.push((image, wanted));
             }
         }
         if changes.is_empty() {
             return;
         }
-        let worst = minion.serving_images.values().map(|serving| serving.tail).fold(0.0, f64::max);
         if let Some(minion) = self.minions.get_mut(id) {
             minion.paced_ms = now.steady_ms;
         }
--- a/crates/geraniumpost-core/src/placement/harm_model.rs
+++ b/crates/geraniumpost-core/src/placement/harm_model.rs
@@ -18,6 +18,8 @@
 /// Weight of a change: the inverse of the variance of changes beside which nothing changed, seen at
 /// 0.05 squared, and a fifth of that, as [`PAIR_STRENGTH`] is a fifth of what slopes scatter by.
 const CHANGE_WEIGHT: f64 = 80.0;
+/// Variance of a change beside which nothing changed.
+const NOISE: f64 = 0.0025;
 /// Measurements between two solutions.
 const SOLVE_EVERY: u32 = 16;
 /// Classes told apart; further ones share the last number, so that matrices stay small.
@@ -132,6 +134,13 @@
         known.unwrap_or_else(|| self.class_mean(class))
     }
 
+    /// Returns how far a slope may still be off (one standard deviation), by the evidence from
+    /// [`Self::observe_change`]; 0 for a pair that nothing is known of, whose slope is cautious.
+    pub fn doubt(&self, service: &Name, class: usize) -> f64 {
+        let evidence = self.services.get(service).map_or(0.0, |m| m.ridge.evidence(ALONE + class));
+        if evidence > 0.0 { (NOISE * CHANGE_WEIGHT / evidence).sqrt() } else { 0.0 }
+    }
+
     /// Returns the strength of a task in processor units at a load.
     pub fn strength(milli_cpus: f64, load: f64) -> f64 {
         milli_cpus / UNIT_MILLI_CPUS * pressing(load)
