feat(batch): learn of a successor from peers, place only under a lease, and trust no silent link

Changes: entries ask each other for the coordinator while the store is silent, and a term ends when one knows a successor; requests are not sent into a link that was silent for 0.55 s, and are refused at once while the coordinator is away; a minion gets work once its agent holds a lease, which it asks for as soon as the minion answers; stuck is judged from look to look. The store is missed after 0.9 s instead of 1.5. Ruled out: the balancer (504 were ours), the deadline of callers. Tests of the coordinator failed before.

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -8,6 +8,9 @@
 use crate::tuning::{LAPSE_MARGIN_MS, LAPSE_PERCENT, STORE_LOST_MS, STORE_SILENCE_MS};
 use crate::{EndKind, MinionInfo, Now, ToAgent};
 
+/// A lease that ends sooner than this, in milliseconds, may be over before an order arrives.
+const SOON_MS: u64 = 1_000;
+
 /// What the coordinator knows of one agent.
 #[derive(Debug, Default)]
 pub(super) struct Agent {
@@ -95,6 +98,7 @@
             self.minion_gone(&other, now);
         }
         let linked = self.agents.get(agent).is_some_and(|agent| agent.linked);
+        let leased = self.agents.get(agent).is_some_and(|a| a.lapsed_ms > now.steady_ms + SOON_MS);
         let minion = self
             .minions
             .entry(id.clone())
@@ -102,6 +106,7 @@
         if minion.known && info.sequence < minion.info.sequence {
             return;
         }
+        minion.answers |= !minion.known && leased;
         let drains = info.draining && !(minion.known && minion.info.draining);
         minion.info = info;
         minion.known = true;
--- a/crates/geraniumpost-batch/src/coordinator/looks.rs
+++ b/crates/geraniumpost-batch/src/coordinator/looks.rs
@@ -62,6 +62,7 @@
             run.progressed_ms = now.steady_ms;
         }
         run.gauge = row.gauge;
+        run.seen_ms = now.steady_ms;
         if !run.stopping() {
             run.order = OrderState::Started { number: orders_before };
             self.run_began(row.task, now);
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -16,7 +16,7 @@
     pub(super) known: bool,
     /// Whether its lists have been read over the present link.
     pub(super) looked: bool,
-    /// Whether it answers its agent.
+    /// Whether it answers its agent, which therefore holds a lease to give.
     pub(super) answers: bool,
     /// What the runs placed there occupy; filling tasks count memory only.
     pub(super) used: Demand,
@@ -82,7 +82,7 @@
             linked: false,
             known: false,
             looked: false,
-            answers: true,
+            answers: false,
             used: Demand::default(),
             fill_cpus: 0,
             serving_cpus: 0,
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -18,6 +18,8 @@
     /// Its progress, and when that last changed.
     pub(super) percent: u8,
     pub(super) progressed_ms: u64,
+    /// When a look last showed it.
+    pub(super) seen_ms: u64,
     /// Share it is told to work at.
     pub(super) pace: u8,
     /// Since when it has been told to stand still, on the steady clock.
@@ -69,6 +71,7 @@
             started_ms: None,
             percent: 0,
             progressed_ms: now_ms,
+            seen_ms: now_ms,
             pace: 100,
             parked_ms: None,
             gauge: 0,
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -67,14 +67,15 @@
     /// Stops runs that make no progress, so that they go on elsewhere.
     ///
     /// On some minions tasks stand still while everything else seems well. Their callers would wait
-    /// for ever, as nothing ends. Progress that does not move for [`STUCK_MS`] shows it.
+    /// for ever, as nothing ends. Progress that does not move for [`STUCK_MS`]
+    /// from look to look shows it; a minion that is not looked at shows nothing.
     fn stop_stuck(&mut self, now: Now) {
         let stuck: Vec<TaskId> = self
             .runs
             .iter()
             .filter(|(_, run)| matches!(run.order, OrderState::Started { .. }))
             .filter(|(_, run)| run.percent < 100 && run.pace > 0)
-            .filter(|(_, run)| now.steady_ms >= run.progressed_ms + STUCK_MS)
+            .filter(|(_, run)| run.seen_ms >= run.progressed_ms + STUCK_MS)
             .map(|(task, _)| *task)
             .collect();
         for task in stuck {
@@ -84,14 +85,14 @@
             let Some(run) = self.runs.get(&task) else { continue };
             let minion: Name = run.place.minion.clone();
             let looked = self.minions.get(&minion).is_some_and(|minion| minion.looked);
-            if !looked || now.steady_ms < run.progressed_ms + patience_ms {
+            if !looked || run.seen_ms < run.progressed_ms + patience_ms {
                 continue;
             }
             self.note(format!(
                 "decision=stop_stuck job={} task={task} minion={minion} percent={} still_ms={}",
                 task.job,
                 run.percent,
-                now.steady_ms - run.progressed_ms
+                run.seen_ms - run.progressed_ms
             ));
             if let Some(minion) = self.minions.get_mut(&minion) {
                 minion.shunned_ms = now.steady_ms + crate::tuning::SICK_MS;
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -58,4 +58,4 @@
 pub const STORE_LOST_MS: u64 = 8_000;
 /// Age of the store's last confirmation from which on a coordinator tells its peers that it misses
 /// the store, in milliseconds.
-pub const STORE_SILENCE_MS: u64 = 1_500;
+pub const STORE_SILENCE_MS: u64 = 900;
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -206,3 +206,28 @@
     world.pass(300);
     assert_matches!(world.orders[..], [ref order] if order.task == task && order.run == 2);
 }
+
+/// All processes have lost power. A minion is looked at before its agent holds a lease, and the
+/// agent would send no start; each would come back and be placed again, many times a second.
+#[test]
+fn nothing_is_placed_before_the_agent_holds_a_lease() {
+    let mut world = World::new();
+    let info = geraniumpost_batch::MinionInfo {
+        id: "m1".into(),
+        service: "study".into(),
+        capacity: geraniumpost_batch::Demand {
+            milli_cpus: 4_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        sequence: 1,
+        ..Default::default()
+    };
+    world.say("m1", FromAgent::Hello { agent: agent("m1") });
+    world.say("m1", FromAgent::Minion(info));
+    world.look("m1");
+    world.submit(1, vec![step(1)]);
+    assert!(world.orders.is_empty());
+    world.beat("m1");
+    assert_eq!(world.orders.len(), 1);
+}
--- a/crates/geraniumpost-batch/tests/coordinator/promises.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/promises.rs
@@ -214,3 +214,23 @@
     world.pass(300);
     assert_matches!(world.orders[..], [ref order] if order.kind == OrderKind::Stop);
 }
+
+/// No look at a minion comes for two seconds, as its agent was busy. Its tasks have not moved in
+/// what is known of them, but nobody has looked; stopping them would throw their work away.
+#[test]
+fn tasks_that_nobody_looked_at_are_not_stuck() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.percent = 40;
+    world.submit(1, vec![step(2)]);
+    world.obey();
+    world.look("m1");
+    for _ in 0..6 {
+        world.pass(400);
+        world.beat("m1");
+    }
+    assert!(world.orders.is_empty());
+    world.look("m1");
+    world.pass(100);
+    assert!(world.orders.iter().all(|order| order.kind == OrderKind::Stop));
+    assert_eq!(world.orders.len(), 2);
+}
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -29,6 +29,8 @@
     /// What runs: by minion, the task and its run.
     pub running: BTreeMap<Name, BTreeMap<TaskId, u32>>,
     pub notes: Vec<String>,
+    /// Progress that minions show of all tasks.
+    pub percent: u8,
     ends: BTreeMap<Name, Vec<EndedTask>>,
     gauges: BTreeMap<TaskId, u32>,
     results: u64,
@@ -50,6 +52,7 @@
             acknowledged: BTreeMap::new(),
             running: BTreeMap::new(),
             notes: Vec::new(),
+            percent: 100,
             ends: BTreeMap::new(),
             gauges: BTreeMap::new(),
             results: 0,
@@ -102,7 +105,7 @@
             task: *task,
             run: *run,
             saved: Name::default(),
-            percent: 100,
+            percent: self.percent,
             gauge: self.gauges.get(task).copied().unwrap_or(0),
         });
         let acknowledged = self.acknowledged.get(&name).copied().unwrap_or(0);
--- a/crates/geraniumpost/src/batch/agent/link.rs
+++ b/crates/geraniumpost/src/batch/agent/link.rs
@@ -74,12 +74,13 @@
                     spdlog::warn!("event=dependency_lost dependency=coordinator why=silent");
                     return;
                 }
-                let minion_ok = state.answers_within(ANSWERED_MS);
-                let beat = FromAgent::Beat { sent_at_ms: BootClock.now_ms(), minion_ok };
-                if tx.send(FromPeer::AgentSays(beat)).is_err() {
+                if !beat(state, &tx) {
                     return;
                 }
             }
+            () = state.beat_now.notified() => if !beat(state, &tx) {
+                return;
+            },
             changed = known.changed() => {
                 if changed.is_err() || known.borrow_and_update().is_some() {
                     return;
@@ -89,6 +90,13 @@
     }
 }
 
+/// Asks for the lease to be extended; false if the link is gone.
+fn beat(state: &State, tx: &LinkSender<FromPeer>) -> bool {
+    let minion_ok = state.answers_within(ANSWERED_MS);
+    let beat = FromAgent::Beat { sent_at_ms: BootClock.now_ms(), minion_ok };
+    tx.send(FromPeer::AgentSays(beat)).is_ok()
+}
+
 fn take(state: &Arc<State>, message: ToAgent) {
     match message {
         ToAgent::Lease { sent_at_ms, hold_ms, fence, store_ok } => {
--- a/crates/geraniumpost/src/batch/agent/state.rs
+++ b/crates/geraniumpost/src/batch/agent/state.rs
@@ -24,6 +24,8 @@
     pub fence: AtomicU64,
     /// Rings when an end was acknowledged, an incarnation came or a lease was granted.
     pub wake: Notify,
+    /// Rings when a beat should leave at once: without a lease a new incarnation gets no work.
+    pub beat_now: Notify,
     /// Whether the coordinator says that it misses the store.
     pub coordinator_misses_store: std::sync::atomic::AtomicBool,
     lease_ms: AtomicU64,
@@ -58,6 +60,7 @@
             minion,
             fence: AtomicU64::new(0),
             wake: Notify::new(),
+            beat_now: Notify::new(),
             coordinator_misses_store: std::sync::atomic::AtomicBool::new(false),
             lease_ms: AtomicU64::new(0),
             inner: Mutex::default(),
@@ -118,6 +121,7 @@
         inner.whole = true;
         drop(inner);
         self.send(FromAgent::Minion(info));
+        self.beat_now.notify_one();
     }
 
     /// Takes note that another incarnation than this one answers.
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -12,12 +12,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::super::BootClock;
 use super::super::entry::LinkState;
-use super::super::{BootClock, FromPeer, ToPeer, peer_link};
 use super::doorway::{Doorway, Inputs};
+use super::peers::Peers;
 use super::record::CoordinatorRecord;
 use super::term::Term;
-use super::{COORDINATOR_KEY, ENTRY_PREFIX, Known};
+use super::{COORDINATOR_KEY, Known};
 
 /// Longest time one call to the store may take here.
 const CALL: Duration = Duration::from_millis(700);
@@ -29,11 +30,9 @@
 const REFUSALS: u32 = 2;
 /// How long a coordinator may miss the store before another entry that reaches it takes over, in
 /// milliseconds, on top of the time after which it says so.
-const STORE_MISSED_MS: u64 = 300;
+const STORE_MISSED_MS: u64 = 200;
 /// Longest random pause before a takeover, so that candidates seldom meet.
 const STAGGER_MS: u64 = 120;
-/// Longest time a probe of another entry may take.
-const PROBE: Duration = Duration::from_millis(300);
 /// How long an entry that reaches no other one waits before it takes over all the same, in
 /// milliseconds: it may be the one that is cut off, and would take the agents' coordinator away.
 const ALONE_MS: u64 = 3_000;
@@ -48,6 +47,7 @@
     node: Name,
     address: SocketAddr,
     incarnation: u64,
+    peers: Arc<Peers>,
     /// A larger share of a processor makes a better coordinator.
     handicap_ms: u64,
     hold_ms: u64,
@@ -74,10 +74,12 @@
         link: watch::Receiver<LinkState>,
     ) -> Self {
         let hold_ms = settings.bounds.max_hold_ms.saturating_sub(HOLD_MARGIN_MS);
+        let address = SocketAddr::new(settings.ip, settings.peer_port);
         Self {
             store,
             node: settings.node.clone(),
-            address: SocketAddr::new(settings.ip, settings.peer_port),
+            address,
+            peers: Arc::new(Peers::new(settings.node.clone(), address)),
             incarnation: rand::rng().random(),
             handicap_ms: (20.0 / settings.cpu_share.max(0.05)) as u64,
             hold_ms: hold_ms.min(LONGEST_HOLD_MS),
@@ -95,33 +97,25 @@
             inputs,
             confirmed_ms: Arc::clone(&self.confirmed_ms),
             link: self.link.clone(),
+            known: self.known.subscribe(),
         };
         tokio::spawn(Arc::new(doorway).serve(listener));
-        self.announce().await;
-        loop {
-            self.once(&inputs_tx, &stop).await;
-        }
-    }
-
-    /// Lets the other entries find this one.
-    async fn announce(&self) {
-        let put = Put {
-            write: vec![(format!("{ENTRY_PREFIX}{}", self.node), self.address.to_string().into())],
-            ..Put::default()
-        };
-        while let Err(error) = self.store.commit(&put, CALL).await {
+        while let Err(error) = self.peers.announce(&self.store, CALL).await {
             spdlog::debug!("event=announce_failed why=\"{error}\"");
             tokio::time::sleep(PAUSE).await;
         }
+        tokio::spawn(Arc::clone(&self.peers).follow(Arc::clone(&self.store)));
+        loop {
+            self.once(&inputs_tx, &stop).await;
+        }
     }
 
     /// Learns who coordinates, and waits until that changes or takes over.
     async fn once(&self, inputs: &watch::Sender<Inputs>, stop: &watch::Receiver<bool>) {
         let Ok(item) = self.store.get(COORDINATOR_KEY, CALL).await else {
-            tokio::time::sleep(PAUSE).await;
-            return;
+            return self.learn_from_peers().await;
         };
-        let Some((record, revision)) = read(item.as_ref()) else {
+        let Some((record, _)) = read(item.as_ref()) else {
             self.stagger().await;
             self.take_over(item.as_ref(), Loss::Gone, inputs, stop).await;
             return;
@@ -137,23 +131,36 @@
             return;
         }
         let known = Known { address: record.address, fence: record.term };
+        self.publish(known);
+        let loss = self.lost(&known).await;
+        if self.may_take_over(&record, loss).await {
+            self.stagger().await;
+            self.take_over(item.as_ref(), loss, inputs, stop).await;
+        }
+    }
+
+    fn publish(&self, known: Known) {
         self.known.send_if_modified(|present| {
             let news = *present != Some(known);
             *present = Some(known);
             if news {
                 spdlog::info!(
-                    "event=coordinator_known node={} fence={} revision={revision}",
-                    record.node,
-                    record.term
+                    "event=coordinator_known address={} fence={}",
+                    known.address,
+                    known.fence
                 );
             }
             news
         });
-        let loss = self.lost(&known).await;
-        if self.may_take_over(&record, loss).await {
-            self.stagger().await;
-            self.take_over(item.as_ref(), loss, inputs, stop).await;
+    }
+
+    /// Learns from the other entries who coordinates, while the store does not answer this one.
+    async fn learn_from_peers(&self) {
+        let fence = self.known.borrow().map_or(0, |known| known.fence);
+        if let Some(successor) = self.peers.successor(fence).await {
+            self.publish(successor);
         }
+        tokio::time::sleep(PAUSE).await;
     }
 
     async fn stagger(&self) {
@@ -196,30 +203,14 @@
             // It says itself that it misses the store, which this entry has just read.
             return link.store_lost_ms.is_some();
         }
-        let Ok((items, _)) = self.store.list(ENTRY_PREFIX, CALL).await else { return false };
-        let others: Vec<SocketAddr> = items
-            .iter()
-            .filter(|item| !item.key.ends_with(&format!("/{}", self.node)))
-            .filter(|item| !item.key.ends_with(&format!("/{}", record.node)))
-            .filter_map(|item| std::str::from_utf8(&item.value).ok()?.parse().ok())
-            .collect();
-        let mut probes = tokio::task::JoinSet::new();
-        for address in &others {
-            probes.spawn(probe(*address));
-        }
-        let mut answers = 0;
-        while let Some(answered) = probes.join_next().await {
-            match answered {
-                Ok(Some(true)) => {
-                    spdlog::info!("event=coordinator_answers_others node={}", record.node);
-                    tokio::time::sleep(PAUSE).await;
-                    return false;
-                }
-                Ok(Some(false)) => answers += 1,
-                _ => {}
-            }
+        let probed = self.peers.probe(Some(&record.node)).await;
+        if probed.iter().any(|probed| probed.answered) {
+            spdlog::info!("event=coordinator_answers_others node={}", record.node);
+            tokio::time::sleep(PAUSE).await;
+            return false;
         }
-        answers > 0 || others.is_empty() || loss == Loss::Gone || silent_ms > ALONE_MS
+        let (answers, others) = (probed.len(), self.peers.count(&record.node));
+        answers > 0 || others == 0 || loss == Loss::Gone || silent_ms > ALONE_MS
     }
 
     /// Takes the coordinator's key, if it still is as it was read, and coordinates.
@@ -266,6 +257,7 @@
             hold_ms: self.hold_ms,
             inherited_ms: now_ms + hold_ms + notices_ms,
             confirmed_ms: Arc::clone(&self.confirmed_ms),
+            peers: Arc::clone(&self.peers),
         };
         let fence = term.record.term;
         spdlog::info!("event=take_over fence={fence} revision={taken} after={loss:?}");
@@ -279,16 +271,3 @@
     let item = item?;
     CoordinatorRecord::decode(&item.value).ok().map(|record| (record, item.revision))
 }
-
-/// Asks an entry whether the coordinator answers it.
-async fn probe(address: SocketAddr) -> Option<bool> {
-    let asking = async {
-        let (tx, mut rx) = peer_link::dial::<FromPeer, ToPeer>(address).await.ok()?;
-        tx.send(FromPeer::Probe).ok()?;
-        match rx.next().await?.head {
-            ToPeer::Probed { coordinator_answers } => Some(coordinator_answers),
-            _ => None,
-        }
-    };
-    tokio::time::timeout(PROBE, asking).await.ok().flatten()
-}
--- a/crates/geraniumpost/src/batch/coordination/doorway.rs
+++ b/crates/geraniumpost/src/batch/coordination/doorway.rs
@@ -13,6 +13,7 @@
 
 use super::super::entry::LinkState;
 use super::super::{BootClock, FromPeer, ToPeer, peer_link};
+use super::Known;
 use super::driver::{Input, Peer};
 
 /// How long a new link may stay silent.
@@ -31,6 +32,8 @@
     pub confirmed_ms: Arc<AtomicU64>,
     /// How this entry's own link to the coordinator is.
     pub link: watch::Receiver<LinkState>,
+    /// Who coordinates.
+    pub known: watch::Receiver<Option<Known>>,
 }
 
 impl Doorway {
@@ -66,7 +69,8 @@
         let Ok(Some(first)) = tokio::time::timeout(FIRST_MESSAGE, rx.next()).await else { return };
         if first.head == FromPeer::Probe {
             let coordinator_answers = self.coordinator_answers();
-            let _ = tx.send(ToPeer::Probed { coordinator_answers });
+            let coordinator = self.known.borrow().map(|known| (known.address, known.fence));
+            let _ = tx.send(ToPeer::Probed { coordinator_answers, coordinator });
             // The link must not close before the answer has left.
             let _ = tokio::time::timeout(FIRST_MESSAGE, rx.next()).await;
             return;
@@ -129,7 +133,7 @@
     /// Returns whether the coordinator answers this entry, or is this entry.
     fn coordinator_answers(&self) -> bool {
         if self.inputs.borrow().is_some() {
-            return true;
+            return self.store_silent_ms() < STORE_SILENCE_MS;
         }
         let link = *self.link.borrow();
         let silent_ms = BootClock.now_ms().saturating_sub(link.heard_ms);
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod doorway;
 mod driver;
+mod peers;
 mod record;
 mod term;
 mod writer;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use geraniumpost_batch::tuning::STORE_SILENCE_MS;
 use geraniumpost_batch::{Coordinator, JobId, JobRecord};
 use geraniumpost_platform::Store;
 use tokio::sync::{mpsc, watch};
@@ -12,6 +13,7 @@
 use super::JOB_PREFIX;
 use super::doorway::Inputs;
 use super::driver::Driver;
+use super::peers::Peers;
 use super::record::CoordinatorRecord;
 use super::writer::{TermLost, Timeout, Writer};
 
@@ -21,6 +23,8 @@
 const BATCHES: usize = 8;
 /// Longest time one page of records may take to be read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause between two looks for a successor.
+const DOUBT_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after the store failed.
 const PAUSE: Duration = Duration::from_millis(60);
 
@@ -35,6 +39,8 @@
     /// When leases that a predecessor extended have surely lapsed, on the boot clock.
     pub inherited_ms: u64,
     pub confirmed_ms: Arc<AtomicU64>,
+    /// The other entries, which may know of a successor.
+    pub peers: Arc<Peers>,
 }
 
 impl Term {
@@ -69,6 +75,8 @@
             confirmed_ms: self.confirmed_ms,
             timeout: Timeout::default(),
         };
+        let confirmed_ms = Arc::clone(&writer.confirmed_ms);
+        let succeeded = succeeded(self.peers, confirmed_ms, writer.record.term);
         let driver = Driver::new(coordinator, writes_tx);
         let ended = tokio::select! {
             end = driver.run(&mut rx) => {
@@ -76,6 +84,7 @@
                 Err(TermLost)
             }
             end = writer.run(&mut writes, stop) => end,
+            () = succeeded => Err(TermLost),
         };
         doorway.send_replace(None);
         match ended {
@@ -103,6 +112,17 @@
     }
 }
 
+/// Waits until another entry knows a successor, while the store is silent.
+async fn succeeded(peers: Arc<Peers>, confirmed_ms: Arc<AtomicU64>, fence: u64) {
+    loop {
+        tokio::time::sleep(DOUBT_PAUSE).await;
+        let silent_ms = BootClock.now_ms().saturating_sub(confirmed_ms.load(Ordering::Relaxed));
+        if silent_ms >= STORE_SILENCE_MS && peers.successor(fence).await.is_some() {
+            return;
+        }
+    }
+}
+
 fn read_record(item: &geraniumpost_platform::Item) -> Option<(JobId, JobRecord)> {
     let id = item.key.strip_prefix(JOB_PREFIX).and_then(|id| id.parse().ok());
     match (id, JobRecord::decode(&item.value)) {
--- a/crates/geraniumpost/src/batch/entry/callers.rs
+++ b/crates/geraniumpost/src/batch/entry/callers.rs
@@ -22,6 +22,8 @@
 /// How long a request that cannot be sent is held: a takeover takes about this long, and a caller
 /// told to come back would lose more.
 const UNSENT: Duration = Duration::from_millis(1_200);
+/// Shortest time that such a request is held: a link may open at any moment.
+const LEAST_UNSENT: Duration = Duration::from_millis(60);
 /// Seconds after which a refused caller should come back.
 const RETRY_AFTER_S: u64 = 1;
 
@@ -87,7 +89,10 @@
 
 /// Has the coordinator answer, and translates what it says.
 async fn relay(shared: &Shared, ask: Ask, deadline: Duration) -> Answer {
-    match shared.relay.ask(ask, UNSENT, deadline).await {
+    // While the coordinator has been silent for long, holding callers would only cost them time.
+    let silent = Duration::from_millis(shared.relay.silent_ms());
+    let unsent = UNSENT.saturating_sub(silent).max(LEAST_UNSENT);
+    match shared.relay.ask(ask, unsent, deadline).await {
         Ok(Told::Accepted | Told::Cancelled) => empty(StatusCode::OK),
         Ok(Told::State(state)) => json(encode_state(state)),
         Ok(Told::Pending(count)) => json(encode_pending(count)),
--- a/crates/geraniumpost/src/batch/entry/readiness.rs
+++ b/crates/geraniumpost/src/batch/entry/readiness.rs
@@ -6,8 +6,8 @@
 use super::Shared;
 
 /// How long the coordinator may be silent before callers are better served elsewhere, in
-/// milliseconds: longer than a takeover takes, as every entry waits for that.
-const SILENCE_MS: u64 = 3_000;
+/// milliseconds. The balancer waits for two misses a second apart, longer than a takeover takes.
+const SILENCE_MS: u64 = 1_000;
 
 /// Answers the balancer: ready with a configuration and a coordinator, until asked to stop.
 pub fn answer(req: &Request<Incoming>, shared: &Shared) -> Answer {
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -17,6 +17,8 @@
 
 /// Pause between two pings. A coordinator that is gone is noticed by three missing answers.
 const PING: Duration = Duration::from_millis(250);
+/// Silence up to which requests are sent on a link, in milliseconds: one answer may be late.
+const TRUSTED_MS: u64 = 550;
 /// Pause after a link failed.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Requests that may wait for the relay; more are refused.
@@ -184,13 +186,20 @@
             tokio::select! {
                 message = rx.next() => {
                     let Some(message) = message else { return };
+                    let was_trusted = self.silent_ms() < TRUSTED_MS;
                     if !self.take(message.head) {
                         return;
                     }
+                    if !was_trusted && self.silent_ms() < TRUSTED_MS {
+                        self.send_again(&tx);
+                    }
                 }
                 waiting = self.rx.recv() => {
                     let Some(waiting) = waiting else { return };
-                    self.keep(waiting, Some(&tx));
+                    // What is sent into a silent link may arrive much later, and its caller could
+                    // not be told any more that it has not run.
+                    let trusted = self.silent_ms() < TRUSTED_MS;
+                    self.keep(waiting, trusted.then_some(&tx));
                 }
                 _ = pings.tick() => {
                     if tx.send(FromPeer::EntrySays(FromEntry::Ping)).is_err() || self.is_silent() {
@@ -204,8 +213,11 @@
 
     /// Returns whether the link has been silent for so long that a new one should be tried.
     fn is_silent(&self) -> bool {
-        let heard_ms = self.state.borrow().heard_ms;
-        BootClock.now_ms().saturating_sub(heard_ms) > 4 * PING.as_millis() as u64
+        self.silent_ms() > 4 * PING.as_millis() as u64
+    }
+
+    fn silent_ms(&self) -> u64 {
+        BootClock.now_ms().saturating_sub(self.state.borrow().heard_ms)
     }
 
     fn take(&mut self, message: ToPeer) -> bool {
--- a/crates/geraniumpost/src/batch/peer_message.rs
+++ b/crates/geraniumpost/src/batch/peer_message.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use geraniumpost_batch::{FromAgent, FromEntry, ToAgent, ToEntry};
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
@@ -32,6 +34,8 @@
     Probed {
         /// Whether the coordinator has answered lately.
         coordinator_answers: bool,
+        /// Who coordinates as far as this entry knows: the address, and the fencing token.
+        coordinator: Option<(SocketAddr, u64)>,
     },
     /// To an agent.
     Agent(ToAgent),
