--- a/crates/geraniumpost-batch/src/coordinator/effect.rs
+++ b/crates/geraniumpost-batch/src/coordinator/effect.rs
@@ -1,6 +1,6 @@
 use geraniumpost_schema::Name;
 
-use crate::{Answer, JobId, ToAgent};
+use crate::{Answer, JobId, TaskId, ToAgent};
 
 /// What the shell has to do for the coordinator.
 #[derive(Debug, Clone, PartialEq)]
@@ -21,6 +21,14 @@
         /// The message.
         message: ToAgent,
     },
+    /// Ask the admission service which minions may run a step, and report it with
+    /// [`Coordinator::approved`](super::Coordinator::approved).
+    AskApproval {
+        /// The step, named by its first task.
+        step: TaskId,
+        /// The minions in question.
+        minions: Vec<Name>,
+    },
     /// A minion has obeyed a newer coordinator: check who coordinates.
     Superseded,
     /// Something was decided that the log should tell.
--- a/crates/geraniumpost-batch/src/coordinator/ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ends.rs
@@ -103,6 +103,7 @@
         job.record.state = state;
         job.record.finished_ms = now.wall_ms;
         job.hints.clear();
+        self.approvals.forget_job(id);
         self.open.remove(&id);
         self.note(format!("decision=finish job={id} state={state}"));
         for task in self.runs_of(id) {
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -1,5 +1,6 @@
 //! The coordinator: every job, every minion's view, and all decisions on them.
 
+mod approvals;
 mod asking;
 mod commits;
 mod effect;
@@ -24,6 +25,7 @@
 
 pub use effect::{Effect, WriteBatch};
 
+use approvals::Approvals;
 use commits::Batch;
 use harm::Harm;
 use job::Job;
@@ -56,6 +58,7 @@
     confirmed_ms: u64,
     /// When leases that a predecessor may have extended have surely lapsed.
     inherited_ms: u64,
+    approvals: Approvals,
     /// How much images that fill slow images that serve.
     harm: Harm,
     /// Whether something changed that may let a task be placed.
@@ -80,6 +83,7 @@
             next_batch: 1,
             confirmed_ms: now.steady_ms,
             inherited_ms: now.steady_ms,
+            approvals: Approvals::default(),
             harm: Harm::default(),
             placing_due: false,
             effects: Vec::new(),
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -64,6 +64,10 @@
             OrderOutcome::TooLate => {
                 run.order = OrderState::Unknown { since_ms: now.steady_ms };
             }
+            OrderOutcome::BadTicket => {
+                self.approvals.forget(task, &result.minion);
+                self.place_elsewhere(task, now);
+            }
             OrderOutcome::Unhealthy => {
                 if let Some(minion) = self.minions.get_mut(&result.minion) {
                     minion.shunned_ms = now.steady_ms + SICK_MS;
--- a/crates/geraniumpost-batch/src/coordinator/ordering.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ordering.rs
@@ -21,10 +21,12 @@
     /// Gives a start order, again if need be: a minion begins a run at most once.
     pub(super) fn send_start(&mut self, task: TaskId, now: Now) {
         let Some(job) = self.jobs.get(&task.job) else { return };
+        let place = self.runs.get(&task).map(|run| run.place.minion.clone()).unwrap_or_default();
+        let ticket = self.approvals.ticket(task, &place, now).cloned().unwrap_or_default();
         let kind = OrderKind::Start {
             payload: job.record.spec.payload.clone(),
             saved: job.hints.get(&task).map_or_else(Name::default, |hint| hint.saved.clone()),
-            ticket: Name::default(),
+            ticket,
         };
         let sent = self.send(task, kind);
         let Some(run) = self.runs.get_mut(&task) else { return };
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -68,6 +68,7 @@
         let rack = self.wanted_rack(first, &spec, waiting.len(), now);
         let gang_run = spec.gang.then(|| self.next_gang_run(first, &spec));
         let mut placed = Vec::new();
+        let wanted = waiting.len();
         for task in waiting {
             let Some(minion) = self.choose(task, &spec, rack.as_ref(), now) else {
                 // Tasks of a step ask for the same, so that the others find no room either.
@@ -76,6 +77,10 @@
             self.assign(task, &minion, gang_run, now);
             placed.push(task);
         }
+        let approval = self.jobs.get(&id).is_some_and(|job| job.record.terms.needs_approval);
+        if approval && placed.len() < wanted {
+            self.ask_approval(first, &spec, now);
+        }
         if spec.gang && placed.len() < spec.count as usize {
             self.take_back(&placed);
             return 0;
@@ -159,6 +164,8 @@
         let fits = |minion: &&Minion| {
             suits(minion, &job.record.terms.service, spec, now)
                 && spread_allows(task, spec, minion)
+                && (!job.record.terms.needs_approval
+                    || self.approvals.ticket(task, &minion.info.id, now).is_some())
                 && (ran || leaves_room_for_short(minion, spec))
         };
         let fit = |minion: &&Minion| -> Fit {
@@ -226,7 +233,7 @@
 }
 
 /// Returns whether a minion can take one task of a step.
-fn suits(minion: &Minion, service: &Name, spec: &StepSpec, now: Now) -> bool {
+pub(super) fn suits(minion: &Minion, service: &Name, spec: &StepSpec, now: Now) -> bool {
     minion.open(now.steady_ms)
         && minion.info.service == *service
         && !(spec.fills && minion.over_for_ms > 0)
--- a/crates/geraniumpost-batch/tests/coordinator/steps.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/steps.rs
@@ -1,6 +1,8 @@
 //! Steps: their order, gangs, spread, labels and repetitions.
 
-use geraniumpost_batch::{Answer, Ask, EndKind, JobId, JobSpec, OrderKind, StepSpec};
+use geraniumpost_batch::{
+    Answer, Ask, EndKind, JobId, JobSpec, OrderKind, OrderOutcome, OrderVerb, StepSpec,
+};
 
 use crate::world::{COMPLETED, World, step, task, terms};
 
@@ -142,3 +144,43 @@
     world.obey();
     assert_eq!(pending(&mut world), Some(Answer::Pending(1)));
 }
+
+/// A queue whose steps need approval: tasks begin only where the admission service allows it, with
+/// its ticket, and one question serves all of them.
+#[test]
+fn tasks_begin_only_where_they_are_approved() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    let terms = geraniumpost_batch::QueueTerms { needs_approval: true, ..terms() };
+    world.submit_as(1, vec![step(3)], terms);
+    assert!(world.orders.is_empty());
+    assert_eq!(world.questions.len(), 1);
+    let (first, named) = world.questions.remove(0);
+    assert_eq!(named.len(), 2);
+    let tickets = vec![("m2".into(), "t-1".into())];
+    world.coordinator.approved(first, Some((tickets, 3_000)), world.now);
+    world.settle();
+    assert_eq!(world.orders.len(), 3);
+    for order in &world.orders {
+        assert_eq!(&*order.minion, "m2");
+        assert!(matches!(&order.kind, OrderKind::Start { ticket, .. } if &**ticket == "t-1"));
+    }
+    assert!(world.questions.is_empty());
+}
+
+/// A ticket has run out before the minion got the start. Nothing began, and the step is asked for
+/// again.
+#[test]
+fn expired_ticket_is_asked_for_again() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let terms = geraniumpost_batch::QueueTerms { needs_approval: true, ..terms() };
+    world.submit_as(1, vec![step(1)], terms);
+    let (first, _) = world.questions.remove(0);
+    let answer = Some((vec![("m1".into(), "t-1".into())], 3_000));
+    world.coordinator.approved(first, answer, world.now);
+    world.settle();
+    let order = world.orders.remove(0);
+    world.result(&order, OrderVerb::Start, OrderOutcome::BadTicket);
+    world.pass(300);
+    assert!(world.orders.is_empty());
+    assert_eq!(world.questions.len(), 1);
+}
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -29,6 +29,8 @@
     /// What runs: by minion, the task and its run.
     pub running: BTreeMap<Name, BTreeMap<TaskId, u32>>,
     pub notes: Vec<String>,
+    /// Questions to the admission service: the step, and the minions named.
+    pub questions: Vec<(TaskId, Vec<Name>)>,
     /// Progress that minions show of all tasks.
     pub percent: u8,
     ends: BTreeMap<Name, Vec<EndedTask>>,
@@ -52,6 +54,7 @@
             acknowledged: BTreeMap::new(),
             running: BTreeMap::new(),
             notes: Vec::new(),
+            questions: Vec::new(),
             percent: 100,
             ends: BTreeMap::new(),
             gauges: BTreeMap::new(),
@@ -149,6 +152,7 @@
                 self.acknowledged.insert(minion, up_to);
             }
             Effect::Note(line) => self.notes.push(line),
+            Effect::AskApproval { step, minions } => self.questions.push((step, minions)),
             Effect::Tell { .. } | Effect::Superseded => {}
         }
     }
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -48,6 +48,7 @@
     address: SocketAddr,
     incarnation: u64,
     peers: Arc<Peers>,
+    admission: Option<SocketAddr>,
     /// A larger share of a processor makes a better coordinator.
     handicap_ms: u64,
     hold_ms: u64,
@@ -80,6 +81,7 @@
             node: settings.node.clone(),
             address,
             peers: Arc::new(Peers::new(settings.node.clone(), address)),
+            admission: settings.admission,
             incarnation: rand::rng().random(),
             handicap_ms: (20.0 / settings.cpu_share.max(0.05)) as u64,
             hold_ms: hold_ms.min(LONGEST_HOLD_MS),
@@ -258,6 +260,7 @@
             inherited_ms: now_ms + hold_ms + notices_ms,
             confirmed_ms: Arc::clone(&self.confirmed_ms),
             peers: Arc::clone(&self.peers),
+            admission: self.admission,
         };
         let fence = term.record.term;
         spdlog::info!("event=take_over fence={fence} revision={taken} after={loss:?}");
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use geraniumpost_batch::{Ask, Coordinator, Effect, FromAgent, ToEntry, WriteBatch};
+use geraniumpost_batch::{Ask, Coordinator, Effect, FromAgent, TaskId, ToEntry, WriteBatch};
 use geraniumpost_net::LinkSender;
+use geraniumpost_platform::Approved;
 use geraniumpost_schema::Name;
 use tokio::sync::mpsc;
 
@@ -54,10 +55,15 @@
     Agent(Name, FromAgent),
     /// A batch is written.
     Written(u64),
+    /// The admission service has answered on a step, or not.
+    Approved(TaskId, Option<Approved>),
     /// The store has confirmed that this entry coordinates, at this time on the boot clock.
     Confirmed(u64),
 }
 
+/// A question for the admission service: which of these minions may run the step?
+pub type Question = (TaskId, Vec<Name>);
+
 /// Why a coordinator's term ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TermEnd {
@@ -71,6 +77,7 @@
 pub struct Driver {
     coordinator: Coordinator,
     writes: mpsc::Sender<WriteBatch>,
+    questions: mpsc::Sender<Question>,
     entries: HashMap<u64, LinkSender<ToPeer>>,
     agents: HashMap<Name, (u64, LinkSender<ToPeer>)>,
     /// Who is owed an answer: the entry's link, and its ticket.
@@ -79,11 +86,17 @@
 }
 
 impl Driver {
-    /// Returns a driver that hands records to `writes`.
-    pub fn new(coordinator: Coordinator, writes: mpsc::Sender<WriteBatch>) -> Self {
+    /// Returns a driver that hands records to `writes`, and questions for the admission service to
+    /// `questions`.
+    pub fn new(
+        coordinator: Coordinator,
+        writes: mpsc::Sender<WriteBatch>,
+        questions: mpsc::Sender<Question>,
+    ) -> Self {
         Self {
             coordinator,
             writes,
+            questions,
             entries: HashMap::new(),
             agents: HashMap::new(),
             owed: HashMap::new(),
@@ -147,6 +160,10 @@
             }
             Input::Agent(node, said) => self.coordinator.from_agent(&node, said, now),
             Input::Written(batch) => self.coordinator.written(batch, now),
+            Input::Approved(step, answer) => {
+                let answer = answer.map(|answer| (answer.tickets, answer.valid_ms));
+                self.coordinator.approved(step, answer, now);
+            }
             Input::Confirmed(at_ms) => self.coordinator.store_confirmed(at_ms),
         }
     }
@@ -172,6 +189,12 @@
                     let _ = tx.send(ToPeer::Agent(message));
                 }
             }
+            Effect::AskApproval { step, minions } => {
+                // Without a service the step waits; the configuration names none that exists.
+                if self.questions.send((step, minions)).await.is_err() {
+                    spdlog::warn!("event=no_admission_service step={step}");
+                }
+            }
             Effect::Note(line) => spdlog::info!("{line}"),
             Effect::Superseded => {}
         }
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -1,18 +1,19 @@
 //! One term of coordinating, from taking over to its end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use geraniumpost_batch::tuning::STORE_SILENCE_MS;
 use geraniumpost_batch::{Coordinator, JobId, JobRecord};
-use geraniumpost_platform::Store;
+use geraniumpost_platform::{Admission, Store};
 use tokio::sync::{mpsc, watch};
 
 use super::super::BootClock;
 use super::JOB_PREFIX;
 use super::doorway::Inputs;
-use super::driver::Driver;
+use super::driver::{Driver, Input, Question};
 use super::peers::Peers;
 use super::record::CoordinatorRecord;
 use super::writer::{TermLost, Timeout, Writer};
@@ -23,6 +24,9 @@
 const BATCHES: usize = 8;
 /// Longest time one page of records may take to be read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time that one question to the admission service may take; it needs some milliseconds for
+/// each minion named.
+const ADMISSION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause between two looks for a successor.
 const DOUBT_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after the store failed.
@@ -41,6 +45,8 @@
     pub confirmed_ms: Arc<AtomicU64>,
     /// The other entries, which may know of a successor.
     pub peers: Arc<Peers>,
+    /// The service that approves minions for steps, if there is one.
+    pub admission: Option<SocketAddr>,
 }
 
 impl Term {
@@ -67,6 +73,10 @@
             .inherited_until(self.inherited_ms)
             .with_records(records, now);
         let (writes_tx, mut writes) = mpsc::channel(BATCHES);
+        let (questions_tx, questions) = mpsc::channel(QUEUE);
+        if let Some(address) = self.admission {
+            tokio::spawn(ask_admission(Admission::new(address), questions, tx.clone()));
+        }
         let mut writer = Writer {
             store: self.store,
             record: self.record,
@@ -77,7 +87,7 @@
         };
         let confirmed_ms = Arc::clone(&writer.confirmed_ms);
         let succeeded = succeeded(self.peers, confirmed_ms, writer.record.term);
-        let driver = Driver::new(coordinator, writes_tx);
+        let driver = Driver::new(coordinator, writes_tx, questions_tx);
         let ended = tokio::select! {
             end = driver.run(&mut rx) => {
                 spdlog::warn!("event=term_ended why=\"{end:?}\"");
@@ -112,6 +122,23 @@
     }
 }
 
+/// Puts questions to the admission service, one at a time, as it answers them.
+async fn ask_admission(
+    admission: Admission,
+    mut questions: mpsc::Receiver<Question>,
+    inputs: mpsc::Sender<Input>,
+) {
+    while let Some((step, minions)) = questions.recv().await {
+        let answer = admission.ask(step, &minions, ADMISSION_TIMEOUT).await;
+        if let Err(why) = &answer {
+            spdlog::warn!("event=approval_unanswered step={step} why=\"{why}\"");
+        }
+        if inputs.send(Input::Approved(step, answer.ok())).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Waits until another entry knows a successor, while the store is silent.
 async fn succeeded(peers: Arc<Peers>, confirmed_ms: Arc<AtomicU64>, fence: u64) {
     loop {
