--- a/crates/geraniumpost/src/batch/agent/mod.rs
+++ b/crates/geraniumpost/src/batch/agent/mod.rs
@@ -28,6 +28,7 @@
     let minion = settings.minion.wrap_err("no address of the minion")?;
     let heartbeats = settings.heartbeats.wrap_err("no address for heartbeats")?;
     spdlog::info!("event=start role=job-agent node={} minion={minion}", settings.node);
+    let metrics = super::serve_metrics(settings.ip).await?;
     let store = Arc::new(Store::new(settings.store));
     let state = Arc::new(State::new(settings.node.clone(), Minion::new(minion)));
     let listener = http_server::bind(heartbeats).await?;
@@ -37,6 +38,7 @@
     tokio::spawn(looking::look_always(Arc::clone(&state)));
     let on_beat = Arc::clone(&state);
     let serving = tokio::spawn(http_server::serve(listener, stop.clone(), move |req| {
+        metrics.heartbeat("minion");
         beats::answer(req, Arc::clone(&on_beat))
     }));
     crate::stop_signal::stopped(&mut stop.clone()).await;
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -19,6 +19,7 @@
 use super::record::CoordinatorRecord;
 use super::term::Term;
 use super::{COORDINATOR_KEY, Known};
+use crate::metrics::Metrics;
 
 /// Longest time one call to the store may take here.
 const CALL: Duration = Duration::from_millis(700);
@@ -54,6 +55,7 @@
     hold_ms: u64,
     known: watch::Sender<Option<Known>>,
     link: watch::Receiver<LinkState>,
+    metrics: Arc<Metrics>,
     confirmed_ms: Arc<AtomicU64>,
 }
 
@@ -73,6 +75,7 @@
         store: Arc<Store>,
         known: watch::Sender<Option<Known>>,
         link: watch::Receiver<LinkState>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         let hold_ms = settings.bounds.max_hold_ms.saturating_sub(HOLD_MARGIN_MS);
         let address = SocketAddr::new(settings.ip, settings.peer_port);
@@ -87,6 +90,7 @@
             hold_ms: hold_ms.min(LONGEST_HOLD_MS),
             known,
             link,
+            metrics,
             confirmed_ms: Arc::new(AtomicU64::new(0)),
         }
     }
@@ -261,6 +265,7 @@
             confirmed_ms: Arc::clone(&self.confirmed_ms),
             peers: Arc::clone(&self.peers),
             admission: self.admission,
+            metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
         spdlog::info!("event=take_over fence={fence} revision={taken} after={loss:?}");
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -1,15 +1,19 @@
 //! Drives the coordinator's decisions: messages in, effects out.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumpost_batch::{Ask, Coordinator, Effect, FromAgent, TaskId, ToEntry, WriteBatch};
+use geraniumpost_batch::{
+    Ask, Coordinator, Effect, FromAgent, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
+};
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::Approved;
 use geraniumpost_schema::Name;
 use tokio::sync::mpsc;
 
 use super::super::{BootClock, ToPeer};
+use crate::metrics::Metrics;
 
 /// Pause between two ticks: timeouts are hundreds of milliseconds.
 const TICK: Duration = Duration::from_millis(100);
@@ -76,6 +80,7 @@
 /// The driver of one term.
 pub struct Driver {
     coordinator: Coordinator,
+    metrics: Arc<Metrics>,
     writes: mpsc::Sender<WriteBatch>,
     questions: mpsc::Sender<Question>,
     entries: HashMap<u64, LinkSender<ToPeer>>,
@@ -92,8 +97,10 @@
         coordinator: Coordinator,
         writes: mpsc::Sender<WriteBatch>,
         questions: mpsc::Sender<Question>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            metrics,
             coordinator,
             writes,
             questions,
@@ -184,6 +191,7 @@
                 }
             }
             Effect::Tell { agent, message } => {
+                self.count(&message);
                 if let Some((_, tx)) = self.agents.get(&agent) {
                     // An order that is lost with its link is given again on the next one.
                     let _ = tx.send(ToPeer::Agent(message));
@@ -199,4 +207,13 @@
             Effect::Superseded => {}
         }
     }
+
+    fn count(&self, message: &ToAgent) {
+        let ToAgent::Order(order) = message else { return };
+        match order.kind {
+            OrderKind::Start { .. } => self.metrics.placement("steps"),
+            OrderKind::Stop => self.metrics.eviction("stop"),
+            OrderKind::Pace { .. } => {}
+        }
+    }
 }
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -17,6 +17,7 @@
 use super::peers::Peers;
 use super::record::CoordinatorRecord;
 use super::writer::{TermLost, Timeout, Writer};
+use crate::metrics::Metrics;
 
 /// Messages that may wait for the coordinator.
 const QUEUE: usize = 4_096;
@@ -47,6 +48,8 @@
     pub peers: Arc<Peers>,
     /// The service that approves minions for steps, if there is one.
     pub admission: Option<SocketAddr>,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
 }
 
 impl Term {
@@ -84,10 +87,12 @@
             inputs: tx,
             confirmed_ms: self.confirmed_ms,
             timeout: Timeout::default(),
+            metrics: Arc::clone(&self.metrics),
         };
+        self.metrics.planner_term(writer.record.term);
         let confirmed_ms = Arc::clone(&writer.confirmed_ms);
         let succeeded = succeeded(self.peers, confirmed_ms, writer.record.term);
-        let driver = Driver::new(coordinator, writes_tx, questions_tx);
+        let driver = Driver::new(coordinator, writes_tx, questions_tx, Arc::clone(&self.metrics));
         let ended = tokio::select! {
             end = driver.run(&mut rx) => {
                 spdlog::warn!("event=term_ended why=\"{end:?}\"");
@@ -97,6 +102,7 @@
             () = succeeded => Err(TermLost),
         };
         doorway.send_replace(None);
+        self.metrics.planner_term(0);
         match ended {
             Ok(()) => writer.step_down().await,
             Err(error) => spdlog::warn!("event=term_lost why=\"{error}\""),
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -16,6 +16,7 @@
 use super::driver::Input;
 use super::record::CoordinatorRecord;
 use super::{COORDINATOR_KEY, JOB_PREFIX};
+use crate::metrics::Metrics;
 
 /// Shortest time given to a call, in milliseconds: the store's usual 4 ms, and the pauses of a
 /// small VM whose processor time is used up.
@@ -44,6 +45,7 @@
     pub inputs: mpsc::Sender<Input>,
     pub confirmed_ms: Arc<AtomicU64>,
     pub timeout: Timeout,
+    pub metrics: Arc<Metrics>,
 }
 
 /// How long a call may take, learnt from how long calls take.
@@ -146,6 +148,14 @@
         took: Duration,
         queue: &mut VecDeque<WriteBatch>,
     ) -> Result<bool, TermLost> {
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(CommitError::Conflict(_)) => "conflict",
+            Err(CommitError::NotDone(_)) => "refused",
+            Err(CommitError::Unknown(_)) => "lost",
+        };
+        self.metrics.store_call("commit", outcome, took);
+        self.metrics.store_up(result.is_ok());
         match result {
             Ok(_) => {
                 self.timeout.answered(took);
--- a/crates/geraniumpost/src/batch/entry/callers.rs
+++ b/crates/geraniumpost/src/batch/entry/callers.rs
@@ -30,7 +30,10 @@
 /// Answers one request.
 pub async fn answer(req: Request<Incoming>, shared: Arc<Shared>) -> Answer {
     let stopping = *shared.stop.borrow();
+    let began = tokio::time::Instant::now();
+    let method = req.method().clone();
     let mut answer = handle(req, &shared).await;
+    shared.metrics.outcome(method.as_str(), answer.status().as_u16(), began.elapsed());
     if stopping {
         // The next request of this caller reaches an entry that stays.
         answer.headers_mut().insert("connection", HeaderValue::from_static("close"));
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -16,6 +16,7 @@
 
 use super::coordination::{Candidate, Known};
 use super::http_server;
+use crate::metrics::Metrics;
 
 pub use relay::{LinkState, Relay};
 
@@ -32,6 +33,8 @@
     pub routes: ArcSwapOption<Routes>,
     /// Relays requests to the coordinator.
     pub relay: Relay,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
     /// Whether the process was asked to stop.
     pub stop: watch::Receiver<bool>,
 }
@@ -47,13 +50,19 @@
     let callers = settings.callers.wrap_err("no address for callers")?;
     let ready = settings.ready.wrap_err("no address for the balancer")?;
     spdlog::info!("event=start role=job-entry node={} callers={callers}", settings.node);
+    let metrics = super::serve_metrics(settings.ip).await?;
     let store = Arc::new(Store::new(settings.store));
     let (known_tx, known) = watch::channel::<Option<Known>>(None);
     let relay = Relay::start(settings.node.clone(), known);
-    let shared = Arc::new(Shared { routes: ArcSwapOption::empty(), relay, stop: stop.clone() });
+    let shared = Arc::new(Shared {
+        routes: ArcSwapOption::empty(),
+        relay,
+        metrics: Arc::clone(&metrics),
+        stop: stop.clone(),
+    });
     tokio::spawn(configuration::follow(Arc::clone(&store), Arc::clone(&shared)));
     let peers = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
-    let candidate = Candidate::new(&settings, store, known_tx, shared.relay.state());
+    let candidate = Candidate::new(&settings, store, known_tx, shared.relay.state(), metrics);
     tokio::spawn(candidate.run(peers, stop.clone()));
     let ready = http_server::bind(ready).await?;
     let callers = http_server::bind(callers).await?;
--- a/crates/geraniumpost/src/batch/mod.rs
+++ b/crates/geraniumpost/src/batch/mod.rs
@@ -40,6 +40,26 @@
     crate::runtime::start_small()?.block_on(agent::serve(settings))
 }
 
+/// Port on which both roles serve their metrics under `/metrics`; it is the usual one of exporters.
+const METRICS_PORT: u16 = 9_464;
+
+/// Starts to serve metrics. A taken port costs the metrics and nothing else.
+///
+/// # Errors
+///
+/// Fails if the meters cannot be created.
+async fn serve_metrics(ip: std::net::IpAddr) -> Result<std::sync::Arc<crate::metrics::Metrics>> {
+    let metrics = std::sync::Arc::new(crate::metrics::Metrics::new()?);
+    match http_server::bind((ip, METRICS_PORT).into()).await {
+        Ok(listener) => {
+            let served = std::sync::Arc::clone(&metrics);
+            tokio::spawn(crate::metrics::serve_metrics(listener, served, std::future::pending()));
+        }
+        Err(error) => spdlog::warn!("event=metrics_not_served why=\"{error:#}\""),
+    }
+    Ok(metrics)
+}
+
 fn start_logs(node: &geraniumpost_schema::Name) -> Result<()> {
     let settings = geraniumpost_schema::LogSettings {
         level: geraniumpost_schema::LogLevel::Info,
