--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -86,7 +86,7 @@
             peers: Arc::new(Peers::new(settings.node.clone(), address)),
             admission: settings.admission,
             incarnation: rand::rng().random(),
-            handicap_ms: (20.0 / settings.cpu_share.max(0.05)) as u64,
+            handicap_ms: (8.0 / settings.cpu_share.max(0.05)) as u64,
             hold_ms: hold_ms.min(LONGEST_HOLD_MS),
             known,
             link,
@@ -111,23 +111,32 @@
             tokio::time::sleep(PAUSE).await;
         }
         tokio::spawn(Arc::clone(&self.peers).follow(Arc::clone(&self.store)));
+        let mut gone = None;
         loop {
-            self.once(&inputs_tx, &stop).await;
+            self.once(&inputs_tx, &stop, &mut gone).await;
         }
     }
 
     /// Learns who coordinates, and waits until that changes or takes over.
-    async fn once(&self, inputs: &watch::Sender<Inputs>, stop: &watch::Receiver<bool>) {
+    ///
+    /// `gone` is the revision of the key at which its holder was found not to coordinate.
+    async fn once(
+        &self,
+        inputs: &watch::Sender<Inputs>,
+        stop: &watch::Receiver<bool>,
+        gone: &mut Option<u64>,
+    ) {
         let Ok(item) = self.store.get(COORDINATOR_KEY, CALL).await else {
             return self.learn_from_peers().await;
         };
-        let Some((record, _)) = read(item.as_ref()) else {
+        let Some((record, revision)) = read(item.as_ref()) else {
             self.stagger().await;
             self.take_over(item.as_ref(), Loss::Gone, inputs, stop).await;
             return;
         };
         if record.vacant {
-            self.stagger().await;
+            // Whoever comes second finds the key taken, which costs it one call.
+            tokio::time::sleep(Duration::from_millis(self.handicap_ms)).await;
             self.take_over(item.as_ref(), Loss::Gone, inputs, stop).await;
             return;
         }
@@ -139,6 +148,11 @@
         let known = Known { address: record.address, fence: record.term };
         self.publish(known);
         let loss = self.lost(&known).await;
+        if loss == Loss::Gone && gone.replace(revision) != Some(revision) {
+            // It is about to say so in its key, or somebody has followed it; a takeover of the key as
+            // it was read would only fail.
+            return;
+        }
         if self.may_take_over(&record, loss).await {
             self.stagger().await;
             self.take_over(item.as_ref(), loss, inputs, stop).await;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -101,12 +101,13 @@
             end = writer.run(&mut writes, stop) => end,
             () = succeeded => Err(TermLost),
         };
-        doorway.send_replace(None);
-        self.metrics.planner_term(0);
+        // The key says that it is vacant before the links close: who looks then sees it at once.
         match ended {
             Ok(()) => writer.step_down().await,
             Err(error) => spdlog::warn!("event=term_lost why=\"{error}\""),
         }
+        doorway.send_replace(None);
+        self.metrics.planner_term(0);
     }
 
     async fn read_records(&self, stop: watch::Receiver<bool>) -> Option<Vec<(JobId, JobRecord)>> {
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -83,7 +83,7 @@
 type Done = (WriteBatch, Result<u64, CommitError>, Duration);
 
 impl Writer {
-    /// Writes batches until the term is lost, or until `stop` turns true and all is written.
+    /// Writes batches until the term is lost, or until `stop` turns true and no write is under way.
     ///
     /// # Errors
     ///
@@ -103,7 +103,13 @@
                 self.bar_earlier_writes().await?;
                 uncertain = false;
             }
-            while !uncertain && under_way.len() < WRITES_AT_ONCE {
+            // A stopping coordinator leaves what it has not begun to write to its successor, which
+            // finds all of it in the minions' lists: the sooner it goes, the shorter the gap.
+            let stopping = *stop.borrow();
+            if stopping && under_way.is_empty() && !uncertain {
+                return Ok(());
+            }
+            while !uncertain && !stopping && under_way.len() < WRITES_AT_ONCE {
                 let Some(batch) = queue.pop_front() else { break };
                 under_way.spawn(self.write(batch));
             }
@@ -117,9 +123,7 @@
                     uncertain |= self.settle(batch, result, took, &mut queue).await?;
                 }
                 _ = confirm.tick(), if under_way.is_empty() && !uncertain => self.confirm().await?,
-                () = crate::stop_signal::stopped(&mut stop), if under_way.is_empty() && queue.is_empty() => {
-                    return Ok(());
-                }
+                () = crate::stop_signal::stopped(&mut stop), if !stopping => {}
             }
         }
     }
