--- a/crates/geraniumpost-outside/src/http/client.rs
+++ b/crates/geraniumpost-outside/src/http/client.rs
@@ -44,11 +44,31 @@
     /// Sends a request and reads the whole answer before the timeout.
     pub async fn exchange(
         &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        self.send_as(self.host.clone(), req, timeout).await
+    }
+
+    /// Like [`Self::exchange`], for a server that tells several hosts at its address apart.
+    pub async fn exchange_as(
+        &self,
+        host: &str,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Exchange, SendError> {
+        let host = HeaderValue::from_str(host).map_err(|e| SendError::NotSent(e.to_string()))?;
+        self.send_as(host, req, timeout).await
+    }
+
+    async fn send_as(
+        &self,
+        host: HeaderValue,
         mut req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Exchange, SendError> {
         let ends = Instant::now() + timeout;
-        req.headers_mut().insert(HOST, self.host.clone());
+        req.headers_mut().insert(HOST, host);
         let method = req.method().clone();
         let turn = timeout_at(ends, self.turns.acquire()).await;
         let Ok(Ok(_turn)) = turn else {
