--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -4,7 +4,7 @@
 use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{EndKind, FromAgent, OrderKind, OrderOutcome};
 
-use crate::world::{HOLD_MS, World, agent, step};
+use crate::world::{HOLD_MS, World, agent, minion, step};
 
 /// An agent is cut off while its minion runs on. Its task must not begin elsewhere before the
 /// minion has surely ended it, or a user gets two results.
@@ -141,18 +141,7 @@
     let mut world = World::new().with_minions(&["m1"]);
     world.pass(2 * HOLD_MS);
     world.beat("m1");
-    let info = geraniumpost_batch::MinionInfo {
-        id: "m1-b".into(),
-        service: "study".into(),
-        capacity: geraniumpost_batch::Demand {
-            milli_cpus: 4_000,
-            memory_mb: 8_000,
-            accelerators: 0,
-        },
-        sequence: 1,
-        ..Default::default()
-    };
-    world.say("m1", FromAgent::Minion(info));
+    world.say("m1", FromAgent::Minion(minion("m1-b")));
     world.look("m1-b");
     world.submit(1, vec![step(1)]);
     world.obey();
@@ -212,19 +201,8 @@
 #[test]
 fn nothing_is_placed_before_the_agent_holds_a_lease() {
     let mut world = World::new();
-    let info = geraniumpost_batch::MinionInfo {
-        id: "m1".into(),
-        service: "study".into(),
-        capacity: geraniumpost_batch::Demand {
-            milli_cpus: 4_000,
-            memory_mb: 8_000,
-            accelerators: 0,
-        },
-        sequence: 1,
-        ..Default::default()
-    };
     world.say("m1", FromAgent::Hello { agent: agent("m1") });
-    world.say("m1", FromAgent::Minion(info));
+    world.say("m1", FromAgent::Minion(minion("m1")));
     world.look("m1");
     world.submit(1, vec![step(1)]);
     assert!(world.orders.is_empty());
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -75,17 +75,7 @@
     pub fn join(&mut self, name: &str, change: impl Fn(MinionInfo) -> MinionInfo) {
         let agent = agent(name);
         self.say(name, FromAgent::Hello { agent });
-        let info = MinionInfo {
-            id: name.into(),
-            service: "study".into(),
-            domain: "surco".into(),
-            capacity: Demand { milli_cpus: 16_000, memory_mb: 64_000, accelerators: 0 },
-            labels: vec!["a".into(), "r1".into()],
-            draining: false,
-            remaining_ms: None,
-            sequence: 1,
-        };
-        self.say(name, FromAgent::Minion(change(info)));
+        self.say(name, FromAgent::Minion(change(minion(name))));
         self.beat(name);
         self.look(name);
     }
@@ -300,6 +290,20 @@
     }
 }
 
+/// Returns what a minion of 16 processors and 64 GB says of itself.
+pub fn minion(name: &str) -> MinionInfo {
+    MinionInfo {
+        id: name.into(),
+        service: "study".into(),
+        domain: "surco".into(),
+        capacity: Demand { milli_cpus: 16_000, memory_mb: 64_000, accelerators: 0 },
+        labels: vec!["a".into(), "r1".into()],
+        draining: false,
+        remaining_ms: None,
+        sequence: 1,
+    }
+}
+
 pub fn agent(minion: &str) -> Name {
     // The incarnation is behind a dash: "m1" and "m1-b" are lives of one machine.
     Name::from(format!("agent-{}", minion.split('-').next().unwrap_or(minion)))
