refactor(standin): start the stand-ins' servers and control pages in one place

The serve functions of store, worker and minion were the same but for their ticks, and the relay repeated the control listener; Standin::serve and serve_pages hold it once.

--- a/crates/geraniumpost-standin/src/minion/serve.rs
+++ b/crates/geraniumpost-standin/src/minion/serve.rs
@@ -5,13 +5,12 @@
 use eyre::Result;
 use http::{Method, StatusCode};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
 use super::MinionOptions;
 use super::service::answer;
 use super::shared::Shared;
 use crate::Standin;
-use crate::http::{Down, Reply, Server, json, serve_control, status};
+use crate::http::{Down, Reply, Server, json, status};
 
 /// Runs a minion until the returned handle is dropped.
 ///
@@ -24,17 +23,7 @@
     let (up, down) = watch::channel(Down::No);
     let server = Server::bind(listen, down).await?;
     let shared = Arc::new(Shared::open(options, server.connections(), up)?);
-    let address = server.address();
-    let mut tasks = JoinSet::new();
-    let pages = Arc::clone(&shared);
-    let control = serve_control(
-        control,
-        &mut tasks,
-        Arc::new(move |method, path, body| page(&pages, method, path, body)),
-    );
-    let control = control.await?;
-    tasks.spawn(server.run(move |req| answer(Arc::clone(&shared), req)));
-    Ok(Standin::new(address, control, tasks))
+    Standin::serve(server, control, shared, answer, page).await
 }
 
 fn page(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Result<Option<Reply>> {
--- a/crates/geraniumpost-standin/src/relay/serve.rs
+++ b/crates/geraniumpost-standin/src/relay/serve.rs
@@ -10,7 +10,8 @@
 use super::shared::Shared;
 use super::{Protocol, tcp, udp};
 use crate::Standin;
-use crate::http::{Reply, json, serve_control, status};
+use crate::http::{Reply, json, status};
+use crate::standin::serve_pages;
 
 /// Runs a relay to `to` until the returned handle is dropped.
 ///
@@ -23,13 +24,7 @@
 ) -> Result<Standin> {
     let shared = Arc::new(Shared::new());
     let mut tasks = JoinSet::new();
-    let pages = Arc::clone(&shared);
-    let control = serve_control(
-        control,
-        &mut tasks,
-        Arc::new(move |method, path, body| page(&pages, method, path, body)),
-    );
-    let control = control.await?;
+    let control = serve_pages(control, &mut tasks, Arc::clone(&shared), page).await?;
     let address = match protocol {
         Protocol::Tcp => {
             let listener = TcpListener::bind(listen).await?;
--- a/crates/geraniumpost-standin/src/store/serve.rs
+++ b/crates/geraniumpost-standin/src/store/serve.rs
@@ -6,12 +6,11 @@
 use eyre::Result;
 use http::{Method, StatusCode};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
 use super::service::answer;
 use super::shared::Shared;
 use crate::Standin;
-use crate::http::{Down, Reply, Server, json, serve_control, status};
+use crate::http::{Down, Reply, Server, json, status};
 
 /// Interval at which overdue leases are ended, so that watches see it without another call.
 const EXPIRY_TICK: Duration = Duration::from_millis(10);
@@ -23,19 +22,9 @@
     let (up, down) = watch::channel(Down::No);
     let shared = Arc::new(Shared::new(up));
     let server = Server::bind(listen, down).await?;
-    let address = server.address();
-    let mut tasks = JoinSet::new();
-    let pages = Arc::clone(&shared);
-    let control = serve_control(
-        control,
-        &mut tasks,
-        Arc::new(move |method, path, body| page(&pages, method, path, body)),
-    );
-    let control = control.await?;
     let ticking = Arc::clone(&shared);
-    tasks.spawn(server.run(move |req| answer(Arc::clone(&shared), req)));
-    tasks.spawn(expire_leases(ticking));
-    Ok(Standin::new(address, control, tasks))
+    let standin = Standin::serve(server, control, shared, answer, page).await?;
+    Ok(standin.beside(expire_leases(ticking)))
 }
 
 async fn expire_leases(shared: Arc<Shared>) {
--- a/crates/geraniumpost-standin/src/worker/serve.rs
+++ b/crates/geraniumpost-standin/src/worker/serve.rs
@@ -6,13 +6,12 @@
 use eyre::Result;
 use http::{Method, StatusCode};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
 use super::WorkerOptions;
 use super::service::answer;
 use super::shared::Shared;
 use crate::Standin;
-use crate::http::{Down, Reply, Server, json, serve_control, status};
+use crate::http::{Down, Reply, Server, json, status};
 
 /// Interval at which ends of tasks are recorded although nobody asks.
 const WORK_TICK: Duration = Duration::from_millis(20);
@@ -28,19 +27,9 @@
     let (up, down) = watch::channel(Down::No);
     let shared = Arc::new(Shared::open(options, up)?);
     let server = Server::bind(listen, down).await?;
-    let address = server.address();
-    let mut tasks = JoinSet::new();
-    let pages = Arc::clone(&shared);
-    let control = serve_control(
-        control,
-        &mut tasks,
-        Arc::new(move |method, path, body| page(&pages, method, path, body)),
-    );
-    let control = control.await?;
     let ticking = Arc::clone(&shared);
-    tasks.spawn(server.run(move |req| answer(Arc::clone(&shared), req)));
-    tasks.spawn(work(ticking));
-    Ok(Standin::new(address, control, tasks))
+    let standin = Standin::serve(server, control, shared, answer, page).await?;
+    Ok(standin.beside(work(ticking)))
 }
 
 async fn work(shared: Arc<Shared>) {
