feat(batch): agents look for a successor after one missing answer

Cause: after the coordinator's VM lost power entries took over in 0.9 s, but agents found the new one only 2.5 s after the loss (silence of 1.7 s, then a search).

--- a/crates/geraniumpost/src/batch/agent/finder.rs
+++ b/crates/geraniumpost/src/batch/agent/finder.rs
@@ -14,6 +14,10 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause between two readings while there is no link.
 const SEARCHING: Duration = Duration::from_millis(200);
+/// Silence of the coordinator after which a successor is looked for, in milliseconds: one missing
+/// answer. A VM without power sends no reset, and entries take over after 0.9 s of silence; agents
+/// that only then began to doubt would leave their minions without orders for another second.
+const SILENCE_MS: u64 = 700;
 /// Pause between two looks at whether there is a link.
 const LINKED: Duration = Duration::from_millis(100);
 /// Pause between two readings while the coordinator misses the store and may have a successor.
@@ -26,8 +30,9 @@
     let mut lost = false;
     loop {
         let linked = state.results().is_some();
+        let silent = state.silent_ms() > SILENCE_MS;
         let doubts = state.coordinator_misses_store.load(Ordering::Relaxed);
-        if linked && !doubts {
+        if linked && !doubts && !silent {
             tokio::time::sleep(LINKED).await;
             continue;
         }
@@ -48,7 +53,7 @@
                 lost = true;
             }
         }
-        tokio::time::sleep(if linked { DOUBTING } else { SEARCHING }).await;
+        tokio::time::sleep(if linked && !silent { DOUBTING } else { SEARCHING }).await;
     }
 }
 
--- a/crates/geraniumpost/src/batch/agent/link.rs
+++ b/crates/geraniumpost/src/batch/agent/link.rs
@@ -53,14 +53,14 @@
     if tx.send(FromPeer::Agent { node: state.node.clone() }).is_err() {
         return;
     }
-    let mut heard_ms = BootClock.now_ms();
+    state.heard_ms.store(BootClock.now_ms(), Ordering::Relaxed);
     let mut linked = false;
     let mut beats = tokio::time::interval(BEAT);
     loop {
         tokio::select! {
             message = rx.next() => {
                 let Some(message) = message else { return };
-                heard_ms = BootClock.now_ms();
+                state.heard_ms.store(BootClock.now_ms(), Ordering::Relaxed);
                 let ToPeer::Agent(message) = message.head else { return };
                 if !linked {
                     linked = true;
@@ -70,7 +70,7 @@
                 take(state, message);
             }
             _ = beats.tick() => {
-                if BootClock.now_ms().saturating_sub(heard_ms) > SILENCE_MS {
+                if state.silent_ms() > SILENCE_MS {
                     spdlog::warn!("event=dependency_lost dependency=coordinator why=silent");
                     return;
                 }
--- a/crates/geraniumpost/src/batch/agent/state.rs
+++ b/crates/geraniumpost/src/batch/agent/state.rs
@@ -28,6 +28,8 @@
     pub beat_now: Notify,
     /// Whether the coordinator says that it misses the store.
     pub coordinator_misses_store: std::sync::atomic::AtomicBool,
+    /// When the coordinator was last heard of over the present link, on the boot clock.
+    pub heard_ms: AtomicU64,
     lease_ms: AtomicU64,
     inner: Mutex<Inner>,
 }
@@ -62,6 +64,7 @@
             wake: Notify::new(),
             beat_now: Notify::new(),
             coordinator_misses_store: std::sync::atomic::AtomicBool::new(false),
+            heard_ms: AtomicU64::new(0),
             lease_ms: AtomicU64::new(0),
             inner: Mutex::default(),
         }
@@ -216,6 +219,11 @@
         self.wake.notify_waiters();
     }
 
+    /// Returns for how long the coordinator has been silent, in milliseconds.
+    pub fn silent_ms(&self) -> u64 {
+        BootClock.now_ms().saturating_sub(self.heard_ms.load(Ordering::Relaxed))
+    }
+
     /// Returns whether there is a link, and how many results were passed on so far.
     pub fn results(&self) -> Option<u64> {
         let inner = self.lock();
