feat(batch): refuse jobs beyond a bound, and name the parts of ranks

Cause: nothing bounded the jobs that a coordinator holds, and Answer::Refused was never given. Beyond 3,000 open jobs a new one is refused at once with the time to come back. Test: jobs_beyond_the_bound_are_refused. Ranks and fits are structs with named fields instead of tuples; images that serve nowhere are forgotten once there are 200.

--- a/crates/geraniumpost-batch/src/coordinator/asking.rs
+++ b/crates/geraniumpost-batch/src/coordinator/asking.rs
@@ -5,6 +5,7 @@
 use super::commits::Deferred;
 use super::job::Job;
 use super::{Coordinator, Effect};
+use crate::tuning::RETRY_AFTER_MS;
 use crate::{Answer, Ask, JobId, JobRecord, JobSpec, JobState, Now, QueueTerms};
 
 impl Coordinator {
@@ -45,6 +46,12 @@
             self.reply(ticket, Answer::Invalid);
             return;
         }
+        if self.open.len() >= self.most_open_jobs {
+            let open = self.open.len();
+            self.note(format!("decision=refuse job={id} why=\"too many jobs\" open={open}"));
+            self.reply(ticket, Answer::Refused { retry_after_ms: RETRY_AFTER_MS });
+            return;
+        }
         self.note(format!(
             "decision=accept job={id} queue={} steps={} tasks={}",
             terms.queue,
--- a/crates/geraniumpost-batch/src/coordinator/harm.rs
+++ b/crates/geraniumpost-batch/src/coordinator/harm.rs
@@ -32,6 +32,8 @@
 /// hard, which are the more frequent ones. Too low a figure costs users their tails until it is
 /// learnt; too high a one costs some speed.
 const UNKNOWN_SLOPE: f64 = 0.3;
+/// Serving images that are remembered: tens serve at once, and each takes up to 30 KB.
+const MOST_IMAGES: usize = 200;
 /// Most that doubt adds to a slope, for each 16 processors.
 const MOST_DOUBT: f64 = 0.15;
 /// Shortest time between two looks that are compared, in milliseconds: each gauge covers half a
@@ -91,6 +93,15 @@
         (self.model.slope(serving, class) + doubt) * HarmModel::strength(milli_cpus, LOAD)
     }
 
+    /// Forgets images that serve nowhere, once there are too many. Images come and go for as long as
+    /// the process runs, and each costs memory.
+    fn forget(&mut self, serves: impl Fn(&Name) -> bool) {
+        if self.quiet.len() > MOST_IMAGES {
+            self.quiet.retain(|image, _| serves(image));
+            self.model.keep(serves);
+        }
+    }
+
     /// Takes in a tail, and returns how busy it shows the image.
     fn measured(&mut self, serving: &Name, tail: f64) -> f64 {
         let quiet = self.quiet.entry(serving.clone()).or_insert(QUIET);
@@ -105,6 +116,13 @@
 }
 
 impl Coordinator {
+    /// Forgets what is known of images that no minion serves, if there is much of it.
+    pub(super) fn forget_images(&mut self) {
+        let minions = &self.minions;
+        let serves = |image: &Name| minions.values().any(|m| m.serving_images.contains_key(image));
+        self.harm.forget(serves);
+    }
+
     /// Learns from a minion's gauges.
     pub(super) fn observe_harm(&mut self, id: &Name, now: Now) {
         let Some(minion) = self.minions.get(id) else { return };
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -42,6 +42,7 @@
 pub struct Coordinator {
     fence: u64,
     hold_ms: u64,
+    most_open_jobs: usize,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that may have waiting tasks.
     open: BTreeSet<JobId>,
@@ -72,6 +73,7 @@
         Self {
             fence,
             hold_ms: 0,
+            most_open_jobs: crate::tuning::MOST_OPEN_JOBS,
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
             dirty: BTreeSet::new(),
@@ -97,6 +99,13 @@
         self
     }
 
+    /// Sets how many jobs may be open before new ones are refused.
+    #[must_use]
+    pub const fn most_open_jobs(mut self, jobs: usize) -> Self {
+        self.most_open_jobs = jobs;
+        self
+    }
+
     /// Sets when, on the steady clock, every lease of a predecessor has surely lapsed.
     #[must_use]
     pub const fn inherited_until(mut self, steady_ms: u64) -> Self {
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -16,11 +16,27 @@
 /// minion that cannot bear it, it would miss the first one that can.
 const LEAST_FILL_SPEED: i64 = 400_000;
 
-/// Sorts jobs: those that can still meet their objective, then by urgency, then by due time.
-type Rank = (u8, u32, u64);
+/// Which jobs go first; compared field by field, smaller first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// 0 in time, 1 late but still worth something, 2 neither.
+    lateness: u8,
+    /// The queue's urgency; 0 is the most urgent.
+    priority: u32,
+    /// When the objective ends, in milliseconds since 1970.
+    objective_ends_ms: u64,
+}
 
-/// How well a place suits; smaller is better.
-type Fit = (bool, bool, i64);
+/// How well a place suits; compared field by field, smaller is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Fit {
+    /// The last run went wrong there.
+    avoided: bool,
+    /// It is not on the wanted rack.
+    far: bool,
+    /// How little it suits by load; for filling tasks their speed, negative, in millionths.
+    cost: i64,
+}
 
 impl Coordinator {
     /// Places all waiting tasks that find room, in the order of their jobs' ranks.
@@ -171,9 +187,9 @@
         let fit = |minion: &&Minion| -> Fit {
             let far = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoid == Some(&minion.info.id);
-            (avoided, far, self.preference(minion, spec))
+            Fit { avoided, far, cost: self.preference(minion, spec) }
         };
-        let worth_it = |minion: &&Minion| !spec.fills || -fit(minion).2 >= LEAST_FILL_SPEED;
+        let worth_it = |minion: &&Minion| !spec.fills || -fit(minion).cost >= LEAST_FILL_SPEED;
         let best = self.minions.values().filter(fits).min_by_key(fit).filter(worth_it)?;
         Some(best.info.id.clone())
     }
@@ -292,7 +308,7 @@
     } else {
         2
     };
-    (lateness, terms.priority, due_ms + objective_ms)
+    Rank { lateness, priority: terms.priority, objective_ends_ms: due_ms + objective_ms }
 }
 
 /// Returns how much a serving task of an image would narrow what can fill a minion; smaller is
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -15,6 +15,7 @@
         self.repeat_orders(now);
         self.move_parked(now);
         self.expire(now);
+        self.forget_images();
         // Tasks that waited for a pause to pass may be placed now.
         self.placing_due |= !self.open.is_empty();
     }
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -49,7 +49,10 @@
 pub const PACE_EVERY_MS: u64 = 600;
 /// Stop orders are given again after so many milliseconds without an end.
 pub const REPEAT_STOP_MS: u64 = 1_500;
-/// Wait that a refused caller is told, in milliseconds.
+/// Jobs that may be open at once. Each takes some kilobytes here and in the store, and is looked at
+/// with each placement; users' deployments have some hundreds on their fullest days.
+pub const MOST_OPEN_JOBS: usize = 3_000;
+/// Wait that a refused caller is told, in milliseconds: with so many jobs open, some end each second.
 pub const RETRY_AFTER_MS: u64 = 1_000;
 /// How long a coordinator that the store does not confirm goes on extending leases, in
 /// milliseconds. It covers the outages of the store that operators report, so that running work
--- a/crates/geraniumpost-batch/tests/coordinator/promises.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/promises.rs
@@ -234,3 +234,21 @@
     assert!(world.orders.iter().all(|order| order.kind == OrderKind::Stop));
     assert_eq!(world.orders.len(), 2);
 }
+
+/// More jobs come than can ever be held. Those beyond the bound are refused at once and told when to
+/// come back; a repeat of one that is held is still accepted, and the refused one never runs.
+#[test]
+fn jobs_beyond_the_bound_are_refused() {
+    let mut world = World::new();
+    let most = 5;
+    world.coordinator =
+        geraniumpost_batch::Coordinator::new(1, world.now).most_open_jobs(most as usize);
+    for id in 1..=most {
+        world.submit(id, vec![step(1)]);
+    }
+    let refused = world.submit(most + 1, vec![step(1)]);
+    assert_matches!(world.answer(refused), Some(Answer::Refused { retry_after_ms: 1..=5_000 }));
+    let repeat = world.submit(1, vec![step(1)]);
+    assert_eq!(world.answer(repeat), Some(Answer::Accepted));
+    assert_eq!(world.state(most + 1), Answer::Unknown);
+}
