fix(batch): count one failed attempt for each run of a gang

Cause, found by reading: each member that failed in one run counted as an attempt of its whole gang, so that a gang whose members fail together was shown as failed too early. Test first, failing: gang_fails_once_a_run.

--- a/crates/geraniumpost-batch/src/coordinator/ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ends.rs
@@ -78,7 +78,14 @@
     }
 
     fn task_failed(&mut self, task: TaskId, spec: &StepSpec, now: Now) {
-        self.change_tasks(task, spec.gang, |record| record.failures += 1);
+        let run = self.task_record(task).map_or(0, |record| record.run);
+        // Several members of a gang may fail in one run, which is one failed attempt.
+        self.change_tasks(task, spec.gang, |record| {
+            if record.failed_run < run {
+                record.failed_run = run;
+                record.failures += 1;
+            }
+        });
         self.task_waits(task, spec, now);
         let Some(job) = self.jobs.get(&task.job) else { return };
         let most = job.record.terms.max_attempts.max(1);
--- a/crates/geraniumpost-batch/src/job_record.rs
+++ b/crates/geraniumpost-batch/src/job_record.rs
@@ -44,8 +44,10 @@
 pub struct TaskRecord {
     /// Number of its last run; 0 before the first.
     pub run: u32,
-    /// Runs that ended as failed.
+    /// Runs that ended as failed; of a gang, runs in which any member did.
     pub failures: u32,
+    /// The last run that is counted there.
+    pub failed_run: u32,
     /// Where it stands.
     pub phase: TaskPhase,
 }
--- a/crates/geraniumpost-batch/tests/coordinator/steps.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/steps.rs
@@ -184,3 +184,26 @@
     assert!(world.orders.is_empty());
     assert_eq!(world.questions.len(), 1);
 }
+
+/// Two members of a gang fail in the same run. That is one failed attempt of the gang, and its queue
+/// allows two; the job goes on.
+#[test]
+fn gang_fails_once_a_run() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![StepSpec { gang: true, ..step(3) }]);
+    world.obey();
+    for (at, (task, minion, _)) in world.places().iter().enumerate() {
+        world.end(minion, *task, if at < 2 { EndKind::Failed } else { EndKind::Broken });
+    }
+    world.look("m1");
+    world.look("m2");
+    world.pass(300);
+    assert_eq!(world.state(1), Answer::State(geraniumpost_batch::JobState::Running));
+    world.obey();
+    let running = world.places();
+    assert_eq!(running.iter().map(|(.., run)| *run).collect::<Vec<_>>(), [2, 2, 2]);
+    let (task, minion, _) = running[0].clone();
+    world.end(&minion, task, EndKind::Failed);
+    world.look(&minion);
+    assert_eq!(world.state(1), Answer::State(geraniumpost_batch::JobState::Failed));
+}
