fix(batch): restart the work of departed minions without waiting out a lost lease

Its minion said its farewell at 30.9 s; the agent only logged that, so the run counted until its lease lapsed at 37.3 s. The store was away from 31 s to 37.5 s, so that end was never written; the entry that took over at 38.0 s after a silent predecessor waited for a lease and the eight seconds for which a coordinator may go on without the store, until 51.45 s.

Ruled out: room (found at once at 51.5 s), spread bounds (the task began where others of its step run), the minion's end arriving late (its farewell was answered at 30.9 s).

Change: an agent reports a minion gone 300 ms after its farewell; a successor asks a silent predecessor until it knows the new term, and from then on waits only for the leases that the predecessor had extended.

Tests seen to fail first: tasks_of_a_leaving_minion_begin_elsewhere_at_once, word_of_the_predecessor_shortens_the_wait. late_word_of_the_predecessor_changes_nothing guards the bound and passed without the change.

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -22,6 +22,12 @@
     lapsed_ms: u64,
 }
 
+/// Returns after how many milliseconds a lease that holds for `hold_ms` has surely lapsed, on the
+/// slowest clock that a minion may have.
+pub const fn surely_lapsed_ms(hold_ms: u64) -> u64 {
+    hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS
+}
+
 impl Coordinator {
     /// Takes note of a new link from an agent.
     pub(super) fn agent_linked(&mut self, agent: &Name) {
@@ -67,7 +73,7 @@
         let hold_ms = if extend { self.hold_ms } else { 0 };
         if extend {
             // The agent counts from its own sending, which was earlier than this moment.
-            let lapsed_ms = now.steady_ms + hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS;
+            let lapsed_ms = now.steady_ms + surely_lapsed_ms(hold_ms);
             let known = self.agents.entry(agent.clone()).or_default();
             known.lapsed_ms = known.lapsed_ms.max(lapsed_ms);
         }
@@ -134,6 +140,22 @@
         }
     }
 
+    /// Takes note that the predecessor is known to have ended its term, and extends no lease any more.
+    ///
+    /// A successor that only knows its predecessor as silent waits for as long as that could go on
+    /// without the store. Standing tasks whose agents went away meanwhile would stay down all that
+    /// time; a word from the predecessor leaves only the leases that it had extended.
+    pub fn predecessor_ended(&mut self, now: Now) {
+        let until_ms = now.steady_ms + surely_lapsed_ms(self.hold_ms);
+        if until_ms < self.inherited_ms {
+            self.note(format!(
+                "event=predecessor_ended earlier_by_ms={}",
+                self.inherited_ms - until_ms
+            ));
+            self.inherited_ms = until_ms;
+        }
+    }
+
     fn has_lapsed(&self, agent: &Name, now: Now) -> bool {
         let lapsed_ms = self.agents.get(agent).map_or(0, |agent| agent.lapsed_ms);
         now.steady_ms >= lapsed_ms.max(self.inherited_ms)
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -24,6 +24,7 @@
 use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
 
 pub use effect::{Effect, WriteBatch};
+pub use leases::surely_lapsed_ms;
 
 use approvals::Approvals;
 use commits::Batch;
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -53,6 +53,38 @@
     assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
 }
 
+/// A successor takes over from a silent predecessor while the store is away, and an agent went away
+/// at the same time. Once the predecessor says that its term has ended, only leases that it had
+/// extended count; users of a standing task would otherwise miss it for eight seconds more.
+#[test]
+fn word_of_the_predecessor_shortens_the_wait() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.take_over_from_silent();
+    world.join("m2", |info| info);
+    world.pass(500);
+    world.coordinator.predecessor_ended(world.now);
+    world.pass(HOLD_MS);
+    assert!(world.orders.is_empty());
+    world.pass(600);
+    assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
+}
+
+/// The word comes late, when less is left to wait for than a lease: the wait does not grow.
+#[test]
+fn late_word_of_the_predecessor_changes_nothing() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.take_over_from_silent();
+    world.join("m2", |info| info);
+    world.pass(HOLD_MS + STORE_LOST_MS - 200);
+    world.coordinator.predecessor_ended(world.now);
+    world.pass(400);
+    assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
+}
+
 /// A coordinator that the store has not confirmed for long may have a successor, which takes work
 /// for ended after a time. It must not extend leases beyond that.
 #[test]
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{
     Answer, Ask, Coordinator, Demand, Effect, EndKind, EndedTask, FromAgent, JobId, JobRecord,
     JobSpec, JobState, Look, MinionInfo, Now, Order, OrderKind, OrderOutcome, OrderResult,
@@ -276,13 +277,22 @@
 
     /// Loses the coordinator, and lets another one take over from the store.
     pub fn take_over(&mut self) {
+        self.take_over_after(HOLD_MS);
+    }
+
+    /// Lets another coordinator take over from one that may live on without the store.
+    pub fn take_over_from_silent(&mut self) {
+        self.take_over_after(HOLD_MS + STORE_LOST_MS);
+    }
+
+    fn take_over_after(&mut self, wait_ms: u64) {
         self.fence += 1;
         let records = self.store.iter().map(|(id, bytes)| {
             (*id, JobRecord::decode(bytes).expect("the record was written by this version"))
         });
         self.coordinator = Coordinator::new(self.fence, self.now)
             .hold_ms(HOLD_MS)
-            .inherited_until(self.now.steady_ms + HOLD_MS)
+            .inherited_until(self.now.steady_ms + wait_ms)
             .with_records(records.collect(), self.now);
         self.orders.clear();
         self.writes.clear();
--- a/crates/geraniumpost/src/batch/agent/beats.rs
+++ b/crates/geraniumpost/src/batch/agent/beats.rs
@@ -1,6 +1,7 @@
 //! The minion's heartbeats.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use geraniumpost_platform::{LEAVE, beat_path, decode_beat};
@@ -12,6 +13,9 @@
 use super::super::http_server::{Answer, empty};
 use super::state::State;
 
+/// Time from a minion's farewell until all that it ran has surely ended. It ends at once when its
+/// farewell is answered; this is for a slow machine.
+const FAREWELL: Duration = Duration::from_millis(300);
 /// Largest heartbeat in bytes.
 const LARGEST: usize = 64 * 1024;
 
@@ -22,6 +26,7 @@
     };
     if req.method() == LEAVE {
         spdlog::info!("event=minion_leaves minion={id}");
+        tokio::spawn(ended_soon(id, state));
         return acknowledged();
     }
     if req.method() != Method::PUT {
@@ -46,6 +51,15 @@
     }
 }
 
+/// Takes a minion that said its farewell for ended after a moment.
+///
+/// Its tasks end with it. Were they only taken for ended once their lease has lapsed, their users
+/// would wait for seconds more, or for as long as the store is away.
+async fn ended_soon(id: String, state: Arc<State>) {
+    tokio::time::sleep(FAREWELL).await;
+    state.gone(&id.into());
+}
+
 fn acknowledged() -> Answer {
     let mut answer = Answer::new(Full::new(Bytes::from_static(b"{}")));
     answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use geraniumpost_batch::tuning::{LAPSE_MARGIN_MS, LAPSE_PERCENT, STORE_LOST_MS};
+use geraniumpost_batch::surely_lapsed_ms;
+use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_platform::{CommitError, Item, NodeSettings, Put, Store};
 use geraniumpost_schema::Name;
 use rand::Rng as _;
@@ -268,14 +269,16 @@
             Err(CommitError::Conflict(_) | CommitError::Unknown(_)) => return,
         };
         let now_ms = BootClock.now_ms();
-        let hold_ms = self.hold_ms * LAPSE_PERCENT / 100 + LAPSE_MARGIN_MS;
+        // One that is silent may answer again, and then tells whether it still coordinates.
+        let predecessor = read(item).filter(|_| loss == Loss::Silent);
         let notices_ms = if loss == Loss::Gone { 0 } else { STORE_LOST_MS };
         let term = Term {
             store: Arc::clone(&self.store),
             record,
             revision: taken,
             hold_ms: self.hold_ms,
-            inherited_ms: now_ms + hold_ms + notices_ms,
+            inherited_ms: now_ms + surely_lapsed_ms(self.hold_ms) + notices_ms,
+            predecessor: predecessor.map(|(record, _)| record.address),
             confirmed_ms: Arc::clone(&self.confirmed_ms),
             peers: Arc::clone(&self.peers),
             admission: self.admission,
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -63,6 +63,8 @@
     Approved(TaskId, Option<Approved>),
     /// The store has confirmed that this entry coordinates, at this time on the boot clock.
     Confirmed(u64),
+    /// The predecessor's term has ended.
+    PredecessorEnded,
 }
 
 /// A question for the admission service: which of these minions may run the step?
@@ -172,6 +174,7 @@
                 self.coordinator.approved(step, answer, now);
             }
             Input::Confirmed(at_ms) => self.coordinator.store_confirmed(at_ms),
+            Input::PredecessorEnded => self.coordinator.predecessor_ended(now),
         }
     }
 
--- a/crates/geraniumpost/src/batch/coordination/peers.rs
+++ b/crates/geraniumpost/src/batch/coordination/peers.rs
@@ -112,7 +112,8 @@
     }
 }
 
-async fn probe(address: SocketAddr) -> Option<Probed> {
+/// Asks an entry what it knows of the coordinator.
+pub async fn probe(address: SocketAddr) -> Option<Probed> {
     let asking = async {
         let (tx, mut rx) = peer_link::dial::<FromPeer, ToPeer>(address).await.ok()?;
         tx.send(FromPeer::Probe).ok()?;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -14,7 +14,7 @@
 use super::JOB_PREFIX;
 use super::doorway::Inputs;
 use super::driver::{Driver, Input, Question};
-use super::peers::Peers;
+use super::peers::{Peers, probe};
 use super::record::CoordinatorRecord;
 use super::writer::{TermLost, Timeout, Writer};
 use crate::metrics::Metrics;
@@ -28,7 +28,7 @@
 /// Longest time that one question to the admission service may take; it needs some milliseconds for
 /// each minion named.
 const ADMISSION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause between two looks for a successor.
+/// Pause between two looks for a successor, or at a predecessor.
 const DOUBT_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after the store failed.
 const PAUSE: Duration = Duration::from_millis(60);
@@ -43,6 +43,8 @@
     pub hold_ms: u64,
     /// When leases that a predecessor extended have surely lapsed, on the boot clock.
     pub inherited_ms: u64,
+    /// Where a predecessor may still be coordinating.
+    pub predecessor: Option<SocketAddr>,
     pub confirmed_ms: Arc<AtomicU64>,
     /// The other entries, which may know of a successor.
     pub peers: Arc<Peers>,
@@ -80,6 +82,10 @@
         if let Some(address) = self.admission {
             tokio::spawn(ask_admission(Admission::new(address), questions, tx.clone()));
         }
+        if let Some(address) = self.predecessor {
+            let (fence, tx) = (self.record.term, tx.clone());
+            tokio::spawn(await_predecessor(address, fence, tx));
+        }
         let mut writer = Writer {
             store: self.store,
             record: self.record,
@@ -157,6 +163,19 @@
     }
 }
 
+/// Asks a silent predecessor until it knows of this term, in which case its own has ended.
+async fn await_predecessor(address: SocketAddr, fence: u64, inputs: mpsc::Sender<Input>) {
+    while !inputs.is_closed() {
+        let known = probe(address).await.and_then(|probed| probed.known);
+        if known.is_some_and(|known| known.fence >= fence) {
+            // A term that ended meanwhile needs no word of it.
+            let _ = inputs.send(Input::PredecessorEnded).await;
+            return;
+        }
+        tokio::time::sleep(DOUBT_PAUSE).await;
+    }
+}
+
 fn read_record(item: &geraniumpost_platform::Item) -> Option<(JobId, JobRecord)> {
     let id = item.key.strip_prefix(JOB_PREFIX).and_then(|id| id.parse().ok());
     match (id, JobRecord::decode(&item.value)) {
