fix(coordination): keep the coordinator when the store comes back for everybody

Cause: after each outage of the store another entry took over, as it read the store a moment before the coordinator did: that one's calls waited up to two seconds while the store was silent, and others took "it misses the store" for "the store turns it away". Such a handover stops all work for a second, forgets what was learnt of the pairs of images, and makes departed minions' tasks wait for inherited leases.

Ruled out: the coordinator's silence (it answered every ping), the stagger (others need two calls of 4 ms).

--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -16,6 +16,7 @@
 use super::super::BootClock;
 use super::super::entry::LinkState;
 use super::doorway::{Doorway, Inputs};
+use super::loss::{Loss, SILENCE_MS, judge_link};
 use super::peers::Peers;
 use super::record::CoordinatorRecord;
 use super::term::Term;
@@ -26,13 +27,6 @@
 const CALL: Duration = Duration::from_millis(700);
 /// Pause after the store failed.
 const PAUSE: Duration = Duration::from_millis(100);
-/// Silence after which a coordinator is taken for lost, in milliseconds: three missing answers.
-const SILENCE_MS: u64 = 900;
-/// Refused links in a row after which a coordinator is taken for gone.
-const REFUSALS: u32 = 2;
-/// How long a coordinator may miss the store before another entry that reaches it takes over, in
-/// milliseconds, on top of the time after which it says so.
-const STORE_MISSED_MS: u64 = 200;
 /// Longest random pause before a takeover, so that candidates seldom meet.
 const STAGGER_MS: u64 = 120;
 /// How long an entry that reaches no other one waits before it takes over all the same, in
@@ -60,13 +54,24 @@
     confirmed_ms: Arc<AtomicU64>,
 }
 
-/// How a coordinator was lost, which decides what it may still do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Loss {
-    /// Its process is gone, or it has stepped down.
-    Gone,
-    /// It may live on, and extend leases until it notices.
-    Silent,
+/// What readings of the store have shown.
+#[derive(Debug, Default)]
+struct Seen {
+    /// Revision of the key at which its holder was found not to coordinate.
+    gone: Option<u64>,
+    /// Whether the last reading failed.
+    missed: bool,
+    /// When a reading succeeded after one that failed, on the boot clock.
+    readable_since_ms: Option<u64>,
+}
+
+impl Seen {
+    fn note(&mut self, readable: bool) {
+        if readable && self.missed {
+            self.readable_since_ms = Some(BootClock.now_ms());
+        }
+        self.missed = !readable;
+    }
 }
 
 impl Candidate {
@@ -112,22 +117,22 @@
             tokio::time::sleep(PAUSE).await;
         }
         tokio::spawn(Arc::clone(&self.peers).follow(Arc::clone(&self.store)));
-        let mut gone = None;
+        let mut seen = Seen::default();
         loop {
-            self.once(&inputs_tx, &stop, &mut gone).await;
+            self.once(&inputs_tx, &stop, &mut seen).await;
         }
     }
 
     /// Learns who coordinates, and waits until that changes or takes over.
-    ///
-    /// `gone` is the revision of the key at which its holder was found not to coordinate.
     async fn once(
         &self,
         inputs: &watch::Sender<Inputs>,
         stop: &watch::Receiver<bool>,
-        gone: &mut Option<u64>,
+        seen: &mut Seen,
     ) {
-        let Ok(item) = self.store.get(COORDINATOR_KEY, CALL).await else {
+        let item = self.store.get(COORDINATOR_KEY, CALL).await;
+        seen.note(item.is_ok());
+        let Ok(item) = item else {
             return self.learn_from_peers().await;
         };
         let Some((record, revision)) = read(item.as_ref()) else {
@@ -148,13 +153,13 @@
         }
         let known = Known { address: record.address, fence: record.term };
         self.publish(known);
-        let loss = self.lost(&known).await;
-        if loss == Loss::Gone && gone.replace(revision) != Some(revision) {
+        let loss = self.lost(&known, seen.readable_since_ms).await;
+        if loss == Loss::Gone && seen.gone.replace(revision) != Some(revision) {
             // It is about to say so in its key, or somebody has followed it; a takeover of the key as
             // it was read would only fail.
             return;
         }
-        if self.may_take_over(&record, loss).await {
+        if self.may_take_over(&record, loss, seen).await {
             self.stagger().await;
             self.take_over(item.as_ref(), loss, inputs, stop).await;
         }
@@ -190,24 +195,15 @@
     }
 
     /// Waits until the coordinator seems lost.
-    async fn lost(&self, known: &Known) -> Loss {
+    async fn lost(&self, known: &Known, readable_since_ms: Option<u64>) -> Loss {
         loop {
             tokio::time::sleep(PAUSE).await;
             let link = *self.link.borrow();
             if link.address != Some(known.address) {
                 continue;
             }
-            let now_ms = BootClock.now_ms();
-            if link.denied {
-                return Loss::Gone;
-            }
-            // A path that refuses connections says nothing of the process behind it.
-            let silent_ms = now_ms.saturating_sub(link.heard_ms);
-            if link.refused >= REFUSALS || silent_ms >= SILENCE_MS {
-                return Loss::Silent;
-            }
-            if link.store_lost_ms.is_some_and(|since| now_ms >= since + STORE_MISSED_MS) {
-                return Loss::Silent;
+            if let Some(loss) = judge_link(&link, readable_since_ms, BootClock.now_ms()) {
+                return loss;
             }
         }
     }
@@ -217,12 +213,14 @@
     /// An entry that is cut off sees the coordinator vanish while it serves everybody else. Were it
     /// to take over, agents would obey a coordinator that none of them reaches, and all work would
     /// stop; its users would see jobs that do not begin.
-    async fn may_take_over(&self, record: &CoordinatorRecord, loss: Loss) -> bool {
+    async fn may_take_over(&self, record: &CoordinatorRecord, loss: Loss, seen: &mut Seen) -> bool {
         let link = *self.link.borrow();
         let silent_ms = BootClock.now_ms().saturating_sub(link.heard_ms);
         if loss == Loss::Silent && link.refused == 0 && silent_ms < SILENCE_MS {
-            // It says itself that it misses the store, which this entry has just read.
-            return link.store_lost_ms.is_some();
+            // It says itself that it misses the store, which may be away for everybody.
+            let readable = self.store.get(COORDINATOR_KEY, CALL).await.is_ok();
+            seen.note(readable);
+            return link.store_lost_ms.is_some() && readable;
         }
         let probed = self.peers.probe(Some(&record.node)).await;
         if probed.iter().any(|probed| probed.answered) {
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod doorway;
 mod driver;
+mod loss;
 mod peers;
 mod record;
 mod term;
@@ -11,6 +12,7 @@
 use std::net::SocketAddr;
 
 pub use candidate::Candidate;
+pub use loss::{Loss, judge_link};
 pub use record::CoordinatorRecord;
 
 /// Key of the record that names the coordinator.
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -23,6 +23,9 @@
 const SHORTEST_TIMEOUT_MS: u64 = 250;
 /// Longest time given to a call, in milliseconds.
 const LONGEST_TIMEOUT_MS: u64 = 2_000;
+/// Longest time given to a call after others had no answer, in milliseconds. A call that waits for a
+/// store that is away does not notice its return, so the coordinator would be the last to know.
+const LONGEST_DOUBLED_MS: u64 = 1_000;
 /// How much longer than usual a call may take.
 const TIMES_USUAL: u64 = 6;
 /// Pause after the store refused a call.
@@ -76,7 +79,8 @@
 
     /// Takes note of a call without an answer: a store that is slow must not look lost for ever.
     pub fn unanswered(&mut self) {
-        self.now_ms = (self.now_ms * 2).min(LONGEST_TIMEOUT_MS);
+        let doubled_ms = (self.now_ms * 2).min(LONGEST_DOUBLED_MS);
+        self.now_ms = self.now_ms.max(doubled_ms);
     }
 }
 
