--- a/crates/geraniumpost-harness/src/process.rs
+++ b/crates/geraniumpost-harness/src/process.rs
@@ -16,6 +16,7 @@
     name: String,
     binary: PathBuf,
     words: Vec<String>,
+    variables: Vec<(String, String)>,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -23,9 +24,22 @@
 impl Process {
     /// Starts `binary` with `words`; its output is appended to `log`.
     pub fn start(name: &str, binary: &Path, words: &[&str], log: PathBuf) -> Result<Self> {
+        Self::start_with(name, binary, words, &[], log)
+    }
+
+    /// Starts `binary` with `words`, and with environment variables of its own.
+    pub fn start_with(
+        name: &str,
+        binary: &Path,
+        words: &[&str],
+        variables: &[(&str, &str)],
+        log: PathBuf,
+    ) -> Result<Self> {
+        let owned = |(key, value): &(&str, &str)| ((*key).to_owned(), (*value).to_owned());
+        let variables = variables.iter().map(owned).collect();
         let words = words.iter().map(ToString::to_string).collect();
         let (name, binary) = (name.to_owned(), binary.to_owned());
-        let mut process = Self { name, binary, words, log, child: None };
+        let mut process = Self { name, binary, words, variables, log, child: None };
         process.restart()?;
         Ok(process)
     }
@@ -51,6 +65,7 @@
         let log = self.open_log()?;
         let child = Command::new(&self.binary)
             .args(&self.words)
+            .envs(self.variables.iter().map(|(key, value)| (key, value)))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
