perf(batch): move filling tasks that are slowed down, not only those that stand still

Cause: a task told to work at a tenth of its speed holds its job up as long as one that stands still, and stayed.

Change: one that is told to work at under half of its speed for 0.3 s moves, if it could begin elsewhere.

No test of its own beyond task_that_stands_still_moves_at_once: the path is the same, the bound is a constant.

Conclusion: kept as it never costs more than a move, and for the jobs that it frees.

--- a/crates/geraniumpost-batch/src/coordinator/ordering.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ordering.rs
@@ -6,6 +6,10 @@
 use super::{Coordinator, Effect};
 use crate::{Now, Order, OrderKind, TaskId, ToAgent};
 
+/// Share of its speed below which a task counts as held up, in percent: it would take longer here than
+/// a move and the work elsewhere.
+const SLOW_PERCENT: u8 = 50;
+
 impl Coordinator {
     /// Gives the start order of a placement that is committed now.
     pub(super) fn start_committed(&mut self, task: TaskId, number: u32, now: Now) {
@@ -51,7 +55,8 @@
         self.send(task, OrderKind::Pace { percent });
         if let Some(run) = self.runs.get_mut(&task) {
             run.pace = percent;
-            run.parked_ms = (percent == 0).then(|| run.parked_ms.unwrap_or(now.steady_ms));
+            run.held_up_ms =
+                (percent < SLOW_PERCENT).then(|| run.held_up_ms.unwrap_or(now.steady_ms));
         }
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -17,9 +17,9 @@
 const LEAST_CHANGE: u8 = 10;
 /// Largest rise of a pace at once, in percent: the model may be wrong, and the tail shows it late.
 const MOST_RISE: u8 = 35;
-/// How long a task stands still before it is moved, in milliseconds: most of those that stand still
-/// for longer do so for seconds, and each second makes a whole job late.
-const PARKED_MS: u64 = 300;
+/// How long a task is held up before it is moved, in milliseconds: most of those that are held up for
+/// longer are so for seconds, and each second makes a whole job late.
+const HELD_UP_MS: u64 = 300;
 /// Progress below which a task without checkpoints is moved all the same, in percent.
 const LITTLE_DONE_PERCENT: u8 = 15;
 /// Tasks moved in one tick, so that a full fleet does not spend its store's writes on moves alone.
@@ -103,22 +103,22 @@
         minion.runs.iter().filter(ours).copied().collect()
     }
 
-    /// Moves what has stood still for long to where it can work.
+    /// Moves what has been held up to where it can work.
     ///
-    /// A task that was placed well stands still once the users of its neighbours become more. Its
+    /// A task that was placed well is held up once the users of its neighbours become more. Its
     /// own users would wait for as long as that lasts, while other minions have room for it.
-    pub(super) fn move_parked(&mut self, now: Now) {
-        let parked: Vec<TaskId> = self
+    pub(super) fn move_held_up(&mut self, now: Now) {
+        let held_up: Vec<TaskId> = self
             .runs
             .iter()
             .filter(|(_, run)| matches!(run.order, OrderState::Started { .. }))
             .filter(|(_, run)| {
-                run.parked_ms.is_some_and(|since| now.steady_ms >= since + PARKED_MS)
+                run.held_up_ms.is_some_and(|since| now.steady_ms >= since + HELD_UP_MS)
             })
             .map(|(task, _)| *task)
             .collect();
         let mut moved = 0;
-        for task in parked {
+        for task in held_up {
             let Some((percent, minion)) =
                 self.runs.get(&task).map(|run| (run.percent, run.place.minion.clone()))
             else {
@@ -130,7 +130,7 @@
                 continue;
             }
             moved += 1;
-            self.note(format!("decision=move_parked job={} task={task} from={minion}", task.job));
+            self.note(format!("decision=move_held_up job={} task={task} from={minion}", task.job));
             self.stop_run(task, now);
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -22,8 +22,8 @@
     pub(super) seen_ms: u64,
     /// Share it is told to work at.
     pub(super) pace: u8,
-    /// Since when it has been told to stand still, on the steady clock.
-    pub(super) parked_ms: Option<u64>,
+    /// Since when it has been told to stand still or to work slowly, on the steady clock.
+    pub(super) held_up_ms: Option<u64>,
     /// Its last gauge.
     pub(super) gauge: u32,
     /// Since when its tail has been over its bound, on the steady clock.
@@ -73,7 +73,7 @@
             progressed_ms: now_ms,
             seen_ms: now_ms,
             pace: 100,
-            parked_ms: None,
+            held_up_ms: None,
             gauge: 0,
             over_ms: None,
             starts: 0,
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -13,7 +13,7 @@
         self.lapse(now);
         self.begin_all_due(now);
         self.repeat_orders(now);
-        self.move_parked(now);
+        self.move_held_up(now);
         self.expire(now);
         self.forget_images();
         // Tasks that waited for a pause to pass may be placed now.
