perf(batch): tell successors what was learnt of images, and learn from changes alone

Cause: each coordinator learns anew which images disturb which. Found on the way: the regression of changes had the service's own curve as an input, which took the blame for tails that mostly fall while a class goes (a pair of slope 4.6 was learnt as 0.30, its prior).

Ruled out: reading the pairs from minions' lists (they hold half a second).

Change: the coordinator writes its pairs and quiet tails each three seconds beside a write of jobs (no call more, 5 KB for 150 pairs); whoever follows reads them beside the records. Evidence taken over is bounded, so that what has changed is soon relearnt. Changes are learnt without the own curve.

--- a/crates/geraniumpost-batch/src/coordinator/commits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -91,16 +91,17 @@
     }
 
     /// Gathers changed records into writes, as far as writes may begin.
-    pub(super) fn gather_writes(&mut self) {
+    pub(super) fn gather_writes(&mut self, now: Now) {
         while self.batches.len() < WRITES_AT_ONCE {
-            let Some(write) = self.gather_write() else { return };
+            let Some(mut write) = self.gather_write() else { return };
+            write.knowledge = self.knowledge_due(now);
             self.effects.push(Effect::Write(write));
         }
     }
 
     fn gather_write(&mut self) -> Option<WriteBatch> {
         let number = self.next_batch;
-        let mut write = WriteBatch { number, put: Vec::new(), remove: Vec::new() };
+        let mut write = WriteBatch { number, put: Vec::new(), remove: Vec::new(), knowledge: None };
         let mut written = Vec::new();
         let mut bytes = 0;
         for id in self.dirty.iter().copied().collect::<Vec<_>>() {
--- a/crates/geraniumpost-batch/src/coordinator/effect.rs
+++ b/crates/geraniumpost-batch/src/coordinator/effect.rs
@@ -44,4 +44,6 @@
     pub put: Vec<(JobId, Vec<u8>)>,
     /// Records to remove.
     pub remove: Vec<JobId>,
+    /// What was learnt of images, for a successor ([`crate::Knowledge`]).
+    pub knowledge: Option<Vec<u8>>,
 }
--- a/crates/geraniumpost-batch/src/coordinator/harm.rs
+++ b/crates/geraniumpost-batch/src/coordinator/harm.rs
@@ -20,8 +20,8 @@
 
 use super::Coordinator;
 use super::minion::Minion;
-use crate::tuning::FILL_TO_TAIL;
-use crate::{Now, TaskId};
+use crate::tuning::{FILL_TO_TAIL, TELL_EVERY_MS};
+use crate::{Knowledge, Now, Pair, TaskId};
 
 /// Load that the model is told: minions do not report it, and it cancels in changes.
 const LOAD: f64 = 0.5;
@@ -34,6 +34,8 @@
 const UNKNOWN_SLOPE: f64 = 0.3;
 /// Serving images that are remembered: tens serve at once, and each takes up to 30 KB.
 const MOST_IMAGES: usize = 200;
+/// Pairs that a successor is told of; each takes about 30 bytes in the store.
+const MOST_PAIRS: usize = 600;
 /// Most that doubt adds to a slope, for each 16 processors.
 const MOST_DOUBT: f64 = 0.15;
 /// Shortest time between two looks that are compared, in milliseconds: each gauge covers half a
@@ -93,6 +95,29 @@
         (self.model.slope(serving, class) + doubt) * HarmModel::strength(milli_cpus, LOAD)
     }
 
+    /// Returns what a successor should know: the pairs with the most evidence.
+    fn knowledge(&self) -> Knowledge {
+        let mut pairs = self.model.pairs();
+        pairs.sort_by(|a, b| b.3.total_cmp(&a.3));
+        let pairs = pairs.into_iter().take(MOST_PAIRS);
+        let pairs = pairs.map(|(serving, filling, slope, evidence)| Pair {
+            serving,
+            filling,
+            slope,
+            evidence,
+        });
+        let quiet = self.quiet.iter().map(|(image, tail)| (image.clone(), *tail));
+        Knowledge { pairs: pairs.collect(), quiet: quiet.take(MOST_IMAGES).collect() }
+    }
+
+    /// Takes in what a predecessor knew.
+    fn recall(&mut self, knowledge: Knowledge) {
+        for pair in &knowledge.pairs {
+            self.model.recall(&pair.serving, &pair.filling, pair.slope, pair.evidence);
+        }
+        self.quiet.extend(knowledge.quiet.into_iter().filter(|(_, tail)| *tail > 0.0));
+    }
+
     /// Forgets images that serve nowhere, once there are too many. Images come and go for as long as
     /// the process runs, and each costs memory.
     fn forget(&mut self, serves: impl Fn(&Name) -> bool) {
@@ -116,6 +141,23 @@
 }
 
 impl Coordinator {
+    /// Takes over what a predecessor had learnt of images.
+    #[must_use]
+    pub fn with_knowledge(mut self, knowledge: Knowledge) -> Self {
+        self.harm.recall(knowledge);
+        self
+    }
+
+    /// Returns what was learnt of images, if a successor should be told anew.
+    pub(super) fn knowledge_due(&mut self, now: Now) -> Option<Vec<u8>> {
+        if now.steady_ms < self.told_ms + TELL_EVERY_MS {
+            return None;
+        }
+        self.told_ms = now.steady_ms;
+        let knowledge = self.harm.knowledge();
+        (!knowledge.pairs.is_empty()).then(|| knowledge.encode())
+    }
+
     /// Forgets what is known of images that no minion serves, if there is much of it.
     pub(super) fn forget_images(&mut self) {
         let minions = &self.minions;
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -65,6 +65,8 @@
     harm: Harm,
     /// Whether something changed that may let a task be placed.
     placing_due: bool,
+    /// When a successor was last told what was learnt of images.
+    told_ms: u64,
     /// By service and image, what found no place in the present round of placements.
     hopeless: BTreeMap<(Name, Name), crate::Demand>,
     effects: Vec<Effect>,
@@ -91,6 +93,7 @@
             approvals: Approvals::default(),
             harm: Harm::default(),
             placing_due: false,
+            told_ms: now.steady_ms,
             hopeless: BTreeMap::new(),
             effects: Vec::new(),
         }
@@ -157,7 +160,7 @@
         if self.placing_due {
             self.place_waiting(now);
         }
-        self.gather_writes();
+        self.gather_writes(now);
         std::mem::take(&mut self.effects)
     }
 
--- /dev/null
+++ b/crates/geraniumpost-batch/src/knowledge.rs
@@ -0,0 +1,44 @@
+use geraniumpost_schema::Name;
+use serde::{Deserialize, Serialize};
+
+/// What a coordinator has learnt of images, for its successor.
+///
+/// It takes seconds to learn which images disturb which, and until then users of serving tasks wait
+/// while what fills beside them is slowed down by guesses. A rolling restart changes the coordinator
+/// every few seconds, so it would hardly ever know. Losing this costs nothing but that time.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// Pairs of a serving and a filling image.
+    pub pairs: Vec<Pair>,
+    /// The lowest tail of each serving image, in bounds.
+    pub quiet: Vec<(Name, f64)>,
+}
+
+/// How much a filling image disturbs a serving one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Pair {
+    /// The image that serves.
+    pub serving: Name,
+    /// The image that fills.
+    pub filling: Name,
+    /// Slope for each unit of processors.
+    pub slope: f64,
+    /// Evidence for the slope.
+    pub evidence: f64,
+}
+
+impl Knowledge {
+    /// Returns the bytes for the store.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads the store's bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails on bytes of another layout.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -47,6 +47,9 @@
 /// Shortest time between two changes of pace on one minion, in milliseconds: a change acts after
 /// 100 ms and the gauge covers half a second.
 pub const PACE_EVERY_MS: u64 = 600;
+/// Pause between two writes of what was learnt of images, in milliseconds: they travel with others, and
+/// pairs are known after some five seconds.
+pub const TELL_EVERY_MS: u64 = 3_000;
 /// Stop orders are given again after so many milliseconds without an end.
 pub const REPEAT_STOP_MS: u64 = 1_500;
 /// Jobs that may be open at once. Each takes some kilobytes here and in the store, and is looked at
--- a/crates/geraniumpost-batch/tests/coordinator/filling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/filling.rs
@@ -130,3 +130,44 @@
     world.submit(2, vec![step(1)]);
     assert_eq!(world.orders.len(), 1);
 }
+
+/// Lets one filling image come and go beside a serving one, whose tail rises and falls with it.
+fn learn_that_logs_press(world: &mut World) {
+    for round in 0..40 {
+        let works = round % 2 == 0;
+        world.set_gauge(task(2, 0, 0), if works { 4_000 } else { 0 });
+        world.set_gauge(task(1, 0, 0), if works { 80 } else { 20 });
+        world.pass(800);
+        world.beat("m1");
+        world.look("m1");
+        world.orders.clear();
+    }
+}
+
+/// Every coordinator learns which images disturb which, which takes seconds. In a rolling restart each
+/// lasts no longer than that, so the next one must know what the last one knew, or users of serving
+/// tasks wait all the while.
+#[test]
+fn successor_knows_what_presses() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![serving()]);
+    world.submit(2, vec![filling(1)]);
+    world.obey();
+    learn_that_logs_press(&mut world);
+    // Knowledge travels with the next write.
+    world.submit(3, vec![step(1)]);
+    assert!(world.knowledge.is_some());
+    world.take_over();
+    world.join("m1", |info| info);
+    world.set_gauge(task(1, 0, 0), 30);
+    world.look("m1");
+    world.submit(4, vec![filling(3)]);
+    let begun = world.orders.iter().filter(|order| order.task.job == geraniumpost_batch::JobId(4));
+    assert_eq!(begun.count(), 0, "they would take the tail over its bound");
+}
+
+/// What lies in the store may be of another version, or damaged. It is refused as a whole.
+#[test]
+fn damaged_knowledge_is_refused() {
+    assert!(geraniumpost_batch::Knowledge::decode(&[0xff; 7]).is_err());
+}
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -5,8 +5,8 @@
 use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{
     Answer, Ask, Coordinator, Demand, Effect, EndKind, EndedTask, FromAgent, JobId, JobRecord,
-    JobSpec, JobState, Look, MinionInfo, Now, Order, OrderKind, OrderOutcome, OrderResult,
-    OrderVerb, QueueTerms, RunningTask, StepSpec, TaskId, ToAgent, WriteBatch,
+    JobSpec, JobState, Knowledge, Look, MinionInfo, Now, Order, OrderKind, OrderOutcome,
+    OrderResult, OrderVerb, QueueTerms, RunningTask, StepSpec, TaskId, ToAgent, WriteBatch,
 };
 use geraniumpost_schema::Name;
 
@@ -18,6 +18,8 @@
     pub coordinator: Coordinator,
     pub now: Now,
     pub store: BTreeMap<JobId, Vec<u8>>,
+    /// What the last coordinator had learnt of images.
+    pub knowledge: Option<Vec<u8>>,
     /// Writes that were asked for and not confirmed yet.
     pub writes: Vec<WriteBatch>,
     /// Whether writes are confirmed at once.
@@ -48,6 +50,7 @@
             coordinator: Coordinator::new(1, now).hold_ms(HOLD_MS),
             now,
             store: BTreeMap::new(),
+            knowledge: None,
             writes: Vec::new(),
             writes_pass: true,
             answers: BTreeMap::new(),
@@ -152,6 +155,7 @@
         for (job, record) in batch.put {
             self.store.insert(job, record);
         }
+        self.knowledge = batch.knowledge.or_else(|| self.knowledge.take());
         for job in batch.remove {
             self.store.remove(&job);
         }
@@ -293,6 +297,9 @@
         self.coordinator = Coordinator::new(self.fence, self.now)
             .hold_ms(HOLD_MS)
             .inherited_until(self.now.steady_ms + wait_ms)
+            .with_knowledge(self.knowledge.as_ref().map_or_else(Knowledge::default, |bytes| {
+                Knowledge::decode(bytes).expect("this version wrote it")
+            }))
             .with_records(records.collect(), self.now);
         self.orders.clear();
         self.writes.clear();
--- a/crates/geraniumpost-core/src/placement/harm_model.rs
+++ b/crates/geraniumpost-core/src/placement/harm_model.rs
@@ -18,6 +18,8 @@
 /// Weight of a change: the inverse of the variance of changes beside which nothing changed, seen at
 /// 0.05 squared, and a fifth of that, as [`PAIR_STRENGTH`] is a fifth of what slopes scatter by.
 const CHANGE_WEIGHT: f64 = 80.0;
+/// Most evidence that is taken over from another process: some fifty changes of a task.
+const MOST_RECALLED: f64 = 100.0;
 /// Variance of a change beside which nothing changed.
 const NOISE: f64 = 0.0025;
 /// Measurements between two solutions.
@@ -104,9 +106,13 @@
     /// Learns from by how much a measurement changed beside changes of what ran, in which the
     /// service's own part cancels.
     ///
-    /// All changes count alike: the large ones tell most, and their noise is no larger.
+    /// All changes count alike: the large ones tell most, and their noise is no larger. The service's
+    /// own curve is no input: it would take the blame for tails that mostly fall, or mostly rise, while
+    /// a class goes or comes.
     pub fn observe_change(&mut self, service: &Name, load: f64, ran: &[(usize, f64)], change: f64) {
-        self.take_in(service, &inputs(load, ran), change, CHANGE_WEIGHT);
+        let mut inputs = Vec::with_capacity(ran.len());
+        add_classes(&mut inputs, load, ran);
+        self.take_in(service, &inputs, change, CHANGE_WEIGHT);
     }
 
     fn take_in(&mut self, service: &Name, inputs: &[Input], value: f64, weight: f64) {
@@ -141,6 +147,34 @@
         if evidence > 0.0 { (NOISE * CHANGE_WEIGHT / evidence).sqrt() } else { 0.0 }
     }
 
+    /// Returns what is known of pairs, so that another process can [`recall`](Self::recall) it: the
+    /// service, the class, its slope, and the evidence for that.
+    pub fn pairs(&self) -> Vec<(Name, Name, f64, f64)> {
+        let mut pairs = Vec::new();
+        for (service, model) in &self.services {
+            for (class, name) in self.classes.names().iter().enumerate().take(CLASSES as usize) {
+                let evidence = model.ridge.evidence(ALONE + class);
+                if let Some(slope) = model.ridge.coefficient(ALONE + class) {
+                    pairs.push((service.clone(), name.clone(), slope, evidence));
+                }
+            }
+        }
+        pairs
+    }
+
+    /// Takes in what another process knew of a pair.
+    ///
+    /// The evidence counts as if it had been measured here, up to a bound, so that what is measured
+    /// from now on soon outweighs a pair that has changed.
+    pub fn recall(&mut self, service: &Name, class: &Name, slope: f64, evidence: f64) {
+        if !(slope.is_finite() && evidence.is_finite() && evidence > 0.0) {
+            return;
+        }
+        let at = ALONE + self.class(class);
+        self.take_in(service, &[Input { at, value: 1.0 }], slope, evidence.min(MOST_RECALLED));
+        self.solve(service);
+    }
+
     /// Returns the strength of a task in processor units at a load.
     pub fn strength(milli_cpus: f64, load: f64) -> f64 {
         milli_cpus / UNIT_MILLI_CPUS * pressing(load)
@@ -203,6 +237,11 @@
         Input { at: 1, value: load },
         Input { at: 2, value: load * load },
     ];
+    add_classes(&mut inputs, load, ran);
+    inputs
+}
+
+fn add_classes(inputs: &mut Vec<Input>, load: f64, ran: &[(usize, f64)]) {
     for (class, cpus) in ran {
         let value = HarmModel::strength(*cpus, load);
         match inputs.iter_mut().find(|input| input.at == ALONE + class) {
@@ -210,5 +249,4 @@
             None => inputs.push(Input { at: ALONE + class, value }),
         }
     }
-    inputs
 }
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -22,6 +22,9 @@
 /// Prefix of the keys of jobs.
 pub const JOB_PREFIX: &str = "geraniumpost/job/";
 
+/// Key of what coordinators have learnt of images.
+pub const KNOWLEDGE_KEY: &str = "geraniumpost/knowledge";
+
 /// A coordinator as others know it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Known {
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -6,17 +6,17 @@
 use std::time::Duration;
 
 use geraniumpost_batch::tuning::STORE_SILENCE_MS;
-use geraniumpost_batch::{Coordinator, JobId, JobRecord};
+use geraniumpost_batch::{Coordinator, JobId, JobRecord, Knowledge};
 use geraniumpost_platform::{Admission, Store};
 use tokio::sync::{mpsc, watch};
 
 use super::super::BootClock;
-use super::JOB_PREFIX;
 use super::doorway::Inputs;
 use super::driver::{Driver, Input, Question};
 use super::peers::{Peers, probe};
 use super::record::CoordinatorRecord;
 use super::writer::{TermLost, Timeout, Writer};
+use super::{JOB_PREFIX, KNOWLEDGE_KEY};
 use crate::metrics::Metrics;
 
 /// Messages that may wait for the coordinator.
@@ -61,7 +61,8 @@
         self.confirmed_ms.store(BootClock.now_ms(), Ordering::Relaxed);
         // Links are taken at once; their messages wait until the records are read.
         doorway.send_replace(Some(tx.clone()));
-        let records = self.read_records(stop.clone()).await;
+        let (records, knowledge) =
+            tokio::join!(self.read_records(stop.clone()), self.read_knowledge());
         let Some(records) = records else {
             doorway.send_replace(None);
             return;
@@ -76,6 +77,7 @@
         let coordinator = Coordinator::new(self.record.term, now)
             .hold_ms(self.hold_ms)
             .inherited_until(self.inherited_ms)
+            .with_knowledge(knowledge)
             .with_records(records, now);
         let (writes_tx, mut writes) = mpsc::channel(BATCHES);
         let (questions_tx, questions) = mpsc::channel(QUEUE);
@@ -116,6 +118,22 @@
         self.metrics.planner_term(0);
     }
 
+    /// Reads what a predecessor had learnt. Without it the coordinator learns anew.
+    async fn read_knowledge(&self) -> Knowledge {
+        let item = match self.store.get(KNOWLEDGE_KEY, READ_TIMEOUT).await {
+            Ok(Some(item)) => item,
+            Ok(None) => return Knowledge::default(),
+            Err(error) => {
+                spdlog::warn!("event=read_failed what=knowledge why=\"{error}\"");
+                return Knowledge::default();
+            }
+        };
+        Knowledge::decode(&item.value).unwrap_or_else(|error| {
+            spdlog::warn!("event=record_unreadable key={KNOWLEDGE_KEY} why=\"{error}\"");
+            Knowledge::default()
+        })
+    }
+
     async fn read_records(&self, stop: watch::Receiver<bool>) -> Option<Vec<(JobId, JobRecord)>> {
         loop {
             if *stop.borrow() {
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -15,7 +15,7 @@
 use super::super::BootClock;
 use super::driver::Input;
 use super::record::CoordinatorRecord;
-use super::{COORDINATOR_KEY, JOB_PREFIX};
+use super::{COORDINATOR_KEY, JOB_PREFIX, KNOWLEDGE_KEY};
 use crate::metrics::Metrics;
 
 /// Shortest time given to a call, in milliseconds: the store's usual 4 ms, and the pauses of a
@@ -134,9 +134,11 @@
 
     fn write(&self, batch: WriteBatch) -> impl Future<Output = Done> + Send + use<> {
         let key = |id| format!("{JOB_PREFIX}{id}");
+        let knowledge = batch.knowledge.iter().map(|k| (KNOWLEDGE_KEY.to_owned(), k.clone()));
+        let records = batch.put.iter().map(|(id, record)| (key(id), record.clone()));
         let put = Put {
             expect: vec![(COORDINATOR_KEY.to_owned(), self.revision)],
-            write: batch.put.iter().map(|(id, record)| (key(id), record.clone())).collect(),
+            write: records.chain(knowledge).collect(),
             remove: batch.remove.iter().map(key).collect(),
         };
         let store = Arc::clone(&self.store);
