--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 mod order_results;
 mod ordering;
 mod pacing;
+mod patience;
 mod placing;
 mod run;
 mod timers;
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/patience.rs
@@ -0,0 +1,52 @@
+//! For how good a place a filling task waits, and how little asking for one may cost.
+
+use super::Coordinator;
+use crate::{Demand, JobId, Now, StepSpec, TaskId};
+
+/// Speed below which a filling task waits rather than begin, in millionths of full speed. A job is as
+/// slow as its slowest task, so one bound to a minion that cannot bear it holds up all the others.
+/// With 0.4 and slower moves half of the tasks under way stood still at times; with 0.9 a full fleet lets
+/// good enough places lie idle. docs/MEASUREMENTS.md compares.
+const LEAST_FILL_SPEED: i64 = 750_000;
+/// How long a job may have nothing at work before its next filling task begins at any speed, in
+/// milliseconds. Where no minion bears it its users would otherwise wait beside unused processors.
+const IDLE_MS: u64 = 1_800;
+
+impl Coordinator {
+    /// Returns the speed below which a task waits, in millionths of full speed.
+    pub(super) fn least_speed(&self, task: TaskId, spec: &StepSpec, now: Now) -> i64 {
+        let patient = spec.fills && !self.is_idle(task, now);
+        if patient { LEAST_FILL_SPEED } else { i64::MIN }
+    }
+
+    /// Returns whether a task's job has had nothing at work for long.
+    pub(super) fn is_idle(&self, task: TaskId, now: Now) -> bool {
+        let since_ms = self.jobs.get(&task.job).and_then(|job| job.idle_ms);
+        since_ms.is_some_and(|since| now.steady_ms >= since + IDLE_MS)
+            && self.runs_of(task.job).is_empty()
+    }
+
+    /// Returns whether no minion takes a filling step, as one like it has just found none.
+    ///
+    /// Under overload hundreds of steps wait for the same few kinds of places, and asking every
+    /// minion for each of them would take most of a small VM's processor.
+    pub(super) fn is_hopeless(&self, id: JobId, spec: &StepSpec) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|_| spec.fills) else { return false };
+        let kind = (job.record.terms.service.clone(), spec.image.clone());
+        let at_least = |smaller: &Demand| {
+            spec.demand.milli_cpus >= smaller.milli_cpus
+                && spec.demand.memory_mb >= smaller.memory_mb
+        };
+        self.hopeless.get(&kind).is_some_and(at_least)
+    }
+
+    /// Takes note that a step has found no place in this round.
+    pub(super) fn note_hopeless(&mut self, id: JobId, spec: &StepSpec) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let terms = &job.record.terms;
+        let plain = spec.required_label.is_empty() && spec.most_per_minion == 0;
+        if spec.fills && plain && !terms.needs_approval && !self.is_hopeless(id, spec) {
+            self.hopeless.insert((terms.service.clone(), spec.image.clone()), spec.demand);
+        }
+    }
+}
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -12,15 +12,6 @@
 };
 use crate::{Demand, JobId, Now, Place, StepSpec, TaskId, TaskPhase};
 
-/// Speed below which a filling task waits rather than begin, in millionths of full speed. A job is as
-/// slow as its slowest task, so one bound to a minion that cannot bear it holds up all the others.
-/// With 0.4 and slower moves half of the tasks under way stood still at times; with 0.9 a full fleet lets
-/// good enough places lie idle. docs/MEASUREMENTS.md compares.
-const LEAST_FILL_SPEED: i64 = 750_000;
-/// How long a job may have nothing at work before its next filling task begins at any speed, in
-/// milliseconds. Where no minion bears it its users would otherwise wait beside unused processors.
-const IDLE_MS: u64 = 1_800;
-
 /// Which jobs go first; compared field by field, smaller first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -202,43 +193,12 @@
             let avoided = avoid == Some(&minion.info.id);
             Fit { avoided, far, cost: self.preference(minion, spec) }
         };
-        let patient = spec.fills && !self.is_idle(task, now);
-        let least = if patient { LEAST_FILL_SPEED } else { i64::MIN };
+        let least = self.least_speed(task, spec, now);
         let worth_it = |minion: &&Minion| -fit(minion).cost >= least;
         let best = self.minions.values().filter(fits).min_by_key(fit).filter(worth_it)?;
         Some(best.info.id.clone())
     }
 
-    /// Returns whether a task's job has had nothing at work for long.
-    fn is_idle(&self, task: TaskId, now: Now) -> bool {
-        let since_ms = self.jobs.get(&task.job).and_then(|job| job.idle_ms);
-        since_ms.is_some_and(|since| now.steady_ms >= since + IDLE_MS)
-            && self.runs_of(task.job).is_empty()
-    }
-
-    /// Returns whether no minion takes a filling step, as one like it has just found none.
-    ///
-    /// Under overload hundreds of steps wait for the same few kinds of places, and asking every
-    /// minion for each of them would take most of a small VM's processor.
-    fn is_hopeless(&self, id: JobId, spec: &StepSpec) -> bool {
-        let Some(job) = self.jobs.get(&id).filter(|_| spec.fills) else { return false };
-        let kind = (job.record.terms.service.clone(), spec.image.clone());
-        let at_least = |smaller: &Demand| {
-            spec.demand.milli_cpus >= smaller.milli_cpus
-                && spec.demand.memory_mb >= smaller.memory_mb
-        };
-        self.hopeless.get(&kind).is_some_and(at_least)
-    }
-
-    fn note_hopeless(&mut self, id: JobId, spec: &StepSpec) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let terms = &job.record.terms;
-        let plain = spec.required_label.is_empty() && spec.most_per_minion == 0;
-        if spec.fills && plain && !terms.needs_approval && !self.is_hopeless(id, spec) {
-            self.hopeless.insert((terms.service.clone(), spec.image.clone()), spec.demand);
-        }
-    }
-
     /// Returns how little a minion suits a task that fits there.
     ///
     /// What fills goes where it will work fastest without harm, what serves where it leaves most to
