test: show standing tasks that stay down after their minion's departure

Cause, shown by these tests on the code as it is: a leaving minion's tasks are considered once, when its notice arrives; a successor that has looked at no other minion by then, or one whose fleet is full at that moment, never comes back to them. And an agent says once that its minion is gone, over the link that it has then; without one, the next coordinator waits for a lease that nobody holds.

Ruled out: an earlier task of a step that keeps later ones waiting. Tasks of a step are placed by index and a step's placement ends at the first that finds no place, so those that ever ran are always the first ones; the one that may use more room is never behind one that may not.

--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -2,6 +2,7 @@
 
 mod filling;
 mod leases;
+mod leaving;
 mod promises;
 mod random;
 mod steps;
