fix(batch): look for other places again until a leaving minion is empty

Cause: what a leaving minion cannot finish was considered only when its agent reported it. Right after a takeover the successor has looked at no other minion, finds no place, and never came back to it; the same on a fleet that was full at that moment. The tasks then end with the minion.

Emptying has a module of its own.

Ruled out: moving only when the minions' views change, as room also comes by tasks that end, and time that is left runs out by itself.

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -2,6 +2,7 @@
 
 use geraniumpost_schema::Name;
 
+use super::leaving::STAY_MS;
 use super::minion::Minion;
 use super::run::OrderState;
 use super::{Coordinator, Effect};
@@ -114,6 +115,7 @@
         }
         minion.answers |= !minion.known && leased;
         let drains = info.draining && !(minion.known && minion.info.draining);
+        minion.leaves_ms = now.steady_ms + info.remaining_ms.unwrap_or(STAY_MS);
         minion.info = info;
         minion.known = true;
         minion.linked = linked;
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -37,6 +37,12 @@
     pub(super) failed_job: Option<JobId>,
     /// Gets no work before this time.
     pub(super) shunned_ms: u64,
+    /// When it may leave, if it drains, on the steady clock.
+    pub(super) leaves_ms: u64,
+    /// When its tasks were last looked at for other places, if it drains.
+    pub(super) emptied_ms: u64,
+    /// Tasks that found no other place then.
+    pub(super) without_place: u32,
     /// When the pace of what fills there last changed.
     pub(super) paced_ms: u64,
     /// For how long some serving task there has been over its bound, in milliseconds.
@@ -95,6 +101,9 @@
             failures: 0,
             failed_job: None,
             shunned_ms: 0,
+            leaves_ms: 0,
+            emptied_ms: 0,
+            without_place: 0,
             paced_ms: 0,
             over_for_ms: 0,
             serving_images: BTreeMap::new(),
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -8,6 +8,7 @@
 mod harm;
 mod job;
 mod leases;
+mod leaving;
 mod looks;
 mod minion;
 mod order_results;
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -1,4 +1,4 @@
-//! Keeping what fills from harming what serves, and emptying minions that leave.
+//! Keeping what fills from harming what serves.
 
 use geraniumpost_schema::Name;
 
@@ -7,10 +7,6 @@
 use crate::tuning::PACE_EVERY_MS;
 use crate::{Now, TaskId};
 
-/// Time that a leaving minion is taken to stay if it does not say, in milliseconds.
-const STAY_MS: u64 = 2_000;
-/// Time that moving a task costs anyway, in milliseconds: a stop, a commit and a start.
-const MOVE_MS: u64 = 400;
 /// Share below which a pace is set to nothing, in percent.
 const LEAST_PERCENT: u8 = 8;
 /// Smallest change of pace that is worth an order, in percent.
@@ -134,32 +130,4 @@
             self.stop_run(task, now);
         }
     }
-
-    /// Stops what a leaving minion cannot finish, where it can go on elsewhere.
-    pub(super) fn evacuate(&mut self, id: &Name, now: Now) {
-        let Some(minion) = self.minions.get(id) else { return };
-        let stays_ms = minion.info.remaining_ms.unwrap_or(STAY_MS);
-        let tasks: Vec<TaskId> = minion.runs.iter().copied().collect();
-        for task in tasks {
-            if self.left_ms(task, now).is_some_and(|left| left + MOVE_MS < stays_ms) {
-                continue;
-            }
-            if self.has_other_place(task, now) {
-                self.stop_run(task, now);
-            }
-        }
-    }
-
-    /// Returns how long a run will still take in milliseconds; `None` for one without end.
-    fn left_ms(&self, task: TaskId, now: Now) -> Option<u64> {
-        let step = self.step_spec(task).filter(|step| !step.persistent)?;
-        let run = self.runs.get(&task)?;
-        let whole_ms = u64::from(step.estimate_ms);
-        let Some(started_ms) = run.started_ms else { return Some(whole_ms) };
-        let ran_ms = now.steady_ms.saturating_sub(started_ms);
-        let percent = u64::from(run.percent);
-        // The declared length is far off at times; progress tells better once there is some.
-        let known = percent >= 10;
-        Some(if known { ran_ms * (100 - percent.min(100)) / percent } else { whole_ms })
-    }
 }
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -13,6 +13,7 @@
         self.lapse(now);
         self.begin_all_due(now);
         self.repeat_orders(now);
+        self.empty_leaving(now);
         self.move_held_up(now);
         self.expire(now);
         self.forget_images();
