test(batch): play pairs of losses around standing tasks

Cause: a standing task was down for 12.5 s beside room. Which losses together keep one down for longer than promised was not known.

Change: a site of four machines, with agents, links, leases, entries and a store that are lost, slow or planned away, around the real coordinator. World keeps leases and can withhold the store's confirmation; nothing that existing tests do changes. No product code changes.

--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -4,6 +4,8 @@
 mod leases;
 mod promises;
 mod random;
+mod site;
+mod standing;
 mod steps;
 mod wide_jobs;
 mod world;
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -39,6 +39,10 @@
     pub progress: BTreeMap<TaskId, u8>,
     /// The share at which each task was told to work.
     pub paces: BTreeMap<TaskId, u8>,
+    /// Leases that were extended: the agent, when it sent its beat, and for how long they hold.
+    pub leases: Vec<(Name, u64, u64)>,
+    /// Whether the store confirms the coordinator as time passes.
+    pub store_confirms: bool,
     ends: BTreeMap<Name, Vec<EndedTask>>,
     gauges: BTreeMap<TaskId, u32>,
     results: u64,
@@ -65,6 +69,8 @@
             percent: 100,
             progress: BTreeMap::new(),
             paces: BTreeMap::new(),
+            leases: Vec::new(),
+            store_confirms: true,
             ends: BTreeMap::new(),
             gauges: BTreeMap::new(),
             results: 0,
@@ -150,9 +156,12 @@
             Effect::Tell { message: ToAgent::Acknowledge { minion, up_to }, .. } => {
                 self.acknowledged.insert(minion, up_to);
             }
+            Effect::Tell { agent, message: ToAgent::Lease { sent_at_ms, hold_ms, .. } } => {
+                self.leases.push((agent, sent_at_ms, hold_ms));
+            }
             Effect::Note(line) => self.notes.push(line),
             Effect::AskApproval { step, minions } => self.questions.push((step, minions)),
-            Effect::Tell { .. } | Effect::Superseded => {}
+            Effect::Superseded => {}
         }
     }
 
@@ -245,7 +254,9 @@
             self.now.steady_ms += step;
             self.now.wall_ms += step;
             left -= step;
-            self.coordinator.store_confirmed(self.now.steady_ms);
+            if self.store_confirms {
+                self.coordinator.store_confirmed(self.now.steady_ms);
+            }
             self.coordinator.tick(self.now);
             self.settle();
         }
@@ -297,7 +308,9 @@
         self.take_over_after(HOLD_MS + STORE_LOST_MS);
     }
 
-    fn take_over_after(&mut self, wait_ms: u64) {
+    /// Lets another coordinator take over that takes inherited leases for lapsed after so many
+    /// milliseconds.
+    pub fn take_over_after(&mut self, wait_ms: u64) {
         self.fence += 1;
         let records = self.store.iter().map(|(id, bytes)| {
             (*id, JobRecord::decode(bytes).expect("the record was written by this version"))
