--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -5,6 +5,8 @@
 mod leaving;
 mod promises;
 mod random;
+mod site;
+mod standing;
 mod steps;
 mod wide_jobs;
 mod world;
