fix(coordination): leave whom to wait for, and for how long, to the next coordinator

Cause: a successor counted only with its direct predecessor.

Change: the coordinator's key carries what is left behind (Inheritance): each silent coordinator with the time it may last, and, on stepping down, the agents that it did not reach. All are durations from the writing, so that no clocks are compared. Every silent one is asked for its word, which ends only its own wait. An agent that has linked obeys no silent coordinator any more. A record without the new part is read as one that leaves nothing.

Ruled out: a shorter wait for silent coordinators (work would lapse in outages of the store that it outlives today); a quorum of entries instead of the eight seconds (addresses of replaced entries stay in the store, so that nobody knows how many there are).

Tests: World and the model of a site use the product's own Inheritance and Departures. World::take_over now waits for a surely lapsed lease (5.4 s) as the shell does, where it waited for 5.0 s of its own: three tests that named its figure name the product's, on the later side. Agents of seven tests beat while time passes, as real ones do. The model of agents looks for a successor after 0.7 s of silence, as batch/agent/finder.rs does, not after 1.7 s.

Left: a coordinator silent for good beside a lost machine or a stopped agent, two machines lost at once, two crashes 7 s apart.

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -16,11 +16,14 @@
 #[derive(Debug, Default)]
 pub(super) struct Agent {
     linked: bool,
+    /// When it first linked to this coordinator, on the steady clock.
+    linked_ms: Option<u64>,
     /// The incarnation beside it.
     minion: Option<Name>,
-    /// When all that runs beside it has surely ended if its lease is not extended any more. It
-    /// belongs to the agent: a new incarnation is held under the lease that the agent has.
-    lapsed_ms: u64,
+    /// When all that runs beside it has surely ended if the lease that this coordinator granted is not
+    /// extended any more. It belongs to the agent: a new incarnation is held under the lease that the
+    /// agent has.
+    pub(super) lapsed_ms: u64,
 }
 
 /// Returns after how many milliseconds a lease that holds for `hold_ms` has surely lapsed, on the
@@ -31,8 +34,10 @@
 
 impl Coordinator {
     /// Takes note of a new link from an agent.
-    pub(super) fn agent_linked(&mut self, agent: &Name) {
-        self.agents.entry(agent.clone()).or_default().linked = true;
+    pub(super) fn agent_linked(&mut self, agent: &Name, now: Now) {
+        let known = self.agents.entry(agent.clone()).or_default();
+        known.linked = true;
+        known.linked_ms.get_or_insert(now.steady_ms);
         for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
             minion.linked = true;
             minion.looked = false;
@@ -73,6 +78,7 @@
         let extend = minion_ok && silent_ms < STORE_LOST_MS;
         let hold_ms = if extend { self.hold_ms } else { 0 };
         if extend {
+            self.agent_reached(agent);
             // The agent counts from its own sending, which was earlier than this moment.
             let lapsed_ms = now.steady_ms + surely_lapsed_ms(hold_ms);
             let known = self.agents.entry(agent.clone()).or_default();
@@ -146,25 +152,17 @@
         changes
     }
 
-    /// Takes note that the predecessor is known to have ended its term, and extends no lease any more.
-    ///
-    /// A successor that only knows its predecessor as silent waits for as long as that could go on
-    /// without the store. Standing tasks whose agents went away meanwhile would stay down all that
-    /// time; a word from the predecessor leaves only the leases that it had extended.
-    pub fn predecessor_ended(&mut self, now: Now) {
-        let until_ms = now.steady_ms + surely_lapsed_ms(self.hold_ms);
-        if until_ms < self.inherited_ms {
-            self.note(format!(
-                "event=predecessor_ended earlier_by_ms={}",
-                self.inherited_ms - until_ms
-            ));
-            self.inherited_ms = until_ms;
-        }
+    /// Returns when all that runs beside an agent has surely ended, if its lease is not extended any more.
+    pub(super) fn lapses_ms(&self, agent: &Name) -> u64 {
+        let inherited_ms = self.inherited.until_ms(agent);
+        let Some(agent) = self.agents.get(agent) else { return inherited_ms };
+        // An agent that has linked to this coordinator obeys no earlier one any more.
+        let linked_ms = agent.linked_ms.map(|linked_ms| linked_ms + surely_lapsed_ms(self.hold_ms));
+        agent.lapsed_ms.max(linked_ms.map_or(inherited_ms, |until_ms| until_ms.min(inherited_ms)))
     }
 
     fn has_lapsed(&self, agent: &Name, now: Now) -> bool {
-        let lapsed_ms = self.agents.get(agent).map_or(0, |agent| agent.lapsed_ms);
-        now.steady_ms >= lapsed_ms.max(self.inherited_ms)
+        now.steady_ms >= self.lapses_ms(agent)
     }
 
     /// Ends what ran on minions whose leases have surely lapsed.
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 mod effect;
 mod ends;
 mod harm;
+mod inherited;
 mod job;
 mod leases;
 mod leaving;
@@ -33,6 +34,7 @@
 use commits::Batch;
 use departures::Departure;
 use harm::Harm;
+use inherited::Inherited;
 use job::Job;
 use leases::Agent;
 use minion::Minion;
@@ -64,8 +66,11 @@
     next_batch: u64,
     /// When the store last confirmed this coordinator, on the steady clock.
     confirmed_ms: u64,
-    /// When leases that a predecessor may have extended have surely lapsed.
-    inherited_ms: u64,
+    inherited: Inherited,
+    /// Agents that are not reached though something may run beside them, and when their leases have
+    /// surely lapsed.
+    unreached: BTreeMap<Name, u64>,
+    inheritance_changed: bool,
     approvals: Approvals,
     /// How much images that fill slow images that serve.
     harm: Harm,
@@ -96,7 +101,9 @@
             batches: HashMap::new(),
             next_batch: 1,
             confirmed_ms: now.steady_ms,
-            inherited_ms: now.steady_ms,
+            inherited: Inherited::default(),
+            unreached: BTreeMap::new(),
+            inheritance_changed: false,
             approvals: Approvals::default(),
             harm: Harm::default(),
             placing_due: false,
@@ -120,13 +127,6 @@
         self
     }
 
-    /// Sets when, on the steady clock, every lease of a predecessor has surely lapsed.
-    #[must_use]
-    pub const fn inherited_until(mut self, steady_ms: u64) -> Self {
-        self.inherited_ms = steady_ms;
-        self
-    }
-
     /// Takes over the records that the store holds.
     #[must_use]
     pub fn with_records(mut self, records: Vec<(JobId, JobRecord)>, now: Now) -> Self {
@@ -150,7 +150,7 @@
     /// Takes a message from an agent.
     pub fn from_agent(&mut self, agent: &Name, message: FromAgent, now: Now) {
         match message {
-            FromAgent::Hello { .. } => self.agent_linked(agent),
+            FromAgent::Hello { .. } => self.agent_linked(agent, now),
             FromAgent::Beat { sent_at_ms, minion_ok } => {
                 self.extend_lease(agent, sent_at_ms, minion_ok, now);
             }
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -11,6 +11,7 @@
     /// Does what has become due. The shell calls it about ten times a second.
     pub fn tick(&mut self, now: Now) {
         self.lapse(now);
+        self.note_unreached(now);
         self.begin_all_due(now);
         self.repeat_orders(now);
         self.empty_leaving(now);
--- /dev/null
+++ b/crates/geraniumpost-batch/src/inheritance.rs
@@ -0,0 +1,57 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use geraniumpost_schema::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::surely_lapsed_ms;
+use crate::tuning::STORE_LOST_MS;
+
+/// What a coordinator leaves to its successor: whose leases may last for how long.
+///
+/// A successor does not know which leases earlier coordinators extended. One that counts only with its
+/// direct predecessor forgets those who fell silent before that, and starts tasks that still run beside
+/// an agent which one of them reaches. One that counts with a whole lease for every agent begins to wait
+/// anew at each planned handover, and users miss a crashed minion's standing tasks all that time. All
+/// times are milliseconds from the moment at which this is told, so that no clocks are compared; read
+/// later, they are too long and never too short.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inheritance {
+    /// Coordinators that fell silent and may live on, and how long leases may last that they extend.
+    pub silent: BTreeMap<SocketAddr, u64>,
+    /// Agents that the last coordinator did not reach when it stepped down, and how long their leases may
+    /// last if no silent coordinator extends them.
+    pub unreached: BTreeMap<Name, u64>,
+}
+
+impl Inheritance {
+    /// Returns what a coordinator at `own` inherits, whose predecessor left this behind. That one is named
+    /// if it only fell silent.
+    #[must_use]
+    pub fn taken_over(mut self, silent: Option<SocketAddr>, own: SocketAddr, hold_ms: u64) -> Self {
+        if let Some(address) = silent {
+            // It goes on for as long as one that misses the store may.
+            self.silent.insert(address, STORE_LOST_MS + surely_lapsed_ms(hold_ms));
+            self.unreached.clear();
+        }
+        // Earlier terms at the own address have ended.
+        self.silent.remove(&own);
+        self
+    }
+
+    /// Returns what is left of it after so many milliseconds.
+    #[must_use]
+    pub fn after(mut self, ms: u64) -> Self {
+        self.silent.retain(|_, lasts_ms| *lasts_ms > ms);
+        self.silent.values_mut().for_each(|lasts_ms| *lasts_ms -= ms);
+        self.unreached.values_mut().for_each(|lasts_ms| *lasts_ms = lasts_ms.saturating_sub(ms));
+        self
+    }
+
+    /// Returns it as it holds for as long as its coordinator goes on and may yet reach any agent.
+    #[must_use]
+    pub fn while_coordinating(mut self) -> Self {
+        self.unreached.clear();
+        self
+    }
+}
--- a/crates/geraniumpost-batch/tests/coordinator/filling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/filling.rs
@@ -44,6 +44,7 @@
 #[test]
 fn filling_takes_memory_but_no_processors() {
     let mut world = World::new().with_minions(&["m1"]);
+    world.beating = vec!["m1"];
     world.submit(1, vec![step(8)]);
     world.obey();
     let large = StepSpec {
@@ -80,6 +81,7 @@
 #[test]
 fn idle_job_begins_at_any_speed() {
     let mut world = World::new().with_minions(&["m1"]);
+    world.beating = vec!["m1"];
     world.submit(1, vec![step(8)]);
     world.obey();
     let wide = StepSpec {
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -2,9 +2,9 @@
 
 use assert_matches::assert_matches;
 use geraniumpost_batch::tuning::STORE_LOST_MS;
-use geraniumpost_batch::{EndKind, FromAgent, OrderKind, OrderOutcome};
+use geraniumpost_batch::{EndKind, FromAgent, OrderKind, OrderOutcome, surely_lapsed_ms};
 
-use crate::world::{HOLD_MS, World, agent, minion, step};
+use crate::world::{HOLD_MS, SILENT, World, agent, minion, step};
 
 /// An agent is cut off while its minion runs on. Its task must not begin elsewhere before the
 /// minion has surely ended it, or a user gets two results.
@@ -15,6 +15,7 @@
     world.obey();
     world.coordinator.agent_lost(&agent("m1"), world.now);
     world.join("m2", |info| info);
+    world.beating = vec!["m2"];
     world.pass(HOLD_MS);
     assert!(world.orders.is_empty());
     world.pass(600);
@@ -47,9 +48,10 @@
     world.obey();
     world.take_over();
     world.join("m2", |info| info);
-    world.pass(HOLD_MS - 200);
+    world.beating = vec!["m2"];
+    world.pass(HOLD_MS);
     assert!(world.orders.is_empty());
-    world.pass(400);
+    world.pass(600);
     assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
 }
 
@@ -63,8 +65,9 @@
     world.obey();
     world.take_over_from_silent();
     world.join("m2", |info| info);
+    world.beating = vec!["m2"];
     world.pass(500);
-    world.coordinator.predecessor_ended(world.now);
+    world.coordinator.predecessor_ended(SILENT, world.now);
     world.pass(HOLD_MS);
     assert!(world.orders.is_empty());
     world.pass(600);
@@ -79,9 +82,11 @@
     world.obey();
     world.take_over_from_silent();
     world.join("m2", |info| info);
-    world.pass(HOLD_MS + STORE_LOST_MS - 200);
-    world.coordinator.predecessor_ended(world.now);
-    world.pass(400);
+    world.beating = vec!["m2"];
+    world.pass(HOLD_MS + STORE_LOST_MS);
+    world.coordinator.predecessor_ended(SILENT, world.now);
+    assert!(world.orders.is_empty());
+    world.pass(600);
     assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
 }
 
@@ -241,3 +246,60 @@
     world.beat("m1");
     assert_eq!(world.orders.len(), 1);
 }
+
+/// An agent is cut off from the coordinator for a while. If that steps down meanwhile, its successor
+/// waits only for what is left of the agent's lease; users of a standing task would otherwise wait
+/// for a whole one at each planned restart.
+#[test]
+fn successor_is_told_of_agents_that_are_not_reached() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.coordinator.agent_lost(&agent("m1"), world.now);
+    world.pass(3_000);
+    let left = world.coordinator.inheritance(world.now);
+    let lasts_ms = left.unreached.get(&agent("m1")).copied();
+    assert_eq!(lasts_ms, Some(surely_lapsed_ms(HOLD_MS) - 3_000));
+    world.take_over_with(&left);
+    world.join("m2", |info| info);
+    world.beating = vec!["m2"];
+    world.pass(2_300);
+    assert!(world.orders.is_empty());
+    world.pass(300);
+    assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
+}
+
+/// The agent is reached again just before the coordinator steps down. Its lease is extended, and a
+/// successor that took it for ending soon would start its tasks elsewhere while they run. The word is
+/// taken back before the extension leaves.
+#[test]
+fn agent_that_is_reached_again_is_not_left_as_unreached() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.coordinator.agent_lost(&agent("m1"), world.now);
+    world.pass(3_000);
+    assert!(world.coordinator.take_inheritance_changed());
+    let beat = FromAgent::Beat { sent_at_ms: world.now.steady_ms, minion_ok: true };
+    world.coordinator.from_agent(&agent("m1"), beat, world.now);
+    assert!(world.coordinator.take_inheritance_changed());
+    assert!(world.coordinator.inheritance(world.now).unreached.is_empty());
+}
+
+/// An agent has linked to a successor, whose predecessor is silent for good. It obeys nobody else any
+/// more, so that what runs beside it ends with the leases it had then, long before the silent one would
+/// have noticed that it lost the store.
+#[test]
+fn linked_agent_obeys_no_silent_coordinator() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    world.take_over_from_silent();
+    world.join("m2", |info| info);
+    world.beating = vec!["m2"];
+    world.say("m1", FromAgent::Hello { agent: agent("m1") });
+    world.pass(HOLD_MS);
+    assert!(world.orders.is_empty());
+    world.pass(600);
+    assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
+}
--- a/crates/geraniumpost-batch/tests/coordinator/site.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/site.rs
@@ -1,19 +1,21 @@
 //! Machines with an agent and a minion each, entries that take over from each other, and a clock.
 //!
 //! Agents do what `geraniumpost`'s `batch/agent` does: they beat each half second, look each 0.4 s,
-//! tell what happens only over an open link, and tell a new link only of the present minion.
+//! tell what happens only over an open link, and tell a new link of the present minion and of departures
+//! that are not settled.
 //!
-//! The coordinator is the real one. What the shell around it decides is copied here, and must follow
-//! it: how long a successor waits for inherited leases and whom it asks for a word
-//! (`Candidate::take_over`, `await_predecessor`), what an agent says to whom (`State`), and that a
-//! coordinator does not notice a link that dies without a word (`Doorway::pass_on`).
+//! The coordinator is the real one, and so is what it leaves to its successor ([`Inheritance`]) and what
+//! agents keep of departures ([`Departures`]). What the shell around them does is copied here, and must
+//! follow it: when an entry takes over and whom it asks for a word (`Candidate`, `await_predecessor`),
+//! what an agent says to whom (`State`), and that a coordinator does not notice a link that dies without
+//! a word (`Doorway::pass_on`).
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
-use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{
-    Coordinator, Effect, EndKind, FromAgent, JobId, JobRecord, MinionInfo, Order, OrderKind,
-    OrderOutcome, OrderVerb, TaskId, ToAgent, surely_lapsed_ms,
+    Coordinator, Departures, Effect, EndKind, FromAgent, Inheritance, JobId, JobRecord, MinionInfo,
+    Order, OrderKind, OrderOutcome, OrderVerb, TaskId, ToAgent,
 };
 use geraniumpost_schema::Name;
 
@@ -29,12 +31,14 @@
 const FAREWELL_MS: u64 = 300;
 /// Time that an agent gives an order.
 const ORDER_MS: u64 = 700;
-/// Silence of the coordinator after which agents open a new link.
-const SILENCE_MS: u64 = 1_700;
+/// Silence of the coordinator after which agents look for another one.
+const SILENCE_MS: u64 = 700;
 /// How late an order is carried out that is under way for long.
 const LATE_MS: u64 = 2_500;
 /// How long a killed entry is away.
 const BACK_MS: u64 = 2_000;
+/// How long an agent that was asked to stop may stay.
+const GRACE_MS: u64 = 5_000;
 /// Pause between two looks at a predecessor.
 const DOUBT_MS: u64 = 300;
 const FROZEN_MS: u64 = 2_500;
@@ -177,6 +181,7 @@
     Cut,
     Mend,
     StopAgent,
+    KillAgent,
     StartAgent,
     TakeOver(Loss),
     /// An entry that was lost so answers again, and knows who coordinates.
@@ -270,6 +275,9 @@
     answered_ms: u64,
     lease_ms: u64,
     leaving: Option<(u64, Name)>,
+    departures: Departures,
+    /// Whether the agent was asked to stop, and stays until all departures are settled.
+    stopping_ms: Option<u64>,
 }
 
 impl Machine {
@@ -291,6 +299,8 @@
             answered_ms: 0,
             lease_ms: 0,
             leaving: None,
+            departures: Departures::default(),
+            stopping_ms: None,
         }
     }
 
@@ -344,9 +354,10 @@
     vacancy: Option<Vacancy>,
     /// Losses of coordinators so far.
     losses: u64,
-    /// The loss after which the coordinator took over, if it asks its predecessor for a word, and
-    /// when it does so next.
-    predecessor: Option<(u64, u64)>,
+    /// What the coordinator's key leaves to the next one.
+    left: Inheritance,
+    /// When the coordinator next asks silent ones for a word.
+    ask_ms: u64,
     /// Losses whose coordinators answer again, and know who coordinates.
     back: BTreeSet<u64>,
     /// A coordinator that is cut off from all but one agent.
@@ -377,7 +388,8 @@
             troubles: Vec::new(),
             vacancy: None,
             losses: 0,
-            predecessor: None,
+            left: Inheritance::default(),
+            ask_ms: 0,
             back: BTreeSet::new(),
             cut_off: None,
             late_orders: false,
@@ -452,8 +464,8 @@
 
     fn begin(&mut self, event: Event, index: u32) {
         use Act::{
-            Crash, Cut, CutOff, Drain, Farewell, Full, Heal, HoldWrites, Late, Mend, PassWrites,
-            Reborn, StartAgent, StopAgent, StoreAway, StoreBack, TakeOver,
+            Crash, Cut, CutOff, Drain, Farewell, Full, Heal, HoldWrites, KillAgent, Late, Mend,
+            PassWrites, Reborn, StartAgent, StopAgent, StoreAway, StoreBack, TakeOver,
         };
         let acts: &[(u64, Act)] = match event {
             Event::Nothing => &[],
@@ -466,7 +478,8 @@
             Event::AgentCut => &[(0, Cut), (2_500, Mend)],
             Event::AgentCutLong => &[(0, Cut), (8_000, Mend)],
             Event::AgentStops => &[(0, StopAgent)],
-            Event::AgentKilled | Event::AgentRestarts => &[(0, StopAgent), (1_000, StartAgent)],
+            Event::AgentKilled => &[(0, KillAgent), (1_000, StartAgent)],
+            Event::AgentRestarts => &[(0, StopAgent), (1_000, StartAgent)],
             Event::TakeOver => &[(0, TakeOver(Loss::Planned))],
             Event::TakeOverKilled => &[(0, TakeOver(Loss::Killed))],
             Event::TakeOverFrozen => &[(0, TakeOver(Loss::Frozen))],
@@ -511,6 +524,7 @@
             Act::Farewell => {
                 let heard = self.machines[at].agent_up;
                 if let Some(id) = self.end_minion(at).filter(|_| heard) {
+                    self.machines[at].departures.leaves(&id);
                     self.machines[at].leaving = Some((now_ms + FAREWELL_MS, id));
                 }
             }
@@ -524,7 +538,11 @@
                 self.machines[at].linked = false;
                 self.machines[at].link_at_ms = now_ms + 200;
             }
-            Act::StopAgent => self.stop_agent(at),
+            Act::StopAgent => self.machines[at].stopping_ms = Some(now_ms + GRACE_MS),
+            Act::KillAgent => self.end_agent(at),
+            Act::StartAgent if self.machines[at].stopping_ms.is_some() => {
+                self.agenda.push((now_ms + STEP_MS, at, act));
+            }
             Act::StartAgent => {
                 self.machines[at].agent_up = true;
                 self.machines[at].link_at_ms = now_ms + 300;
@@ -589,8 +607,20 @@
         }
     }
 
+    /// Ends an agent that was asked to stop, once it has nothing to tell any more or may stay no longer.
     fn stop_agent(&mut self, at: usize) {
+        let now_ms = self.world.now.steady_ms;
+        let machine = &self.machines[at];
+        let due = machine.stopping_ms.is_some_and(|until_ms| now_ms >= until_ms);
+        if due || (machine.stopping_ms.is_some() && machine.departures.is_settled()) {
+            self.end_agent(at);
+        }
+    }
+
+    fn end_agent(&mut self, at: usize) {
         let machine = &mut self.machines[at];
+        machine.stopping_ms = None;
+        machine.departures = Departures::default();
         machine.agent_up = false;
         machine.present = None;
         machine.leaving = None;
@@ -617,9 +647,12 @@
         if let Some(word_ms) = loss.word_ms() {
             self.agenda.push((now_ms + word_ms, 0, Act::Word(self.losses)));
         }
+        if loss == Loss::Planned && self.vacancy.is_none() {
+            self.left = self.world.coordinator.inheritance(self.world.now);
+        }
         let until_ms = now_ms + loss.gap_ms();
         let silent = matches!(loss, Loss::Frozen | Loss::Lost | Loss::CutOff);
-        let found_ms = if silent { now_ms + SILENCE_MS } else { until_ms };
+        let found_ms = if silent { until_ms.max(now_ms + SILENCE_MS) } else { until_ms };
         // Whoever was about to take over is lost as well; the key still names the one before.
         let (loss, number) = match &self.vacancy {
             Some(before) => (before.loss, before.number),
@@ -634,11 +667,12 @@
     }
 
     fn take_over(&mut self, vacancy: &Vacancy) {
-        // As `Candidate::take_over` counts it.
-        let notices_ms = if vacancy.loss == Loss::Planned { 0 } else { STORE_LOST_MS };
-        self.world.take_over_after(surely_lapsed_ms(HOLD_MS) + notices_ms);
-        let ask_ms = self.world.now.steady_ms + DOUBT_MS;
-        self.predecessor = (vacancy.loss != Loss::Planned).then_some((vacancy.number, ask_ms));
+        let silent = (vacancy.loss != Loss::Planned).then(|| address(vacancy.number));
+        let own = address(self.losses + 1);
+        let inheritance = std::mem::take(&mut self.left).taken_over(silent, own, HOLD_MS);
+        self.world.take_over_with(&inheritance);
+        self.left = inheritance.while_coordinating();
+        self.ask_ms = self.world.now.steady_ms + DOUBT_MS;
         self.trace(format!("taken over, after {:?}", vacancy.loss));
         let apart_ms = if vacancy.loss == Loss::KilledAndFoundLate { 600 } else { 100 };
         let mut link_at_ms = vacancy.found_ms.max(self.world.now.steady_ms) + 200;
@@ -665,24 +699,31 @@
         if let Some(vacancy) = self.vacancy.take_if(|v| store && v.until_ms <= now_ms) {
             self.take_over(&vacancy);
         }
-        self.ask_predecessor();
+        self.ask_silent();
         for at in 0..self.machines.len() {
+            self.stop_agent(at);
             self.lapse(at);
             self.hear(at);
             self.link(at);
             self.tell(at);
         }
         self.carry_out();
+        self.settle_departures();
         self.check();
     }
 
-    /// The coordinator asks the one that it took over from, and no other, whether its term has ended.
-    fn ask_predecessor(&mut self) {
+    /// The coordinator asks those that fell silent whether their terms have ended.
+    fn ask_silent(&mut self) {
         let now = self.world.now;
-        let Some((number, ask_ms)) = self.predecessor else { return };
-        if self.vacancy.is_none() && ask_ms <= now.steady_ms && self.back.contains(&number) {
-            self.predecessor = None;
-            self.world.coordinator.predecessor_ended(now);
+        if self.vacancy.is_some() || now.steady_ms < self.ask_ms {
+            return;
+        }
+        self.ask_ms = now.steady_ms + DOUBT_MS;
+        for number in self.back.iter().copied().collect::<Vec<_>>() {
+            let at = address(number);
+            if self.world.coordinator.inheritance(now).silent.contains_key(&at) {
+                self.world.coordinator.predecessor_ended(at, now);
+            }
         }
     }
 
@@ -713,7 +754,7 @@
             return;
         }
         if let Some((_, id)) = machine.leaving.take_if(|(at_ms, _)| *at_ms <= now_ms) {
-            self.gone(at, &id);
+            self.left(at, &id);
         }
         let machine = &mut self.machines[at];
         let phase_ms = 100 * at as u64;
@@ -743,10 +784,16 @@
     /// The agent learns that an incarnation is gone, and says so if it can.
     fn gone(&mut self, at: usize, id: &Name) {
         let machine = &mut self.machines[at];
-        if machine.present.as_ref() != Some(id) {
-            return;
+        if machine.present.as_ref() == Some(id) {
+            self.left(at, id);
         }
-        machine.present = None;
+    }
+
+    /// The agent keeps a departure in mind, and says so if it can.
+    fn left(&mut self, at: usize, id: &Name) {
+        let machine = &mut self.machines[at];
+        machine.present.take_if(|present| present == id);
+        machine.departures.gone(id);
         let reaches = self.reaches(at);
         self.trace(format!("agent finds {id} gone, heard by the coordinator: {reaches}"));
         self.say(at, FromAgent::MinionGone { minion: id.clone() });
@@ -777,6 +824,16 @@
             let name = self.machines[at].name.clone();
             self.world.say(&name, message);
         }
+        self.settle_departures();
+    }
+
+    /// Agents forget the departures that the records hold.
+    fn settle_departures(&mut self) {
+        for minion in std::mem::take(&mut self.world.settled) {
+            if let Some(at) = self.machine_of(&minion).filter(|at| self.reaches(*at)) {
+                self.machines[at].departures.forget(&minion);
+            }
+        }
     }
 
     fn tell_minion(&mut self, at: usize) {
@@ -802,6 +859,9 @@
         }
         self.machines[at].linked = true;
         self.say(at, FromAgent::Hello { agent: name });
+        for minion in self.machines[at].departures.unsettled().cloned().collect::<Vec<_>>() {
+            self.say(at, FromAgent::MinionGone { minion });
+        }
         self.tell_minion(at);
         self.beat(at);
     }
@@ -999,6 +1059,11 @@
     }
 }
 
+/// Returns where the coordinator was that was lost as the so-manieth.
+fn address(number: u64) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number as u16))
+}
+
 /// Returns what a task takes.
 fn demand(task: TaskId) -> i64 {
     if task.job == JobId(1) { 1_000 } else { LARGE_MILLI_CPUS }
--- a/crates/geraniumpost-batch/tests/coordinator/standing.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/standing.rs
@@ -135,7 +135,9 @@
 }
 
 /// Events of which no combination is known to break the promise.
-const BORNE: [Event; 18] = [
+const BORNE: [Event; 20] = [
+    Event::Farewell,
+    Event::TakeOverCutOff,
     Event::Notice,
     Event::VmLeaves,
     Event::CrashAndBack,
--- a/crates/geraniumpost-batch/tests/coordinator/steps.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/steps.rs
@@ -98,6 +98,7 @@
 #[test]
 fn repetitions_begin_when_due() {
     let mut world = World::new().with_minions(&["m1"]);
+    world.beating = vec!["m1"];
     let spec = JobSpec {
         payload: "work".into(),
         steps: vec![step(1)],
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -1,11 +1,11 @@
 //! A coordinator with a store that keeps what it is told, and minions that do what they are told.
 
 use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{
-    Answer, Ask, Coordinator, Demand, Effect, EndKind, EndedTask, FromAgent, JobId, JobRecord,
-    JobSpec, JobState, Knowledge, Look, MinionInfo, Now, Order, OrderKind, OrderOutcome,
+    Answer, Ask, Coordinator, Demand, Effect, EndKind, EndedTask, FromAgent, Inheritance, JobId,
+    JobRecord, JobSpec, JobState, Knowledge, Look, MinionInfo, Now, Order, OrderKind, OrderOutcome,
     OrderResult, OrderVerb, QueueTerms, RunningTask, StepSpec, TaskId, ToAgent, WriteBatch,
 };
 use geraniumpost_schema::Name;
@@ -13,6 +13,13 @@
 /// How long leases hold in these tests, in milliseconds.
 pub const HOLD_MS: u64 = 5_000;
 
+/// Pause between two beats of an agent, in milliseconds.
+const BEAT_MS: u64 = 500;
+/// Where a coordinator was that fell silent.
+pub const SILENT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+/// Where its successor is.
+const SUCCESSOR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 2);
+
 /// Everything around one coordinator.
 pub struct World {
     pub coordinator: Coordinator,
@@ -45,6 +52,8 @@
     pub leases: Vec<(Name, u64, u64)>,
     /// Whether the store confirms the coordinator as time passes.
     pub store_confirms: bool,
+    /// Minions whose agents beat by themselves as time passes.
+    pub beating: Vec<&'static str>,
     ends: BTreeMap<Name, Vec<EndedTask>>,
     gauges: BTreeMap<TaskId, u32>,
     results: u64,
@@ -74,6 +83,7 @@
             paces: BTreeMap::new(),
             leases: Vec::new(),
             store_confirms: true,
+            beating: Vec::new(),
             ends: BTreeMap::new(),
             gauges: BTreeMap::new(),
             results: 0,
@@ -260,6 +270,9 @@
             self.now.steady_ms += step;
             self.now.wall_ms += step;
             left -= step;
+            if self.now.steady_ms.is_multiple_of(BEAT_MS) {
+                self.beating.clone().into_iter().for_each(|minion| self.beat(minion));
+            }
             if self.store_confirms {
                 self.coordinator.store_confirmed(self.now.steady_ms);
             }
@@ -306,24 +319,24 @@
 
     /// Loses the coordinator, and lets another one take over from the store.
     pub fn take_over(&mut self) {
-        self.take_over_after(HOLD_MS);
+        self.take_over_with(&Inheritance::default());
     }
 
     /// Lets another coordinator take over from one that may live on without the store.
     pub fn take_over_from_silent(&mut self) {
-        self.take_over_after(HOLD_MS + STORE_LOST_MS);
+        let silent = Inheritance::default().taken_over(Some(SILENT), SUCCESSOR, HOLD_MS);
+        self.take_over_with(&silent);
     }
 
-    /// Lets another coordinator take over that takes inherited leases for lapsed after so many
-    /// milliseconds.
-    pub fn take_over_after(&mut self, wait_ms: u64) {
+    /// Lets another coordinator take over with what its predecessor left behind.
+    pub fn take_over_with(&mut self, inheritance: &Inheritance) {
         self.fence += 1;
         let records = self.store.iter().map(|(id, bytes)| {
             (*id, JobRecord::decode(bytes).expect("the record was written by this version"))
         });
         self.coordinator = Coordinator::new(self.fence, self.now)
             .hold_ms(HOLD_MS)
-            .inherited_until(self.now.steady_ms + wait_ms)
+            .inheriting(inheritance, self.now)
             .with_knowledge(self.knowledge.as_ref().map_or_else(Knowledge::default, |bytes| {
                 Knowledge::decode(bytes).expect("this version wrote it")
             }))
--- a/crates/geraniumpost/tests/agent_departures.rs
+++ b/crates/geraniumpost-batch/tests/departures.rs
@@ -1,6 +1,6 @@
 //! What an agent remembers of minions that have left.
 
-use geraniumpost::batch::agent::Departures;
+use geraniumpost_batch::Departures;
 use geraniumpost_schema::Name;
 
 fn name(name: &str) -> Name {
--- a/crates/geraniumpost/src/batch/agent/mod.rs
+++ b/crates/geraniumpost/src/batch/agent/mod.rs
@@ -1,7 +1,6 @@
 //! The agent: hears the minion's heartbeats, keeps its lease, and passes orders and ends on.
 
 mod beats;
-mod departures;
 mod finder;
 mod link;
 mod looking;
@@ -18,8 +17,6 @@
 use super::http_server;
 use state::State;
 
-pub use departures::Departures;
-
 /// Time given to heartbeats whose requests have arrived when the process is asked to stop; they take a
 /// millisecond.
 const LAST_HEARTBEATS: Duration = Duration::from_millis(300);
--- a/crates/geraniumpost/src/batch/agent/state.rs
+++ b/crates/geraniumpost/src/batch/agent/state.rs
@@ -2,14 +2,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use geraniumpost_batch::{FromAgent, MinionInfo, OrderResult};
+use geraniumpost_batch::{Departures, FromAgent, MinionInfo, OrderResult};
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::Minion;
 use geraniumpost_schema::Name;
 use tokio::sync::Notify;
 
 use super::super::{BootClock, FromPeer};
-use super::departures::Departures;
 
 /// How much slower a minion's clock may run, in percent.
 const SLOW_CLOCK_PERCENT: u64 = 98;
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -5,8 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use geraniumpost_batch::surely_lapsed_ms;
-use geraniumpost_batch::tuning::STORE_LOST_MS;
+use geraniumpost_batch::Inheritance;
 use geraniumpost_platform::{CommitError, Item, NodeSettings, Put, Store};
 use geraniumpost_schema::Name;
 use rand::Rng as _;
@@ -245,7 +244,12 @@
         }
         let revision = item.map_or(0, |item| item.revision);
         // A revision of the store is higher than any before it, whatever was written or removed.
-        let before = read(item).map_or(0, |(record, _)| record.term);
+        let (before, inheritance) =
+            read(item).map_or((0, Inheritance::default()), |(record, _)| {
+                // One that is silent may answer again, and then tells whether it still coordinates.
+                let silent = (loss == Loss::Silent).then_some(record.address);
+                (record.term, record.inheritance.taken_over(silent, self.address, self.hold_ms))
+            });
         let record = CoordinatorRecord {
             node: self.node.clone(),
             address: self.address,
@@ -253,6 +257,7 @@
             term: before.max(revision) + 1,
             barrier: 0,
             vacant: false,
+            inheritance: inheritance.clone().while_coordinating(),
         };
         let put = Put {
             expect: vec![(COORDINATOR_KEY.to_owned(), revision)],
@@ -266,24 +271,24 @@
             // key names this process, and is simply taken again.
             Err(CommitError::Conflict(_) | CommitError::Unknown(_)) => return,
         };
-        let now_ms = BootClock.now_ms();
-        // One that is silent may answer again, and then tells whether it still coordinates.
-        let predecessor = read(item).filter(|_| loss == Loss::Silent);
-        let notices_ms = if loss == Loss::Gone { 0 } else { STORE_LOST_MS };
         let term = Term {
             store: Arc::clone(&self.store),
             record,
             revision: taken,
             hold_ms: self.hold_ms,
-            inherited_ms: now_ms + surely_lapsed_ms(self.hold_ms) + notices_ms,
-            predecessor: predecessor.map(|(record, _)| record.address),
+            taken: BootClock.now(),
+            inheritance,
             confirmed_ms: Arc::clone(&self.confirmed_ms),
             peers: Arc::clone(&self.peers),
             admission: self.admission,
             metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
-        spdlog::info!("event=take_over fence={fence} revision={taken} after={loss:?}");
+        spdlog::info!(
+            "event=take_over fence={fence} revision={taken} after={loss:?} silent={:?} unreached={:?}",
+            term.inheritance.silent,
+            term.inheritance.unreached
+        );
         self.known.send_replace(Some(Known { address: self.address, fence }));
         term.run(inputs, stop.clone()).await;
         self.known.send_replace(None);
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -1,6 +1,7 @@
 //! Drives the coordinator's decisions: messages in, effects out.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use super::super::{BootClock, ToPeer};
+use super::left::Left;
 use crate::metrics::Metrics;
 
 /// Pause between two ticks: timeouts are hundreds of milliseconds.
@@ -63,8 +65,8 @@
     Approved(TaskId, Option<Approved>),
     /// The store has confirmed that this entry coordinates, at this time on the boot clock.
     Confirmed(u64),
-    /// The predecessor's term has ended.
-    PredecessorEnded,
+    /// The term of a coordinator that was silent at this address has ended.
+    PredecessorEnded(SocketAddr),
 }
 
 /// A question for the admission service: which of these minions may run the step?
@@ -90,6 +92,8 @@
     /// Who is owed an answer: the entry's link, and its ticket.
     owed: HashMap<u64, (u64, u64)>,
     next_ticket: u64,
+    /// What a successor has to know of leases.
+    left: Arc<Left>,
 }
 
 impl Driver {
@@ -99,9 +103,11 @@
         coordinator: Coordinator,
         writes: mpsc::Sender<WriteBatch>,
         questions: mpsc::Sender<Question>,
+        left: Arc<Left>,
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            left,
             metrics,
             coordinator,
             writes,
@@ -128,7 +134,9 @@
             for input in batch.drain(..) {
                 self.take(input);
             }
-            for effect in self.coordinator.take_effects(BootClock.now()) {
+            let effects = self.coordinator.take_effects(BootClock.now());
+            self.note_left();
+            for effect in effects {
                 if effect == Effect::Superseded {
                     return TermEnd::Superseded;
                 }
@@ -137,6 +145,14 @@
         }
     }
 
+    /// Tells the writer what a successor has to know of leases, before what was decided leaves.
+    fn note_left(&mut self) {
+        if self.coordinator.take_inheritance_changed() {
+            let now = BootClock.now();
+            self.left.set(self.coordinator.inheritance(now), now.steady_ms);
+        }
+    }
+
     fn take(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
@@ -174,7 +190,7 @@
                 self.coordinator.approved(step, answer, now);
             }
             Input::Confirmed(at_ms) => self.coordinator.store_confirmed(at_ms),
-            Input::PredecessorEnded => self.coordinator.predecessor_ended(now),
+            Input::PredecessorEnded(address) => self.coordinator.predecessor_ended(address, now),
         }
     }
 
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod doorway;
 mod driver;
+mod left;
 mod loss;
 mod peers;
 mod record;
--- a/crates/geraniumpost/src/batch/coordination/record.rs
+++ b/crates/geraniumpost/src/batch/coordination/record.rs
@@ -1,8 +1,12 @@
 use std::net::SocketAddr;
 
+use geraniumpost_batch::Inheritance;
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
 
+/// An empty [`Inheritance`] as it is encoded: no silent coordinators, no unreached agents.
+const NOTHING_LEFT: [u8; 2] = [0, 0];
+
 /// What lies under the coordinator's key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CoordinatorRecord {
@@ -16,8 +20,10 @@
     pub term: u64,
     /// Counts rewrites within a term, each of which bars all earlier writes.
     pub barrier: u64,
-    /// Whether it has stepped down, so that the next one need not wait for anything.
+    /// Whether it has stepped down, so that the next one need not look for it first.
     pub vacant: bool,
+    /// Whose leases may last for how long, counted from the writing of this record.
+    pub inheritance: Inheritance,
 }
 
 impl CoordinatorRecord {
@@ -32,6 +38,9 @@
     ///
     /// Fails on bytes of another layout.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes)
+        postcard::from_bytes(bytes).or_else(|_| {
+            // A version that leaves nothing behind ends its record before that.
+            postcard::from_bytes(&[bytes, &NOTHING_LEFT].concat())
+        })
     }
 }
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use geraniumpost_batch::tuning::STORE_SILENCE_MS;
-use geraniumpost_batch::{Coordinator, JobId, JobRecord, Knowledge};
+use geraniumpost_batch::{Coordinator, Inheritance, JobId, JobRecord, Knowledge, Now};
 use geraniumpost_platform::{Admission, Store};
 use tokio::sync::{mpsc, watch};
 
 use super::super::BootClock;
 use super::doorway::Inputs;
 use super::driver::{Driver, Input, Question};
+use super::left::Left;
 use super::peers::{Peers, probe};
 use super::record::CoordinatorRecord;
 use super::writer::{TermLost, Timeout, Writer};
@@ -41,10 +42,10 @@
     pub revision: u64,
     /// How long minions hold their tasks, in milliseconds.
     pub hold_ms: u64,
-    /// When leases that a predecessor extended have surely lapsed, on the boot clock.
-    pub inherited_ms: u64,
-    /// Where a predecessor may still be coordinating.
-    pub predecessor: Option<SocketAddr>,
+    /// When the term was taken.
+    pub taken: Now,
+    /// What earlier coordinators left behind, as it held then.
+    pub inheritance: Inheritance,
     pub confirmed_ms: Arc<AtomicU64>,
     /// The other entries, which may know of a successor.
     pub peers: Arc<Peers>,
@@ -76,7 +77,7 @@
         );
         let coordinator = Coordinator::new(self.record.term, now)
             .hold_ms(self.hold_ms)
-            .inherited_until(self.inherited_ms)
+            .inheriting(&self.inheritance, self.taken)
             .with_knowledge(knowledge)
             .with_records(records, now);
         let (writes_tx, mut writes) = mpsc::channel(BATCHES);
@@ -84,7 +85,11 @@
         if let Some(address) = self.admission {
             tokio::spawn(ask_admission(Admission::new(address), questions, tx.clone()));
         }
-        if let Some(address) = self.predecessor {
+        let left = Arc::new(Left::new(
+            self.inheritance.clone().while_coordinating(),
+            self.taken.steady_ms,
+        ));
+        for address in self.inheritance.silent.into_keys() {
             let (fence, tx) = (self.record.term, tx.clone());
             tokio::spawn(await_predecessor(address, fence, tx));
         }
@@ -95,12 +100,14 @@
             inputs: tx,
             confirmed_ms: self.confirmed_ms,
             timeout: Timeout::default(),
+            left: Arc::clone(&left),
             metrics: Arc::clone(&self.metrics),
         };
         self.metrics.planner_term(writer.record.term);
         let confirmed_ms = Arc::clone(&writer.confirmed_ms);
         let succeeded = succeeded(self.peers, confirmed_ms, writer.record.term);
-        let driver = Driver::new(coordinator, writes_tx, questions_tx, Arc::clone(&self.metrics));
+        let metrics = Arc::clone(&self.metrics);
+        let driver = Driver::new(coordinator, writes_tx, questions_tx, left, metrics);
         let ended = tokio::select! {
             end = driver.run(&mut rx) => {
                 spdlog::warn!("event=term_ended why=\"{end:?}\"");
@@ -181,13 +188,13 @@
     }
 }
 
-/// Asks a silent predecessor until it knows of this term, in which case its own has ended.
+/// Asks a coordinator that fell silent until it knows of this term, in which case its own has ended.
 async fn await_predecessor(address: SocketAddr, fence: u64, inputs: mpsc::Sender<Input>) {
     while !inputs.is_closed() {
         let known = probe(address).await.and_then(|probed| probed.known);
         if known.is_some_and(|known| known.fence >= fence) {
             // A term that ended meanwhile needs no word of it.
-            let _ = inputs.send(Input::PredecessorEnded).await;
+            let _ = inputs.send(Input::PredecessorEnded(address)).await;
             return;
         }
         tokio::time::sleep(DOUBT_PAUSE).await;
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -14,6 +14,7 @@
 
 use super::super::BootClock;
 use super::driver::Input;
+use super::left::Left;
 use super::record::CoordinatorRecord;
 use super::{COORDINATOR_KEY, JOB_PREFIX, KNOWLEDGE_KEY};
 use crate::metrics::Metrics;
@@ -48,6 +49,8 @@
     pub inputs: mpsc::Sender<Input>,
     pub confirmed_ms: Arc<AtomicU64>,
     pub timeout: Timeout,
+    /// What a successor has to know of leases.
+    pub left: Arc<Left>,
     pub metrics: Arc<Metrics>,
 }
 
@@ -198,6 +201,7 @@
     async fn bar_earlier_writes(&mut self) -> Result<(), TermLost> {
         loop {
             self.record.barrier += 1;
+            self.record.inheritance = self.left.at(BootClock.now_ms()).while_coordinating();
             let put = Put {
                 expect: vec![(COORDINATOR_KEY.to_owned(), self.revision)],
                 write: vec![(COORDINATOR_KEY.to_owned(), self.record.encode())],
@@ -280,6 +284,7 @@
     /// Gives the term up, so that the next coordinator need not wait for anything.
     pub async fn step_down(&mut self) {
         self.record.vacant = true;
+        self.record.inheritance = self.left.at(BootClock.now_ms());
         let put = Put {
             expect: vec![(COORDINATOR_KEY.to_owned(), self.revision)],
             write: vec![(COORDINATOR_KEY.to_owned(), self.record.encode())],
