fix(batch): give no work to minions whose agents have fallen silent

Cause: a lost machine closes no link.

Change: a minion whose agent has not beaten for 1.6 s gets no work until it beats again.

Ruled out: passing over minions only when their lease lapses, as orders to them would wait 5.4 s first.

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -12,6 +12,9 @@
 /// A lease that ends sooner than this, in milliseconds, may be over before an order arrives.
 const SOON_MS: u64 = 1_000;
 
+/// Silence of an agent after which its minion gets no more work, in milliseconds: three missing beats.
+const SILENT_MS: u64 = 1_600;
+
 /// What the coordinator knows of one agent.
 #[derive(Debug, Default)]
 pub(super) struct Agent {
@@ -24,6 +27,8 @@
     /// extended any more. It belongs to the agent: a new incarnation is held under the lease that the
     /// agent has.
     pub(super) lapsed_ms: u64,
+    /// When it was last heard of, on the steady clock.
+    heard_ms: u64,
 }
 
 /// Returns after how many milliseconds a lease that holds for `hold_ms` has surely lapsed, on the
@@ -84,6 +89,7 @@
             let known = self.agents.entry(agent.clone()).or_default();
             known.lapsed_ms = known.lapsed_ms.max(lapsed_ms);
         }
+        self.agents.entry(agent.clone()).or_default().heard_ms = now.steady_ms;
         for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
             self.placing_due |= minion_ok && !minion.answers;
             minion.answers = minion_ok;
@@ -165,6 +171,18 @@
         now.steady_ms >= self.lapses_ms(agent)
     }
 
+    /// Gives no more work to minions whose agents have fallen silent, until they are heard of again.
+    ///
+    /// A machine that is lost closes no link, and its minion, once emptied, looks like the best place of
+    /// all. Tasks would be placed there again each time their lease has lapsed, and on nothing but lost
+    /// machines if there are two, while others have room.
+    pub(super) fn pass_over_silent(&mut self, now: Now) {
+        for minion in self.minions.values_mut().filter(|minion| minion.answers) {
+            let heard_ms = self.agents.get(&minion.agent).map_or(0, |agent| agent.heard_ms);
+            minion.answers = now.steady_ms < heard_ms + SILENT_MS;
+        }
+    }
+
     /// Ends what ran on minions whose leases have surely lapsed.
     pub(super) fn lapse(&mut self, now: Now) {
         let lapsed: Vec<Name> = self
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -10,6 +10,7 @@
 impl Coordinator {
     /// Does what has become due. The shell calls it about ten times a second.
     pub fn tick(&mut self, now: Now) {
+        self.pass_over_silent(now);
         self.lapse(now);
         self.note_unreached(now);
         self.begin_all_due(now);
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -303,3 +303,18 @@
     world.pass(600);
     assert_matches!(world.orders[..], [ref order] if &*order.minion == "m2");
 }
+
+/// A machine is lost without a word, and its link stays open. No task is placed on its minion once a few
+/// beats of its agent are missing: nobody would carry the order out.
+#[test]
+fn silent_agent_gets_no_work() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.beating = vec!["m2"];
+    world.pass(2_000);
+    world.submit(1, vec![step(4)]);
+    assert_eq!(world.orders.len(), 4);
+    assert!(world.orders.iter().all(|order| &*order.minion == "m2"));
+    world.beat("m1");
+    world.submit(2, vec![step(4)]);
+    assert!(world.orders.iter().any(|order| &*order.minion == "m1"));
+}
