feat(batch): log why a task waits, and until when an unreachable minion's runs are kept

Cause: a standing task was down for 12.5 s while other minions had room, and no line said why it was not placed, which lease was waited for, or whether an agent's word had a link to go over.

Change, without any change of a decision: - `event=not_placed`: job, step, first waiting index, how many wait and how many of them ran before, `waited_ms`, the task's own pause, and minions counted by the first bound that keeps them out, or `fits` for those that would take it. Standing steps after 2 s, others after 5 s, each 5 s a step, at most four lines a second; `left_out` counts the other steps that were due. A standing wait counts from the end of its last run, any other from when its step last got a place. - Placement and the line ask one function (`barred`). What never changes about a minion (service, label) is checked first, so that a leaving minion of another service counts as that. - `event=unreachable`, once for each loss: agent, link, runs, standing ones, `wait_ms`, and whether the agent's lease or the inherited wait decides. `event=inherited_wait` at the first tick of a takeover and after 1 s. At most four and two lines a second. - The agent's `event=minion_gone` says whether there was a link (`told`).

Ruled out: keeping reasons up to date as placements are tried, which costs with each round; a line with each lost link, as an entry's loss takes all of them.

The look at what waits comes every fifth tick. The agent's line has no test of its own.

--- a/crates/geraniumpost-batch/src/coordinator/ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ends.rs
@@ -39,6 +39,7 @@
     /// version of the record that holds this.
     pub(super) fn end_run(&mut self, task: TaskId, kind: EndKind, saved: &Name, now: Now) -> u64 {
         let run = self.remove_run(task);
+        self.standing_ended(task, run.as_ref(), now);
         self.placing_due = true;
         let Some(job) = self.jobs.get_mut(&task.job) else { return 0 };
         if job.record.state.is_final() {
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -156,9 +156,15 @@
         }
     }
 
-    fn has_lapsed(&self, agent: &Name, now: Now) -> bool {
+    /// Returns when all that runs beside an agent has surely ended, on the steady clock, and whether
+    /// the wait inherited from a predecessor decides that rather than the agent's own lease.
+    pub(super) fn lapses(&self, agent: &Name) -> (u64, bool) {
         let lapsed_ms = self.agents.get(agent).map_or(0, |agent| agent.lapsed_ms);
-        now.steady_ms >= lapsed_ms.max(self.inherited_ms)
+        (lapsed_ms.max(self.inherited_ms), self.inherited_ms > lapsed_ms)
+    }
+
+    fn has_lapsed(&self, agent: &Name, now: Now) -> bool {
+        now.steady_ms >= self.lapses(agent).0
     }
 
     /// Ends what ran on minions whose leases have surely lapsed.
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -105,12 +105,6 @@
         }
     }
 
-    /// Returns whether new runs may be placed there.
-    pub(super) fn open(&self, now_ms: u64) -> bool {
-        let healthy = self.answers && now_ms >= self.shunned_ms;
-        self.known && self.linked && self.looked && !self.info.draining && healthy
-    }
-
     /// Returns what is free.
     pub(super) fn free(&self) -> Demand {
         self.info.capacity - self.used
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -2,6 +2,8 @@
 
 mod approvals;
 mod asking;
+mod bar;
+mod barring;
 mod commits;
 mod effect;
 mod ends;
@@ -17,6 +19,9 @@
 mod placing;
 mod run;
 mod timers;
+mod unreachable;
+mod waiting;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -34,6 +39,7 @@
 use leases::Agent;
 use minion::Minion;
 use run::Run;
+use waits::Waits;
 
 /// Decides which task runs where, for one service or many, while its fencing token is the highest.
 ///
@@ -70,6 +76,8 @@
     told_ms: u64,
     /// By service and image, what found no place in the present round of placements.
     hopeless: BTreeMap<(Name, Name), crate::Demand>,
+    /// What waits, as far as lines and gauges tell it; no decision rests on it.
+    waits: Waits,
     effects: Vec<Effect>,
 }
 
@@ -96,6 +104,7 @@
             placing_due: false,
             told_ms: now.steady_ms,
             hopeless: BTreeMap::new(),
+            waits: Waits::new(now.steady_ms),
             effects: Vec::new(),
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -3,6 +3,7 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::barring::unsuitable;
 use super::commits::Deferred;
 use super::job::Job;
 use super::minion::Minion;
@@ -10,7 +11,7 @@
 use crate::tuning::{
     CPUS_FOR_STANDING_PERCENT, MEMORY_FOR_FILLING_PERCENT, SERVING_UNUSED_PERCENT,
 };
-use crate::{Demand, JobId, Now, Place, StepSpec, TaskId, TaskPhase};
+use crate::{Demand, JobId, JobRecord, Now, Place, StepSpec, TaskId, TaskPhase};
 
 /// Which jobs go first; compared field by field, smaller first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,18 +52,7 @@
         let idle = self.runs_of(id).is_empty();
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.idle_ms = idle.then(|| job.idle_ms.unwrap_or(now.steady_ms));
-        let mut ready = Vec::new();
-        for occurrence in &job.record.occurrences {
-            for (number, step) in job.record.spec.steps.iter().enumerate() {
-                let waiting =
-                    occurrence.steps[number].iter().any(|task| task.phase == TaskPhase::Waiting);
-                let due =
-                    waiting && step.after.iter().all(|&s| occurrence.step_done(usize::from(s)));
-                if due {
-                    ready.push((occurrence.number, number as u16));
-                }
-            }
-        }
+        let ready = ready_steps(&job.record);
         let mut placed = 0;
         for (occurrence, step) in ready {
             placed += self.place_step(id, occurrence, step, now);
@@ -177,17 +167,17 @@
     }
 
     /// Chooses the minion for a task.
-    fn choose(&self, task: TaskId, spec: &StepSpec, rack: Option<&Name>, now: Now) -> Option<Name> {
+    pub(super) fn choose(
+        &self,
+        task: TaskId,
+        spec: &StepSpec,
+        rack: Option<&Name>,
+        now: Now,
+    ) -> Option<Name> {
         let job = self.jobs.get(&task.job)?;
-        let ran = self.task_record(task).is_some_and(|record| record.run > 0);
+        let wish = self.wish(task, spec)?;
         let avoid = job.hints.get(&task).and_then(|hint| hint.avoid.as_ref());
-        let fits = |minion: &&Minion| {
-            suits(minion, &job.record.terms.service, spec, now)
-                && spread_allows(task, spec, minion)
-                && (!job.record.terms.needs_approval
-                    || self.approvals.ticket(task, &minion.info.id, now).is_some())
-                && (ran || leaves_room_for_short(minion, spec))
-        };
+        let fits = |minion: &&Minion| self.barred(&wish, minion, now).is_none();
         let fit = |minion: &&Minion| -> Fit {
             let far = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoid == Some(&minion.info.id);
@@ -220,7 +210,13 @@
 
     /// Returns the rack on which a step's tasks should run: where its data lies, where its other
     /// tasks run, or where all of them fit.
-    fn wanted_rack(&self, first: TaskId, spec: &StepSpec, tasks: usize, now: Now) -> Option<Name> {
+    pub(super) fn wanted_rack(
+        &self,
+        first: TaskId,
+        spec: &StepSpec,
+        tasks: usize,
+        now: Now,
+    ) -> Option<Name> {
         if !spec.data_rack.is_empty() {
             return Some(spec.data_rack.clone());
         }
@@ -244,7 +240,24 @@
     }
 }
 
-fn spread_allows(task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
+/// Lists the steps with waiting tasks whose earlier steps are done, by occurrence.
+pub(super) fn ready_steps(record: &JobRecord) -> Vec<(u32, u16)> {
+    let mut ready = Vec::new();
+    for occurrence in &record.occurrences {
+        for (number, step) in record.spec.steps.iter().enumerate() {
+            let waiting =
+                occurrence.steps[number].iter().any(|task| task.phase == TaskPhase::Waiting);
+            let due = waiting && step.after.iter().all(|&s| occurrence.step_done(usize::from(s)));
+            if due {
+                ready.push((occurrence.number, number as u16));
+            }
+        }
+    }
+    ready
+}
+
+#[inline]
+pub(super) fn spread_allows(task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
     if spec.most_per_minion == 0 {
         return true;
     }
@@ -255,23 +268,21 @@
 
 /// Returns whether a minion can take one task of a step.
 pub(super) fn suits(minion: &Minion, service: &Name, spec: &StepSpec, now: Now) -> bool {
-    minion.open(now.steady_ms)
-        && minion.info.service == *service
-        && !(spec.fills && minion.over_for_ms > 0)
-        && (spec.required_label.is_empty() || minion.has_label(&spec.required_label))
-        && occupied(spec).fits(room_for(minion, spec))
+    unsuitable(minion, service, spec, now).is_none()
 }
 
 /// Returns whether a task leaves some processors to short tasks, if it is one without end.
 ///
 /// One that ran before and ended takes its room back all the same: its users wait for it.
-fn leaves_room_for_short(minion: &Minion, spec: &StepSpec) -> bool {
+#[inline]
+pub(super) fn leaves_room_for_short(minion: &Minion, spec: &StepSpec) -> bool {
     let kept = minion.info.capacity.milli_cpus * (100 - CPUS_FOR_STANDING_PERCENT) / 100;
     !spec.persistent || spec.fills || spec.demand.milli_cpus + kept <= minion.free().milli_cpus
 }
 
 /// Returns what is free for a task of a step.
-fn room_for(minion: &Minion, spec: &StepSpec) -> Demand {
+#[inline]
+pub(super) fn room_for(minion: &Minion, spec: &StepSpec) -> Demand {
     let mut free = minion.free();
     if spec.fills {
         let kept = minion.info.capacity.memory_mb * (100 - MEMORY_FOR_FILLING_PERCENT) / 100;
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -4,6 +4,7 @@
 mod leases;
 mod promises;
 mod random;
+mod sight;
 mod steps;
 mod wide_jobs;
 mod world;
--- a/crates/geraniumpost/src/batch/agent/state.rs
+++ b/crates/geraniumpost/src/batch/agent/state.rs
@@ -136,8 +136,9 @@
         }
         inner.present = None;
         inner.clock = None;
+        let told = inner.link.is_some();
         drop(inner);
-        spdlog::info!("event=minion_gone minion={id}");
+        spdlog::info!("event=minion_gone minion={id} told={told}");
         self.send(FromAgent::MinionGone { minion: id.clone() });
     }
 
