feat(batch): show for how long the standing task that is down longest has been down

Cause: no metric showed that a standing task was down for 12.5 s; operators had only their users' word.

Change: `geraniumpost_standing_task_wait_seconds` and `geraniumpost_other_task_wait_seconds`, recorded with each tick of the coordinator, 0 at the end of a term and in every process that never coordinated. A standing task counts from the end of its last run until it is seen at work again, also while its placement is written, its start refused, or its minion out of reach; a lost agent, a silent minion and a takeover are noticed within half a second, as is the return to work. Other tasks count from when their step last got a place.

Ruled out: counting anew when a lease lapses, which would show 5 s instead of 12; a label instead of a second gauge, as the two mean different things.

--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -10,6 +10,7 @@
 mod harm;
 mod job;
 mod leases;
+mod longest_wait;
 mod looks;
 mod minion;
 mod order_results;
@@ -31,6 +32,7 @@
 
 pub use effect::{Effect, WriteBatch};
 pub use leases::surely_lapsed_ms;
+pub use longest_wait::LongestWait;
 
 use approvals::Approvals;
 use commits::Batch;
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -37,7 +37,7 @@
 pub mod tuning;
 
 pub use agent_message::{FromAgent, ToAgent};
-pub use coordinator::{Coordinator, Effect, WriteBatch, surely_lapsed_ms};
+pub use coordinator::{Coordinator, Effect, LongestWait, WriteBatch, surely_lapsed_ms};
 pub use demand::Demand;
 pub use entry_message::{Answer, Ask, FromEntry, ToEntry};
 pub use job_id::{JobId, JobIdError};
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -2,6 +2,7 @@
 
 mod filling;
 mod leases;
+mod longest_wait;
 mod promises;
 mod random;
 mod sight;
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use geraniumpost_batch::{
-    Ask, Coordinator, Effect, FromAgent, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
+    Ask, Coordinator, Effect, FromAgent, LongestWait, OrderKind, TaskId, ToAgent, ToEntry,
+    WriteBatch,
 };
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::Approved;
@@ -123,7 +124,7 @@
                 count = inputs.recv_many(&mut batch, TOGETHER) => if count == 0 {
                     return TermEnd::Closed;
                 },
-                _ = ticks.tick() => self.coordinator.tick(BootClock.now()),
+                _ = ticks.tick() => self.tick(),
             }
             for input in batch.drain(..) {
                 self.take(input);
@@ -137,6 +138,14 @@
         }
     }
 
+    fn tick(&mut self) {
+        let now = BootClock.now();
+        self.coordinator.tick(now);
+        let LongestWait { standing_ms, others_ms } = self.coordinator.longest_wait(now);
+        let [standing, others] = [standing_ms, others_ms].map(Duration::from_millis);
+        self.metrics.longest_wait(standing, others);
+    }
+
     fn take(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -116,6 +116,7 @@
         }
         doorway.send_replace(None);
         self.metrics.planner_term(0);
+        self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
     }
 
     /// Reads what a predecessor had learnt. Without it the coordinator learns anew.
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -134,6 +134,18 @@
         "state",
         "Jobs of the region by state, on the planning entry.",
     ),
+    Description::new(
+        "standing_task_wait_seconds",
+        Kind::Gauge,
+        "",
+        "How long the standing task that has been down longest has been down, 0 if none is or this entry does not coordinate.",
+    ),
+    Description::new(
+        "other_task_wait_seconds",
+        Kind::Gauge,
+        "",
+        "Longest time in which a step of other waiting tasks got no place, 0 if none waits or this entry does not coordinate.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks checkpointed and moved."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -36,6 +36,8 @@
     config_revision: Gauge<u64>,
     planner_term: Gauge<u64>,
     jobs: Gauge<u64>,
+    standing_task_wait: Gauge<f64>,
+    other_task_wait: Gauge<f64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -59,7 +61,7 @@
             .map_err(|error| eyre!("metrics exporter: {error}"))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("geraniumpost");
-        Ok(Self {
+        let metrics = Self {
             requests: counter(&meter, "requests"),
             outcomes: counter(&meter, "outcomes"),
             request_duration: histogram(&meter, "request_duration"),
@@ -74,13 +76,18 @@
             config_revision: gauge(&meter, "config_revision"),
             planner_term: gauge(&meter, "planner_term"),
             jobs: gauge(&meter, "jobs"),
+            standing_task_wait: seconds(&meter, "standing_task_wait_seconds"),
+            other_task_wait: seconds(&meter, "other_task_wait_seconds"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
             log_lines_lost: AtomicU64::new(0),
             registry,
             _provider: provider,
-        })
+        };
+        // An alarm on a wait must find a figure also where no coordinator ever ran.
+        metrics.longest_wait(Duration::ZERO, Duration::ZERO);
+        Ok(metrics)
     }
 
     /// Counts a request by its service and customer.
@@ -157,6 +164,13 @@
         self.jobs.record(count, &[label("state", state)]);
     }
 
+    /// Notes for how long the standing task that has been down longest has been down, and for how
+    /// long a step of other waiting tasks got no place.
+    pub fn longest_wait(&self, standing: Duration, others: Duration) {
+        self.standing_task_wait.record(standing.as_secs_f64(), &[]);
+        self.other_task_wait.record(others.as_secs_f64(), &[]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
@@ -210,6 +224,10 @@
     meter.u64_gauge(name).with_description(meaning(name)).build()
 }
 
+fn seconds(meter: &Meter, name: &'static str) -> Gauge<f64> {
+    meter.f64_gauge(name).with_description(meaning(name)).build()
+}
+
 fn histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
     meter
         .f64_histogram(name)
