Merge the lines and gauges of tasks that wait

Agents of the tests' World go on beating by themselves once they have beaten, until they are lost or fall silent, as real ones do; lose_agent and fall_silent say when.

--- a/crates/geraniumpost-batch/src/coordinator/inherited.rs
+++ b/crates/geraniumpost-batch/src/coordinator/inherited.rs
@@ -42,6 +42,11 @@
         self.silent.values().copied().fold(self.known_ms(agent), u64::max)
     }
 
+    /// Returns until when the leases may last of an agent of which nothing is known.
+    pub(super) fn latest_ms(&self) -> u64 {
+        self.silent.values().copied().fold(self.predecessor_ms, u64::max)
+    }
+
     /// Returns until when an agent's leases may last that no silent coordinator extends.
     fn known_ms(&self, agent: &Name) -> u64 {
         self.unreached.get(agent).copied().unwrap_or(self.predecessor_ms)
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -158,17 +158,19 @@
         changes
     }
 
-    /// Returns when all that runs beside an agent has surely ended, if its lease is not extended any more.
-    pub(super) fn lapses_ms(&self, agent: &Name) -> u64 {
+    /// Returns when all that runs beside an agent has surely ended if its lease is not extended any more,
+    /// on the steady clock, and whether leases of earlier coordinators decide that rather than its own.
+    pub(super) fn lapses(&self, agent: &Name) -> (u64, bool) {
         let inherited_ms = self.inherited.until_ms(agent);
-        let Some(agent) = self.agents.get(agent) else { return inherited_ms };
+        let Some(agent) = self.agents.get(agent) else { return (inherited_ms, true) };
         // An agent that has linked to this coordinator obeys no earlier one any more.
         let linked_ms = agent.linked_ms.map(|linked_ms| linked_ms + surely_lapsed_ms(self.hold_ms));
-        agent.lapsed_ms.max(linked_ms.map_or(inherited_ms, |until_ms| until_ms.min(inherited_ms)))
+        let inherited_ms = linked_ms.unwrap_or(inherited_ms).min(inherited_ms);
+        (agent.lapsed_ms.max(inherited_ms), inherited_ms > agent.lapsed_ms)
     }
 
     fn has_lapsed(&self, agent: &Name, now: Now) -> bool {
-        now.steady_ms >= self.lapses_ms(agent)
+        now.steady_ms >= self.lapses(agent).0
     }
 
     /// Gives no more work to minions whose agents have fallen silent, until they are heard of again.
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -2,6 +2,8 @@
 
 mod approvals;
 mod asking;
+mod bar;
+mod barring;
 mod commits;
 mod departures;
 mod effect;
@@ -11,6 +13,7 @@
 mod job;
 mod leases;
 mod leaving;
+mod longest_wait;
 mod looks;
 mod minion;
 mod order_results;
@@ -20,6 +23,9 @@
 mod placing;
 mod run;
 mod timers;
+mod unreachable;
+mod waiting;
+mod waits;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -29,6 +35,7 @@
 
 pub use effect::{Effect, WriteBatch};
 pub use leases::surely_lapsed_ms;
+pub use longest_wait::LongestWait;
 
 use approvals::Approvals;
 use commits::Batch;
@@ -39,6 +46,7 @@
 use leases::Agent;
 use minion::Minion;
 use run::Run;
+use waits::Waits;
 
 /// Decides which task runs where, for one service or many, while its fencing token is the highest.
 ///
@@ -80,6 +88,8 @@
     told_ms: u64,
     /// By service and image, what found no place in the present round of placements.
     hopeless: BTreeMap<(Name, Name), crate::Demand>,
+    /// What waits, as far as lines and gauges tell it; no decision rests on it.
+    waits: Waits,
     effects: Vec<Effect>,
 }
 
@@ -109,6 +119,7 @@
             placing_due: false,
             told_ms: now.steady_ms,
             hopeless: BTreeMap::new(),
+            waits: Waits::new(now.steady_ms),
             effects: Vec::new(),
         }
     }
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -39,7 +39,7 @@
 pub mod tuning;
 
 pub use agent_message::{FromAgent, ToAgent};
-pub use coordinator::{Coordinator, Effect, WriteBatch, surely_lapsed_ms};
+pub use coordinator::{Coordinator, Effect, LongestWait, WriteBatch, surely_lapsed_ms};
 pub use demand::Demand;
 pub use departures::Departures;
 pub use entry_message::{Answer, Ask, FromEntry, ToEntry};
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -13,9 +13,8 @@
     let mut world = World::new().with_minions(&["m1"]);
     world.submit(1, vec![step(1)]);
     world.obey();
-    world.coordinator.agent_lost(&agent("m1"), world.now);
+    world.lose_agent("m1");
     world.join("m2", |info| info);
-    world.beating = vec!["m2"];
     world.pass(HOLD_MS);
     assert!(world.orders.is_empty());
     world.pass(600);
@@ -30,7 +29,7 @@
     world.obey();
     let before = world.places();
     let minion = before[0].1.clone();
-    world.coordinator.agent_lost(&agent(&minion), world.now);
+    world.lose_agent(&minion);
     world.pass(2_000);
     world.join(&minion, |info| info);
     world.pass(2 * HOLD_MS / 5);
@@ -48,7 +47,6 @@
     world.obey();
     world.take_over();
     world.join("m2", |info| info);
-    world.beating = vec!["m2"];
     world.pass(HOLD_MS);
     assert!(world.orders.is_empty());
     world.pass(600);
@@ -65,7 +63,6 @@
     world.obey();
     world.take_over_from_silent();
     world.join("m2", |info| info);
-    world.beating = vec!["m2"];
     world.pass(500);
     world.coordinator.predecessor_ended(SILENT, world.now);
     world.pass(HOLD_MS);
@@ -82,7 +79,6 @@
     world.obey();
     world.take_over_from_silent();
     world.join("m2", |info| info);
-    world.beating = vec!["m2"];
     world.pass(HOLD_MS + STORE_LOST_MS);
     world.coordinator.predecessor_ended(SILENT, world.now);
     assert!(world.orders.is_empty());
@@ -255,14 +251,13 @@
     let mut world = World::new().with_minions(&["m1"]);
     world.submit(1, vec![step(1)]);
     world.obey();
-    world.coordinator.agent_lost(&agent("m1"), world.now);
+    world.lose_agent("m1");
     world.pass(3_000);
     let left = world.coordinator.inheritance(world.now);
     let lasts_ms = left.unreached.get(&agent("m1")).copied();
     assert_eq!(lasts_ms, Some(surely_lapsed_ms(HOLD_MS) - 3_000));
     world.take_over_with(&left);
     world.join("m2", |info| info);
-    world.beating = vec!["m2"];
     world.pass(2_300);
     assert!(world.orders.is_empty());
     world.pass(300);
@@ -277,7 +272,7 @@
     let mut world = World::new().with_minions(&["m1"]);
     world.submit(1, vec![step(1)]);
     world.obey();
-    world.coordinator.agent_lost(&agent("m1"), world.now);
+    world.lose_agent("m1");
     world.pass(3_000);
     assert!(world.coordinator.take_inheritance_changed());
     let beat = FromAgent::Beat { sent_at_ms: world.now.steady_ms, minion_ok: true };
@@ -296,7 +291,6 @@
     world.obey();
     world.take_over_from_silent();
     world.join("m2", |info| info);
-    world.beating = vec!["m2"];
     world.say("m1", FromAgent::Hello { agent: agent("m1") });
     world.pass(HOLD_MS);
     assert!(world.orders.is_empty());
@@ -309,7 +303,7 @@
 #[test]
 fn silent_agent_gets_no_work() {
     let mut world = World::new().with_minions(&["m1", "m2"]);
-    world.beating = vec!["m2"];
+    world.fall_silent("m1");
     world.pass(2_000);
     world.submit(1, vec![step(4)]);
     assert_eq!(world.orders.len(), 4);
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -3,8 +3,10 @@
 mod filling;
 mod leases;
 mod leaving;
+mod longest_wait;
 mod promises;
 mod random;
+mod sight;
 mod site;
 mod standing;
 mod steps;
--- a/crates/geraniumpost-batch/tests/coordinator/site.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/site.rs
@@ -378,7 +378,8 @@
     /// crowded, each machine also runs a large standing task, and one more has never run for lack of
     /// room.
     pub fn new(crowded: bool) -> Self {
-        let world = World::new();
+        let mut world = World::new();
+        world.beats_by_itself = false;
         let begun_ms = world.now.steady_ms;
         let mut site = Self {
             world,
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -1,6 +1,6 @@
 //! A coordinator with a store that keeps what it is told, and minions that do what they are told.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use geraniumpost_batch::{
@@ -52,8 +52,10 @@
     pub leases: Vec<(Name, u64, u64)>,
     /// Whether the store confirms the coordinator as time passes.
     pub store_confirms: bool,
-    /// Minions whose agents beat by themselves as time passes.
-    pub beating: Vec<&'static str>,
+    /// Whether agents that have beaten go on doing so as time passes, until they are lost.
+    pub beats_by_itself: bool,
+    /// Minions whose agents do.
+    beating: BTreeSet<String>,
     ends: BTreeMap<Name, Vec<EndedTask>>,
     gauges: BTreeMap<TaskId, u32>,
     results: u64,
@@ -83,7 +85,8 @@
             paces: BTreeMap::new(),
             leases: Vec::new(),
             store_confirms: true,
-            beating: Vec::new(),
+            beats_by_itself: true,
+            beating: BTreeSet::new(),
             ends: BTreeMap::new(),
             gauges: BTreeMap::new(),
             results: 0,
@@ -109,10 +112,28 @@
     }
 
     pub fn say(&mut self, minion: &str, message: FromAgent) {
+        match message {
+            FromAgent::Beat { minion_ok: true, .. } => {
+                self.beating.insert(minion.to_owned());
+            }
+            FromAgent::Beat { .. } | FromAgent::MinionGone { .. } => self.fall_silent(minion),
+            _ => {}
+        }
         self.coordinator.from_agent(&agent(minion), message, self.now);
         self.settle();
     }
 
+    /// Lets an agent fall silent, while its link stays open.
+    pub fn fall_silent(&mut self, minion: &str) {
+        self.beating.remove(minion);
+    }
+
+    /// Lets the coordinator lose the link to a minion's agent.
+    pub fn lose_agent(&mut self, minion: &str) {
+        self.fall_silent(minion);
+        self.coordinator.agent_lost(&agent(minion), self.now);
+    }
+
     pub fn beat(&mut self, minion: &str) {
         let sent_at_ms = self.now.steady_ms;
         self.say(minion, FromAgent::Beat { sent_at_ms, minion_ok: true });
@@ -270,8 +291,8 @@
             self.now.steady_ms += step;
             self.now.wall_ms += step;
             left -= step;
-            if self.now.steady_ms.is_multiple_of(BEAT_MS) {
-                self.beating.clone().into_iter().for_each(|minion| self.beat(minion));
+            if self.beats_by_itself && self.now.steady_ms.is_multiple_of(BEAT_MS) {
+                self.beating.clone().iter().for_each(|minion| self.beat(minion));
             }
             if self.store_confirms {
                 self.coordinator.store_confirmed(self.now.steady_ms);
@@ -343,6 +364,7 @@
             .with_records(records.collect(), self.now);
         self.orders.clear();
         self.writes.clear();
+        self.beating.clear();
         self.settle();
     }
 }
