feat(xtask): pass over the failures that KNOWN-RED.txt lists

Change: `cargo xtask test` reads KNOWN-RED.txt (package, target and full name of a test; command, seed, what was seen, issue). With entries it builds the tests, matches each entry with a test binary, and runs `cargo test --no-fail-fast` with itself as cargo's runner. A binary with listed tests first runs all its others, then each listed one alone; the exit codes tell a failed test (101) from a crash, and cargo's exit code stays the verdict. Each entry is printed with its outcome. Entries that cannot be read, name no test or name an ignored one fail the run before any test. Without entries the command is the same as before.

Beside it: `cargo xtask test -p X` ran the whole workspace, because cargo does not heed `-p` beside `--workspace`; `--workspace` is now left away where a package is chosen.

Ruled out: reading the printed output of one common run (a test can print lines like those of the test library, and a crash leaves the rest out); one `--skip` for all binaries (it hides tests of the same name elsewhere); `--exact` in the ordinary run (it changes what filters mean, so tests whose names contain a listed one get a second start instead). With a runner rustdoc runs merged doc tests in one process, which showed as a warning in a trial; the runner sets rustdoc's variable, and the warning is gone.

Not covered: a listed test runs alone, so one that fails only beside others is told as passed; tests in doc comments cannot be listed; a run narrowed by words checks entries of other targets only for their package and target.

--- a/xtask/src/cargo.rs
+++ b/xtask/src/cargo.rs
@@ -5,15 +5,6 @@
 
 use eyre::{Result, WrapErr, ensure};
 
-/// Runs all tests of the workspace.
-///
-/// # Errors
-///
-/// Fails if cargo cannot be started or a test fails.
-pub fn test(root: &Path, rest: &[String]) -> Result<()> {
-    cargo(root, &["test", "--workspace"], rest)
-}
-
 /// Builds the shipped binary and the bench tool in release mode and starts the latter.
 ///
 /// # Errors
@@ -39,14 +30,20 @@
 }
 
 /// Runs one cargo command in the workspace's root.
-fn cargo(root: &Path, words: &[&str], rest: &[String]) -> Result<()> {
-    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
-    let status = Command::new(cargo)
-        .args(words)
-        .args(rest)
-        .current_dir(root)
-        .status()
-        .wrap_err("starting cargo")?;
+///
+/// # Errors
+///
+/// Fails if cargo cannot be started or reports a failure.
+pub fn cargo(root: &Path, words: &[&str], rest: &[String]) -> Result<()> {
+    let status = command(root).args(words).args(rest).status().wrap_err("starting cargo")?;
     ensure!(status.success(), "cargo {} failed", words.join(" "));
     Ok(())
 }
+
+/// Returns a call of cargo in the workspace's root that still lacks its words.
+pub fn command(root: &Path) -> Command {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let mut command = Command::new(cargo);
+    command.current_dir(root);
+    command
+}
--- /dev/null
+++ b/xtask/src/known_red/plan_error.rs
@@ -0,0 +1,26 @@
+use derive_more::{Display, Error};
+
+use super::TestId;
+
+/// Why an entry of the list cannot be matched with a test.
+#[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
+pub enum PlanError {
+    /// No package has a target of this name.
+    #[display("`{test}`: there is no such package or target")]
+    NoTarget {
+        /// The listed test.
+        test: TestId,
+    },
+    /// The target holds no test of this name.
+    #[display("`{test}`: the target has no such test")]
+    NoTest {
+        /// The listed test.
+        test: TestId,
+    },
+    /// The test is marked as ignored, so it would pass without being run.
+    #[display("`{test}`: the test is ignored and would not be run")]
+    Ignored {
+        /// The listed test.
+        test: TestId,
+    },
+}
--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,9 @@
+//! Chores of the repository; the command line in `main.rs` chooses among them.
+//!
+//! This crate depends on no other crate of the workspace, so that `cargo xtask codegen` works
+//! even while the generated code does not compile. Demos and benches live in `geraniumpost-bench`
+//! and are only started from here.
+
+pub mod cargo;
+pub mod codegen;
+pub mod known_red;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,22 +1,17 @@
 //! Every chore of the repository: `cargo xtask help` lists them.
-//!
-//! This crate depends on no other crate of the workspace, so that `cargo xtask codegen` works
-//! even while the generated code does not compile. Demos and benches live in `geraniumpost-bench`
-//! and are only started from here.
 
 use std::path::{Path, PathBuf};
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use eyre::Result;
-
-mod cargo;
-mod codegen;
+use xtask::{cargo, codegen, known_red};
 
 fn main() -> Result<()> {
     let matches = cli().get_matches();
     match matches.subcommand() {
         Some(("codegen", m)) => codegen::run(&root(), m.get_flag("check")),
-        Some(("test", m)) => cargo::test(&root(), &rest(m)),
+        Some(("test", m)) => known_red::test(&root(), &rest(m)),
+        Some((known_red::RUNNER, m)) => known_red::run_binary(&rest(m)),
         Some((chore, m)) => cargo::bench_tool(&root(), chore, &rest(m)),
         None => Ok(()),
     }
@@ -36,6 +31,7 @@
             ),
         )
         .subcommand(passing("test", "Run all tests; further words go to `cargo test`"))
+        .subcommand(passing(known_red::RUNNER, "Run one test binary for `test`").hide(true))
         .subcommand(passing("demo", "Run the whole system once on loopback, or hold it up"))
         .subcommand(passing("bench", "Measure: `bench --help` lists the benches"))
         .subcommand(passing("soak", "Run random failures against real processes"))
