--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -6,6 +6,7 @@
 mod longest_wait;
 mod promises;
 mod random;
+mod review;
 mod sight;
 mod site;
 mod standing;
