test(batch): show that one copy's refusal is taken for all copies of a start

Cause, shown by these tests on the code as it is: a start without a result is given again after ORDER_RESULT_MS over the same link, and the refusal of either copy settles the run. The other copy may still be carried out (second copy after the refusal), or has been (refusal told after the run began, or after a look showed it); a copy that is out when another was too late is forgotten when the link is lost.

Change: copies.rs plays each of these with five kinds of refusal, over one link, over a replaced one and through a takeover, and measures what a refused start costs.

--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -1,5 +1,6 @@
 //! The coordinator's decisions, without any network.
 
+mod copies;
 mod filling;
 mod leases;
 mod leaving;
