fix(batch): let a refusal settle a start only if no other copy is on its way

Cause: a start without a result is given again, so that several copies can be on their way over one link that is never lost. A refusal of any of them was taken for all, and the task was placed elsewhere without a bar; another copy could then be carried out beside the new run, or had been already.

Change: a run counts the copies that left over the present link and have no result. A refusal settles the run only at none; else a stop bars all copies before the task is placed elsewhere, as it did for copies without an answer. A lost link turns what is out into copies that may come at any time, whatever the last result was. Once the minion has begun a run, or says that it is over, what becomes of other copies changes nothing. A takeover counts as before: any placement that was read from the store may have copies out.

Why it suffices: every copy is on its way, told or lost. Those on their way are counted, lost ones are marked for ever, and a copy that was told to be refused is never carried out. A result of an earlier link that is taken for one of the present link lowers the count, but its run is marked by then.

Ruled out: folding copies in the agent, which does nothing for copies of an earlier agent, link or coordinator, where the bar is needed all the same. Waiting for the results of the other copies instead of a stop, which needs one more state and a bound of its own. A bar for each refusal, which would slow every "no room".

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -3,7 +3,6 @@
 use geraniumpost_schema::Name;
 
 use super::minion::Minion;
-use super::run::OrderState;
 use super::{Coordinator, Effect};
 use crate::tuning::{LAPSE_MARGIN_MS, LAPSE_PERCENT, STORE_LOST_MS, STORE_SILENCE_MS};
 use crate::{EndKind, MinionInfo, Now, ToAgent};
@@ -49,11 +48,7 @@
             minion.looked = false;
             for task in &minion.runs {
                 let Some(run) = self.runs.get_mut(task) else { continue };
-                if let OrderState::Sent { .. } = run.order {
-                    // The order may be anywhere between here and the minion.
-                    run.unanswered = true;
-                    run.order = OrderState::Unknown { since_ms: now.steady_ms };
-                }
+                run.link_lost(now.steady_ms);
             }
         }
         self.note(format!("agent={agent} event=lost"));
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -1,6 +1,6 @@
 //! What becomes of orders.
 
-use super::run::OrderState;
+use super::run::{OrderState, Run};
 use super::{Coordinator, Effect};
 use crate::tuning::{AFTER_NO_ROOM_MS, SICK_MS};
 use crate::{Now, OrderOutcome, OrderResult, OrderVerb, TaskId};
@@ -35,15 +35,16 @@
 
     fn start_result(&mut self, result: &OrderResult, now: Now) {
         let Some(run) = self.runs.get_mut(&result.task) else { return };
+        run.result_came();
         if run.stopping() {
             return;
         }
         let OrderResult { task, number, .. } = *result;
         if result.outcome != OrderOutcome::Done {
-            let (unanswered, starts) = (run.unanswered, run.starts);
+            let (unanswered, starts, out) = (run.unanswered, run.starts, run.out);
             self.note(format!(
                 "decision=start_failed job={} task={task} run={} minion={} why=\"{}\" starts={starts} \
-                 unanswered={unanswered}",
+                 out={out} unanswered={unanswered}",
                 task.job, result.run, result.minion, result.outcome
             ));
         }
@@ -54,6 +55,8 @@
                 self.run_began(task, now);
             }
             OrderOutcome::RunIsOver => run.order = OrderState::Over { number },
+            // Another copy was carried out; the minion's lists tell what becomes of the run.
+            _ if run.has_begun() => {}
             OrderOutcome::Unanswered => {
                 run.unanswered = true;
                 run.order = OrderState::Unknown { since_ms: now.steady_ms };
@@ -80,10 +83,12 @@
 
     /// Gives a refused run up at its minion.
     ///
-    /// If an earlier copy of the order had no answer, it may still be carried out when there is
-    /// room again, beside the run elsewhere: the task would run twice. A stop bars it first.
+    /// A refusal speaks for one copy of the order. Another copy that is on its way, or had no answer,
+    /// may still be carried out when there is room or a lease again, beside the run elsewhere: the task
+    /// would run twice. A stop bars them all first, as the minion refuses this run from then on. A start
+    /// that was given once is settled by its refusal and waits for nothing.
     fn place_elsewhere(&mut self, task: TaskId, now: Now) {
-        if self.runs.get(&task).is_some_and(|run| run.unanswered) {
+        if self.runs.get(&task).is_some_and(Run::may_still_begin) {
             self.send_stop(task, now);
         } else {
             self.requeue(task, AFTER_NO_ROOM_MS, true, now);
--- a/crates/geraniumpost-batch/src/coordinator/ordering.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ordering.rs
@@ -34,12 +34,11 @@
         };
         let sent = self.send(task, kind);
         let Some(run) = self.runs.get_mut(&task) else { return };
-        run.order = if sent {
-            run.starts += 1;
-            OrderState::Sent { at_ms: now.steady_ms }
+        if sent {
+            run.start_left(now.steady_ms);
         } else {
-            OrderState::Unknown { since_ms: now.steady_ms }
-        };
+            run.order = OrderState::Unknown { since_ms: now.steady_ms };
+        }
     }
 
     /// Gives a stop order.
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -30,7 +30,10 @@
     pub(super) over_ms: Option<u64>,
     /// Start orders given.
     pub(super) starts: u32,
-    /// Whether a start order had no answer, so that a copy of it may be carried out later.
+    /// Copies of the start order that left over the present link and have no result yet.
+    pub(super) out: u32,
+    /// Whether a copy of the start order had no answer or was lost with its link, so that it may be
+    /// carried out at any later time.
     pub(super) unanswered: bool,
 }
 
@@ -77,10 +80,47 @@
             gauge: 0,
             over_ms: None,
             starts: 0,
+            out: 0,
             unanswered: false,
         }
     }
 
+    /// Takes note that a copy of the start order has left.
+    pub(super) const fn start_left(&mut self, now_ms: u64) {
+        self.starts += 1;
+        self.out += 1;
+        self.order = OrderState::Sent { at_ms: now_ms };
+    }
+
+    /// Takes note of the result of one copy of the start order, whichever it was.
+    ///
+    /// A result that was meant for a copy of an earlier link counts for one of the present link, which
+    /// does no harm: [`Run::link_lost`] has then marked the run as unanswered for ever.
+    pub(super) const fn result_came(&mut self) {
+        self.out = self.out.saturating_sub(1);
+    }
+
+    /// Takes note that the link to the run's agent is lost: copies may be anywhere between here and the
+    /// minion.
+    pub(super) const fn link_lost(&mut self, now_ms: u64) {
+        self.unanswered |= self.out > 0;
+        self.out = 0;
+        if matches!(self.order, OrderState::Sent { .. }) {
+            self.order = OrderState::Unknown { since_ms: now_ms };
+        }
+    }
+
+    /// Returns whether the run may begin although no copy of its start is known to be carried out.
+    pub(super) const fn may_still_begin(&self) -> bool {
+        self.unanswered || self.out > 0
+    }
+
+    /// Returns whether the minion has begun the run, or says that it is over. What becomes of other copies
+    /// of the start changes nothing of that: it begins a run at most once.
+    pub(super) const fn has_begun(&self) -> bool {
+        matches!(self.order, OrderState::Started { .. } | OrderState::Over { .. })
+    }
+
     /// Returns whether the run is being stopped.
     pub(super) const fn stopping(&self) -> bool {
         matches!(self.order, OrderState::Stopping { .. } | OrderState::Barred { .. })
