fix(batch): let an approval speak only for the minions that it was asked about

Cause: a question to the admission service that waits for 2 s is put again, perhaps with minions that have joined since. The answer to the first question was taken for one to the last: minions that it had not been asked about counted as refused, which never changes, and a step without another place waited for ever.

Change: an answer comes back with the minions that its question named. Questions are open until the last one is answered.

Seen: late_answer_speaks_only_for_the_minions_that_it_was_asked_about fails without the change (no third question in 2.1 s) and passes with it; late_answer_takes_no_approval_back passes on both. 15 of 15 tests of steps pass.

--- a/crates/geraniumpost-batch/src/coordinator/approvals.rs
+++ b/crates/geraniumpost-batch/src/coordinator/approvals.rs
@@ -29,7 +29,7 @@
     tickets: BTreeMap<Name, (Name, u64)>,
     /// Minions that were not approved; that does not change.
     refused: Vec<Name>,
-    /// Minions that the unanswered question names.
+    /// Minions that the last question named.
     asked: Vec<Name>,
 }
 
@@ -58,15 +58,28 @@
 }
 
 impl Coordinator {
-    /// Takes in the answer to [`Effect::AskApproval`]: the approved minions with their tickets, and
-    /// how long these hold. `None` says that there was no answer.
-    pub fn approved(&mut self, step: TaskId, answer: Option<(Vec<(Name, Name)>, u64)>, now: Now) {
+    /// Takes in the answer to an [`Effect::AskApproval`] that named the minions `asked`: the approved ones
+    /// with their tickets, and how long these hold. `None` says that there was no answer.
+    ///
+    /// A question that waits for long is put again, perhaps with other minions, and the first answer may
+    /// come after that. It speaks only for the minions that it was asked about: one taken for refused is
+    /// never asked about again, and a step that has no other place would wait for ever.
+    pub fn approved(
+        &mut self,
+        step: TaskId,
+        asked: &[Name],
+        answer: Option<(Vec<(Name, Name)>, u64)>,
+        now: Now,
+    ) {
         let Some(approval) = self.approvals.0.get_mut(&key(step)) else { return };
-        approval.asked_ms = None;
-        let asked = std::mem::take(&mut approval.asked);
+        if approval.asked == *asked {
+            approval.asked_ms = None;
+        }
         let Some((tickets, valid_ms)) = answer else { return };
         let until_ms = now.steady_ms + valid_ms;
-        approval.refused.extend(asked.into_iter().filter(|m| !tickets.iter().any(|(t, _)| t == m)));
+        let refused =
+            asked.iter().filter(|minion| !tickets.iter().any(|(good, _)| good == *minion));
+        approval.refused.extend(refused.cloned());
         for (minion, ticket) in tickets {
             approval.tickets.insert(minion, (ticket, until_ms));
         }
--- a/crates/geraniumpost-batch/tests/coordinator/steps.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/steps.rs
@@ -154,11 +154,9 @@
     world.submit_as(1, vec![step(3)], terms);
     assert!(world.orders.is_empty());
     assert_eq!(world.questions.len(), 1);
-    let (first, named) = world.questions.remove(0);
-    assert_eq!(named.len(), 2);
-    let tickets = vec![("m2".into(), "t-1".into())];
-    world.coordinator.approved(first, Some((tickets, 3_000)), world.now);
-    world.settle();
+    let question = world.questions.remove(0);
+    assert_eq!(question.1.len(), 2);
+    world.approve(&question, Some(&["m2"]));
     assert_eq!(world.orders.len(), 3);
     for order in &world.orders {
         assert_eq!(&*order.minion, "m2");
@@ -174,10 +172,8 @@
     let mut world = World::new().with_minions(&["m1"]);
     let terms = geraniumpost_batch::QueueTerms { needs_approval: true, ..terms() };
     world.submit_as(1, vec![step(1)], terms);
-    let (first, _) = world.questions.remove(0);
-    let answer = Some((vec![("m1".into(), "t-1".into())], 3_000));
-    world.coordinator.approved(first, answer, world.now);
-    world.settle();
+    let question = world.questions.remove(0);
+    world.approve(&question, Some(&["m1"]));
     let order = world.orders.remove(0);
     world.result(&order, OrderVerb::Start, OrderOutcome::BadTicket);
     world.pass(300);
@@ -185,6 +181,46 @@
     assert_eq!(world.questions.len(), 1);
 }
 
+/// The admission service is slow: a question is put again, now with a minion that has joined since, before
+/// the first one is answered. That answer approves nothing, and says nothing of the minion that it was not
+/// asked about. Were that one taken for refused, it would never be asked about again, and the caller's job
+/// would wait for ever beside a free minion.
+#[test]
+fn late_answer_speaks_only_for_the_minions_that_it_was_asked_about() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let terms = geraniumpost_batch::QueueTerms { needs_approval: true, ..terms() };
+    world.submit_as(1, vec![step(1)], terms);
+    let first = world.questions.remove(0);
+    world.join("m2", |info| info);
+    world.pass(2_100);
+    let second = world.questions.remove(0);
+    assert_eq!((first.1.len(), second.1.len()), (1, 2));
+    world.approve(&first, Some(&[]));
+    world.approve(&second, None);
+    world.pass(2_100);
+    let third = world.questions.remove(0);
+    assert_eq!(third.1, ["m2".into()]);
+    world.approve(&third, Some(&["m2"]));
+    assert!(matches!(&world.orders[..], [order] if &*order.minion == "m2"));
+}
+
+/// The question that was put again is answered first, and approves both minions. The late answer to the
+/// first one must not take a minion's approval back.
+#[test]
+fn late_answer_takes_no_approval_back() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let terms = geraniumpost_batch::QueueTerms { needs_approval: true, ..terms() };
+    world.submit_as(1, vec![step(18)], terms);
+    let first = world.questions.remove(0);
+    world.join("m2", |info| info);
+    world.pass(2_100);
+    let second = world.questions.remove(0);
+    world.approve(&second, Some(&["m1", "m2"]));
+    world.approve(&first, Some(&["m1"]));
+    world.obey();
+    assert_eq!(world.places().len(), 18);
+}
+
 /// Two members of a gang fail in the same run. That is one failed attempt of the gang, and its queue
 /// allows two; the job goes on.
 #[test]
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -276,6 +276,14 @@
         self.answer(ticket).expect("states are told at once")
     }
 
+    /// Answers a question to the admission service with the minions that it approves, or not at all.
+    pub fn approve(&mut self, question: &(TaskId, Vec<Name>), good: Option<&[&str]>) {
+        let ticket = |minion: &&str| (Name::from(*minion), Name::from("t-1"));
+        let answer = good.map(|good| (good.iter().map(ticket).collect(), 3_000));
+        self.coordinator.approved(question.0, &question.1, answer, self.now);
+        self.settle();
+    }
+
     /// Returns where tasks run, in the order of their ids.
     pub fn places(&self) -> Vec<(TaskId, Name, u32)> {
         let mut places: Vec<_> = self
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -60,7 +60,7 @@
     /// A batch is written.
     Written(u64),
     /// The admission service has answered on a step, or not.
-    Approved(TaskId, Option<Approved>),
+    Approved(Question, Option<Approved>),
     /// The store has confirmed that this entry coordinates, at this time on the boot clock.
     Confirmed(u64),
     /// The predecessor's term has ended.
@@ -169,9 +169,9 @@
             }
             Input::Agent(node, said) => self.coordinator.from_agent(&node, said, now),
             Input::Written(batch) => self.coordinator.written(batch, now),
-            Input::Approved(step, answer) => {
+            Input::Approved((step, asked), answer) => {
                 let answer = answer.map(|answer| (answer.tickets, answer.valid_ms));
-                self.coordinator.approved(step, answer, now);
+                self.coordinator.approved(step, &asked, answer, now);
             }
             Input::Confirmed(at_ms) => self.coordinator.store_confirmed(at_ms),
             Input::PredecessorEnded => self.coordinator.predecessor_ended(now),
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -164,7 +164,7 @@
         if let Err(why) = &answer {
             spdlog::warn!("event=approval_unanswered step={step} why=\"{why}\"");
         }
-        if inputs.send(Input::Approved(step, answer.ok())).await.is_err() {
+        if inputs.send(Input::Approved((step, minions), answer.ok())).await.is_err() {
             return;
         }
     }
