fix(core): let a refused repeat end no run whose first start may still arrive

Cause: the first job system's account of a VM repeats a start whose answer was lost. When the worker refused the repeat, as it does for a call that finds nothing listening or a hold that has lapsed meanwhile, the run ended as refused at once and the planner could begin the job elsewhere; the first call may reach the worker up to settle_ms later. It is the fault of the coordinator's repeated starts: one copy's refusal taken for all.

Change: the account keeps the last earlier call whose answer was lost. A run whose repeat is refused while that call may arrive is stopped, once a stop can follow the call, and told as refused then. A refusal without a lost call is told at once, as before; a run that the worker shows to have settles both calls.

Seen: a_refused_repeat_waits_for_the_start_that_may_still_arrive and a_stop_waits_for_the_first_call_when_the_repeat_is_refused fail without the change (told as refused at once), and pass with it; a_refused_start_is_told_at_once passes on both. All tests of geraniumpost-core pass. The cost for a repeat that is refused: what is left of 1 s since the answer was lost, and one stop.

--- a/crates/geraniumpost-core/src/jobs/ledger/lists.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/lists.rs
@@ -4,7 +4,7 @@
 
 use geraniumpost_schema::{Name, TaskState};
 
-use super::{Adoption, LedgerAction, Phase, StartCall, Task, VmLedger, WorkerTask};
+use super::{Adoption, LedgerAction, Phase, Task, VmLedger, WorkerTask};
 use crate::Millis;
 
 impl VmLedger {
@@ -71,7 +71,7 @@
             return;
         }
         task.observe(found.usage, &found.checkpoint);
-        task.start = StartCall::Settled;
+        task.start_is_settled();
         match found.state {
             TaskState::Starting | TaskState::Running => {
                 if task.phase == Phase::Starting {
--- a/crates/geraniumpost-core/src/jobs/ledger/task.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/task.rs
@@ -27,6 +27,9 @@
     pub(super) lease_until: Millis,
     pub(super) failed_checkpoints: u32,
     pub(super) start: StartCall,
+    /// The last earlier call whose answer was lost. What the worker says of a repeat is no word on that
+    /// call: it may be refused, and the earlier one taken a moment later.
+    pub(super) earlier_start: StartCall,
     /// Whether the worker was asked to end it in this phase.
     pub(super) stop_sent: bool,
     /// The order, kept to repeat the call to the worker; none for an adopted task.
@@ -58,6 +61,7 @@
             lease_until: now,
             failed_checkpoints: 0,
             start: StartCall::Settled,
+            earlier_start: StartCall::Settled,
             stop_sent: false,
             order: None,
         }
@@ -83,9 +87,22 @@
         }
     }
 
-    /// Returns whether the call that starts the task may still reach the worker.
+    /// Returns whether a call that starts the task may still reach the worker and begin it.
     pub(super) fn start_may_arrive(&self, now: Millis, config: &LedgerConfig) -> bool {
-        self.start.may_arrive(now, config.settle_ms, config.longest_call_ms)
+        let calls = [self.start, self.earlier_start];
+        calls.iter().any(|call| call.may_arrive(now, config.settle_ms, config.longest_call_ms))
+    }
+
+    /// Takes note that the call that starts the task is made again.
+    pub(super) fn repeat_start(&mut self, now: Millis) {
+        self.earlier_start = std::mem::replace(&mut self.start, StartCall::Open(now));
+        self.last_call = now;
+    }
+
+    /// Takes note that the worker has the task, so that calls that still arrive begin nothing.
+    pub(super) const fn start_is_settled(&mut self) {
+        self.start = StartCall::Settled;
+        self.earlier_start = StartCall::Settled;
     }
 
     /// Begins to end the task and returns whether the worker can be told so at once.
--- a/crates/geraniumpost-core/src/jobs/ledger/tick.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/tick.rs
@@ -66,12 +66,11 @@
             if task.phase == Phase::Starting
                 && due
                 && !open
-                && let Some(order) = &task.order
+                && let Some(order) = task.order.clone()
             {
-                task.last_call = now;
-                task.start = StartCall::Open(now);
+                task.repeat_start(now);
                 task.lease_until = now.plus(self.config.worker_lease_ms);
-                actions.push(LedgerAction::Start(order.clone()));
+                actions.push(LedgerAction::Start(order));
             }
         }
     }
--- a/crates/geraniumpost-core/src/jobs/ledger/worker_calls.rs
+++ b/crates/geraniumpost-core/src/jobs/ledger/worker_calls.rs
@@ -44,7 +44,8 @@
         let config = self.config;
         let Some(task) = self.run(job, epoch) else { return };
         task.lease_until = task.lease_until.max(now.plus(config.worker_lease_ms));
-        let first = std::mem::replace(&mut task.start, StartCall::Settled) != StartCall::Settled;
+        let first = task.start != StartCall::Settled;
+        task.start_is_settled();
         match task.phase {
             Phase::Starting => {
                 task.enter(Phase::Running, now);
@@ -77,14 +78,22 @@
         now: Millis,
         actions: &mut Vec<LedgerAction>,
     ) {
+        let config = self.config;
         let Some(task) = self.run(job, epoch) else { return };
         task.start = StartCall::Settled;
+        let may_begin = task.start_may_arrive(now, &config);
         match task.phase {
+            // The earlier call may still be taken. The run ends once a stop could follow it; were it told
+            // as refused now, the planner would begin the job elsewhere beside it.
+            Phase::Starting if may_begin => {
+                task.result = reason;
+                task.begin_stop(TaskState::Refused, now, &config);
+            }
             Phase::Starting => {
                 task.result = reason;
                 self.end(job, TaskState::Refused, now, actions);
             }
-            Phase::Stopping(state) => self.end(job, state, now, actions),
+            Phase::Stopping(state) if !may_begin => self.end(job, state, now, actions),
             _ => {}
         }
     }
--- a/crates/geraniumpost-core/tests/jobs_ledger.rs
+++ b/crates/geraniumpost-core/tests/jobs_ledger.rs
@@ -243,6 +243,63 @@
     assert_eq!(reported(&bench.tell(stopped())), [TaskState::Stopped]);
 }
 
+// The worker's answer to a start is lost, and the start is repeated. The worker refuses the repeat, but may
+// still take the first call: were the job taken for refused at once, it would begin on another VM and
+// then run on both.
+#[test]
+fn a_refused_repeat_waits_for_the_start_that_may_still_arrive() {
+    let mut bench = Bench::ready();
+    let stops = |actions: &[LedgerAction]| {
+        actions.iter().any(|action| matches!(action, LedgerAction::Stop { .. }))
+    };
+    assert!(starts(&bench.start(1, "study-1", 1, 100)));
+    bench.now += 700;
+    bench.tell(LedgerEvent::StartUncertain { job: "study-1".into(), epoch: 1 });
+    bench.now += 300;
+    assert!(starts(&bench.tell(LedgerEvent::Tick)), "it is repeated");
+    let refused = || LedgerEvent::StartRefused {
+        job: "study-1".into(),
+        epoch: 1,
+        reason: "nothing listens".into(),
+    };
+    assert_eq!(reported(&bench.tell(refused())), []);
+    bench.now += 699;
+    assert!(!stops(&bench.tell(LedgerEvent::Tick)), "the first call may still be on its way");
+    bench.now += 1;
+    assert!(stops(&bench.tell(LedgerEvent::Tick)));
+    let stopped = LedgerEvent::Stopped { job: "study-1".into(), epoch: 1 };
+    assert_eq!(reported(&bench.tell(stopped)), [TaskState::Refused]);
+}
+
+// The same while the planner cancels: the refusal of the repeat is no word on the first call.
+#[test]
+fn a_stop_waits_for_the_first_call_when_the_repeat_is_refused() {
+    let mut bench = Bench::ready();
+    bench.start(1, "study-1", 1, 100);
+    bench.now += 700;
+    bench.tell(LedgerEvent::StartUncertain { job: "study-1".into(), epoch: 1 });
+    bench.now += 300;
+    assert!(starts(&bench.tell(LedgerEvent::Tick)), "it is repeated");
+    bench.tell(LedgerEvent::Stop(order(1, "study-1", 1)));
+    let reason = "nothing listens".into();
+    let refused = LedgerEvent::StartRefused { job: "study-1".into(), epoch: 1, reason };
+    assert_eq!(reported(&bench.tell(refused)), []);
+    bench.now += 700;
+    bench.tell(LedgerEvent::Tick);
+    let stopped = LedgerEvent::Stopped { job: "study-1".into(), epoch: 1 };
+    assert_eq!(reported(&bench.tell(stopped)), [TaskState::Stopped]);
+}
+
+// Without a lost answer a refusal is final, and the job goes elsewhere at once.
+#[test]
+fn a_refused_start_is_told_at_once() {
+    let mut bench = Bench::ready();
+    bench.start(1, "study-1", 1, 100);
+    let reason = "nothing listens".into();
+    let refused = LedgerEvent::StartRefused { job: "study-1".into(), epoch: 1, reason };
+    assert_eq!(reported(&bench.tell(refused)), [TaskState::Refused]);
+}
+
 // The planner cancels while the worker is being asked for the start. The list that was asked for
 // before the start took effect doesn't have the task, which is no word of its end.
 #[test]
