fix: tell a caller "refused" only once every copy of its request was refused

Cause: an entry sends a request again over the next link, and over one that was silent for a while. The answer to either copy settled the request. If a coordinator that holds as many jobs as it can refused the copy that it read first, and accepted the other one a moment later, the caller had been told that its job will not run (429), and it ran.

Change: a refusal is told once as many copies were refused as left; an acceptance counts whichever copy it is for. What is not settled in time is told as unknown (504), and the job may be sent again.

Ruled out: refused jobs that the coordinator remembers, as a caller that follows Retry-After sends the same id.

The cost: a caller whose copy was lost with its link while the coordinator is full is told 504 after its deadline instead of 429 at once.

--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -18,7 +18,7 @@
 use super::http_server;
 use crate::metrics::Metrics;
 
-pub use relay::{LinkState, Relay};
+pub use relay::{LinkState, NoAnswer, Relay};
 
 /// Time for which a stopping entry still takes connections: the balancer asks once a second, and
 /// turns away from an entry after two misses.
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -44,7 +44,26 @@
 struct Waiting {
     ask: Ask,
     answer: oneshot::Sender<Answer>,
+    /// Copies of the request that left.
     sent: Arc<AtomicU64>,
+    /// Copies of it that the coordinator refused.
+    refused: u64,
+}
+
+impl Waiting {
+    /// Returns whether an answer to one copy settles the request.
+    ///
+    /// A copy is sent again on the next link, and on one that was silent for a while. A refusal speaks for
+    /// one copy: another may be read later, when there is room, and be accepted. Its caller would have
+    /// been told that the job does not run, and it would run all the same. What is not settled in time is
+    /// told as unknown.
+    fn is_settled_by(&mut self, answer: Answer) -> bool {
+        if !matches!(answer, Answer::Refused { .. }) {
+            return true;
+        }
+        self.refused += 1;
+        self.refused >= self.sent.load(Ordering::SeqCst)
+    }
 }
 
 /// Handle of the relay.
@@ -103,7 +122,7 @@
     pub async fn ask(&self, ask: Ask, unsent: Duration, all: Duration) -> Result<Answer, NoAnswer> {
         let sent = Arc::new(AtomicU64::new(0));
         let (answer_tx, mut answer) = oneshot::channel();
-        let waiting = Waiting { ask, answer: answer_tx, sent: Arc::clone(&sent) };
+        let waiting = Waiting { ask, answer: answer_tx, sent: Arc::clone(&sent), refused: 0 };
         self.tx.try_send(waiting).map_err(|_| NoAnswer::NotSent)?;
         let began = Instant::now();
         if let Ok(answered) = tokio::time::timeout_at(began + unsent.min(all), &mut answer).await {
@@ -234,7 +253,10 @@
                 });
             }
             ToPeer::Entry(ToEntry::Answer { ticket, answer }) => {
-                if let Some(waiting) = self.waiting.remove(&ticket) {
+                let Some(waiting) = self.waiting.get_mut(&ticket) else { return true };
+                if waiting.is_settled_by(answer)
+                    && let Some(waiting) = self.waiting.remove(&ticket)
+                {
                     // A caller that has left needs no answer.
                     let _ = waiting.answer.send(answer);
                 }
