fix(batch): ask again about a run that was over when its agent's link is lost

Cause: a run that its minion says is over is given up once a list that began later shows its end. Results and lists are compared by the agent's count of results, which begins anew with its process. If the agent was killed between the two, no list of its next process seemed new enough, the start was not repeated either, and the task waited for ever. The class is that of repeated starts: a word of one link is compared with what another one says.

Change: a lost link turns such a run into one whose start may or may not have been carried out, so that the lists of the next link decide, or the start is given again and refused as over.

Ruled out: numbers of begun runs. Their ends stay in the minion's lists until they are acknowledged, and a list that began before the run must not end it. Numbers of barred runs: their stops are repeated and bring new numbers.

Seen: run_that_is_over_begins_anew_although_its_agent_was_killed fails without the change (no start in 1 s of lists) and passes with it.

--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -102,10 +102,13 @@
 
     /// Takes note that the link to the run's agent is lost: copies may be anywhere between here and the
     /// minion.
+    ///
+    /// A run that was said to be over is asked about again: the next link may be that of another process,
+    /// which counts its results anew, and none of its lists would ever seem newer than that word.
     pub(super) const fn link_lost(&mut self, now_ms: u64) {
         self.unanswered |= self.out > 0;
         self.out = 0;
-        if matches!(self.order, OrderState::Sent { .. }) {
+        if matches!(self.order, OrderState::Sent { .. } | OrderState::Over { .. }) {
             self.order = OrderState::Unknown { since_ms: now_ms };
         }
     }
--- a/crates/geraniumpost-batch/tests/coordinator/copies.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/copies.rs
@@ -204,6 +204,27 @@
     one_copy_is_refused_and_one_unanswered,
 );
 
+/// A minion says that a run is over, and its agent is killed before it has shown the minion's lists. The next
+/// process of the agent counts its results from the beginning. Were its lists compared with the number of
+/// the earlier one's result, none of them would ever seem new enough, and the task would wait for ever.
+#[test]
+fn run_that_is_over_begins_anew_although_its_agent_was_killed() {
+    let mut world = World::new().with_minions(&["m1"]);
+    world.submit(1, vec![step(1)]);
+    let order = world.orders.remove(0);
+    world.result(&order, OrderVerb::Start, OrderOutcome::RunIsOver);
+    world.restart_agent("m1");
+    if let Some(copy) = world.orders.pop() {
+        world.result(&copy, OrderVerb::Start, OrderOutcome::RunIsOver);
+    }
+    for _ in 0..10 {
+        world.beat("m1");
+        world.look("m1");
+        world.pass(TICK_MS);
+    }
+    assert_matches!(world.orders[..], [ref start] if start.run == 2);
+}
+
 /// Returns the orders and the milliseconds from the refusal of all copies of a start until the task's
 /// start elsewhere leaves, where minions obey at once and are looked at every 100 ms.
 fn cost_of_refusals(copies: usize) -> (usize, u64) {
--- a/crates/geraniumpost-batch/tests/coordinator/world.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world.rs
@@ -276,6 +276,13 @@
         self.answer(ticket).expect("states are told at once")
     }
 
+    /// Lets a minion's agent be killed and start again, which counts its results from the beginning.
+    pub fn restart_agent(&mut self, minion: &str) {
+        self.coordinator.agent_lost(&agent(minion), self.now);
+        self.results = 0;
+        self.join(minion, |info| info);
+    }
+
     /// Answers a question to the admission service with the minions that it approves, or not at all.
     pub fn approve(&mut self, question: &(TaskId, Vec<Name>), good: Option<&[&str]>) {
         let ticket = |minion: &&str| (Name::from(*minion), Name::from("t-1"));
