fix(agent): judge an order as it comes, and by the coordinator that gave it

Cause: an agent read its token and its lease when the order's own task ran. In between it could learn of the next coordinator or get a new lease. The order of an earlier coordinator, refused by a minion that had heard of the present one, was told to that one as "refused: newer coordinator": it took itself for replaced and ended its term. And an order given before a coordinator took the minion's work for ended could leave under the lease that was granted afterwards. Both take what concerns one copy for another.

Change: token, lease and draining are read as the order comes from the link, before anything that comes after it. A refusal for a token that the agent no longer obeys is told as "not sent": nothing was done, and nobody is replaced.

Not shown by a test: the order under a later lease. It takes two messages that are read at once and a task that runs in between; the change closes it by the order in which the link is read.

--- a/crates/geraniumpost/src/batch/agent/ordering.rs
+++ b/crates/geraniumpost/src/batch/agent/ordering.rs
@@ -12,9 +12,39 @@
 /// some tens.
 const TIMEOUT: Duration = Duration::from_millis(700);
 
+/// What an order is given under.
+///
+/// It is read as the order comes, before anything else that the link brings. Were it read later, by the
+/// task that passes the order on, an order that the coordinator gave before it took the minion's work for
+/// ended could leave under the lease that it granted afterwards, and the work would run twice.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    fence: u64,
+    /// End of the lease on the minion's clock, if it lies ahead.
+    hold_until: Option<u64>,
+    draining: bool,
+}
+
+impl Terms {
+    fn read(state: &State, order: &Order) -> Self {
+        Self {
+            fence: state.fence.load(Ordering::SeqCst),
+            hold_until: state.hold_until(),
+            draining: state.present().is_some_and(|p| p.id == order.minion && p.draining),
+        }
+    }
+}
+
 /// Passes one order on, and tells the coordinator what became of it.
-pub async fn carry_out(state: Arc<State>, order: Order) {
-    let outcome = pass_on(&state, &order).await;
+pub fn carry_out(state: Arc<State>, order: Order) -> impl Future<Output = ()> + Send + use<> {
+    let terms = Terms::read(&state, &order);
+    async move {
+        let outcome = pass_on(&state, &order, terms).await;
+        tell(&state, order, outcome);
+    }
+}
+
+fn tell(state: &State, order: Order, outcome: OrderOutcome) {
     if outcome != OrderOutcome::Done {
         spdlog::info!(
             "decision=order_failed task={} run={} verb={} minion={} why=\"{outcome}\"",
@@ -37,18 +67,20 @@
     });
 }
 
-async fn pass_on(state: &State, order: &Order) -> OrderOutcome {
+async fn pass_on(state: &State, order: &Order, terms: Terms) -> OrderOutcome {
     let starts = OrderVerb::from(&order.kind) == OrderVerb::Start;
-    let draining = state.present().is_some_and(|p| p.id == order.minion && p.draining);
-    if starts && draining {
+    if starts && terms.draining {
         return OrderOutcome::NotSent;
     }
-    let hold_until = match state.hold_until() {
+    let hold_until = match terms.hold_until {
         Some(hold_until) => hold_until,
         // Whatever began now would be taken for ended while it runs.
         None if starts => return OrderOutcome::NotSent,
         None => 0,
     };
-    let fence = state.fence.load(Ordering::SeqCst);
-    state.minion.order(order, fence, hold_until, TIMEOUT).await
+    let outcome = state.minion.order(order, terms.fence, hold_until, TIMEOUT).await;
+    // The order of an earlier coordinator was overtaken by a look for the present one. That one would take
+    // itself for replaced, and end its term; but nothing was done, which is all that there is to tell.
+    let overtaken = terms.fence < state.fence.load(Ordering::SeqCst);
+    if outcome == OrderOutcome::Superseded && overtaken { OrderOutcome::NotSent } else { outcome }
 }
