test(batch): split what tests start from off from the world that plays

world.rs held both a description of minions, steps and terms, and the coordinator's surroundings that play. It is a folder now: described.rs (`minion`, `agent`, `terms`, `step`, `task`), agents.rs (what agents tell the coordinator), orders.rs (minions that obey, and runs that end), effects.rs (what the coordinator asks for, and its store), and mod.rs with the world itself, time, questions and successors. mod.rs re-exports what is described, so that no test changes.

Functions moved as they were; only doc comments are new.

--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/world/effects.rs
@@ -0,0 +1,63 @@
+//! What the coordinator asks for, and the store that keeps what it is told.
+
+use geraniumpost_batch::{Effect, ToAgent, WriteBatch};
+
+use super::World;
+
+impl World {
+    /// Does what the coordinator asks for; writes pass if they may.
+    pub fn settle(&mut self) {
+        loop {
+            let effects = self.coordinator.take_effects(self.now);
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.perform(effect);
+            }
+        }
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Write(batch) if self.writes_pass => self.write(batch),
+            Effect::Write(batch) => self.writes.push(batch),
+            Effect::Reply { ticket, answer } => {
+                self.answers.insert(ticket, answer);
+            }
+            Effect::Tell { message: ToAgent::Order(order), .. } => self.orders.push(order),
+            Effect::Tell { message: ToAgent::Acknowledge { minion, up_to }, .. } => {
+                self.acknowledged.insert(minion, up_to);
+            }
+            Effect::Tell { message: ToAgent::DepartureSettled { minion }, .. } => {
+                self.settled.push(minion);
+            }
+            Effect::Tell { agent, message: ToAgent::Lease { sent_at_ms, hold_ms, .. } } => {
+                self.leases.push((agent, sent_at_ms, hold_ms));
+            }
+            Effect::Note(line) => self.notes.push(line),
+            Effect::AskApproval { step, minions } => self.questions.push((step, minions)),
+            Effect::Superseded => {}
+        }
+    }
+
+    fn write(&mut self, batch: WriteBatch) {
+        for (job, record) in batch.put {
+            self.store.insert(job, record);
+        }
+        self.knowledge = batch.knowledge.or_else(|| self.knowledge.take());
+        for job in batch.remove {
+            self.store.remove(&job);
+        }
+        self.coordinator.written(batch.number, self.now);
+    }
+
+    /// Confirms the writes that were held back.
+    pub fn pass_writes(&mut self) {
+        self.writes_pass = true;
+        for batch in std::mem::take(&mut self.writes) {
+            self.write(batch);
+        }
+        self.settle();
+    }
+}
