refactor(batch): split leases by job, and part harm from minions

leases.rs had come to hold agents, leases, silence, and minions that come and go. Now: - agents.rs: what is known of an agent, links that open and are lost, agents that fall silent - leases.rs: leases that beats extend, when they lapse, and the end of what ran under them - presence.rs: minions that report and go

harm.rs and minion.rs imported from each other, as harm.rs owned what a minion keeps of the images that serve on it. `Serving` and `Filling` have files of their own now, as the house style asks; harm.rs imports from minion.rs, and not the other way round.

Code moved without a change but for imports, and fields of `Agent` and `Serving` that are visible within the coordinator's module now. The sorted lines before and after differ in these alone.

--- a/crates/geraniumpost-batch/src/coordinator/harm.rs
+++ b/crates/geraniumpost-batch/src/coordinator/harm.rs
@@ -20,6 +20,7 @@
 
 use super::Coordinator;
 use super::minion::Minion;
+use super::serving::Serving;
 use crate::tuning::{FILL_TO_TAIL, TELL_EVERY_MS};
 use crate::{Knowledge, Now, TaskId};
 
@@ -49,19 +50,6 @@
 /// Least share of its speed that is told of any place, so that places stay comparable.
 const LEAST_SPEED: f64 = 0.01;
 
-/// What a minion's serving tasks of one image have shown.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Serving {
-    /// Runs of the image.
-    pub(super) runs: u32,
-    /// Their worst tail in bounds at the last look.
-    pub(super) tail: f64,
-    /// Their business when it was last learnt from; 0 before that.
-    business: f64,
-    /// What is left of it without what fills beside them, smoothed: the image's own load.
-    own: f64,
-}
-
 /// What is known of images over all minions.
 #[derive(Debug)]
 pub(super) struct Harm {
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -1,5 +1,6 @@
 //! The coordinator: every job, every minion's view, and all decisions on them.
 
+mod agents;
 mod approvals;
 mod asking;
 mod bar;
@@ -8,6 +9,7 @@
 mod departures;
 mod effect;
 mod ends;
+mod filling;
 mod harm;
 mod inherited;
 mod job;
@@ -21,7 +23,9 @@
 mod pacing;
 mod patience;
 mod placing;
+mod presence;
 mod run;
+mod serving;
 mod timers;
 mod unreachable;
 mod waiting;
@@ -37,13 +41,13 @@
 pub use leases::surely_lapsed_ms;
 pub use longest_wait::LongestWait;
 
+use agents::Agent;
 use approvals::Approvals;
 use commits::Batch;
 use departures::Departure;
 use harm::Harm;
 use inherited::Inherited;
 use job::Job;
-use leases::Agent;
 use minion::Minion;
 use run::Run;
 use waits::Waits;
