test(batch): join set-up that tests of the coordinator wrote again

- `World::at_work` for minions on which a job's only step is at work: 25 places submitted and obeyed by hand
- `world::standing` for a step of standing tasks: three files had a copy, four places set the field
- `World::beat_without_answer` for an agent whose minion is silent, written out four times
- `assert_over_with_return` in longest_wait.rs for two tests with the same end

No assertion changes.

--- a/crates/geraniumpost-batch/tests/coordinator/filling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/filling.rs
@@ -2,7 +2,7 @@
 
 use geraniumpost_batch::{Demand, OrderKind, StepSpec};
 
-use crate::world::{World, step, task};
+use crate::world::{World, standing, step, task};
 
 fn serving() -> StepSpec {
     StepSpec { persistent: true, image: "kiosk".into(), latency_bound_ms: 100, ..step(1) }
@@ -17,9 +17,7 @@
 /// thinks, all that fills there stands still within two seconds, and none is added.
 #[test]
 fn filling_stands_still_beside_a_tail_that_stays_over_its_bound() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![serving()]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], serving());
     world.submit(2, vec![filling(2)]);
     world.obey();
     world.set_gauge(task(1, 0, 0), 150);
@@ -43,9 +41,7 @@
 /// not run beside; its memory counts.
 #[test]
 fn filling_takes_memory_but_no_processors() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(8)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(8));
     let large = StepSpec {
         demand: Demand { milli_cpus: 16_000, memory_mb: 40_000, accelerators: 0 },
         ..filling(3)
@@ -79,9 +75,7 @@
 /// wait for ever: its first task begins all the same, within two seconds.
 #[test]
 fn idle_job_begins_at_any_speed() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(8)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(8));
     let wide = StepSpec {
         demand: Demand { milli_cpus: 16_000, memory_mb: 1_000, accelerators: 0 },
         ..filling(2)
@@ -100,9 +94,7 @@
 /// users wait for as long as that lasts, so it moves at once to a minion that has room.
 #[test]
 fn task_that_stands_still_moves_at_once() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![serving()]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], serving());
     world.submit(2, vec![filling(1)]);
     world.obey();
     world.join("m2", |info| info);
@@ -122,10 +114,7 @@
 /// behind them for ever.
 #[test]
 fn standing_tasks_leave_room_for_short_ones() {
-    let mut world = World::new().with_minions(&["m1"]);
-    let standing = StepSpec { persistent: true, ..step(16) };
-    world.submit(1, vec![standing]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(16));
     assert_eq!(world.places().len(), 15);
     world.submit(2, vec![step(1)]);
     assert_eq!(world.orders.len(), 1);
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -4,15 +4,13 @@
 use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{EndKind, FromAgent, OrderKind, OrderOutcome, surely_lapsed_ms};
 
-use crate::world::{HOLD_MS, SILENT, World, agent, minion, step};
+use crate::world::{HOLD_MS, SILENT, World, agent, minion, standing, step};
 
 /// An agent is cut off while its minion runs on. Its task must not begin elsewhere before the
 /// minion has surely ended it, or a user gets two results.
 #[test]
 fn work_of_a_lost_agent_waits_for_its_lease() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.lose_agent("m1");
     world.join("m2", |info| info);
     world.pass(HOLD_MS);
@@ -24,9 +22,7 @@
 /// The agent comes back in time: the task has run all the while and goes on.
 #[test]
 fn work_of_a_returning_agent_goes_on() {
-    let mut world = World::new().with_minions(&["m1", "m2"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1", "m2"], step(1));
     let before = world.places();
     let minion = before[0].1.clone();
     world.lose_agent(&minion);
@@ -42,9 +38,7 @@
 /// of. It waits until that has surely ended.
 #[test]
 fn successor_waits_for_inherited_leases() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.take_over();
     world.join("m2", |info| info);
     world.pass(HOLD_MS);
@@ -58,9 +52,7 @@
 /// extended count; users of a standing task would otherwise miss it for eight seconds more.
 #[test]
 fn word_of_the_predecessor_shortens_the_wait() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.take_over_from_silent();
     world.join("m2", |info| info);
     world.pass(500);
@@ -74,9 +66,7 @@
 /// The word comes late, when less is left to wait for than a lease: the wait does not grow.
 #[test]
 fn late_word_of_the_predecessor_changes_nothing() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.take_over_from_silent();
     world.join("m2", |info| info);
     world.pass(HOLD_MS + STORE_LOST_MS);
@@ -153,9 +143,7 @@
 #[test]
 fn standing_task_is_started_again() {
     let mut world = World::new().with_minions(&["m1", "m2"]);
-    let mut standing = step(1);
-    standing.persistent = true;
-    world.submit(1, vec![standing]);
+    world.submit(1, vec![standing(1)]);
     for kind in [EndKind::Failed, EndKind::Failed, EndKind::Failed, EndKind::Lapsed, EndKind::Done]
     {
         world.obey();
@@ -191,8 +179,7 @@
     world.submit(1, vec![step(1)]);
     let order = world.orders.remove(0);
     let minion = order.minion.clone();
-    let sent_at_ms = world.now.steady_ms;
-    world.say(&minion, FromAgent::Beat { sent_at_ms, minion_ok: false });
+    world.beat_without_answer(&minion);
     world.result(&order, geraniumpost_batch::OrderVerb::Start, OrderOutcome::NotSent);
     world.pass(300);
     world.submit(2, vec![step(3)]);
@@ -205,9 +192,7 @@
 #[test]
 fn failed_standing_task_gets_its_room_back() {
     let mut world = World::new().with_minions(&["m1"]);
-    let mut standing = step(15);
-    standing.persistent = true;
-    world.submit(1, vec![standing]);
+    world.submit(1, vec![standing(15)]);
     let mut large = step(1);
     large.persistent = true;
     large.demand.milli_cpus = 500;
@@ -248,9 +233,7 @@
 /// for a whole one at each planned restart.
 #[test]
 fn successor_is_told_of_agents_that_are_not_reached() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.lose_agent("m1");
     world.pass(3_000);
     let left = world.coordinator.inheritance(world.now);
@@ -269,9 +252,7 @@
 /// taken back before the extension leaves.
 #[test]
 fn agent_that_is_reached_again_is_not_left_as_unreached() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.lose_agent("m1");
     world.pass(3_000);
     assert!(world.coordinator.take_inheritance_changed());
@@ -286,9 +267,7 @@
 /// have noticed that it lost the store.
 #[test]
 fn linked_agent_obeys_no_silent_coordinator() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.take_over_from_silent();
     world.join("m2", |info| info);
     world.say("m1", FromAgent::Hello { agent: agent("m1") });
--- a/crates/geraniumpost-batch/tests/coordinator/leaving.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leaving.rs
@@ -3,7 +3,7 @@
 use assert_matches::assert_matches;
 use geraniumpost_batch::{FromAgent, MinionInfo, Order, OrderKind, StepSpec};
 
-use crate::world::{World, agent, minion, step, task};
+use crate::world::{World, agent, minion, standing, step, task};
 
 /// What a minion says that leaves in `remaining_ms`.
 fn notice(name: &str, remaining_ms: u64) -> MinionInfo {
@@ -14,10 +14,6 @@
     info
 }
 
-fn standing(count: u32) -> StepSpec {
-    StepSpec { persistent: true, ..step(count) }
-}
-
 fn stops(orders: &[Order]) -> Vec<&Order> {
     orders.iter().filter(|order| order.kind == OrderKind::Stop).collect()
 }
@@ -28,9 +24,7 @@
 /// miss it for as long as it takes to learn of that.
 #[test]
 fn tasks_of_a_leaving_minion_are_moved_once_a_successor_knows_other_places() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(1));
     world.say("m1", FromAgent::Minion(notice("m1", 10_000)));
     world.take_over();
     world.join("m1", |_| notice("m1", 10_000));
@@ -44,9 +38,7 @@
 /// runs there goes to it: its users need not wait until the minion has left.
 #[test]
 fn tasks_of_a_leaving_minion_are_moved_when_room_comes() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(1));
     world.say("m1", FromAgent::Minion(notice("m1", 10_000)));
     world.pass(1_000);
     assert!(stops(&world.orders).is_empty());
@@ -82,9 +74,7 @@
 /// anew each time.
 #[test]
 fn tasks_of_a_leaving_minion_are_stopped_once() {
-    let mut world = World::new().with_minions(&["m1", "m2"]);
-    world.submit(1, vec![standing(2)]);
-    world.obey();
+    let mut world = World::at_work(&["m1", "m2"], standing(2));
     let leaving = world.places()[0].1.clone();
     world.say(&leaving, FromAgent::Minion(notice(&leaving, 10_000)));
     let first = stops(&world.orders).len();
@@ -98,9 +88,7 @@
 /// at once, not when a lease has lapsed that nobody holds.
 #[test]
 fn farewell_is_settled_only_once_it_is_written() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(1));
     world.writes_pass = false;
     let word = || FromAgent::MinionGone { minion: "m1".into() };
     world.say("m1", word());
@@ -119,9 +107,7 @@
 /// agent is told again.
 #[test]
 fn farewell_that_is_repeated_changes_nothing() {
-    let mut world = World::new().with_minions(&["m1", "m2"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1", "m2"], standing(1));
     let (_, left, _) = world.places()[0].clone();
     for _ in 0..3 {
         world.say(&left, FromAgent::MinionGone { minion: left.clone() });
--- a/crates/geraniumpost-batch/tests/coordinator/longest_wait.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/longest_wait.rs
@@ -5,15 +5,11 @@
     surely_lapsed_ms,
 };
 
-use crate::world::{HOLD_MS, World, minion, step, task};
+use crate::world::{HOLD_MS, World, minion, standing, step, task};
 
 /// How much later than it began a wait may be noticed, and its end too, in milliseconds.
 const LOOK_MS: u64 = 500;
 
-fn standing(count: u32) -> StepSpec {
-    StepSpec { persistent: true, ..step(count) }
-}
-
 fn longest(world: &World) -> LongestWait {
     world.coordinator.longest_wait(world.now)
 }
@@ -26,9 +22,7 @@
 
 /// Returns a world in which a standing task has been at work on m1 for a while.
 fn at_work() -> World {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(1));
     world.look("m1");
     for _ in 0..3 {
         world.pass(2_000);
@@ -48,6 +42,14 @@
     assert_eq!(longest(&world), LongestWait::default());
 }
 
+/// Lets the task's agent link, and checks that its wait is over, as it has run all the while.
+#[track_caller]
+fn assert_over_with_return(mut world: World) {
+    world.join("m1", |info| info);
+    world.pass(LOOK_MS);
+    assert_eq!(longest(&world), LongestWait::default());
+}
+
 #[test]
 fn nothing_waits_at_first() {
     assert_eq!(longest(&World::new()), LongestWait::default());
@@ -89,17 +91,14 @@
     world.lose_agent("m1");
     world.pass(2_000);
     assert_wait(longest(&world).standing_ms, 2_000);
-    world.join("m1", |info| info);
-    world.pass(LOOK_MS);
-    assert_eq!(longest(&world), LongestWait::default());
+    assert_over_with_return(world);
 }
 
 /// A minion does not answer its agent. Its standing task may be gone.
 #[test]
 fn wait_counts_on_a_silent_minion() {
     let mut world = at_work();
-    let sent_at_ms = world.now.steady_ms;
-    world.say("m1", FromAgent::Beat { sent_at_ms, minion_ok: false });
+    world.beat_without_answer("m1");
     world.pass(1_500);
     assert_wait(longest(&world).standing_ms, 1_500);
 }
@@ -111,9 +110,7 @@
     world.take_over();
     world.pass(2_000);
     assert_wait(longest(&world).standing_ms, 2_000);
-    world.join("m1", |info| info);
-    world.pass(LOOK_MS);
-    assert_eq!(longest(&world), LongestWait::default());
+    assert_over_with_return(world);
 }
 
 /// The minion takes the start order and refuses it again and again: the task is placed each time, and
--- a/crates/geraniumpost-batch/tests/coordinator/promises.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/promises.rs
@@ -53,9 +53,7 @@
 /// successor would run the task again although it was done.
 #[test]
 fn end_is_written_before_the_minion_may_forget_it() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.writes_pass = false;
     world.end_all(EndKind::Done);
     assert!(world.acknowledged.is_empty());
@@ -85,9 +83,7 @@
 /// The coordinator dies while tasks run. They go on, and nobody notices anything.
 #[test]
 fn successor_leaves_running_work_alone() {
-    let mut world = World::new().with_minions(&["m1", "m2"]);
-    world.submit(1, vec![step(6)]);
-    world.obey();
+    let mut world = World::at_work(&["m1", "m2"], step(6));
     let before = world.places();
     world.take_over();
     world.join("m1", |info| info);
@@ -115,9 +111,7 @@
 /// A caller cancels a job that runs. Its tasks are stopped, and it is never shown as anything else.
 #[test]
 fn cancelled_job_is_stopped() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(2)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(2));
     let ticket = world.ask(Ask::Cancel(JobId(1)));
     assert_eq!(world.answer(ticket), Some(Answer::Cancelled));
     world.obey();
@@ -189,9 +183,7 @@
 /// begins anew at once instead of after its lease.
 #[test]
 fn new_incarnation_frees_the_work_of_the_old_one() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![step(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], step(1));
     world.running.clear();
     world.join("m1-b", |info| info);
     world.pass(200);
--- a/crates/geraniumpost-batch/tests/coordinator/sight.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/sight.rs
@@ -5,17 +5,13 @@
     Demand, EndKind, FromAgent, MinionInfo, OrderOutcome, OrderVerb, StepSpec, surely_lapsed_ms,
 };
 
-use crate::world::{HOLD_MS, World, agent, minion, step, task, terms};
+use crate::world::{HOLD_MS, World, agent, minion, standing, step, task, terms};
 
 /// Wait in milliseconds after which a line on a standing task is surely written.
 const STANDING_TOLD_MS: u64 = 2_600;
 /// Wait in milliseconds after which a line on any other task is surely written.
 const OTHERS_TOLD_MS: u64 = 5_600;
 
-fn standing(count: u32) -> StepSpec {
-    StepSpec { persistent: true, ..step(count) }
-}
-
 fn small(milli_cpus: i64) -> StepSpec {
     StepSpec { demand: Demand { milli_cpus, memory_mb: 100, accelerators: 0 }, ..step(1) }
 }
@@ -87,8 +83,7 @@
     };
     silence_is_named: "no_answer", |world: &mut World| {
         world.join("m1", |info| info);
-        let sent_at_ms = world.now.steady_ms;
-        world.say("m1", FromAgent::Beat { sent_at_ms, minion_ok: false });
+        world.beat_without_answer("m1");
         world.submit(7, vec![standing(1)]);
     };
     leaving_is_named: "draining", |world: &mut World| {
@@ -330,13 +325,10 @@
 /// A minion does not answer its agent, whose link is open: its lease is not extended either.
 #[test]
 fn silent_minion_is_told() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(1));
     world.look("m1");
     world.pass(1_500);
-    let sent_at_ms = world.now.steady_ms;
-    world.say("m1", FromAgent::Beat { sent_at_ms, minion_ok: false });
+    world.beat_without_answer("m1");
     world.pass(600);
     let line = last(&world, "event=unreachable");
     assert_eq!((field(&line, "linked"), field(&line, "decides")), (Some("true"), Some("lease")));
@@ -345,9 +337,7 @@
 /// The agent comes back and is lost again, which is told again.
 #[test]
 fn each_loss_is_told() {
-    let mut world = World::new().with_minions(&["m1"]);
-    world.submit(1, vec![standing(1)]);
-    world.obey();
+    let mut world = World::at_work(&["m1"], standing(1));
     world.pass(1_000);
     for _ in 0..2 {
         world.lose_agent("m1");
--- a/crates/geraniumpost-batch/tests/coordinator/site/tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/site/tasks.rs
@@ -3,7 +3,7 @@
 use geraniumpost_batch::{JobId, TaskId};
 
 use super::Site;
-use crate::world::step;
+use crate::world::standing;
 
 /// The job whose tasks the promise is checked for.
 const STANDING: JobId = JobId(1);
@@ -35,10 +35,9 @@
     }
 
     fn submit_standing(&mut self, job: JobId, count: u32, milli_cpus: i64) {
-        let mut standing = step(count);
-        standing.persistent = true;
-        standing.demand.milli_cpus = milli_cpus;
-        self.world.submit(job.0, vec![standing]);
+        let mut step = standing(count);
+        step.demand.milli_cpus = milli_cpus;
+        self.world.submit(job.0, vec![step]);
     }
 }
 
--- a/crates/geraniumpost-batch/tests/coordinator/world/agents.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world/agents.rs
@@ -42,6 +42,12 @@
         self.say(minion, FromAgent::Beat { sent_at_ms, minion_ok: true });
     }
 
+    /// Lets an agent beat whose minion does not answer it.
+    pub fn beat_without_answer(&mut self, minion: &str) {
+        let sent_at_ms = self.now.steady_ms;
+        self.say(minion, FromAgent::Beat { sent_at_ms, minion_ok: false });
+    }
+
     /// Lets a minion's agent pass its lists on.
     pub fn look(&mut self, minion: &str) {
         let name = Name::from(minion);
--- a/crates/geraniumpost-batch/tests/coordinator/world/described.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world/described.rs
@@ -46,6 +46,11 @@
     }
 }
 
+/// Returns a step of such tasks that run until they are stopped.
+pub fn standing(count: u32) -> StepSpec {
+    StepSpec { persistent: true, ..step(count) }
+}
+
 /// Returns the id of a task in the first occurrence of a job.
 pub const fn task(job: u64, step: u16, index: u32) -> TaskId {
     TaskId { job: JobId(job), occurrence: 0, step, index }
--- a/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
@@ -9,7 +9,7 @@
 mod effects;
 mod orders;
 
-pub use described::{agent, minion, step, task, terms};
+pub use described::{agent, minion, standing, step, task, terms};
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -113,6 +113,14 @@
         self
     }
 
+    /// Returns a world with minions on which a job's only step is at work, if there is room for it.
+    pub fn at_work(minions: &[&str], step: StepSpec) -> Self {
+        let mut world = Self::new().with_minions(minions);
+        world.submit(1, vec![step]);
+        world.obey();
+        world
+    }
+
     pub fn pass(&mut self, ms: u64) {
         let mut left = ms;
         while left > 0 {
