refactor(batch): tell who coordinates in one place

Agents (finder.rs) and candidates each wrote out the same: publish a coordinator if watchers know another one, with a line. `Known::publish` does it for both, and `Known` has a file of its own. The line and its condition are the same; it is written before the value is set in both now, both under the channel's lock, so that no watcher sees a difference.

--- a/crates/geraniumpost/src/batch/agent/finder.rs
+++ b/crates/geraniumpost/src/batch/agent/finder.rs
@@ -42,7 +42,7 @@
                 if let Ok(record) = CoordinatorRecord::decode(&item.value)
                     && !record.vacant
                 {
-                    publish(&known, Known { address: record.address, fence: record.term });
+                    Known { address: record.address, fence: record.term }.publish(&known);
                 }
             }
             Ok(None) => lost = false,
@@ -56,18 +56,3 @@
         tokio::time::sleep(if linked && !silent { DOUBTING } else { SEARCHING }).await;
     }
 }
-
-fn publish(known: &watch::Sender<Option<Known>>, found: Known) {
-    known.send_if_modified(|present| {
-        let news = *present != Some(found);
-        if news {
-            spdlog::info!(
-                "event=coordinator_known address={} fence={}",
-                found.address,
-                found.fence
-            );
-        }
-        *present = Some(found);
-        news
-    });
-}
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -151,7 +151,7 @@
             return;
         }
         let known = Known { address: record.address, fence: record.term };
-        self.publish(known);
+        known.publish(&self.known);
         let loss = self.lost(&known, seen.readable_since_ms).await;
         if loss == Loss::Gone && seen.gone.replace(revision) != Some(revision) {
             // It is about to say so in its key, or somebody has followed it; a takeover of the key as
@@ -164,26 +164,11 @@
         }
     }
 
-    fn publish(&self, known: Known) {
-        self.known.send_if_modified(|present| {
-            let news = *present != Some(known);
-            *present = Some(known);
-            if news {
-                spdlog::info!(
-                    "event=coordinator_known address={} fence={}",
-                    known.address,
-                    known.fence
-                );
-            }
-            news
-        });
-    }
-
     /// Learns from the other entries who coordinates, while the store does not answer this one.
     async fn learn_from_peers(&self) {
         let fence = self.known.borrow().map_or(0, |known| known.fence);
         if let Some(successor) = self.peers.successor(fence).await {
-            self.publish(successor);
+            successor.publish(&self.known);
         }
         tokio::time::sleep(PAUSE).await;
     }
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod doorway;
 mod driver;
+mod known;
 mod left;
 mod loss;
 mod peers;
@@ -10,9 +11,8 @@
 mod term;
 mod writer;
 
-use std::net::SocketAddr;
-
 pub use candidate::Candidate;
+pub use known::Known;
 pub use loss::{Loss, judge_link};
 pub use record::CoordinatorRecord;
 
@@ -25,12 +25,3 @@
 
 /// Key of what coordinators have learnt of images.
 pub const KNOWLEDGE_KEY: &str = "geraniumpost/knowledge";
-
-/// A coordinator as others know it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Known {
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// Its fencing token.
-    pub fence: u64,
-}
