fix(coordination): count the store's silence from the asking, not from the answer

Cause: a coordinator extends leases for eight seconds after the store's last confirmation, and a successor waits for that from its takeover. The confirmation was counted from the reading of the answer, which may be on its way for seconds while another entry takes over: leases of a coordinator that is then cut off with an agent would outlast the wait. The end of reading the jobs' records, which says nothing of the key, is no confirmation for this any more.

Change: confirmations carry when they were asked for; the eight seconds count from that. What agents and entries are told of the store goes on counting from the answer, as a slow store is not a silent one.

Seen: confirmation_holds_for_the_time_of_asking fails with the old count and passes.

--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -23,7 +23,7 @@
     ) {
         let silent_ms = now.steady_ms.saturating_sub(self.confirmed_ms);
         // A successor may have been waiting for so long that it takes the work for ended.
-        let extend = minion_ok && silent_ms < STORE_LOST_MS;
+        let extend = minion_ok && now.steady_ms < self.asked_ms + STORE_LOST_MS;
         let hold_ms = if extend { self.hold_ms } else { 0 };
         if extend {
             self.agent_reached(agent);
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -78,6 +78,8 @@
     next_batch: u64,
     /// When the store last confirmed this coordinator, on the steady clock.
     confirmed_ms: u64,
+    /// When it was asked for that.
+    asked_ms: u64,
     inherited: Inherited,
     /// Agents that are not reached though something may run beside them, and when their leases have
     /// surely lapsed.
@@ -115,6 +117,7 @@
             batches: HashMap::new(),
             next_batch: 1,
             confirmed_ms: now.steady_ms,
+            asked_ms: now.steady_ms,
             inherited: Inherited::default(),
             unreached: BTreeMap::new(),
             inheritance_changed: false,
@@ -186,11 +189,22 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Takes note that the store confirmed this coordinator at a time on the steady clock.
-    pub const fn store_confirmed(&mut self, steady_ms: u64) {
-        if steady_ms > self.confirmed_ms {
-            self.confirmed_ms = steady_ms;
-        }
+    /// Sets when the store was asked for the term, on the steady clock.
+    #[must_use]
+    pub const fn term_asked_for(mut self, steady_ms: u64) -> Self {
+        self.asked_ms = steady_ms;
+        self
+    }
+
+    /// Takes note that the store confirmed this coordinator: when it was asked, and when its answer was
+    /// read, on the steady clock.
+    ///
+    /// The answer holds for the time of asking only. It may be on its way for seconds, in which another
+    /// entry takes over; that one waits for as long as leases are extended without the store, counted from
+    /// its takeover.
+    pub fn store_confirmed(&mut self, asked_ms: u64, steady_ms: u64) {
+        self.asked_ms = self.asked_ms.max(asked_ms);
+        self.confirmed_ms = self.confirmed_ms.max(steady_ms);
     }
 
     fn note(&mut self, line: String) {
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -95,6 +95,21 @@
     assert_eq!(lease, Some((0, false)));
 }
 
+/// The store's answer that an entry coordinates is on its way for three seconds, in which another entry
+/// takes over. Were the eight seconds counted from the reading of that answer, leases would be extended
+/// beyond what the successor waits for, and a task would run twice.
+#[test]
+fn confirmation_holds_for_the_time_of_asking() {
+    let mut world = World::new().with_minions(&["m1"]);
+    let asked_ms = world.now.steady_ms;
+    world.now.steady_ms += 3_000;
+    world.coordinator.store_confirmed(asked_ms, world.now.steady_ms);
+    world.now.steady_ms = asked_ms + STORE_LOST_MS;
+    world.leases.clear();
+    world.beat("m1");
+    assert_matches!(world.leases[..], [(_, _, 0)]);
+}
+
 /// A minion says that it leaves. It gets no new work, and what it cannot finish moves.
 #[test]
 fn leaving_minion_is_emptied() {
--- a/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
@@ -132,7 +132,7 @@
                 self.beating.clone().iter().for_each(|minion| self.beat(minion));
             }
             if self.store_confirms {
-                self.coordinator.store_confirmed(self.now.steady_ms);
+                self.coordinator.store_confirmed(self.now.steady_ms, self.now.steady_ms);
             }
             self.coordinator.tick(self.now);
             self.settle();
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -249,6 +249,7 @@
             write: vec![(COORDINATOR_KEY.to_owned(), record.encode())],
             remove: Vec::new(),
         };
+        let asked_ms = BootClock.now_ms();
         let taken = match self.store.commit(&put, CALL).await {
             Ok(taken) => taken,
             Err(CommitError::NotDone(_)) => return tokio::time::sleep(PAUSE).await,
@@ -261,6 +262,7 @@
             record,
             revision: taken,
             hold_ms: self.hold_ms,
+            asked_ms,
             taken: BootClock.now(),
             inheritance,
             confirmed_ms: Arc::clone(&self.confirmed_ms),
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -64,8 +64,13 @@
     Written(u64),
     /// The admission service has answered on a step, or not.
     Approved(Question, Option<Approved>),
-    /// The store has confirmed that this entry coordinates, at this time on the boot clock.
-    Confirmed(u64),
+    /// The store has confirmed that this entry coordinates.
+    Confirmed {
+        /// When it was asked, on the boot clock.
+        asked_ms: u64,
+        /// When its answer was read, on the boot clock.
+        heard_ms: u64,
+    },
     /// The term of a coordinator that was silent at this address has ended.
     PredecessorEnded(SocketAddr),
 }
@@ -198,7 +203,9 @@
                 let answer = answer.map(|answer| (answer.tickets, answer.valid_ms));
                 self.coordinator.approved(step, &asked, answer, now);
             }
-            Input::Confirmed(at_ms) => self.coordinator.store_confirmed(at_ms),
+            Input::Confirmed { asked_ms, heard_ms } => {
+                self.coordinator.store_confirmed(asked_ms, heard_ms);
+            }
             Input::PredecessorEnded(address) => self.coordinator.predecessor_ended(address, now),
         }
     }
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -42,6 +42,8 @@
     pub revision: u64,
     /// How long minions hold their tasks, in milliseconds.
     pub hold_ms: u64,
+    /// When the store was asked for the term, on the boot clock.
+    pub asked_ms: u64,
     /// When the term was taken.
     pub taken: Now,
     /// What earlier coordinators left behind, as it held then.
@@ -77,6 +79,7 @@
         );
         let coordinator = Coordinator::new(self.record.term, now)
             .hold_ms(self.hold_ms)
+            .term_asked_for(self.asked_ms)
             .inheriting(&self.inheritance, self.taken)
             .with_knowledge(knowledge)
             .with_records(records, now);
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -87,7 +87,14 @@
     }
 }
 
-type Done = (WriteBatch, Result<u64, CommitError>, Duration);
+/// A write that has ended.
+struct Done {
+    batch: WriteBatch,
+    result: Result<u64, CommitError>,
+    /// When it began, on the boot clock.
+    asked_ms: u64,
+    took: Duration,
+}
 
 impl Writer {
     /// Writes batches until the term is lost, or until `stop` turns true and no write is under way.
@@ -127,8 +134,8 @@
                     None => return Ok(()),
                 },
                 Some(done) = under_way.join_next() => {
-                    let Ok((batch, result, took)) = done else { return Err(TermLost) };
-                    uncertain |= self.settle(batch, result, took, &mut queue).await?;
+                    let Ok(done) = done else { return Err(TermLost) };
+                    uncertain |= self.settle(done, &mut queue).await?;
                 }
                 _ = confirm.tick(), if under_way.is_empty() && !uncertain => self.confirm().await?,
                 () = crate::stop_signal::stopped(&mut stop), if !stopping => {}
@@ -148,20 +155,20 @@
         let store = Arc::clone(&self.store);
         let timeout = self.timeout.get();
         async move {
+            let asked_ms = BootClock.now_ms();
             let began = tokio::time::Instant::now();
             let result = store.commit(&put, timeout).await;
-            (batch, result, began.elapsed())
+            Done { batch, result, asked_ms, took: began.elapsed() }
         }
     }
 
     /// Takes the result of a write; returns whether it may still be carried out.
     async fn settle(
         &mut self,
-        batch: WriteBatch,
-        result: Result<u64, CommitError>,
-        took: Duration,
+        done: Done,
         queue: &mut VecDeque<WriteBatch>,
     ) -> Result<bool, TermLost> {
+        let Done { batch, result, asked_ms, took } = done;
         let outcome = match &result {
             Ok(_) => "ok",
             Err(CommitError::Conflict(_)) => "conflict",
@@ -173,7 +180,7 @@
         match result {
             Ok(_) => {
                 self.timeout.answered(took);
-                self.note_confirmed().await;
+                self.note_confirmed(asked_ms).await;
                 let _ = self.inputs.send(Input::Written(batch.number)).await;
                 Ok(false)
             }
@@ -218,12 +225,13 @@
                 write: vec![(COORDINATOR_KEY.to_owned(), self.record.encode())],
                 remove: Vec::new(),
             };
+            let asked_ms = BootClock.now_ms();
             let began = tokio::time::Instant::now();
             match self.store.commit(&put, self.timeout.get()).await {
                 Ok(revision) => {
                     self.timeout.answered(began.elapsed());
                     self.revision = revision;
-                    self.note_confirmed().await;
+                    self.note_confirmed(asked_ms).await;
                     return Ok(());
                 }
                 Err(CommitError::Conflict(_)) => {
@@ -246,12 +254,13 @@
     /// Reads the coordinator's key; returns whether its revision has changed by our own doing.
     async fn read_revision(&mut self) -> Result<bool, TermLost> {
         loop {
+            let asked_ms = BootClock.now_ms();
             match self.store.get(COORDINATOR_KEY, self.timeout.get()).await {
                 Ok(item) => {
                     let revision = self.own(item)?;
                     let changed = revision != self.revision;
                     self.revision = revision;
-                    self.note_confirmed().await;
+                    self.note_confirmed(asked_ms).await;
                     return Ok(changed);
                 }
                 Err(error) => {
@@ -265,12 +274,13 @@
 
     /// Checks that the term lasts, while nothing is written.
     async fn confirm(&mut self) -> Result<(), TermLost> {
+        let asked_ms = BootClock.now_ms();
         let began = tokio::time::Instant::now();
         match self.store.get(COORDINATOR_KEY, self.timeout.get()).await {
             Ok(item) => {
                 self.timeout.answered(began.elapsed());
                 self.revision = self.own(item)?;
-                self.note_confirmed().await;
+                self.note_confirmed(asked_ms).await;
             }
             Err(error) => spdlog::debug!("event=confirm_failed why=\"{error}\""),
         }
@@ -285,11 +295,12 @@
         if ours { Ok(item.revision) } else { Err(TermLost) }
     }
 
-    async fn note_confirmed(&self) {
-        let now_ms = BootClock.now_ms();
-        self.confirmed_ms.store(now_ms, Ordering::Relaxed);
+    /// Takes note that the store has confirmed the term, for the time at which it was asked.
+    async fn note_confirmed(&self, asked_ms: u64) {
+        let heard_ms = BootClock.now_ms();
+        self.confirmed_ms.store(heard_ms, Ordering::Relaxed);
         // The driver ends only with the term.
-        let _ = self.inputs.send(Input::Confirmed(now_ms)).await;
+        let _ = self.inputs.send(Input::Confirmed { asked_ms, heard_ms }).await;
     }
 
     /// Gives the term up, so that the next coordinator need not wait for anything.
