fix(batch): read the lists of an agent that has just linked before its lease counts

Change: a minion whose agent has just linked is given a second to show its lists.

Before/after: lists_of_an_agent_that_just_linked_are_read_before_its_lease_counts fails / passes, and its bound of a second with it.

--- a/crates/geraniumpost-batch/src/coordinator/agents.rs
+++ b/crates/geraniumpost-batch/src/coordinator/agents.rs
@@ -14,6 +14,8 @@
     pub(super) linked: bool,
     /// When it first linked to this coordinator, on the steady clock.
     pub(super) linked_ms: Option<u64>,
+    /// When its present link opened, on the steady clock.
+    pub(super) link_opened_ms: u64,
     /// The incarnation beside it.
     pub(super) minion: Option<Name>,
     /// When all that runs beside it has surely ended if the lease that this coordinator granted is not
@@ -30,6 +32,7 @@
         let known = self.agents.entry(agent.clone()).or_default();
         known.linked = true;
         known.linked_ms.get_or_insert(now.steady_ms);
+        known.link_opened_ms = now.steady_ms;
         for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
             minion.linked = true;
             minion.looked = false;
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -2,10 +2,15 @@
 
 use geraniumpost_schema::Name;
 
+use super::minion::Minion;
 use super::{Coordinator, Effect};
 use crate::tuning::{LAPSE_MARGIN_MS, LAPSE_PERCENT, STORE_LOST_MS, STORE_SILENCE_MS};
 use crate::{EndKind, Now, ToAgent};
 
+/// Time that an agent is given after it has linked to show its minion's lists, in milliseconds; most need
+/// less than half of it.
+const LISTS_MS: u64 = 1_000;
+
 /// Returns after how many milliseconds a lease that holds for `hold_ms` has surely lapsed, on the
 /// slowest clock that a minion may have.
 pub const fn surely_lapsed_ms(hold_ms: u64) -> u64 {
@@ -57,12 +62,20 @@
         now.steady_ms >= self.lapses(agent).0
     }
 
+    /// Returns whether a minion's lists will be read in a moment, as its agent has just linked. They tell
+    /// what was done before the lease was over, and need not be done again.
+    fn is_about_to_show(&self, minion: &Minion, now: Now) -> bool {
+        let opened_ms = self.agents.get(&minion.agent).map_or(0, |agent| agent.link_opened_ms);
+        minion.linked && !minion.looked && now.steady_ms < opened_ms + LISTS_MS
+    }
+
     /// Ends what ran on minions whose leases have surely lapsed.
     pub(super) fn lapse(&mut self, now: Now) {
         let lapsed: Vec<Name> = self
             .minions
             .iter()
             .filter(|(_, minion)| !minion.runs.is_empty() && self.has_lapsed(&minion.agent, now))
+            .filter(|(_, minion)| !self.is_about_to_show(minion, now))
             .map(|(id, _)| id.clone())
             .collect();
         for id in lapsed {
--- a/crates/geraniumpost-batch/tests/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/leases.rs
@@ -4,7 +4,7 @@
 use geraniumpost_batch::tuning::STORE_LOST_MS;
 use geraniumpost_batch::{EndKind, FromAgent, OrderKind, OrderOutcome, surely_lapsed_ms};
 
-use crate::world::{HOLD_MS, SILENT, World, agent, minion, standing, step};
+use crate::world::{COMPLETED, HOLD_MS, SILENT, World, agent, minion, standing, step};
 
 /// An agent is cut off while its minion runs on. Its task must not begin elsewhere before the
 /// minion has surely ended it, or a user gets two results.
@@ -306,3 +306,38 @@
     world.submit(2, vec![step(4)]);
     assert!(world.orders.iter().any(|order| &*order.minion == "m1"));
 }
+
+/// An agent was cut off for as long as a lease, in which its minion has done a task. It links again in the
+/// moment in which the lease is surely over, and is about to show that. Were the task taken for ended before its
+/// minion's lists are read, it would be done once more, for nothing.
+#[test]
+fn lists_of_an_agent_that_just_linked_are_read_before_its_lease_counts() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    let (task, minion, _) = world.places()[0].clone();
+    world.lose_agent(&minion);
+    world.end(&minion, task, EndKind::Done);
+    world.pass(surely_lapsed_ms(HOLD_MS) - 100);
+    world.say(&minion, FromAgent::Hello { agent: agent(&minion) });
+    world.pass(200);
+    world.look(&minion);
+    assert!(world.orders.is_empty());
+    assert_eq!(world.state(1), COMPLETED);
+}
+
+/// The same, but no lists come. The agent's link is no reason to wait for ever.
+#[test]
+fn lists_of_an_agent_that_just_linked_are_waited_for_a_second() {
+    let mut world = World::new().with_minions(&["m1", "m2"]);
+    world.submit(1, vec![step(1)]);
+    world.obey();
+    let (_, minion, _) = world.places()[0].clone();
+    world.lose_agent(&minion);
+    world.pass(surely_lapsed_ms(HOLD_MS) - 100);
+    world.say(&minion, FromAgent::Hello { agent: agent(&minion) });
+    world.pass(900);
+    assert!(world.orders.is_empty());
+    world.pass(400);
+    assert_matches!(world.orders[..], [ref order] if order.minion != minion);
+}
