fix(coordination): let the key follow what is left of the wait for silent coordinators

Change: the key is rewritten whenever it overstates a wait by 2.5 s.

Before/after: wait_for_a_lost_coordinator_goes_on_over_the_loss_of_its_successor fails / passes; the inherited wait after the second loss 13.4 s / 7.4 s.

--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -1,6 +1,7 @@
 //! Writes the coordinator's records, each batch only while this entry coordinates.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -35,6 +36,10 @@
 /// is noticed while nothing is written.
 const CONFIRM_EVERY: Duration = Duration::from_millis(600);
 
+/// By how much the key may give a silent coordinator too much time, in milliseconds: a rewrite takes a call,
+/// in which no batch is written, and about five are needed until its time is over.
+const OVERSTATED_MS: u64 = 2_500;
+
 /// The term is lost: another entry holds the coordinator's key.
 #[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
 #[display("another entry coordinates")]
@@ -114,7 +119,7 @@
         confirm.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             let stopping = *stop.borrow();
-            let outdated = !stopping && self.waits_are_over();
+            let outdated = !stopping && self.overstates_waits();
             if (uncertain || outdated) && under_way.is_empty() {
                 self.bar_earlier_writes().await?;
                 uncertain = false;
@@ -200,14 +205,18 @@
         }
     }
 
-    /// Returns whether the key names silent coordinators whose time is over. It is rewritten without them,
-    /// as whoever reads it counts with the whole time that it gives them, whenever that may be.
-    fn waits_are_over(&self) -> bool {
+    /// Returns whether the key gives silent coordinators much more time than they have left. Whoever reads
+    /// it counts with all of that time from then on, whenever that may be, so it is rewritten.
+    fn overstates_waits(&self) -> bool {
         let named = &self.record.inheritance.silent;
-        !named.is_empty() && {
-            let left = self.left.at(BootClock.now_ms()).silent;
-            named.keys().any(|address| !left.contains_key(address))
+        if named.is_empty() {
+            return false;
         }
+        let left = self.left.at(BootClock.now_ms()).silent;
+        let overstated = |(address, lasts_ms): (&SocketAddr, &u64)| {
+            left.get(address).is_none_or(|left_ms| left_ms + OVERSTATED_MS <= *lasts_ms)
+        };
+        named.iter().any(overstated)
     }
 
     /// Makes sure that no earlier write can be carried out any more.
