fix(coordination): take the word of a silent coordinator that knows any later term

Cause: a successor asked a silent coordinator until it knew the successor's own term. A killed entry that came back read the key while its successor was between two terms at one address; its link to that one was well, so it read no more and went on naming the first of the two.

Change: what is left to a successor names each silent coordinator's term, and any later one that it knows is its word. An entry learns of later terms only outside of its own, and cannot begin an earlier one again.

Ruled out: taking another address as the word, as an entry that waits for the store's answer to its takeover names its predecessor until it begins.

--- a/crates/geraniumpost-batch/src/coordinator/inherited.rs
+++ b/crates/geraniumpost-batch/src/coordinator/inherited.rs
@@ -6,19 +6,26 @@
 use geraniumpost_schema::Name;
 
 use super::{Coordinator, surely_lapsed_ms};
-use crate::{Inheritance, Now};
+use crate::{Inheritance, Now, Silent};
 
 /// Age of an agent's last extension, in milliseconds, from which on a successor is told of it: three
 /// beats. Others are linked to the successor at once, as a rule.
 const UNREACHED_MS: u64 = 1_500;
 
+/// A silent coordinator that is waited for.
+#[derive(Debug, Clone, Copy)]
+struct Waited {
+    term: u64,
+    until_ms: u64,
+}
+
 /// Until when leases may last that earlier coordinators extended, on the steady clock.
 #[derive(Debug, Default)]
 pub(super) struct Inherited {
     /// Those that the direct predecessor extended.
     pub(super) predecessor_ms: u64,
     /// Those that silent coordinators may go on extending.
-    silent: BTreeMap<SocketAddr, u64>,
+    silent: BTreeMap<SocketAddr, Waited>,
     /// Those of agents that the direct predecessor did not reach when it stepped down.
     unreached: BTreeMap<Name, u64>,
 }
@@ -26,9 +33,11 @@
 impl Inherited {
     fn new(inheritance: &Inheritance, hold_ms: u64, now: Now) -> Self {
         let from_now = |ms: &u64| now.steady_ms + ms;
+        let waited =
+            |silent: &Silent| Waited { term: silent.term, until_ms: from_now(&silent.lasts_ms) };
         Self {
             predecessor_ms: now.steady_ms + surely_lapsed_ms(hold_ms),
-            silent: inheritance.silent.iter().map(|(at, ms)| (*at, from_now(ms))).collect(),
+            silent: inheritance.silent.iter().map(|(at, silent)| (*at, waited(silent))).collect(),
             unreached: inheritance
                 .unreached
                 .iter()
@@ -39,12 +48,12 @@
 
     /// Returns until when an agent's leases may last.
     pub(super) fn until_ms(&self, agent: &Name) -> u64 {
-        self.silent.values().copied().fold(self.known_ms(agent), u64::max)
+        self.silent.values().map(|waited| waited.until_ms).fold(self.known_ms(agent), u64::max)
     }
 
     /// Returns until when the leases may last of an agent of which nothing is known.
     pub(super) fn latest_ms(&self) -> u64 {
-        self.silent.values().copied().fold(self.predecessor_ms, u64::max)
+        self.silent.values().map(|waited| waited.until_ms).fold(self.predecessor_ms, u64::max)
     }
 
     /// Returns until when an agent's leases may last that no silent coordinator extends.
@@ -69,9 +78,9 @@
     /// leaves only the leases that it had extended. It says nothing of others that fell silent before it.
     pub fn predecessor_ended(&mut self, address: SocketAddr, now: Now) {
         let until_ms = now.steady_ms + surely_lapsed_ms(self.hold_ms);
-        let Some(waits_ms) = self.inherited.silent.get_mut(&address) else { return };
-        let earlier_by_ms = waits_ms.saturating_sub(until_ms);
-        *waits_ms = until_ms.min(*waits_ms);
+        let Some(waited) = self.inherited.silent.get_mut(&address) else { return };
+        let earlier_by_ms = waited.until_ms.saturating_sub(until_ms);
+        waited.until_ms = until_ms.min(waited.until_ms);
         self.note(format!("event=predecessor_ended at={address} earlier_by_ms={earlier_by_ms}"));
         self.inheritance_changed = true;
     }
@@ -79,10 +88,12 @@
     /// Returns what a successor has to know of leases at this moment.
     pub fn inheritance(&self, now: Now) -> Inheritance {
         let left = |until_ms: &u64| until_ms.saturating_sub(now.steady_ms);
-        let silent = self.inherited.silent.iter().map(|(at, until)| (*at, left(until)));
+        let silent = self.inherited.silent.iter().map(|(at, waited)| {
+            (*at, Silent { term: waited.term, lasts_ms: left(&waited.until_ms) })
+        });
         let unreached = self.unreached.iter().map(|(agent, until)| (agent.clone(), left(until)));
         Inheritance {
-            silent: silent.filter(|(_, left)| *left > 0).collect(),
+            silent: silent.filter(|(_, silent)| silent.lasts_ms > 0).collect(),
             unreached: unreached.collect(),
         }
     }
--- a/crates/geraniumpost-batch/src/inheritance.rs
+++ b/crates/geraniumpost-batch/src/inheritance.rs
@@ -7,6 +7,15 @@
 use crate::surely_lapsed_ms;
 use crate::tuning::STORE_LOST_MS;
 
+/// A coordinator that fell silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silent {
+    /// Its term. A process at its address that knows of a later one has ended this one.
+    pub term: u64,
+    /// How long leases may last that it extends, in milliseconds.
+    pub lasts_ms: u64,
+}
+
 /// What a coordinator leaves to its successor: whose leases may last for how long.
 ///
 /// A successor does not know which leases earlier coordinators extended. One that counts only with its
@@ -18,7 +27,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inheritance {
     /// Coordinators that fell silent and may live on, and how long leases may last that they extend.
-    pub silent: BTreeMap<SocketAddr, u64>,
+    pub silent: BTreeMap<SocketAddr, Silent>,
     /// Agents that the last coordinator did not reach when it stepped down, and how long their leases may
     /// last if no silent coordinator extends them.
     pub unreached: BTreeMap<Name, u64>,
@@ -26,12 +35,18 @@
 
 impl Inheritance {
     /// Returns what a coordinator at `own` inherits, whose predecessor left this behind. That one is named
-    /// if it only fell silent.
+    /// with its term if it only fell silent.
     #[must_use]
-    pub fn taken_over(mut self, silent: Option<SocketAddr>, own: SocketAddr, hold_ms: u64) -> Self {
-        if let Some(address) = silent {
+    pub fn taken_over(
+        mut self,
+        silent: Option<(SocketAddr, u64)>,
+        own: SocketAddr,
+        hold_ms: u64,
+    ) -> Self {
+        if let Some((address, term)) = silent {
             // It goes on for as long as one that misses the store may.
-            self.silent.insert(address, STORE_LOST_MS + surely_lapsed_ms(hold_ms));
+            let lasts_ms = STORE_LOST_MS + surely_lapsed_ms(hold_ms);
+            self.silent.insert(address, Silent { term, lasts_ms });
             self.unreached.clear();
         }
         // An earlier term at the own address has ended, but it may have reached any agent a moment ago.
@@ -44,8 +59,8 @@
     /// Returns what is left of it after so many milliseconds.
     #[must_use]
     pub fn after(mut self, ms: u64) -> Self {
-        self.silent.retain(|_, lasts_ms| *lasts_ms > ms);
-        self.silent.values_mut().for_each(|lasts_ms| *lasts_ms -= ms);
+        self.silent.retain(|_, silent| silent.lasts_ms > ms);
+        self.silent.values_mut().for_each(|silent| silent.lasts_ms -= ms);
         self.unreached.values_mut().for_each(|lasts_ms| *lasts_ms = lasts_ms.saturating_sub(ms));
         self
     }
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -43,7 +43,7 @@
 pub use demand::Demand;
 pub use departures::Departures;
 pub use entry_message::{Answer, Ask, FromEntry, ToEntry};
-pub use inheritance::Inheritance;
+pub use inheritance::{Inheritance, Silent};
 pub use job_id::{JobId, JobIdError};
 pub use job_record::{JobRecord, Occurrence, Place, TaskPhase, TaskRecord};
 pub use job_spec::{JobSpec, MAX_TASKS, QueueTerms};
--- a/crates/geraniumpost-batch/tests/coordinator/site/succession.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/site/succession.rs
@@ -124,7 +124,8 @@
     }
 
     fn take_over(&mut self, vacancy: &Vacancy) {
-        let silent = (vacancy.loss != Loss::Planned).then(|| address(vacancy.number));
+        let silent =
+            (vacancy.loss != Loss::Planned).then(|| (address(vacancy.number), vacancy.number));
         let own = address(self.succession.losses + 1);
         let left = std::mem::take(&mut self.succession.left);
         let inheritance = left.taken_over(silent, own, HOLD_MS);
--- a/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
@@ -190,7 +190,8 @@
 
     /// Lets another coordinator take over from one that may live on without the store.
     pub fn take_over_from_silent(&mut self) {
-        let silent = Inheritance::default().taken_over(Some(SILENT), SUCCESSOR, HOLD_MS);
+        let silent =
+            Inheritance::default().taken_over(Some((SILENT, self.fence)), SUCCESSOR, HOLD_MS);
         self.take_over_with(&silent);
     }
 
--- a/crates/geraniumpost-batch/tests/inheritance.rs
+++ b/crates/geraniumpost-batch/tests/inheritance.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use geraniumpost_batch::tuning::STORE_LOST_MS;
-use geraniumpost_batch::{Inheritance, surely_lapsed_ms};
+use geraniumpost_batch::{Inheritance, Silent, surely_lapsed_ms};
 
 const HOLD_MS: u64 = 5_000;
 /// How long leases may last that a coordinator extends which fell silent just now.
@@ -17,10 +17,11 @@
 /// still be extending the lease of an agent that nobody else reaches.
 #[test]
 fn every_silent_coordinator_is_waited_for() {
-    let second = Inheritance::default().taken_over(Some(address(1)), address(2), HOLD_MS);
-    let third = second.after(1_000).taken_over(Some(address(2)), address(3), HOLD_MS);
-    let fourth = third.after(500).taken_over(Some(address(3)), address(4), HOLD_MS);
-    let waits: Vec<_> = fourth.silent.into_iter().collect();
+    let second = Inheritance::default().taken_over(Some((address(1), 1)), address(2), HOLD_MS);
+    let third = second.after(1_000).taken_over(Some((address(2), 2)), address(3), HOLD_MS);
+    let fourth = third.after(500).taken_over(Some((address(3), 3)), address(4), HOLD_MS);
+    let waits: Vec<_> =
+        fourth.silent.into_iter().map(|(at, silent)| (at, silent.lasts_ms)).collect();
     let expected =
         [(address(1), SILENT_MS - 1_500), (address(2), SILENT_MS - 500), (address(3), SILENT_MS)];
     assert_eq!(waits, expected);
@@ -29,9 +30,10 @@
 /// A silent coordinator is waited for until its time is over, also across planned handovers.
 #[test]
 fn planned_handover_keeps_whom_to_wait_for() {
-    let second = Inheritance::default().taken_over(Some(address(1)), address(2), HOLD_MS);
+    let second = Inheritance::default().taken_over(Some((address(1), 1)), address(2), HOLD_MS);
     let third = second.after(4_000).taken_over(None, address(3), HOLD_MS);
-    assert_eq!(third.silent.get(&address(1)), Some(&(SILENT_MS - 4_000)));
+    let waited = Silent { term: 1, lasts_ms: SILENT_MS - 4_000 };
+    assert_eq!(third.silent.get(&address(1)), Some(&waited));
     assert!(third.after(SILENT_MS).silent.is_empty());
 }
 
@@ -39,8 +41,8 @@
 /// need not wait for itself.
 #[test]
 fn coordinator_does_not_wait_for_itself() {
-    let second = Inheritance::default().taken_over(Some(address(1)), address(2), HOLD_MS);
-    let third = second.taken_over(Some(address(2)), address(1), HOLD_MS);
+    let second = Inheritance::default().taken_over(Some((address(1), 1)), address(2), HOLD_MS);
+    let third = second.taken_over(Some((address(2), 2)), address(1), HOLD_MS);
     assert_eq!(third.silent.into_keys().collect::<Vec<_>>(), [address(2)]);
 }
 
@@ -53,5 +55,5 @@
     let planned = left.clone().after(500).taken_over(None, address(2), HOLD_MS);
     assert_eq!(planned.unreached.get("agent-1"), Some(&1_500));
     assert!(planned.while_coordinating().unreached.is_empty());
-    assert!(left.taken_over(Some(address(1)), address(2), HOLD_MS).unreached.is_empty());
+    assert!(left.taken_over(Some((address(1), 1)), address(2), HOLD_MS).unreached.is_empty());
 }
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -232,7 +232,7 @@
         let (before, inheritance) =
             read(item).map_or((0, Inheritance::default()), |(record, _)| {
                 // One that is silent may answer again, and then tells whether it still coordinates.
-                let silent = (loss == Loss::Silent).then_some(record.address);
+                let silent = (loss == Loss::Silent).then_some((record.address, record.term));
                 (record.term, record.inheritance.taken_over(silent, self.address, self.hold_ms))
             });
         let record = CoordinatorRecord {
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -92,9 +92,8 @@
             self.inheritance.clone().while_coordinating(),
             self.taken.steady_ms,
         ));
-        for address in self.inheritance.silent.into_keys() {
-            let (fence, tx) = (self.record.term, tx.clone());
-            tokio::spawn(await_predecessor(address, fence, tx));
+        for (address, silent) in self.inheritance.silent {
+            tokio::spawn(await_predecessor(address, silent.term, tx.clone()));
         }
         let mut writer = Writer {
             store: self.store,
@@ -192,11 +191,14 @@
     }
 }
 
-/// Asks a coordinator that fell silent until it knows of this term, in which case its own has ended.
-async fn await_predecessor(address: SocketAddr, fence: u64, inputs: mpsc::Sender<Input>) {
+/// Asks a coordinator that fell silent until it knows of a later term than its own, which has then ended.
+///
+/// It need not know the present one: an entry whose link to the coordinator is well reads the key no more, also
+/// if that entry has begun another term meanwhile.
+async fn await_predecessor(address: SocketAddr, term: u64, inputs: mpsc::Sender<Input>) {
     while !inputs.is_closed() {
         let known = probe(address).await.and_then(|probed| probed.known);
-        if known.is_some_and(|known| known.fence >= fence) {
+        if known.is_some_and(|known| known.fence > term) {
             // A term that ended meanwhile needs no word of it.
             let _ = inputs.send(Input::PredecessorEnded(address)).await;
             return;
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use geraniumpost_batch::WriteBatch;
 use geraniumpost_batch::tuning::WRITES_AT_ONCE;
+use geraniumpost_batch::{Silent, WriteBatch};
 use geraniumpost_platform::{CommitError, Item, Put, Store};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -213,8 +213,8 @@
             return false;
         }
         let left = self.left.at(BootClock.now_ms()).silent;
-        let overstated = |(address, lasts_ms): (&SocketAddr, &u64)| {
-            left.get(address).is_none_or(|left_ms| left_ms + OVERSTATED_MS <= *lasts_ms)
+        let overstated = |(address, named): (&SocketAddr, &Silent)| {
+            left.get(address).is_none_or(|left| left.lasts_ms + OVERSTATED_MS <= named.lasts_ms)
         };
         named.iter().any(overstated)
     }
--- a/crates/geraniumpost/tests/coordinator_record.rs
+++ b/crates/geraniumpost/tests/coordinator_record.rs
@@ -1,7 +1,7 @@
 //! What a coordinator's key holds.
 
 use geraniumpost::batch::coordination::CoordinatorRecord;
-use geraniumpost_batch::Inheritance;
+use geraniumpost_batch::{Inheritance, Silent};
 
 fn record() -> CoordinatorRecord {
     CoordinatorRecord {
@@ -19,7 +19,8 @@
 #[test]
 fn inheritance_is_read_as_it_was_written() {
     let mut record = record();
-    record.inheritance.silent.insert(([10, 0, 0, 2], 7160).into(), 13_400);
+    let silent = Silent { term: 6, lasts_ms: 13_400 };
+    record.inheritance.silent.insert(([10, 0, 0, 2], 7160).into(), silent);
     record.inheritance.unreached.insert("agent-3".into(), 800);
     assert_eq!(CoordinatorRecord::decode(&record.encode()), Ok(record));
 }
