feat(batch): learn interference from how gauges lie off their running means

Cause: the model of pairs took each image's highest tail on a minion and the change between two looks. One task's tail now and then is several times its neighbours' for a second by nobody's doing; the filling task of that moment took the blame. Slopes were off, paces fell and rose by turns (1,172 changes in 48 s on 11 minions), and serving tasks were over their bounds all the same. Change: a regression of the distance from running means, which cancels the own load exactly; the lower median of a group's tails; own loads over all minions of a step where that predicts better, by minion where not; paces set at each look from what was learnt, without bounds on rises; shares of a minion in place of processors, so that the prior fits minions of any size; a place must leave nine tenths harmless and seven of unused processors.

--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -3,7 +3,9 @@
 use geraniumpost_schema::Name;
 
 use super::filling::Filling;
+use super::rooms::Room;
 use super::serving::Serving;
+use crate::tuning::SERVING_UNUSED_PERCENT;
 use crate::{Demand, JobId, MinionInfo, TaskId};
 
 /// What the coordinator knows of one minion.
@@ -48,18 +50,12 @@
     pub(super) emptied_ms: u64,
     /// Tasks that found no other place then.
     pub(super) without_place: u32,
-    /// When the pace of what fills there last changed.
-    pub(super) paced_ms: u64,
     /// For how long some serving task there has been over its bound, in milliseconds.
     pub(super) over_for_ms: u64,
     /// What serves there, by image.
     pub(super) serving_images: BTreeMap<Name, Serving>,
-    /// How much more business each serving image there can bear, beside what fills at its paces.
-    pub(super) room: Vec<(Name, f64)>,
-    /// When its gauges were last learnt from, on the steady clock.
-    pub(super) learnt_ms: u64,
-    /// Processors in use by filling images then, in thousandths.
-    pub(super) fill_used: BTreeMap<Name, f64>,
+    /// What each group of serving tasks there can bear, beside what fills at its paces.
+    pub(super) rooms: Vec<Room>,
     /// What fills there, by image.
     pub(super) fill_images: BTreeMap<Name, Filling>,
 }
@@ -88,12 +84,9 @@
             leaves_ms: 0,
             emptied_ms: 0,
             without_place: 0,
-            paced_ms: 0,
             over_for_ms: 0,
             serving_images: BTreeMap::new(),
-            room: Vec::new(),
-            learnt_ms: 0,
-            fill_used: BTreeMap::new(),
+            rooms: Vec::new(),
             fill_images: BTreeMap::new(),
         }
     }
@@ -103,6 +96,16 @@
         self.info.capacity - self.used
     }
 
+    /// Returns the processors, in thousandths, that filling tasks there could use together.
+    pub(super) fn unused_milli_cpus(&self) -> i64 {
+        self.free().milli_cpus + self.serving_cpus * SERVING_UNUSED_PERCENT / 100
+    }
+
+    /// Returns which share of its processors so many thousandths of one are.
+    pub(super) fn share(&self, milli_cpus: f64) -> f64 {
+        milli_cpus / self.info.capacity.milli_cpus.max(1) as f64
+    }
+
     /// Returns whether it has a label.
     pub(super) fn has_label(&self, label: &Name) -> bool {
         self.info.labels.contains(label)
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -10,7 +10,7 @@
 mod effect;
 mod ends;
 mod filling;
-mod harm;
+mod gauges;
 mod inherited;
 mod job;
 mod leases;
@@ -24,6 +24,7 @@
 mod patience;
 mod placing;
 mod presence;
+mod rooms;
 mod run;
 mod serving;
 mod timers;
@@ -35,6 +36,7 @@
 
 use geraniumpost_schema::Name;
 
+use crate::interference::Interference;
 use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
 
 pub use effect::{Effect, WriteBatch};
@@ -45,7 +47,6 @@
 use approvals::Approvals;
 use commits::Batch;
 use departures::Departure;
-use harm::Harm;
 use inherited::Inherited;
 use job::Job;
 use minion::Minion;
@@ -87,7 +88,7 @@
     inheritance_changed: bool,
     approvals: Approvals,
     /// How much images that fill slow images that serve.
-    harm: Harm,
+    interference: Interference,
     /// Whether something changed that may let a task be placed.
     placing_due: bool,
     /// When a successor was last told what was learnt of images.
@@ -122,7 +123,7 @@
             unreached: BTreeMap::new(),
             inheritance_changed: false,
             approvals: Approvals::default(),
-            harm: Harm::default(),
+            interference: Interference::default(),
             placing_due: false,
             told_ms: now.steady_ms,
             hopeless: BTreeMap::new(),
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -4,15 +4,12 @@
 
 use super::Coordinator;
 use super::run::OrderState;
-use crate::tuning::PACE_EVERY_MS;
 use crate::{Now, TaskId};
 
 /// Share below which a pace is set to nothing, in percent.
 const LEAST_PERCENT: u8 = 8;
 /// Smallest change of pace that is worth an order, in percent.
 const LEAST_CHANGE: u8 = 10;
-/// Largest rise of a pace at once, in percent: the model may be wrong, and the tail shows it late.
-const MOST_RISE: u8 = 35;
 /// How long a task is held up before it is moved, in milliseconds: longer than most changes of pace take
 /// to be taken back, as each second makes a whole job late. `docs/MEASUREMENTS.md` compares.
 const HELD_UP_MS: u64 = 300;
@@ -20,21 +17,19 @@
 const LITTLE_DONE_PERCENT: u8 = 15;
 /// Tasks moved in one tick, so that a full fleet does not spend its store's writes on moves alone.
 const MOVES_AT_ONCE: u32 = 30;
-/// Tail in bounds from which on paces fall with every look; they rise only now and then, so that the
-/// effect of one change is seen before the next.
-const URGENT_TAIL: f64 = 0.95;
 /// How long a tail may stay over its bound before all that fills beside it stands still, in
-/// milliseconds: two looks, in which paces by blame did not help.
-const OVER_TOO_LONG_MS: u64 = 800;
+/// milliseconds: four looks, in which paces by blame did not help.
+const OVER_TOO_LONG_MS: u64 = 1_600;
 
 impl Coordinator {
     /// Sets the pace of what fills on a minion by the tail latencies of what serves there.
     ///
     /// Users of a serving task notice slow answers while something beside it works too hard, and
-    /// the measured tail is the only sign. The model of pairs tells whom to slow down and how far;
-    /// if a tail stays over its bound all the same, everything that fills there stands still.
+    /// the measured tail is the only sign. What was learnt of images tells whom to slow down and how far,
+    /// from what they really used, so that a change which has not shown yet is not made twice. If a tail
+    /// stays over its bound all the same, everything that fills there stands still.
     pub(super) fn adjust_pace(&mut self, id: &Name, now: Now) {
-        self.observe_harm(id, now);
+        self.observe_gauges(id, now);
         self.change_paces(id, now);
         self.refresh_room(id);
     }
@@ -45,30 +40,15 @@
             return;
         }
         let worst = minion.serving_images.values().map(|serving| serving.tail).fold(0.0, f64::max);
-        let may_rise = now.steady_ms >= minion.paced_ms + PACE_EVERY_MS;
-        if !may_rise && worst < URGENT_TAIL {
-            return;
-        }
         let stand_still = minion.over_for_ms >= OVER_TOO_LONG_MS;
         let mut changes = Vec::new();
-        for (image, wanted) in self.bearable_paces(minion) {
+        for (image, bearable) in self.bearable_paces(minion) {
             let present = minion.fill_images.get(&image).map_or(100, |filling| filling.percent);
-            let wanted =
-                if stand_still { 0 } else { wanted.min(present.saturating_add(MOST_RISE)) };
-            let wanted = if wanted < LEAST_PERCENT { 0 } else { wanted };
-            let enough =
-                wanted.abs_diff(present) >= LEAST_CHANGE || (wanted == 0) != (present == 0);
-            let rises = wanted > present;
-            if (enough || (wanted == 100 && rises)) && (may_rise || !rises) {
+            let wanted = if stand_still || bearable < LEAST_PERCENT { 0 } else { bearable };
+            if is_worth_an_order(present, wanted) {
                 changes.push((image, wanted));
             }
         }
-        if changes.is_empty() {
-            return;
-        }
-        if let Some(minion) = self.minions.get_mut(id) {
-            minion.paced_ms = now.steady_ms;
-        }
         for (image, percent) in changes {
             self.set_pace(id, &image, percent, worst, now);
         }
@@ -131,3 +111,10 @@
         }
     }
 }
+
+/// Returns whether a change of pace is worth its orders: a large one, or one that ends standing still or
+/// slowness.
+const fn is_worth_an_order(present: u8, wanted: u8) -> bool {
+    let ends = (wanted == 0) != (present == 0) || (wanted == 100) != (present == 100);
+    wanted.abs_diff(present) >= LEAST_CHANGE || ends
+}
--- a/crates/geraniumpost-batch/src/coordinator/patience.rs
+++ b/crates/geraniumpost-batch/src/coordinator/patience.rs
@@ -1,22 +1,25 @@
 //! For how good a place a filling task waits, and how little asking for one may cost.
 
 use super::Coordinator;
+use super::rooms::FillSpeed;
 use crate::{Demand, JobId, Now, StepSpec, TaskId};
 
-/// Speed below which a filling task waits rather than begin, in millionths of full speed. A job is as
-/// slow as its slowest task, so one bound to a minion that cannot bear it holds up all the others.
-/// With 0.4 and slower moves half of the tasks under way stood still at times; with 0.9 a full fleet lets
-/// good enough places lie idle. docs/MEASUREMENTS.md compares.
-const LEAST_FILL_SPEED: i64 = 750_000;
+/// Share of its speed below which unused processors are too few for a filling task, so that it waits. A job
+/// is as slow as its slowest task, so one bound to a crowded minion holds up all the others; a full fleet
+/// that waits for more lets good enough places lie idle.
+const LEAST_UNUSED: f64 = 0.7;
+/// The same for the share at which it harms nobody. It is higher, as what serving tasks bear shrinks when
+/// their load rises, and the task would be slowed down or moved halfway.
+const LEAST_HARMLESS: f64 = 0.9;
 /// How long a job may have nothing at work before its next filling task begins at any speed, in
 /// milliseconds. Where no minion bears it its users would otherwise wait beside unused processors.
 const IDLE_MS: u64 = 1_800;
 
 impl Coordinator {
-    /// Returns the speed below which a task waits, in millionths of full speed.
-    pub(super) fn least_speed(&self, task: TaskId, spec: &StepSpec, now: Now) -> i64 {
+    /// Returns whether a task begins at this speed rather than wait for a better place.
+    pub(super) fn takes(&self, task: TaskId, spec: &StepSpec, speed: FillSpeed, now: Now) -> bool {
         let patient = spec.fills && !self.is_idle(task, now);
-        if patient { LEAST_FILL_SPEED } else { i64::MIN }
+        !patient || (speed.unused >= LEAST_UNUSED && speed.harmless >= LEAST_HARMLESS)
     }
 
     /// Returns whether a task's job has had nothing at work for long.
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -7,12 +7,18 @@
 use super::commits::Deferred;
 use super::job::Job;
 use super::minion::Minion;
+use super::rooms::FillSpeed;
 use super::run::{OrderState, Run, occupied};
-use crate::tuning::{
-    CPUS_FOR_STANDING_PERCENT, MEMORY_FOR_FILLING_PERCENT, SERVING_UNUSED_PERCENT,
-};
+use crate::tuning::{CPUS_FOR_STANDING_PERCENT, MEMORY_FOR_FILLING_PERCENT};
 use crate::{Demand, JobId, JobRecord, Now, Place, StepSpec, TaskId, TaskPhase};
 
+/// Least share of its speed that is told of any place, so that places stay comparable.
+const LEAST_SPEED: f64 = 0.01;
+/// Costs are compared in millionths of a task's speed.
+const MILLION: f64 = 1e6;
+/// Thousandths in one.
+const MILLI: i64 = 1_000;
+
 /// Which jobs go first; compared field by field, smaller first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -183,24 +189,28 @@
             let avoided = avoid == Some(&minion.info.id);
             Fit { avoided, far, cost: self.preference(minion, spec) }
         };
-        let least = self.least_speed(task, spec, now);
-        let worth_it = |minion: &&Minion| -fit(minion).cost >= least;
-        let best = self.minions.values().filter(fits).min_by_key(fit).filter(worth_it)?;
+        let fast = |minion: &&Minion| {
+            !spec.fills || self.takes(task, spec, self.fill_speed(minion, spec), now)
+        };
+        let best = self.minions.values().filter(fits).filter(fast).min_by_key(fit)?;
         Some(best.info.id.clone())
     }
 
     /// Returns how little a minion suits a task that fits there.
     ///
-    /// What fills goes where it will work fastest without harm, what serves where it leaves most to
-    /// what fills, and the rest where most is free.
+    /// What fills goes where it will work fastest without harm, and rather where it spends little of what
+    /// serving tasks can bear: other images may have no other place. What serves goes where it leaves most
+    /// to what fills, and the rest where most is free.
     fn preference(&self, minion: &Minion, spec: &StepSpec) -> i64 {
         /// Weight of one serving task against processors, in thousandths of a processor.
         const BESIDE_SERVING: i64 = 1_000_000;
         let free_cpus = minion.free().milli_cpus;
         if spec.fills {
-            let speed = fill_speed(minion, spec.demand.milli_cpus);
-            let harmless = self.harmless_share(minion, &spec.image, spec.demand.milli_cpus);
-            return -(speed as f64 * harmless) as i64;
+            let FillSpeed { unused, harmless, .. } = self.fill_speed(minion, spec);
+            // Among minions at full speed, the one with the most room keeps it longest.
+            let left = minion.unused_milli_cpus() - minion.fill_cpus;
+            let cost = -unused * harmless.max(LEAST_SPEED);
+            return (cost * MILLION) as i64 - left / MILLI;
         }
         if spec.serves() {
             return company(minion, &spec.image) * BESIDE_SERVING + free_cpus;
@@ -301,15 +311,6 @@
         .min(i64::from(spec.count)) as usize
 }
 
-/// Returns the speed at which a filling task would work on a minion, in millionths of full speed.
-fn fill_speed(minion: &Minion, milli_cpus: i64) -> i64 {
-    let unused = minion.free().milli_cpus + minion.serving_cpus * SERVING_UNUSED_PERCENT / 100;
-    let wanted = (minion.fill_cpus + milli_cpus).max(1);
-    let share = (unused.max(0) * 10_000 / wanted).min(10_000);
-    // Among minions at full speed, the one with the most room keeps it longest.
-    share * 100 + (unused - wanted) / 1_000
-}
-
 /// Ranks a job.
 fn rank(job: &Job, now: Now) -> Rank {
     let terms = &job.record.terms;
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -18,7 +18,7 @@
         self.empty_leaving(now);
         self.move_held_up(now);
         self.expire(now);
-        self.forget_images();
+        self.forget_groups();
         self.watch_waits(now);
         // Tasks that waited for a pause to pass may be placed now.
         self.placing_due |= !self.open.is_empty();
--- /dev/null
+++ b/crates/geraniumpost-batch/src/interference/serving_group.rs
@@ -0,0 +1,19 @@
+use geraniumpost_schema::Name;
+
+use crate::TaskId;
+
+/// The tasks of one serving step on one minion: they have the same users and the same neighbours.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServingGroup {
+    /// The minion.
+    pub minion: Name,
+    /// The step, as its first task.
+    pub step: TaskId,
+}
+
+impl ServingGroup {
+    /// Returns the group of a task on a minion.
+    pub fn of(task: TaskId, minion: &Name) -> Self {
+        Self { minion: minion.clone(), step: TaskId { index: 0, ..task } }
+    }
+}
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -24,6 +24,7 @@
 mod departures;
 mod entry_message;
 mod inheritance;
+mod interference;
 mod job_id;
 mod job_record;
 mod job_spec;
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -42,13 +42,8 @@
 /// Share of its reserved processors that a serving task leaves unused, in percent: users declare for
 /// their peaks, and such tasks were seen at under half of it.
 pub const SERVING_UNUSED_PERCENT: i64 = 50;
-/// Tail up to which minions are filled, in bounds. Tails swing by a tenth of the bound between two
-/// looks. From 0.85 to 0.92 serving tasks lost 0.03 to 0.05 of what their users are owed on each of four
-/// deployments, and only one gained over all.
+/// Tail up to which minions are filled, in bounds: what is left is for own loads that rise between two looks.
 pub const FILL_TO_TAIL: f64 = 0.90;
-/// Shortest time between two changes of pace on one minion, in milliseconds: a change acts after
-/// 100 ms and the gauge covers half a second.
-pub const PACE_EVERY_MS: u64 = 600;
 /// Pause between two writes of what was learnt of images, in milliseconds: they travel with others, and
 /// pairs are known after some five seconds.
 pub const TELL_EVERY_MS: u64 = 3_000;
--- a/crates/geraniumpost-batch/tests/coordinator/filling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/filling.rs
@@ -18,6 +18,9 @@
 #[test]
 fn filling_stands_still_beside_a_tail_that_stays_over_its_bound() {
     let mut world = World::at_work(&["m1"], serving());
+    // A quiet tail shows that there is room for both.
+    world.set_gauge(task(1, 0, 0), 25);
+    world.look("m1");
     world.submit(2, vec![filling(2)]);
     world.obey();
     world.set_gauge(task(1, 0, 0), 150);
--- a/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/world/mod.rs
@@ -204,7 +204,7 @@
         self.coordinator = Coordinator::new(self.fence, self.now)
             .hold_ms(HOLD_MS)
             .inheriting(inheritance, self.now)
-            .with_knowledge(self.knowledge.as_ref().map_or_else(Knowledge::default, |bytes| {
+            .with_knowledge(&self.knowledge.as_ref().map_or_else(Knowledge::default, |bytes| {
                 Knowledge::decode(bytes).expect("this version wrote it")
             }))
             .with_records(records.collect(), self.now);
--- a/crates/geraniumpost-core/src/placement/mod.rs
+++ b/crates/geraniumpost-core/src/placement/mod.rs
@@ -54,6 +54,7 @@
 pub use decision::Decision;
 pub use fleet::{Fleet, WorkerKey};
 pub use harm_model::HarmModel;
+pub use interner::Interner;
 pub use learnt_pair::LearntPair;
 pub use observation::Observation;
 pub use outcome::RunOutcome;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -81,7 +81,7 @@
             .hold_ms(self.hold_ms)
             .term_asked_for(self.asked_ms)
             .inheriting(&self.inheritance, self.taken)
-            .with_knowledge(knowledge)
+            .with_knowledge(&knowledge)
             .with_records(records, now);
         let (writes_tx, mut writes) = mpsc::channel(BATCHES);
         let (questions_tx, questions) = mpsc::channel(QUEUE);
