feat(batch): place filling tasks where they spend little of what serving ones bear

Cause: among places at full speed the one with most processors won, also where it used up what its serving tasks can bear, while images that are harmless to them had no other place. Change: the largest part that a task would take of any group's room counts against a place.

--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -14,6 +14,8 @@
 
 /// Least share of its speed that is told of any place, so that places stay comparable.
 const LEAST_SPEED: f64 = 0.01;
+/// Weight of what a filling task spends of what serving tasks can bear, against its speed.
+const SPENT_ROOM: f64 = 0.3;
 /// Costs are compared in millionths of a task's speed.
 const MILLION: f64 = 1e6;
 /// Thousandths in one.
@@ -206,10 +208,10 @@
         const BESIDE_SERVING: i64 = 1_000_000;
         let free_cpus = minion.free().milli_cpus;
         if spec.fills {
-            let FillSpeed { unused, harmless, .. } = self.fill_speed(minion, spec);
+            let FillSpeed { unused, harmless, spent } = self.fill_speed(minion, spec);
             // Among minions at full speed, the one with the most room keeps it longest.
             let left = minion.unused_milli_cpus() - minion.fill_cpus;
-            let cost = -unused * harmless.max(LEAST_SPEED);
+            let cost = SPENT_ROOM * spent - unused * harmless.max(LEAST_SPEED);
             return (cost * MILLION) as i64 - left / MILLI;
         }
         if spec.serves() {
