feat(batch): let jobs with the least work left go first

Cause: when more is asked for than fits, earliest objective first makes all jobs late together. Change: within a priority, jobs with the least work left go first, those without end last.

--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -10,7 +10,7 @@
 use super::rooms::FillSpeed;
 use super::run::{OrderState, Run, occupied};
 use crate::tuning::{CPUS_FOR_STANDING_PERCENT, MEMORY_FOR_FILLING_PERCENT};
-use crate::{Demand, JobId, JobRecord, Now, Place, StepSpec, TaskId, TaskPhase};
+use crate::{Demand, JobId, JobRecord, Now, Place, StepSpec, TaskId, TaskPhase, TaskRecord};
 
 /// Least share of its speed that is told of any place, so that places stay comparable.
 const LEAST_SPEED: f64 = 0.01;
@@ -28,6 +28,11 @@
     lateness: u8,
     /// The queue's urgency; 0 is the most urgent.
     priority: u32,
+    /// Whether it is never done, and so never makes room for the next.
+    lasts: bool,
+    /// Work that is left of it, in processor milliseconds. When more is asked for than fits, the least first
+    /// lets most jobs be done in time; by the end of their objectives all would be late together.
+    work_left: u64,
     /// When the objective ends, in milliseconds since 1970.
     objective_ends_ms: u64,
 }
@@ -327,7 +332,25 @@
     } else {
         2
     };
-    Rank { lateness, priority: terms.priority, objective_ends_ms: due_ms + objective_ms }
+    let lasts = job.record.spec.persistent();
+    Rank {
+        lateness,
+        priority: terms.priority,
+        lasts,
+        work_left: if lasts { 0 } else { work_left(&job.record) },
+        objective_ends_ms: due_ms + objective_ms,
+    }
+}
+
+/// Returns the work that is left of a job by its estimates, in processor milliseconds.
+fn work_left(record: &JobRecord) -> u64 {
+    let steps = record.occurrences.iter().flat_map(|o| o.steps.iter().zip(&record.spec.steps));
+    let of_step = |(tasks, spec): (&Vec<TaskRecord>, &StepSpec)| {
+        let left = tasks.iter().filter(|task| task.phase != TaskPhase::Done).count() as u64;
+        let cpus = u64::try_from(spec.demand.milli_cpus).unwrap_or(0);
+        left * cpus * u64::from(spec.estimate_ms) / 1_000
+    };
+    steps.map(of_step).sum()
 }
 
 /// Returns how much a serving task of an image would narrow what can fill a minion; smaller is
