--- a/crates/geraniumpost-batch/src/interference/estimator.rs
+++ b/crates/geraniumpost-batch/src/interference/estimator.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeMap;
 
-use geraniumpost_core::placement::{Interner, LearntPair};
+use geraniumpost_core::placement::Interner;
 use geraniumpost_schema::Name;
 
 use super::{ServingGroup, ServingImage, Slope};
-use crate::Knowledge;
+use crate::{Knowledge, LearntPair};
 
 /// Filling images told apart; further ones share the last number, so that matrices stay small.
 const MOST_FILLING: usize = 60;
@@ -33,13 +33,17 @@
     ) {
         let mut shares = Vec::new();
         for (filling, share) in used {
-            let at = (self.filling.intern(filling) as usize).min(MOST_FILLING - 1);
+            let at = self.number(filling);
             shares.resize(shares.len().max(at + 1), 0.0);
             shares[at] += share;
         }
         self.serving.entry(image.clone()).or_default().observe(group, tail, &shares, now_ms);
     }
 
+    fn number(&mut self, filling: &Name) -> usize {
+        (self.filling.intern(filling) as usize).min(MOST_FILLING - 1)
+    }
+
     /// Returns the utilization at which a serving image's tail reaches so many bounds.
     pub fn utilization_at(&self, image: &Name, tail: f64) -> f64 {
         let unseen = ServingImage::default();
@@ -63,17 +67,16 @@
     /// Returns what a successor should know: the pairs that are known best.
     pub fn knowledge(&self) -> Knowledge {
         let mut pairs = Vec::new();
-        for (service, known) in &self.serving {
-            for (class, at) in self.filling.names().iter().zip(0..MOST_FILLING) {
-                let Slope { mean, deviation } = known.slopes.get(at);
+        for (serving, known) in &self.serving {
+            for (filling, at) in self.filling.names().iter().zip(0..MOST_FILLING) {
+                let Slope { mean: slope, deviation } = known.slopes.get(at);
                 if deviation < Slope::UNKNOWN.deviation {
-                    let (service, class) = (service.clone(), class.clone());
-                    let evidence = deviation.max(f64::EPSILON).powi(-2);
-                    pairs.push(LearntPair { service, class, slope: mean, evidence });
+                    let (serving, filling) = (serving.clone(), filling.clone());
+                    pairs.push(LearntPair { serving, filling, slope, deviation });
                 }
             }
         }
-        pairs.sort_by(|a, b| b.evidence.total_cmp(&a.evidence));
+        pairs.sort_by(|a, b| a.deviation.total_cmp(&b.deviation));
         pairs.truncate(MOST_PAIRS);
         let quiet = self.serving.iter().map(|(image, known)| (image.clone(), known.idle_tail));
         Knowledge { pairs, quiet: quiet.take(MOST_SERVING).collect() }
@@ -82,13 +85,13 @@
     /// Takes over what a predecessor knew. Pairs that make no sense are passed over.
     pub fn recall(&mut self, knowledge: &Knowledge) {
         for pair in &knowledge.pairs {
-            let sensible = pair.slope.is_finite() && pair.slope >= 0.0;
-            if !sensible || !pair.evidence.is_finite() || pair.evidence <= 0.0 {
+            let sensible = |value: f64| value.is_finite() && value >= 0.0;
+            if !sensible(pair.slope) || !sensible(pair.deviation) {
                 continue;
             }
-            let at = (self.filling.intern(&pair.class) as usize).min(MOST_FILLING - 1);
-            let slope = Slope { mean: pair.slope, deviation: pair.evidence.powf(-0.5) };
-            self.serving.entry(pair.service.clone()).or_default().slopes.recall(at, slope);
+            let at = self.number(&pair.filling);
+            let slope = Slope { mean: pair.slope, deviation: pair.deviation };
+            self.serving.entry(pair.serving.clone()).or_default().slopes.recall(at, slope);
         }
         for (image, tail) in knowledge.quiet.iter().filter(|(_, tail)| *tail > 0.0) {
             self.serving.entry(image.clone()).or_default().idle_tail = *tail;
--- a/crates/geraniumpost-batch/src/knowledge.rs
+++ b/crates/geraniumpost-batch/src/knowledge.rs
@@ -1,7 +1,8 @@
-use geraniumpost_core::placement::LearntPair;
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::LearntPair;
+
 /// What a coordinator has learnt of images, for its successor.
 ///
 /// It takes seconds to learn which images disturb which, and until then users of serving tasks wait
@@ -9,7 +10,7 @@
 /// every few seconds, so it would hardly ever know. Losing this costs nothing but that time.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Knowledge {
-    /// Pairs of a serving image (the service) and a filling one (the class).
+    /// How much filling images slow serving ones.
     pub pairs: Vec<LearntPair>,
     /// The lowest tail of each serving image, in bounds.
     pub quiet: Vec<(Name, f64)>,
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -24,4 +24,4 @@
 pub const JOB_PREFIX: &str = "geraniumpost/job/";
 
 /// Key of what coordinators have learnt of images.
-pub const KNOWLEDGE_KEY: &str = "geraniumpost/knowledge";
+pub const KNOWLEDGE_KEY: &str = "geraniumpost/interference";
