test(batch): name the loads that placement and order of filling tasks answer

Cause: the kept changes of placement, order and attribution had no test of their load. Conclusion: each change has its test.

--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -8,6 +8,7 @@
 mod promises;
 mod random;
 mod review;
+mod sharing;
 mod sight;
 mod site;
 mod standing;
