refactor(batch): name throttled tasks, needs and steps that find no place by the field's terms

Cause: "held up", "wish", "hopeless" and "company" needed explaining, and comments of the tuning told how values were chosen. The line of a move is now decision=move_throttled. Ruled out: renaming the flag of late orders in the model of a site, which is another thing. Conclusion: no behaviour changes.

--- a/crates/geraniumpost-batch/src/coordinator/bar.rs
+++ b/crates/geraniumpost-batch/src/coordinator/bar.rs
@@ -24,7 +24,7 @@
     /// It does not answer its agent.
     #[display("no_answer")]
     NoAnswer,
-    /// It failed or held up what it was given.
+    /// It failed or delayed what it was given.
     #[display("shunned")]
     Shunned,
     /// It leaves.
--- a/crates/geraniumpost-batch/src/coordinator/barring.rs
+++ b/crates/geraniumpost-batch/src/coordinator/barring.rs
@@ -14,7 +14,7 @@
 
 /// What a task asks of a minion.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Wish<'a> {
+pub(super) struct TaskNeeds<'a> {
     task: TaskId,
     spec: &'a StepSpec,
     terms: &'a QueueTerms,
@@ -24,16 +24,16 @@
 
 impl Coordinator {
     /// Returns what a task asks of a minion.
-    pub(super) fn wish<'a>(&'a self, task: TaskId, spec: &'a StepSpec) -> Option<Wish<'a>> {
+    pub(super) fn needs<'a>(&'a self, task: TaskId, spec: &'a StepSpec) -> Option<TaskNeeds<'a>> {
         let terms = &self.jobs.get(&task.job)?.record.terms;
         let ran = self.task_record(task).is_some_and(|record| record.run > 0);
-        Some(Wish { task, spec, terms, ran })
+        Some(TaskNeeds { task, spec, terms, ran })
     }
 
     /// Returns why a minion does not take a task, or `None` if it does.
     #[inline]
-    pub(super) fn barred(&self, wish: &Wish<'_>, minion: &Minion, now: Now) -> Option<Bar> {
-        let Wish { task, spec, terms, ran } = *wish;
+    pub(super) fn barred(&self, needs: &TaskNeeds<'_>, minion: &Minion, now: Now) -> Option<Bar> {
+        let TaskNeeds { task, spec, terms, ran } = *needs;
         let bar = unsuitable(minion, &terms.service, spec, now);
         if bar.is_some() {
             return bar;
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -94,7 +94,7 @@
     /// When a successor was last told what was learnt of images.
     told_ms: u64,
     /// By service and image, what found no place in the present round of placements.
-    hopeless: BTreeMap<(Name, Name), crate::Demand>,
+    unplaceable: BTreeMap<(Name, Name), crate::Demand>,
     /// What waits, as far as lines and gauges tell it; no decision rests on it.
     waits: Waits,
     effects: Vec<Effect>,
@@ -126,7 +126,7 @@
             interference: Interference::default(),
             placing_due: false,
             told_ms: now.steady_ms,
-            hopeless: BTreeMap::new(),
+            unplaceable: BTreeMap::new(),
             waits: Waits::new(now.steady_ms),
             effects: Vec::new(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/ordering.rs
+++ b/crates/geraniumpost-batch/src/coordinator/ordering.rs
@@ -6,7 +6,7 @@
 use super::{Coordinator, Effect};
 use crate::{Now, Order, OrderKind, TaskId, ToAgent};
 
-/// Share of its speed below which a task counts as held up, in percent: it would take longer here than
+/// Share of its speed below which a task counts as slowed down, in percent: it would take longer here than
 /// a move and the work elsewhere.
 const SLOW_PERCENT: u8 = 50;
 
@@ -55,8 +55,8 @@
         if let Some(run) = self.runs.get_mut(&task) {
             run.pace = percent;
             run.pace_known = sent;
-            run.held_up_ms =
-                (percent < SLOW_PERCENT).then(|| run.held_up_ms.unwrap_or(now.steady_ms));
+            run.throttled_ms =
+                (percent < SLOW_PERCENT).then(|| run.throttled_ms.unwrap_or(now.steady_ms));
         }
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -10,9 +10,9 @@
 const LEAST_PERCENT: u8 = 8;
 /// Smallest change of pace that is worth an order, in percent.
 const LEAST_CHANGE: u8 = 10;
-/// How long a task is held up before it is moved, in milliseconds: longer than most changes of pace take
-/// to be taken back, as each second makes a whole job late. `docs/MEASUREMENTS.md` compares.
-const HELD_UP_MS: u64 = 300;
+/// How long a task is slowed down before it is moved, in milliseconds: longer than most changes of pace take
+/// to be taken back, as each second makes a whole job late.
+const THROTTLED_MS: u64 = 300;
 /// Progress below which a task without checkpoints is moved all the same, in percent.
 const LITTLE_DONE_PERCENT: u8 = 15;
 /// Tasks moved in one tick, so that a full fleet does not spend its store's writes on moves alone.
@@ -79,22 +79,22 @@
         minion.runs.iter().filter(ours).copied().collect()
     }
 
-    /// Moves what has been held up to where it can work.
+    /// Moves what has been slowed down to where it can work.
     ///
-    /// A task that was placed well is held up once the users of its neighbours become more. Its
+    /// A task that was placed well is slowed down once the users of its neighbours become more. Its
     /// own users would wait for as long as that lasts, while other minions have room for it.
-    pub(super) fn move_held_up(&mut self, now: Now) {
-        let held_up: Vec<TaskId> = self
+    pub(super) fn move_throttled(&mut self, now: Now) {
+        let throttled: Vec<TaskId> = self
             .runs
             .iter()
             .filter(|(_, run)| matches!(run.order, OrderState::Started { .. }))
             .filter(|(_, run)| {
-                run.held_up_ms.is_some_and(|since| now.steady_ms >= since + HELD_UP_MS)
+                run.throttled_ms.is_some_and(|since| now.steady_ms >= since + THROTTLED_MS)
             })
             .map(|(task, _)| *task)
             .collect();
         let mut moved = 0;
-        for task in held_up {
+        for task in throttled {
             let Some((percent, minion)) =
                 self.runs.get(&task).map(|run| (run.percent, run.place.minion.clone()))
             else {
@@ -106,7 +106,10 @@
                 continue;
             }
             moved += 1;
-            self.note(format!("decision=move_held_up job={} task={task} from={minion}", task.job));
+            self.note(format!(
+                "decision=move_throttled job={} task={task} from={minion}",
+                task.job
+            ));
             self.stop_run(task, now);
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/patience.rs
+++ b/crates/geraniumpost-batch/src/coordinator/patience.rs
@@ -33,23 +33,23 @@
     ///
     /// Under overload hundreds of steps wait for the same few kinds of places, and asking every
     /// minion for each of them would take most of a small VM's processor.
-    pub(super) fn is_hopeless(&self, id: JobId, spec: &StepSpec) -> bool {
+    pub(super) fn is_unplaceable(&self, id: JobId, spec: &StepSpec) -> bool {
         let Some(job) = self.jobs.get(&id).filter(|_| spec.fills) else { return false };
         let kind = (job.record.terms.service.clone(), spec.image.clone());
         let at_least = |smaller: &Demand| {
             spec.demand.milli_cpus >= smaller.milli_cpus
                 && spec.demand.memory_mb >= smaller.memory_mb
         };
-        self.hopeless.get(&kind).is_some_and(at_least)
+        self.unplaceable.get(&kind).is_some_and(at_least)
     }
 
     /// Takes note that a step has found no place in this round.
-    pub(super) fn note_hopeless(&mut self, id: JobId, spec: &StepSpec) {
+    pub(super) fn note_unplaceable(&mut self, id: JobId, spec: &StepSpec) {
         let Some(job) = self.jobs.get(&id) else { return };
         let terms = &job.record.terms;
         let plain = spec.required_label.is_empty() && spec.most_per_minion == 0;
-        if spec.fills && plain && !terms.needs_approval && !self.is_hopeless(id, spec) {
-            self.hopeless.insert((terms.service.clone(), spec.image.clone()), spec.demand);
+        if spec.fills && plain && !terms.needs_approval && !self.is_unplaceable(id, spec) {
+            self.unplaceable.insert((terms.service.clone(), spec.image.clone()), spec.demand);
         }
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -55,7 +55,7 @@
         let mut order: Vec<(Rank, JobId)> =
             self.open.iter().filter_map(|id| Some((rank(self.jobs.get(id)?, now), *id))).collect();
         order.sort_unstable();
-        self.hopeless.clear();
+        self.unplaceable.clear();
         for (_, id) in order {
             self.place_job(id, now);
         }
@@ -89,12 +89,12 @@
         let wanted = waiting.len();
         for task in waiting {
             let idle = self.is_idle(task, now);
-            if !idle && self.is_hopeless(id, &spec) {
+            if !idle && self.is_unplaceable(id, &spec) {
                 break;
             }
             let Some(minion) = self.choose(task, &spec, rack.as_ref(), now) else {
                 // Tasks of a step ask for the same, so that the others find no room either.
-                self.note_hopeless(id, &spec);
+                self.note_unplaceable(id, &spec);
                 break;
             };
             self.assign(task, &minion, gang_run, now);
@@ -188,9 +188,9 @@
         now: Now,
     ) -> Option<Name> {
         let job = self.jobs.get(&task.job)?;
-        let wish = self.wish(task, spec)?;
+        let needs = self.needs(task, spec)?;
         let avoid = job.hints.get(&task).and_then(|hint| hint.avoid.as_ref());
-        let fits = |minion: &&Minion| self.barred(&wish, minion, now).is_none();
+        let fits = |minion: &&Minion| self.barred(&needs, minion, now).is_none();
         let fit = |minion: &&Minion| -> Fit {
             let far = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoid == Some(&minion.info.id);
@@ -220,7 +220,7 @@
             return (cost * MILLION) as i64 - left / MILLI;
         }
         if spec.serves() {
-            return company(minion, &spec.image) * BESIDE_SERVING + free_cpus;
+            return mixing_cost(minion, &spec.image) * BESIDE_SERVING + free_cpus;
         }
         -free_cpus + minion.fill_cpus
     }
@@ -358,7 +358,7 @@
 ///
 /// What fills must be harmless to every image that serves there, and about two pairs in five are.
 /// So images gather by themselves, and those that cannot share minions that are mixed already.
-fn company(minion: &Minion, image: &Name) -> i64 {
+fn mixing_cost(minion: &Minion, image: &Name) -> i64 {
     let own = minion.serving_images.contains_key(image);
     match (own, minion.serving_images.len()) {
         (true, 1) => 0,
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -26,7 +26,7 @@
     /// takeover.
     pub(super) pace_known: bool,
     /// Since when it has been told to stand still or to work slowly, on the steady clock.
-    pub(super) held_up_ms: Option<u64>,
+    pub(super) throttled_ms: Option<u64>,
     /// Its last gauge.
     pub(super) gauge: u32,
     /// Since when its tail has been over its bound, on the steady clock.
@@ -80,7 +80,7 @@
             seen_ms: now_ms,
             pace: 100,
             pace_known: true,
-            held_up_ms: None,
+            throttled_ms: None,
             gauge: 0,
             over_ms: None,
             starts: 0,
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -16,7 +16,7 @@
         self.begin_all_due(now);
         self.repeat_orders(now);
         self.empty_leaving(now);
-        self.move_held_up(now);
+        self.move_throttled(now);
         self.expire(now);
         self.forget_groups();
         self.watch_waits(now);
--- a/crates/geraniumpost-batch/src/coordinator/waiting.rs
+++ b/crates/geraniumpost-batch/src/coordinator/waiting.rs
@@ -185,11 +185,11 @@
 
     /// Returns how many minions each bound keeps from taking a task, and how many take it.
     fn reasons(&self, task: TaskId, spec: &StepSpec, waiting: usize, now: Now) -> String {
-        let Some(wish) = self.wish(task, spec) else { return String::new() };
+        let Some(needs) = self.needs(task, spec) else { return String::new() };
         let mut bars = Bars::default();
         let mut open = 0;
         for minion in self.minions.values() {
-            match self.barred(&wish, minion, now) {
+            match self.barred(&needs, minion, now) {
                 Some(bar) => bars.add(bar, 1),
                 None => open += 1,
             }
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -39,13 +39,13 @@
 /// room again, and short urgent tasks would otherwise wait behind them for ever; those take about a
 /// twentieth of the fleet on the users' ordinary days.
 pub const CPUS_FOR_STANDING_PERCENT: i64 = 97;
-/// Share of its reserved processors that a serving task leaves unused, in percent: users declare for
-/// their peaks, and such tasks were seen at under half of it.
+/// Share of its reserved processors that a serving task leaves unused, in percent: users declare for their
+/// peaks.
 pub const SERVING_UNUSED_PERCENT: i64 = 50;
 /// Tail up to which minions are filled, in bounds: what is left is for own loads that rise between two looks.
 pub const FILL_TO_TAIL: f64 = 0.90;
 /// Pause between two writes of what was learnt of images, in milliseconds: they travel with others, and
-/// pairs are known after some five seconds.
+/// slopes hardly change.
 pub const TELL_EVERY_MS: u64 = 3_000;
 /// Stop orders are given again after so many milliseconds without an end.
 pub const REPEAT_STOP_MS: u64 = 1_500;
