--- a/crates/geraniumpost-batch/tests/interference.rs
+++ b/crates/geraniumpost-batch/tests/interference.rs
@@ -169,7 +169,7 @@
         learnt.observe(&image, &group, IDLE / 0.6, &used(0.0), at_ms + GAUGE_MS);
     }
     let slope = Served::learnt_slope(&learnt);
-    assert!((slope - 0.8).abs() < 0.1, "{slope}");
+    assert!((slope - 0.8).abs() < 0.08, "{slope}");
 }
 
 /// Of two images that fill, one disturbs the users and the other does not. Slowing both down would cost the
