feat(entry): tell how often, how long and why a configuration could not be read

Cause: seven entries did not take a version for 20 s and wrote one line, that the store was lost. Nothing told a reading that timed out again and again from one that had come to its end and brought nothing, and no gauge of an entry of jobs told the version in force or its age.

Change: InForce holds the configuration in force and when it was last known to be the newest. A failed reading leaves event=configuration_unread with attempt, version, age, duration and reason (attempts 1, 2, 4 and so on, so that an outage takes a dozen lines); an adopted one leaves its bytes, duration and age as well. Metrics: config_revision, config_age_seconds, config_reads by result, config_bytes. No decision changed.

--- a/crates/geraniumpost/src/batch/entry/callers.rs
+++ b/crates/geraniumpost/src/batch/entry/callers.rs
@@ -42,7 +42,7 @@
 }
 
 async fn handle(req: Request<Incoming>, shared: &Shared) -> Answer {
-    let Some(routes) = shared.routes.load_full() else {
+    let Some(routes) = shared.in_force.routes() else {
         return refuse("no configuration yet");
     };
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumpost_platform::{
-    CONFIGURATION_KEY, Change, OPERATOR_PREFIX, Store, StoreError, decode_routes,
-};
+use geraniumpost_platform::{CONFIGURATION_KEY, Change, OPERATOR_PREFIX, Store, StoreError};
 
+use super::super::BootClock;
 use super::Shared;
 
 /// How long a watch waits. A connection that has gone silent is noticed after it, and the bound on
@@ -19,32 +18,43 @@
 
 /// Follows the configuration for as long as the process runs.
 pub async fn follow(store: Arc<Store>, shared: Arc<Shared>) {
-    let mut lost = false;
+    let mut failed = 0;
     loop {
+        let mut asked_ms = BootClock.now_ms();
         let error = match store.list(OPERATOR_PREFIX, READ_TIMEOUT).await {
             Ok((items, revision)) => {
-                if lost {
+                if failed > 0 {
                     spdlog::info!("event=dependency_regained dependency=store");
-                    lost = false;
+                    failed = 0;
                 }
                 for item in items.iter().filter(|item| item.key == CONFIGURATION_KEY) {
-                    adopt(&shared, &item.value);
+                    shared.in_force.adopt(&item.value, asked_ms);
                 }
-                watch(&store, &shared, revision).await
+                shared.in_force.confirm(asked_ms);
+                watch(&store, &shared, revision, &mut asked_ms).await
             }
             Err(error) => error,
         };
-        if !lost && error != StoreError::Compacted {
-            spdlog::warn!("event=dependency_lost dependency=store why=\"{error}\"");
-            lost = true;
+        if error != StoreError::Compacted {
+            failed += 1;
+            if failed == 1 {
+                spdlog::warn!("event=dependency_lost dependency=store why=\"{error}\"");
+            }
+            shared.in_force.unread(failed, asked_ms, &error.to_string());
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-/// Watches until the watch fails.
-async fn watch(store: &Store, shared: &Shared, mut revision: u64) -> StoreError {
+/// Watches until the watch fails; `asked_ms` is when the last call was sent.
+async fn watch(
+    store: &Store,
+    shared: &Shared,
+    mut revision: u64,
+    asked_ms: &mut u64,
+) -> StoreError {
     loop {
+        *asked_ms = BootClock.now_ms();
         let watched = match store.watch(OPERATOR_PREFIX, revision, WATCH).await {
             Ok(watched) => watched,
             Err(error) => return error,
@@ -54,25 +64,9 @@
             if let Change::Written(item) = change
                 && item.key == CONFIGURATION_KEY
             {
-                adopt(shared, &item.value);
+                shared.in_force.adopt(&item.value, *asked_ms);
             }
         }
-    }
-}
-
-/// Puts a configuration in force if it is newer than the one that is.
-fn adopt(shared: &Shared, value: &[u8]) {
-    let routes = match decode_routes(value) {
-        Ok(routes) => routes,
-        Err(error) => {
-            spdlog::error!("event=configuration_unusable why=\"{error:#}\"");
-            return;
-        }
-    };
-    let before = shared.routes.load().as_ref().map_or(0, |routes| routes.version);
-    if routes.version > before {
-        let (version, queues) = (routes.version, routes.len());
-        shared.routes.store(Some(Arc::new(routes)));
-        spdlog::info!("event=configuration version={version} before={before} queues={queues}");
+        shared.in_force.confirm(*asked_ms);
     }
 }
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod configuration;
+mod in_force;
 mod readiness;
 mod relay;
 
@@ -9,15 +10,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use eyre::{ContextCompat, Result};
-use geraniumpost_platform::{NodeSettings, Routes, Store, load_settings};
+use geraniumpost_platform::{NodeSettings, Store, load_settings};
 use tokio::sync::watch;
 
 use super::coordination::{Candidate, Known};
 use super::http_server;
 use crate::metrics::Metrics;
 
+pub use in_force::InForce;
 pub use relay::{LinkState, NoAnswer, Relay};
 
 /// Time for which a stopping entry still takes connections: the balancer asks once a second, and
@@ -29,8 +30,8 @@
 /// What the entry's tasks share.
 #[derive(Debug)]
 pub struct Shared {
-    /// The configuration in force; none before the first was read.
-    pub routes: ArcSwapOption<Routes>,
+    /// The configuration in force.
+    pub in_force: InForce,
     /// Relays requests to the coordinator.
     pub relay: Relay,
     /// Counters and histograms.
@@ -55,7 +56,7 @@
     let (known_tx, known) = watch::channel::<Option<Known>>(None);
     let relay = Relay::start(settings.node.clone(), known);
     let shared = Arc::new(Shared {
-        routes: ArcSwapOption::empty(),
+        in_force: InForce::new(Arc::clone(&metrics)),
         relay,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
--- a/crates/geraniumpost/src/batch/entry/readiness.rs
+++ b/crates/geraniumpost/src/batch/entry/readiness.rs
@@ -14,7 +14,7 @@
     if req.uri().path() != READY_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
-    let configured = shared.routes.load().is_some();
+    let configured = shared.in_force.version() > 0;
     let stopping = *shared.stop.borrow();
     let answered = shared.relay.silent_ms() < SILENCE_MS;
     let ready = configured && answered && !stopping;
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -122,6 +122,24 @@
         "",
         "Revision of the configuration in force; must be equal everywhere within seconds.",
     ),
+    Description::new(
+        "config_age_seconds",
+        Kind::Gauge,
+        "",
+        "How long ago the configuration in force was known to be the newest.",
+    ),
+    Description::new(
+        "config_reads",
+        Kind::Counter,
+        "result",
+        "Readings of the configuration that brought a document (`adopted`, `known`, `unusable`), or `failed`.",
+    ),
+    Description::new(
+        "config_bytes",
+        Kind::Counter,
+        "",
+        "Bytes of the configurations that were read.",
+    ),
     Description::new(
         "planner_term",
         Kind::Gauge,
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -34,6 +34,9 @@
     store_call_duration: Histogram<f64>,
     store_up: Gauge<u64>,
     config_revision: Gauge<u64>,
+    config_age: Gauge<f64>,
+    config_reads: Counter<u64>,
+    config_bytes: Counter<u64>,
     planner_term: Gauge<u64>,
     jobs: Gauge<u64>,
     standing_task_wait: Gauge<f64>,
@@ -74,6 +77,9 @@
             store_call_duration: histogram(&meter, "store_call_duration"),
             store_up: gauge(&meter, "store_up"),
             config_revision: gauge(&meter, "config_revision"),
+            config_age: seconds(&meter, "config_age_seconds"),
+            config_reads: counter(&meter, "config_reads"),
+            config_bytes: counter(&meter, "config_bytes"),
             planner_term: gauge(&meter, "planner_term"),
             jobs: gauge(&meter, "jobs"),
             standing_task_wait: seconds(&meter, "standing_task_wait_seconds"),
@@ -154,6 +160,17 @@
         self.config_revision.record(revision, &[]);
     }
 
+    /// Notes how long ago the configuration in force was known to be the newest.
+    pub fn config_age(&self, age: Duration) {
+        self.config_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Counts a reading of the configuration, and the bytes of the document it brought.
+    pub fn config_read(&self, result: &str, bytes: usize) {
+        self.config_reads.add(1, &[label("result", result)]);
+        self.config_bytes.add(bytes as u64, &[]);
+    }
+
     /// Notes the planner term held, 0 for none.
     pub fn planner_term(&self, term: u64) {
         self.planner_term.record(term, &[]);
--- a/crates/geraniumpost/tests/metrics.rs
+++ b/crates/geraniumpost/tests/metrics.rs
@@ -16,6 +16,8 @@
     metrics.store_call("get", "ok", Duration::from_millis(2));
     metrics.store_up(true);
     metrics.config_revision(7);
+    metrics.config_age(Duration::from_millis(400));
+    metrics.config_read("adopted", 5_000);
     metrics.planner_term(3);
     metrics.jobs("running", 4);
     metrics.placement("study");
@@ -42,6 +44,8 @@
         "{text}"
     );
     assert!(text.contains("geraniumpost_config_revision 7"), "{text}");
+    assert!(text.contains("geraniumpost_config_age_seconds 0.4"), "{text}");
+    assert!(text.contains("geraniumpost_config_bytes_total 5000"), "{text}");
     assert!(
         text.contains(
             "geraniumpost_request_duration_seconds_bucket{service=\"filing\",le=\"0.005\"} 1"
