--- a/crates/geraniumpost-standin/src/relay/faults.rs
+++ b/crates/geraniumpost-standin/src/relay/faults.rs
@@ -14,4 +14,7 @@
     pub spare_new: bool,
     /// Closes new connections at once.
     pub refuse_new: bool,
+    /// Bytes a second that all connections together may pass towards the side that connects, as over
+    /// a link that they share; 0 for no bound.
+    pub back_bytes_per_s: u64,
 }
--- a/crates/geraniumpost-standin/src/relay/shared.rs
+++ b/crates/geraniumpost-standin/src/relay/shared.rs
@@ -1,6 +1,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::{Direction, RelayFaults};
 
@@ -18,6 +20,8 @@
     next: u64,
     /// Connections from this number on are spared.
     spared_from: u64,
+    /// When the bytes passed back so far are through a link with a bound.
+    back_busy_until: Option<Instant>,
 }
 
 /// One of the two ways through a relay.
@@ -66,6 +70,20 @@
         inner.spared_from = inner.next;
     }
 
+    /// Returns when so many bytes are through the link; at once without a bound.
+    pub(super) fn passed_at(&self, way: Way, bytes: usize) -> Instant {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let rate = inner.faults.back_bytes_per_s;
+        if rate == 0 || matches!(way, Way::Forward) {
+            return now;
+        }
+        let begins = inner.back_busy_until.map_or(now, |until| until.max(now));
+        let ends = begins + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        inner.back_busy_until = Some(ends);
+        ends
+    }
+
     /// Closes all open connections.
     pub(super) fn cut(&self) {
         self.cuts.send_replace(());
--- a/crates/geraniumpost-standin/src/relay/tcp.rs
+++ b/crates/geraniumpost-standin/src/relay/tcp.rs
@@ -10,7 +10,7 @@
 use super::shared::{Shared, Way};
 
 /// Bytes read at once.
-const BUFFER: usize = 64 << 10;
+const BUFFER: usize = 8 << 10;
 
 /// Accepts and relays connections until the future is dropped.
 pub(super) async fn relay(listener: TcpListener, to: SocketAddr, shared: Arc<Shared>) {
@@ -69,6 +69,7 @@
             }
             (false, read) => {
                 tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+                tokio::time::sleep_until(shared.passed_at(way, read)).await;
                 if tx.write_all(&buf[..read]).await.is_err() {
                     return;
                 }
--- a/crates/geraniumpost-standin/tests/relay.rs
+++ b/crates/geraniumpost-standin/tests/relay.rs
@@ -114,3 +114,23 @@
     near.send(b"lost").await.unwrap();
     assert!(timeout(SHORT, far.recv_from(&mut buf)).await.is_err());
 }
+
+#[tokio::test]
+async fn bound_holds_for_all_connections_together() {
+    let relay = echo_relay().await;
+    let mut streams =
+        [connect(&relay).await, connect(&relay).await].map(|stream| (stream, vec![0; 10_000]));
+    set(&relay, RelayFaults { back_bytes_per_s: 100_000, ..RelayFaults::default() }).await;
+    let start = Instant::now();
+    for (stream, buf) in &mut streams {
+        stream.write_all(buf).await.unwrap();
+    }
+    for (stream, buf) in &mut streams {
+        timeout(LONG, stream.read_exact(buf)).await.unwrap().unwrap();
+    }
+    assert!(start.elapsed() >= Duration::from_millis(200), "{:?}", start.elapsed());
+}
+
+async fn connect(relay: &Standin) -> TcpStream {
+    TcpStream::connect(relay.address()).await.unwrap()
+}
