fix(entry): read the newest configuration instead of each superseded one

Callers of entries on slow links got an old configuration for seconds after the last of a series was acknowledged: each entry fell further behind with every version.

Cause: a watch tells each version in full. While one of 0.74 MB is transferred in 0.9 s, three more are written at a distance of 0.33 s; the next answer holds all three, the one after it more still.

Change: the head of a watch's answer states its length. If that is over 64 KB, the answer is dropped unread and the key itself is read, which holds only the newest version. Ruled out: reading the key after each change, which would cost a call for each short one; a condition in a transaction, which would bring the key only if it changed, but counts as a write.

--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -20,6 +20,9 @@
 /// Longest time in which nothing of an answer arrives that has begun.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Length of an answer of a watch in bytes, above which the newest version is read instead.
+const LONG: usize = 64 * 1024;
+
 /// Follows the configuration for as long as the process runs.
 pub async fn follow(store: Arc<Store>, shared: Arc<Shared>) {
     let mut follower = Follower { store: &store, in_force: &shared.in_force, failed: 0 };
@@ -54,10 +57,17 @@
         }
     }
 
-    /// Watches from a revision on until the history behind it is gone.
+    /// Watches from a revision on until the newest version has to be read: the history is gone, or
+    /// what has changed is long.
+    ///
+    /// A watch tells each version in full, also those that are superseded. While a series of long ones is
+    /// transferred, more are written, and each answer would be longer than the one before.
     async fn watch(&mut self, mut revision: u64) {
         loop {
             let Ok((asked_ms, reading)) = self.begin_watch(revision).await else { return };
+            if reading.declared_bytes().is_some_and(|bytes| bytes > LONG) {
+                return;
+            }
             let watched = match reading.finish(SILENCE).await {
                 Ok(watched) => watched,
                 Err(error) => {
