fix(coordinator): read records page by page for as long as they arrive

Callers of a deployment whose next coordinator has a slow link would get 503 for as long as the records did not fit through it in time.

A page of records had 1.5 s for all of its 1 MB and more, which is 1.1 s of a link of 10 Mbit/s that carries nothing else; one that took longer had the whole list begun again from the first page. What a predecessor had learnt had 1.5 s as well, and without it a coordinator learns anew.

Change: both are read for as long as they arrive. A page that fails is read again, and not those before it: the records cannot change under a reader that holds the term, as all commits name the coordinator's key. A stop of the process ends the reading at once.

--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -7,10 +7,10 @@
 
 use geraniumpost_batch::tuning::STORE_SILENCE_MS;
 use geraniumpost_batch::{Coordinator, Inheritance, JobId, JobRecord, Knowledge, Now};
-use geraniumpost_platform::{Admission, Store};
+use geraniumpost_platform::{Admission, Found, Page, Store, StoreError};
 use tokio::sync::{mpsc, watch};
 
-use super::super::BootClock;
+use super::super::{BootClock, first_answer};
 use super::doorway::Inputs;
 use super::driver::{Driver, Input, Question};
 use super::left::Left;
@@ -24,8 +24,10 @@
 const QUEUE: usize = 4_096;
 /// Batches that may wait for the writer; the coordinator gathers no more than it lets be under way.
 const BATCHES: usize = 8;
-/// Longest time one page of records may take to be read.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time from one attempt to read records to the next, until one is answered.
+const READ_SPACING: Duration = Duration::from_millis(1_500);
+/// Longest time in which nothing of a page of records arrives that has begun.
+const SILENCE: Duration = Duration::from_millis(1_500);
 /// Longest time that one question to the admission service may take; it needs some milliseconds for
 /// each minion named.
 const ADMISSION_TIMEOUT: Duration = Duration::from_secs(2);
@@ -130,9 +132,12 @@
 
     /// Reads what a predecessor had learnt. Without it the coordinator learns anew.
     async fn read_knowledge(&self) -> Knowledge {
-        let item = match self.store.get(KNOWLEDGE_KEY, READ_TIMEOUT).await {
-            Ok(Some(item)) => item,
-            Ok(None) => return Knowledge::default(),
+        let reading = async {
+            self.store.begin_get(KNOWLEDGE_KEY, READ_SPACING).await?.finish(SILENCE).await
+        };
+        let item = match reading.await {
+            Ok(Found { item: Some(item), .. }) => item,
+            Ok(Found { item: None, .. }) => return Knowledge::default(),
             Err(error) => {
                 spdlog::warn!("event=read_failed what=knowledge why=\"{error}\"");
                 return Knowledge::default();
@@ -144,21 +149,48 @@
         })
     }
 
-    async fn read_records(&self, stop: watch::Receiver<bool>) -> Option<Vec<(JobId, JobRecord)>> {
+    /// Reads all records, unless the process is asked to stop meanwhile.
+    async fn read_records(
+        &self,
+        mut stop: watch::Receiver<bool>,
+    ) -> Option<Vec<(JobId, JobRecord)>> {
+        tokio::select! {
+            records = Box::pin(self.read_all_pages()) => Some(records),
+            () = crate::stop_signal::stopped(&mut stop) => None,
+        }
+    }
+
+    /// Reads page after page. One that fails is read again, and not those before it: nobody else changes
+    /// records in this term, and a list that began anew with each failure might never end.
+    async fn read_all_pages(&self) -> Vec<(JobId, JobRecord)> {
+        let mut records = Vec::new();
+        let mut last = None;
         loop {
-            if *stop.borrow() {
-                return None;
+            let page = self.read_page(last.as_deref()).await;
+            self.confirmed_ms.store(BootClock.now_ms(), Ordering::Relaxed);
+            records.extend(page.items.iter().filter_map(read_record));
+            last = page.items.last().map(|item| item.key.clone());
+            if !page.more {
+                return records;
             }
-            match self.store.list(JOB_PREFIX, READ_TIMEOUT).await {
-                Ok(items) => {
-                    self.confirmed_ms.store(BootClock.now_ms(), Ordering::Relaxed);
-                    return Some(items.iter().filter_map(read_record).collect());
-                }
-                Err(error) => {
-                    spdlog::warn!("event=read_failed what=records why=\"{error}\"");
-                    tokio::time::sleep(PAUSE).await;
-                }
+        }
+    }
+
+    async fn read_page(&self, after: Option<&str>) -> Page {
+        let failed = |error: &StoreError| {
+            spdlog::warn!("event=read_failed what=records why=\"{error}\"");
+        };
+        let attempt = |timeout| self.store.begin_page(JOB_PREFIX, after, timeout);
+        loop {
+            let read = match first_answer(READ_SPACING, attempt, failed).await {
+                Ok(reading) => reading.finish(SILENCE).await,
+                Err(error) => Err(error),
+            };
+            match read {
+                Ok(page) => return page,
+                Err(error) => failed(&error),
             }
+            tokio::time::sleep(PAUSE).await;
         }
     }
 }
