fix(entry): refuse callers while the configuration in force may be old

Callers of an entry that could not read the configuration were told that an added queue does not exist, or had jobs run by terms that were no longer in force, although the entry's own coordinator had the newer version.

Cause: an entry knew of versions only what it had read from the store itself. The older entries hear of newer revisions from each other's heartbeats; those of jobs are linked with the coordinator, and said nothing over that link.

Once a newer one has been known for the time in which it has to be in force, less 0.75 s for the way of the news, callers get 503 with Retry-After and the balancer is told that the entry is not ready; so too when neither the store nor the coordinator has been heard for as long. While nobody reaches the store, the coordinator tells that there is nothing newer, and callers are served as before.

--- a/crates/geraniumpost-batch/src/entry_message.rs
+++ b/crates/geraniumpost-batch/src/entry_message.rs
@@ -49,7 +49,10 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FromEntry {
     /// Is the coordinator alive?
-    Ping,
+    Ping {
+        /// Version of the configuration in force at the entry; 0 for none.
+        configuration: u64,
+    },
     /// A caller's request.
     Ask {
         /// Names the answer.
@@ -66,6 +69,8 @@
     Pong {
         /// Whether it reaches the store.
         store_ok: bool,
+        /// The newest version of the configuration that the coordinator has or has heard of; 0 for none.
+        configuration: u64,
     },
     /// The answer to a request.
     Answer {
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 use super::super::BootClock;
-use super::super::entry::LinkState;
+use super::super::entry::{InForce, LinkState};
 use super::doorway::{Doorway, Inputs};
 use super::loss::{Loss, SILENCE_MS, judge_link};
 use super::peers::Peers;
@@ -49,6 +49,7 @@
     hold_ms: u64,
     known: watch::Sender<Option<Known>>,
     link: watch::Receiver<LinkState>,
+    in_force: Arc<InForce>,
     metrics: Arc<Metrics>,
     confirmed_ms: Arc<AtomicU64>,
 }
@@ -80,6 +81,7 @@
         store: Arc<Store>,
         known: watch::Sender<Option<Known>>,
         link: watch::Receiver<LinkState>,
+        in_force: Arc<InForce>,
         metrics: Arc<Metrics>,
     ) -> Self {
         let hold_ms = settings.bounds.max_hold_ms.saturating_sub(HOLD_MARGIN_MS);
@@ -95,6 +97,7 @@
             hold_ms: hold_ms.min(LONGEST_HOLD_MS),
             known,
             link,
+            in_force,
             metrics,
             confirmed_ms: Arc::new(AtomicU64::new(0)),
         }
@@ -108,6 +111,7 @@
             inputs,
             confirmed_ms: Arc::clone(&self.confirmed_ms),
             link: self.link.clone(),
+            in_force: Arc::clone(&self.in_force),
             known: self.known.subscribe(),
         };
         tokio::spawn(Arc::new(doorway).serve(listener));
--- a/crates/geraniumpost/src/batch/coordination/doorway.rs
+++ b/crates/geraniumpost/src/batch/coordination/doorway.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use super::super::entry::LinkState;
+use super::super::entry::{InForce, LinkState};
 use super::super::{BootClock, FromPeer, ToPeer, peer_link};
 use super::Known;
 use super::driver::{Input, Peer};
@@ -32,6 +32,8 @@
     pub confirmed_ms: Arc<AtomicU64>,
     /// How this entry's own link to the coordinator is.
     pub link: watch::Receiver<LinkState>,
+    /// The configuration in force at this entry.
+    pub in_force: Arc<InForce>,
     /// Who coordinates.
     pub known: watch::Receiver<Option<Known>>,
 }
@@ -107,9 +109,11 @@
             };
             let Some(message) = message else { return };
             let input = match (message.head, peer) {
-                (FromPeer::EntrySays(FromEntry::Ping), _) => {
+                (FromPeer::EntrySays(FromEntry::Ping { configuration }), _) => {
+                    self.in_force.heard(configuration);
                     let store_ok = self.store_silent_ms() < STORE_SILENCE_MS;
-                    if tx.send(ToPeer::Entry(ToEntry::Pong { store_ok })).is_err() {
+                    let pong = ToEntry::Pong { store_ok, configuration: self.in_force.newest() };
+                    if tx.send(ToPeer::Entry(pong)).is_err() {
                         return;
                     }
                     continue;
--- a/crates/geraniumpost/src/batch/entry/callers.rs
+++ b/crates/geraniumpost/src/batch/entry/callers.rs
@@ -45,6 +45,9 @@
     let Some(routes) = shared.in_force.routes() else {
         return refuse("no configuration yet");
     };
+    if shared.is_behind() {
+        return refuse("the configuration in force may be old");
+    }
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = routes.find(host, req.uri().path()) else {
         return empty(StatusCode::NOT_FOUND);
--- a/crates/geraniumpost/src/batch/entry/in_force.rs
+++ b/crates/geraniumpost/src/batch/entry/in_force.rs
@@ -1,19 +1,26 @@
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use geraniumpost_platform::{Routes, decode_routes};
 
 use super::super::BootClock;
+use super::NewerVersions;
 use crate::metrics::Metrics;
 
-/// The configuration in force, and since when nothing newer is known to exist.
+/// Stands for no version that is newer than the one in force.
+const NOT_BEHIND: u64 = u64::MAX;
+
+/// The configuration in force, and what is known of newer ones.
 #[derive(Debug)]
 pub struct InForce {
     routes: ArcSwapOption<Routes>,
     /// When the call was sent that last showed the newest version, on the boot clock.
     confirmed_ms: AtomicU64,
+    newer: Mutex<NewerVersions>,
+    /// Since when a newer version is known, on the boot clock, or [`NOT_BEHIND`].
+    behind_since_ms: AtomicU64,
     metrics: Arc<Metrics>,
 }
 
@@ -21,7 +28,13 @@
     /// Returns that of an entry which has read none yet.
     pub fn new(metrics: Arc<Metrics>) -> Self {
         let confirmed_ms = AtomicU64::new(BootClock.now_ms());
-        Self { routes: ArcSwapOption::empty(), confirmed_ms, metrics }
+        Self {
+            routes: ArcSwapOption::empty(),
+            confirmed_ms,
+            newer: Mutex::default(),
+            behind_since_ms: AtomicU64::new(NOT_BEHIND),
+            metrics,
+        }
     }
 
     /// Returns the configuration in force; none before the first was read.
@@ -39,6 +52,37 @@
         BootClock.now_ms().saturating_sub(self.confirmed_ms.load(Ordering::Relaxed))
     }
 
+    /// Returns the newest version that this process or one that it hears of has.
+    pub fn newest(&self) -> u64 {
+        self.newer.lock().unwrap_or_else(PoisonError::into_inner).newest()
+    }
+
+    /// Returns for how long a newer version than the one in force has been known, in milliseconds.
+    pub fn behind_ms(&self) -> u64 {
+        BootClock.now_ms().saturating_sub(self.behind_since_ms.load(Ordering::Relaxed))
+    }
+
+    /// Notes that another process has a version.
+    pub fn heard(&self, version: u64) {
+        let known = self.newest();
+        if version <= known {
+            return;
+        }
+        self.note(|newer| newer.heard(version, BootClock.now_ms()));
+        spdlog::info!(
+            "event=configuration_heard version={version} in_force={} age_ms={}",
+            self.version(),
+            self.age_ms()
+        );
+    }
+
+    fn note(&self, change: impl FnOnce(&mut NewerVersions)) {
+        let mut newer = self.newer.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut newer);
+        let since_ms = newer.behind_since_ms().unwrap_or(NOT_BEHIND);
+        self.behind_since_ms.store(since_ms, Ordering::Relaxed);
+    }
+
     /// Notes that the store had nothing newer than what is in force when it was asked.
     pub fn confirm(&self, asked_ms: u64) {
         self.confirmed_ms.fetch_max(asked_ms, Ordering::Relaxed);
@@ -87,6 +131,8 @@
             BootClock.now_ms().saturating_sub(asked_ms),
             self.age_ms()
         );
+        let version = routes.version;
         self.routes.store(Some(Arc::new(routes)));
+        self.note(|newer| newer.adopted(version));
     }
 }
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod configuration;
 mod in_force;
+mod newer_versions;
 mod readiness;
 mod relay;
 
@@ -19,6 +20,7 @@
 use crate::metrics::Metrics;
 
 pub use in_force::InForce;
+pub use newer_versions::NewerVersions;
 pub use relay::{LinkState, NoAnswer, Relay};
 
 /// Time for which a stopping entry still takes connections: the balancer asks once a second, and
@@ -27,11 +29,17 @@
 /// Part of the grace period that is kept for requests under way, in milliseconds.
 const LAST_ANSWERS_MS: u64 = 1_200;
 
+/// How long after its acknowledgement a version may be heard of, in milliseconds: two pings of other
+/// entries and of this one, and the time that the fastest of them takes to read it.
+const HEARD_LATE_MS: u64 = 750;
+
 /// What the entry's tasks share.
 #[derive(Debug)]
 pub struct Shared {
     /// The configuration in force.
-    pub in_force: InForce,
+    pub in_force: Arc<InForce>,
+    /// For how long a newer configuration may be known before callers are refused, in milliseconds.
+    pub most_behind_ms: u64,
     /// Relays requests to the coordinator.
     pub relay: Relay,
     /// Counters and histograms.
@@ -40,6 +48,15 @@
     pub stop: watch::Receiver<bool>,
 }
 
+impl Shared {
+    /// Returns whether answers by the configuration in force may be wrong: a newer one has been known for too
+    /// long, or neither the store nor the coordinator, which would tell of one, has been heard for as long.
+    pub fn is_behind(&self) -> bool {
+        let unheard_ms = self.in_force.age_ms().min(self.relay.silent_ms());
+        self.in_force.behind_ms().max(unheard_ms) > self.most_behind_ms
+    }
+}
+
 /// Serves until the process is asked to stop.
 ///
 /// # Errors
@@ -54,16 +71,19 @@
     let metrics = super::serve_metrics(settings.ip).await?;
     let store = Arc::new(Store::new(settings.store));
     let (known_tx, known) = watch::channel::<Option<Known>>(None);
-    let relay = Relay::start(settings.node.clone(), known);
+    let in_force = Arc::new(InForce::new(Arc::clone(&metrics)));
+    let relay = Relay::start(settings.node.clone(), known, Arc::clone(&in_force));
     let shared = Arc::new(Shared {
-        in_force: InForce::new(Arc::clone(&metrics)),
+        in_force: Arc::clone(&in_force),
+        most_behind_ms: settings.bounds.config_apply_ms.saturating_sub(HEARD_LATE_MS),
         relay,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
     });
     tokio::spawn(configuration::follow(Arc::clone(&store), Arc::clone(&shared)));
     let peers = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
-    let candidate = Candidate::new(&settings, store, known_tx, shared.relay.state(), metrics);
+    let link = shared.relay.state();
+    let candidate = Candidate::new(&settings, store, known_tx, link, in_force, metrics);
     tokio::spawn(candidate.run(peers, stop.clone()));
     let ready = http_server::bind(ready).await?;
     let callers = http_server::bind(callers).await?;
--- a/crates/geraniumpost/src/batch/entry/readiness.rs
+++ b/crates/geraniumpost/src/batch/entry/readiness.rs
@@ -9,12 +9,12 @@
 /// milliseconds. The balancer waits for two misses a second apart, longer than a takeover takes.
 const SILENCE_MS: u64 = 1_000;
 
-/// Answers the balancer: ready with a configuration and a coordinator, until asked to stop.
+/// Answers the balancer: ready with the newest configuration and a coordinator, until asked to stop.
 pub fn answer(req: &Request<Incoming>, shared: &Shared) -> Answer {
     if req.uri().path() != READY_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
-    let configured = shared.in_force.version() > 0;
+    let configured = shared.in_force.version() > 0 && !shared.is_behind();
     let stopping = *shared.stop.borrow();
     let answered = shared.relay.silent_ms() < SILENCE_MS;
     let ready = configured && answered && !stopping;
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -14,6 +14,7 @@
 
 use super::super::coordination::Known;
 use super::super::{BootClock, FromPeer, ToPeer, peer_link};
+use super::InForce;
 
 /// Pause between two pings. A coordinator that is gone is noticed by three missing answers.
 const PING: Duration = Duration::from_millis(250);
@@ -85,13 +86,21 @@
 
 impl Relay {
     /// Starts relaying to whoever is known to coordinate.
-    pub fn start(node: Name, known: watch::Receiver<Option<Known>>) -> Self {
+    ///
+    /// Pings carry the version of the configuration in force, and answers the newest one that the
+    /// coordinator has heard of.
+    pub fn start(
+        node: Name,
+        known: watch::Receiver<Option<Known>>,
+        in_force: Arc<InForce>,
+    ) -> Self {
         let (tx, rx) = mpsc::channel(QUEUE);
         let (state_tx, state) = watch::channel(LinkState::default());
         let heard_ms = Arc::new(AtomicU64::new(0));
         let task = Task {
             node,
             known,
+            in_force,
             rx,
             state: state_tx,
             heard_ms: Arc::clone(&heard_ms),
@@ -146,6 +155,7 @@
 struct Task {
     node: Name,
     known: watch::Receiver<Option<Known>>,
+    in_force: Arc<InForce>,
     rx: mpsc::Receiver<Waiting>,
     state: watch::Sender<LinkState>,
     heard_ms: Arc<AtomicU64>,
@@ -221,7 +231,8 @@
                     self.keep(waiting, trusted.then_some(&tx));
                 }
                 _ = pings.tick() => {
-                    if tx.send(FromPeer::EntrySays(FromEntry::Ping)).is_err() || self.is_silent() {
+                    let ping = FromEntry::Ping { configuration: self.in_force.version() };
+                    if tx.send(FromPeer::EntrySays(ping)).is_err() || self.is_silent() {
                         return;
                     }
                 }
@@ -242,7 +253,8 @@
     fn take(&mut self, message: ToPeer) -> bool {
         let now_ms = BootClock.now_ms();
         match message {
-            ToPeer::Entry(ToEntry::Pong { store_ok }) => {
+            ToPeer::Entry(ToEntry::Pong { store_ok, configuration }) => {
+                self.in_force.heard(configuration);
                 self.heard_ms.store(now_ms, Ordering::Relaxed);
                 self.state.send_modify(|state| {
                     state.heard_ms = now_ms;
--- a/crates/geraniumpost/tests/relay_copies.rs
+++ b/crates/geraniumpost/tests/relay_copies.rs
@@ -1,11 +1,13 @@
 //! Requests that an entry sends more than once, and what their answers tell its callers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use geraniumpost::batch::coordination::Known;
-use geraniumpost::batch::entry::{NoAnswer, Relay};
+use geraniumpost::batch::entry::{InForce, NoAnswer, Relay};
 use geraniumpost::batch::{FromPeer, ToPeer};
+use geraniumpost::metrics::Metrics;
 use geraniumpost_batch::{Answer, Ask, FromEntry, JobId, JobSpec, QueueTerms, ToEntry};
 use geraniumpost_net::{Connection, FrameReader, LinkReceiver, LinkSender, open_link};
 use tokio::net::TcpListener;
@@ -16,6 +18,7 @@
 const DEADLINE: Duration = Duration::from_millis(1_200);
 /// How long a test waits for a message that must come.
 const PATIENCE: Duration = Duration::from_secs(5);
+const PONG: ToEntry = ToEntry::Pong { store_ok: true, configuration: 0 };
 const REFUSED: Answer = Answer::Refused { retry_after_ms: 1_000 };
 
 /// The coordinator's end of an entry's link.
@@ -43,12 +46,12 @@
 
     /// Answers pings until a request comes, and returns its ticket.
     async fn request(&mut self) -> u64 {
-        self.say(ToEntry::Pong { store_ok: true });
+        self.say(PONG);
         loop {
             let message = tokio::time::timeout(PATIENCE, self.rx.next()).await;
             match message.expect("a request comes").expect("the link is open").head {
-                FromPeer::EntrySays(FromEntry::Ping) => {
-                    self.say(ToEntry::Pong { store_ok: true });
+                FromPeer::EntrySays(FromEntry::Ping { .. }) => {
+                    self.say(PONG);
                 }
                 FromPeer::EntrySays(FromEntry::Ask { ticket, .. }) => return ticket,
                 _ => {}
@@ -64,7 +67,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address: SocketAddr = listener.local_addr().expect("bound");
     let (known_tx, known) = watch::channel(Some(Known { address, fence: 1 }));
-    let relay = Relay::start("entry-1".into(), known);
+    let metrics = Arc::new(Metrics::new().expect("metrics"));
+    let relay = Relay::start("entry-1".into(), known, Arc::new(InForce::new(metrics)));
     let told = tokio::spawn(async move {
         let ask =
             Ask::Submit { job: JobId(1), spec: JobSpec::default(), terms: QueueTerms::default() };
