fix(entry): open a new connection for an attempt beside a late one

Callers would have got an old configuration for 1.7 s longer after all connections to the store fell silent at once, for each connection that was idle then.

Cause: since attempts run beside each other, one that gets no answer is timed out only after three spacings. Only the time-out closed the idle connections, so that the second attempt took one of them, which is silent as well.

Change: an attempt that begins beside another closes the idle connections first.

Before: second_attempt_uses_no_connection_that_was_idle fails (1 of 1, with the call taken out). After: passes (1 of 1). configuration_is_in_force_in_time_after_all_connections_fell_silent passes with and without (3 of 3 without), as other calls of the entry close the idle connections in time; it stays as a check of the whole path.

--- a/crates/geraniumpost-outside/src/http/client.rs
+++ b/crates/geraniumpost-outside/src/http/client.rs
@@ -98,7 +98,7 @@
         };
         let sent = self.send(req, ends).await;
         if matches!(sent, Err(SendError::TimedOut)) {
-            self.drop_idle();
+            self.close_idle();
         }
         let (connection, answer) = sent?;
         Ok(Begun { client: self, method, connection, answer, _turn: turn })
@@ -142,11 +142,11 @@
         self.lock().push(connection);
     }
 
-    /// Closes the idle connections.
+    /// Closes the idle connections, so that the next exchange opens a new one.
     ///
     /// What lies between two ends can lose track of all their connections at once, without a reset;
     /// each would then cost one more call its whole timeout, although a new connection works.
-    fn drop_idle(&self) {
+    pub fn close_idle(&self) {
         self.lock().clear();
     }
 
--- a/crates/geraniumpost/src/batch/attempts.rs
+++ b/crates/geraniumpost/src/batch/attempts.rs
@@ -3,7 +3,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use geraniumpost_platform::StoreError;
+use geraniumpost_platform::{Store, StoreError};
 use tokio::time::Instant;
 
 /// Attempts that are under way at a time. The first gets this many times the pause between two of
@@ -16,13 +16,15 @@
 ///
 /// An attempt is not given up when the next one begins beside it: a connection that has gone silent never
 /// answers, but one over a busy link does, later than usual, and giving it up would only add to what the
-/// link carries. `attempt` gets the longest time for which it may wait for an answer, and `failed` is told
+/// link carries. An attempt beside another uses a new connection, as those that are idle may have gone
+/// silent as well. `attempt` gets the longest time for which it may wait for an answer, and `failed` is told
 /// of each one that got none.
 ///
 /// # Errors
 ///
 /// Fails only if the history that is asked for is gone.
 pub async fn first_answer<T, F>(
+    store: &Store,
     spacing: Duration,
     attempt: impl Fn(Duration) -> F,
     mut failed: impl FnMut(&StoreError),
@@ -35,6 +37,9 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep_until(next), if under_way.len() < ATTEMPTS as usize => {
+                if !under_way.is_empty() {
+                    store.close_idle();
+                }
                 under_way.push(attempt(spacing * ATTEMPTS));
                 next = Instant::now() + spacing;
             }
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -182,7 +182,7 @@
         };
         let attempt = |timeout| self.store.begin_page(JOB_PREFIX, after, timeout);
         loop {
-            let read = match first_answer(READ_SPACING, attempt, failed).await {
+            let read = match first_answer(&self.store, READ_SPACING, attempt, failed).await {
                 Ok(reading) => reading.finish(SILENCE).await,
                 Err(error) => Err(error),
             };
--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -92,7 +92,7 @@
             Ok((asked_ms, store.begin_get(CONFIGURATION_KEY, timeout).await?))
         };
         let began_ms = BootClock.now_ms();
-        first_answer(READ_SPACING, attempt, |error| self.failed(began_ms, error)).await
+        first_answer(store, READ_SPACING, attempt, |error| self.failed(began_ms, error)).await
     }
 
     async fn begin_watch(
@@ -106,7 +106,7 @@
             Ok((asked_ms, watch.await?))
         };
         let began_ms = BootClock.now_ms();
-        first_answer(WATCH_SPACING, attempt, |error| self.failed(began_ms, error)).await
+        first_answer(store, WATCH_SPACING, attempt, |error| self.failed(began_ms, error)).await
     }
 
     fn failed(&mut self, asked_ms: u64, error: &StoreError) {
--- a/crates/geraniumpost/tests/attempts.rs
+++ b/crates/geraniumpost/tests/attempts.rs
@@ -1,13 +1,23 @@
 //! Readings of the store that are repeated until one is answered.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use geraniumpost::batch::{ATTEMPTS, first_answer};
-use geraniumpost_platform::StoreError;
+use geraniumpost_platform::{Store, StoreError};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 const SPACING: Duration = Duration::from_millis(50);
 
+/// Returns a client of a store that these tests do not call.
+fn store() -> Store {
+    Store::new(([127, 0, 0, 1], 9).into())
+}
+
 fn failure() -> StoreError {
     StoreError::Failed("refused".to_owned())
 }
@@ -25,7 +35,7 @@
             Ok(mine)
         }
     };
-    let answer = first_answer(SPACING, attempt, |_| panic!("no attempt fails")).await;
+    let answer = first_answer(&store(), SPACING, attempt, |_| panic!("no attempt fails")).await;
     assert_eq!((answer, number.get()), (Ok(1), 3));
 }
 
@@ -44,7 +54,7 @@
         }
     };
     let began = Instant::now();
-    let answer = first_answer(SPACING, attempt, |_| panic!("no attempt fails")).await;
+    let answer = first_answer(&store(), SPACING, attempt, |_| panic!("no attempt fails")).await;
     assert_eq!(answer, Ok(2));
     assert!(began.elapsed() < SPACING * 2, "{:?}", began.elapsed());
 }
@@ -63,7 +73,8 @@
             Err::<(), _>(failure())
         }
     };
-    let reading = first_answer(SPACING, attempt, |_| *failed.borrow_mut() += 1);
+    let store = store();
+    let reading = first_answer(&store, SPACING, attempt, |_| *failed.borrow_mut() += 1);
     let ended = tokio::time::timeout(SPACING * ATTEMPTS * 4, reading).await;
     assert!(ended.is_err(), "it goes on");
     assert!(*failed.borrow() >= 6, "{} failed", failed.borrow());
@@ -81,7 +92,8 @@
     let began = Instant::now();
     let failed = Cell::new(0);
     let answer =
-        first_answer(Duration::from_secs(20), attempt, |_| failed.set(failed.get() + 1)).await;
+        first_answer(&store(), Duration::from_secs(20), attempt, |_| failed.set(failed.get() + 1))
+            .await;
     assert_eq!((answer, failed.get()), (Ok(3), 2));
     assert!(began.elapsed() >= Duration::from_millis(300), "{:?}", began.elapsed());
     assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
@@ -90,6 +102,54 @@
 #[tokio::test]
 async fn lost_history_is_told_at_once() {
     let attempt = |_| async { Err::<(), _>(StoreError::Compacted) };
-    let answer = first_answer(SPACING, attempt, |_| panic!("it is no failure")).await;
+    let answer = first_answer(&store(), SPACING, attempt, |_| panic!("it is no failure")).await;
     assert_eq!(answer, Err(StoreError::Compacted));
 }
+
+/// Answers each request on a connection as if there were no such key, while `answers` holds.
+async fn serve(mut stream: TcpStream, answers: Arc<AtomicBool>) {
+    let mut buf = [0; 4096];
+    while let Ok(1..) = stream.read(&mut buf).await {
+        if !answers.load(Ordering::SeqCst) {
+            return std::future::pending().await;
+        }
+        let answer = b"HTTP/1.1 404 Not Found\r\ncontent-length: 19\r\n\r\n{\"storeRevision\":1}";
+        if stream.write_all(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts a store of which the first two connections answer only while the flag holds.
+async fn two_connections_that_fall_silent() -> (SocketAddr, Arc<AtomicBool>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let first_two = Arc::new(AtomicBool::new(true));
+    let answers = Arc::clone(&first_two);
+    tokio::spawn(async move {
+        for number in 0.. {
+            let (stream, _) = listener.accept().await.unwrap();
+            let always = Arc::new(AtomicBool::new(true));
+            tokio::spawn(serve(stream, if number < 2 { Arc::clone(&answers) } else { always }));
+        }
+    });
+    (address, first_two)
+}
+
+/// Guards against connections that all fell silent at once: each that is idle would cost one more attempt
+/// its time, although a new connection works.
+#[tokio::test]
+async fn second_attempt_uses_no_connection_that_was_idle() {
+    let (address, answers) = two_connections_that_fall_silent().await;
+    let store = Store::new(address);
+    let long = Duration::from_secs(20);
+    let store = &store;
+    let get = |timeout| async move { store.begin_get("a", timeout).await?.finish(long).await };
+    let (one, other) = tokio::join!(get(long), get(long));
+    assert!(one.is_ok() && other.is_ok());
+    answers.store(false, Ordering::SeqCst);
+    let began = Instant::now();
+    let answer = first_answer(store, SPACING, get, |_| panic!("no attempt fails")).await;
+    assert!(answer.is_ok());
+    assert!(began.elapsed() < SPACING * 2, "{:?}", began.elapsed());
+}
