fix(outside): read long values of the key-value service for as long as they arrive

A reading of the key-value service had 2 s for all of a value of up to 1 MB (buckets of jobs, the configuration), and one that took longer was begun again from its first byte.

Change: readings fail only if nothing arrives for the time of a call; writes keep their limit, as their answers are short.

Before: long_value_is_read_over_a_slow_link fails (1 of 1: timed out after sending). After: passes, with the other 44 tests of the crate. Looked at and left: commits, whose limit doubles up to 2 s with each that is not answered and whose records are few; the coordinator's key, the list of entries and the admission service's answers, which have some KB; links between processes, which have no limit on a message.

--- a/crates/geraniumpost-outside/src/http/client.rs
+++ b/crates/geraniumpost-outside/src/http/client.rs
@@ -60,6 +60,15 @@
         self.send_as(host, req, timeout).await
     }
 
+    /// Sends a request, and reads the whole answer unless nothing of it arrives for `silence`.
+    pub async fn patient_exchange(
+        &self,
+        req: Request<Full<Bytes>>,
+        silence: Duration,
+    ) -> Result<Exchange, SendError> {
+        Box::pin(self.begin(req, silence)).await?.finish(silence).await
+    }
+
     /// Sends a request and waits until its answer begins, for at most `timeout`.
     ///
     /// A long answer takes as long as the link has room for it: a limit on all of it would end each
--- a/crates/geraniumpost-outside/src/store/client.rs
+++ b/crates/geraniumpost-outside/src/store/client.rs
@@ -44,7 +44,8 @@
         Self { client, calls: Arc::default(), timeout: TIMEOUT, observer: None }
     }
 
-    /// Sets the time for a call, after which it fails as [`StoreError::Uncertain`].
+    /// Sets the time after which a call fails as [`StoreError::Uncertain`]: that for all of a write, and
+    /// that in which nothing of an answer arrives for a reading, which may be long.
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -192,7 +193,11 @@
         let req = req.body(Full::new(body)).map_err(|e| SendError::NotSent(e.to_string()))?;
         let operation = operation(req.method(), req.uri().path());
         let begin = Instant::now();
-        let outcome = self.client.exchange(req, timeout).await;
+        let outcome = if req.method() == Method::GET {
+            self.client.patient_exchange(req, timeout).await
+        } else {
+            self.client.exchange(req, timeout).await
+        };
         if let Some(observer) = &self.observer {
             observer(StoreCall { operation, result: result(&outcome), took: begin.elapsed() });
         }
--- a/crates/geraniumpost-outside/tests/store.rs
+++ b/crates/geraniumpost-outside/tests/store.rs
@@ -7,6 +7,7 @@
 use geraniumpost_outside::{Expect, Store, StoreError, Versioned, Watched};
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::http::Down;
+use geraniumpost_standin::relay::{self, Protocol, RelayFaults};
 use geraniumpost_standin::store::{StoreCounts, StoreFaults, spawn_in_process};
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -228,6 +229,23 @@
     assert_eq!((counts.put, counts.conflicts, counts.watch, counts.writes()), (2, 1, 1, 5));
 }
 
+/// Guards against a limit on the whole transfer of a value: over a slow link a long one would be begun
+/// again from its first byte for ever.
+#[tokio::test]
+async fn long_value_is_read_over_a_slow_link() {
+    let (standin, direct) = store().await;
+    direct.put("jobs", vec![b'x'; 200_000], Expect::Absent, None).await.unwrap();
+    let link = relay::spawn_in_process(ANY, ANY, Protocol::Tcp, standin.address()).await.unwrap();
+    // The value takes 0.7 s.
+    let faults = RelayFaults { back_bytes_per_s: 300_000, ..RelayFaults::default() };
+    link.control().set_faults(&faults).await.unwrap();
+    let slow = Store::new(link.address()).timeout(SHORT);
+    let read = slow.get("jobs").await.unwrap().expect("it was written");
+    assert_eq!(read.value.len(), 200_000);
+    let watched = slow.watch("jobs", 0, SHORT).await.unwrap();
+    assert_matches!(watched, Watched::Written(read) if read.value.len() == 200_000);
+}
+
 /// Metrics are made from what the observer is told; an outage must not look like health.
 #[tokio::test]
 async fn every_call_is_told_to_the_observer() {
