fix(entry): count a configuration as unread from the first bytes of the news

Callers of a fleet in which no entry reads a long configuration in time would have got answers by the old one: with no entry that has it, none hears of it from another.

Cause: an entry knew that it was behind only once another one had the newer version.

Change: the head of a long answer to a watch shows that there is a change; until it was read, the entry counts as behind since then. Whether neither store nor coordinator was heard for long is judged by the bound itself, as the age of what is in force is up to 2 s in calm times (a watch is confirmed for the time at which it was sent).

--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -66,6 +66,7 @@
         loop {
             let Ok((asked_ms, reading)) = self.begin_watch(revision).await else { return };
             if reading.declared_bytes().is_some_and(|bytes| bytes > LONG) {
+                self.in_force.unread();
                 return;
             }
             let watched = match reading.finish(SILENCE).await {
@@ -114,7 +115,7 @@
         if self.failed == 1 {
             spdlog::warn!("event=dependency_lost dependency=store why=\"{error}\"");
         }
-        self.in_force.unread(self.failed, asked_ms, &error.to_string());
+        self.in_force.failed(self.failed, asked_ms, &error.to_string());
     }
 
     fn succeeded(&mut self, asked_ms: u64) {
--- a/crates/geraniumpost/src/batch/entry/in_force.rs
+++ b/crates/geraniumpost/src/batch/entry/in_force.rs
@@ -19,8 +19,10 @@
     /// When the call was sent that last showed the newest version, on the boot clock.
     confirmed_ms: AtomicU64,
     newer: Mutex<NewerVersions>,
-    /// Since when a newer version is known, on the boot clock, or [`NOT_BEHIND`].
+    /// Since when another process is known to have a newer version, on the boot clock, or [`NOT_BEHIND`].
     behind_since_ms: AtomicU64,
+    /// Since when the store is known to have a change that was not read yet, likewise.
+    unread_since_ms: AtomicU64,
     metrics: Arc<Metrics>,
 }
 
@@ -33,6 +35,7 @@
             confirmed_ms,
             newer: Mutex::default(),
             behind_since_ms: AtomicU64::new(NOT_BEHIND),
+            unread_since_ms: AtomicU64::new(NOT_BEHIND),
             metrics,
         }
     }
@@ -59,7 +62,14 @@
 
     /// Returns for how long a newer version than the one in force has been known, in milliseconds.
     pub fn behind_ms(&self) -> u64 {
-        BootClock.now_ms().saturating_sub(self.behind_since_ms.load(Ordering::Relaxed))
+        let behind_since_ms = self.behind_since_ms.load(Ordering::Relaxed);
+        let since_ms = behind_since_ms.min(self.unread_since_ms.load(Ordering::Relaxed));
+        BootClock.now_ms().saturating_sub(since_ms)
+    }
+
+    /// Notes that the store has a change that still has to be read.
+    pub fn unread(&self) {
+        self.unread_since_ms.fetch_min(BootClock.now_ms(), Ordering::Relaxed);
     }
 
     /// Notes that another process has a version.
@@ -86,11 +96,12 @@
     /// Notes that the store had nothing newer than what is in force when it was asked.
     pub fn confirm(&self, asked_ms: u64) {
         self.confirmed_ms.fetch_max(asked_ms, Ordering::Relaxed);
+        self.unread_since_ms.store(NOT_BEHIND, Ordering::Relaxed);
         self.metrics.config_age(Duration::from_millis(self.age_ms()));
     }
 
     /// Notes that a reading failed, for the `attempt`th time in a row.
-    pub fn unread(&self, attempt: u32, asked_ms: u64, why: &str) {
+    pub fn failed(&self, attempt: u32, asked_ms: u64, why: &str) {
         let age_ms = self.age_ms();
         self.metrics.config_read("failed", 0);
         self.metrics.config_age(Duration::from_millis(age_ms));
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -38,8 +38,8 @@
 pub struct Shared {
     /// The configuration in force.
     pub in_force: Arc<InForce>,
-    /// For how long a newer configuration may be known before callers are refused, in milliseconds.
-    pub most_behind_ms: u64,
+    /// Time in which an acknowledged configuration has to be in force, in milliseconds.
+    pub config_apply_ms: u64,
     /// Relays requests to the coordinator.
     pub relay: Relay,
     /// Counters and histograms.
@@ -49,11 +49,12 @@
 }
 
 impl Shared {
-    /// Returns whether answers by the configuration in force may be wrong: a newer one has been known for too
-    /// long, or neither the store nor the coordinator, which would tell of one, has been heard for as long.
+    /// Returns whether answers by the configuration in force may be wrong: a newer one has to be in force by
+    /// now, or neither the store nor the coordinator, which would tell of one, has been heard for as long.
     pub fn is_behind(&self) -> bool {
         let unheard_ms = self.in_force.age_ms().min(self.relay.silent_ms());
-        self.in_force.behind_ms().max(unheard_ms) > self.most_behind_ms
+        let most_behind_ms = self.config_apply_ms.saturating_sub(HEARD_LATE_MS);
+        self.in_force.behind_ms() > most_behind_ms || unheard_ms > self.config_apply_ms
     }
 }
 
@@ -75,7 +76,7 @@
     let relay = Relay::start(settings.node.clone(), known, Arc::clone(&in_force));
     let shared = Arc::new(Shared {
         in_force: Arc::clone(&in_force),
-        most_behind_ms: settings.bounds.config_apply_ms.saturating_sub(HEARD_LATE_MS),
+        config_apply_ms: settings.bounds.config_apply_ms,
         relay,
         metrics: Arc::clone(&metrics),
         stop: stop.clone(),
