fix(entry): read the configuration again after a failed watch, and when others have a newer one

Callers of an entry whose watch had passed over a change would have got the old configuration until the next change: since watches were repeated from the same revision after a failure, nothing looked for what an earlier answer had passed over.

Change: a watch that failed is followed by a reading of the key. So is one that told of nothing while another entry has had a newer version for 0.6 s. After an answer that cannot be used, and after a lost history, there is a pause of 150 ms: a store that answered with what is none was asked 160 times in 2 s.

--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -19,7 +19,11 @@
 const WATCH_SPACING: Duration = Duration::from_millis(1_700);
 /// Longest time in which nothing of an answer arrives that has begun.
 const SILENCE: Duration = Duration::from_millis(1_500);
-
+/// Pause after an answer that could not be used.
+const PAUSE: Duration = Duration::from_millis(150);
+/// For how long another entry may have a newer version before the watch is taken to have passed over it, in
+/// milliseconds.
+const PASSED_OVER_MS: u64 = 600;
 /// Length of an answer of a watch in bytes, above which the newest version is read instead.
 const LONG: usize = 64 * 1024;
 
@@ -54,36 +58,52 @@
                 }
                 Err(error) => self.failed(asked_ms, &error),
             }
+            tokio::time::sleep(PAUSE).await;
         }
     }
 
-    /// Watches from a revision on until the newest version has to be read: the history is gone, or
-    /// what has changed is long.
+    /// Watches from a revision on until the newest version has to be read: the history is gone, a watch
+    /// failed and may have passed over something before, another entry has had a newer version for
+    /// a while, or what has changed is long.
     ///
     /// A watch tells each version in full, also those that are superseded. While a series of long ones is
     /// transferred, more are written, and each answer would be longer than the one before.
     async fn watch(&mut self, mut revision: u64) {
         loop {
-            let Ok((asked_ms, reading)) = self.begin_watch(revision).await else { return };
-            if reading.declared_bytes().is_some_and(|bytes| bytes > LONG) {
-                self.in_force.unread();
+            let begun = self.begin_watch(revision).await;
+            if self.failed > 0 {
                 return;
             }
-            let watched = match reading.finish(SILENCE).await {
-                Ok(watched) => watched,
+            let Ok((asked_ms, reading)) = begun else {
+                return tokio::time::sleep(PAUSE).await;
+            };
+            if reading.declared_bytes().is_some_and(|bytes| bytes > LONG) {
+                return self.in_force.unread();
+            }
+            match reading.finish(SILENCE).await {
+                Ok(watched) => revision = revision.max(self.take(watched, asked_ms)),
                 Err(error) => {
                     self.failed(asked_ms, &error);
-                    continue;
-                }
-            };
-            revision = revision.max(watched.revision);
-            for change in watched.changes {
-                if let Change::Written(item) = change {
-                    self.in_force.adopt(&item.value, asked_ms);
+                    return tokio::time::sleep(PAUSE).await;
                 }
             }
-            self.succeeded(asked_ms);
+            if self.in_force.behind_ms() > PASSED_OVER_MS {
+                return;
+            }
+        }
+    }
+
+    /// Takes what a watch told, and returns the revision from which to go on.
+    fn take(&mut self, watched: Watched, asked_ms: u64) -> u64 {
+        for change in watched.changes {
+            if let Change::Written(item) = change
+                && item.key == CONFIGURATION_KEY
+            {
+                self.in_force.adopt(&item.value, asked_ms);
+            }
         }
+        self.succeeded(asked_ms);
+        watched.revision
     }
 
     async fn begin_read(&mut self) -> Result<(u64, Reading<'a, Found>), StoreError> {
