--- a/crates/geraniumpost/src/batch/attempts.rs
+++ b/crates/geraniumpost/src/batch/attempts.rs
@@ -6,8 +6,8 @@
 use geraniumpost_platform::{Store, StoreError};
 use tokio::time::Instant;
 
-/// Attempts that are under way at a time. The first gets this many times the pause between two of
-/// them to be answered.
+/// Attempts that may be under way at a time. Each gets this many times the time between two of them to be
+/// answered.
 pub const ATTEMPTS: u32 = 3;
 /// Pause after an attempt that failed at once.
 const PAUSE: Duration = Duration::from_millis(150);
