refactor(entry): import first_answer from where it is re-exported; keep field names of the store out of a test

Read as a newcomer: one module imported the function by its private path, and a test outside platform/ spelled a field of the store's answers, which it does not need.

--- a/crates/geraniumpost/src/batch/entry/configuration.rs
+++ b/crates/geraniumpost/src/batch/entry/configuration.rs
@@ -7,8 +7,7 @@
     CONFIGURATION_KEY, Change, Found, Reading, Store, StoreError, Watched,
 };
 
-use super::super::BootClock;
-use super::super::attempts::first_answer;
+use super::super::{BootClock, first_answer};
 use super::{InForce, Shared};
 
 /// How long a watch waits. A connection that has gone silent is noticed after it.
--- a/crates/geraniumpost/tests/attempts.rs
+++ b/crates/geraniumpost/tests/attempts.rs
@@ -113,7 +113,7 @@
         if !answers.load(Ordering::SeqCst) {
             return std::future::pending().await;
         }
-        let answer = b"HTTP/1.1 404 Not Found\r\ncontent-length: 19\r\n\r\n{\"storeRevision\":1}";
+        let answer = b"HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\n{}";
         if stream.write_all(answer).await.is_err() {
             return;
         }
