--- a/crates/geraniumpost-batch/tests/coordinator/sharing.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/sharing.rs
@@ -91,6 +91,82 @@
     assert_eq!(place(4).as_deref(), Some("m1"));
 }
 
+/// Returns a world with a minion whose serving task is at about half of its bound.
+fn half_loaded() -> World {
+    let mut world = World::at_work(&["m1"], serving("kiosk", 1));
+    world.set_gauge(task(1, 0, 0), 45);
+    for _ in 0..8 {
+        world.pass(400);
+        world.beat("m1");
+        world.look("m1");
+    }
+    world
+}
+
+fn small_filling(image: &str, count: u32) -> StepSpec {
+    let demand = Demand { milli_cpus: 800, memory_mb: 1_000, accelerators: 0 };
+    StepSpec { demand, ..filling(image, count) }
+}
+
+/// A wide step of an image comes whose effect on a serving one nobody knows. Were it judged by the mean of all
+/// pairs, all its tasks would begin there at once; beside one that disturbs hard, users would wait for seconds
+/// until the next looks have shown it.
+#[test]
+fn few_tasks_of_an_unknown_image_begin_before_it_is_known() {
+    let mut world = half_loaded();
+    world.submit(2, vec![small_filling("logs", 6)]);
+    let begun = world.orders.len();
+    assert!((1..=2).contains(&begun), "{begun} begin at once");
+    world.obey();
+    for _ in 0..20 {
+        // The serving task shows that what fills beside it does not disturb it.
+        let at_work = world.places().len() as u32 - 1;
+        (0..at_work).for_each(|index| world.set_gauge(task(2, 0, index), 800));
+        world.pass(400);
+        world.beat("m1");
+        world.look("m1");
+        world.obey();
+    }
+    assert_eq!(world.places().len(), 7, "it is known to be harmless");
+}
+
+/// No minion surely bears the tasks of an image that nobody knows, as there is little room. They begin soon all
+/// the same where they probably do no harm: their users would otherwise wait beside unused processors, and nothing
+/// would ever be learnt of the image.
+#[test]
+fn task_waits_only_a_moment_for_a_place_that_surely_bears_it() {
+    let mut world = half_loaded();
+    let demand = Demand { milli_cpus: 3_200, memory_mb: 1_000, accelerators: 0 };
+    world.submit(2, vec![StepSpec { demand, ..filling("logs", 1) }]);
+    world.pass(400);
+    assert!(world.orders.is_empty());
+    world.pass(400);
+    assert_eq!(world.orders.len(), 1);
+}
+
+/// It is known how far an image disturbs one of two serving images, and nothing is known of it beside the other. It
+/// may be of the hard kind there, so it is not tried while it has a place that surely bears it.
+#[test]
+fn known_place_goes_before_an_unknown_one() {
+    let mut world = knowing(&[("kiosk", "logs", 1.0)]);
+    for (job, (minion, image, label)) in
+        [("m1", "gate", "a"), ("m2", "kiosk", "b")].iter().enumerate()
+    {
+        world.join(minion, |mut info| {
+            info.labels.push((*label).into());
+            info
+        });
+        let spec = StepSpec { required_label: (*label).into(), ..serving(image, 1) };
+        world.submit(job as u64 + 1, vec![spec]);
+        world.obey();
+        world.set_gauge(task(job as u64 + 1, 0, 0), 40);
+        world.look(minion);
+    }
+    world.submit(3, vec![small_filling("logs", 1)]);
+    let order = world.orders.iter().find(|order| order.task.job == JobId(3));
+    assert_eq!(order.map(|order| &*order.minion), Some("m2"));
+}
+
 /// More is asked for than fits. Were the jobs to go on by the ends of their objectives, all would be done a
 /// little too late; the smallest first lets most callers have theirs in time.
 #[test]
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use geraniumpost_batch::tuning::{ENTRY_GONE_MS, WRITES_AT_ONCE};
+use geraniumpost_batch::tuning::{ENTRY_GONE_MS, STORE_SILENCE_MS, WRITES_AT_ONCE};
 use geraniumpost_batch::{Silent, WriteBatch};
 use geraniumpost_platform::{CommitError, Item, Put, Store};
 use tokio::sync::{mpsc, watch};
@@ -235,10 +235,13 @@
         named.iter().any(overstated)
     }
 
-    /// Returns whether the key should name other voters, and was not rewritten a moment ago.
+    /// Returns whether the key should name other voters. It was not rewritten a moment ago, and the store
+    /// answers: this is not urgent enough to ask for again and again while it does not.
     fn voters_are_due(&self) -> bool {
-        BootClock.now_ms() >= self.named_voters_ms + NAME_VOTERS_EVERY_MS
-            && self.support.wanted().is_some()
+        let now_ms = BootClock.now_ms();
+        let answers = now_ms < self.confirmed_ms.load(Ordering::Relaxed) + STORE_SILENCE_MS;
+        let due = now_ms >= self.named_voters_ms + NAME_VOTERS_EVERY_MS;
+        answers && due && self.support.wanted().is_some()
     }
 
     /// Makes sure that no earlier write can be carried out any more.
