--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -25,8 +25,6 @@
     pub(super) hints: HashMap<TaskId, Hint>,
     /// Since when nothing of it has been at work, on the steady clock.
     pub(super) idle_ms: Option<u64>,
-    /// Since when its filling tasks have looked for places that surely bear them, on the steady clock.
-    pub(super) unsure_ms: Option<u64>,
     /// Estimated length of the longest chain in milliseconds.
     pub(super) chain_ms: u64,
 }
@@ -55,7 +53,6 @@
             after_commit: Vec::new(),
             hints: HashMap::new(),
             idle_ms: None,
-            unsure_ms: None,
             chain_ms,
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -97,8 +97,8 @@
     placing_due: bool,
     /// When a successor was last told what was learnt of images.
     told_ms: u64,
-    /// What found no place in the present round of placements.
-    unplaceable: BTreeMap<patience::PlaceKind, crate::Demand>,
+    /// By service and image, what found no place in the present round of placements.
+    unplaceable: BTreeMap<(Name, Name), crate::Demand>,
     /// What waits, as far as lines and gauges tell it; no decision rests on it.
     waits: Waits,
     effects: Vec<Effect>,
--- a/crates/geraniumpost-batch/src/coordinator/patience.rs
+++ b/crates/geraniumpost-batch/src/coordinator/patience.rs
@@ -1,7 +1,5 @@
 //! For how good a place a filling task waits, and how little asking for one may cost.
 
-use geraniumpost_schema::Name;
-
 use super::Coordinator;
 use super::rooms::FillSpeed;
 use crate::{Demand, JobId, Now, StepSpec, TaskId};
@@ -13,46 +11,15 @@
 /// The same for the share at which it harms nobody. It is higher, as what serving tasks bear shrinks when
 /// their load rises, and the task would be slowed down or moved halfway.
 const LEAST_HARMLESS: f64 = 0.9;
-/// How long a filling task waits for a place that surely bears it before it takes one that probably does, in
-/// milliseconds: about a look, after which more is known. A place that turns out not to bear it costs the users
-/// of serving tasks a second or two, and the task a move.
-const UNSURE_MS: u64 = 600;
 /// How long a job may have nothing at work before its next filling task begins at any speed, in
 /// milliseconds. Where no minion bears it its users would otherwise wait beside unused processors.
 const IDLE_MS: u64 = 1_800;
 
-/// A service, a filling image, and whether only places will do that surely bear it.
-pub(super) type PlaceKind = (Name, Name, bool);
-
 impl Coordinator {
     /// Returns whether a task begins at this speed rather than wait for a better place.
     pub(super) fn takes(&self, task: TaskId, spec: &StepSpec, speed: FillSpeed, now: Now) -> bool {
-        if !spec.fills || self.is_idle(task, now) {
-            return true;
-        }
-        let unsure = self.takes_unsure_places(task.job, now);
-        let harmless = if unsure { speed.harmless } else { speed.surely_harmless };
-        speed.unused >= LEAST_UNUSED && harmless >= LEAST_HARMLESS
-    }
-
-    /// Returns whether a job has waited for places that surely bear its filling tasks for long enough.
-    fn takes_unsure_places(&self, id: JobId, now: Now) -> bool {
-        let since_ms = self.jobs.get(&id).and_then(|job| job.unsure_ms);
-        since_ms.is_some_and(|since_ms| now.steady_ms >= since_ms + UNSURE_MS)
-    }
-
-    /// Takes note that a job looks for places for a step.
-    pub(super) fn begin_wait_for_sure_places(&mut self, id: JobId, spec: &StepSpec, now: Now) {
-        if let Some(job) = self.jobs.get_mut(&id).filter(|_| spec.fills) {
-            job.unsure_ms.get_or_insert(now.steady_ms);
-        }
-    }
-
-    /// Takes note that all tasks of the step have one.
-    pub(super) fn end_wait_for_sure_places(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.unsure_ms = None;
-        }
+        let patient = spec.fills && !self.is_idle(task, now);
+        !patient || (speed.unused >= LEAST_UNUSED && speed.harmless >= LEAST_HARMLESS)
     }
 
     /// Returns whether a task's job has had nothing at work for long.
@@ -66,8 +33,9 @@
     ///
     /// Under overload hundreds of steps wait for the same few kinds of places, and asking every
     /// minion for each of them would take most of a small VM's processor.
-    pub(super) fn is_unplaceable(&self, id: JobId, spec: &StepSpec, now: Now) -> bool {
-        let Some(kind) = self.kind_of_place(id, spec, now) else { return false };
+    pub(super) fn is_unplaceable(&self, id: JobId, spec: &StepSpec) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|_| spec.fills) else { return false };
+        let kind = (job.record.terms.service.clone(), spec.image.clone());
         let at_least = |smaller: &Demand| {
             spec.demand.milli_cpus >= smaller.milli_cpus
                 && spec.demand.memory_mb >= smaller.memory_mb
@@ -76,20 +44,12 @@
     }
 
     /// Takes note that a step has found no place in this round.
-    pub(super) fn note_unplaceable(&mut self, id: JobId, spec: &StepSpec, now: Now) {
-        let Some(kind) = self.kind_of_place(id, spec, now) else { return };
+    pub(super) fn note_unplaceable(&mut self, id: JobId, spec: &StepSpec) {
         let Some(job) = self.jobs.get(&id) else { return };
         let terms = &job.record.terms;
         let plain = spec.required_label.is_empty() && spec.most_per_minion == 0;
-        if plain && !terms.needs_approval && !self.is_unplaceable(id, spec, now) {
-            self.unplaceable.insert(kind, spec.demand);
+        if spec.fills && plain && !terms.needs_approval && !self.is_unplaceable(id, spec) {
+            self.unplaceable.insert((terms.service.clone(), spec.image.clone()), spec.demand);
         }
     }
-
-    /// Returns what kind of place a filling step looks for.
-    fn kind_of_place(&self, id: JobId, spec: &StepSpec, now: Now) -> Option<PlaceKind> {
-        let job = self.jobs.get(&id).filter(|_| spec.fills)?;
-        let sure = !self.takes_unsure_places(id, now);
-        Some((job.record.terms.service.clone(), spec.image.clone(), sure))
-    }
 }
--- a/crates/geraniumpost-batch/src/coordinator/placing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placing.rs
@@ -87,23 +87,19 @@
         let gang_run = spec.gang.then(|| self.next_gang_run(first, &spec));
         let mut placed = Vec::new();
         let wanted = waiting.len();
-        self.begin_wait_for_sure_places(id, &spec, now);
         for task in waiting {
             let idle = self.is_idle(task, now);
-            if !idle && self.is_unplaceable(id, &spec, now) {
+            if !idle && self.is_unplaceable(id, &spec) {
                 break;
             }
             let Some(minion) = self.choose(task, &spec, rack.as_ref(), now) else {
                 // Tasks of a step ask for the same, so that the others find no room either.
-                self.note_unplaceable(id, &spec, now);
+                self.note_unplaceable(id, &spec);
                 break;
             };
             self.assign(task, &minion, gang_run, now);
             placed.push(task);
         }
-        if placed.len() == wanted {
-            self.end_wait_for_sure_places(id);
-        }
         let approval = self.jobs.get(&id).is_some_and(|job| job.record.terms.needs_approval);
         if approval && placed.len() < wanted {
             self.ask_approval(first, &spec, now);
@@ -217,8 +213,7 @@
         const BESIDE_SERVING: i64 = 1_000_000;
         let free_cpus = minion.free().milli_cpus;
         if spec.fills {
-            let FillSpeed { unused, surely_harmless: harmless, spent, .. } =
-                self.fill_speed(minion, spec);
+            let FillSpeed { unused, harmless, spent } = self.fill_speed(minion, spec);
             // Among minions at full speed, the one with the most room keeps it longest.
             let left = minion.unused_milli_cpus() - minion.fill_cpus;
             let cost = SPENT_ROOM * spent - unused * harmless.max(LEAST_SPEED);
--- a/crates/geraniumpost-batch/src/interference/estimator.rs
+++ b/crates/geraniumpost-batch/src/interference/estimator.rs
@@ -59,17 +59,9 @@
     /// Returns what a filling image adds to the utilization of a serving one with a share of the minion's
     /// processors.
     pub fn adds(&self, serving: &Name, filling: &Name, share: f64) -> f64 {
-        self.slope(serving, filling).mean * share
-    }
-
-    /// Returns how far that may be off, as one standard deviation.
-    pub fn deviation(&self, serving: &Name, filling: &Name, share: f64) -> f64 {
-        self.slope(serving, filling).deviation * share
-    }
-
-    fn slope(&self, serving: &Name, filling: &Name) -> Slope {
         let at = self.filling.get(filling).map(|at| (at as usize).min(MOST_FILLING - 1));
-        self.serving.get(serving).map_or(Slope::UNKNOWN, |known| known.slope(at))
+        let slope = self.serving.get(serving).map_or(Slope::UNKNOWN, |known| known.slope(at));
+        slope.mean * share
     }
 
     /// Returns what a successor should know: the pairs that are known best.
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -44,9 +44,6 @@
 pub const SERVING_UNUSED_PERCENT: i64 = 50;
 /// Tail up to which minions are filled, in bounds: what is left is for own loads that rise between two looks.
 pub const FILL_TO_TAIL: f64 = 0.90;
-/// By how many standard deviations more than believed a filling task is taken to disturb when a place is
-/// chosen for it. Paces go by what is believed: they can be taken back.
-pub const PLACE_DEVIATIONS: f64 = 2.0;
 /// Pause between two writes of what was learnt of images, in milliseconds: they travel with others, and
 /// slopes hardly change.
 pub const TELL_EVERY_MS: u64 = 3_000;
--- a/crates/geraniumpost-batch/tests/coordinator/filling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/filling.rs
@@ -22,10 +22,7 @@
     world.set_gauge(task(1, 0, 0), 25);
     world.look("m1");
     world.submit(2, vec![filling(2)]);
-    // The second one waits for a better place first, as nothing is known of the pair yet.
-    world.pass(800);
     world.obey();
-    assert_eq!(world.places().len(), 3);
     world.set_gauge(task(1, 0, 0), 150);
     for _ in 0..5 {
         world.pass(400);
@@ -147,8 +144,6 @@
     let mut world = World::new().with_minions(&["m1"]);
     world.submit(1, vec![serving()]);
     world.submit(2, vec![filling(1)]);
-    // Nothing is known of the pair yet, so that it waits for a better place first.
-    world.pass(800);
     world.obey();
     learn_that_logs_press(&mut world);
     // Knowledge travels with the next write.
--- a/crates/geraniumpost-batch/tests/coordinator/review.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/review.rs
@@ -89,10 +89,7 @@
     let estimate_ms = 60_000;
     let filling = StepSpec { fills: true, image: "logs".into(), demand, estimate_ms, ..step(1) };
     world.submit(2, vec![filling]);
-    // Nothing is known of the pair yet, so that it waits for a better place first.
-    world.pass(800);
     world.obey();
-    assert_eq!(world.places().len(), 2);
     world.set_gauge(task(1, 0, 0), 150);
     world
 }
