fix(coordinator): name voters only once a new coordinator has heard of them

Cause, found on rereading: a key that was rewritten for another reason (an unanswered write, a wait overstated) named the entries heard of so far. In the first quarter of a second of a term these are none, and a successor that finds no voters can ask nobody and waits for the longest time.

Change: the rate limit lies in Support with the rest of the rule, and holds for every rewrite; a term begins with the voters of the one before for two seconds. The explorer and the model of a site use the same.

Test: new_coordinator_keeps_the_voters_of_its_predecessor_at_first (failed to compile before: the rule had no place to be tested); leaving_entry_is_to_be_a_voter_no_more.

--- a/crates/geraniumpost-batch/src/quorum/support.rs
+++ b/crates/geraniumpost-batch/src/quorum/support.rs
@@ -3,7 +3,7 @@
 use geraniumpost_schema::Name;
 
 use super::Voters;
-use crate::tuning::{PROMISE_MS, VOTER_SILENCE_MS};
+use crate::tuning::{NAME_VOTERS_EVERY_MS, PROMISE_MS, VOTER_SILENCE_MS};
 
 /// The last word of an entry.
 #[derive(Debug, Clone, Copy)]
@@ -21,13 +21,15 @@
     /// The list that is being written in place of the present one: until that has ended, the key may hold
     /// either, and both have to support the coordinator.
     next: Option<Voters>,
+    /// When voters were named last, on the coordinator's steady clock.
+    named_ms: u64,
     words: BTreeMap<Name, Word>,
 }
 
 impl Support {
-    /// Returns the support of a term that has just begun, whose key names these voters.
-    pub const fn new(voters: Voters) -> Self {
-        Self { voters, next: None, words: BTreeMap::new() }
+    /// Returns the support of a term that begins at a time on the steady clock, whose key names these voters.
+    pub const fn new(voters: Voters, now_ms: u64) -> Self {
+        Self { voters, next: None, named_ms: now_ms, words: BTreeMap::new() }
     }
 
     /// Takes note that an entry promises support in answer to what was sent at a time on the steady clock.
@@ -84,16 +86,27 @@
         &self.voters
     }
 
-    /// Returns the entries that answer at a time on the steady clock: those that should be voters.
-    pub fn answering(&self, now_ms: u64) -> Voters {
+    /// Returns the voters that the key should name at a time on the steady clock, if it should name others:
+    /// the entries that answer, unless voters were named a moment ago. A coordinator that has just taken over
+    /// has heard of nobody yet, and would name none.
+    pub fn wanted(&self, now_ms: u64) -> Option<Voters> {
+        if now_ms < self.named_ms + NAME_VOTERS_EVERY_MS {
+            return None;
+        }
+        let answering = self.answering(now_ms);
+        (answering != self.voters).then_some(answering)
+    }
+
+    fn answering(&self, now_ms: u64) -> Voters {
         let fresh = |word: &Word| !word.leaves && word.sent_at_ms + VOTER_SILENCE_MS > now_ms;
         let answering = self.words.iter().filter(|(_, word)| fresh(word));
         answering.map(|(node, word)| (node.clone(), word.incarnation)).collect()
     }
 
-    /// Takes note that another list is about to be written.
-    pub fn change(&mut self, voters: Voters) {
+    /// Takes note that another list is about to be written, at a time on the steady clock.
+    pub fn change(&mut self, voters: Voters, now_ms: u64) {
         self.next = Some(voters);
+        self.named_ms = now_ms;
     }
 
     /// Takes note that the key holds the list that was about to be written.
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -74,6 +74,9 @@
 /// Silence of an entry towards a coordinator after which the store names it no more, in milliseconds. One that
 /// lives names itself again.
 pub const ENTRY_GONE_MS: u64 = 15_000;
+/// Shortest pause between two times at which a coordinator's key names other voters, in milliseconds: entries
+/// that start together are named together, and a new coordinator has heard of all by then.
+pub const NAME_VOTERS_EVERY_MS: u64 = 2_000;
 /// Age of the store's last confirmation from which on a coordinator tells its peers that it misses
 /// the store, in milliseconds.
 pub const STORE_SILENCE_MS: u64 = 900;
--- a/crates/geraniumpost-batch/tests/coordinator/site/entries.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/site/entries.rs
@@ -10,8 +10,6 @@
 
 /// Entries of the site.
 const COUNT: usize = 5;
-/// Pause between two times at which the key names the voters, in milliseconds.
-const NAME_VOTERS_MS: u64 = 2_000;
 /// Pause between two questions to an entry that has not answered, in milliseconds.
 const ASK_MS: u64 = 300;
 
@@ -39,7 +37,6 @@
     all: Vec<Entry>,
     coordinator: usize,
     support: Support,
-    named_ms: u64,
     ask_ms: u64,
     /// The voters of silent coordinators, by where those were.
     voters: BTreeMap<SocketAddr, Voters>,
@@ -51,10 +48,10 @@
         let entry = |number| Entry { name: format!("e{number}").into(), ..Entry::default() };
         let all: Vec<Entry> = (1..=COUNT).map(entry).collect();
         let others = all.iter().skip(1).map(|entry| (entry.name.clone(), entry.incarnation));
-        let support = Support::new(others.collect());
+        let support = Support::new(others.collect(), now.steady_ms);
         let (voters, asked) = (BTreeMap::new(), BTreeMap::new());
         let now_ms = now.steady_ms;
-        Self { all, coordinator: 0, support, named_ms: now_ms, ask_ms: now_ms, voters, asked }
+        Self { all, coordinator: 0, support, ask_ms: now_ms, voters, asked }
     }
 
     /// Entries that are up promise support to the coordinator of a term. Returns until when a majority does.
@@ -70,9 +67,8 @@
 
     /// The coordinator names the entries that answer in its key, from time to time.
     pub(super) fn name_voters(&mut self, now_ms: u64) {
-        if now_ms >= self.named_ms + NAME_VOTERS_MS {
-            self.named_ms = now_ms;
-            self.support.change(self.support.answering(now_ms));
+        if let Some(voters) = self.support.wanted(now_ms) {
+            self.support.change(voters, now_ms);
             self.support.changed();
         }
     }
@@ -104,8 +100,8 @@
             self.voters.insert(address, before.clone());
         }
         let own = &self.all[self.coordinator].name;
-        self.support = Support::new(before.without(own));
-        (self.named_ms, self.ask_ms) = (now_ms, now_ms);
+        self.support = Support::new(before.without(own), now_ms);
+        self.ask_ms = now_ms;
         let ask = |(address, voters): (&SocketAddr, &Voters)| {
             (*address, Asked { releases: Releases::new(voters.clone()), taken_ms: now_ms })
         };
--- a/crates/geraniumpost-batch/tests/quorum.rs
+++ b/crates/geraniumpost-batch/tests/quorum.rs
@@ -1,7 +1,9 @@
 //! Who supports a coordinator, and how its successor learns when that has ended.
 
 use geraniumpost_batch::quorum::{Promises, Releases, Support, Voters};
-use geraniumpost_batch::tuning::{PROMISE_MS, PROMISE_PERCENT, VOTER_SILENCE_MS};
+use geraniumpost_batch::tuning::{
+    NAME_VOTERS_EVERY_MS, PROMISE_MS, PROMISE_PERCENT, VOTER_SILENCE_MS,
+};
 use geraniumpost_schema::Name;
 
 /// How long an entry keeps a promise.
@@ -39,7 +41,7 @@
 /// long, and its promise may be over when it is read.
 #[test]
 fn promise_counts_from_the_word_that_it_answers() {
-    let mut support = Support::new(voters(2));
+    let mut support = Support::new(voters(2), 0);
     assert_eq!(support.until_ms(), 0);
     support.promised(&entry(1), INCARNATION, 5_000);
     assert_eq!(support.until_ms(), 5_000 + PROMISE_MS);
@@ -50,7 +52,7 @@
 /// The majority lasts for as long as its shortest promise.
 #[test]
 fn majority_ends_with_its_shortest_promise() {
-    let mut support = Support::new(voters(4));
+    let mut support = Support::new(voters(4), 0);
     for (number, sent_at_ms) in [(1, 900), (2, 300), (3, 600)] {
         support.promised(&entry(number), INCARNATION, sent_at_ms);
     }
@@ -62,7 +64,7 @@
 /// that is counted may have released its promise.
 #[test]
 fn promise_of_another_incarnation_does_not_count() {
-    let mut support = Support::new(voters(1));
+    let mut support = Support::new(voters(1), 0);
     support.promised(&entry(1), INCARNATION + 1, 5_000);
     support.promised(&entry(9), INCARNATION, 5_000);
     assert_eq!(support.until_ms(), 0);
@@ -72,9 +74,9 @@
 /// accordingly. A coordinator that counted by one of them alone might go on after its end.
 #[test]
 fn both_lists_count_while_one_is_written() {
-    let mut support = Support::new(voters(1));
+    let mut support = Support::new(voters(1), 0);
     support.promised(&entry(1), INCARNATION, 5_000);
-    support.change([(entry(2), INCARNATION)].into_iter().collect());
+    support.change([(entry(2), INCARNATION)].into_iter().collect(), 5_000);
     assert_eq!(support.until_ms(), 0);
     support.promised(&entry(2), INCARNATION, 4_900);
     assert_eq!(support.until_ms(), 4_900 + PROMISE_MS);
@@ -86,13 +88,32 @@
 /// entries of five would otherwise leave no margin for a third one, for ever.
 #[test]
 fn silent_entries_are_to_be_voters_no_more() {
-    let mut support = Support::new(voters(2));
+    let mut support = Support::new(voters(2), 0);
     support.promised(&entry(1), INCARNATION, 5_000);
     support.promised(&entry(3), INCARNATION, 9_000);
-    let wanted = support.answering(5_000 + VOTER_SILENCE_MS);
+    let wanted = support.wanted(5_000 + VOTER_SILENCE_MS).expect("two are silent");
     assert_eq!(wanted.names().collect::<Vec<_>>(), [&entry(3)]);
 }
 
+/// An entry that says that it is about to stop is no voter in the next list, but what it promised holds.
+#[test]
+fn leaving_entry_is_to_be_a_voter_no_more() {
+    let mut support = Support::new(voters(1), 0);
+    support.promised(&entry(1), INCARNATION, 5_000);
+    support.leaves(&entry(1));
+    assert_eq!(support.wanted(5_100), Some(Voters::default()));
+    assert_eq!(support.until_ms(), 5_000 + PROMISE_MS);
+}
+
+/// A coordinator has just taken over and rewrites its key for another reason. It has heard of nobody; were it to name
+/// no voters, its own successor could ask nobody and wait for the longest time.
+#[test]
+fn new_coordinator_keeps_the_voters_of_its_predecessor_at_first() {
+    let support = Support::new(voters(2), 1_000);
+    assert_eq!(support.wanted(1_000 + NAME_VOTERS_EVERY_MS - 1), None);
+    assert_eq!(support.wanted(1_000 + NAME_VOTERS_EVERY_MS), Some(Voters::default()));
+}
+
 /// An entry promises nothing to a coordinator that has a successor, also if it hears of that one from the
 /// successor alone.
 #[test]
@@ -131,5 +152,5 @@
 #[test]
 fn end_of_a_lone_coordinator_is_not_known() {
     assert_eq!(Releases::new(Voters::default()).until_ms(), None);
-    assert_eq!(Support::new(Voters::default()).until_ms(), u64::MAX);
+    assert_eq!(Support::new(Voters::default(), 0).until_ms(), u64::MAX);
 }
--- a/crates/geraniumpost-batch/tests/succession/fleet.rs
+++ b/crates/geraniumpost-batch/tests/succession/fleet.rs
@@ -16,7 +16,7 @@
 const PING_MS: u64 = 250;
 const CONFIRM_MS: u64 = 600;
 const ASK_MS: u64 = 300;
-const NAME_VOTERS_MS: u64 = 2_000;
+const NAME_VOTERS_MS: u64 = 500;
 /// One message in so many is lost.
 const LOST_ONE_IN: u32 = 12;
 
@@ -345,9 +345,11 @@
         let Some(term) = &mut self.all[at].term else { return };
         term.note_ends();
         let number = term.number;
-        if names && term.naming.is_none() {
-            let wanted = term.support.answering(clock_ms);
-            term.support.change(wanted.clone());
+        if names
+            && term.naming.is_none()
+            && let Some(wanted) = term.support.wanted(clock_ms)
+        {
+            term.support.change(wanted.clone(), clock_ms);
             term.naming = Some(wanted);
             term.lists += 1;
         }
--- a/crates/geraniumpost-batch/tests/succession/process.rs
+++ b/crates/geraniumpost-batch/tests/succession/process.rs
@@ -32,7 +32,7 @@
             number,
             asked_ms,
             taken_ms,
-            support: Support::new(own),
+            support: Support::new(own, taken_ms),
             naming: None,
             lists: 0,
             releases,
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -3,6 +3,7 @@
 mod candidate;
 mod doorway;
 mod driver;
+mod key;
 mod known;
 mod left;
 mod loss;
@@ -13,6 +14,7 @@
 mod standstill;
 mod term;
 mod term_support;
+mod timeout;
 mod writer;
 
 pub use candidate::Candidate;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -19,7 +19,8 @@
 use super::record::CoordinatorRecord;
 use super::releases::{Asker, SilentTerm};
 use super::term_support::TermSupport;
-use super::writer::{TermLost, Timeout, Writer};
+use super::timeout::Timeout;
+use super::writer::{TermLost, Writer};
 use super::{JOB_PREFIX, KNOWLEDGE_KEY};
 use crate::metrics::Metrics;
 
@@ -112,7 +113,6 @@
             timeout: Timeout::default(),
             left: Arc::clone(&left),
             support: Arc::clone(&support),
-            named_voters_ms: self.taken.steady_ms,
             peers: Arc::clone(&self.peers),
             taken_ms: self.taken.steady_ms,
             metrics: Arc::clone(&self.metrics),
--- a/crates/geraniumpost/src/batch/coordination/term_support.rs
+++ b/crates/geraniumpost/src/batch/coordination/term_support.rs
@@ -17,9 +17,9 @@
 }
 
 impl TermSupport {
-    /// Returns the support of a term that has just begun, whose key names these voters.
-    pub const fn new(own: Name, term: u64, voters: Voters) -> Self {
-        Self { own, term, support: Mutex::new(Support::new(voters)) }
+    /// Returns the support of a term that begins now, whose key names these voters.
+    pub fn new(own: Name, term: u64, voters: Voters) -> Self {
+        Self { own, term, support: Mutex::new(Support::new(voters, BootClock.now_ms())) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Support> {
@@ -56,14 +56,12 @@
 
     /// Returns the voters that the key should name, if it names others.
     pub fn wanted(&self) -> Option<Voters> {
-        let support = self.lock();
-        let wanted = support.answering(BootClock.now_ms());
-        (wanted != *support.voters()).then_some(wanted)
+        self.lock().wanted(BootClock.now_ms())
     }
 
     /// Takes note that the key is about to name other voters.
     pub fn change(&self, voters: Voters) {
-        self.lock().change(voters);
+        self.lock().change(voters, BootClock.now_ms());
     }
 
     /// Takes note that the key names them.
