refactor(coordinator): use the field's terms for what entries promise and leases rest on

Read as a newcomer: Word, a pong's time, is TermTime and travels as `sent`; what links need of a term is TermInputs; what lets a coordinator extend leases is a LeaseBasis, in a module and a log line of that name; an entry is removed from the list instead of struck off. No behaviour changes; clippy and all tests of the batch crate pass.

--- a/crates/geraniumpost-batch/src/coordinator/supported.rs
+++ b/crates/geraniumpost-batch/src/coordinator/lease_basis.rs
@@ -6,7 +6,7 @@
 use crate::Now;
 use crate::tuning::{STORE_CONFIRMS_MS, STORE_LOST_MS};
 
-/// Shortest pause between two lines on what carries leases, in milliseconds.
+/// Shortest pause between two lines on what leases rest on, in milliseconds.
 const TELL_EVERY_MS: u64 = 1_000;
 
 /// The support of other entries, as last heard.
@@ -16,13 +16,13 @@
     until_ms: u64,
     supporters: usize,
     /// What was told of it last, and when.
-    told: Option<(Option<Carrier>, u64)>,
+    told: Option<(Option<LeaseBasis>, u64)>,
 }
 
 /// What the extension of leases rests on.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 #[display(rename_all = "lowercase")]
-pub(super) enum Carrier {
+pub(super) enum LeaseBasis {
     /// A majority of entries follows no successor.
     Entries,
     /// The store has confirmed the term a moment ago.
@@ -41,35 +41,35 @@
     ///
     /// Nothing does for long after the store was last asked: a successor that hears from too few entries
     /// takes the work for ended then.
-    pub(super) const fn carrier(&self, now: Now) -> Option<Carrier> {
+    pub(super) const fn lease_basis(&self, now: Now) -> Option<LeaseBasis> {
         if now.steady_ms >= self.asked_ms + STORE_LOST_MS {
             return None;
         }
         if now.steady_ms < self.supported.until_ms {
-            return Some(Carrier::Entries);
+            return Some(LeaseBasis::Entries);
         }
         if now.steady_ms < self.asked_ms + STORE_CONFIRMS_MS {
-            return Some(Carrier::Store);
+            return Some(LeaseBasis::Store);
         }
         None
     }
 
-    /// Tells what carries leases when that has changed.
-    pub(super) fn tell_carrier(&mut self, now: Now) {
-        let carrier = self.carrier(now);
+    /// Tells what the extension of leases rests on when that has changed.
+    pub(super) fn tell_lease_basis(&mut self, now: Now) {
+        let basis = self.lease_basis(now);
         let due = match self.supported.told {
             None => true,
-            Some((told, at_ms)) => told != carrier && now.steady_ms >= at_ms + TELL_EVERY_MS,
+            Some((told, at_ms)) => told != basis && now.steady_ms >= at_ms + TELL_EVERY_MS,
         };
         if !due {
             return;
         }
-        self.supported.told = Some((carrier, now.steady_ms));
-        let by = carrier.map_or_else(|| "nothing".to_owned(), |carrier| carrier.to_string());
+        self.supported.told = Some((basis, now.steady_ms));
+        let name = basis.map_or_else(|| "nothing".to_owned(), |basis| basis.to_string());
         let store_age_ms = now.steady_ms.saturating_sub(self.asked_ms);
         let supporters = self.supported.supporters;
         self.note(format!(
-            "event=leases_carried by={by} store_age_ms={store_age_ms} supporters={supporters}"
+            "event=lease_basis basis={name} store_age_ms={store_age_ms} supporters={supporters}"
         ));
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -27,7 +27,7 @@
         now: Now,
     ) {
         let silent_ms = now.steady_ms.saturating_sub(self.confirmed_ms);
-        let extend = minion_ok && self.carrier(now).is_some();
+        let extend = minion_ok && self.lease_basis(now).is_some();
         let hold_ms = if extend { self.hold_ms } else { 0 };
         if extend {
             self.agent_reached(agent);
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 mod gauges;
 mod inherited;
 mod job;
+mod lease_basis;
 mod leases;
 mod leaving;
 mod longest_wait;
@@ -27,7 +28,6 @@
 mod rooms;
 mod run;
 mod serving;
-mod supported;
 mod timers;
 mod unreachable;
 mod waiting;
@@ -50,9 +50,9 @@
 use departures::Departure;
 use inherited::Inherited;
 use job::Job;
+use lease_basis::Supported;
 use minion::Minion;
 use run::Run;
-use supported::Supported;
 use waits::Waits;
 
 /// Decides which task runs where, for one service or many, while its fencing token is the highest.
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -13,7 +13,7 @@
         self.pass_over_silent(now);
         self.lapse(now);
         self.note_unreached(now);
-        self.tell_carrier(now);
+        self.tell_lease_basis(now);
         self.begin_all_due(now);
         self.repeat_orders(now);
         self.empty_leaving(now);
--- a/crates/geraniumpost-batch/src/entry_message.rs
+++ b/crates/geraniumpost-batch/src/entry_message.rs
@@ -52,9 +52,9 @@
     Ping {
         /// Version of the configuration in force at the entry; 0 for none.
         configuration: u64,
-        /// The last word heard from the coordinator, if the entry supports that one: it promises to follow
-        /// no successor for a while after that.
-        supports: Option<Word>,
+        /// When the coordinator sent its last pong, if the entry supports that one: it promises to follow no
+        /// successor for a while after that pong.
+        supports: Option<TermTime>,
         /// Whether the entry is about to stop, and should be counted no more.
         leaves: bool,
     },
@@ -67,13 +67,13 @@
     },
 }
 
-/// Names a moment in a coordinator's term, by its own clock.
+/// A moment in a coordinator's term, by its own clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Word {
+pub struct TermTime {
     /// The term.
     pub term: u64,
     /// Milliseconds on the coordinator's steady clock.
-    pub sent_at_ms: u64,
+    pub steady_ms: u64,
 }
 
 /// What the coordinator sends to an entry.
@@ -85,8 +85,8 @@
         store_ok: bool,
         /// The newest version of the configuration that the coordinator has or has heard of; 0 for none.
         configuration: u64,
-        /// When it says so.
-        word: Word,
+        /// When it is sent.
+        sent: TermTime,
     },
     /// The answer to a request.
     Answer {
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -45,7 +45,7 @@
 pub use coordinator::{Coordinator, Effect, LongestWait, WriteBatch, surely_lapsed_ms};
 pub use demand::Demand;
 pub use departures::Departures;
-pub use entry_message::{Answer, Ask, FromEntry, ToEntry, Word};
+pub use entry_message::{Answer, Ask, FromEntry, TermTime, ToEntry};
 pub use inheritance::{Inheritance, Silent};
 pub use job_id::{JobId, JobIdError};
 pub use job_record::{JobRecord, Occurrence, Place, TaskPhase, TaskRecord};
--- a/crates/geraniumpost-batch/src/quorum/promises.rs
+++ b/crates/geraniumpost-batch/src/quorum/promises.rs
@@ -5,7 +5,7 @@
 /// What an entry has promised to coordinators.
 ///
 /// A promise counts from the moment at which the entry heard of its coordinator, however late the promise
-/// is sent or read. The coordinator counts from when it sent that word, which was earlier.
+/// is sent or read. The coordinator counts from when it sent the pong that the entry heard, which was earlier.
 #[derive(Debug, Default)]
 pub struct Promises {
     /// No coordinator of an earlier term than this is supported any more.
--- a/crates/geraniumpost-batch/src/quorum/support.rs
+++ b/crates/geraniumpost-batch/src/quorum/support.rs
@@ -5,9 +5,9 @@
 use super::Voters;
 use crate::tuning::{NAME_VOTERS_EVERY_MS, PROMISE_MS, VOTER_SILENCE_MS};
 
-/// The last word of an entry.
+/// The last promise of an entry.
 #[derive(Debug, Clone, Copy)]
-struct Word {
+struct Promise {
     incarnation: u64,
     /// When the coordinator sent what the entry has answered, on its own steady clock.
     sent_at_ms: u64,
@@ -23,39 +23,39 @@
     next: Option<Voters>,
     /// When voters were named last, on the coordinator's steady clock.
     named_ms: u64,
-    words: BTreeMap<Name, Word>,
+    promises: BTreeMap<Name, Promise>,
 }
 
 impl Support {
     /// Returns the support of a term that begins at a time on the steady clock, whose key names these voters.
     pub const fn new(voters: Voters, now_ms: u64) -> Self {
-        Self { voters, next: None, named_ms: now_ms, words: BTreeMap::new() }
+        Self { voters, next: None, named_ms: now_ms, promises: BTreeMap::new() }
     }
 
     /// Takes note that an entry promises support in answer to what was sent at a time on the steady clock.
     pub fn promised(&mut self, node: &Name, incarnation: u64, sent_at_ms: u64) {
-        let word = Word { incarnation, sent_at_ms, leaves: false };
-        match self.words.get_mut(node) {
+        let promise = Promise { incarnation, sent_at_ms, leaves: false };
+        match self.promises.get_mut(node) {
             Some(known) if known.sent_at_ms > sent_at_ms => {}
-            Some(known) => *known = word,
-            None => drop(self.words.insert(node.clone(), word)),
+            Some(known) => *known = promise,
+            None => drop(self.promises.insert(node.clone(), promise)),
         }
     }
 
     /// Takes note that an entry is about to stop. What it promised holds, but it should be a voter no more.
     pub fn leaves(&mut self, node: &Name) {
-        if let Some(word) = self.words.get_mut(node) {
-            word.leaves = true;
+        if let Some(promise) = self.promises.get_mut(node) {
+            promise.leaves = true;
         }
     }
 
     /// Returns for how long an entry has not answered at a time on the steady clock, if it ever did.
     pub fn silent_ms(&self, node: &Name, now_ms: u64) -> Option<u64> {
-        self.words.get(node).map(|word| now_ms.saturating_sub(word.sent_at_ms))
+        self.promises.get(node).map(|promise| now_ms.saturating_sub(promise.sent_at_ms))
     }
 
     /// Returns until when a majority supports the coordinator, on the steady clock. A coordinator without
-    /// any voters always has one: no successor takes its word for ended early.
+    /// any voters always has one: nobody can release it, so that a successor waits for the longest time.
     pub fn until_ms(&self) -> u64 {
         let lists = std::iter::once(&self.voters).chain(&self.next);
         lists.map(|voters| self.until_ms_by(voters)).min().unwrap_or(0)
@@ -71,9 +71,11 @@
     }
 
     fn promises_of<'a>(&'a self, voters: &'a Voters) -> impl Iterator<Item = u64> + 'a {
-        let counted =
-            self.words.iter().filter(|(node, word)| voters.contains(node, word.incarnation));
-        counted.map(|(_, word)| word.sent_at_ms + PROMISE_MS)
+        let counted = self
+            .promises
+            .iter()
+            .filter(|(node, promise)| voters.contains(node, promise.incarnation));
+        counted.map(|(_, promise)| promise.sent_at_ms + PROMISE_MS)
     }
 
     /// Returns how many voters support the coordinator at a time on the steady clock.
@@ -98,9 +100,10 @@
     }
 
     fn answering(&self, now_ms: u64) -> Voters {
-        let fresh = |word: &Word| !word.leaves && word.sent_at_ms + VOTER_SILENCE_MS > now_ms;
-        let answering = self.words.iter().filter(|(_, word)| fresh(word));
-        answering.map(|(node, word)| (node.clone(), word.incarnation)).collect()
+        let fresh =
+            |promise: &Promise| !promise.leaves && promise.sent_at_ms + VOTER_SILENCE_MS > now_ms;
+        let answering = self.promises.iter().filter(|(_, promise)| fresh(promise));
+        answering.map(|(node, promise)| (node.clone(), promise.incarnation)).collect()
     }
 
     /// Takes note that another list is about to be written, at a time on the steady clock.
--- a/crates/geraniumpost-batch/tests/succession/fleet.rs
+++ b/crates/geraniumpost-batch/tests/succession/fleet.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use geraniumpost_batch::Word;
+use geraniumpost_batch::TermTime;
 use geraniumpost_batch::quorum::Voters;
 use geraniumpost_schema::Name;
 use rand::rngs::StdRng;
@@ -52,9 +52,9 @@
     Ping {
         from: usize,
         incarnation: u64,
-        supports: Option<Word>,
+        supports: Option<TermTime>,
     },
-    Pong(Word),
+    Pong(TermTime),
     Release {
         from: usize,
         term: u64,
@@ -280,13 +280,13 @@
         match message {
             Message::Ping { from, incarnation, supports } => {
                 let Some(term) = &mut process.term else { return };
-                if let Some(word) = supports.filter(|word| word.term == term.number) {
-                    term.support.promised(&name(from), incarnation, word.sent_at_ms);
+                if let Some(sent) = supports.filter(|sent| sent.term == term.number) {
+                    term.support.promised(&name(from), incarnation, sent.steady_ms);
                 }
-                let word = Word { term: term.number, sent_at_ms: clock_ms };
-                self.send(at, from, Message::Pong(word));
+                let sent = TermTime { term: term.number, steady_ms: clock_ms };
+                self.send(at, from, Message::Pong(sent));
             }
-            Message::Pong(word) => process.heard = Some((word, clock_ms)),
+            Message::Pong(sent) => process.heard = Some((sent, clock_ms)),
             Message::Release { from, term } => {
                 let lasts_ms = process.promises.release(term, clock_ms);
                 let incarnation = process.incarnation;
@@ -372,8 +372,8 @@
         let holder = self.key.holder;
         let process = &mut self.all[at];
         let incarnation = process.incarnation;
-        let promise = |(word, heard_ms): (Word, u64)| {
-            process.promises.promise(word.term, heard_ms).then_some(word)
+        let promise = |(sent, heard_ms): (TermTime, u64)| {
+            process.promises.promise(sent.term, heard_ms).then_some(sent)
         };
         let supports = process.heard.and_then(promise);
         for to in (0..self.all.len()).filter(|to| *to != at) {
--- a/crates/geraniumpost-batch/tests/succession/process.rs
+++ b/crates/geraniumpost-batch/tests/succession/process.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use geraniumpost_batch::Word;
+use geraniumpost_batch::TermTime;
 use geraniumpost_batch::quorum::{Promises, Releases, Support, Voters};
 use geraniumpost_batch::tuning::{STORE_CONFIRMS_MS, STORE_LOST_MS};
 
@@ -72,8 +72,8 @@
     /// Until when it does not reach the store, in real time.
     pub store_cut_ms: u64,
     pub promises: Promises,
-    /// The coordinator's last word, and when it was heard on the own clock.
-    pub heard: Option<(Word, u64)>,
+    /// When the coordinator sent its last pong, and when that was heard on the own clock.
+    pub heard: Option<(TermTime, u64)>,
     pub term: Option<Term>,
 }
 
--- a/crates/geraniumpost/src/batch/coordination/doorway.rs
+++ b/crates/geraniumpost/src/batch/coordination/doorway.rs
@@ -23,11 +23,11 @@
 /// How long the coordinator may be silent and still count as answering, in milliseconds.
 const ANSWERS_MS: u64 = 800;
 /// What links need while this entry coordinates.
-pub type Inputs = Option<Desk>;
+pub type Inputs = Option<TermInputs>;
 
 /// Where the links of one term deliver what they hear.
 #[derive(Debug, Clone)]
-pub struct Desk {
+pub struct TermInputs {
     /// Messages to the coordinator.
     pub inputs: mpsc::Sender<Input>,
     /// The promises of other entries.
@@ -90,11 +90,11 @@
         mut rx: LinkReceiver<FromPeer>,
     ) {
         let Ok(Some(first)) = tokio::time::timeout(FIRST_MESSAGE, rx.next()).await else { return };
-        let desk = self.inputs.borrow().clone();
+        let term = self.inputs.borrow().clone();
         let answer = match first.head {
             FromPeer::Probe => Some(self.probed()),
             FromPeer::Release { term } => Some(self.release(term)),
-            _ => desk.is_none().then_some(ToPeer::NotCoordinating),
+            _ => term.is_none().then_some(ToPeer::NotCoordinating),
         };
         if let Some(answer) = answer {
             let _ = tx.send(answer);
@@ -102,18 +102,18 @@
             let _ = tokio::time::timeout(FIRST_MESSAGE, rx.next()).await;
             return;
         }
-        let Some(desk) = desk else { return };
+        let Some(term) = term else { return };
         let (peer, incarnation) = match first.head {
             FromPeer::Entry { node, incarnation } => (Peer::Entry { node, link }, incarnation),
             FromPeer::Agent { node } => (Peer::Agent { node, link }, 0),
             _ => return,
         };
-        if desk.inputs.send(Input::Opened(peer.clone(), tx.clone())).await.is_err() {
+        if term.inputs.send(Input::Opened(peer.clone(), tx.clone())).await.is_err() {
             return;
         }
         let link = Link { peer, incarnation, tx };
-        self.pass_on(&link, &desk, &mut rx).await;
-        let _ = desk.inputs.send(Input::Closed(link.peer)).await;
+        self.pass_on(&link, &term, &mut rx).await;
+        let _ = term.inputs.send(Input::Closed(link.peer)).await;
     }
 
     fn probed(&self) -> ToPeer {
@@ -132,9 +132,9 @@
     }
 
     /// Passes messages on until the link or the coordinator's term ends.
-    async fn pass_on(&self, link: &Link, desk: &Desk, rx: &mut LinkReceiver<FromPeer>) {
+    async fn pass_on(&self, link: &Link, term: &TermInputs, rx: &mut LinkReceiver<FromPeer>) {
         let Link { peer, incarnation, tx } = link;
-        let Desk { inputs, support } = desk;
+        let TermInputs { inputs, support } = term;
         loop {
             let message = tokio::select! {
                 message = rx.next() => message,
@@ -144,15 +144,15 @@
             let input = match (message.head, peer) {
                 (FromPeer::EntrySays(FromEntry::Ping { configuration, supports, leaves }), _) => {
                     self.in_force.heard(configuration);
-                    if let (Some(word), Peer::Entry { node, .. }) = (supports, peer) {
-                        support.promised(node, *incarnation, word);
+                    if let (Some(sent), Peer::Entry { node, .. }) = (supports, peer) {
+                        support.promised(node, *incarnation, sent);
                         if leaves {
                             support.leaves(node);
                         }
                     }
                     let store_ok = self.store_silent_ms() < STORE_SILENCE_MS;
                     let configuration = self.in_force.newest();
-                    let pong = ToEntry::Pong { store_ok, configuration, word: support.word() };
+                    let pong = ToEntry::Pong { store_ok, configuration, sent: support.now() };
                     if tx.send(ToPeer::Entry(pong)).is_err() {
                         return;
                     }
--- a/crates/geraniumpost/src/batch/coordination/key.rs
+++ b/crates/geraniumpost/src/batch/coordination/key.rs
@@ -131,9 +131,9 @@
         Ok(())
     }
 
-    /// Strikes an entry off the list that has not been heard of for long; others would ask it in vain for
-    /// ever. It is one each time, as this is not urgent.
-    pub(super) async fn strike_off_lost_entry(&self) {
+    /// Removes an entry from the list that has not been heard of for long; others would ask it in vain for ever.
+    /// It is one each time, as this is not urgent.
+    pub(super) async fn unlist_lost_entry(&self) {
         let term_ms = BootClock.now_ms().saturating_sub(self.taken_ms);
         let lost = |listed: &&Listed| {
             self.support.silent_ms(&listed.node).unwrap_or(term_ms) >= ENTRY_GONE_MS
@@ -147,9 +147,9 @@
             remove: vec![lost.key()],
         };
         match self.store.commit(&put, self.timeout.get()).await {
-            Ok(_) => spdlog::info!("event=entry_struck_off node={}", lost.node),
-            // It was struck off a moment ago, has listed itself anew, or is found again next time.
-            Err(error) => spdlog::debug!("event=strike_off_failed why=\"{error}\""),
+            Ok(_) => spdlog::info!("event=entry_unlisted node={}", lost.node),
+            // It was removed a moment ago, has listed itself anew, or is found again next time.
+            Err(error) => spdlog::debug!("event=unlist_failed why=\"{error}\""),
         }
     }
 
--- a/crates/geraniumpost/src/batch/coordination/own_promises.rs
+++ b/crates/geraniumpost/src/batch/coordination/own_promises.rs
@@ -1,7 +1,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use geraniumpost_batch::Word;
+use geraniumpost_batch::TermTime;
 use geraniumpost_batch::quorum::Promises;
 use geraniumpost_schema::Name;
 
@@ -46,10 +46,10 @@
         self.promises.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Promises support to the coordinator that sent a word, heard at a time on the boot clock. Returns the
-    /// word to send back, unless a successor has asked for the support.
-    pub fn support(&self, word: Word, heard_ms: u64) -> Option<Word> {
-        self.lock().promise(word.term, heard_ms).then_some(word)
+    /// Promises support to the coordinator that sent a pong, heard at a time on the boot clock. Returns the time
+    /// to send back with the next ping, unless a successor has asked for the support.
+    pub fn support(&self, sent: TermTime, heard_ms: u64) -> Option<TermTime> {
+        self.lock().promise(sent.term, heard_ms).then_some(sent)
     }
 
     /// Supports no coordinator of an earlier term any more. Returns for how many milliseconds they may still
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::super::{BootClock, first_answer};
-use super::doorway::{Desk, Inputs};
+use super::doorway::{Inputs, TermInputs};
 use super::driver::{Driver, Input, Question};
 use super::left::Left;
 use super::own_promises::OwnPromises;
@@ -74,7 +74,8 @@
         let voters = self.record.voters_of(self.record.term);
         let support =
             Arc::new(TermSupport::new(self.record.node.clone(), self.record.term, voters));
-        doorway.send_replace(Some(Desk { inputs: tx.clone(), support: Arc::clone(&support) }));
+        doorway
+            .send_replace(Some(TermInputs { inputs: tx.clone(), support: Arc::clone(&support) }));
         self.ask_silent(&tx);
         let (records, knowledge) =
             tokio::join!(self.read_records(stop.clone()), self.read_knowledge());
--- a/crates/geraniumpost/src/batch/coordination/term_support.rs
+++ b/crates/geraniumpost/src/batch/coordination/term_support.rs
@@ -1,6 +1,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use geraniumpost_batch::Word;
+use geraniumpost_batch::TermTime;
 use geraniumpost_batch::quorum::{Support, Voters};
 use geraniumpost_schema::Name;
 
@@ -26,15 +26,15 @@
         self.support.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the word to send to an entry at this moment.
-    pub fn word(&self) -> Word {
-        Word { term: self.term, sent_at_ms: BootClock.now_ms() }
+    /// Returns the present time, to be sent with a pong.
+    pub fn now(&self) -> TermTime {
+        TermTime { term: self.term, steady_ms: BootClock.now_ms() }
     }
 
-    /// Takes note that an entry sends a word back, and with it a promise.
-    pub fn promised(&self, node: &Name, incarnation: u64, word: Word) {
-        if word.term == self.term && *node != self.own {
-            self.lock().promised(node, incarnation, word.sent_at_ms);
+    /// Takes note that an entry sends the time of a pong back, and with it a promise.
+    pub fn promised(&self, node: &Name, incarnation: u64, sent: TermTime) {
+        if sent.term == self.term && *node != self.own {
+            self.lock().promised(node, incarnation, sent.steady_ms);
         }
     }
 
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -104,7 +104,7 @@
                 }
                 _ = confirm.tick(), if under_way.is_empty() && !uncertain => {
                     self.confirm().await?;
-                    self.strike_off_lost_entry().await;
+                    self.unlist_lost_entry().await;
                 }
                 () = crate::stop_signal::stopped(&mut stop), if !stopping => {}
             }
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use geraniumpost_batch::{Answer, Ask, FromEntry, ToEntry, Word};
+use geraniumpost_batch::{Answer, Ask, FromEntry, TermTime, ToEntry};
 use geraniumpost_net::{LinkReceiver, LinkSender};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::Instant;
@@ -154,8 +154,8 @@
 
 struct Task {
     promises: Arc<OwnPromises>,
-    /// The coordinator's last word, and when it was heard, on the boot clock.
-    heard: Option<(Word, u64)>,
+    /// When the coordinator sent its last pong, and when that was heard, on the boot clock.
+    heard: Option<(TermTime, u64)>,
     known: watch::Receiver<Option<Known>>,
     in_force: Arc<InForce>,
     rx: mpsc::Receiver<Waiting>,
@@ -244,7 +244,7 @@
     }
 
     fn ping(&self) -> FromEntry {
-        let promise = |(word, heard_ms)| self.promises.support(word, heard_ms);
+        let promise = |(sent, heard_ms)| self.promises.support(sent, heard_ms);
         FromEntry::Ping {
             configuration: self.in_force.version(),
             supports: self.heard.and_then(promise),
@@ -264,8 +264,8 @@
     fn take(&mut self, message: ToPeer) -> bool {
         let now_ms = BootClock.now_ms();
         match message {
-            ToPeer::Entry(ToEntry::Pong { store_ok, configuration, word }) => {
-                self.heard = Some((word, now_ms));
+            ToPeer::Entry(ToEntry::Pong { store_ok, configuration, sent }) => {
+                self.heard = Some((sent, now_ms));
                 self.in_force.heard(configuration);
                 self.heard_ms.store(now_ms, Ordering::Relaxed);
                 self.state.send_modify(|state| {
--- a/crates/geraniumpost/tests/relay_copies.rs
+++ b/crates/geraniumpost/tests/relay_copies.rs
@@ -8,7 +8,7 @@
 use geraniumpost::batch::entry::{InForce, NoAnswer, Relay};
 use geraniumpost::batch::{FromPeer, ToPeer};
 use geraniumpost::metrics::Metrics;
-use geraniumpost_batch::{Answer, Ask, FromEntry, JobId, JobSpec, QueueTerms, ToEntry, Word};
+use geraniumpost_batch::{Answer, Ask, FromEntry, JobId, JobSpec, QueueTerms, TermTime, ToEntry};
 use geraniumpost_net::{Connection, FrameReader, LinkReceiver, LinkSender, open_link};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -19,7 +19,7 @@
 /// How long a test waits for a message that must come.
 const PATIENCE: Duration = Duration::from_secs(5);
 const PONG: ToEntry =
-    ToEntry::Pong { store_ok: true, configuration: 0, word: Word { term: 1, sent_at_ms: 1 } };
+    ToEntry::Pong { store_ok: true, configuration: 0, sent: TermTime { term: 1, steady_ms: 1 } };
 const REFUSED: Answer = Answer::Refused { retry_after_ms: 1_000 };
 
 /// The coordinator's end of an entry's link.
