fix(coordination): keep the term until an entry that is not stopping can take over

Cause: a coordinator that was asked to stop stepped down at once, and a stopping entry never takes over. If all entries are asked to stop within the time that one takes to stop and start, nobody is left. Each earlier handover went to an entry that was about to be asked as well.

The process waits for the end of its term. Support and stop flag of a ping are recorded in one step, so that a stopping entry never counts as a candidate.

Terms end as before in the store first, so nothing changes for safety.

--- a/crates/geraniumpost-batch/src/quorum/support.rs
+++ b/crates/geraniumpost-batch/src/quorum/support.rs
@@ -92,6 +92,15 @@
         self.promise_ends_ms(&self.voters).filter(|until_ms| *until_ms > now_ms).count()
     }
 
+    /// Returns whether any entry responds at `now_ms` and is not about to stop, so that it can take
+    /// over. The entry need not be a voter.
+    pub fn has_candidate(&self, now_ms: u64) -> bool {
+        let can_take_over = |promise: &Promise| {
+            !promise.stopping && promise.sent_at_ms + PROMISE_DURATION_MS > now_ms
+        };
+        self.promises.values().any(can_take_over)
+    }
+
     /// Returns the voters that the coordinator's key holds.
     pub const fn voters(&self) -> &Voters {
         &self.voters
--- a/crates/geraniumpost-batch/tests/quorum.rs
+++ b/crates/geraniumpost-batch/tests/quorum.rs
@@ -164,3 +164,19 @@
     assert_eq!(Releases::new(Voters::default()).support_end_ms(), None);
     assert_eq!(Support::new(Voters::default(), 0).supported_until_ms(), u64::MAX);
 }
+
+/// Guards against a handover to nobody: entries that are stopping, or that no longer respond, cannot
+/// take over.
+#[test]
+fn only_a_responding_entry_that_is_not_stopping_is_a_candidate() {
+    let mut support = Support::new(voters(2), 0);
+    assert!(!support.has_candidate(0), "no entry has responded yet");
+    support.record_promise(&entry(1), INCARNATION, 1_000);
+    assert!(support.has_candidate(1_000 + PROMISE_DURATION_MS - 1));
+    assert!(!support.has_candidate(1_000 + PROMISE_DURATION_MS), "it no longer responds");
+    support.record_promise(&entry(2), INCARNATION, 2_000);
+    support.mark_stopping(&entry(2));
+    assert!(!support.has_candidate(2_000), "it is stopping");
+    support.record_promise(&entry(2), INCARNATION + 1, 3_000);
+    assert!(support.has_candidate(3_000), "it has restarted");
+}
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -17,6 +17,7 @@
 use super::super::BootClock;
 use super::super::entry::{ActiveConfiguration, LinkState};
 use super::coordinator_loss::{COORDINATOR_LOSS_MS, CoordinatorLoss, detect_loss};
+use super::handover::HandoverTimes;
 use super::local_promises::LocalPromises;
 use super::peer_listener::{CurrentTermDestinations, PeerListener};
 use super::peers::Peers;
@@ -60,6 +61,8 @@
     configuration: Arc<ActiveConfiguration>,
     metrics: Arc<Metrics>,
     confirmed_ms: Arc<AtomicU64>,
+    handover_times: HandoverTimes,
+    coordinating: watch::Sender<bool>,
 }
 
 /// Results of earlier reads of the coordinator's key.
@@ -110,9 +113,23 @@
             configuration,
             metrics,
             confirmed_ms: Arc::new(AtomicU64::new(0)),
+            handover_times: HandoverTimes::default(),
+            coordinating: watch::Sender::new(false),
         }
     }
 
+    /// Sets when a term is handed over after the process was asked to stop; by default at once.
+    #[must_use]
+    pub const fn with_handover_times(mut self, times: HandoverTimes) -> Self {
+        self.handover_times = times;
+        self
+    }
+
+    /// Returns a receiver that is true while this entry coordinates.
+    pub fn coordinating(&self) -> watch::Receiver<bool> {
+        self.coordinating.subscribe()
+    }
+
     /// Returns the registry of the other entries.
     pub fn peers(&self) -> Arc<Peers> {
         Arc::clone(&self.peers)
@@ -301,6 +318,7 @@
             peers: Arc::clone(&self.peers),
             promises: Arc::clone(&self.promises),
             admission_address: self.admission_address,
+            handover_times: self.handover_times,
             metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
@@ -312,7 +330,9 @@
         );
         self.known_coordinator
             .send_replace(Some(KnownCoordinator { address: self.address, fence }));
+        self.coordinating.send_replace(true);
         term.run(destinations, stop.clone()).await;
+        self.coordinating.send_replace(false);
         self.known_coordinator.send_replace(None);
     }
 
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -5,6 +5,7 @@
 mod coordinator_key;
 mod coordinator_loss;
 mod driver;
+mod handover;
 mod known_coordinator;
 mod local_promises;
 mod peer_listener;
@@ -19,6 +20,7 @@
 
 pub use candidate::Candidate;
 pub use coordinator_loss::{CoordinatorLoss, detect_loss};
+pub use handover::HandoverTimes;
 pub use known_coordinator::KnownCoordinator;
 pub use local_promises::LocalPromises;
 pub use peers::Peers;
--- a/crates/geraniumpost/src/batch/coordination/peer_listener.rs
+++ b/crates/geraniumpost/src/batch/coordination/peer_listener.rs
@@ -156,10 +156,7 @@
                 ) => {
                     self.configuration.observe(configuration);
                     if let (Some(sent), Peer::Entry { node, .. }) = (supports, peer) {
-                        support.record_promise(node, *incarnation, sent);
-                        if stopping {
-                            support.mark_stopping(node);
-                        }
+                        support.record_promise(node, *incarnation, sent, stopping);
                     }
                     let store_ok = self.store_silent_ms() < MAX_CONFIRMATION_AGE_MS;
                     let configuration = self.configuration.newest_version();
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -15,6 +15,7 @@
 use super::super::{BootClock, hedged_read};
 use super::adaptive_timeout::AdaptiveTimeout;
 use super::driver::{ApprovalRequest, Driver, Input};
+use super::handover::{HandoverTimes, signal_handover};
 use super::local_promises::LocalPromises;
 use super::peer_listener::{CurrentTermDestinations, TermDestinations};
 use super::peers::{Peers, probe_entry};
@@ -63,11 +64,13 @@
     pub promises: Arc<LocalPromises>,
     /// Address of the service that approves minions for steps, if configured.
     pub admission_address: Option<SocketAddr>,
+    pub handover_times: HandoverTimes,
     pub metrics: Arc<Metrics>,
 }
 
 impl Term {
-    /// Coordinates until the term is lost or the process is asked to stop.
+    /// Coordinates until the term is lost, or until it is handed over after the process was asked to
+    /// stop.
     pub async fn run(
         self,
         destinations: &watch::Sender<CurrentTermDestinations>,
@@ -85,8 +88,33 @@
             support: Arc::clone(&support),
         }));
         self.query_silent_coordinators(&tx);
+        let (hand_over_tx, hand_over) = watch::channel(false);
+        tokio::spawn(signal_handover(
+            stop,
+            self.handover_times,
+            Arc::clone(&support),
+            Arc::clone(&self.peers),
+            hand_over_tx,
+        ));
+        let successor_leases = Arc::new(SuccessorLeases::new(
+            self.predecessor_leases.clone().without_unreached(),
+            self.began.steady_ms,
+        ));
+        let mut writer = Writer {
+            store: Arc::clone(&self.store),
+            record: self.record.clone(),
+            revision: self.revision,
+            inputs: tx.clone(),
+            confirmed_ms: Arc::clone(&self.confirmed_ms),
+            timeout: AdaptiveTimeout::default(),
+            successor_leases: Arc::clone(&successor_leases),
+            support: Arc::clone(&support),
+            peers: Arc::clone(&self.peers),
+            term_began_ms: self.began.steady_ms,
+            metrics: Arc::clone(&self.metrics),
+        };
         let (records, interference) =
-            tokio::join!(self.read_records(stop.clone()), self.read_interference());
+            tokio::join!(self.read_records(hand_over.clone()), self.read_interference());
         let Some(records) = records else {
             destinations.send_replace(None);
             return;
@@ -107,29 +135,8 @@
         let (writes_tx, mut writes) = mpsc::channel(WRITE_QUEUE_CAPACITY);
         let (approval_requests_tx, approval_requests) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         if let Some(address) = self.admission_address {
-            tokio::spawn(serve_approval_requests(
-                Admission::new(address),
-                approval_requests,
-                tx.clone(),
-            ));
+            tokio::spawn(serve_approval_requests(Admission::new(address), approval_requests, tx));
         }
-        let successor_leases = Arc::new(SuccessorLeases::new(
-            self.predecessor_leases.clone().without_unreached(),
-            self.began.steady_ms,
-        ));
-        let mut writer = Writer {
-            store: self.store,
-            record: self.record,
-            revision: self.revision,
-            inputs: tx,
-            confirmed_ms: self.confirmed_ms,
-            timeout: AdaptiveTimeout::default(),
-            successor_leases: Arc::clone(&successor_leases),
-            support: Arc::clone(&support),
-            peers: Arc::clone(&self.peers),
-            term_began_ms: self.began.steady_ms,
-            metrics: Arc::clone(&self.metrics),
-        };
         self.metrics.planner_term(writer.record.term);
         let confirmed_ms = Arc::clone(&writer.confirmed_ms);
         let await_successor = await_successor(self.peers, confirmed_ms, writer.record.term);
@@ -147,7 +154,7 @@
                 spdlog::warn!("event=term_ended why=\"{end:?}\"");
                 Err(TermLost)
             }
-            end = writer.run(&mut writes, stop) => end,
+            end = writer.run(&mut writes, hand_over) => end,
             () = await_successor => Err(TermLost),
         };
         // The key records the end of the term before the links close, so that candidates that lose
@@ -203,14 +210,14 @@
         })
     }
 
-    /// Reads all job records. Returns `None` if the process is asked to stop first.
+    /// Reads all job records. Returns `None` if the term has to be handed over first.
     async fn read_records(
         &self,
-        mut stop: watch::Receiver<bool>,
+        mut hand_over: watch::Receiver<bool>,
     ) -> Option<Vec<(JobId, JobRecord)>> {
         tokio::select! {
             records = Box::pin(self.read_all_pages()) => Some(records),
-            () = crate::stop_signal::stopped(&mut stop) => None,
+            () = crate::stop_signal::stopped(&mut hand_over) => None,
         }
     }
 
--- a/crates/geraniumpost/src/batch/coordination/term_support.rs
+++ b/crates/geraniumpost/src/batch/coordination/term_support.rs
@@ -32,17 +32,23 @@
         TermTime { term: self.term, steady_ms: BootClock.now_ms() }
     }
 
-    /// Records that an entry has echoed the time of a pong, and thereby promised its support.
+    /// Records that an entry has echoed the time of a pong, and thereby promised its support, and
+    /// whether the entry is about to stop, in which case it is no longer proposed as a voter.
     /// Echoes of pongs of other terms are ignored.
-    pub fn record_promise(&self, node: &Name, incarnation: u64, sent: TermTime) {
-        if sent.term == self.term && *node != self.local_node {
-            self.lock().record_promise(node, incarnation, sent.steady_ms);
+    pub fn record_promise(&self, node: &Name, incarnation: u64, sent: TermTime, stopping: bool) {
+        if sent.term != self.term || *node == self.local_node {
+            return;
+        }
+        let mut support = self.lock();
+        support.record_promise(node, incarnation, sent.steady_ms);
+        if stopping {
+            support.mark_stopping(node);
         }
     }
 
-    /// Records that an entry is about to stop. The entry is then no longer proposed as a voter.
-    pub fn mark_stopping(&self, node: &Name) {
-        self.lock().mark_stopping(node);
+    /// Returns whether another entry can take over: it supports this term and is not stopping.
+    pub fn has_candidate(&self) -> bool {
+        self.lock().has_candidate(BootClock.now_ms())
     }
 
     /// Returns the age of the last pong that an entry has echoed, in milliseconds since the pong
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -62,8 +62,8 @@
 }
 
 impl Writer {
-    /// Writes batches until the term is lost, the driver ends, or `stop` turns true and no write is
-    /// in flight.
+    /// Writes batches until the term is lost, the driver ends, or `hand_over` turns true and no
+    /// write is in flight.
     ///
     /// # Errors
     ///
@@ -71,7 +71,7 @@
     pub async fn run(
         &mut self,
         batches: &mut mpsc::Receiver<WriteBatch>,
-        mut stop: watch::Receiver<bool>,
+        mut hand_over: watch::Receiver<bool>,
     ) -> Result<(), TermLost> {
         let mut queue: VecDeque<WriteBatch> = VecDeque::new();
         let mut in_flight: JoinSet<FinishedWrite> = JoinSet::new();
@@ -79,22 +79,22 @@
         let mut confirm = tokio::time::interval(CONFIRM_INTERVAL);
         confirm.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            let stopping = *stop.borrow();
+            let ending = *hand_over.borrow();
             let mut key_outdated =
-                !stopping && (self.overstates_leases() || self.is_voter_change_due());
+                !ending && (self.overstates_leases() || self.is_voter_change_due());
             if (indeterminate || key_outdated) && in_flight.is_empty() {
                 self.fence_earlier_writes().await?;
                 (indeterminate, key_outdated) = (false, false);
             }
-            // A stopping coordinator drops the batches that it has not begun to write, because an
+            // A coordinator that hands over drops the batches that it has not begun to write, because an
             // earlier takeover shortens the interruption. The successor learns the dropped changes
             // from the minions' lists.
-            if stopping && in_flight.is_empty() && !indeterminate {
+            if ending && in_flight.is_empty() && !indeterminate {
                 return Ok(());
             }
             while !indeterminate
                 && !key_outdated
-                && !stopping
+                && !ending
                 && in_flight.len() < MAX_CONCURRENT_WRITES
             {
                 let Some(batch) = queue.pop_front() else { break };
@@ -113,7 +113,7 @@
                     self.confirm_term().await?;
                     self.deregister_lost_entry().await;
                 }
-                () = crate::stop_signal::stopped(&mut stop), if !stopping => {}
+                () = crate::stop_signal::stopped(&mut hand_over), if !ending => {}
             }
         }
     }
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -16,7 +16,7 @@
 use rand::Rng as _;
 use tokio::sync::watch;
 
-use super::coordination::{Candidate, KnownCoordinator, LocalPromises};
+use super::coordination::{Candidate, HandoverTimes, KnownCoordinator, LocalPromises};
 use super::http_server;
 use crate::metrics::Metrics;
 
@@ -32,6 +32,9 @@
 /// Part of the grace period that is reserved for deregistration and exit, after requests in flight
 /// have ended or timed out, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 1_200;
+/// Part of the time before [`EXIT_MARGIN_MS`] that a coordinator has to step down: one write to the
+/// store, which may be slow.
+const STEP_DOWN_MARGIN: Duration = Duration::from_millis(500);
 
 /// Maximum time from the acknowledgement of a configuration until this entry learns of the version
 /// through the coordinator, in milliseconds: the read by the fastest entry, the ping of that entry,
@@ -92,6 +95,9 @@
     tokio::spawn(configuration::follow_configuration(Arc::clone(&store), Arc::clone(&shared)));
     let peer_listener = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
     let link = shared.relay.state();
+    let answer_limit =
+        Duration::from_millis(settings.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS));
+    let handover_limit = answer_limit.saturating_sub(STEP_DOWN_MARGIN);
     let candidate_promises = Arc::clone(&promises);
     let candidate = Candidate::new(
         &settings,
@@ -101,7 +107,9 @@
         configuration,
         candidate_promises,
         metrics,
-    );
+    )
+    .with_handover_times(HandoverTimes::new(DRAIN_DURATION, handover_limit));
+    let mut coordinating = candidate.coordinating();
     let peers = candidate.peers();
     tokio::spawn(candidate.run(peer_listener, stop.clone()));
     let ready = http_server::bind(ready).await?;
@@ -119,9 +127,12 @@
     promises.set_stopping();
     tokio::time::sleep(DRAIN_DURATION).await;
     closing_tx.send_replace(true);
-    let request_timeout = settings.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS);
-    let request_timeout = Duration::from_millis(request_timeout).saturating_sub(DRAIN_DURATION);
-    let _ = tokio::time::timeout(request_timeout, serving).await;
+    let request_timeout = answer_limit.saturating_sub(DRAIN_DURATION);
+    let _ = tokio::time::timeout(request_timeout, async {
+        // The other entries' callers are served through this process while it coordinates.
+        let _ = tokio::join!(serving, coordinating.wait_for(|coordinating| !coordinating));
+    })
+    .await;
     peers.deregister(&store, DEREGISTER_TIMEOUT).await;
     spdlog::info!("event=stop role=job-entry node={}", settings.node);
     spdlog::default_logger().flush();
