fix(coordination): step down also while job records are being read

What callers saw: no coordinator, and candidates that took the last one for alive, since the key named it.

Cause: a term that had to end before the records were read returned without a step-down. The successor then took its predecessor for silent, and waited for leases that it had never extended.

Change: the writer exists before the records are read, and steps down in both cases. Leases of earlier coordinators and of unreached agents are handed on as they were at the takeover, less the time since then; this term has extended none.

--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -116,6 +116,9 @@
         let (records, interference) =
             tokio::join!(self.read_records(hand_over.clone()), self.read_interference());
         let Some(records) = records else {
+            // No lease was extended in this term, so that those of unreached agents are known.
+            successor_leases.set(self.predecessor_leases.clone(), self.began.steady_ms);
+            writer.step_down().await;
             destinations.send_replace(None);
             return;
         };
