test: show the long wait for a coordinator that is lost early

Without voters nobody can be asked for a release (no support_released line in any log). Ruled out: the gap of the rolling restarts; no entry was without a possible successor here.

--- a/crates/geraniumpost-batch/tests/quorum.rs
+++ b/crates/geraniumpost-batch/tests/quorum.rs
@@ -3,7 +3,8 @@
 
 use geraniumpost_batch::quorum::{Promises, Releases, Support, Voters};
 use geraniumpost_batch::tuning::{
-    ENTRY_PROMISE_DURATION_PERCENT, PROMISE_DURATION_MS, VOTER_CHANGE_INTERVAL_MS, VOTER_TIMEOUT_MS,
+    ENTRY_PROMISE_DURATION_PERCENT, FIRST_VOTERS_DELAY_MS, PROMISE_DURATION_MS,
+    VOTER_CHANGE_INTERVAL_MS, VOTER_TIMEOUT_MS,
 };
 use geraniumpost_schema::Name;
 
@@ -122,6 +123,25 @@
     assert_eq!(support.voters_to_write(1_000 + VOTER_CHANGE_INTERVAL_MS), Some(Voters::default()));
 }
 
+/// Guards against a long wait for a coordinator that is lost in the first seconds of a deployment:
+/// while the key names no voters, nobody can release a promise to it, and persistent tasks on
+/// minions that nobody reaches are down for as long as a coordinator may last without the store.
+#[test]
+fn first_voters_are_named_without_waiting_for_the_usual_interval() {
+    let mut support = Support::new(Voters::default(), 1_000);
+    assert_eq!(support.voters_to_write(1_000 + FIRST_VOTERS_DELAY_MS), None, "none has responded");
+    support.record_promise(&entry(1), INCARNATION, 1_300);
+    assert_eq!(support.voters_to_write(1_000 + FIRST_VOTERS_DELAY_MS - 1), None);
+    let first = support.voters_to_write(1_000 + FIRST_VOTERS_DELAY_MS).expect("one has responded");
+    assert_eq!(first.names().collect::<Vec<_>>(), [&entry(1)]);
+    support.begin_voter_change(first, 1_500);
+    support.complete_voter_change();
+    support.record_promise(&entry(2), INCARNATION, 1_600);
+    assert_eq!(support.voters_to_write(1_500 + VOTER_CHANGE_INTERVAL_MS - 1), None);
+    let later = support.voters_to_write(1_500 + VOTER_CHANGE_INTERVAL_MS);
+    assert_eq!(later.expect("both respond").len(), 2);
+}
+
 /// An entry must give no promise to a coordinator that has a successor, even if the entry knows the
 /// successor only from a release request.
 #[test]
