feat(entry): log what a refused or abandoned request was and what a stopping entry leaves

Callers saw: connections closed without an answer while their entry stopped. The logs told neither which requests an entry refused or gave up, nor how many an exiting entry left.

Change: decision=refuse and decision=give_up carry job, method, queue, status and waiting time, give_up also how many copies were sent; all refusals of an entry go through one function. event=stop of an entry tells how many requests were in flight at the end of its drain time, how many are unanswered at its exit, and how many connections are open. Still one line a decision.

No logic changes.

Conclusion: with these lines an entry's own log tells a cut request from one that never arrived.

--- a/crates/geraniumpost/src/batch/agent/mod.rs
+++ b/crates/geraniumpost/src/batch/agent/mod.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use super::http_server;
+use super::in_flight::InFlight;
 use state::State;
 
 /// Time allowed for responses to heartbeats that are in progress when the process is asked to stop.
@@ -53,10 +54,11 @@
     tokio::spawn(link::maintain_link(Arc::clone(&state), known_coordinator));
     tokio::spawn(polling::poll_continuously(Arc::clone(&state)));
     let heartbeat_state = Arc::clone(&state);
-    let serving = tokio::spawn(http_server::serve(listener, stop.clone(), move |req| {
-        metrics.heartbeat("minion");
-        heartbeats::respond(req, Arc::clone(&heartbeat_state))
-    }));
+    let serving =
+        tokio::spawn(http_server::serve(listener, stop.clone(), InFlight::default(), move |req| {
+            metrics.heartbeat("minion");
+            heartbeats::respond(req, Arc::clone(&heartbeat_state))
+        }));
     crate::stop_signal::stopped(&mut stop.clone()).await;
     let _ = tokio::time::timeout(HEARTBEAT_DRAIN_TIMEOUT, serving).await;
     let departure_timeout =
--- a/crates/geraniumpost/src/batch/entry/caller_requests.rs
+++ b/crates/geraniumpost/src/batch/entry/caller_requests.rs
@@ -14,6 +14,7 @@
 use super::super::http_server::{HttpResponse, empty_response};
 use super::EntryState;
 use super::relay::NoResponse;
+use super::request_log::RequestLog;
 
 /// Deadline of requests without the header [`DEADLINE_HEADER`], in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -30,10 +31,12 @@
 
 /// Responds to a request of a caller, and counts the response in the metrics.
 pub async fn respond(req: Request<Incoming>, shared: Arc<EntryState>) -> HttpResponse {
+    let _in_flight = shared.requests.begin();
     let stopping = *shared.stop.borrow();
     let started_at = tokio::time::Instant::now();
     let method = req.method().clone();
-    let mut response = handle(req, &shared).await;
+    let log = RequestLog::new(&req);
+    let mut response = handle(req, &shared, log).await;
     shared.metrics.outcome(method.as_str(), response.status().as_u16(), started_at.elapsed());
     if stopping {
         // With the connection closed, the caller's next request goes to another entry.
@@ -42,65 +45,62 @@
     response
 }
 
-async fn handle(req: Request<Incoming>, shared: &EntryState) -> HttpResponse {
+async fn handle(req: Request<Incoming>, shared: &EntryState, mut log: RequestLog) -> HttpResponse {
     let Some(routes) = shared.configuration.routes() else {
-        return refuse("no configuration was read yet");
+        return refuse(&log, "no configuration was read yet");
     };
     if shared.is_behind() {
-        return refuse("the active configuration may be outdated");
+        return refuse(&log, "the active configuration may be outdated");
     }
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = routes.find(host, req.uri().path()) else {
         return empty_response(StatusCode::NOT_FOUND);
     };
+    log.set_queue(route.terms.queue.clone());
     let response_timeout = response_timeout(&req);
     let rest = &req.uri().path()[route.prefix.len()..];
     if rest.is_empty() && req.method() == Method::GET {
-        return relay(shared, CallerRequest::Pending(route.terms.queue.clone()), response_timeout)
-            .await;
+        let request = CallerRequest::Pending(route.terms.queue.clone());
+        return relay(shared, &log, request, response_timeout).await;
     }
     let Ok(job) = rest.parse::<JobId>() else {
         return empty_response(StatusCode::NOT_FOUND);
     };
     match *req.method() {
-        Method::GET => relay(shared, CallerRequest::State(job), response_timeout).await,
-        Method::DELETE => relay(shared, CallerRequest::Cancel(job), response_timeout).await,
+        Method::GET => relay(shared, &log, CallerRequest::State(job), response_timeout).await,
+        Method::DELETE => relay(shared, &log, CallerRequest::Cancel(job), response_timeout).await,
         Method::POST => {
-            submit(req, shared, job, route, routes.max_body_bytes, response_timeout).await
+            let request = match read_submission(req, job, route, routes.max_body_bytes).await {
+                Ok(request) => request,
+                Err((status, why)) => {
+                    log.refused(status, &why);
+                    return empty_response(status);
+                }
+            };
+            relay(shared, &log, request, response_timeout).await
         }
         _ => empty_response(StatusCode::METHOD_NOT_ALLOWED),
     }
 }
 
-async fn submit(
+/// Reads the body of a submission. The error is the status of the response and the reason.
+async fn read_submission(
     req: Request<Incoming>,
-    shared: &EntryState,
     job: JobId,
     route: &Route,
     max_body_bytes: usize,
-    response_timeout: Duration,
-) -> HttpResponse {
-    let body = match Limited::new(req.into_body(), max_body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            spdlog::info!("decision=refuse job={job} why=\"body: {error}\"");
-            return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-    };
-    let spec = match decode_job(&body) {
-        Ok(spec) => spec,
-        Err(error) => {
-            spdlog::info!("decision=refuse job={job} why=\"{error}\"");
-            return empty_response(StatusCode::BAD_REQUEST);
-        }
-    };
-    relay(shared, CallerRequest::Submit { job, spec, terms: route.terms.clone() }, response_timeout)
-        .await
+) -> Result<CallerRequest, (StatusCode, String)> {
+    let body = Limited::new(req.into_body(), max_body_bytes).collect().await;
+    let body = body.map_err(|e| (StatusCode::PAYLOAD_TOO_LARGE, format!("body: {e}")))?;
+    let spec = decode_job(&body.to_bytes());
+    let spec = spec.map_err(|e| (StatusCode::BAD_REQUEST, e.to_string()))?;
+    Ok(CallerRequest::Submit { job, spec, terms: route.terms.clone() })
 }
 
 /// Relays a request to the coordinator, and translates the response to HTTP.
 async fn relay(
     shared: &EntryState,
+    log: &RequestLog,
     request: CallerRequest,
     response_timeout: Duration,
 ) -> HttpResponse {
@@ -120,18 +120,18 @@
             response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
             response
         }
-        Err(NoResponse::NotSent) => refuse("no coordinator"),
-        Err(NoResponse::Unknown) => {
-            spdlog::warn!("decision=give_up why=\"coordinator did not respond\"");
+        Err(NoResponse::NotSent) => refuse(log, "no coordinator"),
+        Err(NoResponse::Unknown { sent_copies }) => {
+            log.given_up(StatusCode::GATEWAY_TIMEOUT, sent_copies);
             empty_response(StatusCode::GATEWAY_TIMEOUT)
         }
     }
 }
 
 /// Returns the response 503 with a `Retry-After` header. The request has no effect, now or later.
-fn refuse(why: &str) -> HttpResponse {
-    spdlog::info!("decision=refuse why=\"{why}\" retry_after_s={RETRY_AFTER_S}");
+fn refuse(log: &RequestLog, why: &str) -> HttpResponse {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    log.refused(response.status(), why);
     response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
     response
 }
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -6,6 +6,7 @@
 mod newer_versions;
 mod readiness;
 mod relay;
+mod request_log;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 
 use super::coordination::{Candidate, KnownCoordinator, LocalPromises};
 use super::http_server;
+use super::in_flight::InFlight;
 use crate::metrics::Metrics;
 
 pub use active_configuration::ActiveConfiguration;
@@ -49,6 +51,8 @@
     pub relay: Relay,
     /// Metrics of the process, served at `/metrics`.
     pub metrics: Arc<Metrics>,
+    /// Callers' requests that were received and have no response yet.
+    pub requests: InFlight,
     /// Turns true when the process is asked to stop.
     pub stop: watch::Receiver<bool>,
 }
@@ -87,6 +91,7 @@
         config_apply_ms: settings.bounds.config_apply_ms,
         relay,
         metrics: Arc::clone(&metrics),
+        requests: InFlight::default(),
         stop: stop.clone(),
     });
     tokio::spawn(configuration::follow_configuration(Arc::clone(&store), Arc::clone(&shared)));
@@ -108,22 +113,31 @@
     let callers = http_server::bind(callers).await?;
     let (closing_tx, closing) = watch::channel(false);
     let readiness_shared = Arc::clone(&shared);
-    tokio::spawn(http_server::serve(ready, closing.clone(), move |req| {
+    tokio::spawn(http_server::serve(ready, closing.clone(), InFlight::default(), move |req| {
         std::future::ready(readiness::respond(&req, &readiness_shared))
     }));
     let caller_shared = Arc::clone(&shared);
-    let serving = tokio::spawn(http_server::serve(callers, closing, move |req| {
-        caller_requests::respond(req, Arc::clone(&caller_shared))
-    }));
+    let connections = InFlight::default();
+    let serving =
+        tokio::spawn(http_server::serve(callers, closing, connections.clone(), move |req| {
+            caller_requests::respond(req, Arc::clone(&caller_shared))
+        }));
     crate::stop_signal::stopped(&mut stop.clone()).await;
     promises.set_stopping();
     tokio::time::sleep(DRAIN_DURATION).await;
+    let in_flight = shared.requests.count();
     closing_tx.send_replace(true);
     let request_timeout = settings.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS);
     let request_timeout = Duration::from_millis(request_timeout).saturating_sub(DRAIN_DURATION);
     let _ = tokio::time::timeout(request_timeout, serving).await;
     peers.deregister(&store, DEREGISTER_TIMEOUT).await;
-    spdlog::info!("event=stop role=job-entry node={}", settings.node);
+    spdlog::info!(
+        "event=stop role=job-entry node={} in_flight_after_drain={in_flight} unanswered={} \
+         open_connections={}",
+        settings.node,
+        shared.requests.count(),
+        connections.count()
+    );
     spdlog::default_logger().flush();
     Ok(())
 }
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -84,7 +84,10 @@
     /// The request was not sent, and has no effect.
     NotSent,
     /// The request was sent, and a coordinator may have handled it.
-    Unknown,
+    Unknown {
+        /// Number of copies of the request that were sent.
+        sent_copies: u64,
+    },
 }
 
 impl Relay {
@@ -152,12 +155,12 @@
         if let Ok(result) =
             tokio::time::timeout_at(started_at + unsent_timeout.min(timeout), &mut response).await
         {
-            return result.map_err(|_| NoResponse::Unknown);
+            return result.map_err(|_| no_response(&sent_copies));
         }
         if sent_copies.load(Ordering::SeqCst) > 0
             && let Ok(result) = tokio::time::timeout_at(started_at + timeout, &mut response).await
         {
-            return result.map_err(|_| NoResponse::Unknown);
+            return result.map_err(|_| no_response(&sent_copies));
         }
         // The relay counts a copy before it checks whether this receiver is closed, and this
         // function closes the receiver before it reads the count. Therefore a request with a count
@@ -166,11 +169,14 @@
         if let Ok(result) = response.try_recv() {
             return Ok(result);
         }
-        Err(if sent_copies.load(Ordering::SeqCst) == 0 {
-            NoResponse::NotSent
-        } else {
-            NoResponse::Unknown
-        })
+        Err(no_response(&sent_copies))
+    }
+}
+
+fn no_response(sent_copies: &AtomicU64) -> NoResponse {
+    match sent_copies.load(Ordering::SeqCst) {
+        0 => NoResponse::NotSent,
+        sent_copies => NoResponse::Unknown { sent_copies },
     }
 }
 
--- a/crates/geraniumpost/src/batch/http_server.rs
+++ b/crates/geraniumpost/src/batch/http_server.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::in_flight::InFlight;
+
 /// A response whose body is held in memory as a whole.
 pub type HttpResponse = Response<Full<Bytes>>;
 
@@ -35,9 +37,13 @@
 }
 
 /// Serves requests until `stop` turns true, and returns when all requests in flight have been
-/// responded to.
-pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handle: H)
-where
+/// responded to. Open connections are counted in `connections`.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+    connections: InFlight,
+    handle: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
@@ -67,10 +73,12 @@
             .header_read_timeout(HEADER_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
+        let open = connections.begin();
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 spdlog::debug!("event=connection_ended why=\"{error}\"");
             }
+            drop(open);
         });
     }
     drop(listener);
--- a/crates/geraniumpost/tests/relay_copies.rs
+++ b/crates/geraniumpost/tests/relay_copies.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use geraniumpost::batch::coordination::{KnownCoordinator, LocalPromises};
 use geraniumpost::batch::entry::{ActiveConfiguration, NoResponse, Relay};
 use geraniumpost::batch::{FromPeer, ToPeer};
@@ -110,7 +111,8 @@
 async fn refusal_of_one_copy_is_not_reported_while_another_may_be_accepted() {
     let (_listener, link, request_id, response_task) = send_job_twice().await;
     link.respond(request_id, REFUSED);
-    assert_eq!(response_of(response_task).await, Err(NoResponse::Unknown));
+    let result = response_of(response_task).await;
+    assert_matches!(result, Err(NoResponse::Unknown { sent_copies: 2.. }));
 }
 
 /// One copy is refused and the other accepted, so the job runs.
