fix(entry): answer every request that was read before a stopping entry exits

Callers saw: a connection that closes without an answer 4.8 s after their entry's SIGTERM, although the request was read.

Cause: a request waits for up to its caller's deadline (3 s), and the body of one without any limit; the exit waits for neither beyond 4.8 s. From 2.8 s on, open connections without a request in flight were closed, so that a caller who used one then got no answer either, while the process was still there for others.

Change: StopSchedule knows when the process was asked to stop, from when it refuses requests (2.8 s) and when all of them must have a response (grace - 1.2 s). Relay::request and the reading of bodies end at the latest then: 503 with Retry-After if nothing was sent, 504 as before if a copy was. From 2.8 s on new requests are refused at once and never relayed, with the listener and idle connections still open and "connection: close" on each response. The process closes its connections as soon as no request is in flight, else when the responses are due; closing, which includes writing the last responses, takes 0.5 s at most and runs beside deregistration (0.3 s), so that the process is gone 5.3 s after SIGTERM at the latest, 0.7 s before it would be killed. Requests in flight are counted, not connections: an idle or half-open connection does not hold the exit. Whether a response says "connection: close" is decided when it is ready, so that a request from before the SIGTERM does not keep its connection.

Ruled out: a shorter unsent wait (the cut requests were sent); a longer margin (the wait would still be the caller's).

Conclusion: no wait of a request has only the caller's bound any more, so nothing that was read is without an answer at the exit.

--- a/crates/geraniumpost/src/batch/agent/mod.rs
+++ b/crates/geraniumpost/src/batch/agent/mod.rs
@@ -16,12 +16,14 @@
 use tokio::sync::watch;
 
 use super::http_server;
-use super::in_flight::InFlight;
+use crate::open_connections::OpenConnections;
 use state::State;
 
 /// Time allowed for responses to heartbeats that are in progress when the process is asked to stop.
 /// Each takes about a millisecond.
 const HEARTBEAT_DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a connection without any heartbeat yet is kept at a planned stop.
+const FIRST_HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Part of the grace period that is reserved for the exit of the process, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 1_000;
 /// Pause between two checks of whether a coordinator has recorded all departures.
@@ -54,11 +56,15 @@
     tokio::spawn(link::maintain_link(Arc::clone(&state), known_coordinator));
     tokio::spawn(polling::poll_continuously(Arc::clone(&state)));
     let heartbeat_state = Arc::clone(&state);
-    let serving =
-        tokio::spawn(http_server::serve(listener, stop.clone(), InFlight::default(), move |req| {
+    let serving = tokio::spawn(http_server::serve(
+        listener,
+        stop.clone(),
+        Arc::new(OpenConnections::new(FIRST_HEARTBEAT_TIMEOUT)),
+        move |req| {
             metrics.heartbeat("minion");
             heartbeats::respond(req, Arc::clone(&heartbeat_state))
-        }));
+        },
+    ));
     crate::stop_signal::stopped(&mut stop.clone()).await;
     let _ = tokio::time::timeout(HEARTBEAT_DRAIN_TIMEOUT, serving).await;
     let departure_timeout =
--- a/crates/geraniumpost/src/batch/entry/caller_requests.rs
+++ b/crates/geraniumpost/src/batch/entry/caller_requests.rs
@@ -29,16 +29,20 @@
 /// Value of the `Retry-After` header of requests that this entry refuses, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
+/// Maximum time for which the body of a request that is refused is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
+/// Reason of refusals by an entry that has no time left to relay a request.
+const WHY_STOPPING: &str = "this entry is shutting down";
+
 /// Responds to a request of a caller, and counts the response in the metrics.
 pub async fn respond(req: Request<Incoming>, shared: Arc<EntryState>) -> HttpResponse {
     let _in_flight = shared.requests.begin();
-    let stopping = *shared.stop.borrow();
     let started_at = tokio::time::Instant::now();
     let method = req.method().clone();
     let log = RequestLog::new(&req);
     let mut response = handle(req, &shared, log).await;
     shared.metrics.outcome(method.as_str(), response.status().as_u16(), started_at.elapsed());
-    if stopping {
+    if shared.stop.has_begun() {
         // With the connection closed, the caller's next request goes to another entry.
         response.headers_mut().insert("connection", HeaderValue::from_static("close"));
     }
@@ -46,6 +50,10 @@
 }
 
 async fn handle(req: Request<Incoming>, shared: &EntryState, mut log: RequestLog) -> HttpResponse {
+    if shared.stop.is_drained() {
+        discard_body(req).await;
+        return refuse(&log, WHY_STOPPING);
+    }
     let Some(routes) = shared.configuration.routes() else {
         return refuse(&log, "no configuration was read yet");
     };
@@ -70,19 +78,30 @@
         Method::GET => relay(shared, &log, CallerRequest::State(job), response_timeout).await,
         Method::DELETE => relay(shared, &log, CallerRequest::Cancel(job), response_timeout).await,
         Method::POST => {
-            let request = match read_submission(req, job, route, routes.max_body_bytes).await {
-                Ok(request) => request,
+            let read = tokio::select! {
+                read = read_submission(req, job, route, routes.max_body_bytes) => read,
+                () = shared.stop.response_due() => return refuse(&log, WHY_STOPPING),
+            };
+            match read {
+                Ok(request) => relay(shared, &log, request, response_timeout).await,
                 Err((status, why)) => {
                     log.refused(status, &why);
-                    return empty_response(status);
+                    empty_response(status)
                 }
-            };
-            relay(shared, &log, request, response_timeout).await
+            }
         }
         _ => empty_response(StatusCode::METHOD_NOT_ALLOWED),
     }
 }
 
+/// Reads the body of a request that is refused. If the server closed the connection over unread
+/// bytes, the connection would be reset, and the response might not arrive.
+async fn discard_body(req: Request<Incoming>) {
+    let mut body = req.into_body();
+    let read = async { while body.frame().await.is_some_and(|frame| frame.is_ok()) {} };
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+}
+
 /// Reads the body of a submission. The error is the status of the response and the reason.
 async fn read_submission(
     req: Request<Incoming>,
@@ -108,7 +127,8 @@
     // is not expected soon, and holding the request would only cost the caller time.
     let silent = Duration::from_millis(shared.relay.coordinator_silence_ms());
     let unsent_wait = MAX_UNSENT_WAIT.saturating_sub(silent).max(MIN_UNSENT_WAIT);
-    match shared.relay.request(request, unsent_wait, response_timeout).await {
+    let response_due = shared.stop.response_due();
+    match shared.relay.request(request, unsent_wait, response_timeout, response_due).await {
         Ok(CallerResponse::Accepted | CallerResponse::Cancelled) => empty_response(StatusCode::OK),
         Ok(CallerResponse::State(state)) => json_response(encode_state(state)),
         Ok(CallerResponse::Pending(count)) => json_response(encode_pending(count)),
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -7,6 +7,7 @@
 mod readiness;
 mod relay;
 mod request_log;
+mod stop_schedule;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,21 +20,21 @@
 
 use super::coordination::{Candidate, KnownCoordinator, LocalPromises};
 use super::http_server;
-use super::in_flight::InFlight;
+use crate::in_flight::InFlight;
 use crate::metrics::Metrics;
+use crate::open_connections::OpenConnections;
 
 pub use active_configuration::ActiveConfiguration;
 pub use newer_versions::NewerVersions;
 pub use relay::{LinkState, NoResponse, Relay};
+pub use stop_schedule::StopSchedule;
 
-/// Time for which a stopping entry still accepts connections. The balancer checks readiness once a
-/// second, and stops sending requests to an entry after two failed checks.
-const DRAIN_DURATION: Duration = Duration::from_millis(2_800);
+/// Time for which a connection without any request yet is kept at a planned stop.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time for closing the connections, which includes sending the last responses.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of the call that removes this entry from the registry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Part of the grace period that is reserved for deregistration and exit, after requests in flight
-/// have ended or timed out, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 1_200;
 
 /// Maximum time from the acknowledgement of a configuration until this entry learns of the version
 /// through the coordinator, in milliseconds: the read by the fastest entry, the ping of that entry,
@@ -53,8 +54,8 @@
     pub metrics: Arc<Metrics>,
     /// Callers' requests that were received and have no response yet.
     pub requests: InFlight,
-    /// Turns true when the process is asked to stop.
-    pub stop: watch::Receiver<bool>,
+    /// The times of the planned stop.
+    pub stop: StopSchedule,
 }
 
 impl EntryState {
@@ -92,7 +93,7 @@
         relay,
         metrics: Arc::clone(&metrics),
         requests: InFlight::default(),
-        stop: stop.clone(),
+        stop: StopSchedule::new(Duration::from_millis(settings.bounds.grace_ms)),
     });
     tokio::spawn(configuration::follow_configuration(Arc::clone(&store), Arc::clone(&shared)));
     let peer_listener = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
@@ -113,24 +114,32 @@
     let callers = http_server::bind(callers).await?;
     let (closing_tx, closing) = watch::channel(false);
     let readiness_shared = Arc::clone(&shared);
-    tokio::spawn(http_server::serve(ready, closing.clone(), InFlight::default(), move |req| {
-        std::future::ready(readiness::respond(&req, &readiness_shared))
-    }));
+    tokio::spawn(http_server::serve(
+        ready,
+        closing.clone(),
+        Arc::new(OpenConnections::new(FIRST_REQUEST_TIMEOUT)),
+        move |req| std::future::ready(readiness::respond(&req, &readiness_shared)),
+    ));
     let caller_shared = Arc::clone(&shared);
-    let connections = InFlight::default();
+    let connections = Arc::new(OpenConnections::new(FIRST_REQUEST_TIMEOUT));
     let serving =
-        tokio::spawn(http_server::serve(callers, closing, connections.clone(), move |req| {
+        tokio::spawn(http_server::serve(callers, closing, Arc::clone(&connections), move |req| {
             caller_requests::respond(req, Arc::clone(&caller_shared))
         }));
     crate::stop_signal::stopped(&mut stop.clone()).await;
     promises.set_stopping();
-    tokio::time::sleep(DRAIN_DURATION).await;
+    shared.stop.begin();
+    shared.stop.drained().await;
     let in_flight = shared.requests.count();
+    // Until the requests in flight have ended, new requests are still accepted, and refused: a
+    // closed connection would not tell a caller that its request has no effect.
+    tokio::select! {
+        () = shared.requests.ended() => {}
+        () = shared.stop.response_due() => {}
+    }
     closing_tx.send_replace(true);
-    let request_timeout = settings.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS);
-    let request_timeout = Duration::from_millis(request_timeout).saturating_sub(DRAIN_DURATION);
-    let _ = tokio::time::timeout(request_timeout, serving).await;
-    peers.deregister(&store, DEREGISTER_TIMEOUT).await;
+    let closed = tokio::time::timeout(CLOSE_TIMEOUT, serving);
+    let (_, ()) = tokio::join!(closed, peers.deregister(&store, DEREGISTER_TIMEOUT));
     spdlog::info!(
         "event=stop role=job-entry node={} in_flight_after_drain={in_flight} unanswered={} \
          open_connections={}",
--- a/crates/geraniumpost/src/batch/entry/readiness.rs
+++ b/crates/geraniumpost/src/batch/entry/readiness.rs
@@ -17,7 +17,7 @@
         return empty_response(StatusCode::NOT_FOUND);
     }
     let configured = shared.configuration.version() > 0 && !shared.is_behind();
-    let stopping = *shared.stop.borrow();
+    let stopping = shared.stop.has_begun();
     let coordinator_responds = shared.relay.coordinator_silence_ms() < MAX_COORDINATOR_SILENCE_MS;
     let ready = configured && coordinator_responds && !stopping;
     empty_response(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -9,7 +9,7 @@
 use geraniumpost_batch::{CallerRequest, CallerResponse, FromEntry, TermTime, ToEntry};
 use geraniumpost_net::{LinkReceiver, LinkSender};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::super::coordination::{KnownCoordinator, LocalPromises};
 use super::super::{BootClock, FromPeer, ToPeer, peer_link};
@@ -134,13 +134,15 @@
     /// # Errors
     ///
     /// Fails at once if the request queue is full or closed. Fails if no response arrives: after
-    /// `unsent_timeout` if the request could not be sent, otherwise after `timeout`. The error
-    /// says whether the request may have had an effect.
+    /// `unsent_timeout` if the request could not be sent, otherwise after `timeout`, and in any
+    /// case when `response_due` completes. The error says whether the request may have had an
+    /// effect.
     pub async fn request(
         &self,
         request: CallerRequest,
         unsent_timeout: Duration,
         timeout: Duration,
+        response_due: impl Future<Output = ()>,
     ) -> Result<CallerResponse, NoResponse> {
         let sent_copies = Arc::new(AtomicU64::new(0));
         let (response_tx, mut response) = oneshot::channel();
@@ -151,15 +153,22 @@
             refused_copies: 0,
         };
         self.tx.try_send(pending).map_err(|_| NoResponse::NotSent)?;
-        let started_at = Instant::now();
-        if let Ok(result) =
-            tokio::time::timeout_at(started_at + unsent_timeout.min(timeout), &mut response).await
-        {
-            return result.map_err(|_| no_response(&sent_copies));
-        }
-        if sent_copies.load(Ordering::SeqCst) > 0
-            && let Ok(result) = tokio::time::timeout_at(started_at + timeout, &mut response).await
-        {
+        let waiting = async {
+            let started_at = Instant::now();
+            let unsent_until = started_at + unsent_timeout.min(timeout);
+            if let Ok(result) = timeout_at(unsent_until, &mut response).await {
+                return Some(result);
+            }
+            if sent_copies.load(Ordering::SeqCst) == 0 {
+                return None;
+            }
+            timeout_at(started_at + timeout, &mut response).await.ok()
+        };
+        let result = tokio::select! {
+            result = waiting => result,
+            () = response_due => None,
+        };
+        if let Some(result) = result {
             return result.map_err(|_| no_response(&sent_copies));
         }
         // The relay counts a copy before it checks whether this receiver is closed, and this
--- a/crates/geraniumpost/src/batch/http_server.rs
+++ b/crates/geraniumpost/src/batch/http_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,11 +14,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::in_flight::InFlight;
+use crate::open_connections::OpenConnections;
 
 /// A response whose body is held in memory as a whole.
 pub type HttpResponse = Response<Full<Bytes>>;
@@ -37,52 +37,72 @@
 }
 
 /// Serves requests until `stop` turns true, and returns when all requests in flight have been
-/// responded to. Open connections are counted in `connections`.
+/// responded to and all connections are closed.
 pub async fn serve<H, F>(
     listener: TcpListener,
     mut stop: watch::Receiver<bool>,
-    connections: InFlight,
+    connections: Arc<OpenConnections>,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = HttpResponse> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             () = crate::stop_signal::stopped(&mut stop) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => spawn(stream, &connections, handle.clone()),
             Err(error) => {
                 spdlog::warn!("event=accept_failed why=\"{error}\"");
                 tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
-                continue;
             }
-        };
-        // With Nagle's algorithm, small responses would wait for the peer's acknowledgement.
-        let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
-        let service = service_fn(move |req| {
-            let response = handle(req);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
-        let open = connections.begin();
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                spdlog::debug!("event=connection_ended why=\"{error}\"");
-            }
-            drop(open);
-        });
+        }
+    }
+    serve_queued(listener, &connections, &handle);
+    connections.finish().await;
+}
+
+/// Accepts the connections that wait in the queue of the listener, and closes it. Closing a
+/// listener resets the connections in its queue, whose clients may have sent requests already.
+fn serve_queued<H, F>(listener: TcpListener, connections: &OpenConnections, handle: &H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = HttpResponse> + Send + 'static,
+{
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            spawn(stream, connections, handle.clone());
+        }
     }
-    drop(listener);
-    graceful.shutdown().await;
+}
+
+fn spawn<H, F>(stream: TcpStream, connections: &OpenConnections, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = HttpResponse> + Send + 'static,
+{
+    // With Nagle's algorithm, small responses would wait for the peer's acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let open_connection = connections.begin();
+    let requested = open_connection.requested();
+    let service = service_fn(move |req| {
+        requested.notify_one();
+        let response = handle(req);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::spawn(async move {
+        if let Err(error) = open_connection.hold(connection).await {
+            spdlog::debug!("event=connection_ended why=\"{error}\"");
+        }
+    });
 }
 
 /// Returns a response without a body.
--- a/crates/geraniumpost/src/batch/mod.rs
+++ b/crates/geraniumpost/src/batch/mod.rs
@@ -10,7 +10,6 @@
 pub mod entry;
 mod hedged_read;
 mod http_server;
-mod in_flight;
 mod peer_link;
 mod peer_message;
 
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -16,8 +16,8 @@
 
 use super::dispatch::dispatch;
 use super::incoming::{Head, request_id};
-use super::open_connections::OpenConnections;
 use super::{EntryContext, Incoming, Reply};
+use crate::open_connections::OpenConnections;
 use crate::stop_signal::stopped;
 
 /// Path that the platform's balancer asks whether this entry takes new connections.
@@ -28,6 +28,8 @@
 const CONNECTIONS: usize = 10_000;
 /// How long a leaving entry still accepts, so that the balancer sees it as not ready first.
 const NOT_READY: Duration = Duration::from_millis(500);
+/// How long a connection without any request yet is kept at a planned stop.
+const FIRST_REQUEST: Duration = Duration::from_secs(1);
 /// Longest time in which a starting entry lets nobody in.
 const LONGEST_START: Duration = Duration::from_secs(3);
 /// Pause between two looks at whether a starting entry can serve.
@@ -42,7 +44,7 @@
 /// The order matters: first "not ready", so that the balancer sends nobody any more; then no more
 /// accepts; then the requests in flight to their end, for at most `drain_ms`.
 pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let open_connections = OpenConnections::new();
+    let open_connections = OpenConnections::new(FIRST_REQUEST);
     let room = Arc::new(Semaphore::new(CONNECTIONS));
     let mut leaving = std::pin::pin!(async {
         stopped(&mut stop).await;
@@ -134,9 +136,9 @@
     // Answers are short; waiting to fill packets would only delay them.
     let _ = stream.set_nodelay(true);
     let open_connection = open_connections.begin();
-    let (cx, asked) = (Arc::clone(cx), open_connection.asked());
+    let (cx, requested) = (Arc::clone(cx), open_connection.requested());
     let service = service_fn(move |req| {
-        asked.notify_one();
+        requested.notify_one();
         let cx = Arc::clone(&cx);
         async move { Ok::<_, Infallible>(answer(&cx, req).await) }
     });
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -15,7 +15,6 @@
 mod link_event;
 mod link_keeper;
 mod links;
-mod open_connections;
 mod pauses;
 mod peers;
 mod reply;
--- a/crates/geraniumpost/src/batch/in_flight.rs
+++ b/crates/geraniumpost/src/in_flight.rs
@@ -26,6 +26,12 @@
     pub fn count(&self) -> usize {
         *self.count.borrow()
     }
+
+    /// Waits until no work is in progress.
+    pub async fn ended(&self) {
+        // The sender belongs to `self`, so that waiting cannot fail.
+        let _ = self.count.subscribe().wait_for(|count| *count == 0).await;
+    }
 }
 
 impl Drop for InFlightGuard {
--- a/crates/geraniumpost/tests/relay_copies.rs
+++ b/crates/geraniumpost/tests/relay_copies.rs
@@ -85,7 +85,8 @@
             spec: JobSpec::default(),
             terms: QueueTerms::default(),
         };
-        let response = relay.request(request, RESPONSE_TIMEOUT, RESPONSE_TIMEOUT).await;
+        let never = std::future::pending();
+        let response = relay.request(request, RESPONSE_TIMEOUT, RESPONSE_TIMEOUT, never).await;
         drop(known_coordinator_tx);
         response
     });
