--- a/crates/geraniumpost/tests/failures_requests.rs
+++ b/crates/geraniumpost/tests/failures_requests.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use geraniumpost_harness::check::{Summary, Told, Word};
-use geraniumpost_harness::{Binaries, Caller, Fleet, Plan, Send, failures, pass, wait_until};
+use geraniumpost_harness::{
+    Binaries, CUSTOMER_TOKEN, Caller, Fleet, Plan, SERVICE, Send, failures, pass, wait_until,
+};
 use geraniumpost_standin::now_us;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const LONG: Duration = Duration::from_secs(15);
 const CALLERS: u64 = 12;
@@ -158,6 +161,40 @@
         assert!(summary.all_answered(), "{summary}");
     }
 
+    /// An entry is stopped while a minion works on a request for longer than the drain time. The
+    /// caller is willing to wait, and must be told that its request may have run.
+    async fn stopped_entry_answers_requests_that_outlast_its_drain_time() {
+        let mut fleet = fleet(Plan::default().drain_ms(500)).await;
+        let caller = fleet.caller(0);
+        let send = Send::post().work_ms(4_000);
+        let waiting = tokio::spawn(async move { caller.send(&send).await });
+        wait_until("the request runs", LONG, || async { fleet.running().await == 1 }).await;
+        fleet.entry(0).term().unwrap();
+        let told = waiting.await.unwrap();
+        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+        assert_eq!(told.word, Word::MayHaveRun, "{told:?}");
+    }
+
+    /// An entry is stopped while the body of a request arrives slowly. The caller must be told that
+    /// its request has not run.
+    async fn stopped_entry_refuses_requests_with_an_incomplete_body() {
+        let mut fleet = fleet(Plan::default().drain_ms(500)).await;
+        let address = fleet.callers_addresses()[0];
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        let head = format!(
+            "POST /{SERVICE}/check HTTP/1.1\r\nhost: {address}\r\n\
+             authorization: Bearer {CUSTOMER_TOKEN}\r\ncontent-length: 100\r\n\r\nbody"
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        pass(300).await;
+        fleet.entry(0).term().unwrap();
+        let mut response = String::new();
+        let _ = stream.read_to_string(&mut response).await;
+        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+        assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
+        assert!(response.contains("x-result-code: 2015"), "{response:?}");
+    }
+
     /// The operator's tool sends the stop signal twice, as impatient people do. The second one
     /// must not cut off what the first one lets finish.
     async fn second_stop_signal_cuts_off_nothing() {
