fix(entry): answer requests that outlast the drain time of a routing entry

Callers saw: a connection that ends without a response when the entry's drain_ms is over, for requests with a longer deadline.

Every wait of a request is limited by the caller's deadline; the stop gave up on the connections after drain_ms and ended the process.

Change: when drain_ms is over, EntryContext::response_due completes. A request whose body is incomplete is answered 2015 (503, not run), one that was passed on 2004 (502, may have run: dropping the attempt cancels it, which may come too late). Connections then get half a second to write these. One line a request in the log.

Ruled out: the agent of this role. It too leaves when drain_ms is over, but who waits there is an entry, which answers its caller when the link is lost.

Conclusion: the exit of this entry has a bound of its own, and no request waits beyond it.

--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -30,6 +30,8 @@
 const NOT_READY: Duration = Duration::from_millis(500);
 /// How long a connection without any request yet is kept at a planned stop.
 const FIRST_REQUEST: Duration = Duration::from_secs(1);
+/// Longest time in which the requests that outlast the drain time are told so.
+const LAST_RESPONSES: Duration = Duration::from_millis(500);
 /// Longest time in which a starting entry lets nobody in.
 const LONGEST_START: Duration = Duration::from_secs(3);
 /// Pause between two looks at whether a starting entry can serve.
@@ -42,7 +44,8 @@
 /// Serves callers until the entry is asked to stop, and then finishes what is under way.
 ///
 /// The order matters: first "not ready", so that the balancer sends nobody any more; then no more
-/// accepts; then the requests in flight to their end, for at most `drain_ms`.
+/// accepts; then the requests in flight to their end, for at most `drain_ms`; then a response to
+/// those that have not ended.
 pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     let open_connections = OpenConnections::new(FIRST_REQUEST);
     let room = Arc::new(Semaphore::new(CONNECTIONS));
@@ -68,7 +71,13 @@
     serve_queued(&cx, listener, &room, &open_connections);
     let longest = Duration::from_millis(cx.settings.drain_ms);
     if timeout(longest, open_connections.finish()).await.is_err() {
-        spdlog::warn!("stopping with requests under way: drain_ms is over");
+        let open = open_connections.count();
+        spdlog::warn!("drain_ms is over: ending the requests under way, connections={open}");
+        cx.require_responses();
+        if timeout(LAST_RESPONSES, open_connections.finish()).await.is_err() {
+            let open = open_connections.count();
+            spdlog::warn!("stopping with open connections, connections={open}");
+        }
     }
 }
 
@@ -194,7 +203,15 @@
 /// slowly holds no slot that others need.
 async fn read_body(cx: &EntryContext, head: Head, body: HyperBody) -> Result<Incoming, ResultCode> {
     let reading = Limited::new(body, head.largest()).collect();
-    match timeout(head.time(&cx.clock), reading).await {
+    let reading = timeout(head.time(&cx.clock), reading);
+    let read = tokio::select! {
+        read = reading => read,
+        () = cx.response_due() => {
+            spdlog::info!("request {}: refused, its body is incomplete at drain_ms", head.id());
+            return Err(ResultCode::EntryLeaving);
+        }
+    };
+    match read {
         Ok(Ok(body)) => Ok(head.with_body(body.to_bytes())),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ResultCode::BodyTooLarge),
         Ok(Err(_)) => Err(ResultCode::Malformed),
@@ -206,7 +223,14 @@
 async fn admit(cx: &EntryContext, req: &Incoming) -> Reply {
     let permit = cx.limits.load().try_acquire(&req.caller.name);
     match permit {
-        Ok(_permit) => dispatch(cx, req).await,
+        Ok(_permit) => tokio::select! {
+            reply = dispatch(cx, req) => reply,
+            () = cx.response_due() => {
+                let (id, customer) = (&req.id, &req.caller.name);
+                spdlog::warn!("request {id} of {customer}: outcome unknown, drain_ms is over");
+                Reply::without_answer(ResultCode::OutcomeUnknown, 0)
+            }
+        },
         Err(code) => Reply::without_answer(code, LIMIT_RETRY_MS),
     }
 }
--- a/crates/geraniumpost/src/entry/context.rs
+++ b/crates/geraniumpost/src/entry/context.rs
@@ -12,7 +12,7 @@
 use geraniumpost_outside::Store;
 use geraniumpost_schema::{EntryPeer, EntrySettings, Heartbeat, Name, RequestId};
 use serde_json::Value;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::Peers;
 use super::claims::Claims;
@@ -57,6 +57,8 @@
     peers: Mutex<Peers>,
     sequence: AtomicU64,
     draining: AtomicBool,
+    /// Turns true when all requests must have a response.
+    response_due: watch::Sender<bool>,
     term: AtomicU64,
     claims: Claims,
     in_force: Mutex<HashMap<Name, u64>>,
@@ -96,6 +98,7 @@
             peers: Mutex::new(Peers::new(own_peer(&settings))),
             sequence: AtomicU64::new(1),
             draining: AtomicBool::new(false),
+            response_due: watch::Sender::new(false),
             term: AtomicU64::new(0),
             in_force: Mutex::default(),
             planner,
@@ -163,6 +166,20 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Ends the waiting of all requests, which are responded to at once.
+    pub fn require_responses(&self) {
+        self.response_due.send_replace(true);
+    }
+
+    /// Waits until all requests must have a response; see [`Self::require_responses`].
+    ///
+    /// A caller may be willing to wait for longer than a stopping process may run. Whatever a
+    /// request waits for is therefore limited by this as well as by the caller's deadline.
+    pub async fn response_due(&self) {
+        // The sender belongs to `self`, so that waiting cannot fail.
+        let _ = self.response_due.subscribe().wait_for(|due| *due).await;
+    }
+
     /// Returns the term under which this entry plans for its region, 0 if it does not.
     pub fn term(&self) -> u64 {
         self.term.load(Ordering::SeqCst)
