test(console): show that a stopping console leaves calls unanswered, failing

Operators see a connection that closes without a response if the planner does not answer: a call that is forwarded to another entry waits for up to 20 s, and the stop of the console for 10 s.

Run on the code as it is: served::calls_that_outlast_a_stop_are_answered_before_its_end fails with "a reply before the console has ended: Elapsed(())", and the console logs that it stopped with calls under way.

--- a/crates/geraniumpost/tests/console/bench.rs
+++ b/crates/geraniumpost/tests/console/bench.rs
@@ -1,5 +1,6 @@
 //! An entry's console with a store, and calls as operators and browsers make them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use geraniumpost::console::{Call, Console, Reply, first_token, form_proof};
@@ -34,6 +35,14 @@
         (bench, revision)
     }
 
+    /// Returns a console on the same store whose planner never answers.
+    pub async fn with_silent_planner(&self) -> Console {
+        let mut context = context(Store::new(self.standin.address()));
+        context.keeper.refresh(&context.store).await.unwrap();
+        context.jobs = Arc::new(|_| Box::pin(std::future::pending()));
+        Console::new(context)
+    }
+
     /// Returns another entry's console on the same store.
     pub async fn other_entry(&self) -> Self {
         let store = Store::new(self.standin.address());
--- a/crates/geraniumpost/tests/console/served.rs
+++ b/crates/geraniumpost/tests/console/served.rs
@@ -31,6 +31,29 @@
     assert!(client.call(Method::GET, "/api/status", Vec::new()).await.is_err());
 }
 
+/// An entry is stopped while the planner leaves an operator's call unanswered for longer than the
+/// stop waits. The process ends when the console has ended, so the operator must have been told
+/// by then that the outcome is not known.
+#[tokio::test]
+async fn calls_that_outlast_a_stop_are_answered_before_its_end() {
+    let (bench, _) = Bench::with_document().await;
+    let console = bench.with_silent_planner().await;
+    let listener = tokio::net::TcpListener::bind(ANY).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let wait = async move { drop(stopped.await) };
+    let served = tokio::spawn(console.serve(listener, wait));
+    let call = tokio::spawn(async move {
+        ApiClient::new(address, "o").call(Method::GET, "/api/jobs/study-1", Vec::new()).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    drop(stop);
+    tokio::time::timeout(Duration::from_secs(15), served).await.unwrap().unwrap();
+    let reply = tokio::time::timeout(Duration::from_millis(300), call).await;
+    let reply = reply.expect("a reply before the console has ended").unwrap().unwrap();
+    assert_eq!((reply.status, reply.body["code"].as_u64()), (503, Some(4014)), "{reply:?}");
+}
+
 /// Strangers send anything to the console's port: broken heads, half requests, plain noise. Each
 /// connection ends or is answered, and an operator's call right after is answered as ever.
 #[tokio::test]
