--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -6,6 +6,8 @@
 mod newer_versions;
 mod readiness;
 mod relay;
+mod request_log;
+mod stop_schedule;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,25 +18,23 @@
 use rand::Rng as _;
 use tokio::sync::watch;
 
-use super::coordination::{Candidate, HandoverTimes, KnownCoordinator, LocalPromises};
+use super::coordination::{Candidate, KnownCoordinator, LocalPromises};
 use super::http_server;
+use crate::in_flight::InFlight;
 use crate::metrics::Metrics;
+use crate::open_connections::OpenConnections;
 
 pub use active_configuration::ActiveConfiguration;
 pub use newer_versions::NewerVersions;
 pub use relay::{LinkState, NoResponse, Relay};
+pub use stop_schedule::StopSchedule;
 
-/// Time for which a stopping entry still accepts connections. The balancer checks readiness once a
-/// second, and stops sending requests to an entry after two failed checks.
-const DRAIN_DURATION: Duration = Duration::from_millis(2_800);
+/// Time for which a connection without any request yet is kept at a planned stop.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum time for closing the connections, which includes sending the last responses.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of the call that removes this entry from the registry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Part of the grace period that is reserved for deregistration and exit, after requests in flight
-/// have ended or timed out, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 1_200;
-/// Part of the time before [`EXIT_MARGIN_MS`] that a coordinator has to step down: one write to the
-/// store, which may be slow.
-const STEP_DOWN_MARGIN: Duration = Duration::from_millis(500);
 
 /// Maximum time from the acknowledgement of a configuration until this entry learns of the version
 /// through the coordinator, in milliseconds: the read by the fastest entry, the ping of that entry,
@@ -52,8 +52,10 @@
     pub relay: Relay,
     /// Metrics of the process, served at `/metrics`.
     pub metrics: Arc<Metrics>,
-    /// Turns true when the process is asked to stop.
-    pub stop: watch::Receiver<bool>,
+    /// Callers' requests that were received and have no response yet.
+    pub requests: InFlight,
+    /// The times of the planned stop.
+    pub stop: StopSchedule,
 }
 
 impl EntryState {
@@ -90,14 +92,12 @@
         config_apply_ms: settings.bounds.config_apply_ms,
         relay,
         metrics: Arc::clone(&metrics),
-        stop: stop.clone(),
+        requests: InFlight::default(),
+        stop: StopSchedule::new(Duration::from_millis(settings.bounds.grace_ms)),
     });
     tokio::spawn(configuration::follow_configuration(Arc::clone(&store), Arc::clone(&shared)));
     let peer_listener = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
     let link = shared.relay.state();
-    let answer_limit =
-        Duration::from_millis(settings.bounds.grace_ms.saturating_sub(EXIT_MARGIN_MS));
-    let handover_limit = answer_limit.saturating_sub(STEP_DOWN_MARGIN);
     let candidate_promises = Arc::clone(&promises);
     let candidate = Candidate::new(
         &settings,
@@ -108,7 +108,7 @@
         candidate_promises,
         metrics,
     )
-    .with_handover_times(HandoverTimes::new(DRAIN_DURATION, handover_limit));
+    .with_handover_times(shared.stop.handover_times());
     let mut coordinating = candidate.coordinating();
     let peers = candidate.peers();
     tokio::spawn(candidate.run(peer_listener, stop.clone()));
@@ -116,25 +116,41 @@
     let callers = http_server::bind(callers).await?;
     let (closing_tx, closing) = watch::channel(false);
     let readiness_shared = Arc::clone(&shared);
-    tokio::spawn(http_server::serve(ready, closing.clone(), move |req| {
-        std::future::ready(readiness::respond(&req, &readiness_shared))
-    }));
+    tokio::spawn(http_server::serve(
+        ready,
+        closing.clone(),
+        Arc::new(OpenConnections::new(FIRST_REQUEST_TIMEOUT)),
+        move |req| std::future::ready(readiness::respond(&req, &readiness_shared)),
+    ));
     let caller_shared = Arc::clone(&shared);
-    let serving = tokio::spawn(http_server::serve(callers, closing, move |req| {
-        caller_requests::respond(req, Arc::clone(&caller_shared))
-    }));
+    let connections = Arc::new(OpenConnections::new(FIRST_REQUEST_TIMEOUT));
+    let serving =
+        tokio::spawn(http_server::serve(callers, closing, Arc::clone(&connections), move |req| {
+            caller_requests::respond(req, Arc::clone(&caller_shared))
+        }));
     crate::stop_signal::stopped(&mut stop.clone()).await;
     promises.set_stopping();
-    tokio::time::sleep(DRAIN_DURATION).await;
+    shared.stop.begin();
+    shared.stop.drained().await;
+    let in_flight = shared.requests.count();
+    // Until the requests in flight have ended, new requests are still accepted, and refused: a
+    // closed connection would not tell a caller that its request has no effect. If this entry
+    // coordinates, the other entries' callers are served through it until it hands over.
+    let handed_over = coordinating.wait_for(|coordinating| !coordinating);
+    tokio::select! {
+        _ = async { tokio::join!(shared.requests.ended(), handed_over) } => {}
+        () = shared.stop.response_due() => {}
+    }
     closing_tx.send_replace(true);
-    let request_timeout = answer_limit.saturating_sub(DRAIN_DURATION);
-    let _ = tokio::time::timeout(request_timeout, async {
-        // The other entries' callers are served through this process while it coordinates.
-        let _ = tokio::join!(serving, coordinating.wait_for(|coordinating| !coordinating));
-    })
-    .await;
-    peers.deregister(&store, DEREGISTER_TIMEOUT).await;
-    spdlog::info!("event=stop role=job-entry node={}", settings.node);
+    let closed = tokio::time::timeout(CLOSE_TIMEOUT, serving);
+    let (_, ()) = tokio::join!(closed, peers.deregister(&store, DEREGISTER_TIMEOUT));
+    spdlog::info!(
+        "event=stop role=job-entry node={} in_flight_after_drain={in_flight} unanswered={} \
+         open_connections={}",
+        settings.node,
+        shared.requests.count(),
+        connections.count()
+    );
     spdlog::default_logger().flush();
     Ok(())
 }
