feat(coordination): log how long a step-down took

Whether the write of the key was late or the candidates noticed it late cannot be told from the logs.

Change: event=stepped_down with the term and the time that the write took, one line a term.

--- a/crates/geraniumpost/src/batch/coordination/coordinator_key.rs
+++ b/crates/geraniumpost/src/batch/coordination/coordinator_key.rs
@@ -189,8 +189,14 @@
             write: vec![(COORDINATOR_KEY.to_owned(), self.record.encode())],
             remove: Vec::new(),
         };
-        if let Err(error) = self.store.commit(&transaction, self.timeout.get()).await {
-            spdlog::warn!("event=step_down_failed why=\"{error}\"");
+        let started_at = tokio::time::Instant::now();
+        let result = self.store.commit(&transaction, self.timeout.get()).await;
+        let (term, elapsed_ms) = (self.record.term, started_at.elapsed().as_millis());
+        match result {
+            Ok(_) => spdlog::info!("event=stepped_down term={term} elapsed_ms={elapsed_ms}"),
+            Err(error) => spdlog::warn!(
+                "event=step_down_failed term={term} elapsed_ms={elapsed_ms} why=\"{error}\""
+            ),
         }
     }
 }
