fix(console): answer calls that outlast the stop of a console

Operators saw: a connection that closes without a response when an entry stops while the planner or another entry does not answer.

Cause: a forwarded call waits for up to 20 s, the reading of a body for 10 s and the planner for 6 s; the stop of the console waited for 10 s and the process then exited.

Change: when the 10 s are over, calls that are left are answered 4014 (503, whether it did as asked is not known), and connections get 0.5 s more to write that. The console uses OpenConnections as the other servers do, so that a connection on which nothing was read yet is kept for 0.2 s instead of being closed at once.

Ruled out in the other servers: /metrics (answers from memory, nothing waits), heartbeats at the agent of jobs (answered from memory; 300 ms for those in flight), readiness (answered from memory).

Conclusion: of the HTTP servers that were read (callers of both roles, console, metrics, heartbeats, readiness), none has a wait left that outlasts the stop of its process without an answer; links between processes were not looked at.

--- a/crates/geraniumpost/src/console/serve.rs
+++ b/crates/geraniumpost/src/console/serve.rs
@@ -11,13 +11,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
 
 use super::{
     ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, Route, api, api_jobs, identity, posts,
 };
+use crate::open_connections::OpenConnections;
 
 /// Largest body of a call; the document is the largest there is.
 const MAX_BODY: usize = 1 << 20;
@@ -27,6 +28,10 @@
 const CONNECTIONS: usize = 256;
 /// Time that a stop waits for calls under way.
 const STOP_TIME: Duration = Duration::from_secs(10);
+/// Time in which calls that outlast [`STOP_TIME`] are answered.
+const LAST_RESPONSES: Duration = Duration::from_millis(500);
+/// How long a connection without any call yet is kept at a stop.
+const FIRST_CALL: Duration = Duration::from_millis(200);
 
 /// The operators' API and the console.
 #[derive(Debug, Clone)]
@@ -40,9 +45,11 @@
         Self { context: Arc::new(context) }
     }
 
-    /// Serves until `stop` ends, then finishes the calls under way.
+    /// Serves until `stop` ends, then finishes the calls under way. Those that take longer than
+    /// [`STOP_TIME`] are answered that their outcome is not known.
     pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
-        let graceful = GracefulShutdown::new();
+        let connections = OpenConnections::new(FIRST_CALL);
+        let response_due = watch::Sender::new(false);
         let turns = Arc::new(Semaphore::new(CONNECTIONS));
         let mut stop = pin!(stop);
         loop {
@@ -51,12 +58,16 @@
                 () = &mut stop => break,
             };
             if let Some((stream, turn)) = accepted {
-                self.spawn(stream, turn, &graceful);
+                self.spawn(stream, turn, &connections, response_due.subscribe());
             }
         }
         drop(listener);
-        if tokio::time::timeout(STOP_TIME, graceful.shutdown()).await.is_err() {
-            spdlog::warn!("the console stopped with calls under way");
+        if timeout(STOP_TIME, connections.finish()).await.is_err() {
+            spdlog::warn!("the console ends calls under way: its stop takes too long");
+            response_due.send_replace(true);
+            if timeout(LAST_RESPONSES, connections.finish()).await.is_err() {
+                spdlog::warn!("the console stopped with open connections");
+            }
         }
     }
 
@@ -104,30 +115,53 @@
         }
     }
 
-    fn spawn(&self, stream: TcpStream, turn: OwnedSemaphorePermit, graceful: &GracefulShutdown) {
-        let console = self.clone();
+    fn spawn(
+        &self,
+        stream: TcpStream,
+        turn: OwnedSemaphorePermit,
+        connections: &OpenConnections,
+        response_due: watch::Receiver<bool>,
+    ) {
+        let open_connection = connections.begin();
+        let (console, requested) = (self.clone(), open_connection.requested());
         let service = service_fn(move |req| {
-            let console = console.clone();
-            async move { console.http(req).await }
+            requested.notify_one();
+            let (console, response_due) = (console.clone(), response_due.clone());
+            async move { console.http(req, response_due).await }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(READ_TIME)
             .serve_connection(TokioIo::new(stream), service);
-        let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            if let Err(error) = open_connection.hold(connection).await {
                 spdlog::debug!("console connection: {error}");
             }
             drop(turn);
         });
     }
 
-    async fn http(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn http(
+        &self,
+        req: Request<Incoming>,
+        mut response_due: watch::Receiver<bool>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (parts, body) = req.into_parts();
-        let reply = match whole(body).await {
-            Ok(body) => self.answer(&Call::from_parts(&parts, body)).await,
-            Err(error) => error.into(),
+        let answered = async {
+            match whole(body).await {
+                Ok(body) => self.answer(&Call::from_parts(&parts, body)).await,
+                Err(error) => error.into(),
+            }
+        };
+        let reply = tokio::select! {
+            reply = answered => reply,
+            // An error means that the console no longer serves.
+            _ = response_due.wait_for(|due| *due) => {
+                let error = ApiError::from(ApiCode::Unknown)
+                    .message("The entry is shutting down; whether it did as asked is not known.")
+                    .advice("Repeat the call at another entry, a change with its X-Change-Id.");
+                error.into()
+            }
         };
         Ok(reply.into_response())
     }
@@ -151,7 +185,7 @@
 }
 
 async fn whole(body: Incoming) -> Result<Bytes, ApiError> {
-    let collected = tokio::time::timeout(READ_TIME, Limited::new(body, MAX_BODY).collect()).await;
+    let collected = timeout(READ_TIME, Limited::new(body, MAX_BODY).collect()).await;
     let late = |_| ApiError::from(ApiCode::Malformed).message("The body did not arrive in time.");
     match collected.map_err(late)? {
         Ok(body) => Ok(body.to_bytes()),
