feat(batch): log how a minion terminated and which runs had just begun

A line with the number of runs was all that showed that a minion had terminated, whether it had been drained, had crashed or had lost power together with its agent. From the log nobody could tell which task crashed it.

An agent that confirms a new incarnation replaced the previous one silently and reported only the new one, so that a takeover could lose the end of the previous one. It now reports the departure first and repeats it like any other, with a flag that says whether the incarnation had announced its end. The flag is the last field of the message: earlier coordinators ignore it, and a message without it is read as announced.

The coordinator logs the cause as planned, crashed or unknown, and for the last two one line with up to eight runs that are not known to have worked for 5 s. A refusal by another incarnation (421) stays unknown, because it is also what a new agent sees after a loss of power. No decision changes.

--- a/crates/geraniumpost-batch/src/agent_message.rs
+++ b/crates/geraniumpost-batch/src/agent_message.rs
@@ -1,5 +1,5 @@
 use geraniumpost_schema::Name;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::{MinionInfo, Order, OrderResult, PollResult};
 
@@ -26,6 +26,11 @@
     MinionTerminated {
         /// Name of the terminated incarnation. A later incarnation may already run on the VM.
         minion: Name,
+        /// Whether the incarnation was replaced without having announced that it would terminate.
+        /// Agents of earlier versions omit this field, which then is false; coordinators of earlier
+        /// versions ignore it.
+        #[serde(deserialize_with = "bool_or_false")]
+        crashed: bool,
     },
     /// The minion's lists of running and ended tasks.
     PollResult(PollResult),
@@ -33,6 +38,12 @@
     Result(OrderResult),
 }
 
+/// Reads the last field of a message, which earlier versions omit.
+#[expect(clippy::unnecessary_wraps, reason = "serde requires this signature")]
+fn bool_or_false<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    Ok(bool::deserialize(deserializer).unwrap_or_default())
+}
+
 /// A message from the coordinator to an agent.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
--- a/crates/geraniumpost-batch/src/coordinator/departures.rs
+++ b/crates/geraniumpost-batch/src/coordinator/departures.rs
@@ -2,6 +2,7 @@
 
 use geraniumpost_schema::Name;
 
+use super::termination_cause::TerminationCause;
 use super::{Coordinator, Effect};
 use crate::{JobId, Now, ToAgent};
 
@@ -23,8 +24,15 @@
     /// coordinator that fails before it has written the records would lose the report: its
     /// successor would wait until the lease of the terminated minion expires, and persistent tasks
     /// would be down meanwhile.
-    pub(super) fn handle_minion_terminated(&mut self, agent: &Name, id: &Name, now: Now) {
-        self.remove_minion(id, now);
+    pub(super) fn handle_minion_terminated(
+        &mut self,
+        agent: &Name,
+        id: &Name,
+        crashed: bool,
+        now: Now,
+    ) {
+        let cause = if crashed { TerminationCause::Crashed } else { TerminationCause::Planned };
+        self.remove_minion(id, cause, now);
         // Runs on the minion may have ended earlier, by a stop or an expired lease, and these ends
         // may not be written either.
         let unwritten_jobs = self.jobs.iter().filter(|(_, job)| job.durable_version < job.version);
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -5,6 +5,7 @@
 use super::Coordinator;
 use super::draining::DEFAULT_DRAIN_DURATION_MS;
 use super::minion::Minion;
+use super::termination_cause::TerminationCause;
 use crate::{EndKind, MinionInfo, Now};
 
 /// Minimum remaining lease with which a newly reported minion counts as responsive before a
@@ -19,7 +20,7 @@
         let id = info.id.clone();
         let previous = self.agents.entry(agent.clone()).or_default().minion.replace(id.clone());
         if let Some(previous) = previous.filter(|previous| *previous != id) {
-            self.remove_minion(&previous, now);
+            self.remove_minion(&previous, TerminationCause::Unknown, now);
         }
         // Records may refer to earlier incarnations of this agent's minion, which no longer exist.
         let terminated: Vec<Name> = self
@@ -29,7 +30,7 @@
             .map(|(earlier, _)| earlier.clone())
             .collect();
         for earlier in terminated {
-            self.remove_minion(&earlier, now);
+            self.remove_minion(&earlier, TerminationCause::Unknown, now);
         }
         let linked = self.agents.get(agent).is_some_and(|agent| agent.linked);
         let has_lease = self
@@ -60,10 +61,15 @@
     }
 
     /// Removes an incarnation that has terminated, and ends all its runs.
-    pub(super) fn remove_minion(&mut self, id: &Name, now: Now) {
+    pub(super) fn remove_minion(&mut self, id: &Name, cause: TerminationCause, now: Now) {
         let Some(minion) = self.minions.get(id) else { return };
+        let cause = if minion.info.draining { TerminationCause::Planned } else { cause };
         let runs: Vec<_> = minion.runs.iter().copied().collect();
-        self.log(format!("minion={id} event=terminated runs={}", runs.len()));
+        self.log(format!("minion={id} event=terminated cause={cause} runs={}", runs.len()));
+        if cause != TerminationCause::Planned {
+            let young = self.young_runs(id, now);
+            self.log_young_runs(id, &young);
+        }
         for task in runs {
             self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
         }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -28,10 +28,12 @@
 mod run;
 mod run_ends;
 mod serving_tasks;
+mod termination_cause;
 mod timers;
 mod unreachable;
 mod wait_monitor;
 mod wait_state;
+mod young_run;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -184,8 +186,8 @@
                 self.handle_heartbeat(agent, sent_at_ms, minion_ok, now);
             }
             FromAgent::Minion(info) => self.handle_minion_info(agent, info, now),
-            FromAgent::MinionTerminated { minion } => {
-                self.handle_minion_terminated(agent, &minion, now);
+            FromAgent::MinionTerminated { minion, crashed } => {
+                self.handle_minion_terminated(agent, &minion, crashed, now);
             }
             FromAgent::PollResult(poll) => self.handle_poll_result(agent, poll, now),
             FromAgent::Result(result) => self.handle_order_result(result, now),
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -1,6 +1,7 @@
 //! Handling of the results of orders.
 
 use super::run::{OrderState, Run};
+use super::termination_cause::TerminationCause;
 use super::{Coordinator, Effect};
 use crate::tuning::{QUARANTINE_DURATION_MS, REFUSAL_BACKOFF_MS};
 use crate::{Now, OrderKindTag, OrderOutcome, OrderResult, TaskId};
@@ -18,7 +19,7 @@
             return;
         }
         if result.outcome == OrderOutcome::MinionTerminated {
-            self.remove_minion(&result.minion, now);
+            self.remove_minion(&result.minion, TerminationCause::Unknown, now);
             return;
         }
         let is_current = self
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -0,0 +1,66 @@
+use geraniumpost_schema::Name;
+
+use super::Coordinator;
+use super::run::{OrderState, Run};
+use super::wait_monitor::field_unless_zero;
+use crate::{Now, TaskId};
+
+/// Time for which a run must be known to have worked so that it is not suspected of having crashed
+/// its minion, in milliseconds. A run that crashes its minion does so soon after its start.
+const MIN_KNOWN_WORK_MS: u64 = 5_000;
+/// Maximum number of runs that the log line on a terminated minion names.
+const MAX_LOGGED_RUNS: usize = 8;
+
+/// A run that may have started, and that is not known to have worked for [`MIN_KNOWN_WORK_MS`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct YoungRun {
+    pub(super) task: TaskId,
+    pub(super) number: u32,
+    /// Time since the run was first known to have started, in milliseconds; `None` if its start is
+    /// not known.
+    since_start_ms: Option<u64>,
+}
+
+impl Run {
+    /// Returns whether polls show that the run has worked for [`MIN_KNOWN_WORK_MS`].
+    pub(super) fn is_known_to_work(&self) -> bool {
+        self.started_ms.is_some_and(|at_ms| self.last_seen_ms >= at_ms + MIN_KNOWN_WORK_MS)
+    }
+}
+
+impl Coordinator {
+    /// Returns the young runs on a minion, those with the latest start first.
+    pub(super) fn young_runs(&self, minion: &Name, now: Now) -> Vec<YoungRun> {
+        let Some(minion) = self.minions.get(minion) else { return Vec::new() };
+        let runs = minion.runs.iter().filter_map(|task| Some((task, self.runs.get(task)?)));
+        let is_young = |run: &Run| run.order != OrderState::Committing && !run.is_known_to_work();
+        let mut young: Vec<YoungRun> = runs
+            .filter(|(_, run)| is_young(run))
+            .map(|(task, run)| YoungRun {
+                task: *task,
+                number: run.number,
+                since_start_ms: run.started_ms.map(|at_ms| now.steady_ms.saturating_sub(at_ms)),
+            })
+            .collect();
+        young.sort_by_key(|run| run.since_start_ms);
+        young
+    }
+
+    /// Logs the young runs of a minion that has terminated without an announcement.
+    pub(super) fn log_young_runs(&mut self, minion: &Name, young: &[YoungRun]) {
+        if young.is_empty() {
+            return;
+        }
+        let named = young.iter().take(MAX_LOGGED_RUNS).map(|run| {
+            let since_start = run.since_start_ms.map_or("unknown".into(), |ms| ms.to_string());
+            format!("{}/{}:{since_start}", run.task, run.number)
+        });
+        let named = named.collect::<Vec<_>>().join(",");
+        let omitted = young.len().saturating_sub(MAX_LOGGED_RUNS) as u64;
+        self.log(format!(
+            "minion={minion} event=young_runs_lost young={} since_start_ms={named}{}",
+            young.len(),
+            field_unless_zero("omitted", omitted)
+        ));
+    }
+}
--- a/crates/geraniumpost-batch/src/departures.rs
+++ b/crates/geraniumpost-batch/src/departures.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use geraniumpost_schema::Name;
 
@@ -21,6 +21,8 @@
     terminating: Vec<Name>,
     /// Minions that have terminated, the latest last.
     terminated: VecDeque<Name>,
+    /// Those of `terminated` that had not announced their termination.
+    crashed: BTreeSet<Name>,
 }
 
 impl Departures {
@@ -34,11 +36,32 @@
     /// Records that a minion has terminated. Drops the oldest termination if 16 are recorded
     /// already.
     pub fn record_terminated(&mut self, minion: &Name) {
+        let crashed = self.has_crashed(minion);
         self.remove(minion);
-        if self.terminated.len() == MAX_TERMINATIONS {
-            self.terminated.pop_front();
+        if self.terminated.len() == MAX_TERMINATIONS
+            && let Some(oldest) = self.terminated.pop_front()
+        {
+            self.crashed.remove(&oldest);
         }
         self.terminated.push_back(minion.clone());
+        if crashed {
+            self.crashed.insert(minion.clone());
+        }
+    }
+
+    /// Records that another incarnation has replaced a minion. The minion has crashed unless it had
+    /// announced its termination, by a notice or as `draining`.
+    pub fn record_replaced(&mut self, minion: &Name, draining: bool) {
+        let announced = draining || self.terminating.contains(minion);
+        self.record_terminated(minion);
+        if !announced {
+            self.crashed.insert(minion.clone());
+        }
+    }
+
+    /// Returns whether a terminated minion had not announced its termination.
+    pub fn has_crashed(&self, minion: &Name) -> bool {
+        self.crashed.contains(minion)
     }
 
     /// Removes a minion, either because the job records hold its termination or because the minion
@@ -46,6 +69,7 @@
     pub fn remove(&mut self, minion: &Name) {
         self.terminating.retain(|terminating| terminating != minion);
         self.terminated.retain(|terminated| terminated != minion);
+        self.crashed.remove(minion);
     }
 
     /// Returns the terminated minions in the order of their termination.
--- a/crates/geraniumpost-batch/tests/coordinator/draining.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/draining.rs
@@ -89,7 +89,7 @@
 fn departure_is_settled_only_after_it_is_written() {
     let mut cluster = Cluster::with_running_job(&["m1"], persistent_step(1));
     cluster.confirm_writes = false;
-    let departure = || FromAgent::MinionTerminated { minion: "m1".into() };
+    let departure = || FromAgent::MinionTerminated { minion: "m1".into(), crashed: false };
     cluster.send("m1", departure());
     assert!(cluster.settled_departures.is_empty());
     cluster.confirm_writes = true;
@@ -109,7 +109,10 @@
     let mut cluster = Cluster::with_running_job(&["m1", "m2"], persistent_step(1));
     let (_, departed, _) = cluster.running_tasks()[0].clone();
     for _ in 0..3 {
-        cluster.send(&departed, FromAgent::MinionTerminated { minion: departed.clone() });
+        cluster.send(
+            &departed,
+            FromAgent::MinionTerminated { minion: departed.clone(), crashed: false },
+        );
         cluster.advance(300);
     }
     assert_eq!(cluster.settled_departures.len(), 3);
--- a/crates/geraniumpost-batch/tests/coordinator/simulation/agents.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/simulation/agents.rs
@@ -64,7 +64,8 @@
         for minion in
             self.machines[at].departures.unrecorded_terminations().cloned().collect::<Vec<_>>()
         {
-            self.send(at, FromAgent::MinionTerminated { minion });
+            let crashed = self.machines[at].departures.has_crashed(&minion);
+            self.send(at, FromAgent::MinionTerminated { minion, crashed });
         }
         self.report_minion(at);
         self.heartbeat(at);
--- a/crates/geraniumpost-batch/tests/coordinator/simulation/polling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/simulation/polling.rs
@@ -43,7 +43,12 @@
             return;
         }
         let Some(minion) = &machine.minion else { return };
-        machine.known_minion = Some(minion.id.clone());
+        let id = minion.id.clone();
+        let previous = machine.known_minion.replace(id);
+        if let Some(previous) = previous {
+            self.record_replacement(at, &previous);
+        }
+        let machine = &mut self.machines[at];
         machine.refresh_known_state();
         machine.last_response_ms = now_ms;
         self.report_minion(at);
@@ -69,10 +74,17 @@
     /// Records the departure of the incarnation `id`, if the agent knows this incarnation.
     pub(super) fn detect_departure(&mut self, at: usize, id: &Name) {
         if self.machines[at].known_minion.as_ref() == Some(id) {
-            self.record_departure(at, id);
+            self.record_replacement(at, id);
         }
     }
 
+    /// Records that another incarnation has replaced the incarnation `id`, which the agent knew.
+    fn record_replacement(&mut self, at: usize, id: &Name) {
+        let machine = &mut self.machines[at];
+        machine.departures.record_replaced(id, machine.known_draining);
+        self.record_departure(at, id);
+    }
+
     /// Records a departure, which the agent holds until the coordinator has recorded it, and
     /// reports it to the coordinator.
     fn record_departure(&mut self, at: usize, id: &Name) {
@@ -83,7 +95,8 @@
         self.trace(&format!(
             "agent records the departure of {id}, reported to the coordinator: {reported}"
         ));
-        self.send(at, FromAgent::MinionTerminated { minion: id.clone() });
+        let crashed = self.machines[at].departures.has_crashed(id);
+        self.send(at, FromAgent::MinionTerminated { minion: id.clone(), crashed });
     }
 
     /// Lets agents drop departures that the coordinator has recorded.
--- a/crates/geraniumpost-batch/tests/departures.rs
+++ b/crates/geraniumpost-batch/tests/departures.rs
@@ -48,3 +48,22 @@
     assert_eq!(kept.len(), 16);
     assert_eq!(kept.last(), Some(&"m1-99"));
 }
+
+/// A crashed minion announces nothing, and its agent learns of the crash from the next incarnation.
+/// If a planned replacement were reported as a crash too, tasks would be suspected of having
+/// crashed minions that were drained.
+#[test]
+fn only_unannounced_replacement_is_a_crash() {
+    let mut departures = Departures::default();
+    departures.record_replaced(&name("m1"), false);
+    departures.record_replaced(&name("m2"), true);
+    departures.record_termination_notice(&name("m3"));
+    departures.record_replaced(&name("m3"), false);
+    departures.record_terminated(&name("m4"));
+    let crashed = |minion| departures.has_crashed(&name(minion));
+    assert_eq!(["m1", "m2", "m3", "m4"].map(crashed), [true, false, false, false]);
+    departures.record_terminated(&name("m1"));
+    assert!(departures.has_crashed(&name("m1")), "a second sign of the end changes nothing");
+    departures.remove(&name("m1"));
+    assert!(!departures.has_crashed(&name("m1")));
+}
--- a/crates/geraniumpost/src/batch/agent/state.rs
+++ b/crates/geraniumpost/src/batch/agent/state.rs
@@ -128,6 +128,12 @@
         inner.minion_clock = Some((clock_ms, received_ms));
         inner.minion_responded_ms = received_ms;
         let Some(info) = inner.unconfirmed.remove(id) else { return };
+        // A crashed minion announces nothing, and the first sign of its end is the response of the
+        // next incarnation.
+        if let Some(previous) = inner.current.clone().filter(|previous| previous.id != *id) {
+            inner.departures.record_replaced(&previous.id, previous.draining);
+            report_departure(&mut inner, &previous.id);
+        }
         spdlog::info!("event=minion_confirmed minion={id}");
         inner.current = Some(info.clone());
         inner.departures.remove(id);
@@ -144,7 +150,8 @@
     pub fn record_replaced(&self, id: &Name) {
         let mut inner = self.lock();
         inner.unconfirmed.remove(id);
-        if inner.current.as_ref().is_some_and(|current| current.id == *id) {
+        if let Some(current) = inner.current.clone().filter(|current| current.id == *id) {
+            inner.departures.record_replaced(id, current.draining);
             report_departure(&mut inner, id);
         }
     }
@@ -159,6 +166,7 @@
     pub fn record_terminated(&self, id: &Name) {
         let mut inner = self.lock();
         inner.unconfirmed.remove(id);
+        inner.departures.record_terminated(id);
         report_departure(&mut inner, id);
     }
 
@@ -249,7 +257,8 @@
         inner.reported_sequence = inner.acknowledged_sequence;
         inner.full_report = true;
         for minion in inner.departures.unrecorded_terminations().cloned().collect::<Vec<_>>() {
-            send_on_link(&inner, FromAgent::MinionTerminated { minion });
+            let crashed = inner.departures.has_crashed(&minion);
+            send_on_link(&inner, FromAgent::MinionTerminated { minion, crashed });
         }
         if let Some(info) = inner.current.clone() {
             send_on_link(&inner, FromAgent::Minion(info));
@@ -289,14 +298,15 @@
     inner.link.as_ref().is_some_and(|link| link.send(FromPeer::AgentMessage(message)).is_ok())
 }
 
-/// Records the departure of an incarnation until a coordinator confirms it, and reports the
-/// departure if there is a link.
+/// Reports a departure that was just recorded, if there is a link. The departure is kept until a
+/// coordinator confirms it.
 fn report_departure(inner: &mut Inner, id: &Name) {
     if inner.current.as_ref().is_some_and(|current| current.id == *id) {
         inner.current = None;
         inner.minion_clock = None;
     }
-    inner.departures.record_terminated(id);
-    let reported = send_on_link(inner, FromAgent::MinionTerminated { minion: id.clone() });
-    spdlog::info!("event=minion_terminated minion={id} reported={reported}");
+    let crashed = inner.departures.has_crashed(id);
+    let message = FromAgent::MinionTerminated { minion: id.clone(), crashed };
+    let reported = send_on_link(inner, message);
+    spdlog::info!("event=minion_terminated minion={id} crashed={crashed} reported={reported}");
 }
