test(batch): show that a task that crashes minions is started without limit

A task that crashes each minion that starts it was started about every 2.7 s until the end of the traffic, and took its neighbours with it each time.

The fleet of these tests plays minions that crash under a task and come back as a new incarnation, beside persistent, long and short tasks: one and two such tasks, one among seven of a job, a member of a gang, a persistent task, leases that expire first, takeovers between the crashes, random numbers and delays. Three tests guard against giving up too much: minions that flap, power lost three times, and a suspect that delays others; they pass, as nothing is given up.

On this code nine tests fail, with 9 to 18 starts after the third crash.

--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -0,0 +1,244 @@
+//! Tasks that crash each minion that starts them.
+
+use geraniumpost_batch::{Demand, StepSpec, TaskId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::cluster::{persistent_step, step, task};
+use crate::crashing_fleet::CrashingFleet;
+
+const NONE: [u64; 0] = [];
+const POISON: TaskId = task(100, 0, 0);
+/// Time in which a task that crashes minions must have been given up, in milliseconds.
+const GIVE_UP_MS: u64 = 40_000;
+
+/// Returns a fleet of eight machines with persistent tasks and long tasks at work.
+fn busy_fleet() -> CrashingFleet {
+    let mut fleet = CrashingFleet::new(8);
+    fleet.submit(1, persistent_step(16), 0);
+    fleet.submit(2, step(24), 30_000);
+    fleet.advance(8_000);
+    fleet
+}
+
+/// Submits a job of four short tasks every 0.5 s for `ms` milliseconds.
+fn advance_with_short_jobs(fleet: &mut CrashingFleet, first_job: u64, ms: u64) {
+    for number in 0..ms / 500 {
+        fleet.submit(first_job + number, step(4), 1_000);
+        fleet.advance(500);
+    }
+}
+
+/// Each minion that starts a task crashes 10 ms later, and is back after 2.5 s. Without a count the
+/// task is started until it is cancelled, and takes its neighbours with it each time.
+#[test]
+fn crashing_task_is_given_up_after_three_crashes() {
+    let mut fleet = busy_fleet();
+    fleet.submit_poison(POISON, step(1), 0);
+    advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+    fleet.advance(10_000);
+    fleet.check_poisons_failed(3);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+    assert_eq!(fleet.incomplete_healthy_jobs(), [1], "only the persistent job does not end");
+}
+
+/// As above, but the minion crashes before it has responded to the start.
+#[test]
+fn crashing_task_whose_starts_get_no_response_is_given_up() {
+    let mut fleet = busy_fleet();
+    fleet.lost_responses = true;
+    fleet.submit_poison(POISON, step(1), 0);
+    advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+    fleet.check_poisons_failed(3);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+}
+
+/// Two tasks crash minions at the same time, and some crashes of one hit the other. If they were
+/// placed on the same minion again and again, nobody could tell which is at fault.
+#[test]
+fn two_crashing_tasks_are_given_up() {
+    let mut fleet = busy_fleet();
+    fleet.submit_poison(POISON, step(1), 0);
+    fleet.submit_poison(task(101, 0, 0), step(1), 0);
+    advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+    fleet.check_poisons_failed(4);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+}
+
+/// One of the seven tasks of a job crashes minions, and its siblings are lost with it.
+#[test]
+fn job_with_one_crashing_task_is_given_up() {
+    for machines in [2, 8] {
+        let mut fleet = CrashingFleet::new(machines);
+        fleet.submit(1, persistent_step(4), 0);
+        fleet.advance(8_000);
+        fleet.submit_poison(task(100, 0, 3), step(7), 0);
+        advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+        fleet.check_poisons_failed(5);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE);
+    }
+}
+
+/// A crashed minion is back only after the leases of its runs have expired, so that the runs have
+/// ended long before the crash is reported. If these runs did not count, the task would be started
+/// without limit.
+#[test]
+fn crashing_task_is_given_up_although_leases_expire_first() {
+    let mut fleet = busy_fleet();
+    fleet.down_ms = 9_000;
+    fleet.submit_poison(POISON, step(1), 0);
+    advance_with_short_jobs(&mut fleet, 1_000, 2 * GIVE_UP_MS);
+    fleet.check_poisons_failed(5);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+}
+
+/// The coordinator is replaced after each crash: before the minion is back, and just after the
+/// crash was counted. A successor that did not know the count would begin at zero.
+#[test]
+fn crashes_are_counted_over_takeovers() {
+    for delay_ms in [300, 2_200, 2_600, 3_000] {
+        let mut fleet = busy_fleet();
+        fleet.submit_poison(POISON, step(1), 0);
+        let mut crashes = fleet.crash_count(POISON);
+        for _ in 0..GIVE_UP_MS / 100 {
+            fleet.advance(100);
+            if fleet.crash_count(POISON) > crashes {
+                crashes = fleet.crash_count(POISON);
+                fleet.advance(delay_ms);
+                fleet.take_over();
+            }
+        }
+        fleet.check_poisons_failed(5);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE, "takeover {delay_ms} ms after the crash");
+    }
+}
+
+/// Persistent tasks are restarted whenever they end, and are not excepted.
+#[test]
+fn persistent_crashing_task_is_given_up() {
+    let mut fleet = busy_fleet();
+    fleet.submit_poison(POISON, persistent_step(1), 0);
+    advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+    fleet.check_poisons_failed(3);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+}
+
+/// One member of a gang crashes its minion; the other members are stopped on theirs, and are not
+/// known to be at fault or not. The gang as a whole is given up.
+#[test]
+fn gang_with_a_crashing_member_is_given_up() {
+    for down_ms in [2_500, 9_000] {
+        let mut fleet = busy_fleet();
+        fleet.down_ms = down_ms;
+        let gang = StepSpec { gang: true, max_per_minion: 1, ..step(4) };
+        fleet.submit_poison(task(100, 0, 2), gang, 0);
+        advance_with_short_jobs(&mut fleet, 1_000, 2 * GIVE_UP_MS);
+        fleet.check_poisons_failed(5);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE);
+    }
+}
+
+/// A fifth of all minions crash every 3 s for a minute, and no task is at fault. Each crash makes
+/// whatever had just begun there suspect; if that were enough, healthy jobs would be shown as
+/// failed.
+#[test]
+fn no_healthy_job_fails_while_minions_flap() {
+    for seed in 0..10 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = CrashingFleet::new(20);
+        fleet.submit(1, persistent_step(40), 0);
+        for job in 0..20 {
+            fleet.submit(10 + job, step(4), 20_000);
+        }
+        for second in 0..60 {
+            for job in 0..4 {
+                let duration_ms = rng.random_range(5..30) * 100;
+                fleet.submit(1_000 + second * 4 + job, step(3), duration_ms);
+            }
+            if second % 3 == 0 {
+                for at in 0..20 {
+                    if rng.random_bool(0.2) {
+                        fleet.crash(at);
+                    }
+                }
+            }
+            fleet.advance(1_000);
+        }
+        fleet.advance(60_000);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE, "seed {seed}");
+        assert_eq!(fleet.incomplete_healthy_jobs(), [1], "seed {seed}");
+    }
+}
+
+/// All machines lose power three times, 3 s apart, with their agents. No minion has crashed under a
+/// task, so none is given up, and none waits to be isolated.
+#[test]
+fn loss_of_power_is_no_crash() {
+    for takes_over in [false, true] {
+        let mut fleet = busy_fleet();
+        fleet.submit(3, step(12), 10_000);
+        for _ in 0..3 {
+            fleet.lose_power(2_000);
+            if takes_over {
+                fleet.take_over();
+            }
+            fleet.advance(1_000);
+        }
+        assert_eq!(fleet.cluster.running_tasks().len(), 52, "all tasks have started again");
+        fleet.advance(50_000);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE);
+        assert_eq!(fleet.incomplete_healthy_jobs(), [1]);
+    }
+}
+
+/// Random numbers of crashing tasks with random delays up to 4 s, beside healthy jobs, with random
+/// takeovers. Whatever the coincidences, the number of starts stays limited and no healthy job is
+/// shown as failed.
+#[test]
+fn random_crashing_tasks_are_given_up() {
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = CrashingFleet::new(rng.random_range(6..14));
+        fleet.down_ms = rng.random_range(15..40) * 100;
+        fleet.lost_responses = rng.random_bool(0.3);
+        fleet.submit(1, persistent_step(10), 0);
+        fleet.submit(2, step(10), 20_000);
+        fleet.advance(6_000);
+        for job in 0..rng.random_range(1..4) {
+            let count = rng.random_range(1..5);
+            let poison = task(100 + job, 0, rng.random_range(0..count));
+            let kind = if rng.random_bool(0.2) { persistent_step(count) } else { step(count) };
+            fleet.submit_poison(poison, kind, rng.random_range(0..41) * 100);
+            fleet.advance(rng.random_range(0..30) * 100);
+        }
+        for second in 0..60 {
+            fleet.submit(1_000 + second, step(4), rng.random_range(3..40) * 100);
+            if rng.random_bool(0.05) {
+                fleet.take_over();
+            }
+            fleet.advance(1_000);
+        }
+        fleet.check_poisons_failed(5);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE, "seed {seed}");
+    }
+}
+
+/// A task under which two minions have crashed waits for a minion without another such task. Its
+/// siblings must not wait behind it, and it must not wait longer than the other one is suspected.
+#[test]
+fn isolated_task_delays_nobody() {
+    let mut fleet = CrashingFleet::new(1);
+    let small =
+        StepSpec { demand: Demand { milli_cpus: 500, memory_mb: 100, accelerators: 0 }, ..step(1) };
+    fleet.submit(1, StepSpec { count: 6, ..small }, 1_500);
+    for _ in 0..2 {
+        fleet.advance(500);
+        fleet.crash(0);
+        fleet.advance(3_000);
+    }
+    fleet.submit(2, step(2), 500);
+    fleet.advance(1_000);
+    assert_eq!(fleet.start_count(task(2, 0, 0)), 1, "a new job starts beside the suspects");
+    fleet.advance(12_000);
+    assert_eq!(fleet.incomplete_healthy_jobs(), NONE, "each suspect has had its turn");
+}
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -4,6 +4,8 @@
 mod best_effort_fleet;
 mod cluster;
 mod contention;
+mod crashing_fleet;
+mod crashing_tasks;
 mod diagnostic_logs;
 mod draining;
 mod duplicate_orders;
