fix(batch): give up a task that crashes each minion that starts it

Callers and operators saw a task started every 2.7 s until the end of the traffic, a minion crashed each time, and everything that ran beside it lost. The end of a run by the crash of its minion was handled like an expired lease: the task waited again, and nothing counted. A lost count and crashes that are not recognized were ruled out: there was no count, and the logged cause of each end is crashed.

Each crash that an agent reports of a minion it knew now counts for the tasks that had begun there shortly before, by run number, in the job's record. Earlier versions read such records and drop the count. Suspects are placed apart, two tasks with two crashes each never on one minion. A task is given up after three crashes at its start if the last one can be put down to it, after four if they came later, after five in any case. Runs that ended with an expired lease count if the minion turns out to have crashed. The refusal of an order by another incarnation does not count, because a loss of power looks the same.

--- a/crates/geraniumpost-batch/src/coordinator/agents.rs
+++ b/crates/geraniumpost-batch/src/coordinator/agents.rs
@@ -3,6 +3,7 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::recent_crashes::RecentCrashes;
 use crate::Now;
 
 /// Time without a heartbeat after which an agent's minion gets no new tasks, in milliseconds: three
@@ -25,6 +26,8 @@
     pub(super) lease_expiry_ms: u64,
     /// Time at which the last heartbeat arrived, on the monotonic clock.
     pub(super) last_heard_ms: u64,
+    /// Times of the latest crashes of the agent's minions, on the monotonic clock.
+    pub(super) crashes: RecentCrashes,
 }
 
 impl Coordinator {
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -0,0 +1,197 @@
+//! Tasks under which minions have crashed: whom to suspect, where to place them, when to give up.
+//!
+//! A task may crash every minion that starts it. It would be started again for as long as it is
+//! wanted, and each time everything on its minion would be lost. The coordinator sees only that a
+//! minion has crashed; all that had begun there shortly before is suspected. Suspects are placed
+//! apart from each other, so that the next crash tells which of them is at fault, and are cleared
+//! once they are known to work.
+
+use geraniumpost_schema::Name;
+
+use super::Coordinator;
+use super::minion::Minion;
+use super::young_run::YoungRun;
+use crate::{JobState, Now, TaskCrashes, TaskId, TaskPhase};
+
+/// Number of crashes from which a task is placed on no minion with another such task.
+const ISOLATED_CRASHES: usize = 2;
+/// Number of crashes soon after its starts at which a task is given up, if the last one can be put
+/// down to it.
+const MAX_CRASHES_AT_START: usize = 3;
+/// Number of crashes at which a task is given up, if the last one can be put down to it.
+const MAX_CERTAIN_CRASHES: usize = 4;
+/// Number of crashes at which a task is given up in any case.
+const MAX_CRASHES: usize = 5;
+/// Number of recent crashes of any minions up to which a crash is put down to the only suspect. Two
+/// tasks that crash minions cause six until they are given up; more crashes point to the minions.
+const MAX_EXPLAINED_CRASHES: usize = 8;
+/// Number of recent crashes of any minions above which only crashes soon after a start count. So
+/// many minions crash by themselves that they also meet tasks which have worked for seconds.
+const MAX_CRASHES_OF_TASKS: usize = 16;
+/// Maximum number of lines on suspects after one crash.
+const MAX_SUSPECT_LINES: usize = 8;
+
+/// Reasons against placing a suspect on a minion; compared field by field, smaller is better, and
+/// the same on all minions for any other task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub(super) struct SuspectPenalty {
+    /// Number of other suspects on the minion.
+    suspects: usize,
+    /// Number of recent crashes of minions on the same VM. The next crash of one that crashes by
+    /// itself says little.
+    recent_crashes: usize,
+    /// Number of runs that would be lost.
+    runs: usize,
+}
+
+impl Coordinator {
+    /// Counts a crash for each task that had a young run on the minion, and gives up tasks with too
+    /// many crashes. The runs have ended already.
+    pub(super) fn record_crash(
+        &mut self,
+        minion: &Name,
+        agent: &Name,
+        young: &[YoungRun],
+        now: Now,
+    ) {
+        self.agents.entry(agent.clone()).or_default().crashes.add(now.steady_ms);
+        let mut suspects: Vec<TaskId> = young
+            .iter()
+            .map(|run| self.suspect_key(run.task))
+            .filter(|key| self.crash_count(*key) > 0)
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        self.crashes.add(now.steady_ms);
+        let recent = self.crashes.count(now.steady_ms);
+        let is_certain = recent <= MAX_EXPLAINED_CRASHES && suspects.len() == 1;
+        let mut lines = 0;
+        let counts_all = recent <= MAX_CRASHES_OF_TASKS;
+        for run in young.iter().filter(|run| run.is_at_start || counts_all) {
+            let Some(TaskCrashes { runs, at_start }) = self.count_crash(run) else { continue };
+            let (task, crashes) = (run.task, runs.len());
+            if crashes > 1 && lines < MAX_SUSPECT_LINES {
+                lines += 1;
+                self.log(format!(
+                    "decision=suspect job={} task={task} run={} minion={minion} crashes={crashes} \
+                     at_start={at_start} suspects={} recent_crashes={recent}",
+                    task.job,
+                    run.number,
+                    suspects.len()
+                ));
+            }
+            let at_start = at_start as usize;
+            let is_at_fault =
+                is_certain && (at_start >= MAX_CRASHES_AT_START || crashes >= MAX_CERTAIN_CRASHES);
+            if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
+                self.log(format!("decision=fail job={} task={task} crashes={crashes}", task.job));
+                self.finish_job(task.job, JobState::Failed, now);
+            }
+        }
+    }
+
+    /// Counts a crash for the task of a run, and returns the task's crashes. Returns `None` if the
+    /// crash was counted before, or says nothing about the task: it is done, or a later run is known
+    /// to work.
+    fn count_crash(&mut self, run: &YoungRun) -> Option<TaskCrashes> {
+        let key = self.suspect_key(run.task);
+        let is_wanted = self.open_jobs.contains(&key.job)
+            && self.task_record(run.task).is_some_and(|record| record.phase != TaskPhase::Done);
+        let works = self.runs.get(&run.task).is_some_and(super::Run::is_known_to_work);
+        let job = self.jobs.get_mut(&key.job).filter(|_| is_wanted && !works)?;
+        let crashes = job.record.crashes.entry(key).or_default();
+        if crashes.runs.contains(&run.number) {
+            return None;
+        }
+        crashes.runs.push(run.number);
+        crashes.at_start += u32::from(run.is_at_start);
+        let crashes = crashes.clone();
+        self.mark_dirty(key.job);
+        Some(crashes)
+    }
+
+    /// Returns how many minions have crashed under a task since it was last cleared.
+    pub(super) fn crash_count(&self, task: TaskId) -> usize {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        if job.record.crashes.is_empty() {
+            return 0;
+        }
+        let crashes = job.record.crashes.get(&self.suspect_key(task));
+        crashes.map_or(0, |crashes| crashes.runs.len())
+    }
+
+    /// Returns the task under which crashes are counted: the first one of a gang, whose members
+    /// start and end together.
+    fn suspect_key(&self, task: TaskId) -> TaskId {
+        let is_gang = self.step_spec(task).is_some_and(|step| step.gang);
+        TaskId { index: if is_gang { 0 } else { task.index }, ..task }
+    }
+
+    /// Clears a task, or all of its gang, if its present run is known to work.
+    pub(super) fn clear_if_known_to_work(&mut self, task: TaskId) {
+        if self.crash_count(task) == 0 {
+            return;
+        }
+        let gang_size = self.step_spec(task).filter(|step| step.gang).map(|step| step.count);
+        let members = gang_size.map_or(task.index..task.index + 1, |count| 0..count);
+        let works = |index| {
+            self.runs.get(&TaskId { index, ..task }).is_some_and(super::Run::is_known_to_work)
+        };
+        if members.into_iter().all(works) {
+            self.clear_crashes(task, "works");
+        }
+    }
+
+    /// Forgets the crashes of a task that is not at fault.
+    pub(super) fn clear_crashes(&mut self, task: TaskId, why: &str) {
+        let crashes = self.crash_count(task);
+        if crashes == 0 {
+            return;
+        }
+        let key = self.suspect_key(task);
+        if let Some(job) = self.jobs.get_mut(&key.job) {
+            job.record.crashes.remove(&key);
+        }
+        self.mark_dirty(key.job);
+        if crashes > 1 {
+            self.log(format!(
+                "decision=clear_suspect job={} task={task} crashes={crashes} why={why}",
+                task.job
+            ));
+        }
+    }
+
+    /// Returns whether a minion runs a task that must be isolated, other than this one and its gang.
+    pub(super) fn runs_isolated_task(&self, minion: &Minion, task: TaskId) -> bool {
+        let key = self.suspect_key(task);
+        minion.runs.iter().any(|other| {
+            must_be_isolated(self.crash_count(*other)) && self.suspect_key(*other) != key
+        })
+    }
+
+    /// Returns the reasons against placing a task with so many crashes on a minion.
+    pub(super) fn suspect_penalty(
+        &self,
+        crashes: usize,
+        minion: &Minion,
+        now: Now,
+    ) -> SuspectPenalty {
+        if crashes == 0 {
+            return SuspectPenalty::default();
+        }
+        let of_agent = self.agents.get(&minion.agent).map(|agent| &agent.crashes);
+        SuspectPenalty {
+            suspects: minion.runs.iter().filter(|other| self.crash_count(**other) > 0).count(),
+            recent_crashes: of_agent.map_or(0, |crashes| crashes.count(now.steady_ms)),
+            runs: minion.runs.len(),
+        }
+    }
+}
+
+/// Returns whether a task with so many crashes is placed on no minion with another such task. A
+/// crash would not tell which of them is at fault.
+///
+/// The other task is cleared or gone soon, so that a task does not wait long for this.
+pub(super) const fn must_be_isolated(crashes: usize) -> bool {
+    crashes >= ISOLATED_CRASHES
+}
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -7,6 +7,7 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::crashes::must_be_isolated;
 use super::minion::Minion;
 use super::placement::{available_resources, is_below_limit_per_minion, leaves_short_task_reserve};
 use super::rejection::Rejection;
@@ -21,6 +22,15 @@
     terms: &'a QueueTerms,
     /// Whether the task ran before, in which case it may use the reserve for short tasks.
     ran_before: bool,
+    /// Number of minions that have crashed under the task since it was last cleared.
+    crashes: usize,
+}
+
+impl TaskRequirements<'_> {
+    /// Returns how many minions have crashed under the task since it was last cleared.
+    pub(super) const fn crashes(&self) -> usize {
+        self.crashes
+    }
 }
 
 impl Coordinator {
@@ -32,7 +42,8 @@
     ) -> Option<TaskRequirements<'a>> {
         let terms = &self.jobs.get(&task.job)?.record.terms;
         let ran_before = self.task_record(task).is_some_and(|record| record.run > 0);
-        Some(TaskRequirements { task, spec, terms, ran_before })
+        let crashes = self.crash_count(task);
+        Some(TaskRequirements { task, spec, terms, ran_before, crashes })
     }
 
     /// Returns why a minion cannot take a task, or `None` if it can.
@@ -43,7 +54,7 @@
         minion: &Minion,
         now: Now,
     ) -> Option<Rejection> {
-        let TaskRequirements { task, spec, terms, ran_before } = *requirements;
+        let TaskRequirements { task, spec, terms, ran_before, crashes } = *requirements;
         let rejection = step_rejection(minion, &terms.service, spec, now);
         if rejection.is_some() {
             return rejection;
@@ -51,6 +62,9 @@
         if !is_below_limit_per_minion(task, spec, minion) {
             return Some(Rejection::PerMinionLimit);
         }
+        if must_be_isolated(crashes) && self.runs_isolated_task(minion, task) {
+            return Some(Rejection::BesideSuspect);
+        }
         if terms.needs_approval && self.approvals.ticket(task, &minion.info.id, now).is_none() {
             return Some(Rejection::NoApproval);
         }
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -90,6 +90,10 @@
             let Some(minion) = self.minions.get(&id) else { continue };
             let runs: Vec<_> = minion.runs.iter().copied().collect();
             self.log(format!("minion={id} event=lease_expired runs={}", runs.len()));
+            let young = self.young_runs(&id, now);
+            if let Some(minion) = self.minions.get_mut(&id) {
+                minion.expired_runs = young;
+            }
             for task in runs {
                 self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
             }
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -5,6 +5,7 @@
 use super::best_effort_tasks::BestEffortTasks;
 use super::headroom::Headroom;
 use super::serving_tasks::ServingTasks;
+use super::young_run::YoungRun;
 use crate::tuning::SERVING_UNUSED_CPU_PERCENT;
 use crate::{Demand, JobId, MinionInfo, TaskId};
 
@@ -31,6 +32,9 @@
     /// Number of runs that serve users within a latency bound.
     pub(super) serving_run_count: u32,
     pub(super) runs: BTreeSet<TaskId>,
+    /// Young runs that ended with the last expiry of the minion's lease. They are suspected if the
+    /// minion turns out to have crashed, and forgotten if it responds again.
+    pub(super) expired_runs: Vec<YoungRun>,
     /// Sequence number of the last handled end of a run.
     pub(super) last_end_sequence: u64,
     /// Ends of runs that were handled but not acknowledged: sequence number, and the job and the
@@ -78,6 +82,7 @@
             serving_milli_cpus: 0,
             serving_run_count: 0,
             runs: BTreeSet::new(),
+            expired_runs: Vec::new(),
             last_end_sequence: 0,
             unacknowledged: VecDeque::new(),
             acknowledged_up_to: 0,
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -65,9 +65,11 @@
         let Some(minion) = self.minions.get(id) else { return };
         let cause = if minion.info.draining { TerminationCause::Planned } else { cause };
         let runs: Vec<_> = minion.runs.iter().copied().collect();
+        let agent = minion.agent.clone();
+        let mut young = minion.expired_runs.clone();
         self.log(format!("minion={id} event=terminated cause={cause} runs={}", runs.len()));
+        young.extend(self.young_runs(id, now));
         if cause != TerminationCause::Planned {
-            let young = self.young_runs(id, now);
             self.log_young_runs(id, &young);
         }
         for task in runs {
@@ -77,5 +79,8 @@
         for agent in self.agents.values_mut().filter(|agent| agent.minion.as_ref() == Some(id)) {
             agent.minion = None;
         }
+        if cause == TerminationCause::Crashed {
+            self.record_crash(id, &agent, &young, now);
+        }
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -6,6 +6,7 @@
 mod best_effort_tasks;
 mod caller_requests;
 mod commits;
+mod crashes;
 mod departures;
 mod draining;
 mod effect;
@@ -24,6 +25,7 @@
 mod placement;
 mod poll_results;
 mod predecessor_leases;
+mod recent_crashes;
 mod rejection;
 mod run;
 mod run_ends;
@@ -54,6 +56,7 @@
 use lease_basis::EntrySupport;
 use minion::Minion;
 use predecessor_leases::PredecessorExpiry;
+use recent_crashes::RecentCrashes;
 use run::Run;
 use wait_state::WaitState;
 
@@ -80,6 +83,8 @@
     runs: BTreeMap<TaskId, Run>,
     minions: BTreeMap<Name, Minion>,
     agents: HashMap<Name, Agent>,
+    /// Latest crashes of any minions.
+    crashes: RecentCrashes,
     /// Terminated minions whose termination the stored records do not contain yet.
     departures: BTreeMap<Name, Departure>,
     batches: HashMap<u64, PendingBatch>,
@@ -125,6 +130,7 @@
             runs: BTreeMap::new(),
             minions: BTreeMap::new(),
             agents: HashMap::new(),
+            crashes: RecentCrashes::default(),
             departures: BTreeMap::new(),
             batches: HashMap::new(),
             next_batch_number: 1,
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -4,6 +4,7 @@
 
 use super::Coordinator;
 use super::commits::DeferredAction;
+use super::crashes::{SuspectPenalty, must_be_isolated};
 use super::eligibility::step_rejection;
 use super::headroom::BestEffortSpeed;
 use super::job::Job;
@@ -42,6 +43,8 @@
 /// Reasons against placing a task on a minion; compared field by field, smaller is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct PlacementPenalty {
+    /// Reasons against a task under which minions have crashed.
+    suspect: SuspectPenalty,
     /// Whether the task's last run failed or was refused on the minion.
     avoided: bool,
     /// Whether the minion is not on the preferred rack.
@@ -99,6 +102,10 @@
                 break;
             }
             let Some(minion) = self.choose_minion(task, &spec, rack.as_ref(), now) else {
+                if must_be_isolated(self.crash_count(task)) && !spec.gang {
+                    // The others may be placed beside what this one must not be placed beside.
+                    continue;
+                }
                 // Tasks of a step have the same requirements, and no minion accepts the others
                 // either.
                 self.record_unplaceable(id, &spec);
@@ -203,7 +210,8 @@
         let penalty = |minion: &&Minion| -> PlacementPenalty {
             let off_rack = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoided_minion == Some(&minion.info.id);
-            PlacementPenalty { avoided, off_rack, cost: self.placement_cost(minion, spec) }
+            let suspect = self.suspect_penalty(requirements.crashes(), minion, now);
+            PlacementPenalty { suspect, avoided, off_rack, cost: self.placement_cost(minion, spec) }
         };
         let is_fast_enough = |minion: &&Minion| {
             !spec.best_effort
--- a/crates/geraniumpost-batch/src/coordinator/poll_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/poll_results.rs
@@ -40,6 +40,7 @@
             if let Some(minion) = self.minions.get_mut(&id) {
                 self.placement_due |= !minion.polled;
                 minion.polled = true;
+                minion.expired_runs.clear();
             }
             self.adjust_paces(&id, now);
         }
@@ -74,6 +75,7 @@
             run.order = OrderState::Started { results_reported: orders_reported_before };
             self.record_started(row.task, now);
         }
+        self.clear_if_known_to_work(row.task);
         if !row.checkpoint.is_empty()
             && let Some(job) = self.jobs.get_mut(&row.task.job)
         {
--- a/crates/geraniumpost-batch/src/coordinator/rejection.rs
+++ b/crates/geraniumpost-batch/src/coordinator/rejection.rs
@@ -42,6 +42,9 @@
     /// The minion runs as many tasks of the step as the step allows on one minion.
     #[display("spread")]
     PerMinionLimit,
+    /// Two minions have crashed under the task, as well as under another one that the minion runs.
+    #[display("beside_suspect")]
+    BesideSuspect,
     /// The admission service has given no valid ticket.
     #[display("no_approval")]
     NoApproval,
--- a/crates/geraniumpost-batch/src/coordinator/run_ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run_ends.rs
@@ -27,6 +27,7 @@
                 end.task.job, end.task, end.run, end.kind
             ));
             self.track_failures(minion, &end, now);
+            self.clear_at_end(&end);
             let version = self.end_run(end.task, end.kind, &end.checkpoint, now);
             Some((end.task.job, version))
         } else {
@@ -199,6 +200,15 @@
         }
     }
 
+    /// Clears a task whose run has ended by itself, and so has not crashed its minion. The failure of
+    /// a gang's member tells nothing about the others.
+    fn clear_at_end(&mut self, end: &EndedTask) {
+        let is_gang = self.step_spec(end.task).is_some_and(|step| step.gang);
+        if end.kind == EndKind::Done || (end.kind == EndKind::Failed && !is_gang) {
+            self.clear_crashes(end.task, "ended");
+        }
+    }
+
     pub(super) fn task_record(&self, task: TaskId) -> Option<&TaskRecord> {
         let job = self.jobs.get(&task.job)?;
         let occurrence = job.record.occurrences.iter().find(|o| o.number == task.occurrence)?;
--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -8,6 +8,9 @@
 /// Time for which a run must be known to have worked so that it is not suspected of having crashed
 /// its minion, in milliseconds. A run that crashes its minion does so soon after its start.
 const MIN_KNOWN_WORK_MS: u64 = 5_000;
+/// Time for which a run must be known to have worked so that a crash does not count as one at its
+/// start, in milliseconds: longer than the interval between two polls.
+const MIN_WORK_AFTER_START_MS: u64 = 1_000;
 /// Maximum number of runs that the log line on a terminated minion names.
 const MAX_LOGGED_RUNS: usize = 8;
 
@@ -16,6 +19,8 @@
 pub(super) struct YoungRun {
     pub(super) task: TaskId,
     pub(super) number: u32,
+    /// Whether the run is not known to have worked for [`MIN_WORK_AFTER_START_MS`].
+    pub(super) is_at_start: bool,
     /// Time since the run was first known to have started, in milliseconds; `None` if its start is
     /// not known.
     since_start_ms: Option<u64>,
@@ -24,7 +29,12 @@
 impl Run {
     /// Returns whether polls show that the run has worked for [`MIN_KNOWN_WORK_MS`].
     pub(super) fn is_known_to_work(&self) -> bool {
-        self.started_ms.is_some_and(|at_ms| self.last_seen_ms >= at_ms + MIN_KNOWN_WORK_MS)
+        self.known_work_ms() >= MIN_KNOWN_WORK_MS
+    }
+
+    /// Returns for how long polls show that the run has worked, in milliseconds.
+    fn known_work_ms(&self) -> u64 {
+        self.started_ms.map_or(0, |at_ms| self.last_seen_ms.saturating_sub(at_ms))
     }
 }
 
@@ -39,6 +49,7 @@
             .map(|(task, run)| YoungRun {
                 task: *task,
                 number: run.number,
+                is_at_start: run.known_work_ms() < MIN_WORK_AFTER_START_MS,
                 since_start_ms: run.started_ms.map(|at_ms| now.steady_ms.saturating_sub(at_ms)),
             })
             .collect();
--- a/crates/geraniumpost-batch/src/job_record.rs
+++ b/crates/geraniumpost-batch/src/job_record.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
+
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobSpec, JobState, QueueTerms};
+use crate::{JobSpec, JobState, QueueTerms, TaskCrashes, TaskId};
 
 /// Version of the record's encoding, increased with each change that older code cannot read.
 const ENCODING_VERSION: u8 = 1;
@@ -27,6 +29,10 @@
     pub next_occurrence: u32,
     /// Occurrences that have begun and not ended.
     pub occurrences: Vec<Occurrence>,
+    /// Tasks under which minions have crashed and that are not cleared; a gang is listed under its
+    /// first task. Encoded after the other fields, where earlier versions ignore it.
+    #[serde(skip)]
+    pub crashes: BTreeMap<TaskId, TaskCrashes>,
 }
 
 /// One execution of a job's steps; a repeated job has several.
@@ -88,6 +94,7 @@
             state: JobState::Queued,
             next_occurrence: 0,
             occurrences: Vec::new(),
+            crashes: BTreeMap::new(),
         }
     }
 
@@ -119,25 +126,39 @@
     pub fn compact(&mut self) {
         self.spec = JobSpec { payload: "".into(), ..JobSpec::default() };
         self.occurrences.clear();
+        self.crashes.clear();
         self.next_occurrence = 1;
     }
 
-    /// Encodes the record for the store, preceded by the version of the encoding.
+    /// Encodes the record for the store, preceded by the version of the encoding, and followed by
+    /// the tasks' crashes if there are any.
+    ///
+    /// Versions that know no crashes ignore what follows the record, and drop it when they
+    /// write the record again; crashes are then counted from 0.
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = vec![ENCODING_VERSION];
         let body = postcard::to_stdvec(self).expect("every field of a record can be encoded");
         bytes.extend_from_slice(&body);
+        if !self.crashes.is_empty() {
+            let crashes = postcard::to_stdvec(&self.crashes);
+            bytes.extend(crashes.expect("numbers can be encoded"));
+        }
         bytes
     }
 
-    /// Decodes a record from the store.
+    /// Decodes a record from the store. Crashes that are malformed are ignored, because a job
+    /// must not be lost for them.
     ///
     /// # Errors
     ///
     /// Fails if the bytes have another version or are malformed.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         match bytes.split_first() {
-            Some((&ENCODING_VERSION, body)) => postcard::from_bytes(body),
+            Some((&ENCODING_VERSION, body)) => {
+                let (mut record, rest) = postcard::take_from_bytes::<Self>(body)?;
+                record.crashes = postcard::from_bytes(rest).unwrap_or_default();
+                Ok(record)
+            }
             _ => Err(postcard::Error::DeserializeBadEncoding),
         }
     }
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod quorum;
 mod spec_error;
 mod step_spec;
+mod task_crashes;
 mod task_id;
 pub mod tuning;
 
@@ -63,4 +64,5 @@
 pub use predecessor_leases::{PredecessorLeases, SilentCoordinator};
 pub use spec_error::SpecError;
 pub use step_spec::StepSpec;
+pub use task_crashes::TaskCrashes;
 pub use task_id::{TaskId, TaskIdError};
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -11,6 +11,8 @@
     OrderOutcome, StepSpec, TaskId,
 };
 use geraniumpost_schema::Name;
+use rand::Rng;
+use rand::rngs::StdRng;
 
 use crate::cluster::{Cluster, agent_name, minion_info};
 
@@ -197,6 +199,15 @@
         }
     }
 
+    /// Crashes each minion with this probability.
+    pub fn crash_some(&mut self, rng: &mut StdRng, probability: f64) {
+        for at in 0..self.machines.len() {
+            if rng.random_bool(probability) {
+                self.crash(at);
+            }
+        }
+    }
+
     fn return_due_minions(&mut self) {
         let now_ms = self.now_ms();
         for at in 0..self.machines.len() {
@@ -303,6 +314,10 @@
         self.starts.get(&task).map_or(0, |starts| starts.iter().filter(|at| *at > third_ms).count())
     }
 
+    pub fn healthy_job_count(&self) -> usize {
+        self.healthy_jobs.len()
+    }
+
     /// Returns the healthy jobs that are shown as failed.
     pub fn failed_healthy_jobs(&mut self) -> Vec<u64> {
         let jobs = self.healthy_jobs.clone().into_iter();
