--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -6,6 +6,7 @@
 mod best_effort_tasks;
 mod caller_requests;
 mod commits;
+mod crashes;
 mod departures;
 mod draining;
 mod effect;
@@ -24,14 +25,17 @@
 mod placement;
 mod poll_results;
 mod predecessor_leases;
+mod recent_crashes;
 mod rejection;
 mod run;
 mod run_ends;
 mod serving_tasks;
+mod termination_cause;
 mod timers;
 mod unreachable;
 mod wait_monitor;
 mod wait_state;
+mod young_run;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -52,6 +56,7 @@
 use lease_basis::EntrySupport;
 use minion::Minion;
 use predecessor_leases::PredecessorExpiry;
+use recent_crashes::RecentCrashes;
 use run::Run;
 use wait_state::WaitState;
 
@@ -78,6 +83,8 @@
     runs: BTreeMap<TaskId, Run>,
     minions: BTreeMap<Name, Minion>,
     agents: HashMap<Name, Agent>,
+    /// Latest crashes of any minions.
+    crashes: RecentCrashes,
     /// Terminated minions whose termination the stored records do not contain yet.
     departures: BTreeMap<Name, Departure>,
     batches: HashMap<u64, PendingBatch>,
@@ -123,6 +130,7 @@
             runs: BTreeMap::new(),
             minions: BTreeMap::new(),
             agents: HashMap::new(),
+            crashes: RecentCrashes::default(),
             departures: BTreeMap::new(),
             batches: HashMap::new(),
             next_batch_number: 1,
@@ -184,8 +192,8 @@
                 self.handle_heartbeat(agent, sent_at_ms, minion_ok, now);
             }
             FromAgent::Minion(info) => self.handle_minion_info(agent, info, now),
-            FromAgent::MinionTerminated { minion } => {
-                self.handle_minion_terminated(agent, &minion, now);
+            FromAgent::MinionTerminated { minion, crashed } => {
+                self.handle_minion_terminated(agent, &minion, crashed, now);
             }
             FromAgent::PollResult(poll) => self.handle_poll_result(agent, poll, now),
             FromAgent::Result(result) => self.handle_order_result(result, now),
