fix(batch): send no start that no longer fits after a minion has shrunk

A minion's capacity may shrink while it runs. Placement used the new figure at once, but what had been placed before was started all the same: a placement whose write was under way, and a start order without a response, which is repeated. A successor repeats starts that it knows from records. Minions that do not guard their capacity carry these out and are over it.

Before each start order, the first and each repeated one, the coordinator now checks that the run fits beside all runs that may exist on the minion, including those that are being stopped. If it does not, the run is given up as after a refusal: at once if no copy of the order can arrive any more, else after a stop has barred it.

The check costs nothing while a minion's reservations fit its capacity. It goes by the capacity that was reported when the order is sent; a shrink that overtakes an order on its way is not covered.

--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -86,13 +86,13 @@
         }
     }
 
-    /// Gives up a run that its minion refused, so that its task can be placed elsewhere.
+    /// Gives up a run that its minion refused or that no longer fits there, so that its task can be placed elsewhere.
     ///
     /// A refusal covers only one copy of the start order. Another copy that is in flight or had no
     /// response may still be carried out once the minion has free resources or a lease again, and
     /// the task would run twice. A stop prevents that, because the minion refuses this run from
     /// then on. If the refused copy was the only one, the task is requeued at once.
-    fn abandon_run(&mut self, task: TaskId, now: Now) {
+    pub(super) fn abandon_run(&mut self, task: TaskId, now: Now) {
         if self.runs.get(&task).is_some_and(Run::may_still_start) {
             self.send_stop(task, now);
         } else {
--- a/crates/geraniumpost-batch/src/coordinator/orders.rs
+++ b/crates/geraniumpost-batch/src/coordinator/orders.rs
@@ -22,9 +22,14 @@
         }
     }
 
-    /// Sends a start order. The order may be sent repeatedly, because a minion starts a run at most
-    /// once.
+    /// Sends a start order, or gives up the run if it no longer fits on its minion. The order may be
+    /// sent repeatedly, because a minion starts a run at most once.
     pub(super) fn send_start(&mut self, task: TaskId, now: Now) {
+        if !self.still_fits(task) {
+            self.log_start_dropped(task);
+            self.abandon_run(task, now);
+            return;
+        }
         let Some(job) = self.jobs.get(&task.job) else { return };
         let minion = self.runs.get(&task).map(|run| run.place.minion.clone()).unwrap_or_default();
         let ticket = self.approvals.ticket(task, &minion, now).cloned().unwrap_or_default();
@@ -45,6 +50,40 @@
         }
     }
 
+    /// Returns whether a run that is about to start fits on its minion beside the runs that may exist
+    /// there, including those that are being stopped.
+    ///
+    /// The minion's capacity may have shrunk since the run was placed, while the placement was being
+    /// committed or the start order had no response. Some minions do not guard their capacity
+    /// and would start the run nevertheless.
+    fn still_fits(&self, task: TaskId) -> bool {
+        let Some(run) = self.runs.get(&task) else { return true };
+        let Some(minion) = self.minions.get(&run.place.minion) else { return true };
+        if !minion.reported || minion.reserved.fits(minion.info.capacity) {
+            return true;
+        }
+        let others = minion.runs.iter().filter(|other| **other != task);
+        let others = others.filter_map(|other| self.runs.get(other));
+        let used = others
+            .filter(|other| other.order != OrderState::Committing)
+            .fold(run.reserved, |used, other| used + other.reserved);
+        used.fits(minion.info.capacity)
+    }
+
+    fn log_start_dropped(&mut self, task: TaskId) {
+        let Some(run) = self.runs.get(&task) else { return };
+        self.log(format!(
+            "decision=start_failed job={} task={task} run={} minion={} why=\"capacity has shrunk\" \
+             starts={} in_flight={} unresolved={}",
+            task.job,
+            run.number,
+            run.place.minion,
+            run.start_count,
+            run.starts_in_flight,
+            run.start_unresolved
+        ));
+    }
+
     pub(super) fn send_stop(&mut self, task: TaskId, now: Now) {
         self.send_order(task, OrderKind::Stop);
         if let Some(run) = self.runs.get_mut(&task) {
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -2,6 +2,7 @@
 
 mod best_effort;
 mod best_effort_fleet;
+mod changed_capacity;
 mod cluster;
 mod contention;
 mod crashing_fleet;
