--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -2,8 +2,11 @@
 
 mod best_effort;
 mod best_effort_fleet;
+mod changed_capacity;
 mod cluster;
 mod contention;
+mod crashing_fleet;
+mod crashing_tasks;
 mod diagnostic_logs;
 mod draining;
 mod duplicate_orders;
