fix(batch): do not clear a crashing task when a run of it fails

Cause: a run that a minion lists as failed cleared its task, so that the count began again. Minions that fail all that they start do so with this task as well, and that says nothing about what it does to others.

--- a/crates/geraniumpost-batch/src/coordinator/run_ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run_ends.rs
@@ -200,12 +200,11 @@
         }
     }
 
-    /// Clears a task whose run has ended by itself, and so has not crashed its minion. The failure of
-    /// a gang's member tells nothing about the others.
+    /// Clears a task whose run is done, and so has not crashed its minion. A failed run clears
+    /// nothing, because some minions fail all that they start.
     fn clear_at_end(&mut self, end: &EndedTask) {
-        let is_gang = self.step_spec(end.task).is_some_and(|step| step.gang);
-        if end.kind == EndKind::Done || (end.kind == EndKind::Failed && !is_gang) {
-            self.clear_crashes(end.task, "ended");
+        if end.kind == EndKind::Done {
+            self.clear_crashes(end.task, "done");
         }
     }
 
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -58,6 +58,8 @@
     healthy_jobs: BTreeSet<u64>,
     /// Whether a start of a task that crashes its minion at once gets no response.
     pub lost_responses: bool,
+    /// Machines whose minions are sick: tasks that crash other minions fail there at once.
+    pub sick_machines: BTreeSet<usize>,
 }
 
 impl CrashingFleet {
@@ -73,6 +75,7 @@
             due_crashes: Vec::new(),
             healthy_jobs: BTreeSet::new(),
             lost_responses: false,
+            sick_machines: BTreeSet::new(),
         };
         for number in 1..=machines {
             let machine = Machine {
@@ -160,6 +163,10 @@
             return self.cluster.carry_out(order);
         };
         let (minion, task) = (order.minion.clone(), order.task);
+        if self.sick_machines.contains(&self.machine_of(&minion)) {
+            self.cluster.carry_out(order);
+            return self.cluster.end_run(&minion, task, EndKind::Failed);
+        }
         if delay_ms == 0 && self.lost_responses {
             self.cluster.report_result(&order, tag, OrderOutcome::NoResponse);
         } else {
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -256,3 +256,15 @@
     fleet.advance(12_000);
     assert_eq!(fleet.incomplete_healthy_jobs(), NONE, "each suspect has had its turn");
 }
+
+/// Guards against a count that begins again whenever the task meets a minion on which every run
+/// fails: a run that fails there says nothing about what the task does to other minions.
+#[test]
+fn failed_run_does_not_clear_a_crashing_task() {
+    let mut fleet = busy_fleet();
+    fleet.sick_machines.extend(0..6);
+    fleet.submit_poison(POISON, persistent_step(1), 0);
+    advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+    fleet.check_poisons_failed(5);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+}
