fix(batch): do not clear a crashing task that is listed but makes no progress

What customers would see: a task that crashes its minions is started without limit if it is suspended at first, as best-effort tasks beside serving ones are.

Cause: a run counted as known to work for as long as polls listed it, also at a progress of 0%.

Conclusion: only a run with progress is known to work. Persistent tasks report 100% while at work.

--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -32,8 +32,12 @@
         self.known_work_ms() >= MIN_KNOWN_WORK_MS
     }
 
-    /// Returns for how long polls show that the run has worked, in milliseconds.
+    /// Returns for how long polls show that the run has worked, in milliseconds; 0 if they show no
+    /// progress, because the run may be suspended.
     fn known_work_ms(&self) -> u64 {
+        if self.progress_percent == 0 {
+            return 0;
+        }
         self.started_ms.map_or(0, |at_ms| self.last_seen_ms.saturating_sub(at_ms))
     }
 }
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -268,3 +268,15 @@
     fleet.check_poisons_failed(5);
     assert_eq!(fleet.failed_healthy_jobs(), NONE);
 }
+
+/// Guards against a count that begins again while the task is listed but does not work, for example
+/// as it is suspended beside serving tasks: it crashes the minion only when it resumes.
+#[test]
+fn task_without_progress_is_not_cleared() {
+    let mut fleet = busy_fleet();
+    fleet.cluster.task_percent.insert(POISON, 0);
+    fleet.submit_poison(POISON, StepSpec { estimate_ms: 100_000, ..step(1) }, 7_000);
+    advance_with_short_jobs(&mut fleet, 1_000, 2 * GIVE_UP_MS);
+    fleet.check_poisons_failed(5);
+    assert_eq!(fleet.failed_healthy_jobs(), NONE);
+}
