fix(batch): put a crash down to the task that was suspected most often before

What customers would see: a fourth and a fifth crash of minions, each with everything that runs there, in a fleet in which most tasks are suspects.

Cause: a crash counted as certain only if a single task on the minion had crashed one before. Every crash makes all that had just begun there suspect once, so that in small fleets the last crash was hardly ever certain.

Change: the main suspect is the one with the most crashes before, if no other one has as many. Tasks with two crashes are never placed together, so that the third crash nearly always has one.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -6,6 +6,8 @@
 //! apart from each other, so that the next crash tells which of them is at fault, and are cleared
 //! once they are known to work.
 
+use std::collections::BTreeMap;
+
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
@@ -55,16 +57,11 @@
         now: Now,
     ) {
         self.agents.entry(agent.clone()).or_default().crashes.add(now.steady_ms);
-        let mut suspects: Vec<TaskId> = young
-            .iter()
-            .map(|run| self.suspect_key(run.task))
-            .filter(|key| self.crash_count(*key) > 0)
-            .collect();
-        suspects.sort_unstable();
-        suspects.dedup();
+        let suspects = self.crash_counts(young);
+        let main_suspect = main_suspect(&suspects);
         self.crashes.add(now.steady_ms);
         let recent = self.crashes.count(now.steady_ms);
-        let is_certain = recent <= MAX_EXPLAINED_CRASHES && suspects.len() == 1;
+        let is_explained = recent <= MAX_EXPLAINED_CRASHES;
         let mut lines = 0;
         let counts_all = recent <= MAX_CRASHES_OF_TASKS;
         for run in young.iter().filter(|run| run.is_at_start || counts_all) {
@@ -81,6 +78,7 @@
                 ));
             }
             let at_start = at_start as usize;
+            let is_certain = is_explained && main_suspect == Some(self.suspect_key(task));
             let is_at_fault =
                 is_certain && (at_start >= MAX_CRASHES_AT_START || crashes >= MAX_CERTAIN_CRASHES);
             if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
@@ -90,6 +88,12 @@
         }
     }
 
+    /// Returns the number of earlier crashes of each suspect among the tasks of these runs.
+    fn crash_counts(&self, young: &[YoungRun]) -> BTreeMap<TaskId, usize> {
+        let keys = young.iter().map(|run| self.suspect_key(run.task));
+        keys.map(|key| (key, self.crash_count(key))).filter(|(_, crashes)| *crashes > 0).collect()
+    }
+
     /// Counts a crash for the task of a run, and returns the task's crashes. Returns `None` if the
     /// crash was counted before, or says nothing about the task: it is done, or a later run is known
     /// to work.
@@ -188,6 +192,15 @@
     }
 }
 
+/// Returns the suspect with the most earlier crashes; `None` if there are several. Tasks with many
+/// crashes are kept apart, so that others seldom have as many.
+fn main_suspect(suspects: &BTreeMap<TaskId, usize>) -> Option<TaskId> {
+    let most = suspects.values().max()?;
+    let mut with_most = suspects.iter().filter(|(_, crashes)| *crashes == most);
+    let (task, _) = with_most.next()?;
+    with_most.next().is_none().then_some(*task)
+}
+
 /// Returns whether a task with so many crashes is placed on no minion with another such task. A
 /// crash would not tell which of them is at fault.
 ///
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -280,3 +280,19 @@
     fleet.check_poisons_failed(5);
     assert_eq!(fleet.failed_healthy_jobs(), NONE);
 }
+
+/// Guards against more crashes than necessary in a small fleet, in which most tasks are suspects: the
+/// task that was suspected most often so far is at fault.
+#[test]
+fn crashing_task_is_found_among_many_suspects() {
+    for machines in [3, 4] {
+        let mut fleet = CrashingFleet::new(machines);
+        fleet.submit(1, persistent_step(20), 0);
+        fleet.submit(2, step(20), 20_000);
+        fleet.advance(500);
+        fleet.submit_poison(POISON, step(1), 0);
+        advance_with_short_jobs(&mut fleet, 1_000, GIVE_UP_MS);
+        fleet.check_poisons_failed(3);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE);
+    }
+}
