test(batch): show that siblings do not wait behind an isolated task

The test of isolated tasks passed also with a placement round that stops at the first isolated task, so that it did not guard what it names. Its six small tasks were all lost twice, and none was left that could have waited in vain.

It now plays twelve tasks of which eight fit: four are lost twice, and one of these has its turn while seven others use the rest. With a placement round that stops at an isolated task it fails with five running tasks instead of eight.

--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -238,21 +238,23 @@
 }
 
 /// A task under which two minions have crashed waits for a minion without another such task. Its
-/// siblings must not wait behind it, and it must not wait longer than the other one is suspected.
+/// siblings and other jobs must not wait behind it, and it must not wait longer than the other one is
+/// suspected.
 #[test]
 fn isolated_task_delays_nobody() {
     let mut fleet = CrashingFleet::new(1);
-    let small =
-        StepSpec { demand: Demand { milli_cpus: 500, memory_mb: 100, accelerators: 0 }, ..step(1) };
-    fleet.submit(1, StepSpec { count: 6, ..small }, 1_500);
+    let demand = Demand { milli_cpus: 2_000, memory_mb: 100, accelerators: 0 };
+    fleet.submit(1, StepSpec { demand, ..step(12) }, 3_000);
     for _ in 0..2 {
         fleet.advance(500);
         fleet.crash(0);
-        fleet.advance(3_000);
+        fleet.advance(2_500);
     }
-    fleet.submit(2, step(2), 500);
-    fleet.advance(1_000);
-    assert_eq!(fleet.start_count(task(2, 0, 0)), 1, "a new job starts beside the suspects");
-    fleet.advance(12_000);
+    fleet.advance(500);
+    // The first four tasks were lost twice, so that one of them runs, and seven others.
+    let starts: Vec<_> = (0..4).map(|index| fleet.start_count(task(1, 0, index))).collect();
+    assert_eq!(starts, [3, 2, 2, 2]);
+    assert_eq!(fleet.cluster.running_tasks().len(), 8, "the minion has room for eight tasks");
+    fleet.advance(20_000);
     assert_eq!(fleet.incomplete_healthy_jobs(), NONE, "each suspect has had its turn");
 }
