fix(batch): start suspects in groups if there are many

Cause: a task under which two minions have crashed was placed on no minion with another one, until that one had worked for 5 s or was done. Bursts make hundreds of tasks suspect at once, so that each minion ran them one at a time.

Change: a suspect stands aside only until polls show a second of work. Beyond two suspects a minion, those with two crashes start in groups, and only those that a third crash hits start one by one.

Evidence: many_suspects_share_minions failed (150 tasks not done after 10 s), passes within the 14 s that callers allow.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -15,8 +15,11 @@
 use super::young_run::YoungRun;
 use crate::{JobState, Now, TaskCrashes, TaskId, TaskPhase};
 
-/// Number of crashes from which a task is placed on no minion with another such task.
+/// Number of crashes from which a task is placed apart from other such tasks.
 const ISOLATED_CRASHES: usize = 2;
+/// Maximum number of suspects that a minion starts one after the other. A suspect is known to work
+/// after little more than a second, so that none waits for 3 s.
+const MAX_QUEUED_SUSPECTS: usize = 2;
 /// Number of crashes soon after its starts at which a task is given up, if the last one can be put
 /// down to it.
 const MAX_CRASHES_AT_START: usize = 3;
@@ -165,12 +168,39 @@
         }
     }
 
-    /// Returns whether a minion runs a task that must be isolated, other than this one and its gang.
-    pub(super) fn runs_isolated_task(&self, minion: &Minion, task: TaskId) -> bool {
+    /// Returns whether a minion starts too many other tasks that must be isolated for this one, which
+    /// has `crashes` crashes. Members of the same gang do not count.
+    pub(super) fn starts_isolated_tasks(
+        &self,
+        minion: &Minion,
+        task: TaskId,
+        crashes: usize,
+    ) -> bool {
         let key = self.suspect_key(task);
-        minion.runs.iter().any(|other| {
-            must_be_isolated(self.crash_count(*other)) && self.suspect_key(*other) != key
-        })
+        let others = minion.runs.iter().filter(|other| {
+            self.suspect_key(**other) != key
+                && self.runs.get(*other).is_some_and(super::Run::is_at_start)
+        });
+        let others = others.map(|other| self.crash_count(*other));
+        let others: Vec<usize> = others.filter(|crashes| must_be_isolated(*crashes)).collect();
+        let most = others.iter().copied().fold(crashes, usize::max);
+        let max_others = if most > ISOLATED_CRASHES { 1 } else { self.max_isolated_per_minion };
+        others.len() >= max_others
+    }
+
+    /// Updates how many tasks that must be isolated a minion may start at the same time: one, or more
+    /// if it would otherwise start more than [`MAX_QUEUED_SUSPECTS`] one after the other.
+    ///
+    /// Minions that crash by themselves may make hundreds of tasks suspect, which would wait for
+    /// minutes. In groups, the next crash leaves only one group under suspicion, and its tasks are
+    /// then started one by one.
+    pub(super) fn update_isolation_limit(&mut self) {
+        let crashes = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+        let crashes = crashes.flat_map(|job| job.record.crashes.values());
+        let isolated = crashes.filter(|crashes| must_be_isolated(crashes.runs.len())).count();
+        let minions = self.minions.values().filter(|minion| minion.linked && minion.responsive);
+        self.max_isolated_per_minion =
+            isolated.div_ceil(minions.count().max(1) * MAX_QUEUED_SUSPECTS).max(1);
     }
 
     /// Returns the reasons against placing a task with so many crashes on a minion.
@@ -201,10 +231,10 @@
     with_most.next().is_none().then_some(*task)
 }
 
-/// Returns whether a task with so many crashes is placed on no minion with another such task. A
-/// crash would not tell which of them is at fault.
+/// Returns whether a task with so many crashes is placed apart from other such tasks. A crash would
+/// not tell which of them is at fault.
 ///
-/// The other task is cleared or gone soon, so that a task does not wait long for this.
+/// The other task is known to work soon, or gone, so that a task does not wait long for this.
 pub(super) const fn must_be_isolated(crashes: usize) -> bool {
     crashes >= ISOLATED_CRASHES
 }
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -62,7 +62,7 @@
         if !is_below_limit_per_minion(task, spec, minion) {
             return Some(Rejection::PerMinionLimit);
         }
-        if must_be_isolated(crashes) && self.runs_isolated_task(minion, task) {
+        if must_be_isolated(crashes) && self.starts_isolated_tasks(minion, task, crashes) {
             return Some(Rejection::BesideSuspect);
         }
         if terms.needs_approval && self.approvals.ticket(task, &minion.info.id, now).is_none() {
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -111,6 +111,9 @@
     /// Demand of a best-effort step that no minion accepted in the current placement round, by
     /// service and image.
     unplaceable: BTreeMap<(Name, Name), crate::Demand>,
+    /// Maximum number of tasks under which two minions have crashed that a minion starts at the same
+    /// time.
+    max_isolated_per_minion: usize,
     /// Waiting tasks, for log lines and metrics only; no decision depends on this state.
     wait_state: WaitState,
     effects: Vec<Effect>,
@@ -145,6 +148,7 @@
             placement_due: false,
             interference_written_ms: now.steady_ms,
             unplaceable: BTreeMap::new(),
+            max_isolated_per_minion: 1,
             wait_state: WaitState::new(now.steady_ms),
             effects: Vec::new(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -65,6 +65,7 @@
             .collect();
         order.sort_unstable();
         self.unplaceable.clear();
+        self.update_isolation_limit();
         for (_, id) in order {
             self.place_job(id, now);
         }
--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -32,6 +32,12 @@
         self.known_work_ms() >= MIN_KNOWN_WORK_MS
     }
 
+    /// Returns whether polls do not show yet that the run has worked for
+    /// [`MIN_WORK_AFTER_START_MS`].
+    pub(super) fn is_at_start(&self) -> bool {
+        self.known_work_ms() < MIN_WORK_AFTER_START_MS
+    }
+
     /// Returns for how long polls show that the run has worked, in milliseconds; 0 if they show no
     /// progress, because the run may be suspended.
     fn known_work_ms(&self) -> u64 {
@@ -53,7 +59,7 @@
             .map(|(task, run)| YoungRun {
                 task: *task,
                 number: run.number,
-                is_at_start: run.known_work_ms() < MIN_WORK_AFTER_START_MS,
+                is_at_start: run.is_at_start(),
                 since_start_ms: run.started_ms.map(|at_ms| now.steady_ms.saturating_sub(at_ms)),
             })
             .collect();
