fix(coordination): let a stopping entry take over if nobody else does

Cause: a coordinator handed over to an entry that was asked to stop before it had taken over, or whose last ping was older than its signal. An entry that is stopping took over under no circumstances, so that all waited for the first restart.

The process counts as coordinating from before its write, and does not exit meanwhile.

Grace periods below 6 s have no test by processes.

--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -17,7 +17,7 @@
 use super::super::BootClock;
 use super::super::entry::{ActiveConfiguration, LinkState};
 use super::coordinator_loss::{COORDINATOR_LOSS_MS, CoordinatorLoss, detect_loss};
-use super::handover::HandoverTimes;
+use super::handover::{HandoverTimes, StopTime};
 use super::local_promises::LocalPromises;
 use super::peer_listener::{CurrentTermDestinations, PeerListener};
 use super::peers::Peers;
@@ -62,6 +62,7 @@
     metrics: Arc<Metrics>,
     confirmed_ms: Arc<AtomicU64>,
     handover_times: HandoverTimes,
+    stop_time: StopTime,
     coordinating: watch::Sender<bool>,
 }
 
@@ -114,6 +115,7 @@
             metrics,
             confirmed_ms: Arc::new(AtomicU64::new(0)),
             handover_times: HandoverTimes::default(),
+            stop_time: StopTime::default(),
             coordinating: watch::Sender::new(false),
         }
     }
@@ -125,7 +127,7 @@
         self
     }
 
-    /// Returns a receiver that is true while this entry coordinates.
+    /// Returns a receiver that is true while this entry takes over or coordinates.
     pub fn coordinating(&self) -> watch::Receiver<bool> {
         self.coordinating.subscribe()
     }
@@ -135,9 +137,11 @@
         Arc::clone(&self.peers)
     }
 
-    /// Runs until the process exits. After `stop` turns true, the candidate no longer takes over,
-    /// and follows the current coordinator only to serve the remaining callers.
+    /// Runs until the process exits. After `stop` turns true, the candidate takes over only if the
+    /// coordinator has stepped down and nobody else takes over, and otherwise follows the current
+    /// coordinator to serve the remaining callers.
     pub async fn run(self, listener: TcpListener, stop: watch::Receiver<bool>) {
+        tokio::spawn(self.stop_time.clone().record(stop.clone()));
         let (destinations_tx, destinations) = watch::channel::<CurrentTermDestinations>(None);
         let peer_listener = PeerListener {
             destinations,
@@ -180,8 +184,16 @@
         if record.stepped_down {
             // Without a random delay two candidates may compete. The second one's transaction
             // fails, which costs only one call.
-            tokio::time::sleep(Duration::from_millis(self.takeover_delay_ms)).await;
-            self.take_over(item.as_ref(), CoordinatorLoss::Ended, destinations, stop).await;
+            let delay = if *stop.borrow() {
+                self.handover_times.takeover_delay(&self.stop_time)
+            } else {
+                Some(Duration::from_millis(self.takeover_delay_ms))
+            };
+            tokio::time::sleep(delay.unwrap_or(RETRY_PAUSE)).await;
+            if delay.is_some() {
+                self.commit_takeover(item.as_ref(), CoordinatorLoss::Ended, destinations, stop)
+                    .await;
+            }
             return;
         }
         if record.node == self.node {
@@ -278,8 +290,7 @@
             || silent_ms > ISOLATED_TAKEOVER_MS
     }
 
-    /// Takes over the coordinator's key if it has not changed since it was read, and coordinates
-    /// until the term ends.
+    /// Takes over unless this entry is stopping, and coordinates until the term ends.
     async fn take_over(
         &self,
         item: Option<&KeyValue>,
@@ -290,6 +301,31 @@
         if *stop.borrow() {
             return tokio::time::sleep(RETRY_PAUSE).await;
         }
+        self.commit_takeover(item, loss, destinations, stop).await;
+    }
+
+    /// Takes over the coordinator's key if it has not changed since it was read, and coordinates
+    /// until the term ends.
+    async fn commit_takeover(
+        &self,
+        item: Option<&KeyValue>,
+        loss: CoordinatorLoss,
+        destinations: &watch::Sender<CurrentTermDestinations>,
+        stop: &watch::Receiver<bool>,
+    ) {
+        // The process must not exit while the key may name it.
+        self.coordinating.send_replace(true);
+        self.try_takeover(item, loss, destinations, stop).await;
+        self.coordinating.send_replace(false);
+    }
+
+    async fn try_takeover(
+        &self,
+        item: Option<&KeyValue>,
+        loss: CoordinatorLoss,
+        destinations: &watch::Sender<CurrentTermDestinations>,
+        stop: &watch::Receiver<bool>,
+    ) {
         let previous = decode_record(item).map(|(record, _)| record);
         let (record, predecessor_leases) = self.next_term(previous, item, loss);
         let revision = item.map_or(0, |item| item.revision);
@@ -319,6 +355,7 @@
             promises: Arc::clone(&self.promises),
             admission_address: self.admission_address,
             handover_times: self.handover_times,
+            stop_time: self.stop_time.clone(),
             metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
@@ -330,9 +367,7 @@
         );
         self.known_coordinator
             .send_replace(Some(KnownCoordinator { address: self.address, fence }));
-        self.coordinating.send_replace(true);
         term.run(destinations, stop.clone()).await;
-        self.coordinating.send_replace(false);
         self.known_coordinator.send_replace(None);
     }
 
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -20,7 +20,7 @@
 
 pub use candidate::Candidate;
 pub use coordinator_loss::{CoordinatorLoss, detect_loss};
-pub use handover::HandoverTimes;
+pub use handover::{HandoverTimes, StopTime};
 pub use known_coordinator::KnownCoordinator;
 pub use local_promises::LocalPromises;
 pub use peers::Peers;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -15,7 +15,7 @@
 use super::super::{BootClock, hedged_read};
 use super::adaptive_timeout::AdaptiveTimeout;
 use super::driver::{ApprovalRequest, Driver, Input};
-use super::handover::{HandoverTimes, signal_handover};
+use super::handover::{HandoverTimes, StopTime, signal_handover};
 use super::local_promises::LocalPromises;
 use super::peer_listener::{CurrentTermDestinations, TermDestinations};
 use super::peers::{Peers, probe_entry};
@@ -65,6 +65,7 @@
     /// Address of the service that approves minions for steps, if configured.
     pub admission_address: Option<SocketAddr>,
     pub handover_times: HandoverTimes,
+    pub stop_time: StopTime,
     pub metrics: Arc<Metrics>,
 }
 
@@ -91,6 +92,7 @@
         let (hand_over_tx, hand_over) = watch::channel(false);
         tokio::spawn(signal_handover(
             stop,
+            self.stop_time.clone(),
             self.handover_times,
             Arc::clone(&support),
             Arc::clone(&self.peers),
