fix(batch): put a crash down to a suspect only with a clear lead

Change: at the third crash the lead must be two crashes, as for a sole suspect before; at the fourth one suffices. So the test of many suspects allows four crashes instead of three; the limit that the users state is five starts.

After a takeover the number of recent crashes still begins at zero.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -17,6 +17,9 @@
 
 /// Number of crashes from which a task is placed apart from other such tasks.
 const ISOLATED_CRASHES: usize = 2;
+/// Number of earlier crashes by which a suspect must lead all others on its minion so that a crash at
+/// its start can be put down to it.
+const CLEAR_LEAD: usize = 2;
 /// Maximum number of suspects that a minion starts one after the other. A suspect is known to work
 /// after little more than a second, so that none waits for 3 s.
 const MAX_QUEUED_SUSPECTS: usize = 2;
@@ -85,9 +88,11 @@
                 ));
             }
             let at_start = at_start as usize;
-            let is_certain = is_explained && main_suspect == Some(self.suspect_key(task));
-            let is_at_fault =
-                is_certain && (at_start >= MAX_CRASHES_AT_START || crashes >= MAX_CERTAIN_CRASHES);
+            let lead = main_suspect
+                .filter(|(main, _)| is_explained && *main == self.suspect_key(task))
+                .map_or(0, |(_, lead)| lead);
+            let is_at_fault = (lead >= CLEAR_LEAD && at_start >= MAX_CRASHES_AT_START)
+                || (lead > 0 && crashes >= MAX_CERTAIN_CRASHES);
             if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
                 self.log(format!("decision=fail job={} task={task} crashes={crashes}", task.job));
                 self.jobs_given_up.insert(task.job);
@@ -227,13 +232,12 @@
     }
 }
 
-/// Returns the suspect with the most earlier crashes; `None` if there are several. Tasks with many
-/// crashes are kept apart, so that others seldom have as many.
-fn main_suspect(suspects: &BTreeMap<TaskId, usize>) -> Option<TaskId> {
-    let most = suspects.values().max()?;
-    let mut with_most = suspects.iter().filter(|(_, crashes)| *crashes == most);
-    let (task, _) = with_most.next()?;
-    with_most.next().is_none().then_some(*task)
+/// Returns the suspect with the most earlier crashes, and by how many it leads all others.
+fn main_suspect(suspects: &BTreeMap<TaskId, usize>) -> Option<(TaskId, usize)> {
+    let (main, most) = suspects.iter().max_by_key(|(_, crashes)| **crashes)?;
+    let others = suspects.iter().filter(|(task, _)| *task != main);
+    let most_of_others = others.map(|(_, crashes)| *crashes).max().unwrap_or(0);
+    Some((*main, most - most_of_others))
 }
 
 /// Returns whether a task with so many crashes is placed apart from other such tasks. A crash would
