feat(batch): log how much capacity a waiting task lacks and who holds it

The line on a task that finds no minion counted the minions without capacity. It did not say whether processors or memory are missing, or whether persistent runs, short runs, runs that have not started or best-effort runs hold them. The line now names the minion with the smallest shortfall, what is missing there and what each kind of run reserves. Its number per second stays limited. No decision depends on it; a new test checks the fields, the existing ones of the line hold unchanged.

--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -5,6 +5,7 @@
 mod best_effort_placement;
 mod best_effort_tasks;
 mod caller_requests;
+mod capacity_shortfall;
 mod commits;
 mod departures;
 mod draining;
--- a/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
+++ b/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
@@ -184,13 +184,16 @@
         let ran = |task: &&TaskId| self.task_record(**task).is_some_and(|record| record.run > 0);
         Some(format!(
             "event=not_placed job={job} step={occurrence}.{step} first={} waiting={} ran={} \
-             waited_ms={}{}{} minions={}{}",
+             waited_ms={}{}{}{} minions={}{}",
             task.index,
             waiting.len(),
             waiting.iter().filter(ran).count(),
             now.steady_ms.saturating_sub(since_ms),
             field_unless_zero("gang_size", if spec.gang { spec.count.into() } else { 0 }),
             field_unless_zero("pause_ms", self.remaining_backoff_ms(task, now)),
+            self.requirements(task, spec).map_or_else(String::new, |requirements| {
+                self.shortfall_fields(&requirements, spec, now)
+            }),
             self.minions.len(),
             self.rejection_fields(task, spec, waiting.len(), now),
         ))
--- a/crates/geraniumpost-batch/tests/coordinator/diagnostic_logs.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/diagnostic_logs.rs
@@ -428,3 +428,25 @@
     assert_eq!(field_value(&logged[0], "persistent"), Some("1"));
     assert_eq!(field_value(&logged[0], "omitted"), Some("48"));
 }
+
+/// Minions lack capacity for a persistent task. A count of such minions does not say whether short
+/// runs or other persistent runs are in the way, or how much is missing; the line does.
+#[test]
+fn missing_capacity_is_logged_with_its_holders() {
+    let mut cluster = Cluster::new().with_minions(&["m1"]);
+    cluster.submit(1, vec![persistent_step(4)]);
+    cluster.submit(2, vec![step(8)]);
+    cluster.carry_out_orders();
+    cluster.submit(3, vec![step(2)]);
+    let wide = Demand { milli_cpus: 5_000, memory_mb: 2_000, accelerators: 0 };
+    cluster.submit(7, vec![StepSpec { demand: wide, ..persistent_step(1) }]);
+    cluster.advance(PERSISTENT_TASK_LOGGED_AFTER_MS);
+    let line = last_log_line_with(&cluster, "event=not_placed job=0000000000000007");
+    assert_eq!(field_value(&line, "nearest"), Some("m1"), "{line}");
+    assert_eq!(number_field(&line, "lacks_milli_cpus"), 3_000, "{line}");
+    assert_eq!(number_field(&line, "lacks_memory_mb"), 0, "{line}");
+    assert_eq!(field_value(&line, "persistent"), Some("4000m/4000MB"), "{line}");
+    assert_eq!(field_value(&line, "ending"), Some("8000m/8000MB"), "{line}");
+    assert_eq!(field_value(&line, "unstarted"), Some("2000m/2000MB"), "{line}");
+    assert_eq!(field_value(&line, "best_effort"), Some("0m/0MB"), "{line}");
+}
