--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -5,6 +5,7 @@
 mod best_effort_placement;
 mod best_effort_tasks;
 mod caller_requests;
+mod capacity_shortfall;
 mod commits;
 mod crashes;
 mod departures;
@@ -12,6 +13,7 @@
 mod effect;
 mod eligibility;
 mod headroom;
+mod held_room;
 mod job;
 mod lease_basis;
 mod leases;
@@ -116,6 +118,10 @@
     /// Maximum number of tasks under which two minions have crashed that a minion starts at the same
     /// time.
     max_isolated_per_minion: usize,
+    /// Persistent tasks for which resources are held since the last placement round.
+    held_for: BTreeSet<TaskId>,
+    /// The same as of the round before, for log lines only.
+    held_before: BTreeSet<TaskId>,
     /// Waiting tasks, for log lines and metrics only; no decision depends on this state.
     wait_state: WaitState,
     effects: Vec<Effect>,
@@ -152,6 +158,8 @@
             unplaceable: BTreeMap::new(),
             jobs_given_up: BTreeSet::new(),
             max_isolated_per_minion: 1,
+            held_for: BTreeSet::new(),
+            held_before: BTreeSet::new(),
             wait_state: WaitState::new(now.steady_ms),
             effects: Vec::new(),
         }
