fix(batch): let only the task that was given up explain a later crash

Cause: a crash counted for nobody if any run on the minion belonged to a job that had been given up, also its healthy siblings, so that a second crashing task there was not counted.

--- a/crates/geraniumpost-batch/src/coordinator/commits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -57,7 +57,7 @@
         }
         for id in batch.removed {
             self.jobs.remove(&id);
-            self.jobs_given_up.remove(&id);
+            self.tasks_given_up.retain(|task| task.job != id);
         }
         self.acknowledge_ends();
         self.report_recorded_departures();
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -63,8 +63,8 @@
         now: Now,
     ) {
         self.agents.entry(agent.clone()).or_default().crashes.add(now.steady_ms);
-        if young.iter().any(|run| self.jobs_given_up.contains(&run.task.job)) {
-            // A run of a job that was given up meanwhile explains the crash.
+        if young.iter().any(|run| self.tasks_given_up.contains(&self.suspect_key(run.task))) {
+            // A run of a task that was given up meanwhile explains the crash.
             return;
         }
         let suspects = self.crash_counts(young);
@@ -95,7 +95,7 @@
                 || (lead > 0 && crashes >= MAX_CERTAIN_CRASHES);
             if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
                 self.log(format!("decision=fail job={} task={task} crashes={crashes}", task.job));
-                self.jobs_given_up.insert(task.job);
+                self.tasks_given_up.insert(self.suspect_key(task));
                 self.finish_job(task.job, JobState::Failed, now);
             }
         }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -113,8 +113,8 @@
     /// Demand of a best-effort step that no minion accepted in the current placement round, by
     /// service and image.
     unplaceable: BTreeMap<(Name, Name), crate::Demand>,
-    /// Jobs that were given up for the crashes of a task, until they are removed.
-    jobs_given_up: BTreeSet<JobId>,
+    /// Tasks that were given up for their crashes, until their jobs are removed; of a gang the first.
+    tasks_given_up: BTreeSet<TaskId>,
     /// Maximum number of tasks under which two minions have crashed that a minion starts at the same
     /// time.
     max_isolated_per_minion: usize,
@@ -156,7 +156,7 @@
             placement_due: false,
             interference_written_ms: now.steady_ms,
             unplaceable: BTreeMap::new(),
-            jobs_given_up: BTreeSet::new(),
+            tasks_given_up: BTreeSet::new(),
             max_isolated_per_minion: 1,
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -336,3 +336,37 @@
         assert_eq!(fleet.failed_healthy_jobs(), NONE, "{machines} machines, {duration_ms} ms");
     }
 }
+
+/// Guards against a crash that is put down to the healthy siblings of a task that was given up: a second
+/// task that crashes minions, on the same minion, would not be counted.
+#[test]
+fn siblings_of_a_task_that_was_given_up_explain_no_crash() {
+    let demand = Demand { milli_cpus: 100, memory_mb: 10, accelerators: 0 };
+    let mut excessive = Vec::new();
+    for seed in 8..18 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = CrashingFleet::new(11);
+        fleet.submit(1, persistent_step(16), 0);
+        fleet.submit(2, step(24), 20_000);
+        fleet.advance(6_000);
+        let poisons: Vec<TaskId> = (0..6).map(|job| task(100 + job, 0, 0)).collect();
+        for poison in &poisons {
+            fleet.submit_poison(*poison, StepSpec { demand, ..step(26) }, 0);
+            fleet.advance(rng.random_range(0..10) * 100);
+        }
+        for second in 0..80 {
+            fleet.submit(1_000 + second, step(4), rng.random_range(3..40) * 100);
+            fleet.down_ms = rng.random_range(2_300..3_500) / 100 * 100;
+            if rng.random_bool(0.1) {
+                fleet.take_over();
+            }
+            for _ in 0..10 {
+                fleet.crash_some(&mut rng, 0.003);
+                fleet.advance(100);
+            }
+        }
+        let starts = poisons.iter().map(|task| fleet.starts_after_third_crash(*task));
+        excessive.extend(starts.filter(|starts| *starts > 2).map(|starts| (seed, starts)));
+    }
+    assert!(excessive.is_empty(), "starts after the third crash: {excessive:?}");
+}
