fix(batch): hold room only for tasks that wait for room

What customers would see: a waiting persistent task has no room held for it, and another minion is kept from work.

A suspect that waits for its turn lacks no room either.

Change: the list holds the tasks of the round that were not placed and need not be isolated.

--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -145,7 +145,10 @@
             self.assign_task(task, &minion, gang_run, now);
             placed.push(task);
         }
-        let unplaced = waiting[placed.len()..].to_vec();
+        // A suspect that has to be isolated waits for its turn and not for resources.
+        let waits_for_room =
+            |task: &&TaskId| !placed.contains(*task) && !must_be_isolated(self.crash_count(**task));
+        let unplaced: Vec<TaskId> = waiting.iter().filter(waits_for_room).copied().collect();
         let needs_approval = self.jobs.get(&id).is_some_and(|job| job.record.terms.needs_approval);
         if needs_approval && placed.len() < wanted {
             self.request_approval(first, &spec, now);
