--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -370,3 +370,15 @@
     }
     assert!(excessive.is_empty(), "starts after the third crash: {excessive:?}");
 }
+
+/// Guards against tasks that crash their minions some seconds after each start, and whose crashes are
+/// not counted once they are so many that minions seem to crash by themselves.
+#[test]
+fn tasks_that_crash_minions_late_are_given_up() {
+    let mut fleet = CrashingFleet::new(11);
+    for job in 0..4 {
+        fleet.submit_poison(task(100 + job, 0, 0), step(1), 2_000);
+    }
+    advance_with_short_jobs(&mut fleet, 1_000, 2 * GIVE_UP_MS);
+    fleet.check_poisons_failed(5);
+}
