--- a/crates/geraniumpost/src/batch/coordination/handover.rs
+++ b/crates/geraniumpost/src/batch/coordination/handover.rs
@@ -1,12 +1,13 @@
 //! When a coordinator that is asked to stop hands over.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::peers::Peers;
+use super::stop_time::StopTime;
 use super::term_support::TermSupport;
 
 /// Part of the time for which a stopping process serves callers that passes before a handover, in
@@ -36,23 +37,6 @@
     latest_takeover: Duration,
 }
 
-/// The time at which the process was asked to stop.
-#[derive(Debug, Clone, Default)]
-pub struct StopTime(Arc<OnceLock<Instant>>);
-
-impl StopTime {
-    /// Records the stop signal; call it as soon as the signal is noticed.
-    pub async fn record(self, mut stop: watch::Receiver<bool>) {
-        crate::stop_signal::stopped(&mut stop).await;
-        self.get();
-    }
-
-    /// Returns the time of the stop signal, which must have been noticed.
-    fn get(&self) -> Instant {
-        *self.0.get_or_init(Instant::now)
-    }
-}
-
 impl HandoverTimes {
     /// Returns times for a process that serves callers for `serving` after the stop signal, and must
     /// end its term no later than `limit` after the signal.
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -13,6 +13,7 @@
 mod process_pause;
 mod record;
 mod release_requester;
+mod stop_time;
 mod successor_leases;
 mod term;
 mod term_support;
@@ -20,12 +21,13 @@
 
 pub use candidate::Candidate;
 pub use coordinator_loss::{CoordinatorLoss, detect_loss};
-pub use handover::{HandoverTimes, StopTime};
+pub use handover::HandoverTimes;
 pub use known_coordinator::KnownCoordinator;
 pub use local_promises::LocalPromises;
 pub use peers::Peers;
 pub use process_pause::ProcessPause;
 pub use record::CoordinatorRecord;
+pub use stop_time::StopTime;
 
 /// Store key of the [`CoordinatorRecord`].
 pub const COORDINATOR_KEY: &str = "geraniumpost/coordinator";
