--- a/crates/geraniumpost/src/agent/context.rs
+++ b/crates/geraniumpost/src/agent/context.rs
@@ -11,7 +11,7 @@
 use super::tasks::{TaskEvent, TaskFigures, TaskOrder};
 use super::{KnownEntries, RequestState};
 use crate::Clock;
-use crate::config::ConfigKeeper;
+use crate::config::ConfigUpdater;
 use crate::metrics::Metrics;
 
 new_key_type! {
@@ -31,7 +31,7 @@
     /// The clock of all deadlines.
     pub clock: Clock,
     /// The configuration in force.
-    pub keeper: Arc<ConfigKeeper>,
+    pub config: Arc<ConfigUpdater>,
     /// Meters.
     pub metrics: Arc<Metrics>,
     /// The minion, none beside a worker alone.
@@ -53,7 +53,7 @@
     /// What concerns tasks is sent through `orders`.
     pub fn new(
         settings: AgentSettings,
-        keeper: Arc<ConfigKeeper>,
+        config: Arc<ConfigUpdater>,
         metrics: Arc<Metrics>,
         orders: mpsc::UnboundedSender<TaskEvent>,
     ) -> Self {
@@ -62,7 +62,7 @@
             me: Identity { name: settings.name.clone(), incarnation },
             key: SharedKey::from(settings.shared_key.as_str()),
             clock: Clock::start(),
-            keeper,
+            config,
             metrics,
             minion: ArcSwapOption::empty(),
             entries: Mutex::new(KnownEntries::new(&settings.entries)),
@@ -142,7 +142,7 @@
 
     /// Returns the bounds of the minion's service, or the usual ones before a document is known.
     pub fn service(&self) -> Arc<Service> {
-        let in_force = self.keeper.holder().load();
+        let in_force = self.config.active().load();
         let known = self.settings.service.as_ref().and_then(|name| in_force.service(name));
         known.cloned().unwrap_or_default()
     }
--- a/crates/geraniumpost/src/agent/heartbeats.rs
+++ b/crates/geraniumpost/src/agent/heartbeats.rs
@@ -70,7 +70,7 @@
         state: if cx.is_draining() { AgentState::Draining } else { AgentState::Ready },
         slots: cx.service().slots,
         load: cx.requests().load(),
-        config_revision: cx.keeper.holder().load().revision(),
+        config_revision: cx.config.active().load().revision(),
         entries_digest: cx.entries().digest(),
         term,
         has_worker: settings.worker.is_some(),
--- a/crates/geraniumpost/src/agent/links.rs
+++ b/crates/geraniumpost/src/agent/links.rs
@@ -65,8 +65,8 @@
             ToAgent::AskKey(ask) => cx.requests().ask_key(&ask, link, now),
             ToAgent::Ping(number) => pong(cx, link, number),
             ToAgent::Adopt(adopt) => {
-                drop(cx.keeper.received(&entry.name, adopt.revision, &body));
-                let in_force = cx.keeper.holder().load().revision();
+                drop(cx.config.received(&entry.name, adopt.revision, &body));
+                let in_force = cx.config.active().load().revision();
                 let _ = link.send(ToEntry::InForce(in_force));
             }
             ToAgent::FetchConfig => send_config(cx, link),
@@ -83,7 +83,7 @@
 /// Bounds what an entry says about a request by the document in force here, which may be newer.
 fn with_own_limits(cx: &AgentContext, mut work: Work) -> Work {
     let RequestHead { weight, customer, .. } = &mut work.head;
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     if let Some(known) = in_force.document().customers.get(customer) {
         *weight = known.weight;
     }
@@ -96,7 +96,7 @@
 }
 
 fn send_config(cx: &AgentContext, link: &LinkSender<ToEntry>) {
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     let head = ToEntry::Config(Adopt { revision: in_force.revision() });
     let _ = link.send(Frame { head, body: in_force.json().clone() });
 }
--- a/crates/geraniumpost/src/agent/role.rs
+++ b/crates/geraniumpost/src/agent/role.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{AgentContext, heartbeats, links, minion_runs};
-use crate::config::{ConfigHolder, ConfigKeeper, follow_agreement, follow_peers};
+use crate::config::{ConfigCell, ConfigUpdater, follow_peers, log_contradictions};
 use crate::datagram_socket::DatagramSocket;
 use crate::metrics::{Metrics, serve_metrics};
 use crate::stop_signal::{stop_signal, stopped};
@@ -42,9 +42,9 @@
     let key = SharedKey::from(settings.shared_key.as_str());
     let socket = Arc::new(DatagramSocket::bind((address.ip(), 0).into(), key).await?);
     let (orders_tx, orders) = mpsc::unbounded_channel();
-    let keeper = Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), GATHER_MS));
+    let config = Arc::new(ConfigUpdater::new(Arc::new(ConfigCell::default()), GATHER_MS));
     let metrics = Arc::new(Metrics::new()?);
-    let cx = Arc::new(AgentContext::new(settings, keeper, metrics, orders_tx));
+    let cx = Arc::new(AgentContext::new(settings, config, metrics, orders_tx));
     spdlog::info!("agent {} incarnation {:x} on {address}", cx.me.name, cx.me.incarnation);
     start_tasks(&cx, &socket, listener).await?;
     super::tasks::start(&cx, orders);
@@ -59,12 +59,12 @@
     listener: TcpListener,
 ) -> Result<()> {
     let (wanted_tx, mut wanted) = mpsc::channel(16);
-    tokio::spawn(follow_peers(Arc::clone(&cx.keeper), wanted_tx));
+    tokio::spawn(follow_peers(Arc::clone(&cx.config), wanted_tx));
     // Entries push their revision when a heartbeat shows an older one, so nothing is asked for.
     tokio::spawn(async move { while wanted.recv().await.is_some() {} });
     let settings = cx.settings.clone();
     let check = move |document: &Document| check_membership(&settings, document);
-    tokio::spawn(follow_agreement(Arc::clone(cx.keeper.holder()), check));
+    tokio::spawn(log_contradictions(Arc::clone(cx.config.active()), check));
     adopt_limits(cx);
     tokio::spawn(follow_limits(Arc::clone(cx)));
     tokio::spawn(tick_requests(Arc::clone(cx)));
@@ -82,11 +82,11 @@
 
 /// Puts the bounds of each new revision in force.
 async fn follow_limits(cx: Arc<AgentContext>) {
-    let mut revisions: watch::Receiver<u64> = cx.keeper.holder().subscribe();
+    let mut revisions: watch::Receiver<u64> = cx.config.active().subscribe();
     while revisions.changed().await.is_ok() {
         adopt_limits(&cx);
-        cx.metrics.config_revision(cx.keeper.holder().load().revision());
-        let in_force = cx.keeper.holder().load().revision();
+        cx.metrics.config_revision(cx.config.active().load().revision());
+        let in_force = cx.config.active().load().revision();
         cx.broadcast(&ToEntry::InForce(in_force));
     }
 }
--- a/crates/geraniumpost/src/agent/tasks/driver.rs
+++ b/crates/geraniumpost/src/agent/tasks/driver.rs
@@ -29,7 +29,7 @@
     mut orders: mpsc::UnboundedReceiver<TaskEvent>,
 ) {
     let (answers_tx, mut answers) = mpsc::unbounded_channel();
-    let mut revisions: watch::Receiver<u64> = cx.keeper.holder().subscribe();
+    let mut revisions: watch::Receiver<u64> = cx.config.active().subscribe();
     let mut driver = Driver::new(cx, worker, answers_tx);
     driver.reserve();
     let mut ticks = tokio::time::interval(TICK);
--- a/crates/geraniumpost/src/cli/config_commands.rs
+++ b/crates/geraniumpost/src/cli/config_commands.rs
@@ -9,7 +9,7 @@
 
 use super::{ExitStatus, Finished, check, remote, text};
 use crate::client::ApiClient;
-use crate::console::first_token;
+use crate::console::bootstrap_token;
 
 /// Pause between two looks at what is in force.
 const WAIT_STEP: Duration = Duration::from_millis(200);
@@ -96,7 +96,7 @@
     let Some(path) = args.get_one::<String>("first") else { return remote::client(args) };
     let settings = load_entry(path.as_ref());
     let settings = settings.map_err(|report| check::refused(&report, args.get_flag("json")))?;
-    remote::client_with(args, &first_token(&settings.shared_key))
+    remote::client_with(args, &bootstrap_token(&settings.shared_key))
 }
 
 /// Reads the document and the revision that it changes.
--- a/crates/geraniumpost/src/config/in_force.rs
+++ b/crates/geraniumpost/src/config/active_config.rs
@@ -15,7 +15,7 @@
 /// Tokens are found by the hash of what the caller sent. How long the look-up takes depends on that
 /// hash alone, which a caller cannot steer towards a stored one, so timing gives no token away.
 #[derive(Debug)]
-pub struct InForce {
+pub struct ActiveConfig {
     revision: u64,
     change_id: Name,
     document: Document,
@@ -25,7 +25,7 @@
     services: HashMap<Name, Arc<Service>>,
 }
 
-impl InForce {
+impl ActiveConfig {
     /// Prepares a document; `change_id` is empty where only a peer's word is known.
     pub fn new(revision: u64, change_id: Name, document: Document) -> Self {
         let callers = document.customers.iter().filter_map(|(name, customer)| {
--- a/crates/geraniumpost/src/config/keeper.rs
+++ b/crates/geraniumpost/src/config/config_updater.rs
@@ -7,7 +7,7 @@
 use geraniumpost_outside::{Store, StoreError};
 use geraniumpost_schema::{Document, Name};
 
-use super::{CONFIG_KEY, ConfigHolder, InForce, Wanted};
+use super::{ActiveConfig, CONFIG_KEY, ConfigCell, FetchRequest};
 
 /// A readable document with the id of its change, as far as that is known.
 type Readable = (Name, Document);
@@ -15,40 +15,40 @@
 /// Keeps the configuration of one process: feeds what is heard to the adoption rule and puts what
 /// it decides in force.
 #[derive(Debug)]
-pub struct ConfigKeeper {
-    holder: Arc<ConfigHolder>,
+pub struct ConfigUpdater {
+    active: Arc<ConfigCell>,
     adoption: Mutex<Adoption<Readable>>,
     origin: Instant,
 }
 
-impl ConfigKeeper {
-    /// Creates a keeper that gathers peers' answers for `gather_ms` after the start.
-    pub fn new(holder: Arc<ConfigHolder>, gather_ms: u64) -> Self {
-        Self { holder, adoption: Mutex::new(Adoption::new(gather_ms)), origin: Instant::now() }
+impl ConfigUpdater {
+    /// Creates a config that gathers peers' answers for `gather_ms` after the start.
+    pub fn new(active: Arc<ConfigCell>, gather_ms: u64) -> Self {
+        Self { active, adoption: Mutex::new(Adoption::new(gather_ms)), origin: Instant::now() }
     }
 
-    /// Returns the holder that requests read.
-    pub const fn holder(&self) -> &Arc<ConfigHolder> {
-        &self.holder
+    /// Returns the active that requests read.
+    pub const fn active(&self) -> &Arc<ConfigCell> {
+        &self.active
     }
 
     /// Begins: nothing is known yet.
-    pub fn start(&self) -> Vec<Wanted> {
+    pub fn start(&self) -> Vec<FetchRequest> {
         self.on(AdoptionEvent::Started)
     }
 
     /// Takes note that time has passed; to be called a few times a second.
-    pub fn tick(&self) -> Vec<Wanted> {
+    pub fn tick(&self) -> Vec<FetchRequest> {
         self.on(AdoptionEvent::Tick)
     }
 
     /// Takes note that a peer has `revision` in force, as its heartbeats say.
-    pub fn offered(&self, peer: &Name, revision: u64) -> Vec<Wanted> {
+    pub fn offered(&self, peer: &Name, revision: u64) -> Vec<FetchRequest> {
         self.on(AdoptionEvent::Offered { source: Source::Peer(peer.clone()), revision })
     }
 
     /// Takes a document that a peer has sent as JSON.
-    pub fn received(&self, peer: &Name, revision: u64, json: &[u8]) -> Vec<Wanted> {
+    pub fn received(&self, peer: &Name, revision: u64, json: &[u8]) -> Vec<FetchRequest> {
         match serde_json::from_slice(json) {
             Ok(document) => {
                 self.adopt_from(Source::Peer(peer.clone()), revision, Name::default(), document)
@@ -71,7 +71,7 @@
     }
 
     /// Takes the value of [`CONFIG_KEY`] that the store has answered, as a watch does.
-    pub fn stored(&self, revision: u64, value: &Bytes) -> Vec<Wanted> {
+    pub fn stored(&self, revision: u64, value: &Bytes) -> Vec<FetchRequest> {
         let read = serde_json::from_slice::<StoredDocument>(value).and_then(|stored| {
             let change_id = stored.change_id();
             Ok((change_id, serde_json::from_value::<Document>(stored.document)?))
@@ -95,31 +95,31 @@
         revision: u64,
         change_id: Name,
         document: Document,
-    ) -> Vec<Wanted> {
+    ) -> Vec<FetchRequest> {
         self.on(AdoptionEvent::Received { source, revision, document: (change_id, document) })
     }
 
     /// A newer program may have written what this one cannot read; it keeps what it has.
-    fn unreadable(&self, revision: u64, error: &serde_json::Error) -> Vec<Wanted> {
+    fn unreadable(&self, revision: u64, error: &serde_json::Error) -> Vec<FetchRequest> {
         spdlog::error!("configuration {revision} cannot be read and is not adopted: {error}");
         self.on(AdoptionEvent::Unreadable { revision })
     }
 
-    fn on(&self, event: AdoptionEvent<Readable>) -> Vec<Wanted> {
+    fn on(&self, event: AdoptionEvent<Readable>) -> Vec<FetchRequest> {
         let now = Millis(self.origin.elapsed().as_millis() as u64);
         let mut adoption = self.adoption.lock().unwrap_or_else(PoisonError::into_inner);
         let actions = adoption.handle(event, now);
         actions.into_iter().filter_map(|action| self.carry_out(action)).collect()
     }
 
-    fn carry_out(&self, action: AdoptionAction<Readable>) -> Option<Wanted> {
+    fn carry_out(&self, action: AdoptionAction<Readable>) -> Option<FetchRequest> {
         match action {
-            AdoptionAction::FetchAll => Some(Wanted::AskAll),
-            AdoptionAction::Fetch { source, .. } => Some(Wanted::Fetch(source)),
+            AdoptionAction::FetchAll => Some(FetchRequest::AllPeers),
+            AdoptionAction::Fetch { source, .. } => Some(FetchRequest::One(source)),
             AdoptionAction::Adopt { revision, document: (change_id, document) } => {
                 let change = if change_id.is_empty() { "from a peer" } else { &change_id };
                 spdlog::info!("configuration {revision} is in force, change {change}");
-                self.holder.adopt(InForce::new(revision, change_id, document));
+                self.active.adopt(ActiveConfig::new(revision, change_id, document));
                 None
             }
         }
--- a/crates/geraniumpost/src/config/wanted.rs
+++ b/crates/geraniumpost/src/config/fetch_request.rs
@@ -1,11 +1,11 @@
 use geraniumpost_core::config::Source;
 
-/// What a [`ConfigKeeper`](super::ConfigKeeper) asks its process to do.
+/// What a [`ConfigUpdater`](super::ConfigUpdater) asks its process to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Wanted {
+pub enum FetchRequest {
     /// Ask every peer for what it has in force; the store is read by
     /// [`follow_store`](super::follow_store) already.
-    AskAll,
+    AllPeers,
     /// Ask one source for its document.
-    Fetch(Source),
+    One(Source),
 }
--- a/crates/geraniumpost/src/config/follow.rs
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -4,7 +4,7 @@
 use geraniumpost_outside::{Store, StoreError, Watched};
 use tokio::sync::mpsc;
 
-use super::{CONFIG_KEY, ConfigKeeper, Wanted};
+use super::{CONFIG_KEY, ConfigUpdater, FetchRequest};
 
 /// Longest wait of a watch.
 ///
@@ -20,41 +20,45 @@
 /// Follows the configuration in the store until the receiver of `wanted` is dropped.
 ///
 /// What peers have to be asked for is sent through `wanted`; the store is read here.
-pub async fn follow_store(keeper: Arc<ConfigKeeper>, store: Store, wanted: mpsc::Sender<Wanted>) {
+pub async fn follow_store(
+    config: Arc<ConfigUpdater>,
+    store: Store,
+    wanted: mpsc::Sender<FetchRequest>,
+) {
     tokio::select! {
         () = wanted.closed() => {}
-        () = gather(&keeper, &wanted) => {}
-        () = watch(&keeper, &store, &wanted) => {}
+        () = gather(&config, &wanted) => {}
+        () = watch(&config, &store, &wanted) => {}
     }
 }
 
 /// Gathers the configuration from peers alone, as agents do, until the receiver is dropped.
-pub async fn follow_peers(keeper: Arc<ConfigKeeper>, wanted: mpsc::Sender<Wanted>) {
+pub async fn follow_peers(config: Arc<ConfigUpdater>, wanted: mpsc::Sender<FetchRequest>) {
     tokio::select! {
         () = wanted.closed() => {}
-        () = gather(&keeper, &wanted) => {}
+        () = gather(&config, &wanted) => {}
     }
 }
 
 /// Asks for what a starting process lacks, and keeps the time of the adoption rule.
-async fn gather(keeper: &ConfigKeeper, wanted: &mpsc::Sender<Wanted>) {
-    send(keeper.start(), wanted).await;
+async fn gather(config: &ConfigUpdater, wanted: &mpsc::Sender<FetchRequest>) {
+    send(config.start(), wanted).await;
     let mut ticks = tokio::time::interval(TICK);
     loop {
         ticks.tick().await;
-        send(keeper.tick(), wanted).await;
+        send(config.tick(), wanted).await;
     }
 }
 
-async fn watch(keeper: &ConfigKeeper, store: &Store, wanted: &mpsc::Sender<Wanted>) {
+async fn watch(config: &ConfigUpdater, store: &Store, wanted: &mpsc::Sender<FetchRequest>) {
     // The first call is a read, which answers at once where a watch would wait for a change.
     let mut read = true;
     let mut down = false;
     loop {
         let outcome = if read {
-            keeper.refresh(store).await.map(|()| Vec::new())
+            config.refresh(store).await.map(|()| Vec::new())
         } else {
-            wait(keeper, store).await
+            wait(config, store).await
         };
         read = outcome.is_err();
         note(&mut down, outcome.as_ref().err());
@@ -79,12 +83,12 @@
     *down = error.is_some();
 }
 
-async fn wait(keeper: &ConfigKeeper, store: &Store) -> Result<Vec<Wanted>, StoreError> {
-    let after = keeper.holder().load().revision();
+async fn wait(config: &ConfigUpdater, store: &Store) -> Result<Vec<FetchRequest>, StoreError> {
+    let after = config.active().load().revision();
     match store.watch(CONFIG_KEY, after, WAIT).await? {
         Watched::Written(found) if found.revision > after => {
-            let asked = keeper.stored(found.revision, &found.value);
-            if keeper.holder().load().revision() == after {
+            let asked = config.stored(found.revision, &found.value);
+            if config.active().load().revision() == after {
                 // It could not be read; the watch would return at once, again and again.
                 tokio::time::sleep(WAIT).await;
             }
@@ -99,7 +103,7 @@
     }
 }
 
-async fn send(asked: Vec<Wanted>, wanted: &mpsc::Sender<Wanted>) {
+async fn send(asked: Vec<FetchRequest>, wanted: &mpsc::Sender<FetchRequest>) {
     for one in asked {
         // A closed channel ends the task at its next turn.
         let _ = wanted.send(one).await;
--- a/crates/geraniumpost/src/config/mod.rs
+++ b/crates/geraniumpost/src/config/mod.rs
@@ -1,21 +1,21 @@
 //! The configuration in force in this process, and the ways in which it changes.
 
-mod agreement;
+mod active_config;
 mod caller;
+mod config_cell;
+mod config_updater;
+mod contradictions;
+mod fetch_request;
 mod follow;
-mod holder;
-mod in_force;
-mod keeper;
-mod wanted;
 mod writer;
 
-pub use agreement::follow_agreement;
+pub use active_config::ActiveConfig;
 pub use caller::Caller;
+pub use config_cell::ConfigCell;
+pub use config_updater::ConfigUpdater;
+pub use contradictions::log_contradictions;
+pub use fetch_request::FetchRequest;
 pub use follow::{follow_peers, follow_store};
-pub use holder::ConfigHolder;
-pub use in_force::InForce;
-pub use keeper::ConfigKeeper;
-pub use wanted::Wanted;
 pub use writer::write_change;
 
 /// Key of the configuration in the store.
--- a/crates/geraniumpost/src/config/writer.rs
+++ b/crates/geraniumpost/src/config/writer.rs
@@ -5,7 +5,7 @@
 };
 use geraniumpost_outside::{Expect, Store, StoreError};
 
-use super::{CONFIG_KEY, ConfigKeeper};
+use super::{CONFIG_KEY, ConfigUpdater};
 
 /// Pause after a call that failed, so that a store in trouble is not pressed.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -14,12 +14,12 @@
 ///
 /// What is read on the way is adopted. A repeat that finds its change made already is so answered
 /// from the document that was written then, whatever document the repeat carries.
-pub async fn write_change(store: &Store, keeper: &ConfigKeeper, change: Change) -> ChangeOutcome {
+pub async fn write_change(store: &Store, config: &ConfigUpdater, change: Change) -> ChangeOutcome {
     let mut protocol = ChangeProtocol::new(change);
     let mut action = protocol.begin();
     loop {
         let event = match action {
-            ChangeAction::Read => read(store, keeper).await,
+            ChangeAction::Read => read(store, config).await,
             ChangeAction::Write { expected, value } => write(store, expected, &value).await,
             ChangeAction::Done(outcome) => return outcome,
         };
@@ -30,12 +30,12 @@
     }
 }
 
-async fn read(store: &Store, keeper: &ConfigKeeper) -> ChangeEvent {
+async fn read(store: &Store, config: &ConfigUpdater) -> ChangeEvent {
     match store.get(CONFIG_KEY).await {
         Ok(None) => ChangeEvent::Read(None),
         Ok(Some(found)) => match serde_json::from_slice::<StoredDocument>(&found.value) {
             Ok(stored) => {
-                keeper.stored(found.revision, &found.value);
+                config.stored(found.revision, &found.value);
                 ChangeEvent::Read(Some((found.revision, stored)))
             }
             Err(error) => {
--- a/crates/geraniumpost/src/console/api.rs
+++ b/crates/geraniumpost/src/console/api.rs
@@ -12,7 +12,7 @@
 
 /// Answers `GET /api/status`.
 pub(super) fn status(context: &ConsoleContext) -> Value {
-    let now = context.keeper.holder().load();
+    let now = context.config.active().load();
     json!({
         "entry": context.name,
         "version": env!("CARGO_PKG_VERSION"),
@@ -24,7 +24,7 @@
 
 /// Answers `GET /api/config`.
 pub(super) fn get_config(context: &ConsoleContext) -> Result<Value, ApiError> {
-    let now = context.keeper.holder().load();
+    let now = context.config.active().load();
     if now.revision() == 0 {
         return Err(ApiCode::NoConfiguration.into());
     }
@@ -37,7 +37,7 @@
 
 /// Answers `GET /api/in-force`.
 pub(super) fn in_force(context: &ConsoleContext) -> Value {
-    let now = context.keeper.holder().load();
+    let now = context.config.active().load();
     json!({ "revision": now.revision(), "processes": (context.in_force)() })
 }
 
@@ -79,11 +79,11 @@
         based_on,
         document: value,
     };
-    let outcome = write_change(&context.store, &context.keeper, change).await;
+    let outcome = write_change(&context.store, &context.config, change).await;
     spdlog::info!("change {change_id} by {operator} on revision {based_on}: {outcome:?}");
     match outcome {
         ChangeOutcome::Committed { revision } => {
-            context.keeper.committed(revision, change_id.clone(), document);
+            context.config.committed(revision, change_id.clone(), document);
             Ok(json!({ "revision": revision, "change_id": change_id }))
         }
         ChangeOutcome::Conflict { revision, changes } => {
--- a/crates/geraniumpost/src/console/api_code.rs
+++ b/crates/geraniumpost/src/console/api_code.rs
@@ -46,7 +46,7 @@
         "Try again when the store is back.";
     Uncertain = 4010, 504, "Whether the change was made is not known.",
         "Repeat the call with the same X-Change-Id; it is never made twice.";
-    ForeignForm = 4011, 403, "The form was not made by this console for this operator.",
+    CrossSiteForm = 4011, 403, "The form was not made by this console for this operator.",
         "Open the page again and send its form.";
     NoPlanner = 4012, 503, "No entry plans for the region at the moment.",
         "Try again after Retry-After; a planner is chosen within seconds.";
--- a/crates/geraniumpost/src/console/api_jobs.rs
+++ b/crates/geraniumpost/src/console/api_jobs.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use super::identity::beyond_first;
-use super::{ApiCode, ApiError, Call, ConsoleContext, JobAsk, JobCall, JobRequest};
+use super::{ApiCode, ApiError, AuthenticatedJobCall, Call, ConsoleContext, JobCall, JobRequest};
 
 /// Longest command of a job.
 const MAX_COMMAND: usize = 4096;
@@ -32,12 +32,18 @@
 ) -> Result<Value, ApiError> {
     beyond_first(&operator)?;
     let token = call.token().to_owned();
-    (context.jobs)(JobAsk { call: job_call, operator, token, forwarded: call.forwarded }).await
+    (context.jobs)(AuthenticatedJobCall {
+        call: job_call,
+        operator,
+        token,
+        forwarded: call.forwarded,
+    })
+    .await
 }
 
 /// Refuses at once what the document does not know, with the names that it does know.
 fn check(job: &JobRequest, context: &ConsoleContext) -> Result<(), ApiError> {
-    let now = context.keeper.holder().load();
+    let now = context.config.active().load();
     let document = now.document();
     if !document.customers.contains_key(&job.customer) {
         return Err(unknown("customer", &job.customer, document.customers.keys()));
--- a/crates/geraniumpost/src/console/job_ask.rs
+++ b/crates/geraniumpost/src/console/authenticated_job_call.rs
@@ -4,7 +4,7 @@
 
 /// A call on jobs with who makes it.
 #[derive(Debug, Clone, PartialEq)]
-pub struct JobAsk {
+pub struct AuthenticatedJobCall {
     /// The call.
     pub call: JobCall,
     /// Operator who makes it.
--- a/crates/geraniumpost/src/console/call.rs
+++ b/crates/geraniumpost/src/console/call.rs
@@ -28,7 +28,7 @@
     /// `X-Change-Id`, empty if there is none.
     pub change_id: String,
     /// Whether a browser says that another site made the call.
-    pub foreign_origin: bool,
+    pub cross_origin: bool,
     /// Whether another entry has forwarded the call.
     pub forwarded: bool,
     /// Whole body.
@@ -50,7 +50,7 @@
             cookie: cookie(header(COOKIE)),
             if_match: header(IF_MATCH).trim().trim_matches('"').parse().ok(),
             change_id: header(CHANGE_ID).to_owned(),
-            foreign_origin: !origin.is_empty() && authority(origin) != header(HOST),
+            cross_origin: !origin.is_empty() && authority(origin) != header(HOST),
             forwarded: parts.headers.contains_key(FORWARDED_BY),
             body,
         }
--- a/crates/geraniumpost/src/console/context.rs
+++ b/crates/geraniumpost/src/console/context.rs
@@ -6,8 +6,8 @@
 use geraniumpost_schema::Name;
 use serde_json::Value;
 
-use super::{ApiError, JobAsk};
-use crate::config::ConfigKeeper;
+use super::{ApiError, AuthenticatedJobCall};
+use crate::config::ConfigUpdater;
 use crate::metrics::Metrics;
 
 /// Reads one part of the process's state as JSON.
@@ -15,7 +15,9 @@
 
 /// Carries a call on jobs to the region's planner, here or on another entry.
 pub type JobsHandle = Arc<
-    dyn Fn(JobAsk) -> Pin<Box<dyn Future<Output = Result<Value, ApiError>> + Send>> + Send + Sync,
+    dyn Fn(AuthenticatedJobCall) -> Pin<Box<dyn Future<Output = Result<Value, ApiError>> + Send>>
+        + Send
+        + Sync,
 >;
 
 /// What the console needs of its entry.
@@ -24,13 +26,13 @@
     /// Name of the entry.
     pub name: Name,
     /// The configuration in force here.
-    pub keeper: Arc<ConfigKeeper>,
+    pub config: Arc<ConfigUpdater>,
     /// The platform's key-value service.
     pub store: Store,
     /// Meters that `/metrics` shows.
     pub metrics: Arc<Metrics>,
-    /// Token that may write the first document, see [`first_token`](super::first_token).
-    pub first_token: String,
+    /// Token that may write the first document, see [`bootstrap_token`](super::bootstrap_token).
+    pub bootstrap_token: String,
     /// State of entry, agents and jobs for `/api/status`.
     pub status: ValueHandle,
     /// Revision in force on every known process for `/api/in-force`, as
--- a/crates/geraniumpost/src/console/identity.rs
+++ b/crates/geraniumpost/src/console/identity.rs
@@ -18,17 +18,17 @@
 /// # Example
 ///
 /// ```
-/// let token = geraniumpost::console::first_token("0123456789abcdef");
+/// let token = geraniumpost::console::bootstrap_token("0123456789abcdef");
 /// assert_eq!(token.len(), 64);
 /// ```
-pub fn first_token(shared_key: &str) -> String {
+pub fn bootstrap_token(shared_key: &str) -> String {
     token_digest(&format!("geraniumpost first document\n{shared_key}"))
 }
 
 /// Returns the hidden value that a form of this operator carries.
 ///
 /// Another site can make a browser send a form along with the cookie, but cannot know this value.
-pub fn form_proof(token: &str) -> String {
+pub fn csrf_token(token: &str) -> String {
     token_digest(&format!("geraniumpost form\n{token}"))
 }
 
@@ -39,13 +39,13 @@
 
 /// Returns the operator whose token this is.
 pub(super) fn known(token: &str, context: &ConsoleContext) -> Option<Name> {
-    let now = context.keeper.holder().load();
+    let now = context.config.active().load();
     if token.is_empty() {
         return None;
     }
     if now.revision() == 0 {
         // Hashes are compared, so that the time of the comparison tells nothing of the token.
-        let first = token_digest(token) == token_digest(&context.first_token);
+        let first = token_digest(token) == token_digest(&context.bootstrap_token);
         return first.then(|| Name::from(FIRST_OPERATOR));
     }
     now.operator(token).cloned()
@@ -64,9 +64,9 @@
 
 /// Refuses a form that another site has made the operator's browser send.
 pub(super) fn own_form(call: &Call, proof: &str) -> Result<(), ApiError> {
-    let right = token_digest(proof) == token_digest(&form_proof(call.token()));
-    if call.foreign_origin || !right {
-        return Err(ApiCode::ForeignForm.into());
+    let right = token_digest(proof) == token_digest(&csrf_token(call.token()));
+    if call.cross_origin || !right {
+        return Err(ApiCode::CrossSiteForm.into());
     }
     Ok(())
 }
--- a/crates/geraniumpost/src/console/job_call.rs
+++ b/crates/geraniumpost/src/console/job_call.rs
@@ -4,7 +4,7 @@
 use http::Method;
 use serde_json::Value;
 
-use super::{ApiCode, ApiError, JobAsk, JobRequest};
+use super::{ApiCode, ApiError, AuthenticatedJobCall, JobRequest};
 use crate::client::ApiClient;
 
 /// A call on jobs.
@@ -57,7 +57,11 @@
 /// # Errors
 ///
 /// Returns the planner's refusal, or that it did not answer.
-pub async fn forward(planner: SocketAddr, own_name: &str, ask: &JobAsk) -> Result<Value, ApiError> {
+pub async fn forward(
+    planner: SocketAddr,
+    own_name: &str,
+    ask: &AuthenticatedJobCall,
+) -> Result<Value, ApiError> {
     if ask.forwarded {
         return Err(ApiCode::NoPlanner.into());
     }
--- a/crates/geraniumpost/src/console/posts.rs
+++ b/crates/geraniumpost/src/console/posts.rs
@@ -5,7 +5,7 @@
 use serde_json::{Map, Value};
 
 use super::form::Form;
-use super::identity::{form_proof, known, own_form};
+use super::identity::{csrf_token, known, own_form};
 use super::pages::{self, EditView, Frame, Section};
 use super::route::{job_id, label};
 use super::{ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, api, api_jobs};
@@ -49,14 +49,14 @@
     Frame {
         entry: context.name.to_string(),
         operator: operator.to_owned(),
-        revision: context.keeper.holder().load().revision(),
-        proof: form_proof(call.token()),
+        revision: context.config.active().load().revision(),
+        proof: csrf_token(call.token()),
     }
 }
 
 fn sign_in(call: &Call, form: &Form, context: &ConsoleContext) -> Reply {
     let token = form.get("token");
-    if call.foreign_origin || known(token, context).is_none() {
+    if call.cross_origin || known(token, context).is_none() {
         return Reply::page(401, pages::login(&frame(call, "", context), true));
     }
     Reply::see("/").cookie(&super::call::cookie_value(token), COOKIE_SECONDS)
@@ -244,11 +244,11 @@
 /// older document would then undo what came between, although its revision is right, so the store
 /// is asked first. A document newer than the form's is never written: the store's revision differs.
 async fn base(based_on: u64, context: &ConsoleContext) -> Result<Value, ApiError> {
-    if context.keeper.holder().load().revision() < based_on {
+    if context.config.active().load().revision() < based_on {
         let down = |_| ApiError::from(ApiCode::StoreDown);
-        context.keeper.refresh(&context.store).await.map_err(down)?;
+        context.config.refresh(&context.store).await.map_err(down)?;
     }
-    let now = context.keeper.holder().load_full();
+    let now = context.config.active().load_full();
     if now.revision() < based_on {
         return Err(ApiCode::StoreDown.into());
     }
@@ -256,7 +256,7 @@
 }
 
 fn document(context: &ConsoleContext) -> Value {
-    as_value(context.keeper.holder().load().document())
+    as_value(context.config.active().load().document())
 }
 
 fn as_value(document: &Document) -> Value {
@@ -280,7 +280,7 @@
 
 /// Makes a form that was not saved start from what is in force now.
 fn refreshed(view: EditView, context: &ConsoleContext) -> EditView {
-    EditView { revision: context.keeper.holder().load().revision(), ..view }
+    EditView { revision: context.config.active().load().revision(), ..view }
 }
 
 fn job_body(form: &Form) -> Value {
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -88,7 +88,7 @@
 /// connections wait in the listener's queue, and the balancer's question goes unanswered.
 async fn able_to_serve(cx: &EntryContext) {
     let able = || {
-        cx.keeper.holder().load().revision() > 0
+        cx.config.active().load().revision() > 0
             && cx.snapshot.load().agents().any(|agent| agent.is_routable())
     };
     let waiting = async {
@@ -181,7 +181,7 @@
     }
     let began = Instant::now();
     let (parts, body) = req.into_parts();
-    let head = Head::read(&parts, &cx.keeper.holder().load(), &cx.clock);
+    let head = Head::read(&parts, &cx.config.active().load(), &cx.clock);
     let head = match head {
         Ok(head) => head,
         Err(code) => {
@@ -236,7 +236,7 @@
 }
 
 fn health(cx: &EntryContext) -> Response<Full<Bytes>> {
-    let ready = !cx.is_draining() && cx.keeper.holder().load().revision() > 0;
+    let ready = !cx.is_draining() && cx.config.active().load().revision() > 0;
     let (status, text) = if ready {
         (StatusCode::OK, "ready\n")
     } else {
--- a/crates/geraniumpost/src/entry/context.rs
+++ b/crates/geraniumpost/src/entry/context.rs
@@ -18,7 +18,7 @@
 use super::claims::Claims;
 use super::links::Links;
 use crate::Clock;
-use crate::config::ConfigKeeper;
+use crate::config::ConfigUpdater;
 use crate::metrics::Metrics;
 use crate::planner::PlannerInput;
 
@@ -39,7 +39,7 @@
     /// The platform's key-value service.
     pub store: Store,
     /// The configuration in force.
-    pub keeper: Arc<ConfigKeeper>,
+    pub config: Arc<ConfigUpdater>,
     /// Meters.
     pub metrics: Arc<Metrics>,
     /// Agents as routing sees them.
@@ -73,7 +73,7 @@
     pub fn new(
         settings: EntrySettings,
         store: Store,
-        keeper: Arc<ConfigKeeper>,
+        config: Arc<ConfigUpdater>,
         metrics: Arc<Metrics>,
         planner: mpsc::UnboundedSender<PlannerInput>,
     ) -> Self {
@@ -86,7 +86,7 @@
             clock,
             claims: Claims::new(store.clone(), clock),
             store,
-            keeper,
+            config,
             metrics,
             snapshot: ArcSwap::from_pointee(membership.snapshot()),
             links: Links::default(),
@@ -255,7 +255,7 @@
 
     /// Puts the figures of the revision in force in place.
     pub fn adopt_limits(&self) {
-        let in_force = self.keeper.holder().load();
+        let in_force = self.config.active().load();
         let document = in_force.document();
         let bounds = document.customers.iter().map(|(name, c)| (name.clone(), c.max_in_flight));
         self.limits.store(Arc::new(self.limits.load().updated(bounds)));
--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -19,11 +19,11 @@
 
 /// The tasks that keep a link to each agent; each ends when its target is dropped.
 #[derive(Debug, Default)]
-struct Keepers(HashMap<Name, watch::Sender<Target>>);
+struct LinkTasks(HashMap<Name, watch::Sender<Target>>);
 
 /// Hears agents and entries until the process ends.
 pub async fn hear(cx: Arc<EntryContext>, socket: Arc<DatagramSocket>) {
-    let mut keepers = Keepers::default();
+    let mut link_tasks = LinkTasks::default();
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut pauses = Pauses::new(cx.clock.now());
@@ -32,14 +32,14 @@
             received = socket.receive() => received,
             _ = ticks.tick() => {
                 if pauses.may_judge(cx.clock.now(), cx.settings.heartbeat_ms) {
-                    tick(&cx, &mut keepers);
+                    tick(&cx, &mut link_tasks);
                 }
                 continue;
             }
         };
         match received {
             Ok(Datagram::Heartbeat(beat)) => {
-                keepers.aim(&cx, &beat);
+                link_tasks.aim(&cx, &beat);
                 heartbeat(&cx, &socket, from, &beat).await;
             }
             Ok(Datagram::EntryBeat(beat)) => entry_beat(&cx, beat),
@@ -69,11 +69,11 @@
             peer: peers.own().clone(),
             incarnation: cx.me.incarnation,
             sequence,
-            config_revision: cx.keeper.holder().load().revision(),
+            config_revision: cx.config.active().load().revision(),
             term: cx.term(),
             store_up: true,
             draining: cx.is_draining(),
-            peers: peers.list_to_tell(sequence),
+            peers: peers.list_for_beat(sequence),
         };
         (beat, peers.take_addresses())
     };
@@ -86,18 +86,18 @@
     }
 }
 
-impl Keepers {
+impl LinkTasks {
     /// Starts a task that keeps a link to a new agent, or tells it that the agent has moved.
     fn aim(&mut self, cx: &Arc<EntryContext>, beat: &Heartbeat) {
         let Ok(address) = beat.address.parse() else { return };
         let target = Target { name: beat.agent.clone(), address, incarnation: beat.incarnation };
-        let Some(keeper) = self.0.get(&beat.agent) else {
+        let Some(target_tx) = self.0.get(&beat.agent) else {
             let (tx, rx) = watch::channel(target);
             tokio::spawn(keep_link(Arc::clone(cx), rx));
             self.0.insert(beat.agent.clone(), tx);
             return;
         };
-        keeper.send_if_modified(|present| {
+        target_tx.send_if_modified(|present| {
             let moved = *present != target;
             *present = target;
             moved
@@ -130,9 +130,9 @@
 
 /// Brings the one of the two with the older configuration up to date.
 fn compare_revisions(cx: &EntryContext, beat: &Heartbeat) {
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     if beat.config_revision > in_force.revision() {
-        let wanted = cx.keeper.offered(&beat.agent, beat.config_revision);
+        let wanted = cx.config.offered(&beat.agent, beat.config_revision);
         super::links::fetch(cx, &wanted);
     } else if beat.config_revision < in_force.revision()
         && let Some(link) = cx.links.to_incarnation(&beat.agent, beat.incarnation)
@@ -151,7 +151,7 @@
         entry: cx.me.name.clone(),
         sequence: beat.sequence,
         incarnation: beat.incarnation,
-        config_revision: cx.keeper.holder().load().revision(),
+        config_revision: cx.config.active().load().revision(),
         term,
         hold_ms,
         entries_digest: digest,
@@ -164,11 +164,11 @@
     let mut peers = cx.peers();
     // An entry tells of others, so one address in the settings is enough to find all.
     let told: Vec<_> = beat.peers.iter().filter_map(|peer| peer.datagrams.parse().ok()).collect();
-    peers.hinted(&told);
-    peers.heard(beat, cx.clock.now());
+    peers.add_hints(&told);
+    peers.record_beat(beat, cx.clock.now());
 }
 
-fn tick(cx: &EntryContext, keepers: &mut Keepers) {
+fn tick(cx: &EntryContext, link_tasks: &mut LinkTasks) {
     let now = cx.clock.now();
     let dead = cx.change_membership(|membership| {
         let dead = membership.tick(now);
@@ -178,7 +178,7 @@
     for agent in dead {
         spdlog::warn!("agent {agent} has gone silent");
         cx.forget_agent(&agent);
-        keepers.0.remove(&agent);
+        link_tasks.0.remove(&agent);
     }
     cx.peers().tick(now);
     gauges::record(cx);
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/incoming.rs
@@ -11,7 +11,7 @@
 use sha2::{Digest as _, Sha256};
 
 use crate::Clock;
-use crate::config::{Caller, InForce};
+use crate::config::{ActiveConfig, Caller};
 use crate::headers;
 
 /// Longest text that a caller may give as an id or key, in bytes.
@@ -61,7 +61,7 @@
     /// # Errors
     ///
     /// Returns the result code to refuse it with: nothing has run.
-    pub fn read(parts: &Parts, in_force: &InForce, clock: &Clock) -> Result<Self, ResultCode> {
+    pub fn read(parts: &Parts, in_force: &ActiveConfig, clock: &Clock) -> Result<Self, ResultCode> {
         if in_force.revision() == 0 {
             // No token is known yet. Called unknown, a good one might be thrown away by its caller.
             return Err(ResultCode::NoAgent);
--- a/crates/geraniumpost/src/entry/link_keeper.rs
+++ b/crates/geraniumpost/src/entry/link_keeper.rs
@@ -65,7 +65,7 @@
 fn come_up(cx: &EntryContext, link: &Arc<AgentLink>) {
     cx.links.put(link);
     set_connected(cx, link, true);
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     if in_force.revision() > 0 {
         let head = ToAgent::Adopt(Adopt { revision: in_force.revision() });
         link.send_with(head, in_force.json().clone());
@@ -173,7 +173,7 @@
             }
             ToEntry::Config(adopt) if adopt.revision > 0 => {
                 let peer = &link.peer().name;
-                let wanted = cx.keeper.received(peer, adopt.revision, &frame.body);
+                let wanted = cx.config.received(peer, adopt.revision, &frame.body);
                 super::links::fetch(&cx, &wanted);
                 false
             }
--- a/crates/geraniumpost/src/entry/links.rs
+++ b/crates/geraniumpost/src/entry/links.rs
@@ -6,7 +6,7 @@
 use geraniumpost_schema::{Adopt, Name, ToAgent};
 
 use super::{AgentLink, EntryContext};
-use crate::config::Wanted;
+use crate::config::FetchRequest;
 
 /// The present link to each agent, read without a lock on a request's path.
 #[derive(Debug, Default)]
@@ -53,21 +53,21 @@
 ///
 /// Agents hold what entries hold, and there is a link to each already, so entries need no way of
 /// their own to each other's document.
-pub fn fetch(cx: &EntryContext, wanted: &[Wanted]) {
+pub fn fetch(cx: &EntryContext, wanted: &[FetchRequest]) {
     for one in wanted {
         match one {
-            Wanted::AskAll => {
+            FetchRequest::AllPeers => {
                 for link in cx.links.all() {
                     link.send(ToAgent::FetchConfig);
                 }
             }
-            Wanted::Fetch(Source::Peer(name)) => {
+            FetchRequest::One(Source::Peer(name)) => {
                 if let Some(link) = cx.links.get(name) {
                     link.send(ToAgent::FetchConfig);
                 }
             }
             // The store is followed by a task of its own.
-            Wanted::Fetch(Source::Store) => {}
+            FetchRequest::One(Source::Store) => {}
         }
     }
 }
@@ -75,7 +75,7 @@
 /// Sends the configuration in force to every agent. An agent without a link gets it when the link
 /// comes up, or when its heartbeat shows an older revision.
 pub fn push_config(cx: &EntryContext) {
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     if in_force.revision() == 0 {
         return;
     }
--- a/crates/geraniumpost/src/entry/peers.rs
+++ b/crates/geraniumpost/src/entry/peers.rs
@@ -36,7 +36,7 @@
     }
 
     /// Takes in a beat; late and repeated ones are ignored.
-    pub fn heard(&mut self, beat: EntryBeat, now: Millis) {
+    pub fn record_beat(&mut self, beat: EntryBeat, now: Millis) {
         if beat.peer.name == self.own.name {
             return;
         }
@@ -51,7 +51,7 @@
 
     /// Takes note of addresses at which another entry has heard entries; they are sent the next
     /// beat, and are known for themselves once they answer with one.
-    pub fn hinted(&mut self, addresses: &[SocketAddr]) {
+    pub fn add_hints(&mut self, addresses: &[SocketAddr]) {
         self.hinted.extend(addresses);
     }
 
@@ -79,7 +79,7 @@
     ///
     /// With the list in every beat, the bytes of beats grow with the square of the entries; 16 of
     /// them then spend more on it than all control may cost, see `docs/CAPACITY.md`.
-    pub fn list_to_tell(&mut self, sequence: u64) -> Vec<EntryPeer> {
+    pub fn list_for_beat(&mut self, sequence: u64) -> Vec<EntryPeer> {
         let list = self.list();
         let digest = entry_list::digest(&list);
         let unchanged = std::mem::replace(&mut self.told, digest) == digest;
--- a/crates/geraniumpost/src/entry/role.rs
+++ b/crates/geraniumpost/src/entry/role.rs
@@ -11,8 +11,8 @@
 
 use super::roster::keep_roster;
 use super::{EntryContext, callers, datagrams, links, views};
-use crate::config::{ConfigHolder, ConfigKeeper, Wanted, follow_agreement, follow_store};
-use crate::console::{Console, ConsoleContext, first_token};
+use crate::config::{ConfigCell, ConfigUpdater, FetchRequest, follow_store, log_contradictions};
+use crate::console::{Console, ConsoleContext, bootstrap_token};
 use crate::datagram_socket::DatagramSocket;
 use crate::metrics::Metrics;
 use crate::stop_signal::{stop_signal, stopped};
@@ -41,11 +41,11 @@
     let key = SharedKey::from(settings.shared_key.as_str());
     let socket = Arc::new(DatagramSocket::bind(settings.datagrams, key).await?);
     let store = Store::new(settings.store).timeout(STORE_TIME);
-    let keeper = Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), GATHER_MS));
+    let config = Arc::new(ConfigUpdater::new(Arc::new(ConfigCell::default()), GATHER_MS));
     let metrics = Arc::new(Metrics::new()?);
     let store = metrics.observed(store);
     let (planner_tx, planner_rx) = mpsc::unbounded_channel();
-    let cx = Arc::new(EntryContext::new(settings, store, keeper, metrics, planner_tx));
+    let cx = Arc::new(EntryContext::new(settings, store, config, metrics, planner_tx));
     spdlog::info!("entry {} incarnation {:x}", cx.me.name, cx.me.incarnation);
     start_tasks(&cx, &socket);
     let jobs = planner::start(&cx, planner_rx, stop.clone());
@@ -62,11 +62,11 @@
 
 fn start_tasks(cx: &Arc<EntryContext>, socket: &Arc<DatagramSocket>) {
     let (wanted_tx, wanted) = mpsc::channel(16);
-    let following = follow_store(Arc::clone(&cx.keeper), cx.store.clone(), wanted_tx);
+    let following = follow_store(Arc::clone(&cx.config), cx.store.clone(), wanted_tx);
     tokio::spawn(following);
     let settings = cx.settings.clone();
     let check = move |document: &Document| check_entry_membership(&settings, document);
-    tokio::spawn(follow_agreement(Arc::clone(cx.keeper.holder()), check));
+    tokio::spawn(log_contradictions(Arc::clone(cx.config.active()), check));
     tokio::spawn(fetch_wanted(Arc::clone(cx), wanted));
     tokio::spawn(follow_limits(Arc::clone(cx)));
     tokio::spawn(datagrams::hear(Arc::clone(cx), Arc::clone(socket)));
@@ -74,7 +74,7 @@
     tokio::spawn(datagrams::announce(Arc::clone(cx), Arc::clone(socket)));
 }
 
-async fn fetch_wanted(cx: Arc<EntryContext>, mut wanted: mpsc::Receiver<Wanted>) {
+async fn fetch_wanted(cx: Arc<EntryContext>, mut wanted: mpsc::Receiver<FetchRequest>) {
     while let Some(one) = wanted.recv().await {
         links::fetch(&cx, &[one]);
     }
@@ -82,7 +82,7 @@
 
 /// Puts the figures of each new revision in place and passes the revision on to all agents.
 async fn follow_limits(cx: Arc<EntryContext>) {
-    let mut revisions = cx.keeper.holder().subscribe();
+    let mut revisions = cx.config.active().subscribe();
     loop {
         cx.adopt_limits();
         links::push_config(&cx);
@@ -101,10 +101,10 @@
     let (status, in_force) = (Arc::clone(&cx), Arc::clone(&cx));
     let context = ConsoleContext {
         name: cx.me.name.clone(),
-        keeper: Arc::clone(&cx.keeper),
+        config: Arc::clone(&cx.config),
         store: cx.store.clone(),
         metrics: Arc::clone(&cx.metrics),
-        first_token: first_token(&cx.settings.shared_key),
+        bootstrap_token: bootstrap_token(&cx.settings.shared_key),
         status: Arc::new(move || views::status(&status)),
         in_force: Arc::new(move || views::in_force(&in_force)),
         jobs,
--- a/crates/geraniumpost/src/entry/roster.rs
+++ b/crates/geraniumpost/src/entry/roster.rs
@@ -41,7 +41,7 @@
         match renew(&cx).await {
             Ok(others) => {
                 spdlog::debug!("the roster names {} other entries", others.len());
-                cx.peers().hinted(&others);
+                cx.peers().add_hints(&others);
                 sleep(RENEW).await;
             }
             Err(error) => {
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -115,7 +115,7 @@
         attempt: u32,
     ) -> Result<Target, NoTarget> {
         let agent = self.choose(cx, req, attempt)?;
-        let remember = cx.keeper.holder().load().document().policy.claim_ttl_s;
+        let remember = cx.config.active().load().document().policy.claim_ttl_s;
         let remember = Duration::from_secs(remember);
         let claims = cx.claims();
         let claim = match &self.claim {
--- a/crates/geraniumpost/src/entry/views.rs
+++ b/crates/geraniumpost/src/entry/views.rs
@@ -7,7 +7,7 @@
 /// Shows the state of the entry and of the agents that it sees, for the console.
 pub fn status(cx: &EntryContext) -> Value {
     let now = cx.clock.now();
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     let snapshot = cx.snapshot.load();
     let entries = entries(cx, now);
     let membership = cx.membership();
@@ -70,7 +70,7 @@
 
 /// Shows the revision that each process has in force, as far as this entry has heard.
 pub fn in_force(cx: &EntryContext) -> Value {
-    let own = cx.keeper.holder().load().revision();
+    let own = cx.config.active().load().revision();
     let mut all = vec![json!({ "name": cx.me.name, "role": "entry", "revision": own })];
     all.extend(cx.peers().beats(cx.clock.now()).map(|(beat, _)| {
         json!({ "name": beat.peer.name, "role": "entry", "revision": beat.config_revision })
--- a/crates/geraniumpost/src/planner/driver.rs
+++ b/crates/geraniumpost/src/planner/driver.rs
@@ -59,7 +59,7 @@
     mut stop: watch::Receiver<bool>,
 ) {
     let (answers_tx, mut answers) = mpsc::unbounded_channel();
-    let mut revisions = cx.keeper.holder().subscribe();
+    let mut revisions = cx.config.active().subscribe();
     let mut driver = Driver::new(cx, answers_tx);
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -82,7 +82,7 @@
 impl Driver {
     fn new(cx: Arc<EntryContext>, answers: mpsc::UnboundedSender<StoreAnswer>) -> Self {
         let me = LeaseHolder::new(cx.me.name.clone(), cx.me.incarnation);
-        let placer = Placer::new(cx.keeper.holder().load().document());
+        let placer = Placer::new(cx.config.active().load().document());
         let config = lease_config(&cx);
         Self {
             cx,
@@ -106,7 +106,7 @@
     }
 
     fn configure(&mut self) {
-        let in_force = self.cx.keeper.holder().load_full();
+        let in_force = self.cx.config.active().load_full();
         self.placer.configure(in_force.document());
         if let Some(planner) = &mut self.planner {
             planner.configure(in_force.document());
@@ -236,7 +236,7 @@
         for (state, count) in JobState::ALL.iter().zip(counts) {
             self.cx.metrics.jobs(state_name(*state), count);
         }
-        let in_force = self.cx.keeper.holder().load();
+        let in_force = self.cx.config.active().load();
         let shown = self.planner.as_ref().map(|p| summary::summary(p, in_force.document()));
         self.cx.show_planner(shown);
     }
@@ -349,8 +349,8 @@
     fn begin(&mut self, takeover: Takeover) {
         spdlog::info!("planner: this entry plans in term {}", takeover.term);
         let mut planner = Planner::new(&takeover, PlannerConfig::default());
-        planner.configure(self.cx.keeper.holder().load().document());
-        self.placer = Placer::new(self.cx.keeper.holder().load().document());
+        planner.configure(self.cx.config.active().load().document());
+        self.placer = Placer::new(self.cx.config.active().load().document());
         self.planner = Some(planner);
         self.takeover = Some(takeover);
         let news = self.links.all();
@@ -381,7 +381,7 @@
 }
 
 fn lease_config(cx: &EntryContext) -> LeaseConfig {
-    let in_force = cx.keeper.holder().load();
+    let in_force = cx.config.active().load();
     let policy = &in_force.document().policy;
     LeaseConfig {
         outage_hold_ms: policy.outage_hold_s * 1_000,
--- a/crates/geraniumpost/src/planner/handle.rs
+++ b/crates/geraniumpost/src/planner/handle.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::Question;
-use crate::console::{ApiCode, ApiError, JobAsk, JobsHandle, forward};
+use crate::console::{ApiCode, ApiError, AuthenticatedJobCall, JobsHandle, forward};
 use crate::entry::EntryContext;
 
 /// Longest wait for the planner's answer. A commit takes milliseconds; one that is not through by
@@ -24,7 +24,7 @@
 async fn answer(
     cx: Arc<EntryContext>,
     questions: mpsc::UnboundedSender<Question>,
-    ask: JobAsk,
+    ask: AuthenticatedJobCall,
 ) -> Result<Value, ApiError> {
     if cx.term() > 0 {
         return ask_here(&questions, ask).await;
@@ -38,7 +38,7 @@
 
 async fn ask_here(
     questions: &mpsc::UnboundedSender<Question>,
-    ask: JobAsk,
+    ask: AuthenticatedJobCall,
 ) -> Result<Value, ApiError> {
     let (tx, rx) = oneshot::channel();
     let question = Question { call: ask.call, answer: tx };
--- a/crates/geraniumpost/tests/common/mod.rs
+++ b/crates/geraniumpost/tests/common/mod.rs
@@ -3,8 +3,10 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-use geraniumpost::config::{ConfigHolder, ConfigKeeper};
-use geraniumpost::console::{ApiError, ConsoleContext, JobAsk, JobCall, first_token};
+use geraniumpost::config::{ConfigCell, ConfigUpdater};
+use geraniumpost::console::{
+    ApiError, AuthenticatedJobCall, ConsoleContext, JobCall, bootstrap_token,
+};
 use geraniumpost::metrics::Metrics;
 use geraniumpost_config::token_digest;
 use geraniumpost_outside::Store;
@@ -18,10 +20,10 @@
 pub fn context(store: Store) -> ConsoleContext {
     ConsoleContext {
         name: Name::from("entry-1"),
-        keeper: Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), 100)),
+        config: Arc::new(ConfigUpdater::new(Arc::new(ConfigCell::default()), 100)),
         store,
         metrics: Arc::new(Metrics::new().unwrap()),
-        first_token: first_token("0123456789abcdef"),
+        bootstrap_token: bootstrap_token("0123456789abcdef"),
         status: Arc::new(|| json!({ "agents": 11 })),
         in_force: Arc::new(|| json!([{ "name": "agent-1", "role": "agent", "revision": 1 }])),
         jobs: Arc::new(|ask| Box::pin(async move { planner(&ask) })),
@@ -29,7 +31,7 @@
 }
 
 /// A planner that knows no job but repeats what it is asked.
-fn planner(ask: &JobAsk) -> Result<Value, ApiError> {
+fn planner(ask: &AuthenticatedJobCall) -> Result<Value, ApiError> {
     match &ask.call {
         JobCall::Submit { id, job } => Ok(json!({ "id": id, "state": "pending", "job": job })),
         JobCall::Status { id } => Ok(json!({ "id": id, "state": "<b>odd</b>" })),
--- a/crates/geraniumpost/tests/config_agreement.rs
+++ b/crates/geraniumpost/tests/config_agreement.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use geraniumpost::config::{ConfigHolder, InForce, follow_agreement};
+use geraniumpost::config::{ActiveConfig, ConfigCell, log_contradictions};
 use geraniumpost::logs;
 use geraniumpost_config::{check_document_value, check_membership, parse_agent, token_digest};
 use geraniumpost_schema::{Document, LogLevel, LogSettings, Name};
@@ -59,16 +59,16 @@
     let settings = LogSettings { level: LogLevel::Info, decisions: false };
     logs::start_with(&settings, "agent-1", sink).unwrap();
 
-    let holder = Arc::new(ConfigHolder::default());
-    holder.adopt(InForce::new(1, Name::default(), document("badges")));
+    let active = Arc::new(ConfigCell::default());
+    active.adopt(ActiveConfig::new(1, Name::default(), document("badges")));
     let agent = parse_agent(AGENT, "agent.toml").unwrap();
     let check = move |document: &Document| check_membership(&agent, document);
-    let task = tokio::spawn(follow_agreement(Arc::clone(&holder), check));
+    let task = tokio::spawn(log_contradictions(Arc::clone(&active), check));
     shared.waits_for("settings contradict configuration 1: error 1203").await;
-    holder.adopt(InForce::new(2, Name::default(), document("filing")));
-    holder.adopt(InForce::new(3, Name::default(), document("kiosk")));
+    active.adopt(ActiveConfig::new(2, Name::default(), document("filing")));
+    active.adopt(ActiveConfig::new(3, Name::default(), document("kiosk")));
     shared.waits_for("settings contradict configuration 3: error 1203").await;
     assert!(!String::from_utf8_lossy(&shared.0.lock().unwrap()).contains("configuration 2"));
-    drop(holder);
+    drop(active);
     tokio::time::timeout(Duration::from_secs(2), task).await.unwrap().unwrap();
 }
--- a/crates/geraniumpost/tests/config_follow.rs
+++ b/crates/geraniumpost/tests/config_follow.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use geraniumpost::config::{
-    ConfigHolder, ConfigKeeper, Wanted, follow_peers, follow_store, write_change,
+    ConfigCell, ConfigUpdater, FetchRequest, follow_peers, follow_store, write_change,
 };
 use geraniumpost_config::{check_document_value, token_digest};
 use geraniumpost_core::config::{Change, ChangeOutcome};
@@ -20,27 +20,27 @@
 
 /// One entry that follows the store.
 struct Entry {
-    keeper: Arc<ConfigKeeper>,
-    wanted: mpsc::Receiver<Wanted>,
+    config: Arc<ConfigUpdater>,
+    wanted: mpsc::Receiver<FetchRequest>,
     task: tokio::task::JoinHandle<()>,
 }
 
 impl Entry {
     fn start(store: &Store) -> Self {
-        let keeper = Arc::new(ConfigKeeper::new(Arc::new(ConfigHolder::default()), 300));
+        let config = Arc::new(ConfigUpdater::new(Arc::new(ConfigCell::default()), 300));
         let (tx, wanted) = mpsc::channel(64);
-        let task = tokio::spawn(follow_store(Arc::clone(&keeper), store.clone(), tx));
-        Self { keeper, wanted, task }
+        let task = tokio::spawn(follow_store(Arc::clone(&config), store.clone(), tx));
+        Self { config, wanted, task }
     }
 
     fn revision(&self) -> u64 {
-        self.keeper.holder().load().revision()
+        self.config.active().load().revision()
     }
 
     /// Waits until a revision is in force and returns how long that took.
     async fn has(&self, revision: u64) -> Duration {
         let begin = Instant::now();
-        let mut seen = self.keeper.holder().subscribe();
+        let mut seen = self.config.active().subscribe();
         let reached = seen.wait_for(|now| *now >= revision);
         let reached = tokio::time::timeout(Duration::from_secs(8), reached).await;
         assert!(reached.is_ok(), "revision {revision} is not in force after 8 s");
@@ -65,7 +65,7 @@
         based_on,
         document: serde_json::to_value(document(weight)).unwrap(),
     };
-    match write_change(store, &entry.keeper, change).await {
+    match write_change(store, &entry.config, change).await {
         ChangeOutcome::Committed { revision } => revision,
         other => panic!("{other:?}"),
     }
@@ -117,9 +117,9 @@
     standin.control().set_faults(&faults).await.unwrap();
 
     let mut restarted = Entry::start(&store);
-    assert_eq!(restarted.wanted.recv().await, Some(Wanted::AskAll));
-    let json = peer.keeper.holder().load().json().clone();
-    restarted.keeper.received(&Name::from("entry-1"), revision, &json);
+    assert_eq!(restarted.wanted.recv().await, Some(FetchRequest::AllPeers));
+    let json = peer.config.active().load().json().clone();
+    restarted.config.received(&Name::from("entry-1"), revision, &json);
     assert!(restarted.has(revision).await < Duration::from_secs(2));
 }
 
@@ -127,11 +127,11 @@
 async fn dropping_the_receiver_ends_the_task() {
     let store = Store::new("127.0.0.1:9".parse().unwrap());
     let entry = Entry::start(&store);
-    let keeper = Arc::clone(&entry.keeper);
+    let config = Arc::clone(&entry.config);
     drop(entry.wanted);
     tokio::time::timeout(Duration::from_secs(2), entry.task).await.unwrap().unwrap();
     let (tx, rx) = mpsc::channel(1);
-    let task = tokio::spawn(follow_peers(keeper, tx));
+    let task = tokio::spawn(follow_peers(config, tx));
     drop(rx);
     tokio::time::timeout(Duration::from_secs(2), task).await.unwrap().unwrap();
 }
--- a/crates/geraniumpost/tests/config_in_force.rs
+++ b/crates/geraniumpost/tests/config_in_force.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use geraniumpost::config::{ConfigHolder, ConfigKeeper, InForce, Wanted, write_change};
+use geraniumpost::config::{ActiveConfig, ConfigCell, ConfigUpdater, FetchRequest, write_change};
 use geraniumpost_config::{check_document_value, token_digest};
 use geraniumpost_core::config::{Change, ChangeOutcome, Source};
 use geraniumpost_outside::Store;
@@ -43,16 +43,16 @@
     (standin, store)
 }
 
-fn keeper() -> ConfigKeeper {
-    ConfigKeeper::new(Arc::new(ConfigHolder::default()), 100)
+fn config_updater() -> ConfigUpdater {
+    ConfigUpdater::new(Arc::new(ConfigCell::default()), 100)
 }
 
 #[test]
 fn tokens_and_services_are_found() {
-    let holder = ConfigHolder::default();
-    assert!(holder.load().caller("c").is_none());
-    assert!(holder.adopt(InForce::new(4, Name::from("x"), document(3))));
-    let now = holder.load();
+    let active = ConfigCell::default();
+    assert!(active.load().caller("c").is_none());
+    assert!(active.adopt(ActiveConfig::new(4, Name::from("x"), document(3))));
+    let now = active.load();
     assert_eq!(now.caller("c").unwrap().name.as_str(), "claro");
     assert_eq!(now.caller("c").unwrap().limits.weight, 3);
     assert_eq!(now.operator("o").unwrap().as_str(), "rosa");
@@ -64,24 +64,24 @@
 /// must not end up in force, or an accepted setting would be undone.
 #[test]
 fn a_lower_revision_is_never_put_in_force() {
-    let holder = ConfigHolder::default();
-    let mut seen = holder.subscribe();
-    assert!(holder.adopt(InForce::new(4, Name::default(), document(4))));
-    assert!(!holder.adopt(InForce::new(3, Name::default(), document(3))));
-    assert!(!holder.adopt(InForce::new(4, Name::default(), document(5))));
-    assert_eq!(holder.load().document().customers["claro"].weight, 4);
+    let active = ConfigCell::default();
+    let mut seen = active.subscribe();
+    assert!(active.adopt(ActiveConfig::new(4, Name::default(), document(4))));
+    assert!(!active.adopt(ActiveConfig::new(3, Name::default(), document(3))));
+    assert!(!active.adopt(ActiveConfig::new(4, Name::default(), document(5))));
+    assert_eq!(active.load().document().customers["claro"].weight, 4);
     assert_eq!(*seen.borrow_and_update(), 4);
 }
 
 #[tokio::test]
 async fn a_change_is_written_and_adopted_by_another_process() {
     let (_standin, store) = store().await;
-    let outcome = write_change(&store, &keeper(), change("one", 0, 2)).await;
+    let outcome = write_change(&store, &config_updater(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = outcome else { panic!("{outcome:?}") };
-    let keeper = keeper();
-    assert_eq!(keeper.start(), vec![Wanted::AskAll]);
-    keeper.refresh(&store).await.unwrap();
-    let now = keeper.holder().load();
+    let config = config_updater();
+    assert_eq!(config.start(), vec![FetchRequest::AllPeers]);
+    config.refresh(&store).await.unwrap();
+    let now = config.active().load();
     assert_eq!((now.revision(), now.change_id().as_str()), (revision, "one"));
 }
 
@@ -90,11 +90,11 @@
 #[tokio::test]
 async fn a_lost_reply_is_read_back() {
     let (standin, store) = store().await;
-    let first = write_change(&store, &keeper(), change("one", 0, 2)).await;
+    let first = write_change(&store, &config_updater(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = first else { panic!("{first:?}") };
     let faults = StoreFaults { lose_replies: 1, ..StoreFaults::default() };
     standin.control().set_faults(&faults).await.unwrap();
-    let outcome = write_change(&store, &keeper(), change("two", revision, 3)).await;
+    let outcome = write_change(&store, &config_updater(), change("two", revision, 3)).await;
     let ChangeOutcome::Committed { revision: second } = outcome else { panic!("{outcome:?}") };
     let found = store.get(geraniumpost::config::CONFIG_KEY).await.unwrap().unwrap();
     assert_eq!(found.revision, second);
@@ -103,10 +103,10 @@
 #[tokio::test]
 async fn two_operators_conflict_and_the_second_learns_who_was_first() {
     let (_standin, store) = store().await;
-    let first = write_change(&store, &keeper(), change("one", 0, 2)).await;
+    let first = write_change(&store, &config_updater(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = first else { panic!("{first:?}") };
-    write_change(&store, &keeper(), change("two", revision, 3)).await;
-    let outcome = write_change(&store, &keeper(), change("three", revision, 4)).await;
+    write_change(&store, &config_updater(), change("two", revision, 3)).await;
+    let outcome = write_change(&store, &config_updater(), change("three", revision, 4)).await;
     let ChangeOutcome::Conflict { changes, .. } = outcome else { panic!("{outcome:?}") };
     assert_eq!(changes[0].change_id.as_str(), "two");
     assert_eq!(changes[0].paths, [Name::from("customers.claro.weight")]);
@@ -118,33 +118,33 @@
     let faults = StoreFaults { down: Down::Unavailable, ..StoreFaults::default() };
     standin.control().set_faults(&faults).await.unwrap();
     assert_matches!(
-        write_change(&store, &keeper(), change("one", 0, 2)).await,
+        write_change(&store, &config_updater(), change("one", 0, 2)).await,
         ChangeOutcome::Unavailable
     );
-    assert!(keeper().refresh(&store).await.is_err());
+    assert!(config_updater().refresh(&store).await.is_err());
 }
 
 /// A process restarts while the store is down; it takes the highest revision of its peers.
 #[tokio::test]
 async fn a_restart_in_an_outage_takes_the_highest_of_the_peers() {
-    let keeper = keeper();
-    keeper.start();
+    let config = config_updater();
+    config.start();
     let (old, new) = (Name::from("entry-1"), Name::from("entry-2"));
     let json = |weight| geraniumpost_config::encode_document(&document(weight));
-    assert_eq!(keeper.offered(&new, 7), vec![Wanted::Fetch(Source::Peer(new.clone()))]);
-    keeper.received(&old, 5, &json(5));
-    keeper.received(&new, 7, &json(7));
-    assert_eq!(keeper.holder().load().revision(), 0, "still gathering");
+    assert_eq!(config.offered(&new, 7), vec![FetchRequest::One(Source::Peer(new.clone()))]);
+    config.received(&old, 5, &json(5));
+    config.received(&new, 7, &json(7));
+    assert_eq!(config.active().load().revision(), 0, "still gathering");
     tokio::time::sleep(Duration::from_millis(120)).await;
-    keeper.tick();
-    assert_eq!(keeper.holder().load().revision(), 7);
-    assert_eq!(keeper.holder().load().document().customers["claro"].weight, 7);
+    config.tick();
+    assert_eq!(config.active().load().revision(), 7);
+    assert_eq!(config.active().load().document().customers["claro"].weight, 7);
 }
 
 #[test]
 fn a_document_that_cannot_be_read_is_not_adopted() {
-    let keeper = keeper();
-    keeper.received(&Name::from("entry-1"), 9, b"{\"from\": \"the future\"}");
-    keeper.stored(9, &bytes::Bytes::from_static(b"\xff\x00"));
-    assert_eq!(keeper.holder().load().revision(), 0);
+    let config = config_updater();
+    config.received(&Name::from("entry-1"), 9, b"{\"from\": \"the future\"}");
+    config.stored(9, &bytes::Bytes::from_static(b"\xff\x00"));
+    assert_eq!(config.active().load().revision(), 0);
 }
--- a/crates/geraniumpost/tests/console/api.rs
+++ b/crates/geraniumpost/tests/console/api.rs
@@ -1,6 +1,6 @@
 //! Calls of the operators' API.
 
-use geraniumpost::console::{ApiCode, ApiError, Console, first_token};
+use geraniumpost::console::{ApiCode, ApiError, Console, bootstrap_token};
 use geraniumpost_outside::Store;
 use geraniumpost_standin::store::{StoreFaults, spawn_in_process};
 use http::Method;
@@ -17,7 +17,7 @@
     assert_eq!(config["change_id"], "first-change");
     assert_eq!(config["document"]["policy"]["hold_ms"], 10_000);
     let again =
-        bench.put(&first_token("0123456789abcdef"), Some(revision), "x", &document(2)).await;
+        bench.put(&bootstrap_token("0123456789abcdef"), Some(revision), "x", &document(2)).await;
     assert_eq!(body(&again)["code"], 4001, "the first token is of no use afterwards");
 }
 
@@ -28,7 +28,7 @@
     let (bench, revision) = Bench::with_document().await;
     let started = Console::new(context(Store::new(bench.standin.address())));
     let started = Bench { standin: spawn_in_process(ANY, ANY).await.unwrap(), console: started };
-    let token = first_token("0123456789abcdef");
+    let token = bootstrap_token("0123456789abcdef");
     let forced = started.put(&token, Some(revision), "forced", &document(9)).await;
     assert_eq!((forced.status, body(&forced)["code"].as_u64()), (503, Some(4013)));
     let jobs = started.call(Method::DELETE, "/api/jobs/study-1", &token, Vec::new()).await;
--- a/crates/geraniumpost/tests/console/bench.rs
+++ b/crates/geraniumpost/tests/console/bench.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geraniumpost::console::{Call, Console, Reply, first_token, form_proof};
+use geraniumpost::console::{Call, Console, Reply, bootstrap_token, csrf_token};
 use geraniumpost_outside::Store;
 use geraniumpost_standin::Standin;
 use geraniumpost_standin::store::spawn_in_process;
@@ -28,7 +28,7 @@
     /// Starts with a document in force at the returned revision.
     pub async fn with_document() -> (Self, u64) {
         let bench = Self::new().await;
-        let token = first_token("0123456789abcdef");
+        let token = bootstrap_token("0123456789abcdef");
         let reply = bench.put(&token, Some(0), "first-change", &document(1)).await;
         assert_eq!(reply.status, 200, "{reply:?}");
         let revision = body(&reply)["revision"].as_u64().unwrap();
@@ -38,7 +38,7 @@
     /// Returns a console on the same store whose planner never answers.
     pub async fn with_silent_planner(&self) -> Console {
         let mut context = context(Store::new(self.standin.address()));
-        context.keeper.refresh(&context.store).await.unwrap();
+        context.config.refresh(&context.store).await.unwrap();
         context.jobs = Arc::new(|_| Box::pin(std::future::pending()));
         Console::new(context)
     }
@@ -47,7 +47,7 @@
     pub async fn other_entry(&self) -> Self {
         let store = Store::new(self.standin.address());
         let context = context(store);
-        context.keeper.refresh(&context.store).await.unwrap();
+        context.config.refresh(&context.store).await.unwrap();
         let standin = spawn_in_process(ANY, ANY).await.unwrap();
         Self { standin, console: Console::new(context) }
     }
@@ -97,7 +97,7 @@
 
     /// Sends a form as a browser with the operator's cookie.
     pub async fn post(&self, path: &str, fields: &[(&str, &str)]) -> (u16, String) {
-        let reply = self.console.answer(&form(path, fields, &form_proof("o"))).await;
+        let reply = self.console.answer(&form(path, fields, &csrf_token("o"))).await;
         (reply.status, String::from_utf8(reply.body.to_vec()).unwrap())
     }
 }
--- a/crates/geraniumpost/tests/console/forms.rs
+++ b/crates/geraniumpost/tests/console/forms.rs
@@ -1,6 +1,6 @@
 //! Pages and forms as a browser uses them.
 
-use geraniumpost::console::{Call, form_proof};
+use geraniumpost::console::{Call, csrf_token};
 use geraniumpost_config::token_digest;
 use http::Method;
 
@@ -44,10 +44,10 @@
     let (bench, revision) = Bench::with_document().await;
     let revision = revision.to_string();
     let fields = [("revision", revision.as_str()), ("change_id", "evil"), ("hold_ms", "1000")];
-    let guessed = form("/config/policy", &fields, &form_proof("x"));
+    let guessed = form("/config/policy", &fields, &csrf_token("x"));
     assert_eq!(bench.console.answer(&guessed).await.status, 403);
-    let mut foreign = form("/config/policy", &fields, &form_proof("o"));
-    foreign.foreign_origin = true;
+    let mut foreign = form("/config/policy", &fields, &csrf_token("o"));
+    foreign.cross_origin = true;
     assert_eq!(bench.console.answer(&foreign).await.status, 403);
     let by_cookie = Call {
         method: Method::PUT,
--- a/crates/geraniumpost/tests/console/random.rs
+++ b/crates/geraniumpost/tests/console/random.rs
@@ -1,6 +1,6 @@
 //! Whatever is sent to the console is answered.
 
-use geraniumpost::console::{Call, Console, form_proof};
+use geraniumpost::console::{Call, Console, csrf_token};
 use geraniumpost_outside::Store;
 use geraniumpost_schema::Name;
 use http::Method;
@@ -41,10 +41,10 @@
             // No store listens here, so that nothing can be written.
             let context = context(Store::new("127.0.0.1:9".parse().unwrap()));
             let value: geraniumpost_schema::Document = serde_json::from_value(document(1)).unwrap();
-            context.keeper.committed(5, Name::from("x"), value);
+            context.config.committed(5, Name::from("x"), value);
             let mut body = bytes;
             if proved {
-                body.splice(..0, format!("proof={}&revision=4&change_id=c&", form_proof("o")).into_bytes());
+                body.splice(..0, format!("proof={}&revision=4&change_id=c&", csrf_token("o")).into_bytes());
             }
             let methods = [Method::GET, Method::PUT, Method::POST, Method::DELETE];
             let call = Call {
--- a/crates/geraniumpost/tests/entry_peers.rs
+++ b/crates/geraniumpost/tests/entry_peers.rs
@@ -34,12 +34,12 @@
             #[test]
             fn $name() {
                 let mut peers = Peers::new(peer("entry-0"));
-                peers.heard(beat("entry-1", 1, false), Millis(0));
-                assert_eq!(names(&peers.list_to_tell(1)), ["entry-0", "entry-1"]);
-                assert!(peers.list_to_tell(2).is_empty());
+                peers.record_beat(beat("entry-1", 1, false), Millis(0));
+                assert_eq!(names(&peers.list_for_beat(1)), ["entry-0", "entry-1"]);
+                assert!(peers.list_for_beat(2).is_empty());
                 let change: fn(&mut Peers) = $change;
                 change(&mut peers);
-                assert_eq!(names(&peers.list_to_tell(3)), $expected);
+                assert_eq!(names(&peers.list_for_beat(3)), $expected);
             }
         )+
     };
@@ -47,21 +47,21 @@
 
 cases! {
     a_new_entry_is_told_at_once:
-        |peers| peers.heard(beat("entry-2", 1, false), Millis(9)) => ["entry-0", "entry-1", "entry-2"];
+        |peers| peers.record_beat(beat("entry-2", 1, false), Millis(9)) => ["entry-0", "entry-1", "entry-2"];
     an_entry_that_leaves_is_told_at_once:
-        |peers| peers.heard(beat("entry-1", 2, true), Millis(9)) => ["entry-0"];
+        |peers| peers.record_beat(beat("entry-1", 2, true), Millis(9)) => ["entry-0"];
     an_entry_forgotten_is_told_at_once: |peers| peers.tick(Millis(60_001)) => ["entry-0"];
     a_repeated_beat_changes_nothing:
-        |peers| peers.heard(beat("entry-1", 2, false), Millis(9)) => [""; 0];
+        |peers| peers.record_beat(beat("entry-1", 2, false), Millis(9)) => [""; 0];
 }
 
 #[test]
 fn a_lost_list_is_told_again_within_ten_beats() {
     let mut peers = Peers::new(peer("entry-0"));
-    peers.heard(beat("entry-1", 1, false), Millis(0));
+    peers.record_beat(beat("entry-1", 1, false), Millis(0));
     for start in 1..40 {
         let mut told = peers.clone();
-        drop(told.list_to_tell(start));
-        assert!((start + 1..=start + 10).any(|sequence| !told.list_to_tell(sequence).is_empty()));
+        drop(told.list_for_beat(start));
+        assert!((start + 1..=start + 10).any(|sequence| !told.list_for_beat(sequence).is_empty()));
     }
 }
