--- a/crates/geraniumpost/src/cli/check.rs
+++ b/crates/geraniumpost/src/cli/check.rs
@@ -1,4 +1,4 @@
-//! `geraniumpost check`: files by themselves, and whether they agree.
+//! `geraniumpost check`: checks files one by one, and settings against documents.
 
 use std::path::Path;
 
@@ -11,7 +11,7 @@
 
 use super::{ExitStatus, Finished};
 
-/// Checks every file and reports the problems of all.
+/// Checks all files and reports every problem.
 pub(super) fn check(args: &ArgMatches) -> Finished {
     let paths: Vec<&String> = args.get_many("files").into_iter().flatten().collect();
     let mut report = Report::default();
@@ -22,10 +22,10 @@
             Err(found) => report.problems.extend(found.problems),
         }
     }
-    report.problems.extend(disagreements(&files).problems);
+    report.problems.extend(contradictions(&files).problems);
     let as_json = args.get_flag("json");
     if !report.is_empty() {
-        return refused(&report, as_json);
+        return rejected(&report, as_json);
     }
     let lines = files.iter().map(|(path, file)| format!("{path}: ok, {}\n", kind(file)));
     if as_json {
@@ -34,7 +34,7 @@
     Finished::success(lines.collect::<String>())
 }
 
-/// Tells that one file is fine.
+/// Reports that one file has no problems.
 pub(super) fn accepted(path: &str, as_json: bool) -> Finished {
     if as_json {
         return Finished::success(format!("{}\n", json!({ "problems": [] })));
@@ -42,8 +42,8 @@
     Finished::success(format!("{path}: ok\n"))
 }
 
-/// Tells what is wrong; as JSON on standard output, where a program reads it.
-pub(super) fn refused(report: &Report, as_json: bool) -> Finished {
+/// Reports problems as text on standard error, or as JSON on standard output for programs.
+pub(super) fn rejected(report: &Report, as_json: bool) -> Finished {
     if as_json {
         let out = format!("{}\n", json!({ "problems": report.problems }));
         return Finished { status: ExitStatus::Refused, out, err: String::new() };
@@ -51,8 +51,8 @@
     Finished::failure(ExitStatus::Refused, format!("{report}\n"))
 }
 
-/// Holds every settings file against every document that was given.
-fn disagreements(files: &[(&str, AnyFile)]) -> Report {
+/// Returns the contradictions between each settings file and each document.
+fn contradictions(files: &[(&str, AnyFile)]) -> Report {
     let mut problems = Vec::new();
     for (path, file) in files {
         for document in files.iter().filter_map(|(_, file)| as_document(file)) {
--- a/crates/geraniumpost/src/cli/command.rs
+++ b/crates/geraniumpost/src/cli/command.rs
@@ -1,7 +1,7 @@
 use clap::{Arg, ArgAction, Command, value_parser};
 
-/// Examples at the end of the help, where a person looks first.
-const EXAMPLES: &str = "\
+/// Examples, exit codes and environment variables, printed at the end of the help.
+const AFTER_HELP: &str = "\
 Examples:
   geraniumpost check entry.toml agent.toml document.json
   geraniumpost entry --settings entry.toml
@@ -12,12 +12,15 @@
   geraniumpost explain study-7
 
 Exit codes:
-  0 done, 1 refused or failed, 2 wrong usage, 3 others changed the configuration first,
-  4 the entry did not answer or the outcome is not known
+  0 success
+  1 refused or failed
+  2 invalid command line
+  3 another operator changed the configuration first
+  4 the entry did not answer, or the outcome is unknown
 
 Environment:
-  GERANIUMPOST_ENTRY  IP:port of an entry's console, instead of --entry
-  GERANIUMPOST_TOKEN  operator's token, instead of --token-file";
+  GERANIUMPOST_ENTRY  console address of an entry as IP:PORT, if --entry is not given
+  GERANIUMPOST_TOKEN  operator's token, if --token-file is not given";
 
 /// Returns the definition of the command line.
 ///
@@ -33,7 +36,7 @@
     Command::new("geraniumpost")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Schedules latency-critical requests and batch jobs that share VMs")
-        .after_help(EXAMPLES)
+        .after_help(AFTER_HELP)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .arg(
@@ -41,24 +44,31 @@
                 .long("json")
                 .action(ArgAction::SetTrue)
                 .global(true)
-                .help("Print JSON for programs instead of text for people"),
+                .help("Print JSON instead of text"),
         )
-        .subcommand(role("entry", "Run an entry: callers' HTTP, routing, console"))
+        .subcommand(role(
+            "entry",
+            "Run an entry, which routes callers' requests and serves the console",
+        ))
         .subcommand(role("agent", "Run the agent beside an endpoint"))
         .subcommand(
             Command::new("job-entry")
-                .about("Run an entry for jobs of many steps, with settings from the platform"),
+                .about("Run an entry for jobs of many steps; the platform provides its settings"),
         )
         .subcommand(
             Command::new("job-agent")
-                .about("Run the agent beside a minion, with settings from the platform"),
+                .about("Run the agent beside a minion; the platform provides its settings"),
         )
         .subcommand(check())
         .subcommand(config())
         .subcommand(job())
-        .subcommand(remote(Command::new("status").about("Show an entry and what it knows")))
         .subcommand(remote(
-            Command::new("explain").about("Tell why a job is where it is").arg(job_id()),
+            Command::new("status").about("Show an entry's state and the processes it knows"),
+        ))
+        .subcommand(remote(
+            Command::new("explain")
+                .about("Explain why a job waits, runs or has ended")
+                .arg(job_id()),
         ))
 }
 
@@ -70,54 +80,55 @@
                 .long("settings")
                 .value_name("FILE")
                 .required(true)
-                .help("Settings in TOML, see docs/SETTINGS.md"),
+                .help("Settings file in TOML, see docs/SETTINGS.md"),
         )
         .arg(
             Arg::new("check")
                 .long("check")
                 .action(ArgAction::SetTrue)
-                .help("Only check the settings and report every problem"),
+                .help("Check the settings, report every problem and exit"),
         )
 }
 
 fn check() -> Command {
     let files = Arg::new("files").value_name("FILE").required(true).num_args(1..);
     Command::new("check")
-        .about("Check settings and documents, and that they agree")
-        .arg(files.help("Settings in TOML or a document in JSON; told apart by their content"))
+        .about("Check settings files and documents, and report contradictions between them")
+        .arg(files.help("Settings file in TOML or document in JSON, recognized by its content"))
 }
 
 fn config() -> Command {
-    let get = Command::new("get").about("Print the configuration with its revision");
+    let get = Command::new("get").about("Print the configuration and its revision as JSON");
     let set = Command::new("set")
         .about("Change the configuration")
         .after_help(
-            "FILE is what `config get` printed, edited, so that it names the revision it changes;\n\
-             a bare document needs --revision. Repeat a call whose outcome is not known with the\n\
-             same --change-id: a change is never made twice.",
+            "FILE is the edited output of `config get`, which contains the revision to change.\n\
+             A document alone needs --revision. If the outcome of a call is unknown, repeat it\n\
+             with the same --change-id: the change is made at most once.",
         )
         .arg(file())
         .arg(
             Arg::new("revision")
                 .long("revision")
                 .value_parser(value_parser!(u64))
-                .help("Revision that is changed, if FILE does not name it"),
+                .help("Revision to change, if FILE does not contain it"),
         )
-        .arg(Arg::new("change-id").long("change-id").help("Name of the change, drawn if left out"))
+        .arg(Arg::new("change-id").long("change-id").help("Id of the change, random by default"))
         .arg(
             Arg::new("wait-s")
                 .long("wait-s")
                 .value_parser(value_parser!(u64).range(1..=600))
                 .conflicts_with("first")
-                .help("Seconds to wait until every known process has the change in force"),
+                .help(
+                    "Maximum seconds to wait until the change is in force on every known process",
+                ),
         )
         .arg(
-            Arg::new("first")
-                .long("first")
-                .value_name("SETTINGS")
-                .help("Write the first document, proved by the shared key of an entry's settings"),
+            Arg::new("first").long("first").value_name("SETTINGS").help(
+                "Write the first document, authorized by the shared key in an entry's settings",
+            ),
         );
-    let check = Command::new("check").about("Let an entry check a document").arg(file());
+    let check = Command::new("check").about("Check a document on an entry").arg(file());
     Command::new("config")
         .about("Read, change and check the configuration")
         .subcommand_required(true)
@@ -128,21 +139,30 @@
 
 fn job() -> Command {
     let submit = Command::new("submit")
-        .about("Submit a job; the same job under the same id again is no second one")
+        .about("Submit a job; repeating the call with the same id and job has no effect")
         .arg(job_id())
-        .arg(Arg::new("customer").long("customer").required(true).help("Customer it runs for"))
-        .arg(Arg::new("class").long("class").required(true).help("Job class of the document"))
-        .arg(amount("milli-cpus", "Thousandths of a processor").required(true))
-        .arg(amount("memory-mb", "Mebibytes of memory").required(true))
-        .arg(amount("accelerators", "Whole accelerators").default_value("0"))
-        .arg(Arg::new("command").long("command").required(true).help("What the worker runs"));
+        .arg(
+            Arg::new("customer").long("customer").required(true).help("Customer that owns the job"),
+        )
+        .arg(
+            Arg::new("class")
+                .long("class")
+                .required(true)
+                .help("Class of the job, as in the document"),
+        )
+        .arg(amount("milli-cpus", "Processors to reserve, in thousandths of one").required(true))
+        .arg(amount("memory-mb", "Memory to reserve, in mebibytes").required(true))
+        .arg(amount("accelerators", "Number of accelerators to reserve").default_value("0"))
+        .arg(
+            Arg::new("command").long("command").required(true).help("Command that the worker runs"),
+        );
     Command::new("job")
-        .about("Submit, show, cancel and list jobs")
+        .about("Submit, show, cancel or list jobs")
         .subcommand_required(true)
         .subcommand(remote(submit))
         .subcommand(remote(Command::new("status").about("Show a job").arg(job_id())))
         .subcommand(remote(Command::new("cancel").about("Cancel a job").arg(job_id())))
-        .subcommand(remote(Command::new("list").about("List the region's jobs")))
+        .subcommand(remote(Command::new("list").about("List the jobs of the region")))
 }
 
 /// Adds the arguments of a command that calls an entry.
@@ -158,7 +178,7 @@
             Arg::new("token-file")
                 .long("token-file")
                 .value_name("FILE")
-                .help("File that holds the operator's token"),
+                .help("File that contains the operator's token"),
         )
         .arg(
             Arg::new("timeout-s")
--- a/crates/geraniumpost/src/cli/config_commands.rs
+++ b/crates/geraniumpost/src/cli/config_commands.rs
@@ -11,19 +11,19 @@
 use crate::client::ApiClient;
 use crate::console::bootstrap_token;
 
-/// Pause between two looks at what is in force.
-const WAIT_STEP: Duration = Duration::from_millis(200);
+/// Interval at which `--wait-s` polls the revisions in force.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 pub(super) async fn execute(args: &ArgMatches) -> Result<Finished, Finished> {
     match args.subcommand() {
         Some(("get", args)) => get(args).await,
         Some(("set", args)) => set(args).await,
         Some(("check", args)) => check_remote(args).await,
-        _ => Err(remote::failure(ExitStatus::Usage, "no such command")),
+        _ => Err(remote::failure(ExitStatus::Usage, "unknown command")),
     }
 }
 
-/// Prints the document with its revision, so that `set` of the edited text knows what it changes.
+/// Prints the document with its revision, from which `set` knows the revision to change.
 async fn get(args: &ArgMatches) -> Result<Finished, Finished> {
     let client = remote::client(args)?;
     let json = args.get_flag("json");
@@ -45,7 +45,9 @@
         Ok(done) => accepted(args, &done).await,
         Err(mut failed) => {
             if failed.status == ExitStatus::Unreachable {
-                let hint = format!("repeat with --change-id {change_id}; it is not made twice\n");
+                let hint = format!(
+                    "repeat the call with --change-id {change_id}; the change is made at most once\n"
+                );
                 failed.err += &hint;
             }
             Err(failed)
@@ -53,10 +55,10 @@
     }
 }
 
-/// Tells of an accepted change, after waiting for it to be in force if that was asked for.
+/// Reports an accepted change. With `--wait-s`, waits first until it is in force.
 async fn accepted(args: &ArgMatches, done: &Value) -> Result<Finished, Finished> {
     let json = args.get_flag("json");
-    let (revision, change_id) = (text::plain(&done["revision"]), text::plain(&done["change_id"]));
+    let (revision, change_id) = (text::render(&done["revision"]), text::render(&done["change_id"]));
     let mut out = format!("accepted as revision {revision}, change {change_id}\n");
     if json {
         out = format!("{done}\n");
@@ -66,7 +68,7 @@
     };
     let behind = match wait(args, done["revision"].as_u64().unwrap_or_default(), seconds).await {
         Ok(behind) => behind,
-        // The change is accepted all the same, and the operator must still learn that.
+        // The change was accepted nevertheless, which the operator must learn.
         Err(failed) => return Err(Finished { out: out + &failed.out, ..failed }),
     };
     if behind.is_empty() {
@@ -77,7 +79,8 @@
     Ok(Finished { status: ExitStatus::Refused, out, err })
 }
 
-/// Waits for a revision and returns the names of the processes that do not have it in the end.
+/// Waits until a revision is in force on all known processes, for at most `seconds`. Returns the
+/// names of the processes that have a lower revision in force at the end.
 async fn wait(args: &ArgMatches, revision: u64, seconds: u64) -> Result<Vec<String>, Finished> {
     let client = remote::client(args)?;
     let until = Instant::now() + Duration::from_secs(seconds);
@@ -88,31 +91,33 @@
         if behind.is_empty() || Instant::now() >= until {
             return Ok(behind);
         }
-        tokio::time::sleep(WAIT_STEP).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
 fn set_client(args: &ArgMatches) -> Result<ApiClient, Finished> {
     let Some(path) = args.get_one::<String>("first") else { return remote::client(args) };
     let settings = load_entry(path.as_ref());
-    let settings = settings.map_err(|report| check::refused(&report, args.get_flag("json")))?;
+    let settings = settings.map_err(|report| check::rejected(&report, args.get_flag("json")))?;
     remote::client_with(args, &bootstrap_token(&settings.shared_key))
 }
 
-/// Reads the document and the revision that it changes.
+/// Reads the document from the file, and the revision to change from the file or the arguments.
 fn read_change(args: &ArgMatches) -> Result<(u64, Value), Finished> {
     let path = args.get_one::<String>("file").map(String::as_str).unwrap_or_default();
     let text = remote::read(path)?;
     let parsed = serde_json::from_str::<Value>(&text);
-    let unreadable = |e| remote::failure(ExitStatus::Refused, &format!("{path}: {e}"));
-    let mut value: Value = parsed.map_err(unreadable)?;
-    let named = value["revision"].as_u64();
+    let invalid =
+        |e| remote::failure(ExitStatus::Refused, &format!("{path} is not valid JSON: {e}"));
+    let mut value: Value = parsed.map_err(invalid)?;
+    let in_file = value["revision"].as_u64();
     let document = if value.get("document").is_some() { value["document"].take() } else { value };
-    let given = args.get_one::<u64>("revision").copied().or(named);
+    let given = args.get_one::<u64>("revision").copied().or(in_file);
     let first = args.contains_id("first").then_some(0);
     let Some(revision) = given.or(first) else {
-        let message =
-            format!("{path} names no revision: edit what `config get` prints, or give --revision");
+        let message = format!(
+            "{path} contains no revision; edit the output of `config get` or give --revision"
+        );
         return Err(remote::failure(ExitStatus::Usage, &message));
     };
     Ok((revision, document))
--- a/crates/geraniumpost/src/cli/execute.rs
+++ b/crates/geraniumpost/src/cli/execute.rs
@@ -2,15 +2,15 @@
 
 use super::{ExitStatus, Finished, check, config_commands, job_commands, state_commands};
 
-/// Does what an operator's command asks.
+/// Executes an operator's command.
 pub async fn execute(matches: &ArgMatches) -> Finished {
-    let done = match matches.subcommand() {
+    let result = match matches.subcommand() {
         Some(("check", args)) => Ok(check::check(args)),
         Some(("config", args)) => config_commands::execute(args).await,
         Some(("job", args)) => job_commands::execute(args).await,
         Some(("status", args)) => state_commands::status(args).await,
         Some(("explain", args)) => state_commands::explain(args).await,
-        _ => Err(Finished::failure(ExitStatus::Usage, "error: no such command\n")),
+        _ => Err(Finished::failure(ExitStatus::Usage, "error: unknown command\n")),
     };
-    done.unwrap_or_else(|failed| failed)
+    result.unwrap_or_else(|failed| failed)
 }
--- a/crates/geraniumpost/src/cli/exit_status.rs
+++ b/crates/geraniumpost/src/cli/exit_status.rs
@@ -5,20 +5,20 @@
 /// Exit code of a command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExitStatus {
-    /// Done.
+    /// The command succeeded.
     Success = 0,
-    /// Refused, failed, or problems were found.
+    /// The call was refused or failed, or a check found problems.
     Refused = 1,
-    /// The command line cannot be read.
+    /// The command line is invalid.
     Usage = 2,
-    /// Others changed the configuration first.
+    /// Another operator changed the configuration first.
     Conflict = 3,
-    /// The entry did not answer, or whether the call was carried out is not known.
+    /// The entry did not answer, or it is unknown whether the call was carried out.
     Unreachable = 4,
 }
 
 impl ExitStatus {
-    /// Returns the exit code that goes with a result code of the operators' API.
+    /// Returns the exit code for a result code of the operators' API.
     pub fn of_code(code: u64) -> Self {
         let is = |known: ApiCode| code == u64::from(known.number());
         if is(ApiCode::Conflict) {
--- a/crates/geraniumpost/src/cli/finished.rs
+++ b/crates/geraniumpost/src/cli/finished.rs
@@ -1,6 +1,6 @@
 use super::ExitStatus;
 
-/// What a command prints and how it exits.
+/// Output and exit code of a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Finished {
     /// Exit code.
@@ -12,12 +12,12 @@
 }
 
 impl Finished {
-    /// Creates the end of a command that did what was asked.
+    /// Returns the result of a command that succeeded.
     pub fn success(out: impl Into<String>) -> Self {
         Self { status: ExitStatus::Success, out: out.into(), err: String::new() }
     }
 
-    /// Creates the end of a command that did not.
+    /// Returns the result of a command that failed.
     pub fn failure(status: ExitStatus, err: impl Into<String>) -> Self {
         Self { status, out: String::new(), err: err.into() }
     }
--- a/crates/geraniumpost/src/cli/job_commands.rs
+++ b/crates/geraniumpost/src/cli/job_commands.rs
@@ -17,11 +17,11 @@
             show(args, JobCall::Cancel { id: id(args) }, text::table_of).await
         }
         Some(("list", args)) => show(args, JobCall::List, text::jobs).await,
-        _ => Err(remote::failure(ExitStatus::Usage, "no such command")),
+        _ => Err(remote::failure(ExitStatus::Usage, "unknown command")),
     }
 }
 
-/// Makes the call and shows its answer as text or JSON.
+/// Makes the call and returns its answer as text or JSON.
 pub(super) async fn show(
     args: &ArgMatches,
     call: JobCall,
--- a/crates/geraniumpost/src/cli/mod.rs
+++ b/crates/geraniumpost/src/cli/mod.rs
@@ -1,7 +1,7 @@
 //! The command line.
 //!
-//! Every command yields a [`Finished`] of plain text, which [`run`] prints; so a command is tested
-//! without a process. Exit codes are in `docs/OPERATIONS.md` and [`ExitStatus`].
+//! Every command returns a [`Finished`] with its output, which [`run`] prints, so that tests need
+//! no process. [`ExitStatus`] lists the exit codes.
 
 mod check;
 mod command;
--- a/crates/geraniumpost/src/cli/remote.rs
+++ b/crates/geraniumpost/src/cli/remote.rs
@@ -1,4 +1,4 @@
-//! Calls to an entry and what becomes of them.
+//! Calls from commands to an entry.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,24 +10,24 @@
 use super::{ExitStatus, Finished, text};
 use crate::client::{ApiClient, ApiReply};
 
-/// Environment variable that names an entry.
-const ENTRY: &str = "GERANIUMPOST_ENTRY";
-/// Environment variable that holds the token.
-const TOKEN: &str = "GERANIUMPOST_TOKEN";
+/// Environment variable with the console address of an entry.
+const ENTRY_VARIABLE: &str = "GERANIUMPOST_ENTRY";
+/// Environment variable with the operator's token.
+const TOKEN_VARIABLE: &str = "GERANIUMPOST_TOKEN";
 
-/// Creates the client that a command's arguments describe, with the operator's own token.
+/// Creates a client from a command's arguments, with the operator's token.
 pub(super) fn client(args: &ArgMatches) -> Result<ApiClient, Finished> {
     let token = token(args)?;
     client_with(args, &token)
 }
 
-/// Creates the client that a command's arguments describe, with another token.
+/// Creates a client from a command's arguments, with the given token.
 pub(super) fn client_with(args: &ArgMatches, token: &str) -> Result<ApiClient, Finished> {
     let seconds = args.get_one::<u64>("timeout-s").copied().unwrap_or(20);
     Ok(ApiClient::new(entry(args)?, token).timeout(Duration::from_secs(seconds)))
 }
 
-/// Makes a call; a refusal ends the command with what the entry says.
+/// Makes a call and returns the body of the answer. A refusal is an `Err` with the entry's message.
 pub(super) async fn call(
     client: &ApiClient,
     method: Method,
@@ -42,13 +42,13 @@
     if reply.is_success() { Ok(reply.body) } else { Err(refused(&reply, as_json)) }
 }
 
-/// Reads a file of the operator's.
+/// Reads a file given on the command line.
 pub(super) fn read(path: &str) -> Result<String, Finished> {
-    let unreadable = |e| failure(ExitStatus::Usage, &format!("{path}: {e}"));
+    let unreadable = |e| failure(ExitStatus::Usage, &format!("cannot read {path}: {e}"));
     std::fs::read_to_string(path).map_err(unreadable)
 }
 
-/// Ends a command with one line on standard error.
+/// Returns the result of a failed command with one line on standard error.
 pub(super) fn failure(status: ExitStatus, message: &str) -> Finished {
     Finished::failure(status, format!("error: {message}\n"))
 }
@@ -62,23 +62,30 @@
 }
 
 fn entry(args: &ArgMatches) -> Result<SocketAddr, Finished> {
-    let given = args.get_one::<String>("entry").cloned().or_else(|| std::env::var(ENTRY).ok());
+    let given =
+        args.get_one::<String>("entry").cloned().or_else(|| std::env::var(ENTRY_VARIABLE).ok());
     let Some(given) = given else {
-        let message = format!("no entry: give --entry IP:port or set {ENTRY}");
+        let message = format!("no entry given: use --entry IP:PORT or set {ENTRY_VARIABLE}");
         return Err(failure(ExitStatus::Usage, &message));
     };
-    let wrong = |_| failure(ExitStatus::Usage, &format!("--entry {given}: write IP:port"));
-    given.parse().map_err(wrong)
+    let invalid = |_| {
+        failure(
+            ExitStatus::Usage,
+            &format!("invalid entry address `{given}`: use IP:PORT in --entry or {ENTRY_VARIABLE}"),
+        )
+    };
+    given.parse().map_err(invalid)
 }
 
-/// A token on the command line would show in the list of processes, so there is no such argument.
+/// Returns the operator's token. It cannot be given as an argument, because arguments are visible
+/// in the list of processes.
 fn token(args: &ArgMatches) -> Result<String, Finished> {
     if let Some(path) = args.get_one::<String>("token-file") {
         return read(path).map(|text| text.trim().to_owned());
     }
     let missing = |_| {
-        let message = format!("no token: give --token-file FILE or set {TOKEN}");
+        let message = format!("no token given: use --token-file FILE or set {TOKEN_VARIABLE}");
         failure(ExitStatus::Usage, &message)
     };
-    std::env::var(TOKEN).map_err(missing)
+    std::env::var(TOKEN_VARIABLE).map_err(missing)
 }
--- a/crates/geraniumpost/src/cli/roles.rs
+++ b/crates/geraniumpost/src/cli/roles.rs
@@ -1,7 +1,7 @@
 use eyre::Result;
 use geraniumpost_schema::{AgentSettings, EntrySettings};
 
-/// The long-running roles, each run with its settings until it is told to stop.
+/// Functions of the long-running roles. Each runs until the process is asked to stop.
 #[derive(Debug, Clone, Copy)]
 pub struct Roles {
     /// Runs `geraniumpost entry`.
--- a/crates/geraniumpost/src/cli/run.rs
+++ b/crates/geraniumpost/src/cli/run.rs
@@ -7,7 +7,7 @@
 
 use super::{ExitStatus, Finished, Roles, check, command, execute};
 
-/// Runs the program: reads the command line, does what it asks, prints and returns the exit code.
+/// Parses the command line, runs the command, prints its output and returns the exit code.
 pub fn run(roles: Roles) -> ExitCode {
     let matches = command().get_matches();
     let finished = match matches.subcommand() {
@@ -17,13 +17,13 @@
         Some(("job-agent", _)) => finished((roles.job_agent)()),
         _ => operator(&matches),
     };
-    // A closed pipe, as from `| head`, is no failure of the command.
+    // Ignores errors, because a closed pipe, as with `| head`, is not a failure of the command.
     let _ = std::io::stdout().write_all(finished.out.as_bytes());
     let _ = std::io::stderr().write_all(finished.err.as_bytes());
     finished.status.into()
 }
 
-/// Checks the settings of a role and runs it.
+/// Loads the settings of a role and runs it, or only checks them with `--check`.
 fn role<T>(
     args: &ArgMatches,
     load: fn(&std::path::Path) -> Result<T, Report>,
@@ -32,7 +32,7 @@
     let path = args.get_one::<String>("settings").map(String::as_str).unwrap_or_default();
     let settings = match load(path.as_ref()) {
         Ok(settings) => settings,
-        Err(report) => return check::refused(&report, args.get_flag("json")),
+        Err(report) => return check::rejected(&report, args.get_flag("json")),
     };
     if args.get_flag("check") {
         return check::accepted(path, args.get_flag("json"));
--- a/crates/geraniumpost/src/cli/state_commands.rs
+++ b/crates/geraniumpost/src/cli/state_commands.rs
@@ -7,7 +7,7 @@
 use super::{Finished, job_commands, remote, text};
 use crate::console::JobCall;
 
-/// Shows an entry, and which revision every process that it knows has in force.
+/// Returns the state of an entry, and the revision in force on each process that it knows.
 pub(super) async fn status(args: &ArgMatches) -> Result<Finished, Finished> {
     let client = remote::client(args)?;
     let json = args.get_flag("json");
--- a/crates/geraniumpost/src/client/api_client.rs
+++ b/crates/geraniumpost/src/client/api_client.rs
@@ -13,15 +13,15 @@
 
 use super::ApiReply;
 
-/// Largest answer read; a list of all jobs is the largest there is.
-const MAX_ANSWER: usize = 16 << 20;
+/// Maximum size of an answer in bytes. The list of all jobs is the largest answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// The entry did not answer; whether it did what was asked is not known.
+/// Error of a call that the entry did not answer; the call may have been carried out.
 #[derive(Debug, Display, Error)]
 #[display("{_0}")]
 pub struct Unreachable(#[error(not(source))] String);
 
-/// Client of one entry's operators' API.
+/// Client of the operators' API of one entry.
 #[derive(Debug, Clone)]
 pub struct ApiClient {
     entry: SocketAddr,
@@ -32,7 +32,7 @@
 }
 
 impl ApiClient {
-    /// Creates a client that proves the operator by `token`.
+    /// Creates a client that authenticates as the operator with `token`.
     pub fn new(entry: SocketAddr, token: impl Into<String>) -> Self {
         Self {
             entry,
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Sets the time for a call.
+    /// Sets the timeout of each call.
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -57,11 +57,11 @@
         self
     }
 
-    /// Makes one call and reads its whole answer.
+    /// Makes a call and returns the answer.
     ///
     /// # Errors
     ///
-    /// Fails if no whole answer arrives in time.
+    /// Fails if the complete answer does not arrive before the timeout.
     pub async fn call(
         &self,
         method: Method,
@@ -70,8 +70,8 @@
     ) -> Result<ApiReply, Unreachable> {
         let exchange = tokio::time::timeout(self.timeout, self.exchange(method, path, body));
         let entry = self.entry;
-        let late = |_| Unreachable(format!("the entry at {entry} did not answer in time"));
-        exchange.await.map_err(late)?
+        let timed_out = |_| Unreachable(format!("the entry at {entry} did not answer in time"));
+        exchange.await.map_err(timed_out)?
     }
 
     async fn exchange(
@@ -81,7 +81,9 @@
         body: Vec<u8>,
     ) -> Result<ApiReply, Unreachable> {
         let entry = self.entry;
-        let failed = |reason: String| Unreachable(format!("the entry at {entry}: {reason}"));
+        let failed = |reason: String| {
+            Unreachable(format!("the call to the entry at {entry} failed: {reason}"))
+        };
         let mut req = Request::builder()
             .method(method)
             .uri(format!("http://{entry}{path}"))
@@ -89,18 +91,20 @@
         for (name, value) in &self.headers {
             req = req.header(*name, value);
         }
-        let req = req.body(Full::new(Bytes::from(body))).map_err(|e| failed(e.to_string()))?;
-        let answer = self.http.request(req).await.map_err(|e| failed(whole_cause(&e)))?;
+        let req = req
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| failed(format!("invalid token or path: {e}")))?;
+        let answer = self.http.request(req).await.map_err(|e| failed(error_chain(&e)))?;
         let status = answer.status().as_u16();
-        let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
         let bytes = body.map_err(|e| failed(e.to_string()))?.to_bytes();
         let text = || Value::from(String::from_utf8_lossy(&bytes).into_owned());
         Ok(ApiReply { status, body: serde_json::from_slice(&bytes).unwrap_or_else(|_| text()) })
     }
 }
 
-/// Joins an error with its causes; the outermost alone says only "client error".
-fn whole_cause(error: &dyn std::error::Error) -> String {
+/// Joins an error with its causes. The outermost error of the client says only "client error".
+fn error_chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut next = error.source();
     while let Some(cause) = next {
--- a/crates/geraniumpost/src/client/api_reply.rs
+++ b/crates/geraniumpost/src/client/api_reply.rs
@@ -5,12 +5,12 @@
 pub struct ApiReply {
     /// HTTP status.
     pub status: u16,
-    /// Body; a body that is no JSON is kept as text.
+    /// Body; a body that is not JSON is a string.
     pub body: Value,
 }
 
 impl ApiReply {
-    /// Returns whether the call did what was asked.
+    /// Returns whether the call succeeded.
     pub const fn is_success(&self) -> bool {
         self.status / 100 == 2
     }
--- a/crates/geraniumpost/src/client/mod.rs
+++ b/crates/geraniumpost/src/client/mod.rs
@@ -1,4 +1,4 @@
-//! Client of the operators' API, used by the command line and between entries.
+//! Client of the operators' API, used by the command line and by entries that forward calls.
 
 mod api_client;
 mod api_reply;
--- a/crates/geraniumpost/src/config/active_config.rs
+++ b/crates/geraniumpost/src/config/active_config.rs
@@ -7,13 +7,14 @@
 
 use super::Caller;
 
-/// A SHA-256 digest as the tables are keyed.
+/// SHA-256 digest of a token.
 type Digest = [u8; 32];
 
-/// One adopted revision, prepared so that a request pays one hash and one look-up.
+/// Adopted revision of the configuration with indices for the look-ups of requests.
 ///
-/// Tokens are found by the hash of what the caller sent. How long the look-up takes depends on that
-/// hash alone, which a caller cannot steer towards a stored one, so timing gives no token away.
+/// Tokens are looked up by their digest. The time of a look-up depends only on the digest of the
+/// token sent, which a caller cannot choose to be close to a stored digest, so timing reveals no
+/// token.
 #[derive(Debug)]
 pub struct ActiveConfig {
     revision: u64,
@@ -26,14 +27,15 @@
 }
 
 impl ActiveConfig {
-    /// Prepares a document; `change_id` is empty where only a peer's word is known.
+    /// Builds the indices of a document. `change_id` is empty if the document came from a peer,
+    /// which does not send it.
     pub fn new(revision: u64, change_id: Name, document: Document) -> Self {
         let callers = document.customers.iter().filter_map(|(name, customer)| {
             let caller = Caller { name: name.clone(), limits: customer.clone() };
-            Some((digest_of(&customer.token_sha256)?, Arc::new(caller)))
+            Some((parse_digest(&customer.token_sha256)?, Arc::new(caller)))
         });
         let operators = document.operators.iter().filter_map(|(name, operator)| {
-            Some((digest_of(&operator.token_sha256)?, name.clone()))
+            Some((parse_digest(&operator.token_sha256)?, name.clone()))
         });
         let services = document.services.iter();
         Self {
@@ -49,7 +51,7 @@
         }
     }
 
-    /// Creates the state before the first revision: nobody is known.
+    /// Returns the empty configuration of a process that has adopted no revision yet.
     pub fn none() -> Self {
         let document = Document {
             classes: BTreeMap::default(),
@@ -62,12 +64,12 @@
         Self::new(0, Name::default(), document)
     }
 
-    /// Returns the revision, 0 before the first.
+    /// Returns the revision, 0 before the first was adopted.
     pub const fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Returns the id of the change that made this revision, empty if it is not known here.
+    /// Returns the id of the change that created this revision, empty if unknown.
     pub const fn change_id(&self) -> &Name {
         &self.change_id
     }
@@ -77,17 +79,17 @@
         &self.document
     }
 
-    /// Returns the document as JSON, as it is sent to peers.
+    /// Returns the document as JSON, the form in which it is sent to peers.
     pub const fn json(&self) -> &Bytes {
         &self.json
     }
 
-    /// Returns the customer whose bearer token this is.
+    /// Returns the customer with the given bearer token.
     pub fn caller(&self, token: &str) -> Option<&Arc<Caller>> {
         self.callers.get(&Digest::from(Sha256::digest(token.as_bytes())))
     }
 
-    /// Returns the operator whose token this is.
+    /// Returns the name of the operator with the given token.
     pub fn operator(&self, token: &str) -> Option<&Name> {
         self.operators.get(&Digest::from(Sha256::digest(token.as_bytes())))
     }
@@ -98,8 +100,9 @@
     }
 }
 
-/// Reads 64 hexadecimal digits; the document's check has let nothing else through.
-fn digest_of(text: &str) -> Option<Digest> {
+/// Parses 64 hexadecimal digits. Returns `None` for other text, which the check of the document
+/// rejects.
+fn parse_digest(text: &str) -> Option<Digest> {
     let mut digest = [0; 32];
     let bytes = text.as_bytes();
     if bytes.len() != 64 {
--- a/crates/geraniumpost/src/config/caller.rs
+++ b/crates/geraniumpost/src/config/caller.rs
@@ -1,10 +1,10 @@
 use geraniumpost_schema::{Customer, Name};
 
-/// A customer as a request finds it, by the hash of its token.
+/// Customer to whom a request's token belongs.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Caller {
     /// Name of the customer.
     pub name: Name,
-    /// Its limits.
+    /// Limits of the customer.
     pub limits: Customer,
 }
--- a/crates/geraniumpost/src/config/config_cell.rs
+++ b/crates/geraniumpost/src/config/config_cell.rs
@@ -5,9 +5,9 @@
 
 use super::ActiveConfig;
 
-/// Holds the revision in force for all tasks of the process.
+/// Shared cell that contains the configuration in force.
 ///
-/// Requests read it without a lock; a change swaps the whole of it, so that no request sees half of
+/// Reads take no lock. A change replaces the whole configuration, so that no request sees parts of
 /// two revisions.
 #[derive(Debug)]
 pub struct ConfigCell {
@@ -23,20 +23,20 @@
 }
 
 impl ConfigCell {
-    /// Returns the revision in force, cheaply and for a short use.
+    /// Returns a guard of the configuration in force. It is cheap, and must be dropped soon.
     pub fn load(&self) -> Guard<Arc<ActiveConfig>> {
         self.current.load()
     }
 
-    /// Returns the revision in force to be kept across an await.
+    /// Returns the configuration in force as a reference that may be held across an `await`.
     pub fn load_full(&self) -> Arc<ActiveConfig> {
         self.current.load_full()
     }
 
-    /// Puts a revision in force unless it is not higher, and returns whether it did.
+    /// Puts a configuration in force if its revision is higher, and returns whether it did.
     ///
-    /// [`Adoption`](geraniumpost_core::config::Adoption) decides this already; the cell checks
-    /// again because two tasks may carry out its decisions in another order.
+    /// [`Adoption`](geraniumpost_core::config::Adoption) ensures this already. The revision is
+    /// checked again because two tasks may carry out its decisions in reverse order.
     pub fn adopt(&self, new: ActiveConfig) -> bool {
         let new = Arc::new(new);
         let before = self.current.rcu(|now| {
@@ -53,7 +53,7 @@
         adopted
     }
 
-    /// Returns a receiver that is told of each revision put in force.
+    /// Returns a receiver of the revision in force.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
     }
--- a/crates/geraniumpost/src/config/contradictions.rs
+++ b/crates/geraniumpost/src/config/contradictions.rs
@@ -5,11 +5,11 @@
 
 use super::ConfigCell;
 
-/// Logs every way in which the settings of this process contradict each revision put in force.
+/// Logs each contradiction between the settings of this process and a revision put in force.
 ///
-/// Settings and document change by different hands. A domain that the document does not know, or a
-/// service that is not in it, leaves a process idle without any failure; without the line in the
-/// log an operator would look for the cause elsewhere. Ends when the active is dropped.
+/// Settings and document are changed independently. If the document lacks a process's failure
+/// domain or service, the process stays idle without any failure. The log line tells the operator
+/// the cause. Ends when all other references to `active` are dropped.
 pub async fn log_contradictions(
     active: Arc<ConfigCell>,
     check: impl Fn(&Document) -> Result<(), Report>,
@@ -17,7 +17,7 @@
     let mut revisions = active.subscribe();
     let weak = Arc::downgrade(&active);
     drop(active);
-    // A revision put in force before this task ran counts as well.
+    // A revision may have been put in force before this task started.
     revisions.mark_changed();
     while revisions.changed().await.is_ok() {
         let Some(active) = weak.upgrade() else { return };
--- a/crates/geraniumpost/src/config/follow.rs
+++ b/crates/geraniumpost/src/config/follow.rs
@@ -6,106 +6,113 @@
 
 use super::{CONFIG_KEY, ConfigUpdater, FetchRequest};
 
-/// Longest wait of a watch.
+/// Timeout of a watch.
 ///
-/// The platform counts a waiting watch as a call, which this makes one in ten seconds. A watch whose
-/// connection has gone silent costs as much; meanwhile the peers' beats tell of a change.
-const WAIT: Duration = Duration::from_secs(10);
-/// Interval at which the gathering of a starting process is looked at.
+/// The platform counts each watch as a call, so a process makes one call in ten seconds. If the
+/// connection of a watch stalls, a change is noticed up to this much later from the store; peers'
+/// heartbeats report it sooner.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval at which the adoption handles the passing of time.
 const TICK: Duration = Duration::from_millis(100);
-/// Shortest pause after a call that failed; up to twice as long, so that entries that lost the
-/// store together do not come back together.
-const PAUSE_MS: u64 = 500;
+/// Minimum delay after a failed call. The delay is random up to twice as long, so that entries that
+/// lost the store at the same time do not retry at the same time.
+const RETRY_DELAY_MS: u64 = 500;
 
-/// Follows the configuration in the store until the receiver of `wanted` is dropped.
+/// Keeps the configuration up to date with the store and with peers until the receiver of
+/// `requests` is dropped.
 ///
-/// What peers have to be asked for is sent through `wanted`; the store is read here.
+/// Reads the store itself, and sends requests to fetch from peers through `requests`.
 pub async fn follow_store(
     config: Arc<ConfigUpdater>,
     store: Store,
-    wanted: mpsc::Sender<FetchRequest>,
+    requests: mpsc::Sender<FetchRequest>,
 ) {
     tokio::select! {
-        () = wanted.closed() => {}
-        () = gather(&config, &wanted) => {}
-        () = watch(&config, &store, &wanted) => {}
+        () = requests.closed() => {}
+        () = follow_adoption(&config, &requests) => {}
+        () = watch(&config, &store, &requests) => {}
     }
 }
 
-/// Gathers the configuration from peers alone, as agents do, until the receiver is dropped.
-pub async fn follow_peers(config: Arc<ConfigUpdater>, wanted: mpsc::Sender<FetchRequest>) {
+/// Keeps the configuration up to date with peers only, as agents do, until the receiver of
+/// `requests` is dropped.
+pub async fn follow_peers(config: Arc<ConfigUpdater>, requests: mpsc::Sender<FetchRequest>) {
     tokio::select! {
-        () = wanted.closed() => {}
-        () = gather(&config, &wanted) => {}
+        () = requests.closed() => {}
+        () = follow_adoption(&config, &requests) => {}
     }
 }
 
-/// Asks for what a starting process lacks, and keeps the time of the adoption rule.
-async fn gather(config: &ConfigUpdater, wanted: &mpsc::Sender<FetchRequest>) {
-    send(config.start(), wanted).await;
+/// Requests the configuration at the start and drives the timers of the adoption.
+async fn follow_adoption(config: &ConfigUpdater, requests: &mpsc::Sender<FetchRequest>) {
+    send(config.start(), requests).await;
     let mut ticks = tokio::time::interval(TICK);
     loop {
         ticks.tick().await;
-        send(config.tick(), wanted).await;
+        send(config.tick(), requests).await;
     }
 }
 
-async fn watch(config: &ConfigUpdater, store: &Store, wanted: &mpsc::Sender<FetchRequest>) {
-    // The first call is a read, which answers at once where a watch would wait for a change.
+async fn watch(config: &ConfigUpdater, store: &Store, requests: &mpsc::Sender<FetchRequest>) {
+    // The first call is a read, because it returns immediately; a watch would wait for a change.
     let mut read = true;
-    let mut down = false;
+    let mut failing = false;
     loop {
         let outcome = if read {
             config.refresh(store).await.map(|()| Vec::new())
         } else {
-            wait(config, store).await
+            watch_once(config, store).await
         };
         read = outcome.is_err();
-        note(&mut down, outcome.as_ref().err());
-        if let Ok(asked) = outcome {
-            send(asked, wanted).await;
+        log_outage(&mut failing, outcome.as_ref().err());
+        if let Ok(requested) = outcome {
+            send(requested, requests).await;
         } else {
-            let pause = PAUSE_MS + rand::random_range(0..PAUSE_MS);
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            let delay = RETRY_DELAY_MS + rand::random_range(0..RETRY_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay)).await;
         }
     }
 }
 
-/// Logs the beginning and the end of an outage, not each call of it.
-fn note(down: &mut bool, error: Option<&StoreError>) {
+/// Logs the beginning and the end of an outage of the store, not every failed call.
+fn log_outage(failing: &mut bool, error: Option<&StoreError>) {
     match error {
-        Some(error) if !*down => {
+        Some(error) if !*failing => {
             spdlog::warn!("the configuration cannot be read from the store: {error}");
         }
-        None if *down => spdlog::info!("the configuration can be read from the store again"),
+        None if *failing => spdlog::info!("the configuration can be read from the store again"),
         _ => {}
     }
-    *down = error.is_some();
+    *failing = error.is_some();
 }
 
-async fn wait(config: &ConfigUpdater, store: &Store) -> Result<Vec<FetchRequest>, StoreError> {
+async fn watch_once(
+    config: &ConfigUpdater,
+    store: &Store,
+) -> Result<Vec<FetchRequest>, StoreError> {
     let after = config.active().load().revision();
-    match store.watch(CONFIG_KEY, after, WAIT).await? {
+    match store.watch(CONFIG_KEY, after, WATCH_TIMEOUT).await? {
         Watched::Written(found) if found.revision > after => {
-            let asked = config.stored(found.revision, &found.value);
+            let requested = config.stored(found.revision, &found.value);
             if config.active().load().revision() == after {
-                // It could not be read; the watch would return at once, again and again.
-                tokio::time::sleep(WAIT).await;
+                // The document is unreadable, so the next watch would return immediately.
+                tokio::time::sleep(WATCH_TIMEOUT).await;
             }
-            Ok(asked)
+            Ok(requested)
         }
         Watched::Unchanged => Ok(Vec::new()),
-        // Nobody removes the document; should it happen, what is in force stays.
+        // geraniumpost never removes the document. If it is removed anyway, the configuration in
+        // force stays.
         Watched::Removed { .. } | Watched::Written(_) => {
-            tokio::time::sleep(WAIT).await;
+            tokio::time::sleep(WATCH_TIMEOUT).await;
             Ok(Vec::new())
         }
     }
 }
 
-async fn send(asked: Vec<FetchRequest>, wanted: &mpsc::Sender<FetchRequest>) {
-    for one in asked {
-        // A closed channel ends the task at its next turn.
-        let _ = wanted.send(one).await;
+async fn send(requested: Vec<FetchRequest>, requests: &mpsc::Sender<FetchRequest>) {
+    for request in requested {
+        // If the channel is closed, `select!` in the caller ends this task.
+        let _ = requests.send(request).await;
     }
 }
--- a/crates/geraniumpost/src/config/mod.rs
+++ b/crates/geraniumpost/src/config/mod.rs
@@ -1,4 +1,5 @@
-//! The configuration in force in this process, and the ways in which it changes.
+//! The configuration in force in this process, and how it is read from the store and from peers,
+//! and changed.
 
 mod active_config;
 mod caller;
@@ -18,5 +19,5 @@
 pub use follow::{follow_peers, follow_store};
 pub use writer::write_change;
 
-/// Key of the configuration in the store.
+/// Store key of the configuration.
 pub const CONFIG_KEY: &str = "geraniumpost/config";
--- a/crates/geraniumpost/src/config/writer.rs
+++ b/crates/geraniumpost/src/config/writer.rs
@@ -7,13 +7,13 @@
 
 use super::{CONFIG_KEY, ConfigUpdater};
 
-/// Pause after a call that failed, so that a store in trouble is not pressed.
-const PAUSE: Duration = Duration::from_millis(200);
+/// Delay after a failed call, which spares an overloaded store.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// Carries one operator's change into the store and tells what became of it.
+/// Writes an operator's change to the store and returns the outcome.
 ///
-/// What is read on the way is adopted. A repeat that finds its change made already is so answered
-/// from the document that was written then, whatever document the repeat carries.
+/// Configurations read in the process are adopted. If a change with the same id was already
+/// committed, the outcome is that of the earlier change, whatever document this one contains.
 pub async fn write_change(store: &Store, config: &ConfigUpdater, change: Change) -> ChangeOutcome {
     let mut protocol = ChangeProtocol::new(change);
     let mut action = protocol.begin();
@@ -24,7 +24,7 @@
             ChangeAction::Done(outcome) => return outcome,
         };
         if matches!(event, ChangeEvent::Failed | ChangeEvent::Lost) {
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(RETRY_DELAY).await;
         }
         action = protocol.handle(event);
     }
@@ -39,7 +39,7 @@
                 ChangeEvent::Read(Some((found.revision, stored)))
             }
             Err(error) => {
-                spdlog::error!("the stored configuration cannot be read: {error}");
+                spdlog::error!("cannot read the stored configuration: {error}");
                 ChangeEvent::Failed
             }
         },
--- a/crates/geraniumpost/src/datagram_socket.rs
+++ b/crates/geraniumpost/src/datagram_socket.rs
@@ -5,7 +5,7 @@
 use geraniumpost_schema::Datagram;
 use tokio::net::UdpSocket;
 
-/// A UDP socket that sends and receives sealed datagrams.
+/// UDP socket that seals each datagram it sends with the shared key, and opens each it receives.
 #[derive(Debug)]
 pub struct DatagramSocket {
     socket: UdpSocket,
@@ -17,28 +17,29 @@
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be had.
+    /// Fails if the address cannot be bound.
     pub async fn bind(address: SocketAddr, key: SharedKey) -> Result<Self> {
         let socket = UdpSocket::bind(address).await;
-        Ok(Self { socket: socket.wrap_err_with(|| format!("UDP on {address}"))?, key })
+        Ok(Self { socket: socket.wrap_err_with(|| format!("cannot bind UDP {address}"))?, key })
     }
 
-    /// Sends a datagram; a failure is logged, since datagrams may be lost anyway.
+    /// Sends a datagram. Only logs a failure, because datagrams may be lost anyway.
     pub async fn send(&self, datagram: &Datagram, to: SocketAddr) {
         let sealed = match seal_datagram(&self.key, datagram) {
             Ok(sealed) => sealed,
-            Err(error) => return spdlog::error!("datagram not sent to {to}: {error}"),
+            Err(error) => return spdlog::error!("cannot encode datagram to {to}: {error}"),
         };
         if let Err(error) = self.socket.send_to(&sealed, to).await {
-            spdlog::debug!("datagram not sent to {to}: {error}");
+            spdlog::debug!("cannot send datagram to {to}: {error}");
         }
     }
 
-    /// Waits for the next datagram; a stranger's bytes are an `Err` to be counted.
+    /// Receives the next datagram and its sender's address. A datagram that cannot be opened with
+    /// the shared key is an `Err`, so that the caller can count it.
     pub async fn receive(&self) -> (SocketAddr, Result<Datagram, NetError>) {
         let mut buf = [0; MAX_DATAGRAM];
         loop {
-            // An error here tells of an earlier datagram that nobody received; it is no news.
+            // An error reports that an earlier datagram was not delivered, which is harmless.
             if let Ok((len, from)) = self.socket.recv_from(&mut buf).await {
                 return (from, open_datagram(&self.key, &buf[..len]));
             }
--- a/crates/geraniumpost/src/drop_reason.rs
+++ b/crates/geraniumpost/src/drop_reason.rs
@@ -1,8 +1,9 @@
-//! Why a peer's bytes were dropped, as a metric's label.
+//! Label for the reason why bytes received from a peer were dropped.
 
 use geraniumpost_net::NetError;
 
-/// Returns the reason in one word, so that the metric has few labels.
+/// Returns the value of the metric label `why`. It contains no details of the error, so that the
+/// label has few values.
 pub const fn reason(error: &NetError) -> &'static str {
     match error {
         NetError::Io(_) => "connection",
--- a/crates/geraniumpost/src/entry_list.rs
+++ b/crates/geraniumpost/src/entry_list.rs
@@ -1,23 +1,23 @@
-//! The list of entries that entries and agents tell each other.
+//! Digest of the list of entries that entries and agents exchange.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use geraniumpost_schema::EntryPeer;
 
-/// Returns a digest by which two processes see that they hold the same list, so that the list
-/// itself travels only when they do not. The order does not matter.
+/// Returns a digest of the list that does not depend on its order. Processes compare digests, and
+/// send the list itself only if these differ.
 ///
 /// ```
 /// use geraniumpost::entry_list::digest;
 /// assert_eq!(digest(&[]), 0);
 /// ```
 pub fn digest(entries: &[EntryPeer]) -> u64 {
-    entries.iter().map(digest_of_one).fold(0, |all, one| all ^ one)
+    entries.iter().map(entry_digest).fold(0, |all, entry| all ^ entry)
 }
 
-/// `DefaultHasher::new` has fixed keys, so all processes of one version agree. Processes of two
-/// versions may not, and then merely send the list each time.
-fn digest_of_one(peer: &EntryPeer) -> u64 {
+/// `DefaultHasher::new` has fixed keys, so all processes of the same version compute the same
+/// digest. Processes of different versions may not, and then send the list each time.
+fn entry_digest(peer: &EntryPeer) -> u64 {
     let mut hasher = DefaultHasher::new();
     (&*peer.name, &*peer.region, &*peer.datagrams, &*peer.console).hash(&mut hasher);
     hasher.finish()
--- a/crates/geraniumpost/src/headers.rs
+++ b/crates/geraniumpost/src/headers.rs
@@ -1,22 +1,23 @@
-//! Headers of callers' requests and answers, and their way over a link.
+//! Names of HTTP headers, and conversion between HTTP headers and those of link messages.
 
 use geraniumpost_schema::HeaderField;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Deadline of a request in milliseconds from its arrival.
 pub const TIMEOUT_MS: &str = "x-request-timeout-ms";
-/// Id of a request, chosen by the caller or else by the entry, and echoed.
+/// Id of a request, chosen by the caller or else by the entry, and returned in the response.
 pub const REQUEST_ID: &str = "x-request-id";
-/// Name of the customer, told to the minion instead of the customer's token.
+/// Name of the customer, sent to the minion instead of the customer's token.
 pub const CUSTOMER: &str = "x-customer";
-/// Key by which a caller's repeat is told from a new request.
+/// Key that identifies repeats of the same request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// Numbered result of a request, see `docs/RESULT_CODES.md`.
+/// Result code of a request, see `docs/RESULT_CODES.md`.
 pub const RESULT_CODE: &str = "x-result-code";
-/// Milliseconds after which to come back, beside `Retry-After`, which knows only whole seconds.
+/// Delay in milliseconds after which to retry. `Retry-After` has only whole seconds.
 pub const RETRY_AFTER_MS: &str = "x-retry-after-ms";
 
-/// Writes headers for a link. Values that are no text do not get over and are left out.
+/// Converts HTTP headers for a link message. Omits values that are not visible ASCII text, because
+/// the message holds strings.
 pub fn to_fields(headers: &HeaderMap) -> Vec<HeaderField> {
     let text = |(name, value): (&HeaderName, &HeaderValue)| {
         let value = value.to_str().ok()?.to_owned();
@@ -25,7 +26,7 @@
     headers.iter().filter_map(text).collect()
 }
 
-/// Reads headers from a link; what is no header is left out.
+/// Converts the headers of a link message to HTTP headers. Omits fields that are not valid.
 pub fn from_fields(fields: &[HeaderField]) -> HeaderMap {
     let parsed = fields.iter().filter_map(|field| {
         let name = HeaderName::try_from(field.name.as_str()).ok()?;
--- a/crates/geraniumpost/src/in_flight.rs
+++ b/crates/geraniumpost/src/in_flight.rs
@@ -8,7 +8,7 @@
     count: Arc<watch::Sender<usize>>,
 }
 
-/// Counts one piece of work until it is dropped.
+/// Guard that counts one piece of work until it is dropped.
 #[derive(Debug)]
 pub struct InFlightGuard {
     count: Arc<watch::Sender<usize>>,
--- a/crates/geraniumpost/src/lib.rs
+++ b/crates/geraniumpost/src/lib.rs
@@ -1,9 +1,9 @@
 //! Scheduler for latency-critical and batch work that share VMs.
 //!
-//! This crate is the tokio shell around `geraniumpost-core`: it moves bytes between sockets and
-//! decisions. [`entry`] is what callers and operators reach, [`agent`] runs beside each endpoint,
-//! [`planner`] is the part of one entry per region that turns jobs into tasks, and [`cli`] is what
-//! operators type. `ARCHITECTURE.md` shows how they work together.
+//! This crate performs the I/O for the decisions of `geraniumpost-core` on `tokio`. [`entry`]
+//! serves callers and operators, [`agent`] runs beside each endpoint, [`planner`] places the jobs
+//! of a region and is active on one of its entries, and [`cli`] is the command line.
+//! `ARCHITECTURE.md` shows how they work together.
 
 pub mod agent;
 pub mod batch;
--- a/crates/geraniumpost/src/logs.rs
+++ b/crates/geraniumpost/src/logs.rs
@@ -1,7 +1,7 @@
-//! The log: levels, and one line for each routing or placement decision.
+//! Logging to standard output, with one line for each routing or placement decision.
 //!
-//! Lines are written to standard output by a thread of their own. When that thread cannot keep up,
-//! lines are dropped and counted instead of holding up a request; [`dropped`] tells how many.
+//! A separate thread writes the lines. If it cannot keep up, lines are dropped and counted instead
+//! of delaying requests; [`dropped`] returns their number.
 
 use std::fmt::{self, Write as _};
 use std::num::NonZeroUsize;
@@ -14,29 +14,33 @@
 use spdlog::terminal_style::StyleMode;
 use spdlog::{Level, LevelFilter, Logger, ThreadPool};
 
-/// Lines that may wait for the writing thread.
-const QUEUE: NonZeroUsize = NonZeroUsize::new(16_384).expect("the queue has room");
+/// Maximum number of lines in the queue of the writer thread.
+const QUEUE_CAPACITY: NonZeroUsize = NonZeroUsize::new(16_384).expect("the capacity is not 0");
 
 static DECISIONS: AtomicBool = AtomicBool::new(false);
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-/// Starts logging to standard output as the settings ask for.
+/// Starts logging to standard output with the given settings. `process` names the process in each
+/// line.
 ///
 /// # Errors
 ///
-/// Fails if the writing thread cannot be started.
+/// Fails if the writer thread cannot be started.
 pub fn start(settings: &LogSettings, process: &str) -> Result<()> {
     let sink = StdStreamSink::builder().stdout().style_mode(StyleMode::Never).build_arc()?;
     start_with(settings, process, sink)
 }
 
-/// Starts logging into another sink, which is how tests read the log.
+/// Starts logging to another sink. Tests use this to read the log.
 ///
 /// # Errors
 ///
-/// Fails if the writing thread cannot be started.
+/// Fails if the writer thread cannot be started.
 pub fn start_with(settings: &LogSettings, process: &str, sink: Arc<dyn Sink>) -> Result<()> {
-    let pool = ThreadPool::builder().capacity(QUEUE).build_arc().wrap_err("log thread")?;
+    let pool = ThreadPool::builder()
+        .capacity(QUEUE_CAPACITY)
+        .build_arc()
+        .wrap_err("cannot start the log writer thread")?;
     let sink = AsyncPoolSink::builder()
         .sink(sink)
         .thread_pool(pool)
@@ -50,8 +54,8 @@
         .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Error))
         .error_handler(|_| count_dropped())
         .build_arc()?;
-    let informative = logger.should_log(Level::Info);
-    DECISIONS.store(settings.decisions && informative, Ordering::Relaxed);
+    let logs_info = logger.should_log(Level::Info);
+    DECISIONS.store(settings.decisions && logs_info, Ordering::Relaxed);
     spdlog::set_default_logger(logger);
     Ok(())
 }
@@ -61,7 +65,7 @@
     DECISIONS.load(Ordering::Relaxed)
 }
 
-/// Returns how many lines were lost because the writing thread could not keep up.
+/// Returns the number of lines dropped because the queue of the writer thread was full.
 pub fn dropped() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
@@ -80,10 +84,10 @@
     })
 }
 
-/// Text on one line, with control characters escaped.
+/// Displays a value on one line, with control characters escaped.
 ///
-/// Request ids and keys come from callers; a newline in one could otherwise forge a line of the
-/// log.
+/// Request ids and keys come from callers. Without escaping, a newline in one could forge a log
+/// line.
 #[derive(Debug)]
 pub struct OneLine<T>(pub T);
 
@@ -93,7 +97,7 @@
     }
 }
 
-/// Writer that escapes control characters on their way.
+/// Writer that escapes control characters.
 struct Escaper<'a, 'b>(&'a mut fmt::Formatter<'b>);
 
 impl fmt::Write for Escaper<'_, '_> {
@@ -111,11 +115,12 @@
     }
 }
 
-/// Logs one routing or placement decision with its fields, if decisions are logged.
+/// Logs one routing or placement decision with its fields, if logging of decisions is enabled.
 ///
-/// What follows a semicolon writes its own fields, as the decisions of the core do.
+/// The value after a semicolon displays its own fields, as the decisions of the core do.
 ///
-/// The fields are not evaluated when decisions are off, so that it costs one load then.
+/// The fields are not evaluated if logging of decisions is disabled, so that a call then costs one
+/// atomic load.
 ///
 /// # Example
 ///
@@ -142,7 +147,7 @@
     };
 }
 
-/// Writes the line of [`decision!`](crate::decision).
+/// Writes the line of a [`decision!`](crate::decision).
 pub fn write_decision(fields: fmt::Arguments<'_>) {
     spdlog::info!("{}", OneLine(fields));
 }
--- a/crates/geraniumpost/src/main.rs
+++ b/crates/geraniumpost/src/main.rs
@@ -1,4 +1,4 @@
-//! The one shipped binary.
+//! The `geraniumpost` binary, which runs every role and the operators' commands.
 
 use std::process::ExitCode;
 
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -1,26 +1,26 @@
 use std::fmt::Write as _;
 
-/// How a metric behaves.
+/// Type of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// Only grows; its exported name ends in `_total`.
+    /// Value that only grows; its exported name ends in `_total`.
     Counter,
-    /// Stands for the present.
+    /// Current value.
     Gauge,
-    /// Distribution in seconds; its exported name ends in `_seconds`.
+    /// Distribution of durations in seconds; its exported name ends in `_seconds`.
     Histogram,
 }
 
-/// Name and meaning of one metric, from which instruments and the page are made.
+/// Description of a metric, from which the instrument and its row in `docs/METRICS.md` are created.
 #[derive(Debug, Clone, Copy)]
 pub struct Description {
-    /// Name without namespace and suffix.
+    /// Name without the prefix and the suffix of the exported name.
     pub name: &'static str,
-    /// How it behaves.
+    /// Type of the metric.
     pub kind: Kind,
-    /// Labels that split it, joined by commas.
+    /// Names of the labels, separated by commas.
     pub labels: &'static str,
-    /// What it tells, and when to worry.
+    /// What the metric measures, and which values need attention.
     pub meaning: &'static str,
 }
 
@@ -58,13 +58,13 @@
     }
 }
 
-/// All metrics, in the order of the page.
+/// All metrics, in the order of `docs/METRICS.md`.
 pub const DESCRIPTIONS: &[Description] = &[
     Description::new(
         "requests",
         Kind::Counter,
         "service, customer",
-        "Requests admitted or refused, by who sent them.",
+        "Requests of callers, admitted or refused.",
     ),
     Description::new(
         "outcomes",
@@ -78,18 +78,18 @@
         "service",
         "Time from a request's arrival to its answer.",
     ),
-    Description::new("in_flight", Kind::Gauge, "", "Attempts at agents being carried now."),
+    Description::new("in_flight", Kind::Gauge, "", "Attempts in flight to agents."),
     Description::new(
         "retries",
         Kind::Counter,
         "why",
-        "Attempts after the first; a steady rise tells of failing agents.",
+        "Attempts after the first; a steady rise indicates failing agents.",
     ),
     Description::new(
         "ejections",
         Kind::Counter,
         "domain",
-        "Agents left out of routing because they failed or were slow.",
+        "Ejections of agents from routing because they failed or were slow.",
     ),
     Description::new(
         "heartbeats",
@@ -101,19 +101,19 @@
         "agents",
         Kind::Gauge,
         "state",
-        "Agents known, by `ready`, `draining`, `ejected` or `disconnected`.",
+        "Known agents in state `ready`, `draining`, `ejected` or `disconnected`.",
     ),
     Description::new(
         "store_calls",
         Kind::Counter,
         "operation, result",
-        "Calls to the key-value service; `lost` replies are read back.",
+        "Calls to the key-value service; after a `lost` reply the value is read to learn the outcome.",
     ),
     Description::new(
         "store_call_duration",
         Kind::Histogram,
         "operation",
-        "Time of a call to the key-value service.",
+        "Duration of calls to the key-value service.",
     ),
     Description::new("store_up", Kind::Gauge, "", "1 if the last store call succeeded, else 0."),
     Description::new(
@@ -126,20 +126,15 @@
         "config_age_seconds",
         Kind::Gauge,
         "",
-        "How long ago the configuration in force was known to be the newest.",
+        "Time since the configuration in force was last known to be the newest.",
     ),
     Description::new(
         "config_reads",
         Kind::Counter,
         "result",
-        "Readings of the configuration that brought a document (`adopted`, `known`, `unusable`), or `failed`.",
-    ),
-    Description::new(
-        "config_bytes",
-        Kind::Counter,
-        "",
-        "Bytes of the configurations that were read.",
+        "Reads of the configuration by result: a document that was `adopted`, already `known` or `unusable`, or a `failed` read.",
     ),
+    Description::new("config_bytes", Kind::Counter, "", "Bytes of configuration documents read."),
     Description::new(
         "planner_term",
         Kind::Gauge,
@@ -150,32 +145,32 @@
         "jobs",
         Kind::Gauge,
         "state",
-        "Jobs of the region by state, on the planning entry.",
+        "Jobs of the region by state, reported by the planning entry.",
     ),
     Description::new(
         "lease_supporters",
         Kind::Gauge,
         "",
-        "Other entries that support this one as the coordinator; half of all let it extend leases without the store.",
+        "Other entries that support this one as the coordinator; if they form a majority together with it, it may extend leases without the store.",
     ),
     Description::new(
         "standing_task_wait_seconds",
         Kind::Gauge,
         "",
-        "How long the standing task that has been down longest has been down, 0 if none is or this entry does not coordinate.",
+        "Longest time for which a persistent task has been down, 0 if none is down or this entry does not coordinate.",
     ),
     Description::new(
         "other_task_wait_seconds",
         Kind::Gauge,
         "",
-        "Longest time in which a step of other waiting tasks got no place, 0 if none waits or this entry does not coordinate.",
+        "Longest wait of any other task for a placement, counted from the last placement of a task of its step, 0 if none waits or this entry does not coordinate.",
     ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
-    Description::new("evictions", Kind::Counter, "why", "Tasks checkpointed and moved."),
+    Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
         "dropped",
         Kind::Counter,
         "what, why",
-        "Datagrams, links, frames, late answers and log lines dropped; `wrong_key` ones came from a stranger.",
+        "Datagrams, links, frames, late answers and log lines dropped; `wrong_key` means that the sender does not have the shared key.",
     ),
 ];
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -12,15 +12,15 @@
 use super::description::{DESCRIPTIONS, Description};
 use crate::logs;
 
-/// Bounds of the duration histograms in seconds, closest where targets lie.
-const BOUNDS: [f64; 16] =
+/// Bucket bounds of the duration histograms in seconds, closest together near the latency targets.
+const BUCKET_BOUNDS_S: [f64; 16] =
     [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 30.0];
 
-/// Meters of one process with their exporter.
+/// Instruments of a process and their exporter.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    // Instruments fall silent when their provider is dropped.
+    // Instruments record nothing after their provider is dropped.
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     outcomes: Counter<u64>,
@@ -40,16 +40,16 @@
     planner_term: Gauge<u64>,
     jobs: Gauge<u64>,
     lease_supporters: Gauge<u64>,
-    standing_task_wait: Gauge<f64>,
+    persistent_task_wait: Gauge<f64>,
     other_task_wait: Gauge<f64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
-    log_lines_lost: AtomicU64,
+    reported_log_drops: AtomicU64,
 }
 
 impl Metrics {
-    /// Creates the meters and their exporter.
+    /// Creates the instruments and their exporter.
     ///
     /// # Errors
     ///
@@ -62,7 +62,7 @@
             .without_scope_info()
             .without_target_info()
             .build()
-            .map_err(|error| eyre!("metrics exporter: {error}"))?;
+            .map_err(|error| eyre!("cannot create the metrics exporter: {error}"))?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("geraniumpost");
         let metrics = Self {
@@ -84,16 +84,16 @@
             planner_term: gauge(&meter, "planner_term"),
             jobs: gauge(&meter, "jobs"),
             lease_supporters: gauge(&meter, "lease_supporters"),
-            standing_task_wait: seconds(&meter, "standing_task_wait_seconds"),
+            persistent_task_wait: seconds(&meter, "standing_task_wait_seconds"),
             other_task_wait: seconds(&meter, "other_task_wait_seconds"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
-            log_lines_lost: AtomicU64::new(0),
+            reported_log_drops: AtomicU64::new(0),
             registry,
             _provider: provider,
         };
-        // An alarm on a wait must find a figure also where no coordinator ever ran.
+        // Alerts on these gauges need a value even if this process never coordinates.
         metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         metrics.lease_supporters(0);
         Ok(metrics)
@@ -104,14 +104,14 @@
         self.requests.add(1, &[label("service", service), label("customer", customer)]);
     }
 
-    /// Counts a final answer and its time.
+    /// Counts a final answer and records the time from the request's arrival to it.
     pub fn outcome(&self, service: &str, code: u16, took: Duration) {
         let service = label("service", service);
         self.outcomes.add(1, &[service.clone(), KeyValue::new("code", i64::from(code))]);
         self.request_duration.record(took.as_secs_f64(), &[service]);
     }
 
-    /// Notes how many requests are carried now.
+    /// Sets the number of requests in flight.
     pub fn in_flight(&self, requests: u64) {
         self.in_flight.record(requests, &[]);
     }
@@ -121,29 +121,29 @@
         self.retries.add(1, &[label("why", why)]);
     }
 
-    /// Counts an agent left out of routing.
+    /// Counts an ejection of an agent of a failure domain.
     pub fn ejection(&self, domain: &str) {
         self.ejections.add(1, &[label("domain", domain)]);
     }
 
-    /// Counts a heartbeat from an `agent` or `entry`.
+    /// Counts a received heartbeat; `from` is `agent` or `entry`.
     pub fn heartbeat(&self, from: &str) {
         self.heartbeats.add(1, &[label("from", from)]);
     }
 
-    /// Notes how many agents are in `state`.
+    /// Sets the number of agents in `state`.
     pub fn agents(&self, state: &str, count: u64) {
         self.agents.record(count, &[label("state", state)]);
     }
 
-    /// Counts a store call, its time and what it tells of the store.
+    /// Counts a store call by its result, and records its duration.
     pub fn store_call(&self, operation: &str, result: &str, took: Duration) {
         let operation = label("operation", operation);
         self.store_calls.add(1, &[operation.clone(), label("result", result)]);
         self.store_call_duration.record(took.as_secs_f64(), &[operation]);
     }
 
-    /// Returns the store with each of its calls counted here.
+    /// Returns the store with an observer that records each of its calls.
     #[must_use]
     pub fn observed(self: &Arc<Self>, store: Store) -> Store {
         let metrics = Arc::clone(self);
@@ -153,45 +153,44 @@
         })
     }
 
-    /// Notes whether the store answers.
+    /// Sets whether the last store call succeeded.
     pub fn store_up(&self, up: bool) {
         self.store_up.record(u64::from(up), &[]);
     }
 
-    /// Notes the revision in force.
+    /// Sets the revision of the configuration in force.
     pub fn config_revision(&self, revision: u64) {
         self.config_revision.record(revision, &[]);
     }
 
-    /// Notes how long ago the configuration in force was known to be the newest.
+    /// Sets the time since the configuration in force was last known to be the newest.
     pub fn config_age(&self, age: Duration) {
         self.config_age.record(age.as_secs_f64(), &[]);
     }
 
-    /// Counts a reading of the configuration, and the bytes of the document it brought.
+    /// Counts a read of the configuration and the bytes of the document.
     pub fn config_read(&self, result: &str, bytes: usize) {
         self.config_reads.add(1, &[label("result", result)]);
         self.config_bytes.add(bytes as u64, &[]);
     }
 
-    /// Notes the planner term held, 0 for none.
+    /// Sets the term of the planner lease held by this entry, 0 for none.
     pub fn planner_term(&self, term: u64) {
         self.planner_term.record(term, &[]);
     }
 
-    /// Notes how many jobs are in `state`.
+    /// Sets the number of jobs in `state`.
     pub fn jobs(&self, state: &str, count: u64) {
         self.jobs.record(count, &[label("state", state)]);
     }
 
-    /// Notes for how long the standing task that has been down longest has been down, and for how
-    /// long a step of other waiting tasks got no place.
-    pub fn longest_wait(&self, standing: Duration, others: Duration) {
-        self.standing_task_wait.record(standing.as_secs_f64(), &[]);
+    /// Sets the longest waits of persistent tasks that are down, and of other tasks.
+    pub fn longest_wait(&self, persistent: Duration, others: Duration) {
+        self.persistent_task_wait.record(persistent.as_secs_f64(), &[]);
         self.other_task_wait.record(others.as_secs_f64(), &[]);
     }
 
-    /// Notes how many other entries support this one as the coordinator.
+    /// Sets the number of other entries that support this one as the coordinator.
     pub fn lease_supporters(&self, entries: u64) {
         self.lease_supporters.record(entries, &[]);
     }
@@ -206,7 +205,7 @@
         self.evictions.add(1, &[label("why", why)]);
     }
 
-    /// Counts datagrams, frames or log lines dropped.
+    /// Counts dropped items, such as datagrams, frames or log lines, by the reason `why`.
     pub fn dropped(&self, what: &str, why: &str, count: u64) {
         self.dropped.add(count, &[label("what", what), label("why", why)]);
     }
@@ -217,17 +216,20 @@
     ///
     /// Fails if a metric cannot be encoded.
     pub fn render(&self) -> Result<String> {
-        self.note_lost_lines(logs::dropped());
+        self.count_dropped_log_lines(logs::dropped());
         let mut buf = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut buf).wrap_err("metrics")?;
-        String::from_utf8(buf).wrap_err("metrics")
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .wrap_err("cannot encode metrics")?;
+        String::from_utf8(buf).wrap_err("cannot encode metrics")
     }
 
-    /// Adds the log lines lost since the last look; the log itself cannot reach the meters.
-    fn note_lost_lines(&self, lost: u64) {
-        let before = self.log_lines_lost.fetch_max(lost, Ordering::Relaxed);
-        if lost > before {
-            self.dropped("log", "queue_full", lost - before);
+    /// Counts the log lines dropped since the last call. The logger itself has no access to the
+    /// metrics.
+    fn count_dropped_log_lines(&self, total: u64) {
+        let before = self.reported_log_drops.fetch_max(total, Ordering::Relaxed);
+        if total > before {
+            self.dropped("log", "queue_full", total - before);
         }
     }
 }
@@ -258,6 +260,6 @@
         .f64_histogram(name)
         .with_description(meaning(name))
         .with_unit("s")
-        .with_boundaries(BOUNDS.to_vec())
+        .with_boundaries(BUCKET_BOUNDS_S.to_vec())
         .build()
 }
--- a/crates/geraniumpost/src/metrics/mod.rs
+++ b/crates/geraniumpost/src/metrics/mod.rs
@@ -1,4 +1,4 @@
-//! Metrics that an operator reads at `/metrics`; the list is in `docs/METRICS.md`.
+//! Metrics of a process, served at `/metrics` and listed in `docs/METRICS.md`.
 
 mod description;
 mod instruments;
--- a/crates/geraniumpost/src/metrics/serve.rs
+++ b/crates/geraniumpost/src/metrics/serve.rs
@@ -17,16 +17,17 @@
 
 use super::Metrics;
 
-/// Type of the text format of Prometheus.
-const TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
-/// Time in which the head of a call must arrive.
-const READ_TIME: Duration = Duration::from_secs(5);
-/// Connections at once; an agent has few readers, and more would cost it memory.
-const CONNECTIONS: usize = 16;
+/// Content type of the text format of Prometheus.
+const PROMETHEUS_TEXT: HeaderValue =
+    HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+/// Timeout for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum number of open connections. Few clients read an agent's metrics, and more connections
+/// would cost it memory.
+const MAX_CONNECTIONS: usize = 16;
 
-/// Serves `/metrics` alone, as agents do, until `stop` ends.
-///
-/// Entries serve it with their console instead.
+/// Serves only `/metrics` until `stop` completes. Agents use this; entries serve the metrics with
+/// their console.
 pub async fn serve_metrics(
     listener: TcpListener,
     metrics: Arc<Metrics>,
@@ -36,18 +37,18 @@
     let mut stop = pin!(stop);
     loop {
         while connections.try_join_next().is_some() {}
-        let room = connections.len() < CONNECTIONS;
+        let below_limit = connections.len() < MAX_CONNECTIONS;
         tokio::select! {
-            accepted = listener.accept(), if room => match accepted {
+            accepted = listener.accept(), if below_limit => match accepted {
                 Ok((stream, _)) => {
                     connections.spawn(connection(stream, Arc::clone(&metrics)));
                 }
                 Err(error) => {
-                    spdlog::warn!("metrics: {error}");
+                    spdlog::warn!("cannot accept a metrics connection: {error}");
                     tokio::time::sleep(Duration::from_millis(100)).await;
                 }
             },
-            _ = connections.join_next(), if !room => {}
+            _ = connections.join_next(), if !below_limit => {}
             () = &mut stop => return,
         }
     }
@@ -60,10 +61,10 @@
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(READ_TIME)
+        .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     if let Err(error) = served.await {
-        spdlog::debug!("metrics connection: {error}");
+        spdlog::debug!("metrics connection failed: {error}");
     }
 }
 
@@ -78,6 +79,6 @@
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, TEXT);
+    response.headers_mut().insert(CONTENT_TYPE, PROMETHEUS_TEXT);
     response
 }
--- a/crates/geraniumpost/src/open_connections.rs
+++ b/crates/geraniumpost/src/open_connections.rs
@@ -35,7 +35,7 @@
 }
 
 impl OpenConnections {
-    /// Begins without connections.
+    /// Creates the state of a server without open connections.
     pub fn new(first_request_timeout: Duration) -> Self {
         let closing = watch::Sender::new(false);
         Self { closing, open: InFlight::default(), first_request_timeout }
@@ -65,12 +65,13 @@
 }
 
 impl OpenConnection {
-    /// Returns what must be notified of each request.
+    /// Returns the handle that must be notified of each request.
     pub fn requested(&self) -> Arc<Notify> {
         Arc::clone(&self.requested)
     }
 
-    /// Serves the connection until it ends; at a planned stop, until the request in flight ends.
+    /// Serves the connection until it ends, or at a planned stop until its request in flight has
+    /// ended.
     pub async fn hold<C: GracefulConnection>(mut self, connection: C) -> C::Output {
         let mut connection = pin!(connection);
         tokio::select! {
--- a/crates/geraniumpost/src/runtime.rs
+++ b/crates/geraniumpost/src/runtime.rs
@@ -1,29 +1,33 @@
 use eyre::{Result, WrapErr};
 use tokio::runtime::{Builder, Runtime};
 
-/// Threads that carry requests. An entry VM is small and an agent must stay below a few percent of
-/// its VM, so more threads would only cost memory.
-const THREADS: usize = 4;
+/// Number of worker threads of an entry or agent. Entry VMs are small and an agent may use only a
+/// few percent of its VM, so more threads would only cost memory.
+const WORKER_THREADS: usize = 4;
 
-/// Starts the runtime of a long-running role.
+/// Starts the runtime of an entry or agent.
 ///
 /// # Errors
 ///
 /// Fails if the threads cannot be started.
 pub fn start() -> Result<Runtime> {
     let mut builder = Builder::new_multi_thread();
-    builder.worker_threads(THREADS).enable_all().build().wrap_err("starting threads")
+    builder.worker_threads(WORKER_THREADS).enable_all().build().wrap_err("cannot start threads")
 }
 
-/// Threads of a role that shares its VM with an endpoint, or has a small part of a processor.
-const FEW_THREADS: usize = 2;
+/// Number of worker threads of a role that may use only a small share of a processor.
+const SMALL_WORKER_THREADS: usize = 2;
 
-/// Starts the runtime of a role that has a small part of a processor.
+/// Starts the runtime of a role that may use only a small share of a processor.
 ///
 /// # Errors
 ///
 /// Fails if the threads cannot be started.
 pub fn start_small() -> Result<Runtime> {
     let mut builder = Builder::new_multi_thread();
-    builder.worker_threads(FEW_THREADS).enable_all().build().wrap_err("starting threads")
+    builder
+        .worker_threads(SMALL_WORKER_THREADS)
+        .enable_all()
+        .build()
+        .wrap_err("cannot start threads")
 }
--- a/crates/geraniumpost/src/stop_signal.rs
+++ b/crates/geraniumpost/src/stop_signal.rs
@@ -2,10 +2,10 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-/// Returns a receiver that turns true when the process is asked to stop.
+/// Returns a receiver that becomes true when the process receives SIGTERM or SIGINT.
 ///
-/// The handlers stay in place for good: a second SIGTERM during a planned stop would otherwise end
-/// the process at once and cut off the requests that the first one promised to finish.
+/// The handlers remain installed during a planned stop. Otherwise a second SIGTERM would end the
+/// process immediately, and the requests in flight would get no answer.
 ///
 /// # Errors
 ///
@@ -20,7 +20,7 @@
                 _ = term.recv() => {}
                 _ = interrupt.recv() => {}
             }
-            spdlog::info!("asked to stop: work under way is finished first");
+            spdlog::info!("received a stop signal; finishing work in flight");
             tx.send_replace(true);
         }
     });
@@ -29,14 +29,14 @@
 
 /// Waits until the process is asked to stop.
 pub async fn stopped(stop: &mut watch::Receiver<bool>) {
-    // An error means that nobody can ask any more, which is a stop as well.
-    let _ = stop.wait_for(|asked| *asked).await;
+    // An error means that the sender was dropped; the process is stopping then, too.
+    let _ = stop.wait_for(|requested| *requested).await;
 }
 
-/// Takes note of SIGHUP, which tells that the settings file has changed.
+/// Handles SIGHUP, which signals that the settings file has changed.
 ///
-/// Without a handler the signal would end the process. What the file says of this process cannot
-/// change while it runs, so the file is only read and checked.
+/// Without a handler the signal would end the process. The settings of a running process cannot
+/// change, so the file is only read and checked, and the result is logged.
 ///
 /// # Errors
 ///
