--- a/crates/geraniumpost/src/agent/context.rs
+++ b/crates/geraniumpost/src/agent/context.rs
@@ -8,7 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::mpsc;
 
-use super::tasks::{TaskEvent, TaskFigures, TaskOrder};
+use super::tasks::{TaskEvent, TaskOrder, TaskSummary};
 use super::{KnownEntries, RequestState};
 use crate::Clock;
 use crate::config::ConfigUpdater;
@@ -19,43 +19,42 @@
     pub struct LinkKey;
 }
 
-/// What the tasks of an agent share.
+/// State that the asynchronous tasks of an agent share.
 #[derive(Debug)]
 pub struct AgentContext {
-    /// The settings, checked.
+    /// The checked settings.
     pub settings: AgentSettings,
-    /// Name and incarnation.
+    /// Name and incarnation of this agent.
     pub me: Identity,
     /// The key shared with the entries.
     pub key: SharedKey,
-    /// The clock of all deadlines.
+    /// Clock of all deadlines.
     pub clock: Clock,
     /// The configuration in force.
     pub config: Arc<ConfigUpdater>,
-    /// Meters.
+    /// Metrics of this process.
     pub metrics: Arc<Metrics>,
-    /// The minion, none beside a worker alone.
+    /// Client of the minion; none if the VM has only a worker.
     pub minion: ArcSwapOption<Minion>,
-    /// Entries to announce to.
+    /// Entries to which heartbeats are sent.
     pub entries: Mutex<KnownEntries>,
     requests: Mutex<RequestState>,
     minion_limits: Mutex<(usize, usize)>,
     links: Mutex<SlotMap<LinkKey, LinkSender<ToEntry>>>,
-    orders: mpsc::UnboundedSender<TaskEvent>,
-    figures: ArcSwap<TaskFigures>,
+    task_events: mpsc::UnboundedSender<TaskEvent>,
+    task_summary: ArcSwap<TaskSummary>,
     draining: AtomicBool,
     sequence: AtomicU64,
 }
 
 impl AgentContext {
-    /// Creates the state of an agent that has just started.
-    ///
-    /// What concerns tasks is sent through `orders`.
+    /// Creates the state of an agent that has just started. Events that concern tasks are sent to
+    /// `task_events`.
     pub fn new(
         settings: AgentSettings,
         config: Arc<ConfigUpdater>,
         metrics: Arc<Metrics>,
-        orders: mpsc::UnboundedSender<TaskEvent>,
+        task_events: mpsc::UnboundedSender<TaskEvent>,
     ) -> Self {
         let incarnation = rand::random();
         Self {
@@ -69,20 +68,20 @@
             requests: Mutex::new(RequestState::new(incarnation)),
             minion_limits: Mutex::default(),
             links: Mutex::default(),
-            orders,
-            figures: ArcSwap::default(),
+            task_events,
+            task_summary: ArcSwap::default(),
             draining: AtomicBool::new(false),
             sequence: AtomicU64::new(1),
             settings,
         }
     }
 
-    /// Locks the requests for one short decision; never held across an await.
+    /// Locks the state of the requests; the guard must not be held across an `await`.
     pub fn requests(&self) -> MutexGuard<'_, RequestState> {
         self.requests.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the entries known.
+    /// Locks the known entries; the guard must not be held across an `await`.
     pub fn entries(&self) -> MutexGuard<'_, KnownEntries> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -100,81 +99,86 @@
     /// Sends a message over every link.
     pub fn broadcast(&self, message: &ToEntry) {
         for link in self.links().values() {
-            // A link that has ended is removed by its own task.
+            // Fails if the link has ended; its own task then removes it.
             let _ = link.send(message.clone());
         }
     }
 
-    /// Returns the next number of a heartbeat.
+    /// Returns the sequence number of the next heartbeat.
     pub fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Begins to leave: nothing new is taken from here on.
+    /// Starts draining: from now on, new requests and tasks are refused.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
         self.requests().drain();
     }
 
-    /// Returns whether the agent leaves.
+    /// Returns whether the agent is draining.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
 
-    /// Sets how many connections the minion gets and how large its answers may be.
+    /// Sets the maximum number of connections to the minion and the maximum size of its answers in
+    /// bytes.
     ///
-    /// The client is replaced only when one of them changes: each client bounds its own connections,
-    /// so a replaced one that still finishes requests adds to the new one's.
-    pub fn set_minion_limits(&self, connections: usize, largest: usize) {
+    /// The client is replaced only if a limit changes. Each client limits only its own connections,
+    /// so until a replaced client has finished its requests, there may be more connections.
+    pub fn set_minion_limits(&self, connections: usize, max_answer_bytes: usize) {
         let Some(address) = self.settings.minion else { return };
         let mut before = self.minion_limits.lock().unwrap_or_else(PoisonError::into_inner);
-        if *before != (connections, largest) {
-            *before = (connections, largest);
-            let minion = Minion::new(address, connections).max_answer(largest);
+        if *before != (connections, max_answer_bytes) {
+            *before = (connections, max_answer_bytes);
+            let minion = Minion::new(address, connections).max_answer(max_answer_bytes);
             self.minion.store(Some(Arc::new(minion)));
         }
     }
 
-    /// Returns the service of the minion, empty if there is none.
+    /// Returns the name of the minion's service, empty if there is no minion.
     pub fn service_name(&self) -> Name {
         self.settings.service.clone().unwrap_or_default()
     }
 
-    /// Returns the bounds of the minion's service, or the usual ones before a document is known.
+    /// Returns the configuration of the minion's service, or the default one if the service is not
+    /// in the configuration in force.
     pub fn service(&self) -> Arc<Service> {
         let in_force = self.config.active().load();
         let known = self.settings.service.as_ref().and_then(|name| in_force.service(name));
         known.cloned().unwrap_or_default()
     }
 
-    /// Passes an order on to the task that keeps the VM's ledger.
-    pub fn order(&self, order: TaskOrder) {
-        // Without a worker nobody listens; the planner then sees no report and places elsewhere.
-        let _ = self.orders.send(TaskEvent::Order(order));
+    /// Passes an order to the task that owns the VM's ledger.
+    pub fn send_order(&self, order: TaskOrder) {
+        // Fails if there is no worker. The planner then gets no report and places the job
+        // elsewhere.
+        let _ = self.task_events.send(TaskEvent::Order(order));
     }
 
-    /// Notes when a heartbeat was sent, from where a hold granted in its answer is counted.
-    pub fn heartbeat_sent(&self, sequence: u64) {
-        let _ = self.orders.send(TaskEvent::HeartbeatSent { sequence, at: self.clock.now() });
+    /// Records the time at which a heartbeat is sent, from which the agent lease that its answer
+    /// grants is counted.
+    pub fn record_heartbeat(&self, sequence: u64) {
+        let _ = self.task_events.send(TaskEvent::HeartbeatSent { sequence, at: self.clock.now() });
     }
 
-    /// Passes a planner's hold on.
-    pub fn grant(&self, ack: &HeartbeatAck) {
+    /// Passes the agent lease that a planner's answer grants to the ledger.
+    pub fn extend_agent_lease(&self, ack: &HeartbeatAck) {
         if ack.term == 0 {
             return;
         }
         let HeartbeatAck { sequence, term, hold_ms, .. } = *ack;
-        let _ = self.orders.send(TaskEvent::Hold { sequence, term, hold_ms });
+        let _ =
+            self.task_events.send(TaskEvent::LeaseGranted { sequence, term, lease_ms: hold_ms });
     }
 
-    /// Returns what heartbeats tell of the VM's tasks.
-    pub fn task_figures(&self) -> TaskFigures {
-        **self.figures.load()
+    /// Returns the summary of the VM's tasks for heartbeats.
+    pub fn task_summary(&self) -> TaskSummary {
+        **self.task_summary.load()
     }
 
-    /// Puts new figures in place.
-    pub fn set_task_figures(&self, figures: TaskFigures) {
-        self.figures.store(Arc::new(figures));
+    /// Replaces the summary of the VM's tasks.
+    pub fn set_task_summary(&self, summary: TaskSummary) {
+        self.task_summary.store(Arc::new(summary));
     }
 
     fn links(&self) -> MutexGuard<'_, SlotMap<LinkKey, LinkSender<ToEntry>>> {
--- a/crates/geraniumpost/src/agent/entries.rs
+++ b/crates/geraniumpost/src/agent/entries.rs
@@ -4,11 +4,11 @@
 
 use crate::entry_list;
 
-/// Entries that an agent announces itself to.
+/// Entries to which an agent sends heartbeats.
 ///
-/// The settings name some, so that a first word gets through; from then on the entries tell of each
-/// other. The settings' ones are kept for good: should all entries known be replaced at once, those
-/// addresses are what the operators hand on to the new ones.
+/// The settings contain the addresses of some entries (seeds). Their answers contain the list of
+/// all entries. The seeds are always kept: if all listed entries are replaced at the same time, new
+/// entries that reuse the seeds' addresses can still be reached.
 ///
 /// # Example
 ///
@@ -21,31 +21,31 @@
 #[derive(Debug, Clone)]
 pub struct KnownEntries {
     seeds: Vec<SocketAddr>,
-    told: Vec<EntryPeer>,
+    listed: Vec<EntryPeer>,
 }
 
 impl KnownEntries {
-    /// Knows only the settings' entries.
+    /// Creates a list of only the seeds.
     pub fn new(seeds: &[SocketAddr]) -> Self {
-        Self { seeds: seeds.to_vec(), told: Vec::new() }
+        Self { seeds: seeds.to_vec(), listed: Vec::new() }
     }
 
-    /// Takes the list that an entry has told; an empty one means that nothing changed.
-    pub fn told(&mut self, entries: Vec<EntryPeer>) {
+    /// Replaces the list with that of an entry's answer. An empty list means that it is unchanged.
+    pub fn update(&mut self, entries: Vec<EntryPeer>) {
         if !entries.is_empty() {
-            self.told = entries;
+            self.listed = entries;
         }
     }
 
-    /// Returns the digest of the list last told.
+    /// Returns the digest of the list last received.
     pub fn digest(&self) -> u64 {
-        entry_list::digest(&self.told)
+        entry_list::digest(&self.listed)
     }
 
-    /// Returns every address once, the settings' first.
+    /// Returns all addresses without duplicates, the seeds first.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.seeds.clone();
-        for peer in &self.told {
+        for peer in &self.listed {
             if let Ok(address) = peer.datagrams.parse()
                 && !addresses.contains(&address)
             {
--- a/crates/geraniumpost/src/agent/heartbeats.rs
+++ b/crates/geraniumpost/src/agent/heartbeats.rs
@@ -6,58 +6,58 @@
 use tokio::time::MissedTickBehavior;
 
 use super::AgentContext;
-use super::tasks::TaskFigures;
+use super::tasks::TaskSummary;
 use crate::datagram_socket::DatagramSocket;
 use crate::drop_reason::reason;
 
-/// Announces the agent at each interval until the process ends.
-pub async fn announce(cx: Arc<AgentContext>, socket: Arc<DatagramSocket>) {
+/// Sends heartbeats at the interval of the settings until the process ends.
+pub async fn send_periodically(cx: Arc<AgentContext>, socket: Arc<DatagramSocket>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(cx.settings.heartbeat_ms));
-    // After a pause of the process, one heartbeat is enough.
+    // After a process pause, the missed heartbeats are not sent.
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        announce_once(&cx, &socket).await;
+        send_once(&cx, &socket).await;
     }
 }
 
-/// Announces the agent to every entry known.
-pub async fn announce_once(cx: &AgentContext, socket: &DatagramSocket) {
+/// Sends a heartbeat to every known entry.
+pub async fn send_once(cx: &AgentContext, socket: &DatagramSocket) {
     let addresses: Vec<SocketAddr> = cx.entries().addresses();
     let beat = heartbeat(cx);
-    cx.heartbeat_sent(beat.sequence);
+    cx.record_heartbeat(beat.sequence);
     let datagram = Datagram::Heartbeat(beat);
     for address in addresses {
         socket.send(&datagram, address).await;
     }
 }
 
-/// Takes in the entries' answers until the process ends.
-pub async fn hear(cx: Arc<AgentContext>, socket: Arc<DatagramSocket>) {
+/// Receives the entries' answers to heartbeats until the process ends.
+pub async fn receive_acks(cx: Arc<AgentContext>, socket: Arc<DatagramSocket>) {
     loop {
         let (from, received) = socket.receive().await;
         match received {
             Ok(Datagram::HeartbeatAck(ack)) if ack.incarnation == cx.me.incarnation => {
-                acknowledged(&cx, ack);
+                on_ack(&cx, ack);
             }
             Ok(_) => cx.metrics.dropped("datagram", "unexpected", 1),
             Err(error) => {
-                spdlog::debug!("datagram from {from}: {error}");
+                spdlog::debug!("dropped a datagram from {from}: {error}");
                 cx.metrics.dropped("datagram", reason(&error), 1);
             }
         }
     }
 }
 
-fn acknowledged(cx: &AgentContext, ack: HeartbeatAck) {
+fn on_ack(cx: &AgentContext, ack: HeartbeatAck) {
     cx.metrics.heartbeat("entry");
-    cx.grant(&ack);
-    cx.entries().told(ack.entries);
+    cx.extend_agent_lease(&ack);
+    cx.entries().update(ack.entries);
 }
 
 fn heartbeat(cx: &AgentContext) -> Heartbeat {
     let settings = &cx.settings;
-    let TaskFigures { term, reserved, tasks } = cx.task_figures();
+    let TaskSummary { term, reserved, tasks } = cx.task_summary();
     Heartbeat {
         agent: cx.me.name.clone(),
         incarnation: cx.me.incarnation,
@@ -80,7 +80,7 @@
     }
 }
 
-/// Returns the VM's resources as the settings give them.
+/// Returns the VM's resources from the settings.
 fn capacity(cx: &AgentContext) -> Resources {
     let settings = &cx.settings;
     Resources {
--- a/crates/geraniumpost/src/agent/links.rs
+++ b/crates/geraniumpost/src/agent/links.rs
@@ -9,8 +9,8 @@
 use super::{AgentContext, Work, minion_runs};
 use crate::drop_reason::reason;
 
-/// Pause after an accept that failed, most often for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Delay after a failed accept, which is usually caused by a lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Accepts links from entries until the process ends.
 pub async fn serve(cx: Arc<AgentContext>, listener: TcpListener) {
@@ -18,8 +18,8 @@
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve_one(Arc::clone(&cx), stream))),
             Err(error) => {
-                spdlog::warn!("accepting links: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                spdlog::warn!("cannot accept a link: {error}");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
@@ -27,10 +27,10 @@
 
 async fn serve_one(cx: Arc<AgentContext>, stream: TcpStream) {
     let (connection, entry) = match accept(stream, &cx.me, &cx.key).await {
-        Ok(proved) => proved,
+        Ok(authenticated) => authenticated,
         Err(error) => {
             cx.metrics.dropped("link", reason(&error), 1);
-            return spdlog::debug!("link refused: {error}");
+            return spdlog::debug!("rejected a link: {error}");
         }
     };
     let metrics = Arc::clone(&cx.metrics);
@@ -56,14 +56,14 @@
         match head {
             ToAgent::Request(head) => {
                 let deadline = now.plus(head.deadline_ms);
-                let work = with_own_limits(cx, Work { head, body, deadline });
-                let starts = cx.requests().arrive(work, link, now);
+                let work = with_own_weight(cx, Work { head, body, deadline });
+                let starts = cx.requests().admit(work, link, now);
                 minion_runs::start_all(cx, starts);
             }
             ToAgent::Cancel(id) => cx.requests().cancel(id),
             ToAgent::Ask(ask) => cx.requests().ask(&ask, link, now),
             ToAgent::AskKey(ask) => cx.requests().ask_key(&ask, link, now),
-            ToAgent::Ping(number) => pong(cx, link, number),
+            ToAgent::Ping(number) => send_pong(cx, link, number),
             ToAgent::Adopt(adopt) => {
                 drop(cx.config.received(&entry.name, adopt.revision, &body));
                 let in_force = cx.config.active().load().revision();
@@ -75,13 +75,16 @@
             | ToAgent::Stop(_)
             | ToAgent::Throttle(_)
             | ToAgent::Settled(_)
-            | ToAgent::Supersede(_) => cx.order(TaskOrder { message: head, link: link.clone() }),
+            | ToAgent::Supersede(_) => {
+                cx.send_order(TaskOrder { message: head, link: link.clone() });
+            }
         }
     }
 }
 
-/// Bounds what an entry says about a request by the document in force here, which may be newer.
-fn with_own_limits(cx: &AgentContext, mut work: Work) -> Work {
+/// Replaces the customer's weight in a request by that of the configuration in force here, which
+/// may be newer than the entry's.
+fn with_own_weight(cx: &AgentContext, mut work: Work) -> Work {
     let RequestHead { weight, customer, .. } = &mut work.head;
     let in_force = cx.config.active().load();
     if let Some(known) = in_force.document().customers.get(customer) {
@@ -90,7 +93,7 @@
     work
 }
 
-fn pong(cx: &AgentContext, link: &LinkSender<ToEntry>, number: u64) {
+fn send_pong(cx: &AgentContext, link: &LinkSender<ToEntry>, number: u64) {
     let load = cx.requests().load();
     let _ = link.send(ToEntry::Pong(Pong { number, load }));
 }
--- a/crates/geraniumpost/src/agent/minion_runs.rs
+++ b/crates/geraniumpost/src/agent/minion_runs.rs
@@ -10,49 +10,49 @@
 use super::{AgentContext, KeptAnswer, Work};
 use crate::headers;
 
-/// How long a minion may go on with a request after the caller has stopped waiting.
+/// Maximum time for which a minion may continue to process a request after its deadline.
 ///
-/// The slot stays taken meanwhile, because the minion is still at work: handing it on would put
-/// more requests on the minion than its slots. A minion that hangs for good loses its connection
-/// after this time, and its agent is ejected long before by its failures.
-const OVERTIME: Duration = Duration::from_secs(30);
+/// The slot remains occupied meanwhile, because the minion would otherwise process more requests
+/// than it has slots. The connection to a minion that hangs is closed after this time; its agent is
+/// ejected much earlier because of the failures.
+const MAX_OVERRUN: Duration = Duration::from_secs(30);
 
-/// Starts work on the minion, each piece in a task of its own.
+/// Starts requests on the minion, each in an asynchronous task of its own.
 pub fn start_all(cx: &Arc<AgentContext>, work: Vec<Work>) {
     for work in work {
         tokio::spawn(run(Arc::clone(cx), work));
     }
 }
 
-/// Runs one request, answers it and starts what the free slot is given to.
+/// Runs one request, answers it, and starts the next requests when its slot is free.
 async fn run(cx: Arc<AgentContext>, work: Work) {
     let id = work.head.id;
     let began = Instant::now();
-    let time = cx.clock.until(work.deadline);
-    let mut sending = Box::pin(send(&cx, work, time + OVERTIME));
-    let in_time = timeout(time, &mut sending).await;
+    let time_left = cx.clock.until(work.deadline);
+    let mut sending = Box::pin(send(&cx, work, time_left + MAX_OVERRUN));
+    let in_time = timeout(time_left, &mut sending).await;
     let answer = in_time.unwrap_or_else(|_| {
-        let late = KeptAnswer::without_answer(Outcome::RunTimedOut, 0);
-        cx.requests().finished(id, late.clone(), cx.clock.now());
-        late
+        let timed_out = KeptAnswer::without_answer(Outcome::RunTimedOut, 0);
+        cx.requests().finish(id, timed_out.clone(), cx.clock.now());
+        timed_out
     });
     let success = answer.is_success();
     if answer == KeptAnswer::without_answer(Outcome::RunTimedOut, 0) {
-        // The caller has its answer; only the slot is waited for.
+        // The request is answered. Waits until the minion has finished and the slot is free.
         drop(sending.await);
     }
     let took = Micros(began.elapsed().as_micros() as u64);
     let now = cx.clock.now();
     let next = {
         let mut requests = cx.requests();
-        requests.finished(id, answer, now);
-        requests.left(id, took, success, now)
+        requests.finish(id, answer, now);
+        requests.release_slot(id, took, success, now)
     };
     start_all(&cx, next);
 }
 
-/// Sends a request to the minion and tells what became of it.
-async fn send(cx: &AgentContext, work: Work, longest: Duration) -> KeptAnswer {
+/// Sends a request to the minion and returns the outcome.
+async fn send(cx: &AgentContext, work: Work, max_time: Duration) -> KeptAnswer {
     let Some(minion) = cx.minion.load_full() else {
         return KeptAnswer::without_answer(Outcome::NotRunUnknownService, 0);
     };
@@ -60,17 +60,17 @@
         return KeptAnswer::without_answer(Outcome::NotRunUnreachable, 0);
     };
     let fields = headers::from_fields(&work.head.headers);
-    let sent = minion.send(method, &work.head.path, fields, work.body, longest).await;
-    sent.map_or_else(|error| failed(&error), answered)
+    let sent = minion.send(method, &work.head.path, fields, work.body, max_time).await;
+    sent.map_or_else(|error| from_error(&error), from_answer)
 }
 
-fn answered(answer: Answer) -> KeptAnswer {
+fn from_answer(answer: Answer) -> KeptAnswer {
     let fields = headers::to_fields(&answer.headers);
     KeptAnswer::answered(answer.status.as_u16(), fields, answer.body)
 }
 
-fn failed(error: &MinionError) -> KeptAnswer {
-    spdlog::debug!("minion: {error}");
+fn from_error(error: &MinionError) -> KeptAnswer {
+    spdlog::debug!("request to the minion failed: {error}");
     let outcome = match error {
         MinionError::NotSent(_) => Outcome::NotRunUnreachable,
         MinionError::Failed(_) => Outcome::RunFailed,
--- a/crates/geraniumpost/src/agent/mod.rs
+++ b/crates/geraniumpost/src/agent/mod.rs
@@ -1,7 +1,8 @@
-//! The process beside each endpoint: one authority on what runs on its VM.
+//! The process beside each endpoint, which alone decides what runs on its VM.
 //!
-//! Entries connect to it and send requests and tasks; it announces itself to them by heartbeats.
-//! What it decides is in [`RequestState`] and in the core; this module moves bytes.
+//! Agents announce themselves to entries by heartbeats. Entries connect to them, and send requests
+//! and orders for tasks. The decisions are made in [`RequestState`] and in the core; this module
+//! performs the I/O.
 
 mod context;
 mod entries;
--- a/crates/geraniumpost/src/agent/request_state.rs
+++ b/crates/geraniumpost/src/agent/request_state.rs
@@ -13,23 +13,23 @@
 
 use super::KeptAnswer;
 
-/// A request with its body, as the minion gets it.
+/// Request with its body, to be sent to the minion.
 #[derive(Debug)]
 pub struct Work {
-    /// What the entry said about it.
+    /// Head of the request from the entry.
     pub head: RequestHead,
-    /// The caller's whole body.
+    /// Complete body of the caller's request.
     pub body: Bytes,
-    /// When the caller stops waiting, on this process's clock.
+    /// Time by which the request must be answered, on this process's clock.
     pub deadline: Millis,
 }
 
-/// What the agent holds about requests: the record of what ran, the queue for the minion's slots
-/// and where each answer goes.
+/// State of the requests at an agent: the ledger of attempts, the queue for the minion's slots and
+/// the link over which each answer is sent.
 ///
-/// It is one plain structure behind one lock, because an attempt's record and its place in the
-/// queue must change together: a question that bars an attempt and takes it out of the queue in two
-/// steps would let a slot start it in between. Each method returns the work to start.
+/// All of it is protected by one lock, because the ledger and the queue must change together. If a
+/// query barred an attempt and removed it from the queue in two steps, a free slot could start the
+/// attempt in between. Methods that may start requests return these.
 #[derive(Debug)]
 pub struct RequestState {
     queue: FairQueue<Work>,
@@ -38,7 +38,7 @@
 }
 
 impl RequestState {
-    /// Creates the empty state of the agent's `incarnation`.
+    /// Creates the empty state of an agent with the given incarnation.
     pub fn new(incarnation: u64) -> Self {
         Self {
             queue: FairQueue::new(QueueLimits::default()),
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Puts a service's bounds in force.
+    /// Applies the limits of the service in the configuration in force.
     pub fn set_limits(&mut self, service: &Service) {
         let limits = QueueLimits::new().slots(service.slots as usize);
         self.queue.set_limits(limits.queue(service.queue as usize));
@@ -58,7 +58,7 @@
         self.queue.drain();
     }
 
-    /// Returns whether nothing runs or waits.
+    /// Returns whether no request runs or waits.
     pub fn is_empty(&self) -> bool {
         self.queue.is_empty()
     }
@@ -68,8 +68,8 @@
         self.queue.load()
     }
 
-    /// Takes in a request that arrived over `link`.
-    pub fn arrive(&mut self, work: Work, link: &LinkSender<ToEntry>, now: Millis) -> Vec<Work> {
+    /// Admits a request that was received over `link`.
+    pub fn admit(&mut self, work: Work, link: &LinkSender<ToEntry>, now: Millis) -> Vec<Work> {
         let id = work.head.id;
         let admission = self.ledger.admit(id, &work.head.key, now);
         match admission {
@@ -79,7 +79,7 @@
                     QueuedRequest::new(id, work.head.customer.clone(), work.deadline, work);
                 let weight = waiting.payload().head.weight;
                 let actions = self.queue.offer(waiting.weight(weight), now);
-                return self.carry_out(actions, now);
+                return self.execute(actions, now);
             }
             Admission::Join(_) => {
                 self.reply_to.insert(id, link.clone());
@@ -88,13 +88,14 @@
             Admission::AnswerLost => self.send_outcome(link, id, Outcome::RunAnswerLost),
             Admission::Barred => self.send_outcome(link, id, Outcome::NotRunBarred),
             Admission::Forgotten => self.send_outcome(link, id, Outcome::Unknown),
-            // The first copy of the frame is answered.
+            // The attempt is answered once, for the first copy of the message.
             Admission::Duplicate => {}
         }
         Vec::new()
     }
 
-    /// Answers a question about an attempt; an attempt not started is barred and leaves the queue.
+    /// Answers a query about an attempt. If the attempt has not started, it is barred and removed
+    /// from the queue.
     pub fn ask(&mut self, ask: &Ask, link: &LinkSender<ToEntry>, now: Millis) {
         let reply = self.ledger.ask(ask.id, ask.incarnation, now);
         if matches!(reply, AskReply::NeverStarted { .. }) {
@@ -104,13 +105,14 @@
         self.reply(ask.id, reply, link);
     }
 
-    /// Answers a question about a key, asked by a repeat of the request.
+    /// Answers a query about an idempotency key.
     pub fn ask_key(&mut self, ask: &AskKey, link: &LinkSender<ToEntry>, now: Millis) {
         let reply = self.ledger.ask_key(ask.id, &ask.key, ask.incarnation, now);
         self.reply(ask.id, reply, link);
     }
 
-    /// Takes a request whose caller left out of the queue; one that runs is let run.
+    /// Removes a request from the queue because its caller no longer waits. A request that runs is
+    /// not interrupted.
     pub fn cancel(&mut self, id: RequestId) {
         if self.queue.cancel(id).is_some() {
             let joined = self.ledger.mark_not_run(id);
@@ -119,29 +121,35 @@
         self.reply_to.remove(&id);
     }
 
-    /// Takes in the final word on a running attempt and answers all who wait for it. The slot stays
-    /// taken until [`Self::left`].
-    pub fn finished(&mut self, id: RequestId, answer: KeptAnswer, now: Millis) {
+    /// Records the final outcome of a running attempt, and sends it to all entries that wait for
+    /// it. The slot remains occupied until [`Self::release_slot`].
+    pub fn finish(&mut self, id: RequestId, answer: KeptAnswer, now: Millis) {
         let joined = self.ledger.finish(id, answer.clone(), answer.size(), now);
         for id in std::iter::once(id).chain(joined) {
             self.answer(id, &answer);
         }
     }
 
-    /// Takes in that an attempt left the minion after `took`, and fills the free slot.
-    pub fn left(&mut self, id: RequestId, took: Micros, success: bool, now: Millis) -> Vec<Work> {
+    /// Releases the slot of an attempt that the minion has finished after `took`.
+    pub fn release_slot(
+        &mut self,
+        id: RequestId,
+        took: Micros,
+        success: bool,
+        now: Millis,
+    ) -> Vec<Work> {
         let actions = self.queue.finish(id, took, success, now);
-        self.carry_out(actions, now)
+        self.execute(actions, now)
     }
 
-    /// Refuses what can no longer meet its deadline; to be called every 20 ms or so.
+    /// Refuses requests that can no longer meet their deadline; must be called about every 20 ms.
     pub fn tick(&mut self, now: Millis) -> Vec<Work> {
         self.ledger.expire_answers(now);
         let actions = self.queue.tick(now);
-        self.carry_out(actions, now)
+        self.execute(actions, now)
     }
 
-    fn carry_out(&mut self, actions: Vec<QueueAction<Work>>, now: Millis) -> Vec<Work> {
+    fn execute(&mut self, actions: Vec<QueueAction<Work>>, now: Millis) -> Vec<Work> {
         let mut starts = Vec::new();
         let mut actions = std::collections::VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
@@ -153,14 +161,14 @@
                     actions.extend(self.queue.finish(waiting.id(), Micros(0), false, now));
                 }
                 QueueAction::Refuse { request, refusal, retry_after_ms } => {
-                    self.refused(request.id(), refusal, retry_after_ms);
+                    self.on_refusal(request.id(), refusal, retry_after_ms);
                 }
             }
         }
         starts
     }
 
-    fn refused(&mut self, id: RequestId, refusal: Refusal, retry_after_ms: u64) {
+    fn on_refusal(&mut self, id: RequestId, refusal: Refusal, retry_after_ms: u64) {
         let mut ids = self.ledger.mark_not_run(id);
         ids.push(id);
         self.refuse(&ids, refusal.outcome(), retry_after_ms);
@@ -174,13 +182,14 @@
     }
 
     fn reply(&mut self, id: RequestId, reply: AskReply<KeptAnswer>, link: &LinkSender<ToEntry>) {
-        // A lost answer is told as an outcome of its own, which says more than the verdict.
+        // A lost answer is sent as an outcome below, which is more precise than the verdict.
         if reply != AskReply::AnswerLost {
             let verdict = Verdict { id, verdict: reply.verdict() };
             let _ = link.send(ToEntry::Verdict(verdict));
         }
         match reply {
-            // The link that the attempt came over is lost or silent; the answer goes over this one.
+            // The link over which the attempt came has ended or is unresponsive, so the answer is
+            // sent over this one.
             AskReply::Running => drop(self.reply_to.insert(id, link.clone())),
             AskReply::Finished(answer) => self.send(link, id, &answer),
             AskReply::AnswerLost => self.send_outcome(link, id, Outcome::RunAnswerLost),
@@ -199,7 +208,7 @@
         self.send(link, id, &KeptAnswer::without_answer(outcome, 0));
     }
 
-    /// A link that has ended takes no frame; the entry then asks over another.
+    /// Sends an answer. If the link has ended, the entry queries the attempt over another link.
     fn send(&self, link: &LinkSender<ToEntry>, id: RequestId, answer: &KeptAnswer) {
         let _ = link.send(answer.frame(id, self.load()));
     }
--- a/crates/geraniumpost/src/agent/tasks/call_queue.rs
+++ b/crates/geraniumpost/src/agent/tasks/call_queue.rs
@@ -11,59 +11,59 @@
 use super::worker_calls;
 use crate::Clock;
 
-/// Calls to the worker, in order for each job.
+/// Queue of calls to the worker, which makes the calls for the same job in order.
 #[derive(Debug)]
 pub(super) struct CallQueue {
     worker: Worker,
     clock: Clock,
     answers: mpsc::UnboundedSender<LedgerEvent>,
-    hold_until: Arc<AtomicU64>,
+    lease_until: Arc<AtomicU64>,
     jobs: HashMap<Name, mpsc::UnboundedSender<LedgerAction>>,
 }
 
 impl CallQueue {
-    /// Creates the queue; outcomes go to `answers`.
+    /// Creates an empty queue. The outcomes of the calls are sent to `answers`.
     pub(super) fn new(
         worker: Worker,
         clock: Clock,
         answers: mpsc::UnboundedSender<LedgerEvent>,
     ) -> Self {
-        let hold_until = Arc::default();
-        Self { worker, clock, answers, hold_until, jobs: HashMap::new() }
+        let lease_until = Arc::default();
+        Self { worker, clock, answers, lease_until, jobs: HashMap::new() }
     }
 
-    /// Sets until when tasks may be started and renewed.
-    pub(super) fn set_hold_until(&self, until: Millis) {
-        self.hold_until.store(until.0, Ordering::SeqCst);
+    /// Sets the expiry time of the agent lease, until which tasks may be started and renewed.
+    pub(super) fn set_lease_until(&self, until: Millis) {
+        self.lease_until.store(until.0, Ordering::SeqCst);
     }
 
-    /// Makes a call after the earlier ones for the same job.
+    /// Makes a call after all earlier calls for the same job have completed.
     pub(super) fn push(&mut self, job: &Name, call: LedgerAction) {
         let last = matches!(call, LedgerAction::Forget { .. });
         let queue = self.jobs.get(job).cloned().unwrap_or_else(|| self.open(job));
-        // The queue's task ends only when its sender here is dropped.
+        // Cannot fail, because the receiving task ends only after this sender is dropped.
         let _ = queue.send(call);
         if last {
             self.jobs.remove(job);
         }
     }
 
-    /// Makes a call at once; renewals must not wait behind a slow checkpoint.
-    pub(super) fn at_once(&self, call: LedgerAction) {
+    /// Makes a call immediately, for example a renewal, which must not wait for a slow checkpoint.
+    pub(super) fn call_now(&self, call: LedgerAction) {
         let (worker, answers) = (self.worker.clone(), self.answers.clone());
-        let (clock, hold_until) = (self.clock, Arc::clone(&self.hold_until));
+        let (clock, lease_until) = (self.clock, Arc::clone(&self.lease_until));
         tokio::spawn(async move {
-            worker_calls::make(&worker, call, clock, &hold_until, &answers).await;
+            worker_calls::make(&worker, call, clock, &lease_until, &answers).await;
         });
     }
 
     fn open(&mut self, job: &Name) -> mpsc::UnboundedSender<LedgerAction> {
         let (tx, mut calls) = mpsc::unbounded_channel();
         let (worker, answers) = (self.worker.clone(), self.answers.clone());
-        let (clock, hold_until) = (self.clock, Arc::clone(&self.hold_until));
+        let (clock, lease_until) = (self.clock, Arc::clone(&self.lease_until));
         tokio::spawn(async move {
             while let Some(call) = calls.recv().await {
-                worker_calls::make(&worker, call, clock, &hold_until, &answers).await;
+                worker_calls::make(&worker, call, clock, &lease_until, &answers).await;
             }
         });
         self.jobs.insert(job.clone(), tx.clone());
--- a/crates/geraniumpost/src/agent/tasks/driver.rs
+++ b/crates/geraniumpost/src/agent/tasks/driver.rs
@@ -8,25 +8,25 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
-use super::{CallQueue, TaskEvent, TaskFigures, TaskOrder};
+use super::{CallQueue, TaskEvent, TaskOrder, TaskSummary};
 use crate::agent::AgentContext;
 
-/// Interval of the ledger's clock.
+/// Interval at which the ledger handles the passing of time.
 const TICK: Duration = Duration::from_millis(100);
 
-/// The task that owns the VM's ledger.
+/// State of the asynchronous task that owns the VM's ledger.
 struct Driver {
     cx: Arc<AgentContext>,
     ledger: VmLedger,
     calls: CallQueue,
-    drained: bool,
+    drain_requested: bool,
 }
 
 /// Runs until the agent's process ends.
 pub(super) async fn run(
     cx: Arc<AgentContext>,
     worker: Worker,
-    mut orders: mpsc::UnboundedReceiver<TaskEvent>,
+    mut events: mpsc::UnboundedReceiver<TaskEvent>,
 ) {
     let (answers_tx, mut answers) = mpsc::unbounded_channel();
     let mut revisions: watch::Receiver<u64> = cx.config.active().subscribe();
@@ -37,13 +37,13 @@
     loop {
         tokio::select! {
             biased;
-            Some(event) = orders.recv() => driver.on_event(event),
+            Some(event) = events.recv() => driver.on_event(event),
             Some(answer) = answers.recv() => driver.handle(answer),
             Ok(()) = revisions.changed() => driver.reserve(),
             _ = ticks.tick() => driver.tick(),
             else => return,
         }
-        driver.publish();
+        driver.publish_summary();
     }
 }
 
@@ -56,7 +56,7 @@
         let capacity = capacity(&cx.settings);
         let ledger = VmLedger::new(cx.me.incarnation, capacity, LedgerConfig::default());
         let calls = CallQueue::new(worker, cx.clock, answers);
-        Self { cx, ledger, calls, drained: false }
+        Self { cx, ledger, calls, drain_requested: false }
     }
 
     fn on_event(&mut self, event: TaskEvent) {
@@ -65,11 +65,11 @@
             TaskEvent::HeartbeatSent { sequence, at } => {
                 self.handle_at(LedgerEvent::HeartbeatSent(sequence), at);
             }
-            TaskEvent::Hold { sequence, term, hold_ms } => {
-                let ack = self.ack(sequence, term, hold_ms);
+            TaskEvent::LeaseGranted { sequence, term, lease_ms } => {
+                let ack = self.ack(sequence, term, lease_ms);
                 self.handle(LedgerEvent::Ack(ack));
             }
-            // Reports go over every link; entries that don't plan drop them.
+            // Reports are sent over every link; entries that do not plan ignore them.
             TaskEvent::LinkUp(_) => {}
         }
     }
@@ -87,7 +87,7 @@
         self.handle(event);
     }
 
-    /// Builds the part of the answer that the ledger reads.
+    /// Builds an answer to a heartbeat with the fields that the ledger reads.
     fn ack(&self, sequence: u64, term: u64, hold_ms: u64) -> HeartbeatAck {
         HeartbeatAck {
             entry: Name::default(),
@@ -111,8 +111,8 @@
     }
 
     fn tick(&mut self) {
-        if self.cx.is_draining() && !self.drained {
-            self.drained = true;
+        if self.cx.is_draining() && !self.drain_requested {
+            self.drain_requested = true;
             self.handle(LedgerEvent::Drain);
         }
         self.handle(LedgerEvent::Tick);
@@ -124,13 +124,13 @@
 
     fn handle_at(&mut self, event: LedgerEvent, now: Millis) {
         let actions = self.ledger.handle(event, now);
-        self.calls.set_hold_until(self.ledger.lease_until());
+        self.calls.set_lease_until(self.ledger.lease_until());
         for action in actions {
-            self.carry_out(action);
+            self.execute(action);
         }
     }
 
-    fn carry_out(&mut self, action: LedgerAction) {
+    fn execute(&mut self, action: LedgerAction) {
         let job = match &action {
             LedgerAction::Report(report) => {
                 return self.cx.broadcast(&ToEntry::Report(report.clone()));
@@ -138,7 +138,7 @@
             LedgerAction::Inventory(inventory) => {
                 return self.cx.broadcast(&ToEntry::Inventory(inventory.clone()));
             }
-            LedgerAction::Renew { .. } | LedgerAction::List => return self.calls.at_once(action),
+            LedgerAction::Renew { .. } | LedgerAction::List => return self.calls.call_now(action),
             LedgerAction::Start(order) => order.job.clone(),
             LedgerAction::Checkpoint { job, .. }
             | LedgerAction::Stop { job, .. }
@@ -148,15 +148,15 @@
         self.calls.push(&job, action);
     }
 
-    /// Lets heartbeats tell what the VM holds.
-    fn publish(&self) {
-        let figures = TaskFigures {
+    /// Updates the summary that heartbeats contain.
+    fn publish_summary(&self) {
+        let summary = TaskSummary {
             term: self.ledger.term(),
             reserved: self.ledger.reserved(),
             tasks: self.ledger.live_tasks() as u32,
         };
-        if self.cx.task_figures() != figures {
-            self.cx.set_task_figures(figures);
+        if self.cx.task_summary() != summary {
+            self.cx.set_task_summary(summary);
         }
     }
 }
--- a/crates/geraniumpost/src/agent/tasks/task_event.rs
+++ b/crates/geraniumpost/src/agent/tasks/task_event.rs
@@ -2,27 +2,27 @@
 
 use super::TaskOrder;
 
-/// What the task that keeps the VM's ledger is told.
+/// Event for the asynchronous task that owns the VM's ledger.
 #[derive(Debug, Clone)]
 pub enum TaskEvent {
-    /// A planner's order.
+    /// An order of a planner was received.
     Order(TaskOrder),
     /// A heartbeat is about to be sent.
     HeartbeatSent {
-        /// Its number.
+        /// Sequence number of the heartbeat.
         sequence: u64,
-        /// When.
+        /// Time of sending.
         at: Millis,
     },
-    /// A planner lets tasks go on.
-    Hold {
-        /// Number of the heartbeat that was answered.
+    /// A planner has granted an agent lease in its answer to a heartbeat.
+    LeaseGranted {
+        /// Sequence number of the heartbeat.
         sequence: u64,
-        /// The planner's term.
+        /// Term of the planner.
         term: u64,
-        /// How long from the sending of that heartbeat, in milliseconds.
-        hold_ms: u64,
+        /// Duration of the lease in milliseconds, from the sending of the heartbeat.
+        lease_ms: u64,
     },
-    /// A link to an entry has come up; reports may go over it.
+    /// A link to an entry was established, over which reports can be sent.
     LinkUp(geraniumpost_net::LinkSender<geraniumpost_schema::ToEntry>),
 }
--- a/crates/geraniumpost/src/agent/tasks/task_order.rs
+++ b/crates/geraniumpost/src/agent/tasks/task_order.rs
@@ -1,11 +1,11 @@
 use geraniumpost_net::LinkSender;
 use geraniumpost_schema::{ToAgent, ToEntry};
 
-/// A planner's order with the link that it came over, which takes the reports.
+/// Order of a planner and the link over which it was received.
 #[derive(Debug, Clone)]
 pub struct TaskOrder {
     /// The order.
     pub message: ToAgent,
-    /// Where reports go.
+    /// Link over which reports can be sent.
     pub link: LinkSender<ToEntry>,
 }
--- a/crates/geraniumpost/src/agent/tasks/task_figures.rs
+++ b/crates/geraniumpost/src/agent/tasks/task_summary.rs
@@ -1,12 +1,12 @@
 use geraniumpost_schema::Resources;
 
-/// What heartbeats tell of the VM's tasks.
+/// Summary of the VM's tasks for heartbeats.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct TaskFigures {
+pub struct TaskSummary {
     /// Highest planner term seen.
     pub term: u64,
-    /// What the ledger holds reserved.
+    /// Resources that are reserved for tasks.
     pub reserved: Resources,
-    /// Tasks running or being started.
+    /// Number of tasks that run or are being started.
     pub tasks: u32,
 }
--- a/crates/geraniumpost/src/agent/tasks/worker_calls.rs
+++ b/crates/geraniumpost/src/agent/tasks/worker_calls.rs
@@ -1,4 +1,4 @@
-//! Calls to the worker's task interface and what their outcomes mean to the ledger.
+//! Calls to the worker's task interface, and conversion of their outcomes to events of the ledger.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -10,23 +10,23 @@
 
 use crate::Clock;
 
-/// Makes one call and sends its outcome, if the ledger can conclude anything from it.
+/// Makes a call and sends the resulting event, if there is one, to `answers`.
 ///
-/// A call whose answer is lost has no outcome, but for a start: the ledger repeats it, or learns from
-/// the next list.
+/// A call whose answer is lost causes no event, except for a start. The ledger repeats the call or
+/// learns the outcome from the next list of tasks.
 pub(super) async fn make(
     worker: &Worker,
     call: LedgerAction,
     clock: Clock,
-    hold_until: &AtomicU64,
+    lease_until: &AtomicU64,
     answers: &mpsc::UnboundedSender<LedgerEvent>,
 ) {
-    // Asked again here, as the process may have been paused since the ledger decided.
-    let held = clock.now().0 < hold_until.load(Ordering::SeqCst);
+    // Checked again, because the process may have been paused since the ledger checked the lease.
+    let lease_valid = clock.now().0 < lease_until.load(Ordering::SeqCst);
     let outcome = match call {
-        LedgerAction::Renew { .. } if !held => None,
-        LedgerAction::Start(StartTask { job, epoch, .. }) if !held => {
-            let reason = "the hold has lapsed".to_owned();
+        LedgerAction::Renew { .. } if !lease_valid => None,
+        LedgerAction::Start(StartTask { job, epoch, .. }) if !lease_valid => {
+            let reason = "the agent lease has expired".to_owned();
             Some(LedgerEvent::StartRefused { job, epoch, reason })
         }
         LedgerAction::Start(order) => Some(start(worker, order).await),
@@ -34,39 +34,39 @@
         LedgerAction::Checkpoint { job, epoch } => Some(checkpoint(worker, job, epoch).await),
         LedgerAction::Stop { job, epoch } => stop(worker, job, epoch, clock).await,
         LedgerAction::Throttle { job, permille, .. } => {
-            report("throttle", &job, worker.throttle(&job, permille).await);
+            log_failure("throttle", &job, worker.throttle(&job, permille).await);
             None
         }
         LedgerAction::Forget { job, .. } => {
-            report("forget", &job, worker.forget(&job).await);
+            log_failure("forget", &job, worker.forget(&job).await);
             None
         }
         LedgerAction::List => list(worker, clock).await,
         LedgerAction::Report(_) | LedgerAction::Inventory(_) => None,
     };
     if let Some(event) = outcome {
-        // The ledger's task ends only with the process.
+        // Cannot fail, because the ledger's task ends only with the process.
         let _ = answers.send(event);
     }
 }
 
-fn lease() -> Duration {
+fn worker_lease() -> Duration {
     Duration::from_millis(LedgerConfig::default().worker_lease_ms)
 }
 
-fn report(what: &str, job: &Name, result: Result<(), WorkerError>) {
+fn log_failure(call: &str, job: &Name, result: Result<(), WorkerError>) {
     if let Err(error) = result {
-        spdlog::warn!("job {job}: {what}: {error}");
+        spdlog::warn!("job {job}: {call} failed: {error}");
     }
 }
 
 async fn start(worker: &Worker, order: StartTask) -> LedgerEvent {
     let StartTask { job, epoch, need, command, checkpoint, .. } = order;
-    let order = TaskOrder { epoch, lease: lease(), need, command, checkpoint };
+    let order = TaskOrder { epoch, lease: worker_lease(), need, command, checkpoint };
     match worker.start(&job, &order).await {
         Ok(_) => LedgerEvent::Started { job, epoch },
         Err(WorkerError::Uncertain(why)) => {
-            spdlog::warn!("job {job} epoch {epoch}: the start is uncertain: {why}");
+            spdlog::warn!("job {job} epoch {epoch}: outcome of the start unknown: {why}");
             LedgerEvent::StartUncertain { job, epoch }
         }
         Err(error) => {
@@ -77,7 +77,7 @@
 }
 
 async fn renew(worker: &Worker, job: Name, epoch: u64) -> LedgerEvent {
-    report("renewal", &job, worker.renew(&job, lease()).await);
+    log_failure("renewal", &job, worker.renew(&job, worker_lease()).await);
     LedgerEvent::Renewed { job, epoch }
 }
 
@@ -85,20 +85,20 @@
     match worker.checkpoint(&job).await {
         Ok(checkpoint) => LedgerEvent::Checkpointed { job, epoch, checkpoint },
         Err(error) => {
-            spdlog::warn!("job {job} epoch {epoch}: checkpoint: {error}");
+            spdlog::warn!("job {job} epoch {epoch}: checkpoint failed: {error}");
             LedgerEvent::CheckpointFailed { job, epoch }
         }
     }
 }
 
-/// Ends a task and lists how it ended: it may have completed just before, and a result taken for a
-/// stop would be computed a second time.
+/// Stops a task, then lists the tasks to learn how it ended. The task may have completed just
+/// before the stop; if it were reported as stopped, its result would be computed again.
 async fn stop(worker: &Worker, job: Name, epoch: u64, clock: Clock) -> Option<LedgerEvent> {
     match worker.stop(&job).await {
         Ok(()) | Err(WorkerError::WrongState) => list(worker, clock).await,
         Err(WorkerError::NoSuchTask) => Some(LedgerEvent::Stopped { job, epoch }),
         Err(error) => {
-            spdlog::warn!("job {job} epoch {epoch}: stop: {error}");
+            spdlog::warn!("job {job} epoch {epoch}: stop failed: {error}");
             None
         }
     }
@@ -108,17 +108,17 @@
     let requested_at = clock.now();
     match worker.list().await {
         Ok(tasks) => {
-            let tasks = tasks.into_iter().map(listed).collect();
+            let tasks = tasks.into_iter().map(to_core).collect();
             Some(LedgerEvent::Listed { requested_at, tasks })
         }
         Err(error) => {
-            spdlog::warn!("listing the worker's tasks: {error}");
+            spdlog::warn!("cannot list the worker's tasks: {error}");
             None
         }
     }
 }
 
-fn listed(task: geraniumpost_outside::WorkerTask) -> WorkerTask {
+fn to_core(task: geraniumpost_outside::WorkerTask) -> WorkerTask {
     WorkerTask {
         job: task.id,
         epoch: task.epoch,
--- a/crates/geraniumpost/src/entry/context.rs
+++ b/crates/geraniumpost/src/entry/context.rs
@@ -22,50 +22,50 @@
 use crate::metrics::Metrics;
 use crate::planner::PlannerInput;
 
-/// Retries that may be made in a row; it covers the requests at one agent when it dies.
+/// Maximum number of retries in a burst. It covers the requests at one agent when it fails.
 const RETRY_BURST: u64 = 200;
 
-/// What the tasks of an entry share.
+/// State that the asynchronous tasks of an entry share.
 #[derive(Debug)]
 pub struct EntryContext {
-    /// The settings, checked.
+    /// The checked settings.
     pub settings: EntrySettings,
-    /// Name and incarnation.
+    /// Name and incarnation of this entry.
     pub me: Identity,
     /// The key shared with agents and entries.
     pub key: SharedKey,
-    /// The clock of all deadlines.
+    /// Clock of all deadlines.
     pub clock: Clock,
     /// The platform's key-value service.
     pub store: Store,
     /// The configuration in force.
     pub config: Arc<ConfigUpdater>,
-    /// Meters.
+    /// Metrics of this process.
     pub metrics: Arc<Metrics>,
-    /// Agents as routing sees them.
+    /// Snapshot of the membership from which requests are routed.
     pub snapshot: ArcSwap<Snapshot>,
     /// Links to agents.
     pub links: Links,
-    /// Bounds of customers.
+    /// Limits on the requests in flight of each customer.
     pub limits: ArcSwap<EntryLimits>,
-    /// Retries that may still be made.
+    /// Budget of retries.
     pub budget: RetryBudget,
-    /// The routing rule.
+    /// Router that chooses an agent for each attempt.
     pub router: Router,
     membership: Mutex<Membership>,
     ejector: Mutex<Ejector>,
     peers: Mutex<Peers>,
     sequence: AtomicU64,
     draining: AtomicBool,
-    /// Turns true when all requests must have a response.
+    /// Becomes true when all requests must be answered immediately.
     response_due: watch::Sender<bool>,
     term: AtomicU64,
     claims: Claims,
     in_force: Mutex<HashMap<Name, u64>>,
     planner: mpsc::UnboundedSender<PlannerInput>,
-    hold_ms: AtomicU64,
-    shown: ArcSwapOption<Value>,
-    hold_until: AtomicU64,
+    agent_lease_ms: AtomicU64,
+    planner_state: ArcSwapOption<Value>,
+    may_grant_until: AtomicU64,
 }
 
 impl EntryContext {
@@ -102,9 +102,9 @@
             term: AtomicU64::new(0),
             in_force: Mutex::default(),
             planner,
-            hold_ms: AtomicU64::new(0),
-            shown: ArcSwapOption::empty(),
-            hold_until: AtomicU64::new(0),
+            agent_lease_ms: AtomicU64::new(0),
+            planner_state: ArcSwapOption::empty(),
+            may_grant_until: AtomicU64::new(0),
             settings,
         }
     }
@@ -115,29 +115,31 @@
         RequestId { entry: self.me.incarnation, sequence }
     }
 
-    /// Changes the membership and publishes a new snapshot if `change` says that one is needed.
+    /// Changes the membership, and publishes a new snapshot if `change` returns true as its second
+    /// value.
     pub fn change_membership<T>(&self, change: impl FnOnce(&mut Membership) -> (T, bool)) -> T {
         let mut membership = self.membership();
         let (result, publish) = change(&mut membership);
         if publish {
-            // Published under the lock, so that an older snapshot never follows a newer one.
+            // Published under the lock, so that an older snapshot never replaces a newer one.
             self.snapshot.store(Arc::new(membership.snapshot()));
         }
         result
     }
 
-    /// Locks the membership for reading; never held across an await.
+    /// Locks the membership; the guard must not be held across an `await`.
     pub fn membership(&self) -> MutexGuard<'_, Membership> {
         self.membership.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the other entries' list.
+    /// Locks the list of other entries; the guard must not be held across an `await`.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in whether an attempt at an agent succeeded, and ejects one that fails too much.
-    pub fn note(&self, agent: &AgentView, success: bool) {
+    /// Records whether an attempt at an agent succeeded, and ejects or restores the agent if
+    /// necessary.
+    pub fn record_result(&self, agent: &AgentView, success: bool) {
         if !agent.counters().record_result(success) {
             return;
         }
@@ -156,115 +158,117 @@
         self.change_membership(|_| ((), true));
     }
 
-    /// Begins to leave.
+    /// Starts draining this entry.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
     }
 
-    /// Returns whether the entry leaves.
+    /// Returns whether this entry is draining.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
     }
 
-    /// Ends the waiting of all requests, which are responded to at once.
+    /// Makes [`Self::response_due`] return, so that all requests are answered immediately.
     pub fn require_responses(&self) {
         self.response_due.send_replace(true);
     }
 
-    /// Waits until all requests must have a response; see [`Self::require_responses`].
+    /// Waits until all requests must be answered immediately; see [`Self::require_responses`].
     ///
-    /// A caller may be willing to wait for longer than a stopping process may run. Whatever a
-    /// request waits for is therefore limited by this as well as by the caller's deadline.
+    /// A caller's deadline may be later than the time at which a stopping process must exit.
+    /// Therefore each wait of a request ends at the deadline or when this returns.
     pub async fn response_due(&self) {
         // The sender belongs to `self`, so that waiting cannot fail.
         let _ = self.response_due.subscribe().wait_for(|due| *due).await;
     }
 
-    /// Returns the term under which this entry plans for its region, 0 if it does not.
+    /// Returns the term in which this entry plans for its region, 0 if it does not plan.
     pub fn term(&self) -> u64 {
         self.term.load(Ordering::SeqCst)
     }
 
-    /// Notes the term under which this entry plans, 0 for none.
+    /// Sets the term in which this entry plans, 0 if it does not plan.
     pub fn set_term(&self, term: u64) {
         self.term.store(term, Ordering::SeqCst);
         self.metrics.planner_term(term);
     }
 
-    /// Sets how long agents may go on with their tasks after a heartbeat, 0 for no word on it, and
-    /// until when that may be granted.
-    pub fn set_hold(&self, hold_ms: u64, until: Millis) {
-        self.hold_until.store(until.0, Ordering::SeqCst);
-        self.hold_ms.store(hold_ms, Ordering::SeqCst);
+    /// Sets the duration of the agent leases that answers to heartbeats grant, 0 if they grant
+    /// none, and the time until which they may be granted.
+    pub fn set_agent_lease(&self, lease_ms: u64, may_grant_until: Millis) {
+        self.may_grant_until.store(may_grant_until.0, Ordering::SeqCst);
+        self.agent_lease_ms.store(lease_ms, Ordering::SeqCst);
     }
 
-    /// Returns term and hold for the answer to a heartbeat, and tells the planner of it first.
+    /// Returns the term and the agent lease for the answer to a heartbeat, and passes the heartbeat
+    /// to the planner.
     ///
-    /// The planner counts the hold from when it is told, which is before the answer is sent, and the
-    /// agent from when it sent the heartbeat, which is earlier still. So the agent's hold always ends
-    /// before the planner takes it to have ended, however long the answer is on its way.
-    pub fn planner_hold(&self, beat: &Heartbeat) -> (u64, u64) {
+    /// The agent counts the lease from the time at which it sent the heartbeat, the planner from
+    /// the later time at which it handles the heartbeat. Therefore the lease expires at the agent
+    /// before the planner considers it expired, however late the answer arrives.
+    pub fn grant_agent_lease(&self, beat: &Heartbeat) -> (u64, u64) {
         if beat.region != self.settings.region {
             return (0, 0);
         }
-        let hold = (self.term(), self.hold_ms.load(Ordering::SeqCst));
-        // A process that was paused may still find the figures of a lease that has long lapsed.
-        let lapsed = self.clock.now().0 >= self.hold_until.load(Ordering::SeqCst);
-        let hold = if lapsed { (0, 0) } else { hold };
-        self.tell_planner(PlannerInput::Heartbeat(Box::new(beat.clone())));
-        hold
+        let grant = (self.term(), self.agent_lease_ms.load(Ordering::SeqCst));
+        // After a process pause, these may be the values of a planner lease that has expired.
+        let expired = self.clock.now().0 >= self.may_grant_until.load(Ordering::SeqCst);
+        let grant = if expired { (0, 0) } else { grant };
+        self.send_to_planner(PlannerInput::Heartbeat(Box::new(beat.clone())));
+        grant
     }
 
-    /// Shows the planner's state to operators, `None` while this entry does not plan.
-    pub fn show_planner(&self, state: Option<Value>) {
-        self.shown.store(state.map(Arc::new));
+    /// Sets the planner's state that is shown to operators, `None` while this entry does not plan.
+    pub fn publish_planner_state(&self, state: Option<Value>) {
+        self.planner_state.store(state.map(Arc::new));
     }
 
-    /// Returns the planner's state as last shown.
-    pub fn planner_shown(&self) -> Option<Arc<Value>> {
-        self.shown.load_full()
+    /// Returns the planner's state that is shown to operators.
+    pub fn planner_state(&self) -> Option<Arc<Value>> {
+        self.planner_state.load_full()
     }
 
-    /// Tells the planner something; an entry that is stopping has none any more.
-    pub fn tell_planner(&self, input: PlannerInput) {
+    /// Sends a message to the planner. Has no effect if the entry is stopping and the planner has
+    /// ended.
+    pub fn send_to_planner(&self, input: PlannerInput) {
         let _ = self.planner.send(input);
     }
 
-    /// Returns the access to the claims of idempotency keys.
+    /// Returns the claims of idempotency keys.
     pub const fn claims(&self) -> &Claims {
         &self.claims
     }
 
-    /// Notes that an agent has said which revision it has in force.
-    pub fn note_in_force(&self, agent: &Name, revision: u64) {
+    /// Records the revision that an agent has reported as in force.
+    pub fn record_in_force(&self, agent: &Name, revision: u64) {
         let mut in_force = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
         in_force.insert(agent.clone(), revision);
     }
 
-    /// Returns the revision that an agent has said last.
+    /// Returns the revision that an agent last reported as in force.
     pub fn in_force_on(&self, agent: &str) -> Option<u64> {
         self.in_force.lock().unwrap_or_else(PoisonError::into_inner).get(agent).copied()
     }
 
-    /// Forgets an agent that is gone.
-    pub fn forget_agent(&self, agent: &Name) {
+    /// Removes the state of an agent whose heartbeats have timed out.
+    pub fn remove_agent(&self, agent: &Name) {
         self.ejector.lock().unwrap_or_else(PoisonError::into_inner).forget(agent);
         self.in_force.lock().unwrap_or_else(PoisonError::into_inner).remove(agent);
-        self.tell_planner(PlannerInput::Lost(agent.clone()));
+        self.send_to_planner(PlannerInput::AgentLost(agent.clone()));
     }
 
-    /// Puts the figures of the revision in force in place.
+    /// Applies the customers' limits and the retry budget of the revision in force.
     pub fn adopt_limits(&self) {
         let in_force = self.config.active().load();
         let document = in_force.document();
-        let bounds = document.customers.iter().map(|(name, c)| (name.clone(), c.max_in_flight));
-        self.limits.store(Arc::new(self.limits.load().updated(bounds)));
+        let limits = document.customers.iter().map(|(name, c)| (name.clone(), c.max_in_flight));
+        self.limits.store(Arc::new(self.limits.load().updated(limits)));
         self.budget.set_permille(u64::from(document.policy.retry_budget_permille));
         self.metrics.config_revision(in_force.revision());
     }
 }
 
-/// Returns where this entry is reached.
+/// Returns the name and addresses of this entry for other processes.
 fn own_peer(settings: &EntrySettings) -> EntryPeer {
     EntryPeer {
         name: settings.name.clone(),
--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -143,7 +143,7 @@
 }
 
 fn acknowledge(cx: &EntryContext, beat: &Heartbeat) -> HeartbeatAck {
-    let (term, hold_ms) = cx.planner_hold(beat);
+    let (term, hold_ms) = cx.grant_agent_lease(beat);
     let peers = cx.peers();
     let digest = peers.digest();
     let known = beat.entries_digest == digest;
@@ -177,7 +177,7 @@
     });
     for agent in dead {
         spdlog::warn!("agent {agent} has gone silent");
-        cx.forget_agent(&agent);
+        cx.remove_agent(&agent);
         link_tasks.0.remove(&agent);
     }
     cx.peers().tick(now);
--- a/crates/geraniumpost/src/entry/dispatch.rs
+++ b/crates/geraniumpost/src/entry/dispatch.rs
@@ -128,7 +128,7 @@
         | Outcome::NotRunUnreachable => false,
         _ => return,
     };
-    cx.note(attempt.agent(), success);
+    cx.record_result(attempt.agent(), success);
 }
 
 /// Takes one step of the policy and logs it, unless it is the ordinary one.
--- a/crates/geraniumpost/src/entry/link_keeper.rs
+++ b/crates/geraniumpost/src/entry/link_keeper.rs
@@ -72,7 +72,7 @@
     } else {
         link.send(ToAgent::FetchConfig);
     }
-    cx.tell_planner(PlannerInput::LinkUp(Arc::clone(link)));
+    cx.send_to_planner(PlannerInput::LinkUp(Arc::clone(link)));
 }
 
 /// Takes a link out of use.
@@ -83,7 +83,7 @@
     cx.links.remove(link);
     link.tell_silent();
     set_connected(cx, link, false);
-    cx.tell_planner(PlannerInput::LinkDown(Arc::clone(link)));
+    cx.send_to_planner(PlannerInput::LinkDown(Arc::clone(link)));
 }
 
 fn set_connected(cx: &EntryContext, link: &AgentLink, connected: bool) {
@@ -179,11 +179,11 @@
             }
             ToEntry::Config(_) => false,
             ToEntry::InForce(revision) => {
-                cx.note_in_force(&link.peer().name, revision);
+                cx.record_in_force(&link.peer().name, revision);
                 false
             }
             ToEntry::Report(_) | ToEntry::Inventory(_) => {
-                cx.tell_planner(PlannerInput::Told(Arc::clone(&link), frame.head));
+                cx.send_to_planner(PlannerInput::Message(Arc::clone(&link), frame.head));
                 false
             }
         };
--- a/crates/geraniumpost/src/entry/peers.rs
+++ b/crates/geraniumpost/src/entry/peers.rs
@@ -11,7 +11,8 @@
 const FORGET_MS: u64 = 60_000;
 /// How long an entry counts as planning after its last beat.
 const PLANS_MS: u64 = 5_000;
-/// Every how many beats an unchanged list is told again, since a beat with a changed one may be lost.
+/// Every how many beats an unchanged list is told again, since a beat with a changed one may be
+/// lost.
 const TELL_EVERY: u64 = 10;
 
 /// The other entries, by their beats.
@@ -74,8 +75,8 @@
         list
     }
 
-    /// Returns the list for the beat numbered `sequence`: whole if it has changed since the last beat
-    /// and with every tenth one, otherwise empty.
+    /// Returns the list for the beat numbered `sequence`: whole if it has changed since the last
+    /// beat and with every tenth one, otherwise empty.
     ///
     /// With the list in every beat, the bytes of beats grow with the square of the entries; 16 of
     /// them then spend more on it than all control may cost, see `docs/CAPACITY.md`.
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -21,9 +21,9 @@
     pub incarnation: u64,
     /// The key that the agent is told, empty without one.
     ///
-    /// It holds the revision of the claim. An agent that refuses a key bars it for good, so that the
-    /// claim may be moved; under the moved claim's revision the same agent may run it again. Otherwise
-    /// a key that every agent refused once for want of room could never run.
+    /// It holds the revision of the claim. An agent that refuses a key bars it for good, so that
+    /// the claim may be moved; under the moved claim's revision the same agent may run it again.
+    /// Otherwise a key that every agent refused once for want of room could never run.
     pub key: Name,
     /// Whether an earlier request with the same key may have run there.
     pub repeat: bool,
--- a/crates/geraniumpost/src/entry/views.rs
+++ b/crates/geraniumpost/src/entry/views.rs
@@ -47,7 +47,7 @@
 
 /// Shows the planner's state, or on which entry to ask for it.
 fn planner(cx: &EntryContext) -> Value {
-    if let Some(shown) = cx.planner_shown() {
+    if let Some(shown) = cx.planner_state() {
         return Value::clone(&shown);
     }
     let elsewhere = cx.peers().planner(cx.clock.now());
--- a/crates/geraniumpost/src/planner/agent_links.rs
+++ b/crates/geraniumpost/src/planner/agent_links.rs
@@ -6,81 +6,86 @@
 
 use crate::entry::AgentLink;
 
-/// Links to the agents of this region, newest last.
+/// Links to agents, from which the planner's events [`PlannerEvent::LinkUp`] and
+/// [`PlannerEvent::LinkDown`] are derived.
 #[derive(Debug, Default)]
-pub(super) struct AgentLinks(HashMap<Name, One>);
+pub(super) struct AgentLinks(HashMap<Name, LinkedAgent>);
 
 #[derive(Debug, Default)]
-struct One {
+struct LinkedAgent {
+    /// Open links, newest last.
     links: Vec<Arc<AgentLink>>,
-    /// Whether a heartbeat said that the agent is in this region and has a worker.
-    ours: bool,
-    /// Incarnation that the planner was told is linked.
-    told: Option<u64>,
+    /// Whether a heartbeat showed that the agent is in this region and has a worker. Only such
+    /// agents are reported to the planner.
+    is_schedulable: bool,
+    /// Incarnation that was last reported to the planner as linked.
+    reported: Option<u64>,
 }
 
 impl AgentLinks {
-    /// Notes an agent of this region and returns what the planner is to be told.
-    pub(super) fn seen(&mut self, agent: &Name) -> Vec<PlannerEvent> {
-        let one = self.0.entry(agent.clone()).or_default();
-        one.ours = true;
-        one.news(agent)
+    /// Marks an agent as schedulable after a heartbeat, and returns the resulting events.
+    pub(super) fn mark_schedulable(&mut self, agent: &Name) -> Vec<PlannerEvent> {
+        let linked = self.0.entry(agent.clone()).or_default();
+        linked.is_schedulable = true;
+        linked.take_events(agent)
     }
 
-    /// Adds a link and returns what the planner is to be told.
-    pub(super) fn up(&mut self, link: Arc<AgentLink>) -> Vec<PlannerEvent> {
+    /// Adds a link and returns the resulting events.
+    pub(super) fn add(&mut self, link: Arc<AgentLink>) -> Vec<PlannerEvent> {
         let agent = link.peer().name.clone();
-        let one = self.0.entry(agent.clone()).or_default();
-        one.links.push(link);
-        one.news(&agent)
+        let linked = self.0.entry(agent.clone()).or_default();
+        linked.links.push(link);
+        linked.take_events(&agent)
     }
 
-    /// Removes a link and returns what the planner is to be told.
-    pub(super) fn down(&mut self, link: &Arc<AgentLink>) -> Vec<PlannerEvent> {
+    /// Removes a link and returns the resulting events.
+    pub(super) fn remove(&mut self, link: &Arc<AgentLink>) -> Vec<PlannerEvent> {
         let agent = &link.peer().name;
-        let Some(one) = self.0.get_mut(agent) else { return Vec::new() };
-        one.links.retain(|other| !Arc::ptr_eq(other, link));
-        let news = one.news(agent);
-        if one.links.is_empty() {
+        let Some(linked) = self.0.get_mut(agent) else { return Vec::new() };
+        linked.links.retain(|other| !Arc::ptr_eq(other, link));
+        let events = linked.take_events(agent);
+        if linked.links.is_empty() {
             self.0.remove(agent);
         }
-        news
+        events
     }
 
-    /// Returns what a new planner is to be told of the links that are up.
-    pub(super) fn all(&mut self) -> Vec<PlannerEvent> {
+    /// Returns the events that report all open links to a new planner.
+    pub(super) fn report_all(&mut self) -> Vec<PlannerEvent> {
         let mut events = Vec::new();
-        for (agent, one) in &mut self.0 {
-            one.told = None;
-            events.extend(one.news(agent));
+        for (agent, linked) in &mut self.0 {
+            linked.reported = None;
+            events.extend(linked.take_events(agent));
         }
         events
     }
 
-    /// Returns whether a message over this link is the word of the incarnation last linked.
+    /// Returns whether the link belongs to the incarnation that was last reported to the planner.
     ///
-    /// What an agent's earlier process still had under way says nothing of the present one.
+    /// Messages that an earlier process of the agent has sent do not describe the current one.
     pub(super) fn is_current(&self, link: &AgentLink) -> bool {
         let peer = link.peer();
-        self.0.get(&peer.name).is_some_and(|one| one.told == Some(peer.incarnation))
+        self.0.get(&peer.name).is_some_and(|linked| linked.reported == Some(peer.incarnation))
     }
 
-    /// Sends a frame over the newest link; without one it is dropped, and the planner repeats it.
+    /// Sends a frame over the newest link. Without a link the frame is dropped, and the planner
+    /// sends it again later.
     pub(super) fn send(&self, agent: &Name, frame: ToAgent) {
-        let Some(link) = self.0.get(agent).and_then(|one| one.links.last()) else { return };
+        let Some(link) = self.0.get(agent).and_then(|linked| linked.links.last()) else { return };
         if !link.send(frame) {
-            spdlog::debug!("an order for agent {agent} was not taken by its link");
+            spdlog::debug!("order to agent {agent} dropped: its link has ended or is congested");
         }
     }
 }
 
-impl One {
-    fn news(&mut self, agent: &Name) -> Vec<PlannerEvent> {
+impl LinkedAgent {
+    /// Returns the events for the change of the current incarnation since the last call.
+    fn take_events(&mut self, agent: &Name) -> Vec<PlannerEvent> {
         let current = self.links.last().map(|link| link.peer().incarnation);
-        if !self.ours || current == self.told {
+        if !self.is_schedulable || current == self.reported {
             return Vec::new();
         }
-        let before = std::mem::replace(&mut self.told, current);
+        let before = std::mem::replace(&mut self.reported, current);
         let down =
             before.map(|incarnation| PlannerEvent::LinkDown { agent: agent.clone(), incarnation });
         let up =
--- a/crates/geraniumpost/src/planner/calls.rs
+++ b/crates/geraniumpost/src/planner/calls.rs
@@ -1,4 +1,4 @@
-//! Calls on jobs, turned into the planner's events and back.
+//! Conversion of calls on jobs to events of the planner, and of its state to answers.
 
 use geraniumpost_core::jobs::{
     JobResponse, JobSpec, JobState, JobView, Planner, PlannerEvent, codes,
@@ -9,10 +9,10 @@
 
 use crate::console::{ApiError, JobCall, JobRequest, job_reply, job_value, state_name};
 
-/// Most jobs that a list shows.
+/// Maximum number of jobs in the answer to a list call.
 const MAX_LISTED: usize = 2_000;
 
-/// Returns the event of a call that changes a job.
+/// Returns the event for a call that changes a job, `None` for a call that only reads.
 pub(super) fn event(call: &JobCall, request_id: u64) -> Option<PlannerEvent> {
     match call {
         JobCall::Submit { id, job } => {
@@ -28,8 +28,8 @@
 /// Answers a call that only reads.
 pub(super) fn read(call: &JobCall, planner: &Planner, placer: &Placer) -> Result<Value, ApiError> {
     match call {
-        JobCall::Status { id } => known(planner, id).map(|view| job_value(&view)),
-        JobCall::Explain { id } => known(planner, id).map(|view| explain(&view, placer)),
+        JobCall::Status { id } => find_job(planner, id).map(|view| job_value(&view)),
+        JobCall::Explain { id } => find_job(planner, id).map(|view| explain(&view, placer)),
         _ => Ok(list(planner)),
     }
 }
@@ -44,16 +44,16 @@
     }
 }
 
-fn known(planner: &Planner, id: &Name) -> Result<JobView, ApiError> {
+fn find_job(planner: &Planner, id: &Name) -> Result<JobView, ApiError> {
     if !planner.is_ready() {
-        let answer = JobResponse::new(codes::NOT_PLANNER).retry_after_ms(1_000);
-        return Err(refused(id, &answer));
+        let response = JobResponse::new(codes::NOT_PLANNER).retry_after_ms(1_000);
+        return Err(api_error(id, &response));
     }
-    planner.job(id).ok_or_else(|| refused(id, &JobResponse::new(codes::UNKNOWN_JOB)))
+    planner.job(id).ok_or_else(|| api_error(id, &JobResponse::new(codes::UNKNOWN_JOB)))
 }
 
-fn refused(id: &Name, answer: &JobResponse) -> ApiError {
-    job_reply(id, answer).err().unwrap_or_else(|| ApiError::new(500, answer.code, ""))
+fn api_error(id: &Name, response: &JobResponse) -> ApiError {
+    job_reply(id, response).err().unwrap_or_else(|| ApiError::new(500, response.code, ""))
 }
 
 fn explain(view: &JobView, placer: &Placer) -> Value {
@@ -61,17 +61,17 @@
     let why = match record.state() {
         JobState::Pending | JobState::Assigned => placer.explain(record.id()),
         state if state.is_final() => record.result().to_owned(),
-        _ => "waits for the agent's word that the run has ended".to_owned(),
+        _ => "waits until the agent reports the end of the run".to_owned(),
     };
     json!({ "id": record.id(), "state": state_name(record.state()), "why": why })
 }
 
-/// Lists jobs, unfinished ones first; each kind by id.
+/// Lists up to [`MAX_LISTED`] jobs: first the unfinished ones, then the finished ones, each by id.
 fn list(planner: &Planner) -> Value {
-    let (live, ended): (Vec<_>, Vec<_>) =
+    let (unfinished, finished): (Vec<_>, Vec<_>) =
         planner.records().partition(|record| !record.state().is_final());
-    let total = live.len() + ended.len();
-    let shown = live.into_iter().chain(ended).take(MAX_LISTED);
+    let total = unfinished.len() + finished.len();
+    let shown = unfinished.into_iter().chain(finished).take(MAX_LISTED);
     let jobs: Vec<Value> =
         shown.filter_map(|record| planner.job(record.id())).map(|view| job_value(&view)).collect();
     let (pending, placed) = planner.queue_lengths();
--- a/crates/geraniumpost/src/planner/decisions.rs
+++ b/crates/geraniumpost/src/planner/decisions.rs
@@ -6,24 +6,25 @@
 
 use crate::metrics::Metrics;
 
-/// Writes a line for each placement decision.
+/// Logs placement decisions.
 ///
-/// A job that waits is decided on several times a second; it gets a line when the kind of its reason
-/// changes, as thousands of waiting jobs would otherwise drown everything else.
+/// Each waiting job is decided on several times a second. Its decision is logged only if the kind
+/// of its reason has changed; otherwise thousands of waiting jobs would flood the log.
 #[derive(Debug, Default)]
 pub(super) struct DecisionLog {
-    waits: HashMap<Name, Discriminant<Reason>>,
+    /// Kind of the reason of each job that waited in the last round.
+    wait_reasons: HashMap<Name, Discriminant<Reason>>,
 }
 
 impl DecisionLog {
-    /// Logs the decisions of one round and counts the evictions among them.
+    /// Logs the decisions of a placement round and counts the evictions.
     pub(super) fn write(&mut self, decisions: &[Decision], metrics: &Metrics) {
-        let mut waits = HashMap::new();
+        let mut wait_reasons = HashMap::new();
         for decision in decisions {
             if let Decision::Wait { job, reason } = decision {
                 let kind = discriminant(reason);
-                waits.insert(job.clone(), kind);
-                if self.waits.get(job) == Some(&kind) {
+                wait_reasons.insert(job.clone(), kind);
+                if self.wait_reasons.get(job) == Some(&kind) {
                     continue;
                 }
             }
@@ -32,6 +33,6 @@
             }
             crate::decision!("place", what = decision);
         }
-        self.waits = waits;
+        self.wait_reasons = wait_reasons;
     }
 }
--- a/crates/geraniumpost/src/planner/driver.rs
+++ b/crates/geraniumpost/src/planner/driver.rs
@@ -14,27 +14,28 @@
 use tokio::time::MissedTickBehavior;
 
 use super::{
-    AgentLinks, DecisionLog, PlannerInput, Question, StoreAnswer, calls, lease_calls, predecessors,
-    store_calls, summary,
+    AgentLinks, DecisionLog, PendingCall, PlannerInput, StoreAnswer, calls, lease_calls,
+    predecessors, store_calls, summary,
 };
 use crate::console::{ApiCode, ApiError, job_reply, state_name};
 use crate::entry::EntryContext;
 use crate::wall_ms;
 
-/// Interval of the planner's clock.
+/// Interval at which the planner and its lease handle the passing of time.
 const TICK: Duration = Duration::from_millis(50);
-/// Shortest time between two rounds of placement.
-const PLACE_MS: u64 = 200;
-/// Interval at which the placer learns of the latency beside one worker.
-const LEARN_MS: u64 = 1_000;
-/// Interval at which jobs are counted for the metrics.
-const COUNT_MS: u64 = 1_000;
-/// Holds shorter than this would lapse between two heartbeats.
-const SHORTEST_HOLD_MS: u64 = 2_000;
+/// Minimum time between two placement rounds, in milliseconds.
+const PLACEMENT_INTERVAL_MS: u64 = 200;
+/// Minimum time between two latency observations beside the same worker, in milliseconds.
+const OBSERVATION_INTERVAL_MS: u64 = 1_000;
+/// Minimum time between two updates of the job metrics and the shown state, in milliseconds.
+const SUMMARY_INTERVAL_MS: u64 = 1_000;
+/// Minimum duration of an agent lease, in milliseconds. A shorter lease would expire between two
+/// heartbeats.
+const MIN_AGENT_LEASE_MS: u64 = 2_000;
 
-type Answer = oneshot::Sender<Result<Value, ApiError>>;
+type AnswerSender = oneshot::Sender<Result<Value, ApiError>>;
 
-/// The task that owns the lease and, while this entry plans, the planner.
+/// State of the task that owns the lease and, while this entry plans, the planner.
 struct Driver {
     cx: Arc<EntryContext>,
     lease: PlannerLease,
@@ -43,36 +44,38 @@
     placer: Placer,
     log: DecisionLog,
     links: AgentLinks,
-    answers: mpsc::UnboundedSender<StoreAnswer>,
-    replies: HashMap<u64, (Name, Answer)>,
-    next_reply: u64,
+    store_answers: mpsc::UnboundedSender<StoreAnswer>,
+    /// Calls that wait for an answer of the planner, by request id.
+    pending_calls: HashMap<u64, (Name, AnswerSender)>,
+    next_request_id: u64,
     placed_at: Millis,
-    counted_at: Millis,
-    learned_at: HashMap<Name, Millis>,
+    summarized_at: Millis,
+    /// Time of the last latency observation beside each worker.
+    observed_at: HashMap<Name, Millis>,
 }
 
 /// Runs until the entry's process ends.
 pub(super) async fn run(
     cx: Arc<EntryContext>,
     mut inputs: mpsc::UnboundedReceiver<PlannerInput>,
-    mut questions: mpsc::UnboundedReceiver<Question>,
+    mut calls: mpsc::UnboundedReceiver<PendingCall>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let (answers_tx, mut answers) = mpsc::unbounded_channel();
+    let (store_answers_tx, mut store_answers) = mpsc::unbounded_channel();
     let mut revisions = cx.config.active().subscribe();
-    let mut driver = Driver::new(cx, answers_tx);
+    let mut driver = Driver::new(cx, store_answers_tx);
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        // Heartbeats go first: each has been answered with a hold, which must be counted before a
-        // tick judges whose hold has lapsed.
+        // Heartbeats are handled before ticks: each may have extended an agent lease, which must be
+        // recorded before a tick looks for expired leases.
         tokio::select! {
             biased;
             Some(input) = inputs.recv() => driver.on_input(input),
-            Some(answer) = answers.recv() => driver.on_answer(answer),
+            Some(answer) = store_answers.recv() => driver.on_store_answer(answer),
             Ok(()) = revisions.changed() => driver.configure(),
-            Some(question) = questions.recv() => driver.on_question(question),
-            Ok(()) = stop.changed() => driver.lease(LeaseEvent::Resign),
+            Some(call) = calls.recv() => driver.on_call(call),
+            Ok(()) = stop.changed() => driver.handle_lease_event(LeaseEvent::Resign),
             _ = ticks.tick() => driver.tick(),
             else => return,
         }
@@ -80,7 +83,7 @@
 }
 
 impl Driver {
-    fn new(cx: Arc<EntryContext>, answers: mpsc::UnboundedSender<StoreAnswer>) -> Self {
+    fn new(cx: Arc<EntryContext>, store_answers: mpsc::UnboundedSender<StoreAnswer>) -> Self {
         let me = LeaseHolder::new(cx.me.name.clone(), cx.me.incarnation);
         let placer = Placer::new(cx.config.active().load().document());
         let config = lease_config(&cx);
@@ -92,16 +95,16 @@
             placer,
             log: DecisionLog::default(),
             links: AgentLinks::default(),
-            answers,
-            replies: HashMap::new(),
-            next_reply: 0,
+            store_answers,
+            pending_calls: HashMap::new(),
+            next_request_id: 0,
             placed_at: Millis(0),
-            counted_at: Millis(0),
-            learned_at: HashMap::new(),
+            summarized_at: Millis(0),
+            observed_at: HashMap::new(),
         }
     }
 
-    fn moment(&self) -> Now {
+    fn now(&self) -> Now {
         Now::new(self.cx.clock.now(), wall_ms(), rand::random())
     }
 
@@ -111,26 +114,26 @@
         if let Some(planner) = &mut self.planner {
             planner.configure(in_force.document());
         }
-        self.lease(LeaseEvent::Configure(lease_config(&self.cx)));
+        self.handle_lease_event(LeaseEvent::Configure(lease_config(&self.cx)));
     }
 
     fn on_input(&mut self, input: PlannerInput) {
         match input {
             PlannerInput::Heartbeat(beat) => self.on_heartbeat(&beat),
             PlannerInput::LinkUp(link) => {
-                let news = self.links.up(link);
-                self.tell_all(news);
+                let events = self.links.add(link);
+                self.handle_all(events);
             }
             PlannerInput::LinkDown(link) => {
-                let news = self.links.down(&link);
-                self.tell_all(news);
+                let events = self.links.remove(&link);
+                self.handle_all(events);
             }
-            PlannerInput::Told(link, message) if self.links.is_current(&link) => {
-                self.on_told(link.peer().name.clone(), message);
+            PlannerInput::Message(link, message) if self.links.is_current(&link) => {
+                self.on_message(link.peer().name.clone(), message);
             }
-            // Silence proves nothing; the lapse of the hold does, and the planner waits for it.
-            PlannerInput::Lost(agent) => drop(self.learned_at.remove(&agent)),
-            PlannerInput::Told(..) => {}
+            // The agent's tasks may still run until its lease expires, so the planner is not told.
+            PlannerInput::AgentLost(agent) => drop(self.observed_at.remove(&agent)),
+            PlannerInput::Message(..) => {}
         }
     }
 
@@ -139,25 +142,30 @@
             return;
         }
         let now = self.cx.clock.now();
-        let (hold_ms, standing) = (self.lease.longest_agent_lease_ms(), self.lease.role(now));
+        let (lease_ms, role) = (self.lease.longest_agent_lease_ms(), self.lease.role(now));
         if let Some(planner) = &mut self.planner {
-            planner.heartbeat(beat, hold_ms, standing, now);
+            planner.heartbeat(beat, lease_ms, role, now);
         }
         self.observe_latency(beat, now);
-        let news = self.links.seen(&beat.agent);
-        self.tell_all(news);
+        let events = self.links.mark_schedulable(&beat.agent);
+        self.handle_all(events);
     }
 
-    /// Lets the placer learn how the service beside the worker does, now and then.
+    /// Reports the latency of the service beside the worker to the placer, at most once per
+    /// [`OBSERVATION_INTERVAL_MS`].
     ///
-    /// Without requests the percentile is an old one, which says nothing of who runs there now.
+    /// Without requests in flight the percentile is outdated and does not reflect the tasks that
+    /// run there now.
     fn observe_latency(&mut self, beat: &Heartbeat, now: Millis) {
         let load = beat.load;
-        let due = self.learned_at.get(&beat.agent).is_none_or(|at| now.since(*at) >= LEARN_MS);
+        let due = self
+            .observed_at
+            .get(&beat.agent)
+            .is_none_or(|at| now.since(*at) >= OBSERVATION_INTERVAL_MS);
         if self.planner.is_none() || !due || load.in_flight == 0 || load.p99_us == 0 {
             return;
         }
-        self.learned_at.insert(beat.agent.clone(), now);
+        self.observed_at.insert(beat.agent.clone(), now);
         let load_permille = load.in_flight * 1000 / beat.slots.max(1);
         let observation = Observation::Latency {
             worker: beat.agent.clone(),
@@ -169,152 +177,162 @@
         self.placer.observe(now, &observation);
     }
 
-    fn on_told(&mut self, agent: Name, message: ToEntry) {
+    fn on_message(&mut self, agent: Name, message: ToEntry) {
         let event = match message {
             ToEntry::Report(report) => PlannerEvent::Report { agent, report },
             ToEntry::Inventory(inventory) => PlannerEvent::Inventory { agent, inventory },
             ToEntry::Leaving => PlannerEvent::Draining { agent },
             _ => return,
         };
-        self.tell(event);
+        self.handle(event);
     }
 
-    fn on_question(&mut self, question: Question) {
-        let Question { call, answer } = question;
+    fn on_call(&mut self, call: PendingCall) {
+        let PendingCall { call, answer } = call;
         let Some(planner) = &self.planner else {
             let _ = answer.send(Err(ApiCode::NoPlanner.into()));
             return;
         };
-        let reply = self.next_reply;
-        let Some(event) = calls::event(&call, reply) else {
-            // The asker may have left.
+        let request_id = self.next_request_id;
+        let Some(event) = calls::event(&call, request_id) else {
+            // Fails if the caller no longer waits.
             let _ = answer.send(calls::read(&call, planner, &self.placer));
             return;
         };
-        self.next_reply += 1;
+        self.next_request_id += 1;
         if let PlannerEvent::Submit { spec, .. } = &event {
-            self.replies.insert(reply, (spec.id.clone(), answer));
+            self.pending_calls.insert(request_id, (spec.id.clone(), answer));
         } else if let PlannerEvent::Cancel { job, .. } = &event {
-            self.replies.insert(reply, (job.clone(), answer));
+            self.pending_calls.insert(request_id, (job.clone(), answer));
         }
-        self.tell(event);
+        self.handle(event);
     }
 
-    fn on_answer(&mut self, answer: StoreAnswer) {
+    fn on_store_answer(&mut self, answer: StoreAnswer) {
         match answer {
-            StoreAnswer::Lease(event) => self.lease(event),
+            StoreAnswer::Lease(event) => self.handle_lease_event(event),
             StoreAnswer::Planner(term, event) => {
                 if self.planner.as_ref().is_some_and(|planner| planner.term() == term) {
-                    self.tell(event);
+                    self.handle(event);
                 }
             }
         }
     }
 
     fn tick(&mut self) {
-        self.heed_higher_term();
-        self.lease(LeaseEvent::Tick);
+        self.step_down_for_higher_term();
+        self.handle_lease_event(LeaseEvent::Tick);
         if self.planner.is_none() {
-            return self.cx.show_planner(None);
+            return self.cx.publish_planner_state(None);
         }
-        self.prove_predecessors();
-        self.tell(PlannerEvent::Tick);
+        self.report_stopped_predecessors();
+        self.handle(PlannerEvent::Tick);
         let now = self.cx.clock.now();
-        if now.since(self.placed_at) >= PLACE_MS {
+        if now.since(self.placed_at) >= PLACEMENT_INTERVAL_MS {
             self.placed_at = now;
             self.place();
         }
-        if now.since(self.counted_at) >= COUNT_MS {
-            self.counted_at = now;
-            self.count_jobs();
+        if now.since(self.summarized_at) >= SUMMARY_INTERVAL_MS {
+            self.summarized_at = now;
+            self.publish_summary();
         }
-        self.replies.retain(|_, (_, answer)| !answer.is_closed());
+        self.pending_calls.retain(|_, (_, answer)| !answer.is_closed());
     }
 
-    fn count_jobs(&self) {
+    /// Updates the job metrics and the state that is shown to operators.
+    fn publish_summary(&self) {
         let counts = self.planner.as_ref().map(Planner::count_by_state).unwrap_or_default();
         for (state, count) in JobState::ALL.iter().zip(counts) {
             self.cx.metrics.jobs(state_name(*state), count);
         }
         let in_force = self.cx.config.active().load();
-        let shown = self.planner.as_ref().map(|p| summary::summary(p, in_force.document()));
-        self.cx.show_planner(shown);
+        let state = self.planner.as_ref().map(|p| summary::summary(p, in_force.document()));
+        self.cx.publish_planner_state(state);
     }
 
-    /// Steps down when another entry says that it plans under a higher term.
+    /// Steps down when another entry reports a higher term.
     ///
-    /// A planner cut from the store would otherwise not hear of its successor, and go on answering
-    /// operators from records that are no longer true.
-    fn heed_higher_term(&mut self) {
+    /// Otherwise a planner that cannot reach the store would not learn of its successor, and would
+    /// continue to answer operators from outdated records.
+    fn step_down_for_higher_term(&mut self) {
         let Some(own) = self.planner.as_ref().map(Planner::term) else { return };
         let now = self.cx.clock.now();
         let highest = self.cx.peers().planner(now).map_or(0, |(term, _)| term);
         if highest > own {
-            spdlog::warn!("planner: another entry plans in term {highest}");
-            self.lease(LeaseEvent::StepDown);
+            spdlog::warn!(
+                "planner: another entry plans in term {highest}; stepping down in term {own}"
+            );
+            self.handle_lease_event(LeaseEvent::StepDown);
         }
     }
 
-    fn prove_predecessors(&mut self) {
+    fn report_stopped_predecessors(&mut self) {
         let Some(takeover) = &mut self.takeover else { return };
-        let gone = predecessors::gone(&self.cx, takeover, self.cx.clock.now());
-        takeover.earlier.retain(|holder| !gone.contains(holder));
-        for holder in gone {
+        let stopped = predecessors::stopped(&self.cx, takeover, self.cx.clock.now());
+        takeover.earlier.retain(|holder| !stopped.contains(holder));
+        for holder in stopped {
             spdlog::info!("planner: {holder} has stopped planning");
-            self.tell(PlannerEvent::PredecessorStopped(holder));
+            self.handle(PlannerEvent::PredecessorStopped(holder));
         }
     }
 
     fn place(&mut self) {
-        let moment = self.moment();
-        let standing = self.lease.role(moment.clock);
+        let now = self.now();
+        let role = self.lease.role(now.clock);
         let Some(planner) = &mut self.planner else { return };
         let (placer, log, metrics) = (&mut self.placer, &mut self.log, &self.cx.metrics);
-        let actions = planner.place(standing, moment, |now, wishes, fleet| {
-            let decisions = placer.place(now, wishes, fleet, &mut rand::rng());
+        let actions = planner.place(role, now, |now, requests, fleet| {
+            let decisions = placer.place(now, requests, fleet, &mut rand::rng());
             log.write(&decisions, metrics);
             decisions
         });
-        self.carry_out(actions);
+        self.execute_all(actions);
     }
 
-    fn tell_all(&mut self, events: Vec<PlannerEvent>) {
+    fn handle_all(&mut self, events: Vec<PlannerEvent>) {
         for event in events {
-            self.tell(event);
+            self.handle(event);
         }
     }
 
-    fn tell(&mut self, event: PlannerEvent) {
-        let moment = self.moment();
-        let standing = self.lease.role(moment.clock);
+    fn handle(&mut self, event: PlannerEvent) {
+        let now = self.now();
+        let role = self.lease.role(now.clock);
         let Some(planner) = &mut self.planner else { return };
-        let actions = planner.handle(event, standing, moment);
-        self.carry_out(actions);
+        let actions = planner.handle(event, role, now);
+        self.execute_all(actions);
     }
 
-    fn carry_out(&mut self, actions: Vec<PlannerAction>) {
+    fn execute_all(&mut self, actions: Vec<PlannerAction>) {
         for action in actions {
-            self.carry_out_one(action);
+            self.execute(action);
         }
     }
 
-    fn carry_out_one(&mut self, action: PlannerAction) {
+    fn execute(&mut self, action: PlannerAction) {
         let term = self.planner.as_ref().map_or(0, Planner::term);
         let (store, region) = (&self.cx.store, &self.cx.settings.region);
         match action {
             PlannerAction::Commit { bucket, expected, value } => {
                 let key = bucket_key(region, bucket);
-                store_calls::commit(store, &self.answers, (term, bucket), key, expected, value);
+                store_calls::commit(
+                    store,
+                    &self.store_answers,
+                    (term, bucket),
+                    key,
+                    expected,
+                    value,
+                );
             }
             PlannerAction::Read { bucket } => {
                 let key = bucket_key(region, bucket);
-                store_calls::read(store, &self.answers, (term, bucket), key);
+                store_calls::read(store, &self.store_answers, (term, bucket), key);
             }
             PlannerAction::Send { agent, frame } => self.links.send(&agent, frame),
             PlannerAction::Reply { request_id, response } => {
-                if let Some((id, asker)) = self.replies.remove(&request_id) {
-                    // The asker may have left.
-                    let _ = asker.send(job_reply(&id, &response));
+                if let Some((id, answer)) = self.pending_calls.remove(&request_id) {
+                    // Fails if the caller no longer waits.
+                    let _ = answer.send(job_reply(&id, &response));
                 }
             }
             PlannerAction::Observe(observation) => {
@@ -323,57 +341,60 @@
                 }
                 self.placer.observe(self.cx.clock.now(), &observation);
             }
-            PlannerAction::PredecessorsExpired => self.lease(LeaseEvent::PredecessorsExpired),
+            PlannerAction::PredecessorsExpired => {
+                self.handle_lease_event(LeaseEvent::PredecessorsExpired);
+            }
             PlannerAction::StepDown(why) => {
                 spdlog::error!("planner: steps down in term {term}: {why}");
-                self.lease(LeaseEvent::StepDown);
+                self.handle_lease_event(LeaseEvent::StepDown);
             }
         }
     }
 
-    fn lease(&mut self, event: LeaseEvent) {
+    fn handle_lease_event(&mut self, event: LeaseEvent) {
         let actions = self.lease.handle(event, self.cx.clock.now());
         for action in actions {
             match action {
-                LeaseAction::Acquired(takeover) => self.begin(takeover),
-                LeaseAction::Lost(why) => self.end(why),
+                LeaseAction::Acquired(takeover) => self.start_planning(takeover),
+                LeaseAction::Lost(why) => self.stop_planning(why),
                 call => {
                     let region = &self.cx.settings.region;
-                    lease_calls::make(&self.cx.store, &self.answers, region, call);
+                    lease_calls::make(&self.cx.store, &self.store_answers, region, call);
                 }
             }
         }
-        self.publish();
+        self.publish_role();
     }
 
-    fn begin(&mut self, takeover: Takeover) {
+    fn start_planning(&mut self, takeover: Takeover) {
         spdlog::info!("planner: this entry plans in term {}", takeover.term);
         let mut planner = Planner::new(&takeover, PlannerConfig::default());
         planner.configure(self.cx.config.active().load().document());
         self.placer = Placer::new(self.cx.config.active().load().document());
         self.planner = Some(planner);
         self.takeover = Some(takeover);
-        let news = self.links.all();
-        self.tell_all(news);
+        let events = self.links.report_all();
+        self.handle_all(events);
     }
 
-    fn end(&mut self, why: &str) {
+    fn stop_planning(&mut self, why: &str) {
         spdlog::warn!("planner: this entry no longer plans: {why}");
         self.planner = None;
         self.takeover = None;
-        self.replies.clear();
-        self.count_jobs();
+        self.pending_calls.clear();
+        self.publish_summary();
     }
 
-    /// Lets heartbeats be answered, and others know, as this entry's standing is now.
-    fn publish(&self) {
+    /// Publishes the current term and agent lease, which the answers to heartbeats and this entry's
+    /// own heartbeats contain.
+    fn publish_role(&self) {
         let now = self.cx.clock.now();
         let term = match self.lease.role(now) {
             LeaseRole::Follower => 0,
             LeaseRole::Leader { term } | LeaseRole::Disconnected { term } => term,
         };
-        let hold_ms = if term == 0 { 0 } else { self.lease.agent_lease_ms() };
-        self.cx.set_hold(hold_ms, self.lease.may_grant_until());
+        let lease_ms = if term == 0 { 0 } else { self.lease.agent_lease_ms() };
+        self.cx.set_agent_lease(lease_ms, self.lease.may_grant_until());
         if self.cx.term() != term {
             self.cx.set_term(term);
         }
@@ -385,7 +406,7 @@
     let policy = &in_force.document().policy;
     LeaseConfig {
         outage_hold_ms: policy.outage_hold_s * 1_000,
-        hold_ms: policy.hold_ms.max(SHORTEST_HOLD_MS),
+        hold_ms: policy.hold_ms.max(MIN_AGENT_LEASE_MS),
         ..LeaseConfig::default()
     }
 }
--- a/crates/geraniumpost/src/planner/handle.rs
+++ b/crates/geraniumpost/src/planner/handle.rs
@@ -5,49 +5,49 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use super::Question;
+use super::PendingCall;
 use crate::console::{ApiCode, ApiError, AuthenticatedJobCall, JobsHandle, forward};
 use crate::entry::EntryContext;
 
-/// Longest wait for the planner's answer. A commit takes milliseconds; one that is not through by
-/// then may still take effect, and the caller repeats the call, which does no harm.
-const PATIENCE: Duration = Duration::from_secs(6);
+/// Timeout for the planner's answer. A commit usually takes milliseconds. After a timeout it may
+/// still take effect; the caller may repeat the call, because calls are idempotent.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Returns the way to the region's planner, here or on another entry.
+/// Returns the handle for calls to the region's planner, on this or on another entry.
 pub(super) fn jobs_handle(
     cx: Arc<EntryContext>,
-    questions: mpsc::UnboundedSender<Question>,
+    calls: mpsc::UnboundedSender<PendingCall>,
 ) -> JobsHandle {
-    Arc::new(move |ask| Box::pin(answer(Arc::clone(&cx), questions.clone(), ask)))
+    Arc::new(move |call| Box::pin(route(Arc::clone(&cx), calls.clone(), call)))
 }
 
-async fn answer(
+async fn route(
     cx: Arc<EntryContext>,
-    questions: mpsc::UnboundedSender<Question>,
-    ask: AuthenticatedJobCall,
+    calls: mpsc::UnboundedSender<PendingCall>,
+    call: AuthenticatedJobCall,
 ) -> Result<Value, ApiError> {
     if cx.term() > 0 {
-        return ask_here(&questions, ask).await;
+        return call_own_planner(&calls, call).await;
     }
     let planner = cx.peers().planner(cx.clock.now());
     match planner {
-        Some((_, address)) => forward(address, &cx.me.name, &ask).await,
+        Some((_, address)) => forward(address, &cx.me.name, &call).await,
         None => Err(ApiCode::NoPlanner.into()),
     }
 }
 
-async fn ask_here(
-    questions: &mpsc::UnboundedSender<Question>,
-    ask: AuthenticatedJobCall,
+async fn call_own_planner(
+    calls: &mpsc::UnboundedSender<PendingCall>,
+    call: AuthenticatedJobCall,
 ) -> Result<Value, ApiError> {
     let (tx, rx) = oneshot::channel();
-    let question = Question { call: ask.call, answer: tx };
-    if questions.send(question).is_err() {
+    let pending = PendingCall { call: call.call, answer: tx };
+    if calls.send(pending).is_err() {
         return Err(ApiCode::NoPlanner.into());
     }
-    match timeout(PATIENCE, rx).await {
+    match timeout(ANSWER_TIMEOUT, rx).await {
         Ok(Ok(answer)) => answer,
-        // The planner was dropped with the question, which may have been recorded before.
+        // The planner was dropped before it answered; it may have committed the change.
         Ok(Err(_)) | Err(_) => Err(ApiCode::Unknown.into()),
     }
 }
--- a/crates/geraniumpost/src/planner/input.rs
+++ b/crates/geraniumpost/src/planner/input.rs
@@ -4,17 +4,18 @@
 
 use crate::entry::AgentLink;
 
-/// What the entry tells its planner.
+/// Message from the entry to its planner.
 #[derive(Debug)]
 pub enum PlannerInput {
-    /// A heartbeat of an agent in this region, which is answered with a hold if this entry plans.
+    /// A heartbeat of an agent in this region. If this entry plans, the answer to it extends the
+    /// agent lease.
     Heartbeat(Box<Heartbeat>),
-    /// An agent has gone silent.
-    Lost(Name),
-    /// A link to an agent is up.
+    /// The heartbeats of an agent have timed out.
+    AgentLost(Name),
+    /// A link to an agent was established.
     LinkUp(Arc<AgentLink>),
     /// A link to an agent has ended.
     LinkDown(Arc<AgentLink>),
-    /// A report or inventory of an agent.
-    Told(Arc<AgentLink>, ToEntry),
+    /// An agent has sent a message that concerns its tasks.
+    Message(Arc<AgentLink>, ToEntry),
 }
--- a/crates/geraniumpost/src/planner/lease_calls.rs
+++ b/crates/geraniumpost/src/planner/lease_calls.rs
@@ -1,4 +1,4 @@
-//! Store calls of the lease; at most one is open at a time.
+//! Store calls of the planner lease. At most one is in flight at a time.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use super::StoreAnswer;
 use super::store_calls::expect;
 
-/// Makes the call that an action asks for and sends its outcome back.
+/// Makes the store call of an action and sends its outcome to `answers`.
 pub(super) fn make(
     store: &Store,
     answers: &mpsc::UnboundedSender<StoreAnswer>,
@@ -20,7 +20,7 @@
     let (store, answers, region) = (store.clone(), answers.clone(), region.clone());
     tokio::spawn(async move {
         let event = call(&store, &region, action).await.unwrap_or_else(|error| {
-            spdlog::debug!("planner lease: {error}");
+            spdlog::debug!("store call of the planner lease failed: {error}");
             Some(LeaseEvent::CallFailed)
         });
         if let Some(event) = event {
@@ -62,7 +62,7 @@
             Err(error) => return Err(error),
         },
         LeaseAction::Revoke { lease } => {
-            // A lease that can't be given back lapses by itself.
+            // A lease that cannot be revoked expires by itself.
             let _ = store.revoke(lease.into()).await;
             return Ok(None);
         }
@@ -71,7 +71,7 @@
     Ok(Some(event))
 }
 
-/// Returns the new revision, or none if the condition did not hold.
+/// Returns the new revision, or `None` if the condition of the write was not met.
 fn written(put: Result<u64, StoreError>) -> Result<Option<u64>, StoreError> {
     match put {
         Ok(revision) => Ok(Some(revision)),
--- a/crates/geraniumpost/src/planner/mod.rs
+++ b/crates/geraniumpost/src/planner/mod.rs
@@ -1,7 +1,8 @@
-//! The region's planner: one entry holds the lease and turns jobs into tasks.
+//! Planner of a region: the entry that holds the planner lease places the region's jobs.
 //!
-//! One task owns the lease and, while this entry plans, the planner; everything else sends it
-//! messages. Decisions are in `geraniumpost_core::jobs`, see `docs/design/0202-planner-and-holds.md`.
+//! One asynchronous task owns the lease and, while this entry plans, the planner. All other tasks
+//! send messages to it. The decisions are made in `geraniumpost_core::jobs`, see
+//! `docs/design/0202-planner-and-holds.md`.
 
 mod agent_links;
 mod calls;
@@ -10,8 +11,8 @@
 mod handle;
 mod input;
 mod lease_calls;
+mod pending_call;
 mod predecessors;
-mod question;
 mod store_answer;
 mod store_calls;
 mod summary;
@@ -23,19 +24,19 @@
 use agent_links::AgentLinks;
 use decisions::DecisionLog;
 pub use input::PlannerInput;
-use question::Question;
+use pending_call::PendingCall;
 use store_answer::StoreAnswer;
 
 use crate::console::JobsHandle;
 use crate::entry::EntryContext;
 
-/// Starts the planner of an entry and returns the way to it for calls on jobs.
+/// Starts the planner task of an entry and returns the handle for calls on jobs.
 pub fn start(
     cx: &Arc<EntryContext>,
     inputs: mpsc::UnboundedReceiver<PlannerInput>,
     stop: watch::Receiver<bool>,
 ) -> JobsHandle {
-    let (questions_tx, questions) = mpsc::unbounded_channel();
-    tokio::spawn(driver::run(Arc::clone(cx), inputs, questions, stop));
-    handle::jobs_handle(Arc::clone(cx), questions_tx)
+    let (calls_tx, calls) = mpsc::unbounded_channel();
+    tokio::spawn(driver::run(Arc::clone(cx), inputs, calls, stop));
+    handle::jobs_handle(Arc::clone(cx), calls_tx)
 }
--- a/crates/geraniumpost/src/planner/question.rs
+++ b/crates/geraniumpost/src/planner/pending_call.rs
@@ -3,11 +3,11 @@
 
 use crate::console::{ApiError, JobCall};
 
-/// A call on jobs on its way to the planner.
+/// Call on jobs that waits for the planner's answer.
 #[derive(Debug)]
-pub(super) struct Question {
+pub(super) struct PendingCall {
     /// The call.
     pub(super) call: JobCall,
-    /// Where the answer goes; dropped if this entry doesn't plan after all.
+    /// Receives the answer; dropped without an answer if this entry stops planning.
     pub(super) answer: oneshot::Sender<Result<Value, ApiError>>,
 }
--- a/crates/geraniumpost/src/planner/predecessors.rs
+++ b/crates/geraniumpost/src/planner/predecessors.rs
@@ -5,24 +5,24 @@
 
 use crate::entry::EntryContext;
 
-/// Returns the earlier planners that are known to have stopped.
+/// Returns the earlier planners that have certainly stopped planning.
 ///
-/// A beat proves it if it was heard after the takeover and either says that its entry doesn't plan,
-/// or comes from a later process of that entry. Older beats prove nothing: the entry may have begun
-/// to plan since.
-pub(super) fn gone(cx: &EntryContext, takeover: &Takeover, now: Millis) -> Vec<LeaseHolder> {
+/// This is certain if an entry's heartbeat received after the takeover reports that the entry does
+/// not plan, or comes from another process of the entry. Earlier heartbeats prove nothing, because
+/// the entry may have become the planner after it sent them.
+pub(super) fn stopped(cx: &EntryContext, takeover: &Takeover, now: Millis) -> Vec<LeaseHolder> {
     let peers = cx.peers();
-    let fresh: Vec<_> = peers
+    let since_takeover: Vec<_> = peers
         .beats(now)
         .filter(|(_, age_ms)| *age_ms < now.since(takeover.at))
         .map(|(beat, _)| (&beat.peer.name, beat.incarnation, beat.term))
         .collect();
-    let stopped = |holder: &&LeaseHolder| {
-        let restarted_here = holder.name == cx.me.name && holder.incarnation != cx.me.incarnation;
-        let said = fresh.iter().any(|&(name, incarnation, term)| {
+    let has_stopped = |holder: &&LeaseHolder| {
+        let earlier_self = holder.name == cx.me.name && holder.incarnation != cx.me.incarnation;
+        let reported = since_takeover.iter().any(|&(name, incarnation, term)| {
             *name == holder.name && (incarnation != holder.incarnation || term == 0)
         });
-        restarted_here || said
+        earlier_self || reported
     };
-    takeover.earlier.iter().filter(stopped).cloned().collect()
+    takeover.earlier.iter().filter(has_stopped).cloned().collect()
 }
--- a/crates/geraniumpost/src/planner/store_answer.rs
+++ b/crates/geraniumpost/src/planner/store_answer.rs
@@ -3,8 +3,8 @@
 /// Outcome of a store call.
 #[derive(Debug)]
 pub(super) enum StoreAnswer {
-    /// For the lease.
+    /// Outcome of a call of the planner lease.
     Lease(LeaseEvent),
-    /// For the planner of this term; a later one must not take it for its own.
+    /// Outcome of a call of the planner in this term. Planners of later terms ignore it.
     Planner(u64, PlannerEvent),
 }
--- a/crates/geraniumpost/src/planner/store_calls.rs
+++ b/crates/geraniumpost/src/planner/store_calls.rs
@@ -1,4 +1,5 @@
-//! Store calls of the planner, each a task of its own that sends its outcome back.
+//! Store calls of the planner. Each runs in its own asynchronous task and sends its outcome to the
+//! planner.
 
 use bytes::Bytes;
 use geraniumpost_core::jobs::PlannerEvent;
@@ -7,7 +8,7 @@
 
 use super::StoreAnswer;
 
-/// Writes a bucket.
+/// Writes a bucket if its stored revision is `expected`.
 pub(super) fn commit(
     store: &Store,
     answers: &mpsc::UnboundedSender<StoreAnswer>,
@@ -22,11 +23,11 @@
             Ok(revision) => PlannerEvent::CommitDone { bucket, revision },
             Err(StoreError::Conflict { .. }) => PlannerEvent::CommitConflict { bucket },
             Err(error) => {
-                spdlog::warn!("commit of {key}: {error}");
+                spdlog::warn!("commit of {key} failed or has an unknown outcome: {error}");
                 PlannerEvent::CommitUnknown { bucket }
             }
         };
-        // The planner's task ends only with the process.
+        // Cannot fail, because the planner's task ends only with the process.
         let _ = answers.send(StoreAnswer::Planner(term, event));
     });
 }
@@ -46,7 +47,7 @@
                 PlannerEvent::ReadDone { bucket, found }
             }
             Err(error) => {
-                spdlog::warn!("reading {key}: {error}");
+                spdlog::warn!("cannot read {key}: {error}");
                 PlannerEvent::ReadFailed { bucket }
             }
         };
@@ -54,7 +55,7 @@
     });
 }
 
-/// Returns the condition that a key still has a revision, or is still absent.
+/// Returns the condition that a key has the given revision, or does not exist if there is none.
 pub(super) fn expect(revision: Option<u64>) -> Expect {
     revision.map_or(Expect::Absent, Expect::Revision)
 }
--- a/crates/geraniumpost/src/planner/summary.rs
+++ b/crates/geraniumpost/src/planner/summary.rs
@@ -5,8 +5,8 @@
 
 use crate::console::state_name;
 
-/// Shows queue, evictions, customers' shares and workers as placement sees them, for the console and
-/// `geraniumpost status`.
+/// Returns the state of the planner for the console and `geraniumpost status`: jobs, counters,
+/// shares of the customers and workers.
 pub fn summary(planner: &Planner, document: &Document) -> Value {
     let (waiting, assigned) = planner.queue_lengths();
     let counters = planner.counters();
@@ -31,24 +31,24 @@
     named.map(|(state, count)| (state_name(*state).to_owned(), json!(count))).collect()
 }
 
-/// Shows what each customer holds, and its dominant share over its weight, by which the queue is
-/// ordered: the lowest goes first.
+/// Returns the allocated resources of each customer, and its dominant share divided by its weight.
+/// Jobs of the customer with the lowest weighted share are placed first.
 fn customers(planner: &Planner, document: &Document) -> Map<String, Value> {
     let offered = planner.fleet().workers().map(WorkerView::allowance);
     let total = offered.fold(amounts::NONE, |sum, one| amounts::plus(&sum, &one));
-    let shown = document.customers.iter().map(|(name, customer)| {
-        let held = planner.fleet().allocated_to(name);
-        let share = amounts::dominant_share(&held, &total);
+    let values = document.customers.iter().map(|(name, customer)| {
+        let allocated = planner.fleet().allocated_to(name);
+        let share = amounts::dominant_share(&allocated, &total);
         let weighted = share / f64::from(customer.weight.max(1));
         let value = json!({
             "weight": customer.weight,
-            "held": held,
+            "held": allocated,
             "dominant_share": round(share),
             "weighted_share": round(weighted),
         });
         (name.to_string(), value)
     });
-    shown.collect()
+    values.collect()
 }
 
 fn worker(view: &WorkerView) -> Value {
@@ -60,7 +60,7 @@
     })
 }
 
-/// Rounds a share to four places, so that the page stays readable.
+/// Rounds a share to four decimal places for display.
 fn round(share: f64) -> f64 {
     let share = if share.is_finite() { share } else { 0.0 };
     (share * 10_000.0).round() / 10_000.0
