--- a/crates/geraniumpost/src/entry/agent_link.rs
+++ b/crates/geraniumpost/src/entry/agent_link.rs
@@ -10,16 +10,16 @@
 
 use super::LinkEvent;
 
-/// One connection to one incarnation of an agent, with the attempts that wait for its word.
+/// Connection to an incarnation of an agent, with the attempts that wait for messages over it.
 #[derive(Debug)]
 pub struct AgentLink {
     peer: Identity,
     sender: LinkSender<ToAgent>,
     waiting: Mutex<Waiting>,
-    heard_at: AtomicU64,
+    last_received_at: AtomicU64,
 }
 
-/// Attempts that wait, or the fact that no word will come any more.
+/// Attempts that wait for messages, empty after the link has ended.
 #[derive(Debug, Default)]
 struct Waiting {
     ended: bool,
@@ -27,9 +27,9 @@
 }
 
 impl AgentLink {
-    /// Wraps a link that has just come up.
+    /// Wraps a link that was just established.
     pub fn new(peer: Identity, sender: LinkSender<ToAgent>, now: Millis) -> Self {
-        Self { peer, sender, waiting: Mutex::default(), heard_at: AtomicU64::new(now.0) }
+        Self { peer, sender, waiting: Mutex::default(), last_received_at: AtomicU64::new(now.0) }
     }
 
     /// Returns the agent's name and incarnation.
@@ -37,21 +37,22 @@
         &self.peer
     }
 
-    /// Sends a message that waits for no answer; returns whether it was queued.
+    /// Sends a message without a body, and returns whether it was queued.
     pub fn send(&self, message: ToAgent) -> bool {
         self.sender.send(message).is_ok()
     }
 
-    /// Sends a message with a body; returns whether it was queued.
-    pub fn send_with(&self, head: ToAgent, body: Bytes) -> bool {
+    /// Sends a message with a body, and returns whether it was queued.
+    pub fn send_with_body(&self, head: ToAgent, body: Bytes) -> bool {
         self.sender.send(Frame { head, body }).is_ok()
     }
 
-    /// Sends what concerns attempt `id` and passes the agent's word on to `events`.
+    /// Sends a message that concerns attempt `id`. Messages of the agent about the attempt are
+    /// passed to `events`.
     ///
-    /// Returns false if the message was certainly not sent. The attempt is entered first, because
-    /// the answer may be here before the next line runs.
-    pub fn send_for(
+    /// Returns false if the message was certainly not sent. The attempt is registered before the
+    /// message is sent, because the answer may arrive immediately.
+    pub fn send_for_attempt(
         &self,
         id: RequestId,
         message: ToAgent,
@@ -65,34 +66,35 @@
             }
             waiting.attempts.insert(id, events.clone());
         }
-        let sent = self.send_with(message, body);
+        let sent = self.send_with_body(message, body);
         if !sent {
-            self.forget(id);
+            self.unregister(id);
         }
         sent
     }
 
-    /// Passes an answer on; returns false if nobody waits for it, as for one that comes late.
-    pub fn answer(&self, id: RequestId, event: LinkEvent) -> bool {
+    /// Passes the final answer to the waiting attempt, which then waits no longer. Returns false if
+    /// the attempt does not wait, for example because its request has timed out.
+    pub fn deliver_answer(&self, id: RequestId, event: LinkEvent) -> bool {
         let receiver = self.waiting().attempts.remove(&id);
         receiver.is_some_and(|events| events.send(event).is_ok())
     }
 
-    /// Passes on an event after which the attempt still waits.
-    pub fn tell(&self, id: RequestId, event: LinkEvent) {
+    /// Passes an event to an attempt, which continues to wait.
+    pub fn deliver_event(&self, id: RequestId, event: LinkEvent) {
         if let Some(events) = self.waiting().attempts.get(&id) {
-            // The request may have ended in the meantime.
+            // Fails if the request has ended.
             let _ = events.send(event);
         }
     }
 
-    /// Stops waiting for word on an attempt; returns whether it still waited.
-    pub fn forget(&self, id: RequestId) -> bool {
+    /// Removes an attempt from the waiting ones, and returns whether it was waiting.
+    pub fn unregister(&self, id: RequestId) -> bool {
         self.waiting().attempts.remove(&id).is_some()
     }
 
-    /// Returns whether an attempt waits for word.
-    pub fn is_waited_on(&self) -> bool {
+    /// Returns whether any attempt waits for messages over this link.
+    pub fn has_waiting_attempts(&self) -> bool {
         !self.waiting().attempts.is_empty()
     }
 
@@ -101,25 +103,25 @@
         self.sender.closed().await;
     }
 
-    /// Notes that the agent was heard on this link.
-    pub fn heard(&self, now: Millis) {
-        self.heard_at.store(now.0, Ordering::Relaxed);
+    /// Records that a message was received over this link.
+    pub fn record_received(&self, now: Millis) {
+        self.last_received_at.store(now.0, Ordering::Relaxed);
     }
 
-    /// Returns for how long the link has been silent, in milliseconds.
+    /// Returns the time since a message was last received, in milliseconds.
     pub fn silent_ms(&self, now: Millis) -> u64 {
-        now.since(Millis(self.heard_at.load(Ordering::Relaxed)))
+        now.since(Millis(self.last_received_at.load(Ordering::Relaxed)))
     }
 
-    /// Tells every waiting attempt that the link is silent; they ask over another. An answer that
-    /// comes after all is still passed on.
-    pub fn tell_silent(&self) {
+    /// Informs all waiting attempts that the link is unresponsive, so that they query the agent
+    /// over another link. Answers that arrive later over this link are still delivered.
+    pub fn report_unresponsive(&self) {
         for events in self.waiting().attempts.values() {
-            let _ = events.send(LinkEvent::Silent);
+            let _ = events.send(LinkEvent::Unresponsive);
         }
     }
 
-    /// Tells every waiting attempt that the link is lost, and refuses further ones.
+    /// Informs all waiting attempts that the link has ended, and refuses further attempts.
     pub fn end(&self) {
         let attempts = {
             let mut waiting = self.waiting();
--- a/crates/geraniumpost/src/entry/attempt.rs
+++ b/crates/geraniumpost/src/entry/attempt.rs
@@ -10,19 +10,21 @@
 use super::route::Target;
 use super::{AgentLink, EntryContext, Incoming, LinkEvent};
 
-/// How long a question may go unanswered.
-const ASK_PATIENCE: Duration = Duration::from_millis(800);
+/// Timeout of a query about an attempt.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// How long the agent's last word is waited for after the deadline.
+/// Additional time after the deadline in which the agent's answer is accepted.
 ///
-/// The agent counts the same deadline from when the request reached it. Without this time the entry
-/// would always be first, and tell callers that nobody can know what the agent just says.
-const LAST_WORD: Duration = Duration::from_millis(50);
+/// The agent counts the same deadline from the arrival of the request, so its answer to a timed-out
+/// request arrives shortly after the entry's deadline. Without this time the entry would report the
+/// outcome as unknown although the agent reports it.
+const ANSWER_GRACE: Duration = Duration::from_millis(50);
 
-/// One attempt at a request: sent to one incarnation of an agent.
+/// Attempt at a request, sent to one incarnation of an agent.
 ///
-/// Dropping it tells the agent that nobody waits any more, which is what happens when the caller
-/// leaves: the request is taken out of the agent's queue, and a late answer goes nowhere.
+/// If it is dropped before it has finished, for example because the caller has disconnected, the
+/// agent is asked to cancel it: the agent removes the request from its queue, and a late answer is
+/// discarded.
 #[derive(Debug)]
 pub struct Attempt {
     id: RequestId,
@@ -36,86 +38,87 @@
 }
 
 impl Attempt {
-    /// Sends a request to an agent; [`Attempt::is_sent`] tells whether a byte of it may be on its
-    /// way.
+    /// Sends a request to an agent. [`Attempt::is_sent`] returns whether it may have been sent.
     pub fn send(cx: &EntryContext, req: &Incoming, target: &Target, number: u32) -> Self {
         let (events_tx, events) = mpsc::unbounded_channel();
         let id = cx.next_id();
         let Target { agent, key, .. } = target;
         let link = cx.links.to_incarnation(agent.name(), target.incarnation);
         let head = ToAgent::Request(request_head(cx, req, id, key, number));
-        let link = link.filter(|l| l.send_for(id, head, req.body.clone(), &events_tx));
+        let link = link.filter(|l| l.send_for_attempt(id, head, req.body.clone(), &events_tx));
         let (agent, key) = (Arc::clone(agent), key.clone());
         let in_flight = agent.counters().begin_request();
         Self { id, agent, key, link, events_tx, events, finished: false, _in_flight: in_flight }
     }
 
-    /// Returns whether a byte of the request may have been written.
+    /// Returns whether any byte of the request may have been sent.
     pub const fn is_sent(&self) -> bool {
         self.link.is_some()
     }
 
-    /// Returns the agent.
+    /// Returns the agent to which the attempt is sent.
     pub const fn agent(&self) -> &Arc<AgentView> {
         &self.agent
     }
 
-    /// Waits for the agent's next word until the request's deadline and a little longer, and `None`
-    /// after that.
+    /// Waits for the next event until [`ANSWER_GRACE`] after the request's deadline. Returns `None`
+    /// after that time.
     pub async fn next(&mut self, cx: &EntryContext, req: &Incoming) -> Option<LinkEvent> {
-        let patience = cx.clock.until(req.deadline) + LAST_WORD;
-        let event = timeout(patience, self.events.recv()).await.ok().flatten();
+        let time_left = cx.clock.until(req.deadline) + ANSWER_GRACE;
+        let event = timeout(time_left, self.events.recv()).await.ok().flatten();
         self.finished |= matches!(event, Some(LinkEvent::Answer(..)));
         event
     }
 
-    /// Asks the agent over its present link what became of the attempt, and waits for a first word.
+    /// Queries the state of the attempt over the current link to the agent, and waits for an answer
+    /// or a verdict.
     ///
     /// # Errors
     ///
-    /// Fails with [`AskError`] if the question could not be put or was not answered.
-    pub async fn ask(
+    /// Fails with [`QueryError`] if the query could not be sent or was not answered.
+    pub async fn query(
         &mut self,
         cx: &EntryContext,
         req: &Incoming,
         incarnation: u64,
-    ) -> Result<LinkEvent, AskError> {
-        let link = cx.links.get(self.agent.name()).ok_or(AskError::NoLink)?;
+    ) -> Result<LinkEvent, QueryError> {
+        let link = cx.links.get(self.agent.name()).ok_or(QueryError::NoLink)?;
         if link.peer().incarnation != incarnation {
-            return Err(AskError::Restarted);
+            return Err(QueryError::Restarted);
         }
-        let question = self.question(cx, req, incarnation);
-        // What the old link still said before the question is no answer to it.
+        let query = self.query_message(cx, req, incarnation);
+        // Discards events of the old link except a final answer, because they do not answer this
+        // query.
         while let Ok(event) = self.events.try_recv() {
             if matches!(event, LinkEvent::Answer(..)) {
                 self.finished = true;
                 return Ok(event);
             }
         }
-        if !link.send_for(self.id, question, Bytes::new(), &self.events_tx) {
-            return Err(AskError::NoLink);
+        if !link.send_for_attempt(self.id, query, Bytes::new(), &self.events_tx) {
+            return Err(QueryError::NoLink);
         }
-        let patience = ASK_PATIENCE.min(cx.clock.until(req.deadline));
-        let word = timeout(patience, self.word()).await;
+        let time_left = QUERY_TIMEOUT.min(cx.clock.until(req.deadline));
+        let received = timeout(time_left, self.answer_or_verdict()).await;
         self.link = Some(link);
-        let event = word.map_err(|_| AskError::NoAnswer)?;
+        let event = received.map_err(|_| QueryError::NoAnswer)?;
         self.finished |= matches!(event, LinkEvent::Answer(..));
         Ok(event)
     }
 
-    /// Waits for an answer or verdict; that the old link is lost is known already.
-    async fn word(&mut self) -> LinkEvent {
+    /// Waits for an answer or verdict. Ignores the loss of the old link, which is already known.
+    async fn answer_or_verdict(&mut self) -> LinkEvent {
         loop {
             match self.events.recv().await {
                 Some(event @ (LinkEvent::Answer(..) | LinkEvent::Verdict(_))) => return event,
-                Some(LinkEvent::Lost | LinkEvent::Silent) => {}
-                // This attempt holds a sender itself, so the channel never closes.
+                Some(LinkEvent::Lost | LinkEvent::Unresponsive) => {}
+                // Unreachable, because this attempt owns a sender of the channel.
                 None => std::future::pending().await,
             }
         }
     }
 
-    fn question(&self, cx: &EntryContext, req: &Incoming, incarnation: u64) -> ToAgent {
+    fn query_message(&self, cx: &EntryContext, req: &Incoming, incarnation: u64) -> ToAgent {
         let id = self.id;
         if req.kind == RequestKind::Keyed {
             let deadline_ms = cx.clock.until(req.deadline).as_millis() as u64;
@@ -128,18 +131,18 @@
 impl Drop for Attempt {
     fn drop(&mut self) {
         let Some(link) = self.link.take().filter(|_| !self.finished) else { return };
-        if link.forget(self.id) {
+        if link.unregister(self.id) {
             link.send(ToAgent::Cancel(self.id));
         }
     }
 }
 
-/// Why a question about an attempt brought no word.
+/// Why a query about an attempt got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AskError {
+pub enum QueryError {
     /// There is no link to the agent.
     NoLink,
-    /// The agent has been restarted since.
+    /// The agent was restarted after the attempt was sent.
     Restarted,
     /// The agent did not answer in time.
     NoAnswer,
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -20,116 +20,119 @@
 use crate::open_connections::OpenConnections;
 use crate::stop_signal::stopped;
 
-/// Path that the platform's balancer asks whether this entry takes new connections.
-const HEALTH: &str = "/healthz";
-/// Time in which the head of a request must arrive.
-const HEAD_TIME: Duration = Duration::from_secs(10);
-/// Connections at once; more wait in the listener's queue.
-const CONNECTIONS: usize = 10_000;
-/// How long a leaving entry still accepts, so that the balancer sees it as not ready first.
-const NOT_READY: Duration = Duration::from_millis(500);
-/// How long a connection without any request yet is kept at a planned stop.
-const FIRST_REQUEST: Duration = Duration::from_secs(1);
-/// Longest time in which the requests that outlast the drain time are told so.
-const LAST_RESPONSES: Duration = Duration::from_millis(500);
-/// Longest time in which a starting entry lets nobody in.
-const LONGEST_START: Duration = Duration::from_secs(3);
-/// Pause between two looks at whether a starting entry can serve.
-const START_LOOK: Duration = Duration::from_millis(20);
-/// Pause after an accept that failed, most often for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
-/// When a caller who has too much in flight should come back, in milliseconds.
+/// Path of the health check, with which the platform's load balancer determines whether this entry
+/// accepts new connections.
+const HEALTH_PATH: &str = "/healthz";
+/// Timeout for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of open connections. Further connections wait in the listener's queue.
+const MAX_CONNECTIONS: usize = 10_000;
+/// Time for which a draining entry still accepts connections, so that the load balancer first
+/// detects that it is not ready.
+const ACCEPT_WHILE_DRAINING: Duration = Duration::from_millis(500);
+/// Time for which a connection without any request is kept open at a planned stop.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time to answer the requests that are still in flight after `drain_ms`.
+const FINAL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum time for which a starting entry accepts no connections.
+const START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which a starting entry checks whether it can serve requests.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Delay after a failed accept, which is usually caused by a lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay advised to callers whose customer has too many requests in flight, in milliseconds.
 const LIMIT_RETRY_MS: u64 = 100;
 
-/// Serves callers until the entry is asked to stop, and then finishes what is under way.
+/// Serves callers until the entry is asked to stop, and then drains it.
 ///
-/// The order matters: first "not ready", so that the balancer sends nobody any more; then no more
-/// accepts; then the requests in flight to their end, for at most `drain_ms`; then a response to
-/// those that have not ended.
+/// The order matters. First the health check fails, so that the load balancer sends no further
+/// connections. Then the entry accepts no more connections, and waits for at most `drain_ms` until
+/// the requests in flight have finished. Requests that have not finished then are answered.
 pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
-    let open_connections = OpenConnections::new(FIRST_REQUEST);
-    let room = Arc::new(Semaphore::new(CONNECTIONS));
-    let mut leaving = std::pin::pin!(async {
+    let open_connections = OpenConnections::new(FIRST_REQUEST_TIMEOUT);
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let mut draining = std::pin::pin!(async {
         stopped(&mut stop).await;
         cx.drain();
-        sleep(NOT_READY).await;
+        sleep(ACCEPT_WHILE_DRAINING).await;
     });
-    let mut left = tokio::select! {
-        () = able_to_serve(&cx) => false,
-        () = &mut leaving => true,
+    let mut closing = tokio::select! {
+        () = ready_to_serve(&cx) => false,
+        () = &mut draining => true,
     };
-    while !left {
+    while !closing {
         tokio::select! {
-            accepted = accept(&listener, &room) => {
+            accepted = accept(&listener, &permits) => {
                 if let Some((stream, permit)) = accepted {
                     spawn(&cx, stream, permit, &open_connections);
                 }
             }
-            () = &mut leaving => left = true,
+            () = &mut draining => closing = true,
         }
     }
-    serve_queued(&cx, listener, &room, &open_connections);
-    let longest = Duration::from_millis(cx.settings.drain_ms);
-    if timeout(longest, open_connections.finish()).await.is_err() {
+    serve_queued(&cx, listener, &permits, &open_connections);
+    let drain_time = Duration::from_millis(cx.settings.drain_ms);
+    if timeout(drain_time, open_connections.finish()).await.is_err() {
         let open = open_connections.count();
-        spdlog::warn!("drain_ms is over: ending the requests under way, connections={open}");
+        spdlog::warn!("drain_ms has elapsed; answering the requests in flight, connections={open}");
         cx.require_responses();
-        if timeout(LAST_RESPONSES, open_connections.finish()).await.is_err() {
+        if timeout(FINAL_RESPONSE_TIMEOUT, open_connections.finish()).await.is_err() {
             let open = open_connections.count();
             spdlog::warn!("stopping with open connections, connections={open}");
         }
     }
 }
 
-/// Waits until a starting entry has a configuration and an agent, or for [`LONGEST_START`].
+/// Waits until a starting entry has a configuration and a routable agent, for at most
+/// [`START_TIMEOUT`].
 ///
-/// Without a configuration every token is unknown, and without agents nothing can run; callers
-/// would be turned away, although the entry serves them a moment later. Until then their
-/// connections wait in the listener's queue, and the balancer's question goes unanswered.
-async fn able_to_serve(cx: &EntryContext) {
-    let able = || {
+/// Without a configuration no token is known, and without agents no request can run, so callers
+/// would be refused although the entry can serve them shortly after. Until then their connections,
+/// and those of the load balancer's health checks, wait in the listener's queue.
+async fn ready_to_serve(cx: &EntryContext) {
+    let is_ready = || {
         cx.config.active().load().revision() > 0
             && cx.snapshot.load().agents().any(|agent| agent.is_routable())
     };
     let waiting = async {
-        while !able() {
-            sleep(START_LOOK).await;
+        while !is_ready() {
+            sleep(START_CHECK_INTERVAL).await;
         }
     };
-    if timeout(LONGEST_START, waiting).await.is_err() {
-        spdlog::warn!("no configuration or no agent yet; callers are let in all the same");
+    if timeout(START_TIMEOUT, waiting).await.is_err() {
+        spdlog::warn!("no configuration or no agent known yet; accepting callers nevertheless");
     }
 }
 
 async fn accept(
     listener: &TcpListener,
-    room: &Arc<Semaphore>,
+    permits: &Arc<Semaphore>,
 ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let permit = Arc::clone(room).acquire_owned().await.ok()?;
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
     match listener.accept().await {
         Ok((stream, _)) => Some((stream, permit)),
         Err(error) => {
-            spdlog::warn!("accepting callers: {error}");
-            sleep(ACCEPT_PAUSE).await;
+            spdlog::warn!("cannot accept a caller's connection: {error}");
+            sleep(ACCEPT_RETRY_DELAY).await;
             None
         }
     }
 }
 
-/// Takes the connections that wait to be accepted and closes the listener.
+/// Accepts the connections in the listener's queue and closes the listener.
 ///
-/// The system has completed these connections and their callers may have sent requests already.
-/// Closing the listener over them resets them, which callers notice as requests without any word
-/// during a planned stop.
+/// The operating system has established these connections, and their callers may have sent requests
+/// already. If the listener were closed without accepting them, they would be reset, and the
+/// callers would get no response during a planned stop.
 fn serve_queued(
     cx: &Arc<EntryContext>,
     listener: TcpListener,
-    room: &Arc<Semaphore>,
+    permits: &Arc<Semaphore>,
     open_connections: &OpenConnections,
 ) {
     let Ok(listener) = listener.into_std() else { return };
     while let Ok((stream, _)) = listener.accept() {
-        let permit = Arc::clone(room).try_acquire_owned();
+        let permit = Arc::clone(permits).try_acquire_owned();
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         let (Ok(permit), Ok(stream)) = (permit, stream) else { continue };
         spawn(cx, stream, permit, open_connections);
@@ -142,41 +145,41 @@
     permit: OwnedSemaphorePermit,
     open_connections: &OpenConnections,
 ) {
-    // Answers are short; waiting to fill packets would only delay them.
+    // Responses are short, so buffering them to fill packets would only add delay.
     let _ = stream.set_nodelay(true);
     let open_connection = open_connections.begin();
     let (cx, requested) = (Arc::clone(cx), open_connection.requested());
     let service = service_fn(move |req| {
         requested.notify_one();
         let cx = Arc::clone(&cx);
-        async move { Ok::<_, Infallible>(answer(&cx, req).await) }
+        async move { Ok::<_, Infallible>(respond(&cx, req).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
+        .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
         if let Err(error) = open_connection.hold(connection).await {
-            spdlog::debug!("caller's connection: {error}");
+            spdlog::debug!("connection of a caller failed: {error}");
         }
         drop(permit);
     });
 }
 
-/// Answers a request, and asks for its connection to be closed if the entry is leaving.
+/// Responds to a request, and asks the client to close its connection if the entry is draining.
 ///
-/// A balancer keeps its connections. Closed by the entry's end, one of them may have the next
-/// request on its way already, which would end without a word.
-async fn answer(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
-    let mut response = respond(cx, req).await;
+/// Load balancers keep connections open. When the entry exits, the next request may already be on
+/// its way over such a connection, and would get no response.
+async fn respond(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
+    let mut response = handle(cx, req).await;
     if cx.is_draining() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
-async fn respond(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
-    if req.uri().path() == HEALTH {
+async fn handle(cx: &EntryContext, req: Request<HyperBody>) -> Response<Full<Bytes>> {
+    if req.uri().path() == HEALTH_PATH {
         return health(cx);
     }
     let began = Instant::now();
@@ -199,15 +202,15 @@
     reply.into_response(&id)
 }
 
-/// Reads the whole body before anything is reserved for the request, so that a caller who sends
-/// slowly holds no slot that others need.
+/// Reads the complete body before the request counts against a limit or occupies a slot, so that
+/// slow callers do not block others.
 async fn read_body(cx: &EntryContext, head: Head, body: HyperBody) -> Result<Incoming, ResultCode> {
-    let reading = Limited::new(body, head.largest()).collect();
-    let reading = timeout(head.time(&cx.clock), reading);
+    let reading = Limited::new(body, head.max_body_bytes()).collect();
+    let reading = timeout(head.time_left(&cx.clock), reading);
     let read = tokio::select! {
         read = reading => read,
         () = cx.response_due() => {
-            spdlog::info!("request {}: refused, its body is incomplete at drain_ms", head.id());
+            spdlog::info!("request {} refused: body incomplete after drain_ms", head.id());
             return Err(ResultCode::EntryLeaving);
         }
     };
@@ -219,7 +222,7 @@
     }
 }
 
-/// Lets the request in under its customer's limit and carries it to its last word.
+/// Admits the request if its customer's limit allows, and dispatches it until it has a result.
 async fn admit(cx: &EntryContext, req: &Incoming) -> Reply {
     let permit = cx.limits.load().try_acquire(&req.caller.name);
     match permit {
@@ -227,7 +230,9 @@
             reply = dispatch(cx, req) => reply,
             () = cx.response_due() => {
                 let (id, customer) = (&req.id, &req.caller.name);
-                spdlog::warn!("request {id} of {customer}: outcome unknown, drain_ms is over");
+                spdlog::warn!(
+                    "request {id} of customer {customer}: outcome unknown, drain_ms has elapsed"
+                );
                 Reply::without_answer(ResultCode::OutcomeUnknown, 0)
             }
         },
--- a/crates/geraniumpost/src/entry/claims.rs
+++ b/crates/geraniumpost/src/entry/claims.rs
@@ -10,33 +10,34 @@
 
 use crate::Clock;
 
-/// The one agent that may run a keyed request, as it stands in the store.
+/// Claim in the store: the only agent that may run a keyed request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Claim {
-    /// Revision of the record, by which it is moved.
+    /// Revision of the record, which must be unchanged when the claim is moved.
     pub revision: u64,
     /// Name of the agent.
     pub agent: Name,
-    /// Its incarnation; a restarted agent no longer knows what it ran.
+    /// Incarnation of the agent. A restarted agent does not know what it ran before.
     pub incarnation: u64,
-    /// Whether this request made the claim; otherwise an earlier one with the same key did.
+    /// Whether this request created the claim; otherwise an earlier request with the same key did.
     pub own: bool,
 }
 
-/// The record's value.
+/// Stored value of a claim.
 #[derive(Debug, Serialize, Deserialize)]
 struct Record {
     agent: Name,
     incarnation: u64,
-    /// Random mark of the writer, by which it knows its own write after a lost reply.
+    /// Random number by which a writer recognizes its own write after a lost reply.
     mark: u64,
 }
 
 /// Claims of idempotency keys in the store.
 ///
-/// A caller repeats a request through any entry, and the entries see different sets of agents, so
-/// none of them can say alone where the first one went. The store can: the key's record is created
-/// once, by compare-and-swap, before the request is sent. See `docs/design/0004-keyed-requests.md`.
+/// A caller may repeat a request through any entry, and entries may know different sets of agents,
+/// so no entry alone can determine to which agent the first request was sent. Therefore the claim
+/// of a key is created once in the store, by compare-and-swap, before the request is sent. See
+/// `docs/design/0004-keyed-requests.md`.
 #[derive(Debug)]
 pub struct Claims {
     store: Store,
@@ -45,40 +46,41 @@
 }
 
 impl Claims {
-    /// Creates the access to the claims in `store`.
+    /// Creates a client of the claims in `store`.
     pub const fn new(store: Store, clock: Clock) -> Self {
         Self { store, clock, lease: Mutex::const_new(None) }
     }
 
-    /// Claims a key for an agent, or returns the claim that stands.
+    /// Claims a key for an agent for at least `ttl`, or returns the existing claim.
     ///
     /// # Errors
     ///
-    /// Fails if the store does not answer. Nothing has been sent then, and should the claim stand
-    /// after all, a repeat follows it to an agent that runs it for the first time.
+    /// Fails if the store does not answer. The request was not sent then. If the claim was created
+    /// nevertheless, a repeat is sent to its agent, which runs the request for the first time.
     pub async fn claim(
         &self,
         key: &str,
         agent: &AgentView,
-        remember: Duration,
+        ttl: Duration,
     ) -> Result<Claim, StoreError> {
-        let lease = self.lease(remember).await?;
+        let lease = self.lease(ttl).await?;
         self.write(key, agent, Expect::Absent, Some(lease)).await
     }
 
-    /// Moves a claim away from an agent that has barred the key, or returns the one that stands.
+    /// Moves a claim from an agent that has barred the key to `agent`, or returns the claim that
+    /// was stored in the meantime.
     ///
     /// # Errors
     ///
     /// Fails if the store does not answer.
-    pub async fn shift(
+    pub async fn move_claim(
         &self,
         key: &str,
         from: &Claim,
         agent: &AgentView,
-        remember: Duration,
+        ttl: Duration,
     ) -> Result<Claim, StoreError> {
-        let lease = self.lease(remember).await?;
+        let lease = self.lease(ttl).await?;
         self.write(key, agent, Expect::Revision(from.revision), Some(lease)).await
     }
 
@@ -94,7 +96,7 @@
         let value = serde_json::to_vec(&record).unwrap_or_default();
         match self.store.put(&path(key), value, expect, lease).await {
             Ok(revision) => Ok(record.claim(revision, mark)),
-            // After a lost reply the record itself tells whose it is.
+            // After a lost reply, the mark in the record shows who wrote it.
             Err(StoreError::Conflict { .. } | StoreError::Uncertain(_)) => {
                 self.read(key, mark).await
             }
@@ -107,24 +109,24 @@
     }
 
     async fn read(&self, key: &str, mark: u64) -> Result<Claim, StoreError> {
-        let gone = || StoreError::Refused("the claim is not there".to_owned());
-        let found = self.store.get(&path(key)).await?.ok_or_else(gone)?;
+        let missing = || StoreError::Refused("the claim does not exist".to_owned());
+        let found = self.store.get(&path(key)).await?.ok_or_else(missing)?;
         let record: Record = serde_json::from_slice(&found.value)
             .map_err(|error| StoreError::Refused(format!("unreadable claim: {error}")))?;
         Ok(record.claim(found.revision, mark))
     }
 
-    /// Returns a lease that lasts at least `remember`. Many claims share one, so that a claim costs
-    /// the store one call and the leases cost two calls in each such time.
-    async fn lease(&self, remember: Duration) -> Result<LeaseId, StoreError> {
+    /// Returns a store lease that lasts for at least `ttl`. Claims share leases: a claim costs one
+    /// store call, and the leases together cost two calls per `ttl`.
+    async fn lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let mut lease = self.lease.lock().await;
         let now = self.clock.now();
         if let Some((id, granted)) = *lease
-            && Duration::from_millis(now.since(granted)) < remember / 2
+            && Duration::from_millis(now.since(granted)) < ttl / 2
         {
             return Ok(id);
         }
-        let id = self.store.grant(remember * 3 / 2).await?;
+        let id = self.store.grant(ttl * 3 / 2).await?;
         *lease = Some((id, now));
         Ok(id)
     }
@@ -137,14 +139,14 @@
     }
 }
 
-/// Returns the store's key of a claim.
+/// Returns the store key of a claim.
 fn path(key: &str) -> String {
     format!("geraniumpost/claims/{key}")
 }
 
-/// Returns the agent that a key is sent to when the store is down: the same one as from every entry
-/// that sees the same agents.
-pub fn home<'a>(
+/// Returns the agent to which requests with a key are sent while the store is unavailable. Entries
+/// that know the same agents return the same agent.
+pub fn fallback_agent<'a>(
     agents: impl Iterator<Item = &'a Arc<AgentView>>,
     key: &str,
 ) -> Option<&'a Arc<AgentView>> {
--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -8,30 +8,30 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
-use super::link_keeper::{Target, keep_link};
-use super::pauses::Pauses;
+use super::link_maintenance::{LinkTarget, maintain_link};
+use super::pauses::PauseDetector;
 use super::{EntryContext, gauges};
 use crate::datagram_socket::DatagramSocket;
 use crate::drop_reason::reason;
 
-/// Interval at which silent agents are looked for.
+/// Interval at which agents without heartbeats are timed out.
 const TICK: Duration = Duration::from_millis(100);
 
-/// The tasks that keep a link to each agent; each ends when its target is dropped.
+/// Asynchronous tasks that maintain the link to each agent. Each ends when its sender is dropped.
 #[derive(Debug, Default)]
-struct LinkTasks(HashMap<Name, watch::Sender<Target>>);
+struct LinkTasks(HashMap<Name, watch::Sender<LinkTarget>>);
 
-/// Hears agents and entries until the process ends.
-pub async fn hear(cx: Arc<EntryContext>, socket: Arc<DatagramSocket>) {
+/// Receives heartbeats of agents and entries, and times out agents, until the process ends.
+pub async fn receive(cx: Arc<EntryContext>, socket: Arc<DatagramSocket>) {
     let mut link_tasks = LinkTasks::default();
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut pauses = Pauses::new(cx.clock.now());
+    let mut pauses = PauseDetector::new(cx.clock.now());
     loop {
         let (from, received) = tokio::select! {
             received = socket.receive() => received,
             _ = ticks.tick() => {
-                if pauses.may_judge(cx.clock.now(), cx.settings.heartbeat_ms) {
+                if pauses.tick(cx.clock.now(), cx.settings.heartbeat_ms) {
                     tick(&cx, &mut link_tasks);
                 }
                 continue;
@@ -39,30 +39,30 @@
         };
         match received {
             Ok(Datagram::Heartbeat(beat)) => {
-                link_tasks.aim(&cx, &beat);
-                heartbeat(&cx, &socket, from, &beat).await;
+                link_tasks.update(&cx, &beat);
+                on_heartbeat(&cx, &socket, from, &beat).await;
             }
-            Ok(Datagram::EntryBeat(beat)) => entry_beat(&cx, beat),
+            Ok(Datagram::EntryBeat(beat)) => on_entry_beat(&cx, beat),
             Ok(Datagram::HeartbeatAck(_)) => cx.metrics.dropped("datagram", "unexpected", 1),
             Err(error) => {
-                spdlog::debug!("datagram from {from}: {error}");
+                spdlog::debug!("dropped a datagram from {from}: {error}");
                 cx.metrics.dropped("datagram", reason(&error), 1);
             }
         }
     }
 }
 
-/// Announces this entry to the others at each interval until the process ends.
-pub async fn announce(cx: Arc<EntryContext>, socket: Arc<DatagramSocket>) {
+/// Sends heartbeats to the other entries at the interval of the settings until the process ends.
+pub async fn send_periodically(cx: Arc<EntryContext>, socket: Arc<DatagramSocket>) {
     let mut ticks = tokio::time::interval(Duration::from_millis(cx.settings.heartbeat_ms));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     for sequence in 1.. {
         ticks.tick().await;
-        announce_once(&cx, &socket, sequence).await;
+        send_once(&cx, &socket, sequence).await;
     }
 }
 
-async fn announce_once(cx: &EntryContext, socket: &DatagramSocket, sequence: u64) {
+async fn send_once(cx: &EntryContext, socket: &DatagramSocket, sequence: u64) {
     let (beat, mut addresses) = {
         let mut peers = cx.peers();
         let beat = EntryBeat {
@@ -87,25 +87,27 @@
 }
 
 impl LinkTasks {
-    /// Starts a task that keeps a link to a new agent, or tells it that the agent has moved.
-    fn aim(&mut self, cx: &Arc<EntryContext>, beat: &Heartbeat) {
+    /// Starts the task for a new agent, or updates the target if the agent's address or incarnation
+    /// has changed.
+    fn update(&mut self, cx: &Arc<EntryContext>, beat: &Heartbeat) {
         let Ok(address) = beat.address.parse() else { return };
-        let target = Target { name: beat.agent.clone(), address, incarnation: beat.incarnation };
+        let target =
+            LinkTarget { name: beat.agent.clone(), address, incarnation: beat.incarnation };
         let Some(target_tx) = self.0.get(&beat.agent) else {
             let (tx, rx) = watch::channel(target);
-            tokio::spawn(keep_link(Arc::clone(cx), rx));
+            tokio::spawn(maintain_link(Arc::clone(cx), rx));
             self.0.insert(beat.agent.clone(), tx);
             return;
         };
-        target_tx.send_if_modified(|present| {
-            let moved = *present != target;
-            *present = target;
-            moved
+        target_tx.send_if_modified(|current| {
+            let changed = *current != target;
+            *current = target;
+            changed
         });
     }
 }
 
-async fn heartbeat(
+async fn on_heartbeat(
     cx: &Arc<EntryContext>,
     socket: &DatagramSocket,
     from: SocketAddr,
@@ -113,32 +115,33 @@
 ) {
     cx.metrics.heartbeat("agent");
     let now = cx.clock.now();
-    let heard = cx.change_membership(|membership| {
-        let heard = membership.record_heartbeat(beat, now);
-        (heard, heard.needs_snapshot())
+    let change = cx.change_membership(|membership| {
+        let change = membership.record_heartbeat(beat, now);
+        (change, change.needs_snapshot())
     });
-    if heard == MembershipChange::Stale {
+    if change == MembershipChange::Stale {
         return;
     }
-    if heard.needs_snapshot() {
-        spdlog::info!("agent {} {heard}", beat.agent);
+    if change.needs_snapshot() {
+        spdlog::info!("agent {} {change}", beat.agent);
     }
-    compare_revisions(cx, beat);
+    synchronize_config(cx, beat);
     let ack = acknowledge(cx, beat);
     socket.send(&Datagram::HeartbeatAck(ack), from).await;
 }
 
-/// Brings the one of the two with the older configuration up to date.
-fn compare_revisions(cx: &EntryContext, beat: &Heartbeat) {
+/// Fetches the agent's configuration if it is newer than that of this entry, or sends this entry's
+/// configuration to the agent if that is newer.
+fn synchronize_config(cx: &EntryContext, beat: &Heartbeat) {
     let in_force = cx.config.active().load();
     if beat.config_revision > in_force.revision() {
-        let wanted = cx.config.offered(&beat.agent, beat.config_revision);
-        super::links::fetch(cx, &wanted);
+        let requests = cx.config.offered(&beat.agent, beat.config_revision);
+        super::links::fetch(cx, &requests);
     } else if beat.config_revision < in_force.revision()
         && let Some(link) = cx.links.to_incarnation(&beat.agent, beat.incarnation)
     {
         let head = ToAgent::Adopt(Adopt { revision: in_force.revision() });
-        link.send_with(head, in_force.json().clone());
+        link.send_with_body(head, in_force.json().clone());
     }
 }
 
@@ -159,24 +162,24 @@
     }
 }
 
-fn entry_beat(cx: &EntryContext, beat: EntryBeat) {
+fn on_entry_beat(cx: &EntryContext, beat: EntryBeat) {
     cx.metrics.heartbeat("entry");
     let mut peers = cx.peers();
-    // An entry tells of others, so one address in the settings is enough to find all.
-    let told: Vec<_> = beat.peers.iter().filter_map(|peer| peer.datagrams.parse().ok()).collect();
-    peers.add_hints(&told);
+    // Heartbeats list other entries, so one peer in the settings is enough to find all of them.
+    let listed: Vec<_> = beat.peers.iter().filter_map(|peer| peer.datagrams.parse().ok()).collect();
+    peers.add_hints(&listed);
     peers.record_beat(beat, cx.clock.now());
 }
 
 fn tick(cx: &EntryContext, link_tasks: &mut LinkTasks) {
     let now = cx.clock.now();
-    let dead = cx.change_membership(|membership| {
-        let dead = membership.tick(now);
-        let publish = !dead.is_empty();
-        (dead, publish)
+    let lost = cx.change_membership(|membership| {
+        let lost = membership.tick(now);
+        let publish = !lost.is_empty();
+        (lost, publish)
     });
-    for agent in dead {
-        spdlog::warn!("agent {agent} has gone silent");
+    for agent in lost {
+        spdlog::warn!("agent {agent} sends no heartbeats any more");
         cx.remove_agent(&agent);
         link_tasks.0.remove(&agent);
     }
--- a/crates/geraniumpost/src/entry/dispatch.rs
+++ b/crates/geraniumpost/src/entry/dispatch.rs
@@ -5,15 +5,15 @@
 use geraniumpost_schema::{AnswerHead, Outcome};
 use tokio::time::sleep;
 
-use super::attempt::{AskError, Attempt};
+use super::attempt::{Attempt, QueryError};
 use super::route::{NoTarget, Route, Target};
 use super::{EntryContext, Incoming, LinkEvent, Reply};
 use crate::decision;
 
-/// When to come back after a refusal for want of the store.
+/// Delay advised to callers whose keyed request is refused because the store is unavailable.
 const STORE_RETRY_MS: u64 = 1_000;
 
-/// Carries a request to its last word.
+/// Makes attempts at a request until it has a final result.
 pub async fn dispatch(cx: &EntryContext, req: &Incoming) -> Reply {
     cx.budget.deposit();
     let mut policy = RetryPolicy::new(req.kind, req.deadline, RetryLimits::default());
@@ -25,7 +25,7 @@
             Err(NoTarget::NoAgent) => {
                 Ended::Step(step(cx, req, &mut policy, AttemptEvent::NoAgent))
             }
-            Err(NoTarget::HolderGone) => {
+            Err(NoTarget::ClaimantGone) => {
                 Ended::Step(step(cx, req, &mut policy, AttemptEvent::AgentRestarted))
             }
         };
@@ -39,15 +39,15 @@
     }
 }
 
-/// How an attempt ended.
+/// Result of an attempt.
 enum Ended {
-    /// With the minion's answer.
+    /// The minion's answer.
     Reply(Reply),
-    /// With a step that concerns the whole request.
+    /// The next step of the request.
     Step(NextStep),
 }
 
-/// Makes one attempt and follows the policy until it leads elsewhere.
+/// Makes one attempt, and follows the policy's steps until one ends the attempt.
 async fn attempt(
     cx: &EntryContext,
     req: &Incoming,
@@ -58,21 +58,22 @@
     let mut event = if attempt.is_sent() {
         wait(cx, req, &mut attempt).await
     } else if target.repeat {
-        // What this request repeats may have run there, so this is no certain "not run".
-        Heard::Event(AttemptEvent::LinkLost)
+        // An earlier request with the same key may have run there, so this attempt must not count
+        // as certainly not run.
+        Received::Event(AttemptEvent::LinkLost)
     } else {
-        Heard::Event(AttemptEvent::NeverSent)
+        Received::Event(AttemptEvent::NeverSent)
     };
     loop {
         let next = match event {
-            Heard::Reply(reply) => return Ended::Reply(reply),
-            Heard::Event(happened) => step(cx, req, policy, happened),
+            Received::Reply(reply) => return Ended::Reply(reply),
+            Received::Event(attempt_event) => step(cx, req, policy, attempt_event),
         };
         event = match next {
             NextStep::Wait => wait(cx, req, &mut attempt).await,
             NextStep::Ask { after_ms } => {
                 sleep(Duration::from_millis(after_ms)).await;
-                ask(cx, req, &mut attempt, target.incarnation).await
+                query(cx, req, &mut attempt, target.incarnation).await
             }
             NextStep::Deliver | NextStep::Retry | NextStep::Answer { .. } => {
                 return Ended::Step(next);
@@ -81,45 +82,51 @@
     }
 }
 
-/// What an attempt heard.
-enum Heard {
+/// Event of an attempt as the policy needs it.
+enum Received {
     Reply(Reply),
     Event(AttemptEvent),
 }
 
-async fn wait(cx: &EntryContext, req: &Incoming, attempt: &mut Attempt) -> Heard {
+async fn wait(cx: &EntryContext, req: &Incoming, attempt: &mut Attempt) -> Received {
     match attempt.next(cx, req).await {
-        Some(event) => heard(cx, attempt, event),
-        None => Heard::Event(AttemptEvent::DeadlinePassed { sent: attempt.is_sent() }),
+        Some(event) => from_link(cx, attempt, event),
+        None => Received::Event(AttemptEvent::DeadlinePassed { sent: attempt.is_sent() }),
     }
 }
 
-async fn ask(cx: &EntryContext, req: &Incoming, attempt: &mut Attempt, incarnation: u64) -> Heard {
-    match attempt.ask(cx, req, incarnation).await {
-        Ok(event) => heard(cx, attempt, event),
-        Err(AskError::Restarted) => Heard::Event(AttemptEvent::AgentRestarted),
-        Err(AskError::NoLink | AskError::NoAnswer) => Heard::Event(AttemptEvent::AskFailed),
+async fn query(
+    cx: &EntryContext,
+    req: &Incoming,
+    attempt: &mut Attempt,
+    incarnation: u64,
+) -> Received {
+    match attempt.query(cx, req, incarnation).await {
+        Ok(event) => from_link(cx, attempt, event),
+        Err(QueryError::Restarted) => Received::Event(AttemptEvent::AgentRestarted),
+        Err(QueryError::NoLink | QueryError::NoAnswer) => Received::Event(AttemptEvent::AskFailed),
     }
 }
 
-fn heard(cx: &EntryContext, attempt: &Attempt, event: LinkEvent) -> Heard {
+fn from_link(cx: &EntryContext, attempt: &Attempt, event: LinkEvent) -> Received {
     match event {
         LinkEvent::Answer(head, body) => {
-            note(cx, attempt, &head);
+            record_result(cx, attempt, &head);
             if head.outcome == Outcome::Answered {
-                return Heard::Reply(Reply::answered(&head, body));
+                return Received::Reply(Reply::answered(&head, body));
             }
             let (outcome, retry_after_ms) = (head.outcome, head.retry_after_ms);
-            Heard::Event(AttemptEvent::Outcome { outcome, retry_after_ms })
+            Received::Event(AttemptEvent::Outcome { outcome, retry_after_ms })
         }
-        LinkEvent::Verdict(verdict) => Heard::Event(AttemptEvent::Verdict(verdict)),
-        LinkEvent::Lost => Heard::Event(AttemptEvent::LinkLost),
-        LinkEvent::Silent => Heard::Event(AttemptEvent::LinkUnresponsive),
+        LinkEvent::Verdict(verdict) => Received::Event(AttemptEvent::Verdict(verdict)),
+        LinkEvent::Lost => Received::Event(AttemptEvent::LinkLost),
+        LinkEvent::Unresponsive => Received::Event(AttemptEvent::LinkUnresponsive),
     }
 }
 
-/// Counts how the agent's minion did; refusals for want of room are no fault of it.
-fn note(cx: &EntryContext, attempt: &Attempt, head: &AnswerHead) {
+/// Records whether the agent's minion succeeded. Refusals for lack of capacity are not failures of
+/// the minion.
+fn record_result(cx: &EntryContext, attempt: &Attempt, head: &AnswerHead) {
     let success = match head.outcome {
         Outcome::Answered => head.status < 500,
         Outcome::RunFailed
@@ -131,7 +138,7 @@
     cx.record_result(attempt.agent(), success);
 }
 
-/// Takes one step of the policy and logs it, unless it is the ordinary one.
+/// Returns the policy's next step after an event, and logs the decision.
 fn step(
     cx: &EntryContext,
     req: &Incoming,
@@ -149,7 +156,7 @@
         next = next
     );
     if let NextStep::Answer { code: ResultCode::OutcomeUnknown, .. } = next {
-        spdlog::warn!("request {} of {}: outcome unknown", req.id, req.caller.name);
+        spdlog::warn!("request {} of customer {}: outcome unknown", req.id, req.caller.name);
     }
     next
 }
--- a/crates/geraniumpost/src/entry/gauges.rs
+++ b/crates/geraniumpost/src/entry/gauges.rs
@@ -1,13 +1,14 @@
-//! The entry's gauges, counted from what routing sees.
+//! Gauges of an entry, computed from the routing snapshot.
 
 use geraniumpost_core::requests::{AgentView, Snapshot};
 
 use super::EntryContext;
 
-/// States of an agent that the gauge tells apart; each agent counts once, the worst state first.
+/// States of an agent in the gauge. Each agent is counted in the first of these states that
+/// applies.
 const STATES: [&str; 4] = ["disconnected", "draining", "ejected", "ready"];
 
-/// Records how many agents are in which state, and the requests in flight to them.
+/// Records the number of agents in each state and of attempts in flight to them.
 pub(super) fn record(cx: &EntryContext) {
     let snapshot = cx.snapshot.load();
     for (state, count) in STATES.iter().zip(counts(&snapshot)) {
@@ -20,13 +21,13 @@
 fn counts(snapshot: &Snapshot) -> [u64; 4] {
     let mut counts = [0; 4];
     for agent in snapshot.agents() {
-        counts[state_of(agent)] += 1;
+        counts[state_index(agent)] += 1;
     }
     counts
 }
 
-/// Returns the place in [`STATES`].
-fn state_of(agent: &AgentView) -> usize {
+/// Returns the index of an agent's state in [`STATES`].
+fn state_index(agent: &AgentView) -> usize {
     if !agent.is_connected() {
         0
     } else if agent.is_draining() {
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/incoming.rs
@@ -14,21 +14,21 @@
 use crate::config::{ActiveConfig, Caller};
 use crate::headers;
 
-/// Longest text that a caller may give as an id or key, in bytes.
-const LONGEST_TEXT: usize = 256;
-/// Longest deadline, in milliseconds.
-const LONGEST_TIMEOUT_MS: u64 = 3_600_000;
+/// Maximum length of a caller's request id, key or timeout header, in bytes.
+const MAX_HEADER_BYTES: usize = 256;
+/// Maximum timeout of a request, in milliseconds.
+const MAX_TIMEOUT_MS: u64 = 3_600_000;
 
-/// A caller's request, read and understood.
+/// Parsed request of a caller.
 #[derive(Debug, Clone)]
 pub struct Incoming {
-    /// The caller's id, or one that the entry gave; echoed and logged.
+    /// Id from the caller or else from the entry, which is returned and logged.
     pub id: Name,
     /// The customer.
     pub caller: Arc<Caller>,
     /// Name of the service.
     pub service_name: Name,
-    /// The service's figures.
+    /// Configuration of the service.
     pub service: Arc<Service>,
     /// HTTP method.
     pub method: Method,
@@ -36,41 +36,42 @@
     pub path: String,
     /// Headers for the minion.
     pub headers: Vec<HeaderField>,
-    /// Whole body.
+    /// Complete body.
     pub body: Bytes,
-    /// What a second run would do.
+    /// Whether the request may be repeated.
     pub kind: RequestKind,
-    /// Digest of customer and key, empty without a key.
+    /// Digest of customer and idempotency key, empty without a key.
     pub key: Name,
-    /// When the caller stops waiting.
+    /// Time by which the request must be answered.
     pub deadline: Millis,
 }
 
-/// What the head of a request says, before its body is read.
+/// Parsed head of a request whose body was not read yet.
 #[derive(Debug, Clone)]
 pub struct Head {
-    /// Everything but the body.
+    /// The request with an empty body.
     request: Incoming,
-    /// Largest body that the service takes, in bytes.
-    largest: usize,
+    /// Maximum size of a body for the service, in bytes.
+    max_body_bytes: usize,
 }
 
 impl Head {
-    /// Understands the head of a request, or says why it is refused.
+    /// Parses the head of a request.
     ///
     /// # Errors
     ///
-    /// Returns the result code to refuse it with: nothing has run.
-    pub fn read(parts: &Parts, in_force: &ActiveConfig, clock: &Clock) -> Result<Self, ResultCode> {
-        if in_force.revision() == 0 {
-            // No token is known yet. Called unknown, a good one might be thrown away by its caller.
+    /// Returns the result code with which the request must be refused.
+    pub fn read(parts: &Parts, config: &ActiveConfig, clock: &Clock) -> Result<Self, ResultCode> {
+        if config.revision() == 0 {
+            // No token is known yet. If a valid one were refused as unknown, its caller might
+            // discard it.
             return Err(ResultCode::NoAgent);
         }
         let token = bearer(&parts.headers).ok_or(ResultCode::BadToken)?;
-        let caller = in_force.caller(token).ok_or(ResultCode::BadToken)?;
+        let caller = config.caller(token).ok_or(ResultCode::BadToken)?;
         let path = parts.uri.path();
-        let first = path.split('/').find(|segment| !segment.is_empty()).unwrap_or_default();
-        let service = in_force.service(first).ok_or(ResultCode::UnknownService)?;
+        let service_name = path.split('/').find(|segment| !segment.is_empty()).unwrap_or_default();
+        let service = config.service(service_name).ok_or(ResultCode::UnknownService)?;
         let key = text(&parts.headers, headers::IDEMPOTENCY_KEY)?;
         let idempotent = parts.method.is_idempotent();
         let target = parts.uri.path_and_query().map_or(path, http::uri::PathAndQuery::as_str);
@@ -79,7 +80,7 @@
             headers: for_minion(parts.headers.clone(), &caller.name, &id),
             id,
             caller: Arc::clone(caller),
-            service_name: Name::from(first),
+            service_name: Name::from(service_name),
             service: Arc::clone(service),
             method: parts.method.clone(),
             path: target.to_owned(),
@@ -88,16 +89,16 @@
             key: key.map_or_else(Name::default, |key| digest(&caller.name, key)),
             deadline: deadline(&parts.headers, service, clock)?,
         };
-        Ok(Self { request, largest: service.max_body_kb as usize * 1024 })
+        Ok(Self { request, max_body_bytes: service.max_body_kb as usize * 1024 })
     }
 
-    /// Returns the largest body in bytes.
-    pub const fn largest(&self) -> usize {
-        self.largest
+    /// Returns the maximum size of the body in bytes.
+    pub const fn max_body_bytes(&self) -> usize {
+        self.max_body_bytes
     }
 
-    /// Returns the time left to read the body.
-    pub fn time(&self, clock: &Clock) -> Duration {
+    /// Returns the time left until the deadline.
+    pub fn time_left(&self, clock: &Clock) -> Duration {
         clock.until(self.request.deadline)
     }
 
@@ -106,12 +107,12 @@
         Incoming { body, ..self.request }
     }
 
-    /// Returns the id to echo.
+    /// Returns the id of the request.
     pub fn id(&self) -> Name {
         self.request.id.clone()
     }
 
-    /// Returns customer and service, for the metrics of requests that end before routing.
+    /// Returns the service and the customer, as labels of metrics.
     pub fn labels(&self) -> (Name, Name) {
         (self.request.service_name.clone(), self.request.caller.name.clone())
     }
@@ -123,17 +124,17 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
 
-/// Returns a header's text; an oversized or unreadable one is the caller's mistake.
+/// Returns the text of a header, and an error if it is empty, too long or not visible ASCII.
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, ResultCode> {
     let Some(value) = headers.get(name) else { return Ok(None) };
     let text = value.to_str().map_err(|_| ResultCode::Malformed)?.trim();
-    if text.is_empty() || text.len() > LONGEST_TEXT {
+    if text.is_empty() || text.len() > MAX_HEADER_BYTES {
         return Err(ResultCode::Malformed);
     }
     Ok(Some(text))
 }
 
-/// Returns the caller's id for the request, or a fresh one; an unreadable id is replaced as well.
+/// Returns the caller's id for the request, or a random one if it is missing or invalid.
 pub fn request_id(headers: &HeaderMap) -> Name {
     let given = text(headers, headers::REQUEST_ID).ok().flatten();
     given.map_or_else(|| Name::from(format!("{:016x}", rand::random::<u64>())), Name::from)
@@ -143,7 +144,7 @@
     let given = text(headers, headers::TIMEOUT_MS)?;
     let ms = given.map_or(Ok(service.deadline_ms), str::parse::<u64>);
     let ms = ms.map_err(|_| ResultCode::Malformed)?;
-    Ok(clock.now().plus(ms.min(LONGEST_TIMEOUT_MS)))
+    Ok(clock.now().plus(ms.min(MAX_TIMEOUT_MS)))
 }
 
 /// Prepares the caller's headers for the minion: its token stays here, its name and the request's
@@ -162,7 +163,8 @@
     fields
 }
 
-/// Two customers may choose the same key, so the customer is part of what is claimed.
+/// Returns the digest that is claimed for an idempotency key. It includes the customer, because two
+/// customers may choose the same key.
 fn digest(customer: &str, key: &str) -> Name {
     let mut hasher = Sha256::new();
     hasher.update((customer.len() as u64).to_le_bytes());
--- a/crates/geraniumpost/src/entry/link_event.rs
+++ b/crates/geraniumpost/src/entry/link_event.rs
@@ -1,15 +1,15 @@
 use bytes::Bytes;
 use geraniumpost_schema::{AnswerHead, AskVerdict};
 
-/// What a request's task hears from the link that its attempt went over.
+/// Event of a link for an attempt that was sent over it.
 #[derive(Debug)]
 pub enum LinkEvent {
-    /// The agent's final word with the answer's body.
+    /// Final answer of the agent, with its body.
     Answer(AnswerHead, Bytes),
-    /// Answer to a question.
+    /// Answer to a query about the attempt.
     Verdict(AskVerdict),
-    /// The link ended; whether the attempt arrived is unknown.
+    /// The link has ended; it is unknown whether the attempt was received.
     Lost,
-    /// The link does not answer pings.
-    Silent,
+    /// The agent does not answer pings over the link.
+    Unresponsive,
 }
--- a/crates/geraniumpost/src/entry/links.rs
+++ b/crates/geraniumpost/src/entry/links.rs
@@ -8,7 +8,7 @@
 use super::{AgentLink, EntryContext};
 use crate::config::FetchRequest;
 
-/// The present link to each agent, read without a lock on a request's path.
+/// Current link to each agent. Requests read it without a lock.
 #[derive(Debug, Default)]
 pub struct Links(ArcSwap<HashMap<Name, Arc<AgentLink>>>);
 
@@ -28,7 +28,7 @@
         self.0.load().values().cloned().collect()
     }
 
-    /// Puts a link in place of the one before.
+    /// Replaces the current link to the agent.
     pub fn put(&self, link: &Arc<AgentLink>) {
         self.0.rcu(|links| {
             let mut links = HashMap::clone(links);
@@ -37,7 +37,7 @@
         });
     }
 
-    /// Takes a link out, unless another has taken its place.
+    /// Removes a link, unless it was replaced by another.
     pub fn remove(&self, link: &Arc<AgentLink>) {
         self.0.rcu(|links| {
             let mut links = HashMap::clone(links);
@@ -49,13 +49,13 @@
     }
 }
 
-/// Asks agents for the configurations that the adoption rule wants.
+/// Requests configurations from agents.
 ///
-/// Agents hold what entries hold, and there is a link to each already, so entries need no way of
-/// their own to each other's document.
-pub fn fetch(cx: &EntryContext, wanted: &[FetchRequest]) {
-    for one in wanted {
-        match one {
+/// Agents receive every configuration that entries put in force, and each entry has links to them.
+/// Therefore entries fetch configurations from agents instead of from each other.
+pub fn fetch(cx: &EntryContext, requests: &[FetchRequest]) {
+    for request in requests {
+        match request {
             FetchRequest::AllPeers => {
                 for link in cx.links.all() {
                     link.send(ToAgent::FetchConfig);
@@ -66,14 +66,14 @@
                     link.send(ToAgent::FetchConfig);
                 }
             }
-            // The store is followed by a task of its own.
+            // `follow_store` reads the store.
             FetchRequest::One(Source::Store) => {}
         }
     }
 }
 
-/// Sends the configuration in force to every agent. An agent without a link gets it when the link
-/// comes up, or when its heartbeat shows an older revision.
+/// Sends the configuration in force to all linked agents. Other agents get it when their link is
+/// established, or when a heartbeat shows that they have an older revision.
 pub fn push_config(cx: &EntryContext) {
     let in_force = cx.config.active().load();
     if in_force.revision() == 0 {
@@ -81,6 +81,6 @@
     }
     for link in cx.links.all() {
         let head = ToAgent::Adopt(Adopt { revision: in_force.revision() });
-        link.send_with(head, in_force.json().clone());
+        link.send_with_body(head, in_force.json().clone());
     }
 }
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -1,7 +1,7 @@
-//! The process that callers and operators reach: it routes requests and keeps nothing that must
-//! last.
+//! The process that serves callers and operators. It routes requests and keeps no durable state.
 //!
-//! What it decides is in the core (`Router`, `RetryPolicy`, `Membership`); this module moves bytes.
+//! The decisions are made in the core (`Router`, `RetryPolicy`, `Membership`); this module performs
+//! the I/O.
 
 mod agent_link;
 mod attempt;
@@ -10,16 +10,16 @@
 mod context;
 mod datagrams;
 mod dispatch;
+mod entry_registry;
 mod gauges;
 mod incoming;
 mod link_event;
-mod link_keeper;
+mod link_maintenance;
 mod links;
 mod pauses;
 mod peers;
 mod reply;
 mod role;
-mod roster;
 mod route;
 mod views;
 
--- a/crates/geraniumpost/src/entry/pauses.rs
+++ b/crates/geraniumpost/src/entry/pauses.rs
@@ -1,32 +1,34 @@
 use geraniumpost_core::Millis;
 
-/// Time between two ticks in milliseconds over which the process must have been paused.
-const LONGEST_TICK_MS: u64 = 500;
+/// Minimum time between two ticks that is considered a process pause, in milliseconds.
+const MIN_PAUSE_MS: u64 = 500;
 
-/// Notices that this process was paused, as with its VM.
+/// Detects pauses of this process, for example because its VM was paused.
 ///
-/// After a pause the heartbeats lie unread in the socket, and by the clock every agent has been
-/// silent for too long. Judged at once, all would be dead, and callers would be told that there is
-/// no agent until the next heartbeats have come.
+/// After a pause, heartbeats received during it are still unread in the socket, and the timeouts of
+/// all agents have elapsed. If agents were timed out immediately, all would be considered lost, and
+/// callers would be refused until the next heartbeats are received.
 #[derive(Debug)]
-pub(super) struct Pauses {
-    looked_at: Millis,
-    judge_from: Millis,
+pub(super) struct PauseDetector {
+    last_tick: Millis,
+    timeouts_valid_from: Millis,
 }
 
-impl Pauses {
-    /// Begins to watch.
+impl PauseDetector {
+    /// Creates a detector that has detected no pause.
     pub(super) const fn new(now: Millis) -> Self {
-        Self { looked_at: now, judge_from: now }
+        Self { last_tick: now, timeouts_valid_from: now }
     }
 
-    /// Returns whether silence means anything now.
-    pub(super) fn may_judge(&mut self, now: Millis, heartbeat_ms: u64) -> bool {
-        let since_look = now.since(std::mem::replace(&mut self.looked_at, now));
-        if since_look > LONGEST_TICK_MS {
-            spdlog::warn!("paused for {since_look} ms; agents are not judged by their silence yet");
-            self.judge_from = now.plus(2 * heartbeat_ms);
+    /// Handles a tick, and returns whether agents without heartbeats may be timed out now.
+    pub(super) fn tick(&mut self, now: Millis, heartbeat_ms: u64) -> bool {
+        let since_tick = now.since(std::mem::replace(&mut self.last_tick, now));
+        if since_tick > MIN_PAUSE_MS {
+            spdlog::warn!(
+                "the process was paused for {since_tick} ms; waiting for heartbeats before agents time out"
+            );
+            self.timeouts_valid_from = now.plus(2 * heartbeat_ms);
         }
-        now >= self.judge_from
+        now >= self.timeouts_valid_from
     }
 }
--- a/crates/geraniumpost/src/entry/peers.rs
+++ b/crates/geraniumpost/src/entry/peers.rs
@@ -6,37 +6,41 @@
 
 use crate::entry_list;
 
-/// How long an entry stays on the list after its last beat. Agents send heartbeats to everyone on
-/// it, so an entry that is gone must leave it; one that is only cut off comes back by itself.
-const FORGET_MS: u64 = 60_000;
-/// How long an entry counts as planning after its last beat.
-const PLANS_MS: u64 = 5_000;
-/// Every how many beats an unchanged list is told again, since a beat with a changed one may be
-/// lost.
-const TELL_EVERY: u64 = 10;
-
-/// The other entries, by their beats.
+/// Time after the last heartbeat at which an entry is removed from the list, in milliseconds.
+/// Agents send heartbeats to all listed entries, so lost entries must be removed. An entry that was
+/// only unreachable is added again by its next heartbeat.
+const ENTRY_TIMEOUT_MS: u64 = 60_000;
+/// Time after the last heartbeat for which an entry is considered to plan, in milliseconds.
+const PLANNER_TIMEOUT_MS: u64 = 5_000;
+/// Interval at which an unchanged list is sent again, in heartbeats. A heartbeat with a changed
+/// list may have been lost.
+const LIST_INTERVAL_BEATS: u64 = 10;
+
+/// The other entries, as known from their heartbeats.
 #[derive(Debug, Clone)]
 pub struct Peers {
     own: EntryPeer,
-    known: BTreeMap<Name, Heard>,
-    hinted: BTreeSet<SocketAddr>,
-    told: u64,
+    known: BTreeMap<Name, LastBeat>,
+    /// Addresses of entries from which no heartbeat was received yet.
+    hints: BTreeSet<SocketAddr>,
+    /// Digest of the list at the last heartbeat of this entry.
+    last_digest: u64,
 }
 
+/// Last heartbeat of an entry and the time at which it was received.
 #[derive(Debug, Clone)]
-struct Heard {
+struct LastBeat {
     beat: EntryBeat,
     at: Millis,
 }
 
 impl Peers {
-    /// Knows only this entry.
+    /// Creates a list of only this entry.
     pub const fn new(own: EntryPeer) -> Self {
-        Self { own, known: BTreeMap::new(), hinted: BTreeSet::new(), told: 0 }
+        Self { own, known: BTreeMap::new(), hints: BTreeSet::new(), last_digest: 0 }
     }
 
-    /// Takes in a beat; late and repeated ones are ignored.
+    /// Records a heartbeat of an entry. Ignores reordered and repeated heartbeats.
     pub fn record_beat(&mut self, beat: EntryBeat, now: Millis) {
         if beat.peer.name == self.own.name {
             return;
@@ -46,69 +50,71 @@
             known.beat.incarnation == beat.incarnation && known.beat.sequence >= beat.sequence
         });
         if !late {
-            self.known.insert(beat.peer.name.clone(), Heard { beat, at: now });
+            self.known.insert(beat.peer.name.clone(), LastBeat { beat, at: now });
         }
     }
 
-    /// Takes note of addresses at which another entry has heard entries; they are sent the next
-    /// beat, and are known for themselves once they answer with one.
+    /// Adds addresses of entries that another entry has reported. They are sent the next heartbeat,
+    /// and become known when they send one in turn.
     pub fn add_hints(&mut self, addresses: &[SocketAddr]) {
-        self.hinted.extend(addresses);
+        self.hints.extend(addresses);
     }
 
-    /// Forgets entries that have long been silent.
+    /// Removes entries whose heartbeats have timed out.
     pub fn tick(&mut self, now: Millis) {
-        self.known.retain(|_, heard| now.since(heard.at) <= FORGET_MS);
+        self.known.retain(|_, last| now.since(last.at) <= ENTRY_TIMEOUT_MS);
     }
 
-    /// Returns where this entry is reached.
+    /// Returns the name and addresses of this entry.
     pub const fn own(&self) -> &EntryPeer {
         &self.own
     }
 
-    /// Returns every entry, this one included, that has not begun to leave.
+    /// Returns all entries that are not draining, including this one, sorted by name.
     pub fn list(&self) -> Vec<EntryPeer> {
-        let staying = self.known.values().filter(|heard| !heard.beat.draining);
-        let mut list: Vec<EntryPeer> = staying.map(|heard| heard.beat.peer.clone()).collect();
+        let staying = self.known.values().filter(|last| !last.beat.draining);
+        let mut list: Vec<EntryPeer> = staying.map(|last| last.beat.peer.clone()).collect();
         list.push(self.own.clone());
         list.sort_by(|a, b| a.name.cmp(&b.name));
         list
     }
 
-    /// Returns the list for the beat numbered `sequence`: whole if it has changed since the last
-    /// beat and with every tenth one, otherwise empty.
+    /// Returns the list for the heartbeat with the given sequence number. It is complete if it has
+    /// changed since the last heartbeat, and in every tenth heartbeat, and otherwise empty.
     ///
-    /// With the list in every beat, the bytes of beats grow with the square of the entries; 16 of
-    /// them then spend more on it than all control may cost, see `docs/CAPACITY.md`.
+    /// If every heartbeat contained the list, the total size of the heartbeats would grow with the
+    /// square of the number of entries. With 16 entries it would exceed the budget for all control
+    /// traffic, see `docs/CAPACITY.md`.
     pub fn list_for_beat(&mut self, sequence: u64) -> Vec<EntryPeer> {
         let list = self.list();
         let digest = entry_list::digest(&list);
-        let unchanged = std::mem::replace(&mut self.told, digest) == digest;
-        if unchanged && !sequence.is_multiple_of(TELL_EVERY) { Vec::new() } else { list }
+        let unchanged = std::mem::replace(&mut self.last_digest, digest) == digest;
+        if unchanged && !sequence.is_multiple_of(LIST_INTERVAL_BEATS) { Vec::new() } else { list }
     }
 
-    /// Returns the digest of the list.
+    /// Returns the digest of [`Self::list`].
     pub fn digest(&self) -> u64 {
         entry_list::digest(&self.list())
     }
 
-    /// Returns the UDP addresses of the other entries, those hinted at for the last time.
+    /// Returns the UDP addresses of the other entries and of the hints, and removes the hints.
     pub fn take_addresses(&mut self) -> Vec<SocketAddr> {
-        let hinted = std::mem::take(&mut self.hinted);
-        let known = self.known.values().map(|heard| heard.beat.peer.datagrams.parse());
-        known.filter_map(Result::ok).chain(hinted).collect()
+        let hints = std::mem::take(&mut self.hints);
+        let known = self.known.values().map(|last| last.beat.peer.datagrams.parse());
+        known.filter_map(Result::ok).chain(hints).collect()
     }
 
-    /// Returns the console of the entry that plans for this region, by the highest term heard of.
+    /// Returns the term and console address of the other entry that plans for this region. If
+    /// several report that they plan, the one with the highest term is returned.
     pub fn planner(&self, now: Millis) -> Option<(u64, SocketAddr)> {
-        let live = self.known.values().filter(|heard| now.since(heard.at) <= PLANS_MS);
-        let planning = live.filter(|h| h.beat.term > 0 && h.beat.peer.region == self.own.region);
-        let highest = planning.max_by_key(|heard| heard.beat.term)?;
+        let live = self.known.values().filter(|last| now.since(last.at) <= PLANNER_TIMEOUT_MS);
+        let planning = live.filter(|l| l.beat.term > 0 && l.beat.peer.region == self.own.region);
+        let highest = planning.max_by_key(|last| last.beat.term)?;
         Some((highest.beat.term, highest.beat.peer.console.parse().ok()?))
     }
 
-    /// Returns the last beat of each other entry with its age in milliseconds.
+    /// Returns the last heartbeat of each other entry and its age in milliseconds.
     pub fn beats(&self, now: Millis) -> impl Iterator<Item = (&EntryBeat, u64)> {
-        self.known.values().map(move |heard| (&heard.beat, now.since(heard.at)))
+        self.known.values().map(move |last| (&last.beat, now.since(last.at)))
     }
 }
--- a/crates/geraniumpost/src/entry/reply.rs
+++ b/crates/geraniumpost/src/entry/reply.rs
@@ -6,7 +6,7 @@
 
 use crate::headers;
 
-/// The last word on a caller's request.
+/// Final result of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reply {
     code: ResultCode,
@@ -17,14 +17,14 @@
 }
 
 impl Reply {
-    /// A minion's whole answer.
+    /// Creates a reply with a minion's complete answer.
     pub fn answered(head: &AnswerHead, body: Bytes) -> Self {
         let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = headers::from_fields(&head.headers);
         Self { code: ResultCode::Answered, status, headers, body, retry_after_ms: 0 }
     }
 
-    /// A result without a minion's answer; `retry_after_ms` is 0 for no advice.
+    /// Creates a reply without a minion's answer. `retry_after_ms` is 0 if no retry is advised.
     pub fn without_answer(code: ResultCode, retry_after_ms: u64) -> Self {
         let status = StatusCode::from_u16(code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
         let mut headers = HeaderMap::new();
@@ -44,7 +44,7 @@
         self.code
     }
 
-    /// Returns the HTTP response to the request with id `id`.
+    /// Converts the reply to the HTTP response to the request with id `id`.
     pub fn into_response(self, id: &Name) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(self.body));
         *response.status_mut() = self.status;
--- a/crates/geraniumpost/src/entry/role.rs
+++ b/crates/geraniumpost/src/entry/role.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-use super::roster::keep_roster;
+use super::entry_registry::stay_registered;
 use super::{EntryContext, callers, datagrams, links, views};
 use crate::config::{ConfigCell, ConfigUpdater, FetchRequest, follow_store, log_contradictions};
 use crate::console::{Console, ConsoleContext, bootstrap_token};
@@ -18,17 +18,18 @@
 use crate::stop_signal::{stop_signal, stopped};
 use crate::{logs, planner, runtime};
 
-/// How long a starting entry gathers its peers' revisions before it takes the highest.
-const GATHER_MS: u64 = 1_000;
-/// Longest wait for one call of the store. It answers in milliseconds; a call that takes this long
-/// is lost, and whoever made it should say so in time.
-const STORE_TIME: Duration = Duration::from_secs(2);
+/// Time for which a starting entry collects the configurations of its peers before it adopts the
+/// highest revision, in milliseconds.
+const COLLECT_MS: u64 = 1_000;
+/// Timeout of a store call. The store usually answers in milliseconds; after this time its answer
+/// is considered lost, so that the caller can react before its own deadline.
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Runs `geraniumpost entry` until it is told to stop and its requests are finished.
+/// Runs `geraniumpost entry` until it is asked to stop and its requests have finished.
 ///
 /// # Errors
 ///
-/// Fails if an address of the settings cannot be had.
+/// Fails if an address of the settings cannot be bound.
 pub fn run(settings: EntrySettings) -> Result<()> {
     logs::start(&settings.log, &settings.name)?;
     runtime::start()?.block_on(serve(settings))
@@ -40,8 +41,8 @@
     let console = listen(settings.console).await?;
     let key = SharedKey::from(settings.shared_key.as_str());
     let socket = Arc::new(DatagramSocket::bind(settings.datagrams, key).await?);
-    let store = Store::new(settings.store).timeout(STORE_TIME);
-    let config = Arc::new(ConfigUpdater::new(Arc::new(ConfigCell::default()), GATHER_MS));
+    let store = Store::new(settings.store).timeout(STORE_TIMEOUT);
+    let config = Arc::new(ConfigUpdater::new(Arc::new(ConfigCell::default()), COLLECT_MS));
     let metrics = Arc::new(Metrics::new()?);
     let store = metrics.observed(store);
     let (planner_tx, planner_rx) = mpsc::unbounded_channel();
@@ -51,36 +52,36 @@
     let jobs = planner::start(&cx, planner_rx, stop.clone());
     let console = tokio::spawn(serve_console(Arc::clone(&cx), console, jobs, stop.clone()));
     callers::serve(Arc::clone(&cx), callers, stop).await;
-    // The console ends by itself; a failure there has been logged.
+    // The console stops on its own; its failures are logged there.
     let _ = console.await;
     Ok(())
 }
 
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("TCP on {address}"))
+    TcpListener::bind(address).await.wrap_err_with(|| format!("cannot listen on TCP {address}"))
 }
 
 fn start_tasks(cx: &Arc<EntryContext>, socket: &Arc<DatagramSocket>) {
-    let (wanted_tx, wanted) = mpsc::channel(16);
-    let following = follow_store(Arc::clone(&cx.config), cx.store.clone(), wanted_tx);
+    let (requests_tx, requests) = mpsc::channel(16);
+    let following = follow_store(Arc::clone(&cx.config), cx.store.clone(), requests_tx);
     tokio::spawn(following);
     let settings = cx.settings.clone();
     let check = move |document: &Document| check_entry_membership(&settings, document);
     tokio::spawn(log_contradictions(Arc::clone(cx.config.active()), check));
-    tokio::spawn(fetch_wanted(Arc::clone(cx), wanted));
+    tokio::spawn(fetch_requested(Arc::clone(cx), requests));
     tokio::spawn(follow_limits(Arc::clone(cx)));
-    tokio::spawn(datagrams::hear(Arc::clone(cx), Arc::clone(socket)));
-    tokio::spawn(keep_roster(Arc::clone(cx)));
-    tokio::spawn(datagrams::announce(Arc::clone(cx), Arc::clone(socket)));
+    tokio::spawn(datagrams::receive(Arc::clone(cx), Arc::clone(socket)));
+    tokio::spawn(stay_registered(Arc::clone(cx)));
+    tokio::spawn(datagrams::send_periodically(Arc::clone(cx), Arc::clone(socket)));
 }
 
-async fn fetch_wanted(cx: Arc<EntryContext>, mut wanted: mpsc::Receiver<FetchRequest>) {
-    while let Some(one) = wanted.recv().await {
-        links::fetch(&cx, &[one]);
+async fn fetch_requested(cx: Arc<EntryContext>, mut requests: mpsc::Receiver<FetchRequest>) {
+    while let Some(request) = requests.recv().await {
+        links::fetch(&cx, &[request]);
     }
 }
 
-/// Puts the figures of each new revision in place and passes the revision on to all agents.
+/// Applies the limits of each new revision, and sends the configuration to all agents.
 async fn follow_limits(cx: Arc<EntryContext>) {
     let mut revisions = cx.config.active().subscribe();
     loop {
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -8,39 +8,40 @@
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
-use super::claims::{Claim, home};
+use super::claims::{Claim, fallback_agent};
 use super::{EntryContext, Incoming};
 use crate::decision;
 
-/// Where an attempt goes.
+/// Target of an attempt.
 #[derive(Debug, Clone)]
 pub struct Target {
     /// The agent.
     pub agent: Arc<AgentView>,
-    /// The incarnation that must get it.
+    /// The incarnation of the agent to which the attempt must be sent.
     pub incarnation: u64,
-    /// The key that the agent is told, empty without one.
+    /// The key that is sent to the agent, empty for a request without a key.
     ///
-    /// It holds the revision of the claim. An agent that refuses a key bars it for good, so that
-    /// the claim may be moved; under the moved claim's revision the same agent may run it again.
-    /// Otherwise a key that every agent refused once for want of room could never run.
+    /// It contains the revision of the claim. An agent that refuses a key bars it permanently, so
+    /// that the claim can be moved to another agent. Under the revision of a moved claim the same
+    /// agent may run the request. Otherwise a key that every agent has refused once for lack of
+    /// capacity could never run.
     pub key: Name,
     /// Whether an earlier request with the same key may have run there.
     pub repeat: bool,
 }
 
-/// Why an attempt goes nowhere.
+/// Why there is no target for an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoTarget {
-    /// No agent takes it.
+    /// No agent is available.
     NoAgent,
-    /// The agent that may have run it is gone.
-    HolderGone,
-    /// The request ends here with this result: it has not run.
+    /// The agent that holds the claim, and may have run the request, is no longer known.
+    ClaimantGone,
+    /// The request is refused with this result; it has not run.
     Refused(ResultCode),
 }
 
-/// Chooses where attempts of one request go, and keeps what it must know for that.
+/// Chooses the targets of the attempts of one request.
 #[derive(Debug, Default)]
 pub struct Route {
     tried: Vec<Name>,
@@ -48,11 +49,11 @@
 }
 
 impl Route {
-    /// Chooses the target of the next attempt and logs why.
+    /// Chooses the target of the next attempt and logs the decision.
     ///
     /// # Errors
     ///
-    /// Returns why there is none.
+    /// Returns the reason if there is no target.
     pub async fn next(
         &mut self,
         cx: &EntryContext,
@@ -67,8 +68,8 @@
                 Target { incarnation: agent.incarnation(), agent, key, repeat: false }
             }
         };
-        // An agent that a standing claim led to was not chosen, and has barred the claim's revision
-        // alone: it may be chosen next.
+        // The agent of an existing claim was not chosen by the router, and has barred only the
+        // claim's revision. It may therefore be chosen for the next attempt.
         if !target.repeat {
             self.tried.push(target.agent.name().clone());
         }
@@ -83,10 +84,10 @@
     ) -> Result<Arc<AgentView>, NoTarget> {
         let snapshot = cx.snapshot.load();
         let service = snapshot.service(&req.service_name).ok_or(NoTarget::NoAgent)?;
-        let harmless = req.kind == RequestKind::Idempotent;
-        let ask = RoutingQuery::new(cx.clock.now()).tried(&self.tried).retryable(harmless);
+        let idempotent = req.kind == RequestKind::Idempotent;
+        let query = RoutingQuery::new(cx.clock.now()).tried(&self.tried).retryable(idempotent);
         let mut rng = SmallRng::from_rng(&mut rand::rng());
-        let chosen = cx.router.choose(service, &ask, &mut rng);
+        let chosen = cx.router.choose(service, &query, &mut rng);
         match &chosen {
             Ok(choice) => decision!(
                 "route",
@@ -107,7 +108,7 @@
         chosen.map(|choice| Arc::clone(choice.agent())).map_err(|_| NoTarget::NoAgent)
     }
 
-    /// Claims the key for the chosen agent, or follows the claim that stands.
+    /// Claims the key for the chosen agent, or uses the agent of the existing claim.
     async fn keyed(
         &mut self,
         cx: &EntryContext,
@@ -115,20 +116,20 @@
         attempt: u32,
     ) -> Result<Target, NoTarget> {
         let agent = self.choose(cx, req, attempt)?;
-        let remember = cx.config.active().load().document().policy.claim_ttl_s;
-        let remember = Duration::from_secs(remember);
+        let ttl_s = cx.config.active().load().document().policy.claim_ttl_s;
+        let ttl = Duration::from_secs(ttl_s);
         let claims = cx.claims();
         let claim = match &self.claim {
-            None => claims.claim(&req.key, &agent, remember).await,
-            Some(held) => claims.shift(&req.key, held, &agent, remember).await,
+            None => claims.claim(&req.key, &agent, ttl).await,
+            Some(current) => claims.move_claim(&req.key, current, &agent, ttl).await,
         };
         match claim {
-            Ok(claim) => self.follow(cx, req, claim),
+            Ok(claim) => self.target_of(cx, req, claim),
             Err(error) => Self::without_store(cx, req, &error),
         }
     }
 
-    fn follow(
+    fn target_of(
         &mut self,
         cx: &EntryContext,
         req: &Incoming,
@@ -139,23 +140,24 @@
         let (incarnation, repeat) = (claim.incarnation, !claim.own);
         let key = Name::from(format!("{}@{}", req.key, claim.revision));
         self.claim = Some(claim);
-        let agent = agent.ok_or(NoTarget::HolderGone)?;
+        let agent = agent.ok_or(NoTarget::ClaimantGone)?;
         Ok(Target { agent, incarnation, key, repeat })
     }
 
-    /// The store is down: the service decides whether keyed requests wait for it or rely on one
-    /// agent's memory.
+    /// Returns the target of a keyed request while the store is unavailable. The service's
+    /// configuration decides whether such requests are refused or sent to a fixed agent, which
+    /// detects repeats as long as it runs.
     fn without_store(
         cx: &EntryContext,
         req: &Incoming,
         error: &StoreError,
     ) -> Result<Target, NoTarget> {
-        spdlog::warn!("request {}: no claim: {error}", req.id);
+        spdlog::warn!("request {}: cannot claim its key: {error}", req.id);
         if req.service.keyed_in_outage == KeyedInOutage::Refuse {
             return Err(NoTarget::Refused(ResultCode::StoreDown));
         }
         let snapshot = cx.snapshot.load();
-        let agent = home(routable(&snapshot, &req.service_name), &req.key);
+        let agent = fallback_agent(routable(&snapshot, &req.service_name), &req.key);
         let agent = Arc::clone(agent.ok_or(NoTarget::NoAgent)?);
         let key = req.key.clone();
         Ok(Target { incarnation: agent.incarnation(), agent, key, repeat: false })
--- a/crates/geraniumpost/src/entry/views.rs
+++ b/crates/geraniumpost/src/entry/views.rs
@@ -4,7 +4,7 @@
 
 use super::EntryContext;
 
-/// Shows the state of the entry and of the agents that it sees, for the console.
+/// Returns the state of the entry, and of the agents and entries that it knows, for the console.
 pub fn status(cx: &EntryContext) -> Value {
     let now = cx.clock.now();
     let in_force = cx.config.active().load();
@@ -45,10 +45,10 @@
     })
 }
 
-/// Shows the planner's state, or on which entry to ask for it.
+/// Returns the planner's state, or the term and console address of the entry that plans.
 fn planner(cx: &EntryContext) -> Value {
-    if let Some(shown) = cx.planner_state() {
-        return Value::clone(&shown);
+    if let Some(state) = cx.planner_state() {
+        return Value::clone(&state);
     }
     let elsewhere = cx.peers().planner(cx.clock.now());
     elsewhere.map_or(Value::Null, |(term, console)| json!({ "term": term, "console": console }))
@@ -68,7 +68,7 @@
     entries.collect()
 }
 
-/// Shows the revision that each process has in force, as far as this entry has heard.
+/// Returns the revision that each known process last reported as in force.
 pub fn in_force(cx: &EntryContext) -> Value {
     let own = cx.config.active().load().revision();
     let mut all = vec![json!({ "name": cx.me.name, "role": "entry", "revision": own })];
--- a/crates/geraniumpost/tests/thin_path.rs
+++ b/crates/geraniumpost/tests/thin_path.rs
@@ -40,7 +40,7 @@
     let mut fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
     let log = fleet.entry(0).output();
-    assert!(!log.contains("is silent"), "{log}");
+    assert!(!log.contains("does not answer pings"), "{log}");
 }
 
 /// A caller gives no id. The minion's log, the entry's log and the answer must still speak of the same
