--- a/crates/geraniumpost/src/console/api.rs
+++ b/crates/geraniumpost/src/console/api.rs
@@ -1,12 +1,12 @@
-//! Calls on status and configuration.
+//! Handlers of API calls on status and configuration.
 
 use geraniumpost_config::{Report, check_document};
 use geraniumpost_core::config::{Change, ChangeOutcome};
 use geraniumpost_schema::{Document, Name};
 use serde_json::{Value, json};
 
-use super::identity::beyond_first;
-use super::route::label;
+use super::identity::reject_bootstrap;
+use super::route;
 use super::{ApiCode, ApiError, Call, ConsoleContext};
 use crate::config::write_change;
 
@@ -43,7 +43,7 @@
 
 /// Answers `POST /api/config/check`.
 pub(super) fn check_config(call: &Call) -> Result<Value, ApiError> {
-    checked(call).map(|_| json!({ "problems": [] }))
+    parse_document(call).map(|_| json!({ "problems": [] }))
 }
 
 /// Answers `PUT /api/config`.
@@ -55,13 +55,13 @@
     let based_on = call.if_match.ok_or_else(|| ApiError::from(ApiCode::RevisionMissing))?;
     let change_id = match call.change_id.as_str() {
         "" => new_change_id(),
-        text => label(text)?,
+        text => route::change_id(text)?,
     };
-    let document = checked(call)?;
+    let document = parse_document(call)?;
     commit(context, change_id, operator, based_on, document).await
 }
 
-/// Writes a checked document and puts it in force here.
+/// Writes a checked document to the store and puts it in force on this entry.
 pub(super) async fn commit(
     context: &ConsoleContext,
     change_id: Name,
@@ -70,7 +70,7 @@
     document: Document,
 ) -> Result<Value, ApiError> {
     if based_on != 0 {
-        beyond_first(&operator)?;
+        reject_bootstrap(&operator)?;
     }
     let value = serde_json::to_value(&document).unwrap_or_default();
     let change = Change {
@@ -80,7 +80,7 @@
         document: value,
     };
     let outcome = write_change(&context.store, &context.config, change).await;
-    spdlog::info!("change {change_id} by {operator} on revision {based_on}: {outcome:?}");
+    spdlog::info!("change {change_id} by {operator} of revision {based_on}: {outcome:?}");
     match outcome {
         ChangeOutcome::Committed { revision } => {
             context.config.committed(revision, change_id.clone(), document);
@@ -98,19 +98,19 @@
     }
 }
 
-/// Draws the id of a change.
+/// Returns a random id for a change.
 pub(super) fn new_change_id() -> Name {
     Name::from(format!("{:016x}", rand::random::<u64>()))
 }
 
-/// Turns the problems of a document into an error.
+/// Returns the error that reports the problems of a document.
 pub(super) fn invalid(report: &Report) -> ApiError {
     let problems = serde_json::to_value(&report.problems).unwrap_or_default();
     ApiError::from(ApiCode::DocumentInvalid).details(json!({ "problems": problems }))
 }
 
-fn checked(call: &Call) -> Result<Document, ApiError> {
-    let malformed = |_| ApiError::from(ApiCode::Malformed).message("The body is not UTF-8.");
+fn parse_document(call: &Call) -> Result<Document, ApiError> {
+    let malformed = |_| ApiError::from(ApiCode::Malformed).message("The body is not valid UTF-8.");
     let text = std::str::from_utf8(&call.body).map_err(malformed)?;
     check_document(text, "").map_err(|report| invalid(&report))
 }
--- a/crates/geraniumpost/src/console/api_error.rs
+++ b/crates/geraniumpost/src/console/api_error.rs
@@ -3,27 +3,28 @@
 
 use super::ApiCode;
 
-/// Refusal or failure of a call, as the operator gets it.
+/// Error of a call, as sent to the operator.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ApiError {
     /// HTTP status of the answer.
     #[serde(skip)]
     pub status: u16,
-    /// Number in `docs/RESULT_CODES.md`.
+    /// Result code, as listed in `docs/RESULT_CODES.md`.
     pub code: u16,
-    /// What is wrong.
+    /// Description of the error.
     pub message: String,
-    /// What to do.
+    /// What the operator can do.
     pub advice: String,
-    /// When to come back, 0 if that would not help.
+    /// Delay in milliseconds after which to retry, 0 if a retry would not help.
     pub retry_after_ms: u64,
-    /// What is known besides: problems of a document, changes of others.
+    /// Details: the problems of a document, or conflicting changes of other operators.
     #[serde(default, skip_serializing_if = "Value::is_null")]
     pub details: Value,
 }
 
 impl ApiError {
-    /// Creates an error of another part's code, such as the planner's 3000 to 3999.
+    /// Creates an error with a code that is not an [`ApiCode`], such as one of the planner's codes
+    /// from 3000 to 3999.
     pub fn new(status: u16, code: u16, message: impl Into<String>) -> Self {
         Self {
             status,
@@ -35,28 +36,28 @@
         }
     }
 
-    /// Says in particular what is wrong.
+    /// Sets the description of the error.
     #[must_use]
     pub fn message(mut self, message: impl Into<String>) -> Self {
         self.message = message.into();
         self
     }
 
-    /// Says what to do.
+    /// Sets what the operator can do.
     #[must_use]
     pub fn advice(mut self, advice: impl Into<String>) -> Self {
         self.advice = advice.into();
         self
     }
 
-    /// Says when to come back.
+    /// Sets the delay after which to retry, in milliseconds.
     #[must_use]
     pub const fn retry_after_ms(mut self, ms: u64) -> Self {
         self.retry_after_ms = ms;
         self
     }
 
-    /// Adds what is known besides.
+    /// Sets the details.
     #[must_use]
     pub fn details(mut self, details: Value) -> Self {
         self.details = details;
--- a/crates/geraniumpost/src/console/api_jobs.rs
+++ b/crates/geraniumpost/src/console/api_jobs.rs
@@ -1,36 +1,36 @@
-//! Calls on jobs.
+//! Handlers of calls on jobs.
 
 use geraniumpost_schema::Name;
 use serde_json::Value;
 
-use super::identity::beyond_first;
+use super::identity::reject_bootstrap;
 use super::{ApiCode, ApiError, AuthenticatedJobCall, Call, ConsoleContext, JobCall, JobRequest};
 
-/// Longest command of a job.
-const MAX_COMMAND: usize = 4096;
+/// Maximum length of a job's command in bytes.
+const MAX_COMMAND_BYTES: usize = 4096;
 
-/// Reads and checks the body of `PUT /api/jobs/{id}`.
+/// Parses and checks the body of `PUT /api/jobs/{id}`.
 pub(super) fn submission(
     id: Name,
     body: &[u8],
     context: &ConsoleContext,
 ) -> Result<JobCall, ApiError> {
     let unreadable = |error: serde_json::Error| {
-        ApiError::from(ApiCode::Malformed).message(format!("The job cannot be read: {error}."))
+        ApiError::from(ApiCode::Malformed).message(format!("The job is not valid JSON: {error}."))
     };
     let job: JobRequest = serde_json::from_slice(body).map_err(unreadable)?;
     check(&job, context)?;
     Ok(JobCall::Submit { id, job })
 }
 
-/// Asks the planner.
-pub(super) async fn ask(
+/// Sends a call to the planner and returns its answer.
+pub(super) async fn call_planner(
     job_call: JobCall,
     call: &Call,
     operator: Name,
     context: &ConsoleContext,
 ) -> Result<Value, ApiError> {
-    beyond_first(&operator)?;
+    reject_bootstrap(&operator)?;
     let token = call.token().to_owned();
     (context.jobs)(AuthenticatedJobCall {
         call: job_call,
@@ -41,7 +41,7 @@
     .await
 }
 
-/// Refuses at once what the document does not know, with the names that it does know.
+/// Refuses a job whose customer or class is not in the document, and names known ones.
 fn check(job: &JobRequest, context: &ConsoleContext) -> Result<(), ApiError> {
     let now = context.config.active().load();
     let document = now.document();
@@ -54,11 +54,11 @@
     if job.milli_cpus == 0 || job.memory_mb == 0 {
         let error = ApiError::from(ApiCode::Malformed);
         return Err(error
-            .message("The job needs no processors or no memory.")
-            .advice("Give `milli_cpus` and `memory_mb` of 1 or more."));
+            .message("`milli_cpus` or `memory_mb` of the job is 0.")
+            .advice("Set `milli_cpus` and `memory_mb` to 1 or more."));
     }
-    if job.command.is_empty() || job.command.len() > MAX_COMMAND {
-        let message = format!("The command must have 1 to {MAX_COMMAND} bytes.");
+    if job.command.is_empty() || job.command.len() > MAX_COMMAND_BYTES {
+        let message = format!("The command must have 1 to {MAX_COMMAND_BYTES} bytes.");
         return Err(ApiError::from(ApiCode::Malformed).message(message));
     }
     Ok(())
@@ -67,6 +67,6 @@
 fn unknown<'a>(kind: &str, name: &Name, known: impl Iterator<Item = &'a Name>) -> ApiError {
     let names: Vec<String> = known.take(20).map(|name| format!("`{name}`")).collect();
     ApiError::from(ApiCode::Malformed)
-        .message(format!("The configuration knows no {kind} `{name}`."))
-        .advice(format!("Known are {}.", names.join(", ")))
+        .message(format!("The configuration contains no {kind} `{name}`."))
+        .advice(format!("Use one of {}.", names.join(", ")))
 }
--- a/crates/geraniumpost/src/console/authenticated_job_call.rs
+++ b/crates/geraniumpost/src/console/authenticated_job_call.rs
@@ -2,16 +2,16 @@
 
 use super::JobCall;
 
-/// A call on jobs with who makes it.
+/// Call on jobs by an authenticated operator.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AuthenticatedJobCall {
     /// The call.
     pub call: JobCall,
-    /// Operator who makes it.
+    /// Operator who makes the call.
     pub operator: Name,
-    /// The operator's token, by which another entry knows them too.
+    /// Token of the operator, with which the call can be forwarded to another entry.
     pub token: String,
-    /// Whether another entry has forwarded it already; it must not be forwarded again, or two
-    /// entries that each take the other for the planner would pass it to and fro.
+    /// Whether another entry has forwarded the call. Such a call is not forwarded again; otherwise
+    /// two entries that each consider the other to be the planner would forward it in a loop.
     pub forwarded: bool,
 }
--- a/crates/geraniumpost/src/console/call.rs
+++ b/crates/geraniumpost/src/console/call.rs
@@ -7,12 +7,12 @@
 
 /// Name of the cookie that carries an operator's token.
 pub(super) const COOKIE_NAME: &str = "geraniumpost_token";
-/// Header that names a change, so that a repeat is not made twice.
+/// Header with the id of a change, by which repeats are recognized.
 const CHANGE_ID: HeaderName = HeaderName::from_static("x-change-id");
-/// Header of a call that another entry has forwarded.
+/// Header that marks a call as forwarded by another entry.
 const FORWARDED_BY: HeaderName = HeaderName::from_static("x-forwarded-by-entry");
 
-/// One call as plain data, read from HTTP once.
+/// Call to the API or the console, parsed from an HTTP request.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
     /// Method.
@@ -23,20 +23,20 @@
     pub bearer: String,
     /// Token from the console's cookie, empty if there is none.
     pub cookie: String,
-    /// Revision of `If-Match`; `None` if it is missing or no number in quotes.
+    /// Revision in `If-Match`; `None` if it is missing or not a number.
     pub if_match: Option<u64>,
-    /// `X-Change-Id`, empty if there is none.
+    /// Value of `X-Change-Id`, empty if there is none.
     pub change_id: String,
-    /// Whether a browser says that another site made the call.
+    /// Whether the `Origin` header shows that a page of another site made the call.
     pub cross_origin: bool,
     /// Whether another entry has forwarded the call.
     pub forwarded: bool,
-    /// Whole body.
+    /// Complete body.
     pub body: Bytes,
 }
 
 impl Call {
-    /// Reads a call's head.
+    /// Parses the head of an HTTP request.
     pub fn from_parts(parts: &Parts, body: Bytes) -> Self {
         let header = |name: HeaderName| {
             parts.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
@@ -56,13 +56,13 @@
         }
     }
 
-    /// Returns the token that the caller proves itself by.
+    /// Returns the operator's token: the bearer token, or else the token of the cookie.
     pub fn token(&self) -> &str {
         if self.bearer.is_empty() { &self.cookie } else { &self.bearer }
     }
 }
 
-/// Encodes a token for the cookie, in which not every character may stand.
+/// Encodes a token in hexadecimal, because a cookie may not contain every character.
 pub(super) fn cookie_value(token: &str) -> String {
     token.bytes().fold(String::new(), |mut text, byte| {
         let _ = write!(text, "{byte:02x}");
@@ -73,10 +73,10 @@
 fn cookie(header: &str) -> String {
     let pairs = header.split(';').filter_map(|pair| pair.trim().split_once('='));
     let value = pairs.filter(|(name, _)| *name == COOKIE_NAME).map(|(_, value)| value).next();
-    value.and_then(decoded).unwrap_or_default()
+    value.and_then(decode_token).unwrap_or_default()
 }
 
-fn decoded(value: &str) -> Option<String> {
+fn decode_token(value: &str) -> Option<String> {
     let bytes = value.as_bytes().chunks(2).map(|pair| {
         let text = std::str::from_utf8(pair).ok().filter(|text| text.len() == 2)?;
         u8::from_str_radix(text, 16).ok()
--- a/crates/geraniumpost/src/console/context.rs
+++ b/crates/geraniumpost/src/console/context.rs
@@ -10,35 +10,36 @@
 use crate::config::ConfigUpdater;
 use crate::metrics::Metrics;
 
-/// Reads one part of the process's state as JSON.
+/// Returns a part of the process's state as JSON.
 pub type ValueHandle = Arc<dyn Fn() -> Value + Send + Sync>;
 
-/// Carries a call on jobs to the region's planner, here or on another entry.
+/// Sends a call on jobs to the region's planner, on this or another entry, and returns the answer.
 pub type JobsHandle = Arc<
     dyn Fn(AuthenticatedJobCall) -> Pin<Box<dyn Future<Output = Result<Value, ApiError>> + Send>>
         + Send
         + Sync,
 >;
 
-/// What the console needs of its entry.
+/// State of the entry that the console uses.
 #[derive(Clone)]
 pub struct ConsoleContext {
     /// Name of the entry.
     pub name: Name,
-    /// The configuration in force here.
+    /// The configuration in force on this entry.
     pub config: Arc<ConfigUpdater>,
     /// The platform's key-value service.
     pub store: Store,
-    /// Meters that `/metrics` shows.
+    /// Metrics that are served at `/metrics`.
     pub metrics: Arc<Metrics>,
-    /// Token that may write the first document, see [`bootstrap_token`](super::bootstrap_token).
+    /// Token that authorizes writing the first document, see
+    /// [`bootstrap_token`](super::bootstrap_token).
     pub bootstrap_token: String,
-    /// State of entry, agents and jobs for `/api/status`.
+    /// Returns the state of entry, agents and jobs for `/api/status`.
     pub status: ValueHandle,
-    /// Revision in force on every known process for `/api/in-force`, as
+    /// Returns the revision in force on every known process for `/api/in-force`, as
     /// `[{"name": ..., "role": "entry" or "agent", "revision": ...}]`.
     pub in_force: ValueHandle,
-    /// The planner.
+    /// Sends a call to the planner.
     pub jobs: JobsHandle,
 }
 
--- a/crates/geraniumpost/src/console/form.rs
+++ b/crates/geraniumpost/src/console/form.rs
@@ -1,7 +1,7 @@
 use geraniumpost_config::Schema;
 use serde_json::{Map, Value};
 
-/// A posted form.
+/// Fields of a submitted form.
 ///
 /// # Example
 ///
@@ -14,21 +14,21 @@
 }
 
 impl Form {
-    /// Reads a form; whatever the bytes are, they make some form.
+    /// Parses a form. Any bytes are a valid form.
     pub(super) fn parse(body: &[u8]) -> Self {
         Self { pairs: form_urlencoded::parse(body).into_owned().collect() }
     }
 
-    /// Returns a field without surrounding space, empty if there is none.
+    /// Returns the value of a field without surrounding whitespace, empty if it is missing.
     pub(super) fn get(&self, key: &str) -> &str {
         let found = self.pairs.iter().find(|(name, _)| name == key);
         found.map_or("", |(_, value)| value.trim())
     }
 
-    /// Returns the value that the form gives for a schema node.
+    /// Builds the JSON value of a schema node from the fields.
     ///
-    /// An empty field is left out, so that its default holds. A number that cannot be read stays a
-    /// text, so that the schema's check reports it beside its field.
+    /// Empty fields are omitted, so that their defaults apply. An invalid number remains a string,
+    /// so that the check against the schema reports it next to its field.
     pub(super) fn value(&self, schema: &Schema, node: &Value, prefix: &str) -> Value {
         let mut map = Map::new();
         for (key, node) in node["properties"].as_object().into_iter().flatten() {
@@ -45,7 +45,7 @@
         let text = self.get(field);
         match node["type"].as_str() {
             Some("object") => Some(self.value(schema, node, &format!("{field}."))),
-            // A browser sends nothing for a box that is not ticked.
+            // Browsers send no field for an unchecked checkbox.
             Some("boolean") => Some(Value::from(!text.is_empty())),
             _ if text.is_empty() => None,
             Some("integer") => Some(text.parse::<u64>().map_or_else(|_| text.into(), Value::from)),
--- a/crates/geraniumpost/src/console/job_call.rs
+++ b/crates/geraniumpost/src/console/job_call.rs
@@ -7,10 +7,10 @@
 use super::{ApiCode, ApiError, AuthenticatedJobCall, JobRequest};
 use crate::client::ApiClient;
 
-/// A call on jobs.
+/// Call of an operator on jobs.
 #[derive(Debug, Clone, PartialEq)]
 pub enum JobCall {
-    /// Submits a job; the same job under the same id again is no second one.
+    /// Submits a job. Submitting the same job with the same id again has no effect.
     Submit {
         /// Id of the job, chosen by the operator.
         id: Name,
@@ -27,7 +27,7 @@
         /// Id of the job.
         id: Name,
     },
-    /// Tells why a job is where it is.
+    /// Explains why a job is in its state.
     Explain {
         /// Id of the job.
         id: Name,
@@ -37,7 +37,7 @@
 }
 
 impl JobCall {
-    /// Returns method, path and body of the call.
+    /// Returns the HTTP method, path and body of the call.
     pub fn as_http(&self) -> (Method, String, Vec<u8>) {
         match self {
             Self::Submit { id, job } => {
@@ -56,7 +56,7 @@
 ///
 /// # Errors
 ///
-/// Returns the planner's refusal, or that it did not answer.
+/// Returns the planner's error, or [`ApiCode::Unknown`] if it did not answer.
 pub async fn forward(
     planner: SocketAddr,
     own_name: &str,
--- a/crates/geraniumpost/src/console/job_reply.rs
+++ b/crates/geraniumpost/src/console/job_reply.rs
@@ -1,4 +1,4 @@
-//! The planner's answers as the operators' API gives them; pure functions.
+//! Pure functions that convert the planner's answers to those of the operators' API.
 
 use geraniumpost_core::jobs::{JobResponse, JobState, JobView, codes};
 use geraniumpost_schema::Name;
@@ -6,13 +6,13 @@
 
 use super::ApiError;
 
-/// Turns the planner's answer to a submission or cancellation into one of the API.
+/// Converts the planner's answer to a submission or cancellation.
 ///
 /// # Errors
 ///
-/// Returns the refusal with the HTTP status that goes with its code.
+/// Returns the planner's refusal with the HTTP status for its code.
 pub fn job_reply(id: &Name, answer: &JobResponse) -> Result<Value, ApiError> {
-    let (name, advice) = words(answer.code);
+    let (name, advice) = name_and_advice(answer.code);
     let state = answer.state.map(state_name);
     if answer.is_ok() {
         return Ok(json!({ "id": id, "code": answer.code, "result": name, "state": state }));
@@ -27,7 +27,7 @@
         .details(json!({ "state": state })))
 }
 
-/// Renders a job as the API shows it; the record's own keys are cut short to save the store's room.
+/// Renders a job with the keys of the API. The stored record has shorter keys to save space.
 pub fn job_value(view: &JobView) -> Value {
     let record = &view.record;
     let spec = record.spec();
@@ -54,7 +54,7 @@
     })
 }
 
-/// Returns the name under which operators know a state.
+/// Returns the name of a state in the API.
 pub const fn state_name(state: JobState) -> &'static str {
     match state {
         JobState::Pending => "pending",
@@ -66,7 +66,7 @@
     }
 }
 
-/// Returns the HTTP status that goes with a code of the planner.
+/// Returns the HTTP status for a result code of the planner.
 pub const fn http_status(code: u16) -> u16 {
     match code {
         codes::UNKNOWN_JOB => 404,
@@ -79,7 +79,7 @@
     }
 }
 
-fn words(code: u16) -> (&'static str, &'static str) {
+fn name_and_advice(code: u16) -> (&'static str, &'static str) {
     let found = codes::TABLE.iter().find(|(number, ..)| *number == code);
     found.map_or(("unknown code", ""), |(_, name, advice)| (name, advice))
 }
--- a/crates/geraniumpost/src/console/job_request.rs
+++ b/crates/geraniumpost/src/console/job_request.rs
@@ -1,27 +1,27 @@
 use geraniumpost_schema::{Name, Resources};
 use serde::{Deserialize, Serialize};
 
-/// A job as an operator submits it.
+/// Job in a submission of an operator.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct JobRequest {
-    /// Customer whose quota it counts against.
+    /// Customer that owns the job.
     pub customer: Name,
-    /// Class from the document.
+    /// Job class in the document.
     pub class: Name,
-    /// Thousandths of a processor.
+    /// Processors to reserve, in thousandths of one.
     pub milli_cpus: u64,
-    /// Mebibytes of memory.
+    /// Memory to reserve, in mebibytes.
     pub memory_mb: u64,
-    /// Whole accelerators.
+    /// Number of accelerators to reserve.
     #[serde(default)]
     pub accelerators: u32,
-    /// What the worker runs.
+    /// Command that the worker runs.
     pub command: String,
 }
 
 impl JobRequest {
-    /// Returns what the job needs of a VM.
+    /// Returns the resources that the job reserves on a VM.
     pub const fn need(&self) -> Resources {
         Resources {
             milli_cpus: self.milli_cpus,
--- a/crates/geraniumpost/src/console/mod.rs
+++ b/crates/geraniumpost/src/console/mod.rs
@@ -1,7 +1,7 @@
-//! The operators' API and the console of forms, served on a listener of their own.
+//! The operators' API and the console, a set of HTML forms. They have their own listener.
 //!
-//! What a page shows is made by pure functions from plain data; reading and writing happens in
-//! [`Console`] alone. See `docs/OPERATIONS.md` for what operators do here.
+//! Pure functions render the pages; only [`Console`] performs I/O. `docs/OPERATIONS.md` describes
+//! how operators use them.
 
 mod api;
 mod api_code;
@@ -15,8 +15,8 @@
 mod job_call;
 mod job_reply;
 mod job_request;
+mod page_handlers;
 mod pages;
-mod posts;
 mod reply;
 mod route;
 mod serve;
--- a/crates/geraniumpost/src/console/posts.rs
+++ b/crates/geraniumpost/src/console/page_handlers.rs
@@ -1,48 +1,50 @@
-//! Pages that an operator opens and forms that they send.
+//! Handlers of the console's pages and submitted forms.
 
 use geraniumpost_config::{Report, Schema, SchemaKind, check_document_value, token_digest};
 use geraniumpost_schema::{Document, Name};
 use serde_json::{Map, Value};
 
 use super::form::Form;
-use super::identity::{csrf_token, known, own_form};
+use super::identity::{check_csrf, csrf_token, find_operator};
 use super::pages::{self, EditView, Frame, Section};
-use super::route::{job_id, label};
+use super::route::{change_id, job_id};
 use super::{ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, api, api_jobs};
 
-/// How long a browser keeps the token.
-const COOKIE_SECONDS: u32 = 12 * 3600;
-/// Part of a path that stands for a value yet to be named.
+/// Lifetime of the cookie with the operator's token, in seconds.
+const COOKIE_LIFETIME_S: u32 = 12 * 3600;
+/// Path segment of a new value, instead of the name of an existing one.
 const NEW: &str = "+new";
 
-/// Answers a page; who is not known is sent to sign in.
+/// Returns a page. Redirects to the login page if the operator is not signed in.
 pub(super) async fn page(call: &Call, parts: &[String], context: &ConsoleContext) -> Reply {
-    let Some(operator) = known(call.token(), context) else {
+    let Some(operator) = find_operator(call.token(), context) else {
         return match parts {
             [only] if only == "login" => {
                 Reply::page(200, pages::login(&frame(call, "", context), false))
             }
-            _ => Reply::see("/login"),
+            _ => Reply::redirect("/login"),
         };
     };
     let frame = frame(call, &operator, context);
-    let shown = show(call, parts, operator, &frame, context).await;
-    shown.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&frame, &error)))
+    let page = show(call, parts, operator, &frame, context).await;
+    page.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&frame, &error)))
 }
 
-/// Takes a form.
+/// Handles a submitted form.
 pub(super) async fn post(call: &Call, parts: &[String], context: &ConsoleContext) -> Reply {
     let form = Form::parse(&call.body);
     if parts == ["login"] {
         return sign_in(call, &form, context);
     }
-    let Some(operator) = known(call.token(), context) else { return Reply::see("/login") };
+    let Some(operator) = find_operator(call.token(), context) else {
+        return Reply::redirect("/login");
+    };
     let frame = frame(call, &operator, context);
-    let taken = match own_form(call, form.get("proof")) {
-        Ok(()) => take(call, parts, &form, operator, &frame, context).await,
+    let handled = match check_csrf(call, form.get("proof")) {
+        Ok(()) => handle_form(call, parts, &form, operator, &frame, context).await,
         Err(error) => Err(error),
     };
-    taken.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&frame, &error)))
+    handled.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&frame, &error)))
 }
 
 fn frame(call: &Call, operator: &str, context: &ConsoleContext) -> Frame {
@@ -50,16 +52,16 @@
         entry: context.name.to_string(),
         operator: operator.to_owned(),
         revision: context.config.active().load().revision(),
-        proof: csrf_token(call.token()),
+        csrf_token: csrf_token(call.token()),
     }
 }
 
 fn sign_in(call: &Call, form: &Form, context: &ConsoleContext) -> Reply {
     let token = form.get("token");
-    if call.cross_origin || known(token, context).is_none() {
+    if call.cross_origin || find_operator(token, context).is_none() {
         return Reply::page(401, pages::login(&frame(call, "", context), true));
     }
-    Reply::see("/").cookie(&super::call::cookie_value(token), COOKIE_SECONDS)
+    Reply::redirect("/").cookie(&super::call::cookie_value(token), COOKIE_LIFETIME_S)
 }
 
 async fn show(
@@ -73,7 +75,7 @@
     let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
     let markup = match parts.as_slice() {
         [] => pages::home(frame, &api::status(context), &api::in_force(context)),
-        ["login"] => return Ok(Reply::see("/")),
+        ["login"] => return Ok(Reply::redirect("/")),
         ["config"] => pages::overview(frame, &document(context)),
         ["config", "policy"] => {
             let value = document(context)["policy"].clone();
@@ -91,15 +93,15 @@
             pages::edit(frame, section, schema, &view(frame, name, value, exists))
         }
         ["jobs"] => {
-            let list = api_jobs::ask(JobCall::List, call, operator, context).await?;
+            let list = api_jobs::call_planner(JobCall::List, call, operator, context).await?;
             pages::jobs(frame, &list, &document(context))
         }
         ["jobs", id] => {
             let id = job_id(id)?;
             let status = JobCall::Status { id: id.clone() };
-            let status = api_jobs::ask(status, call, operator.clone(), context).await?;
+            let status = api_jobs::call_planner(status, call, operator.clone(), context).await?;
             let explain = JobCall::Explain { id: id.clone() };
-            let explain = api_jobs::ask(explain, call, operator, context).await?;
+            let explain = api_jobs::call_planner(explain, call, operator, context).await?;
             pages::job(frame, &id, &status, &explain)
         }
         _ => return Err(ApiCode::NotFound.into()),
@@ -107,7 +109,7 @@
     Ok(Reply::page(200, markup))
 }
 
-async fn take(
+async fn handle_form(
     call: &Call,
     parts: &[String],
     form: &Form,
@@ -117,7 +119,7 @@
 ) -> Result<Reply, ApiError> {
     let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
     match parts.as_slice() {
-        ["logout"] => Ok(Reply::see("/login").cookie("", 0)),
+        ["logout"] => Ok(Reply::redirect("/login").cookie("", 0)),
         ["config", "policy"] => save_policy(form, operator, frame, context).await,
         ["config", key] => save(section(key)?, form, operator, frame, context).await,
         ["config", key, name, "delete"] => {
@@ -127,20 +129,20 @@
             let id = job_id(form.get("id"))?;
             let body = job_body(form).to_string();
             let submit = api_jobs::submission(id.clone(), body.as_bytes(), context)?;
-            api_jobs::ask(submit, call, operator, context).await?;
-            Ok(Reply::see(&format!("/jobs/{id}")))
+            api_jobs::call_planner(submit, call, operator, context).await?;
+            Ok(Reply::redirect(&format!("/jobs/{id}")))
         }
         ["jobs", id, "cancel"] => {
             let id = job_id(id)?;
             let cancel = JobCall::Cancel { id: id.clone() };
-            api_jobs::ask(cancel, call, operator, context).await?;
-            Ok(Reply::see(&format!("/jobs/{id}")))
+            api_jobs::call_planner(cancel, call, operator, context).await?;
+            Ok(Reply::redirect(&format!("/jobs/{id}")))
         }
         _ => Err(ApiCode::NotFound.into()),
     }
 }
 
-/// Saves one named value.
+/// Adds or changes a named value of a section.
 async fn save(
     section: Section,
     form: &Form,
@@ -159,11 +161,11 @@
     let outcome = commit(form, operator, context, change).await;
     let known = document(context)[section.key].get(name).is_some();
     match outcome? {
-        Saved::Done => Ok(Reply::see(&format!("/config/{}", section.key))),
-        Saved::Not(report, error) => {
+        Saved::Done => Ok(Reply::redirect(&format!("/config/{}", section.key))),
+        Saved::Rejected(report, error) => {
             let view =
                 EditView { problems: report.problems, error, ..view(frame, name, value, known) };
-            let page = pages::edit(frame, section, schema, &refreshed(view, context));
+            let page = pages::edit(frame, section, schema, &with_current_revision(view, context));
             Ok(Reply::page(422, page))
         }
     }
@@ -179,11 +181,14 @@
     let value = form.value(schema, &schema.definitions()["Policy"], "");
     let item = value.clone();
     match commit(form, operator, context, |document| document["policy"] = item).await? {
-        Saved::Done => Ok(Reply::see("/config/policy")),
-        Saved::Not(report, error) => {
+        Saved::Done => Ok(Reply::redirect("/config/policy")),
+        Saved::Rejected(report, error) => {
             let view =
                 EditView { problems: report.problems, error, ..view(frame, "", value, true) };
-            Ok(Reply::page(422, pages::policy(frame, schema, &refreshed(view, context))))
+            Ok(Reply::page(
+                422,
+                pages::policy(frame, schema, &with_current_revision(view, context)),
+            ))
         }
     }
 }
@@ -201,52 +206,56 @@
         }
     };
     match commit(form, operator, context, change).await? {
-        Saved::Done => Ok(Reply::see(&format!("/config/{}", section.key))),
-        Saved::Not(_, Some(error)) => Err(error),
-        Saved::Not(report, None) => Err(api::invalid(&report)),
+        Saved::Done => Ok(Reply::redirect(&format!("/config/{}", section.key))),
+        Saved::Rejected(_, Some(error)) => Err(error),
+        Saved::Rejected(report, None) => Err(api::invalid(&report)),
     }
 }
 
-/// What became of a form that changes the configuration.
+/// Outcome of a form that changes the configuration.
 enum Saved {
     Done,
-    Not(Report, Option<ApiError>),
+    /// The document is invalid, or conflicts with a change of another operator.
+    Rejected(Report, Option<ApiError>),
 }
 
-/// Changes the document that the form was made from and commits it.
+/// Applies a change to the revision of the document that the form shows, and commits the result.
 async fn commit(
     form: &Form,
     operator: Name,
     context: &ConsoleContext,
     change: impl FnOnce(&mut Value),
 ) -> Result<Saved, ApiError> {
-    let malformed = |_| ApiError::from(ApiCode::Malformed).message("The form has no revision.");
+    let malformed =
+        |_| ApiError::from(ApiCode::Malformed).message("The form contains no revision.");
     let based_on: u64 = form.get("revision").parse().map_err(malformed)?;
-    let change_id = label(form.get("change_id"))?;
-    let mut value = base(based_on, context).await?;
+    let change_id = change_id(form.get("change_id"))?;
+    let mut value = document_at_least(based_on, context).await?;
     change(&mut value);
     let document = match check_document_value(value) {
         Ok(document) => document,
-        Err(report) => return Ok(Saved::Not(report, None)),
+        Err(report) => return Ok(Saved::Rejected(report, None)),
     };
     match api::commit(context, change_id, operator, based_on, document).await {
         Ok(_) => Ok(Saved::Done),
         Err(error) if error.code == ApiCode::Conflict.number() => {
-            Ok(Saved::Not(Report::default(), Some(error)))
+            Ok(Saved::Rejected(Report::default(), Some(error)))
         }
         Err(error) => Err(error),
     }
 }
 
-/// Returns the document that a form is to change.
+/// Returns the document that a form changes, with at least the form's revision.
 ///
-/// Another entry may have served the form and be ahead of this one. A change made on this entry's
-/// older document would then undo what came between, although its revision is right, so the store
-/// is asked first. A document newer than the form's is never written: the store's revision differs.
-async fn base(based_on: u64, context: &ConsoleContext) -> Result<Value, ApiError> {
+/// Another entry may have served the form from a newer revision than this entry has in force. If
+/// the change were applied to the older document, it would revert the changes in between, and the
+/// commit would succeed because the form's revision is the current one. Therefore the document is
+/// read from the store first. If the document is newer than the form, the commit fails with a
+/// conflict.
+async fn document_at_least(based_on: u64, context: &ConsoleContext) -> Result<Value, ApiError> {
     if context.config.active().load().revision() < based_on {
-        let down = |_| ApiError::from(ApiCode::StoreDown);
-        context.config.refresh(&context.store).await.map_err(down)?;
+        let unavailable = |_| ApiError::from(ApiCode::StoreDown);
+        context.config.refresh(&context.store).await.map_err(unavailable)?;
     }
     let now = context.config.active().load_full();
     if now.revision() < based_on {
@@ -278,8 +287,8 @@
     }
 }
 
-/// Makes a form that was not saved start from what is in force now.
-fn refreshed(view: EditView, context: &ConsoleContext) -> EditView {
+/// Updates the revision of a rejected form to the revision in force.
+fn with_current_revision(view: EditView, context: &ConsoleContext) -> EditView {
     EditView { revision: context.config.active().load().revision(), ..view }
 }
 
--- a/crates/geraniumpost/src/console/pages/edit.rs
+++ b/crates/geraniumpost/src/console/pages/edit.rs
@@ -6,33 +6,33 @@
 use super::{Frame, Section};
 use crate::console::ApiError;
 
-/// One value being edited.
+/// Form for a value of the document.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct EditView {
     /// Name of the value, empty for a new one.
     pub(crate) name: String,
-    /// Its value, or what the operator has typed.
+    /// The value in the document, or what the operator has entered.
     pub(crate) value: Value,
-    /// Problems of the last attempt.
+    /// Problems of the last submission.
     pub(crate) problems: Vec<Problem>,
-    /// Why the last attempt was not made.
+    /// Why the last submission was rejected, if not because of `problems`.
     pub(crate) error: Option<ApiError>,
-    /// Revision that the form edits.
+    /// Revision of the document that the form changes.
     pub(crate) revision: u64,
-    /// Id of the change that the form makes.
+    /// Id of the change.
     pub(crate) change_id: String,
-    /// Whether the value is in the document already.
+    /// Whether the document already contains the value.
     pub(crate) exists: bool,
 }
 
-/// Renders the form of one named value.
+/// Renders the form for a named value.
 pub(crate) fn edit(frame: &Frame, section: Section, schema: &Schema, view: &EditView) -> Markup {
     let node = &schema.definitions()[section.definition];
     let path = format!("{}.{}", section.key, view.name);
     let title = if view.exists {
-        format!("{} {}", section.one, view.name)
+        format!("{} {}", section.singular, view.name)
     } else {
-        format!("New {}", section.one)
+        format!("New {}", section.singular)
     };
     let action = format!("/config/{}", section.key);
     frame.page(
@@ -56,7 +56,7 @@
     )
 }
 
-/// Renders the form of the policy.
+/// Renders the form for the policy.
 pub(crate) fn policy(frame: &Frame, schema: &Schema, view: &EditView) -> Markup {
     let node = &schema.definitions()["Policy"];
     frame.page(
@@ -72,15 +72,16 @@
     )
 }
 
-/// Tells why the last attempt was not made, and every problem that has no field here.
+/// Renders why the last submission was rejected, and the problems that belong to no field of this
+/// form.
 fn notices(view: &EditView, path: &str) -> Markup {
-    let inside = format!("{path}.");
-    let elsewhere = view.problems.iter().filter(|problem| !problem.path.starts_with(&inside));
+    let prefix = format!("{path}.");
+    let elsewhere = view.problems.iter().filter(|problem| !problem.path.starts_with(&prefix));
     html! {
         @if let Some(error) = &view.error {
             p class="note" { (error.message) " (" (error.code) ")" }
             (changes(&error.details["changes"]))
-            p { "Your values are kept below; saving again makes them anew on the revision in force." }
+            p { "The form below keeps your values. Save it again to apply them to the revision in force." }
         }
         @for problem in elsewhere {
             p class="problem" {
@@ -95,7 +96,7 @@
     let Some(changes) = changes.as_array() else { return html! {} };
     html! {
         table {
-            tr { th { "changed by" } th { "change" } th { "what" } }
+            tr { th { "changed by" } th { "change id" } th { "changed values" } }
             @for change in changes {
                 tr {
                     td { (super::home::plain(&change["changed_by"])) }
--- a/crates/geraniumpost/src/console/pages/fields.rs
+++ b/crates/geraniumpost/src/console/pages/fields.rs
@@ -4,18 +4,18 @@
 
 use super::home::plain;
 
-/// What the fields of a form are made from.
+/// Renders the fields of a form from the schema.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Fields<'a> {
     pub(super) schema: &'a Schema,
-    /// Problems of the last attempt, shown beside their fields.
+    /// Problems of the last submission, shown next to their fields.
     pub(super) problems: &'a [Problem],
     /// Path of the form's value in the document.
     pub(super) path: &'a str,
 }
 
 impl Fields<'_> {
-    /// Renders the fields of a table; `prefix` is what their names start with.
+    /// Renders the fields of an object. Their names begin with `prefix`.
     pub(super) fn table(&self, node: &Value, value: &Value, prefix: &str) -> Markup {
         let properties = node["properties"].as_object();
         html! {
@@ -85,19 +85,19 @@
     }
 }
 
-/// Spares the operator the hashing; the token itself is never stored or shown.
+/// Renders the field for a new token, of which only the digest is stored.
 fn token_field() -> Markup {
     html! {
-        label for="token" { "or a new token" }
+        label for="token" { "or new token" }
         input id="token" name="token" type="password" autocomplete="new-password";
-        small { "Only its hash is kept; note the token down before." }
+        small { "Only the hash of the token is stored. Keep a copy of the token, which is not shown again." }
     }
 }
 
 fn range(node: &Value) -> String {
     match (node["minimum"].as_u64(), node["maximum"].as_u64()) {
-        (Some(low), Some(high)) => format!("From {low} to {high}."),
-        (Some(low), None) => format!("{low} or more."),
+        (Some(low), Some(high)) => format!("Range: {low} to {high}."),
+        (Some(low), None) => format!("Minimum: {low}."),
         _ => String::new(),
     }
 }
--- a/crates/geraniumpost/src/console/pages/home.rs
+++ b/crates/geraniumpost/src/console/pages/home.rs
@@ -3,7 +3,7 @@
 
 use super::Frame;
 
-/// Renders the state of the entry and who has which revision in force.
+/// Renders the state of the entry, and the revision in force on each known process.
 pub(crate) fn home(frame: &Frame, status: &Value, in_force: &Value) -> Markup {
     let processes = in_force["processes"].as_array().map_or(&[][..], Vec::as_slice);
     let behind = processes.iter().filter(|p| p["revision"].as_u64() != Some(frame.revision));
@@ -13,10 +13,10 @@
         html! {
             h2 { "Configuration in force" }
             @if behind == 0 {
-                p { "All " (processes.len()) " known processes have revision " (frame.revision) "." }
+                p { "All " (processes.len()) " known processes have revision " (frame.revision) " in force." }
             } @else {
                 p class="note" {
-                    (behind) " of " (processes.len()) " known processes have another revision."
+                    (behind) " of " (processes.len()) " known processes have another revision in force."
                 }
             }
             table {
@@ -35,7 +35,7 @@
     )
 }
 
-/// Returns a value as a person reads it.
+/// Renders a JSON value as text without quotes, `null` as empty text.
 pub(super) fn plain(value: &Value) -> String {
     match value {
         Value::Null => String::new(),
--- a/crates/geraniumpost/src/console/pages/jobs.rs
+++ b/crates/geraniumpost/src/console/pages/jobs.rs
@@ -4,7 +4,7 @@
 use super::Frame;
 use super::home::plain;
 
-/// Renders the list of jobs and the form that submits one.
+/// Renders the list of jobs and the form for submitting a job.
 pub(crate) fn jobs(frame: &Frame, list: &Value, document: &Value) -> Markup {
     let rows = list.as_array().or_else(|| list["jobs"].as_array());
     let choices = |key: &str| -> Vec<String> {
@@ -30,12 +30,12 @@
                 (frame.hidden("", frame.revision))
                 label for="id" { "id" }
                 input id="id" name="id" required;
-                small { "Submitting the same job under the same id again is no second job." }
+                small { "Submitting the same job with the same id again has no effect." }
                 (select("customer", &choices("customers")))
                 (select("class", &choices("classes")))
-                (number("milli_cpus", "Thousandths of a processor."))
-                (number("memory_mb", "Mebibytes of memory."))
-                (number("accelerators", "Whole accelerators, may be left empty."))
+                (number("milli_cpus", "Processors to reserve, in thousandths of one."))
+                (number("memory_mb", "Memory to reserve, in mebibytes."))
+                (number("accelerators", "Number of accelerators to reserve. Default: 0."))
                 label for="command" { "command" }
                 input id="command" name="command" size="70" required;
                 button { "Submit" }
@@ -44,7 +44,7 @@
     )
 }
 
-/// Renders one job and why it is where it is.
+/// Renders a job and the explanation of its state.
 pub(crate) fn job(frame: &Frame, id: &str, status: &Value, explain: &Value) -> Markup {
     frame.page(
         &format!("Job {id}"),
@@ -54,7 +54,7 @@
                     tr { th { (key) } td { (plain(value)) } }
                 }
             }
-            h2 { "Why it is where it is" }
+            h2 { "Explanation" }
             pre { (format!("{explain:#}")) }
             form method="post" action={ "/jobs/" (id) "/cancel" } {
                 (frame.hidden("", frame.revision))
--- a/crates/geraniumpost/src/console/pages/layout.rs
+++ b/crates/geraniumpost/src/console/pages/layout.rs
@@ -2,7 +2,7 @@
 
 use crate::console::ApiError;
 
-/// Plain style; pages load nothing.
+/// Style sheet, which is part of each page because pages may not load other files.
 const STYLE: &str = "body{font:15px/1.5 sans-serif;max-width:62rem;margin:1rem auto;padding:0 1rem}\
 nav a{margin-right:1rem}table{border-collapse:collapse}td,th{text-align:left;padding:.2rem .8rem;\
 border-bottom:1px solid #ccc}label{display:block;margin:.6rem 0 .1rem;font-weight:600}\
@@ -10,21 +10,21 @@
 fieldset{margin:.8rem 0;border:1px solid #ccc}button{margin:.8rem .5rem 0 0}pre{background:#eee;\
 padding:.5rem;overflow:auto}";
 
-/// What every page shows around its content.
+/// Data of the layout that all pages share.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Frame {
     /// Name of the entry.
     pub(crate) entry: String,
-    /// Operator, empty if nobody is known yet.
+    /// Name of the operator, empty if nobody is signed in.
     pub(crate) operator: String,
     /// Revision in force on this entry.
     pub(crate) revision: u64,
-    /// Hidden value that forms carry.
-    pub(crate) proof: String,
+    /// Token against cross-site request forgery, which each form contains.
+    pub(crate) csrf_token: String,
 }
 
 impl Frame {
-    /// Renders a whole page.
+    /// Renders a complete page.
     pub(crate) fn page(&self, title: &str, content: Markup) -> Markup {
         html! {
             (DOCTYPE)
@@ -43,10 +43,10 @@
         }
     }
 
-    /// Renders the hidden fields that every form carries.
+    /// Renders the hidden fields of a form.
     pub(crate) fn hidden(&self, change_id: &str, revision: u64) -> Markup {
         html! {
-            input type="hidden" name="proof" value=(self.proof);
+            input type="hidden" name="proof" value=(self.csrf_token);
             input type="hidden" name="change_id" value=(change_id);
             input type="hidden" name="revision" value=(revision);
         }
@@ -69,10 +69,10 @@
     }
 }
 
-/// Renders the page of a refusal or failure.
+/// Renders the page for an error.
 pub(crate) fn failure(frame: &Frame, error: &ApiError) -> Markup {
     frame.page(
-        "Not done",
+        "Action failed",
         html! {
             p class="problem" { (error.message) " (" (error.code) ")" }
             p { (error.advice) }
--- a/crates/geraniumpost/src/console/pages/login.rs
+++ b/crates/geraniumpost/src/console/pages/login.rs
@@ -2,12 +2,12 @@
 
 use super::Frame;
 
-/// Renders the page on which an operator signs in.
+/// Renders the login page; `refused` shows that the last token was not accepted.
 pub(crate) fn login(frame: &Frame, refused: bool) -> Markup {
     frame.page(
         "Sign in",
         html! {
-            @if refused { p class="problem" { "This is no operator's token." } }
+            @if refused { p class="problem" { "The token does not belong to an operator." } }
             form method="post" action="/login" {
                 label for="token" { "Operator's token" }
                 input id="token" name="token" type="password" autocomplete="off" required;
--- a/crates/geraniumpost/src/console/pages/mod.rs
+++ b/crates/geraniumpost/src/console/pages/mod.rs
@@ -1,4 +1,4 @@
-//! Pages of the console, made by pure functions from plain data.
+//! Pure functions that render the pages of the console.
 
 mod edit;
 mod fields;
--- a/crates/geraniumpost/src/console/pages/section.rs
+++ b/crates/geraniumpost/src/console/pages/section.rs
@@ -4,28 +4,28 @@
 
 use super::Frame;
 
-/// A part of the document that holds values by name.
+/// Section of the document that contains named values.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Section {
-    /// Key in the document and part of the path.
+    /// Key in the document, also a segment of the page's path.
     pub(crate) key: &'static str,
-    /// Definition of one value in the schema.
+    /// Name of the definition of a value in the schema.
     pub(crate) definition: &'static str,
-    /// Name of one value.
-    pub(crate) one: &'static str,
+    /// Singular noun for a value in texts.
+    pub(crate) singular: &'static str,
 }
 
 impl Section {
-    /// All sections in the order of the page.
+    /// All sections, in the order of the overview page.
     const ALL: [Self; 5] = [
-        Self { key: "customers", definition: "Customer", one: "customer" },
-        Self { key: "services", definition: "Service", one: "service" },
-        Self { key: "classes", definition: "JobClass", one: "job class" },
-        Self { key: "domains", definition: "Domain", one: "failure domain" },
-        Self { key: "operators", definition: "Operator", one: "operator" },
+        Self { key: "customers", definition: "Customer", singular: "customer" },
+        Self { key: "services", definition: "Service", singular: "service" },
+        Self { key: "classes", definition: "JobClass", singular: "job class" },
+        Self { key: "domains", definition: "Domain", singular: "failure domain" },
+        Self { key: "operators", definition: "Operator", singular: "operator" },
     ];
 
-    /// Finds the section of a path.
+    /// Returns the section with the given key.
     pub(crate) fn find(key: &str) -> Option<Self> {
         Self::ALL.into_iter().find(|section| section.key == key)
     }
@@ -37,7 +37,7 @@
         "Configuration",
         html! {
             table {
-                tr { th { "part" } th { "number" } }
+                tr { th { "section" } th { "values" } }
                 @for section in Section::ALL {
                     tr {
                         td { a href={ "/config/" (section.key) } { (section.key) } }
@@ -73,12 +73,12 @@
                     }
                 }
             }
-            p { a href={ "/config/" (section.key) "/+new" } { "Add a " (section.one) } }
+            p { a href={ "/config/" (section.key) "/+new" } { "Add a " (section.singular) } }
         },
     )
 }
 
-/// Returns a value in as few characters as tell it; hashes are cut.
+/// Renders a value briefly. Digests are shortened.
 fn cell(value: &Value) -> String {
     match value {
         Value::String(text) if text.len() == 64 => {
--- a/crates/geraniumpost/src/console/reply.rs
+++ b/crates/geraniumpost/src/console/reply.rs
@@ -7,11 +7,12 @@
 
 use super::ApiError;
 
-/// Forbids scripts, foreign content and framing, so that a slip in a page stays harmless.
-const POLICY: &str = "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'; \
+/// Content security policy that forbids scripts, external content and framing. It limits the damage
+/// if a page fails to escape a value.
+const CONTENT_POLICY: &str = "default-src 'none'; style-src 'unsafe-inline'; form-action 'self'; \
                       frame-ancestors 'none'; base-uri 'none'";
 
-/// Answer to a call as plain data.
+/// Answer to a call, independent of the HTTP library.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reply {
     /// HTTP status.
@@ -25,23 +26,23 @@
 }
 
 impl Reply {
-    /// Creates an answer of JSON.
+    /// Creates an answer with a JSON body.
     pub fn json(status: u16, value: &Value) -> Self {
         Self::new(status, "application/json", value.to_string())
     }
 
-    /// Creates a page.
+    /// Creates an answer with an HTML page.
     pub fn page(status: u16, page: Markup) -> Self {
         Self::new(status, "text/html; charset=utf-8", page.into_string())
     }
 
-    /// Creates an answer of text, as metrics are.
+    /// Creates an answer with text in the format of Prometheus, as `/metrics` returns.
     pub fn text(status: u16, text: String) -> Self {
         Self::new(status, "text/plain; version=0.0.4; charset=utf-8", text)
     }
 
-    /// Creates an answer that sends a browser to another page.
-    pub fn see(path: &str) -> Self {
+    /// Creates an answer that redirects the browser to another page.
+    pub fn redirect(path: &str) -> Self {
         Self::new(303, "text/plain", String::new()).header(LOCATION, path)
     }
 
@@ -52,7 +53,7 @@
         self
     }
 
-    /// Sets the console's cookie.
+    /// Sets the console's cookie for the given number of seconds; 0 removes it.
     #[must_use]
     pub fn cookie(self, value: &str, seconds: u32) -> Self {
         let name = super::call::COOKIE_NAME;
@@ -60,7 +61,7 @@
         self.header(SET_COOKIE, text)
     }
 
-    /// Turns the answer into one of `hyper`.
+    /// Converts the answer to a response of `hyper`.
     pub fn into_response(self) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(self.body));
         if let Ok(status) = http::StatusCode::from_u16(self.status) {
@@ -69,7 +70,7 @@
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(self.content_type));
         headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-        headers.insert(CONTENT_SECURITY_POLICY, HeaderValue::from_static(POLICY));
+        headers.insert(CONTENT_SECURITY_POLICY, HeaderValue::from_static(CONTENT_POLICY));
         let nosniff = HeaderValue::from_static("nosniff");
         headers.insert(HeaderName::from_static("x-content-type-options"), nosniff);
         for (name, value) in self.headers {
--- a/crates/geraniumpost/src/console/route.rs
+++ b/crates/geraniumpost/src/console/route.rs
@@ -4,15 +4,15 @@
 
 use super::{ApiCode, ApiError};
 
-/// Longest name of a change or of a value in the document.
-const MAX_LABEL: usize = 63;
-/// Longest id of a job.
-const MAX_JOB_ID: usize = 128;
+/// Maximum length of the id of a change, in bytes.
+const MAX_LABEL_BYTES: usize = 63;
+/// Maximum length of the id of a job, in bytes.
+const MAX_JOB_ID_BYTES: usize = 128;
 
-/// Page or call that a path names.
+/// Target of a call, determined by its method and path.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Route {
-    /// State of the entry and its region.
+    /// Returns the state of the entry and its region.
     Status,
     /// Reads the configuration.
     GetConfig,
@@ -20,9 +20,9 @@
     PutConfig,
     /// Checks a document without changing anything.
     CheckConfig,
-    /// Revision in force everywhere.
+    /// Returns the revision in force on each known process.
     InForce,
-    /// Metrics.
+    /// Returns the metrics.
     Metrics,
     /// Lists jobs.
     Jobs,
@@ -32,20 +32,20 @@
     SubmitJob(Name),
     /// Cancels a job.
     CancelJob(Name),
-    /// Explains a job.
+    /// Explains why a job is in its state.
     ExplainJob(Name),
-    /// A page of the console, by the parts of its path.
+    /// Shows a page of the console, identified by the segments of its path.
     Page(Vec<String>),
-    /// A form of the console, by the parts of its path.
+    /// Handles a submitted form of the console, identified by the segments of its path.
     Post(Vec<String>),
 }
 
 impl Route {
-    /// Finds the route of a call.
+    /// Returns the route of a call.
     ///
     /// # Errors
     ///
-    /// Fails if the path or the method is not known.
+    /// Fails if the path does not exist or does not support the method.
     ///
     /// # Example
     ///
@@ -100,28 +100,31 @@
     if method == wanted { Ok(route) } else { Err(ApiCode::WrongMethod.into()) }
 }
 
-/// Reads the id of a job out of a path or a form.
+/// Parses the id of a job from a path or a form.
 pub(super) fn job_id(text: &str) -> Result<Name, ApiError> {
     let plain = text.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'_' | b'-'));
-    if plain && (1..=MAX_JOB_ID).contains(&text.len()) {
+    if plain && (1..=MAX_JOB_ID_BYTES).contains(&text.len()) {
         return Ok(Name::from(text));
     }
-    let message = format!("`{}` is no id of a job.", text.chars().take(80).collect::<String>());
+    let message = format!("`{}` is not a valid job id.", text.chars().take(80).collect::<String>());
     Err(ApiError::new(400, codes::BAD_ID, message)
-        .advice("Use 1 to 128 letters, digits, dots, dashes or underscores."))
+        .advice("Use 1 to 128 ASCII letters, digits, dots, dashes and underscores."))
 }
 
-/// Reads a name out of a path or a header.
-pub(super) fn label(text: &str) -> Result<Name, ApiError> {
+/// Parses the id of a change from a header or a form.
+pub(super) fn change_id(text: &str) -> Result<Name, ApiError> {
     let first = text.bytes().next().is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
     let rest = text
         .bytes()
         .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'.' | b'_' | b'-'));
-    if first && rest && text.len() <= MAX_LABEL {
+    if first && rest && text.len() <= MAX_LABEL_BYTES {
         return Ok(Name::from(text));
     }
-    let message = format!("`{}` is no name.", text.chars().take(80).collect::<String>());
+    let message =
+        format!("`{}` is not a valid change id.", text.chars().take(80).collect::<String>());
     Err(ApiError::from(ApiCode::Malformed)
         .message(message)
-        .advice("Use 1 to 63 lower-case letters, digits, dots, dashes and underscores."))
+        .advice(
+            "Use 1 to 63 lower-case letters, digits, dots, dashes and underscores, starting with a letter or digit.",
+        ))
 }
--- a/crates/geraniumpost/src/console/serve.rs
+++ b/crates/geraniumpost/src/console/serve.rs
@@ -16,24 +16,26 @@
 use tokio::time::timeout;
 
 use super::{
-    ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, Route, api, api_jobs, identity, posts,
+    ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, Route, api, api_jobs, identity,
+    page_handlers,
 };
 use crate::open_connections::OpenConnections;
 
-/// Largest body of a call; the document is the largest there is.
-const MAX_BODY: usize = 1 << 20;
-/// Time in which head and body of a call must arrive.
-const READ_TIME: Duration = Duration::from_secs(10);
-/// Connections at once; more wait, so that the console cannot crowd out requests.
-const CONNECTIONS: usize = 256;
-/// Time that a stop waits for calls under way.
-const STOP_TIME: Duration = Duration::from_secs(10);
-/// Time in which calls that outlast [`STOP_TIME`] are answered.
-const LAST_RESPONSES: Duration = Duration::from_millis(500);
-/// How long a connection without any call yet is kept at a stop.
-const FIRST_CALL: Duration = Duration::from_millis(200);
+/// Maximum size of the body of a call, in bytes. The document is the largest body.
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// Timeout for the head and for the body of a call.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of open connections. Further connections wait in the listener's queue, so that
+/// the console leaves resources to callers' requests.
+const MAX_CONNECTIONS: usize = 256;
+/// Time for which a stop waits until the calls in flight have finished.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time to answer the calls that are still in flight after [`STOP_TIMEOUT`].
+const FINAL_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a connection without any call is kept open at a stop.
+const FIRST_CALL_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The operators' API and the console.
+/// Server of the operators' API and the console.
 #[derive(Debug, Clone)]
 pub struct Console {
     context: Arc<ConsoleContext>,
@@ -45,37 +47,41 @@
         Self { context: Arc::new(context) }
     }
 
-    /// Serves until `stop` ends, then finishes the calls under way. Those that take longer than
-    /// [`STOP_TIME`] are answered that their outcome is not known.
+    /// Serves until `stop` completes, then finishes the calls in flight. Calls that are still in
+    /// flight after 10 s are answered with [`ApiCode::Unknown`].
     pub async fn serve(self, listener: TcpListener, stop: impl Future<Output = ()>) {
-        let connections = OpenConnections::new(FIRST_CALL);
+        let connections = OpenConnections::new(FIRST_CALL_TIMEOUT);
         let response_due = watch::Sender::new(false);
-        let turns = Arc::new(Semaphore::new(CONNECTIONS));
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         let mut stop = pin!(stop);
         loop {
             let accepted = tokio::select! {
-                accepted = accept(&listener, &turns) => accepted,
+                accepted = accept(&listener, &permits) => accepted,
                 () = &mut stop => break,
             };
-            if let Some((stream, turn)) = accepted {
-                self.spawn(stream, turn, &connections, response_due.subscribe());
+            if let Some((stream, permit)) = accepted {
+                self.spawn(stream, permit, &connections, response_due.subscribe());
             }
         }
         drop(listener);
-        if timeout(STOP_TIME, connections.finish()).await.is_err() {
-            spdlog::warn!("the console ends calls under way: its stop takes too long");
+        if timeout(STOP_TIMEOUT, connections.finish()).await.is_err() {
+            spdlog::warn!("console: calls in flight exceed the stop timeout; answering them");
             response_due.send_replace(true);
-            if timeout(LAST_RESPONSES, connections.finish()).await.is_err() {
-                spdlog::warn!("the console stopped with open connections");
+            if timeout(FINAL_RESPONSE_TIMEOUT, connections.finish()).await.is_err() {
+                spdlog::warn!("console: stopping with open connections");
             }
         }
     }
 
-    /// Answers one call given as plain data.
+    /// Handles a call and returns the answer.
     pub async fn answer(&self, call: &Call) -> Reply {
         let route = match Route::find(&call.method, &call.path) {
-            Ok(Route::Page(parts)) => return posts::page(call, &parts, &self.context).await,
-            Ok(Route::Post(parts)) => return posts::post(call, &parts, &self.context).await,
+            Ok(Route::Page(parts)) => {
+                return page_handlers::page(call, &parts, &self.context).await;
+            }
+            Ok(Route::Post(parts)) => {
+                return page_handlers::post(call, &parts, &self.context).await;
+            }
             Ok(Route::Metrics) => return self.metrics(),
             Ok(route) => route,
             Err(error) => return error.into(),
@@ -88,7 +94,7 @@
 
     async fn api(&self, call: &Call, route: Route) -> Result<serde_json::Value, ApiError> {
         let context = &*self.context;
-        let operator = api_operator(call, context)?;
+        let operator = authenticate_api(call, context)?;
         let job_call = match route {
             Route::Status => return Ok(api::status(context)),
             Route::GetConfig => return api::get_config(context),
@@ -104,10 +110,11 @@
                 return Err(ApiCode::NotFound.into());
             }
         };
-        api_jobs::ask(job_call, call, operator, context).await
+        api_jobs::call_planner(job_call, call, operator, context).await
     }
 
-    /// Metrics are read by machines that hold no token; they name customers but no secrets.
+    /// Returns the metrics. They need no token, because monitoring systems have none; they contain
+    /// names of customers but no secrets.
     fn metrics(&self) -> Reply {
         match self.context.metrics.render() {
             Ok(text) => Reply::text(200, text),
@@ -118,7 +125,7 @@
     fn spawn(
         &self,
         stream: TcpStream,
-        turn: OwnedSemaphorePermit,
+        permit: OwnedSemaphorePermit,
         connections: &OpenConnections,
         response_due: watch::Receiver<bool>,
     ) {
@@ -131,13 +138,13 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(READ_TIME)
+            .header_read_timeout(READ_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
             if let Err(error) = open_connection.hold(connection).await {
-                spdlog::debug!("console connection: {error}");
+                spdlog::debug!("console connection failed: {error}");
             }
-            drop(turn);
+            drop(permit);
         });
     }
 
@@ -148,18 +155,18 @@
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (parts, body) = req.into_parts();
         let answered = async {
-            match whole(body).await {
+            match read_body(body).await {
                 Ok(body) => self.answer(&Call::from_parts(&parts, body)).await,
                 Err(error) => error.into(),
             }
         };
         let reply = tokio::select! {
             reply = answered => reply,
-            // An error means that the console no longer serves.
+            // An error means that the console has stopped serving.
             _ = response_due.wait_for(|due| *due) => {
                 let error = ApiError::from(ApiCode::Unknown)
-                    .message("The entry is shutting down; whether it did as asked is not known.")
-                    .advice("Repeat the call at another entry, a change with its X-Change-Id.");
+                    .message("The entry is shutting down; it is unknown whether the call took effect.")
+                    .advice("Repeat the call at another entry, with the same X-Change-Id if it is a change.");
                 error.into()
             }
         };
@@ -167,27 +174,28 @@
     }
 }
 
-/// Accepts a connection once there is room for it.
+/// Accepts a connection when fewer than [`MAX_CONNECTIONS`] are open.
 async fn accept(
     listener: &TcpListener,
-    turns: &Arc<Semaphore>,
+    permits: &Arc<Semaphore>,
 ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let turn = Arc::clone(turns).acquire_owned().await.ok()?;
+    let permit = Arc::clone(permits).acquire_owned().await.ok()?;
     match listener.accept().await {
-        Ok((stream, _)) => Some((stream, turn)),
+        Ok((stream, _)) => Some((stream, permit)),
         Err(error) => {
-            // Out of descriptors, most often: going on at once would only spin.
-            spdlog::warn!("console: {error}");
+            // Usually a lack of file descriptors. The delay prevents a busy loop.
+            spdlog::warn!("console: cannot accept a connection: {error}");
             tokio::time::sleep(Duration::from_millis(100)).await;
             None
         }
     }
 }
 
-async fn whole(body: Incoming) -> Result<Bytes, ApiError> {
-    let collected = timeout(READ_TIME, Limited::new(body, MAX_BODY).collect()).await;
-    let late = |_| ApiError::from(ApiCode::Malformed).message("The body did not arrive in time.");
-    match collected.map_err(late)? {
+async fn read_body(body: Incoming) -> Result<Bytes, ApiError> {
+    let collected = timeout(READ_TIMEOUT, Limited::new(body, MAX_BODY_BYTES).collect()).await;
+    let timed_out =
+        |_| ApiError::from(ApiCode::Malformed).message("The body did not arrive within 10 s.");
+    match collected.map_err(timed_out)? {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             Err(ApiCode::BodyTooLarge.into())
@@ -196,13 +204,14 @@
     }
 }
 
-/// The API takes no cookie for a change, because a browser sends that one along by itself.
-fn api_operator(
+/// Returns the operator who makes an API call. Calls that change something need a bearer token,
+/// because browsers send the cookie automatically, also for requests of other sites.
+fn authenticate_api(
     call: &Call,
     context: &ConsoleContext,
 ) -> Result<geraniumpost_schema::Name, ApiError> {
     if call.bearer.is_empty() && call.method != http::Method::GET {
         return Err(ApiCode::NotAnOperator.into());
     }
-    identity::operator(call, context)
+    identity::authenticate(call, context)
 }
