refactor(geraniumpost): name the parser of change ids; keep the shape of a delay

Change: parse_change_id replaces the path route::change_id, and the reconnect delay is computed within the call again.

--- a/crates/geraniumpost/src/console/api.rs
+++ b/crates/geraniumpost/src/console/api.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use super::identity::reject_bootstrap;
-use super::route;
+use super::route::parse_change_id;
 use super::{ApiCode, ApiError, Call, ConsoleContext};
 use crate::config::write_change;
 
@@ -55,7 +55,7 @@
     let based_on = call.if_match.ok_or_else(|| ApiError::from(ApiCode::RevisionMissing))?;
     let change_id = match call.change_id.as_str() {
         "" => new_change_id(),
-        text => route::change_id(text)?,
+        text => parse_change_id(text)?,
     };
     let document = parse_document(call)?;
     commit(context, change_id, operator, based_on, document).await
--- a/crates/geraniumpost/src/console/page_handlers.rs
+++ b/crates/geraniumpost/src/console/page_handlers.rs
@@ -7,7 +7,7 @@
 use super::form::Form;
 use super::identity::{check_csrf, csrf_token, find_operator};
 use super::pages::{self, EditView, Frame, Section};
-use super::route::{change_id, job_id};
+use super::route::{job_id, parse_change_id};
 use super::{ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, api, api_jobs};
 
 /// Lifetime of the cookie with the operator's token, in seconds.
@@ -229,7 +229,7 @@
     let malformed =
         |_| ApiError::from(ApiCode::Malformed).message("The form contains no revision.");
     let based_on: u64 = form.get("revision").parse().map_err(malformed)?;
-    let change_id = change_id(form.get("change_id"))?;
+    let change_id = parse_change_id(form.get("change_id"))?;
     let mut value = document_at_least(based_on, context).await?;
     change(&mut value);
     let document = match check_document_value(value) {
--- a/crates/geraniumpost/src/console/route.rs
+++ b/crates/geraniumpost/src/console/route.rs
@@ -112,7 +112,7 @@
 }
 
 /// Parses the id of a change from a header or a form.
-pub(super) fn change_id(text: &str) -> Result<Name, ApiError> {
+pub(super) fn parse_change_id(text: &str) -> Result<Name, ApiError> {
     let first = text.bytes().next().is_some_and(|b| b.is_ascii_lowercase() || b.is_ascii_digit());
     let rest = text
         .bytes()
--- a/crates/geraniumpost/src/entry/link_maintenance.rs
+++ b/crates/geraniumpost/src/entry/link_maintenance.rs
@@ -63,8 +63,10 @@
             ),
             Err(error) => spdlog::debug!("cannot connect to agent {}: {error}", agent.name),
         }
-        let delay_ms = RECONNECT_DELAY_MS + rand::random_range(0..RECONNECT_DELAY_MS);
-        sleep(Duration::from_millis(delay_ms)).await;
+        sleep(Duration::from_millis(
+            RECONNECT_DELAY_MS + rand::random_range(0..RECONNECT_DELAY_MS),
+        ))
+        .await;
     }
 }
 
