--- a/crates/geraniumpost/src/batch/http_server.rs
+++ b/crates/geraniumpost/src/batch/http_server.rs
@@ -99,7 +99,7 @@
         .header_read_timeout(HEADER_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
-        if let Err(error) = open_connection.hold(connection).await {
+        if let Err(error) = open_connection.serve(connection).await {
             spdlog::debug!("event=connection_ended why=\"{error}\"");
         }
     });
--- a/crates/geraniumpost/src/config/config_updater.rs
+++ b/crates/geraniumpost/src/config/config_updater.rs
@@ -110,10 +110,10 @@
         let now = Millis(self.started.elapsed().as_millis() as u64);
         let mut adoption = self.adoption.lock().unwrap_or_else(PoisonError::into_inner);
         let actions = adoption.handle(event, now);
-        actions.into_iter().filter_map(|action| self.carry_out(action)).collect()
+        actions.into_iter().filter_map(|action| self.execute(action)).collect()
     }
 
-    fn carry_out(&self, action: AdoptionAction<IdentifiedDocument>) -> Option<FetchRequest> {
+    fn execute(&self, action: AdoptionAction<IdentifiedDocument>) -> Option<FetchRequest> {
         match action {
             AdoptionAction::FetchAll => Some(FetchRequest::AllPeers),
             AdoptionAction::Fetch { source, .. } => Some(FetchRequest::One(source)),
--- a/crates/geraniumpost/src/console/mod.rs
+++ b/crates/geraniumpost/src/console/mod.rs
@@ -1,7 +1,7 @@
 //! The operators' API and the console, a set of HTML forms. They have their own listener.
 //!
-//! Pure functions render the pages; only [`Console`] performs I/O. `docs/OPERATIONS.md` describes
-//! how operators use them.
+//! Handlers collect the data of a page, and pure functions render it. `docs/OPERATIONS.md`
+//! describes how operators use the API and the console.
 
 mod api;
 mod api_code;
--- a/crates/geraniumpost/src/console/page_handlers.rs
+++ b/crates/geraniumpost/src/console/page_handlers.rs
@@ -13,7 +13,7 @@
 /// Lifetime of the cookie with the operator's token, in seconds.
 const COOKIE_LIFETIME_S: u32 = 12 * 3600;
 /// Path segment of a new value, instead of the name of an existing one.
-const NEW: &str = "+new";
+const NEW_VALUE: &str = "+new";
 
 /// Returns a page. Redirects to the login page if the operator is not signed in.
 pub(super) async fn page(call: &Call, parts: &[String], context: &ConsoleContext) -> Reply {
@@ -79,18 +79,18 @@
         ["config"] => pages::overview(frame, &document(context)),
         ["config", "policy"] => {
             let value = document(context)["policy"].clone();
-            pages::policy(frame, schema, &view(frame, "", value, true))
+            pages::policy(frame, schema, &edit_view(frame, "", value, true))
         }
         ["config", key] => pages::section(frame, section(key)?, schema, &document(context)),
         ["config", key, name] => {
             let section = section(key)?;
             let value = document(context)[section.key][*name].clone();
             let exists = !value.is_null();
-            if !exists && *name != NEW {
+            if !exists && *name != NEW_VALUE {
                 return Err(ApiCode::NotFound.into());
             }
             let name = if exists { name } else { "" };
-            pages::edit(frame, section, schema, &view(frame, name, value, exists))
+            pages::edit(frame, section, schema, &edit_view(frame, name, value, exists))
         }
         ["jobs"] => {
             let list = api_jobs::call_planner(JobCall::List, call, operator, context).await?;
@@ -163,8 +163,11 @@
     match outcome? {
         Saved::Done => Ok(Reply::redirect(&format!("/config/{}", section.key))),
         Saved::Rejected(report, error) => {
-            let view =
-                EditView { problems: report.problems, error, ..view(frame, name, value, known) };
+            let view = EditView {
+                problems: report.problems,
+                error,
+                ..edit_view(frame, name, value, known)
+            };
             let page = pages::edit(frame, section, schema, &with_current_revision(view, context));
             Ok(Reply::page(422, page))
         }
@@ -184,7 +187,7 @@
         Saved::Done => Ok(Reply::redirect("/config/policy")),
         Saved::Rejected(report, error) => {
             let view =
-                EditView { problems: report.problems, error, ..view(frame, "", value, true) };
+                EditView { problems: report.problems, error, ..edit_view(frame, "", value, true) };
             Ok(Reply::page(
                 422,
                 pages::policy(frame, schema, &with_current_revision(view, context)),
@@ -276,7 +279,7 @@
     Section::find(key).ok_or_else(|| ApiCode::NotFound.into())
 }
 
-fn view(frame: &Frame, name: &str, value: Value, exists: bool) -> EditView {
+fn edit_view(frame: &Frame, name: &str, value: Value, exists: bool) -> EditView {
     EditView {
         name: name.to_owned(),
         value,
--- a/crates/geraniumpost/src/console/pages/edit.rs
+++ b/crates/geraniumpost/src/console/pages/edit.rs
@@ -99,11 +99,11 @@
             tr { th { "changed by" } th { "change id" } th { "changed values" } }
             @for change in changes {
                 tr {
-                    td { (super::home::plain(&change["changed_by"])) }
-                    td { (super::home::plain(&change["change_id"])) }
+                    td { (super::home::render(&change["changed_by"])) }
+                    td { (super::home::render(&change["change_id"])) }
                     td {
                         @for path in change["paths"].as_array().into_iter().flatten() {
-                            (super::home::plain(path)) br;
+                            (super::home::render(path)) br;
                         }
                     }
                 }
--- a/crates/geraniumpost/src/console/pages/fields.rs
+++ b/crates/geraniumpost/src/console/pages/fields.rs
@@ -2,7 +2,7 @@
 use maud::{Markup, html};
 use serde_json::Value;
 
-use super::home::plain;
+use super::home::render;
 
 /// Renders the fields of a form from the schema.
 #[derive(Debug, Clone, Copy)]
@@ -43,7 +43,7 @@
             (input(name, inner, default, value))
             small {
                 (meaning) " " (range(inner))
-                @if !default.is_null() { " Default: " (plain(default)) "." }
+                @if !default.is_null() { " Default: " (render(default)) "." }
             }
             @for problem in self.problems_at(name) {
                 small class="problem" {
@@ -66,7 +66,7 @@
         return html! {
             select id=(name) name=(name) {
                 @for choice in choices {
-                    option value=(plain(choice)) selected[choice == shown] { (plain(choice)) }
+                    option value=(render(choice)) selected[choice == shown] { (render(choice)) }
                 }
             }
         };
@@ -76,11 +76,11 @@
             input id=(name) name=(name) type="checkbox" value="on" checked[shown == &Value::Bool(true)];
         },
         Some("integer") => html! {
-            input id=(name) name=(name) type="text" inputmode="numeric" value=(plain(value))
-                placeholder=(plain(default));
+            input id=(name) name=(name) type="text" inputmode="numeric" value=(render(value))
+                placeholder=(render(default));
         },
         _ => html! {
-            input id=(name) name=(name) type="text" size="70" value=(plain(value));
+            input id=(name) name=(name) type="text" size="70" value=(render(value));
         },
     }
 }
--- a/crates/geraniumpost/src/console/pages/home.rs
+++ b/crates/geraniumpost/src/console/pages/home.rs
@@ -23,9 +23,9 @@
                 tr { th { "process" } th { "role" } th { "revision" } }
                 @for process in processes {
                     tr {
-                        td { (plain(&process["name"])) }
-                        td { (plain(&process["role"])) }
-                        td { (plain(&process["revision"])) }
+                        td { (render(&process["name"])) }
+                        td { (render(&process["role"])) }
+                        td { (render(&process["revision"])) }
                     }
                 }
             }
@@ -36,7 +36,7 @@
 }
 
 /// Renders a JSON value as text without quotes, `null` as empty text.
-pub(super) fn plain(value: &Value) -> String {
+pub(super) fn render(value: &Value) -> String {
     match value {
         Value::Null => String::new(),
         Value::String(text) => text.clone(),
--- a/crates/geraniumpost/src/console/pages/jobs.rs
+++ b/crates/geraniumpost/src/console/pages/jobs.rs
@@ -2,7 +2,7 @@
 use serde_json::Value;
 
 use super::Frame;
-use super::home::plain;
+use super::home::render;
 
 /// Renders the list of jobs and the form for submitting a job.
 pub(crate) fn jobs(frame: &Frame, list: &Value, document: &Value) -> Markup {
@@ -17,11 +17,11 @@
                 tr { th { "job" } th { "customer" } th { "class" } th { "state" } th { "worker" } }
                 @for job in rows.into_iter().flatten() {
                     tr {
-                        td { a href={ "/jobs/" (plain(&job["id"])) } { (plain(&job["id"])) } }
-                        td { (plain(&job["customer"])) }
-                        td { (plain(&job["class"])) }
-                        td { (plain(&job["state"])) }
-                        td { (plain(&job["worker"])) }
+                        td { a href={ "/jobs/" (render(&job["id"])) } { (render(&job["id"])) } }
+                        td { (render(&job["customer"])) }
+                        td { (render(&job["class"])) }
+                        td { (render(&job["state"])) }
+                        td { (render(&job["worker"])) }
                     }
                 }
             }
@@ -51,7 +51,7 @@
         html! {
             table {
                 @for (key, value) in status.as_object().into_iter().flatten() {
-                    tr { th { (key) } td { (plain(value)) } }
+                    tr { th { (key) } td { (render(value)) } }
                 }
             }
             h2 { "Explanation" }
--- a/crates/geraniumpost/src/console/pages/section.rs
+++ b/crates/geraniumpost/src/console/pages/section.rs
@@ -88,6 +88,6 @@
             let parts = map.iter().map(|(key, value)| format!("{key} {value}"));
             parts.collect::<Vec<_>>().join(", ")
         }
-        other => super::home::plain(other),
+        other => super::home::render(other),
     }
 }
--- a/crates/geraniumpost/src/console/route.rs
+++ b/crates/geraniumpost/src/console/route.rs
@@ -5,7 +5,7 @@
 use super::{ApiCode, ApiError};
 
 /// Maximum length of the id of a change, in bytes.
-const MAX_LABEL_BYTES: usize = 63;
+const MAX_CHANGE_ID_BYTES: usize = 63;
 /// Maximum length of the id of a job, in bytes.
 const MAX_JOB_ID_BYTES: usize = 128;
 
@@ -58,19 +58,19 @@
     pub fn find(method: &Method, path: &str) -> Result<Self, ApiError> {
         let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
         match parts.as_slice() {
-            ["api", "status"] => only(method, &Method::GET, Self::Status),
+            ["api", "status"] => require_method(method, &Method::GET, Self::Status),
             ["api", "config"] => match *method {
                 Method::GET => Ok(Self::GetConfig),
                 Method::PUT => Ok(Self::PutConfig),
                 _ => Err(ApiCode::WrongMethod.into()),
             },
-            ["api", "config", "check"] => only(method, &Method::POST, Self::CheckConfig),
-            ["api", "in-force"] => only(method, &Method::GET, Self::InForce),
-            ["metrics"] => only(method, &Method::GET, Self::Metrics),
-            ["api", "jobs"] => only(method, &Method::GET, Self::Jobs),
+            ["api", "config", "check"] => require_method(method, &Method::POST, Self::CheckConfig),
+            ["api", "in-force"] => require_method(method, &Method::GET, Self::InForce),
+            ["metrics"] => require_method(method, &Method::GET, Self::Metrics),
+            ["api", "jobs"] => require_method(method, &Method::GET, Self::Jobs),
             ["api", "jobs", id] => Self::job(method, job_id(id)?),
             ["api", "jobs", id, "explain"] => {
-                only(method, &Method::GET, Self::ExplainJob(job_id(id)?))
+                require_method(method, &Method::GET, Self::ExplainJob(job_id(id)?))
             }
             ["api", ..] => Err(ApiCode::NotFound.into()),
             _ => Self::page(method, &parts),
@@ -96,7 +96,7 @@
     }
 }
 
-fn only(method: &Method, wanted: &Method, route: Route) -> Result<Route, ApiError> {
+fn require_method(method: &Method, wanted: &Method, route: Route) -> Result<Route, ApiError> {
     if method == wanted { Ok(route) } else { Err(ApiCode::WrongMethod.into()) }
 }
 
@@ -117,7 +117,7 @@
     let rest = text
         .bytes()
         .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'.' | b'_' | b'-'));
-    if first && rest && text.len() <= MAX_LABEL_BYTES {
+    if first && rest && text.len() <= MAX_CHANGE_ID_BYTES {
         return Ok(Name::from(text));
     }
     let message =
--- a/crates/geraniumpost/src/console/serve.rs
+++ b/crates/geraniumpost/src/console/serve.rs
@@ -141,7 +141,7 @@
             .header_read_timeout(READ_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
-            if let Err(error) = open_connection.hold(connection).await {
+            if let Err(error) = open_connection.serve(connection).await {
                 spdlog::debug!("console connection failed: {error}");
             }
             drop(permit);
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -159,7 +159,7 @@
         .header_read_timeout(HEAD_TIMEOUT)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
-        if let Err(error) = open_connection.hold(connection).await {
+        if let Err(error) = open_connection.serve(connection).await {
             spdlog::debug!("connection of a caller failed: {error}");
         }
         drop(permit);
--- a/crates/geraniumpost/src/entry/dispatch.rs
+++ b/crates/geraniumpost/src/entry/dispatch.rs
@@ -23,24 +23,24 @@
             Ok(target) => attempt(cx, req, &mut policy, target).await,
             Err(NoTarget::Refused(code)) => return Reply::without_answer(code, STORE_RETRY_MS),
             Err(NoTarget::NoAgent) => {
-                Ended::Step(step(cx, req, &mut policy, AttemptEvent::NoAgent))
+                AttemptResult::Step(step(cx, req, &mut policy, AttemptEvent::NoAgent))
             }
             Err(NoTarget::ClaimantGone) => {
-                Ended::Step(step(cx, req, &mut policy, AttemptEvent::AgentRestarted))
+                AttemptResult::Step(step(cx, req, &mut policy, AttemptEvent::AgentRestarted))
             }
         };
         match step {
-            Ended::Reply(reply) => return reply,
-            Ended::Step(NextStep::Answer { code, retry_after_ms }) => {
+            AttemptResult::Reply(reply) => return reply,
+            AttemptResult::Step(NextStep::Answer { code, retry_after_ms }) => {
                 return Reply::without_answer(code, retry_after_ms);
             }
-            Ended::Step(_) => cx.metrics.retry("next_agent"),
+            AttemptResult::Step(_) => cx.metrics.retry("next_agent"),
         }
     }
 }
 
-/// Result of an attempt.
-enum Ended {
+/// How an attempt has ended.
+enum AttemptResult {
     /// The minion's answer.
     Reply(Reply),
     /// The next step of the request.
@@ -53,7 +53,7 @@
     req: &Incoming,
     policy: &mut RetryPolicy,
     target: Target,
-) -> Ended {
+) -> AttemptResult {
     let mut attempt = Attempt::send(cx, req, &target, policy.attempt());
     let mut event = if attempt.is_sent() {
         wait(cx, req, &mut attempt).await
@@ -66,7 +66,7 @@
     };
     loop {
         let next = match event {
-            Received::Reply(reply) => return Ended::Reply(reply),
+            Received::Reply(reply) => return AttemptResult::Reply(reply),
             Received::Event(attempt_event) => step(cx, req, policy, attempt_event),
         };
         event = match next {
@@ -76,7 +76,7 @@
                 query(cx, req, &mut attempt, target.incarnation).await
             }
             NextStep::Deliver | NextStep::Retry | NextStep::Answer { .. } => {
-                return Ended::Step(next);
+                return AttemptResult::Step(next);
             }
         };
     }
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/incoming.rs
@@ -67,12 +67,12 @@
             // discard it.
             return Err(ResultCode::NoAgent);
         }
-        let token = bearer(&parts.headers).ok_or(ResultCode::BadToken)?;
+        let token = bearer_token(&parts.headers).ok_or(ResultCode::BadToken)?;
         let caller = config.caller(token).ok_or(ResultCode::BadToken)?;
         let path = parts.uri.path();
         let service_name = path.split('/').find(|segment| !segment.is_empty()).unwrap_or_default();
         let service = config.service(service_name).ok_or(ResultCode::UnknownService)?;
-        let key = text(&parts.headers, headers::IDEMPOTENCY_KEY)?;
+        let key = header_text(&parts.headers, headers::IDEMPOTENCY_KEY)?;
         let idempotent = parts.method.is_idempotent();
         let target = parts.uri.path_and_query().map_or(path, http::uri::PathAndQuery::as_str);
         let id = request_id(&parts.headers);
@@ -118,14 +118,14 @@
     }
 }
 
-fn bearer(headers: &HeaderMap) -> Option<&str> {
+fn bearer_token(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let (scheme, token) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
 
 /// Returns the text of a header, and an error if it is empty, too long or not visible ASCII.
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, ResultCode> {
+fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, ResultCode> {
     let Some(value) = headers.get(name) else { return Ok(None) };
     let text = value.to_str().map_err(|_| ResultCode::Malformed)?.trim();
     if text.is_empty() || text.len() > MAX_HEADER_BYTES {
@@ -136,12 +136,12 @@
 
 /// Returns the caller's id for the request, or a random one if it is missing or invalid.
 pub fn request_id(headers: &HeaderMap) -> Name {
-    let given = text(headers, headers::REQUEST_ID).ok().flatten();
+    let given = header_text(headers, headers::REQUEST_ID).ok().flatten();
     given.map_or_else(|| Name::from(format!("{:016x}", rand::random::<u64>())), Name::from)
 }
 
 fn deadline(headers: &HeaderMap, service: &Service, clock: &Clock) -> Result<Millis, ResultCode> {
-    let given = text(headers, headers::TIMEOUT_MS)?;
+    let given = header_text(headers, headers::TIMEOUT_MS)?;
     let ms = given.map_or(Ok(service.deadline_ms), str::parse::<u64>);
     let ms = ms.map_err(|_| ResultCode::Malformed)?;
     Ok(clock.now().plus(ms.min(MAX_TIMEOUT_MS)))
--- a/crates/geraniumpost/src/open_connections.rs
+++ b/crates/geraniumpost/src/open_connections.rs
@@ -72,7 +72,7 @@
 
     /// Serves the connection until it ends, or at a planned stop until its request in flight has
     /// ended.
-    pub async fn hold<C: GracefulConnection>(mut self, connection: C) -> C::Output {
+    pub async fn serve<C: GracefulConnection>(mut self, connection: C) -> C::Output {
         let mut connection = pin!(connection);
         tokio::select! {
             // Requests that have arrived are read before the connection may end.
--- a/crates/geraniumpost/src/stop_signal.rs
+++ b/crates/geraniumpost/src/stop_signal.rs
@@ -11,8 +11,10 @@
 ///
 /// Fails if the handlers cannot be installed.
 pub fn stop_signal() -> Result<watch::Receiver<bool>> {
-    let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM handler")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT handler")?;
+    let mut term =
+        signal(SignalKind::terminate()).wrap_err("cannot install the SIGTERM handler")?;
+    let mut interrupt =
+        signal(SignalKind::interrupt()).wrap_err("cannot install the SIGINT handler")?;
     let (tx, rx) = watch::channel(false);
     tokio::spawn(async move {
         loop {
@@ -42,7 +44,7 @@
 ///
 /// Fails if the handler cannot be installed.
 pub fn on_reload(check: impl Fn() -> Result<()> + Send + 'static) -> Result<()> {
-    let mut hangup = signal(SignalKind::hangup()).wrap_err("SIGHUP handler")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot install the SIGHUP handler")?;
     tokio::spawn(async move {
         while hangup.recv().await.is_some() {
             match check() {
