refactor(geraniumpost): correct reworded comments after a full reading

Cause: a reading of all comments of the crate found a few whose meaning had shifted (headers for the minion, the registry, a document that cannot be read, the published role) and one log line that read ambiguously. Conclusion: comments and one text.

--- a/crates/geraniumpost/src/cli/mod.rs
+++ b/crates/geraniumpost/src/cli/mod.rs
@@ -1,7 +1,7 @@
 //! The command line.
 //!
 //! Every command returns a [`Finished`] with its output, which [`run`] prints, so that tests need
-//! no process. [`ExitStatus`] lists the exit codes.
+//! no process. [`ExitStatus`] and `docs/OPERATIONS.md` list the exit codes.
 
 mod check;
 mod command;
--- a/crates/geraniumpost/src/config/config_updater.rs
+++ b/crates/geraniumpost/src/config/config_updater.rs
@@ -99,8 +99,8 @@
         self.handle(AdoptionEvent::Received { source, revision, document: (change_id, document) })
     }
 
-    /// Handles a document that cannot be read because a newer version of the program wrote it. The
-    /// configuration in force stays.
+    /// Handles a document that cannot be read, for example because a newer version of the program
+    /// wrote it. The configuration in force stays.
     fn on_unreadable(&self, revision: u64, error: &serde_json::Error) -> Vec<FetchRequest> {
         spdlog::error!("configuration {revision} cannot be read and is not adopted: {error}");
         self.handle(AdoptionEvent::Unreadable { revision })
--- a/crates/geraniumpost/src/config/writer.rs
+++ b/crates/geraniumpost/src/config/writer.rs
@@ -12,7 +12,7 @@
 
 /// Writes an operator's change to the store and returns the outcome.
 ///
-/// Configurations read in the process are adopted. If a change with the same id was already
+/// Configurations that are read meanwhile are adopted. If a change with the same id was already
 /// committed, the outcome is that of the earlier change, whatever document this one contains.
 pub async fn write_change(store: &Store, config: &ConfigUpdater, change: Change) -> ChangeOutcome {
     let mut protocol = ChangeProtocol::new(change);
--- a/crates/geraniumpost/src/console/api.rs
+++ b/crates/geraniumpost/src/console/api.rs
@@ -80,7 +80,7 @@
         document: value,
     };
     let outcome = write_change(&context.store, &context.config, change).await;
-    spdlog::info!("change {change_id} by {operator} of revision {based_on}: {outcome:?}");
+    spdlog::info!("change {change_id} by {operator}, based on revision {based_on}: {outcome:?}");
     match outcome {
         ChangeOutcome::Committed { revision } => {
             context.config.committed(revision, change_id.clone(), document);
--- a/crates/geraniumpost/src/entry/entry_registry.rs
+++ b/crates/geraniumpost/src/entry/entry_registry.rs
@@ -24,9 +24,9 @@
 ///
 /// The settings contain the addresses of some peers, but VMs are replaced at any time and settings
 /// become outdated. If no peer of the settings existed any more, an entry would know none of the
-/// other entries. It would then send agents an incomplete list of entries, and could plan for the
-/// region besides another entry until its lease expired. The registry is written at the start and
-/// every six hours, so its store calls do not grow with the load.
+/// other entries. It would then send agents an incomplete list of entries, and could act as planner
+/// beside another entry until the planner lease showed otherwise. The registry is written at the
+/// start and every six hours, so its store calls do not grow with the load.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Registry(BTreeMap<Name, Registration>);
 
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/incoming.rs
@@ -147,8 +147,8 @@
     Ok(clock.now().plus(ms.min(MAX_TIMEOUT_MS)))
 }
 
-/// Prepares the caller's headers for the minion: its token stays here, its name and the request's
-/// id go along.
+/// Prepares the caller's headers for the minion: removes the token and the headers that concern
+/// only the caller's connection, and adds the customer's name and the request's id.
 fn for_minion(mut headers: HeaderMap, customer: &str, id: &Name) -> Vec<HeaderField> {
     strip_hop_by_hop(&mut headers);
     headers.remove(header::AUTHORIZATION);
--- a/crates/geraniumpost/src/planner/driver.rs
+++ b/crates/geraniumpost/src/planner/driver.rs
@@ -385,8 +385,8 @@
         self.publish_summary();
     }
 
-    /// Publishes the current term and agent lease, which the answers to heartbeats and this entry's
-    /// own heartbeats contain.
+    /// Publishes the current term and agent lease for the answers to agents' heartbeats, and the
+    /// term for this entry's own heartbeats.
     fn publish_role(&self) {
         let now = self.cx.clock.now();
         let term = match self.lease.role(now) {
