refactor(geraniumpost): rename types whose names were vague

Cause: Finished, Incoming, Work, Parts, Waiting, Frame and Fields did not say of what, and 'behind' was figurative. Change: CommandOutput, CallerRequest, MinionRequest, AnswerData, WaitingAttempts, Layout and FormFields; finished.rs, incoming.rs and pauses.rs follow their types. Checked: clippy of the workspace. Conclusion: identifiers only.

--- a/crates/geraniumpost/src/agent/kept_answer.rs
+++ b/crates/geraniumpost/src/agent/kept_answer.rs
@@ -10,10 +10,10 @@
 
 /// Final outcome of an attempt, kept for later queries. Clones share the data.
 #[derive(Debug, Clone, PartialEq)]
-pub struct KeptAnswer(Arc<Parts>);
+pub struct KeptAnswer(Arc<AnswerData>);
 
 #[derive(Debug, PartialEq)]
-struct Parts {
+struct AnswerData {
     outcome: Outcome,
     status: u16,
     headers: Vec<HeaderField>,
@@ -31,13 +31,13 @@
         let outcome = Outcome::Answered;
         let body =
             if body.len() <= MAX_COPIED_BYTES { Bytes::copy_from_slice(&body) } else { body };
-        Self(Arc::new(Parts { outcome, status, headers, body, retry_after_ms: 0 }))
+        Self(Arc::new(AnswerData { outcome, status, headers, body, retry_after_ms: 0 }))
     }
 
     /// Keeps an outcome without an answer of the minion; `retry_after_ms` is 0 if unknown.
     pub fn without_answer(outcome: Outcome, retry_after_ms: u64) -> Self {
         let (headers, body) = (Vec::new(), Bytes::new());
-        Self(Arc::new(Parts { outcome, status: 0, headers, body, retry_after_ms }))
+        Self(Arc::new(AnswerData { outcome, status: 0, headers, body, retry_after_ms }))
     }
 
     /// Returns the approximate memory use in bytes.
@@ -56,15 +56,15 @@
 
     /// Returns the message that answers attempt `id`.
     pub fn frame(&self, id: RequestId, load: Load) -> Frame<ToEntry> {
-        let parts = &self.0;
+        let data = &self.0;
         let head = AnswerHead {
             id,
-            outcome: parts.outcome,
-            status: parts.status,
-            headers: parts.headers.clone(),
-            retry_after_ms: parts.retry_after_ms,
+            outcome: data.outcome,
+            status: data.status,
+            headers: data.headers.clone(),
+            retry_after_ms: data.retry_after_ms,
             load,
         };
-        Frame { head: ToEntry::Answer(head), body: parts.body.clone() }
+        Frame { head: ToEntry::Answer(head), body: data.body.clone() }
     }
 }
--- a/crates/geraniumpost/src/agent/links.rs
+++ b/crates/geraniumpost/src/agent/links.rs
@@ -6,7 +6,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::tasks::TaskOrder;
-use super::{AgentContext, Work, minion_runs};
+use super::{AgentContext, MinionRequest, minion_runs};
 use crate::drop_reason::reason;
 
 /// Delay after a failed accept, which is usually caused by a lack of file descriptors.
@@ -56,7 +56,7 @@
         match head {
             ToAgent::Request(head) => {
                 let deadline = now.plus(head.deadline_ms);
-                let work = with_own_weight(cx, Work { head, body, deadline });
+                let work = with_own_weight(cx, MinionRequest { head, body, deadline });
                 let starts = cx.requests().admit(work, link, now);
                 minion_runs::start_all(cx, starts);
             }
@@ -84,7 +84,7 @@
 
 /// Replaces the customer's weight in a request by that of the configuration in force here, which
 /// may be newer than the entry's.
-fn with_own_weight(cx: &AgentContext, mut work: Work) -> Work {
+fn with_own_weight(cx: &AgentContext, mut work: MinionRequest) -> MinionRequest {
     let RequestHead { weight, customer, .. } = &mut work.head;
     let in_force = cx.config.active().load();
     if let Some(known) = in_force.document().customers.get(customer) {
--- a/crates/geraniumpost/src/agent/minion_runs.rs
+++ b/crates/geraniumpost/src/agent/minion_runs.rs
@@ -7,7 +7,7 @@
 use http::Method;
 use tokio::time::timeout;
 
-use super::{AgentContext, KeptAnswer, Work};
+use super::{AgentContext, KeptAnswer, MinionRequest};
 use crate::headers;
 
 /// Maximum time for which a minion may continue to process a request after its deadline.
@@ -18,14 +18,14 @@
 const MAX_OVERRUN: Duration = Duration::from_secs(30);
 
 /// Starts requests on the minion, each in an asynchronous task of its own.
-pub fn start_all(cx: &Arc<AgentContext>, work: Vec<Work>) {
+pub fn start_all(cx: &Arc<AgentContext>, work: Vec<MinionRequest>) {
     for work in work {
         tokio::spawn(run(Arc::clone(cx), work));
     }
 }
 
 /// Runs one request, answers it, and starts the next requests when its slot is free.
-async fn run(cx: Arc<AgentContext>, work: Work) {
+async fn run(cx: Arc<AgentContext>, work: MinionRequest) {
     let id = work.head.id;
     let began = Instant::now();
     let time_left = cx.clock.until(work.deadline);
@@ -52,7 +52,7 @@
 }
 
 /// Sends a request to the minion and returns the outcome.
-async fn send(cx: &AgentContext, work: Work, max_time: Duration) -> KeptAnswer {
+async fn send(cx: &AgentContext, work: MinionRequest, max_time: Duration) -> KeptAnswer {
     let Some(minion) = cx.minion.load_full() else {
         return KeptAnswer::without_answer(Outcome::NotRunUnknownService, 0);
     };
--- a/crates/geraniumpost/src/agent/mod.rs
+++ b/crates/geraniumpost/src/agent/mod.rs
@@ -17,5 +17,5 @@
 pub use context::AgentContext;
 pub use entries::KnownEntries;
 pub use kept_answer::KeptAnswer;
-pub use request_state::{RequestState, Work};
+pub use request_state::{MinionRequest, RequestState};
 pub use role::run;
--- a/crates/geraniumpost/src/agent/request_state.rs
+++ b/crates/geraniumpost/src/agent/request_state.rs
@@ -15,7 +15,7 @@
 
 /// Request with its body, to be sent to the minion.
 #[derive(Debug)]
-pub struct Work {
+pub struct MinionRequest {
     /// Head of the request from the entry.
     pub head: RequestHead,
     /// Complete body of the caller's request.
@@ -32,7 +32,7 @@
 /// attempt in between. Methods that may start requests return these.
 #[derive(Debug)]
 pub struct RequestState {
-    queue: FairQueue<Work>,
+    queue: FairQueue<MinionRequest>,
     ledger: AttemptLedger<KeptAnswer>,
     reply_to: HashMap<RequestId, LinkSender<ToEntry>>,
 }
@@ -69,7 +69,12 @@
     }
 
     /// Admits a request that was received over `link`.
-    pub fn admit(&mut self, work: Work, link: &LinkSender<ToEntry>, now: Millis) -> Vec<Work> {
+    pub fn admit(
+        &mut self,
+        work: MinionRequest,
+        link: &LinkSender<ToEntry>,
+        now: Millis,
+    ) -> Vec<MinionRequest> {
         let id = work.head.id;
         let admission = self.ledger.admit(id, &work.head.key, now);
         match admission {
@@ -137,19 +142,23 @@
         took: Micros,
         success: bool,
         now: Millis,
-    ) -> Vec<Work> {
+    ) -> Vec<MinionRequest> {
         let actions = self.queue.finish(id, took, success, now);
         self.execute(actions, now)
     }
 
     /// Refuses requests that can no longer meet their deadline; must be called about every 20 ms.
-    pub fn tick(&mut self, now: Millis) -> Vec<Work> {
+    pub fn tick(&mut self, now: Millis) -> Vec<MinionRequest> {
         self.ledger.expire_answers(now);
         let actions = self.queue.tick(now);
         self.execute(actions, now)
     }
 
-    fn execute(&mut self, actions: Vec<QueueAction<Work>>, now: Millis) -> Vec<Work> {
+    fn execute(
+        &mut self,
+        actions: Vec<QueueAction<MinionRequest>>,
+        now: Millis,
+    ) -> Vec<MinionRequest> {
         let mut starts = Vec::new();
         let mut actions = std::collections::VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
--- a/crates/geraniumpost/src/cli/check.rs
+++ b/crates/geraniumpost/src/cli/check.rs
@@ -9,10 +9,10 @@
 use geraniumpost_schema::Document;
 use serde_json::json;
 
-use super::{ExitStatus, Finished};
+use super::{CommandOutput, ExitStatus};
 
 /// Checks all files and reports every problem.
-pub(super) fn check(args: &ArgMatches) -> Finished {
+pub(super) fn check(args: &ArgMatches) -> CommandOutput {
     let paths: Vec<&String> = args.get_many("files").into_iter().flatten().collect();
     let mut report = Report::default();
     let mut files = Vec::new();
@@ -29,26 +29,26 @@
     }
     let lines = files.iter().map(|(path, file)| format!("{path}: ok, {}\n", kind(file)));
     if as_json {
-        return Finished::success(format!("{}\n", json!({ "problems": [] })));
+        return CommandOutput::success(format!("{}\n", json!({ "problems": [] })));
     }
-    Finished::success(lines.collect::<String>())
+    CommandOutput::success(lines.collect::<String>())
 }
 
 /// Reports that one file has no problems.
-pub(super) fn accepted(path: &str, as_json: bool) -> Finished {
+pub(super) fn accepted(path: &str, as_json: bool) -> CommandOutput {
     if as_json {
-        return Finished::success(format!("{}\n", json!({ "problems": [] })));
+        return CommandOutput::success(format!("{}\n", json!({ "problems": [] })));
     }
-    Finished::success(format!("{path}: ok\n"))
+    CommandOutput::success(format!("{path}: ok\n"))
 }
 
 /// Reports problems as text on standard error, or as JSON on standard output for programs.
-pub(super) fn rejected(report: &Report, as_json: bool) -> Finished {
+pub(super) fn rejected(report: &Report, as_json: bool) -> CommandOutput {
     if as_json {
         let out = format!("{}\n", json!({ "problems": report.problems }));
-        return Finished { status: ExitStatus::Refused, out, err: String::new() };
+        return CommandOutput { status: ExitStatus::Refused, out, err: String::new() };
     }
-    Finished::failure(ExitStatus::Refused, format!("{report}\n"))
+    CommandOutput::failure(ExitStatus::Refused, format!("{report}\n"))
 }
 
 /// Returns the contradictions between each settings file and each document.
--- a/crates/geraniumpost/src/cli/finished.rs
+++ b/crates/geraniumpost/src/cli/command_output.rs
@@ -2,7 +2,7 @@
 
 /// Output and exit code of a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Finished {
+pub struct CommandOutput {
     /// Exit code.
     pub status: ExitStatus,
     /// Text for standard output.
@@ -11,7 +11,7 @@
     pub err: String,
 }
 
-impl Finished {
+impl CommandOutput {
     /// Returns the result of a command that succeeded.
     pub fn success(out: impl Into<String>) -> Self {
         Self { status: ExitStatus::Success, out: out.into(), err: String::new() }
--- a/crates/geraniumpost/src/cli/job_commands.rs
+++ b/crates/geraniumpost/src/cli/job_commands.rs
@@ -4,10 +4,10 @@
 use geraniumpost_schema::Name;
 use serde_json::Value;
 
-use super::{ExitStatus, Finished, remote, text};
+use super::{CommandOutput, ExitStatus, remote, text};
 use crate::console::{JobCall, JobRequest};
 
-pub(super) async fn execute(args: &ArgMatches) -> Result<Finished, Finished> {
+pub(super) async fn execute(args: &ArgMatches) -> Result<CommandOutput, CommandOutput> {
     match args.subcommand() {
         Some(("submit", args)) => show(args, submission(args), text::table_of).await,
         Some(("status", args)) => {
@@ -26,13 +26,13 @@
     args: &ArgMatches,
     call: JobCall,
     as_text: fn(&Value) -> String,
-) -> Result<Finished, Finished> {
+) -> Result<CommandOutput, CommandOutput> {
     let client = remote::client(args)?;
     let json = args.get_flag("json");
     let (method, path, body) = call.as_http();
     let answer = remote::call(&client, method, &path, body, json).await?;
     let shown = if json { format!("{answer}\n") } else { as_text(&answer) };
-    Ok(Finished::success(shown))
+    Ok(CommandOutput::success(shown))
 }
 
 pub(super) fn id(args: &ArgMatches) -> Name {
--- a/crates/geraniumpost/src/cli/run.rs
+++ b/crates/geraniumpost/src/cli/run.rs
@@ -5,22 +5,22 @@
 use eyre::Result;
 use geraniumpost_config::{Report, load_agent, load_entry};
 
-use super::{ExitStatus, Finished, Roles, check, command, execute};
+use super::{CommandOutput, ExitStatus, Roles, check, command, execute};
 
 /// Parses the command line, runs the command, prints its output and returns the exit code.
 pub fn run(roles: Roles) -> ExitCode {
     let matches = command().get_matches();
-    let finished = match matches.subcommand() {
+    let output = match matches.subcommand() {
         Some(("entry", args)) => role(args, load_entry, roles.entry),
         Some(("agent", args)) => role(args, load_agent, roles.agent),
-        Some(("job-entry", _)) => finished((roles.job_entry)()),
-        Some(("job-agent", _)) => finished((roles.job_agent)()),
+        Some(("job-entry", _)) => to_output((roles.job_entry)()),
+        Some(("job-agent", _)) => to_output((roles.job_agent)()),
         _ => operator(&matches),
     };
     // Ignores errors, because a closed pipe, as with `| head`, is not a failure of the command.
-    let _ = std::io::stdout().write_all(finished.out.as_bytes());
-    let _ = std::io::stderr().write_all(finished.err.as_bytes());
-    finished.status.into()
+    let _ = std::io::stdout().write_all(output.out.as_bytes());
+    let _ = std::io::stderr().write_all(output.err.as_bytes());
+    output.status.into()
 }
 
 /// Loads the settings of a role and runs it, or only checks them with `--check`.
@@ -28,7 +28,7 @@
     args: &ArgMatches,
     load: fn(&std::path::Path) -> Result<T, Report>,
     run: fn(T) -> Result<()>,
-) -> Finished {
+) -> CommandOutput {
     let path = args.get_one::<String>("settings").map(String::as_str).unwrap_or_default();
     let settings = match load(path.as_ref()) {
         Ok(settings) => settings,
@@ -37,19 +37,19 @@
     if args.get_flag("check") {
         return check::accepted(path, args.get_flag("json"));
     }
-    finished(run(settings))
+    to_output(run(settings))
 }
 
-fn finished(result: Result<()>) -> Finished {
+fn to_output(result: Result<()>) -> CommandOutput {
     match result {
-        Ok(()) => Finished::success(""),
-        Err(error) => Finished::failure(ExitStatus::Refused, format!("error: {error:#}\n")),
+        Ok(()) => CommandOutput::success(""),
+        Err(error) => CommandOutput::failure(ExitStatus::Refused, format!("error: {error:#}\n")),
     }
 }
 
-fn operator(matches: &ArgMatches) -> Finished {
+fn operator(matches: &ArgMatches) -> CommandOutput {
     match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime.block_on(execute(matches)),
-        Err(error) => Finished::failure(ExitStatus::Refused, format!("error: {error}\n")),
+        Err(error) => CommandOutput::failure(ExitStatus::Refused, format!("error: {error}\n")),
     }
 }
--- a/crates/geraniumpost/src/cli/text.rs
+++ b/crates/geraniumpost/src/cli/text.rs
@@ -37,8 +37,9 @@
     );
     text += &table_of(&status["state"]);
     let processes = items(&in_force["processes"]);
-    let behind = processes.iter().filter(|process| process["revision"] != in_force["revision"]);
-    let _ = writeln!(text, "in force on {} processes, {} differ:", processes.len(), behind.count());
+    let differing = processes.iter().filter(|process| process["revision"] != in_force["revision"]);
+    let _ =
+        writeln!(text, "in force on {} processes, {} differ:", processes.len(), differing.count());
     for process in processes {
         let (role, name) = (render(&process["role"]), render(&process["name"]));
         let _ = writeln!(text, "  {role:6} {name:24} {}", render(&process["revision"]));
@@ -47,7 +48,7 @@
 }
 
 /// Returns the names of the processes that have a lower revision than `revision` in force.
-pub(super) fn behind(in_force: &Value, revision: u64) -> Vec<String> {
+pub(super) fn outdated_processes(in_force: &Value, revision: u64) -> Vec<String> {
     let processes = items(&in_force["processes"]).iter();
     let late = processes.filter(|process| process["revision"].as_u64().unwrap_or(0) < revision);
     late.map(|process| render(&process["name"])).collect()
--- a/crates/geraniumpost/src/console/page_handlers.rs
+++ b/crates/geraniumpost/src/console/page_handlers.rs
@@ -6,7 +6,7 @@
 
 use super::form::Form;
 use super::identity::{check_csrf, csrf_token, find_operator};
-use super::pages::{self, EditView, Frame, Section};
+use super::pages::{self, EditView, Layout, Section};
 use super::route::{job_id, parse_change_id};
 use super::{ApiCode, ApiError, Call, ConsoleContext, JobCall, Reply, api, api_jobs};
 
@@ -20,14 +20,14 @@
     let Some(operator) = find_operator(call.token(), context) else {
         return match parts {
             [only] if only == "login" => {
-                Reply::page(200, pages::login(&frame(call, "", context), false))
+                Reply::page(200, pages::login(&layout(call, "", context), false))
             }
             _ => Reply::redirect("/login"),
         };
     };
-    let frame = frame(call, &operator, context);
-    let page = show(call, parts, operator, &frame, context).await;
-    page.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&frame, &error)))
+    let layout = layout(call, &operator, context);
+    let page = show(call, parts, operator, &layout, context).await;
+    page.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&layout, &error)))
 }
 
 /// Handles a submitted form.
@@ -39,16 +39,16 @@
     let Some(operator) = find_operator(call.token(), context) else {
         return Reply::redirect("/login");
     };
-    let frame = frame(call, &operator, context);
+    let layout = layout(call, &operator, context);
     let handled = match check_csrf(call, form.get("proof")) {
-        Ok(()) => handle_form(call, parts, &form, operator, &frame, context).await,
+        Ok(()) => handle_form(call, parts, &form, operator, &layout, context).await,
         Err(error) => Err(error),
     };
-    handled.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&frame, &error)))
+    handled.unwrap_or_else(|error| Reply::page(error.status, pages::failure(&layout, &error)))
 }
 
-fn frame(call: &Call, operator: &str, context: &ConsoleContext) -> Frame {
-    Frame {
+fn layout(call: &Call, operator: &str, context: &ConsoleContext) -> Layout {
+    Layout {
         entry: context.name.to_string(),
         operator: operator.to_owned(),
         revision: context.config.active().load().revision(),
@@ -59,7 +59,7 @@
 fn sign_in(call: &Call, form: &Form, context: &ConsoleContext) -> Reply {
     let token = form.get("token");
     if call.cross_origin || find_operator(token, context).is_none() {
-        return Reply::page(401, pages::login(&frame(call, "", context), true));
+        return Reply::page(401, pages::login(&layout(call, "", context), true));
     }
     Reply::redirect("/").cookie(&super::call::cookie_value(token), COOKIE_LIFETIME_S)
 }
@@ -68,20 +68,20 @@
     call: &Call,
     parts: &[String],
     operator: Name,
-    frame: &Frame,
+    layout: &Layout,
     context: &ConsoleContext,
 ) -> Result<Reply, ApiError> {
     let schema = Schema::of(SchemaKind::Document);
     let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
     let markup = match parts.as_slice() {
-        [] => pages::home(frame, &api::status(context), &api::in_force(context)),
+        [] => pages::home(layout, &api::status(context), &api::in_force(context)),
         ["login"] => return Ok(Reply::redirect("/")),
-        ["config"] => pages::overview(frame, &document(context)),
+        ["config"] => pages::overview(layout, &document(context)),
         ["config", "policy"] => {
             let value = document(context)["policy"].clone();
-            pages::policy(frame, schema, &edit_view(frame, "", value, true))
+            pages::policy(layout, schema, &edit_view(layout, "", value, true))
         }
-        ["config", key] => pages::section(frame, section(key)?, schema, &document(context)),
+        ["config", key] => pages::section(layout, section(key)?, schema, &document(context)),
         ["config", key, name] => {
             let section = section(key)?;
             let value = document(context)[section.key][*name].clone();
@@ -90,11 +90,11 @@
                 return Err(ApiCode::NotFound.into());
             }
             let name = if exists { name } else { "" };
-            pages::edit(frame, section, schema, &edit_view(frame, name, value, exists))
+            pages::edit(layout, section, schema, &edit_view(layout, name, value, exists))
         }
         ["jobs"] => {
             let list = api_jobs::call_planner(JobCall::List, call, operator, context).await?;
-            pages::jobs(frame, &list, &document(context))
+            pages::jobs(layout, &list, &document(context))
         }
         ["jobs", id] => {
             let id = job_id(id)?;
@@ -102,7 +102,7 @@
             let status = api_jobs::call_planner(status, call, operator.clone(), context).await?;
             let explain = JobCall::Explain { id: id.clone() };
             let explain = api_jobs::call_planner(explain, call, operator, context).await?;
-            pages::job(frame, &id, &status, &explain)
+            pages::job(layout, &id, &status, &explain)
         }
         _ => return Err(ApiCode::NotFound.into()),
     };
@@ -114,14 +114,14 @@
     parts: &[String],
     form: &Form,
     operator: Name,
-    frame: &Frame,
+    layout: &Layout,
     context: &ConsoleContext,
 ) -> Result<Reply, ApiError> {
     let parts: Vec<&str> = parts.iter().map(String::as_str).collect();
     match parts.as_slice() {
         ["logout"] => Ok(Reply::redirect("/login").cookie("", 0)),
-        ["config", "policy"] => save_policy(form, operator, frame, context).await,
-        ["config", key] => save(section(key)?, form, operator, frame, context).await,
+        ["config", "policy"] => save_policy(form, operator, layout, context).await,
+        ["config", key] => save(section(key)?, form, operator, layout, context).await,
         ["config", key, name, "delete"] => {
             remove(section(key)?, name, form, operator, context).await
         }
@@ -147,7 +147,7 @@
     section: Section,
     form: &Form,
     operator: Name,
-    frame: &Frame,
+    layout: &Layout,
     context: &ConsoleContext,
 ) -> Result<Reply, ApiError> {
     let schema = Schema::of(SchemaKind::Document);
@@ -166,9 +166,9 @@
             let view = EditView {
                 problems: report.problems,
                 error,
-                ..edit_view(frame, name, value, known)
+                ..edit_view(layout, name, value, known)
             };
-            let page = pages::edit(frame, section, schema, &with_current_revision(view, context));
+            let page = pages::edit(layout, section, schema, &with_current_revision(view, context));
             Ok(Reply::page(422, page))
         }
     }
@@ -177,7 +177,7 @@
 async fn save_policy(
     form: &Form,
     operator: Name,
-    frame: &Frame,
+    layout: &Layout,
     context: &ConsoleContext,
 ) -> Result<Reply, ApiError> {
     let schema = Schema::of(SchemaKind::Document);
@@ -187,10 +187,10 @@
         Saved::Done => Ok(Reply::redirect("/config/policy")),
         Saved::Rejected(report, error) => {
             let view =
-                EditView { problems: report.problems, error, ..edit_view(frame, "", value, true) };
+                EditView { problems: report.problems, error, ..edit_view(layout, "", value, true) };
             Ok(Reply::page(
                 422,
-                pages::policy(frame, schema, &with_current_revision(view, context)),
+                pages::policy(layout, schema, &with_current_revision(view, context)),
             ))
         }
     }
@@ -279,11 +279,11 @@
     Section::find(key).ok_or_else(|| ApiCode::NotFound.into())
 }
 
-fn edit_view(frame: &Frame, name: &str, value: Value, exists: bool) -> EditView {
+fn edit_view(layout: &Layout, name: &str, value: Value, exists: bool) -> EditView {
     EditView {
         name: name.to_owned(),
         value,
-        revision: frame.revision,
+        revision: layout.revision,
         change_id: api::new_change_id().to_string(),
         exists,
         ..EditView::default()
--- a/crates/geraniumpost/src/console/pages/edit.rs
+++ b/crates/geraniumpost/src/console/pages/edit.rs
@@ -2,8 +2,8 @@
 use maud::{Markup, html};
 use serde_json::Value;
 
-use super::fields::Fields;
-use super::{Frame, Section};
+use super::fields::FormFields;
+use super::{Layout, Section};
 use crate::console::ApiError;
 
 /// Form for a value of the document.
@@ -26,7 +26,7 @@
 }
 
 /// Renders the form for a named value.
-pub(crate) fn edit(frame: &Frame, section: Section, schema: &Schema, view: &EditView) -> Markup {
+pub(crate) fn edit(layout: &Layout, section: Section, schema: &Schema, view: &EditView) -> Markup {
     let node = &schema.definitions()[section.definition];
     let path = format!("{}.{}", section.key, view.name);
     let title = if view.exists {
@@ -35,20 +35,20 @@
         format!("New {}", section.singular)
     };
     let action = format!("/config/{}", section.key);
-    frame.page(
+    layout.page(
         &title,
         html! {
             (notices(view, &path))
             form method="post" action=(action) {
-                (frame.hidden(&view.change_id, view.revision))
+                (layout.hidden(&view.change_id, view.revision))
                 label for="name" { "name" }
                 input id="name" name="name" value=(view.name) readonly[view.exists] required;
-                (Fields { schema, problems: &view.problems, path: &path }.table(node, &view.value, ""))
+                (FormFields { schema, problems: &view.problems, path: &path }.table(node, &view.value, ""))
                 button { "Save" }
             }
             @if view.exists {
                 form method="post" action={ (action) "/" (view.name) "/delete" } {
-                    (frame.hidden(&view.change_id, view.revision))
+                    (layout.hidden(&view.change_id, view.revision))
                     button { "Remove " (view.name) }
                 }
             }
@@ -57,15 +57,15 @@
 }
 
 /// Renders the form for the policy.
-pub(crate) fn policy(frame: &Frame, schema: &Schema, view: &EditView) -> Markup {
+pub(crate) fn policy(layout: &Layout, schema: &Schema, view: &EditView) -> Markup {
     let node = &schema.definitions()["Policy"];
-    frame.page(
+    layout.page(
         "Policy",
         html! {
             (notices(view, "policy"))
             form method="post" action="/config/policy" {
-                (frame.hidden(&view.change_id, view.revision))
-                (Fields { schema, problems: &view.problems, path: "policy" }.table(node, &view.value, ""))
+                (layout.hidden(&view.change_id, view.revision))
+                (FormFields { schema, problems: &view.problems, path: "policy" }.table(node, &view.value, ""))
                 button { "Save" }
             }
         },
--- a/crates/geraniumpost/src/console/pages/fields.rs
+++ b/crates/geraniumpost/src/console/pages/fields.rs
@@ -6,7 +6,7 @@
 
 /// Renders the fields of a form from the schema.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Fields<'a> {
+pub(super) struct FormFields<'a> {
     pub(super) schema: &'a Schema,
     /// Problems of the last submission, shown next to their fields.
     pub(super) problems: &'a [Problem],
@@ -14,7 +14,7 @@
     pub(super) path: &'a str,
 }
 
-impl Fields<'_> {
+impl FormFields<'_> {
     /// Renders the fields of an object. Their names begin with `prefix`.
     pub(super) fn table(&self, node: &Value, value: &Value, prefix: &str) -> Markup {
         let properties = node["properties"].as_object();
--- a/crates/geraniumpost/src/console/pages/home.rs
+++ b/crates/geraniumpost/src/console/pages/home.rs
@@ -1,22 +1,22 @@
 use maud::{Markup, html};
 use serde_json::Value;
 
-use super::Frame;
+use super::Layout;
 
 /// Renders the state of the entry, and the revision in force on each known process.
-pub(crate) fn home(frame: &Frame, status: &Value, in_force: &Value) -> Markup {
+pub(crate) fn home(layout: &Layout, status: &Value, in_force: &Value) -> Markup {
     let processes = in_force["processes"].as_array().map_or(&[][..], Vec::as_slice);
-    let behind = processes.iter().filter(|p| p["revision"].as_u64() != Some(frame.revision));
-    let behind = behind.count();
-    frame.page(
+    let differing = processes.iter().filter(|p| p["revision"].as_u64() != Some(layout.revision));
+    let differing = differing.count();
+    layout.page(
         "Status",
         html! {
             h2 { "Configuration in force" }
-            @if behind == 0 {
-                p { "All " (processes.len()) " known processes have revision " (frame.revision) " in force." }
+            @if differing == 0 {
+                p { "All " (processes.len()) " known processes have revision " (layout.revision) " in force." }
             } @else {
                 p class="note" {
-                    (behind) " of " (processes.len()) " known processes have another revision in force."
+                    (differing) " of " (processes.len()) " known processes have another revision in force."
                 }
             }
             table {
--- a/crates/geraniumpost/src/console/pages/jobs.rs
+++ b/crates/geraniumpost/src/console/pages/jobs.rs
@@ -1,16 +1,16 @@
 use maud::{Markup, html};
 use serde_json::Value;
 
-use super::Frame;
+use super::Layout;
 use super::home::render;
 
 /// Renders the list of jobs and the form for submitting a job.
-pub(crate) fn jobs(frame: &Frame, list: &Value, document: &Value) -> Markup {
+pub(crate) fn jobs(layout: &Layout, list: &Value, document: &Value) -> Markup {
     let rows = list.as_array().or_else(|| list["jobs"].as_array());
     let choices = |key: &str| -> Vec<String> {
         document[key].as_object().into_iter().flatten().map(|(name, _)| name.clone()).collect()
     };
-    frame.page(
+    layout.page(
         "Jobs",
         html! {
             table {
@@ -27,7 +27,7 @@
             }
             h2 { "Submit a job" }
             form method="post" action="/jobs" {
-                (frame.hidden("", frame.revision))
+                (layout.hidden("", layout.revision))
                 label for="id" { "id" }
                 input id="id" name="id" required;
                 small { "Submitting the same job with the same id again has no effect." }
@@ -45,8 +45,8 @@
 }
 
 /// Renders a job and the explanation of its state.
-pub(crate) fn job(frame: &Frame, id: &str, status: &Value, explain: &Value) -> Markup {
-    frame.page(
+pub(crate) fn job(layout: &Layout, id: &str, status: &Value, explain: &Value) -> Markup {
+    layout.page(
         &format!("Job {id}"),
         html! {
             table {
@@ -57,7 +57,7 @@
             h2 { "Explanation" }
             pre { (format!("{explain:#}")) }
             form method="post" action={ "/jobs/" (id) "/cancel" } {
-                (frame.hidden("", frame.revision))
+                (layout.hidden("", layout.revision))
                 button { "Cancel the job" }
             }
         },
--- a/crates/geraniumpost/src/console/pages/layout.rs
+++ b/crates/geraniumpost/src/console/pages/layout.rs
@@ -12,7 +12,7 @@
 
 /// Data of the layout that all pages share.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Frame {
+pub(crate) struct Layout {
     /// Name of the entry.
     pub(crate) entry: String,
     /// Name of the operator, empty if nobody is signed in.
@@ -23,7 +23,7 @@
     pub(crate) csrf_token: String,
 }
 
-impl Frame {
+impl Layout {
     /// Renders a complete page.
     pub(crate) fn page(&self, title: &str, content: Markup) -> Markup {
         html! {
@@ -70,8 +70,8 @@
 }
 
 /// Renders the page for an error.
-pub(crate) fn failure(frame: &Frame, error: &ApiError) -> Markup {
-    frame.page(
+pub(crate) fn failure(layout: &Layout, error: &ApiError) -> Markup {
+    layout.page(
         "Action failed",
         html! {
             p class="problem" { (error.message) " (" (error.code) ")" }
--- a/crates/geraniumpost/src/console/pages/login.rs
+++ b/crates/geraniumpost/src/console/pages/login.rs
@@ -1,10 +1,10 @@
 use maud::{Markup, html};
 
-use super::Frame;
+use super::Layout;
 
 /// Renders the login page; `refused` shows that the last token was not accepted.
-pub(crate) fn login(frame: &Frame, refused: bool) -> Markup {
-    frame.page(
+pub(crate) fn login(layout: &Layout, refused: bool) -> Markup {
+    layout.page(
         "Sign in",
         html! {
             @if refused { p class="problem" { "The token does not belong to an operator." } }
--- a/crates/geraniumpost/src/console/pages/mod.rs
+++ b/crates/geraniumpost/src/console/pages/mod.rs
@@ -11,6 +11,6 @@
 pub(super) use edit::{EditView, edit, policy};
 pub(super) use home::home;
 pub(super) use jobs::{job, jobs};
-pub(super) use layout::{Frame, failure};
+pub(super) use layout::{Layout, failure};
 pub(super) use login::login;
 pub(super) use section::{Section, overview, section};
--- a/crates/geraniumpost/src/console/pages/section.rs
+++ b/crates/geraniumpost/src/console/pages/section.rs
@@ -2,7 +2,7 @@
 use maud::{Markup, html};
 use serde_json::{Map, Value};
 
-use super::Frame;
+use super::Layout;
 
 /// Section of the document that contains named values.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,8 +32,8 @@
 }
 
 /// Renders the list of sections.
-pub(crate) fn overview(frame: &Frame, document: &Value) -> Markup {
-    frame.page(
+pub(crate) fn overview(layout: &Layout, document: &Value) -> Markup {
+    layout.page(
         "Configuration",
         html! {
             table {
@@ -52,7 +52,7 @@
 
 /// Renders the values of one section.
 pub(crate) fn section(
-    frame: &Frame,
+    layout: &Layout,
     section: Section,
     schema: &Schema,
     document: &Value,
@@ -61,7 +61,7 @@
     let columns: Vec<&String> =
         node["properties"].as_object().into_iter().flat_map(Map::keys).collect();
     let items = document[section.key].as_object();
-    frame.page(
+    layout.page(
         section.key,
         html! {
             table {
--- a/crates/geraniumpost/src/entry/agent_link.rs
+++ b/crates/geraniumpost/src/entry/agent_link.rs
@@ -15,13 +15,13 @@
 pub struct AgentLink {
     peer: Identity,
     sender: LinkSender<ToAgent>,
-    waiting: Mutex<Waiting>,
+    waiting: Mutex<WaitingAttempts>,
     last_received_at: AtomicU64,
 }
 
 /// Attempts that wait for messages, empty after the link has ended.
 #[derive(Debug, Default)]
-struct Waiting {
+struct WaitingAttempts {
     ended: bool,
     attempts: HashMap<RequestId, mpsc::UnboundedSender<LinkEvent>>,
 }
@@ -133,7 +133,7 @@
         }
     }
 
-    fn waiting(&self) -> MutexGuard<'_, Waiting> {
+    fn waiting(&self) -> MutexGuard<'_, WaitingAttempts> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/geraniumpost/src/entry/attempt.rs
+++ b/crates/geraniumpost/src/entry/attempt.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::route::Target;
-use super::{AgentLink, EntryContext, Incoming, LinkEvent};
+use super::{AgentLink, CallerRequest, EntryContext, LinkEvent};
 
 /// Timeout of a query about an attempt.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(800);
@@ -39,7 +39,7 @@
 
 impl Attempt {
     /// Sends a request to an agent. [`Attempt::is_sent`] returns whether it may have been sent.
-    pub fn send(cx: &EntryContext, req: &Incoming, target: &Target, number: u32) -> Self {
+    pub fn send(cx: &EntryContext, req: &CallerRequest, target: &Target, number: u32) -> Self {
         let (events_tx, events) = mpsc::unbounded_channel();
         let id = cx.next_id();
         let Target { agent, key, .. } = target;
@@ -63,7 +63,7 @@
 
     /// Waits for the next event until [`ANSWER_GRACE`] after the request's deadline. Returns `None`
     /// after that time.
-    pub async fn next(&mut self, cx: &EntryContext, req: &Incoming) -> Option<LinkEvent> {
+    pub async fn next(&mut self, cx: &EntryContext, req: &CallerRequest) -> Option<LinkEvent> {
         let time_left = cx.clock.until(req.deadline) + ANSWER_GRACE;
         let event = timeout(time_left, self.events.recv()).await.ok().flatten();
         self.finished |= matches!(event, Some(LinkEvent::Answer(..)));
@@ -79,7 +79,7 @@
     pub async fn query(
         &mut self,
         cx: &EntryContext,
-        req: &Incoming,
+        req: &CallerRequest,
         incarnation: u64,
     ) -> Result<LinkEvent, QueryError> {
         let link = cx.links.get(self.agent.name()).ok_or(QueryError::NoLink)?;
@@ -118,7 +118,7 @@
         }
     }
 
-    fn query_message(&self, cx: &EntryContext, req: &Incoming, incarnation: u64) -> ToAgent {
+    fn query_message(&self, cx: &EntryContext, req: &CallerRequest, incarnation: u64) -> ToAgent {
         let id = self.id;
         if req.kind == RequestKind::Keyed {
             let deadline_ms = cx.clock.until(req.deadline).as_millis() as u64;
@@ -150,7 +150,7 @@
 
 fn request_head(
     cx: &EntryContext,
-    req: &Incoming,
+    req: &CallerRequest,
     id: RequestId,
     key: &Name,
     number: u32,
--- a/crates/geraniumpost/src/entry/incoming.rs
+++ b/crates/geraniumpost/src/entry/caller_request.rs
@@ -21,7 +21,7 @@
 
 /// Parsed request of a caller.
 #[derive(Debug, Clone)]
-pub struct Incoming {
+pub struct CallerRequest {
     /// Id from the caller or else from the entry, which is returned and logged.
     pub id: Name,
     /// The customer.
@@ -50,7 +50,7 @@
 #[derive(Debug, Clone)]
 pub struct Head {
     /// The request with an empty body.
-    request: Incoming,
+    request: CallerRequest,
     /// Maximum size of a body for the service, in bytes.
     max_body_bytes: usize,
 }
@@ -76,7 +76,7 @@
         let idempotent = parts.method.is_idempotent();
         let target = parts.uri.path_and_query().map_or(path, http::uri::PathAndQuery::as_str);
         let id = request_id(&parts.headers);
-        let request = Incoming {
+        let request = CallerRequest {
             headers: for_minion(parts.headers.clone(), &caller.name, &id),
             id,
             caller: Arc::clone(caller),
@@ -103,8 +103,8 @@
     }
 
     /// Returns the request with its body.
-    pub fn with_body(self, body: Bytes) -> Incoming {
-        Incoming { body, ..self.request }
+    pub fn with_body(self, body: Bytes) -> CallerRequest {
+        CallerRequest { body, ..self.request }
     }
 
     /// Returns the id of the request.
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -14,9 +14,9 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
+use super::caller_request::{Head, request_id};
 use super::dispatch::dispatch;
-use super::incoming::{Head, request_id};
-use super::{EntryContext, Incoming, Reply};
+use super::{CallerRequest, EntryContext, Reply};
 use crate::open_connections::OpenConnections;
 use crate::stop_signal::stopped;
 
@@ -204,7 +204,11 @@
 
 /// Reads the complete body before the request counts against a limit or occupies a slot, so that
 /// slow callers do not block others.
-async fn read_body(cx: &EntryContext, head: Head, body: HyperBody) -> Result<Incoming, ResultCode> {
+async fn read_body(
+    cx: &EntryContext,
+    head: Head,
+    body: HyperBody,
+) -> Result<CallerRequest, ResultCode> {
     let reading = Limited::new(body, head.max_body_bytes()).collect();
     let reading = timeout(head.time_left(&cx.clock), reading);
     let read = tokio::select! {
@@ -223,7 +227,7 @@
 }
 
 /// Admits the request if its customer's limit allows, and dispatches it until it has a result.
-async fn admit(cx: &EntryContext, req: &Incoming) -> Reply {
+async fn admit(cx: &EntryContext, req: &CallerRequest) -> Reply {
     let permit = cx.limits.load().try_acquire(&req.caller.name);
     match permit {
         Ok(_permit) => tokio::select! {
--- a/crates/geraniumpost/src/entry/datagrams.rs
+++ b/crates/geraniumpost/src/entry/datagrams.rs
@@ -9,7 +9,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::link_maintenance::{LinkTarget, maintain_link};
-use super::pauses::PauseDetector;
+use super::pause_detector::PauseDetector;
 use super::{EntryContext, gauges};
 use crate::datagram_socket::DatagramSocket;
 use crate::drop_reason::reason;
--- a/crates/geraniumpost/src/entry/dispatch.rs
+++ b/crates/geraniumpost/src/entry/dispatch.rs
@@ -7,14 +7,14 @@
 
 use super::attempt::{Attempt, QueryError};
 use super::route::{NoTarget, Route, Target};
-use super::{EntryContext, Incoming, LinkEvent, Reply};
+use super::{CallerRequest, EntryContext, LinkEvent, Reply};
 use crate::decision;
 
 /// Delay advised to callers whose keyed request is refused because the store is unavailable.
 const STORE_RETRY_MS: u64 = 1_000;
 
 /// Makes attempts at a request until it has a final result.
-pub async fn dispatch(cx: &EntryContext, req: &Incoming) -> Reply {
+pub async fn dispatch(cx: &EntryContext, req: &CallerRequest) -> Reply {
     cx.budget.deposit();
     let mut policy = RetryPolicy::new(req.kind, req.deadline, RetryLimits::default());
     let mut route = Route::default();
@@ -50,7 +50,7 @@
 /// Makes one attempt, and follows the policy's steps until one ends the attempt.
 async fn attempt(
     cx: &EntryContext,
-    req: &Incoming,
+    req: &CallerRequest,
     policy: &mut RetryPolicy,
     target: Target,
 ) -> AttemptResult {
@@ -88,7 +88,7 @@
     Event(AttemptEvent),
 }
 
-async fn wait(cx: &EntryContext, req: &Incoming, attempt: &mut Attempt) -> Received {
+async fn wait(cx: &EntryContext, req: &CallerRequest, attempt: &mut Attempt) -> Received {
     match attempt.next(cx, req).await {
         Some(event) => from_link(cx, attempt, event),
         None => Received::Event(AttemptEvent::DeadlinePassed { sent: attempt.is_sent() }),
@@ -97,7 +97,7 @@
 
 async fn query(
     cx: &EntryContext,
-    req: &Incoming,
+    req: &CallerRequest,
     attempt: &mut Attempt,
     incarnation: u64,
 ) -> Received {
@@ -141,7 +141,7 @@
 /// Returns the policy's next step after an event, and logs the decision.
 fn step(
     cx: &EntryContext,
-    req: &Incoming,
+    req: &CallerRequest,
     policy: &mut RetryPolicy,
     event: AttemptEvent,
 ) -> NextStep {
--- a/crates/geraniumpost/src/entry/mod.rs
+++ b/crates/geraniumpost/src/entry/mod.rs
@@ -5,6 +5,7 @@
 
 mod agent_link;
 mod attempt;
+mod caller_request;
 mod callers;
 mod claims;
 mod context;
@@ -12,11 +13,10 @@
 mod dispatch;
 mod entry_registry;
 mod gauges;
-mod incoming;
 mod link_event;
 mod link_maintenance;
 mod links;
-mod pauses;
+mod pause_detector;
 mod peers;
 mod reply;
 mod role;
@@ -24,8 +24,8 @@
 mod views;
 
 pub use agent_link::AgentLink;
+pub use caller_request::CallerRequest;
 pub use context::EntryContext;
-pub use incoming::Incoming;
 pub use link_event::LinkEvent;
 pub use peers::Peers;
 pub use reply::Reply;
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 
 use super::claims::{Claim, fallback_agent};
-use super::{EntryContext, Incoming};
+use super::{CallerRequest, EntryContext};
 use crate::decision;
 
 /// Target of an attempt.
@@ -57,7 +57,7 @@
     pub async fn next(
         &mut self,
         cx: &EntryContext,
-        req: &Incoming,
+        req: &CallerRequest,
         attempt: u32,
     ) -> Result<Target, NoTarget> {
         let target = match req.kind {
@@ -79,7 +79,7 @@
     fn choose(
         &self,
         cx: &EntryContext,
-        req: &Incoming,
+        req: &CallerRequest,
         attempt: u32,
     ) -> Result<Arc<AgentView>, NoTarget> {
         let snapshot = cx.snapshot.load();
@@ -112,7 +112,7 @@
     async fn keyed(
         &mut self,
         cx: &EntryContext,
-        req: &Incoming,
+        req: &CallerRequest,
         attempt: u32,
     ) -> Result<Target, NoTarget> {
         let agent = self.choose(cx, req, attempt)?;
@@ -132,7 +132,7 @@
     fn target_of(
         &mut self,
         cx: &EntryContext,
-        req: &Incoming,
+        req: &CallerRequest,
         claim: Claim,
     ) -> Result<Target, NoTarget> {
         let snapshot = cx.snapshot.load();
@@ -149,7 +149,7 @@
     /// detects repeats as long as it runs.
     fn without_store(
         cx: &EntryContext,
-        req: &Incoming,
+        req: &CallerRequest,
         error: &StoreError,
     ) -> Result<Target, NoTarget> {
         spdlog::warn!("request {}: cannot claim its key: {error}", req.id);
--- a/crates/geraniumpost/tests/cli.rs
+++ b/crates/geraniumpost/tests/cli.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use common::{ANY, context, document};
-use geraniumpost::cli::{ExitStatus, Finished, command, execute};
+use geraniumpost::cli::{CommandOutput, ExitStatus, command, execute};
 use geraniumpost::console::Console;
 use geraniumpost_outside::Store;
 use geraniumpost_standin::Standin;
@@ -59,7 +59,7 @@
         self.path(name)
     }
 
-    async fn run(&self, args: &[&str]) -> Finished {
+    async fn run(&self, args: &[&str]) -> CommandOutput {
         let (entry, token) = (self.entry.to_string(), self.path("token"));
         let mut all = vec!["geraniumpost"];
         all.extend(args);
@@ -82,7 +82,7 @@
     }
 }
 
-async fn local(args: &[&str]) -> Finished {
+async fn local(args: &[&str]) -> CommandOutput {
     let all = std::iter::once("geraniumpost").chain(args.iter().copied());
     execute(&command().try_get_matches_from(all).unwrap()).await
 }
