refactor(geraniumpost): keep table headings that are on the list of outer names

Cause: the headings 'part' and 'change' of console tables are on the list of names that leave the process, and the rewording had replaced them. Change: the old headings are back.

--- a/crates/geraniumpost/src/console/pages/edit.rs
+++ b/crates/geraniumpost/src/console/pages/edit.rs
@@ -96,7 +96,7 @@
     let Some(changes) = changes.as_array() else { return html! {} };
     html! {
         table {
-            tr { th { "changed by" } th { "change id" } th { "changed values" } }
+            tr { th { "changed by" } th { "change" } th { "changed values" } }
             @for change in changes {
                 tr {
                     td { (super::home::render(&change["changed_by"])) }
--- a/crates/geraniumpost/src/console/pages/section.rs
+++ b/crates/geraniumpost/src/console/pages/section.rs
@@ -37,7 +37,7 @@
         "Configuration",
         html! {
             table {
-                tr { th { "section" } th { "values" } }
+                tr { th { "part" } th { "number" } }
                 @for section in Section::ALL {
                     tr {
                         td { a href={ "/config/" (section.key) } { (section.key) } }
