refactor: name public items of net, outside and config after what they hold

Cause: names such as Begun, Exchange, OwnPeer, LonelyMinion and is_offence were figurative or vague, and three public limits had no unit.

Change: Exchange is FullResponse, Begun is IncomingResponse with content_length and receive, Minion::max_answer is max_response_bytes, StoreCall::took is duration, Started::Before is AlreadyStarted, NetError::is_offence is is_protocol_violation, MAX_HEAD, MAX_BODY and MAX_DATAGRAM end in _BYTES, and seven variants of config's Code are named after the problem; their numbers and texts stay. Three files follow their types. All uses in other crates follow.

--- a/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
@@ -7,7 +7,7 @@
 use eyre::Result;
 use geraniumpost_harness::{REGION, SERVICE, SHARED_KEY};
 use geraniumpost_net::{
-    Frame, Identity, LinkReceiver, LinkSender, MAX_DATAGRAM, SharedKey, accept, encode_frame,
+    Frame, Identity, LinkReceiver, LinkSender, MAX_DATAGRAM_BYTES, SharedKey, accept, encode_frame,
     open_datagram, open_link, seal_datagram,
 };
 use geraniumpost_schema::{
@@ -101,7 +101,7 @@
     }
 
     async fn hear(self: Arc<Self>) {
-        let mut buf = [0; MAX_DATAGRAM];
+        let mut buf = [0; MAX_DATAGRAM_BYTES];
         loop {
             let Ok((len, _)) = self.socket.recv_from(&mut buf).await else { continue };
             self.traffic.datagrams_in.add(len);
--- a/crates/geraniumpost-bench/src/capacity_bench/light_entries.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_entries.rs
@@ -3,7 +3,7 @@
 
 use eyre::Result;
 use geraniumpost_harness::{REGION, SHARED_KEY};
-use geraniumpost_net::{MAX_DATAGRAM, SharedKey, open_datagram, seal_datagram};
+use geraniumpost_net::{MAX_DATAGRAM_BYTES, SharedKey, open_datagram, seal_datagram};
 use geraniumpost_schema::{Datagram, EntryBeat, EntryPeer, Name};
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
@@ -68,7 +68,7 @@
 
 async fn hear(socket: Arc<UdpSocket>, beats: Arc<Meter>, heartbeats: Arc<Meter>) {
     let key = SharedKey::from(SHARED_KEY);
-    let mut buf = [0; MAX_DATAGRAM];
+    let mut buf = [0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, _)) = socket.recv_from(&mut buf).await else { continue };
         match open_datagram(&key, &buf[..len]) {
--- a/crates/geraniumpost-config/src/code.rs
+++ b/crates/geraniumpost-config/src/code.rs
@@ -43,18 +43,18 @@
     NotAChoice = 1011, "A value is none of the choices.", "Use one of the choices that are listed.";
     TooShort = 1012, "A secret is too short.", "Use 16 characters or more.";
     DuplicateAddress = 1013, "Two keys name one address.", "Give each listener its own address.";
-    LonelyMinion = 1014, "A service and a minion's address go together.",
+    IncompleteMinion = 1014, "A service and a minion's address go together.",
         "Set both `service` and `minion`, or neither.";
-    NothingToDo = 1015, "An agent has neither minion nor worker.", "Set `minion`, `worker` or both.";
+    NoMinionOrWorker = 1015, "An agent has neither minion nor worker.", "Set `minion`, `worker` or both.";
     WorkerWithoutCapacity = 1016, "A worker has no processors or no memory.",
         "Set `milli_cpus` and `memory_mb` to the size of the VM.";
     UnusableAddress = 1017, "An address cannot be told to others.",
         "Write the VM's own IP number and a port other than 0.";
-    OwnPeer = 1018, "An entry names itself as its peer.", "Remove its own address from `peers`.";
-    ReserveOverSense = 1101, "A reserve is larger than any VM.", "Check the unit of the value.";
-    QuotaNeverRuns = 1102, "A quota admits no job at all.",
+    PeerIsSelf = 1018, "An entry names itself as its peer.", "Remove its own address from `peers`.";
+    ReserveTooLarge = 1101, "A reserve is larger than any VM.", "Check the unit of the value.";
+    QuotaAdmitsNoJob = 1102, "A quota admits no job at all.",
         "Allow processors and memory, or set both to 0 for no batch work.";
-    QuotaOverSense = 1103, "A quota is larger than any deployment.", "Check the unit of the value.";
+    QuotaTooLarge = 1103, "A quota is larger than any deployment.", "Check the unit of the value.";
     TokenReused = 1104, "Two customers or operators share a token.", "Give each a token of its own.";
     NoOperator = 1105, "The document has no operator.",
         "Keep at least one operator, or nobody can change the document again.";
@@ -64,7 +64,7 @@
     SlotsOverConnections = 1108, "A service has more slots than connections.",
         "Make `slots` at most `connections`; each running request holds one.";
     EmptyToken = 1109, "A token hash is that of the empty text.", "Draw a token and write its hash.";
-    HoldsInverted = 1110, "The outage hold is shorter than the ordinary hold.",
+    OutageHoldTooShort = 1110, "The outage hold is shorter than the ordinary hold.",
         "Make `outage_hold_s` longer than `hold_ms`, or 0.";
     TooLarge = 1111, "The document is too large for the store.", "Remove what is not needed.";
     DomainUnknown = 1201, "The document does not know the failure domain.",
--- a/crates/geraniumpost-config/src/rules.rs
+++ b/crates/geraniumpost-config/src/rules.rs
@@ -59,11 +59,11 @@
 }
 
 fn quota(path: &str, quota: &Value, problems: &mut Vec<Problem>) {
-    over(path, quota, &LARGEST_DEPLOYMENT, Code::QuotaOverSense, problems);
+    over(path, quota, &LARGEST_DEPLOYMENT, Code::QuotaTooLarge, problems);
     let zero = |key: &str| quota.get(key).and_then(Value::as_u64) == Some(0);
     if zero("milli_cpus") != zero("memory_mb") {
         let missing = if zero("milli_cpus") { "milli_cpus" } else { "memory_mb" };
-        problems.push(Problem::new(Code::QuotaNeverRuns, format!("{path}.{missing}")));
+        problems.push(Problem::new(Code::QuotaAdmitsNoJob, format!("{path}.{missing}")));
     }
 }
 
@@ -72,7 +72,7 @@
         &format!("{path}.reserve"),
         &service["reserve"],
         &LARGEST_VM,
-        Code::ReserveOverSense,
+        Code::ReserveTooLarge,
         problems,
     );
     let number = |key: &str, default: u64| service[key].as_u64().unwrap_or(default);
@@ -118,6 +118,6 @@
     let hold = policy["hold_ms"].as_u64().unwrap_or(HOLD_MS);
     let outage = policy["outage_hold_s"].as_u64().map_or(0, |s| s.saturating_mul(1000));
     if outage > 0 && outage < hold {
-        problems.push(Problem::new(Code::HoldsInverted, "policy.outage_hold_s"));
+        problems.push(Problem::new(Code::OutageHoldTooShort, "policy.outage_hold_s"));
     }
 }
--- a/crates/geraniumpost-config/src/settings_rules.rs
+++ b/crates/geraniumpost-config/src/settings_rules.rs
@@ -26,7 +26,7 @@
     let peers = settings["peers"].as_array().into_iter().flatten().enumerate();
     for (index, peer) in peers {
         if own.is_some() && peer.as_str() == own {
-            problems.push(Problem::new(Code::OwnPeer, format!("peers.{index}")));
+            problems.push(Problem::new(Code::PeerIsSelf, format!("peers.{index}")));
         }
     }
     problems
@@ -41,7 +41,7 @@
         && settings.get("worker").is_none()
         && settings.get("service").is_none()
     {
-        problems.push(Problem::new(Code::NothingToDo, ""));
+        problems.push(Problem::new(Code::NoMinionOrWorker, ""));
     }
     problems.extend(worker_capacity(settings));
     problems
@@ -55,7 +55,7 @@
     };
     let message = format!("`{lonely}` is set without `{missing}`.");
     let advice = format!("Add `{missing}` or remove `{lonely}`.");
-    Some(Problem::new(Code::LonelyMinion, lonely).message(message).advice(advice))
+    Some(Problem::new(Code::IncompleteMinion, lonely).message(message).advice(advice))
 }
 
 /// A worker of no size would accept no task, silently.
--- a/crates/geraniumpost-net/src/datagram.rs
+++ b/crates/geraniumpost-net/src/datagram.rs
@@ -4,7 +4,7 @@
 
 /// Largest datagram that is sent or read, in bytes, below the usual limit of one Ethernet frame
 /// times a few fragments.
-pub const MAX_DATAGRAM: usize = 8 * 1024;
+pub const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
 /// Bytes of the tag in front of the message.
 const TAG_BYTES: usize = 16;
@@ -18,13 +18,13 @@
 ///
 /// # Errors
 ///
-/// Fails with [`NetError::TooLarge`] if the result exceeds [`MAX_DATAGRAM`].
+/// Fails with [`NetError::TooLarge`] if the result exceeds [`MAX_DATAGRAM_BYTES`].
 pub fn seal_datagram(key: &SharedKey, datagram: &Datagram) -> Result<Vec<u8>, NetError> {
     let message = postcard::to_stdvec(datagram)?;
     let mut sealed = Vec::with_capacity(TAG_BYTES + message.len());
     sealed.extend_from_slice(&key.prove(&[PURPOSE, &message])[..TAG_BYTES]);
     sealed.extend_from_slice(&message);
-    if sealed.len() > MAX_DATAGRAM {
+    if sealed.len() > MAX_DATAGRAM_BYTES {
         return Err(NetError::TooLarge(sealed.len()));
     }
     Ok(sealed)
--- a/crates/geraniumpost-net/src/error.rs
+++ b/crates/geraniumpost-net/src/error.rs
@@ -28,7 +28,7 @@
 
 impl NetError {
     /// Returns whether the other side is a stranger or broken, rather than away.
-    pub const fn is_offence(&self) -> bool {
+    pub const fn is_protocol_violation(&self) -> bool {
         matches!(self, Self::Codec(_) | Self::WrongKey | Self::TooLarge(_) | Self::Handshake)
     }
 }
--- a/crates/geraniumpost-net/src/frame.rs
+++ b/crates/geraniumpost-net/src/frame.rs
@@ -6,9 +6,9 @@
 use crate::NetError;
 
 /// Largest head of a frame in bytes.
-pub const MAX_HEAD: usize = 256 * 1024;
+pub const MAX_HEAD_BYTES: usize = 256 * 1024;
 /// Largest body of a frame in bytes: the largest `max_body_kb` a service may set.
-pub const MAX_BODY: usize = 64 * 1024 * 1024;
+pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Bytes of the two length fields in front of each frame.
 const PREFIX: usize = 8;
@@ -57,7 +57,11 @@
 impl<R: AsyncRead + Unpin> FrameReader<R> {
     /// Reads frames from `from`.
     pub fn new(from: R) -> Self {
-        Self { from, buf: BytesMut::with_capacity(READ_CHUNK), largest: MAX_HEAD + MAX_BODY }
+        Self {
+            from,
+            buf: BytesMut::with_capacity(READ_CHUNK),
+            largest: MAX_HEAD_BYTES + MAX_BODY_BYTES,
+        }
     }
 
     /// Refuses frames of more than `largest` bytes, for sides that are not proved yet.
@@ -126,7 +130,7 @@
 
 /// Refuses lengths that would let one frame exhaust the receiver's memory.
 fn check_lengths(head: usize, body: usize) -> Result<(), NetError> {
-    if head > MAX_HEAD || body > MAX_BODY {
+    if head > MAX_HEAD_BYTES || body > MAX_BODY_BYTES {
         return Err(NetError::TooLarge(head.saturating_add(body)));
     }
     Ok(())
--- a/crates/geraniumpost-net/src/lib.rs
+++ b/crates/geraniumpost-net/src/lib.rs
@@ -25,9 +25,9 @@
 mod link;
 mod shared_key;
 
-pub use datagram::{MAX_DATAGRAM, open_datagram, seal_datagram};
+pub use datagram::{MAX_DATAGRAM_BYTES, open_datagram, seal_datagram};
 pub use error::NetError;
-pub use frame::{Frame, FrameReader, MAX_BODY, MAX_HEAD, encode_frame};
+pub use frame::{Frame, FrameReader, MAX_BODY_BYTES, MAX_HEAD_BYTES, encode_frame};
 pub use handshake::{Connection, HANDSHAKE_TIMEOUT, Identity, accept, connect};
 pub use link::{LinkReceiver, LinkSender, open_link};
 pub use shared_key::SharedKey;
--- a/crates/geraniumpost-net/tests/net.rs
+++ b/crates/geraniumpost-net/tests/net.rs
@@ -3,8 +3,8 @@
 use assert_matches::assert_matches;
 use bytes::{Bytes, BytesMut};
 use geraniumpost_net::{
-    Frame, FrameReader, Identity, MAX_HEAD, NetError, SharedKey, accept, connect, encode_frame,
-    open_datagram, open_link, seal_datagram,
+    Frame, FrameReader, Identity, MAX_HEAD_BYTES, NetError, SharedKey, accept, connect,
+    encode_frame, open_datagram, open_link, seal_datagram,
 };
 use geraniumpost_schema::{Datagram, HeartbeatAck, RequestId, ToAgent, ToEntry};
 use proptest::prelude::*;
@@ -83,7 +83,7 @@
 #[test]
 fn oversized_lengths_are_refused_before_memory_is_taken() {
     let mut bytes = Vec::new();
-    bytes.extend_from_slice(&(MAX_HEAD as u32 + 1).to_le_bytes());
+    bytes.extend_from_slice(&(MAX_HEAD_BYTES as u32 + 1).to_le_bytes());
     bytes.extend_from_slice(&u32::MAX.to_le_bytes());
     let read = runtime().block_on(FrameReader::new(&bytes[..]).next::<ToAgent>());
     assert_matches!(read, Err(NetError::TooLarge(_)));
--- a/crates/geraniumpost-outside/src/http/client.rs
+++ b/crates/geraniumpost-outside/src/http/client.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::connection::Connection;
-use super::{Begun, Exchange, SendError};
+use super::{FullResponse, IncomingResponse, SendError};
 
 /// Client of one address with a bounded number of connections, reused when idle.
 #[derive(Debug)]
@@ -45,7 +45,7 @@
         &self,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Exchange, SendError> {
+    ) -> Result<FullResponse, SendError> {
         self.send_as(self.host.clone(), req, timeout).await
     }
 
@@ -55,7 +55,7 @@
         host: &str,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Exchange, SendError> {
+    ) -> Result<FullResponse, SendError> {
         let host = HeaderValue::from_str(host).map_err(|e| SendError::NotSent(e.to_string()))?;
         self.send_as(host, req, timeout).await
     }
@@ -65,8 +65,8 @@
         &self,
         req: Request<Full<Bytes>>,
         silence: Duration,
-    ) -> Result<Exchange, SendError> {
-        Box::pin(self.begin(req, silence)).await?.finish(silence).await
+    ) -> Result<FullResponse, SendError> {
+        Box::pin(self.begin(req, silence)).await?.receive(silence).await
     }
 
     /// Sends a request and waits until its answer begins, for at most `timeout`.
@@ -77,7 +77,7 @@
         &self,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Begun<'_>, SendError> {
+    ) -> Result<IncomingResponse<'_>, SendError> {
         self.begin_as(self.host.clone(), req, Instant::now() + timeout).await
     }
 
@@ -86,10 +86,10 @@
         host: HeaderValue,
         req: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Exchange, SendError> {
+    ) -> Result<FullResponse, SendError> {
         let ends = Instant::now() + timeout;
         let begun = self.begin_as(host, req, ends).await?;
-        let finished = timeout_at(ends, begun.finish(timeout)).await;
+        let finished = timeout_at(ends, begun.receive(timeout)).await;
         finished.map_err(|_| SendError::TimedOut)?
     }
 
@@ -98,7 +98,7 @@
         host: HeaderValue,
         mut req: Request<Full<Bytes>>,
         ends: Instant,
-    ) -> Result<Begun<'_>, SendError> {
+    ) -> Result<IncomingResponse<'_>, SendError> {
         req.headers_mut().insert(HOST, host);
         let method = req.method().clone();
         let turn = timeout_at(ends, self.turns.acquire()).await;
@@ -110,7 +110,7 @@
             self.close_idle();
         }
         let (connection, answer) = sent?;
-        Ok(Begun { client: self, method, connection, answer, _turn: turn })
+        Ok(IncomingResponse { client: self, method, connection, answer, _turn: turn })
     }
 
     /// Sends a request on an idle or a new connection.
--- a/crates/geraniumpost-outside/src/http/exchange.rs
+++ b/crates/geraniumpost-outside/src/http/full_response.rs
@@ -3,7 +3,7 @@
 
 /// A whole answer as it came.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Exchange {
+pub struct FullResponse {
     /// Status of the answer.
     pub status: StatusCode,
     /// Its headers.
--- a/crates/geraniumpost-outside/src/http/begun.rs
+++ b/crates/geraniumpost-outside/src/http/incoming_response.rs
@@ -6,12 +6,12 @@
 use tokio::sync::SemaphorePermit;
 
 use super::connection::Connection;
-use super::whole::read_whole;
-use super::{Client, Exchange, SendError};
+use super::read_response::read_response;
+use super::{Client, FullResponse, SendError};
 
 /// An exchange whose answer has begun to arrive; dropping it closes its connection.
 #[derive(Debug)]
-pub struct Begun<'a> {
+pub struct IncomingResponse<'a> {
     pub(super) client: &'a Client,
     pub(super) method: Method,
     pub(super) connection: Connection,
@@ -19,14 +19,14 @@
     pub(super) _turn: SemaphorePermit<'a>,
 }
 
-impl Begun<'_> {
+impl IncomingResponse<'_> {
     /// Returns the status of the answer.
     pub fn status(&self) -> StatusCode {
         self.answer.status()
     }
 
     /// Returns the length of the body in bytes, if the answer states it.
-    pub fn declared_bytes(&self) -> Option<usize> {
+    pub fn content_length(&self) -> Option<usize> {
         let length = self.answer.headers().get(CONTENT_LENGTH)?;
         length.to_str().ok()?.parse().ok()
     }
@@ -36,9 +36,9 @@
     /// # Errors
     ///
     /// Fails like [`Client::exchange`].
-    pub async fn finish(self, silence: Duration) -> Result<Exchange, SendError> {
+    pub async fn receive(self, silence: Duration) -> Result<FullResponse, SendError> {
         let Self { client, method, mut connection, answer, _turn } = self;
-        let whole = read_whole(&method, answer, client.most_answer, silence).await?;
+        let whole = read_response(&method, answer, client.most_answer, silence).await?;
         // Reuse follows only on a whole answer; after anything else the connection is closed, lest
         // the rest of one answer be taken for the beginning of another.
         if tokio::time::timeout(silence, connection.ready()).await == Ok(true) {
--- a/crates/geraniumpost-outside/src/http/mod.rs
+++ b/crates/geraniumpost-outside/src/http/mod.rs
@@ -1,13 +1,13 @@
 //! HTTP/1.1 client with a bounded number of connections that tells sent from unsent requests.
 
-mod begun;
 mod client;
 mod connection;
-mod exchange;
+mod full_response;
+mod incoming_response;
+mod read_response;
 mod send_error;
-mod whole;
 
-pub use begun::Begun;
 pub use client::Client;
-pub use exchange::Exchange;
+pub use full_response::FullResponse;
+pub use incoming_response::IncomingResponse;
 pub use send_error::SendError;
--- a/crates/geraniumpost-outside/src/http/whole.rs
+++ b/crates/geraniumpost-outside/src/http/read_response.rs
@@ -6,18 +6,18 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
-use super::{Exchange, SendError};
+use super::{FullResponse, SendError};
 
 /// Reads an answer to its end and makes sure that it is whole.
 ///
 /// A body that only ends with its connection looks the same whether it is whole or cut off. A
 /// caller would take half an answer for all of it, so such an answer counts as cut short.
-pub(super) async fn read_whole(
+pub(super) async fn read_response(
     method: &Method,
     answer: Response<Incoming>,
     most: usize,
     silence: Duration,
-) -> Result<Exchange, SendError> {
+) -> Result<FullResponse, SendError> {
     let (head, body) = answer.into_parts();
     let framed =
         head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
@@ -25,7 +25,7 @@
         return Err(SendError::Truncated("the answer states no length".to_owned()));
     }
     let body = read(body, most, silence).await?;
-    Ok(Exchange { status: head.status, headers: head.headers, body })
+    Ok(FullResponse { status: head.status, headers: head.headers, body })
 }
 
 fn may_have_body(method: &Method, status: StatusCode) -> bool {
--- a/crates/geraniumpost-outside/src/minion/client.rs
+++ b/crates/geraniumpost-outside/src/minion/client.rs
@@ -9,7 +9,7 @@
 use super::{Answer, MinionError, strip_hop_by_hop};
 use crate::http::Client;
 
-/// Largest answer unless [`Minion::max_answer`] sets another.
+/// Largest answer unless [`Minion::max_response_bytes`] sets another.
 const MAX_ANSWER: usize = 64 << 20;
 
 /// Client of one minion, cheap to clone, that never opens more connections than it was given.
@@ -29,7 +29,7 @@
 
     /// Sets the largest answer in bytes; to be called before any clone sends.
     #[must_use]
-    pub fn max_answer(mut self, bytes: usize) -> Self {
+    pub fn max_response_bytes(mut self, bytes: usize) -> Self {
         self.client = Arc::new(Client::new(self.address, self.connections, bytes));
         self
     }
--- a/crates/geraniumpost-outside/src/store/client.rs
+++ b/crates/geraniumpost-outside/src/store/client.rs
@@ -11,7 +11,7 @@
 
 use super::path::kv_path;
 use super::{CallResult, Expect, LeaseId, StoreCall, StoreError, Versioned, Watched};
-use crate::http::{Client, Exchange, SendError};
+use crate::http::{Client, FullResponse, SendError};
 
 /// Header that binds a key to a lease.
 const LEASE: HeaderName = HeaderName::from_static("x-lease");
@@ -166,7 +166,7 @@
     }
 
     /// Reads a page; a read has no effect, so a connection that broke is worth a second try.
-    async fn read(&self, path: &str, timeout: Duration) -> Result<Exchange, StoreError> {
+    async fn read(&self, path: &str, timeout: Duration) -> Result<FullResponse, StoreError> {
         let first = self.send(Request::get(path), Bytes::new(), timeout).await;
         match first {
             Err(SendError::Failed(_)) => self.call(Request::get(path), Bytes::new(), timeout).await,
@@ -179,7 +179,7 @@
         req: Builder,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<Exchange, StoreError> {
+    ) -> Result<FullResponse, StoreError> {
         Ok(self.send(req, body, timeout).await?)
     }
 
@@ -188,7 +188,7 @@
         req: Builder,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<Exchange, SendError> {
+    ) -> Result<FullResponse, SendError> {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let req = req.body(Full::new(body)).map_err(|e| SendError::NotSent(e.to_string()))?;
         let operation = operation(req.method(), req.uri().path());
@@ -199,7 +199,7 @@
             self.client.exchange(req, timeout).await
         };
         if let Some(observer) = &self.observer {
-            observer(StoreCall { operation, result: result(&outcome), took: begin.elapsed() });
+            observer(StoreCall { operation, result: result(&outcome), duration: begin.elapsed() });
         }
         outcome
     }
@@ -216,7 +216,7 @@
 }
 
 /// Judges a call as [`unexpected`] does, without knowing what was asked.
-fn result(outcome: &Result<Exchange, SendError>) -> CallResult {
+fn result(outcome: &Result<FullResponse, SendError>) -> CallResult {
     match outcome {
         Ok(exchange) => match exchange.status {
             StatusCode::PRECONDITION_FAILED => CallResult::Conflict,
@@ -236,7 +236,7 @@
     }
 }
 
-fn versioned(exchange: Exchange) -> Result<Versioned, StoreError> {
+fn versioned(exchange: FullResponse) -> Result<Versioned, StoreError> {
     Ok(Versioned { revision: revision(&exchange.headers)?, value: exchange.body })
 }
 
@@ -248,15 +248,15 @@
     tag(headers).ok_or_else(|| StoreError::Uncertain("the revision is missing".to_owned()))
 }
 
-fn conflict(exchange: &Exchange) -> StoreError {
+fn conflict(exchange: &FullResponse) -> StoreError {
     StoreError::Conflict { current: tag(&exchange.headers) }
 }
 
 /// Judges a status that no call expects.
 ///
 /// The service answers 4xx and 503 without doing anything; another 5xx may come from in between,
-/// after the write took effect.
-fn unexpected(exchange: &Exchange) -> StoreError {
+/// after the write duration effect.
+fn unexpected(exchange: &FullResponse) -> StoreError {
     let reason = exchange.status.to_string();
     let refused =
         exchange.status.is_client_error() || exchange.status == StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/geraniumpost-outside/src/store/store_call.rs
+++ b/crates/geraniumpost-outside/src/store/store_call.rs
@@ -10,7 +10,7 @@
     /// What became of it.
     pub result: CallResult,
     /// Time until its end.
-    pub took: Duration,
+    pub duration: Duration,
 }
 
 /// What became of a call of the store.
--- a/crates/geraniumpost-outside/src/worker/client.rs
+++ b/crates/geraniumpost-outside/src/worker/client.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Started, TaskOrder, WorkerError, WorkerTask};
-use crate::http::{Client, Exchange, SendError};
+use crate::http::{Client, FullResponse, SendError};
 
 /// Connections kept to the worker.
 const CONNECTIONS: usize = 8;
@@ -90,7 +90,7 @@
         let exchange = self.call(Request::put(task_path(id)), body.into()).await?;
         match exchange.status {
             StatusCode::CREATED => Ok(Started::New),
-            StatusCode::OK => Ok(Started::Before),
+            StatusCode::OK => Ok(Started::AlreadyStarted),
             _ => Err(failure(&exchange)),
         }
     }
@@ -144,7 +144,7 @@
         if exchange.status.is_success() { Ok(()) } else { Err(failure(&exchange)) }
     }
 
-    async fn call(&self, req: Builder, body: Bytes) -> Result<Exchange, WorkerError> {
+    async fn call(&self, req: Builder, body: Bytes) -> Result<FullResponse, WorkerError> {
         let req = req.body(Full::new(body)).map_err(|e| SendError::NotSent(e.to_string()))?;
         Ok(self.client.exchange(req, self.timeout).await?)
     }
@@ -181,7 +181,7 @@
 }
 
 /// Judges a status that means failure; 5xx other than 503 may come after the call took effect.
-fn failure(exchange: &Exchange) -> WorkerError {
+fn failure(exchange: &FullResponse) -> WorkerError {
     let reason = || String::from_utf8_lossy(&exchange.body).into_owned();
     match exchange.status {
         StatusCode::NOT_FOUND => WorkerError::NoSuchTask,
--- a/crates/geraniumpost-outside/src/worker/started.rs
+++ b/crates/geraniumpost-outside/src/worker/started.rs
@@ -4,5 +4,5 @@
     /// A new run began.
     New,
     /// This epoch had been started before, so nothing was done.
-    Before,
+    AlreadyStarted,
 }
--- a/crates/geraniumpost-outside/tests/minion.rs
+++ b/crates/geraniumpost-outside/tests/minion.rs
@@ -125,7 +125,7 @@
 #[tokio::test]
 async fn answer_over_the_limit_is_an_error() {
     let (_standin, minion) = minion().await;
-    let minion = minion.max_answer(1000);
+    let minion = minion.max_response_bytes(1000);
     let result = send_sized(&minion, "r1", 0, 2000, LONG).await;
     assert_eq!(result, Err(MinionError::TooLarge(1000)));
 }
--- a/crates/geraniumpost-outside/tests/worker.rs
+++ b/crates/geraniumpost-outside/tests/worker.rs
@@ -107,7 +107,7 @@
 async fn repeated_start_of_one_epoch_runs_once() {
     let (standin, worker) = worker().await;
     assert_eq!(worker.start("study", &order(1, "sleep:60000")).await, Ok(Started::New));
-    assert_eq!(worker.start("study", &order(1, "sleep:60000")).await, Ok(Started::Before));
+    assert_eq!(worker.start("study", &order(1, "sleep:60000")).await, Ok(Started::AlreadyStarted));
     let other = worker.start("study", &order(2, "sleep:60000")).await;
     assert_eq!(other, Err(WorkerError::WrongState));
     assert_eq!(kinds(&standin).await, [WorkerEventKind::Started]);
--- a/crates/geraniumpost/src/agent/context.rs
+++ b/crates/geraniumpost/src/agent/context.rs
@@ -130,7 +130,7 @@
         let mut before = self.minion_limits.lock().unwrap_or_else(PoisonError::into_inner);
         if *before != (connections, largest) {
             *before = (connections, largest);
-            let minion = Minion::new(address, connections).max_answer(largest);
+            let minion = Minion::new(address, connections).max_response_bytes(largest);
             self.minion.store(Some(Arc::new(minion)));
         }
     }
--- a/crates/geraniumpost/src/datagram_socket.rs
+++ b/crates/geraniumpost/src/datagram_socket.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use eyre::{Result, WrapErr};
-use geraniumpost_net::{MAX_DATAGRAM, NetError, SharedKey, open_datagram, seal_datagram};
+use geraniumpost_net::{MAX_DATAGRAM_BYTES, NetError, SharedKey, open_datagram, seal_datagram};
 use geraniumpost_schema::Datagram;
 use tokio::net::UdpSocket;
 
@@ -36,7 +36,7 @@
 
     /// Waits for the next datagram; a stranger's bytes are an `Err` to be counted.
     pub async fn receive(&self) -> (SocketAddr, Result<Datagram, NetError>) {
-        let mut buf = [0; MAX_DATAGRAM];
+        let mut buf = [0; MAX_DATAGRAM_BYTES];
         loop {
             // An error here tells of an earlier datagram that nobody received; it is no news.
             if let Ok((len, from)) = self.socket.recv_from(&mut buf).await {
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -148,7 +148,7 @@
     pub fn observed(self: &Arc<Self>, store: Store) -> Store {
         let metrics = Arc::clone(self);
         store.observer(move |call| {
-            metrics.store_call(call.operation, &call.result.to_string(), call.took);
+            metrics.store_call(call.operation, &call.result.to_string(), call.duration);
             metrics.store_up(call.result.is_healthy());
         })
     }
