refactor(net): use terms of authentication and framing in comments and names

Cause: comments spoke of strangers, sides that are proved and frames that are cut, and names such as largest, from, LARGEST and QUEUE left open what they limit.

Constants end in their unit.

Conclusion: wording only; contexts, limits and messages are as before.

--- a/crates/geraniumpost-net/src/frame.rs
+++ b/crates/geraniumpost-net/src/frame.rs
@@ -5,22 +5,22 @@
 
 use crate::NetError;
 
-/// Largest head of a frame in bytes.
+/// Largest encoded head of a frame, in bytes.
 pub const MAX_HEAD_BYTES: usize = 256 * 1024;
-/// Largest body of a frame in bytes: the largest `max_body_kb` a service may set.
+/// Largest body of a frame, in bytes: the upper limit of `max_body_kb` of a service.
 pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
 /// Bytes of the two length fields in front of each frame.
-const PREFIX: usize = 8;
-/// Bytes read from the connection at once.
-const READ_CHUNK: usize = 64 * 1024;
+const PREFIX_BYTES: usize = 8;
+/// Buffer space reserved for each read from the connection.
+const READ_CHUNK_BYTES: usize = 64 * 1024;
 
-/// A typed head with the bytes that follow it.
+/// A typed message head and the body that follows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Frame<T> {
-    /// The message.
+    /// Message.
     pub head: T,
-    /// The body, checked to be as long as the sender said.
+    /// Body, of the length that the frame's prefix states.
     pub body: Bytes,
 }
 
@@ -34,11 +34,11 @@
 ///
 /// # Errors
 ///
-/// Fails without touching `buf` if the head or body is larger than a receiver would accept.
+/// Fails and leaves `buf` unchanged if the head or body exceeds the limit of the receiver.
 pub fn encode_frame<T: Serialize>(frame: &Frame<T>, buf: &mut BytesMut) -> Result<(), NetError> {
     let head = postcard::to_stdvec(&frame.head)?;
     check_lengths(head.len(), frame.body.len())?;
-    buf.reserve(PREFIX + head.len() + frame.body.len());
+    buf.reserve(PREFIX_BYTES + head.len() + frame.body.len());
     buf.put_u32_le(head.len() as u32);
     buf.put_u32_le(frame.body.len() as u32);
     buf.put_slice(&head);
@@ -49,40 +49,40 @@
 /// Reads frames from a connection.
 #[derive(Debug)]
 pub struct FrameReader<R> {
-    from: R,
+    stream: R,
     buf: BytesMut,
-    largest: usize,
+    max_frame_bytes: usize,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
-    /// Reads frames from `from`.
-    pub fn new(from: R) -> Self {
+    /// Creates a reader of the frames of `stream`.
+    pub fn new(stream: R) -> Self {
         Self {
-            from,
-            buf: BytesMut::with_capacity(READ_CHUNK),
-            largest: MAX_HEAD_BYTES + MAX_BODY_BYTES,
+            stream,
+            buf: BytesMut::with_capacity(READ_CHUNK_BYTES),
+            max_frame_bytes: MAX_HEAD_BYTES + MAX_BODY_BYTES,
         }
     }
 
-    /// Refuses frames of more than `largest` bytes, for sides that are not proved yet.
+    /// Lowers the limit on frames, as is needed for a peer that is not authenticated yet.
     #[must_use]
-    pub const fn largest(mut self, largest: usize) -> Self {
-        self.largest = largest;
+    pub const fn max_frame_bytes(mut self, bytes: usize) -> Self {
+        self.max_frame_bytes = bytes;
         self
     }
 
-    /// Reads the next frame, or `None` if the connection ended between two frames.
+    /// Reads the next frame, or returns `None` if the connection was closed between two frames.
     ///
     /// # Errors
     ///
-    /// Fails if the connection ends inside a frame, or if the bytes are no frame.
+    /// Fails if the connection is closed within a frame, or if a frame is too large or malformed.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Option<Frame<T>>, NetError> {
         loop {
-            if let Some(frame) = self.take()? {
+            if let Some(frame) = self.decode_next()? {
                 return Ok(Some(frame));
             }
-            self.buf.reserve(READ_CHUNK);
-            if self.from.read_buf(&mut self.buf).await? > 0 {
+            self.buf.reserve(READ_CHUNK_BYTES);
+            if self.stream.read_buf(&mut self.buf).await? > 0 {
                 continue;
             }
             if self.buf.is_empty() {
@@ -92,43 +92,43 @@
         }
     }
 
-    /// Continues to read where another reader stopped, with what that one had read ahead.
-    pub(crate) fn resume(from: R, buf: BytesMut) -> Self {
-        Self { buf, ..Self::new(from) }
+    /// Creates a reader that continues after another one; `buf` holds what that one read ahead.
+    pub(crate) fn resume(stream: R, buf: BytesMut) -> Self {
+        Self { buf, ..Self::new(stream) }
     }
 
-    /// Gives the connection back with the bytes read ahead of the last frame.
+    /// Returns the connection and the bytes that were read beyond the last frame.
     pub(crate) fn into_parts(self) -> (R, BytesMut) {
-        (self.from, self.buf)
+        (self.stream, self.buf)
     }
 
-    /// Gives access to the connection for the handshake's answers.
+    /// Returns the connection, to which the handshake writes its frames.
     pub(crate) const fn inner_mut(&mut self) -> &mut R {
-        &mut self.from
+        &mut self.stream
     }
 
-    /// Takes one whole frame out of the buffer.
-    fn take<T: DeserializeOwned>(&mut self) -> Result<Option<Frame<T>>, NetError> {
-        if self.buf.len() < PREFIX {
+    /// Removes the next frame from the buffer and decodes it; `None` while it is incomplete.
+    fn decode_next<T: DeserializeOwned>(&mut self) -> Result<Option<Frame<T>>, NetError> {
+        if self.buf.len() < PREFIX_BYTES {
             return Ok(None);
         }
-        let mut prefix = &self.buf[..PREFIX];
+        let mut prefix = &self.buf[..PREFIX_BYTES];
         let head_len = prefix.get_u32_le() as usize;
         let body_len = prefix.get_u32_le() as usize;
         check_lengths(head_len, body_len)?;
-        if head_len + body_len > self.largest {
+        if head_len + body_len > self.max_frame_bytes {
             return Err(NetError::TooLarge(head_len + body_len));
         }
-        if self.buf.len() < PREFIX + head_len + body_len {
+        if self.buf.len() < PREFIX_BYTES + head_len + body_len {
             return Ok(None);
         }
-        self.buf.advance(PREFIX);
+        self.buf.advance(PREFIX_BYTES);
         let head = postcard::from_bytes(&self.buf.split_to(head_len))?;
         Ok(Some(Frame { head, body: self.buf.split_to(body_len).freeze() }))
     }
 }
 
-/// Refuses lengths that would let one frame exhaust the receiver's memory.
+/// Rejects lengths with which one frame could exhaust the receiver's memory.
 fn check_lengths(head: usize, body: usize) -> Result<(), NetError> {
     if head > MAX_HEAD_BYTES || body > MAX_BODY_BYTES {
         return Err(NetError::TooLarge(head.saturating_add(body)));
--- a/crates/geraniumpost-net/src/handshake.rs
+++ b/crates/geraniumpost-net/src/handshake.rs
@@ -10,32 +10,34 @@
 
 use crate::{Frame, FrameReader, NetError, SharedKey, encode_frame};
 
-/// Longest time a connection may take from its start to the end of the handshake. A stranger that
-/// connects and stays silent is dropped after it.
+/// Time limit for connecting and the handshake. Afterwards a peer that connected and sends nothing
+/// is disconnected.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Largest handshake frame in bytes: a stranger can make this process hold no more than that.
-const LARGEST: usize = 1024;
+/// Largest handshake frame in bytes, which bounds the memory that a peer can use before it is
+/// authenticated.
+const MAX_HANDSHAKE_FRAME_BYTES: usize = 1024;
 
-/// Purposes of the two proofs; they differ, so that one side cannot return the other's proof.
+/// Contexts that the two proofs cover. They differ, so that a peer cannot send back the proof that
+/// it received (a reflection attack).
 const ACCEPTING: &[u8] = b"geraniumpost link 1 accepting";
 const CONNECTING: &[u8] = b"geraniumpost link 1 connecting";
 
-/// Who a process is on its links.
+/// Identity of a process in the handshake of its links.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Identity {
     /// Name from the settings.
     pub name: Name,
-    /// Random number drawn at the start of the process.
+    /// Random number drawn at each start of the process.
     pub incarnation: u64,
 }
 
-/// A connection whose both sides are proved, ready for [`open_link`](crate::open_link).
+/// A mutually authenticated connection, ready for [`open_link`](crate::open_link).
 #[derive(Debug)]
 pub struct Connection {
     pub(crate) stream: TcpStream,
-    /// Bytes read ahead: the connecting side sends its first frames right behind its proof, so
-    /// they may arrive with it, and a reader that dropped them would lose a request silently.
+    /// Bytes read beyond the handshake. The connecting side sends its first frames right after its
+    /// proof, so one read may return both; discarding these bytes would silently lose a request.
     pub(crate) read_ahead: BytesMut,
 }
 
@@ -46,11 +48,12 @@
     }
 }
 
-/// Connects to `address` and proves both sides.
+/// Connects to `address`, with mutual authentication.
 ///
 /// # Errors
 ///
-/// Fails if the other side is away, silent for [`HANDSHAKE_TIMEOUT`] or a stranger.
+/// Fails if the peer is unreachable, does not complete the handshake within
+/// [`HANDSHAKE_TIMEOUT`], or does not have the shared key.
 pub async fn connect(
     address: SocketAddr,
     me: &Identity,
@@ -59,32 +62,33 @@
     let connecting = async {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        prove_connecting(stream, me, key).await
+        handshake_connecting(stream, me, key).await
     };
     timeout(HANDSHAKE_TIMEOUT, connecting).await.unwrap_or(Err(NetError::TimedOut))
 }
 
-/// Accepts a link on a fresh connection and proves both sides.
+/// Performs the handshake of the accepting side, with mutual authentication.
 ///
 /// # Errors
 ///
-/// Fails if the other side leaves, is silent for [`HANDSHAKE_TIMEOUT`] or is a stranger.
+/// Fails if the peer disconnects, does not complete the handshake within [`HANDSHAKE_TIMEOUT`], or
+/// does not have the shared key.
 pub async fn accept(
     stream: TcpStream,
     me: &Identity,
     key: &SharedKey,
 ) -> Result<(Connection, Identity), NetError> {
     stream.set_nodelay(true)?;
-    let accepting = prove_accepting(stream, me, key);
+    let accepting = handshake_accepting(stream, me, key);
     timeout(HANDSHAKE_TIMEOUT, accepting).await.unwrap_or(Err(NetError::TimedOut))
 }
 
-async fn prove_connecting(
+async fn handshake_connecting(
     stream: TcpStream,
     me: &Identity,
     key: &SharedKey,
 ) -> Result<(Connection, Identity), NetError> {
-    let mut reader = FrameReader::new(stream).largest(LARGEST);
+    let mut reader = FrameReader::new(stream).max_frame_bytes(MAX_HANDSHAKE_FRAME_BYTES);
     let hello = Hello { name: me.name.clone(), incarnation: me.incarnation, nonce: rand::random() };
     send(&mut reader, Link::Hello(hello.clone())).await?;
     let Link::Challenge(challenge) = receive(&mut reader).await? else {
@@ -99,12 +103,12 @@
     Ok((reader.into(), peer))
 }
 
-async fn prove_accepting(
+async fn handshake_accepting(
     stream: TcpStream,
     me: &Identity,
     key: &SharedKey,
 ) -> Result<(Connection, Identity), NetError> {
-    let mut reader = FrameReader::new(stream).largest(LARGEST);
+    let mut reader = FrameReader::new(stream).max_frame_bytes(MAX_HANDSHAKE_FRAME_BYTES);
     let Link::Hello(hello) = receive(&mut reader).await? else {
         return Err(NetError::Handshake);
     };
@@ -141,10 +145,10 @@
     frame.map(|f| f.head).ok_or_else(|| NetError::Io(std::io::ErrorKind::UnexpectedEof.into()))
 }
 
-/// Returns the proof over everything both sides said, in hexadecimal digits.
-fn prove(key: &SharedKey, purpose: &[u8], hello: &Hello, challenge: &Challenge) -> Name {
-    let (h, c) = (numbers(hello), answer_numbers(challenge));
-    let proof = key.prove(&[purpose, hello.name.as_bytes(), &h, challenge.name.as_bytes(), &c]);
+/// Returns the proof over names, incarnations and nonces of both sides, in hexadecimal digits.
+fn prove(key: &SharedKey, context: &[u8], hello: &Hello, challenge: &Challenge) -> Name {
+    let (h, c) = (hello_bytes(hello), challenge_bytes(challenge));
+    let proof = key.prove(&[context, hello.name.as_bytes(), &h, challenge.name.as_bytes(), &c]);
     let mut text = String::with_capacity(2 * proof.len());
     for byte in proof {
         let _ = write!(text, "{byte:02x}");
@@ -154,18 +158,18 @@
 
 fn verify(
     key: &SharedKey,
-    purpose: &[u8],
+    context: &[u8],
     hello: &Hello,
     challenge: &Challenge,
     proof: &str,
 ) -> bool {
     let Some(proof) = from_hex(proof) else { return false };
-    let (h, c) = (numbers(hello), answer_numbers(challenge));
-    key.verify(&[purpose, hello.name.as_bytes(), &h, challenge.name.as_bytes(), &c], &proof)
+    let (h, c) = (hello_bytes(hello), challenge_bytes(challenge));
+    key.verify(&[context, hello.name.as_bytes(), &h, challenge.name.as_bytes(), &c], &proof)
 }
 
-/// Reads a full proof from its hexadecimal digits; a shortened one is refused, since each digit
-/// left out would make it easier to guess.
+/// Decodes a proof from its hexadecimal digits. A truncated proof is rejected, because it would be
+/// easier to guess.
 fn from_hex(text: &str) -> Option<[u8; crate::shared_key::PROOF_BYTES]> {
     let mut proof = [0; crate::shared_key::PROOF_BYTES];
     if !text.is_ascii() || text.len() != 2 * proof.len() {
@@ -177,17 +181,17 @@
     Some(proof)
 }
 
-fn numbers(hello: &Hello) -> [u8; 16] {
-    pair(hello.incarnation, hello.nonce)
+fn hello_bytes(hello: &Hello) -> [u8; 16] {
+    encode_pair(hello.incarnation, hello.nonce)
 }
 
-fn answer_numbers(challenge: &Challenge) -> [u8; 16] {
-    pair(challenge.incarnation, challenge.nonce)
+fn challenge_bytes(challenge: &Challenge) -> [u8; 16] {
+    encode_pair(challenge.incarnation, challenge.nonce)
 }
 
-fn pair(a: u64, b: u64) -> [u8; 16] {
+fn encode_pair(incarnation: u64, nonce: u64) -> [u8; 16] {
     let mut bytes = [0; 16];
-    bytes[..8].copy_from_slice(&a.to_le_bytes());
-    bytes[8..].copy_from_slice(&b.to_le_bytes());
+    bytes[..8].copy_from_slice(&incarnation.to_le_bytes());
+    bytes[8..].copy_from_slice(&nonce.to_le_bytes());
     bytes
 }
--- a/crates/geraniumpost-net/src/lib.rs
+++ b/crates/geraniumpost-net/src/lib.rs
@@ -1,9 +1,10 @@
 //! Authenticated datagrams and multiplexed links between geraniumpost processes.
 //!
-//! Every process of a deployment holds one [`SharedKey`]. A datagram carries a tag made with it; a
-//! link starts with a handshake in which both sides prove it. So a stranger on the network can
-//! neither announce an agent nor start a task. Bytes after the handshake are not encrypted: the
-//! network between the VMs is trusted not to alter connections (`docs/design/0003-links.md`).
+//! All processes of a deployment have the same [`SharedKey`]. Each datagram carries a message
+//! authentication code made with it; each link starts with a handshake in which both sides prove
+//! that they have it. A host without the key can therefore neither announce an agent nor start a
+//! task. Datagrams, and links after the handshake, are not encrypted: the network between the VMs
+//! is trusted not to alter connections (`docs/design/0003-links.md`).
 //!
 //! ```
 //! use geraniumpost_net::{SharedKey, open_datagram, seal_datagram};
--- a/crates/geraniumpost-net/src/link.rs
+++ b/crates/geraniumpost-net/src/link.rs
@@ -6,13 +6,13 @@
 
 use crate::{Connection, Frame, FrameReader, NetError, encode_frame};
 
-/// Frames that may wait in each direction of a link. A full queue means that the other side does
-/// not read; the sender then learns at once that its frame was never sent.
-const QUEUE: usize = 4096;
-/// Bytes gathered into one write.
-const WRITE_CHUNK: usize = 256 * 1024;
+/// Capacity of the queue of each direction of a link. The queue for sending is full when the peer
+/// reads too slowly; [`LinkSender::send`] then fails at once, and its frame is certainly not sent.
+const QUEUE_FRAMES: usize = 4096;
+/// Length of the encoded frames at which they are written together, although more are queued.
+const WRITE_CHUNK_BYTES: usize = 256 * 1024;
 
-/// The sending half of a link; the link closes when all its clones are dropped.
+/// The sending half of a link. The link is closed when all clones of it are dropped.
 #[derive(Debug)]
 pub struct LinkSender<O>(mpsc::Sender<Frame<O>>);
 
@@ -23,44 +23,45 @@
 }
 
 impl<O> LinkSender<O> {
-    /// Queues a frame, or gives it back if the link has ended or does not keep up; a frame given
-    /// back was certainly not sent.
+    /// Queues a frame for sending.
     ///
     /// # Errors
     ///
-    /// Returns the frame if it was not queued.
+    /// Returns the frame if the link is closed or its queue is full; the frame was then certainly
+    /// not sent.
     pub fn send(&self, frame: impl Into<Frame<O>>) -> Result<(), Frame<O>> {
         self.0.try_send(frame.into()).map_err(|e| match e {
             mpsc::error::TrySendError::Full(f) | mpsc::error::TrySendError::Closed(f) => f,
         })
     }
 
-    /// Returns whether the link has ended.
+    /// Returns whether the link is closed.
     pub fn is_closed(&self) -> bool {
         self.0.is_closed()
     }
 
-    /// Waits until the link has ended.
+    /// Waits until the link is closed.
     pub async fn closed(&self) {
         self.0.closed().await;
     }
 }
 
-/// The receiving half of a link; it ends with `None` when the connection does.
+/// The receiving half of a link.
 #[derive(Debug)]
 pub struct LinkReceiver<I>(mpsc::Receiver<Frame<I>>);
 
 impl<I> LinkReceiver<I> {
-    /// Waits for the next frame.
+    /// Waits for the next frame; `None` after the connection is closed.
     pub async fn next(&mut self) -> Option<Frame<I>> {
         self.0.recv().await
     }
 }
 
-/// Turns a connection after its handshake into two halves, each served by a task of its own.
+/// Splits a connection into a sending and a receiving half, each served by its own task.
 ///
-/// The reading task ends when the connection or the receiver does, the writing task when the
-/// connection fails or all senders are dropped; `on_error` learns why a connection was cut.
+/// The reading task ends when the connection is closed or the receiver is dropped; the writing task
+/// ends when the connection fails or all senders are dropped. If either fails, it passes the error
+/// to `on_error`.
 pub fn open_link<O, I>(
     connection: Connection,
     on_error: impl Fn(NetError) + Clone + Send + 'static,
@@ -71,33 +72,33 @@
 {
     let (read, write) = connection.stream.into_split();
     let reader = FrameReader::resume(read, connection.read_ahead);
-    let (out_tx, out_rx) = mpsc::channel(QUEUE);
-    let (in_tx, in_rx) = mpsc::channel(QUEUE);
+    let (write_tx, write_rx) = mpsc::channel(QUEUE_FRAMES);
+    let (read_tx, read_rx) = mpsc::channel(QUEUE_FRAMES);
     let on_write_error = on_error.clone();
     let writing = tokio::spawn(async move {
-        if let Err(e) = write_frames(write, out_rx).await {
+        if let Err(e) = write_frames(write, write_rx).await {
             on_write_error(e);
         }
     });
     tokio::spawn(async move {
-        if let Err(e) = read_frames(reader, in_tx).await {
+        if let Err(e) = read_frames(reader, read_tx).await {
             on_error(e);
         }
-        // A connection whose reading half is over is of no use: ending the writer tells the
-        // senders at once, instead of at their next time-out.
+        // Without the reading half no response can arrive. Aborting the writing task closes the
+        // queue, so that senders notice at once instead of by a timeout.
         writing.abort();
     });
-    (LinkSender(out_tx), LinkReceiver(in_rx))
+    (LinkSender(write_tx), LinkReceiver(read_rx))
 }
 
 async fn write_frames<O: Serialize>(
     mut write: impl AsyncWrite + Unpin,
     mut rx: mpsc::Receiver<Frame<O>>,
 ) -> Result<(), NetError> {
-    let mut buf = BytesMut::with_capacity(WRITE_CHUNK);
+    let mut buf = BytesMut::with_capacity(WRITE_CHUNK_BYTES);
     while let Some(frame) = rx.recv().await {
         encode_frame(&frame, &mut buf)?;
-        while buf.len() < WRITE_CHUNK {
+        while buf.len() < WRITE_CHUNK_BYTES {
             let Ok(frame) = rx.try_recv() else { break };
             encode_frame(&frame, &mut buf)?;
         }
--- a/crates/geraniumpost-net/src/shared_key.rs
+++ b/crates/geraniumpost-net/src/shared_key.rs
@@ -1,7 +1,7 @@
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 
-/// Bytes of a full proof.
+/// Length of a complete proof.
 pub(crate) const PROOF_BYTES: usize = 32;
 
 /// The key that all processes of one deployment share.
@@ -17,13 +17,13 @@
 pub struct SharedKey(Hmac<Sha256>);
 
 impl SharedKey {
-    /// Returns the proof over `parts`; each part is preceded by its length, so that no two lists
-    /// of parts give the same bytes.
+    /// Returns the HMAC-SHA256 over `parts`. Each part is preceded by its length, so that different
+    /// lists of parts are never authenticated as the same bytes.
     pub(crate) fn prove(&self, parts: &[&[u8]]) -> [u8; PROOF_BYTES] {
         self.mac(parts).finalize().into_bytes().into()
     }
 
-    /// Checks a proof, or its first bytes, in constant time.
+    /// Verifies a proof, which may be truncated but not empty, in constant time.
     pub(crate) fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
         !proof.is_empty() && self.mac(parts).verify_truncated_left(proof).is_ok()
     }
@@ -45,7 +45,7 @@
 }
 
 impl std::fmt::Debug for SharedKey {
-    /// Hides the key, so that no log line can give it away.
+    /// Omits the key, so that it never appears in a log line.
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("SharedKey(..)")
     }
--- a/crates/geraniumpost-net/tests/net.rs
+++ b/crates/geraniumpost-net/tests/net.rs
@@ -1,4 +1,4 @@
-//! Frames, datagrams and handshakes against damage and strangers.
+//! Frames, datagrams and handshakes with corrupted data and with peers that lack the shared key.
 
 use assert_matches::assert_matches;
 use bytes::{Bytes, BytesMut};
@@ -14,11 +14,11 @@
     SharedKey::from("the deployment's shared key")
 }
 
-fn me(name: &str) -> Identity {
+fn identity(name: &str) -> Identity {
     Identity { name: name.into(), incarnation: 1 }
 }
 
-fn ack(sequence: u64) -> Datagram {
+fn heartbeat_ack(sequence: u64) -> Datagram {
     Datagram::HeartbeatAck(HeartbeatAck {
         entry: "entry-1".into(),
         sequence,
@@ -36,8 +36,8 @@
 }
 
 proptest! {
-    /// Damaged or foreign bytes reach every port that is open to the network. A process that
-    /// panicked on them would take its requests with it.
+    /// Guards against a panic on corrupted or unrelated bytes, which any host on the network can
+    /// send; the requests in flight in the process would be lost.
     #[test]
     fn random_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..2000)) {
         prop_assert!(open_datagram(&key(), &bytes).is_err());
@@ -47,41 +47,43 @@
         });
     }
 
-    /// One flipped bit anywhere in a datagram makes it a stranger's.
+    /// Guards against bits of a datagram that the tag does not cover: each flipped bit must be
+    /// detected.
     #[test]
-    fn flipped_bit_is_refused(sequence: u64, at: prop::sample::Index, bit in 0..8_u8) {
-        let mut sealed = seal_datagram(&key(), &ack(sequence)).unwrap();
-        prop_assert_eq!(open_datagram(&key(), &sealed).unwrap(), ack(sequence));
+    fn flipped_bit_is_rejected(sequence: u64, at: prop::sample::Index, bit in 0..8_u8) {
+        let mut sealed = seal_datagram(&key(), &heartbeat_ack(sequence)).unwrap();
+        prop_assert_eq!(open_datagram(&key(), &sealed).unwrap(), heartbeat_ack(sequence));
         let at = at.index(sealed.len());
         sealed[at] ^= 1 << bit;
         prop_assert!(open_datagram(&key(), &sealed).is_err());
     }
 
-    /// Frames arrive in pieces of any size and come out as they went in.
+    /// Guards against errors in the buffering of frames that arrive in several reads, and against
+    /// a truncated last frame that is taken for a complete one.
     #[test]
-    fn frames_survive_any_cut(bodies in proptest::collection::vec(0..5000_usize, 1..8)) {
+    fn frames_survive_partial_reads(bodies in proptest::collection::vec(0..5000_usize, 1..8)) {
         let mut buf = BytesMut::new();
         for (i, len) in bodies.iter().enumerate() {
             let head = ToAgent::Cancel(RequestId { entry: 1, sequence: i as u64 });
             encode_frame(&Frame { head, body: Bytes::from(vec![7; *len]) }, &mut buf).unwrap();
         }
-        let cut_short = buf.len() - 1;
+        let truncated_len = buf.len() - 1;
         runtime().block_on(async {
-            let mut whole = FrameReader::new(&buf[..]);
-            let mut cut = FrameReader::new(&buf[..cut_short]);
+            let mut complete = FrameReader::new(&buf[..]);
+            let mut truncated = FrameReader::new(&buf[..truncated_len]);
             for (i, len) in bodies.iter().enumerate() {
-                let frame = whole.next::<ToAgent>().await.unwrap().unwrap();
+                let frame = complete.next::<ToAgent>().await.unwrap().unwrap();
                 assert_eq!(frame.body.len(), *len);
-                let again = cut.next::<ToAgent>().await;
-                assert_eq!(again.is_ok(), i + 1 < bodies.len(), "a cut frame is never whole");
+                let next = truncated.next::<ToAgent>().await;
+                assert_eq!(next.is_ok(), i + 1 < bodies.len(), "truncated frame accepted");
             }
-            assert!(whole.next::<ToAgent>().await.unwrap().is_none());
+            assert!(complete.next::<ToAgent>().await.unwrap().is_none());
         });
     }
 }
 
 #[test]
-fn oversized_lengths_are_refused_before_memory_is_taken() {
+fn oversized_lengths_are_rejected_before_allocation() {
     let mut bytes = Vec::new();
     bytes.extend_from_slice(&(MAX_HEAD_BYTES as u32 + 1).to_le_bytes());
     bytes.extend_from_slice(&u32::MAX.to_le_bytes());
@@ -89,30 +91,31 @@
     assert_matches!(read, Err(NetError::TooLarge(_)));
 }
 
-async fn pair() -> (TcpListener, std::net::SocketAddr) {
+async fn listen() -> (TcpListener, std::net::SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     (listener, address)
 }
 
-/// The connecting side sends its first frame right behind its proof, and both arrive in one read.
-/// A handshake that dropped what it read ahead lost the frame: the caller's first request after a
-/// reconnect hung until its deadline.
+/// Guards against losing frames that arrive together with the end of the handshake: the connecting
+/// side sends its first frame right after its proof, and both may arrive in one read. A handshake
+/// that discarded the rest of the read lost the frame, and the first request after a reconnect
+/// waited until its deadline.
 #[tokio::test]
-async fn link_carries_frames_both_ways_and_ends_with_its_senders() {
-    let (listener, address) = pair().await;
+async fn link_carries_frames_both_ways_until_senders_are_dropped() {
+    let (listener, address) = listen().await;
     let agent = tokio::spawn(async move {
         let (stream, _) = listener.accept().await.unwrap();
-        let (stream, peer) = accept(stream, &me("agent-1"), &key()).await.unwrap();
-        assert_eq!(peer, me("entry-1"));
+        let (stream, peer) = accept(stream, &identity("agent-1"), &key()).await.unwrap();
+        assert_eq!(peer, identity("entry-1"));
         let (tx, mut rx) = open_link::<ToEntry, ToAgent>(stream, |_| {});
         while let Some(frame) = rx.next().await {
             assert_eq!(frame.head, ToAgent::Ping(9));
             tx.send(ToEntry::InForce(9)).unwrap();
         }
     });
-    let (stream, peer) = connect(address, &me("entry-1"), &key()).await.unwrap();
-    assert_eq!(peer, me("agent-1"));
+    let (stream, peer) = connect(address, &identity("entry-1"), &key()).await.unwrap();
+    assert_eq!(peer, identity("agent-1"));
     let (tx, mut rx) = open_link::<ToAgent, ToEntry>(stream, |_| {});
     tx.send(ToAgent::Ping(9)).unwrap();
     assert_eq!(rx.next().await.unwrap().head, ToEntry::InForce(9));
@@ -121,29 +124,32 @@
     assert!(rx.next().await.is_none());
 }
 
-/// A process of another deployment, or somebody who only found the port, connects. Nothing it says
-/// may reach an agent, or it could start tasks there.
+/// Guards against a peer without the shared key, such as a process of another deployment or a port
+/// scanner, which could otherwise start tasks on an agent.
 #[tokio::test]
-async fn stranger_is_refused_by_either_side() {
-    let (listener, address) = pair().await;
+async fn peer_without_shared_key_is_rejected_by_both_sides() {
+    let (listener, address) = listen().await;
     let agent = tokio::spawn(async move {
         let (stream, _) = listener.accept().await.unwrap();
-        accept(stream, &me("agent-1"), &key()).await.map(|_| ())
+        accept(stream, &identity("agent-1"), &key()).await.map(|_| ())
     });
-    let stranger = SharedKey::from("some other shared key");
-    assert_matches!(connect(address, &me("entry-9"), &stranger).await, Err(NetError::WrongKey));
+    let other_key = SharedKey::from("some other shared key");
+    assert_matches!(
+        connect(address, &identity("entry-9"), &other_key).await,
+        Err(NetError::WrongKey)
+    );
     assert_matches!(agent.await.unwrap(), Err(_));
 }
 
-/// Somebody connects and sends a huge first frame. The agent would run out of memory if it read
-/// the frame before it knew who sent it.
+/// Guards against an unauthenticated peer that exhausts the agent's memory with a large first
+/// frame.
 #[tokio::test]
-async fn huge_first_frame_is_refused() {
+async fn large_frame_before_authentication_is_rejected() {
     use tokio::io::AsyncWriteExt;
-    let (listener, address) = pair().await;
-    let mut stranger = TcpStream::connect(address).await.unwrap();
+    let (listener, address) = listen().await;
+    let mut peer = TcpStream::connect(address).await.unwrap();
     let (stream, _) = listener.accept().await.unwrap();
-    stranger.write_u32_le(100).await.unwrap();
-    stranger.write_u32_le(1 << 20).await.unwrap();
-    assert_matches!(accept(stream, &me("agent-1"), &key()).await, Err(NetError::TooLarge(_)));
+    peer.write_u32_le(100).await.unwrap();
+    peer.write_u32_le(1 << 20).await.unwrap();
+    assert_matches!(accept(stream, &identity("agent-1"), &key()).await, Err(NetError::TooLarge(_)));
 }
