--- a/crates/geraniumpost-outside/src/http/client.rs
+++ b/crates/geraniumpost-outside/src/http/client.rs
@@ -13,34 +13,35 @@
 use super::connection::Connection;
 use super::{FullResponse, IncomingResponse, SendError};
 
-/// Client of one address with a bounded number of connections, reused when idle.
+/// HTTP/1.1 client of one address. It limits its connections and reuses idle ones.
 #[derive(Debug)]
 pub struct Client {
     address: SocketAddr,
     host: HeaderValue,
-    pub(super) most_answer: usize,
-    /// One permit per exchange in progress.
-    turns: Semaphore,
-    /// One permit per open connection, in progress, idle or closing.
-    open: Arc<Semaphore>,
+    pub(super) max_response_bytes: usize,
+    /// Permits for exchanges in progress.
+    exchange_permits: Semaphore,
+    /// Permits for open connections, whether they are in use, idle or closing.
+    connection_permits: Arc<Semaphore>,
     idle: Mutex<Vec<Connection>>,
 }
 
 impl Client {
-    /// Creates a client with at most `connections` connections and answers of `most_answer` bytes.
-    pub fn new(address: SocketAddr, connections: usize, most_answer: usize) -> Self {
+    /// Creates a client with at most `connections` connections that rejects response bodies of more
+    /// than `max_response_bytes`.
+    pub fn new(address: SocketAddr, connections: usize, max_response_bytes: usize) -> Self {
         let host = HeaderValue::from_str(&address.to_string());
         Self {
             address,
             host: host.expect("a socket address is a header value"),
-            most_answer,
-            turns: Semaphore::new(connections),
-            open: Arc::new(Semaphore::new(connections)),
+            max_response_bytes,
+            exchange_permits: Semaphore::new(connections),
+            connection_permits: Arc::new(Semaphore::new(connections)),
             idle: Mutex::default(),
         }
     }
 
-    /// Sends a request and reads the whole answer before the timeout.
+    /// Sends a request and receives the complete response within `timeout`.
     pub async fn exchange(
         &self,
         req: Request<Full<Bytes>>,
@@ -49,7 +50,8 @@
         self.send_as(self.host.clone(), req, timeout).await
     }
 
-    /// Like [`Self::exchange`], for a server that tells several hosts at its address apart.
+    /// Like [`Self::exchange`], with a `Host` header other than the address, for servers with
+    /// several virtual hosts.
     pub async fn exchange_as(
         &self,
         host: &str,
@@ -60,19 +62,20 @@
         self.send_as(host, req, timeout).await
     }
 
-    /// Sends a request, and reads the whole answer unless nothing of it arrives for `silence`.
-    pub async fn patient_exchange(
+    /// Sends a request and receives the complete response. Instead of the duration of the transfer,
+    /// the time without new bytes is limited.
+    pub async fn exchange_with_idle_timeout(
         &self,
         req: Request<Full<Bytes>>,
-        silence: Duration,
+        idle_timeout: Duration,
     ) -> Result<FullResponse, SendError> {
-        Box::pin(self.begin(req, silence)).await?.receive(silence).await
+        Box::pin(self.begin(req, idle_timeout)).await?.receive(idle_timeout).await
     }
 
-    /// Sends a request and waits until its answer begins, for at most `timeout`.
+    /// Sends a request and waits for at most `timeout` until the response begins.
     ///
-    /// A long answer takes as long as the link has room for it: a limit on all of it would end each
-    /// attempt at the same place, and no attempt would ever succeed.
+    /// The transfer of the body is not limited in time. A long response on a slow link would
+    /// otherwise time out at the same point in every attempt, and no attempt would succeed.
     pub async fn begin(
         &self,
         req: Request<Full<Bytes>>,
@@ -87,9 +90,9 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<FullResponse, SendError> {
-        let ends = Instant::now() + timeout;
-        let begun = self.begin_as(host, req, ends).await?;
-        let finished = timeout_at(ends, begun.receive(timeout)).await;
+        let deadline = Instant::now() + timeout;
+        let response = self.begin_as(host, req, deadline).await?;
+        let finished = timeout_at(deadline, response.receive(timeout)).await;
         finished.map_err(|_| SendError::TimedOut)?
     }
 
@@ -97,27 +100,27 @@
         &self,
         host: HeaderValue,
         mut req: Request<Full<Bytes>>,
-        ends: Instant,
+        deadline: Instant,
     ) -> Result<IncomingResponse<'_>, SendError> {
         req.headers_mut().insert(HOST, host);
         let method = req.method().clone();
-        let turn = timeout_at(ends, self.turns.acquire()).await;
-        let Ok(Ok(turn)) = turn else {
+        let permit = timeout_at(deadline, self.exchange_permits.acquire()).await;
+        let Ok(Ok(permit)) = permit else {
             return Err(SendError::NotSent("all connections are in use".to_owned()));
         };
-        let sent = self.send(req, ends).await;
+        let sent = self.send(req, deadline).await;
         if matches!(sent, Err(SendError::TimedOut)) {
             self.close_idle();
         }
-        let (connection, answer) = sent?;
-        Ok(IncomingResponse { client: self, method, connection, answer, _turn: turn })
+        let (connection, response) = sent?;
+        Ok(IncomingResponse { client: self, method, connection, response, _permit: permit })
     }
 
-    /// Sends a request on an idle or a new connection.
+    /// Sends a request over an idle connection, or over a new one.
     async fn send(
         &self,
         req: Request<Full<Bytes>>,
-        ends: Instant,
+        deadline: Instant,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
         let idle = self.take_idle();
         let opening = async {
@@ -126,35 +129,35 @@
                 None => self.open().await,
             }
         };
-        let late = |_| SendError::NotSent("timed out while connecting".to_owned());
-        let mut connection = timeout_at(ends, opening).await.map_err(late)??;
-        let answer = timeout_at(ends, connection.send(req)).await;
-        let answer = answer.map_err(|_| SendError::TimedOut)??;
-        Ok((connection, answer))
+        let timed_out = |_| SendError::NotSent("timed out while connecting".to_owned());
+        let mut connection = timeout_at(deadline, opening).await.map_err(timed_out)??;
+        let response = timeout_at(deadline, connection.send(req)).await;
+        let response = response.map_err(|_| SendError::TimedOut)??;
+        Ok((connection, response))
     }
 
     async fn open(&self) -> Result<Connection, SendError> {
-        let permit = Arc::clone(&self.open).acquire_owned().await;
+        let permit = Arc::clone(&self.connection_permits).acquire_owned().await;
         let permit = permit.map_err(|e| SendError::NotSent(e.to_string()))?;
         Connection::open(self.address, permit).await
     }
 
-    /// Takes the idle connection that was used last; closed ones are dropped on the way.
+    /// Takes the most recently used idle connection, and discards closed ones.
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.lock();
         idle.retain(Connection::is_ready);
         idle.pop()
     }
 
-    /// Keeps a connection for the next exchange.
-    pub(super) fn keep(&self, connection: Connection) {
+    /// Keeps an idle connection for a later exchange.
+    pub(super) fn keep_idle(&self, connection: Connection) {
         self.lock().push(connection);
     }
 
     /// Closes the idle connections, so that the next exchange opens a new one.
     ///
-    /// What lies between two ends can lose track of all their connections at once, without a reset;
-    /// each would then cost one more call its whole timeout, although a new connection works.
+    /// A middlebox can lose the state of all connections at once without resetting them. Each idle
+    /// connection would then cost one more call its timeout, although a new connection works.
     pub fn close_idle(&self) {
         self.lock().clear();
     }
--- a/crates/geraniumpost-outside/src/http/connection.rs
+++ b/crates/geraniumpost-outside/src/http/connection.rs
@@ -12,11 +12,11 @@
 
 use super::SendError;
 
-/// One open connection; dropping it closes it.
+/// An open connection; dropping this value closes it.
 ///
-/// The permit lives in the connection's own task and is given back only once the socket is closed.
-/// A permit that came back earlier would let a new connection open beside the closing one, and the
-/// other end would for a moment see more connections than it accepts.
+/// The task that drives the connection owns its permit and releases it only after the socket is
+/// closed. If it were released earlier, a new connection could open while this one is closing, and
+/// the server would briefly see more connections than it accepts.
 #[derive(Debug)]
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -33,27 +33,27 @@
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(not_sent)?;
         let driver = tokio::spawn(async move {
-            // The error also reaches whoever waits for the answer.
+            // The caller that waits for the response receives the error as well.
             let _ = connection.await;
             drop(permit);
         });
         Ok(Self { sender, driver: driver.abort_handle() })
     }
 
-    /// Tells whether the connection can take a request now.
+    /// Returns whether the connection can take a request now.
     pub(super) fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
 
-    /// Waits until the connection can take a request; `false` if it closes instead.
+    /// Waits until the connection can take a request; returns `false` if it is closed instead.
     pub(super) async fn ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and waits for the answer's head.
+    /// Sends a request and waits for the head of the response.
     ///
-    /// The client hands the request back only if it never began to write it, which is the proof
-    /// behind [`SendError::NotSent`].
+    /// `hyper` returns the request with the error only if it has written no byte of it, which
+    /// justifies [`SendError::NotSent`].
     pub(super) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
--- a/crates/geraniumpost-outside/src/http/full_response.rs
+++ b/crates/geraniumpost-outside/src/http/full_response.rs
@@ -1,13 +1,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
-/// A whole answer as it came.
+/// A complete HTTP response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FullResponse {
-    /// Status of the answer.
+    /// Status code.
     pub status: StatusCode,
-    /// Its headers.
+    /// Headers, including those of the connection.
     pub headers: HeaderMap,
-    /// Its whole body.
+    /// Complete body.
     pub body: Bytes,
 }
--- a/crates/geraniumpost-outside/src/http/incoming_response.rs
+++ b/crates/geraniumpost-outside/src/http/incoming_response.rs
@@ -9,41 +9,43 @@
 use super::read_response::read_response;
 use super::{Client, FullResponse, SendError};
 
-/// An exchange whose answer has begun to arrive; dropping it closes its connection.
+/// A response whose body is still arriving. Dropping this value closes the connection.
 #[derive(Debug)]
 pub struct IncomingResponse<'a> {
     pub(super) client: &'a Client,
     pub(super) method: Method,
     pub(super) connection: Connection,
-    pub(super) answer: Response<Incoming>,
-    pub(super) _turn: SemaphorePermit<'a>,
+    pub(super) response: Response<Incoming>,
+    pub(super) _permit: SemaphorePermit<'a>,
 }
 
 impl IncomingResponse<'_> {
-    /// Returns the status of the answer.
+    /// Returns the status code.
     pub fn status(&self) -> StatusCode {
-        self.answer.status()
+        self.response.status()
     }
 
-    /// Returns the length of the body in bytes, if the answer states it.
+    /// Returns the value of the `Content-Length` header in bytes, if it is present and valid.
     pub fn content_length(&self) -> Option<usize> {
-        let length = self.answer.headers().get(CONTENT_LENGTH)?;
+        let length = self.response.headers().get(CONTENT_LENGTH)?;
         length.to_str().ok()?.parse().ok()
     }
 
-    /// Reads the rest, however long that takes, unless nothing arrives for `silence`.
+    /// Receives the rest of the body. Only the time without new bytes is limited, not the duration
+    /// of the transfer.
     ///
     /// # Errors
     ///
-    /// Fails like [`Client::exchange`].
-    pub async fn receive(self, silence: Duration) -> Result<FullResponse, SendError> {
-        let Self { client, method, mut connection, answer, _turn } = self;
-        let whole = read_response(&method, answer, client.most_answer, silence).await?;
-        // Reuse follows only on a whole answer; after anything else the connection is closed, lest
-        // the rest of one answer be taken for the beginning of another.
-        if tokio::time::timeout(silence, connection.ready()).await == Ok(true) {
-            client.keep(connection);
+    /// Fails if no bytes arrive for `idle_timeout`, or if the response is truncated or too large.
+    pub async fn receive(self, idle_timeout: Duration) -> Result<FullResponse, SendError> {
+        let Self { client, method, mut connection, response, _permit } = self;
+        let full =
+            read_response(&method, response, client.max_response_bytes, idle_timeout).await?;
+        // A connection is reused only after a complete response. In all other cases it is closed,
+        // since the rest of the response would be read as the start of the next one.
+        if tokio::time::timeout(idle_timeout, connection.ready()).await == Ok(true) {
+            client.keep_idle(connection);
         }
-        Ok(whole)
+        Ok(full)
     }
 }
--- a/crates/geraniumpost-outside/src/http/mod.rs
+++ b/crates/geraniumpost-outside/src/http/mod.rs
@@ -1,4 +1,5 @@
-//! HTTP/1.1 client with a bounded number of connections that tells sent from unsent requests.
+//! HTTP/1.1 client with a limited number of connections, whose errors tell whether a request was
+//! sent.
 
 mod client;
 mod connection;
--- a/crates/geraniumpost-outside/src/http/read_response.rs
+++ b/crates/geraniumpost-outside/src/http/read_response.rs
@@ -8,23 +8,23 @@
 
 use super::{FullResponse, SendError};
 
-/// Reads an answer to its end and makes sure that it is whole.
+/// Reads a response to its end and ensures that it is complete.
 ///
-/// A body that only ends with its connection looks the same whether it is whole or cut off. A
-/// caller would take half an answer for all of it, so such an answer counts as cut short.
+/// A body that is delimited only by the end of the connection looks the same whether it is complete
+/// or truncated, so such a response counts as truncated.
 pub(super) async fn read_response(
     method: &Method,
-    answer: Response<Incoming>,
-    most: usize,
-    silence: Duration,
+    response: Response<Incoming>,
+    max_bytes: usize,
+    idle_timeout: Duration,
 ) -> Result<FullResponse, SendError> {
-    let (head, body) = answer.into_parts();
-    let framed =
+    let (head, body) = response.into_parts();
+    let has_length =
         head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-    if !framed && may_have_body(method, head.status) {
-        return Err(SendError::Truncated("the answer states no length".to_owned()));
+    if !has_length && may_have_body(method, head.status) {
+        return Err(SendError::Truncated("the response has no length".to_owned()));
     }
-    let body = read(body, most, silence).await?;
+    let body = read_body(body, max_bytes, idle_timeout).await?;
     Ok(FullResponse { status: head.status, headers: head.headers, body })
 }
 
@@ -35,20 +35,24 @@
         && status != StatusCode::NOT_MODIFIED
 }
 
-/// Reads a body of at most `most` bytes, as long as something arrives within each `silence`.
-async fn read(mut body: Incoming, most: usize, silence: Duration) -> Result<Bytes, SendError> {
-    let declared = body.size_hint().lower().min(most as u64);
-    let mut whole = BytesMut::with_capacity(declared as usize);
+/// Reads a body of at most `max_bytes`; fails if nothing arrives for `idle_timeout`.
+async fn read_body(
+    mut body: Incoming,
+    max_bytes: usize,
+    idle_timeout: Duration,
+) -> Result<Bytes, SendError> {
+    let declared = body.size_hint().lower().min(max_bytes as u64);
+    let mut buf = BytesMut::with_capacity(declared as usize);
     loop {
-        let frame = tokio::time::timeout(silence, body.frame()).await;
+        let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
         let Some(frame) = frame.map_err(|_| SendError::TimedOut)? else {
-            return Ok(whole.freeze());
+            return Ok(buf.freeze());
         };
         let frame = frame.map_err(|e| SendError::Truncated(e.to_string()))?;
         let Ok(data) = frame.into_data() else { continue };
-        if whole.len() + data.len() > most {
-            return Err(SendError::TooLarge(most));
+        if buf.len() + data.len() > max_bytes {
+            return Err(SendError::TooLarge(max_bytes));
         }
-        whole.extend_from_slice(&data);
+        buf.extend_from_slice(&data);
     }
 }
--- a/crates/geraniumpost-outside/src/lib.rs
+++ b/crates/geraniumpost-outside/src/lib.rs
@@ -1,8 +1,8 @@
-//! Adapters to the platform: key-value service, workers and minions.
+//! Adapters to external systems: the key-value service, workers and minions.
 //!
-//! One module per outside system, so that another protocol is one module's change. Every error
-//! tells whether the call certainly had no effect, because on that word others are started anew.
-//! See `docs/design/0501-platform-adapters.md`.
+//! Each system has its own module, so that a change of its protocol affects only that module. Every
+//! error tells whether the call certainly had no effect, because only then may a request or task be
+//! started elsewhere. See `docs/design/0501-platform-adapters.md`.
 
 pub mod http;
 pub mod minion;
--- a/crates/geraniumpost-outside/src/minion/answer.rs
+++ b/crates/geraniumpost-outside/src/minion/answer.rs
@@ -1,13 +1,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
-/// A minion's whole answer.
+/// A complete response of a minion.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
-    /// Its status.
+    /// Status code.
     pub status: StatusCode,
-    /// Its headers without those that concern only the connection.
+    /// Headers, without those that apply only to the connection.
     pub headers: HeaderMap,
-    /// Its body, as long as the minion said.
+    /// Complete body.
     pub body: Bytes,
 }
--- a/crates/geraniumpost-outside/src/minion/hop_by_hop.rs
+++ b/crates/geraniumpost-outside/src/minion/hop_by_hop.rs
@@ -1,7 +1,7 @@
 use http::HeaderMap;
 use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName};
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+/// Headers that apply to one connection only (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
     "keep-alive",
@@ -13,10 +13,11 @@
     "upgrade",
 ];
 
-/// Removes headers that must not be passed on to the next connection.
+/// Removes headers that must not be forwarded, including those that `Connection` names.
 ///
-/// A `Connection: close` or `Transfer-Encoding` passed on would make the next hop read the body in
-/// the wrong way. Length, host and `Expect` are set anew by whoever sends.
+/// A forwarded `Transfer-Encoding` would make the next hop misread the body, and a forwarded
+/// `Connection: close` would close its connection. The sender of the next hop sets length, host and
+/// `Expect` itself.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
--- a/crates/geraniumpost-outside/src/minion/minion_error.rs
+++ b/crates/geraniumpost-outside/src/minion/minion_error.rs
@@ -2,28 +2,29 @@
 
 use crate::http::SendError;
 
-/// Why a minion gave no whole answer.
+/// Why a request to a minion did not get a complete response.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub enum MinionError {
-    /// No byte of the request was written, so it certainly did not run.
+    /// No byte of the request was sent, so it certainly did not run.
     #[display("not sent to the minion: {_0}")]
     NotSent(#[error(not(source))] String),
-    /// The connection broke after the request was sent; it may have run.
-    #[display("the minion broke off: {_0}")]
+    /// The connection failed after the request may have arrived; it may have run.
+    #[display("connection to the minion failed: {_0}")]
     Failed(#[error(not(source))] String),
-    /// The answer was cut short or cannot be shown to be whole; the request ran.
-    #[display("the minion's answer is not whole: {_0}")]
+    /// The response is truncated or has no length by which it could be shown to be complete; the
+    /// request ran.
+    #[display("response of the minion truncated: {_0}")]
     Truncated(#[error(not(source))] String),
-    /// The answer is larger than allowed; the request ran.
-    #[display("the minion's answer is larger than {_0} bytes")]
+    /// The body of the response exceeds the limit in bytes; the request ran.
+    #[display("response of the minion larger than {_0} bytes")]
     TooLarge(#[error(not(source))] usize),
-    /// The time was over after sending; the request may have run and may still be running.
-    #[display("the minion did not answer in time")]
+    /// The timeout expired after the request may have arrived; it may have run or still be running.
+    #[display("the minion did not respond in time")]
     TimedOut,
 }
 
 impl MinionError {
-    /// Tells whether the request certainly did not run.
+    /// Returns whether the request certainly did not run.
     pub const fn did_not_run(&self) -> bool {
         matches!(self, Self::NotSent(_))
     }
@@ -35,7 +36,7 @@
             SendError::NotSent(reason) => Self::NotSent(reason),
             SendError::Failed(reason) => Self::Failed(reason),
             SendError::Truncated(reason) => Self::Truncated(reason),
-            SendError::TooLarge(most) => Self::TooLarge(most),
+            SendError::TooLarge(max_bytes) => Self::TooLarge(max_bytes),
             SendError::TimedOut => Self::TimedOut,
         }
     }
--- a/crates/geraniumpost-outside/src/minion/mod.rs
+++ b/crates/geraniumpost-outside/src/minion/mod.rs
@@ -1,4 +1,4 @@
-//! Adapter to a minion, the back end beside an agent.
+//! Adapter to a minion, the back end of a service on the VM of an agent.
 
 mod answer;
 mod client;
--- a/crates/geraniumpost-outside/src/store/client.rs
+++ b/crates/geraniumpost-outside/src/store/client.rs
@@ -13,18 +13,18 @@
 use super::{CallResult, Expect, LeaseId, StoreCall, StoreError, Versioned, Watched};
 use crate::http::{Client, FullResponse, SendError};
 
-/// Header that binds a key to a lease.
-const LEASE: HeaderName = HeaderName::from_static("x-lease");
-/// Connections kept to the store; a watch in progress takes one.
-const CONNECTIONS: usize = 32;
-/// Largest value read; the store holds at most a megabyte.
-const MAX_VALUE: usize = 2 << 20;
-/// Time for a call unless [`Store::timeout`] sets another.
-const TIMEOUT: Duration = Duration::from_secs(2);
+/// Header with the id of the lease to which a write binds its key.
+const LEASE_HEADER: HeaderName = HeaderName::from_static("x-lease");
+/// Limit on connections to the store; each watch in progress occupies one.
+const MAX_CONNECTIONS: usize = 32;
+/// Limit on response bodies; the store accepts values of at most 1 MiB.
+const MAX_RESPONSE_BYTES: usize = 2 << 20;
+/// Timeout of a call, unless [`Store::timeout`] sets another.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Client of the platform's key-value service, cheap to clone.
 ///
-/// Every call is counted, because the platform counts them too and a watch is one.
+/// It counts its calls, a watch as one call, like the platform does.
 #[derive(derive_more::Debug, Clone)]
 pub struct Store {
     client: Arc<Client>,
@@ -34,49 +34,51 @@
     observer: Option<Observer>,
 }
 
-/// Takes note of each call, as metrics do.
+/// Function that is told of each call, for example to record metrics.
 type Observer = Arc<dyn Fn(StoreCall) + Send + Sync>;
 
 impl Store {
     /// Creates a client of the service at `address`; connections are opened when needed.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Arc::new(Client::new(address, CONNECTIONS, MAX_VALUE));
-        Self { client, calls: Arc::default(), timeout: TIMEOUT, observer: None }
+        let client = Arc::new(Client::new(address, MAX_CONNECTIONS, MAX_RESPONSE_BYTES));
+        Self { client, calls: Arc::default(), timeout: DEFAULT_TIMEOUT, observer: None }
     }
 
-    /// Sets the time after which a call fails as [`StoreError::Uncertain`]: that for all of a write, and
-    /// that in which nothing of an answer arrives for a reading, which may be long.
+    /// Sets the timeout after which a call fails with [`StoreError::Uncertain`]. For a write it
+    /// limits the whole call. For a read it limits the time until the response begins and the time
+    /// without new bytes, since the transfer of a long value may take longer.
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
         self
     }
 
-    /// Tells `observer` of each call at its end.
+    /// Sets a function that is called at the end of each call.
     #[must_use]
     pub fn observer(mut self, observer: impl Fn(StoreCall) + Send + Sync + 'static) -> Self {
         self.observer = Some(Arc::new(observer));
         self
     }
 
-    /// Returns the number of calls made through this client and its clones.
+    /// Returns the number of calls made by this client and its clones.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
     }
 
     /// Reads a key.
     pub async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
-        let exchange = self.read(&kv_path("kv", key), self.timeout).await?;
-        match exchange.status {
-            StatusCode::OK => Ok(Some(versioned(exchange)?)),
+        let response = self.read(&kv_path("kv", key), self.timeout).await?;
+        match response.status {
+            StatusCode::OK => Ok(Some(versioned(response)?)),
             StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(unexpected(&exchange)),
+            _ => Err(unexpected_status(&response)),
         }
     }
 
-    /// Writes a key if the condition holds and returns the new revision.
+    /// Writes a key if the condition holds, and returns the new revision.
     ///
-    /// Without a lease the key loses the one it may have had.
+    /// The write binds the key to `lease`; without one it also removes the binding to an earlier
+    /// lease.
     pub async fn put(
         &self,
         key: &str,
@@ -84,55 +86,55 @@
         expect: Expect,
         lease: Option<LeaseId>,
     ) -> Result<u64, StoreError> {
-        let mut req = condition(Request::put(kv_path("kv", key)), expect);
+        let mut req = with_condition(Request::put(kv_path("kv", key)), expect);
         if let Some(lease) = lease {
-            req = req.header(LEASE, u64::from(lease));
+            req = req.header(LEASE_HEADER, u64::from(lease));
         }
-        let exchange = self.call(req, value.into(), self.timeout).await?;
-        match exchange.status {
-            StatusCode::OK => revision(&exchange.headers),
-            StatusCode::PRECONDITION_FAILED => Err(conflict(&exchange)),
+        let response = self.call(req, value.into(), self.timeout).await?;
+        match response.status {
+            StatusCode::OK => revision(&response.headers),
+            StatusCode::PRECONDITION_FAILED => Err(conflict(&response)),
             StatusCode::GONE => Err(StoreError::LeaseGone),
             StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge),
-            _ => Err(unexpected(&exchange)),
+            _ => Err(unexpected_status(&response)),
         }
     }
 
-    /// Removes a key that stands at `revision`.
+    /// Removes a key if its revision is `revision`.
     pub async fn delete(&self, key: &str, revision: u64) -> Result<(), StoreError> {
         let req = Request::delete(kv_path("kv", key));
-        let req = condition(req, Expect::Revision(revision));
-        let exchange = self.call(req, Bytes::new(), self.timeout).await?;
-        match exchange.status {
+        let req = with_condition(req, Expect::Revision(revision));
+        let response = self.call(req, Bytes::new(), self.timeout).await?;
+        match response.status {
             StatusCode::NO_CONTENT => Ok(()),
             StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: None }),
-            StatusCode::PRECONDITION_FAILED => Err(conflict(&exchange)),
-            _ => Err(unexpected(&exchange)),
+            StatusCode::PRECONDITION_FAILED => Err(conflict(&response)),
+            _ => Err(unexpected_status(&response)),
         }
     }
 
-    /// Creates a lease that ends `ttl` after its last renewal.
+    /// Creates a lease that expires `ttl` after its last renewal.
     pub async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let req = Request::post(format!("/v1/leases?ttl_ms={}", ttl.as_millis()));
-        let exchange = self.call(req, Bytes::new(), self.timeout).await?;
-        let id = std::str::from_utf8(&exchange.body).ok().and_then(|text| text.parse().ok());
-        match (exchange.status, id) {
+        let response = self.call(req, Bytes::new(), self.timeout).await?;
+        let id = std::str::from_utf8(&response.body).ok().and_then(|text| text.parse().ok());
+        match (response.status, id) {
             (StatusCode::CREATED, Some::<u64>(id)) => Ok(id.into()),
             (StatusCode::CREATED, None) => {
                 Err(StoreError::Uncertain("the lease's id is missing".to_owned()))
             }
-            _ => Err(unexpected(&exchange)),
+            _ => Err(unexpected_status(&response)),
         }
     }
 
     /// Renews a lease.
     pub async fn keep_alive(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.on_lease(Method::PUT, lease).await
+        self.call_on_lease(Method::PUT, lease).await
     }
 
-    /// Ends a lease and removes the keys bound to it.
+    /// Ends a lease; the store removes the keys bound to it.
     pub async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
-        self.on_lease(Method::DELETE, lease).await
+        self.call_on_lease(Method::DELETE, lease).await
     }
 
     /// Waits at most `wait` for a change of the key after revision `after`.
@@ -144,28 +146,29 @@
     ) -> Result<Watched, StoreError> {
         let path = kv_path("watch", key);
         let path = format!("{path}?after={after}&wait_ms={}", wait.as_millis());
-        let exchange = self.read(&path, self.timeout + wait).await?;
-        match exchange.status {
-            StatusCode::OK => Ok(Watched::Written(versioned(exchange)?)),
+        let response = self.read(&path, self.timeout + wait).await?;
+        match response.status {
+            StatusCode::OK => Ok(Watched::Written(versioned(response)?)),
             StatusCode::NOT_MODIFIED => Ok(Watched::Unchanged),
             StatusCode::NOT_FOUND => {
-                Ok(Watched::Removed { revision: revision(&exchange.headers)? })
+                Ok(Watched::Removed { revision: revision(&response.headers)? })
             }
-            _ => Err(unexpected(&exchange)),
+            _ => Err(unexpected_status(&response)),
         }
     }
 
-    async fn on_lease(&self, method: Method, lease: LeaseId) -> Result<(), StoreError> {
+    async fn call_on_lease(&self, method: Method, lease: LeaseId) -> Result<(), StoreError> {
         let req = Request::builder().method(method).uri(format!("/v1/leases/{lease}"));
-        let exchange = self.call(req, Bytes::new(), self.timeout).await?;
-        match exchange.status {
+        let response = self.call(req, Bytes::new(), self.timeout).await?;
+        match response.status {
             StatusCode::NO_CONTENT => Ok(()),
             StatusCode::NOT_FOUND => Err(StoreError::LeaseGone),
-            _ => Err(unexpected(&exchange)),
+            _ => Err(unexpected_status(&response)),
         }
     }
 
-    /// Reads a page; a read has no effect, so a connection that broke is worth a second try.
+    /// Sends a GET request. If the connection fails, it is repeated once, since a read has no
+    /// effect.
     async fn read(&self, path: &str, timeout: Duration) -> Result<FullResponse, StoreError> {
         let first = self.send(Request::get(path), Bytes::new(), timeout).await;
         match first {
@@ -194,12 +197,16 @@
         let operation = operation(req.method(), req.uri().path());
         let begin = Instant::now();
         let outcome = if req.method() == Method::GET {
-            self.client.patient_exchange(req, timeout).await
+            self.client.exchange_with_idle_timeout(req, timeout).await
         } else {
             self.client.exchange(req, timeout).await
         };
         if let Some(observer) = &self.observer {
-            observer(StoreCall { operation, result: result(&outcome), duration: begin.elapsed() });
+            observer(StoreCall {
+                operation,
+                result: call_result(&outcome),
+                duration: begin.elapsed(),
+            });
         }
         outcome
     }
@@ -215,10 +222,11 @@
     }
 }
 
-/// Judges a call as [`unexpected`] does, without knowing what was asked.
-fn result(outcome: &Result<FullResponse, SendError>) -> CallResult {
+/// Classifies the outcome of a call for the observer. It does not know the call, so each 4xx status
+/// but 412 and 429 counts as [`CallResult::Ok`], such as 404 of a read.
+fn call_result(outcome: &Result<FullResponse, SendError>) -> CallResult {
     match outcome {
-        Ok(exchange) => match exchange.status {
+        Ok(response) => match response.status {
             StatusCode::PRECONDITION_FAILED => CallResult::Conflict,
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => CallResult::Refused,
             status if status.is_server_error() => CallResult::Lost,
@@ -229,36 +237,37 @@
     }
 }
 
-fn condition(req: Builder, expect: Expect) -> Builder {
+fn with_condition(req: Builder, expect: Expect) -> Builder {
     match expect {
         Expect::Absent => req.header(IF_NONE_MATCH, "*"),
         Expect::Revision(revision) => req.header(IF_MATCH, format!("\"{revision}\"")),
     }
 }
 
-fn versioned(exchange: FullResponse) -> Result<Versioned, StoreError> {
-    Ok(Versioned { revision: revision(&exchange.headers)?, value: exchange.body })
+fn versioned(response: FullResponse) -> Result<Versioned, StoreError> {
+    Ok(Versioned { revision: revision(&response.headers)?, value: response.body })
 }
 
-fn tag(headers: &HeaderMap) -> Option<u64> {
+fn etag_revision(headers: &HeaderMap) -> Option<u64> {
     headers.get(ETAG)?.to_str().ok()?.trim_matches('"').parse().ok()
 }
 
 fn revision(headers: &HeaderMap) -> Result<u64, StoreError> {
-    tag(headers).ok_or_else(|| StoreError::Uncertain("the revision is missing".to_owned()))
+    etag_revision(headers)
+        .ok_or_else(|| StoreError::Uncertain("the revision is missing".to_owned()))
 }
 
-fn conflict(exchange: &FullResponse) -> StoreError {
-    StoreError::Conflict { current: tag(&exchange.headers) }
+fn conflict(response: &FullResponse) -> StoreError {
+    StoreError::Conflict { current: etag_revision(&response.headers) }
 }
 
-/// Judges a status that no call expects.
+/// Translates a status that the call does not handle itself.
 ///
-/// The service answers 4xx and 503 without doing anything; another 5xx may come from in between,
-/// after the write duration effect.
-fn unexpected(exchange: &FullResponse) -> StoreError {
-    let reason = exchange.status.to_string();
+/// With 4xx and 503 the store states that the call had no effect. Any other 5xx may come from a
+/// proxy after the write has taken effect.
+fn unexpected_status(response: &FullResponse) -> StoreError {
+    let reason = response.status.to_string();
     let refused =
-        exchange.status.is_client_error() || exchange.status == StatusCode::SERVICE_UNAVAILABLE;
+        response.status.is_client_error() || response.status == StatusCode::SERVICE_UNAVAILABLE;
     if refused { StoreError::Refused(reason) } else { StoreError::Uncertain(reason) }
 }
--- a/crates/geraniumpost-outside/src/store/expect.rs
+++ b/crates/geraniumpost-outside/src/store/expect.rs
@@ -1,8 +1,8 @@
-/// Condition under which a write takes effect.
+/// Condition on a key under which a write takes effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Expect {
     /// The key does not exist.
     Absent,
-    /// The key's last write has this revision.
+    /// The last write of the key has this revision.
     Revision(u64),
 }
--- a/crates/geraniumpost-outside/src/store/path.rs
+++ b/crates/geraniumpost-outside/src/store/path.rs
@@ -1,8 +1,8 @@
 use std::fmt::Write;
 
-/// Writes a key as a path; everything but letters, digits and `-._~/` is percent-encoded.
+/// Returns the path of a key; all bytes but letters, digits and `-._~/` are percent-encoded.
 ///
-/// An unencoded `?` in a key would otherwise end the path, and two keys would become one.
+/// An unencoded `?` would end the path, and the request would refer to another key.
 pub(super) fn kv_path(kind: &str, key: &str) -> String {
     let mut path = format!("/v1/{kind}/");
     for byte in key.bytes() {
--- a/crates/geraniumpost-outside/src/store/store_call.rs
+++ b/crates/geraniumpost-outside/src/store/store_call.rs
@@ -2,33 +2,33 @@
 
 use derive_more::Display;
 
-/// One call of the store as an observer sees it.
+/// A finished call to the store, as passed to an observer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreCall {
     /// `get`, `put`, `delete`, `watch` or `lease`.
     pub operation: &'static str,
-    /// What became of it.
+    /// Result of the call.
     pub result: CallResult,
-    /// Time until its end.
+    /// Duration of the call.
     pub duration: Duration,
 }
 
-/// What became of a call of the store.
+/// Result of a call to the store, by which metrics count calls.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 #[display(rename_all = "lowercase")]
 pub enum CallResult {
-    /// Answered.
+    /// The store carried out the call.
     Ok,
-    /// Answered that another write came first.
+    /// The store rejected a write because its condition did not hold.
     Conflict,
-    /// Certainly without effect: not sent, or answered with a refusal.
+    /// The call certainly had no effect: it was not sent, or the store refused it.
     Refused,
-    /// May have had its effect.
+    /// There was no valid response; the call may have taken effect.
     Lost,
 }
 
 impl CallResult {
-    /// Returns whether the store has answered as it does in good health.
+    /// Returns whether the result is one that a healthy store gives.
     pub const fn is_healthy(self) -> bool {
         matches!(self, Self::Ok | Self::Conflict)
     }
--- a/crates/geraniumpost-outside/src/store/store_error.rs
+++ b/crates/geraniumpost-outside/src/store/store_error.rs
@@ -6,27 +6,27 @@
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub enum StoreError {
     /// The condition did not hold; the write had no effect.
-    #[display("another write came first, the key stands at {current:?}")]
+    #[display("write conflict: the key has revision {current:?}")]
     Conflict {
-        /// Revision at which the key stands, `None` if it does not exist.
+        /// Present revision of the key, `None` if the key does not exist.
         current: Option<u64>,
     },
-    /// The lease does not exist or no longer does; the write had no effect.
-    #[display("the lease is gone")]
+    /// The lease has expired or never existed; the call had no effect.
+    #[display("the lease does not exist")]
     LeaseGone,
-    /// The value is larger than the store holds; the write had no effect.
-    #[display("the value is larger than the store holds")]
+    /// The value exceeds the limit of the store; the write had no effect.
+    #[display("the value exceeds the limit of the store")]
     TooLarge,
     /// The call certainly had no effect; it may be repeated.
-    #[display("the store did not take the call: {_0}")]
+    #[display("the store refused or did not receive the call: {_0}")]
     Refused(#[error(not(source))] String),
-    /// The call may have had its effect; read back before anything is concluded.
-    #[display("the store's reply is missing: {_0}")]
+    /// The call may have taken effect; the caller must read the key to find out.
+    #[display("no valid response of the store: {_0}")]
     Uncertain(#[error(not(source))] String),
 }
 
 impl StoreError {
-    /// Tells whether the call certainly had no effect.
+    /// Returns whether the call certainly had no effect.
     pub const fn had_no_effect(&self) -> bool {
         !matches!(self, Self::Uncertain(_))
     }
--- a/crates/geraniumpost-outside/src/store/versioned.rs
+++ b/crates/geraniumpost-outside/src/store/versioned.rs
@@ -1,10 +1,10 @@
 use bytes::Bytes;
 
-/// A value with the revision that wrote it.
+/// A value with the revision of its last write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Versioned {
-    /// Revision of the write; it grows over all keys together.
+    /// Revision of the last write. Revisions increase with each write of any key.
     pub revision: u64,
-    /// The value.
+    /// Value.
     pub value: Bytes,
 }
--- a/crates/geraniumpost-outside/src/store/watched.rs
+++ b/crates/geraniumpost-outside/src/store/watched.rs
@@ -1,9 +1,9 @@
 use super::Versioned;
 
-/// What a watch has seen.
+/// Result of a watch on one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Watched {
-    /// Nothing changed during the wait.
+    /// The key did not change during the wait.
     Unchanged,
     /// The key was written.
     Written(Versioned),
--- a/crates/geraniumpost-outside/src/worker/client.rs
+++ b/crates/geraniumpost-outside/src/worker/client.rs
@@ -12,12 +12,12 @@
 use super::{Started, TaskOrder, WorkerError, WorkerTask};
 use crate::http::{Client, FullResponse, SendError};
 
-/// Connections kept to the worker.
-const CONNECTIONS: usize = 8;
-/// Largest list of tasks read.
-const MAX_LIST: usize = 16 << 20;
-/// Time for a call unless [`Worker::timeout`] sets another.
-const TIMEOUT: Duration = Duration::from_secs(2);
+/// Limit on connections to the worker.
+const MAX_CONNECTIONS: usize = 8;
+/// Limit on response bodies, of which the list of tasks is the largest.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Timeout of a call, unless [`Worker::timeout`] sets another.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Client of a worker's task interface, cheap to clone.
 #[derive(Debug, Clone)]
@@ -26,7 +26,7 @@
     timeout: Duration,
 }
 
-/// A start as the interface expects it.
+/// Body of a request to start a task.
 #[derive(Debug, Serialize)]
 struct StartBody<'a> {
     epoch: u64,
@@ -38,7 +38,7 @@
     checkpoint: &'a str,
 }
 
-/// A task as the interface lists it.
+/// Item of the list of tasks.
 #[derive(Debug, Deserialize)]
 struct ListedTask {
     id: Name,
@@ -50,7 +50,7 @@
     lease_left_ms: u64,
 }
 
-/// A task's state as the interface names it.
+/// State of a task in the list.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum ListedState {
@@ -62,20 +62,20 @@
 }
 
 impl Worker {
-    /// Creates a client of the interface at `address`; connections are opened when needed.
+    /// Creates a client of the worker at `address`; connections are opened when needed.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Arc::new(Client::new(address, CONNECTIONS, MAX_LIST));
-        Self { client, timeout: TIMEOUT }
+        let client = Arc::new(Client::new(address, MAX_CONNECTIONS, MAX_RESPONSE_BYTES));
+        Self { client, timeout: DEFAULT_TIMEOUT }
     }
 
-    /// Sets the time for a call, after which it fails as [`WorkerError::Uncertain`].
+    /// Sets the timeout of a call, after which it fails with [`WorkerError::Uncertain`].
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
         self
     }
 
-    /// Starts a run; repeating it with the same epoch does nothing.
+    /// Starts a run. Repeating the call with the same epoch has no effect.
     pub async fn start(&self, id: &str, order: &TaskOrder) -> Result<Started, WorkerError> {
         let body = StartBody {
             epoch: order.epoch,
@@ -87,61 +87,65 @@
             checkpoint: &order.checkpoint,
         };
         let body = serde_json::to_vec(&body).map_err(|e| WorkerError::Rejected(e.to_string()))?;
-        let exchange = self.call(Request::put(task_path(id)), body.into()).await?;
-        match exchange.status {
+        let response = self.call(Request::put(task_path(id)), body.into()).await?;
+        match response.status {
             StatusCode::CREATED => Ok(Started::New),
             StatusCode::OK => Ok(Started::AlreadyStarted),
-            _ => Err(failure(&exchange)),
+            _ => Err(failure(&response)),
         }
     }
 
-    /// Lists all tasks that the worker has not been told to forget.
+    /// Lists all tasks that were started and not yet removed with [`Self::forget`].
     pub async fn list(&self) -> Result<Vec<WorkerTask>, WorkerError> {
-        let exchange = self.call(Request::get("/v1/tasks"), Bytes::new()).await?;
-        if exchange.status != StatusCode::OK {
-            return Err(failure(&exchange));
+        let response = self.call(Request::get("/v1/tasks"), Bytes::new()).await?;
+        if response.status != StatusCode::OK {
+            return Err(failure(&response));
         }
-        let tasks: Vec<ListedTask> = serde_json::from_slice(&exchange.body)
+        let tasks: Vec<ListedTask> = serde_json::from_slice(&response.body)
             .map_err(|e| WorkerError::Uncertain(format!("the list is not as expected: {e}")))?;
         Ok(tasks.into_iter().map(Into::into).collect())
     }
 
-    /// Lets a running task's lease end `lease` from now.
+    /// Renews the lease of a running task, so that it expires after `lease`.
     pub async fn renew(&self, id: &str, lease: Duration) -> Result<(), WorkerError> {
         let path = format!("{}/renew?lease_ms={}", task_path(id), lease.as_millis());
-        self.plain(Request::post(path)).await
+        self.call_without_result(Request::post(path)).await
     }
 
-    /// Saves a running task's progress and returns the checkpoint's name.
+    /// Saves the progress of a running task, and returns the name of the checkpoint.
     pub async fn checkpoint(&self, id: &str) -> Result<Name, WorkerError> {
         let path = format!("{}/checkpoint", task_path(id));
-        let exchange = self.call(Request::post(path), Bytes::new()).await?;
-        if exchange.status != StatusCode::OK {
-            return Err(failure(&exchange));
+        let response = self.call(Request::post(path), Bytes::new()).await?;
+        if response.status != StatusCode::OK {
+            return Err(failure(&response));
         }
-        let name = std::str::from_utf8(&exchange.body);
+        let name = std::str::from_utf8(&response.body);
         let name = name.map_err(|e| WorkerError::Uncertain(e.to_string()))?;
         Ok(Name::from(name))
     }
 
-    /// Lets a running task work at `permille` thousandths of its speed.
+    /// Limits a running task to `permille` thousandths of its speed.
     pub async fn throttle(&self, id: &str, permille: u32) -> Result<(), WorkerError> {
-        self.plain(Request::post(format!("{}/throttle?permille={permille}", task_path(id)))).await
+        self.call_without_result(Request::post(format!(
+            "{}/throttle?permille={permille}",
+            task_path(id)
+        )))
+        .await
     }
 
-    /// Stops a task; one that has already ended stays as it is.
+    /// Stops a task; has no effect on a task that has ended.
     pub async fn stop(&self, id: &str) -> Result<(), WorkerError> {
-        self.plain(Request::post(format!("{}/stop", task_path(id)))).await
+        self.call_without_result(Request::post(format!("{}/stop", task_path(id)))).await
     }
 
-    /// Lets the worker forget a task that has ended.
+    /// Removes a task that has ended from the list of the worker.
     pub async fn forget(&self, id: &str) -> Result<(), WorkerError> {
-        self.plain(Request::delete(task_path(id))).await
+        self.call_without_result(Request::delete(task_path(id))).await
     }
 
-    async fn plain(&self, req: Builder) -> Result<(), WorkerError> {
-        let exchange = self.call(req, Bytes::new()).await?;
-        if exchange.status.is_success() { Ok(()) } else { Err(failure(&exchange)) }
+    async fn call_without_result(&self, req: Builder) -> Result<(), WorkerError> {
+        let response = self.call(req, Bytes::new()).await?;
+        if response.status.is_success() { Ok(()) } else { Err(failure(&response)) }
     }
 
     async fn call(&self, req: Builder, body: Bytes) -> Result<FullResponse, WorkerError> {
@@ -180,15 +184,16 @@
     format!("/v1/tasks/{id}")
 }
 
-/// Judges a status that means failure; 5xx other than 503 may come after the call took effect.
-fn failure(exchange: &FullResponse) -> WorkerError {
-    let reason = || String::from_utf8_lossy(&exchange.body).into_owned();
-    match exchange.status {
+/// Translates the status of a failed call. A 5xx status other than 503 may have been sent after the
+/// call took effect.
+fn failure(response: &FullResponse) -> WorkerError {
+    let reason = || String::from_utf8_lossy(&response.body).into_owned();
+    match response.status {
         StatusCode::NOT_FOUND => WorkerError::NoSuchTask,
         StatusCode::CONFLICT => WorkerError::WrongState,
         StatusCode::BAD_REQUEST => WorkerError::Rejected(reason()),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
-            WorkerError::Refused(exchange.status.to_string())
+            WorkerError::Refused(response.status.to_string())
         }
         other => WorkerError::Uncertain(other.to_string()),
     }
--- a/crates/geraniumpost-outside/src/worker/started.rs
+++ b/crates/geraniumpost-outside/src/worker/started.rs
@@ -1,8 +1,8 @@
-/// What a start did.
+/// Result of a successful start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Started {
     /// A new run began.
     New,
-    /// This epoch had been started before, so nothing was done.
+    /// The same epoch had been started before, so the call did nothing.
     AlreadyStarted,
 }
--- a/crates/geraniumpost-outside/src/worker/task_order.rs
+++ b/crates/geraniumpost-outside/src/worker/task_order.rs
@@ -2,17 +2,17 @@
 
 use geraniumpost_schema::{Name, Resources};
 
-/// What a worker is asked to run.
+/// Order to a worker to start one run of a task.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TaskOrder {
     /// Number of the run.
     pub epoch: u64,
-    /// Time after which the worker ends the task unless the lease is renewed.
+    /// Time after which the worker stops the task, unless the lease is renewed.
     pub lease: Duration,
     /// Declared resources.
     pub need: Resources,
-    /// The command, as the worker understands it.
+    /// Command, in the syntax of the worker.
     pub command: String,
-    /// Checkpoint to resume from, empty to start afresh.
+    /// Checkpoint to resume from, empty to start from the beginning.
     pub checkpoint: Name,
 }
--- a/crates/geraniumpost-outside/src/worker/worker_task.rs
+++ b/crates/geraniumpost-outside/src/worker/worker_task.rs
@@ -2,21 +2,21 @@
 
 use geraniumpost_schema::{Name, Resources, TaskState};
 
-/// A task as its worker reports it.
+/// A task as listed by its worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WorkerTask {
-    /// The task.
+    /// Id of the task.
     pub id: Name,
     /// Number of the run.
     pub epoch: u64,
-    /// Running, done, failed, stopped or lapsed.
+    /// State of the run.
     pub state: TaskState,
-    /// Measured usage, which lags behind.
+    /// Measured usage; the measurement lags behind.
     pub usage: Resources,
     /// Latest checkpoint, empty if none.
     pub checkpoint: Name,
-    /// Result or reason, empty while it runs.
+    /// Result, or reason of the failure; empty while the task runs.
     pub result: String,
-    /// Time left of the lease, zero once it has ended.
+    /// Remaining time of the lease; zero after the task has ended.
     pub lease_left: Duration,
 }
--- a/crates/geraniumpost-outside/tests/store.rs
+++ b/crates/geraniumpost-outside/tests/store.rs
@@ -1,4 +1,4 @@
-//! The store's adapter against the stand-in, with and without faults.
+//! Adapter to the store, tested with the stand-in store, with and without injected faults.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,32 +10,33 @@
 use geraniumpost_standin::relay::{self, Protocol, RelayFaults};
 use geraniumpost_standin::store::{StoreCounts, StoreFaults, spawn_in_process};
 
-const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
-const SHORT: Duration = Duration::from_millis(300);
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 async fn store() -> (Standin, Store) {
-    let standin = spawn_in_process(ANY, ANY).await.unwrap();
+    let standin = spawn_in_process(ANY_PORT, ANY_PORT).await.unwrap();
     let store = Store::new(standin.address());
     (standin, store)
 }
 
-async fn set(standin: &Standin, faults: StoreFaults) {
+async fn set_faults(standin: &Standin, faults: StoreFaults) {
     standin.control().set_faults(&faults).await.unwrap();
 }
 
-/// Names each case of a write while the store is out of service in some way.
+/// Defines one test for each way in which the store is out of service during a write.
 macro_rules! write_while_down {
     ($($(#[$doc:meta])* $name:ident: $down:expr => $error:pat,)*) => {$(
         $(#[$doc])*
         #[tokio::test]
         async fn $name() {
             let (standin, store) = store().await;
-            let store = store.timeout(SHORT);
+            let store = store.timeout(SHORT_TIMEOUT);
             let first = store.put("job/1", "old", Expect::Absent, None).await.unwrap();
-            set(&standin, StoreFaults { down: $down, ..StoreFaults::default() }).await;
+            set_faults(&standin, StoreFaults { down: $down, ..StoreFaults::default() }).await;
             let result = store.put("job/1", "new", Expect::Revision(first), None).await;
             assert_matches!(result, Err($error));
-            set(&standin, StoreFaults::default()).await;
+            set_faults(&standin, StoreFaults::default()).await;
             let value = store.get("job/1").await.unwrap().unwrap().value;
             assert_eq!(value, "old");
         }
@@ -43,13 +44,14 @@
 }
 
 write_while_down! {
-    /// The store's process is gone and its port refuses connections. Nothing can have been
-    /// written, and an operator's change may be repeated at once.
+    /// Guards against a refused connection that is taken for a possible write: the store process is
+    /// down, so an operator's change may be repeated at once.
     write_to_a_refused_port_had_no_effect: Down::Refuse => StoreError::Refused(_),
-    /// The store says that it is not available. It has not written, and says so.
+    /// Guards against status 503 that is taken for a possible write; the store sends it only for
+    /// calls without effect.
     write_answered_unavailable_had_no_effect: Down::Unavailable => StoreError::Refused(_),
-    /// The store takes the request and never answers. The write may be under way, so an operator
-    /// must not be told that it failed.
+    /// Guards against a timeout that is reported to the operator as a failed write; the write may
+    /// still take effect.
     write_never_answered_is_uncertain: Down::Hang => StoreError::Uncertain(_),
 }
 
@@ -63,7 +65,7 @@
 }
 
 #[tokio::test]
-async fn keys_with_odd_characters_stay_apart() {
+async fn keys_with_reserved_characters_stay_distinct() {
     let (_standin, store) = store().await;
     store.put("claim/a?b", "1", Expect::Absent, None).await.unwrap();
     store.put("claim/a", "2", Expect::Absent, None).await.unwrap();
@@ -71,23 +73,23 @@
     assert_eq!(store.get("claim/a").await.unwrap().unwrap().value, "2");
 }
 
-/// Two operators change the same setting at once. The second one's write must lose and must say
-/// at which revision the setting stands now, or the first one's change would vanish unseen.
+/// Guards against a lost update when two operators change the same setting: the second write must
+/// fail and return the present revision.
 #[tokio::test]
-async fn second_of_two_writers_loses_and_sees_the_first() {
+async fn second_of_two_writes_conflicts_with_the_first() {
     let (_standin, store) = store().await;
     let base = store.put("config", "a", Expect::Absent, None).await.unwrap();
-    let won = store.put("config", "b", Expect::Revision(base), None).await.unwrap();
+    let current = store.put("config", "b", Expect::Revision(base), None).await.unwrap();
     let lost = store.put("config", "c", Expect::Revision(base), None).await;
-    assert_eq!(lost, Err(StoreError::Conflict { current: Some(won) }));
+    assert_eq!(lost, Err(StoreError::Conflict { current: Some(current) }));
     let absent = store.put("config", "d", Expect::Absent, None).await;
-    assert_eq!(absent, Err(StoreError::Conflict { current: Some(won) }));
-    let missing = store.put("other", "e", Expect::Revision(won), None).await;
+    assert_eq!(absent, Err(StoreError::Conflict { current: Some(current) }));
+    let missing = store.put("other", "e", Expect::Revision(current), None).await;
     assert_eq!(missing, Err(StoreError::Conflict { current: None }));
 }
 
 #[tokio::test]
-async fn removal_needs_the_current_revision() {
+async fn removal_requires_the_current_revision() {
     let (_standin, store) = store().await;
     let first = store.put("job/1", "a", Expect::Absent, None).await.unwrap();
     let second = store.put("job/1", "b", Expect::Revision(first), None).await.unwrap();
@@ -98,25 +100,26 @@
     assert_eq!(store.delete("job/1", second).await, Err(StoreError::Conflict { current: None }));
 }
 
-/// The write takes effect and its reply is lost. Were this taken for a failure, an operator's
-/// accepted change would be reported as rejected while it is in force everywhere.
+/// Guards against a lost reply that is taken for a failed write. An operator's change would be
+/// reported as rejected while it is in force everywhere.
 #[tokio::test]
-async fn lost_reply_is_uncertain_and_the_write_is_there() {
+async fn write_with_a_lost_reply_is_uncertain_and_took_effect() {
     let (standin, store) = store().await;
-    set(&standin, StoreFaults { lose_replies: 1, ..StoreFaults::default() }).await;
+    set_faults(&standin, StoreFaults { lose_replies: 1, ..StoreFaults::default() }).await;
     let lost = store.put("config", "a", Expect::Absent, None).await;
     assert_matches!(lost, Err(e @ StoreError::Uncertain(_)) if !e.had_no_effect());
     assert_eq!(store.get("config").await.unwrap().unwrap().value, "a");
     assert_eq!(standin.control().read::<StoreCounts>("counts").await.unwrap().lost_replies, 1);
 }
 
-/// The same seed must lose the same replies, or a failure seen once could not be replayed.
+/// Guards against failures that cannot be reproduced: the same seed must lose the same replies.
 #[tokio::test]
-async fn replies_lost_by_chance_follow_the_seed() {
+async fn randomly_lost_replies_are_determined_by_the_seed() {
     let mut patterns = Vec::new();
     for _ in 0..2 {
         let (standin, store) = store().await;
-        set(&standin, StoreFaults { lose_permille: 400, seed: 7, ..StoreFaults::default() }).await;
+        set_faults(&standin, StoreFaults { lose_permille: 400, seed: 7, ..StoreFaults::default() })
+            .await;
         let mut lost = Vec::new();
         for n in 0..40 {
             let put = store.put(&format!("k/{n}"), "v", Expect::Absent, None).await;
@@ -129,11 +132,12 @@
     assert!((5..35).contains(&lost), "{lost} of 40 lost");
 }
 
-/// The platform limits the rate of writes. What is over it was not written and can be sent later.
+/// Guards against a write over the platform's rate limit that is taken for a possible write; it had
+/// no effect and may be repeated later.
 #[tokio::test]
 async fn write_over_the_rate_limit_had_no_effect() {
     let (standin, store) = store().await;
-    set(&standin, StoreFaults { writes_per_second: 2, ..StoreFaults::default() }).await;
+    set_faults(&standin, StoreFaults { writes_per_second: 2, ..StoreFaults::default() }).await;
     for key in ["a", "b"] {
         store.put(key, "v", Expect::Absent, None).await.unwrap();
     }
@@ -142,21 +146,21 @@
     assert_eq!(store.get("c").await, Ok(None));
 }
 
-/// The store restarts and all kept connections end while nobody looks. The next call must go over
-/// a new connection, or each restart would turn a write into an uncertain one.
+/// Guards against writes on idle connections that the store closed when it restarted. Each restart
+/// would leave the outcome of a write uncertain.
 #[tokio::test]
 async fn connection_closed_while_idle_is_replaced() {
     let (standin, store) = store().await;
     for round in 0..10 {
         let key = format!("k/{round}");
         store.put(&key, "v", Expect::Absent, None).await.unwrap();
-        set(&standin, StoreFaults { down: Down::Close, ..StoreFaults::default() }).await;
-        set(&standin, StoreFaults::default()).await;
+        set_faults(&standin, StoreFaults { down: Down::Close, ..StoreFaults::default() }).await;
+        set_faults(&standin, StoreFaults::default()).await;
         wait_for_close().await;
     }
 }
 
-/// The client's connection task must have run once after the close.
+/// Waits until the tasks that drive the connections have noticed that they are closed.
 async fn wait_for_close() {
     tokio::time::sleep(Duration::from_millis(50)).await;
 }
@@ -171,10 +175,10 @@
     assert_eq!(over, Err(StoreError::TooLarge));
 }
 
-/// A planner is paused for longer than its lease. Its key must be gone, and what it still writes
-/// under the lapsed lease must fail, or two planners would act at once.
+/// Guards against two planners at once: after a planner is paused for longer than its lease, its
+/// key must be removed and its writes with the expired lease must fail.
 #[tokio::test]
-async fn lapsed_lease_takes_its_keys_along() {
+async fn expired_lease_removes_its_keys() {
     let (_standin, store) = store().await;
     let lease = store.grant(Duration::from_millis(100)).await.unwrap();
     let revision = store.put("planner", "p", Expect::Absent, Some(lease)).await.unwrap();
@@ -200,7 +204,7 @@
 }
 
 #[tokio::test]
-async fn watch_sees_a_change_or_none() {
+async fn watch_returns_at_a_change_or_after_the_wait() {
     let (_standin, store) = store().await;
     let first = store.put("config", "a", Expect::Absent, None).await.unwrap();
     let none = store.watch("config", first, Duration::from_millis(50)).await;
@@ -229,42 +233,45 @@
     assert_eq!((counts.put, counts.conflicts, counts.watch, counts.writes()), (2, 1, 1, 5));
 }
 
-/// Guards against a limit on the whole transfer of a value: over a slow link a long one would be begun
-/// again from its first byte for ever.
+/// Guards against a timeout of the whole transfer: on a slow link, each attempt to read a long
+/// value would start again from the first byte and time out.
 #[tokio::test]
 async fn long_value_is_read_over_a_slow_link() {
     let (standin, direct) = store().await;
     direct.put("jobs", vec![b'x'; 200_000], Expect::Absent, None).await.unwrap();
-    let link = relay::spawn_in_process(ANY, ANY, Protocol::Tcp, standin.address()).await.unwrap();
-    // The value takes 0.7 s.
+    let link = relay::spawn_in_process(ANY_PORT, ANY_PORT, Protocol::Tcp, standin.address())
+        .await
+        .unwrap();
+    // The transfer takes 0.7 s, longer than the timeout.
     let faults = RelayFaults { back_bytes_per_s: 300_000, ..RelayFaults::default() };
     link.control().set_faults(&faults).await.unwrap();
-    let slow = Store::new(link.address()).timeout(SHORT);
+    let slow = Store::new(link.address()).timeout(SHORT_TIMEOUT);
     let read = slow.get("jobs").await.unwrap().expect("it was written");
     assert_eq!(read.value.len(), 200_000);
-    let watched = slow.watch("jobs", 0, SHORT).await.unwrap();
+    let watched = slow.watch("jobs", 0, SHORT_TIMEOUT).await.unwrap();
     assert_matches!(watched, Watched::Written(read) if read.value.len() == 200_000);
 }
 
-/// Metrics are made from what the observer is told; an outage must not look like health.
+/// Guards against metrics that show a healthy store during an outage; they count the calls that the
+/// observer gets.
 #[tokio::test]
-async fn every_call_is_told_to_the_observer() {
+async fn observer_gets_every_call_with_its_result() {
     let (standin, store) = store().await;
-    let told = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
-    let notes = std::sync::Arc::clone(&told);
-    let store = store.timeout(SHORT).observer(move |call| {
-        notes.lock().unwrap().push((call.operation, call.result.to_string()));
+    let observed = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+    let recorded = std::sync::Arc::clone(&observed);
+    let store = store.timeout(SHORT_TIMEOUT).observer(move |call| {
+        recorded.lock().unwrap().push((call.operation, call.result.to_string()));
     });
     store.put("a", "1", Expect::Absent, None).await.unwrap();
     store.put("a", "2", Expect::Absent, None).await.unwrap_err();
     store.get("none").await.unwrap();
     store.watch("a", 9, Duration::from_millis(1)).await.unwrap();
     store.grant(Duration::from_secs(1)).await.unwrap();
-    set(&standin, StoreFaults { down: Down::Unavailable, ..StoreFaults::default() }).await;
+    set_faults(&standin, StoreFaults { down: Down::Unavailable, ..StoreFaults::default() }).await;
     store.delete("a", 1).await.unwrap_err();
-    set(&standin, StoreFaults { down: Down::Hang, ..StoreFaults::default() }).await;
+    set_faults(&standin, StoreFaults { down: Down::Hang, ..StoreFaults::default() }).await;
     store.get("a").await.unwrap_err();
-    let told: Vec<(&str, String)> = told.lock().unwrap().clone();
+    let observed: Vec<(&str, String)> = observed.lock().unwrap().clone();
     let expected = [
         ("put", "ok"),
         ("put", "conflict"),
@@ -274,5 +281,5 @@
         ("delete", "refused"),
         ("get", "lost"),
     ];
-    assert_eq!(told, expected.map(|(operation, result)| (operation, result.to_owned())));
+    assert_eq!(observed, expected.map(|(operation, result)| (operation, result.to_owned())));
 }
