refactor(config): name checks and conversions plainly and reword comments

Cause: comments spoke of files that are told by their content, of lines that stand somewhere and of values that are held against a schema; names such as over, pattern, found, place and looks_right left open what they return.

Change: comments say what each check, scan and conversion does and why; private functions are named check_, describe_ and scan_, Report::placed and Report::or are with_locations and into_result, which no other crate uses. Tests and their headings name the failure or the input. Texts of problems, meanings and remedies stay, because they appear in answers and on pages.

Conclusion: wording only; codes, texts, lines and bounds are as before.

--- a/crates/geraniumpost-config/src/any.rs
+++ b/crates/geraniumpost-config/src/any.rs
@@ -7,7 +7,7 @@
 use crate::toml_source::TomlSource;
 use crate::{Report, check_document, parse_agent, parse_entry, settings};
 
-/// A checked file of any of the three kinds.
+/// A valid file of one of the three kinds.
 #[derive(Debug, Clone, PartialEq)]
 pub enum AnyFile {
     /// Settings of an entry.
@@ -19,7 +19,7 @@
 }
 
 impl AnyFile {
-    /// Returns what the file is.
+    /// Returns the kind of the file.
     pub const fn kind(&self) -> SchemaKind {
         match self {
             Self::Entry(_) => SchemaKind::Entry,
@@ -29,28 +29,31 @@
     }
 }
 
-/// Reads and checks a file whose kind is told by its content.
+/// Reads a file, detects its kind from the content, and checks it.
 ///
-/// JSON is a document; TOML is whichever settings know more of its keys.
+/// JSON is the configuration document. A TOML file is settings of an agent if more of its top-level
+/// keys belong to the schema of agents than to that of entries, else settings of an entry.
 ///
 /// # Errors
 ///
 /// Returns every problem of the file.
 pub fn load_any(path: &Path) -> Result<AnyFile, Report> {
-    let text = settings::read(path)?;
+    let text = settings::read_file(path)?;
     let file = path.display().to_string();
-    if text.trim_start().starts_with('{') || path.extension().is_some_and(|end| end == "json") {
+    if text.trim_start().starts_with('{')
+        || path.extension().is_some_and(|extension| extension == "json")
+    {
         return check_document(&text, &file).map(AnyFile::Document);
     }
     let value = TomlSource::parse(&text, &file)?.value;
-    if known_keys(&value, SchemaKind::Agent) > known_keys(&value, SchemaKind::Entry) {
+    if count_known_keys(&value, SchemaKind::Agent) > count_known_keys(&value, SchemaKind::Entry) {
         parse_agent(&text, &file).map(AnyFile::Agent)
     } else {
         parse_entry(&text, &file).map(AnyFile::Entry)
     }
 }
 
-fn known_keys(value: &Value, kind: SchemaKind) -> usize {
+fn count_known_keys(value: &Value, kind: SchemaKind) -> usize {
     let properties = &Schema::of(kind).root()["properties"];
     let keys = value.as_object().into_iter().flatten();
     keys.filter(|(key, _)| properties.get(key.as_str()).is_some()).count()
--- a/crates/geraniumpost-config/src/code.rs
+++ b/crates/geraniumpost-config/src/code.rs
@@ -1,7 +1,7 @@
 use serde::{Serialize, Serializer};
 
-/// Defines the codes together with what each means and what to do about it, so that the table in
-/// `docs/RESULT_CODES.md` cannot list another set than the program uses.
+/// Defines the codes together with their meanings and remedies, so that the table in
+/// `docs/RESULT_CODES.md`, which is generated from them, lists exactly the codes of the program.
 macro_rules! codes {
     ($($name:ident = $number:literal, $meaning:literal, $remedy:literal;)*) => {
         /// Numbered kind of a problem in settings or in the configuration document.
@@ -73,7 +73,7 @@
         "Correct `region` in the settings or in the document.";
     ServiceUnknown = 1203, "The document does not know the service.",
         "Add the service to the document or correct the setting.";
-    ReserveOverCapacity = 1204, "A service's reserve is larger than the VM.",
+    ReserveExceedsVm = 1204, "A service's reserve is larger than the VM.",
         "Lower the reserve or correct the VM's size.";
 }
 
--- a/crates/geraniumpost-config/src/document.rs
+++ b/crates/geraniumpost-config/src/document.rs
@@ -6,16 +6,17 @@
 use crate::schema::{Schema, SchemaKind};
 use crate::{Code, Problem, Report, rules};
 
-/// Largest document in bytes of JSON.
+/// Limit on a document, in bytes of JSON.
 ///
-/// The store holds values up to a megabyte; the rest is left for the change's own record.
+/// The store accepts values of at most 1 MiB. The remaining bytes are for the metadata of the
+/// change that is stored with the document.
 pub const MAX_DOCUMENT_BYTES: usize = 850_000;
 
 /// Checks a configuration document given as JSON text.
 ///
 /// # Errors
 ///
-/// Returns every problem of the text with its line.
+/// Returns all problems of the text, with their lines.
 ///
 /// # Example
 ///
@@ -31,16 +32,16 @@
         let problem = Problem::new(Code::Syntax, "").message(format!("{error}."));
         Report::of(problem.at(file, error.line()))
     })?;
-    check_document_value(value).map_err(|report| report.placed(file, &json_lines(text)))
+    check_document_value(value).map_err(|report| report.with_locations(file, &json_lines(text)))
 }
 
-/// Checks a configuration document given as a JSON value, such as a form makes it.
+/// Checks a configuration document given as a JSON value, such as one built from a form.
 ///
 /// # Errors
 ///
-/// Returns every problem of the value; none has a line.
+/// Returns all problems of the value, without lines.
 pub fn check_document_value(mut value: Value) -> Result<Document, Report> {
-    whole_numbers(&mut value);
+    normalize_integers(&mut value);
     let mut report = Schema::of(SchemaKind::Document).check(&value);
     report.problems.extend(rules::document(&value));
     if !report.is_empty() {
@@ -49,9 +50,9 @@
     let document: Document = serde_json::from_value(value).map_err(|error| {
         Report::of(Problem::new(Code::WrongType, "").message(format!("{error}.")))
     })?;
-    let size = encode_document(&document).len();
-    if size > MAX_DOCUMENT_BYTES {
-        return Err(Report::of(too_large(size)));
+    let bytes = encode_document(&document).len();
+    if bytes > MAX_DOCUMENT_BYTES {
+        return Err(Report::of(too_large(bytes)));
     }
     Ok(document)
 }
@@ -61,7 +62,7 @@
     serde_json::to_vec(document).unwrap_or_default()
 }
 
-/// Returns the hash under which a bearer token is kept.
+/// Returns the SHA-256 of a bearer token, as it is written in the document.
 ///
 /// # Example
 ///
@@ -78,13 +79,14 @@
     })
 }
 
-fn too_large(size: usize) -> Problem {
-    let message = format!("The document has {size} bytes, {MAX_DOCUMENT_BYTES} are allowed.");
+fn too_large(bytes: usize) -> Problem {
+    let message = format!("The document has {bytes} bytes, {MAX_DOCUMENT_BYTES} are allowed.");
     Problem::new(Code::TooLarge, "").message(message)
 }
 
-/// Turns `1.0` into `1`: JSON Schema counts both as integers, `serde` only the latter.
-fn whole_numbers(value: &mut Value) {
+/// Replaces floats without a fraction by integers: JSON Schema accepts `1.0` as an integer, but
+/// `serde` does not.
+fn normalize_integers(value: &mut Value) {
     match value {
         Value::Number(number) if number.is_f64() => {
             let float = number.as_f64().unwrap_or_default();
@@ -92,8 +94,8 @@
                 *value = Value::from(float as u64);
             }
         }
-        Value::Array(items) => items.iter_mut().for_each(whole_numbers),
-        Value::Object(map) => map.values_mut().for_each(whole_numbers),
+        Value::Array(items) => items.iter_mut().for_each(normalize_integers),
+        Value::Object(map) => map.values_mut().for_each(normalize_integers),
         _ => {}
     }
 }
--- a/crates/geraniumpost-config/src/json_lines.rs
+++ b/crates/geraniumpost-config/src/json_lines.rs
@@ -1,74 +1,75 @@
 use crate::Lines;
-use crate::lines::joined;
+use crate::lines::join_path;
 
-/// Finds the line of every key of a JSON text.
+/// Returns the line of every key of a JSON text.
 ///
-/// `serde_json` gives no positions of values it has read, so the text is walked once more. The
-/// text must have been accepted by `serde_json`; of any other text the result is merely incomplete.
+/// `serde_json` does not report the positions of values, so this scans the text a second time. The
+/// text must be valid JSON; for other texts the result is incomplete.
 pub(crate) fn json_lines(text: &str) -> Lines {
-    let mut scan = Scan { bytes: text.as_bytes(), at: 0, line: 1, lines: Lines::default() };
-    scan.value("");
-    scan.lines
+    let mut scanner =
+        Scanner { bytes: text.as_bytes(), position: 0, line: 1, lines: Lines::default() };
+    scanner.scan_value("");
+    scanner.lines
 }
 
-/// Position of the walk.
-struct Scan<'a> {
+/// Scanner over a JSON text that records the line of each value.
+struct Scanner<'a> {
     bytes: &'a [u8],
-    at: usize,
+    position: usize,
     line: usize,
     lines: Lines,
 }
 
-impl Scan<'_> {
-    /// Walks one value that stands at `path`.
-    fn value(&mut self, path: &str) {
-        self.skip_space();
+impl Scanner<'_> {
+    /// Scans the value at `path`.
+    fn scan_value(&mut self, path: &str) {
+        self.skip_whitespace();
         self.lines.insert(path, self.line);
         match self.peek() {
-            Some(b'{') => self.members(path),
-            Some(b'[') => self.items(path),
-            Some(b'"') => drop(self.string()),
-            _ => self.scalar(),
+            Some(b'{') => self.scan_members(path),
+            Some(b'[') => self.scan_items(path),
+            Some(b'"') => drop(self.scan_string()),
+            _ => self.scan_scalar(),
         }
     }
 
-    /// Walks the members of an object.
-    fn members(&mut self, path: &str) {
-        self.bump();
+    /// Scans the members of an object.
+    fn scan_members(&mut self, path: &str) {
+        self.advance();
         loop {
-            self.skip_space();
+            self.skip_whitespace();
             match self.peek() {
-                Some(b'"') => self.member(path),
-                Some(b',') => self.bump(),
-                Some(b'}') => return self.bump(),
+                Some(b'"') => self.scan_member(path),
+                Some(b',') => self.advance(),
+                Some(b'}') => return self.advance(),
                 _ => return,
             }
         }
     }
 
-    /// Walks one key and its value; the key's line counts, since that is where one looks.
-    fn member(&mut self, path: &str) {
+    /// Scans one key and its value, and records the line of the key for both.
+    fn scan_member(&mut self, path: &str) {
         let line = self.line;
-        let key = joined(path, &self.string());
-        self.skip_space();
+        let key = join_path(path, &self.scan_string());
+        self.skip_whitespace();
         if self.peek() == Some(b':') {
-            self.bump();
+            self.advance();
         }
-        self.value(&key);
+        self.scan_value(&key);
         self.lines.insert(key, line);
     }
 
-    /// Walks the items of an array.
-    fn items(&mut self, path: &str) {
-        self.bump();
+    /// Scans the items of an array.
+    fn scan_items(&mut self, path: &str) {
+        self.advance();
         let mut index = 0_usize;
         loop {
-            self.skip_space();
+            self.skip_whitespace();
             match self.peek() {
-                Some(b']') => return self.bump(),
-                Some(b',') => self.bump(),
+                Some(b']') => return self.advance(),
+                Some(b',') => self.advance(),
                 Some(_) => {
-                    self.value(&joined(path, &index.to_string()));
+                    self.scan_value(&join_path(path, &index.to_string()));
                     index += 1;
                 }
                 None => return,
@@ -76,44 +77,45 @@
         }
     }
 
-    /// Reads a string with its escapes undone.
-    fn string(&mut self) -> String {
-        let start = self.at;
-        self.bump();
+    /// Scans a string and returns it unescaped.
+    fn scan_string(&mut self) -> String {
+        let start = self.position;
+        self.advance();
         while let Some(byte) = self.peek() {
-            self.bump();
+            self.advance();
             match byte {
-                b'\\' => self.bump(),
+                b'\\' => self.advance(),
                 b'"' => break,
                 _ => {}
             }
         }
-        serde_json::from_slice(&self.bytes[start..self.at]).unwrap_or_default()
+        serde_json::from_slice(&self.bytes[start..self.position]).unwrap_or_default()
     }
 
-    /// Walks a number or a word; always moves on, so that broken text cannot hold it up.
-    fn scalar(&mut self) {
-        self.bump();
+    /// Scans a number or literal. Always advances, so that invalid text cannot cause an endless
+    /// loop.
+    fn scan_scalar(&mut self) {
+        self.advance();
         while self.peek().is_some_and(|byte| byte.is_ascii_alphanumeric() || b"+-.".contains(&byte))
         {
-            self.bump();
+            self.advance();
         }
     }
 
-    fn skip_space(&mut self) {
+    fn skip_whitespace(&mut self) {
         while self.peek().is_some_and(|byte| byte.is_ascii_whitespace()) {
-            self.bump();
+            self.advance();
         }
     }
 
     fn peek(&self) -> Option<u8> {
-        self.bytes.get(self.at).copied()
+        self.bytes.get(self.position).copied()
     }
 
-    fn bump(&mut self) {
+    fn advance(&mut self) {
         if let Some(byte) = self.peek() {
             self.line += usize::from(byte == b'\n');
-            self.at += 1;
+            self.position += 1;
         }
     }
 }
--- a/crates/geraniumpost-config/src/lib.rs
+++ b/crates/geraniumpost-config/src/lib.rs
@@ -1,8 +1,8 @@
-//! Checked settings and the checked configuration document.
+//! Parsing and validation of settings and of the configuration document.
 //!
-//! Every check reports all problems of a file at once, each with a numbered [`Code`], its line and
-//! what to write instead, because an operator who mends one error a run mends nothing in a hurry.
-//! The numbers are explained in `docs/RESULT_CODES.md`.
+//! Every check reports all problems of a file at once, so that an operator can correct them in one
+//! pass. Each problem has a numbered [`Code`], its line, and advice on what to write instead. The
+//! codes are listed in `docs/RESULT_CODES.md`.
 //!
 //! ```
 //! let report = geraniumpost_config::parse_agent("name = 'Agent 1'", "agent.toml").unwrap_err();
--- a/crates/geraniumpost-config/src/lines.rs
+++ b/crates/geraniumpost-config/src/lines.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 
-/// Lines at which the keys of a file stand.
+/// Line numbers of the keys of a file.
 ///
 /// # Example
 ///
@@ -16,14 +16,14 @@
 }
 
 impl Lines {
-    /// Notes that the value at `path` stands at `line`, counted from 1.
+    /// Sets the line of the value at `path`, counted from 1.
     pub fn insert(&mut self, path: impl Into<String>, line: usize) {
         self.by_path.insert(path.into(), line);
     }
 
-    /// Returns the line of `path`, or of the nearest table around it that is known.
+    /// Returns the line of `path`, or of the innermost enclosing table that has a line.
     ///
-    /// A missing key has no line of its own; the table that lacks it is where the operator writes.
+    /// A missing key has no line; the operator has to add it to the enclosing table.
     pub fn line_of(&self, path: &str) -> usize {
         let mut rest = path;
         loop {
@@ -40,11 +40,11 @@
 
 /// Returns the line of byte `offset` in `text`, counted from 1.
 pub(crate) fn line_at(text: &str, offset: usize) -> usize {
-    let upto = offset.min(text.len());
-    text.as_bytes()[..upto].split(|byte| *byte == b'\n').count()
+    let end = offset.min(text.len());
+    text.as_bytes()[..end].split(|byte| *byte == b'\n').count()
 }
 
 /// Returns the path of `key` inside `parent`.
-pub(crate) fn joined(parent: &str, key: &str) -> String {
+pub(crate) fn join_path(parent: &str, key: &str) -> String {
     if parent.is_empty() { key.to_owned() } else { format!("{parent}.{key}") }
 }
--- a/crates/geraniumpost-config/src/problem.rs
+++ b/crates/geraniumpost-config/src/problem.rs
@@ -4,7 +4,7 @@
 
 use crate::Code;
 
-/// One problem of a file, with what to write instead.
+/// A problem of a file, with advice on how to correct it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Problem {
     /// Kind of the problem.
@@ -22,7 +22,7 @@
 }
 
 impl Problem {
-    /// Creates a problem whose wording is that of its code.
+    /// Creates a problem with the general message and advice of its code.
     #[must_use]
     pub fn new(code: Code, path: impl Into<String>) -> Self {
         Self {
@@ -35,21 +35,21 @@
         }
     }
 
-    /// Says in particular what is wrong.
+    /// Sets a more specific message.
     #[must_use]
     pub fn message(mut self, message: impl Into<String>) -> Self {
         self.message = message.into();
         self
     }
 
-    /// Says in particular what to write instead.
+    /// Sets more specific advice.
     #[must_use]
     pub fn advice(mut self, advice: impl Into<String>) -> Self {
         self.advice = advice.into();
         self
     }
 
-    /// Places the problem in a file.
+    /// Sets file and line of the problem.
     #[must_use]
     pub fn at(mut self, file: &str, line: usize) -> Self {
         file.clone_into(&mut self.file);
--- a/crates/geraniumpost-config/src/reference.rs
+++ b/crates/geraniumpost-config/src/reference.rs
@@ -1,4 +1,4 @@
-//! References of settings and document as Markdown, made from the schema.
+//! Markdown reference of settings and document, generated from the schema.
 
 use std::fmt::Write as _;
 
@@ -6,7 +6,7 @@
 
 use crate::schema::{Schema, SchemaKind};
 
-/// Renders the reference of a root definition and of the tables inside it.
+/// Renders the reference of a root definition and of the tables nested in it.
 ///
 /// # Example
 ///
@@ -17,16 +17,16 @@
 pub fn reference(kind: SchemaKind) -> String {
     let schema = Schema::of(kind);
     let mut text = String::new();
-    let mut open = vec![kind.definition().to_owned()];
+    let mut pending = vec![kind.definition().to_owned()];
     let mut done = Vec::new();
-    while let Some(name) = open.pop() {
+    while let Some(name) = pending.pop() {
         if done.contains(&name) {
             continue;
         }
         let node = &schema.definitions()[&name];
         write_definition(schema, &name, node, &mut text);
-        // The last pushed is rendered first, so that tables follow in the order of their keys.
-        open.extend(inner_tables(schema, node).into_iter().rev());
+        // Reversed, because the last element is rendered next: tables follow the order of keys.
+        pending.extend(nested_tables(schema, node).into_iter().rev());
         done.push(name);
     }
     text
@@ -46,37 +46,38 @@
             (false, value) => format!("`{value}`"),
         };
         let meaning = property["description"].as_str().unwrap_or_default();
-        let value = value_of(schema, property);
+        let value = describe_value(schema, property);
         let _ = writeln!(text, "| `{key}` | {value} | {default} | {meaning} |");
     }
     text.push('\n');
 }
 
-/// Tells in a few words what a key admits.
-fn value_of(schema: &Schema, node: &Value) -> String {
+/// Describes the allowed values of a key in a few words.
+fn describe_value(schema: &Schema, node: &Value) -> String {
     let inner = schema.resolve(node);
     if let Some(choices) = inner["enum"].as_array() {
         return choices.iter().map(|choice| format!("`{choice}`")).collect::<Vec<_>>().join(", ");
     }
     match inner["type"].as_str() {
-        Some("integer") => range(inner),
+        Some("integer") => describe_range(inner),
         Some("boolean") => "`true`, `false`".to_owned(),
-        Some("array") => format!("list of {}", value_of(schema, &inner["items"])),
-        Some("object") => match definition_of(inner.get("additionalProperties").unwrap_or(inner)) {
+        Some("array") => format!("list of {}", describe_value(schema, &inner["items"])),
+        Some("object") => match definition_name(inner.get("additionalProperties").unwrap_or(inner))
+        {
             Some(name) => format!("table of `{name}` by name"),
-            None => format!("table, see `{}`", definition_of(node).unwrap_or_default()),
+            None => format!("table, see `{}`", definition_name(node).unwrap_or_default()),
         },
-        _ => text_of(inner),
+        _ => describe_text(inner),
     }
 }
 
-fn range(node: &Value) -> String {
+fn describe_range(node: &Value) -> String {
     let low = node["minimum"].as_u64().unwrap_or(0);
     let high = node["maximum"].as_u64().filter(|high| *high < u64::from(u32::MAX));
     high.map_or_else(|| format!("{low} or more"), |high| format!("{low} to {high}"))
 }
 
-fn text_of(node: &Value) -> String {
+fn describe_text(node: &Value) -> String {
     let pattern = node["pattern"].as_str().unwrap_or_default();
     if pattern.ends_with(":[0-9]{1,5}$") {
         "IP:port".to_owned()
@@ -91,16 +92,16 @@
     }
 }
 
-fn inner_tables(schema: &Schema, node: &Value) -> Vec<String> {
+fn nested_tables(schema: &Schema, node: &Value) -> Vec<String> {
     let properties = node["properties"].as_object().into_iter().flatten();
     let nodes = properties.map(|(_, property)| {
         let map = property.get("additionalProperties").filter(|inner| inner.is_object());
         map.unwrap_or(property)
     });
     let tables = nodes.filter(|node| schema.resolve(node)["properties"].is_object());
-    tables.filter_map(definition_of).map(str::to_owned).collect()
+    tables.filter_map(definition_name).map(str::to_owned).collect()
 }
 
-fn definition_of(node: &Value) -> Option<&str> {
+fn definition_name(node: &Value) -> Option<&str> {
     node["$ref"].as_str()?.strip_prefix("#/definitions/")
 }
--- a/crates/geraniumpost-config/src/report.rs
+++ b/crates/geraniumpost-config/src/report.rs
@@ -8,7 +8,7 @@
 /// All problems of one file, never empty when returned as an error.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, From, Error)]
 pub struct Report {
-    /// The problems in the order of their lines.
+    /// Problems, ordered by line.
     #[error(not(source))]
     pub problems: Vec<Problem>,
 }
@@ -20,14 +20,14 @@
         Self { problems: vec![problem] }
     }
 
-    /// Returns whether nothing is wrong.
+    /// Returns whether there are no problems.
     pub fn is_empty(&self) -> bool {
         self.problems.is_empty()
     }
 
-    /// Gives every problem its place in `file` and sorts them by line.
+    /// Sets file and line of every problem, and sorts the problems by line.
     #[must_use]
-    pub fn placed(mut self, file: &str, lines: &Lines) -> Self {
+    pub fn with_locations(mut self, file: &str, lines: &Lines) -> Self {
         for problem in &mut self.problems {
             file.clone_into(&mut problem.file);
             if problem.line == 0 {
@@ -38,8 +38,12 @@
         self
     }
 
-    /// Returns `value` if nothing is wrong.
-    pub fn or<T>(self, value: T) -> Result<T, Self> {
+    /// Returns `value` if there are no problems.
+    ///
+    /// # Errors
+    ///
+    /// Returns this report if there are problems.
+    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
         if self.is_empty() { Ok(value) } else { Err(self) }
     }
 }
--- a/crates/geraniumpost-config/src/schema.rs
+++ b/crates/geraniumpost-config/src/schema.rs
@@ -7,7 +7,7 @@
 use crate::translate::translate;
 use crate::{Problem, Report};
 
-/// Root definitions that files are held against.
+/// Kind of a file; selects the root definition by which it is validated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SchemaKind {
     /// Settings of an entry.
@@ -29,7 +29,7 @@
     }
 }
 
-/// A compiled schema with its definitions, from which forms and references are rendered too.
+/// A compiled schema with its definitions, from which also forms and references are rendered.
 #[derive(Debug)]
 pub struct Schema {
     kind: SchemaKind,
@@ -42,7 +42,7 @@
 static DOCUMENT: LazyLock<Schema> = LazyLock::new(|| Schema::compile(SchemaKind::Document));
 
 impl Schema {
-    /// Returns the schema of `kind`, compiled at its first use.
+    /// Returns the schema of `kind`. It is compiled when it is first used.
     pub fn of(kind: SchemaKind) -> &'static Self {
         match kind {
             SchemaKind::Entry => &ENTRY,
@@ -76,7 +76,7 @@
         Some(node)
     }
 
-    /// Reports every value that the schema does not allow.
+    /// Validates a value and returns all problems.
     pub(crate) fn check(&self, value: &Value) -> Report {
         let errors = self.validator.iter_errors(value);
         Report::from(errors.flat_map(|error| translate(self, &error)).collect::<Vec<Problem>>())
@@ -94,42 +94,42 @@
     }
 }
 
-/// Joins the definitions of both schema files, which refer to each other's.
+/// Returns the definitions of both schema files in one map, since they refer to each other.
 fn definitions() -> Map<String, Value> {
-    let mut joined = Map::new();
+    let mut definitions = Map::new();
     for text in [SETTINGS_SCHEMA, DOCUMENT_SCHEMA] {
         let mut file: Value = serde_json::from_str(text).expect("schema files are valid JSON");
-        bound_integers(&mut file);
-        joined.extend(file["definitions"].as_object().cloned().unwrap_or_default());
+        add_integer_maxima(&mut file);
+        definitions.extend(file["definitions"].as_object().cloned().unwrap_or_default());
     }
-    joined
+    definitions
 }
 
-/// Returns the node of the member `key`, which may be listed, one of a map or one of a list.
+/// Returns the schema of the member `key`, which may be a property, a map entry or a list item.
 fn child<'a>(node: &'a Value, key: &str) -> Option<&'a Value> {
-    let listed = node["properties"].get(key);
-    let other = node.get("additionalProperties").filter(|node| node.is_object());
-    listed.or(other).or_else(|| node.get("items"))
+    let property = node["properties"].get(key);
+    let map_entry = node.get("additionalProperties").filter(|node| node.is_object());
+    property.or(map_entry).or_else(|| node.get("items"))
 }
 
-/// Gives every integer the bounds of its Rust type.
+/// Adds a maximum to every integer of the schema: that of `u32`, or 2^53 for `u64`.
 ///
-/// The validator ignores `format`, so a number over the type's range would pass it and then fail
-/// in `serde`, whose message names neither key nor line.
-fn bound_integers(node: &mut Value) {
-    let top = match node.get("format").and_then(Value::as_str) {
+/// The validator ignores `format`. A number that exceeds the Rust type would be accepted and then
+/// fail in `serde`, whose message contains neither key nor line.
+fn add_integer_maxima(node: &mut Value) {
+    let maximum = match node.get("format").and_then(Value::as_str) {
         Some("uint32") => Some(u64::from(u32::MAX)),
         Some("uint64") => Some(1 << 53),
         _ => None,
     };
     match node {
         Value::Object(map) => {
-            if let Some(top) = top {
-                map.entry("maximum").or_insert(Value::from(top));
+            if let Some(maximum) = maximum {
+                map.entry("maximum").or_insert(Value::from(maximum));
             }
-            map.values_mut().for_each(bound_integers);
+            map.values_mut().for_each(add_integer_maxima);
         }
-        Value::Array(items) => items.iter_mut().for_each(bound_integers),
+        Value::Array(items) => items.iter_mut().for_each(add_integer_maxima),
         _ => {}
     }
 }
--- a/crates/geraniumpost-config/src/settings.rs
+++ b/crates/geraniumpost-config/src/settings.rs
@@ -14,7 +14,7 @@
 ///
 /// Returns every problem of the file.
 pub fn load_entry(path: &Path) -> Result<EntrySettings, Report> {
-    parse_entry(&read(path)?, &path.display().to_string())
+    parse_entry(&read_file(path)?, &path.display().to_string())
 }
 
 /// Reads and checks the settings of an agent.
@@ -23,10 +23,10 @@
 ///
 /// Returns every problem of the file.
 pub fn load_agent(path: &Path) -> Result<AgentSettings, Report> {
-    parse_agent(&read(path)?, &path.display().to_string())
+    parse_agent(&read_file(path)?, &path.display().to_string())
 }
 
-/// Checks the settings of an entry given as text; `file` is the name that problems bear.
+/// Checks the settings of an entry given as text. `file` is the file name in the problems.
 ///
 /// # Errors
 ///
@@ -35,7 +35,7 @@
     parse(text, file, SchemaKind::Entry, settings_rules::entry)
 }
 
-/// Checks the settings of an agent given as text; `file` is the name that problems bear.
+/// Checks the settings of an agent given as text. `file` is the file name in the problems.
 ///
 /// # Errors
 ///
@@ -44,15 +44,15 @@
     parse(text, file, SchemaKind::Agent, settings_rules::agent)
 }
 
-pub(crate) fn read(path: &Path) -> Result<String, Report> {
+pub(crate) fn read_file(path: &Path) -> Result<String, Report> {
     std::fs::read_to_string(path).map_err(|error| {
         let problem = Problem::new(Code::Unreadable, "").message(format!("{error}."));
         Report::of(problem.at(&path.display().to_string(), 0))
     })
 }
 
-/// Checks by the schema first and by the rules between keys as far as the keys are readable, so
-/// that one wrong key does not hide the others.
+/// Checks by the schema, and also by the rules between keys for all keys of the expected type, so
+/// that one invalid key does not hide further problems.
 fn parse<T: DeserializeOwned>(
     text: &str,
     file: &str,
@@ -71,5 +71,5 @@
             }
         }
     }
-    Err(report.placed(file, &source.lines))
+    Err(report.with_locations(file, &source.lines))
 }
--- a/crates/geraniumpost-config/src/toml_source.rs
+++ b/crates/geraniumpost-config/src/toml_source.rs
@@ -3,55 +3,55 @@
 use serde_json::{Map, Value};
 use toml::de::{DeArray, DeTable, DeValue};
 
-use crate::lines::{joined, line_at};
+use crate::lines::{join_path, line_at};
 use crate::{Code, Lines, Problem, Report};
 
-/// A TOML text as the plain value that the schema is held against, with its lines.
+/// A TOML text, converted to a JSON value for validation by the schema, with the lines of its keys.
 pub(crate) struct TomlSource {
     pub(crate) value: Value,
     pub(crate) lines: Lines,
 }
 
 impl TomlSource {
-    /// Reads a TOML text.
+    /// Parses a TOML text.
     ///
     /// # Errors
     ///
-    /// Reports every line that is not TOML. The keys are not looked at then, since what a broken
-    /// line was to say is not known, and a key taken for missing would only mislead.
+    /// Returns a problem for each line that is not valid TOML. The keys are not checked in this
+    /// case: a key on an invalid line would be reported as missing, which is misleading.
     pub(crate) fn parse(text: &str, file: &str) -> Result<Self, Report> {
         let (table, errors) = DeTable::parse_recoverable(text);
         let mut problems: Vec<Problem> =
-            errors.iter().map(|error| syntax(text, file, error)).collect();
+            errors.iter().map(|error| syntax_problem(text, file, error)).collect();
         problems.sort_by_key(|problem| problem.line);
         problems.dedup_by_key(|problem| problem.line);
-        Report::from(problems).or(())?;
-        let mut reader = Reader { text, lines: Lines::default() };
-        reader.lines.insert("", 1);
-        let value = reader.table(table.get_ref(), "");
-        Ok(Self { value, lines: reader.lines })
+        Report::from(problems).into_result(())?;
+        let mut converter = Converter { text, lines: Lines::default() };
+        converter.lines.insert("", 1);
+        let value = converter.table(table.get_ref(), "");
+        Ok(Self { value, lines: converter.lines })
     }
 }
 
-fn syntax(text: &str, file: &str, error: &toml::de::Error) -> Problem {
+fn syntax_problem(text: &str, file: &str, error: &toml::de::Error) -> Problem {
     let line = error.span().map_or(1, |span| line_at(text, span.start));
     let message = error.message().replace('\n', ", ");
     Problem::new(Code::Syntax, "").message(format!("Not TOML: {message}.")).at(file, line)
 }
 
-/// Collects lines while it turns TOML into JSON.
-struct Reader<'a> {
+/// Converts TOML to JSON and collects the lines of the keys.
+struct Converter<'a> {
     text: &'a str,
     lines: Lines,
 }
 
-impl Reader<'_> {
+impl Converter<'_> {
     fn table(&mut self, table: &DeTable<'_>, path: &str) -> Value {
         let mut map = Map::new();
         for (key, value) in table {
-            let inner = joined(path, key.get_ref());
-            self.note(&inner, key.span());
-            map.insert(key.get_ref().to_string(), self.value(value.get_ref(), &inner));
+            let item_path = join_path(path, key.get_ref());
+            self.record_line(&item_path, key.span());
+            map.insert(key.get_ref().to_string(), self.value(value.get_ref(), &item_path));
         }
         Value::Object(map)
     }
@@ -60,7 +60,7 @@
         match value {
             DeValue::String(text) => Value::from(text.as_ref()),
             DeValue::Integer(number) => {
-                // A number too large for its type stays a text, which the schema reports.
+                // A number that exceeds i64 becomes a string, which the schema reports.
                 let read = i64::from_str_radix(number.as_str(), number.radix());
                 read.map_or_else(|_| Value::from(number.as_str()), Value::from)
             }
@@ -74,14 +74,14 @@
 
     fn array(&mut self, array: &DeArray<'_>, path: &str) -> Value {
         let items = array.iter().enumerate().map(|(index, item)| {
-            let inner = joined(path, &index.to_string());
-            self.note(&inner, item.span());
-            self.value(item.get_ref(), &inner)
+            let item_path = join_path(path, &index.to_string());
+            self.record_line(&item_path, item.span());
+            self.value(item.get_ref(), &item_path)
         });
         Value::Array(items.collect())
     }
 
-    fn note(&mut self, path: &str, span: Range<usize>) {
+    fn record_line(&mut self, path: &str, span: Range<usize>) {
         self.lines.insert(path, line_at(self.text, span.start));
     }
 }
--- a/crates/geraniumpost-config/src/translate.rs
+++ b/crates/geraniumpost-config/src/translate.rs
@@ -2,18 +2,18 @@
 use jsonschema::error::ValidationErrorKind as Kind;
 use serde_json::Value;
 
-use crate::lines::joined;
+use crate::lines::join_path;
 use crate::{Code, Problem, Schema};
 
-/// Least likeness of two keys at which one is suggested for the other.
-const ALIKE: f64 = 0.75;
+/// Minimum Jaro-Winkler similarity at which a known key is suggested for an unknown one.
+const MIN_SIMILARITY: f64 = 0.75;
 
-/// Turns one finding of the validator into problems an operator can act on.
+/// Translates an error of the validator into problems for operators.
 ///
-/// The validator's own messages quote the offending value, which may be a secret, and speak of
-/// schema keywords; neither belongs on an operator's screen.
+/// The messages of the validator are not shown, because they quote the invalid value, which may be
+/// a secret, and refer to keywords of the schema.
 pub(crate) fn translate(schema: &Schema, error: &ValidationError<'_>) -> Vec<Problem> {
-    let path = dotted(error.instance_path().as_str());
+    let path = dotted_path(error.instance_path().as_str());
     let node = schema.node_at(error.instance_path().as_str()).unwrap_or(&Value::Null);
     let value = error.instance().as_ref();
     match error.kind() {
@@ -23,10 +23,10 @@
         Kind::Required { property } => vec![missing_key(schema, node, &path, property)],
         Kind::Type { .. } => vec![wrong_type(node, &path, value)],
         Kind::Enum { options } => vec![not_a_choice(&path, options)],
-        Kind::Pattern { .. } => vec![pattern(node, &path, value)],
+        Kind::Pattern { .. } => vec![pattern_mismatch(node, &path, value)],
         Kind::PropertyNames { error } => {
             let name = error.instance().as_str().unwrap_or_default();
-            vec![not_a_label(joined(&path, name), name)]
+            vec![not_a_label(join_path(&path, name), name)]
         }
         Kind::MinLength { .. } => vec![Problem::new(Code::TooShort, path)],
         Kind::MinItems { limit } => {
@@ -38,8 +38,8 @@
     }
 }
 
-/// Turns a JSON pointer into keys joined by dots.
-pub(crate) fn dotted(pointer: &str) -> String {
+/// Converts a JSON pointer to keys joined by dots.
+pub(crate) fn dotted_path(pointer: &str) -> String {
     let keys = pointer.split('/').skip(1);
     let plain = keys.map(|key| key.replace("~1", "/").replace("~0", "~"));
     plain.collect::<Vec<_>>().join(".")
@@ -48,44 +48,45 @@
 fn unknown_key(node: &Value, path: &str, key: &str) -> Problem {
     let known = node["properties"].as_object();
     let names: Vec<&str> = known.into_iter().flatten().map(|(name, _)| name.as_str()).collect();
-    let advice = match nearest(key, &names) {
+    let advice = match most_similar(key, &names) {
         Some(name) => format!("Did you mean `{name}`?"),
-        None => format!("Remove it; known here are {}.", listed(names.iter().copied())),
+        None => format!("Remove it; known here are {}.", quote_names(names.iter().copied())),
     };
     let message = format!("The key `{key}` is not known.");
-    Problem::new(Code::UnknownKey, joined(path, key)).message(message).advice(advice)
+    Problem::new(Code::UnknownKey, join_path(path, key)).message(message).advice(advice)
 }
 
-/// Returns the known key most like `key`, a prefix shared up to the unit counting as very like.
-fn nearest<'a>(key: &str, names: &[&'a str]) -> Option<&'a str> {
+/// Returns the known key that is most similar to `key`, if it is similar enough. The Jaro-Winkler
+/// similarity favours a common prefix, as of keys that differ only in the unit.
+fn most_similar<'a>(key: &str, names: &[&'a str]) -> Option<&'a str> {
     let score = |name: &&str| strsim::jaro_winkler(key, name);
     let best = names.iter().copied().max_by(|a, b| score(a).total_cmp(&score(b)))?;
-    (score(&best) >= ALIKE).then_some(best)
+    (score(&best) >= MIN_SIMILARITY).then_some(best)
 }
 
 fn missing_key(schema: &Schema, node: &Value, path: &str, property: &Value) -> Problem {
     let key = property.as_str().unwrap_or_default();
     let meaning = node["properties"][key]["description"].as_str();
-    let kind = kind_of(schema.resolve(&node["properties"][key]));
+    let kind = expected_kind(schema.resolve(&node["properties"][key]));
     let advice = match meaning {
         Some(meaning) => format!("Add it: {kind}. {meaning}"),
         None => format!("Add it: {kind}."),
     };
     let message = format!("The key `{key}` is missing.");
-    Problem::new(Code::MissingKey, joined(path, key)).message(message).advice(advice)
+    Problem::new(Code::MissingKey, join_path(path, key)).message(message).advice(advice)
 }
 
 fn wrong_type(node: &Value, path: &str, value: &Value) -> Problem {
-    let kind = kind_of(node);
+    let kind = expected_kind(node);
     let key = path.rsplit('.').next().unwrap_or_default();
     let unit = unit_of(key);
     let quoted = value.as_str().filter(|_| kind == "a whole number");
-    if let Some(number) = quoted.and_then(|text| in_unit(text, key)) {
+    if let Some(number) = quoted.and_then(|text| convert_to_unit_of(text, key)) {
         let message = format!("The value carries a unit; `{key}` is a plain number of {unit}.");
         let advice = format!("Write {number}.");
         return Problem::new(Code::WrongUnit, path).message(message).advice(advice);
     }
-    let message = format!("The value is {}, not {kind}.", found(value));
+    let message = format!("The value is {}, not {kind}.", actual_kind(value));
     let advice = if unit.is_empty() || kind != "a whole number" {
         format!("Write {kind}.")
     } else {
@@ -96,12 +97,12 @@
 
 fn not_a_choice(path: &str, options: &Value) -> Problem {
     let names = options.as_array().into_iter().flatten().filter_map(Value::as_str);
-    let advice = format!("Use one of {}.", listed(names));
+    let advice = format!("Use one of {}.", quote_names(names));
     Problem::new(Code::NotAChoice, path).advice(advice)
 }
 
-/// Tells apart the three patterns that the schemas use: addresses, digests and labels.
-fn pattern(node: &Value, path: &str, value: &Value) -> Problem {
+/// Translates a mismatch of one of the three patterns of the schemas: address, digest or label.
+fn pattern_mismatch(node: &Value, path: &str, value: &Value) -> Problem {
     let text = value.as_str().unwrap_or_default();
     let pattern = node["pattern"].as_str().unwrap_or_default();
     if pattern.ends_with(":[0-9]{1,5}$") {
@@ -113,7 +114,7 @@
     not_a_label(path.to_owned(), text)
 }
 
-/// Reports a text that is no IP address and port.
+/// Returns the problem of a text that is not an IP address with a port.
 pub(crate) fn not_an_address(path: &str, text: &str) -> Problem {
     let message = format!("`{text}` is not IP:port.");
     let advice = match text.parse::<std::net::IpAddr>() {
@@ -142,8 +143,8 @@
     Problem::new(Code::OutOfRange, path).message(message).advice(advice)
 }
 
-/// Names what a schema node admits.
-fn kind_of(node: &Value) -> &'static str {
+/// Describes the values that a schema node allows.
+fn expected_kind(node: &Value) -> &'static str {
     if node["pattern"].as_str().is_some_and(|pattern| pattern.ends_with(":[0-9]{1,5}$")) {
         return "an address as IP:port in quotes";
     }
@@ -156,7 +157,7 @@
     }
 }
 
-fn found(value: &Value) -> &'static str {
+fn actual_kind(value: &Value) -> &'static str {
     match value {
         Value::Null => "nothing",
         Value::Bool(_) => "true or false",
@@ -168,7 +169,7 @@
     }
 }
 
-/// Returns the unit that the ending of a key stands for, empty if it has none.
+/// Returns the unit that the suffix of a key denotes; empty if it has none.
 pub(crate) fn unit_of(key: &str) -> &'static str {
     match key.rsplit('_').next().unwrap_or_default() {
         "ms" => "milliseconds",
@@ -181,23 +182,23 @@
     }
 }
 
-/// Reads a quantity with a unit, such as `500ms`, as the plain number that `key` wants.
-fn in_unit(text: &str, key: &str) -> Option<u64> {
+/// Converts a quantity with a unit, such as `500ms`, to the unit of `key`.
+fn convert_to_unit_of(text: &str, key: &str) -> Option<u64> {
     let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
     let amount: f64 = text[..end].trim().parse().ok()?;
-    let factor = factor(text[end..].trim())?;
-    let base = match key.rsplit('_').next()? {
-        "ms" => factor_if(factor, Dimension::Time, 0.001)?,
-        "s" => factor_if(factor, Dimension::Time, 1.0)?,
-        "mb" => factor_if(factor, Dimension::Size, 1024.0)?,
-        "kb" => factor_if(factor, Dimension::Size, 1.0)?,
-        "cpus" => factor_if(factor, Dimension::Processors, 0.001)?,
+    let unit = parse_unit(text[end..].trim())?;
+    let factor = match key.rsplit('_').next()? {
+        "ms" => ratio(unit, Dimension::Time, 0.001)?,
+        "s" => ratio(unit, Dimension::Time, 1.0)?,
+        "mb" => ratio(unit, Dimension::Size, 1024.0)?,
+        "kb" => ratio(unit, Dimension::Size, 1.0)?,
+        "cpus" => ratio(unit, Dimension::Processors, 0.001)?,
         _ => return None,
     };
-    Some((amount * base).round() as u64)
+    Some((amount * factor).round() as u64)
 }
 
-/// What a unit measures.
+/// Quantity that a unit measures.
 #[derive(PartialEq)]
 enum Dimension {
     Time,
@@ -205,8 +206,8 @@
     Processors,
 }
 
-/// Returns dimension and size of a unit: seconds, kibibytes or processors.
-fn factor(unit: &str) -> Option<(Dimension, f64)> {
+/// Returns the dimension of a unit, and its size in seconds, kibibytes or processors.
+fn parse_unit(unit: &str) -> Option<(Dimension, f64)> {
     Some(match unit.to_ascii_lowercase().as_str() {
         "ms" => (Dimension::Time, 0.001),
         "s" | "sec" => (Dimension::Time, 1.0),
@@ -220,10 +221,11 @@
     })
 }
 
-fn factor_if(found: (Dimension, f64), wanted: Dimension, unit: f64) -> Option<f64> {
-    (found.0 == wanted).then(|| found.1 / unit)
+/// Returns the size of a unit as a multiple of `target`, if it measures `dimension`.
+fn ratio(unit: (Dimension, f64), dimension: Dimension, target: f64) -> Option<f64> {
+    (unit.0 == dimension).then(|| unit.1 / target)
 }
 
-fn listed<'a>(names: impl Iterator<Item = &'a str>) -> String {
+fn quote_names<'a>(names: impl Iterator<Item = &'a str>) -> String {
     names.map(|name| format!("`{name}`")).collect::<Vec<_>>().join(", ")
 }
--- a/crates/geraniumpost-config/tests/document.rs
+++ b/crates/geraniumpost-config/tests/document.rs
@@ -1,4 +1,4 @@
-//! The configuration document: shape, rules between values, and agreement with settings.
+//! Checks of the configuration document: schema, rules between values, consistency with settings.
 
 use geraniumpost_config::{
     Report, check_document, check_document_value, check_entry_membership, check_membership,
@@ -20,8 +20,8 @@
     report.problems.iter().map(|p| (p.code.number(), p.path.as_str())).collect()
 }
 
-/// Names cases of one changed value: its pointer, the new value and the problems that follow.
-macro_rules! cases {
+/// Defines one test per invalid value: its JSON pointer, the value, and the problems expected.
+macro_rules! invalid_values {
     ($($name:ident: $pointer:literal = $value:tt => [$($problem:expr),*];)*) => {
         $(#[test]
         fn $name() {
@@ -35,7 +35,7 @@
     };
 }
 
-cases! {
+invalid_values! {
     unknown_key: "/policy" = { "hold_s": 3 } => [(1003, "policy.hold_s")];
     missing_key: "/customers/entel" = {} => [(1004, "customers.entel.token_sha256")];
     wrong_type: "/services/filing/slots" = "eight" => [(1005, "services.filing.slots")];
@@ -43,25 +43,25 @@
     wrong_unit: "/services/filing/deadline_ms" = "2s" => [(1006, "services.filing.deadline_ms")];
     out_of_range: "/customers/claro/weight" = 0 => [(1007, "customers.claro.weight")];
     not_a_label: "/classes/Big Study" = {} => [(1008, "classes.Big Study")];
-    region_no_label: "/domains/ate" = { "region": "Lima" } => [(1008, "domains.ate.region")];
+    region_not_a_label: "/domains/ate" = { "region": "Lima" } => [(1008, "domains.ate.region")];
     not_a_digest: "/operators/rosa/token_sha256" = "secret" => [(1010, "operators.rosa.token_sha256")];
     not_a_choice: "/classes/study/priority" = "high" => [(1011, "classes.study.priority")];
-    reserve_over_sense: "/services/filing/reserve" = { "memory_mb": 99999999999_u64 }
+    reserve_too_large: "/services/filing/reserve" = { "memory_mb": 99999999999_u64 }
         => [(1101, "services.filing.reserve.memory_mb")];
-    quota_never_runs: "/customers/claro/quota" = { "milli_cpus": 0 }
+    quota_admits_no_job: "/customers/claro/quota" = { "milli_cpus": 0 }
         => [(1102, "customers.claro.quota.milli_cpus")];
-    quota_over_sense: "/customers/claro/quota" = { "memory_mb": 1000000001_u64 }
+    quota_too_large: "/customers/claro/quota" = { "memory_mb": 1000000001_u64 }
         => [(1103, "customers.claro.quota.memory_mb")];
     no_operator: "/operators" = {} => [(1105, "operators")];
     no_domain: "/domains" = {} => [(1106, "domains")];
     target_over_deadline: "/services/filing/target_p99_ms" = 2001
         => [(1107, "services.filing.target_p99_ms")];
     slots_over_connections: "/services/filing/slots" = 65 => [(1108, "services.filing.slots")];
-    holds_inverted: "/policy" = { "outage_hold_s": 5 } => [(1110, "policy.outage_hold_s")];
+    outage_hold_too_short: "/policy" = { "outage_hold_s": 5 } => [(1110, "policy.outage_hold_s")];
 }
 
 #[test]
-fn a_token_of_two_customers_is_refused() {
+fn a_token_of_two_customers_is_rejected() {
     let mut value = document();
     value["customers"]["entel"] = value["customers"]["claro"].clone();
     let report = check_document_value(value).unwrap_err();
@@ -69,7 +69,7 @@
 }
 
 #[test]
-fn the_token_of_an_operator_is_not_a_customers() {
+fn a_token_of_a_customer_and_an_operator_is_rejected() {
     let mut value = document();
     value["operators"]["rosa"] = json!({ "token_sha256": token_digest("c") });
     let report = check_document_value(value).unwrap_err();
@@ -77,7 +77,7 @@
 }
 
 #[test]
-fn the_empty_token_is_refused() {
+fn the_empty_token_is_rejected() {
     let mut value = document();
     value["operators"]["rosa"]["token_sha256"] = json!(token_digest(""));
     let report = check_document_value(value).unwrap_err();
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn a_name_with_dots_is_told_as_any_other() {
+fn problems_of_a_name_with_dots_have_its_path() {
     let mut value = document();
     value["services"]["a.b"] = json!({ "deadline_ms": "2s" });
     let report = check_document_value(value).unwrap_err();
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn left_out_tables_have_the_defaults_of_the_schema() {
+fn omitted_tables_have_the_defaults_of_the_schema() {
     let document = check_document_value(document()).unwrap();
     let quota = &document.customers["claro"].quota;
     assert_eq!((quota.milli_cpus, quota.jobs), (1_000_000_000, 10_000));
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn whole_numbers_may_bear_a_point() {
+fn integers_may_be_written_as_floats() {
     let mut value = document();
     value["customers"]["claro"]["weight"] = json!(2.0);
     assert_eq!(check_document_value(value).unwrap().customers["claro"].weight, 2);
@@ -116,13 +116,13 @@
 }
 
 #[test]
-fn text_that_is_no_json_has_a_line() {
+fn syntax_errors_have_a_line() {
     let report = check_document("{\n\"customers\" 1}", "d.json").unwrap_err();
     assert_eq!((report.problems[0].line, report.problems[0].code.number()), (2, 1002));
 }
 
 #[test]
-fn a_document_the_store_cannot_hold_is_refused() {
+fn a_document_too_large_for_the_store_is_rejected() {
     let report = check_document(&" ".repeat(850_001), "d.json").unwrap_err();
     assert_eq!(report.problems[0].code.number(), 1111);
 }
@@ -141,7 +141,7 @@
 memory_mb = 250000
 "#;
 
-/// Names cases of settings that contradict the document.
+/// Defines one test per change of the settings, with the codes of the contradictions expected.
 macro_rules! membership {
     ($($name:ident: $from:literal => $to:literal, $codes:expr;)*) => {
         $(#[test]
@@ -174,7 +174,8 @@
     assert!(report.problems[0].advice.contains("`surco`"));
 }
 
-/// The size that the users expect within two years must leave the store's megabyte mostly free.
+/// Guards against a document that approaches the store's limit of 1 MiB at the number of customers
+/// expected within two years.
 #[test]
 fn a_document_of_160_customers_is_small() {
     let mut value = document();
--- a/crates/geraniumpost-config/tests/examples.rs
+++ b/crates/geraniumpost-config/tests/examples.rs
@@ -1,4 +1,4 @@
-//! The examples of both deployments are valid, agree with their documents and with each other.
+//! Checks that the example files of both deployments are valid and consistent with each other.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -34,7 +34,7 @@
     Deployment { entries, agents, document: documents.remove(0) }
 }
 
-/// Names the examples with the number of their failure domains and their service.
+/// Defines one test per example: its directory, number of failure domains and service.
 macro_rules! deployments {
     ($($name:ident: $directory:literal, $domains:literal, $service:literal;)*) => {
         $(#[test]
@@ -43,30 +43,35 @@
             assert_eq!(deployment.document.domains.len(), $domains);
             assert_eq!(deployment.entries.len(), $domains, "one entry in each domain");
             assert_eq!(deployment.agents.len(), $domains, "one agent in each domain");
-            agrees(&deployment, $service);
+            assert_consistent(&deployment, $service);
         })*
     };
 }
 
 deployments! {
-    espectro_andino_is_whole: "espectro-andino", 4, "filing";
-    sarkar_is_whole: "sarkar", 3, "kiosk";
+    espectro_andino_is_consistent: "espectro-andino", 4, "filing";
+    sarkar_is_consistent: "sarkar", 3, "kiosk";
 }
 
-fn agrees(deployment: &Deployment, service: &str) {
+fn assert_consistent(deployment: &Deployment, service: &str) {
     let Deployment { entries, agents, document } = deployment;
-    let beats: BTreeSet<SocketAddr> = entries.iter().map(|entry| entry.datagrams).collect();
-    assert_eq!(beats.len(), entries.len(), "two entries share an address");
+    let datagram_addresses: BTreeSet<SocketAddr> =
+        entries.iter().map(|entry| entry.datagrams).collect();
+    assert_eq!(datagram_addresses.len(), entries.len(), "two entries share an address");
     for entry in entries {
         check_entry_membership(entry, document).unwrap();
         let mut known: BTreeSet<SocketAddr> = entry.peers.iter().copied().collect();
         known.insert(entry.datagrams);
-        assert_eq!(known, beats, "{} does not know all entries", entry.name);
+        assert_eq!(known, datagram_addresses, "{} does not know all entries", entry.name);
     }
     for agent in agents {
         check_membership(agent, document).unwrap();
         assert_eq!(agent.service.as_deref(), Some(service));
-        assert!(agent.entries.iter().all(|entry| beats.contains(entry)), "{}", agent.name);
+        assert!(
+            agent.entries.iter().all(|entry| datagram_addresses.contains(entry)),
+            "{}",
+            agent.name
+        );
     }
     let keys: BTreeSet<&str> = entries.iter().map(|entry| entry.shared_key.as_str()).collect();
     assert_eq!(keys.len(), 1);
--- a/crates/geraniumpost-config/tests/random_bytes.rs
+++ b/crates/geraniumpost-config/tests/random_bytes.rs
@@ -1,10 +1,10 @@
-//! Whatever is read as settings or document is accepted or reported; nothing panics.
+//! Any input as settings or document must be accepted or reported, and must not cause a panic.
 
 use geraniumpost_config::{check_document, check_document_value, parse_agent, parse_entry};
 use proptest::prelude::*;
 use serde_json::Value;
 
-/// JSON of all shapes, with the document's own keys among others.
+/// Generates nested JSON values whose keys are often keys of the document.
 fn value() -> impl Strategy<Value = Value> {
     let key = prop_oneof![
         Just("customers"),
@@ -32,7 +32,7 @@
     })
 }
 
-/// Single values of all types.
+/// Generates scalar JSON values.
 fn leaf() -> impl Strategy<Value = Value> + Clone {
     prop_oneof![
         Just(Value::Null),
@@ -45,7 +45,7 @@
     ]
 }
 
-/// TOML of the settings' own keys with odd values.
+/// Generates TOML with keys of the settings and unusual or invalid values.
 fn toml() -> impl Strategy<Value = String> {
     let key = prop_oneof![
         Just("name"),
@@ -95,10 +95,10 @@
         }
     }
 
-    /// One value of a good document is replaced by anything: it is refused with a problem at that
-    /// value, or accepted and then read the same again.
+    /// Guards against problems that are reported at another value than the invalid one, and against
+    /// accepted documents that change when they are encoded and read again.
     #[test]
-    fn any_value_in_a_good_document(at in 0..12_usize, leaf in leaf()) {
+    fn any_value_in_a_valid_document(at in 0..12_usize, leaf in leaf()) {
         let mut value: Value = serde_json::from_str(include_str!("../../../examples/sarkar/document.json")).unwrap();
         let pointers = [
             "/customers/hospitals/weight", "/customers/hospitals/quota/jobs",
@@ -122,7 +122,8 @@
         }
     }
 
-    /// What is accepted is read the same again; what is refused has a problem and no empty line.
+    /// Guards against accepted documents that change when they are encoded and read again, and
+    /// against rejections without a problem or with a line beyond the end of the text.
     #[test]
     fn any_json_as_a_document(value in value()) {
         match check_document_value(value.clone()) {
