refactor(schema): reword descriptions of messages and names of the wire tests

Cause: descriptions spoke of an agent's final word, of when to come back and of a caller who left, and gave counts and durations without saying so; the tests spoke of messages that survive and do no harm.

Tests of the wire are named after round trips and panics.

--- a/crates/geraniumpost-schema/src/generated.rs
+++ b/crates/geraniumpost-schema/src/generated.rs
@@ -30,7 +30,7 @@
         }
     }
 }
-///A configuration for the receiver to adopt if it is newer; the document follows as JSON.
+///Head of a configuration, which the receiver adopts if it is newer; the document follows as JSON.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -66,7 +66,7 @@
     ///Memory of the VM in mebibytes.
     #[serde(default)]
     pub memory_mb: u64,
-    ///Where metrics are served by HTTP, as IP:port; left out for nowhere.
+    ///Where metrics are served by HTTP, as IP:port; not served if left out.
     #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
     pub metrics: ::std::option::Option<::std::net::SocketAddr>,
     ///Processors of the VM in thousandths.
@@ -152,7 +152,7 @@
         value.parse()
     }
 }
-///Final word of an agent on one attempt; the body follows the head in the frame.
+///Final result of one attempt, from its agent; the body follows in the frame.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -161,32 +161,32 @@
     pub id: RequestId,
     pub load: Load,
     pub outcome: Outcome,
-    ///When to come back, 0 if unknown.
+    ///Milliseconds after which to retry, 0 if unknown.
     pub retry_after_ms: u64,
-    ///HTTP status of the minion's answer, 0 if there is none.
+    ///HTTP status of the minion's response, 0 if there is none.
     pub status: u16,
 }
-///Question about an attempt; an attempt not started is barred by the question.
+///Question about an attempt. If the attempt has not started, the agent will no longer start it.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Ask {
     pub id: RequestId,
-    ///Incarnation that the attempt was sent to.
+    ///Incarnation of the agent to which the attempt was sent.
     pub incarnation: u64,
 }
-///Question by idempotency key, answered like the original attempt.
+///Question by idempotency key; the response is that of the original attempt.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct AskKey {
     pub deadline_ms: u64,
-    ///Identity of the repeat.
+    ///Identity of the repeated request.
     pub id: RequestId,
     pub incarnation: u64,
     pub key: crate::Name,
 }
-///What an agent knows of an attempt it is asked about.
+///State of an attempt, as its agent reports it on request.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -254,7 +254,7 @@
         value.parse()
     }
 }
-///Second frame on a link, proving the accepting side.
+///Second frame on a link, with the proof of the accepting side.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -262,10 +262,10 @@
     pub incarnation: u64,
     pub name: crate::Name,
     pub nonce: u64,
-    ///Hexadecimal HMAC-SHA256 over both nonces.
+    ///Hexadecimal HMAC-SHA256 over names, incarnations and nonces of both sides.
     pub proof: crate::Name,
 }
-///A customer: who may call, with what share, and how much batch work it may run.
+///A customer with its token, its share of the capacity, and its limits.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -282,13 +282,13 @@
     #[serde(default = "defaults::default_u64::<u32, 1>")]
     pub weight: u32,
 }
-///Everything sent by UDP.
+///All messages that are sent by UDP.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum Datagram {
-    ///From an agent.
+    ///From an agent to an entry.
     Heartbeat(Heartbeat),
-    ///To an agent.
+    ///From an entry to an agent.
     HeartbeatAck(HeartbeatAck),
     ///Between entries.
     EntryBeat(EntryBeat),
@@ -308,7 +308,7 @@
         Self::EntryBeat(value)
     }
 }
-///The one configuration document that operators change and every process honours.
+///The configuration document, which operators change and all processes apply.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -321,7 +321,7 @@
     pub domains: ::std::collections::BTreeMap<crate::Name, Domain>,
     ///Operators by name.
     pub operators: ::std::collections::BTreeMap<crate::Name, Operator>,
-    ///Figures that govern scheduling.
+    ///Parameters of scheduling.
     #[serde(default = "defaults::document_policy")]
     pub policy: Policy,
     ///Services by name; a caller's path starts with the service's name.
@@ -345,15 +345,15 @@
     pub draining: bool,
     pub incarnation: u64,
     pub peer: EntryPeer,
-    ///Entries this entry knows, or none if it has told them lately.
+    ///Known entries; empty if this entry has sent them recently.
     pub peers: ::std::vec::Vec<EntryPeer>,
     pub sequence: u64,
     ///Whether the entry's last store call succeeded.
     pub store_up: bool,
-    ///Planner term if the entry plans for its region, else 0.
+    ///Term of the planner, if the entry is the planner of its region, else 0.
     pub term: u64,
 }
-///Where an entry is reached.
+///Addresses of an entry.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -421,7 +421,7 @@
     pub config_revision: u64,
     ///Failure domain.
     pub domain: crate::Name,
-    ///Digest of the entry list the agent holds.
+    ///Digest of the agent's list of entries.
     pub entries_digest: u64,
     pub has_worker: bool,
     ///Random number drawn at each start of the agent.
@@ -429,52 +429,52 @@
     pub load: Load,
     pub rack: crate::Name,
     pub region: crate::Name,
-    ///What the ledger holds reserved.
+    ///Resources reserved in the ledger of the agent.
     pub reserved: Resources,
-    ///Number of this heartbeat within the incarnation.
+    ///Sequence number of this heartbeat within the incarnation.
     pub sequence: u64,
-    ///Service of the minion beside the agent, empty if there is none.
+    ///Service of the minion on the agent's VM, empty if there is none.
     pub service: crate::Name,
-    ///Requests the minion runs at once.
+    ///Number of requests that the minion may run concurrently.
     pub slots: u32,
     pub state: AgentState,
-    ///Tasks running or being started.
+    ///Number of tasks that are running or being started.
     pub tasks: u32,
-    ///Highest planner term the agent has seen.
+    ///Highest planner term that the agent has accepted.
     pub term: u64,
 }
-///Answer of an entry to a heartbeat.
+///Acknowledgement of a heartbeat by an entry.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct HeartbeatAck {
     ///Revision in force on the entry.
     pub config_revision: u64,
-    ///The entry list, empty when the digests agree.
+    ///List of entries, empty if the digests are equal.
     pub entries: ::std::vec::Vec<EntryPeer>,
-    ///Digest of the entry list the entry holds.
+    ///Digest of the entry's list of entries.
     pub entries_digest: u64,
     pub entry: crate::Name,
-    ///How long tasks may go on, counted from the sending of the heartbeat; 0 unless the entry plans.
+    ///Duration of the agent lease in milliseconds, from the sending of the heartbeat; 0 unless the entry is the planner.
     pub hold_ms: u64,
-    ///Incarnation of the heartbeat answered.
+    ///Incarnation in the acknowledged heartbeat.
     pub incarnation: u64,
-    ///Sequence of the heartbeat answered.
+    ///Sequence number of the acknowledged heartbeat.
     pub sequence: u64,
-    ///Planner term if this entry plans for the agent's region, else 0.
+    ///Term of the planner, if this entry is the planner of the agent's region, else 0.
     pub term: u64,
 }
-///First frame on a link, from the side that connected.
+///First frame on a link, from the connecting side.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Hello {
     pub incarnation: u64,
     pub name: crate::Name,
-    ///Fresh random number that the answer must sign.
+    ///Random number that the proof of the accepting side must cover.
     pub nonce: u64,
 }
-///All runs an agent knows of, sent on a link's start and on demand.
+///All runs that an agent knows, sent at the start of a link and on request.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -507,7 +507,7 @@
         }
     }
 }
-///Refuse such requests, or run them with only the home agent to catch repeats.
+///Whether such requests are refused, or run while only the home agent detects repeats.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -580,11 +580,11 @@
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum Link {
-    ///First.
+    ///First frame, from the connecting side.
     Hello(Hello),
-    ///Second.
+    ///Second frame, from the accepting side.
     Challenge(Challenge),
-    ///Third.
+    ///Third frame, from the connecting side.
     Proof(Proof),
 }
 impl ::std::convert::From<Hello> for Link {
@@ -602,7 +602,7 @@
         Self::Proof(value)
     }
 }
-///Load of a minion as its agent sees it.
+///Load of a minion, as measured by its agent.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -618,11 +618,11 @@
 pub struct Load {
     ///Smoothed share of failed answers in thousandths.
     pub failures_permille: u32,
-    ///Requests running.
+    ///Number of requests that are running.
     pub in_flight: u32,
     ///Recent 99th percentile of service time in microseconds.
     pub p99_us: u64,
-    ///Requests waiting for a slot.
+    ///Number of requests that wait for a slot.
     pub queued: u32,
     ///Smoothed service time in microseconds.
     pub service_us: u64,
@@ -708,7 +708,7 @@
         LogLevel::Info
     }
 }
-///Where the log goes and how much of it.
+///What is logged.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -736,7 +736,7 @@
     ///SHA-256 of the operator's bearer token, as 64 hexadecimal digits.
     pub token_sha256: crate::Name,
 }
-///What became of one attempt.
+///Outcome of one attempt.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -828,7 +828,7 @@
         value.parse()
     }
 }
-///Figures that govern scheduling everywhere.
+///Parameters of scheduling in all processes.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -839,10 +839,10 @@
     ///Most evictions a region makes in a minute.
     #[serde(default = "defaults::default_u64::<u32, 20>")]
     pub evictions_per_minute: u32,
-    ///How long tasks go on after the planner's last word.
+    ///How long tasks continue after the last renewal by the planner.
     #[serde(default = "defaults::default_u64::<u64, 10000>")]
     pub hold_ms: u64,
-    ///How long a planner cut from the store may keep tasks going.
+    ///How long a planner that is cut off from the store may keep tasks running.
     #[serde(default = "defaults::default_u64::<u64, 600>")]
     pub outage_hold_s: u64,
     ///Retries allowed per thousand requests.
@@ -860,7 +860,7 @@
         }
     }
 }
-///Answer to a ping.
+///Response to a ping.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -941,7 +941,7 @@
         Priority::Normal
     }
 }
-///Third frame on a link, proving the connecting side.
+///Third frame on a link, with the proof of the connecting side.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -976,27 +976,27 @@
         }
     }
 }
-///A caller's request on its way to a minion; the body follows the head in the frame.
+///Head of a caller's request to a minion; the body follows in the frame.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct RequestHead {
-    ///1 for the first attempt.
+    ///Number of the attempt, 1 for the first.
     pub attempt: u32,
     pub customer: crate::Name,
-    ///Time left when the frame was written.
+    ///Milliseconds until the deadline, when the frame was written.
     pub deadline_ms: u64,
     pub headers: ::std::vec::Vec<HeaderField>,
     pub id: RequestId,
-    ///Whether a second run does no harm.
+    ///Whether a second run is harmless.
     pub idempotent: bool,
-    ///Digest of customer and Idempotency-Key, empty if none.
+    ///Digest of customer and `Idempotency-Key`, empty if the request has no key.
     pub key: crate::Name,
     pub method: ::std::string::String,
-    ///Path with query.
+    ///Path and query.
     pub path: ::std::string::String,
     pub service: crate::Name,
-    ///Share weight of the customer.
+    ///Weight of the customer in the sharing of slots.
     pub weight: u32,
 }
 ///Identity of one attempt at a request, unique across entries and their restarts.
@@ -1044,7 +1044,7 @@
         }
     }
 }
-///Amounts of the three resources that a VM offers and a task takes.
+///Amounts of the three resources that a VM has and a task needs.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -1077,7 +1077,7 @@
     ///Deadline of a request that names none.
     #[serde(default = "defaults::default_u64::<u64, 2000>")]
     pub deadline_ms: u64,
-    ///What becomes of keyed non-idempotent requests while the store is down.
+    ///How keyed non-idempotent requests are handled while the store is down.
     #[serde(default = "defaults::service_keyed_in_outage")]
     pub keyed_in_outage: KeyedInOutage,
     ///Largest request or answer body in KiB.
@@ -1092,7 +1092,7 @@
     ///Requests one minion runs at once.
     #[serde(default = "defaults::default_u64::<u32, 8>")]
     pub slots: u32,
-    ///Latency that batch work must not push the service over.
+    ///99th percentile of latency that the service must not exceed because of batch work.
     #[serde(default = "defaults::default_u64::<u64, 200>")]
     pub target_p99_ms: u64,
 }
@@ -1115,18 +1115,18 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct StartTask {
-    ///Checkpoint to resume from, empty to start anew.
+    ///Checkpoint to resume from, empty to start from the beginning.
     pub checkpoint: crate::Name,
     pub class: crate::Name,
     pub command: ::std::string::String,
     pub customer: crate::Name,
-    ///Number of this run; lower ones are refused.
+    ///Number of this run; orders with a lower number are refused.
     pub epoch: u64,
     pub job: crate::Name,
     pub need: Resources,
     pub term: u64,
 }
-///One run of a job, under the planner's term.
+///Reference to one run of a job, with the term of the planner.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1135,7 +1135,7 @@
     pub job: crate::Name,
     pub term: u64,
 }
-///State of one run of a job, sent until acknowledged if it is final.
+///State of one run of a job; a final state is sent until it is acknowledged.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1144,13 +1144,13 @@
     pub checkpoint: crate::Name,
     pub epoch: u64,
     pub job: crate::Name,
-    ///Result or reason.
+    ///Result, or reason of the failure.
     pub result: ::std::string::String,
     pub state: TaskState,
-    ///Lagged measured usage.
+    ///Measured usage; the measurement lags behind.
     pub usage: Resources,
 }
-///State of one run of a job as the agent knows it.
+///State of one run of a job, as the agent knows it.
 ///
 #[derive(
     ::serde::Deserialize,
@@ -1230,7 +1230,7 @@
         value.parse()
     }
 }
-///Order to slow one run of a job.
+///Order to limit the processor use of one run of a job.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1245,15 +1245,15 @@
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ToAgent {
-    ///A request with its body.
+    ///Starts an attempt at a request; the body follows.
     Request(RequestHead),
-    ///The caller left.
+    ///Cancels an attempt, because the caller has disconnected.
     Cancel(RequestId),
-    ///Asks what became of an attempt.
+    ///Asks for the outcome of an attempt.
     Ask(Ask),
-    ///Asks for the answer to a key.
+    ///Asks for the response to the request with an idempotency key.
     AskKey(AskKey),
-    ///Expects a pong with the same number.
+    ///Asks for a pong with the same number.
     Ping(u64),
     ///Carries a configuration.
     Adopt(Adopt),
@@ -1261,15 +1261,15 @@
     FetchConfig,
     ///Starts a task.
     Start(StartTask),
-    ///Checkpoints and stops a task.
+    ///Checkpoints and stops a task, which resumes elsewhere.
     Evict(TaskRef),
-    ///Stops a task for good.
+    ///Stops a task that is not resumed.
     Stop(TaskRef),
-    ///Slows a task.
+    ///Limits the processor use of a task.
     Throttle(Throttle),
-    ///The planner has committed a final report.
+    ///Acknowledges a final report, which the planner has committed.
     Settled(TaskRef),
-    ///Announces a planner's term and asks for an inventory.
+    ///Announces the term of a new planner and asks for an inventory.
     Supersede(u64),
 }
 impl ::std::convert::From<RequestHead> for ToAgent {
@@ -1311,21 +1311,21 @@
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum ToEntry {
-    ///Final word on an attempt with the answer's body.
+    ///Final result of an attempt; the body of the response follows.
     Answer(AnswerHead),
-    ///Answer to a question.
+    ///Response to a question.
     Verdict(Verdict),
-    ///Answer to a ping.
+    ///Response to a ping.
     Pong(Pong),
-    ///Revision now in force on the agent.
+    ///Reports the revision in force on the agent.
     InForce(u64),
-    ///The configuration in force; the document follows as JSON.
+    ///Head of the configuration in force; the document follows as JSON.
     Config(Adopt),
-    ///State of a task.
+    ///Reports the state of a task.
     Report(TaskReport),
-    ///All tasks.
+    ///Lists all tasks.
     Inventory(Inventory),
-    ///The agent drains; send nothing new.
+    ///Announces that the agent drains; entries send nothing new.
     Leaving,
 }
 impl ::std::convert::From<AnswerHead> for ToEntry {
@@ -1363,7 +1363,7 @@
         Self::Inventory(value)
     }
 }
-///Answer to a question about an attempt.
+///Response to a question about an attempt.
 ///
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/crates/geraniumpost-schema/src/lib.rs
+++ b/crates/geraniumpost-schema/src/lib.rs
@@ -1,7 +1,7 @@
-//! Messages, settings and the configuration document.
+//! Types of the messages between processes, of the settings and of the configuration document.
 //!
-//! The types are generated from the JSON Schema files in `schema/` by `cargo xtask codegen`; the
-//! generated code is committed, so that a build needs no generator. See
+//! The types are generated from the JSON Schema files in `schema/` by `cargo xtask codegen`. The
+//! generated code is committed, so that a build does not run the generator. See
 //! `docs/design/0001-schema.md` for why messages on the wire have no optional fields.
 //!
 //! ```
--- a/crates/geraniumpost-schema/src/name.rs
+++ b/crates/geraniumpost-schema/src/name.rs
@@ -3,7 +3,8 @@
 use derive_more::{AsRef, Deref, Display};
 use serde::{Deserialize, Serialize};
 
-/// A shared immutable name, cheap to clone on a request's path.
+/// An immutable, reference-counted name. Cloning it does not allocate, so that requests can carry
+/// names cheaply.
 ///
 /// # Example
 ///
@@ -34,7 +35,7 @@
 );
 
 impl Name {
-    /// Returns the name's text.
+    /// Returns the name as a string slice.
     pub fn as_str(&self) -> &str {
         &self.0
     }
--- a/crates/geraniumpost-schema/tests/wire.rs
+++ b/crates/geraniumpost-schema/tests/wire.rs
@@ -1,8 +1,9 @@
-//! Every message on the wire survives `postcard`, and no bytes make a decoder panic.
+//! Every message on the wire can be encoded and decoded by `postcard`, and invalid bytes do not
+//! cause a panic.
 //!
-//! Messages are made from the JSON Schema itself, so that a new message is tested without a new
-//! line here. An optional field would come through JSON but not through `postcard`, which is why
-//! `docs/design/0001-schema.md` forbids them; this test is what notices one.
+//! Messages are generated from the JSON Schema, so that new messages are tested without a change
+//! here. An optional field that is omitted can be encoded as JSON but not by `postcard`;
+//! `docs/design/0001-schema.md` forbids such fields, and these tests detect them.
 
 use std::sync::LazyLock;
 
@@ -16,16 +17,16 @@
     serde_json::from_str(include_str!("../schema/wire.json")).expect("the schema is JSON")
 });
 
-/// Source of arbitrary choices that ends in the simplest ones.
-struct Choices<'a> {
+/// Generates values from random bytes. After the last byte it makes the simplest choices.
+struct Generator<'a> {
     bytes: &'a [u8],
-    at: usize,
+    position: usize,
 }
 
-impl Choices<'_> {
+impl Generator<'_> {
     fn byte(&mut self) -> u8 {
-        let byte = self.bytes.get(self.at).copied().unwrap_or(0);
-        self.at += 1;
+        let byte = self.bytes.get(self.position).copied().unwrap_or(0);
+        self.position += 1;
         byte
     }
 
@@ -33,14 +34,15 @@
         (0..8).fold(0, |number, _| number << 8 | u64::from(self.byte()))
     }
 
-    /// Numbers of all sizes, the largest included, since `postcard` writes them in varying length.
+    /// Generates numbers of all sizes, including the maximum, since `postcard` encodes them with a
+    /// variable length.
     fn integer(&mut self, bits: u32) -> u64 {
-        let most = u64::MAX >> (64 - bits);
+        let maximum = u64::MAX >> (64 - bits);
         match self.byte() % 4 {
             0 => 0,
-            1 => most,
-            2 => self.number() & most & 0xff,
-            _ => self.number() & most,
+            1 => maximum,
+            2 => self.number() & maximum & 0xff,
+            _ => self.number() & maximum,
         }
     }
 
@@ -50,7 +52,7 @@
         (0..length).map(|_| characters[usize::from(self.byte()) % characters.len()]).collect()
     }
 
-    /// Makes a value that the schema node admits.
+    /// Generates a value that is valid for the schema node.
     fn value(&mut self, node: &Value) -> Value {
         if let Some(name) = node["$ref"].as_str() {
             let name = name.trim_start_matches("#/definitions/");
@@ -71,7 +73,7 @@
             Some("string") => self.text().into(),
             Some("boolean") => (self.byte() % 2 == 1).into(),
             Some("integer") => self.integer(bits(node)).into(),
-            other => panic!("the wire knows no {other:?}: {node}"),
+            other => panic!("unsupported type {other:?} on the wire: {node}"),
         }
     }
 
@@ -87,16 +89,16 @@
         Some("uint16") => 16,
         Some("uint32") => 32,
         Some("uint64") => 64,
-        other => panic!("an integer on the wire has no width: {other:?}"),
+        other => panic!("unsupported integer format on the wire: {other:?}"),
     }
 }
 
-/// Makes a message, and checks that `postcard` gives back what it was given.
-fn survives<T>(definition: &str, bytes: &[u8]) -> Result<(), TestCaseError>
+/// Generates a message, and checks that `postcard` decodes it unchanged and rejects truncations.
+fn check_round_trip<T>(definition: &str, bytes: &[u8]) -> Result<(), TestCaseError>
 where
     T: Serialize + DeserializeOwned + PartialEq + std::fmt::Debug,
 {
-    let value = Choices { bytes, at: 0 }.value(&WIRE["definitions"][definition]);
+    let value = Generator { bytes, position: 0 }.value(&WIRE["definitions"][definition]);
     let message: T = serde_json::from_value(value.clone())
         .map_err(|e| TestCaseError::fail(format!("{definition}: {e}: {value}")))?;
     let encoded = postcard::to_stdvec(&message).map_err(|e| TestCaseError::fail(e.to_string()))?;
@@ -104,24 +106,24 @@
         .map_err(|e| TestCaseError::fail(format!("{definition}: {e}")))?;
     prop_assert_eq!(&decoded, &message);
     prop_assert!(rest.is_empty());
-    // The body of a request follows its head in the frame and must stay untouched.
+    // In a frame the body follows the head; the decoder must not consume bytes of it.
     let with_body = [&encoded[..], b"body"].concat();
     let (_, rest) = postcard::take_from_bytes::<T>(&with_body).expect("read above");
     prop_assert_eq!(rest, b"body");
-    for cut in 0..encoded.len() {
-        prop_assert!(postcard::take_from_bytes::<T>(&encoded[..cut]).is_err(), "cut at {}", cut);
+    for len in 0..encoded.len() {
+        prop_assert!(postcard::take_from_bytes::<T>(&encoded[..len]).is_err(), "cut at {}", len);
     }
     Ok(())
 }
 
-/// Names a property for each root of the wire.
+/// Defines two properties for each root message type: round trips, and decoding of random bytes.
 macro_rules! roots {
     ($($name:ident, $random:ident: $root:ident;)*) => {
         proptest! {
             $(
                 #[test]
                 fn $name(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
-                    survives::<$root>(stringify!($root), &bytes)?;
+                    check_round_trip::<$root>(stringify!($root), &bytes)?;
                 }
 
                 #[test]
@@ -138,29 +140,30 @@
 }
 
 roots! {
-    datagrams_survive, random_datagrams_do_no_harm: Datagram;
-    frames_to_agents_survive, random_frames_to_agents_do_no_harm: ToAgent;
-    frames_to_entries_survive, random_frames_to_entries_do_no_harm: ToEntry;
-    handshakes_survive, random_handshakes_do_no_harm: Link;
+    datagrams_round_trip, random_datagrams_do_not_panic: Datagram;
+    frames_to_agents_round_trip, random_frames_to_agents_do_not_panic: ToAgent;
+    frames_to_entries_round_trip, random_frames_to_entries_do_not_panic: ToEntry;
+    handshakes_round_trip, random_handshakes_do_not_panic: Link;
 }
 
-/// A message that no root leads to would never be tested, nor sent.
+/// Guards against definitions that no root message refers to; the properties would not test them.
 #[test]
-fn every_message_is_reached_from_a_root() {
-    let mut reached = Vec::new();
-    let mut open = vec!["Datagram", "ToAgent", "ToEntry", "Link"];
-    while let Some(name) = open.pop() {
-        if !reached.contains(&name) {
-            reached.push(name);
-            references(&WIRE["definitions"][name], &mut open);
+fn every_message_is_referenced_by_a_root() {
+    let mut referenced = Vec::new();
+    let mut pending = vec!["Datagram", "ToAgent", "ToEntry", "Link"];
+    while let Some(name) = pending.pop() {
+        if !referenced.contains(&name) {
+            referenced.push(name);
+            collect_references(&WIRE["definitions"][name], &mut pending);
         }
     }
     let all = WIRE["definitions"].as_object().unwrap().keys();
-    let missed: Vec<&String> = all.filter(|name| !reached.contains(&name.as_str())).collect();
-    assert!(missed.iter().all(|name| *name == "Name"), "{missed:?}");
+    let unreferenced: Vec<&String> =
+        all.filter(|name| !referenced.contains(&name.as_str())).collect();
+    assert!(unreferenced.iter().all(|name| *name == "Name"), "{unreferenced:?}");
 }
 
-/// `postcard` cannot tell a left-out field from the next one.
+/// Guards against optional fields: `postcard` takes the next field for one that is omitted.
 #[test]
 fn no_message_has_an_optional_field() {
     for (name, node) in WIRE["definitions"].as_object().unwrap() {
@@ -173,15 +176,15 @@
     }
 }
 
-fn references<'a>(node: &'a Value, found: &mut Vec<&'a str>) {
+fn collect_references<'a>(node: &'a Value, found: &mut Vec<&'a str>) {
     match node {
         Value::Object(map) => {
             if let Some(name) = map.get("$ref").and_then(Value::as_str) {
                 found.push(name.trim_start_matches("#/definitions/"));
             }
-            map.values().for_each(|inner| references(inner, found));
+            map.values().for_each(|inner| collect_references(inner, found));
         }
-        Value::Array(items) => items.iter().for_each(|inner| references(inner, found)),
+        Value::Array(items) => items.iter().for_each(|inner| collect_references(inner, found)),
         _ => {}
     }
 }
