docs(config): say all problems in headings of errors

Cause: five doc comments of geraniumpost-config said every problem of the file or text, and others of the same crate all problems.

Change: the five comments say all problems.

Conclusion: one wording for the same thing.

--- a/crates/geraniumpost-config/src/any.rs
+++ b/crates/geraniumpost-config/src/any.rs
@@ -36,7 +36,7 @@
 ///
 /// # Errors
 ///
-/// Returns every problem of the file.
+/// Returns all problems of the file.
 pub fn load_any(path: &Path) -> Result<AnyFile, Report> {
     let text = settings::read_file(path)?;
     let file = path.display().to_string();
--- a/crates/geraniumpost-config/src/settings.rs
+++ b/crates/geraniumpost-config/src/settings.rs
@@ -12,7 +12,7 @@
 ///
 /// # Errors
 ///
-/// Returns every problem of the file.
+/// Returns all problems of the file.
 pub fn load_entry(path: &Path) -> Result<EntrySettings, Report> {
     parse_entry(&read_file(path)?, &path.display().to_string())
 }
@@ -21,7 +21,7 @@
 ///
 /// # Errors
 ///
-/// Returns every problem of the file.
+/// Returns all problems of the file.
 pub fn load_agent(path: &Path) -> Result<AgentSettings, Report> {
     parse_agent(&read_file(path)?, &path.display().to_string())
 }
@@ -30,7 +30,7 @@
 ///
 /// # Errors
 ///
-/// Returns every problem of the text.
+/// Returns all problems of the text.
 pub fn parse_entry(text: &str, file: &str) -> Result<EntrySettings, Report> {
     parse(text, file, SchemaKind::Entry, settings_rules::entry)
 }
@@ -39,7 +39,7 @@
 ///
 /// # Errors
 ///
-/// Returns every problem of the text.
+/// Returns all problems of the text.
 pub fn parse_agent(text: &str, file: &str) -> Result<AgentSettings, Report> {
     parse(text, file, SchemaKind::Agent, settings_rules::agent)
 }
