--- a/crates/geraniumpost-standin/src/cli.rs
+++ b/crates/geraniumpost-standin/src/cli.rs
@@ -1,4 +1,4 @@
-//! Command line of the stand-ins' binary.
+//! Command line of the binary that runs one stand-in.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -11,7 +11,7 @@
 use crate::worker::{Resources, WorkerOptions};
 use crate::{Standin, minion, relay, store, worker};
 
-/// Runs the stand-in that the command line names and prints where it listens.
+/// Runs the stand-in that the command line names, and prints its addresses.
 pub async fn run() -> Result<()> {
     let matches = cli().get_matches();
     let Some((name, m)) = matches.subcommand() else { return Ok(()) };
@@ -22,7 +22,7 @@
         "minion" => minion::spawn_in_process(listen, control, minion_options(m)).await?,
         _ => relay::spawn_in_process(listen, control, protocol(m), get(m, "to")).await?,
     };
-    announce(&standin);
+    print_addresses(&standin);
     standin.ended().await;
     Ok(())
 }
@@ -32,27 +32,27 @@
     Command::new("geraniumpost-standin")
         .about("Stand-ins for the platform, for tests and benches only")
         .subcommand_required(true)
-        .subcommand(common("store", "The key-value service"))
+        .subcommand(subcommand("store", "The key-value service"))
         .subcommand(
-            common("worker", "A worker's task interface")
+            subcommand("worker", "A worker's task interface")
                 .arg(text("name", "worker", "Name in the record"))
                 .arg(number("milli-cpus", "64000", "Processors of the VM in thousandths"))
                 .arg(number("memory-mb", "250000", "Memory of the VM in mebibytes"))
                 .arg(number("accelerators", "0", "Accelerators of the VM"))
-                .arg(number("usage-lag-ms", "500", "Lag of the reported usage"))
+                .arg(number("usage-lag-ms", "500", "Delay of the reported usage, in milliseconds"))
                 .arg(record()),
         )
         .subcommand(
-            common("minion", "A service's back end")
+            subcommand("minion", "A service's back end")
                 .arg(text("name", "minion", "Name in the record"))
-                .arg(number("slots", "8", "Requests it may be given at once"))
-                .arg(number("connections", "64", "Connections it may be given at once"))
-                .arg(number("work-ms", "0", "Service time of a request that names none"))
+                .arg(number("slots", "8", "Limit on concurrent requests"))
+                .arg(number("connections", "64", "Limit on open connections"))
+                .arg(number("work-ms", "0", "Default service time of a request, in milliseconds"))
                 .arg(record()),
         )
         .subcommand(
-            common("relay", "A relay that can cut, stall and delay")
-                .arg(address("to", "Where to relay to, as IP:port").required(true))
+            subcommand("relay", "A relay that can close, stall and delay connections")
+                .arg(address("to", "Address to which data is relayed, as IP:port").required(true))
                 .arg(
                     Arg::new("udp")
                         .long("udp")
@@ -62,12 +62,15 @@
         )
 }
 
-fn common(name: &'static str, about: &'static str) -> Command {
-    let any = "127.0.0.1:0";
+fn subcommand(name: &'static str, about: &'static str) -> Command {
+    let any_port = "127.0.0.1:0";
     Command::new(name)
         .about(about)
-        .arg(address("listen", "Where to serve, as IP:port").default_value(any))
-        .arg(address("control", "Where to take faults and show records").default_value(any))
+        .arg(address("listen", "Address of the service, as IP:port").default_value(any_port))
+        .arg(
+            address("control", "Address of the control listener, as IP:port")
+                .default_value(any_port),
+        )
 }
 
 fn address(name: &'static str, help: &'static str) -> Arg {
@@ -85,7 +88,7 @@
 
 fn record() -> Arg {
     let arg = Arg::new("record").long("record").value_parser(value_parser!(PathBuf));
-    arg.help("File that also receives the record")
+    arg.help("File to which the record is also written")
 }
 
 /// Returns an argument that is required or has a default.
@@ -121,8 +124,8 @@
     if m.get_flag("udp") { Protocol::Udp } else { Protocol::Tcp }
 }
 
-/// Tells the starter where to reach this process, since it may have asked for any port.
-fn announce(standin: &Standin) {
+/// Prints the addresses for the parent process, since the ports may have been chosen by the system.
+fn print_addresses(standin: &Standin) {
     println!("listening {}", standin.address());
     println!("control {}", standin.control_address());
 }
--- a/crates/geraniumpost-standin/src/control.rs
+++ b/crates/geraniumpost-standin/src/control.rs
@@ -8,7 +8,7 @@
 
 use crate::http::fetch;
 
-/// Client of a stand-in's control listener, in this process or another.
+/// Client of the control listener of a stand-in, which may run in another process.
 #[derive(Debug, Clone, Copy)]
 pub struct Control {
     address: SocketAddr,
@@ -20,7 +20,7 @@
         Self { address }
     }
 
-    /// Replaces all faults of the stand-in.
+    /// Replaces the injected faults of the stand-in.
     pub async fn set_faults<F: Serialize + Sync>(&self, faults: &F) -> Result<()> {
         let body = serde_json::to_vec(faults)?;
         let (status, _) = fetch(self.address, Method::POST, "/fault", body.into()).await?;
@@ -36,7 +36,7 @@
         serde_json::from_slice(&body).wrap_err_with(|| format!("page {path} is not as expected"))
     }
 
-    /// Makes the stand-in do something once, for example `cut`.
+    /// Triggers an action of the stand-in, for example `cut`.
     pub async fn act(&self, action: &str) -> Result<()> {
         let path = format!("/{action}");
         let (status, _) = fetch(self.address, Method::POST, &path, Bytes::new()).await?;
--- a/crates/geraniumpost-standin/src/http/closed.rs
+++ b/crates/geraniumpost-standin/src/http/closed.rs
@@ -1,6 +1,6 @@
 use derive_more::{Display, Error};
 
-/// Tells the server to close the connection instead of answering.
+/// Error by which a handler makes the server close the connection without a response.
 #[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
 #[display("the connection is closed on purpose")]
 pub struct Closed;
--- a/crates/geraniumpost-standin/src/http/control.rs
+++ b/crates/geraniumpost-standin/src/http/control.rs
@@ -10,25 +10,26 @@
 
 use super::{Closed, Down, Reply, Server, body_of, status, text};
 
-/// Answers of a control listener: `(method, path, body)` to a reply, or `None` for no such page.
+/// Handler of a control listener. It gets method, path and body, and returns `None` for an unknown
+/// page.
 pub type Pages = Arc<dyn Fn(&Method, &str, &Bytes) -> Result<Option<Reply>> + Send + Sync>;
 
-/// Serves a stand-in's control pages on a listener of their own.
+/// Serves the control pages of a stand-in on a separate listener.
 ///
-/// They stay reachable while the stand-in itself plays dead.
+/// They remain available while the service of the stand-in is down.
 pub async fn serve_control(
     address: SocketAddr,
     tasks: &mut JoinSet<()>,
     pages: Pages,
 ) -> Result<SocketAddr> {
-    let (_up, down) = watch::channel(Down::No);
+    let (_down_tx, down) = watch::channel(Down::No);
     let server = Server::bind(address, down).await?;
     let bound = server.address();
-    tasks.spawn(server.run(move |req| answer(Arc::clone(&pages), req)));
+    tasks.spawn(server.run(move |req| respond(Arc::clone(&pages), req)));
     Ok(bound)
 }
 
-async fn answer(pages: Pages, req: Request<Incoming>) -> Result<Reply, Closed> {
+async fn respond(pages: Pages, req: Request<Incoming>) -> Result<Reply, Closed> {
     let method = req.method().clone();
     let path = req.uri().path().to_owned();
     let body = body_of(req).await?;
--- a/crates/geraniumpost-standin/src/http/down.rs
+++ b/crates/geraniumpost-standin/src/http/down.rs
@@ -1,25 +1,25 @@
 use serde::{Deserialize, Serialize};
 
-/// The way in which a stand-in is out of service.
+/// Whether and in which way a stand-in is out of service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Down {
-    /// It serves.
+    /// It is in service.
     #[default]
     No,
     /// Its port refuses connections; open ones are closed.
     Refuse,
-    /// It accepts connections and closes them at once; open ones are closed.
+    /// It accepts and immediately closes connections; open ones are closed.
     Close,
-    /// It answers everything with 503.
+    /// It responds to all requests with 503.
     Unavailable,
-    /// It reads requests and never answers them.
+    /// It reads requests and never responds.
     Hang,
 }
 
 impl Down {
-    /// Tells whether open connections end.
-    pub const fn closes(self) -> bool {
+    /// Returns whether open connections are closed.
+    pub const fn closes_connections(self) -> bool {
         matches!(self, Self::Refuse | Self::Close)
     }
 }
--- a/crates/geraniumpost-standin/src/http/fetch.rs
+++ b/crates/geraniumpost-standin/src/http/fetch.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// Sends one request over a connection of its own and reads the whole answer.
+/// Sends one request over a new connection and reads the complete response.
 pub async fn fetch(
     address: SocketAddr,
     method: Method,
@@ -23,8 +23,8 @@
         .uri(path)
         .header("host", address.to_string())
         .body(Full::new(body))?;
-    let (head, body) = sender.send_request(req).await?.into_parts();
-    let whole = body.collect().await?.to_bytes();
+    let (head, incoming) = sender.send_request(req).await?.into_parts();
+    let body = incoming.collect().await?.to_bytes();
     driver.abort();
-    Ok((head.status, whole))
+    Ok((head.status, body))
 }
--- a/crates/geraniumpost-standin/src/http/mod.rs
+++ b/crates/geraniumpost-standin/src/http/mod.rs
@@ -1,4 +1,4 @@
-//! HTTP pieces that all stand-ins share: a server that can misbehave and a small client.
+//! HTTP code that all stand-ins share: a server with fault injection and a small client.
 
 mod closed;
 mod control;
--- a/crates/geraniumpost-standin/src/http/reply_body.rs
+++ b/crates/geraniumpost-standin/src/http/reply_body.rs
@@ -8,33 +8,33 @@
 
 use super::Closed;
 
-/// Wait between the first half of a cut answer and the close.
+/// Delay between sending the first half of a truncated response and closing the connection.
 ///
-/// The server writes out what it has while the body waits; without this the answer's head would
-/// often be lost too, which is another fault.
-const CUT_PAUSE: Duration = Duration::from_millis(20);
+/// The server flushes its buffer during the delay. Without it the head of the response would often
+/// be lost as well, which is a different fault.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
 
-/// Body of an answer, either whole or cut short on purpose.
+/// Body of a response, either complete or deliberately truncated.
 #[derive(Debug)]
 pub struct ReplyBody {
     data: Option<Bytes>,
-    promised: u64,
-    cut: Option<Pin<Box<Sleep>>>,
+    declared_len: u64,
+    close_delay: Option<Pin<Box<Sleep>>>,
 }
 
 impl ReplyBody {
-    /// Promises all of `body` by its length but sends only the first half and then closes.
-    pub fn cut_short(body: &Bytes) -> Self {
+    /// Declares the length of the whole `body`, but sends only the first half and then closes.
+    pub fn truncated(body: &Bytes) -> Self {
         let half = body.slice(..body.len() / 2);
-        let cut = Some(Box::pin(tokio::time::sleep(CUT_PAUSE)));
-        Self { data: Some(half), promised: body.len() as u64, cut }
+        let close_delay = Some(Box::pin(tokio::time::sleep(CLOSE_DELAY)));
+        Self { data: Some(half), declared_len: body.len() as u64, close_delay }
     }
 }
 
 impl From<Bytes> for ReplyBody {
     fn from(body: Bytes) -> Self {
-        let promised = body.len() as u64;
-        Self { data: Some(body).filter(|b| !b.is_empty()), promised, cut: None }
+        let declared_len = body.len() as u64;
+        Self { data: Some(body).filter(|b| !b.is_empty()), declared_len, close_delay: None }
     }
 }
 
@@ -50,16 +50,16 @@
         if let Some(data) = this.data.take() {
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
-        let Some(pause) = &mut this.cut else { return Poll::Ready(None) };
-        ready!(pause.as_mut().poll(cx));
+        let Some(delay) = &mut this.close_delay else { return Poll::Ready(None) };
+        ready!(delay.as_mut().poll(cx));
         Poll::Ready(Some(Err(Closed)))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.data.is_none() && self.cut.is_none()
+        self.data.is_none() && self.close_delay.is_none()
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.promised)
+        SizeHint::with_exact(self.declared_len)
     }
 }
--- a/crates/geraniumpost-standin/src/http/request.rs
+++ b/crates/geraniumpost-standin/src/http/request.rs
@@ -7,23 +7,23 @@
 
 use super::Closed;
 
-/// Largest body that any stand-in reads, so that a test cannot exhaust the machine's memory.
-const MAX_BODY: usize = 80 << 20;
+/// Limit on request bodies, so that a test cannot exhaust the memory of the machine.
+const MAX_BODY_BYTES: usize = 80 << 20;
 
-/// Returns a value of the request's query.
+/// Returns a parameter of the query, if it is present and valid.
 pub fn query_of<T: FromStr, B>(req: &Request<B>, name: &str) -> Option<T> {
     let query = req.uri().query()?;
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
 }
 
-/// Returns a header of the request.
+/// Returns the value of a header, if it is present and valid.
 pub fn header_of<T: FromStr, B>(req: &Request<B>, name: &str) -> Option<T> {
     req.headers().get(name)?.to_str().ok()?.parse().ok()
 }
 
-/// Reads the request's whole body.
+/// Reads the complete body of a request.
 pub async fn body_of(req: Request<Incoming>) -> Result<Bytes, Closed> {
-    let limited = Limited::new(req.into_body(), MAX_BODY);
+    let limited = Limited::new(req.into_body(), MAX_BODY_BYTES);
     Ok(limited.collect().await.map_err(|_| Closed)?.to_bytes())
 }
--- a/crates/geraniumpost-standin/src/http/server.rs
+++ b/crates/geraniumpost-standin/src/http/server.rs
@@ -17,46 +17,46 @@
 
 use super::{Closed, Down, Reply, status};
 
-/// Pause before the port is tried again when something else holds it for a moment.
+/// Delay before binding to the port is tried again while another process uses it.
 const REBIND_PAUSE: Duration = Duration::from_millis(10);
-/// Connections that may wait to be accepted.
+/// Limit on connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Open connections of a server, now and at most.
+/// Present and highest number of open connections of a server.
 #[derive(Debug, Default)]
 pub struct ConnectionCount {
     open: AtomicUsize,
-    most: AtomicUsize,
+    highest: AtomicUsize,
 }
 
 impl ConnectionCount {
-    /// Returns the connections that are open now.
+    /// Returns the number of open connections.
     pub fn open(&self) -> usize {
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Returns the most connections that were ever open at once.
-    pub fn most(&self) -> usize {
-        self.most.load(Ordering::Relaxed)
+    /// Returns the highest number of connections that have been open at the same time.
+    pub fn highest(&self) -> usize {
+        self.highest.load(Ordering::Relaxed)
     }
 
-    fn enter(self: Arc<Self>) -> Counted {
+    fn increment(self: Arc<Self>) -> CountGuard {
         let open = self.open.fetch_add(1, Ordering::Relaxed) + 1;
-        self.most.fetch_max(open, Ordering::Relaxed);
-        Counted(self)
+        self.highest.fetch_max(open, Ordering::Relaxed);
+        CountGuard(self)
     }
 }
 
-/// Counts one connection until it is dropped.
-struct Counted(Arc<ConnectionCount>);
+/// Guard that counts one connection as open until it is dropped.
+struct CountGuard(Arc<ConnectionCount>);
 
-impl Drop for Counted {
+impl Drop for CountGuard {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// An HTTP/1.1 server that can play dead in the ways of [`Down`].
+/// An HTTP/1.1 server that can be taken out of service in the ways of [`Down`].
 #[derive(Debug)]
 pub struct Server {
     listener: TcpListener,
@@ -66,7 +66,7 @@
 }
 
 impl Server {
-    /// Binds to `address`; port 0 takes any free port.
+    /// Binds to `address`; with port 0 the system chooses a free port.
     pub async fn bind(address: SocketAddr, down: watch::Receiver<Down>) -> Result<Self> {
         let listener = TcpListener::bind(address).await;
         let listener = listener.wrap_err_with(|| format!("bind to {address}"))?;
@@ -74,12 +74,12 @@
         Ok(Self { listener, address, down, count: Arc::default() })
     }
 
-    /// Returns the address it is bound to.
+    /// Returns the address to which the server is bound.
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Returns the counter of its connections.
+    /// Returns the counter of connections.
     pub fn connections(&self) -> Arc<ConnectionCount> {
         Arc::clone(&self.count)
     }
@@ -100,26 +100,26 @@
             tokio::select! {
                 accepted = self.listener.accept() => {
                     if let Ok((stream, _)) = accepted {
-                        let counted = Arc::clone(&self.count).enter();
+                        let count_guard = Arc::clone(&self.count).increment();
                         let down = self.down.clone();
-                        connections.spawn(serve(stream, counted, down, handler.clone()));
+                        connections.spawn(serve(stream, count_guard, down, handler.clone()));
                     }
                 }
-                () = until(&mut down, |d| d == Down::Refuse) => {}
+                () = wait_until(&mut down, |d| d == Down::Refuse) => {}
                 Some(_) = connections.join_next() => {}
             }
         }
     }
 
-    /// Refuses connections until the fault is taken back.
+    /// Refuses connections until the fault is removed.
     ///
-    /// A bound socket that does not listen keeps the port, which another process could otherwise
-    /// be given in the meantime; its clients would then talk to a stranger.
+    /// Meanwhile a bound socket that does not listen reserves the port. The system could otherwise
+    /// assign it to another process, to which the clients would then connect.
     async fn refuse(self) -> Self {
         let Self { listener, address, mut down, count } = self;
         drop(listener);
         let placeholder = bind_socket(address).await;
-        until(&mut down, |d| d != Down::Refuse).await;
+        wait_until(&mut down, |d| d != Down::Refuse).await;
         let listener = match placeholder.listen(BACKLOG) {
             Ok(listener) => listener,
             Err(_) => rebind(address).await,
@@ -153,16 +153,16 @@
     }
 }
 
-/// Waits until the fault satisfies `wanted`; never ends if the fault can no longer change.
-async fn until(down: &mut watch::Receiver<Down>, wanted: impl Fn(Down) -> bool) {
-    if down.wait_for(|d| wanted(*d)).await.is_err() {
+/// Waits until the fault satisfies `condition`. Never returns if the fault can no longer change.
+async fn wait_until(down: &mut watch::Receiver<Down>, condition: impl Fn(Down) -> bool) {
+    if down.wait_for(|d| condition(*d)).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
 
 async fn serve<H, F>(
     stream: TcpStream,
-    counted: Counted,
+    count_guard: CountGuard,
     mut down: watch::Receiver<Down>,
     handler: H,
 ) where
@@ -170,17 +170,18 @@
     F: Future<Output = Result<Reply, Closed>> + Send + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let gate = down.clone();
-    let service = service_fn(move |req| gated(gate.clone(), handler.clone(), req));
+    let request_down = down.clone();
+    let service =
+        service_fn(move |req| handle_unless_down(request_down.clone(), handler.clone(), req));
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         _ = connection => {}
-        () = until(&mut down, Down::closes) => {}
+        () = wait_until(&mut down, Down::closes_connections) => {}
     }
-    drop(counted);
+    drop(count_guard);
 }
 
-async fn gated<H, F>(
+async fn handle_unless_down<H, F>(
     mut down: watch::Receiver<Down>,
     handler: H,
     req: Request<Incoming>,
@@ -195,7 +196,7 @@
         Down::Unavailable => Ok(status(StatusCode::SERVICE_UNAVAILABLE)),
         Down::Refuse | Down::Close => Err(Closed),
         Down::Hang => {
-            until(&mut down, |d| d != Down::Hang).await;
+            wait_until(&mut down, |d| d != Down::Hang).await;
             Err(Closed)
         }
     }
--- a/crates/geraniumpost-standin/src/journal.rs
+++ b/crates/geraniumpost-standin/src/journal.rs
@@ -6,9 +6,9 @@
 use eyre::{Result, WrapErr};
 use serde::Serialize;
 
-/// An append-only record of what really happened, in memory and optionally in a file.
+/// An append-only record of events, in memory and optionally in a file.
 ///
-/// The file outlives a killed stand-in, so that a checker still sees what ran before the kill.
+/// The file remains if the stand-in is killed, so that a checker can still read the earlier events.
 #[derive(Debug)]
 pub struct Journal<T> {
     inner: Mutex<Inner<T>>,
@@ -27,7 +27,7 @@
 }
 
 impl<T: Clone + Serialize> Journal<T> {
-    /// Opens a journal that also appends each event as a JSON line to `path`, if there is one.
+    /// Opens a journal. Each event is also appended to the file `path`, if given, as a JSON line.
     pub fn open(path: Option<&Path>) -> Result<Self> {
         let journal = Self::default();
         if let Some(path) = path {
@@ -43,7 +43,7 @@
         if let Some(file) = &mut inner.file {
             let mut line = serde_json::to_vec(&event).unwrap_or_default();
             line.push(b'\n');
-            // A record that silently stops would let a checker pass over a doubled run.
+            // With events missing, a checker would not detect a request or task that ran twice.
             file.write_all(&line).expect("the record's file must stay writable");
         }
         inner.events.push(event);
--- a/crates/geraniumpost-standin/src/lib.rs
+++ b/crates/geraniumpost-standin/src/lib.rs
@@ -1,8 +1,8 @@
-//! Stand-ins for the platform, used by tests and benches, never shipped.
+//! Stand-ins for the platform, for tests and benchmarks only.
 //!
-//! The key-value service, a worker's task interface, a minion and a TCP/UDP relay, each as a
-//! function that runs it inside the caller's runtime and as a subcommand of one binary. All of
-//! them can be told to misbehave through their control listener, see [`Control`].
+//! There are stand-ins of the key-value service, a worker's task interface and a minion, and a
+//! TCP/UDP relay. Each is a function that runs it on the caller's runtime and a subcommand of one
+//! binary. Faults are injected through its control listener, see [`Control`].
 
 pub mod cli;
 mod clock;
--- a/crates/geraniumpost-standin/src/main.rs
+++ b/crates/geraniumpost-standin/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one stand-in as a process of its own.
+//! Runs one stand-in as a separate process.
 
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
--- a/crates/geraniumpost-standin/src/minion/answer.rs
+++ b/crates/geraniumpost-standin/src/minion/answer.rs
@@ -11,12 +11,13 @@
     })
 }
 
-/// Returns the answer that belongs to a request, so that a mixed-up or cut one is told apart.
+/// Returns the body of the response to a request. It depends on the request, so that a test detects
+/// a truncated response or that of another request.
 ///
-/// The request's id is repeated until the answer has at least `least_bytes`.
-pub fn expected_answer(request_id: &str, body: &[u8], least_bytes: usize) -> Bytes {
+/// The id of the request is repeated until the body has at least `min_bytes`.
+pub fn expected_answer(request_id: &str, body: &[u8], min_bytes: usize) -> Bytes {
     let mut answer = format!("id={request_id} digest={} size={}\n", digest(body), body.len());
-    while answer.len() < least_bytes {
+    while answer.len() < min_bytes {
         answer.push_str(request_id);
         answer.push('.');
     }
--- a/crates/geraniumpost-standin/src/minion/counts.rs
+++ b/crates/geraniumpost-standin/src/minion/counts.rs
@@ -1,20 +1,20 @@
 use serde::{Deserialize, Serialize};
 
-/// What a minion has seen.
+/// Numbers of runs and connections of a minion.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MinionCounts {
-    /// Runs begun.
+    /// Runs that were started.
     pub started: u64,
-    /// Requests that run now.
+    /// Runs in progress.
     pub running: u64,
-    /// Most requests that ran at once.
+    /// Highest number of concurrent runs.
     pub most_running: u64,
-    /// Runs that began while all slots were taken.
+    /// Runs that were started while all slots were occupied.
     pub over_slots: u64,
-    /// Connections open now.
+    /// Open connections.
     pub connections: u64,
-    /// Most connections open at once.
+    /// Highest number of connections open at the same time.
     pub most_connections: u64,
-    /// Whether more connections than allowed were ever open at once.
+    /// Whether the number of open connections has ever exceeded the limit.
     pub over_connections: bool,
 }
--- a/crates/geraniumpost-standin/src/minion/event.rs
+++ b/crates/geraniumpost-standin/src/minion/event.rs
@@ -1,27 +1,27 @@
 use serde::{Deserialize, Serialize};
 
-/// What happened to a request.
+/// Kind of an event of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MinionEventKind {
-    /// It began to run.
+    /// A run started.
     Started,
-    /// It finished.
+    /// The run ended.
     Ended,
-    /// It began to run while all slots were taken.
+    /// The run started while all slots were occupied.
     OverSlots,
 }
 
-/// One line of the minion's record.
+/// An event in the record of a minion.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MinionEvent {
-    /// When it happened, see [`now_us`](crate::now_us).
+    /// Time of the event, see [`now_us`](crate::now_us).
     pub at_us: u64,
     /// Name of the minion.
     pub minion: String,
     /// Number of the run on this minion.
     pub run: u64,
-    /// What happened.
+    /// Kind of the event.
     pub kind: MinionEventKind,
     /// `X-Request-Id` of the request, empty if it had none.
     pub request_id: String,
--- a/crates/geraniumpost-standin/src/minion/faults.rs
+++ b/crates/geraniumpost-standin/src/minion/faults.rs
@@ -3,19 +3,19 @@
 use super::MinionMode;
 use crate::http::Down;
 
-/// Faults of a minion; the default is none.
+/// Injected faults of a minion; none by default.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MinionFaults {
-    /// Whether and how it is out of service.
+    /// Whether and in which way the minion is out of service.
     pub down: Down,
-    /// Added to each request's service time, in milliseconds.
+    /// Additional service time of each request, in milliseconds.
     pub delay_ms: u64,
-    /// What it does with a request.
+    /// How the minion handles requests.
     pub mode: MinionMode,
-    /// Chance in a thousand that a request is treated so; others are served.
+    /// Probability in thousandths that `mode` applies to a request; the other requests are served.
     pub mode_permille: u32,
-    /// Seed of that chance.
+    /// Seed of the random choice of requests.
     pub seed: u64,
 }
 
--- a/crates/geraniumpost-standin/src/minion/mod.rs
+++ b/crates/geraniumpost-standin/src/minion/mod.rs
@@ -1,9 +1,9 @@
-//! Stand-in of a minion: an HTTP/1.1 server whose answers can be checked byte by byte.
+//! Stand-in of a minion: an HTTP/1.1 server whose responses can be verified byte by byte.
 //!
-//! A request's `X-Work-Ms` header (or `work_ms` in the query) gives its service time, and
-//! `X-Answer-Bytes` (or `answer_bytes`) the least size of its answer, see [`expected_answer`].
-//! A run goes on when its caller disconnects, as that of a real back end may; a caller that frees
-//! the slot then overfills the minion, which the counts show.
+//! The header `X-Work-Ms` (or `work_ms` in the query) sets the service time of a request, and
+//! `X-Answer-Bytes` (or `answer_bytes`) the minimum length of its response, see
+//! [`expected_answer`]. A run continues after its client disconnects, as on a real back end. If the
+//! client then reuses the slot, the minion exceeds its slots, which the counts show.
 
 mod answer;
 mod counts;
--- a/crates/geraniumpost-standin/src/minion/mode.rs
+++ b/crates/geraniumpost-standin/src/minion/mode.rs
@@ -1,18 +1,18 @@
 use serde::{Deserialize, Serialize};
 
-/// What a minion does with a request.
+/// How a minion handles a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MinionMode {
-    /// It works and answers.
+    /// Runs it and responds.
     #[default]
     Serve,
-    /// It answers 500 at once.
+    /// Responds with 500 immediately.
     Fail,
-    /// It begins to work and never ends.
+    /// Starts to run it and never responds.
     Hang,
-    /// It works and sends half of the answer.
+    /// Runs it, sends half of the response and closes the connection.
     Truncate,
-    /// It works and closes the connection before the answer.
+    /// Runs it and closes the connection without a response.
     Close,
 }
--- a/crates/geraniumpost-standin/src/minion/options.rs
+++ b/crates/geraniumpost-standin/src/minion/options.rs
@@ -1,17 +1,17 @@
 use std::path::PathBuf;
 
-/// What a minion is and takes.
+/// Options of a minion.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MinionOptions {
     /// Name in the record.
     pub name: String,
-    /// Requests it may be given at once.
+    /// Limit on concurrent requests; runs beyond it are recorded.
     pub slots: u64,
-    /// Connections it may be given at once.
+    /// Limit on open connections; an excess is recorded.
     pub connections: u64,
-    /// Service time of a request that names none, in milliseconds.
+    /// Default service time of a request, in milliseconds.
     pub work_ms: u64,
-    /// File that also receives the record.
+    /// File to which the record is also written.
     pub record: Option<PathBuf>,
 }
 
--- a/crates/geraniumpost-standin/src/minion/serve.rs
+++ b/crates/geraniumpost-standin/src/minion/serve.rs
@@ -7,23 +7,23 @@
 use tokio::sync::watch;
 
 use super::MinionOptions;
-use super::service::answer;
+use super::service::handle;
 use super::shared::Shared;
 use crate::Standin;
 use crate::http::{Down, Reply, Server, json, status};
 
 /// Runs a minion until the returned handle is dropped.
 ///
-/// Its control listener serves `GET /record`, `GET /counts`, `GET /fault` and `POST /fault`.
+/// The control listener serves `GET /record`, `GET /counts`, `GET /fault` and `POST /fault`.
 pub async fn spawn_in_process(
     listen: SocketAddr,
     control: SocketAddr,
     options: MinionOptions,
 ) -> Result<Standin> {
-    let (up, down) = watch::channel(Down::No);
-    let server = Server::bind(listen, down).await?;
-    let shared = Arc::new(Shared::open(options, server.connections(), up)?);
-    Standin::serve(server, control, shared, answer, page).await
+    let (down_tx, down_rx) = watch::channel(Down::No);
+    let server = Server::bind(listen, down_rx).await?;
+    let shared = Arc::new(Shared::open(options, server.connections(), down_tx)?);
+    Standin::serve(server, control, shared, handle, page).await
 }
 
 fn page(shared: &Shared, method: &Method, path: &str, body: &Bytes) -> Result<Option<Reply>> {
--- a/crates/geraniumpost-standin/src/minion/service.rs
+++ b/crates/geraniumpost-standin/src/minion/service.rs
@@ -9,28 +9,29 @@
 use super::{MinionEvent, MinionEventKind, MinionMode, digest, expected_answer};
 use crate::http::{Closed, Reply, ReplyBody, body_of, header_of, query_of, status, text};
 
-/// Largest answer a request may ask for.
-const MAX_ANSWER: usize = 64 << 20;
+/// Limit on the response length that a request may ask for.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
-/// Runs one request and answers it.
-pub(super) async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Reply, Closed> {
+/// Runs one request and responds.
+pub(super) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Reply, Closed> {
     let work_ms = header_of(&req, "x-work-ms").or_else(|| query_of(&req, "work_ms"));
-    let least = header_of(&req, "x-answer-bytes").or_else(|| query_of(&req, "answer_bytes"));
-    let mut event = describe(&shared, &req);
+    let min_bytes = header_of(&req, "x-answer-bytes").or_else(|| query_of(&req, "answer_bytes"));
+    let mut event = new_event(&shared, &req);
     let body = body_of(req).await?;
     event.body_digest = digest(&body);
-    let least: usize = least.unwrap_or(0);
-    let whole = expected_answer(&event.request_id, &body, least.min(MAX_ANSWER));
+    let min_bytes: usize = min_bytes.unwrap_or(0);
+    let response_body =
+        expected_answer(&event.request_id, &body, min_bytes.min(MAX_RESPONSE_BYTES));
     let id = event.request_id.clone();
     let work_ms = work_ms.unwrap_or(shared.options().work_ms);
-    // The run has a task of its own, so that it goes on when its caller disconnects.
+    // The run has its own task, so that it continues after its client disconnects.
     let run = tokio::spawn(run(shared, event, work_ms));
     let mode = run.await.map_err(|_| Closed)?;
-    reply(mode, &id, &whole)
+    reply(mode, &id, &response_body)
 }
 
 async fn run(shared: Arc<Shared>, mut event: MinionEvent, work_ms: u64) -> MinionMode {
-    let (mode, delay_ms) = shared.draw();
+    let (mode, delay_ms) = shared.draw_mode();
     shared.begin(&mut event);
     match mode {
         MinionMode::Fail => {}
@@ -46,7 +47,7 @@
     mode
 }
 
-fn reply(mode: MinionMode, id: &str, whole: &Bytes) -> Result<Reply, Closed> {
+fn reply(mode: MinionMode, id: &str, response_body: &Bytes) -> Result<Reply, Closed> {
     let mut reply = match mode {
         MinionMode::Close | MinionMode::Hang => return Err(Closed),
         MinionMode::Fail => text(StatusCode::INTERNAL_SERVER_ERROR, "failed on purpose\n"),
@@ -54,8 +55,8 @@
         MinionMode::Truncate => status(StatusCode::OK),
     };
     match mode {
-        MinionMode::Serve => *reply.body_mut() = ReplyBody::from(whole.clone()),
-        MinionMode::Truncate => *reply.body_mut() = ReplyBody::cut_short(whole),
+        MinionMode::Serve => *reply.body_mut() = ReplyBody::from(response_body.clone()),
+        MinionMode::Truncate => *reply.body_mut() = ReplyBody::truncated(response_body),
         _ => {}
     }
     if let Ok(id) = HeaderValue::from_str(id) {
@@ -64,7 +65,7 @@
     Ok(reply)
 }
 
-fn describe(shared: &Shared, req: &Request<Incoming>) -> MinionEvent {
+fn new_event(shared: &Shared, req: &Request<Incoming>) -> MinionEvent {
     MinionEvent {
         at_us: 0,
         minion: shared.options().name.clone(),
--- a/crates/geraniumpost-standin/src/minion/shared.rs
+++ b/crates/geraniumpost-standin/src/minion/shared.rs
@@ -9,7 +9,7 @@
 use crate::http::{ConnectionCount, Down};
 use crate::{Journal, now_us};
 
-/// What the minion's tasks share.
+/// State that the tasks of a minion share.
 #[derive(Debug)]
 pub(super) struct Shared {
     options: MinionOptions,
@@ -23,7 +23,7 @@
 struct Inner {
     counts: MinionCounts,
     faults: MinionFaults,
-    chance: StdRng,
+    rng: StdRng,
 }
 
 impl Shared {
@@ -36,7 +36,7 @@
         let inner = Inner {
             counts: MinionCounts::default(),
             faults: MinionFaults::default(),
-            chance: StdRng::seed_from_u64(0),
+            rng: StdRng::seed_from_u64(0),
         };
         Ok(Self { options, inner: Mutex::new(inner), record, connections, down })
     }
@@ -49,7 +49,8 @@
         &self.options
     }
 
-    /// Records that a request begins to run; `event` is completed and kept for its end.
+    /// Records the start of a run, and sets run number and time in `event`, which the caller keeps
+    /// for the end of the run.
     pub(super) fn begin(&self, event: &mut MinionEvent) {
         let mut inner = self.lock();
         let counts = &mut inner.counts;
@@ -66,7 +67,7 @@
         }
     }
 
-    /// Records that a request has run.
+    /// Records the end of a run.
     pub(super) fn end(&self, event: MinionEvent) {
         let mut inner = self.lock();
         inner.counts.running -= 1;
@@ -74,19 +75,19 @@
         self.record.append(MinionEvent { at_us, kind, ..event });
     }
 
-    /// Draws what becomes of the next request, with the delay.
-    pub(super) fn draw(&self) -> (MinionMode, u64) {
+    /// Returns the mode and the delay of the next request. The mode may be chosen at random.
+    pub(super) fn draw_mode(&self) -> (MinionMode, u64) {
         let mut inner = self.lock();
         let faults = inner.faults;
-        let hit = faults.mode_permille >= 1000
-            || inner.chance.random_range(0..1000) < faults.mode_permille;
-        (if hit { faults.mode } else { MinionMode::Serve }, faults.delay_ms)
+        let applies =
+            faults.mode_permille >= 1000 || inner.rng.random_range(0..1000) < faults.mode_permille;
+        (if applies { faults.mode } else { MinionMode::Serve }, faults.delay_ms)
     }
 
     pub(super) fn counts(&self) -> MinionCounts {
         let mut counts = self.lock().counts;
         counts.connections = self.connections.open() as u64;
-        counts.most_connections = self.connections.most() as u64;
+        counts.most_connections = self.connections.highest() as u64;
         counts.over_connections = counts.most_connections > self.options.connections;
         counts
     }
@@ -102,7 +103,7 @@
     pub(super) fn set_faults(&self, faults: MinionFaults) {
         let mut inner = self.lock();
         inner.faults = faults;
-        inner.chance = StdRng::seed_from_u64(faults.seed);
+        inner.rng = StdRng::seed_from_u64(faults.seed);
         drop(inner);
         self.down.send_replace(faults.down);
     }
--- a/crates/geraniumpost-standin/src/relay/direction.rs
+++ b/crates/geraniumpost-standin/src/relay/direction.rs
@@ -4,8 +4,8 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Direction {
-    /// Swallows what comes, without closing anything.
+    /// Discards all data without closing the connection.
     pub stall: bool,
-    /// Wait before each piece is passed on, in milliseconds.
+    /// Delay before data is forwarded, in milliseconds.
     pub delay_ms: u64,
 }
--- a/crates/geraniumpost-standin/src/relay/faults.rs
+++ b/crates/geraniumpost-standin/src/relay/faults.rs
@@ -2,19 +2,19 @@
 
 use super::Direction;
 
-/// Faults of a relay; the default is none.
+/// Injected faults of a relay; none by default.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RelayFaults {
-    /// From the side that connects.
+    /// Faults of data from the client.
     pub forward: Direction,
-    /// Towards the side that connects.
+    /// Faults of data to the client.
     pub back: Direction,
-    /// Applies the directions' faults only to connections that are already open.
+    /// Whether `forward` and `back` only apply to connections that are already open.
     pub spare_new: bool,
-    /// Closes new connections at once.
+    /// Whether new connections are closed immediately.
     pub refuse_new: bool,
-    /// Bytes a second that all connections together may pass towards the side that connects, as over
-    /// a link that they share; 0 for no bound.
+    /// Bandwidth that all connections share for data to the client, in bytes per second; 0 for no
+    /// limit.
     pub back_bytes_per_s: u64,
 }
--- a/crates/geraniumpost-standin/src/relay/mod.rs
+++ b/crates/geraniumpost-standin/src/relay/mod.rs
@@ -1,7 +1,7 @@
-//! A TCP or UDP relay that can cut, stall and delay what passes, each direction by itself.
+//! A TCP or UDP relay that can close connections, and discard or delay data in each direction.
 //!
-//! A stalled connection stays silent for good, as one whose state a middlebox has lost: once bytes
-//! have been swallowed, passing on later ones would present a stream with a hole in it.
+//! A stalled connection never forwards data again, like one whose state a middlebox has lost. Once
+//! bytes have been discarded, forwarding later ones would corrupt the stream.
 
 mod direction;
 mod faults;
--- a/crates/geraniumpost-standin/src/relay/protocol.rs
+++ b/crates/geraniumpost-standin/src/relay/protocol.rs
@@ -1,8 +1,8 @@
-/// What a relay passes on.
+/// Protocol that a relay forwards.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Protocol {
-    /// Connections.
+    /// TCP connections.
     Tcp,
-    /// Datagrams.
+    /// UDP datagrams.
     Udp,
 }
--- a/crates/geraniumpost-standin/src/relay/serve.rs
+++ b/crates/geraniumpost-standin/src/relay/serve.rs
@@ -13,9 +13,9 @@
 use crate::http::{Reply, json, status};
 use crate::standin::serve_pages;
 
-/// Runs a relay to `to` until the returned handle is dropped.
+/// Runs a relay to the address `to` until the returned handle is dropped.
 ///
-/// Its control listener serves `GET /fault`, `POST /fault` and `POST /cut`.
+/// The control listener serves `GET /fault`, `POST /fault` and `POST /cut`.
 pub async fn spawn_in_process(
     listen: SocketAddr,
     control: SocketAddr,
--- a/crates/geraniumpost-standin/src/relay/shared.rs
+++ b/crates/geraniumpost-standin/src/relay/shared.rs
@@ -6,7 +6,7 @@
 
 use super::{Direction, RelayFaults};
 
-/// What the relay's tasks share.
+/// State that the tasks of a relay share.
 #[derive(Debug)]
 pub(super) struct Shared {
     inner: Mutex<Inner>,
@@ -17,16 +17,16 @@
 struct Inner {
     faults: RelayFaults,
     /// Number of the next connection.
-    next: u64,
-    /// Connections from this number on are spared.
-    spared_from: u64,
-    /// When the bytes passed back so far are through a link with a bound.
+    next_connection: u64,
+    /// Number of the first connection that was opened after the faults were set.
+    first_new_connection: u64,
+    /// Time until which the bandwidth to the clients is used up by earlier data.
     back_busy_until: Option<Instant>,
 }
 
-/// One of the two ways through a relay.
+/// Direction of data through a relay: from the client, or back to it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Way {
+pub(super) enum FlowDirection {
     Forward,
     Back,
 }
@@ -40,23 +40,23 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Numbers a new connection, unless new ones are refused.
+    /// Assigns a number to a new connection; `None` if new connections are refused.
     pub(super) fn admit(&self) -> Option<u64> {
         let mut inner = self.lock();
-        let number = inner.next;
-        inner.next += 1;
+        let number = inner.next_connection;
+        inner.next_connection += 1;
         (!inner.faults.refuse_new).then_some(number)
     }
 
-    /// Returns the faults that hold for one way of a connection.
-    pub(super) fn direction(&self, connection: u64, way: Way) -> Direction {
+    /// Returns the faults that apply to one direction of a connection.
+    pub(super) fn faults_of(&self, connection: u64, flow: FlowDirection) -> Direction {
         let inner = self.lock();
-        if inner.faults.spare_new && connection >= inner.spared_from {
+        if inner.faults.spare_new && connection >= inner.first_new_connection {
             return Direction::default();
         }
-        match way {
-            Way::Forward => inner.faults.forward,
-            Way::Back => inner.faults.back,
+        match flow {
+            FlowDirection::Forward => inner.faults.forward,
+            FlowDirection::Back => inner.faults.back,
         }
     }
 
@@ -67,19 +67,19 @@
     pub(super) fn set_faults(&self, faults: RelayFaults) {
         let mut inner = self.lock();
         inner.faults = faults;
-        inner.spared_from = inner.next;
+        inner.first_new_connection = inner.next_connection;
     }
 
-    /// Returns when so many bytes are through the link; at once without a bound.
-    pub(super) fn passed_at(&self, way: Way, bytes: usize) -> Instant {
+    /// Returns when `bytes` have been transferred at the limited bandwidth; without a limit, now.
+    pub(super) fn transferred_at(&self, flow: FlowDirection, bytes: usize) -> Instant {
         let now = Instant::now();
         let mut inner = self.lock();
         let rate = inner.faults.back_bytes_per_s;
-        if rate == 0 || matches!(way, Way::Forward) {
+        if rate == 0 || matches!(flow, FlowDirection::Forward) {
             return now;
         }
-        let begins = inner.back_busy_until.map_or(now, |until| until.max(now));
-        let ends = begins + Duration::from_secs_f64(bytes as f64 / rate as f64);
+        let starts = inner.back_busy_until.map_or(now, |until| until.max(now));
+        let ends = starts + Duration::from_secs_f64(bytes as f64 / rate as f64);
         inner.back_busy_until = Some(ends);
         ends
     }
--- a/crates/geraniumpost-standin/src/relay/tcp.rs
+++ b/crates/geraniumpost-standin/src/relay/tcp.rs
@@ -7,10 +7,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
-use super::shared::{Shared, Way};
+use super::shared::{FlowDirection, Shared};
 
-/// Bytes read at once.
-const BUFFER: usize = 8 << 10;
+/// Limit on the bytes that are read and forwarded together.
+const BUFFER_BYTES: usize = 8 << 10;
 
 /// Accepts and relays connections until the future is dropped.
 pub(super) async fn relay(listener: TcpListener, to: SocketAddr, shared: Arc<Shared>) {
@@ -18,8 +18,8 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let (Ok((near, _)), Some(number)) = (accepted, shared.admit()) {
-                    connections.spawn(connect(near, to, Arc::clone(&shared), number));
+                if let (Ok((client, _)), Some(number)) = (accepted, shared.admit()) {
+                    connections.spawn(connect(client, to, Arc::clone(&shared), number));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -27,40 +27,40 @@
     }
 }
 
-async fn connect(near: TcpStream, to: SocketAddr, shared: Arc<Shared>, number: u64) {
+async fn connect(client: TcpStream, to: SocketAddr, shared: Arc<Shared>, number: u64) {
     let mut cuts = shared.cuts();
-    let Ok(far) = TcpStream::connect(to).await else { return };
-    let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let (near_rx, near_tx) = near.into_split();
-    let (far_rx, far_tx) = far.into_split();
-    let ways = async {
+    let Ok(server) = TcpStream::connect(to).await else { return };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let (client_rx, client_tx) = client.into_split();
+    let (server_rx, server_tx) = server.into_split();
+    let transfers = async {
         tokio::join!(
-            pump(near_rx, far_tx, &shared, number, Way::Forward),
-            pump(far_rx, near_tx, &shared, number, Way::Back),
+            forward(client_rx, server_tx, &shared, number, FlowDirection::Forward),
+            forward(server_rx, client_tx, &shared, number, FlowDirection::Back),
         )
     };
     tokio::select! {
-        _ = ways => {}
+        _ = transfers => {}
         _ = cuts.changed() => {}
     }
 }
 
-/// Passes bytes on until an end or an error.
-async fn pump(
+/// Forwards bytes in one direction until the stream ends or fails.
+async fn forward(
     mut rx: OwnedReadHalf,
     mut tx: OwnedWriteHalf,
     shared: &Shared,
     number: u64,
-    way: Way,
+    flow: FlowDirection,
 ) {
-    let mut buf = vec![0; BUFFER];
-    let mut silent = false;
+    let mut buf = vec![0; BUFFER_BYTES];
+    let mut stalled = false;
     loop {
         let read = rx.read(&mut buf).await.unwrap_or(0);
-        let faults = shared.direction(number, way);
-        silent |= faults.stall;
-        match (silent, read) {
-            // Neither bytes nor the end of the stream get through a silent connection.
+        let faults = shared.faults_of(number, flow);
+        stalled |= faults.stall;
+        match (stalled, read) {
+            // A stalled connection forwards neither bytes nor the end of the stream.
             (true, 0) => std::future::pending().await,
             (true, _) => {}
             (false, 0) => {
@@ -69,7 +69,7 @@
             }
             (false, read) => {
                 tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
-                tokio::time::sleep_until(shared.passed_at(way, read)).await;
+                tokio::time::sleep_until(shared.transferred_at(flow, read)).await;
                 if tx.write_all(&buf[..read]).await.is_err() {
                     return;
                 }
--- a/crates/geraniumpost-standin/src/relay/udp.rs
+++ b/crates/geraniumpost-standin/src/relay/udp.rs
@@ -8,33 +8,38 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 
-use super::shared::{Shared, Way};
+use super::shared::{FlowDirection, Shared};
 
-/// Largest datagram.
-const BUFFER: usize = 64 << 10;
+/// Size of the receive buffer, larger than any UDP datagram.
+const BUFFER_BYTES: usize = 64 << 10;
 
-/// Relays datagrams until the future is dropped; each sender gets a socket of its own.
+/// Relays datagrams until the future is dropped, with a separate socket for each client.
 pub(super) async fn relay(socket: UdpSocket, to: SocketAddr, shared: Arc<Shared>) {
-    let near = Arc::new(socket);
-    let mut far_sockets: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+    let client_socket = Arc::new(socket);
+    let mut server_sockets: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
     let mut tasks = JoinSet::new();
-    let mut buf = vec![0; BUFFER];
+    let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        let Ok((size, from)) = near.recv_from(&mut buf).await else { continue };
-        let far = match far_sockets.entry(from) {
+        let Ok((size, from)) = client_socket.recv_from(&mut buf).await else { continue };
+        let server_socket = match server_sockets.entry(from) {
             Entry::Occupied(known) => Arc::clone(known.get()),
             Entry::Vacant(new) => {
-                let Ok(far) = open(to).await else { continue };
-                let far = Arc::clone(new.insert(Arc::new(far)));
-                tasks.spawn(back(Arc::clone(&far), Arc::clone(&near), from, Arc::clone(&shared)));
-                far
+                let Ok(server_socket) = open(to).await else { continue };
+                let server_socket = Arc::clone(new.insert(Arc::new(server_socket)));
+                tasks.spawn(relay_responses(
+                    Arc::clone(&server_socket),
+                    Arc::clone(&client_socket),
+                    from,
+                    Arc::clone(&shared),
+                ));
+                server_socket
             }
         };
         let datagram = buf[..size].to_vec();
         let shared = Arc::clone(&shared);
         tasks.spawn(async move {
-            if passes(&shared, Way::Forward).await {
-                let _ = far.send(&datagram).await;
+            if is_forwarded(&shared, FlowDirection::Forward).await {
+                let _ = server_socket.send(&datagram).await;
             }
         });
         while tasks.try_join_next().is_some() {}
@@ -48,23 +53,28 @@
     Ok(socket)
 }
 
-async fn back(far: Arc<UdpSocket>, near: Arc<UdpSocket>, to: SocketAddr, shared: Arc<Shared>) {
-    let mut buf = vec![0; BUFFER];
+async fn relay_responses(
+    server_socket: Arc<UdpSocket>,
+    client_socket: Arc<UdpSocket>,
+    to: SocketAddr,
+    shared: Arc<Shared>,
+) {
+    let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        let Ok(size) = far.recv(&mut buf).await else {
-            // A port without a process is reported here; the next datagram may find one.
+        let Ok(size) = server_socket.recv(&mut buf).await else {
+            // The socket reports here that nobody listens on the port; this may change.
             tokio::time::sleep(Duration::from_millis(1)).await;
             continue;
         };
-        if passes(&shared, Way::Back).await {
-            let _ = near.send_to(&buf[..size], to).await;
+        if is_forwarded(&shared, FlowDirection::Back).await {
+            let _ = client_socket.send_to(&buf[..size], to).await;
         }
     }
 }
 
-/// Waits for the delay; tells whether the datagram passes.
-async fn passes(shared: &Shared, way: Way) -> bool {
-    let faults = shared.direction(0, way);
+/// Waits for the injected delay, and returns whether the datagram is forwarded.
+async fn is_forwarded(shared: &Shared, flow: FlowDirection) -> bool {
+    let faults = shared.faults_of(0, flow);
     if faults.stall {
         return false;
     }
--- a/crates/geraniumpost-standin/src/standin.rs
+++ b/crates/geraniumpost-standin/src/standin.rs
@@ -10,11 +10,11 @@
 
 use crate::http::{Closed, Reply, Server, serve_control};
 
-/// Control pages of a stand-in: what it shares, method, path and body to a reply, or `None` for no
-/// such page.
-pub type Page<S> = fn(&S, &Method, &str, &Bytes) -> Result<Option<Reply>>;
+/// Handler of the control pages of a stand-in. It gets the shared state, method, path and body, and
+/// returns `None` for an unknown page.
+pub type PageHandler<S> = fn(&S, &Method, &str, &Bytes) -> Result<Option<Reply>>;
 
-/// A stand-in that runs inside the caller's runtime until this handle is dropped.
+/// A stand-in that runs on the caller's runtime until this handle is dropped.
 #[derive(Debug)]
 pub struct Standin {
     address: SocketAddr,
@@ -27,13 +27,13 @@
         Self { address, control, tasks }
     }
 
-    /// Serves `answer` on a server and `page` on a control listener.
+    /// Serves requests with `handler`, and control pages with `page` on a separate listener.
     pub(crate) async fn serve<S, F>(
         server: Server,
         control: SocketAddr,
         shared: Arc<S>,
-        answer: fn(Arc<S>, Request<Incoming>) -> F,
-        page: Page<S>,
+        handler: fn(Arc<S>, Request<Incoming>) -> F,
+        page: PageHandler<S>,
     ) -> Result<Self>
     where
         S: Send + Sync + 'static,
@@ -42,44 +42,44 @@
         let mut tasks = JoinSet::new();
         let control = serve_pages(control, &mut tasks, Arc::clone(&shared), page).await?;
         let address = server.address();
-        tasks.spawn(server.run(move |req| answer(Arc::clone(&shared), req)));
+        tasks.spawn(server.run(move |req| handler(Arc::clone(&shared), req)));
         Ok(Self::new(address, control, tasks))
     }
 
-    /// Runs a task for as long as the stand-in.
+    /// Adds a task that runs until the stand-in is dropped.
     #[must_use]
-    pub(crate) fn beside(mut self, task: impl Future<Output = ()> + Send + 'static) -> Self {
+    pub(crate) fn with_task(mut self, task: impl Future<Output = ()> + Send + 'static) -> Self {
         self.tasks.spawn(task);
         self
     }
 
-    /// Returns the address at which the stand-in serves.
+    /// Returns the address of the service.
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Returns the address of its control listener, to be used with [`Control`](crate::Control).
+    /// Returns the address of the control listener, for use with [`Control`](crate::Control).
     pub const fn control_address(&self) -> SocketAddr {
         self.control
     }
 
-    /// Returns a client of its control listener.
+    /// Returns a client of the control listener.
     pub const fn control(&self) -> crate::Control {
         crate::Control::new(self.control)
     }
 
-    /// Waits until the stand-in ends by itself, which it only does after an error.
+    /// Waits until a task of the stand-in ends, which happens only after an error.
     pub async fn ended(mut self) {
         self.tasks.join_next().await;
     }
 }
 
-/// Serves the control pages of what a stand-in shares.
+/// Serves the control pages of a stand-in.
 pub(crate) async fn serve_pages<S: Send + Sync + 'static>(
     control: SocketAddr,
     tasks: &mut JoinSet<()>,
     shared: Arc<S>,
-    page: Page<S>,
+    page: PageHandler<S>,
 ) -> Result<SocketAddr> {
     let pages = move |method: &Method, path: &str, body: &Bytes| page(&shared, method, path, body);
     serve_control(control, tasks, Arc::new(pages)).await
--- a/crates/geraniumpost-standin/src/store/call.rs
+++ b/crates/geraniumpost-standin/src/store/call.rs
@@ -1,6 +1,6 @@
 use derive_more::Display;
 
-/// Kinds of calls that the service counts.
+/// Kind of a call to the store.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 pub enum Call {
     /// Reads a key.
@@ -20,8 +20,9 @@
 }
 
 impl Call {
-    /// Tells whether the call changes anything, which the platform serves at a lower rate.
-    pub const fn writes(self) -> bool {
+    /// Returns whether the call changes the data. The platform has a separate rate limit for such
+    /// calls.
+    pub const fn is_write(self) -> bool {
         !matches!(self, Self::Get | Self::Watch)
     }
 }
--- a/crates/geraniumpost-standin/src/store/counts.rs
+++ b/crates/geraniumpost-standin/src/store/counts.rs
@@ -2,30 +2,30 @@
 
 use super::Call;
 
-/// Calls that the service has taken, by kind.
+/// Numbers of calls to the store, by kind.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreCounts {
     /// Reads of a key.
     pub get: u64,
-    /// Writes of a key, whether they won or lost.
+    /// Writes of a key, including those that failed.
     pub put: u64,
     /// Removals of a key.
     pub delete: u64,
-    /// Leases created.
+    /// Creations of a lease.
     pub grant: u64,
-    /// Leases renewed.
+    /// Renewals of a lease.
     pub keep_alive: u64,
-    /// Leases ended by their holder.
+    /// Revocations of a lease.
     pub revoke: u64,
-    /// Watches, each wait as one.
+    /// Watches; each wait counts as one.
     pub watch: u64,
-    /// Writes that lost against another one.
+    /// Writes and removals whose condition did not hold.
     pub conflicts: u64,
-    /// Calls refused because their rate was over the limit.
+    /// Calls refused by the rate limit.
     pub limited: u64,
-    /// Replies withheld after the write had taken effect.
+    /// Writes whose reply was lost by an injected fault.
     pub lost_replies: u64,
-    /// Bytes of values written.
+    /// Total length of the values written, in bytes.
     pub bytes_written: u64,
 }
 
@@ -49,7 +49,7 @@
         self.writes() + self.get + self.watch
     }
 
-    /// Returns the number of calls that change something.
+    /// Returns the number of calls that change the data.
     pub const fn writes(&self) -> u64 {
         self.put + self.delete + self.grant + self.keep_alive + self.revoke
     }
--- a/crates/geraniumpost-standin/src/store/entry.rs
+++ b/crates/geraniumpost-standin/src/store/entry.rs
@@ -1,12 +1,12 @@
 use bytes::Bytes;
 
-/// A key's value with the revision that wrote it.
+/// Value of a key, with the revision of its last write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
-    /// Revision of the write.
+    /// Revision of the last write.
     pub revision: u64,
-    /// The value.
+    /// Value.
     pub value: Bytes,
-    /// Lease whose end removes the key.
+    /// Id of the lease at whose end the key is removed.
     pub lease: Option<u64>,
 }
--- a/crates/geraniumpost-standin/src/store/serve.rs
+++ b/crates/geraniumpost-standin/src/store/serve.rs
@@ -7,30 +7,30 @@
 use http::{Method, StatusCode};
 use tokio::sync::watch;
 
-use super::service::answer;
+use super::service::handle;
 use super::shared::Shared;
 use crate::Standin;
 use crate::http::{Down, Reply, Server, json, status};
 
-/// Interval at which overdue leases are ended, so that watches see it without another call.
-const EXPIRY_TICK: Duration = Duration::from_millis(10);
+/// Interval at which expired leases are ended, so that watches notice without another call.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Runs the key-value service until the returned handle is dropped.
 ///
-/// Its control listener serves `GET /counts`, `GET /fault` and `POST /fault`.
+/// The control listener serves `GET /counts`, `GET /fault` and `POST /fault`.
 pub async fn spawn_in_process(listen: SocketAddr, control: SocketAddr) -> Result<Standin> {
-    let (up, down) = watch::channel(Down::No);
-    let shared = Arc::new(Shared::new(up));
-    let server = Server::bind(listen, down).await?;
-    let ticking = Arc::clone(&shared);
-    let standin = Standin::serve(server, control, shared, answer, page).await?;
-    Ok(standin.beside(expire_leases(ticking)))
+    let (down_tx, down_rx) = watch::channel(Down::No);
+    let shared = Arc::new(Shared::new(down_tx));
+    let server = Server::bind(listen, down_rx).await?;
+    let task_shared = Arc::clone(&shared);
+    let standin = Standin::serve(server, control, shared, handle, page).await?;
+    Ok(standin.with_task(expire_leases(task_shared)))
 }
 
 async fn expire_leases(shared: Arc<Shared>) {
-    let mut ticks = tokio::time::interval(EXPIRY_TICK);
+    let mut interval = tokio::time::interval(EXPIRY_INTERVAL);
     loop {
-        ticks.tick().await;
+        interval.tick().await;
         shared.expire();
     }
 }
--- a/crates/geraniumpost-standin/src/store/service.rs
+++ b/crates/geraniumpost-standin/src/store/service.rs
@@ -6,14 +6,14 @@
 use hyper::body::Incoming;
 
 use super::shared::Shared;
-use super::{Call, Entry, Expect, MAX_VALUE, Putting};
+use super::{Call, Entry, Expect, MAX_VALUE_BYTES, WriteResult};
 use crate::http::{Closed, Reply, ReplyBody, body_of, header_of, query_of, status, text};
 
-/// Longest wait of a watch.
+/// Limit on the wait of a watch, in milliseconds.
 const MAX_WAIT_MS: u64 = 60_000;
 
-/// Answers one call.
-pub(super) async fn answer(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Reply, Closed> {
+/// Handles one call.
+pub(super) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Result<Reply, Closed> {
     let path = req.uri().path().to_owned();
     let Some((call, target)) = route(req.method(), &path) else {
         return Ok(status(StatusCode::NOT_FOUND));
@@ -32,7 +32,7 @@
         Call::Revoke => revoke(&shared, target),
         Call::Watch => watch(&shared, target, &req).await,
     };
-    if call.writes() && shared.loses_reply() { Err(Closed) } else { Ok(reply) }
+    if call.is_write() && shared.draw_reply_loss() { Err(Closed) } else { Ok(reply) }
 }
 
 fn route<'a>(method: &Method, path: &'a str) -> Option<(Call, &'a str)> {
@@ -54,7 +54,9 @@
 
 fn get(shared: &Shared, key: &str) -> Reply {
     shared.expire();
-    shared.read(|state| state.get(key).cloned()).map_or_else(missing, |entry| found(&entry))
+    shared
+        .read(|state| state.get(key).cloned())
+        .map_or_else(reply_not_found, |entry| reply_with_entry(&entry))
 }
 
 async fn put(shared: &Shared, key: &str, req: Request<Incoming>) -> Result<Reply, Closed> {
@@ -63,16 +65,16 @@
     };
     let lease = header_of(&req, "x-lease");
     let value = body_of(req).await?;
-    if value.len() > MAX_VALUE {
+    if value.len() > MAX_VALUE_BYTES {
         return Ok(status(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let bytes = value.len();
-    let putting = shared.change(|state, _| state.put(key, value, expect, lease));
-    let done = matches!(putting, Putting::Done(_));
-    shared.note_write(if done { bytes } else { 0 }, matches!(putting, Putting::Conflict(_)));
-    Ok(match putting {
-        Putting::Done(revision) => tagged(StatusCode::OK, revision),
-        other => refused(other),
+    let result = shared.change(|state, _| state.put(key, value, expect, lease));
+    let done = matches!(result, WriteResult::Done(_));
+    shared.count_write(if done { bytes } else { 0 }, matches!(result, WriteResult::Conflict(_)));
+    Ok(match result {
+        WriteResult::Done(revision) => reply_with_etag(StatusCode::OK, revision),
+        other => reply_to_refusal(other),
     })
 }
 
@@ -80,12 +82,12 @@
     let Some(Expect::Revision(revision)) = condition(req) else {
         return status(StatusCode::PRECONDITION_REQUIRED);
     };
-    let putting = shared.change(|state, _| state.delete(key, revision));
-    shared.note_write(0, matches!(putting, Putting::Conflict(_)));
-    match putting {
-        Putting::Done(_) => status(StatusCode::NO_CONTENT),
-        Putting::Conflict(None) => missing(),
-        other => refused(other),
+    let result = shared.change(|state, _| state.delete(key, revision));
+    shared.count_write(0, matches!(result, WriteResult::Conflict(_)));
+    match result {
+        WriteResult::Done(_) => status(StatusCode::NO_CONTENT),
+        WriteResult::Conflict(None) => reply_not_found(),
+        other => reply_to_refusal(other),
     }
 }
 
@@ -99,12 +101,12 @@
 
 fn keep_alive(shared: &Shared, id: &str) -> Reply {
     let id = id.parse().unwrap_or(0);
-    existed(shared.change(|state, now| state.keep_alive(id, now)))
+    reply_of_lease_call(shared.change(|state, now| state.keep_alive(id, now)))
 }
 
 fn revoke(shared: &Shared, id: &str) -> Reply {
     let id = id.parse().unwrap_or(0);
-    existed(shared.change(|state, _| state.revoke(id)))
+    reply_of_lease_call(shared.change(|state, _| state.revoke(id)))
 }
 
 async fn watch(shared: &Shared, key: &str, req: &Request<Incoming>) -> Reply {
@@ -114,9 +116,13 @@
     let changed = async {
         loop {
             changes.mark_unchanged();
-            let (at, entry) = shared.read(|state| (state.changed(key), state.get(key).cloned()));
+            let (at, entry) =
+                shared.read(|state| (state.last_change(key), state.get(key).cloned()));
             if at > after {
-                return entry.map_or_else(|| tagged(StatusCode::NOT_FOUND, at), |e| found(&e));
+                return entry.map_or_else(
+                    || reply_with_etag(StatusCode::NOT_FOUND, at),
+                    |e| reply_with_entry(&e),
+                );
             }
             if changes.changed().await.is_err() {
                 std::future::pending::<()>().await;
@@ -136,32 +142,34 @@
     tag.trim_matches('"').parse().ok().map(Expect::Revision)
 }
 
-fn found(entry: &Entry) -> Reply {
-    let mut reply = tagged(StatusCode::OK, entry.revision);
+fn reply_with_entry(entry: &Entry) -> Reply {
+    let mut reply = reply_with_etag(StatusCode::OK, entry.revision);
     *reply.body_mut() = ReplyBody::from(entry.value.clone());
     reply
 }
 
-fn tagged(code: StatusCode, revision: u64) -> Reply {
+fn reply_with_etag(code: StatusCode, revision: u64) -> Reply {
     let mut reply = status(code);
     let tag = HeaderValue::from_str(&format!("\"{revision}\""));
     reply.headers_mut().insert(ETAG, tag.expect("digits in quotes are a header value"));
     reply
 }
 
-fn refused(putting: Putting) -> Reply {
-    match putting {
-        Putting::Conflict(Some(current)) => tagged(StatusCode::PRECONDITION_FAILED, current),
-        Putting::Conflict(None) => status(StatusCode::PRECONDITION_FAILED),
-        Putting::NoLease => status(StatusCode::GONE),
-        Putting::Done(revision) => tagged(StatusCode::OK, revision),
+fn reply_to_refusal(result: WriteResult) -> Reply {
+    match result {
+        WriteResult::Conflict(Some(current)) => {
+            reply_with_etag(StatusCode::PRECONDITION_FAILED, current)
+        }
+        WriteResult::Conflict(None) => status(StatusCode::PRECONDITION_FAILED),
+        WriteResult::NoLease => status(StatusCode::GONE),
+        WriteResult::Done(revision) => reply_with_etag(StatusCode::OK, revision),
     }
 }
 
-fn missing() -> Reply {
+fn reply_not_found() -> Reply {
     status(StatusCode::NOT_FOUND)
 }
 
-fn existed(yes: bool) -> Reply {
-    status(if yes { StatusCode::NO_CONTENT } else { StatusCode::NOT_FOUND })
+fn reply_of_lease_call(existed: bool) -> Reply {
+    status(if existed { StatusCode::NO_CONTENT } else { StatusCode::NOT_FOUND })
 }
--- a/crates/geraniumpost-standin/src/store/shared.rs
+++ b/crates/geraniumpost-standin/src/store/shared.rs
@@ -9,7 +9,7 @@
 use super::{Call, StoreCounts, StoreFaults, StoreState};
 use crate::http::Down;
 
-/// What the service's tasks share.
+/// State that the tasks of the service share.
 #[derive(Debug)]
 pub(super) struct Shared {
     inner: Mutex<Inner>,
@@ -22,7 +22,7 @@
     state: StoreState,
     counts: StoreCounts,
     faults: StoreFaults,
-    chance: StdRng,
+    rng: StdRng,
     writes: Limiter,
     reads: Limiter,
 }
@@ -33,7 +33,7 @@
             state: StoreState::default(),
             counts: StoreCounts::default(),
             faults: StoreFaults::default(),
-            chance: StdRng::seed_from_u64(0),
+            rng: StdRng::seed_from_u64(0),
             writes: Limiter::default(),
             reads: Limiter::default(),
         };
@@ -44,12 +44,12 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Looks at the data.
-    pub(super) fn read<T>(&self, look: impl FnOnce(&StoreState) -> T) -> T {
-        look(&self.lock().state)
+    /// Calls `read` with the data.
+    pub(super) fn read<T>(&self, read: impl FnOnce(&StoreState) -> T) -> T {
+        read(&self.lock().state)
     }
 
-    /// Ends overdue leases, changes the data and wakes the watches.
+    /// Ends expired leases, applies `change` to the data, and notifies the watches.
     pub(super) fn change<T>(&self, change: impl FnOnce(&mut StoreState, Instant) -> T) -> T {
         let now = Instant::now();
         let mut inner = self.lock();
@@ -60,7 +60,7 @@
         result
     }
 
-    /// Ends overdue leases.
+    /// Ends expired leases, and notifies the watches if there were any.
     pub(super) fn expire(&self) {
         let any = self.lock().state.expire(Instant::now());
         if any {
@@ -68,40 +68,40 @@
         }
     }
 
-    /// Returns a receiver that sees each change.
+    /// Returns a receiver that is notified of each change.
     pub(super) fn changes(&self) -> watch::Receiver<()> {
         self.changes.subscribe()
     }
 
-    /// Counts a call; tells whether its rate is within the limit.
+    /// Counts a call, and returns whether it is within the rate limit.
     pub(super) fn admit(&self, call: Call) -> bool {
         let mut inner = self.lock();
         let inner = &mut *inner;
         inner.counts.add(call);
         let now = Instant::now();
-        let admitted = if call.writes() {
-            inner.writes.take(inner.faults.writes_per_second, now)
+        let admitted = if call.is_write() {
+            inner.writes.admit(inner.faults.writes_per_second, now)
         } else {
-            inner.reads.take(inner.faults.reads_per_second, now)
+            inner.reads.admit(inner.faults.reads_per_second, now)
         };
         inner.counts.limited += u64::from(!admitted);
         admitted
     }
 
-    /// Counts the outcome of a write.
-    pub(super) fn note_write(&self, bytes: usize, conflict: bool) {
+    /// Counts the bytes and conflicts of a write.
+    pub(super) fn count_write(&self, bytes: usize, conflict: bool) {
         let mut inner = self.lock();
         inner.counts.bytes_written += bytes as u64;
         inner.counts.conflicts += u64::from(conflict);
     }
 
-    /// Draws whether the reply to a write is lost.
-    pub(super) fn loses_reply(&self) -> bool {
+    /// Decides whether the reply to a write is lost, by the number of forced losses or at random.
+    pub(super) fn draw_reply_loss(&self) -> bool {
         let mut inner = self.lock();
         let forced = inner.faults.lose_replies > 0;
         inner.faults.lose_replies = inner.faults.lose_replies.saturating_sub(1);
         let permille = inner.faults.lose_permille;
-        let lost = forced || (permille > 0 && inner.chance.random_range(0..1000) < permille);
+        let lost = forced || (permille > 0 && inner.rng.random_range(0..1000) < permille);
         inner.counts.lost_replies += u64::from(lost);
         lost
     }
@@ -117,7 +117,7 @@
     pub(super) fn set_faults(&self, faults: StoreFaults) {
         let mut inner = self.lock();
         inner.faults = faults;
-        inner.chance = StdRng::seed_from_u64(faults.seed);
+        inner.rng = StdRng::seed_from_u64(faults.seed);
         drop(inner);
         self.down.send_replace(faults.down);
     }
--- a/crates/geraniumpost-standin/src/store/state.rs
+++ b/crates/geraniumpost-standin/src/store/state.rs
@@ -3,16 +3,16 @@
 
 use bytes::Bytes;
 
-use super::{Entry, Expect, Putting};
+use super::{Entry, Expect, WriteResult};
 
 #[derive(Debug)]
 struct Lease {
     ttl: Duration,
-    ends: Instant,
+    expires: Instant,
     keys: BTreeSet<String>,
 }
 
-/// The service's data: keys, leases and one revision that grows with each change.
+/// Data of the service: keys, leases, and a revision that increases with each change.
 #[derive(Debug, Default)]
 pub struct StoreState {
     revision: u64,
@@ -23,25 +23,31 @@
 }
 
 impl StoreState {
-    /// Returns a key's value.
+    /// Returns the entry of a key.
     pub fn get(&self, key: &str) -> Option<&Entry> {
         self.entries.get(key)
     }
 
-    /// Returns the revision of the key's last write or removal, 0 if there was none.
-    pub fn changed(&self, key: &str) -> u64 {
+    /// Returns the revision of the last write or removal of a key, 0 if there was none.
+    pub fn last_change(&self, key: &str) -> u64 {
         let written = self.entries.get(key).map(|entry| entry.revision);
         written.or_else(|| self.removed.get(key).copied()).unwrap_or(0)
     }
 
-    /// Writes a key if the condition holds; an existing lease is replaced by the new one.
-    pub fn put(&mut self, key: &str, value: Bytes, expect: Expect, lease: Option<u64>) -> Putting {
+    /// Writes a key if the condition holds. `lease` replaces the earlier lease of the key.
+    pub fn put(
+        &mut self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+        lease: Option<u64>,
+    ) -> WriteResult {
         let current = self.entries.get(key).map(|entry| entry.revision);
         if !expect.holds(current) {
-            return Putting::Conflict(current);
+            return WriteResult::Conflict(current);
         }
         if lease.is_some_and(|id| !self.leases.contains_key(&id)) {
-            return Putting::NoLease;
+            return WriteResult::NoLease;
         }
         self.unbind(key);
         if let Some(lease) = lease.and_then(|id| self.leases.get_mut(&id)) {
@@ -51,36 +57,36 @@
         let entry = Entry { revision: self.revision, value, lease };
         self.entries.insert(key.to_owned(), entry);
         self.removed.remove(key);
-        Putting::Done(self.revision)
+        WriteResult::Done(self.revision)
     }
 
-    /// Removes a key that stands at `revision`.
-    pub fn delete(&mut self, key: &str, revision: u64) -> Putting {
+    /// Removes a key if its revision is `revision`.
+    pub fn delete(&mut self, key: &str, revision: u64) -> WriteResult {
         let current = self.entries.get(key).map(|entry| entry.revision);
         if current != Some(revision) {
-            return Putting::Conflict(current);
+            return WriteResult::Conflict(current);
         }
         self.unbind(key);
         self.remove(key);
-        Putting::Done(self.revision)
+        WriteResult::Done(self.revision)
     }
 
-    /// Creates a lease that ends `ttl` after `now` unless it is renewed.
+    /// Creates a lease that expires `ttl` after `now` unless it is renewed, and returns its id.
     pub fn grant(&mut self, ttl: Duration, now: Instant) -> u64 {
         self.last_lease += 1;
-        let lease = Lease { ttl, ends: now + ttl, keys: BTreeSet::new() };
+        let lease = Lease { ttl, expires: now + ttl, keys: BTreeSet::new() };
         self.leases.insert(self.last_lease, lease);
         self.last_lease
     }
 
-    /// Renews a lease; tells whether it still existed.
+    /// Renews a lease, and returns whether it existed.
     pub fn keep_alive(&mut self, id: u64, now: Instant) -> bool {
         let Some(lease) = self.leases.get_mut(&id) else { return false };
-        lease.ends = now + lease.ttl;
+        lease.expires = now + lease.ttl;
         true
     }
 
-    /// Ends a lease and removes its keys; tells whether it still existed.
+    /// Ends a lease and removes its keys, and returns whether it existed.
     pub fn revoke(&mut self, id: u64) -> bool {
         let Some(lease) = self.leases.remove(&id) else { return false };
         for key in lease.keys {
@@ -89,14 +95,14 @@
         true
     }
 
-    /// Ends all leases that were not renewed in time; tells whether there were any.
+    /// Ends all expired leases, and returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let over = self.leases.iter().filter(|(_, lease)| lease.ends <= now);
-        let over: Vec<u64> = over.map(|(id, _)| *id).collect();
-        for id in &over {
+        let expired = self.leases.iter().filter(|(_, lease)| lease.expires <= now);
+        let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
+        for id in &expired {
             self.revoke(*id);
         }
-        !over.is_empty()
+        !expired.is_empty()
     }
 
     fn unbind(&mut self, key: &str) {
--- a/crates/geraniumpost-standin/src/worker/event.rs
+++ b/crates/geraniumpost-standin/src/worker/event.rs
@@ -1,47 +1,47 @@
 use serde::{Deserialize, Serialize};
 
-/// What happened to a task.
+/// Kind of an event of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WorkerEventKind {
-    /// It began to run.
+    /// A run started.
     Started,
-    /// Its progress was saved.
+    /// The progress was saved.
     Checkpointed,
-    /// It was stopped on demand.
+    /// The run was stopped by a call.
     Stopped,
-    /// It finished.
+    /// The run completed.
     Done,
-    /// It failed.
+    /// The run failed.
     Failed,
-    /// Its lease ended before it did.
+    /// The lease expired before the run ended.
     Lapsed,
-    /// Its start gave the VM more than it can hold.
+    /// The start made the running tasks exceed the capacity of the VM.
     Overfilled,
 }
 
 impl WorkerEventKind {
-    /// Tells whether a run ends with this event.
+    /// Returns whether a run ends with this event.
     pub const fn ends_run(self) -> bool {
         matches!(self, Self::Stopped | Self::Done | Self::Failed | Self::Lapsed)
     }
 }
 
-/// One line of the worker's record.
+/// An event in the record of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerEvent {
-    /// When it happened, see [`now_us`](crate::now_us).
+    /// Time of the event, see [`now_us`](crate::now_us).
     pub at_us: u64,
     /// Name of the worker.
     pub worker: String,
-    /// The task.
+    /// Id of the task.
     pub task: String,
-    /// The run's epoch.
+    /// Epoch of the run.
     pub epoch: u64,
-    /// What happened.
+    /// Kind of the event.
     pub kind: WorkerEventKind,
     /// Work done so far, in microseconds at full speed.
     pub progress_us: u64,
-    /// Name of the checkpoint that was resumed or made, or the result.
+    /// Name of the checkpoint that was resumed or created, result of the run, or resources held.
     pub detail: String,
 }
--- a/crates/geraniumpost-standin/src/worker/mod.rs
+++ b/crates/geraniumpost-standin/src/worker/mod.rs
@@ -1,6 +1,6 @@
-//! Stand-in of a worker's task interface by HTTP and JSON.
+//! Stand-in of a worker's task interface, with HTTP and JSON.
 //!
-//! | call | answers |
+//! | call | responses |
 //! | --- | --- |
 //! | `PUT /v1/tasks/{id}` with a [`StartOrder`] | 201, 200 if that epoch was started before, 409 while another epoch runs, 400 |
 //! | `GET /v1/tasks` | 200 with a list of [`TaskView`] |
@@ -10,7 +10,7 @@
 //! | `POST /v1/tasks/{id}/stop` | 204 also if it has ended, 404 |
 //! | `DELETE /v1/tasks/{id}` | 204, 404, 409 while it runs |
 //!
-//! A task ends by itself when its lease lapses. Its command is one of [`Command`].
+//! The worker ends a task when its lease expires. The command of a task is a [`Command`].
 
 mod command;
 mod event;
@@ -33,6 +33,6 @@
 pub use order::StartOrder;
 pub use resources::Resources;
 pub use serve::spawn_in_process;
-pub use state::{Refusal, Starting, WorkerState};
+pub use state::{Refusal, StartResult, WorkerState};
 pub use task_state::TaskState;
 pub use view::TaskView;
--- a/crates/geraniumpost-standin/src/worker/options.rs
+++ b/crates/geraniumpost-standin/src/worker/options.rs
@@ -2,16 +2,16 @@
 
 use super::Resources;
 
-/// What a worker is and has.
+/// Options of a worker.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerOptions {
     /// Name in the record.
     pub name: String,
-    /// Capacity of the whole VM; a start beyond it is recorded as overfilled.
+    /// Capacity of the VM; a start that exceeds it is recorded as overfilled.
     pub capacity: Resources,
-    /// How late reported usage is, in milliseconds.
+    /// Delay of the reported usage, in milliseconds.
     pub usage_lag_ms: u64,
-    /// File that also receives the record.
+    /// File to which the record is also written.
     pub record: Option<PathBuf>,
 }
 
--- a/crates/geraniumpost-standin/src/worker/resources.rs
+++ b/crates/geraniumpost-standin/src/worker/resources.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Amounts of a VM's resources.
+/// Amounts of resources of a VM.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Resources {
     /// Thousandths of a processor.
@@ -14,8 +14,8 @@
 }
 
 impl Resources {
-    /// Tells whether these amounts are within `capacity`.
-    pub const fn fit(&self, capacity: &Self) -> bool {
+    /// Returns whether no amount exceeds `capacity`.
+    pub const fn fits_in(&self, capacity: &Self) -> bool {
         self.milli_cpus <= capacity.milli_cpus
             && self.memory_mb <= capacity.memory_mb
             && self.accelerators <= capacity.accelerators
--- a/crates/geraniumpost-standin/src/worker/serve.rs
+++ b/crates/geraniumpost-standin/src/worker/serve.rs
@@ -8,35 +8,35 @@
 use tokio::sync::watch;
 
 use super::WorkerOptions;
-use super::service::answer;
+use super::service::handle;
 use super::shared::Shared;
 use crate::Standin;
 use crate::http::{Down, Reply, Server, json, status};
 
-/// Interval at which ends of tasks are recorded although nobody asks.
-const WORK_TICK: Duration = Duration::from_millis(20);
+/// Interval at which tasks are advanced, so that their ends are recorded without a call.
+const ADVANCE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs a worker until the returned handle is dropped.
 ///
-/// Its control listener serves `GET /record`, `GET /fault` and `POST /fault`.
+/// The control listener serves `GET /record`, `GET /fault` and `POST /fault`.
 pub async fn spawn_in_process(
     listen: SocketAddr,
     control: SocketAddr,
     options: WorkerOptions,
 ) -> Result<Standin> {
-    let (up, down) = watch::channel(Down::No);
-    let shared = Arc::new(Shared::open(options, up)?);
-    let server = Server::bind(listen, down).await?;
-    let ticking = Arc::clone(&shared);
-    let standin = Standin::serve(server, control, shared, answer, page).await?;
-    Ok(standin.beside(work(ticking)))
+    let (down_tx, down_rx) = watch::channel(Down::No);
+    let shared = Arc::new(Shared::open(options, down_tx)?);
+    let server = Server::bind(listen, down_rx).await?;
+    let task_shared = Arc::clone(&shared);
+    let standin = Standin::serve(server, control, shared, handle, page).await?;
+    Ok(standin.with_task(advance_tasks(task_shared)))
 }
 
-async fn work(shared: Arc<Shared>) {
-    let mut ticks = tokio::time::interval(WORK_TICK);
+async fn advance_tasks(shared: Arc<Shared>) {
+    let mut interval = tokio::time::interval(ADVANCE_INTERVAL);
     loop {
-        ticks.tick().await;
-        shared.change(|_, _| ());
+        interval.tick().await;
+        shared.update(|_, _| ());
     }
 }
 
--- a/crates/geraniumpost-standin/src/worker/shared.rs
+++ b/crates/geraniumpost-standin/src/worker/shared.rs
@@ -7,7 +7,7 @@
 use crate::http::Down;
 use crate::{Journal, now_us};
 
-/// What the worker's tasks share.
+/// State that the tasks of a worker share.
 #[derive(Debug)]
 pub(super) struct Shared {
     state: Mutex<WorkerState>,
@@ -23,11 +23,11 @@
         Ok(Self { state, faults: Mutex::default(), record, down })
     }
 
-    /// Brings the tasks up to now, changes them and records what happened.
-    pub(super) fn change<T>(&self, change: impl FnOnce(&mut WorkerState, u64) -> T) -> T {
+    /// Advances the tasks to the present time, applies `change`, and records the events.
+    pub(super) fn update<T>(&self, change: impl FnOnce(&mut WorkerState, u64) -> T) -> T {
         let mut state = lock(&self.state);
         let now = now_us();
-        state.work(now);
+        state.advance(now);
         let result = change(&mut state, now);
         for event in state.take_events() {
             self.record.append(event);
@@ -36,7 +36,7 @@
     }
 
     pub(super) fn record(&self) -> Vec<WorkerEvent> {
-        self.change(|_, _| ());
+        self.update(|_, _| ());
         self.record.events()
     }
 
@@ -49,8 +49,8 @@
         self.down.send_replace(faults.down);
     }
 
-    /// Takes one of the replies to be lost.
-    pub(super) fn loses_reply(&self) -> bool {
+    /// Returns whether the reply to this call is to be lost, and counts it off.
+    pub(super) fn take_reply_loss(&self) -> bool {
         let mut faults = lock(&self.faults);
         let lost = faults.lose_replies > 0;
         faults.lose_replies = faults.lose_replies.saturating_sub(1);
--- a/crates/geraniumpost-standin/src/worker/task.rs
+++ b/crates/geraniumpost-standin/src/worker/task.rs
@@ -1,6 +1,6 @@
 use super::{Command, Resources, StartOrder, TaskState, TaskView};
 
-/// One run of a task. Times are microseconds of one clock.
+/// One run of a task. All times are microseconds of the same clock.
 #[derive(Debug, Clone)]
 pub(super) struct Task {
     id: String,
@@ -8,15 +8,17 @@
     need: Resources,
     command: Command,
     state: TaskState,
-    /// Work done at full speed in nanoseconds, which any speed in thousandths keeps exact.
+    /// Work done, in nanoseconds at full speed. In this unit progress is an integer at every speed
+    /// in thousandths.
     progress_ns: u64,
-    permille: u64,
-    at: u64,
-    lease_ends: u64,
+    speed_permille: u64,
+    /// Time up to which `progress_ns` is calculated.
+    advanced_to: u64,
+    lease_expires: u64,
     checkpoint: String,
     result: String,
-    /// Speed that usage still shows until `usage_from`.
-    shown_permille: u64,
+    /// Speed that the reported usage reflects before `usage_from`.
+    reported_permille: u64,
     usage_from: u64,
 }
 
@@ -35,12 +37,12 @@
             command,
             state: TaskState::Running,
             progress_ns: progress_of(&order.checkpoint).saturating_mul(1000),
-            permille: 1000,
-            at: now,
-            lease_ends: now.saturating_add(order.lease_ms.saturating_mul(1000)),
+            speed_permille: 1000,
+            advanced_to: now,
+            lease_expires: now.saturating_add(order.lease_ms.saturating_mul(1000)),
             checkpoint: order.checkpoint.clone(),
             result: String::new(),
-            shown_permille: 0,
+            reported_permille: 0,
             usage_from: now + lag,
         }
     }
@@ -65,26 +67,26 @@
         &self.result
     }
 
-    pub(super) fn runs(&self) -> bool {
+    pub(super) fn is_running(&self) -> bool {
         self.state == TaskState::Running
     }
 
-    /// Works until `now`. Returns when the run ended, if it did.
+    /// Advances the run to the time `now`. Returns the time at which it ended, if it did.
     ///
-    /// The end of the work and of the lease are told apart by their own times and not by the time
-    /// at which someone looks, so that a busy machine does not let a task outlive its lease.
-    pub(super) fn work(&mut self, now: u64) -> Option<u64> {
-        if !self.runs() {
+    /// Whether the work or the lease ended first is decided by their own end times, not by `now`,
+    /// so that a task does not outlive its lease if this is called late on a busy machine.
+    pub(super) fn advance(&mut self, now: u64) -> Option<u64> {
+        if !self.is_running() {
             return None;
         }
         let (ends, state) = match self.work_ends() {
-            Some(ends) if ends <= self.lease_ends => (ends, self.outcome()),
-            _ => (self.lease_ends, TaskState::Lapsed),
+            Some(ends) if ends <= self.lease_expires => (ends, self.outcome()),
+            _ => (self.lease_expires, TaskState::Lapsed),
         };
         let until = now.min(ends);
-        self.progress_ns += until.saturating_sub(self.at) * self.permille;
+        self.progress_ns += until.saturating_sub(self.advanced_to) * self.speed_permille;
         self.progress_ns = self.progress_ns.min(self.work_ns());
-        self.at = until.max(self.at);
+        self.advanced_to = until.max(self.advanced_to);
         if ends > now {
             return None;
         }
@@ -104,23 +106,24 @@
         };
     }
 
-    pub(super) const fn renew(&mut self, lease_ends: u64) {
-        self.lease_ends = lease_ends;
+    pub(super) const fn renew(&mut self, lease_expires: u64) {
+        self.lease_expires = lease_expires;
     }
 
     pub(super) fn throttle(&mut self, permille: u64, now: u64, lag: u64) {
-        self.shown_permille = self.shown(now);
+        self.reported_permille = self.reported_speed(now);
         self.usage_from = now + lag;
-        self.permille = permille.min(1000);
+        self.speed_permille = permille.min(1000);
     }
 
-    pub(super) fn save(&mut self) -> &str {
+    pub(super) fn save_checkpoint(&mut self) -> &str {
         self.checkpoint = format!("{}-{}-{}", self.id, self.epoch, self.progress_us());
         &self.checkpoint
     }
 
     pub(super) fn view(&self, now: u64) -> TaskView {
-        let left = if self.runs() { self.lease_ends.saturating_sub(now) / 1000 } else { 0 };
+        let left =
+            if self.is_running() { self.lease_expires.saturating_sub(now) / 1000 } else { 0 };
         TaskView {
             id: self.id.clone(),
             epoch: self.epoch,
@@ -142,29 +145,30 @@
 
     fn work_ends(&self) -> Option<u64> {
         let left = self.work_ns().saturating_sub(self.progress_ns);
-        let time = if left == 0 { Some(0) } else { left.checked_next_multiple_of(self.permille) };
-        let time = time.map(|left| left.checked_div(self.permille).unwrap_or(0));
-        time.map(|time| self.at + time)
+        let time =
+            if left == 0 { Some(0) } else { left.checked_next_multiple_of(self.speed_permille) };
+        let time = time.map(|left| left.checked_div(self.speed_permille).unwrap_or(0));
+        time.map(|time| self.advanced_to + time)
     }
 
-    const fn shown(&self, now: u64) -> u64 {
-        if now < self.usage_from { self.shown_permille } else { self.permille }
+    const fn reported_speed(&self, now: u64) -> u64 {
+        if now < self.usage_from { self.reported_permille } else { self.speed_permille }
     }
 
     fn usage(&self, now: u64) -> Resources {
-        let shown = self.shown(now);
-        if !self.runs() || shown == 0 {
+        let permille = self.reported_speed(now);
+        if !self.is_running() || permille == 0 {
             return Resources::default();
         }
         let full = match self.command {
             Command::Hog { milli_cpus, .. } => milli_cpus,
             _ => self.need.milli_cpus,
         };
-        Resources { milli_cpus: full * shown / 1000, ..self.need }
+        Resources { milli_cpus: full * permille / 1000, ..self.need }
     }
 }
 
-/// Reads the progress that a checkpoint's name carries.
+/// Returns the progress that the name of a checkpoint contains, in microseconds.
 fn progress_of(checkpoint: &str) -> u64 {
     checkpoint.rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0)
 }
--- a/crates/geraniumpost-standin/src/worker/task_state.rs
+++ b/crates/geraniumpost-standin/src/worker/task_state.rs
@@ -5,14 +5,14 @@
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TaskState {
-    /// It runs.
+    /// The task is running.
     Running,
-    /// It finished with a result.
+    /// The task completed with a result.
     Done,
-    /// It failed.
+    /// The task failed.
     Failed,
-    /// It was stopped.
+    /// The task was stopped by a call.
     Stopped,
-    /// Its lease ended.
+    /// The lease of the task expired.
     Lapsed,
 }
--- a/crates/geraniumpost-standin/src/worker/view.rs
+++ b/crates/geraniumpost-standin/src/worker/view.rs
@@ -2,21 +2,21 @@
 
 use super::{Resources, TaskState};
 
-/// A task as the worker reports it.
+/// A task in the list of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskView {
-    /// The task.
+    /// Id of the task.
     pub id: String,
-    /// Its run.
+    /// Number of the run.
     pub epoch: u64,
-    /// Its state.
+    /// State of the run.
     pub state: TaskState,
-    /// Usage as it was a while ago.
+    /// Measured usage, with the delay of the worker's options.
     pub usage: Resources,
     /// Latest checkpoint, empty if none.
     pub checkpoint: String,
-    /// Result or reason, empty while it runs.
+    /// Result, or reason of the end; empty while the task runs.
     pub result: String,
-    /// Time left of its lease in milliseconds, 0 if it has ended.
+    /// Remaining time of the lease in milliseconds; 0 after the task has ended.
     pub lease_left_ms: u64,
 }
