--- a/crates/geraniumpost-outside/src/store/client.rs
+++ b/crates/geraniumpost-outside/src/store/client.rs
@@ -34,7 +34,7 @@
     observer: Option<Observer>,
 }
 
-/// Function that is told of each call, for example to record metrics.
+/// Function that is called at the end of each call to the store, for example to record metrics.
 type Observer = Arc<dyn Fn(StoreCall) + Send + Sync>;
 
 impl Store {
