fix(batch): count crashes of late tasks while other suspects crash minions

Four tasks that crash their minions 2 s after each start were never given up: together they cause more than 16 crashes in 30 s, and above that number only crashes within a second of a start counted, as minions then seemed to crash by themselves.

Cause: the number included the crashes that known suspects had caused. Change: for this decision only unexplained crashes count, that is, those on whose minion no task had just begun under which two minions had crashed before. A crashing task causes two of them, a fleet that flaps causes them without end.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -33,9 +33,10 @@
 /// Number of recent crashes of any minions up to which a crash is put down to the only suspect. Two
 /// tasks that crash minions cause six until they are given up; more crashes point to the minions.
 const MAX_EXPLAINED_CRASHES: usize = 8;
-/// Number of recent crashes of any minions above which only crashes soon after a start count. So
-/// many minions crash by themselves that they also meet tasks which have worked for seconds.
-const MAX_CRASHES_OF_TASKS: usize = 16;
+/// Number of recent unexplained crashes above which only crashes soon after a start count. So many
+/// minions crash by themselves that they also meet tasks which have worked for seconds. A task that
+/// crashes minions causes two before it is a known suspect.
+const MAX_UNEXPLAINED_CRASHES: usize = 12;
 /// Maximum number of lines on suspects after one crash.
 const MAX_SUSPECT_LINES: usize = 8;
 
@@ -70,10 +71,14 @@
         let suspects = self.crash_counts(young);
         let main_suspect = main_suspect(&suspects);
         self.crashes.add(now.steady_ms);
+        if !suspects.values().any(|crashes| must_be_isolated(*crashes)) {
+            self.unexplained_crashes.add(now.steady_ms);
+        }
         let recent = self.crashes.count(now.steady_ms);
+        let unexplained = self.unexplained_crashes.count(now.steady_ms);
         let is_explained = recent <= MAX_EXPLAINED_CRASHES;
         let mut lines = 0;
-        let counts_all = recent <= MAX_CRASHES_OF_TASKS;
+        let counts_all = unexplained <= MAX_UNEXPLAINED_CRASHES;
         for run in young.iter().filter(|run| run.is_at_start || counts_all) {
             let Some(TaskCrashes { runs, at_start }) = self.count_crash(run) else { continue };
             let (task, crashes) = (run.task, runs.len());
@@ -81,7 +86,8 @@
                 lines += 1;
                 self.log(format!(
                     "decision=suspect job={} task={task} run={} minion={minion} crashes={crashes} \
-                     at_start={at_start} suspects={} recent_crashes={recent}",
+                     at_start={at_start} suspects={} recent_crashes={recent} \
+                     unexplained_crashes={unexplained}",
                     task.job,
                     run.number,
                     suspects.len()
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -87,6 +87,8 @@
     agents: HashMap<Name, Agent>,
     /// Latest crashes of any minions.
     crashes: RecentCrashes,
+    /// Latest crashes of minions on which no known suspect had just begun.
+    unexplained_crashes: RecentCrashes,
     /// Terminated minions whose termination the stored records do not contain yet.
     departures: BTreeMap<Name, Departure>,
     batches: HashMap<u64, PendingBatch>,
@@ -142,6 +144,7 @@
             minions: BTreeMap::new(),
             agents: HashMap::new(),
             crashes: RecentCrashes::default(),
+            unexplained_crashes: RecentCrashes::default(),
             departures: BTreeMap::new(),
             batches: HashMap::new(),
             next_batch_number: 1,
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -382,3 +382,25 @@
     advance_with_short_jobs(&mut fleet, 1_000, 2 * GIVE_UP_MS);
     fleet.check_poisons_failed(5);
 }
+
+/// As above, with six such tasks, which crash their minions at once or up to 4 s after each start.
+/// They cause more crashes in 30 s than a fleet in which minions crash by themselves.
+#[test]
+fn many_tasks_that_crash_minions_late_are_given_up() {
+    for (machines, seed) in (0..10).flat_map(|seed| [(11, seed), (24, seed)]) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = CrashingFleet::new(machines);
+        fleet.down_ms = rng.random_range(15..40) * 100;
+        fleet.submit(1, persistent_step(10), 0);
+        fleet.submit(2, step(10), 20_000);
+        fleet.advance(6_000);
+        for job in 0..6 {
+            let delay_ms = rng.random_range(0..41) * 100;
+            fleet.submit_poison(task(100 + job, 0, 0), step(2), delay_ms);
+            fleet.advance(rng.random_range(0..10) * 100);
+        }
+        advance_with_short_jobs(&mut fleet, 1_000, 2 * GIVE_UP_MS);
+        fleet.check_poisons_failed(5);
+        assert_eq!(fleet.failed_healthy_jobs(), NONE, "{machines} machines, seed {seed}");
+    }
+}
