--- a/crates/geraniumpost-bench/src/capacity_bench/deployment.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/deployment.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::{Result, eyre};
-use geraniumpost_harness::{Binaries, EntryPlace, Fleet, Plan, wait_until};
+use geraniumpost_harness::{Binaries, EntryVm, Fleet, Plan, wait_until};
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -31,7 +31,7 @@
             .heartbeat_ms(HEARTBEAT.as_millis() as u64)
             .standins_as_processes();
         let fleet = Fleet::start(binaries, &plan).await?;
-        let datagrams = fleet.entries().iter().map(EntryPlace::datagrams).collect();
+        let datagrams = fleet.entries().iter().map(EntryVm::datagrams).collect();
         Ok(Self { light: LightAgents::new(datagrams), fleet })
     }
 
--- a/crates/geraniumpost-bench/src/capacity_bench/entries.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/entries.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use eyre::Result;
-use geraniumpost_harness::EntryPlace;
+use geraniumpost_harness::EntryVm;
 use tokio::time::sleep;
 
 use super::deployment::Deployment;
@@ -27,7 +27,7 @@
          | B out/s of one agent |\n|{}",
         " --- |".repeat(6)
     );
-    let datagrams = deployment.fleet().entries().iter().map(EntryPlace::datagrams).collect();
+    let datagrams = deployment.fleet().entries().iter().map(EntryVm::datagrams).collect();
     let mut light = LightEntries::new(datagrams);
     let (mut lengths, mut agents) = (Vec::new(), Vec::new());
     for count in COUNTS {
--- a/crates/geraniumpost-bench/src/demo.rs
+++ b/crates/geraniumpost-bench/src/demo.rs
@@ -4,8 +4,8 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, ensure};
-use geraniumpost_harness::check::{Summary, Told, Word};
-use geraniumpost_harness::{Binaries, Fleet, Load, Plan, Send};
+use geraniumpost_harness::check::{ObservedRequest, Outcome, Summary};
+use geraniumpost_harness::{Binaries, Fleet, Load, Plan, RequestSpec};
 use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
@@ -89,7 +89,7 @@
 async fn requests(fleet: &Fleet) -> Result<()> {
     let mut told = Vec::new();
     for number in 0..100_usize {
-        let send = if number % 2 == 0 { Send::get() } else { Send::post() };
+        let send = if number % 2 == 0 { RequestSpec::get() } else { RequestSpec::post() };
         told.push(fleet.caller(number % 2).send(&send.work_ms(2).answer_bytes(2_000)).await);
     }
     let summary: Summary = told.iter().collect();
@@ -163,18 +163,18 @@
     let flights: Vec<_> = (0..8)
         .map(|number| {
             let caller = fleet.caller(number % 2);
-            tokio::spawn(async move { caller.send(&Send::post().work_ms(800)).await })
+            tokio::spawn(async move { caller.send(&RequestSpec::post().work_ms(800)).await })
         })
         .collect();
     sleep(Duration::from_millis(200)).await;
     for entry in 0..fleet.entries().len() {
         fleet.entry(entry).term()?;
     }
-    let mut told: Vec<Told> = Vec::new();
+    let mut told: Vec<ObservedRequest> = Vec::new();
     for flight in flights {
         told.push(flight.await?);
     }
-    let answered = told.iter().all(|told| matches!(told.word, Word::Answered { .. }));
+    let answered = told.iter().all(|told| matches!(told.outcome, Outcome::Answered { .. }));
     ensure!(answered, "a planned stop cut requests off: {told:#?}");
     for agent in 0..fleet.agents().len() {
         fleet.agent(agent).term()?;
--- a/crates/geraniumpost-bench/src/soak.rs
+++ b/crates/geraniumpost-bench/src/soak.rs
@@ -6,7 +6,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use eyre::{Result, ensure};
-use geraniumpost_harness::check::{JobSeen, Summary, check_jobs};
+use geraniumpost_harness::check::{ObservedJob, Summary, check_jobs};
 use geraniumpost_harness::{Binaries, Fleet, Load, Plan};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -108,7 +108,7 @@
             let job = told.map(|(_, job)| job).unwrap_or_default();
             if job["state"] == "done" {
                 let result = job["result"].as_str().map(str::to_owned);
-                seen.push(JobSeen { id: id.clone(), result });
+                seen.push(ObservedJob { id: id.clone(), result });
                 break;
             }
             ensure!(Instant::now() < ends, "{id} did not complete: {job}");
--- a/crates/geraniumpost-harness/src/caller.rs
+++ b/crates/geraniumpost-harness/src/caller.rs
@@ -7,14 +7,14 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 
-use crate::check::{Told, Word};
+use crate::check::{ObservedRequest, Outcome};
 use crate::plan::{CUSTOMER_TOKEN, SERVICE};
-use crate::{KeptCaller, Send};
+use crate::{CallerConnection, RequestSpec};
 
-/// How much longer than the request's deadline a caller waits for a word.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(5);
+/// Time for which a caller waits for a response after the deadline of its request.
+pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_secs(5);
 
-/// A caller of the service that opens a connection for each request.
+/// A caller of the service that opens a new connection for each request.
 #[derive(Debug, Clone)]
 pub struct Caller {
     entry: SocketAddr,
@@ -22,7 +22,7 @@
 }
 
 impl Caller {
-    /// Creates a caller that uses the entry at this address.
+    /// Creates a caller that sends to the entry at this address.
     pub fn new(entry: SocketAddr) -> Self {
         Self { entry, token: CUSTOMER_TOKEN.to_owned() }
     }
@@ -34,17 +34,17 @@
         self
     }
 
-    /// Opens a connection that is kept for further requests.
-    pub async fn keep(&self) -> Result<KeptCaller> {
-        KeptCaller::open(self.clone()).await
+    /// Opens a connection for several requests.
+    pub async fn connect(&self) -> Result<CallerConnection> {
+        CallerConnection::open(self.clone()).await
     }
 
-    /// Sends a request on a connection of its own and waits for the last word about it.
-    pub async fn send(&self, send: &Send) -> Told {
+    /// Sends a request over a new connection and waits for its outcome.
+    pub async fn send(&self, spec: &RequestSpec) -> ObservedRequest {
         let start = Instant::now();
-        match self.keep().await {
-            Ok(mut kept) => kept.send(send).await,
-            Err(_) => send.told(Word::Unreachable, 0, start.elapsed()),
+        match self.connect().await {
+            Ok(mut connection) => connection.send(spec).await,
+            Err(_) => spec.observed(Outcome::Unreachable, 0, start.elapsed()),
         }
     }
 
@@ -52,36 +52,36 @@
         self.entry
     }
 
-    pub(crate) fn request(&self, send: &Send) -> Result<Request<Full<Bytes>>> {
+    pub(crate) fn request(&self, spec: &RequestSpec) -> Result<Request<Full<Bytes>>> {
         let mut req = Request::builder()
-            .method(send.method.clone())
+            .method(spec.method.clone())
             .uri(format!("/{SERVICE}/check"))
             .header("host", self.entry.to_string())
             .header("authorization", format!("Bearer {}", self.token))
-            .header("x-request-timeout-ms", send.timeout.as_millis().to_string())
-            .header("x-work-ms", send.work_ms)
-            .header("x-answer-bytes", send.answer_bytes);
-        if !send.request_id.is_empty() {
-            req = req.header("x-request-id", &send.request_id);
+            .header("x-request-timeout-ms", spec.timeout.as_millis().to_string())
+            .header("x-work-ms", spec.work_ms)
+            .header("x-answer-bytes", spec.answer_bytes);
+        if !spec.request_id.is_empty() {
+            req = req.header("x-request-id", &spec.request_id);
         }
-        if !send.key.is_empty() {
-            req = req.header("idempotency-key", &send.key);
+        if !spec.key.is_empty() {
+            req = req.header("idempotency-key", &spec.key);
         }
-        Ok(req.body(Full::new(send.body.clone()))?)
+        Ok(req.body(Full::new(spec.body.clone()))?)
     }
 }
 
-pub(crate) fn code_of<B>(answer: &Response<B>) -> u16 {
+pub(crate) fn result_code_of<B>(answer: &Response<B>) -> u16 {
     let code = answer.headers().get("x-result-code");
     code.and_then(|code| code.to_str().ok()?.parse().ok()).unwrap_or(0)
 }
 
-pub(crate) fn word_of(code: u16, status: StatusCode, body: Bytes) -> Result<Word> {
+pub(crate) fn outcome_of(code: u16, status: StatusCode, body: Bytes) -> Result<Outcome> {
     let known = ResultCode::ALL.iter().find(|known| known.number() == code);
-    ensure!(known.is_some(), "no known result code in an answer of status {status}: {code}");
+    ensure!(known.is_some(), "response of status {status} has the unknown result code {code}");
     Ok(match known {
-        Some(ResultCode::Answered) => Word::Answered { status: status.as_u16(), body },
-        Some(code) if code.is_not_run() => Word::NotRun,
-        _ => Word::MayHaveRun,
+        Some(ResultCode::Answered) => Outcome::Answered { status: status.as_u16(), body },
+        Some(code) if code.is_not_run() => Outcome::NotRun,
+        _ => Outcome::MayHaveRun,
     })
 }
--- a/crates/geraniumpost-harness/src/kept_caller.rs
+++ b/crates/geraniumpost-harness/src/caller_connection.rs
@@ -9,19 +9,19 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-use crate::caller::{PATIENCE, code_of, word_of};
-use crate::check::{Told, Word};
-use crate::{Caller, Send};
+use crate::caller::{DEADLINE_MARGIN, outcome_of, result_code_of};
+use crate::check::{ObservedRequest, Outcome};
+use crate::{Caller, RequestSpec};
 
-/// A caller that sends one request after the other on one connection, as a balancer does.
+/// A caller's connection for requests that are sent one after another, as load balancers send them.
 #[derive(Debug)]
-pub struct KeptCaller {
+pub struct CallerConnection {
     caller: Caller,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
 }
 
-impl KeptCaller {
+impl CallerConnection {
     /// Opens the connection.
     pub(crate) async fn open(caller: Caller) -> Result<Self> {
         let stream = TcpStream::connect(caller.entry()).await?;
@@ -31,28 +31,29 @@
         Ok(Self { caller, sender, driver })
     }
 
-    /// Tells whether the entry still keeps the connection, as far as can be known before sending.
+    /// Returns whether the connection is open, as far as that is known before a request is sent.
     pub async fn is_open(&mut self) -> bool {
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and waits for the last word about it.
-    pub async fn send(&mut self, send: &Send) -> Told {
+    /// Sends a request and waits for its outcome.
+    pub async fn send(&mut self, spec: &RequestSpec) -> ObservedRequest {
         let start = Instant::now();
-        let word = timeout(send.timeout + PATIENCE, self.exchange(send)).await;
-        let (word, code) = word.unwrap_or(Ok((Word::Nothing, 0))).unwrap_or((Word::Nothing, 0));
-        send.told(word, code, start.elapsed())
+        let result = timeout(spec.timeout + DEADLINE_MARGIN, self.exchange(spec)).await;
+        let (outcome, code) =
+            result.unwrap_or(Ok((Outcome::NoResponse, 0))).unwrap_or((Outcome::NoResponse, 0));
+        spec.observed(outcome, code, start.elapsed())
     }
 
-    async fn exchange(&mut self, send: &Send) -> Result<(Word, u16)> {
-        let answer = self.sender.send_request(self.caller.request(send)?).await?;
-        let (code, status) = (code_of(&answer), answer.status());
+    async fn exchange(&mut self, spec: &RequestSpec) -> Result<(Outcome, u16)> {
+        let answer = self.sender.send_request(self.caller.request(spec)?).await?;
+        let (code, status) = (result_code_of(&answer), answer.status());
         let body = answer.into_body().collect().await?.to_bytes();
-        Ok((word_of(code, status, body)?, code))
+        Ok((outcome_of(code, status, body)?, code))
     }
 }
 
-impl Drop for KeptCaller {
+impl Drop for CallerConnection {
     fn drop(&mut self) {
         self.driver.abort();
     }
--- a/crates/geraniumpost-harness/src/check/job_run.rs
+++ b/crates/geraniumpost-harness/src/check/job_run.rs
@@ -2,14 +2,14 @@
 
 use geraniumpost_standin::worker::{WorkerEvent, WorkerEventKind};
 
-/// One run of a job on a worker, put together from the worker's record.
+/// One run of a job on a worker, assembled from the events in the worker's record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct JobRun<'a> {
     pub(super) job: &'a str,
     pub(super) worker: &'a str,
     pub(super) epoch: u64,
     pub(super) started_us: u64,
-    /// End of the run, `u64::MAX` if it has not ended.
+    /// Time at which the run ended, `u64::MAX` if it has not ended.
     pub(super) ended_us: u64,
     pub(super) end: Option<WorkerEventKind>,
     pub(super) resumed_from: &'a str,
@@ -18,9 +18,9 @@
 }
 
 impl<'a> JobRun<'a> {
-    /// Groups the records of all workers into each job's runs, in the order of their starts.
+    /// Groups the events in the records of all workers into the runs of each job, sorted by start.
     ///
-    /// `lost` holds the workers whose VM was lost and when; their open runs ended with it.
+    /// `lost` maps each worker whose VM was lost to the time of the loss, at which its runs ended.
     pub(super) fn group(
         record: &'a [WorkerEvent],
         lost: &BTreeMap<String, u64>,
@@ -29,8 +29,8 @@
         for event in record {
             let runs = jobs.entry(&event.task).or_default();
             if event.kind == WorkerEventKind::Started {
-                runs.push(Self::begin(event));
-            } else if let Some(run) = runs.iter_mut().rev().find(|run| run.is_of(event)) {
+                runs.push(Self::from_start(event));
+            } else if let Some(run) = runs.iter_mut().rev().find(|run| run.includes(event)) {
                 run.add(event);
             }
         }
@@ -43,7 +43,7 @@
         jobs
     }
 
-    fn begin(event: &'a WorkerEvent) -> Self {
+    fn from_start(event: &'a WorkerEvent) -> Self {
         Self {
             job: &event.task,
             worker: &event.worker,
@@ -57,7 +57,7 @@
         }
     }
 
-    fn is_of(&self, event: &WorkerEvent) -> bool {
+    fn includes(&self, event: &WorkerEvent) -> bool {
         self.worker == event.worker && self.epoch == event.epoch && self.end.is_none()
     }
 
--- a/crates/geraniumpost-harness/src/check/job_violation.rs
+++ b/crates/geraniumpost-harness/src/check/job_violation.rs
@@ -1,9 +1,9 @@
 use derive_more::Display;
 
-/// A broken promise about jobs.
+/// A violated guarantee about jobs.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum JobViolation {
-    /// A job ran in two places at once.
+    /// Two runs of a job overlapped.
     #[display(
         "{job} ran as epoch {first} on {first_worker} and as epoch {second} on {second_worker} at once"
     )]
@@ -29,33 +29,33 @@
         /// Epoch of the later run.
         second: u64,
     },
-    /// A run resumed from a checkpoint that was never made.
-    #[display("{job} resumed from {checkpoint}, which was never made")]
+    /// A run resumed from a checkpoint that no run has saved.
+    #[display("{job} resumed from {checkpoint}, which no run has saved")]
     UnknownCheckpoint {
         /// The job.
         job: String,
         /// Name of the checkpoint.
         checkpoint: String,
     },
-    /// A run after an eviction did not resume from the eviction's checkpoint.
+    /// A run did not resume from the checkpoint of the stopped run before it.
     #[display("{job} was stopped at {expected} and resumed from {resumed:?}")]
     LostCheckpoint {
         /// The job.
         job: String,
         /// Latest checkpoint before the stop.
         expected: String,
-        /// Checkpoint that the next run was given.
+        /// Checkpoint from which the next run resumed.
         resumed: String,
     },
-    /// A job ran to its end more than once.
-    #[display("{job} was done {times} times")]
+    /// A job was completed by more than one run.
+    #[display("{job} was completed by {times} runs")]
     DoneTwice {
         /// The job.
         job: String,
-        /// Number of times.
+        /// Number of runs that completed the job.
         times: usize,
     },
-    /// A result was committed that no run produced.
+    /// The committed result was produced by none of the job's runs.
     #[display("{job} shows the result {result:?}, which no run produced")]
     UnknownResult {
         /// The job.
@@ -63,18 +63,18 @@
         /// Result that was committed.
         result: String,
     },
-    /// A run was done and the job is not shown as completed.
-    #[display("{_0} was done and is not completed")]
+    /// A run completed, but the job is not shown as completed.
+    #[display("a run of {_0} completed, but the job is not shown as completed")]
     LostResult(String),
-    /// A job that had to complete never did.
-    #[display("{_0} was lost")]
+    /// No run completed a job that had to complete.
+    #[display("no run of {_0} completed")]
     Lost(String),
-    /// A worker was given more than its VM can hold.
-    #[display("worker {worker} was overfilled: {held}")]
+    /// The tasks on a worker needed more resources than its VM has.
+    #[display("the tasks on worker {worker} exceeded its capacity: {held}")]
     Overfilled {
         /// The worker.
         worker: String,
-        /// What it held.
+        /// Resources that the tasks needed, as the worker recorded them.
         held: String,
     },
 }
--- a/crates/geraniumpost-harness/src/check/jobs.rs
+++ b/crates/geraniumpost-harness/src/check/jobs.rs
@@ -3,15 +3,15 @@
 use geraniumpost_standin::worker::{WorkerEvent, WorkerEventKind};
 
 use super::job_run::JobRun;
-use super::{JobSeen, JobViolation};
+use super::{JobViolation, ObservedJob};
 
-/// Compares the jobs as the system shows them with what the workers ran.
+/// Compares the jobs that the system shows with the runs in the workers' records.
 ///
-/// `record` joins the records of all workers, `jobs` are those that had to complete by now, and
-/// `lost` names the workers whose VM was lost and the time of the loss in microseconds.
+/// `record` holds the events of all workers, `jobs` the jobs that had to complete by now. `lost`
+/// maps each worker whose VM was lost to the time of the loss in microseconds.
 pub fn check_jobs(
     record: &[WorkerEvent],
-    jobs: &[JobSeen],
+    jobs: &[ObservedJob],
     lost: &BTreeMap<String, u64>,
 ) -> Vec<JobViolation> {
     let runs = JobRun::group(record, lost);
@@ -32,7 +32,7 @@
     over.collect()
 }
 
-/// Checks that runs follow each other without overlap and with growing epochs.
+/// Checks that runs of a job do not overlap and that each has a higher epoch than the one before.
 fn check_order(runs: &[JobRun<'_>]) -> Vec<JobViolation> {
     let mut found = Vec::new();
     for pair in runs.windows(2) {
@@ -69,7 +69,7 @@
     unknown.chain(runs.windows(2).filter_map(lost_checkpoint)).collect()
 }
 
-/// A run that was stopped on demand hands its checkpoint to the next one.
+/// Checks that the run after a stopped one resumed from its checkpoint.
 fn lost_checkpoint(pair: &[JobRun<'_>]) -> Option<JobViolation> {
     let (stopped, next) = (&pair[0], &pair[1]);
     let expected = stopped.checkpoint?;
@@ -81,7 +81,8 @@
     })
 }
 
-/// A second run to the end is excused only if the first one's VM was lost with its result.
+/// Checks that at most one run completed the job. Runs on lost VMs do not count, because their
+/// results may have been lost too.
 fn check_done(runs: &[JobRun<'_>], lost: &BTreeMap<String, u64>) -> Option<JobViolation> {
     let done = runs.iter().filter(|run| run.end == Some(WorkerEventKind::Done));
     let kept: Vec<_> = done.filter(|run| !lost.contains_key(run.worker)).collect();
@@ -89,7 +90,7 @@
         .then(|| JobViolation::DoneTwice { job: kept[0].job.to_owned(), times: kept.len() })
 }
 
-fn check_result(job: &JobSeen, runs: &BTreeMap<&str, Vec<JobRun<'_>>>) -> Option<JobViolation> {
+fn check_result(job: &ObservedJob, runs: &BTreeMap<&str, Vec<JobRun<'_>>>) -> Option<JobViolation> {
     let runs = runs.get(job.id.as_str()).map(Vec::as_slice).unwrap_or_default();
     let mut done = runs.iter().filter(|run| run.end == Some(WorkerEventKind::Done));
     match &job.result {
--- a/crates/geraniumpost-harness/src/check/mod.rs
+++ b/crates/geraniumpost-harness/src/check/mod.rs
@@ -1,18 +1,19 @@
-//! Compares what really ran, by the stand-ins' records, with what callers and operators were told.
+//! Compares the runs in the stand-ins' records with the outcomes that callers and operators
+//! observed.
 
 mod job_run;
-mod job_seen;
 mod job_violation;
 mod jobs;
+mod observed_job;
+mod observed_request;
 mod request_violation;
 mod requests;
 mod summary;
-mod told;
 
-pub use job_seen::JobSeen;
 pub use job_violation::JobViolation;
 pub use jobs::check_jobs;
+pub use observed_job::ObservedJob;
+pub use observed_request::{ObservedRequest, Outcome};
 pub use request_violation::RequestViolation;
 pub use requests::check_requests;
 pub use summary::Summary;
-pub use told::{Told, Word};
--- a/crates/geraniumpost-harness/src/check/request_violation.rs
+++ b/crates/geraniumpost-harness/src/check/request_violation.rs
@@ -1,26 +1,26 @@
 use derive_more::Display;
 
-/// A broken promise about requests.
+/// A violated guarantee about requests.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum RequestViolation {
-    /// A caller was told "not run" of a request that ran.
-    #[display("request {_0} was told \"not run\" and ran")]
+    /// A request ran although it was reported as not run.
+    #[display("request {_0} was reported as not run and ran")]
     RanAlthoughNotRun(String),
     /// A non-idempotent request ran more than once.
-    #[display("{intention} may run at most once and ran {runs} times")]
+    #[display("{operation} may run at most once and ran {runs} times")]
     RanTwice {
-        /// Key or id of the request.
-        intention: String,
+        /// Key of the request, or its id if it has none.
+        operation: String,
         /// Number of runs.
         runs: usize,
     },
-    /// An answer is not the request's own or not whole.
-    #[display("request {_0} got an answer that is not its own")]
+    /// The response belongs to another request or is incomplete.
+    #[display("request {_0} got the response to another request or an incomplete one")]
     WrongAnswer(String),
-    /// An answer came although nothing ran.
+    /// A request was answered although it did not run on any minion.
     #[display("request {_0} was answered without a run")]
     AnsweredWithoutRun(String),
-    /// A minion was given more requests at once than it has slots.
-    #[display("minion {_0} was given more requests than it has slots")]
+    /// A minion had more requests in flight than slots.
+    #[display("minion {_0} had more requests in flight than slots")]
     OverSlots(String),
 }
--- a/crates/geraniumpost-harness/src/check/requests.rs
+++ b/crates/geraniumpost-harness/src/check/requests.rs
@@ -2,17 +2,20 @@
 
 use geraniumpost_standin::minion::{MinionEvent, MinionEventKind, expected_answer};
 
-use super::{RequestViolation, Told, Word};
+use super::{ObservedRequest, Outcome, RequestViolation};
 
-/// Compares what callers were told with what the minions ran.
+/// Compares the outcomes that callers observed with the runs in the minions' records.
 ///
-/// Both must be complete: the record is read after the last caller was told, and after everything
-/// still under way has had the time to arrive.
-pub fn check_requests(told: &[Told], record: &[MinionEvent]) -> Vec<RequestViolation> {
+/// Both must be complete: `record` must be read after all callers have observed an outcome and
+/// after requests in flight have had time to arrive at the minions. Otherwise a late run is missed.
+pub fn check_requests(
+    requests: &[ObservedRequest],
+    record: &[MinionEvent],
+) -> Vec<RequestViolation> {
     let runs = runs_by_id(record);
     let mut found = over_slots(record);
-    found.extend(told.iter().filter_map(|t| check_word(t, told, &runs)));
-    found.extend(ran_twice(told, record));
+    found.extend(requests.iter().filter_map(|r| check_outcome(r, requests, &runs)));
+    found.extend(ran_twice(requests, record));
     found
 }
 
@@ -31,51 +34,57 @@
     minions.into_iter().cloned().map(RequestViolation::OverSlots).collect()
 }
 
-fn check_word(told: &Told, all: &[Told], runs: &BTreeMap<&str, usize>) -> Option<RequestViolation> {
-    let id = &told.request_id;
-    match &told.word {
-        Word::NotRun | Word::Unreachable => {
+fn check_outcome(
+    request: &ObservedRequest,
+    all: &[ObservedRequest],
+    runs: &BTreeMap<&str, usize>,
+) -> Option<RequestViolation> {
+    let id = &request.request_id;
+    match &request.outcome {
+        Outcome::NotRun | Outcome::Unreachable => {
             runs.contains_key(id.as_str()).then(|| RequestViolation::RanAlthoughNotRun(id.clone()))
         }
-        Word::Answered { status, body } => check_answer(told, all, runs, *status, body),
-        Word::MayHaveRun | Word::Nothing => None,
+        Outcome::Answered { status, body } => check_answer(request, all, runs, *status, body),
+        Outcome::MayHaveRun | Outcome::NoResponse => None,
     }
 }
 
-/// Accepts the answer of any request with the same key, since a repeat gets the first one's.
+/// Accepts the response to any request with the same key, because a retry gets the response to the
+/// first run.
 fn check_answer(
-    told: &Told,
-    all: &[Told],
+    request: &ObservedRequest,
+    all: &[ObservedRequest],
     runs: &BTreeMap<&str, usize>,
     status: u16,
     body: &[u8],
 ) -> Option<RequestViolation> {
-    let id = &told.request_id;
-    let repeats = all.iter().filter(|t| t.intention() == told.intention());
-    let ran: Vec<&Told> = repeats.filter(|t| runs.contains_key(t.request_id.as_str())).collect();
+    let id = &request.request_id;
+    let attempts = all.iter().filter(|r| r.operation() == request.operation());
+    let ran: Vec<&ObservedRequest> =
+        attempts.filter(|r| runs.contains_key(r.request_id.as_str())).collect();
     if ran.is_empty() {
         return Some(RequestViolation::AnsweredWithoutRun(id.clone()));
     }
-    let own = ran.iter().any(|t| body == expected_answer(&t.request_id, &t.body, t.answer_bytes));
+    let own = ran.iter().any(|r| body == expected_answer(&r.request_id, &r.body, r.answer_bytes));
     (status == 200 && !own).then(|| RequestViolation::WrongAnswer(id.clone()))
 }
 
-fn ran_twice(told: &[Told], record: &[MinionEvent]) -> Vec<RequestViolation> {
-    let intentions: BTreeMap<&str, &str> = told
+fn ran_twice(requests: &[ObservedRequest], record: &[MinionEvent]) -> Vec<RequestViolation> {
+    let operations: BTreeMap<&str, &str> = requests
         .iter()
-        .filter(|t| !t.idempotent)
-        .map(|t| (t.request_id.as_str(), t.intention()))
+        .filter(|r| !r.idempotent)
+        .map(|r| (r.request_id.as_str(), r.operation()))
         .collect();
     let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
     for event in record.iter().filter(|e| e.kind == MinionEventKind::Started) {
-        if let Some(intention) = intentions.get(event.request_id.as_str()) {
-            *runs.entry(intention).or_default() += 1;
+        if let Some(operation) = operations.get(event.request_id.as_str()) {
+            *runs.entry(operation).or_default() += 1;
         }
     }
     let twice = runs.into_iter().filter(|(_, runs)| *runs > 1);
     twice
-        .map(|(intention, runs)| RequestViolation::RanTwice {
-            intention: intention.to_owned(),
+        .map(|(operation, runs)| RequestViolation::RanTwice {
+            operation: operation.to_owned(),
             runs,
         })
         .collect()
--- a/crates/geraniumpost-harness/src/check/summary.rs
+++ b/crates/geraniumpost-harness/src/check/summary.rs
@@ -3,67 +3,68 @@
 
 use derive_more::Display;
 
-use super::{Told, Word};
+use super::{ObservedRequest, Outcome};
 
-/// Counts of the last words that callers got.
+/// Numbers of requests by the outcome that their callers observed.
 #[derive(Debug, Display, Default, Clone, PartialEq, Eq)]
 #[display(
-    "{answered} answered, {not_run} not run, {may_have_run} may have run, {nothing} without a word, \
-     {unreachable} unreachable, worst {worst:?}, codes {codes:?}"
+    "{answered} answered, {not_run} not run, {may_have_run} may have run, \
+     {no_response} without a response, {unreachable} unreachable, slowest {max_time:?}, \
+     codes {codes:?}"
 )]
 pub struct Summary {
-    /// Answered by a minion.
+    /// Requests to which a minion responded.
     pub answered: usize,
-    /// Told "not run".
+    /// Requests that the system reported as not run.
     pub not_run: usize,
-    /// Told that it may have run.
+    /// Requests that the system reported as run or possibly run.
     pub may_have_run: usize,
-    /// Sent without any word.
-    pub nothing: usize,
-    /// Not sent.
+    /// Requests that were sent and got no response.
+    pub no_response: usize,
+    /// Requests that could not be sent.
     pub unreachable: usize,
-    /// Longest time to the last word.
-    pub worst: Duration,
-    /// Words by result code.
+    /// Longest time from sending a request to its outcome.
+    pub max_time: Duration,
+    /// Numbers of requests by result code.
     pub codes: BTreeMap<u16, usize>,
 }
 
 impl Summary {
     /// Counts all requests.
-    pub fn of(told: &[Told]) -> Self {
-        told.iter().collect()
+    pub fn of(requests: &[ObservedRequest]) -> Self {
+        requests.iter().collect()
     }
 
-    /// Counts the requests that may run more than once, which the system repeats by itself.
-    pub fn of_idempotent(told: &[Told]) -> Self {
-        told.iter().filter(|told| told.idempotent).collect()
+    /// Counts the idempotent requests, which the system retries by itself.
+    pub fn of_idempotent(requests: &[ObservedRequest]) -> Self {
+        requests.iter().filter(|request| request.idempotent).collect()
     }
 
-    /// Counts the requests that need no claim in the store.
-    pub fn of_unkeyed(told: &[Told]) -> Self {
-        told.iter().filter(|told| told.key.is_empty()).collect()
+    /// Counts the requests without a key, which need no claim in the store.
+    pub fn of_unkeyed(requests: &[ObservedRequest]) -> Self {
+        requests.iter().filter(|request| request.key.is_empty()).collect()
     }
 
-    /// Tells whether some requests were sent and every one of them was answered.
+    /// Returns whether requests were sent and all of them were answered.
     pub const fn all_answered(&self) -> bool {
-        self.answered > 0 && self.not_run + self.may_have_run + self.nothing == 0
+        self.answered > 0 && self.not_run + self.may_have_run + self.no_response == 0
     }
 }
 
-impl<'a> FromIterator<&'a Told> for Summary {
-    fn from_iter<I: IntoIterator<Item = &'a Told>>(told: I) -> Self {
+impl<'a> FromIterator<&'a ObservedRequest> for Summary {
+    fn from_iter<I: IntoIterator<Item = &'a ObservedRequest>>(requests: I) -> Self {
         let mut summary = Self::default();
-        for told in told {
-            let count = match told.word {
-                Word::Answered { .. } => &mut summary.answered,
-                Word::NotRun => &mut summary.not_run,
-                Word::MayHaveRun => &mut summary.may_have_run,
-                Word::Nothing => &mut summary.nothing,
-                Word::Unreachable => &mut summary.unreachable,
+        for request in requests {
+            let count = match request.outcome {
+                Outcome::Answered { .. } => &mut summary.answered,
+                Outcome::NotRun => &mut summary.not_run,
+                Outcome::MayHaveRun => &mut summary.may_have_run,
+                Outcome::NoResponse => &mut summary.no_response,
+                Outcome::Unreachable => &mut summary.unreachable,
             };
             *count += 1;
-            *summary.codes.entry(told.code).or_default() += 1;
-            summary.worst = summary.worst.max(told.took);
+            *summary.codes.entry(request.code).or_default() += 1;
+            summary.max_time = summary.max_time.max(request.elapsed);
         }
         summary
     }
--- a/crates/geraniumpost-harness/src/entry_place.rs
+++ b/crates/geraniumpost-harness/src/entry_vm.rs
@@ -4,32 +4,32 @@
 use eyre::Result;
 use geraniumpost_schema::EntrySettings;
 
-use crate::{Binaries, Process, StandinPlace};
+use crate::{Binaries, Process, StandinHandle};
 
-/// An entry with the relay between it and the store.
+/// A VM with an entry, and the relay between the entry and the store.
 #[derive(Debug)]
-pub struct EntryPlace {
+pub struct EntryVm {
     settings: EntrySettings,
-    store_relay: StandinPlace,
+    store_relay: StandinHandle,
     process: Process,
 }
 
-impl EntryPlace {
+impl EntryVm {
     pub(crate) fn start(
         binaries: &Binaries,
         folder: &Path,
         settings: EntrySettings,
-        store_relay: StandinPlace,
+        store_relay: StandinHandle,
     ) -> Result<Self> {
-        let file = folder.join(format!("{}.toml", settings.name));
-        std::fs::write(&file, toml::to_string(&settings)?)?;
+        let path = folder.join(format!("{}.toml", settings.name));
+        std::fs::write(&path, toml::to_string(&settings)?)?;
         let log = folder.join(format!("{}.log", settings.name));
-        let words = ["entry", "--settings", &file.to_string_lossy()];
-        let process = Process::start(&settings.name, binaries.geraniumpost(), &words, log)?;
+        let args = ["entry", "--settings", &path.to_string_lossy()];
+        let process = Process::start(&settings.name, binaries.geraniumpost(), &args, log)?;
         Ok(Self { settings, store_relay, process })
     }
 
-    /// Returns the address for callers.
+    /// Returns the address on which the entry serves callers.
     pub const fn callers(&self) -> SocketAddr {
         self.settings.callers
     }
@@ -39,13 +39,13 @@
         self.settings.console
     }
 
-    /// Returns the address for datagrams of agents and other entries.
+    /// Returns the address for heartbeats and other datagrams of agents and entries.
     pub const fn datagrams(&self) -> SocketAddr {
         self.settings.datagrams
     }
 
     /// Returns the relay between this entry and the store.
-    pub const fn store_relay(&self) -> &StandinPlace {
+    pub const fn store_relay(&self) -> &StandinHandle {
         &self.store_relay
     }
 
@@ -54,7 +54,7 @@
         &self.process
     }
 
-    /// Returns the entry's process, to end or restart it.
+    /// Returns the entry's process for killing or restarting it.
     pub const fn process_mut(&mut self) -> &mut Process {
         &mut self.process
     }
--- a/crates/geraniumpost-harness/src/failures.rs
+++ b/crates/geraniumpost-harness/src/failures.rs
@@ -1,5 +1,5 @@
-/// Names each failure test and gives it a runtime with several threads, which stand-ins, callers
-/// and checkers share.
+/// Defines a test for each function, on a runtime with several threads. The stand-ins, callers and
+/// checkers of a test run concurrently.
 #[macro_export]
 macro_rules! failures {
     ($($(#[$doc:meta])* async fn $name:ident() $body:block)*) => {$(
--- a/crates/geraniumpost-harness/src/fleet.rs
+++ b/crates/geraniumpost-harness/src/fleet.rs
@@ -11,51 +11,53 @@
 use geraniumpost_standin::worker::{Resources, WorkerEvent, WorkerOptions};
 use tokio::sync::{Semaphore, SemaphorePermit};
 
-use crate::check::{Summary, Told, Word, check_requests};
+use crate::check::{ObservedRequest, Outcome, Summary, check_requests};
 use crate::plan::{REGION, SERVICE, SHARED_KEY};
 use crate::standins::Standins;
 use crate::{
-    AgentPlace, Binaries, Caller, EntryPlace, Load, Loopback, Operator, Plan, Process, Scratch,
-    Send, StandinPlace, wait_until,
+    AgentVm, Binaries, Caller, EntryVm, Load, Loopback, Operator, Plan, Process, RequestSpec,
+    ScratchDirectory, StandinHandle, wait_until,
 };
 
 /// Key of the configuration in the store.
 const CONFIG_KEY: &str = "geraniumpost/config";
-/// Stands in settings until the real address is known.
-const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-/// Deployments of one test process that run at once; more would only measure the machine.
-const MOST_AT_ONCE: usize = 4;
-static ROOM: Semaphore = Semaphore::const_new(MOST_AT_ONCE);
-/// Time for all processes to find each other.
-const READY: Duration = Duration::from_secs(20);
-
-/// A whole deployment on loopback: stand-ins in this process, the system's own as processes.
+/// Placeholder for an address that is set once it is known.
+const UNSET_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// Maximum number of concurrent deployments in one test process. With more of them, the timing of
+/// the tests would depend on the load of the machine.
+const MAX_CONCURRENT_FLEETS: usize = 4;
+static FLEET_PERMITS: Semaphore = Semaphore::const_new(MAX_CONCURRENT_FLEETS);
+/// Maximum time until all processes are connected or all minions are idle.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A deployment on loopback: entries and agents as processes, and stand-ins for the platform.
 ///
-/// All of it ends when the handle is dropped. If that happens in a panic, the logs are kept.
+/// Dropping it ends all processes. The logs are kept if that happens during a panic.
 #[derive(Debug)]
 pub struct Fleet {
-    // The processes go first, so that they are not left to log the stand-ins' disappearance.
-    entries: Vec<EntryPlace>,
-    agents: Vec<AgentPlace>,
-    store: StandinPlace,
+    // Fields are dropped in this order. The processes end before the stand-ins, so that they do not
+    // log errors about lost connections to the stand-ins.
+    entries: Vec<EntryVm>,
+    agents: Vec<AgentVm>,
+    store: StandinHandle,
     _addresses: Loopback,
-    _scratch: Scratch,
-    _room: SemaphorePermit<'static>,
+    _scratch: ScratchDirectory,
+    _permit: SemaphorePermit<'static>,
 }
 
 impl Fleet {
-    /// Starts a deployment and waits until each entry reaches each minion.
+    /// Starts a deployment and waits until it is ready, see [`Self::ready`].
     pub async fn start(binaries: &Binaries, plan: &Plan) -> Result<Self> {
-        let fleet = Self::start_cold(binaries, plan).await?;
+        let fleet = Self::start_without_waiting(binaries, plan).await?;
         fleet.ready().await;
         Ok(fleet)
     }
 
-    /// Starts a deployment without waiting.
-    pub async fn start_cold(binaries: &Binaries, plan: &Plan) -> Result<Self> {
-        let room = ROOM.acquire().await?;
+    /// Starts a deployment without waiting until it is ready.
+    pub async fn start_without_waiting(binaries: &Binaries, plan: &Plan) -> Result<Self> {
+        let permit = FLEET_PERMITS.acquire().await?;
         let mut addresses = Loopback::reserve()?;
-        let scratch = Scratch::create()?;
+        let scratch = ScratchDirectory::create()?;
         let settings = entry_settings(plan, &mut addresses);
         let datagrams: Vec<SocketAddr> = settings.iter().map(|s| s.datagrams).collect();
         let mut standins = Standins {
@@ -65,7 +67,7 @@
             as_processes: plan.standins_as_processes,
         };
         let store = standins.store().await?;
-        seed(&store, plan).await?;
+        write_configuration(&store, plan).await?;
         let mut entries = Vec::new();
         for mut settings in settings {
             let relay = standins.relay(store.address()).await?;
@@ -74,7 +76,7 @@
                 settings.peers = datagrams.clone();
                 settings.peers.retain(|peer| *peer != settings.datagrams);
             }
-            entries.push(EntryPlace::start(binaries, scratch.path(), settings, relay)?);
+            entries.push(EntryVm::start(binaries, scratch.path(), settings, relay)?);
         }
         let known = if plan.peers_in_settings { &datagrams[..] } else { &datagrams[..1] };
         let mut agents = Vec::new();
@@ -83,22 +85,29 @@
             let settings = agent_settings(plan, number, listen, known);
             agents.push(start_agent(&mut standins, plan, settings).await?);
         }
-        Ok(Self { entries, agents, store, _addresses: addresses, _scratch: scratch, _room: room })
+        Ok(Self {
+            entries,
+            agents,
+            store,
+            _addresses: addresses,
+            _scratch: scratch,
+            _permit: permit,
+        })
     }
 
-    /// Waits until each entry reaches each minion.
+    /// Waits until each entry can route requests to each agent.
     pub async fn ready(&self) {
         for entry in 0..self.entries.len() {
             for agent in 0..self.agents.len() {
-                let what = format!("entry {entry} reaches the minion of agent {agent}");
-                wait_until(&what, READY, || self.reaches(entry, agent)).await;
+                let what = format!("entry {entry} is connected to agent {agent}");
+                wait_until(&what, READY_TIMEOUT, || self.reaches(entry, agent)).await;
             }
         }
     }
 
-    /// Tells whether an entry has a link to the agent and both have a configuration in force.
+    /// Returns whether an entry is connected to an agent and both have a configuration in force.
     ///
-    /// Requests do not show it: an idle entry sends them to its own failure domain alone.
+    /// A request would not show this: an idle entry uses only agents in its own failure domain.
     async fn reaches(&self, entry: usize, agent: usize) -> bool {
         let Ok((_, status)) = self.operator(entry).get("/api/status").await else { return false };
         let name = self.agents[agent].name();
@@ -109,17 +118,20 @@
         })
     }
 
-    /// Sends a request to an entry and tells whether it was answered.
+    /// Sends a request to an entry and returns whether it was answered.
     pub async fn answers(&self, entry: usize) -> bool {
-        matches!(self.caller(entry).send(&Send::get()).await.word, Word::Answered { .. })
+        matches!(
+            self.caller(entry).send(&RequestSpec::get()).await.outcome,
+            Outcome::Answered { .. }
+        )
     }
 
-    /// Starts callers that use all entries.
+    /// Starts callers that send requests to all entries.
     pub fn load(&self, callers: u64, seed: u64) -> Load {
         Load::start(&self.callers_addresses(), callers, seed)
     }
 
-    /// Returns the number of requests that run on all minions.
+    /// Returns the number of requests that are running on all minions.
     pub async fn running(&self) -> u64 {
         let mut running = 0;
         for agent in &self.agents {
@@ -128,90 +140,91 @@
         running
     }
 
-    /// Returns a caller that uses an entry.
+    /// Returns a caller that sends requests to an entry.
     pub fn caller(&self, entry: usize) -> Caller {
         Caller::new(self.entries[entry].callers())
     }
 
     /// Returns the entries.
-    pub fn entries(&self) -> &[EntryPlace] {
+    pub fn entries(&self) -> &[EntryVm] {
         &self.entries
     }
 
-    /// Returns an entry's process, to end or restart it.
+    /// Returns an entry's process for killing or restarting it.
     pub fn entry(&mut self, number: usize) -> &mut Process {
         self.entries[number].process_mut()
     }
 
     /// Returns the agents with their VMs.
-    pub fn agents(&self) -> &[AgentPlace] {
+    pub fn agents(&self) -> &[AgentVm] {
         &self.agents
     }
 
-    /// Returns an agent's process, to end or restart it.
+    /// Returns an agent's process for killing or restarting it.
     pub fn agent(&mut self, number: usize) -> &mut Process {
         self.agents[number].process_mut()
     }
 
-    /// Loses an agent's whole VM at once.
+    /// Kills an agent, its minion and its worker, as the loss of their VM does.
     pub fn lose_vm(&mut self, number: usize) {
-        self.agents[number].lose();
+        self.agents[number].kill();
     }
 
-    /// Returns the VMs that were lost and when, see [`check_jobs`](crate::check::check_jobs).
+    /// Returns the workers on lost VMs with the times of the losses, for
+    /// [`check_jobs`](crate::check::check_jobs).
     pub fn lost_vms(&self) -> BTreeMap<String, u64> {
         let lost = self.agents.iter().filter_map(|a| Some((a.name().to_owned(), a.lost_at_us()?)));
         lost.collect()
     }
 
-    /// Returns the key-value service.
-    pub const fn store(&self) -> &StandinPlace {
+    /// Returns the store.
+    pub const fn store(&self) -> &StandinHandle {
         &self.store
     }
 
-    /// Replaces the faults of the key-value service.
+    /// Replaces the faults that the store simulates.
     pub async fn set_store_faults(&self, faults: StoreFaults) -> Result<()> {
         self.store.control().set_faults(&faults).await
     }
 
-    /// Returns the calls that the key-value service has counted.
+    /// Returns the store's counters of calls.
     pub async fn store_counts(&self) -> Result<StoreCounts> {
         self.store.control().read("counts").await
     }
 
-    /// Waits until no minion runs anything and then panics if any promise to callers was broken.
-    pub async fn assert_promises_to_callers(&self, told: &[Told]) {
-        let quiet = || async {
+    /// Waits until all minions are idle, and panics if a guarantee to callers was violated.
+    pub async fn assert_promises_to_callers(&self, requests: &[ObservedRequest]) {
+        let idle = || async {
             let mut running = 0;
             for agent in self.agents.iter().filter(|agent| agent.lost_at_us().is_none()) {
                 running += agent.minion_counts().await.map_or(1, |counts| counts.running);
             }
             running == 0
         };
-        wait_until("all minions are idle", READY, quiet).await;
-        self.assert_promises_so_far(told).await;
+        wait_until("all minions are idle", READY_TIMEOUT, idle).await;
+        self.assert_promises_so_far(requests).await;
     }
 
-    /// Panics if any promise to callers is broken by now, though minions may still be at work.
-    pub async fn assert_promises_so_far(&self, told: &[Told]) {
+    /// Panics if a guarantee to callers has been violated so far. Minions may still be busy.
+    pub async fn assert_promises_so_far(&self, requests: &[ObservedRequest]) {
         let record = self.minion_record().await.expect("the minions' records can be read");
-        let found = check_requests(told, &record);
-        let summary: Summary = told.iter().collect();
+        let found = check_requests(requests, &record);
+        let summary: Summary = requests.iter().collect();
         println!("{summary}");
-        assert!(found.is_empty(), "{} broken promises: {found:#?}\n{summary}", found.len());
+        assert!(found.is_empty(), "{} violated guarantees: {found:#?}\n{summary}", found.len());
     }
 
-    /// Returns the addresses of all entries for callers.
+    /// Returns the addresses on which the entries serve callers.
     pub fn callers_addresses(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(EntryPlace::callers).collect()
+        self.entries.iter().map(EntryVm::callers).collect()
     }
 
-    /// Returns an operator who uses an entry's console.
+    /// Returns a client of an entry's operators' API.
     pub fn operator(&self, entry: usize) -> Operator {
         Operator::new(self.entries[entry].console())
     }
 
-    /// Returns what all minions really ran.
+    /// Returns the records of all minions.
     pub async fn minion_record(&self) -> Result<Vec<MinionEvent>> {
         let mut record = Vec::new();
         for agent in &self.agents {
@@ -220,7 +233,7 @@
         Ok(record)
     }
 
-    /// Returns what all workers really ran.
+    /// Returns the records of all workers.
     pub async fn worker_record(&self) -> Result<Vec<WorkerEvent>> {
         let mut record = Vec::new();
         for agent in &self.agents {
@@ -230,8 +243,8 @@
     }
 }
 
-/// Writes the configuration that the deployment starts with.
-async fn seed(store: &StandinPlace, plan: &Plan) -> Result<()> {
+/// Writes the initial configuration to the store.
+async fn write_configuration(store: &StandinHandle, plan: &Plan) -> Result<()> {
     let change = Change {
         change_id: Name::from("seed"),
         changed_by: Name::from("rosa"),
@@ -251,7 +264,7 @@
         callers: addresses.next_address(),
         console: addresses.next_address(),
         datagrams: addresses.next_address(),
-        store: ANY,
+        store: UNSET_ADDRESS,
         shared_key: SHARED_KEY.to_owned(),
         peers: Vec::new(),
         heartbeat_ms: plan.heartbeat_ms,
@@ -293,7 +306,7 @@
     standins: &mut Standins<'_>,
     plan: &Plan,
     mut settings: AgentSettings,
-) -> Result<AgentPlace> {
+) -> Result<AgentVm> {
     let name = settings.name.to_string();
     let options = MinionOptions { name: name.clone(), slots: plan.slots, ..Default::default() };
     let minion = standins.minion(options).await?;
@@ -312,9 +325,9 @@
     let worker_relay = standins.relay(worker.address()).await?;
     settings.minion = Some(minion_relay.address());
     settings.worker = Some(worker_relay.address());
-    let process = AgentPlace::start_process(standins.binaries, standins.folder, &settings)?;
+    let process = AgentVm::start_process(standins.binaries, standins.folder, &settings)?;
     let lost_at_us = None;
-    Ok(AgentPlace {
+    Ok(AgentVm {
         settings,
         link_relay,
         minion,
--- a/crates/geraniumpost-harness/src/lib.rs
+++ b/crates/geraniumpost-harness/src/lib.rs
@@ -1,38 +1,39 @@
-//! Starts real geraniumpost processes beside stand-ins and checks what they promised.
+//! Starts geraniumpost processes with stand-ins for the platform, and checks that they keep their
+//! guarantees.
 //!
-//! The demo, the soak runs and the failure tests share it; it is never shipped.
+//! The demo, the soak runs and the failure tests use this crate. It is never shipped.
 
-mod agent_place;
+mod agent_vm;
 mod binaries;
 mod caller;
+mod caller_connection;
 pub mod check;
-mod entry_place;
+mod entry_vm;
 mod failures;
 mod fleet;
-mod kept_caller;
 mod load;
 mod loopback;
 mod operator;
 mod plan;
 mod process;
-mod scratch;
-mod send;
-mod standin_place;
+mod request_spec;
+mod scratch_directory;
+mod standin_handle;
 mod standins;
 mod wait;
 
-pub use agent_place::AgentPlace;
+pub use agent_vm::AgentVm;
 pub use binaries::Binaries;
 pub use caller::Caller;
-pub use entry_place::EntryPlace;
+pub use caller_connection::CallerConnection;
+pub use entry_vm::EntryVm;
 pub use fleet::Fleet;
-pub use kept_caller::KeptCaller;
 pub use load::Load;
 pub use loopback::Loopback;
 pub use operator::Operator;
 pub use plan::{CUSTOMER, CUSTOMER_TOKEN, OPERATOR_TOKEN, Plan, REGION, SERVICE, SHARED_KEY};
 pub use process::Process;
-pub use scratch::Scratch;
-pub use send::Send;
-pub use standin_place::StandinPlace;
-pub use wait::{pass, wait_for, wait_until};
+pub use request_spec::RequestSpec;
+pub use scratch_directory::ScratchDirectory;
+pub use standin_handle::StandinHandle;
+pub use wait::{sleep_ms, wait_for, wait_until};
--- a/crates/geraniumpost-harness/src/load.rs
+++ b/crates/geraniumpost-harness/src/load.rs
@@ -7,26 +7,27 @@
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinSet;
 
-use crate::check::{Told, Word};
-use crate::{Caller, Send};
+use crate::check::{ObservedRequest, Outcome};
+use crate::{Caller, RequestSpec};
 
-/// Times a caller repeats a keyed request that was not answered.
-const REPEATS: usize = 4;
-/// Pause of a caller after it was told to come back.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Maximum number of attempts for a request with a key.
+const MAX_ATTEMPTS: usize = 4;
+/// Delay of a caller after a request that was not answered.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Callers that keep sending a mix of requests to several entries until they are stopped.
+/// Callers that send a mix of requests to several entries until they are stopped.
 ///
-/// A third each is idempotent, non-idempotent without a key, and non-idempotent with one. Keyed
-/// requests that were not answered are repeated through whatever entry comes, as callers do.
+/// One third of the requests is idempotent, one third is non-idempotent without a key, and the rest
+/// is non-idempotent with a key. Unanswered requests with a key are retried through random entries,
+/// because real callers retry through whichever entry the load balancer chooses.
 #[derive(Debug)]
 pub struct Load {
     stop: Arc<AtomicBool>,
-    callers: JoinSet<Vec<Told>>,
+    callers: JoinSet<Vec<ObservedRequest>>,
 }
 
 impl Load {
-    /// Starts `callers` callers; the seed decides what each of them sends where.
+    /// Starts `callers` callers. The seed determines what each of them sends to which entry.
     pub fn start(entries: &[SocketAddr], callers: u64, seed: u64) -> Self {
         println!("load of {callers} callers with seed {seed}");
         let stop = Arc::new(AtomicBool::new(false));
@@ -38,46 +39,50 @@
         Self { stop, callers: running }
     }
 
-    /// Lets each caller finish its last request and returns what all were told.
-    pub async fn stop(mut self) -> Vec<Told> {
+    /// Waits for each caller's last outcome and returns all requests with their outcomes.
+    pub async fn stop(mut self) -> Vec<ObservedRequest> {
         self.stop.store(true, Ordering::Relaxed);
-        let mut told = Vec::new();
+        let mut requests = Vec::new();
         while let Some(caller) = self.callers.join_next().await {
-            told.extend(caller.expect("a caller does not panic"));
+            requests.extend(caller.expect("a caller does not panic"));
         }
-        told
+        requests
     }
 }
 
-async fn run(entries: Vec<SocketAddr>, mut rng: StdRng, stop: Arc<AtomicBool>) -> Vec<Told> {
+async fn run(
+    entries: Vec<SocketAddr>,
+    mut rng: StdRng,
+    stop: Arc<AtomicBool>,
+) -> Vec<ObservedRequest> {
     let mut all = Vec::new();
     while !stop.load(Ordering::Relaxed) {
-        let mut send = draw(&mut rng);
-        for _ in 0..REPEATS {
+        let mut spec = random_request(&mut rng);
+        for _ in 0..MAX_ATTEMPTS {
             let entry = entries[rng.random_range(0..entries.len())];
-            let told = Caller::new(entry).send(&send).await;
-            let answered = matches!(told.word, Word::Answered { .. });
-            all.push(told);
+            let request = Caller::new(entry).send(&spec).await;
+            let answered = matches!(request.outcome, Outcome::Answered { .. });
+            all.push(request);
             if answered || stop.load(Ordering::Relaxed) {
                 break;
             }
-            tokio::time::sleep(PAUSE).await;
-            if send.key.is_empty() {
+            tokio::time::sleep(RETRY_DELAY).await;
+            if spec.key.is_empty() {
                 break;
             }
-            send = send.again();
+            spec = spec.again();
         }
     }
     all
 }
 
-fn draw(rng: &mut StdRng) -> Send {
-    let send = match rng.random_range(0..3) {
-        0 => Send::get(),
-        1 => Send::post(),
-        _ => Send::post().key(format!("key-{}", rng.random::<u64>())),
+fn random_request(rng: &mut StdRng) -> RequestSpec {
+    let spec = match rng.random_range(0..3) {
+        0 => RequestSpec::get(),
+        1 => RequestSpec::post(),
+        _ => RequestSpec::post().key(format!("key-{}", rng.random::<u64>())),
     };
     let size = rng.random_range(0..2000);
     let body: Vec<u8> = (0..size).map(|_| rng.random()).collect();
-    send.body(body).work_ms(rng.random_range(0..20)).answer_bytes(rng.random_range(0..5000))
+    spec.body(body).work_ms(rng.random_range(0..20)).answer_bytes(rng.random_range(0..5000))
 }
--- a/crates/geraniumpost-harness/src/loopback.rs
+++ b/crates/geraniumpost-harness/src/loopback.rs
@@ -3,18 +3,18 @@
 use eyre::{Result, bail};
 use rand::Rng;
 
-/// Port whose binding reserves an address.
+/// Port that is bound to reserve an address.
 const LOCK_PORT: u16 = 19_999;
-/// First port given out. It lies below the range from which the system takes ports for
-/// connections, so that no passing connection holds the port of a process that restarts.
+/// First port that is allocated. It lies below the system's range of ephemeral ports. Otherwise an
+/// outgoing connection could occupy the port of a process while the process restarts.
 const FIRST_PORT: u16 = 20_000;
-/// Addresses tried before giving up.
-const TRIES: usize = 1000;
+/// Maximum number of addresses that are tried.
+const MAX_ATTEMPTS: usize = 1000;
 
-/// A loopback address of its own, from which fixed ports are given out.
+/// A reserved loopback address, on which fixed ports are allocated.
 ///
-/// Tests that run side by side would otherwise take each other's ports in the moment between the
-/// choice of a free port and its use, which shows as rare failures to bind.
+/// If concurrent tests chose free ports of the same address, one test could bind a port between its
+/// choice and its use by another test, which would cause rare failures to bind.
 #[derive(Debug)]
 pub struct Loopback {
     ip: Ipv4Addr,
@@ -26,7 +26,7 @@
     /// Reserves an address of 127.0.0.0/8 until the handle is dropped.
     pub fn reserve() -> Result<Self> {
         let mut rng = rand::rng();
-        for _ in 0..TRIES {
+        for _ in 0..MAX_ATTEMPTS {
             let [a, b, c] = [64..=250_u8, 1..=250, 1..=250].map(|range| rng.random_range(range));
             let ip = Ipv4Addr::new(127, a, b, c);
             if let Ok(lock) = TcpListener::bind((ip, LOCK_PORT)) {
@@ -36,7 +36,7 @@
         bail!("no free loopback address found")
     }
 
-    /// Returns the address with a port that was not given out before.
+    /// Returns the address with a port that was not allocated before.
     pub const fn next_address(&mut self) -> SocketAddr {
         let port = self.next;
         self.next += 1;
--- a/crates/geraniumpost-harness/src/operator.rs
+++ b/crates/geraniumpost-harness/src/operator.rs
@@ -13,27 +13,27 @@
 
 use crate::plan::{CUSTOMER, OPERATOR_TOKEN};
 
-/// Time for one call.
-const TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// An operator who uses the HTTP interface beside an entry's console.
+/// A client of the operators' API of an entry.
 #[derive(Debug, Clone, Copy)]
 pub struct Operator {
     console: SocketAddr,
 }
 
 impl Operator {
-    /// Creates an operator who uses the console at this address.
+    /// Creates a client of the API on the console listener at this address.
     pub const fn new(console: SocketAddr) -> Self {
         Self { console }
     }
 
-    /// Reads a page; a body that is no JSON comes as a string.
+    /// Sends a GET request. A body that is not JSON is returned as a string.
     pub async fn get(&self, path: &str) -> Result<(StatusCode, Value)> {
         self.call(Method::GET, path, &Value::Null).await
     }
 
-    /// Submits a job of the customer's class `study`; the same job again is no second one.
+    /// Submits a job of the class `study`. Submissions are idempotent by the id of the job.
     pub async fn submit(
         &self,
         job: &str,
@@ -50,7 +50,7 @@
         self.call(Method::PUT, &format!("/api/jobs/{job}"), &body).await
     }
 
-    /// Makes one call; `Null` stands for no body.
+    /// Sends a request with a JSON body, or without a body if `body` is `Null`.
     pub async fn call(
         &self,
         method: Method,
@@ -58,10 +58,10 @@
         body: &Value,
     ) -> Result<(StatusCode, Value)> {
         let call = self.exchange(method, path, None, body);
-        timeout(TIMEOUT, call).await.wrap_err_with(|| format!("no answer to {path}"))?
+        timeout(CALL_TIMEOUT, call).await.wrap_err_with(|| format!("no response to {path}"))?
     }
 
-    /// Writes a page, which holds only for a revision (`If-Match`).
+    /// Sends a PUT request that is conditional on a revision (`If-Match`).
     pub async fn put_if_match(
         &self,
         path: &str,
@@ -69,7 +69,7 @@
         body: &Value,
     ) -> Result<(StatusCode, Value)> {
         let call = self.exchange(Method::PUT, path, Some(revision), body);
-        timeout(TIMEOUT, call).await.wrap_err_with(|| format!("no answer to {path}"))?
+        timeout(CALL_TIMEOUT, call).await.wrap_err_with(|| format!("no response to {path}"))?
     }
 
     async fn exchange(
@@ -94,9 +94,9 @@
             req = req.header("if-match", format!("\"{revision}\""));
         }
         let req = req.body(Full::new(body))?;
-        let answer = sender.send_request(req).await?;
-        let status = answer.status();
-        let body = answer.into_body().collect().await?.to_bytes();
+        let response = sender.send_request(req).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await?.to_bytes();
         driver.abort();
         let text = || Value::String(String::from_utf8_lossy(&body).into_owned());
         Ok((status, serde_json::from_slice(&body).unwrap_or_else(|_| text())))
--- a/crates/geraniumpost-harness/src/plan.rs
+++ b/crates/geraniumpost-harness/src/plan.rs
@@ -1,20 +1,20 @@
 use geraniumpost_config::token_digest;
 use serde_json::{Value, json};
 
-/// Name of the service whose minions are started.
+/// Name of the service that the minions serve.
 pub const SERVICE: &str = "filing";
-/// Name of the customer that calls.
+/// Name of the customer that sends requests and submits jobs.
 pub const CUSTOMER: &str = "claro";
-/// Bearer token of that customer.
+/// Bearer token of the customer.
 pub const CUSTOMER_TOKEN: &str = "token-of-claro";
 /// Bearer token of the operator.
 pub const OPERATOR_TOKEN: &str = "token-of-rosa";
-/// Region that everything runs in.
+/// Region of all processes.
 pub const REGION: &str = "lima";
-/// Key that all processes share.
+/// Key that authenticates the messages between all processes.
 pub const SHARED_KEY: &str = "a key for tests and demos only";
 
-/// What a fleet consists of.
+/// Number, size and settings of the processes of a fleet.
 #[derive(Debug, Clone)]
 pub struct Plan {
     pub(crate) entries: usize,
@@ -58,28 +58,28 @@
         self
     }
 
-    /// Sets the number of agents, each beside a minion and a worker.
+    /// Sets the number of agents, each with a minion and a worker.
     #[must_use]
     pub const fn agents(mut self, agents: usize) -> Self {
         self.agents = agents;
         self
     }
 
-    /// Sets the interval of heartbeats in milliseconds.
+    /// Sets the interval between heartbeats in milliseconds.
     #[must_use]
     pub const fn heartbeat_ms(mut self, heartbeat_ms: u64) -> Self {
         self.heartbeat_ms = heartbeat_ms;
         self
     }
 
-    /// Sets the longest time of a planned stop in milliseconds.
+    /// Sets the maximum duration of a drain in milliseconds.
     #[must_use]
     pub const fn drain_ms(mut self, drain_ms: u64) -> Self {
         self.drain_ms = drain_ms;
         self
     }
 
-    /// Sets the size of each VM.
+    /// Sets the capacity of each VM.
     #[must_use]
     pub const fn vm(mut self, milli_cpus: u64, memory_mb: u64) -> Self {
         self.milli_cpus = milli_cpus;
@@ -87,28 +87,29 @@
         self
     }
 
-    /// Leaves peers out of the entries' settings, and all entries but the first out of the agents'.
+    /// Omits the peers from the settings of entries, and all entries but the first from those of
+    /// agents.
     #[must_use]
     pub const fn no_peers_in_settings(mut self) -> Self {
         self.peers_in_settings = false;
         self
     }
 
-    /// Starts store, minions and workers as processes of their own.
+    /// Starts the store, the minions and the workers as separate processes.
     #[must_use]
     pub const fn standins_as_processes(mut self) -> Self {
         self.standins_as_processes = true;
         self
     }
 
-    /// Puts a relay between the entries and each agent.
+    /// Adds a relay between the entries and each agent.
     #[must_use]
     pub const fn relayed_links(mut self) -> Self {
         self.relayed_links = true;
         self
     }
 
-    /// Changes the configuration document that the store holds at the start.
+    /// Changes the initial configuration in the store.
     #[must_use]
     pub fn document(mut self, change: impl FnOnce(&mut Value)) -> Self {
         change(&mut self.document);
@@ -116,7 +117,7 @@
     }
 }
 
-/// Returns the document of a small deployment.
+/// Returns the configuration of a small deployment.
 fn document() -> Value {
     json!({
         "customers": {
--- a/crates/geraniumpost-harness/src/send.rs
+++ b/crates/geraniumpost-harness/src/request_spec.rs
@@ -4,13 +4,13 @@
 use bytes::Bytes;
 use http::Method;
 
-use crate::check::{Told, Word};
+use crate::check::{ObservedRequest, Outcome};
 
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
-/// A request of a caller; every one gets an id of its own.
+/// Contents of a request that a caller sends. Each request gets a new id.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Send {
+pub struct RequestSpec {
     pub(crate) method: Method,
     pub(crate) request_id: String,
     pub(crate) key: String,
@@ -20,13 +20,13 @@
     pub(crate) timeout: Duration,
 }
 
-impl Send {
-    /// A request that may run any number of times.
+impl RequestSpec {
+    /// Creates an idempotent request.
     pub fn get() -> Self {
         Self::new(Method::GET)
     }
 
-    /// A request that may run at most once.
+    /// Creates a request that may run at most once.
     pub fn post() -> Self {
         Self::new(Method::POST)
     }
@@ -37,13 +37,13 @@
         Self { method, request_id, key, body: Bytes::new(), work_ms: 0, answer_bytes: 0, timeout }
     }
 
-    /// Returns the same request under a new id, as a caller repeats it.
+    /// Returns the same request with a new id, as a caller retries it.
     #[must_use]
     pub fn again(&self) -> Self {
         Self { request_id: next_id(), ..self.clone() }
     }
 
-    /// Leaves the id out, so that the entry gives one.
+    /// Omits the id, so that the entry generates one.
     #[must_use]
     pub fn without_id(self) -> Self {
         Self { request_id: String::new(), ..self }
@@ -63,21 +63,21 @@
         self
     }
 
-    /// Sets the time that the minion works, in milliseconds.
+    /// Sets the time for which the minion works on the request, in milliseconds.
     #[must_use]
     pub const fn work_ms(mut self, work_ms: u64) -> Self {
         self.work_ms = work_ms;
         self
     }
 
-    /// Sets the least size of the answer.
+    /// Sets the minimum size of the response.
     #[must_use]
     pub const fn answer_bytes(mut self, answer_bytes: usize) -> Self {
         self.answer_bytes = answer_bytes;
         self
     }
 
-    /// Sets the deadline that the request carries.
+    /// Sets the time until the deadline that is sent with the request.
     #[must_use]
     pub const fn timeout(mut self, timeout: Duration) -> Self {
         self.timeout = timeout;
@@ -85,18 +85,23 @@
     }
 }
 
-impl Send {
-    /// Notes what its caller was told.
-    pub(crate) fn told(&self, word: Word, code: u16, took: Duration) -> Told {
-        Told {
+impl RequestSpec {
+    /// Combines the request with the outcome that its caller observed.
+    pub(crate) fn observed(
+        &self,
+        outcome: Outcome,
+        code: u16,
+        elapsed: Duration,
+    ) -> ObservedRequest {
+        ObservedRequest {
             request_id: self.request_id.clone(),
             key: self.key.clone(),
             idempotent: self.method == Method::GET,
             body: self.body.clone(),
             answer_bytes: self.answer_bytes,
-            word,
+            outcome,
             code,
-            took,
+            elapsed,
         }
     }
 }
--- a/crates/geraniumpost-harness/src/scratch.rs
+++ b/crates/geraniumpost-harness/src/scratch_directory.rs
@@ -5,14 +5,14 @@
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// A folder for settings and logs that is removed with its handle, unless the test has failed.
+/// A directory for settings and logs that is removed on drop, unless the test has failed.
 #[derive(Debug)]
-pub struct Scratch {
+pub struct ScratchDirectory {
     path: PathBuf,
 }
 
-impl Scratch {
-    /// Creates a new folder among the system's temporary files.
+impl ScratchDirectory {
+    /// Creates a new directory in the system's directory for temporary files.
     pub fn create() -> Result<Self> {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let name = format!("geraniumpost-harness-{}-{number}", std::process::id());
@@ -21,16 +21,16 @@
         Ok(Self { path })
     }
 
-    /// Returns the folder.
+    /// Returns the path of the directory.
     pub fn path(&self) -> &Path {
         &self.path
     }
 }
 
-impl Drop for Scratch {
+impl Drop for ScratchDirectory {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            eprintln!("logs are kept in {}", self.path.display());
+            eprintln!("the logs of the failed test are in {}", self.path.display());
         } else {
             let _ = std::fs::remove_dir_all(&self.path);
         }
--- a/crates/geraniumpost-harness/src/standin_place.rs
+++ b/crates/geraniumpost-harness/src/standin_handle.rs
@@ -7,12 +7,12 @@
 
 use crate::{Process, wait_until};
 
-/// Time for a stand-in's process to come up.
-const UP: Duration = Duration::from_secs(10);
+/// Maximum time until the process of a stand-in responds.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A stand-in inside this process or as one of its own.
+/// A stand-in that runs inside this process or as a separate process.
 #[derive(Debug)]
-pub struct StandinPlace {
+pub struct StandinHandle {
     address: SocketAddr,
     control: SocketAddr,
     record: Option<PathBuf>,
@@ -21,59 +21,59 @@
 
 #[derive(Debug)]
 enum Running {
-    Here(#[expect(dead_code, reason = "runs until it is dropped")] Standin),
-    There(Process),
+    InProcess(#[expect(dead_code, reason = "runs until it is dropped")] Standin),
+    SeparateProcess(Process),
 }
 
-impl StandinPlace {
-    /// Keeps a stand-in that runs inside this process.
-    pub const fn here(standin: Standin, record: Option<PathBuf>) -> Self {
+impl StandinHandle {
+    /// Creates the handle of a stand-in inside this process.
+    pub const fn in_process(standin: Standin, record: Option<PathBuf>) -> Self {
         let (address, control) = (standin.address(), standin.control_address());
-        Self { address, control, record, running: Some(Running::Here(standin)) }
+        Self { address, control, record, running: Some(Running::InProcess(standin)) }
     }
 
-    /// Keeps a stand-in's process once it answers.
-    pub async fn there(
+    /// Waits until the process of a stand-in responds and creates its handle.
+    pub async fn separate_process(
         process: Process,
         address: SocketAddr,
         control: SocketAddr,
         record: Option<PathBuf>,
     ) -> Self {
-        let what = format!("{} answers", process.name());
-        let up =
+        let what = format!("{} responds", process.name());
+        let responds =
             || async { Control::new(control).read::<serde_json::Value>("fault").await.is_ok() };
-        wait_until(&what, UP, up).await;
-        Self { address, control, record, running: Some(Running::There(process)) }
+        wait_until(&what, START_TIMEOUT, responds).await;
+        Self { address, control, record, running: Some(Running::SeparateProcess(process)) }
     }
 
-    /// Returns the address at which it serves.
+    /// Returns the address on which the stand-in serves requests.
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Returns a client of its control listener.
+    /// Returns a client of the stand-in's control listener.
     pub const fn control(&self) -> Control {
         Control::new(self.control)
     }
 
-    /// Returns its process, if it has one of its own.
+    /// Returns the process of the stand-in, `None` if it runs inside this process.
     pub const fn process(&self) -> Option<&Process> {
         match &self.running {
-            Some(Running::There(process)) => Some(process),
+            Some(Running::SeparateProcess(process)) => Some(process),
             _ => None,
         }
     }
 
-    /// Ends it at once, as its VM does when it is lost.
-    pub fn lose(&mut self) {
+    /// Ends the stand-in without a shutdown, as the loss of its VM does.
+    pub fn kill(&mut self) {
         self.running = None;
     }
 
-    /// Returns its record, after its loss that which it left behind.
+    /// Returns the recorded events. After the stand-in was killed, reads them from its record file.
     pub async fn record<T: serde::de::DeserializeOwned>(&self) -> Result<Vec<T>> {
         match (&self.running, &self.record) {
-            (None, Some(file)) => {
-                let text = std::fs::read_to_string(file)?;
+            (None, Some(path)) => {
+                let text = std::fs::read_to_string(path)?;
                 text.lines().map(|line| Ok(serde_json::from_str(line)?)).collect()
             }
             _ => self.control().read("record").await,
--- a/crates/geraniumpost-harness/src/wait.rs
+++ b/crates/geraniumpost-harness/src/wait.rs
@@ -3,45 +3,45 @@
 
 use tokio::time::Instant;
 
-/// Pause between two looks.
-const PAUSE: Duration = Duration::from_millis(10);
+/// Interval between two polls of a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Waits until `look` finds something and returns it.
+/// Calls `poll` until it returns a value, and returns the value.
 ///
 /// # Panics
 ///
-/// Panics with `what` when nothing was found in time.
-pub async fn wait_for<T, F>(what: &str, time: Duration, mut look: impl FnMut() -> F) -> T
+/// Panics with `what` if `poll` returns no value within `time`.
+pub async fn wait_for<T, F>(what: &str, time: Duration, mut poll: impl FnMut() -> F) -> T
 where
     F: Future<Output = Option<T>>,
 {
-    let ends = Instant::now() + time;
+    let deadline = Instant::now() + time;
     loop {
-        if let Some(found) = look().await {
-            return found;
+        if let Some(value) = poll().await {
+            return value;
         }
-        assert!(Instant::now() < ends, "not seen within {time:?}: {what}");
-        tokio::time::sleep(PAUSE).await;
+        assert!(Instant::now() < deadline, "condition not met within {time:?}: {what}");
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// Waits until `look` says yes.
+/// Calls `poll` until it returns true.
 ///
 /// # Panics
 ///
-/// Panics with `what` when it did not in time.
-pub async fn wait_until<F>(what: &str, time: Duration, mut look: impl FnMut() -> F)
+/// Panics with `what` if `poll` does not return true within `time`.
+pub async fn wait_until<F>(what: &str, time: Duration, mut poll: impl FnMut() -> F)
 where
     F: Future<Output = bool>,
 {
     wait_for(what, time, || {
-        let looking = look();
-        async move { looking.await.then_some(()) }
+        let condition = poll();
+        async move { condition.await.then_some(()) }
     })
     .await;
 }
 
-/// Lets so many milliseconds pass, while a load runs or a fault lasts.
-pub async fn pass(millis: u64) {
+/// Sleeps for a number of milliseconds, for example while a load runs or a fault lasts.
+pub async fn sleep_ms(millis: u64) {
     tokio::time::sleep(Duration::from_millis(millis)).await;
 }
--- a/crates/geraniumpost-harness/tests/check_jobs.rs
+++ b/crates/geraniumpost-harness/tests/check_jobs.rs
@@ -1,8 +1,8 @@
-//! The checker of jobs must find each broken promise and nothing else.
+//! Tests of the checker of jobs: it must find each violated guarantee and report nothing else.
 
 use std::collections::BTreeMap;
 
-use geraniumpost_harness::check::{JobSeen, JobViolation, check_jobs};
+use geraniumpost_harness::check::{JobViolation, ObservedJob, check_jobs};
 use geraniumpost_standin::worker::{WorkerEvent, WorkerEventKind};
 
 use WorkerEventKind::{Checkpointed, Done, Lapsed, Overfilled, Started, Stopped};
@@ -19,12 +19,12 @@
     }
 }
 
-fn completed(result: &str) -> Vec<JobSeen> {
-    vec![JobSeen { id: "study".to_owned(), result: Some(result.to_owned()) }]
+fn completed(result: &str) -> Vec<ObservedJob> {
+    vec![ObservedJob { id: "study".to_owned(), result: Some(result.to_owned()) }]
 }
 
-fn open() -> Vec<JobSeen> {
-    vec![JobSeen { id: "study".to_owned(), result: None }]
+fn not_completed() -> Vec<ObservedJob> {
+    vec![ObservedJob { id: "study".to_owned(), result: None }]
 }
 
 fn study() -> String {
@@ -41,7 +41,8 @@
     }
 }
 
-/// Names each case of records, jobs, lost workers and what the checker finds.
+/// Defines a test for each case: events in the workers' records, observed jobs, lost workers, and
+/// expected violations.
 macro_rules! finds {
     ($($name:ident: [$($event:expr),* $(,)?], $jobs:expr, lost: $lost:expr => $found:expr;)*) => {$(
         #[test]
@@ -57,29 +58,29 @@
 }
 
 finds! {
-    one_run_is_right:
+    one_run_is_accepted:
         [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
         completed("r"), lost: [] => [];
-    move_with_its_checkpoint_is_right:
+    run_from_the_previous_checkpoint_is_accepted:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Checkpointed, "c"),
             event(3, "w1", 1, Stopped, ""), event(4, "w2", 2, Started, "c"),
             event(5, "w2", 2, Done, "r"),
         ],
         completed("r"), lost: [] => [];
-    run_again_after_a_lost_vm_is_right:
+    second_completion_after_a_lost_vm_is_accepted:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r"),
             event(9, "w2", 2, Started, ""), event(10, "w2", 2, Done, "r"),
         ],
         completed("r"), lost: [("w1", 5)] => [];
-    run_that_ended_with_its_vm_is_right:
+    run_that_ended_with_its_vm_is_accepted:
         [
             event(1, "w1", 1, Started, ""), event(9, "w2", 2, Started, ""),
             event(10, "w2", 2, Done, "r"),
         ],
         completed("r"), lost: [("w1", 5)] => [];
-    two_places_at_once:
+    overlapping_runs:
         [
             event(1, "w1", 1, Started, ""), event(2, "w2", 2, Started, ""),
             event(3, "w1", 1, Lapsed, ""), event(4, "w2", 2, Done, "r"),
@@ -88,18 +89,18 @@
     first_run_that_never_ended:
         [event(1, "w1", 1, Started, ""), event(4, "w2", 2, Started, ""), event(5, "w2", 2, Done, "r")],
         completed("r"), lost: [] => [overlap()];
-    same_epoch_again:
+    repeated_epoch:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Lapsed, ""),
             event(3, "w2", 1, Started, ""), event(4, "w2", 1, Done, "r"),
         ],
         completed("r"), lost: []
         => [JobViolation::EpochNotHigher { job: study(), first: 1, second: 1 }];
-    resumed_from_nowhere:
+    unknown_checkpoint:
         [event(1, "w1", 1, Started, "c"), event(2, "w1", 1, Done, "r")],
         completed("r"), lost: []
         => [JobViolation::UnknownCheckpoint { job: study(), checkpoint: "c".to_owned() }];
-    checkpoint_thrown_away:
+    ignored_checkpoint:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Checkpointed, "c"),
             event(3, "w1", 1, Stopped, ""), event(4, "w2", 2, Started, ""),
@@ -109,21 +110,21 @@
         => [JobViolation::LostCheckpoint {
             job: study(), expected: "c".to_owned(), resumed: String::new(),
         }];
-    done_twice:
+    two_completions:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r"),
             event(3, "w2", 2, Started, ""), event(4, "w2", 2, Done, "r"),
         ],
         completed("r"), lost: [] => [JobViolation::DoneTwice { job: study(), times: 2 }];
-    result_from_nowhere:
+    unknown_result:
         [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
         completed("other"), lost: []
         => [JobViolation::UnknownResult { job: study(), result: "other".to_owned() }];
-    result_lost:
+    lost_result:
         [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
-        open(), lost: [] => [JobViolation::LostResult(study())];
-    job_lost: [], open(), lost: [] => [JobViolation::Lost(study())];
-    worker_overfilled:
+        not_completed(), lost: [] => [JobViolation::LostResult(study())];
+    lost_job: [], not_completed(), lost: [] => [JobViolation::Lost(study())];
+    worker_over_its_capacity:
         [event(1, "w1", 1, Started, ""), event(1, "w1", 1, Overfilled, "9 of 8"),
          event(2, "w1", 1, Done, "r")],
         completed("r"), lost: []
--- a/crates/geraniumpost-harness/tests/check_requests.rs
+++ b/crates/geraniumpost-harness/tests/check_requests.rs
@@ -1,9 +1,9 @@
-//! The checker of requests must find each broken promise and nothing else.
+//! Tests of the checker of requests: it must find each violated guarantee and report nothing else.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumpost_harness::check::{RequestViolation, Told, Word, check_requests};
+use geraniumpost_harness::check::{ObservedRequest, Outcome, RequestViolation, check_requests};
 use geraniumpost_standin::minion::{MinionEvent, MinionEventKind, expected_answer};
 
 fn run(id: &str, kind: MinionEventKind) -> MinionEvent {
@@ -23,71 +23,74 @@
     run(id, MinionEventKind::Started)
 }
 
-fn told(id: &str, key: &str, word: Word) -> Told {
-    Told {
+fn request(id: &str, key: &str, outcome: Outcome) -> ObservedRequest {
+    ObservedRequest {
         request_id: id.to_owned(),
         key: key.to_owned(),
         idempotent: false,
         body: "badge".into(),
         answer_bytes: 0,
-        word,
+        outcome,
         code: 0,
-        took: Duration::ZERO,
+        elapsed: Duration::ZERO,
     }
 }
 
-fn answered(id: &str) -> Word {
-    Word::Answered { status: 200, body: expected_answer(id, b"badge", 0) }
+fn answered(id: &str) -> Outcome {
+    Outcome::Answered { status: 200, body: expected_answer(id, b"badge", 0) }
 }
 
-fn twice(intention: &str) -> RequestViolation {
-    RequestViolation::RanTwice { intention: intention.to_owned(), runs: 2 }
+fn twice(operation: &str) -> RequestViolation {
+    RequestViolation::RanTwice { operation: operation.to_owned(), runs: 2 }
 }
 
-/// Names each case of words, runs and what the checker finds.
+/// Defines a test for each case: observed requests, events in the minions' records, and expected
+/// violations.
 macro_rules! finds {
-    ($($name:ident: $told:expr, $record:expr => $found:expr;)*) => {$(
+    ($($name:ident: $requests:expr, $record:expr => $found:expr;)*) => {$(
         #[test]
         fn $name() {
-            let told: Vec<Told> = $told.into();
+            let requests: Vec<ObservedRequest> = $requests.into();
             let record: Vec<MinionEvent> = $record.into();
             let found: Vec<RequestViolation> = $found.into();
-            assert_eq!(check_requests(&told, &record), found);
+            assert_eq!(check_requests(&requests, &record), found);
         }
     )*};
 }
 
 finds! {
-    own_answer_is_right: [told("a", "", answered("a"))], [started("a")] => [];
-    not_run_is_right: [told("a", "", Word::NotRun)], [started("b")] => [];
-    unknown_is_right_either_way:
-        [told("a", "", Word::MayHaveRun), told("b", "", Word::Nothing)], [started("a")] => [];
-    repeat_gets_the_first_answer:
-        [told("a", "k", Word::Nothing), told("b", "k", answered("a"))], [started("a")] => [];
+    own_response_is_accepted: [request("a", "", answered("a"))], [started("a")] => [];
+    not_run_is_accepted: [request("a", "", Outcome::NotRun)], [started("b")] => [];
+    unknown_outcome_is_accepted_with_and_without_a_run:
+        [request("a", "", Outcome::MayHaveRun), request("b", "", Outcome::NoResponse)],
+        [started("a")] => [];
+    retry_may_get_the_first_response:
+        [request("a", "k", Outcome::NoResponse), request("b", "k", answered("a"))],
+        [started("a")] => [];
     idempotent_request_may_run_twice:
-        [Told { idempotent: true, ..told("a", "", answered("a")) }],
+        [ObservedRequest { idempotent: true, ..request("a", "", answered("a")) }],
         [started("a"), started("a")] => [];
-    run_despite_not_run:
-        [told("a", "", Word::NotRun)], [started("a")]
+    run_after_not_run_was_reported:
+        [request("a", "", Outcome::NotRun)], [started("a")]
         => [RequestViolation::RanAlthoughNotRun("a".to_owned())];
-    run_despite_unreachable:
-        [told("a", "", Word::Unreachable)], [started("a")]
+    run_after_entry_was_unreachable:
+        [request("a", "", Outcome::Unreachable)], [started("a")]
         => [RequestViolation::RanAlthoughNotRun("a".to_owned())];
     second_run_of_one_request:
-        [told("a", "", answered("a"))], [started("a"), started("a")] => [twice("a")];
+        [request("a", "", answered("a"))], [started("a"), started("a")] => [twice("a")];
     second_run_of_one_key:
-        [told("a", "k", Word::Nothing), told("b", "k", answered("b"))],
+        [request("a", "k", Outcome::NoResponse), request("b", "k", answered("b"))],
         [started("a"), started("b")] => [twice("k")];
-    answer_of_another:
-        [told("a", "", answered("b")), told("b", "", Word::Nothing)],
+    response_to_another_request:
+        [request("a", "", answered("b")), request("b", "", Outcome::NoResponse)],
         [started("a"), started("b")] => [RequestViolation::WrongAnswer("a".to_owned())];
-    half_an_answer:
-        [told("a", "", Word::Answered { status: 200, body: Bytes::from_static(b"id=a") })],
+    incomplete_response:
+        [request("a", "", Outcome::Answered { status: 200, body: Bytes::from_static(b"id=a") })],
         [started("a")] => [RequestViolation::WrongAnswer("a".to_owned())];
-    answer_without_a_run:
-        [told("a", "", answered("a"))], []
+    response_without_a_run:
+        [request("a", "", answered("a"))], []
         => [RequestViolation::AnsweredWithoutRun("a".to_owned())];
-    overfilled_minion:
+    minion_over_its_slots:
         [], [started("a"), run("b", MinionEventKind::OverSlots)]
         => [RequestViolation::OverSlots("m1".to_owned())];
 }
--- a/crates/geraniumpost-harness/tests/process.rs
+++ b/crates/geraniumpost-harness/tests/process.rs
@@ -1,18 +1,18 @@
-//! Children are started, frozen, ended and never left behind.
+//! Tests of child processes and of reserved addresses.
 
 use std::path::Path;
 use std::time::Duration;
 
 use geraniumpost_harness::{Loopback, Process, wait_until};
 
-const LONG: Duration = Duration::from_secs(20);
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 fn sleeper(name: &str) -> Process {
     let log = std::env::temp_dir().join(format!("geraniumpost-{}-{name}", std::process::id()));
     Process::start(name, Path::new("/bin/sleep"), &["600"], log).unwrap()
 }
 
-/// Returns the state letter that the kernel shows of a process, `None` once it is gone.
+/// Returns the state of a process as a letter in `/proc`, `None` if the process does not exist.
 fn state(id: u32) -> Option<char> {
     let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
     stat.rsplit(')').next()?.trim().chars().next()
@@ -23,18 +23,18 @@
     let mut process = sleeper("freezes");
     let id = process.id().unwrap();
     process.freeze().unwrap();
-    wait_until("frozen", LONG, || async { state(id) == Some('T') }).await;
+    wait_until("frozen", TIMEOUT, || async { state(id) == Some('T') }).await;
     process.thaw().unwrap();
-    wait_until("thawed", LONG, || async { state(id) == Some('S') }).await;
+    wait_until("thawed", TIMEOUT, || async { state(id) == Some('S') }).await;
     process.term().unwrap();
-    assert!(!process.ended(LONG).await.unwrap().success());
+    assert!(!process.ended(TIMEOUT).await.unwrap().success());
     assert!(!process.is_running());
 }
 
-/// A test fails while its processes are frozen. Were they left behind, they would hold ports and
-/// memory, and the next run would fail for no reason of its own.
+/// Guards against processes that outlive a failed test: they would occupy ports and memory and make
+/// later tests fail.
 #[tokio::test]
-async fn dropped_handle_ends_even_a_frozen_process() {
+async fn drop_kills_a_frozen_process() {
     let process = sleeper("dropped");
     let id = process.id().unwrap();
     process.freeze().unwrap();
@@ -43,7 +43,7 @@
 }
 
 #[tokio::test]
-async fn restarted_process_is_another() {
+async fn restarted_process_has_another_id() {
     let mut process = sleeper("restarted");
     let first = process.id().unwrap();
     process.kill();
--- a/crates/geraniumpost/tests/config_fleet.rs
+++ b/crates/geraniumpost/tests/config_fleet.rs
@@ -8,7 +8,7 @@
 use geraniumpost::client::ApiClient;
 use geraniumpost::config::CONFIG_KEY;
 use geraniumpost_core::config::StoredDocument;
-use geraniumpost_harness::{Binaries, EntryPlace, Fleet, OPERATOR_TOKEN, Plan};
+use geraniumpost_harness::{Binaries, EntryVm, Fleet, OPERATOR_TOKEN, Plan};
 use geraniumpost_outside::Store;
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::store::StoreFaults;
@@ -167,7 +167,7 @@
     let binaries = Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"));
     let plan = Plan::default().entries(3).agents(3);
     let mut fleet = Fleet::start(&binaries, &plan).await.unwrap();
-    let consoles: Vec<SocketAddr> = fleet.entries().iter().map(EntryPlace::console).collect();
+    let consoles: Vec<SocketAddr> = fleet.entries().iter().map(EntryVm::console).collect();
     let begin = Instant::now();
     let until = begin + Duration::from_secs(9);
     let accepted = Arc::new(Mutex::new(Vec::new()));
--- a/crates/geraniumpost/tests/failures_jobs.rs
+++ b/crates/geraniumpost/tests/failures_jobs.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use geraniumpost_harness::check::{JobSeen, check_jobs};
-use geraniumpost_harness::{Binaries, Fleet, Plan, failures, pass, wait_until};
+use geraniumpost_harness::check::{ObservedJob, check_jobs};
+use geraniumpost_harness::{Binaries, Fleet, Plan, failures, sleep_ms, wait_until};
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::relay::{Direction, RelayFaults};
 use geraniumpost_standin::store::StoreFaults;
@@ -94,10 +94,10 @@
         wait_until(&format!("{id} is done"), LONG, || is_done(fleet, id)).await;
         let job = job(fleet, id).await.unwrap_or_default();
         let result = job["result"].as_str().map(ToOwned::to_owned);
-        seen.push(JobSeen { id: id.clone(), result });
+        seen.push(ObservedJob { id: id.clone(), result });
     }
     // A second run that was wrongly started may still be under way.
-    pass(500).await;
+    sleep_ms(500).await;
     let record = fleet.worker_record().await.unwrap();
     let mut kinds = BTreeMap::<String, usize>::new();
     for event in &record {
@@ -135,11 +135,11 @@
         let ids = submit_all(&fleet, 8, 3000).await;
         started(&fleet, &ids[0]).await;
         fleet.entry(0).kill();
-        pass(1500).await;
+        sleep_ms(1500).await;
         fleet.entry(0).restart().unwrap();
         fleet.ready().await;
         fleet.entry(1).kill();
-        pass(1500).await;
+        sleep_ms(1500).await;
         fleet.entry(1).restart().unwrap();
         assert_completed_once(&fleet, &ids).await;
     }
@@ -187,7 +187,7 @@
         started(&fleet, &ids[0]).await;
         let agent = place(&fleet, &ids[0]).await;
         fleet.agents()[agent].process().freeze().unwrap();
-        pass(6000).await;
+        sleep_ms(6000).await;
         fleet.agents()[agent].process().thaw().unwrap();
         assert_completed_once(&fleet, &ids).await;
     }
@@ -200,9 +200,9 @@
         started(&fleet, &ids[0]).await;
         for entry in fleet.entries() {
             entry.process().freeze().unwrap();
-            pass(4000).await;
+            sleep_ms(4000).await;
             entry.process().thaw().unwrap();
-            pass(1000).await;
+            sleep_ms(1000).await;
         }
         assert_completed_once(&fleet, &ids).await;
     }
@@ -214,7 +214,7 @@
         let ids = submit_all(&fleet, 6, 3000).await;
         started(&fleet, &ids[5]).await;
         fleet.set_store_faults(down(Down::Refuse)).await.unwrap();
-        pass(6000).await;
+        sleep_ms(6000).await;
         fleet.set_store_faults(StoreFaults::default()).await.unwrap();
         assert_completed_once(&fleet, &ids).await;
         let record = fleet.worker_record().await.unwrap();
@@ -259,7 +259,7 @@
         let mut fleet = fleet(Plan::default().vm(10_000, 100_000)).await;
         let ids = submit_all(&fleet, 12, 700).await;
         fleet.entry(0).restart().unwrap();
-        pass(700).await;
+        sleep_ms(700).await;
         fleet.entry(1).restart().unwrap();
         assert_completed_once(&fleet, &ids).await;
     }
@@ -298,10 +298,10 @@
             let relay = entry.store_relay().control();
             let faults = RelayFaults { back: stall, ..RelayFaults::default() };
             relay.set_faults(&faults).await.unwrap();
-            pass(4000).await;
+            sleep_ms(4000).await;
             relay.set_faults(&RelayFaults::default()).await.unwrap();
             relay.act("cut").await.unwrap();
-            pass(500).await;
+            sleep_ms(500).await;
         }
         assert_completed_once(&fleet, &ids).await;
     }
@@ -314,7 +314,7 @@
         fleet.set_store_faults(down(Down::Refuse)).await.unwrap();
         fleet.entry(0).restart().unwrap();
         fleet.agent(0).restart().unwrap();
-        pass(2000).await;
+        sleep_ms(2000).await;
         fleet.set_store_faults(StoreFaults::default()).await.unwrap();
         assert_completed_once(&fleet, &ids).await;
     }
@@ -329,7 +329,7 @@
             let id = format!("study-{round}");
             submit(&fleet, &id, "sleep:400").await;
             ids.push(id);
-            pass(rng.random_range(0..250)).await;
+            sleep_ms(rng.random_range(0..250)).await;
             fleet.entry(rng.random_range(0..2)).restart().unwrap();
         }
         assert_completed_once(&fleet, &ids).await;
@@ -341,21 +341,21 @@
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 20, 400).await;
         for (number, id) in ids.iter().enumerate() {
-            pass(number as u64 * 3).await;
+            sleep_ms(number as u64 * 3).await;
             cancel(&fleet, id).await;
         }
         for id in &ids {
             let ended = || async { ["done", "cancelled"].contains(&state(&fleet, id).await.as_str()) };
             wait_until(&format!("{id} has ended"), LONG, ended).await;
         }
-        pass(1000).await;
+        sleep_ms(1000).await;
         let record = fleet.worker_record().await.unwrap();
         let mut seen = Vec::new();
         for id in &ids {
             let job = job(&fleet, id).await.unwrap();
             let result = job["result"].as_str().map(ToOwned::to_owned);
             if job["state"] == "done" {
-                seen.push(JobSeen { id: id.clone(), result });
+                seen.push(ObservedJob { id: id.clone(), result });
             }
         }
         let found = check_jobs(&record, &seen, &fleet.lost_vms());
--- a/crates/geraniumpost/tests/failures_links.rs
+++ b/crates/geraniumpost/tests/failures_links.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geraniumpost_harness::check::Summary;
-use geraniumpost_harness::{Binaries, Fleet, Plan, Send, failures, pass, wait_until};
+use geraniumpost_harness::{Binaries, Fleet, Plan, RequestSpec, failures, sleep_ms, wait_until};
 use geraniumpost_standin::relay::{Direction, RelayFaults};
 
 const LONG: Duration = Duration::from_secs(15);
@@ -25,22 +25,22 @@
     async fn silent_links_lose_no_idempotent_request() {
         let fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 13);
-        pass(500).await;
+        sleep_ms(500).await;
         for (direction, agent) in [("forward", 0), ("back", 1)] {
             let stall = Direction { stall: true, delay_ms: 0 };
             let mut faults = RelayFaults { spare_new: true, ..RelayFaults::default() };
             *if direction == "back" { &mut faults.back } else { &mut faults.forward } = stall;
             set_link_faults(&fleet, agent, faults).await;
-            pass(1500).await;
+            sleep_ms(1500).await;
         }
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let idempotent = Summary::of_idempotent(&told);
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let idempotent = Summary::of_idempotent(&requests);
         assert!(idempotent.all_answered(), "{idempotent}");
-        assert!(idempotent.worst < Duration::from_secs(3), "{idempotent}");
+        assert!(idempotent.max_time < Duration::from_secs(3), "{idempotent}");
         let after = fleet.agents()[0].minion_record().await.unwrap().len();
         wait_until("the agent is used again", LONG, || async {
-            fleet.caller(0).send(&Send::get()).await;
+            fleet.caller(0).send(&RequestSpec::get()).await;
             fleet.agents()[0].minion_record().await.unwrap().len() > after
         })
         .await;
@@ -53,14 +53,14 @@
         let fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 14);
         for round in 0..9 {
-            pass(400).await;
+            sleep_ms(400).await;
             let relay = fleet.agents()[round % 3].link_relay().unwrap();
             relay.control().act("cut").await.unwrap();
         }
-        pass(500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let summary = Summary::of(&told);
+        sleep_ms(500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
     }
 
@@ -70,13 +70,13 @@
         let fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 17);
         for round in 0..24 {
-            pass(60).await;
+            sleep_ms(60).await;
             let relay = fleet.agents()[round % 3].link_relay().unwrap();
             relay.control().act("cut").await.unwrap();
         }
-        pass(500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        sleep_ms(500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 
     /// Answers take 300 ms longer than usual to get back to the entries. They still reach the
@@ -89,10 +89,10 @@
             set_link_faults(&fleet, agent, faults).await;
         }
         let load = fleet.load(CALLERS, 15);
-        pass(2500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let idempotent = Summary::of_idempotent(&told);
+        sleep_ms(2500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let idempotent = Summary::of_idempotent(&requests);
         assert!(idempotent.all_answered(), "{idempotent}");
     }
 
@@ -102,17 +102,17 @@
         let mut fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 16);
         for agent in 0..2 {
-            pass(400).await;
+            sleep_ms(400).await;
             let stall = Direction { stall: true, delay_ms: 0 };
             let faults = RelayFaults { back: stall, spare_new: true, ..RelayFaults::default() };
             set_link_faults(&fleet, agent, faults).await;
-            pass(100).await;
+            sleep_ms(100).await;
             fleet.entry(agent).restart().unwrap();
             let answers = || async { fleet.answers(agent).await };
             wait_until("the restarted entry answers", LONG, answers).await;
         }
-        pass(500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        sleep_ms(500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 }
--- a/crates/geraniumpost/tests/failures_minions.rs
+++ b/crates/geraniumpost/tests/failures_minions.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use geraniumpost_harness::check::{Summary, Told, Word};
-use geraniumpost_harness::{Binaries, Fleet, Plan, Send, failures, pass};
+use geraniumpost_harness::check::{ObservedRequest, Outcome, Summary};
+use geraniumpost_harness::{Binaries, Fleet, Plan, RequestSpec, failures, sleep_ms};
 use geraniumpost_standin::minion::{MinionFaults, MinionMode};
 use geraniumpost_standin::relay::{Direction, RelayFaults};
 
@@ -29,13 +29,13 @@
     async fn silent_connections_to_a_minion_double_nothing() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 8);
-        pass(500).await;
+        sleep_ms(500).await;
         let stall = Direction { stall: true, delay_ms: 0 };
         let faults = RelayFaults { back: stall, spare_new: true, ..RelayFaults::default() };
         fleet.agents()[0].minion_relay().control().set_faults(&faults).await.unwrap();
-        pass(2000).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        sleep_ms(2000).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 
     /// A minion's connections are cut again and again while it runs requests. A filing that was
@@ -44,13 +44,13 @@
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 9);
         for _ in 0..10 {
-            pass(150).await;
+            sleep_ms(150).await;
             for agent in fleet.agents() {
                 agent.minion_relay().control().act("cut").await.unwrap();
             }
         }
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 
     /// A minion breaks off in the middle of its answers. The callers see errors, never half an
@@ -63,10 +63,10 @@
             agent.minion().control().set_faults(&truncating).await.unwrap();
         }
         let load = fleet.load(CALLERS, 10);
-        pass(1500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        assert!(Summary::of(&told).may_have_run > 0, "{}", Summary::of(&told));
+        sleep_ms(1500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        assert!(Summary::of(&requests).may_have_run > 0, "{}", Summary::of(&requests));
     }
 
     /// Far more callers than slots. Minions are never overfilled; whoever is turned away is told
@@ -74,10 +74,10 @@
     async fn overload_never_overfills_a_minion() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(150, 11);
-        pass(2500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        assert!(Summary::of(&told).answered > 100, "{}", Summary::of(&told));
+        sleep_ms(2500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        assert!(Summary::of(&requests).answered > 100, "{}", Summary::of(&requests));
         for agent in fleet.agents() {
             let counts = agent.minion_counts().await.unwrap();
             assert!(!counts.over_connections && counts.over_slots == 0, "{counts:?}");
@@ -90,12 +90,12 @@
         let fleet = fleet(Plan::default()).await;
         set_mode(&fleet, 0, MinionMode::Fail).await;
         let load = fleet.load(CALLERS, 18);
-        pass(1500).await;
+        sleep_ms(1500).await;
         let before = (started(&fleet, 0).await, started(&fleet, 1).await);
-        pass(1500).await;
+        sleep_ms(1500).await;
         let after = (started(&fleet, 0).await, started(&fleet, 1).await);
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
         let (failing, good) = (after.0 - before.0, after.1 - before.1);
         assert!(failing * 5 < good, "the failing minion got {failing}, a good one {good}");
     }
@@ -108,17 +108,20 @@
         let callers: Vec<_> = (0..40)
             .map(|number| {
                 let caller = fleet.caller(number % 2);
-                let send = Send::post().timeout(Duration::from_millis(1500));
-                tokio::spawn(async move { caller.send(&send).await })
+                let spec = RequestSpec::post().timeout(Duration::from_millis(1500));
+                tokio::spawn(async move { caller.send(&spec).await })
             })
             .collect();
-        let mut told: Vec<Told> = Vec::new();
+        let mut requests: Vec<ObservedRequest> = Vec::new();
         for caller in callers {
-            told.push(caller.await.unwrap());
+            requests.push(caller.await.unwrap());
         }
-        fleet.assert_promises_so_far(&told).await;
-        let served = told.iter().filter(|told| matches!(told.word, Word::Answered { .. })).count();
-        assert!(served >= 20, "{}", Summary::of(&told));
+        fleet.assert_promises_so_far(&requests).await;
+        let served = requests
+            .iter()
+            .filter(|request| matches!(request.outcome, Outcome::Answered { .. }))
+            .count();
+        assert!(served >= 20, "{}", Summary::of(&requests));
     }
 
     /// Callers lose patience and leave while their requests run. The minions still work on them,
@@ -129,32 +132,33 @@
             let leaving: Vec<_> = (0..60)
                 .map(|number| {
                     let caller = fleet.caller(number % 2);
-                    tokio::spawn(async move { caller.send(&Send::post().work_ms(700)).await })
+                    let spec = RequestSpec::post().work_ms(700);
+                    tokio::spawn(async move { caller.send(&spec).await })
                 })
                 .collect();
-            pass(100 + 50 * round).await;
+            sleep_ms(100 + 50 * round).await;
             leaving.iter().for_each(tokio::task::JoinHandle::abort);
         }
-        let mut told = Vec::new();
+        let mut requests = Vec::new();
         for _ in 0..10 {
-            told.push(fleet.caller(0).send(&Send::get()).await);
+            requests.push(fleet.caller(0).send(&RequestSpec::get()).await);
         }
-        fleet.assert_promises_to_callers(&told).await;
-        assert!(Summary::of(&told).answered > 0, "{}", Summary::of(&told));
+        fleet.assert_promises_to_callers(&requests).await;
+        assert!(Summary::of(&requests).answered > 0, "{}", Summary::of(&requests));
     }
 
     /// A badge print takes longer than its caller gave it. The agent knows that it was started, and
     /// the caller must be told so, and not that nobody can know.
     async fn request_past_its_deadline_is_told_as_started() {
         let fleet = fleet(Plan::default()).await;
-        let send = Send::post().work_ms(900).timeout(Duration::from_millis(300));
-        let mut told = Vec::new();
+        let spec = RequestSpec::post().work_ms(900).timeout(Duration::from_millis(300));
+        let mut requests = Vec::new();
         for number in 0..6 {
-            told.push(fleet.caller(number % 2).send(&send.again()).await);
+            requests.push(fleet.caller(number % 2).send(&spec.again()).await);
         }
-        let codes: Vec<u16> = told.iter().map(|told| told.code).collect();
-        assert_eq!(codes, [2007; 6], "{told:#?}");
-        fleet.assert_promises_to_callers(&told).await;
+        let codes: Vec<u16> = requests.iter().map(|request| request.code).collect();
+        assert_eq!(codes, [2007; 6], "{requests:#?}");
+        fleet.assert_promises_to_callers(&requests).await;
     }
 
     /// Requests run into their deadline while the minions still work on them.
@@ -163,18 +167,21 @@
         let callers: Vec<_> = (0..120)
             .map(|number| {
                 let caller = fleet.caller(number % 2);
-                let send = Send::post().work_ms(900).timeout(Duration::from_millis(300));
+                let spec = RequestSpec::post().work_ms(900).timeout(Duration::from_millis(300));
                 tokio::spawn(async move {
-                    pass(u64::try_from(number).unwrap() * 15).await;
-                    caller.send(&send).await
+                    sleep_ms(u64::try_from(number).unwrap() * 15).await;
+                    caller.send(&spec).await
                 })
             })
             .collect();
-        let mut told = Vec::new();
+        let mut requests = Vec::new();
         for caller in callers {
-            told.push(caller.await.unwrap());
+            requests.push(caller.await.unwrap());
         }
-        fleet.assert_promises_to_callers(&told).await;
-        assert!(told.iter().all(|told| told.took < Duration::from_secs(1)), "{told:#?}");
+        fleet.assert_promises_to_callers(&requests).await;
+        assert!(
+            requests.iter().all(|request| request.elapsed < Duration::from_secs(1)),
+            "{requests:#?}"
+        );
     }
 }
--- a/crates/geraniumpost/tests/failures_requests.rs
+++ b/crates/geraniumpost/tests/failures_requests.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use geraniumpost_harness::check::{Summary, Told, Word};
+use geraniumpost_harness::check::{ObservedRequest, Outcome, Summary};
 use geraniumpost_harness::{
-    Binaries, CUSTOMER_TOKEN, Caller, Fleet, Plan, SERVICE, Send, failures, pass, wait_until,
+    Binaries, CUSTOMER_TOKEN, Caller, Fleet, Plan, RequestSpec, SERVICE, failures, sleep_ms,
+    wait_until,
 };
 use geraniumpost_standin::now_us;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,14 +19,14 @@
 }
 
 /// Sends requests on kept connections until none can be opened any more.
-async fn balance(caller: Caller) -> Vec<Told> {
-    let mut told = Vec::new();
-    while let Ok(mut kept) = caller.keep().await {
-        while kept.is_open().await {
-            told.push(kept.send(&Send::post().work_ms(5)).await);
+async fn balance(caller: Caller) -> Vec<ObservedRequest> {
+    let mut requests = Vec::new();
+    while let Ok(mut connection) = caller.connect().await {
+        while connection.is_open().await {
+            requests.push(connection.send(&RequestSpec::post().work_ms(5)).await);
         }
     }
-    told
+    requests
 }
 
 failures! {
@@ -34,10 +35,10 @@
     async fn undisturbed_load_is_answered() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 1);
-        pass(1500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let summary = Summary::of(&told);
+        sleep_ms(1500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
     }
 
@@ -46,14 +47,14 @@
     async fn killed_agent_loses_no_idempotent_request() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 2);
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.agent(1).kill();
-        pass(2000).await;
+        sleep_ms(2000).await;
         fleet.agent(1).restart().unwrap();
-        pass(1500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let idempotent = Summary::of_idempotent(&told);
+        sleep_ms(1500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let idempotent = Summary::of_idempotent(&requests);
         assert!(idempotent.all_answered(), "{idempotent}");
     }
 
@@ -62,17 +63,17 @@
     async fn killed_entry_doubles_nothing() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 3);
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.entry(0).kill();
-        pass(1500).await;
+        sleep_ms(1500).await;
         fleet.entry(0).restart().unwrap();
         let answers = || async { fleet.answers(0).await };
         wait_until("the restarted entry answers", LONG, answers).await;
-        pass(500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        sleep_ms(500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
         // The restarted entry lets nobody in before it can serve them.
-        assert_eq!(Summary::of(&told).not_run, 0, "{}", Summary::of(&told));
+        assert_eq!(Summary::of(&requests).not_run, 0, "{}", Summary::of(&requests));
     }
 
     /// An agent's VM is paused with requests on it and goes on later. Callers are not kept
@@ -80,16 +81,16 @@
     async fn frozen_agent_harms_nobody_when_it_thaws() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 4);
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.agents()[2].process().freeze().unwrap();
-        pass(5000).await;
+        sleep_ms(5000).await;
         fleet.agents()[2].process().thaw().unwrap();
-        pass(1500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let idempotent = Summary::of_idempotent(&told);
+        sleep_ms(1500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let idempotent = Summary::of_idempotent(&requests);
         assert!(idempotent.all_answered(), "{idempotent}");
-        assert!(idempotent.worst < Duration::from_secs(3), "{idempotent}");
+        assert!(idempotent.max_time < Duration::from_secs(3), "{idempotent}");
     }
 
     /// An entry's VM is paused and goes on later. Requests that it still holds may by then have
@@ -97,15 +98,15 @@
     async fn frozen_entry_harms_nobody_when_it_thaws() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 5);
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.entries()[0].process().freeze().unwrap();
-        pass(3000).await;
+        sleep_ms(3000).await;
         fleet.entries()[0].process().thaw().unwrap();
-        pass(1500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        sleep_ms(1500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
         // What queued up during the pause is served; the agents were there all the time.
-        assert_eq!(Summary::of(&told).not_run, 0, "{}", Summary::of(&told));
+        assert_eq!(Summary::of(&requests).not_run, 0, "{}", Summary::of(&requests));
     }
 
     /// An agent is stopped for maintenance under load. No caller may notice, nothing new may reach
@@ -113,15 +114,15 @@
     async fn stopped_agent_cuts_off_no_request() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 6);
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.agent(0).term().unwrap();
         let asked = now_us();
         let status = fleet.agent(0).ended(LONG).await.unwrap();
         assert!(status.success(), "{status}\n{}", fleet.agent(0).output());
-        pass(1000).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let summary = Summary::of(&told);
+        sleep_ms(1000).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
         let record = fleet.agents()[0].minion_record().await.unwrap();
         let late = record.iter().filter(|event| event.at_us > asked + 2_000_000).count();
@@ -133,15 +134,15 @@
     async fn stopped_entry_cuts_off_no_request() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(60, 7);
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.entry(1).term().unwrap();
         let status = fleet.entry(1).ended(LONG).await.unwrap();
         assert!(status.success(), "{status}\n{}", fleet.entry(1).output());
-        pass(500).await;
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
-        let summary = Summary::of(&told);
-        assert_eq!((summary.nothing, summary.may_have_run), (0, 0), "{summary}");
+        sleep_ms(500).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
+        let summary = Summary::of(&requests);
+        assert_eq!((summary.no_response, summary.may_have_run), (0, 0), "{summary}");
     }
 
     /// An entry is stopped while a balancer sends to it on connections that it keeps. Each of these
@@ -149,15 +150,15 @@
     async fn stopped_entry_cuts_off_no_kept_connection() {
         let mut fleet = fleet(Plan::default()).await;
         let balancers: Vec<_> = (0..40).map(|_| tokio::spawn(balance(fleet.caller(0)))).collect();
-        pass(500).await;
+        sleep_ms(500).await;
         fleet.entry(0).term().unwrap();
         assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
-        let mut told = Vec::new();
+        let mut requests = Vec::new();
         for balancer in balancers {
-            told.extend(balancer.await.unwrap());
+            requests.extend(balancer.await.unwrap());
         }
-        fleet.assert_promises_to_callers(&told).await;
-        let summary = Summary::of(&told);
+        fleet.assert_promises_to_callers(&requests).await;
+        let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
     }
 
@@ -166,13 +167,13 @@
     async fn stopped_entry_answers_requests_that_outlast_its_drain_time() {
         let mut fleet = fleet(Plan::default().drain_ms(500)).await;
         let caller = fleet.caller(0);
-        let send = Send::post().work_ms(4_000);
-        let waiting = tokio::spawn(async move { caller.send(&send).await });
+        let spec = RequestSpec::post().work_ms(4_000);
+        let waiting = tokio::spawn(async move { caller.send(&spec).await });
         wait_until("the request runs", LONG, || async { fleet.running().await == 1 }).await;
         fleet.entry(0).term().unwrap();
-        let told = waiting.await.unwrap();
+        let request = waiting.await.unwrap();
         assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
-        assert_eq!(told.word, Word::MayHaveRun, "{told:?}");
+        assert_eq!(request.outcome, Outcome::MayHaveRun, "{request:?}");
     }
 
     /// An entry is stopped while the body of a request arrives slowly. The caller must be told that
@@ -186,7 +187,7 @@
              authorization: Bearer {CUSTOMER_TOKEN}\r\ncontent-length: 100\r\n\r\nbody"
         );
         stream.write_all(head.as_bytes()).await.unwrap();
-        pass(300).await;
+        sleep_ms(300).await;
         fleet.entry(0).term().unwrap();
         let mut response = String::new();
         let _ = stream.read_to_string(&mut response).await;
@@ -202,45 +203,45 @@
         let callers: Vec<_> = (0..6)
             .map(|_| {
                 let caller = fleet.caller(0);
-                tokio::spawn(async move { caller.send(&Send::post().work_ms(1500)).await })
+                tokio::spawn(async move { caller.send(&RequestSpec::post().work_ms(1500)).await })
             })
             .collect();
         wait_until("all requests run", LONG, || async { fleet.running().await == 6 }).await;
         for _ in 0..2 {
             fleet.entry(0).term().unwrap();
             fleet.agent(0).term().unwrap();
-            pass(100).await;
+            sleep_ms(100).await;
         }
-        let mut told = Vec::new();
+        let mut requests = Vec::new();
         for caller in callers {
-            told.push(caller.await.unwrap());
+            requests.push(caller.await.unwrap());
         }
-        let summary = Summary::of(&told);
+        let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
         assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
         assert!(fleet.agent(0).ended(LONG).await.unwrap().success());
-        fleet.assert_promises_to_callers(&told).await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 
     /// A caller gets no answer in time and sends its badge print again through both entries at
     /// once. It must print once, and all must get the first one's answer.
     async fn repeats_of_a_key_at_once_run_once() {
         let fleet = fleet(Plan::default()).await;
-        let mut told = Vec::new();
+        let mut requests = Vec::new();
         for round in 0..10 {
-            let send = Send::post().key(format!("badge-{round}")).body("badge").work_ms(30);
+            let spec = RequestSpec::post().key(format!("badge-{round}")).body("badge").work_ms(30);
             let callers: Vec<_> = (0..4)
                 .map(|number| {
-                    let (caller, send) = (fleet.caller(number % 2), send.again());
-                    tokio::spawn(async move { caller.send(&send).await })
+                    let (caller, spec) = (fleet.caller(number % 2), spec.again());
+                    tokio::spawn(async move { caller.send(&spec).await })
                 })
                 .collect();
             for caller in callers {
-                told.push(caller.await.unwrap());
+                requests.push(caller.await.unwrap());
             }
         }
-        fleet.assert_promises_to_callers(&told).await;
-        let summary = Summary::of(&told);
+        fleet.assert_promises_to_callers(&requests).await;
+        let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
     }
 
@@ -248,15 +249,15 @@
     /// prints again.
     async fn repeat_after_the_answer_gets_it_again() {
         let fleet = fleet(Plan::default()).await;
-        let first = Send::post().key("badge").body("badge");
-        let mut told = Vec::new();
+        let first = RequestSpec::post().key("badge").body("badge");
+        let mut requests = Vec::new();
         for entry in [0, 1, 0, 1] {
-            told.push(fleet.caller(entry).send(&first.again()).await);
+            requests.push(fleet.caller(entry).send(&first.again()).await);
         }
-        fleet.assert_promises_to_callers(&told).await;
-        let first = &told[0].word;
-        assert!(matches!(first, Word::Answered { .. }), "{told:#?}");
-        assert!(told.iter().all(|told| told.word == *first), "{told:#?}");
+        fleet.assert_promises_to_callers(&requests).await;
+        let first = &requests[0].outcome;
+        assert!(matches!(first, Outcome::Answered { .. }), "{requests:#?}");
+        assert!(requests.iter().all(|request| request.outcome == *first), "{requests:#?}");
     }
 
     /// The only minion is full when a badge print with a key comes, and the caller is told to come
@@ -272,21 +273,24 @@
         let busy: Vec<_> = (0..2)
             .map(|_| {
                 let caller = fleet.caller(0);
-                tokio::spawn(async move { caller.send(&Send::post().work_ms(600)).await })
+                tokio::spawn(async move { caller.send(&RequestSpec::post().work_ms(600)).await })
             })
             .collect();
-        pass(200).await;
-        let badge = Send::post().key("badge").body("badge");
-        let mut told = vec![fleet.caller(0).send(&badge.again()).await];
-        assert!(matches!(told[0].word, Word::NotRun), "{told:#?}");
+        sleep_ms(200).await;
+        let badge = RequestSpec::post().key("badge").body("badge");
+        let mut requests = vec![fleet.caller(0).send(&badge.again()).await];
+        assert!(matches!(requests[0].outcome, Outcome::NotRun), "{requests:#?}");
         for caller in busy {
-            told.push(caller.await.unwrap());
+            requests.push(caller.await.unwrap());
         }
         for entry in [0, 1] {
-            told.push(fleet.caller(entry).send(&badge.again()).await);
-            assert!(matches!(told.last().unwrap().word, Word::Answered { .. }), "{told:#?}");
+            requests.push(fleet.caller(entry).send(&badge.again()).await);
+            assert!(
+                matches!(requests.last().unwrap().outcome, Outcome::Answered { .. }),
+                "{requests:#?}"
+            );
         }
-        fleet.assert_promises_to_callers(&told).await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 
     /// An agent and an entry die in the same moment, and again after they came back.
@@ -294,16 +298,16 @@
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 12);
         for _ in 0..2 {
-            pass(500).await;
+            sleep_ms(500).await;
             fleet.agent(0).kill();
             fleet.entry(0).kill();
-            pass(800).await;
+            sleep_ms(800).await;
             fleet.agent(0).restart().unwrap();
             fleet.entry(0).restart().unwrap();
             let answers = || async { fleet.answers(0).await };
             wait_until("the restarted entry answers", LONG, answers).await;
         }
-        let told = load.stop().await;
-        fleet.assert_promises_to_callers(&told).await;
+        let requests = load.stop().await;
+        fleet.assert_promises_to_callers(&requests).await;
     }
 }
--- a/crates/geraniumpost/tests/failures_store.rs
+++ b/crates/geraniumpost/tests/failures_store.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use geraniumpost_harness::check::{Summary, Word};
-use geraniumpost_harness::{Binaries, Fleet, Plan, Send, pass, wait_until};
+use geraniumpost_harness::check::{Outcome, Summary};
+use geraniumpost_harness::{Binaries, Fleet, Plan, RequestSpec, sleep_ms, wait_until};
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::store::StoreFaults;
 use http::StatusCode;
@@ -34,12 +34,12 @@
             let fleet = fleet(Plan::default()).await;
             fleet.set_store_faults($faults).await.unwrap();
             let load = fleet.load(8, $seed);
-            pass(2500).await;
+            sleep_ms(2500).await;
             fleet.set_store_faults(StoreFaults::default()).await.unwrap();
-            pass(500).await;
-            let told = load.stop().await;
-            fleet.assert_promises_to_callers(&told).await;
-            let summary = Summary::of_unkeyed(&told);
+            sleep_ms(500).await;
+            let requests = load.stop().await;
+            fleet.assert_promises_to_callers(&requests).await;
+            let summary = Summary::of_unkeyed(&requests);
             assert!(summary.all_answered(), "{summary}");
         }
     )*};
@@ -83,18 +83,21 @@
     let callers: Vec<_> = (0..6)
         .map(|_| {
             let caller = fleet.caller(0);
-            tokio::spawn(async move { caller.send(&Send::post().work_ms(800)).await })
+            tokio::spawn(async move { caller.send(&RequestSpec::post().work_ms(800)).await })
         })
         .collect();
-    pass(300).await;
+    sleep_ms(300).await;
     fleet.entry(0).term().unwrap();
     fleet.agent(1).term().unwrap();
-    let mut told = Vec::new();
+    let mut requests = Vec::new();
     for caller in callers {
-        told.push(caller.await.unwrap());
+        requests.push(caller.await.unwrap());
     }
-    fleet.assert_promises_to_callers(&told).await;
-    assert!(told.iter().all(|told| matches!(told.word, Word::Answered { .. })), "{told:#?}");
+    fleet.assert_promises_to_callers(&requests).await;
+    assert!(
+        requests.iter().all(|request| matches!(request.outcome, Outcome::Answered { .. })),
+        "{requests:#?}"
+    );
     assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
     assert!(fleet.agent(1).ended(LONG).await.unwrap().success());
 }
--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use geraniumpost_harness::check::{JobSeen, check_jobs};
+use geraniumpost_harness::check::{ObservedJob, check_jobs};
 use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, wait_for, wait_until};
 use geraniumpost_standin::http::Down;
 use geraniumpost_standin::relay::{Direction, RelayFaults};
@@ -52,11 +52,11 @@
 
 async fn check(fleet: &Fleet, done: &[(&str, Value)]) {
     let record = fleet.worker_record().await.unwrap();
-    let seen = |(id, value): &(&str, Value)| JobSeen {
+    let seen = |(id, value): &(&str, Value)| ObservedJob {
         id: (*id).to_owned(),
         result: value["result"].as_str().map(str::to_owned),
     };
-    let jobs: Vec<JobSeen> = done.iter().map(seen).collect();
+    let jobs: Vec<ObservedJob> = done.iter().map(seen).collect();
     let found = check_jobs(&record, &jobs, &fleet.lost_vms());
     assert!(found.is_empty(), "{found:#?}\n{record:#?}");
 }
--- a/crates/geraniumpost/tests/thin_path.rs
+++ b/crates/geraniumpost/tests/requests_path.rs
@@ -1,7 +1,7 @@
 //! The whole path as separate processes.
 
-use geraniumpost_harness::check::Word;
-use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, Send, wait_until};
+use geraniumpost_harness::check::Outcome;
+use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, RequestSpec, wait_until};
 
 fn binaries() -> Binaries {
     Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"))
@@ -10,26 +10,29 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_come_back_whole_through_either_entry() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
-    let mut told = Vec::new();
+    let mut requests = Vec::new();
     for number in 0..40 {
-        let send = if number % 2 == 0 { Send::get() } else { Send::post() };
-        let send = send.body(vec![number; 3000]).answer_bytes(20_000);
-        told.push(fleet.caller(usize::from(number) % 2).send(&send).await);
+        let spec = if number % 2 == 0 { RequestSpec::get() } else { RequestSpec::post() };
+        let spec = spec.body(vec![number; 3000]).answer_bytes(20_000);
+        requests.push(fleet.caller(usize::from(number) % 2).send(&spec).await);
     }
-    assert!(told.iter().all(|told| matches!(told.word, Word::Answered { .. })), "{told:#?}");
-    fleet.assert_promises_to_callers(&told).await;
+    assert!(
+        requests.iter().all(|request| matches!(request.outcome, Outcome::Answered { .. })),
+        "{requests:#?}"
+    );
+    fleet.assert_promises_to_callers(&requests).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn repeat_with_the_same_key_gets_the_first_answer_through_another_entry() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
-    let send = Send::post().key("badge-17").body("visitor");
-    let first = fleet.caller(0).send(&send).await;
-    let again = fleet.caller(1).send(&send.again()).await;
-    let Word::Answered { body, .. } = &first.word else { panic!("{first:#?}") };
-    let Word::Answered { body: repeated, .. } = &again.word else { panic!("{again:#?}") };
-    assert_eq!(body, repeated);
-    fleet.assert_promises_to_callers(&[first, again]).await;
+    let spec = RequestSpec::post().key("badge-17").body("visitor");
+    let first = fleet.caller(0).send(&spec).await;
+    let retry = fleet.caller(1).send(&spec.again()).await;
+    let Outcome::Answered { body, .. } = &first.outcome else { panic!("{first:#?}") };
+    let Outcome::Answered { body: retry_body, .. } = &retry.outcome else { panic!("{retry:#?}") };
+    assert_eq!(body, retry_body);
+    fleet.assert_promises_to_callers(&[first, retry]).await;
 }
 
 /// A pong that arrived in the same millisecond as its ping was sent did not count as an answer, so
@@ -48,7 +51,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_without_an_id_gets_one_that_the_minion_sees() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
-    fleet.caller(0).send(&Send::get().without_id()).await;
+    fleet.caller(0).send(&RequestSpec::get().without_id()).await;
     let record = fleet.minion_record().await.unwrap();
     let ids: Vec<&str> = record.iter().map(|event| event.request_id.as_str()).collect();
     assert!(ids.iter().any(|id| id.len() == 16), "{ids:?}");
@@ -59,8 +62,8 @@
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     let time = std::time::Duration::from_secs(20);
     wait_until("a planner takes the job", time, || async {
-        let told = fleet.operator(0).submit("study-1", 2_000, "sleep:8000").await;
-        told.is_ok_and(|(status, _)| status.is_success())
+        let response = fleet.operator(0).submit("study-1", 2_000, "sleep:8000").await;
+        response.is_ok_and(|(status, _)| status.is_success())
     })
     .await;
     wait_until("the planner shows what the customer holds", time, || async {
@@ -81,6 +84,6 @@
 async fn entries_find_each_other_by_the_store() {
     let plan = Plan::default().no_peers_in_settings();
     let fleet = Fleet::start(&binaries(), &plan).await.unwrap();
-    let told = fleet.caller(1).send(&Send::get()).await;
-    assert!(matches!(told.word, Word::Answered { .. }), "{told:#?}");
+    let request = fleet.caller(1).send(&RequestSpec::get()).await;
+    assert!(matches!(request.outcome, Outcome::Answered { .. }), "{request:#?}");
 }
