--- a/crates/geraniumpost/tests/common/mod.rs
+++ b/crates/geraniumpost/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! What the tests of console and command line share.
+//! Shared code of the tests of the console and the command line.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -11,10 +11,10 @@
 use geraniumpost_schema::Name;
 use serde_json::{Value, json};
 
-/// Any port of the loopback.
+/// Any free port on the loopback interface.
 pub const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Returns what the console of one entry needs.
+/// Returns the context of an entry's console, with a fake planner.
 pub fn context(store: Store) -> ConsoleContext {
     ConsoleContext {
         name: Name::from("entry-1"),
@@ -24,12 +24,12 @@
         first_token: first_token("0123456789abcdef"),
         status: Arc::new(|| json!({ "agents": 11 })),
         in_force: Arc::new(|| json!([{ "name": "agent-1", "role": "agent", "revision": 1 }])),
-        jobs: Arc::new(|ask| Box::pin(async move { planner(&ask) })),
+        jobs: Arc::new(|ask| Box::pin(async move { fake_planner(&ask) })),
     }
 }
 
-/// A planner that knows no job but repeats what it is asked.
-fn planner(ask: &JobAsk) -> Result<Value, ApiError> {
+/// Responds to a call with fixed values or with the values in the call.
+fn fake_planner(ask: &JobAsk) -> Result<Value, ApiError> {
     match &ask.call {
         JobCall::Submit { id, job } => Ok(json!({ "id": id, "state": "pending", "job": job })),
         JobCall::Status { id } => Ok(json!({ "id": id, "state": "<b>odd</b>" })),
@@ -39,7 +39,7 @@
     }
 }
 
-/// Returns a small document.
+/// Returns a small configuration document.
 pub fn document(weight: u32) -> Value {
     json!({
         "customers": { "claro": { "token_sha256": token_digest("c"), "weight": weight } },
--- a/crates/geraniumpost/tests/config_agreement.rs
+++ b/crates/geraniumpost/tests/config_agreement.rs
@@ -1,4 +1,4 @@
-//! Settings that contradict the configuration in force are logged.
+//! Tests of the log message about settings that contradict the configuration in force.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -14,11 +14,11 @@
                      entries=['10.0.0.4:7002']\nshared_key='0123456789abcdef'\n\
                      service='filing'\nminion='127.0.0.1:80'\n";
 
-/// Writer whose text the test reads.
+/// Writer whose output the test can read.
 #[derive(Clone, Default)]
-struct Shared(Arc<Mutex<Vec<u8>>>);
+struct SharedBuffer(Arc<Mutex<Vec<u8>>>);
 
-impl std::io::Write for Shared {
+impl std::io::Write for SharedBuffer {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
         self.0.lock().unwrap().extend_from_slice(buf);
         Ok(buf.len())
@@ -29,8 +29,8 @@
     }
 }
 
-impl Shared {
-    async fn waits_for(&self, text: &str) {
+impl SharedBuffer {
+    async fn wait_for(&self, text: &str) {
         for _ in 0..100 {
             if String::from_utf8_lossy(&self.0.lock().unwrap()).contains(text) {
                 return;
@@ -50,12 +50,13 @@
     .unwrap()
 }
 
-/// An operator removes the service of a minion. Its agent stays up and idle; the reason must stand
-/// in its log. The same holds for a revision put in force before the task ran.
+/// An operator removes the service of a minion. Its agent keeps running but gets no requests, so
+/// its log must contain the reason. This also applies to a revision in force before the task
+/// started.
 #[tokio::test]
 async fn a_contradiction_is_logged_with_its_code() {
-    let shared = Shared::default();
-    let sink = WriteSink::builder().target(shared.clone()).build_arc().unwrap();
+    let log = SharedBuffer::default();
+    let sink = WriteSink::builder().target(log.clone()).build_arc().unwrap();
     let settings = LogSettings { level: LogLevel::Info, decisions: false };
     logs::start_with(&settings, "agent-1", sink).unwrap();
 
@@ -64,11 +65,11 @@
     let agent = parse_agent(AGENT, "agent.toml").unwrap();
     let check = move |document: &Document| check_membership(&agent, document);
     let task = tokio::spawn(follow_agreement(Arc::clone(&holder), check));
-    shared.waits_for("settings contradict configuration 1: error 1203").await;
+    log.wait_for("settings contradict configuration 1: error 1203").await;
     holder.adopt(InForce::new(2, Name::default(), document("filing")));
     holder.adopt(InForce::new(3, Name::default(), document("kiosk")));
-    shared.waits_for("settings contradict configuration 3: error 1203").await;
-    assert!(!String::from_utf8_lossy(&shared.0.lock().unwrap()).contains("configuration 2"));
+    log.wait_for("settings contradict configuration 3: error 1203").await;
+    assert!(!String::from_utf8_lossy(&log.0.lock().unwrap()).contains("configuration 2"));
     drop(holder);
     tokio::time::timeout(Duration::from_secs(2), task).await.unwrap().unwrap();
 }
--- a/crates/geraniumpost/tests/config_fleet.rs
+++ b/crates/geraniumpost/tests/config_fleet.rs
@@ -1,4 +1,4 @@
-//! Operators change the configuration of real processes while the store and the processes fail.
+//! Tests of changes of the configuration while the store and processes fail.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -17,64 +17,65 @@
 use rand::{Rng as _, SeedableRng as _};
 use serde_json::{Value, json};
 
-/// Time for an accepted change to be in force everywhere, as the users' letter asks.
-const IN_FORCE: Duration = Duration::from_secs(14);
-/// Time for a call to one entry.
-const CALL: Duration = Duration::from_secs(6);
+/// Required maximum time until an accepted change is in force on all processes.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(14);
+/// Maximum time for a call to one entry.
+const CALL_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// What an operator was told of one change in the end.
+/// Outcome of a change as its operator observed it after all retries.
 #[derive(Debug, Clone, PartialEq)]
-enum Told {
+enum Outcome {
     Committed(u64),
     NotMade(u64),
     Unknown,
 }
 
 fn client(console: SocketAddr) -> ApiClient {
-    ApiClient::new(console, OPERATOR_TOKEN).timeout(CALL)
+    ApiClient::new(console, OPERATOR_TOKEN).timeout(CALL_TIMEOUT)
 }
 
-/// Makes changes through any entry until `until`, and returns what was told of each.
+/// Changes the configuration through random entries until `until`, and returns the outcome of each
+/// change by its id.
 ///
-/// An answer that leaves the outcome open, or none at all, is followed by a repeat under the same
-/// change id through another entry, as `docs/OPERATIONS.md` tells operators to do.
-async fn operate(
-    who: u64,
+/// After a response that leaves the outcome open, or after no response, the change is retried with
+/// the same change id through a random entry, as `docs/OPERATIONS.md` tells operators to do.
+async fn make_changes(
+    operator: u64,
     consoles: Vec<SocketAddr>,
     until: Instant,
     accepted: Arc<Mutex<Vec<(u64, Instant)>>>,
-) -> HashMap<String, Told> {
-    let mut rng = StdRng::seed_from_u64(who);
-    let mut told = HashMap::new();
+) -> HashMap<String, Outcome> {
+    let mut rng = StdRng::seed_from_u64(operator);
+    let mut outcomes = HashMap::new();
     let mut number = 0;
     while Instant::now() < until {
         number += 1;
-        let change_id = format!("change-{who}-{number}");
+        let change_id = format!("change-{operator}-{number}");
         let entry = client(consoles[rng.random_range(0..consoles.len())]);
         let Ok(got) = entry.call(Method::GET, "/api/config", Vec::new()).await else { continue };
         if !got.is_success() {
             continue;
         }
         let mut document = got.body["document"].clone();
-        document["policy"]["claim_ttl_s"] = json!(1000 * who + number);
+        document["policy"]["claim_ttl_s"] = json!(1000 * operator + number);
         let revision = got.body["revision"].as_u64().unwrap();
-        let outcome = put(&consoles, &mut rng, &change_id, revision, &document).await;
-        if let Told::Committed(revision) = outcome {
+        let outcome = put_with_retries(&consoles, &mut rng, &change_id, revision, &document).await;
+        if let Outcome::Committed(revision) = outcome {
             accepted.lock().unwrap().push((revision, Instant::now()));
         }
-        told.insert(change_id, outcome);
+        outcomes.insert(change_id, outcome);
         tokio::time::sleep(Duration::from_millis(rng.random_range(20..200))).await;
     }
-    told
+    outcomes
 }
 
-async fn put(
+async fn put_with_retries(
     consoles: &[SocketAddr],
     rng: &mut StdRng,
     change_id: &str,
     revision: u64,
     document: &Value,
-) -> Told {
+) -> Outcome {
     for _ in 0..6 {
         let entry = client(consoles[rng.random_range(0..consoles.len())])
             .header("if-match", format!("\"{revision}\""))
@@ -85,20 +86,20 @@
             continue;
         };
         match reply.body["code"].as_u64() {
-            None => return Told::Committed(reply.body["revision"].as_u64().unwrap()),
-            Some(code @ 4008) => return Told::NotMade(code),
-            // Not made by this call; an earlier one of the same change may have made it.
+            None => return Outcome::Committed(reply.body["revision"].as_u64().unwrap()),
+            Some(code @ 4008) => return Outcome::NotMade(code),
+            // This call did not make the change, but an earlier call with the same id may have.
             Some(_) => tokio::time::sleep(Duration::from_millis(200)).await,
         }
     }
-    Told::Unknown
+    Outcome::Unknown
 }
 
-/// Revisions seen in force, by process, in the order of the looks.
-type Seen = Arc<Mutex<BTreeMap<String, Vec<(u64, Instant)>>>>;
+/// Observed revisions in force by process and observing entry, in the order of observation.
+type ObservedRevisions = Arc<Mutex<BTreeMap<String, Vec<(u64, Instant)>>>>;
 
-/// Looks at what entries themselves have in force, and what they hear of everybody else.
-async fn look(consoles: Vec<SocketAddr>, seen: Seen, until: Instant) {
+/// Records which revisions the entries show as in force on themselves and on other processes.
+async fn observe_revisions(consoles: Vec<SocketAddr>, observed: ObservedRevisions, until: Instant) {
     while Instant::now() < until {
         for (number, console) in consoles.iter().enumerate() {
             let entry = client(*console);
@@ -106,14 +107,14 @@
                 continue;
             };
             let now = Instant::now();
-            let mut seen = seen.lock().unwrap();
+            let mut observed = observed.lock().unwrap();
             for process in reply.body["processes"].as_array().into_iter().flatten() {
                 let name = process["name"].as_str().unwrap_or_default();
                 let revision = process["revision"].as_u64().unwrap_or(0);
-                // A process that has just started has none in force and says so.
+                // A process that has just started reports 0, because it has none in force.
                 if revision > 0 {
-                    let key = format!("{name} as entry-{number} hears");
-                    seen.entry(key).or_default().push((revision, now));
+                    let key = format!("{name} as shown by entry-{number}");
+                    observed.entry(key).or_default().push((revision, now));
                 }
             }
         }
@@ -121,8 +122,8 @@
     }
 }
 
-/// Lets something fail every half second: replies, the store, an entry or an agent, one at a time.
-async fn fail(fleet: &mut Fleet, until: Instant) {
+/// Injects a fault of the store and a fault of an entry or agent, in turn, until `until`.
+async fn inject_faults(fleet: &mut Fleet, until: Instant) {
     let mut rng = StdRng::seed_from_u64(7);
     while Instant::now() < until {
         let faults = match rng.random_range(0..7) {
@@ -158,10 +159,10 @@
     fleet.set_store_faults(StoreFaults::default()).await.unwrap();
 }
 
-/// Two operators go on changing the configuration through three entries while replies are lost, the
-/// store is slow, down or hanging, and entries and agents are killed, restarted and frozen. An
-/// accepted change must be in the store exactly once, one refused as a conflict never, and within
-/// seconds everybody must have the latest.
+/// Two operators change the configuration through three entries while the store loses responses, is
+/// slow or unavailable or does not respond, and entries and agents are restarted or frozen. An
+/// accepted change must be in the store exactly once, and a change rejected as a conflict never.
+/// The last change must be in force on all processes within seconds after the faults.
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_changes_hold_through_faults() {
     let binaries = Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"));
@@ -171,40 +172,47 @@
     let begin = Instant::now();
     let until = begin + Duration::from_secs(9);
     let accepted = Arc::new(Mutex::new(Vec::new()));
-    let seen: Seen = Arc::default();
-    let operators = [1, 2]
-        .map(|who| tokio::spawn(operate(who, consoles.clone(), until, Arc::clone(&accepted))));
-    let looking = tokio::spawn(look(consoles.clone(), Arc::clone(&seen), until + IN_FORCE));
-    fail(&mut fleet, until).await;
-    let mut told = HashMap::new();
+    let observed: ObservedRevisions = Arc::default();
+    let operators = [1, 2].map(|operator| {
+        tokio::spawn(make_changes(operator, consoles.clone(), until, Arc::clone(&accepted)))
+    });
+    let observer = tokio::spawn(observe_revisions(
+        consoles.clone(),
+        Arc::clone(&observed),
+        until + IN_FORCE_TIMEOUT,
+    ));
+    inject_faults(&mut fleet, until).await;
+    let mut outcomes = HashMap::new();
     for operator in operators {
-        told.extend(operator.await.unwrap());
+        outcomes.extend(operator.await.unwrap());
     }
     let (last, _) = *accepted.lock().unwrap().iter().max().expect("some change was accepted");
-    let settled = in_force_everywhere(&consoles, last).await;
-    looking.abort();
+    let delay = wait_until_in_force(&consoles, last).await;
+    observer.abort();
 
     let store = Store::new(fleet.store().address());
     let found = store.get(CONFIG_KEY).await.unwrap().unwrap();
     let stored: StoredDocument = serde_json::from_slice(&found.value).unwrap();
-    let made: Vec<&str> = stored.changes.iter().map(|change| change.change_id.as_str()).collect();
-    for (change_id, told) in &told {
-        let times = made.iter().filter(|made| *made == change_id).count();
-        match told {
-            Told::Committed(_) => assert_eq!(times, 1, "{change_id} was told as made"),
-            Told::NotMade(code) => assert_eq!(times, 0, "{change_id} was told as {code}"),
-            Told::Unknown => assert!(times <= 1, "{change_id} was made {times} times"),
+    let made_ids: Vec<&str> =
+        stored.changes.iter().map(|change| change.change_id.as_str()).collect();
+    for (change_id, outcome) in &outcomes {
+        let times = made_ids.iter().filter(|made_id| *made_id == change_id).count();
+        match outcome {
+            Outcome::Committed(_) => assert_eq!(times, 1, "{change_id} was reported as made"),
+            Outcome::NotMade(code) => assert_eq!(times, 0, "{change_id} was rejected with {code}"),
+            Outcome::Unknown => assert!(times <= 1, "{change_id} was made {times} times"),
         }
     }
-    let committed = told.values().filter(|told| matches!(told, Told::Committed(_))).count();
-    let unknown = told.values().filter(|told| **told == Told::Unknown).count();
+    let committed =
+        outcomes.values().filter(|outcome| matches!(outcome, Outcome::Committed(_))).count();
+    let unknown = outcomes.values().filter(|outcome| **outcome == Outcome::Unknown).count();
     println!(
-        "{} changes: {committed} committed, {unknown} unknown; in force everywhere {settled:?} after \
+        "{} changes: {committed} committed, {unknown} unknown; in force everywhere {delay:?} after \
          the faults",
-        told.len()
+        outcomes.len()
     );
-    assert!(committed > 10, "only {committed} changes were accepted: {told:#?}");
-    never_reverts(&seen.lock().unwrap());
+    assert!(committed > 10, "only {committed} changes were accepted: {outcomes:#?}");
+    assert_never_reverts(&observed.lock().unwrap());
     let metrics = client(consoles[0]).call(Method::GET, "/metrics", Vec::new()).await.unwrap();
     let metrics = metrics.body.as_str().unwrap_or_default().to_owned();
     for text in [
@@ -216,8 +224,9 @@
     }
 }
 
-/// Waits until every process that any entry knows has the revision, and returns how long it took.
-async fn in_force_everywhere(consoles: &[SocketAddr], revision: u64) -> Duration {
+/// Waits until all entries show a revision as in force on all processes, and returns the elapsed
+/// time.
+async fn wait_until_in_force(consoles: &[SocketAddr], revision: u64) -> Duration {
     let begin = Instant::now();
     loop {
         let mut known = 0;
@@ -235,16 +244,20 @@
         if behind.is_empty() && known == consoles.len() * 6 {
             return begin.elapsed();
         }
-        assert!(begin.elapsed() < IN_FORCE, "{known} known, behind {revision}: {behind:#?}");
+        assert!(
+            begin.elapsed() < IN_FORCE_TIMEOUT,
+            "{known} processes shown, without revision {revision}: {behind:#?}"
+        );
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
-/// What one entry hears of one process never falls, restarts included.
-fn never_reverts(seen: &BTreeMap<String, Vec<(u64, Instant)>>) {
-    assert_eq!(seen.len(), 18, "{:?}", seen.keys());
-    for (who, revisions) in seen {
-        let fallen = revisions.windows(2).find(|pair| pair[1].0 < pair[0].0);
-        assert!(fallen.is_none(), "{who}: {fallen:?}");
+/// Checks that the revision of each process as shown by each entry never decreases, also after
+/// restarts.
+fn assert_never_reverts(observed: &BTreeMap<String, Vec<(u64, Instant)>>) {
+    assert_eq!(observed.len(), 18, "{:?}", observed.keys());
+    for (process, revisions) in observed {
+        let reverted = revisions.windows(2).find(|pair| pair[1].0 < pair[0].0);
+        assert!(reverted.is_none(), "{process}: {reverted:?}");
     }
 }
--- a/crates/geraniumpost/tests/config_follow.rs
+++ b/crates/geraniumpost/tests/config_follow.rs
@@ -1,4 +1,4 @@
-//! Entries follow the configuration in the store through changes, outages and restarts.
+//! Tests of how entries follow the configuration in the store during changes, outages and restarts.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -18,7 +18,7 @@
 
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// One entry that follows the store.
+/// An entry that follows the configuration in the store.
 struct Entry {
     keeper: Arc<ConfigKeeper>,
     wanted: mpsc::Receiver<Wanted>,
@@ -37,8 +37,8 @@
         self.keeper.holder().load().revision()
     }
 
-    /// Waits until a revision is in force and returns how long that took.
-    async fn has(&self, revision: u64) -> Duration {
+    /// Waits until a revision is in force, and returns the elapsed time.
+    async fn wait_for(&self, revision: u64) -> Duration {
         let begin = Instant::now();
         let mut seen = self.keeper.holder().subscribe();
         let reached = seen.wait_for(|now| *now >= revision);
@@ -80,33 +80,33 @@
     for weight in 1..6 {
         revision = change(&entries[0], &store, revision, weight).await;
         for entry in &entries {
-            let took = entry.has(revision).await;
+            let took = entry.wait_for(revision).await;
             assert!(took < Duration::from_secs(2), "{took:?}");
         }
     }
 }
 
-/// The store is down for a while, and a change made right after must still reach everybody within
-/// seconds, although the watches were cut.
+/// The store is unavailable for a while, which ends all watches. A change right after the outage
+/// must still come into force on all entries within seconds.
 #[tokio::test]
 async fn an_outage_delays_a_change_by_seconds_only() {
     let standin = spawn_in_process(ANY, ANY).await.unwrap();
     let store = Store::new(standin.address()).timeout(Duration::from_millis(500));
     let entries = [Entry::start(&store), Entry::start(&store)];
     let revision = change(&entries[0], &store, 0, 1).await;
-    entries[1].has(revision).await;
+    entries[1].wait_for(revision).await;
     for down in [Down::Refuse, Down::Unavailable, Down::Close] {
         let faults = StoreFaults { down, ..StoreFaults::default() };
         standin.control().set_faults(&faults).await.unwrap();
         tokio::time::sleep(Duration::from_millis(700)).await;
-        assert_eq!(entries[1].revision(), revision, "what is in force stays");
+        assert_eq!(entries[1].revision(), revision, "the configuration in force must not change");
         standin.control().set_faults(&StoreFaults::default()).await.unwrap();
     }
     let revision = change(&entries[0], &store, revision, 2).await;
-    assert!(entries[1].has(revision).await < Duration::from_secs(5));
+    assert!(entries[1].wait_for(revision).await < Duration::from_secs(5));
 }
 
-/// An entry restarts during an outage. It asks its peers, and takes the store's word afterwards.
+/// An entry restarts while the store is unavailable. It must get the configuration from its peers.
 #[tokio::test]
 async fn a_restart_in_an_outage_asks_the_peers() {
     let standin = spawn_in_process(ANY, ANY).await.unwrap();
@@ -120,7 +120,7 @@
     assert_eq!(restarted.wanted.recv().await, Some(Wanted::AskAll));
     let json = peer.keeper.holder().load().json().clone();
     restarted.keeper.received(&Name::from("entry-1"), revision, &json);
-    assert!(restarted.has(revision).await < Duration::from_secs(2));
+    assert!(restarted.wait_for(revision).await < Duration::from_secs(2));
 }
 
 #[tokio::test]
@@ -136,14 +136,14 @@
     tokio::time::timeout(Duration::from_secs(2), task).await.unwrap().unwrap();
 }
 
-/// Entries that only wait must leave the store its rates.
+/// Guards against idle entries that use up the store's limit on calls.
 #[tokio::test]
 async fn an_idle_entry_calls_the_store_less_than_once_a_second() {
     let standin = spawn_in_process(ANY, ANY).await.unwrap();
     let store = Store::new(standin.address());
     let entry = Entry::start(&store);
     let revision = change(&entry, &store, 0, 1).await;
-    entry.has(revision).await;
+    entry.wait_for(revision).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let before = store.calls();
     tokio::time::sleep(Duration::from_secs(3)).await;
--- a/crates/geraniumpost/tests/config_in_force.rs
+++ b/crates/geraniumpost/tests/config_in_force.rs
@@ -1,4 +1,4 @@
-//! The configuration of a process against the store's stand-in and its faults.
+//! Tests of how a process writes and adopts configurations, with a stand-in for the store.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -60,8 +60,8 @@
     assert!(now.service("filing").is_some() && now.service("badges").is_none());
 }
 
-/// Two tasks carry out adoptions in another order than they were decided in. The lower revision
-/// must not end up in force, or an accepted setting would be undone.
+/// Two tasks put revisions in force in another order than the revisions were received. The lower
+/// revision must not end up in force, because that would revert an accepted change.
 #[test]
 fn a_lower_revision_is_never_put_in_force() {
     let holder = ConfigHolder::default();
@@ -85,10 +85,10 @@
     assert_eq!((now.revision(), now.change_id().as_str()), (revision, "one"));
 }
 
-/// The store writes the change and its reply is lost. The operator must be told of success, and
-/// the change must be there once.
+/// The store writes a change, but its response is lost. The change must be reported as committed
+/// and be made once.
 #[tokio::test]
-async fn a_lost_reply_is_read_back() {
+async fn change_with_a_lost_response_is_read_back() {
     let (standin, store) = store().await;
     let first = write_change(&store, &keeper(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = first else { panic!("{first:?}") };
@@ -101,7 +101,7 @@
 }
 
 #[tokio::test]
-async fn two_operators_conflict_and_the_second_learns_who_was_first() {
+async fn conflict_names_the_first_change() {
     let (_standin, store) = store().await;
     let first = write_change(&store, &keeper(), change("one", 0, 2)).await;
     let ChangeOutcome::Committed { revision } = first else { panic!("{first:?}") };
@@ -113,7 +113,7 @@
 }
 
 #[tokio::test]
-async fn a_store_that_is_down_takes_no_change() {
+async fn unavailable_store_accepts_no_change() {
     let (standin, store) = store().await;
     let faults = StoreFaults { down: Down::Unavailable, ..StoreFaults::default() };
     standin.control().set_faults(&faults).await.unwrap();
@@ -124,7 +124,8 @@
     assert!(keeper().refresh(&store).await.is_err());
 }
 
-/// A process restarts while the store is down; it takes the highest revision of its peers.
+/// A process restarts while the store is unavailable. It must adopt the highest revision of its
+/// peers.
 #[tokio::test]
 async fn a_restart_in_an_outage_takes_the_highest_of_the_peers() {
     let keeper = keeper();
@@ -134,7 +135,7 @@
     assert_eq!(keeper.offered(&new, 7), vec![Wanted::Fetch(Source::Peer(new.clone()))]);
     keeper.received(&old, 5, &json(5));
     keeper.received(&new, 7, &json(7));
-    assert_eq!(keeper.holder().load().revision(), 0, "still gathering");
+    assert_eq!(keeper.holder().load().revision(), 0, "still waiting for other peers");
     tokio::time::sleep(Duration::from_millis(120)).await;
     keeper.tick();
     assert_eq!(keeper.holder().load().revision(), 7);
--- a/crates/geraniumpost/tests/console/api.rs
+++ b/crates/geraniumpost/tests/console/api.rs
@@ -1,4 +1,4 @@
-//! Calls of the operators' API.
+//! Tests of the operators' API.
 
 use geraniumpost::console::{ApiCode, ApiError, Console, first_token};
 use geraniumpost_outside::Store;
@@ -6,28 +6,28 @@
 use http::Method;
 use serde_json::json;
 
-use crate::bench::{Bench, body};
 use crate::common::{ANY, context, document};
+use crate::fixture::{Fixture, body};
 
 #[tokio::test]
 async fn the_first_document_is_written_with_the_settings_key_and_only_once() {
-    let (bench, revision) = Bench::with_document().await;
-    let config = bench.get("/api/config").await;
+    let (fixture, revision) = Fixture::with_document().await;
+    let config = fixture.get("/api/config").await;
     assert_eq!(config["revision"], revision);
     assert_eq!(config["change_id"], "first-change");
     assert_eq!(config["document"]["policy"]["hold_ms"], 10_000);
     let again =
-        bench.put(&first_token("0123456789abcdef"), Some(revision), "x", &document(2)).await;
-    assert_eq!(body(&again)["code"], 4001, "the first token is of no use afterwards");
+        fixture.put(&first_token("0123456789abcdef"), Some(revision), "x", &document(2)).await;
+    assert_eq!(body(&again)["code"], 4001, "the first token must be invalid afterwards");
 }
 
-/// An entry has just started and has nothing in force, while the store holds the operators'
-/// document. Whoever has the settings could otherwise put another document in its place.
+/// An entry has just started and has no configuration in force, but the store contains one. Guards
+/// against replacing that configuration with the token that is derived from the settings.
 #[tokio::test]
 async fn the_settings_key_replaces_no_document() {
-    let (bench, revision) = Bench::with_document().await;
-    let started = Console::new(context(Store::new(bench.standin.address())));
-    let started = Bench { standin: spawn_in_process(ANY, ANY).await.unwrap(), console: started };
+    let (fixture, revision) = Fixture::with_document().await;
+    let started = Console::new(context(Store::new(fixture.standin.address())));
+    let started = Fixture { standin: spawn_in_process(ANY, ANY).await.unwrap(), console: started };
     let token = first_token("0123456789abcdef");
     let forced = started.put(&token, Some(revision), "forced", &document(9)).await;
     assert_eq!((forced.status, body(&forced)["code"].as_u64()), (503, Some(4013)));
@@ -35,18 +35,18 @@
     assert_eq!(body(&jobs)["code"], 4013);
     let late = started.put(&token, Some(0), "late", &document(9)).await;
     assert_eq!(late.status, 409, "{late:?}");
-    let config = bench.other_entry().await.get("/api/config").await;
+    let config = fixture.other_entry().await.get("/api/config").await;
     assert_eq!(config["document"]["customers"]["claro"]["weight"], 1);
 }
 
-/// Names cases of refused calls: method, path, token, body, and the code of the refusal.
-macro_rules! refused {
+/// Defines a test for each rejected call: method, path, token, body, and code of the rejection.
+macro_rules! rejected {
     ($($name:ident: $method:ident $path:literal, $token:literal, $body:expr => $code:ident;)*) => {
         $(#[tokio::test]
         async fn $name() {
-            let (bench, _) = Bench::with_document().await;
+            let (fixture, _) = Fixture::with_document().await;
             let body: Vec<u8> = $body.into();
-            let reply = bench.call(Method::$method, $path, $token, body).await;
+            let reply = fixture.call(Method::$method, $path, $token, body).await;
             let error: ApiError = serde_json::from_slice(&reply.body).unwrap();
             assert_eq!((reply.status, error.code), (ApiCode::$code.status(), ApiCode::$code.number()));
             assert!(!error.message.is_empty() && !error.advice.is_empty());
@@ -54,7 +54,7 @@
     };
 }
 
-refused! {
+rejected! {
     no_token: GET "/api/status", "", "" => NotAnOperator;
     customers_token: GET "/api/status", "c", "" => NotAnOperator;
     wrong_token: PUT "/api/config", "x", "{}" => NotAnOperator;
@@ -76,65 +76,68 @@
 }
 
 #[tokio::test]
-async fn an_id_that_no_job_can_have_is_refused() {
-    let (bench, _) = Bench::with_document().await;
-    let reply = bench.call(Method::GET, "/api/jobs/Study%201", "o", Vec::new()).await;
+async fn invalid_job_id_is_rejected() {
+    let (fixture, _) = Fixture::with_document().await;
+    let reply = fixture.call(Method::GET, "/api/jobs/Study%201", "o", Vec::new()).await;
     assert_eq!((reply.status, body(&reply)["code"].as_u64()), (400, Some(3104)));
-    assert_eq!(bench.call(Method::GET, "/api/jobs/Study-1", "o", Vec::new()).await.status, 200);
+    assert_eq!(fixture.call(Method::GET, "/api/jobs/Study-1", "o", Vec::new()).await.status, 200);
 }
 
 #[tokio::test]
 async fn problems_of_a_document_come_all_at_once() {
-    let (bench, _) = Bench::with_document().await;
+    let (fixture, _) = Fixture::with_document().await;
     let mut bad = document(0);
     bad["services"]["filing"] = json!({ "slots": "8" });
-    let reply = bench.call(Method::POST, "/api/config/check", "o", bad.to_string().into()).await;
+    let reply = fixture.call(Method::POST, "/api/config/check", "o", bad.to_string().into()).await;
     let problems = body(&reply)["details"]["problems"].clone();
     let codes: Vec<u64> =
         problems.as_array().unwrap().iter().map(|p| p["code"].as_u64().unwrap()).collect();
     assert_eq!(codes, vec![1007, 1005]);
 }
 
-/// Two operators change the same revision through two entries. The second must be refused and
-/// learn who was first, or one of the changes would vanish without a word.
+/// Two operators change the same revision through two entries. The second change must be rejected
+/// and name the first one. Otherwise it would revert the first change unnoticed.
 #[tokio::test]
 async fn two_operators_on_two_entries_conflict() {
-    let (bench, revision) = Bench::with_document().await;
-    let other = bench.other_entry().await;
-    assert_eq!(bench.put("o", Some(revision), "one", &document(2)).await.status, 200);
+    let (fixture, revision) = Fixture::with_document().await;
+    let other = fixture.other_entry().await;
+    assert_eq!(fixture.put("o", Some(revision), "one", &document(2)).await.status, 200);
     let reply = other.put("o", Some(revision), "two", &document(3)).await;
     let error = body(&reply);
     assert_eq!((reply.status, error["code"].as_u64()), (409, Some(4008)));
     assert_eq!(error["details"]["changes"][0]["changed_by"], "rosa");
     assert_eq!(error["details"]["changes"][0]["paths"], json!(["customers.claro.weight"]));
     let now = other.get("/api/config").await;
-    assert_eq!(now["document"]["customers"]["claro"]["weight"], 2, "the reading has been adopted");
+    assert_eq!(
+        now["document"]["customers"]["claro"]["weight"], 2,
+        "the configuration that was read must have been adopted"
+    );
 }
 
-/// The store's reply is lost after the write took effect, and the operator's own connection too;
-/// they repeat the call through another entry under the same change id.
+/// The store's response is lost after the write took effect, and the response to the operator too.
+/// The operator retries the call through another entry with the same change id.
 #[tokio::test]
 async fn a_repeat_under_the_same_change_id_is_not_made_twice() {
-    let (bench, revision) = Bench::with_document().await;
+    let (fixture, revision) = Fixture::with_document().await;
     let faults = StoreFaults { lose_replies: 1, ..StoreFaults::default() };
-    bench.standin.control().set_faults(&faults).await.unwrap();
-    let first = bench.put("o", Some(revision), "one", &document(2)).await;
-    let other = bench.other_entry().await;
+    fixture.standin.control().set_faults(&faults).await.unwrap();
+    let first = fixture.put("o", Some(revision), "one", &document(2)).await;
+    let other = fixture.other_entry().await;
     let second = other.put("o", Some(revision), "one", &document(2)).await;
     assert_eq!((first.status, second.status), (200, 200));
     assert_eq!(body(&first), body(&second));
 }
 
 #[tokio::test]
-async fn jobs_are_carried_to_the_planner() {
-    let (bench, _) = Bench::with_document().await;
+async fn job_calls_are_forwarded_to_the_planner() {
+    let (fixture, _) = Fixture::with_document().await;
     let job = json!({
         "customer": "claro", "class": "study", "milli_cpus": 500, "memory_mb": 64, "command": "run"
     });
-    let reply = bench.call(Method::PUT, "/api/jobs/study-1", "o", job.to_string().into()).await;
+    let reply = fixture.call(Method::PUT, "/api/jobs/study-1", "o", job.to_string().into()).await;
     assert_eq!(body(&reply)["state"], "pending");
-    assert_eq!(bench.get("/api/jobs").await[0]["id"], "study-1");
-    assert_eq!(bench.get("/api/jobs/study-1/explain").await["why"], "waits for room");
-    let reply = bench.call(Method::DELETE, "/api/jobs/study-1", "o", Vec::new()).await;
+    assert_eq!(fixture.get("/api/jobs").await[0]["id"], "study-1");
+    assert_eq!(fixture.get("/api/jobs/study-1/explain").await["why"], "waits for room");
+    let reply = fixture.call(Method::DELETE, "/api/jobs/study-1", "o", Vec::new()).await;
     assert_eq!((reply.status, body(&reply)["code"].as_u64()), (404, Some(3010)));
 }
--- a/crates/geraniumpost/tests/console/bench.rs
+++ b/crates/geraniumpost/tests/console/fixture.rs
@@ -1,4 +1,4 @@
-//! An entry's console with a store, and calls as operators and browsers make them.
+//! An entry's console with a stand-in for the store, and calls of operators and browsers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,30 +12,30 @@
 
 use crate::common::{ANY, context, document};
 
-/// An entry's console with the store beside it.
-pub struct Bench {
+/// An entry's console with a stand-in for the store.
+pub struct Fixture {
     pub standin: Standin,
     pub console: Console,
 }
 
-impl Bench {
+impl Fixture {
     pub async fn new() -> Self {
         let standin = spawn_in_process(ANY, ANY).await.unwrap();
         let store = Store::new(standin.address()).timeout(Duration::from_millis(500));
         Self { standin, console: Console::new(context(store)) }
     }
 
-    /// Starts with a document in force at the returned revision.
+    /// Creates a console with a configuration in force, and returns its revision.
     pub async fn with_document() -> (Self, u64) {
-        let bench = Self::new().await;
+        let fixture = Self::new().await;
         let token = first_token("0123456789abcdef");
-        let reply = bench.put(&token, Some(0), "first-change", &document(1)).await;
+        let reply = fixture.put(&token, Some(0), "first-change", &document(1)).await;
         assert_eq!(reply.status, 200, "{reply:?}");
         let revision = body(&reply)["revision"].as_u64().unwrap();
-        (bench, revision)
+        (fixture, revision)
     }
 
-    /// Returns a console on the same store whose planner never answers.
+    /// Returns a console with the same store and a planner that never responds.
     pub async fn with_silent_planner(&self) -> Console {
         let mut context = context(Store::new(self.standin.address()));
         context.keeper.refresh(&context.store).await.unwrap();
@@ -43,7 +43,7 @@
         Console::new(context)
     }
 
-    /// Returns another entry's console on the same store.
+    /// Returns the console of another entry with the same store.
     pub async fn other_entry(&self) -> Self {
         let store = Store::new(self.standin.address());
         let context = context(store);
@@ -88,7 +88,7 @@
         body(&reply)
     }
 
-    /// Opens a page as a browser with the operator's cookie.
+    /// Requests a page as a browser with the operator's cookie.
     pub async fn page(&self, path: &str) -> (u16, String) {
         let call = Call { path: path.to_owned(), cookie: "o".to_owned(), ..Call::default() };
         let reply = self.console.answer(&call).await;
@@ -102,7 +102,7 @@
     }
 }
 
-/// Returns a form as a browser with the operator's cookie sends it.
+/// Returns the submission of a form by a browser with the operator's cookie.
 pub fn form(path: &str, fields: &[(&str, &str)], proof: &str) -> Call {
     let mut text = form_urlencoded::Serializer::new(String::new());
     text.append_pair("proof", proof).extend_pairs(fields);
@@ -115,7 +115,7 @@
     }
 }
 
-/// Returns the JSON of an answer.
+/// Returns the JSON body of a response.
 pub fn body(reply: &Reply) -> Value {
     serde_json::from_slice(&reply.body).unwrap_or_default()
 }
--- a/crates/geraniumpost/tests/console/main.rs
+++ b/crates/geraniumpost/tests/console/main.rs
@@ -1,10 +1,10 @@
-//! The operators' API and the console's forms, against the store's stand-in.
+//! Tests of the operators' API and of the console's forms, with a stand-in for the store.
 
 #[path = "../common/mod.rs"]
 mod common;
 
 mod api;
-mod bench;
+mod fixture;
 mod forms;
 mod random;
 mod served;
--- a/crates/geraniumpost/tests/console/random.rs
+++ b/crates/geraniumpost/tests/console/random.rs
@@ -1,4 +1,4 @@
-//! Whatever is sent to the console is answered.
+//! Tests of the console with random calls.
 
 use geraniumpost::console::{Call, Console, form_proof};
 use geraniumpost_outside::Store;
@@ -8,7 +8,7 @@
 
 use crate::common::{context, document};
 
-/// Strings that lead into the routes, among others that do not.
+/// Generates paths of known and random parts.
 fn path() -> impl Strategy<Value = String> {
     let part = prop_oneof![
         Just("api".to_owned()),
@@ -28,29 +28,29 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
-    /// Whatever is sent to the console is answered; nothing panics and nothing odd is accepted.
+    /// Guards against calls that make the console panic or fail to respond.
     #[test]
     fn any_bytes_are_answered(
         path in path(),
         method in 0..4_usize,
         bytes in prop::collection::vec(any::<u8>(), 0..200),
-        proved in any::<bool>(),
+        with_proof in any::<bool>(),
     ) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         let reply = runtime.block_on(async {
-            // No store listens here, so that nothing can be written.
+            // No store listens at this address, so no change can be written.
             let context = context(Store::new("127.0.0.1:9".parse().unwrap()));
             let value: geraniumpost_schema::Document = serde_json::from_value(document(1)).unwrap();
             context.keeper.committed(5, Name::from("x"), value);
             let mut body = bytes;
-            if proved {
+            if with_proof {
                 body.splice(..0, format!("proof={}&revision=4&change_id=c&", form_proof("o")).into_bytes());
             }
             let methods = [Method::GET, Method::PUT, Method::POST, Method::DELETE];
             let call = Call {
                 method: methods[method].clone(),
                 path,
-                bearer: if proved { String::new() } else { "o".to_owned() },
+                bearer: if with_proof { String::new() } else { "o".to_owned() },
                 cookie: "o".to_owned(),
                 body: body.into(),
                 ..Call::default()
@@ -61,7 +61,7 @@
     }
 
     #[test]
-    fn any_header_makes_some_call(value in prop::collection::vec(32..255_u8, 0..80)) {
+    fn any_header_is_parsed(value in prop::collection::vec(32..255_u8, 0..80)) {
         let Ok(value) = http::HeaderValue::from_bytes(&value) else { return Ok(()) };
         let mut req = http::Request::new(());
         for name in ["authorization", "cookie", "if-match", "x-change-id", "origin", "host"] {
--- a/crates/geraniumpost/tests/docs.rs
+++ b/crates/geraniumpost/tests/docs.rs
@@ -1,6 +1,6 @@
-//! The pages that are made from code and schema are current, and their commands can be read.
+//! Tests that the generated parts of the documentation are current and that its commands are valid.
 //!
-//! `UPDATE_DOCS=1 cargo test -p geraniumpost --test docs` writes the made parts anew.
+//! `UPDATE_DOCS=1 cargo test -p geraniumpost --test docs` regenerates the generated parts.
 
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
@@ -20,19 +20,24 @@
     std::fs::read_to_string(page(name)).unwrap_or_else(|e| panic!("{name}: {e}"))
 }
 
-/// Checks that the part of a page between its two marks is `made`, or writes it.
-fn current(name: &str, part: &str, made: &str) {
+/// Checks that the part of a page between its two markers equals `generated`, or replaces it if
+/// `UPDATE_DOCS` is set.
+fn check_or_update(name: &str, part: &str, generated: &str) {
     let text = read(name);
     let (begin, end) = (format!("<!-- made: {part} -->\n"), format!("<!-- end: {part} -->"));
     let start = text.find(&begin).unwrap_or_else(|| panic!("{name} has no {begin}")) + begin.len();
     let stop = start + text[start..].find(&end).unwrap_or_else(|| panic!("{name} has no {end}"));
-    let made = format!("\n{}\n\n", made.trim());
+    let generated = format!("\n{}\n\n", generated.trim());
     if std::env::var_os("UPDATE_DOCS").is_some() {
-        let new = format!("{}{made}{}", &text[..start], &text[stop..]);
+        let new = format!("{}{generated}{}", &text[..start], &text[stop..]);
         std::fs::write(page(name), new).unwrap();
         return;
     }
-    assert_eq!(text[start..stop], made, "{name} is out of date: run the tests with UPDATE_DOCS=1");
+    assert_eq!(
+        text[start..stop],
+        generated,
+        "{name} is out of date: run the tests with UPDATE_DOCS=1"
+    );
 }
 
 fn settings_codes() -> String {
@@ -75,18 +80,18 @@
 
 fn settings() -> String {
     let agent = reference(SchemaKind::Agent);
-    // The table of the log is told once, with the entry's settings.
-    let own = agent.split("### LogSettings").next().unwrap_or_default();
-    format!("{}{own}", reference(SchemaKind::Entry))
+    // The table of log settings is included once, with the settings of the entry.
+    let agent_only = agent.split("### LogSettings").next().unwrap_or_default();
+    format!("{}{agent_only}", reference(SchemaKind::Entry))
 }
 
-/// Names the made parts of the pages.
+/// Defines a test that checks or updates all generated parts of the pages.
 macro_rules! parts {
-    ($($name:ident: $page:literal, $part:literal, $made:expr;)*) => {
-        /// One test, since several parts may stand on one page that `UPDATE_DOCS` writes.
+    ($($name:ident: $page:literal, $part:literal, $generated:expr;)*) => {
+        /// A single test, because concurrent tests could not update several parts of one page.
         #[test]
-        fn made_parts_are_current() {
-            $(current($page, $part, &$made);)*
+        fn generated_parts_are_current() {
+            $(check_or_update($page, $part, &$generated);)*
         }
     };
 }
@@ -101,9 +106,9 @@
     api_codes: "RESULT_CODES.md", "operators' API", api_codes();
 }
 
-/// A number with two meanings would send an operator to the wrong remedy.
+/// Guards against a code with two meanings, for which an operator could choose the wrong remedy.
 #[test]
-fn every_code_has_one_meaning_and_its_own_thousand() {
+fn every_code_has_one_meaning_and_lies_in_its_range() {
     let mut all: Vec<u16> = Vec::new();
     all.extend(Code::ALL.iter().map(|code| code.number()));
     all.extend(ResultCode::ALL.iter().map(|code| code.number()));
@@ -117,7 +122,7 @@
 }
 
 #[test]
-fn every_exit_code_is_told_in_the_help() {
+fn help_lists_every_exit_code() {
     let help = command().render_long_help().to_string();
     for status in [
         ExitStatus::Success,
@@ -130,24 +135,25 @@
     }
 }
 
-/// Every command on the operators' pages can be read by the command line as it stands.
+/// Guards against commands in the documentation that the command line does not accept.
 #[test]
-fn commands_on_the_pages_can_be_read() {
-    let mut read_commands = 0;
+fn documented_commands_are_valid() {
+    let mut count = 0;
     for name in ["OPERATIONS.md", "CONFIGURATION.md", "SETTINGS.md"] {
         let text = read(name).replace("\\\n", " ");
         for line in text.lines().filter_map(|line| line.trim().strip_prefix("$ geraniumpost ")) {
             let line = line.split(" > ").next().unwrap_or_default();
-            let parsed = command().try_get_matches_from(words(&format!("geraniumpost {line}")));
+            let parsed =
+                command().try_get_matches_from(split_words(&format!("geraniumpost {line}")));
             assert!(parsed.is_ok(), "{name}: {line}: {}", parsed.unwrap_err());
-            read_commands += 1;
+            count += 1;
         }
     }
-    assert!(read_commands >= 10, "only {read_commands} commands were found");
+    assert!(count >= 10, "only {count} commands were found");
 }
 
-/// Splits a line as a shell does, as far as the pages need it.
-fn words(line: &str) -> Vec<String> {
+/// Splits a command line into words as a shell does, with support for single quotes only.
+fn split_words(line: &str) -> Vec<String> {
     let mut words = vec![String::new()];
     let mut quoted = false;
     for character in line.chars() {
--- a/crates/geraniumpost/tests/entry_peers.rs
+++ b/crates/geraniumpost/tests/entry_peers.rs
@@ -1,6 +1,7 @@
-//! Entries tell each other of all entries they know. If a changed list travelled late, or its beat
-//! were lost for good, an entry that was just started would stay unknown to some of the others:
-//! the operator would see different agents and no planner there.
+//! Tests of the lists of known entries in the heartbeats between entries.
+//!
+//! If a changed list were sent late, or were not repeated after its heartbeat was lost, some
+//! entries would not know a new entry. The new entry would then show other agents and no planner.
 
 use geraniumpost::entry::Peers;
 use geraniumpost_core::Millis;
@@ -28,6 +29,7 @@
     list.iter().map(|peer| &*peer.name).collect()
 }
 
+/// Defines a test for each case: change of the known entries, and list in the next heartbeat.
 macro_rules! cases {
     ($($name:ident: $change:expr => $expected:expr;)+) => {
         $(
@@ -46,22 +48,22 @@
 }
 
 cases! {
-    a_new_entry_is_told_at_once:
+    new_entry_is_announced_at_once:
         |peers| peers.heard(beat("entry-2", 1, false), Millis(9)) => ["entry-0", "entry-1", "entry-2"];
-    an_entry_that_leaves_is_told_at_once:
+    stopping_entry_is_announced_at_once:
         |peers| peers.heard(beat("entry-1", 2, true), Millis(9)) => ["entry-0"];
-    an_entry_forgotten_is_told_at_once: |peers| peers.tick(Millis(60_001)) => ["entry-0"];
-    a_repeated_beat_changes_nothing:
+    expired_entry_is_announced_at_once: |peers| peers.tick(Millis(60_001)) => ["entry-0"];
+    repeated_heartbeat_is_not_announced:
         |peers| peers.heard(beat("entry-1", 2, false), Millis(9)) => [""; 0];
 }
 
 #[test]
-fn a_lost_list_is_told_again_within_ten_beats() {
+fn list_is_repeated_within_ten_heartbeats() {
     let mut peers = Peers::new(peer("entry-0"));
     peers.heard(beat("entry-1", 1, false), Millis(0));
     for start in 1..40 {
-        let mut told = peers.clone();
-        drop(told.list_to_tell(start));
-        assert!((start + 1..=start + 10).any(|sequence| !told.list_to_tell(sequence).is_empty()));
+        let mut peers = peers.clone();
+        drop(peers.list_to_tell(start));
+        assert!((start + 1..=start + 10).any(|sequence| !peers.list_to_tell(sequence).is_empty()));
     }
 }
--- a/crates/geraniumpost/tests/failures_jobs.rs
+++ b/crates/geraniumpost/tests/failures_jobs.rs
@@ -1,4 +1,4 @@
-//! Failures of processes, workers and the store while jobs run.
+//! Tests of failures of processes, workers and the store while jobs run.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,8 +14,8 @@
 use rand::{Rng as _, SeedableRng as _};
 use serde_json::Value;
 
-/// A run whose end nobody can report is taken up again after 14 s.
-const LONG: Duration = Duration::from_secs(45);
+/// Maximum time until a job completes. A run whose end cannot be reported is repeated after 14 s.
+const COMPLETION_TIMEOUT: Duration = Duration::from_secs(45);
 
 async fn fleet(plan: Plan) -> Fleet {
     let binaries = Binaries::new(env!("CARGO_BIN_EXE_geraniumpost"));
@@ -26,12 +26,12 @@
     StoreFaults { down, ..StoreFaults::default() }
 }
 
-/// Submits a job, repeating the call until one of the entries has taken it.
+/// Submits a job and retries until one of the entries has accepted it.
 async fn submit(fleet: &Fleet, id: &str, command: &str) {
-    wait_until("the job is submitted", LONG, || async {
+    wait_until("the job is submitted", COMPLETION_TIMEOUT, || async {
         for entry in 0..fleet.entries().len() {
-            let answer = fleet.operator(entry).submit(id, 4000, command).await;
-            if answer.is_ok_and(|(status, _)| status.is_success()) {
+            let response = fleet.operator(entry).submit(id, 4000, command).await;
+            if response.is_ok_and(|(status, _)| status.is_success()) {
                 return true;
             }
         }
@@ -48,11 +48,11 @@
     ids
 }
 
-/// Reads a job from whichever entry answers.
+/// Returns a job from the first entry that responds.
 async fn job(fleet: &Fleet, id: &str) -> Option<Value> {
     for entry in 0..fleet.entries().len() {
-        let answer = fleet.operator(entry).get(&format!("/api/jobs/{id}")).await;
-        if let Ok((status, body)) = answer
+        let response = fleet.operator(entry).get(&format!("/api/jobs/{id}")).await;
+        if let Ok((status, body)) = response
             && status.is_success()
         {
             return Some(body);
@@ -76,27 +76,30 @@
 }
 
 async fn started(fleet: &Fleet, id: &str) {
-    wait_until("the job has started", LONG, || has_run(fleet, id, WorkerEventKind::Started)).await;
+    wait_until("the job has started", COMPLETION_TIMEOUT, || {
+        has_run(fleet, id, WorkerEventKind::Started)
+    })
+    .await;
 }
 
-/// Returns the number of the agent whose worker started the job last.
-async fn place(fleet: &Fleet, id: &str) -> usize {
+/// Returns the index of the agent whose worker started the job most recently.
+async fn agent_index(fleet: &Fleet, id: &str) -> usize {
     let record = fleet.worker_record().await.unwrap();
     let starts = record.iter().filter(|e| e.task == id && e.kind == WorkerEventKind::Started);
     let last = starts.max_by_key(|event| event.at_us).unwrap();
     fleet.agents().iter().position(|agent| agent.name() == last.worker).unwrap()
 }
 
-/// Waits until all jobs are completed and compares them with what really ran.
+/// Waits until all jobs are done and checks that each was completed by one run.
 async fn assert_completed_once(fleet: &Fleet, ids: &[String]) {
     let mut seen = Vec::new();
     for id in ids {
-        wait_until(&format!("{id} is done"), LONG, || is_done(fleet, id)).await;
+        wait_until(&format!("{id} is done"), COMPLETION_TIMEOUT, || is_done(fleet, id)).await;
         let job = job(fleet, id).await.unwrap_or_default();
         let result = job["result"].as_str().map(ToOwned::to_owned);
         seen.push(ObservedJob { id: id.clone(), result });
     }
-    // A second run that was wrongly started may still be under way.
+    // Waits for a second run that may have been ordered but not started yet.
     sleep_ms(500).await;
     let record = fleet.worker_record().await.unwrap();
     let mut kinds = BTreeMap::<String, usize>::new();
@@ -109,15 +112,14 @@
 }
 
 failures! {
-    /// Nothing fails. Every study completes once and shows its own result.
+    /// Nothing fails. Each job completes once and shows its own result.
     async fn undisturbed_jobs_complete_once() {
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 20, 300).await;
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// An operator's script submits the same study twice because it saw no answer. It must run
-    /// once.
+    /// A client submits the same job again because it received no response. The job must run once.
     async fn job_submitted_twice_runs_once() {
         let fleet = fleet(Plan::default()).await;
         for _ in 0..3 {
@@ -128,8 +130,8 @@
         assert_completed_once(&fleet, &["study".to_owned()]).await;
     }
 
-    /// One entry after the other dies while studies run; one of them was the planner. The other
-    /// takes over and must neither lose a study nor start one that still runs.
+    /// The entries, one of which is the planner, are killed one after another while jobs run. The
+    /// entry that takes over must neither lose a job nor start one that is still running.
     async fn killed_planner_is_replaced_without_a_second_run() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 8, 3000).await;
@@ -144,8 +146,8 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// An agent dies beside a running study and comes back at once. It adopts the study instead
-    /// of losing sight of it or starting it again.
+    /// The agents are restarted while jobs run beside them. They must adopt the running tasks, and
+    /// neither lose nor restart them.
     async fn restarted_agent_adopts_its_tasks() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 3000).await;
@@ -156,45 +158,45 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// A VM is lost with agent, worker and study. The study runs again elsewhere, and not before
-    /// it has surely ended on the lost VM.
+    /// A VM is lost with its agent, its worker and a running job. The job must run again elsewhere,
+    /// but not before its run on the lost VM has certainly ended.
     async fn lost_vm_loses_no_job() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 2000).await;
         started(&fleet, &ids[0]).await;
-        let agent = place(&fleet, &ids[0]).await;
+        let agent = agent_index(&fleet, &ids[0]).await;
         fleet.lose_vm(agent);
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// An agent dies for good and its worker runs on, so the study's lease there lapses by
-    /// itself. Until then it must not run anywhere else.
-    async fn dead_agent_beside_a_running_task_causes_no_overlap() {
+    /// An agent is killed and not restarted while its worker keeps running, so that the job's lease
+    /// on the worker expires. Until then the job must not run anywhere else.
+    async fn killed_agent_beside_a_running_task_causes_no_overlap() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 3, 9000).await;
         started(&fleet, &ids[0]).await;
-        let agent = place(&fleet, &ids[0]).await;
+        let agent = agent_index(&fleet, &ids[0]).await;
         fleet.agent(agent).kill();
         assert_completed_once(&fleet, &ids).await;
         assert!(has_run(&fleet, &ids[0], WorkerEventKind::Lapsed).await);
     }
 
-    /// An agent's VM is paused for longer than its hold on the study and goes on later. The study
-    /// must not run there any more once another worker has it.
-    async fn frozen_agent_gives_up_its_tasks() {
+    /// An agent is paused for longer than its agent lease and resumes later. The job must not run
+    /// on its worker any more once it runs on another one.
+    async fn tasks_of_a_paused_agent_run_elsewhere() {
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 3, 8000).await;
         started(&fleet, &ids[0]).await;
-        let agent = place(&fleet, &ids[0]).await;
+        let agent = agent_index(&fleet, &ids[0]).await;
         fleet.agents()[agent].process().freeze().unwrap();
         sleep_ms(6000).await;
         fleet.agents()[agent].process().thaw().unwrap();
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// The planner's VM is paused for longer than its lease and goes on later, still believing
-    /// that it plans. Agents must not obey it.
-    async fn frozen_planner_is_not_obeyed_when_it_thaws() {
+    /// The planner is paused for longer than its lease. When it resumes, it does not know yet that
+    /// it was replaced, and agents must ignore its orders.
+    async fn resumed_planner_is_ignored() {
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 6000).await;
         started(&fleet, &ids[0]).await;
@@ -207,8 +209,8 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// The store is down while studies run and end. They go on, and their results are committed
-    /// once it is back.
+    /// The store is unavailable while jobs run and end. They must keep running, and their results
+    /// must be committed when the store is available again.
     async fn store_outage_stops_no_running_job() {
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 3000).await;
@@ -219,12 +221,12 @@
         assert_completed_once(&fleet, &ids).await;
         let record = fleet.worker_record().await.unwrap();
         let starts = record.iter().filter(|event| event.kind == WorkerEventKind::Started).count();
-        assert_eq!(starts, ids.len(), "the outage cost runs");
+        assert_eq!(starts, ids.len(), "jobs were restarted because of the outage");
     }
 
-    /// The store loses a third of its replies after the writes took effect. No study is lost or
-    /// run twice because its record was written when its planner thought it was not.
-    async fn lost_store_replies_double_no_job() {
+    /// The store loses a third of its responses after the writes took effect. No job may be lost or
+    /// run twice because the planner does not know that the job's record was written.
+    async fn lost_store_responses_cause_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         let faults = StoreFaults { lose_permille: 300, seed: 31, ..StoreFaults::default() };
         fleet.set_store_faults(faults).await.unwrap();
@@ -232,8 +234,8 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// Workers lose the replies to starts and renewals after these took effect.
-    async fn lost_worker_replies_double_no_job() {
+    /// Workers lose the responses to starts and lease renewals after these took effect.
+    async fn lost_worker_responses_cause_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         for agent in fleet.agents() {
             let faults = WorkerFaults { lose_replies: 6, ..WorkerFaults::default() };
@@ -243,9 +245,9 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// One worker fails all it is given. Its failures must not cost the studies their attempts,
-    /// and they complete elsewhere.
-    async fn worker_that_fails_everything_costs_no_job() {
+    /// One worker fails every task. Its failures must not use up the attempts of the jobs, which
+    /// must complete elsewhere.
+    async fn jobs_complete_beside_a_failing_worker() {
         let fleet = fleet(Plan::default()).await;
         let faults = WorkerFaults { fail_starts: true, ..WorkerFaults::default() };
         fleet.agents()[0].worker().control().set_faults(&faults).await.unwrap();
@@ -253,9 +255,10 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// More studies than fit are submitted at once, and the planner dies in the middle. No worker
-    /// may ever hold more than its VM has.
-    async fn no_worker_is_overfilled_while_the_planner_dies() {
+    /// More jobs than fit are submitted at once, and the entries, one of which is the planner, are
+    /// restarted while the jobs are placed. The tasks on a worker must never exceed the capacity of
+    /// its VM.
+    async fn no_worker_exceeds_its_capacity_while_planners_restart() {
         let mut fleet = fleet(Plan::default().vm(10_000, 100_000)).await;
         let ids = submit_all(&fleet, 12, 700).await;
         fleet.entry(0).restart().unwrap();
@@ -264,20 +267,20 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// An agent is stopped for maintenance beside running studies. They move with their
-    /// checkpoints or finish, and the process ends by itself.
-    async fn stopped_agent_hands_its_jobs_on() {
+    /// An agent is stopped for maintenance while jobs run. They must finish or resume elsewhere
+    /// from their checkpoints, and the agent's process must exit.
+    async fn jobs_of_a_stopped_agent_complete() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 3000).await;
         started(&fleet, &ids[0]).await;
-        let agent = place(&fleet, &ids[0]).await;
+        let agent = agent_index(&fleet, &ids[0]).await;
         fleet.agent(agent).term().unwrap();
-        let status = fleet.agent(agent).ended(LONG).await.unwrap();
+        let status = fleet.agent(agent).ended(COMPLETION_TIMEOUT).await.unwrap();
         assert!(status.success(), "{status}\n{}", fleet.agent(agent).output());
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// Two of three VMs are lost in the same moment, as with their rack.
+    /// Two of three VMs are lost at once, as in the failure of their rack.
     async fn lost_rack_loses_no_job() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 1500).await;
@@ -287,9 +290,9 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// One entry after the other is cut from the store but not from the agents. The one that
-    /// planned may be superseded, and agents must not obey both.
-    async fn planner_cut_from_the_store_doubles_no_job() {
+    /// The entries lose the connection to the store, but not to the agents, one after another. The
+    /// planner may be replaced, and agents must not carry out orders of both planners.
+    async fn planner_without_the_store_causes_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 4000).await;
         started(&fleet, &ids[0]).await;
@@ -306,7 +309,7 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// The planner dies while the store is down, and an agent is replaced in the same outage.
+    /// An entry, possibly the planner, and an agent are restarted while the store is unavailable.
     async fn planner_and_agent_lost_in_an_outage_lose_no_job() {
         let mut fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 6, 5000).await;
@@ -319,9 +322,9 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// Entries die at moments that a seed chooses, again and again, while studies are submitted
-    /// and run, so that each step of the planner is cut off once in a while.
-    async fn planners_killed_at_any_step_double_no_job() {
+    /// Entries are killed repeatedly at random times while jobs are submitted and run, so that each
+    /// step of the planner is interrupted in some rounds.
+    async fn planners_killed_at_any_step_cause_no_second_run() {
         let mut fleet = fleet(Plan::default()).await;
         let mut rng = StdRng::seed_from_u64(41);
         let mut ids = Vec::new();
@@ -335,9 +338,9 @@
         assert_completed_once(&fleet, &ids).await;
     }
 
-    /// Studies are cancelled while they wait, run and end. Each ends either way, cancelled or
-    /// done, and what was cancelled never runs to its end afterwards.
-    async fn cancellation_wins_or_loses_cleanly() {
+    /// Jobs are cancelled while they wait, run and end. Each must end as cancelled or done, and no
+    /// cancelled job may complete or keep running afterwards.
+    async fn cancelled_jobs_end_as_cancelled_or_done() {
         let fleet = fleet(Plan::default()).await;
         let ids = submit_all(&fleet, 20, 400).await;
         for (number, id) in ids.iter().enumerate() {
@@ -346,7 +349,7 @@
         }
         for id in &ids {
             let ended = || async { ["done", "cancelled"].contains(&state(&fleet, id).await.as_str()) };
-            wait_until(&format!("{id} has ended"), LONG, ended).await;
+            wait_until(&format!("{id} has ended"), COMPLETION_TIMEOUT, ended).await;
         }
         sleep_ms(1000).await;
         let record = fleet.worker_record().await.unwrap();
@@ -361,17 +364,18 @@
         let found = check_jobs(&record, &seen, &fleet.lost_vms());
         assert!(found.is_empty(), "{found:#?}");
         let running = running(&record);
-        assert!(running.is_empty(), "still running after the end: {running:?}");
+        assert!(running.is_empty(), "tasks of ended jobs are still running: {running:?}");
     }
 }
 
-/// Cancels a job, repeating the call until one of the entries has taken it.
+/// Cancels a job and retries until one of the entries has accepted or rejected the cancellation.
 async fn cancel(fleet: &Fleet, id: &str) {
-    wait_until("the cancellation is taken", LONG, || async {
+    wait_until("an entry processes the cancellation", COMPLETION_TIMEOUT, || async {
         for entry in 0..fleet.entries().len() {
             let path = format!("/api/jobs/{id}");
-            let answer = fleet.operator(entry).call(Method::DELETE, &path, &Value::Null).await;
-            if answer.is_ok_and(|(status, _)| status.is_success() || status == StatusCode::CONFLICT)
+            let response = fleet.operator(entry).call(Method::DELETE, &path, &Value::Null).await;
+            if response
+                .is_ok_and(|(status, _)| status.is_success() || status == StatusCode::CONFLICT)
             {
                 return true;
             }
@@ -381,7 +385,7 @@
     .await;
 }
 
-/// Returns the tasks that have started and not ended.
+/// Returns the tasks that have started but not ended.
 fn running(record: &[WorkerEvent]) -> BTreeSet<&str> {
     let mut running = BTreeSet::new();
     for event in record {
--- a/crates/geraniumpost/tests/failures_links.rs
+++ b/crates/geraniumpost/tests/failures_links.rs
@@ -1,4 +1,4 @@
-//! Failures of the connections between entries and agents while callers send requests.
+//! Tests of failures of the links between entries and agents while callers send requests.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 use geraniumpost_harness::{Binaries, Fleet, Plan, RequestSpec, failures, sleep_ms, wait_until};
 use geraniumpost_standin::relay::{Direction, RelayFaults};
 
-const LONG: Duration = Duration::from_secs(15);
+const TIMEOUT: Duration = Duration::from_secs(15);
 const CALLERS: u64 = 12;
 
 async fn fleet(plan: Plan) -> Fleet {
@@ -20,8 +20,9 @@
 }
 
 failures! {
-    /// Something between entries and an agent loses track of the open connections, which go silent
-    /// for good while new ones work. Callers go on being served, also by that agent.
+    /// A firewall between entries and an agent forgets the open connections. No more messages
+    /// arrive over them, but new connections work. Callers must still be served, also by that
+    /// agent.
     async fn silent_links_lose_no_idempotent_request() {
         let fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 13);
@@ -38,18 +39,18 @@
         let idempotent = Summary::of_idempotent(&requests);
         assert!(idempotent.all_answered(), "{idempotent}");
         assert!(idempotent.max_time < Duration::from_secs(3), "{idempotent}");
-        let after = fleet.agents()[0].minion_record().await.unwrap().len();
-        wait_until("the agent is used again", LONG, || async {
+        let before = fleet.agents()[0].minion_record().await.unwrap().len();
+        wait_until("the agent is used again", TIMEOUT, || async {
             fleet.caller(0).send(&RequestSpec::get()).await;
-            fleet.agents()[0].minion_record().await.unwrap().len() > after
+            fleet.agents()[0].minion_record().await.unwrap().len() > before
         })
         .await;
     }
 
-    /// The connections between entries and agents are cut now and then while badges print. The
-    /// agents live and know what ran, so an entry that asks over a new connection learns it, and
-    /// every caller gets its answer.
-    async fn cut_links_lose_nothing() {
+    /// The connections between entries and agents are closed from time to time while requests run.
+    /// The agents know what ran, so an entry can ask over a new connection, and each caller must
+    /// get its response.
+    async fn lost_connections_lose_no_response() {
         let fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 14);
         for round in 0..9 {
@@ -64,9 +65,9 @@
         assert!(summary.all_answered(), "{summary}");
     }
 
-    /// The connections between entries and agents are cut faster than they can be replaced.
-    /// Callers may be told that the outcome is unknown, and no badge prints twice.
-    async fn links_cut_again_and_again_double_nothing() {
+    /// The connections between entries and agents are closed faster than they can be replaced. The
+    /// outcomes of requests may remain unknown, but no non-idempotent request may run twice.
+    async fn frequent_connection_losses_cause_no_second_run() {
         let fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 17);
         for round in 0..24 {
@@ -79,8 +80,8 @@
         fleet.assert_promises_to_callers(&requests).await;
     }
 
-    /// Answers take 300 ms longer than usual to get back to the entries. They still reach the
-    /// callers they belong to.
+    /// Responses take 300 ms longer than usual to arrive at the entries. Each must still be
+    /// forwarded to the right caller.
     async fn delayed_answers_reach_their_own_callers() {
         let fleet = fleet(Plan::default().relayed_links()).await;
         let slow = Direction { stall: false, delay_ms: 300 };
@@ -96,9 +97,9 @@
         assert!(idempotent.all_answered(), "{idempotent}");
     }
 
-    /// A link goes silent, and then the entry that would ask about it dies. The caller's repeat
-    /// through the other entry must not print a second badge.
-    async fn silent_link_and_killed_entry_double_nothing() {
+    /// No more messages arrive over a link, and the entry that would ask about its requests is
+    /// restarted. A retry with the same key through the other entry must not run a second time.
+    async fn silent_link_and_killed_entry_cause_no_second_run() {
         let mut fleet = fleet(Plan::default().relayed_links()).await;
         let load = fleet.load(CALLERS, 16);
         for agent in 0..2 {
@@ -108,8 +109,8 @@
             set_link_faults(&fleet, agent, faults).await;
             sleep_ms(100).await;
             fleet.entry(agent).restart().unwrap();
-            let answers = || async { fleet.answers(agent).await };
-            wait_until("the restarted entry answers", LONG, answers).await;
+            let answering = || async { fleet.answers(agent).await };
+            wait_until("the restarted entry answers", TIMEOUT, answering).await;
         }
         sleep_ms(500).await;
         let requests = load.stop().await;
--- a/crates/geraniumpost/tests/failures_minions.rs
+++ b/crates/geraniumpost/tests/failures_minions.rs
@@ -1,4 +1,4 @@
-//! Faults of minions and of the connections to them while callers send requests.
+//! Tests of faults of minions and of the connections to them while callers send requests.
 
 use std::time::Duration;
 
@@ -24,9 +24,9 @@
 }
 
 failures! {
-    /// Open connections between an agent and its minion go silent for good while new ones work.
-    /// Callers must not go on hitting the silent ones, and nothing is sent twice because of them.
-    async fn silent_connections_to_a_minion_double_nothing() {
+    /// No more responses arrive over the open connections between an agent and its minion, but new
+    /// connections work. No non-idempotent request may be sent twice because of this.
+    async fn silent_connections_to_a_minion_cause_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 8);
         sleep_ms(500).await;
@@ -38,9 +38,9 @@
         fleet.assert_promises_to_callers(&requests).await;
     }
 
-    /// A minion's connections are cut again and again while it runs requests. A filing that was
-    /// under way must not be called "not run", and must not run again elsewhere.
-    async fn cut_connections_to_a_minion_double_nothing() {
+    /// The connections of the minions are closed repeatedly while they run requests. A request that
+    /// was being sent must not be reported as not run, and must not run again elsewhere.
+    async fn lost_connections_to_a_minion_cause_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 9);
         for _ in 0..10 {
@@ -53,8 +53,8 @@
         fleet.assert_promises_to_callers(&requests).await;
     }
 
-    /// A minion breaks off in the middle of its answers. The callers see errors, never half an
-    /// answer that looks whole.
+    /// The minions close connections in the middle of responses. Callers must get errors and never
+    /// an incomplete response that looks complete.
     async fn truncated_answers_are_errors() {
         let fleet = fleet(Plan::default()).await;
         let truncating =
@@ -69,9 +69,9 @@
         assert!(Summary::of(&requests).may_have_run > 0, "{}", Summary::of(&requests));
     }
 
-    /// Far more callers than slots. Minions are never overfilled; whoever is turned away is told
-    /// so at once, and truly did not run.
-    async fn overload_never_overfills_a_minion() {
+    /// There are far more callers than slots. No minion may get more requests than it has slots,
+    /// and a request that is rejected as not run must not run.
+    async fn overload_never_exceeds_the_slots_of_a_minion() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(150, 11);
         sleep_ms(2500).await;
@@ -84,8 +84,8 @@
         }
     }
 
-    /// A minion fails all it is given and so looks idle, which draws yet more requests to it. Most
-    /// callers must soon be served by the others again.
+    /// A minion fails each request at once and therefore looks idle, which attracts more requests.
+    /// Routing must soon send most requests to the other minions.
     async fn fast_failing_minion_is_ejected() {
         let fleet = fleet(Plan::default()).await;
         set_mode(&fleet, 0, MinionMode::Fail).await;
@@ -96,13 +96,16 @@
         let after = (started(&fleet, 0).await, started(&fleet, 1).await);
         let requests = load.stop().await;
         fleet.assert_promises_to_callers(&requests).await;
-        let (failing, good) = (after.0 - before.0, after.1 - before.1);
-        assert!(failing * 5 < good, "the failing minion got {failing}, a good one {good}");
+        let (failing, healthy) = (after.0 - before.0, after.1 - before.1);
+        assert!(
+            failing * 5 < healthy,
+            "the failing minion got {failing} requests, a healthy one {healthy}"
+        );
     }
 
-    /// A minion hangs on each request. Callers of the others notice nothing, and the requests that
-    /// it holds are not run again because of it.
-    async fn hanging_minion_doubles_nothing() {
+    /// A minion does not respond to any request. The other minions must keep serving, and the
+    /// requests on the hanging minion must not run again elsewhere.
+    async fn hanging_minion_causes_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         set_mode(&fleet, 0, MinionMode::Hang).await;
         let callers: Vec<_> = (0..40)
@@ -124,20 +127,21 @@
         assert!(served >= 20, "{}", Summary::of(&requests));
     }
 
-    /// Callers lose patience and leave while their requests run. The minions still work on them,
-    /// so their slots must not be given to others yet.
-    async fn callers_who_leave_free_no_slot_early() {
+    /// Callers disconnect while their requests run. The minions still work on the requests, so
+    /// their slots must not be assigned to other requests yet.
+    async fn disconnected_callers_free_no_slot_early() {
         let fleet = fleet(Plan::default()).await;
         for round in 0..3 {
-            let leaving: Vec<_> = (0..60)
+            let disconnecting: Vec<_> = (0..60)
                 .map(|number| {
                     let caller = fleet.caller(number % 2);
-                    let spec = RequestSpec::post().work_ms(700);
-                    tokio::spawn(async move { caller.send(&spec).await })
+                    tokio::spawn(async move {
+                        caller.send(&RequestSpec::post().work_ms(700)).await
+                    })
                 })
                 .collect();
             sleep_ms(100 + 50 * round).await;
-            leaving.iter().for_each(tokio::task::JoinHandle::abort);
+            disconnecting.iter().for_each(tokio::task::JoinHandle::abort);
         }
         let mut requests = Vec::new();
         for _ in 0..10 {
@@ -147,9 +151,9 @@
         assert!(Summary::of(&requests).answered > 0, "{}", Summary::of(&requests));
     }
 
-    /// A badge print takes longer than its caller gave it. The agent knows that it was started, and
-    /// the caller must be told so, and not that nobody can know.
-    async fn request_past_its_deadline_is_told_as_started() {
+    /// A request takes longer than its deadline. The agent knows that the request was started, so
+    /// the result code must say that, and not that the outcome is unknown.
+    async fn request_past_its_deadline_is_reported_as_started() {
         let fleet = fleet(Plan::default()).await;
         let spec = RequestSpec::post().work_ms(900).timeout(Duration::from_millis(300));
         let mut requests = Vec::new();
@@ -161,7 +165,8 @@
         fleet.assert_promises_to_callers(&requests).await;
     }
 
-    /// Requests run into their deadline while the minions still work on them.
+    /// The deadlines of requests expire while the minions still work on them. Their slots must not
+    /// be assigned to other requests yet.
     async fn requests_past_their_deadline_free_no_slot_early() {
         let fleet = fleet(Plan::default()).await;
         let callers: Vec<_> = (0..120)
--- a/crates/geraniumpost/tests/failures_requests.rs
+++ b/crates/geraniumpost/tests/failures_requests.rs
@@ -1,4 +1,4 @@
-//! Failures of processes while callers send requests.
+//! Tests of failures of processes while callers send requests.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use geraniumpost_standin::now_us;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-const LONG: Duration = Duration::from_secs(15);
+const TIMEOUT: Duration = Duration::from_secs(15);
 const CALLERS: u64 = 12;
 
 async fn fleet(plan: Plan) -> Fleet {
@@ -18,8 +18,8 @@
     Fleet::start(&binaries, &plan).await.unwrap()
 }
 
-/// Sends requests on kept connections until none can be opened any more.
-async fn balance(caller: Caller) -> Vec<ObservedRequest> {
+/// Sends requests over persistent connections, as load balancers do, until connecting fails.
+async fn send_persistently(caller: Caller) -> Vec<ObservedRequest> {
     let mut requests = Vec::new();
     while let Ok(mut connection) = caller.connect().await {
         while connection.is_open().await {
@@ -30,8 +30,8 @@
 }
 
 failures! {
-    /// Nothing fails. Every caller gets the whole answer to its own request, and no minion is
-    /// given more than its slots, though two entries send to it.
+    /// Nothing fails. Each caller must get the complete response to its own request, and no minion
+    /// may get more requests than it has slots, although two entries send to it.
     async fn undisturbed_load_is_answered() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 1);
@@ -42,8 +42,8 @@
         assert!(summary.all_answered(), "{summary}");
     }
 
-    /// An agent's process dies under load and comes back. Callers whose request may be repeated
-    /// notice nothing; others may be told that the outcome is unknown, and no badge prints twice.
+    /// An agent is killed under load and restarted. Idempotent requests must be answered. The
+    /// outcomes of others may be unknown, but none of them may run twice.
     async fn killed_agent_loses_no_idempotent_request() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 2);
@@ -58,27 +58,27 @@
         assert!(idempotent.all_answered(), "{idempotent}");
     }
 
-    /// An entry's process dies under load and comes back. Its callers lose their connections and
-    /// repeat keyed requests at the other entry, where none of them may run a second time.
-    async fn killed_entry_doubles_nothing() {
+    /// An entry is killed under load and restarted. Its callers lose their connections and retry
+    /// requests with keys through the other entry, where none of them may run a second time.
+    async fn killed_entry_causes_no_second_run() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 3);
         sleep_ms(500).await;
         fleet.entry(0).kill();
         sleep_ms(1500).await;
         fleet.entry(0).restart().unwrap();
-        let answers = || async { fleet.answers(0).await };
-        wait_until("the restarted entry answers", LONG, answers).await;
+        let answering = || async { fleet.answers(0).await };
+        wait_until("the restarted entry answers", TIMEOUT, answering).await;
         sleep_ms(500).await;
         let requests = load.stop().await;
         fleet.assert_promises_to_callers(&requests).await;
-        // The restarted entry lets nobody in before it can serve them.
+        // The restarted entry accepts no connections before it can serve requests.
         assert_eq!(Summary::of(&requests).not_run, 0, "{}", Summary::of(&requests));
     }
 
-    /// An agent's VM is paused with requests on it and goes on later. Callers are not kept
-    /// waiting for it, and what it does when it goes on must not run anything again.
-    async fn frozen_agent_harms_nobody_when_it_thaws() {
+    /// An agent is paused while it has requests, and resumes later. Callers must not wait for it,
+    /// and it must not run a request again after it has resumed.
+    async fn resumed_agent_causes_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 4);
         sleep_ms(500).await;
@@ -93,9 +93,9 @@
         assert!(idempotent.max_time < Duration::from_secs(3), "{idempotent}");
     }
 
-    /// An entry's VM is paused and goes on later. Requests that it still holds may by then have
-    /// been repeated through the other entry.
-    async fn frozen_entry_harms_nobody_when_it_thaws() {
+    /// An entry is paused and resumes later. Its callers may have retried their requests through
+    /// the other entry meanwhile, and none of these may run twice.
+    async fn resumed_entry_causes_no_second_run() {
         let fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 5);
         sleep_ms(500).await;
@@ -105,19 +105,19 @@
         sleep_ms(1500).await;
         let requests = load.stop().await;
         fleet.assert_promises_to_callers(&requests).await;
-        // What queued up during the pause is served; the agents were there all the time.
+        // Requests that were queued during the pause are served, because the agents were available.
         assert_eq!(Summary::of(&requests).not_run, 0, "{}", Summary::of(&requests));
     }
 
-    /// An agent is stopped for maintenance under load. No caller may notice, nothing new may reach
-    /// its minion after two seconds, and the process ends by itself.
-    async fn stopped_agent_cuts_off_no_request() {
+    /// An agent is stopped for maintenance under load. All requests must be answered, no new
+    /// request may be sent to its minion after two seconds, and its process must exit.
+    async fn stopped_agent_aborts_no_request() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 6);
         sleep_ms(500).await;
         fleet.agent(0).term().unwrap();
-        let asked = now_us();
-        let status = fleet.agent(0).ended(LONG).await.unwrap();
+        let stopped_at_us = now_us();
+        let status = fleet.agent(0).ended(TIMEOUT).await.unwrap();
         assert!(status.success(), "{status}\n{}", fleet.agent(0).output());
         sleep_ms(1000).await;
         let requests = load.stop().await;
@@ -125,18 +125,18 @@
         let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
         let record = fleet.agents()[0].minion_record().await.unwrap();
-        let late = record.iter().filter(|event| event.at_us > asked + 2_000_000).count();
-        assert_eq!(late, 0, "the leaving endpoint was given new work");
+        let late = record.iter().filter(|event| event.at_us > stopped_at_us + 2_000_000).count();
+        assert_eq!(late, 0, "the stopping agent was given new requests");
     }
 
-    /// An entry is stopped for maintenance under load. Requests that it has taken are answered;
-    /// later callers are not let in, and the balancer sends them elsewhere.
-    async fn stopped_entry_cuts_off_no_request() {
+    /// An entry is stopped for maintenance under load. Requests that it has accepted must be
+    /// answered. Later connections are refused, so that callers use another entry.
+    async fn stopped_entry_aborts_no_request() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(60, 7);
         sleep_ms(500).await;
         fleet.entry(1).term().unwrap();
-        let status = fleet.entry(1).ended(LONG).await.unwrap();
+        let status = fleet.entry(1).ended(TIMEOUT).await.unwrap();
         assert!(status.success(), "{status}\n{}", fleet.entry(1).output());
         sleep_ms(500).await;
         let requests = load.stop().await;
@@ -145,14 +145,15 @@
         assert_eq!((summary.no_response, summary.may_have_run), (0, 0), "{summary}");
     }
 
-    /// An entry is stopped while a balancer sends to it on connections that it keeps. Each of these
-    /// must be closed after an answer and not under a request.
-    async fn stopped_entry_cuts_off_no_kept_connection() {
+    /// An entry is stopped while load balancers send requests over persistent connections. Each
+    /// connection must be closed after a response and not during a request.
+    async fn stopped_entry_aborts_no_request_on_a_persistent_connection() {
         let mut fleet = fleet(Plan::default()).await;
-        let balancers: Vec<_> = (0..40).map(|_| tokio::spawn(balance(fleet.caller(0)))).collect();
+        let balancers: Vec<_> =
+            (0..40).map(|_| tokio::spawn(send_persistently(fleet.caller(0)))).collect();
         sleep_ms(500).await;
         fleet.entry(0).term().unwrap();
-        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+        assert!(fleet.entry(0).ended(TIMEOUT).await.unwrap().success());
         let mut requests = Vec::new();
         for balancer in balancers {
             requests.extend(balancer.await.unwrap());
@@ -163,21 +164,21 @@
     }
 
     /// An entry is stopped while a minion works on a request for longer than the drain time. The
-    /// caller is willing to wait, and must be told that its request may have run.
+    /// caller is still waiting, and must get a response that the request may have run.
     async fn stopped_entry_answers_requests_that_outlast_its_drain_time() {
         let mut fleet = fleet(Plan::default().drain_ms(500)).await;
         let caller = fleet.caller(0);
         let spec = RequestSpec::post().work_ms(4_000);
         let waiting = tokio::spawn(async move { caller.send(&spec).await });
-        wait_until("the request runs", LONG, || async { fleet.running().await == 1 }).await;
+        wait_until("the request runs", TIMEOUT, || async { fleet.running().await == 1 }).await;
         fleet.entry(0).term().unwrap();
         let request = waiting.await.unwrap();
-        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+        assert!(fleet.entry(0).ended(TIMEOUT).await.unwrap().success());
         assert_eq!(request.outcome, Outcome::MayHaveRun, "{request:?}");
     }
 
-    /// An entry is stopped while the body of a request arrives slowly. The caller must be told that
-    /// its request has not run.
+    /// An entry is stopped while the body of a request is incomplete. The caller must get a
+    /// response that the request did not run.
     async fn stopped_entry_refuses_requests_with_an_incomplete_body() {
         let mut fleet = fleet(Plan::default().drain_ms(500)).await;
         let address = fleet.callers_addresses()[0];
@@ -191,14 +192,14 @@
         fleet.entry(0).term().unwrap();
         let mut response = String::new();
         let _ = stream.read_to_string(&mut response).await;
-        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
+        assert!(fleet.entry(0).ended(TIMEOUT).await.unwrap().success());
         assert!(response.starts_with("HTTP/1.1 503 "), "{response:?}");
         assert!(response.contains("x-result-code: 2015"), "{response:?}");
     }
 
-    /// The operator's tool sends the stop signal twice, as impatient people do. The second one
-    /// must not cut off what the first one lets finish.
-    async fn second_stop_signal_cuts_off_nothing() {
+    /// The stop signal is sent twice. The second one must not abort the requests that are drained
+    /// after the first one.
+    async fn second_stop_signal_aborts_no_request() {
         let mut fleet = fleet(Plan::default()).await;
         let callers: Vec<_> = (0..6)
             .map(|_| {
@@ -206,7 +207,7 @@
                 tokio::spawn(async move { caller.send(&RequestSpec::post().work_ms(1500)).await })
             })
             .collect();
-        wait_until("all requests run", LONG, || async { fleet.running().await == 6 }).await;
+        wait_until("all requests run", TIMEOUT, || async { fleet.running().await == 6 }).await;
         for _ in 0..2 {
             fleet.entry(0).term().unwrap();
             fleet.agent(0).term().unwrap();
@@ -218,14 +219,14 @@
         }
         let summary = Summary::of(&requests);
         assert!(summary.all_answered(), "{summary}");
-        assert!(fleet.entry(0).ended(LONG).await.unwrap().success());
-        assert!(fleet.agent(0).ended(LONG).await.unwrap().success());
+        assert!(fleet.entry(0).ended(TIMEOUT).await.unwrap().success());
+        assert!(fleet.agent(0).ended(TIMEOUT).await.unwrap().success());
         fleet.assert_promises_to_callers(&requests).await;
     }
 
-    /// A caller gets no answer in time and sends its badge print again through both entries at
-    /// once. It must print once, and all must get the first one's answer.
-    async fn repeats_of_a_key_at_once_run_once() {
+    /// A request with a key is sent several times at once through both entries. It must run once,
+    /// and all attempts must get the same response.
+    async fn concurrent_retries_of_a_key_run_once() {
         let fleet = fleet(Plan::default()).await;
         let mut requests = Vec::new();
         for round in 0..10 {
@@ -245,9 +246,9 @@
         assert!(summary.all_answered(), "{summary}");
     }
 
-    /// A caller repeats its request after it was answered. It gets the same answer, and nothing
-    /// prints again.
-    async fn repeat_after_the_answer_gets_it_again() {
+    /// A caller retries a request with a key that was already answered. It must get the same
+    /// response, and the request must not run again.
+    async fn retry_after_the_response_gets_the_same_response() {
         let fleet = fleet(Plan::default()).await;
         let first = RequestSpec::post().key("badge").body("badge");
         let mut requests = Vec::new();
@@ -260,9 +261,9 @@
         assert!(requests.iter().all(|request| request.outcome == *first), "{requests:#?}");
     }
 
-    /// The only minion is full when a badge print with a key comes, and the caller is told to come
-    /// back. It comes back with the same key when there is room again, and must get its badge.
-    async fn refused_key_runs_when_it_comes_back() {
+    /// All slots of the only minion are in use when a request with a key arrives, and the request
+    /// is rejected. A retry with the same key must run once slots are free.
+    async fn refused_key_runs_when_it_is_retried() {
         let plan = Plan::default().agents(1).document(|document| {
             for service in document["services"].as_object_mut().unwrap().values_mut() {
                 service["slots"] = 1.into();
@@ -293,8 +294,8 @@
         fleet.assert_promises_to_callers(&requests).await;
     }
 
-    /// An agent and an entry die in the same moment, and again after they came back.
-    async fn pairs_of_kills_double_nothing() {
+    /// An agent and an entry are killed at the same time, and again after they have restarted.
+    async fn agent_and_entry_killed_together_cause_no_second_run() {
         let mut fleet = fleet(Plan::default()).await;
         let load = fleet.load(CALLERS, 12);
         for _ in 0..2 {
@@ -304,8 +305,8 @@
             sleep_ms(800).await;
             fleet.agent(0).restart().unwrap();
             fleet.entry(0).restart().unwrap();
-            let answers = || async { fleet.answers(0).await };
-            wait_until("the restarted entry answers", LONG, answers).await;
+            let answering = || async { fleet.answers(0).await };
+            wait_until("the restarted entry answers", TIMEOUT, answering).await;
         }
         let requests = load.stop().await;
         fleet.assert_promises_to_callers(&requests).await;
--- a/crates/geraniumpost/tests/job_reply.rs
+++ b/crates/geraniumpost/tests/job_reply.rs
@@ -1,16 +1,16 @@
-//! The planner's codes on their way to an operator.
+//! Tests of the mapping of the planner's codes to the operators' API.
 
 use geraniumpost::console::{http_status, job_reply, job_value};
 use geraniumpost_core::jobs::{JobRecord, JobResponse, JobSpec, JobView, codes};
 use geraniumpost_schema::{Name, Resources};
 
-/// Names cases of the planner's answers and the HTTP status that an operator sees.
+/// Defines a test for each case: code of the planner's response, and HTTP status of the API.
 macro_rules! replies {
     ($($name:ident: $code:ident => $status:literal;)*) => {
         $(#[test]
         fn $name() {
-            let answer = JobResponse::new(codes::$code).retry_after_ms(7);
-            match job_reply(&Name::from("study-1"), &answer) {
+            let response = JobResponse::new(codes::$code).retry_after_ms(7);
+            match job_reply(&Name::from("study-1"), &response) {
                 Ok(value) => assert_eq!((200, value["code"].as_u64()), ($status, Some(u64::from(codes::$code)))),
                 Err(error) => {
                     assert_eq!((error.status, error.code), ($status, codes::$code));
@@ -35,17 +35,18 @@
     not_recorded: NOT_RECORDED => 503;
 }
 
-/// A refusal shown as success would make an operator believe in a job that nobody has.
+/// Guards against a rejection that looks like success: an operator would assume that the job was
+/// accepted.
 #[test]
-fn no_refusal_looks_like_success() {
+fn refusals_have_error_statuses() {
     for (code, name, _) in codes::TABLE {
-        let refused = (codes::ID_TAKEN..codes::FAILED_TOO_OFTEN).contains(code);
-        assert_eq!(refused, http_status(*code) >= 400, "{code} {name}");
+        let rejected = (codes::ID_TAKEN..codes::FAILED_TOO_OFTEN).contains(code);
+        assert_eq!(rejected, http_status(*code) >= 400, "{code} {name}");
     }
 }
 
 #[test]
-fn a_job_is_shown_under_names_that_a_person_reads() {
+fn job_is_shown_with_readable_names() {
     let spec = JobSpec {
         id: Name::from("study-1"),
         customer: Name::from("claro"),
--- a/crates/geraniumpost/tests/kept_answer.rs
+++ b/crates/geraniumpost/tests/kept_answer.rs
@@ -1,6 +1,8 @@
-//! An agent keeps thousands of answers for whoever asks for one again. A small body that is only a
-//! slice holds the whole buffer it was read into; the operator sees an agent that outgrows its
-//! memory and is ended by its VM, with all that it knew about what ran.
+//! Tests of the memory of kept responses.
+//!
+//! An agent keeps thousands of responses for retries. A small body that is a slice would keep the
+//! whole buffer into which it was read. The agent would run out of memory and be killed, and its
+//! knowledge of which requests have run would be lost.
 
 use bytes::Bytes;
 use geraniumpost::agent::KeptAnswer;
--- a/crates/geraniumpost/tests/logs.rs
+++ b/crates/geraniumpost/tests/logs.rs
@@ -1,4 +1,4 @@
-//! The log of decisions: one line each, whatever the fields hold, and nothing when switched off.
+//! Tests of the log of decisions.
 
 use std::sync::{Arc, Mutex};
 
@@ -6,11 +6,11 @@
 use geraniumpost_schema::{LogLevel, LogSettings};
 use spdlog::sink::WriteSink;
 
-/// Writer whose text the test reads.
+/// Writer whose output the test can read.
 #[derive(Clone, Default)]
-struct Shared(Arc<Mutex<Vec<u8>>>);
+struct SharedBuffer(Arc<Mutex<Vec<u8>>>);
 
-impl std::io::Write for Shared {
+impl std::io::Write for SharedBuffer {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
         self.0.lock().unwrap().extend_from_slice(buf);
         Ok(buf.len())
@@ -21,24 +21,25 @@
     }
 }
 
-fn logged(settings: &LogSettings, act: impl FnOnce()) -> String {
-    let shared = Shared::default();
-    let sink = WriteSink::builder().target(shared.clone()).build_arc().unwrap();
+fn logged(settings: &LogSettings, action: impl FnOnce()) -> String {
+    let log = SharedBuffer::default();
+    let sink = WriteSink::builder().target(log.clone()).build_arc().unwrap();
     logs::start_with(settings, "entry-1", sink).unwrap();
-    act();
-    // The last line is an error, which is flushed; lines are written in order.
-    spdlog::error!("the end");
-    let until = std::time::Instant::now() + std::time::Duration::from_secs(5);
+    action();
+    // Errors are flushed and lines are written in order, so this line marks the end of the output.
+    spdlog::error!("last line");
+    let deadline = std::time::Instant::now() + std::time::Duration::from_secs(5);
     loop {
-        let text = String::from_utf8(shared.0.lock().unwrap().clone()).unwrap();
-        if text.contains("the end") || std::time::Instant::now() > until {
+        let text = String::from_utf8(log.0.lock().unwrap().clone()).unwrap();
+        if text.contains("last line") || std::time::Instant::now() > deadline {
             return text;
         }
         std::thread::yield_now();
     }
 }
 
-/// One test, since the log is the one thing that a whole process shares.
+/// A single test, because all tests of a process share its log. Each decision is logged on one
+/// line, whatever its fields contain, and none if decisions are disabled or below the log level.
 #[test]
 fn decisions_are_logged_on_one_line_each() {
     let on = LogSettings { level: LogLevel::Info, decisions: true };
@@ -52,8 +53,8 @@
     let text = logged(&off, || decision!("route", why = panic_if_read()));
     assert!(!text.contains("decision="), "{text}");
 
-    let quiet = LogSettings { level: LogLevel::Warn, decisions: true };
-    assert!(!logged(&quiet, || decision!("route", why = 1)).contains("decision="));
+    let warnings = LogSettings { level: LogLevel::Warn, decisions: true };
+    assert!(!logged(&warnings, || decision!("route", why = 1)).contains("decision="));
     assert_eq!(logs::dropped(), 0);
 }
 
--- a/crates/geraniumpost/tests/metrics.rs
+++ b/crates/geraniumpost/tests/metrics.rs
@@ -1,10 +1,10 @@
-//! Every metric that the page lists is exported under the name it gives, and no other.
+//! Tests of the exported metrics.
 
 use std::time::Duration;
 
 use geraniumpost::metrics::{DESCRIPTIONS, Metrics};
 
-fn all_used() -> Metrics {
+fn all_recorded() -> Metrics {
     let metrics = Metrics::new().unwrap();
     metrics.request("filing", "claro");
     metrics.outcome("filing", 2000, Duration::from_millis(3));
@@ -26,9 +26,11 @@
     metrics
 }
 
+/// Guards against a documented metric that is not exported, and an exported one that is not
+/// documented.
 #[test]
 fn every_described_metric_is_exported() {
-    let text = all_used().render().unwrap();
+    let text = all_recorded().render().unwrap();
     for item in DESCRIPTIONS {
         let head = format!("# HELP {} {}", item.exported(), item.meaning);
         assert!(text.contains(&head), "{} is missing in\n{text}", item.exported());
@@ -38,7 +40,7 @@
 
 #[test]
 fn labels_and_values_are_exported() {
-    let text = all_used().render().unwrap();
+    let text = all_recorded().render().unwrap();
     assert!(
         text.contains("geraniumpost_outcomes_total{code=\"2000\",service=\"filing\"} 1"),
         "{text}"
@@ -55,7 +57,7 @@
 }
 
 #[test]
-fn two_processes_in_one_do_not_share_metrics() {
+fn instances_do_not_share_metrics() {
     let (one, other) = (Metrics::new().unwrap(), Metrics::new().unwrap());
     one.config_revision(1);
     assert!(!other.render().unwrap().contains("config_revision 1"));
--- a/crates/geraniumpost/tests/metrics_served.rs
+++ b/crates/geraniumpost/tests/metrics_served.rs
@@ -1,4 +1,4 @@
-//! An agent's metrics over HTTP.
+//! Tests of the HTTP listener for an agent's metrics.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -30,10 +30,10 @@
     tokio::time::timeout(Duration::from_secs(5), served).await.unwrap().unwrap();
 }
 
-/// Many connections are opened and say nothing. They are closed after a while, and a reader who
-/// waits meanwhile is answered then, instead of never.
+/// Many connections are opened over which no request is sent. They must be closed after a timeout,
+/// so that a waiting reader of the metrics gets a response.
 #[tokio::test]
-async fn silent_connections_make_room_again() {
+async fn silent_connections_are_closed() {
     let metrics = Arc::new(Metrics::new().unwrap());
     let listener = TcpListener::bind(ANY).await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/geraniumpost/tests/requests_path.rs
+++ b/crates/geraniumpost/tests/requests_path.rs
@@ -1,4 +1,4 @@
-//! The whole path as separate processes.
+//! Tests of requests from callers to minions, with the binary's processes.
 
 use geraniumpost_harness::check::Outcome;
 use geraniumpost_harness::{Binaries, CUSTOMER, Fleet, Plan, RequestSpec, wait_until};
@@ -8,7 +8,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn requests_come_back_whole_through_either_entry() {
+async fn complete_responses_arrive_through_either_entry() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     let mut requests = Vec::new();
     for number in 0..40 {
@@ -35,21 +35,21 @@
     fleet.assert_promises_to_callers(&[first, retry]).await;
 }
 
-/// A pong that arrived in the same millisecond as its ping was sent did not count as an answer, so
-/// entries gave up healthy links every second. Callers saw needless retries and, beside a full retry
-/// budget, refusals.
+/// Guards against ignoring a pong that arrives in the same millisecond in which its ping was sent.
+/// Entries would close healthy links every second. Callers would see needless retries and, once the
+/// retry budget is exhausted, rejections.
 #[tokio::test(flavor = "multi_thread")]
-async fn idle_links_are_not_taken_for_silent() {
+async fn idle_links_are_not_considered_silent() {
     let mut fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
     let log = fleet.entry(0).output();
     assert!(!log.contains("is silent"), "{log}");
 }
 
-/// A caller gives no id. The minion's log, the entry's log and the answer must still speak of the same
-/// request, or nobody can follow it when something went wrong.
+/// A caller sends a request without an id. The entry must generate one, so that the logs of the
+/// entry and the minion and the response can be matched.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_request_without_an_id_gets_one_that_the_minion_sees() {
+async fn request_without_an_id_gets_one_that_the_minion_sees() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     fleet.caller(0).send(&RequestSpec::get().without_id()).await;
     let record = fleet.minion_record().await.unwrap();
@@ -61,12 +61,12 @@
 async fn status_shows_queue_shares_and_workers() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     let time = std::time::Duration::from_secs(20);
-    wait_until("a planner takes the job", time, || async {
+    wait_until("a planner accepts the job", time, || async {
         let response = fleet.operator(0).submit("study-1", 2_000, "sleep:8000").await;
         response.is_ok_and(|(status, _)| status.is_success())
     })
     .await;
-    wait_until("the planner shows what the customer holds", time, || async {
+    wait_until("the planner shows the resources of the customer's tasks", time, || async {
         let mut held = 0;
         for entry in 0..fleet.entries().len() {
             let (_, status) = fleet.operator(entry).get("/api/status").await.unwrap_or_default();
@@ -78,10 +78,10 @@
     .await;
 }
 
-/// All entries that a new entry's settings name have been replaced since. Without the store's roster it
-/// would see none of the others, and agents that know one of them would never hear of it.
+/// The settings of an entry name no current entry. Without the registry in the store, the entry
+/// would not discover the others, and agents would not discover the entry.
 #[tokio::test(flavor = "multi_thread")]
-async fn entries_find_each_other_by_the_store() {
+async fn entries_discover_each_other_through_the_store() {
     let plan = Plan::default().no_peers_in_settings();
     let fleet = Fleet::start(&binaries(), &plan).await.unwrap();
     let request = fleet.caller(1).send(&RequestSpec::get()).await;
