refactor(harness): reword what a second reading found; name retries and exceeded capacities

Reading all comments and names of the harness and of the tests of geraniumpost once more found some that a newcomer cannot place.

--- a/crates/geraniumpost-harness/src/check/job_violation.rs
+++ b/crates/geraniumpost-harness/src/check/job_violation.rs
@@ -49,7 +49,7 @@
     },
     /// A job was completed by more than one run.
     #[display("{job} was completed by {times} runs")]
-    DoneTwice {
+    CompletedTwice {
         /// The job.
         job: String,
         /// Number of runs that completed the job.
@@ -71,7 +71,7 @@
     Lost(String),
     /// The tasks on a worker needed more resources than its VM has.
     #[display("the tasks on worker {worker} exceeded its capacity: {held}")]
-    Overfilled {
+    OverCapacity {
         /// The worker.
         worker: String,
         /// Resources that the tasks needed, as the worker recorded them.
--- a/crates/geraniumpost-harness/src/check/jobs.rs
+++ b/crates/geraniumpost-harness/src/check/jobs.rs
@@ -15,7 +15,7 @@
     lost: &BTreeMap<String, u64>,
 ) -> Vec<JobViolation> {
     let runs = JobRun::group(record, lost);
-    let mut found = overfilled(record);
+    let mut found = over_capacity(record);
     for runs in runs.values() {
         found.extend(check_order(runs));
         found.extend(check_checkpoints(runs));
@@ -25,10 +25,10 @@
     found
 }
 
-fn overfilled(record: &[WorkerEvent]) -> Vec<JobViolation> {
+fn over_capacity(record: &[WorkerEvent]) -> Vec<JobViolation> {
     let over = record.iter().filter(|e| e.kind == WorkerEventKind::Overfilled);
-    let over =
-        over.map(|e| JobViolation::Overfilled { worker: e.worker.clone(), held: e.detail.clone() });
+    let over = over
+        .map(|e| JobViolation::OverCapacity { worker: e.worker.clone(), held: e.detail.clone() });
     over.collect()
 }
 
@@ -87,7 +87,7 @@
     let done = runs.iter().filter(|run| run.end == Some(WorkerEventKind::Done));
     let kept: Vec<_> = done.filter(|run| !lost.contains_key(run.worker)).collect();
     (kept.len() > 1)
-        .then(|| JobViolation::DoneTwice { job: kept[0].job.to_owned(), times: kept.len() })
+        .then(|| JobViolation::CompletedTwice { job: kept[0].job.to_owned(), times: kept.len() })
 }
 
 fn check_result(job: &ObservedJob, runs: &BTreeMap<&str, Vec<JobRun<'_>>>) -> Option<JobViolation> {
--- a/crates/geraniumpost-harness/src/failures.rs
+++ b/crates/geraniumpost-harness/src/failures.rs
@@ -1,5 +1,5 @@
-/// Defines a test for each function, on a runtime with several threads. The stand-ins, callers and
-/// checkers of a test run concurrently.
+/// Defines a test for each function, on a runtime with several threads that is shared by the
+/// stand-ins, callers and checkers of the test.
 #[macro_export]
 macro_rules! failures {
     ($($(#[$doc:meta])* async fn $name:ident() $body:block)*) => {$(
--- a/crates/geraniumpost-harness/src/load.rs
+++ b/crates/geraniumpost-harness/src/load.rs
@@ -70,7 +70,7 @@
             if spec.key.is_empty() {
                 break;
             }
-            spec = spec.again();
+            spec = spec.retry();
         }
     }
     all
--- a/crates/geraniumpost-harness/src/request_spec.rs
+++ b/crates/geraniumpost-harness/src/request_spec.rs
@@ -8,7 +8,7 @@
 
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
-/// Contents of a request that a caller sends. Each request gets a new id.
+/// Contents of a request that a caller sends, with a unique id.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestSpec {
     pub(crate) method: Method,
@@ -39,7 +39,7 @@
 
     /// Returns the same request with a new id, as a caller retries it.
     #[must_use]
-    pub fn again(&self) -> Self {
+    pub fn retry(&self) -> Self {
         Self { request_id: next_id(), ..self.clone() }
     }
 
--- a/crates/geraniumpost-harness/tests/check_jobs.rs
+++ b/crates/geraniumpost-harness/tests/check_jobs.rs
@@ -27,13 +27,13 @@
     vec![ObservedJob { id: "study".to_owned(), result: None }]
 }
 
-fn study() -> String {
+fn job_id() -> String {
     "study".to_owned()
 }
 
 fn overlap() -> JobViolation {
     JobViolation::Overlap {
-        job: study(),
+        job: job_id(),
         first: 1,
         first_worker: "w1".to_owned(),
         second: 2,
@@ -95,11 +95,11 @@
             event(3, "w2", 1, Started, ""), event(4, "w2", 1, Done, "r"),
         ],
         completed("r"), lost: []
-        => [JobViolation::EpochNotHigher { job: study(), first: 1, second: 1 }];
+        => [JobViolation::EpochNotHigher { job: job_id(), first: 1, second: 1 }];
     unknown_checkpoint:
         [event(1, "w1", 1, Started, "c"), event(2, "w1", 1, Done, "r")],
         completed("r"), lost: []
-        => [JobViolation::UnknownCheckpoint { job: study(), checkpoint: "c".to_owned() }];
+        => [JobViolation::UnknownCheckpoint { job: job_id(), checkpoint: "c".to_owned() }];
     ignored_checkpoint:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Checkpointed, "c"),
@@ -108,25 +108,25 @@
         ],
         completed("r"), lost: []
         => [JobViolation::LostCheckpoint {
-            job: study(), expected: "c".to_owned(), resumed: String::new(),
+            job: job_id(), expected: "c".to_owned(), resumed: String::new(),
         }];
     two_completions:
         [
             event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r"),
             event(3, "w2", 2, Started, ""), event(4, "w2", 2, Done, "r"),
         ],
-        completed("r"), lost: [] => [JobViolation::DoneTwice { job: study(), times: 2 }];
+        completed("r"), lost: [] => [JobViolation::CompletedTwice { job: job_id(), times: 2 }];
     unknown_result:
         [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
         completed("other"), lost: []
-        => [JobViolation::UnknownResult { job: study(), result: "other".to_owned() }];
+        => [JobViolation::UnknownResult { job: job_id(), result: "other".to_owned() }];
     lost_result:
         [event(1, "w1", 1, Started, ""), event(2, "w1", 1, Done, "r")],
-        not_completed(), lost: [] => [JobViolation::LostResult(study())];
-    lost_job: [], not_completed(), lost: [] => [JobViolation::Lost(study())];
+        not_completed(), lost: [] => [JobViolation::LostResult(job_id())];
+    lost_job: [], not_completed(), lost: [] => [JobViolation::Lost(job_id())];
     worker_over_its_capacity:
         [event(1, "w1", 1, Started, ""), event(1, "w1", 1, Overfilled, "9 of 8"),
          event(2, "w1", 1, Done, "r")],
         completed("r"), lost: []
-        => [JobViolation::Overfilled { worker: "w1".to_owned(), held: "9 of 8".to_owned() }];
+        => [JobViolation::OverCapacity { worker: "w1".to_owned(), held: "9 of 8".to_owned() }];
 }
--- a/crates/geraniumpost/tests/config_follow.rs
+++ b/crates/geraniumpost/tests/config_follow.rs
@@ -106,7 +106,8 @@
     assert!(entries[1].wait_for(revision).await < Duration::from_secs(5));
 }
 
-/// An entry restarts while the store is unavailable. It must get the configuration from its peers.
+/// An entry restarts while the store is unavailable. It must get the configuration from its peers
+/// until the store responds again.
 #[tokio::test]
 async fn a_restart_in_an_outage_asks_the_peers() {
     let standin = spawn_in_process(ANY, ANY).await.unwrap();
--- a/crates/geraniumpost/tests/config_in_force.rs
+++ b/crates/geraniumpost/tests/config_in_force.rs
@@ -60,8 +60,8 @@
     assert!(now.service("filing").is_some() && now.service("badges").is_none());
 }
 
-/// Two tasks put revisions in force in another order than the revisions were received. The lower
-/// revision must not end up in force, because that would revert an accepted change.
+/// Two tasks put revisions in force in another order than was decided. The lower revision must not
+/// end up in force, because that would revert an accepted change.
 #[test]
 fn a_lower_revision_is_never_put_in_force() {
     let holder = ConfigHolder::default();
--- a/crates/geraniumpost/tests/entry_peers.rs
+++ b/crates/geraniumpost/tests/entry_peers.rs
@@ -12,7 +12,7 @@
     EntryPeer { name: Name::from(name), region, datagrams: address.clone(), console: address }
 }
 
-fn beat(name: &str, sequence: u64, draining: bool) -> EntryBeat {
+fn heartbeat(name: &str, sequence: u64, draining: bool) -> EntryBeat {
     EntryBeat {
         peer: peer(name),
         incarnation: 1,
@@ -36,7 +36,7 @@
             #[test]
             fn $name() {
                 let mut peers = Peers::new(peer("entry-0"));
-                peers.heard(beat("entry-1", 1, false), Millis(0));
+                peers.heard(heartbeat("entry-1", 1, false), Millis(0));
                 assert_eq!(names(&peers.list_to_tell(1)), ["entry-0", "entry-1"]);
                 assert!(peers.list_to_tell(2).is_empty());
                 let change: fn(&mut Peers) = $change;
@@ -49,18 +49,18 @@
 
 cases! {
     new_entry_is_announced_at_once:
-        |peers| peers.heard(beat("entry-2", 1, false), Millis(9)) => ["entry-0", "entry-1", "entry-2"];
+        |peers| peers.heard(heartbeat("entry-2", 1, false), Millis(9)) => ["entry-0", "entry-1", "entry-2"];
     stopping_entry_is_announced_at_once:
-        |peers| peers.heard(beat("entry-1", 2, true), Millis(9)) => ["entry-0"];
+        |peers| peers.heard(heartbeat("entry-1", 2, true), Millis(9)) => ["entry-0"];
     expired_entry_is_announced_at_once: |peers| peers.tick(Millis(60_001)) => ["entry-0"];
     repeated_heartbeat_is_not_announced:
-        |peers| peers.heard(beat("entry-1", 2, false), Millis(9)) => [""; 0];
+        |peers| peers.heard(heartbeat("entry-1", 2, false), Millis(9)) => [""; 0];
 }
 
 #[test]
 fn list_is_repeated_within_ten_heartbeats() {
     let mut peers = Peers::new(peer("entry-0"));
-    peers.heard(beat("entry-1", 1, false), Millis(0));
+    peers.heard(heartbeat("entry-1", 1, false), Millis(0));
     for start in 1..40 {
         let mut peers = peers.clone();
         drop(peers.list_to_tell(start));
--- a/crates/geraniumpost/tests/failures_minions.rs
+++ b/crates/geraniumpost/tests/failures_minions.rs
@@ -158,7 +158,7 @@
         let spec = RequestSpec::post().work_ms(900).timeout(Duration::from_millis(300));
         let mut requests = Vec::new();
         for number in 0..6 {
-            requests.push(fleet.caller(number % 2).send(&spec.again()).await);
+            requests.push(fleet.caller(number % 2).send(&spec.retry()).await);
         }
         let codes: Vec<u16> = requests.iter().map(|request| request.code).collect();
         assert_eq!(codes, [2007; 6], "{requests:#?}");
--- a/crates/geraniumpost/tests/failures_requests.rs
+++ b/crates/geraniumpost/tests/failures_requests.rs
@@ -233,7 +233,7 @@
             let spec = RequestSpec::post().key(format!("badge-{round}")).body("badge").work_ms(30);
             let callers: Vec<_> = (0..4)
                 .map(|number| {
-                    let (caller, spec) = (fleet.caller(number % 2), spec.again());
+                    let (caller, spec) = (fleet.caller(number % 2), spec.retry());
                     tokio::spawn(async move { caller.send(&spec).await })
                 })
                 .collect();
@@ -253,7 +253,7 @@
         let first = RequestSpec::post().key("badge").body("badge");
         let mut requests = Vec::new();
         for entry in [0, 1, 0, 1] {
-            requests.push(fleet.caller(entry).send(&first.again()).await);
+            requests.push(fleet.caller(entry).send(&first.retry()).await);
         }
         fleet.assert_promises_to_callers(&requests).await;
         let first = &requests[0].outcome;
@@ -279,13 +279,13 @@
             .collect();
         sleep_ms(200).await;
         let badge = RequestSpec::post().key("badge").body("badge");
-        let mut requests = vec![fleet.caller(0).send(&badge.again()).await];
+        let mut requests = vec![fleet.caller(0).send(&badge.retry()).await];
         assert!(matches!(requests[0].outcome, Outcome::NotRun), "{requests:#?}");
         for caller in busy {
             requests.push(caller.await.unwrap());
         }
         for entry in [0, 1] {
-            requests.push(fleet.caller(entry).send(&badge.again()).await);
+            requests.push(fleet.caller(entry).send(&badge.retry()).await);
             assert!(
                 matches!(requests.last().unwrap().outcome, Outcome::Answered { .. }),
                 "{requests:#?}"
--- a/crates/geraniumpost/tests/jobs_path.rs
+++ b/crates/geraniumpost/tests/jobs_path.rs
@@ -50,7 +50,7 @@
     .await
 }
 
-async fn assert_completed_once(fleet: &Fleet, done: &[(&str, Value)]) {
+async fn assert_no_violation(fleet: &Fleet, done: &[(&str, Value)]) {
     let record = fleet.worker_record().await.unwrap();
     let seen = |(id, value): &(&str, Value)| ObservedJob {
         id: (*id).to_owned(),
@@ -84,7 +84,7 @@
         line.starts_with("geraniumpost_placements_total{") && line.contains("class=\"study\"")
     };
     assert!(metrics.as_str().is_some_and(|text| text.lines().any(placed)), "{metrics}");
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -95,7 +95,7 @@
     let cancel = fleet.operator(1).call(Method::DELETE, "/api/jobs/study-1", &Value::Null).await;
     assert!(cancel.unwrap().0.is_success());
     wait_for_state(&fleet, "study-1", "cancelled", Duration::from_secs(10)).await;
-    assert_completed_once(&fleet, &[]).await;
+    assert_no_violation(&fleet, &[]).await;
 }
 
 /// The planner is killed while a job runs. Without a takeover, the agent lease would not be renewed
@@ -108,7 +108,7 @@
     let planner = planner_index(&fleet);
     fleet.entry(planner).kill();
     let done = wait_for_state(&fleet, "study-1", "done", Duration::from_mins(1)).await;
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 fn planner_index(fleet: &Fleet) -> usize {
@@ -136,7 +136,7 @@
         1,
         "the job must be adopted and not restarted"
     );
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 /// The store is unavailable for longer than the planner's lease. If the planner stopped extending
@@ -156,7 +156,7 @@
         1,
         "the job must keep running during the outage"
     );
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 /// A VM is lost with a running job. The job would be lost if the planner did not notice that the
@@ -169,7 +169,7 @@
     let agent = fleet.agents().iter().position(|one| running["worker"] == one.name()).unwrap();
     fleet.lose_vm(agent);
     let done = wait_for_state(&fleet, "study-1", "done", Duration::from_mins(1)).await;
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 /// An agent is stopped while a job runs beside it. The job must be checkpointed and resume
@@ -185,7 +185,7 @@
     let done = wait_for_state(&fleet, "study-1", "done", Duration::from_secs(40)).await;
     assert_ne!(done["worker"], running["worker"]);
     assert_eq!(done["evictions"], 1, "{done}");
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 /// The planner is paused for longer than its lease, and resumes while its successor plans. Both
@@ -202,7 +202,7 @@
     submit(&fleet, "study-2", "sleep:500").await;
     let second = wait_for_state(&fleet, "study-2", "done", Duration::from_secs(40)).await;
     let first = wait_for_state(&fleet, "study-1", "done", Duration::from_mins(1)).await;
-    assert_completed_once(&fleet, &[("study-1", first), ("study-2", second)]).await;
+    assert_no_violation(&fleet, &[("study-1", first), ("study-2", second)]).await;
 }
 
 /// The planner loses the connection to the store, but not to the agents, and another entry takes
@@ -214,11 +214,11 @@
     submit(&fleet, "study-1", "sleep:20000").await;
     wait_for_state(&fleet, "study-1", "running", Duration::from_secs(20)).await;
     let planner = planner_index(&fleet);
-    let cut = RelayFaults { refuse_new: true, ..RelayFaults::default() };
+    let partition = RelayFaults { refuse_new: true, ..RelayFaults::default() };
     let stall = Direction { stall: true, ..Direction::default() };
-    let cut = RelayFaults { forward: stall, back: stall, ..cut };
+    let partition = RelayFaults { forward: stall, back: stall, ..partition };
     let relay = fleet.entries()[planner].store_relay().control();
-    relay.set_faults(&cut).await.unwrap();
+    relay.set_faults(&partition).await.unwrap();
     let other = fleet.operator(1 - planner);
     wait_until("the other entry plans", PLANNER_TIMEOUT, || async {
         let response = other.submit("study-2", 1_000, "sleep:500").await;
@@ -232,7 +232,7 @@
         1,
         "the job must keep running during the takeover"
     );
-    assert_completed_once(&fleet, &[("study-1", first), ("study-2", second)]).await;
+    assert_no_violation(&fleet, &[("study-1", first), ("study-2", second)]).await;
 }
 
 /// An agent is paused while its worker keeps running. The worker ends the job when its lease
@@ -252,7 +252,7 @@
     fleet.agent(agent).thaw().unwrap();
     let done = wait_for_state(&fleet, "study-1", "done", Duration::from_mins(1)).await;
     assert_eq!(start_count(&fleet, "study-1").await, 2);
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 /// All entries are killed and restarted at once. Then only the store has a record of the job, and
@@ -271,7 +271,7 @@
     }
     let done = wait_for_state(&fleet, "study-1", "done", Duration::from_mins(1)).await;
     assert_eq!(start_count(&fleet, "study-1").await, 1, "the job must keep running");
-    assert_completed_once(&fleet, &[("study-1", done)]).await;
+    assert_no_violation(&fleet, &[("study-1", done)]).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/geraniumpost/tests/kept_answer.rs
+++ b/crates/geraniumpost/tests/kept_answer.rs
@@ -1,8 +1,8 @@
 //! Tests of the memory of kept responses.
 //!
-//! An agent keeps thousands of responses for retries. A small body that is a slice would keep the
-//! whole buffer into which it was read. The agent would run out of memory and be killed, and its
-//! knowledge of which requests have run would be lost.
+//! An agent keeps thousands of responses for entries that ask for them again. A small body that is
+//! a slice would keep the complete buffer into which it was read. The agent would run out of memory
+//! and be killed, and its knowledge of which requests have run would be lost.
 
 use bytes::Bytes;
 use geraniumpost::agent::KeptAnswer;
--- a/crates/geraniumpost/tests/requests_path.rs
+++ b/crates/geraniumpost/tests/requests_path.rs
@@ -28,7 +28,7 @@
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
     let spec = RequestSpec::post().key("badge-17").body("visitor");
     let first = fleet.caller(0).send(&spec).await;
-    let retry = fleet.caller(1).send(&spec.again()).await;
+    let retry = fleet.caller(1).send(&spec.retry()).await;
     let Outcome::Answered { body, .. } = &first.outcome else { panic!("{first:#?}") };
     let Outcome::Answered { body: retry_body, .. } = &retry.outcome else { panic!("{retry:#?}") };
     assert_eq!(body, retry_body);
@@ -46,8 +46,8 @@
     assert!(!log.contains("is silent"), "{log}");
 }
 
-/// A caller sends a request without an id. The entry must generate one, so that the logs of the
-/// entry and the minion and the response can be matched.
+/// A caller sends a request without an id. The entry must generate one. Otherwise the response and
+/// the logs of the entry and the minion could not be matched when a request fails.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_without_an_id_gets_one_that_the_minion_sees() {
     let fleet = Fleet::start(&binaries(), &Plan::default()).await.unwrap();
