fix(batch): let suspects wait for the report on a minion that is down for long

What callers would see: a job that crashes minions is not failed after 25 s, and healthy work is lost beside it, if minions are down for 7 s, longer than a lease.

Cause: a lease expires 6.4 s after the crash, and the agent reports the crash 0.2 s to 0.8 s later, with the next incarnation. The suspects are placed again in between: the task crashes its next minion before its last crash is counted. What was lost with it starts beside it again, so that at the third crash its lead over other suspects is one and not two, and only the fourth decides. In the model a persistent neighbour was even given up, and the task started three times after its third crash.

Change (report_waits.rs): a task with a crash whose young run ended with its lease is not placed while the report is due. The wait ends when the agent reports, the minion responds or the agent is silent too, and at the latest after 2 s (persistent), 3 s (one crash) or 10 s (more). After a late report, a task with two crashes waits up to 2 s for a minion without other suspects. Agents of the model go on with heartbeats while their minion is down, as real ones do.

Beside persistent tasks on two minions, four or five crashes are still needed in some cases, within the limit.

--- a/crates/geraniumpost-batch/src/coordinator/agents.rs
+++ b/crates/geraniumpost-batch/src/coordinator/agents.rs
@@ -30,6 +30,12 @@
     pub(super) crashes: RecentCrashes,
 }
 
+impl Agent {
+    const fn is_heard(&self, now: Now) -> bool {
+        now.steady_ms < self.last_heard_ms + HEARTBEAT_TIMEOUT_MS
+    }
+}
+
 impl Coordinator {
     /// Marks the agent and its minions as linked. The minions get no tasks before they are polled
     /// over the new link.
@@ -70,9 +76,13 @@
     /// resources.
     pub(super) fn mark_unresponsive_minions(&mut self, now: Now) {
         for minion in self.minions.values_mut().filter(|minion| minion.responsive) {
-            let last_heard_ms =
-                self.agents.get(&minion.agent).map_or(0, |agent| agent.last_heard_ms);
-            minion.responsive = now.steady_ms < last_heard_ms + HEARTBEAT_TIMEOUT_MS;
+            let agent = self.agents.get(&minion.agent);
+            minion.responsive = agent.is_some_and(|agent| agent.is_heard(now));
         }
     }
+
+    /// Returns whether heartbeats arrive from an agent, whether its minion responds or not.
+    pub(super) fn is_agent_heard(&self, agent: &Name, now: Now) -> bool {
+        self.agents.get(agent).is_some_and(|agent| agent.is_heard(now))
+    }
 }
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -139,7 +139,7 @@
 
     /// Returns the task under which crashes are counted: the first one of a gang, whose members
     /// start and end together.
-    fn suspect_key(&self, task: TaskId) -> TaskId {
+    pub(super) fn suspect_key(&self, task: TaskId) -> TaskId {
         let is_gang = self.step_spec(task).is_some_and(|step| step.gang);
         TaskId { index: if is_gang { 0 } else { task.index }, ..task }
     }
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -62,7 +62,10 @@
         if !is_below_limit_per_minion(task, spec, minion) {
             return Some(Rejection::PerMinionLimit);
         }
-        if must_be_isolated(crashes) && self.starts_isolated_tasks(minion, task, crashes) {
+        let is_beside_suspect = must_be_isolated(crashes)
+            && (self.starts_isolated_tasks(minion, task, crashes)
+                || self.prevents_lone_start(minion, task, now));
+        if is_beside_suspect {
             return Some(Rejection::BesideSuspect);
         }
         if terms.needs_approval && self.approvals.ticket(task, &minion.info.id, now).is_none() {
--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -42,6 +42,9 @@
     pub(super) not_before_ms: u64,
     /// The minion on which the last run failed or was refused; this minion is chosen last.
     pub(super) avoided_minion: Option<Name>,
+    /// Time until which the task is placed only on minions without other suspects, on the monotonic
+    /// clock.
+    pub(super) alone_until_ms: u64,
 }
 
 impl Job {
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -93,6 +93,7 @@
             let young = self.young_runs(&id, now);
             if let Some(minion) = self.minions.get_mut(&id) {
                 minion.expired_runs = young;
+                minion.runs_expired_ms = now.steady_ms;
             }
             for task in runs {
                 self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -40,6 +40,8 @@
     /// Young runs that ended with the last expiry of the minion's lease. They are suspected if the
     /// minion turns out to have crashed, and forgotten if it responds again.
     pub(super) expired_runs: Vec<YoungRun>,
+    /// Time of that expiry, on the monotonic clock.
+    pub(super) runs_expired_ms: u64,
     /// Sequence number of the last handled end of a run.
     pub(super) last_end_sequence: u64,
     /// Ends of runs that were handled but not acknowledged: sequence number, and the job and the
@@ -90,6 +92,7 @@
             serving_run_count: 0,
             runs: BTreeSet::new(),
             expired_runs: Vec::new(),
+            runs_expired_ms: 0,
             last_end_sequence: 0,
             unacknowledged: VecDeque::new(),
             acknowledged_up_to: 0,
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -66,7 +66,8 @@
         let cause = if minion.info.draining { TerminationCause::Planned } else { cause };
         let runs: Vec<_> = minion.runs.iter().copied().collect();
         let agent = minion.agent.clone();
-        let mut young = minion.expired_runs.clone();
+        let late = minion.expired_runs.clone();
+        let mut young = late.clone();
         self.log(format!("minion={id} event=terminated cause={cause} runs={}", runs.len()));
         young.extend(self.young_runs(id, now));
         if cause != TerminationCause::Planned {
@@ -81,6 +82,7 @@
         }
         if cause == TerminationCause::Crashed {
             self.record_crash(id, &agent, &young, now);
+            self.require_lone_starts(&late, now);
         }
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -29,6 +29,7 @@
 mod predecessor_leases;
 mod recent_crashes;
 mod rejection;
+mod report_waits;
 mod run;
 mod run_ends;
 mod serving_tasks;
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -196,6 +196,7 @@
         (0..spec.count)
             .map(|index| TaskId { index, ..first })
             .filter(|task| is_ready(task) && waits(task))
+            .filter(|task| self.remaining_report_wait_ms(*task, now) == 0)
             .collect()
     }
 
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/report_waits.rs
@@ -0,0 +1,75 @@
+//! Suspects whose last run ended with an expired lease, and that wait for the agent's report.
+//!
+//! A crash is reported when the next incarnation responds, which may be later than the expiry of the
+//! lease. A task that was started again in between would crash another minion before the last crash
+//! is counted. Suspects therefore wait for the report, for a limited time.
+
+use super::Coordinator;
+use super::crashes::must_be_isolated;
+use super::minion::Minion;
+use super::young_run::YoungRun;
+use crate::{Now, TaskId};
+
+/// Maximum time from the expiry of the lease for which a persistent task waits for the report, in
+/// milliseconds. Its users notice its absence, and the lease has taken more than 6 s.
+const MAX_PERSISTENT_WAIT_MS: u64 = 2_000;
+/// Maximum time for which any other task waits for the report after one crash, in milliseconds. With
+/// the lease this covers a downtime of 9 s.
+const MAX_WAIT_MS: u64 = 3_000;
+/// The same after more crashes, in milliseconds. Hardly any healthy task meets several.
+const MAX_ISOLATED_WAIT_MS: u64 = 10_000;
+/// Maximum time for which a suspect waits for a minion without other suspects, in milliseconds. Most
+/// of the others are short, or start where the minion that was down is back.
+const MAX_LONE_START_WAIT_MS: u64 = 2_000;
+
+impl Coordinator {
+    /// Returns for how long a task is not placed yet, in milliseconds, because a report on the minion
+    /// of its last run is due; 0 if the task does not wait for a report.
+    ///
+    /// The wait ends earlier if the report arrives or the minion responds again, since its young runs
+    /// are forgotten then, and if the agent is silent as well.
+    pub(super) fn remaining_report_wait_ms(&self, task: TaskId, now: Now) -> u64 {
+        let crashes = self.crash_count(task);
+        if crashes == 0 {
+            return 0;
+        }
+        let persistent = self.step_spec(task).is_some_and(|step| step.persistent);
+        let max_wait_ms = match (persistent, must_be_isolated(crashes)) {
+            (true, _) => MAX_PERSISTENT_WAIT_MS,
+            (false, false) => MAX_WAIT_MS,
+            (false, true) => MAX_ISOLATED_WAIT_MS,
+        };
+        let lost_run = |minion: &&Minion| minion.expired_runs.iter().any(|run| run.task == task);
+        let is_due = |minion: &&Minion| minion.linked && self.is_agent_heard(&minion.agent, now);
+        let minions = self.minions.values().filter(lost_run).filter(is_due);
+        let until_ms = minions.map(|minion| minion.runs_expired_ms + max_wait_ms).max();
+        until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now.steady_ms))
+    }
+
+    /// Lets suspects start alone whose runs had ended before the crash was reported.
+    ///
+    /// Other tasks that were lost with them may have been started again meanwhile. Beside one of
+    /// these, the next crash would not tell which of both is at fault, and each such crash costs a
+    /// minion for longer than a lease.
+    pub(super) fn require_lone_starts(&mut self, late: &[YoungRun], now: Now) {
+        for task in late.iter().map(|run| run.task) {
+            let waits = self.open_jobs.contains(&task.job) && !self.runs.contains_key(&task);
+            if !waits || !must_be_isolated(self.crash_count(task)) {
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            let next = job.next_placements.entry(task).or_default();
+            next.alone_until_ms = now.steady_ms + MAX_LONE_START_WAIT_MS;
+        }
+    }
+
+    /// Returns whether a task must start alone and another suspect is on the minion.
+    pub(super) fn prevents_lone_start(&self, minion: &Minion, task: TaskId, now: Now) -> bool {
+        let next = self.jobs.get(&task.job).and_then(|job| job.next_placements.get(&task));
+        let must_start_alone = next.is_some_and(|next| now.steady_ms < next.alone_until_ms);
+        let key = self.suspect_key(task);
+        let is_other_suspect =
+            |other: &TaskId| self.suspect_key(*other) != key && self.crash_count(*other) > 0;
+        must_start_alone && minion.runs.iter().any(is_other_suspect)
+    }
+}
--- a/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
+++ b/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
@@ -174,23 +174,27 @@
     fn not_placed_line(&self, key: StepKey, now: Now) -> Option<String> {
         let since_ms = self.wait_state.steps.get(&key)?.since_ms;
         let waiting = self.waiting_tasks(key);
-        let is_ready = |task: &&TaskId| self.remaining_backoff_ms(**task, now) == 0;
+        let is_ready = |task: &&TaskId| {
+            self.remaining_backoff_ms(**task, now) == 0
+                && self.remaining_report_wait_ms(**task, now) == 0
+        };
         // A placement round stops at the first task that no minion accepts, and skips tasks in
-        // backoff. The rejections of the first task that is not in backoff are therefore the
-        // reason.
+        // backoff or that wait for a report. The rejections of the first other task are therefore
+        // the reason.
         let task = *waiting.iter().find(is_ready).or_else(|| waiting.first())?;
         let spec = self.step_spec(task)?;
         let (job, occurrence, step) = key;
         let ran = |task: &&TaskId| self.task_record(**task).is_some_and(|record| record.run > 0);
         Some(format!(
             "event=not_placed job={job} step={occurrence}.{step} first={} waiting={} ran={} \
-             waited_ms={}{}{}{} minions={}{}",
+             waited_ms={}{}{}{}{} minions={}{}",
             task.index,
             waiting.len(),
             waiting.iter().filter(ran).count(),
             now.steady_ms.saturating_sub(since_ms),
             field_unless_zero("gang_size", if spec.gang { spec.count.into() } else { 0 }),
             field_unless_zero("pause_ms", self.remaining_backoff_ms(task, now)),
+            field_unless_zero("report_wait_ms", self.remaining_report_wait_ms(task, now)),
             self.requirements(task, spec).map_or_else(String::new, |requirements| {
                 self.shortfall_fields(&requirements, spec, now)
             }),
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -29,6 +29,10 @@
     incarnation: u32,
     /// Time of the minion's crash, and the time at which it is back.
     down: Option<(u64, u64)>,
+    /// Whether the minion is paused and not crashed while it is down.
+    paused: bool,
+    /// Whether the agent is lost with the minion.
+    lost: bool,
     /// Crashed incarnations whose departure the coordinator has not recorded.
     departures: Vec<Name>,
 }
@@ -82,6 +86,8 @@
                 name: format!("m{number}"),
                 incarnation: 1,
                 down: None,
+                paused: false,
+                lost: false,
                 departures: Vec::new(),
             };
             fleet.cluster.join(&machine.minion(), |info| info);
@@ -206,6 +212,27 @@
         }
     }
 
+    /// Pauses the minion of a machine for `ms`. Its runs end when their lease expires.
+    pub fn pause(&mut self, at: usize, ms: u64) {
+        self.machines[at].paused = true;
+        self.machines[at].down = Some((self.now_ms(), self.now_ms() + ms));
+        self.cluster.running.remove(&*self.machines[at].minion());
+    }
+
+    /// Loses a machine with its agent, whose link stays open.
+    pub fn lose(&mut self, at: usize) {
+        self.crash(at);
+        self.machines[at].lost = true;
+        self.cluster.stop_heartbeats(&self.machines[at].minion());
+    }
+
+    /// Returns the machine that runs a task.
+    pub fn machine_with(&self, task: TaskId) -> usize {
+        let running = self.cluster.running_tasks();
+        let run = running.iter().find(|(running, ..)| *running == task);
+        self.machine_of(&run.expect("the task runs").1)
+    }
+
     /// Crashes each minion with this probability.
     pub fn crash_some(&mut self, rng: &mut StdRng, probability: f64) {
         for at in 0..self.machines.len() {
@@ -219,10 +246,16 @@
         let now_ms = self.now_ms();
         for at in 0..self.machines.len() {
             let machine = &mut self.machines[at];
-            if machine.down.is_none_or(|(_, back_ms)| now_ms < back_ms) {
+            if machine.lost || machine.down.is_none_or(|(_, back_ms)| now_ms < back_ms) {
                 continue;
             }
             machine.down = None;
+            if std::mem::take(&mut machine.paused) {
+                let minion = machine.minion();
+                self.cluster.heartbeat(&minion);
+                self.cluster.poll(&minion);
+                continue;
+            }
             let crashed = Name::from(machine.minion());
             machine.departures.push(crashed.clone());
             machine.incarnation += 1;
@@ -251,7 +284,8 @@
         let machine = &self.machines[at];
         let minion = machine.minion();
         match machine.down {
-            Some((since_ms, _)) if now_ms == since_ms + MINION_SILENCE_MS => {
+            _ if machine.lost => {}
+            Some((since_ms, _)) if now_ms >= since_ms + MINION_SILENCE_MS => {
                 self.cluster.heartbeat_with_unresponsive_minion(&minion);
             }
             None if now_ms.is_multiple_of(POLL_INTERVAL_MS) => self.cluster.poll(&minion),
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -11,6 +11,7 @@
 mod draining;
 mod duplicate_orders;
 mod job_guarantees;
+mod late_crash_reports;
 mod leases;
 mod longest_wait;
 mod persistent_restart;
