fix(batch): keep suspecting the tasks of a job that was given up

Cause: when a job is given up for one crashing task, the crash counts of all its tasks are dropped with its last run, also those of a second crashing task whose minion is down at that moment. When that crash is reported, the healthy task beside it is the only suspect left, has a clear lead, and is given up at its fourth crash.

Change: a young run notes how strongly its task is suspected before the run ends; record_crash uses this for jobs that are not open any more. The choice of the main suspect moves into a module of its own.

Conclusion: the rest has another cause, a tie between a crashing task that has just started and a healthy one that has worked for a second.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -6,11 +6,10 @@
 //! apart from each other, so that the next crash tells which of them is at fault, and are cleared
 //! once they are known to work.
 
-use std::collections::BTreeMap;
-
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::main_suspect::main_suspect;
 use super::minion::Minion;
 use super::young_run::YoungRun;
 use crate::{JobState, Now, TaskCrashes, TaskId, TaskPhase};
@@ -67,7 +66,7 @@
             // A run of a task that was given up meanwhile explains the crash.
             return;
         }
-        let suspects = self.crash_counts(young);
+        let suspects = self.suspicions(young);
         let main_suspect = main_suspect(&suspects);
         self.crashes.add(now.steady_ms);
         let recent = self.crashes.count(now.steady_ms);
@@ -89,8 +88,8 @@
             }
             let at_start = at_start as usize;
             let lead = main_suspect
-                .filter(|(main, _)| is_explained && *main == self.suspect_key(task))
-                .map_or(0, |(_, lead)| lead);
+                .filter(|main| is_explained && main.task == self.suspect_key(task))
+                .map_or(0, |main| main.lead);
             let is_at_fault = (lead >= CLEAR_LEAD && at_start >= MAX_CRASHES_AT_START)
                 || (lead > 0 && crashes >= MAX_CERTAIN_CRASHES);
             if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
@@ -101,12 +100,6 @@
         }
     }
 
-    /// Returns the number of earlier crashes of each suspect among the tasks of these runs.
-    fn crash_counts(&self, young: &[YoungRun]) -> BTreeMap<TaskId, usize> {
-        let keys = young.iter().map(|run| self.suspect_key(run.task));
-        keys.map(|key| (key, self.crash_count(key))).filter(|(_, crashes)| *crashes > 0).collect()
-    }
-
     /// Counts a crash for the task of a run, and returns the task's crashes. Returns `None` if the
     /// crash was counted before, or says nothing about the task: it is done, or a later run is known
     /// to work.
@@ -139,7 +132,7 @@
 
     /// Returns the task under which crashes are counted: the first one of a gang, whose members
     /// start and end together.
-    fn suspect_key(&self, task: TaskId) -> TaskId {
+    pub(super) fn suspect_key(&self, task: TaskId) -> TaskId {
         let is_gang = self.step_spec(task).is_some_and(|step| step.gang);
         TaskId { index: if is_gang { 0 } else { task.index }, ..task }
     }
@@ -232,14 +225,6 @@
     }
 }
 
-/// Returns the suspect with the most earlier crashes, and by how many it leads all others.
-fn main_suspect(suspects: &BTreeMap<TaskId, usize>) -> Option<(TaskId, usize)> {
-    let (main, most) = suspects.iter().max_by_key(|(_, crashes)| **crashes)?;
-    let others = suspects.iter().filter(|(task, _)| *task != main);
-    let most_of_others = others.map(|(_, crashes)| *crashes).max().unwrap_or(0);
-    Some((*main, most - most_of_others))
-}
-
 /// Returns whether a task with so many crashes is placed apart from other such tasks. A crash would
 /// not tell which of them is at fault.
 ///
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
@@ -0,0 +1,51 @@
+//! Which task is suspected most of having crashed a minion.
+
+use std::collections::BTreeMap;
+
+use super::Coordinator;
+use super::young_run::YoungRun;
+use crate::TaskId;
+
+/// The task that is suspected most of having crashed a minion.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct MainSuspect {
+    pub(super) task: TaskId,
+    /// By how much the suspicion of this task exceeds that of all others on the minion.
+    pub(super) lead: usize,
+}
+
+impl Coordinator {
+    /// Returns how strongly each task with earlier crashes is suspected of the crash that ended these
+    /// runs.
+    pub(super) fn suspicions(&self, young: &[YoungRun]) -> BTreeMap<TaskId, usize> {
+        let mut suspicions = BTreeMap::new();
+        for run in young {
+            let key = self.suspect_key(run.task);
+            // The crashes of a job that was given up are forgotten with its last run.
+            let suspicion = if self.open_jobs.contains(&key.job) {
+                self.suspicion(run.task)
+            } else {
+                run.suspicion
+            };
+            if suspicion > 0 {
+                let strongest = suspicions.entry(key).or_insert(0);
+                *strongest = suspicion.max(*strongest);
+            }
+        }
+        suspicions
+    }
+
+    /// Returns how strongly a task is suspected of a crash that ends its present run: by the number of
+    /// its earlier crashes.
+    pub(super) fn suspicion(&self, task: TaskId) -> usize {
+        self.crash_count(task)
+    }
+}
+
+/// Returns the task that is suspected most.
+pub(super) fn main_suspect(suspicions: &BTreeMap<TaskId, usize>) -> Option<MainSuspect> {
+    let (main, most) = suspicions.iter().max_by_key(|(_, suspicion)| **suspicion)?;
+    let others = suspicions.iter().filter(|(task, _)| *task != main);
+    let most_of_others = others.map(|(_, suspicion)| *suspicion).max().unwrap_or(0);
+    Some(MainSuspect { task: *main, lead: most - most_of_others })
+}
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -18,6 +18,7 @@
 mod lease_basis;
 mod leases;
 mod longest_wait;
+mod main_suspect;
 mod measurements;
 mod minion;
 mod minion_lifecycle;
--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -24,6 +24,8 @@
     /// Time since the run was first known to have started, in milliseconds; `None` if its start is
     /// not known.
     since_start_ms: Option<u64>,
+    /// How strongly the task was suspected of a crash that ended the run, when the run ended.
+    pub(super) suspicion: usize,
 }
 
 impl Run {
@@ -61,6 +63,7 @@
                 number: run.number,
                 is_at_start: run.is_at_start(),
                 since_start_ms: run.started_ms.map(|at_ms| now.steady_ms.saturating_sub(at_ms)),
+                suspicion: self.suspicion(*task),
             })
             .collect();
         young.sort_by_key(|run| run.since_start_ms);
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -105,6 +105,12 @@
         self.submit_unchecked(task.job.0, step, duration_ms);
     }
 
+    /// Submits a job of which each of these tasks crashes its minion at once.
+    pub fn submit_poisons(&mut self, tasks: &[TaskId], step: StepSpec) {
+        self.poisons.extend(tasks.iter().map(|task| (*task, 0)));
+        self.submit_poison(tasks[0], step, 0);
+    }
+
     fn submit_unchecked(&mut self, job: u64, step: StepSpec, duration_ms: u64) {
         if duration_ms > 0 && !step.persistent {
             self.durations_ms.insert(JobId(job), duration_ms);
