fix(batch): suspect a task that has just started before one that has worked

Cause: where two tasks with equally many crashes share a minion, neither has a lead and nobody is given up. Suspects start one after the other, about 1.2 s apart, so that a crash 10 ms after the start of the crashing one also counts for the persistent task that has worked for a second; both go on until the fifth crash, which gives up either.

Change: a task is suspected one crash more if all of its crashes met runs in the same stage as the present one, at the start or later.

--- a/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
+++ b/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
@@ -4,7 +4,7 @@
 
 use super::Coordinator;
 use super::young_run::YoungRun;
-use crate::TaskId;
+use crate::{TaskCrashes, TaskId};
 
 /// The task that is suspected most of having crashed a minion.
 #[derive(Debug, Clone, Copy)]
@@ -23,7 +23,7 @@
             let key = self.suspect_key(run.task);
             // The crashes of a job that was given up are forgotten with its last run.
             let suspicion = if self.open_jobs.contains(&key.job) {
-                self.suspicion(run.task)
+                self.suspicion(run.task, run.is_at_start)
             } else {
                 run.suspicion
             };
@@ -35,13 +35,26 @@
         suspicions
     }
 
-    /// Returns how strongly a task is suspected of a crash that ends its present run: by the number of
-    /// its earlier crashes.
-    pub(super) fn suspicion(&self, task: TaskId) -> usize {
-        self.crash_count(task)
+    /// Returns how strongly a task is suspected of a crash that ends its present run; 0 without
+    /// earlier crashes.
+    pub(super) fn suspicion(&self, task: TaskId, is_at_start: bool) -> usize {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        let crashes = job.record.crashes.get(&self.suspect_key(task));
+        crashes.map_or(0, |crashes| suspicion(crashes, is_at_start))
     }
 }
 
+/// Returns the number of a task's crashes, and one more if all of them met runs in the same stage as
+/// this one: at their start, or later.
+///
+/// Of two tasks that were suspected equally often, the one that has worked for a while is seldom at
+/// fault if it met all earlier crashes at its start.
+fn suspicion(crashes: &TaskCrashes, is_at_start: bool) -> usize {
+    let (count, at_start) = (crashes.runs.len(), crashes.at_start as usize);
+    let in_same_stage = if is_at_start { at_start } else { count.saturating_sub(at_start) };
+    count + usize::from(count > 0 && in_same_stage == count)
+}
+
 /// Returns the task that is suspected most.
 pub(super) fn main_suspect(suspicions: &BTreeMap<TaskId, usize>) -> Option<MainSuspect> {
     let (main, most) = suspicions.iter().max_by_key(|(_, suspicion)| **suspicion)?;
--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -63,7 +63,7 @@
                 number: run.number,
                 is_at_start: run.is_at_start(),
                 since_start_ms: run.started_ms.map(|at_ms| now.steady_ms.saturating_sub(at_ms)),
-                suspicion: self.suspicion(*task),
+                suspicion: self.suspicion(*task, run.is_at_start()),
             })
             .collect();
         young.sort_by_key(|run| run.since_start_ms);
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_siblings.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_siblings.rs
@@ -54,3 +54,10 @@
 fn crash_of_a_sibling_of_a_task_that_was_given_up_is_put_down_to_nobody_else() {
     assert_eq!(failed_healthy_jobs(5..15), []);
 }
+
+/// Guards against a healthy task that is given up because it ties with a crashing one: both were
+/// suspected equally often, but one has just started and the other has worked for a second.
+#[test]
+fn task_that_just_started_is_suspected_before_one_that_has_worked() {
+    assert_eq!(failed_healthy_jobs(15..36), []);
+}
