--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -18,6 +18,7 @@
 mod lease_basis;
 mod leases;
 mod longest_wait;
+mod main_suspect;
 mod measurements;
 mod minion;
 mod minion_lifecycle;
@@ -29,6 +30,7 @@
 mod predecessor_leases;
 mod recent_crashes;
 mod rejection;
+mod report_waits;
 mod run;
 mod run_ends;
 mod serving_tasks;
@@ -87,6 +89,8 @@
     agents: HashMap<Name, Agent>,
     /// Latest crashes of any minions.
     crashes: RecentCrashes,
+    /// Latest crashes of minions on which no known suspect had just begun.
+    unexplained_crashes: RecentCrashes,
     /// Terminated minions whose termination the stored records do not contain yet.
     departures: BTreeMap<Name, Departure>,
     batches: HashMap<u64, PendingBatch>,
@@ -142,6 +146,7 @@
             minions: BTreeMap::new(),
             agents: HashMap::new(),
             crashes: RecentCrashes::default(),
+            unexplained_crashes: RecentCrashes::default(),
             departures: BTreeMap::new(),
             batches: HashMap::new(),
             next_batch_number: 1,
--- a/crates/geraniumpost/src/agent/context.rs
+++ b/crates/geraniumpost/src/agent/context.rs
@@ -130,7 +130,7 @@
         let mut before = self.minion_limits.lock().unwrap_or_else(PoisonError::into_inner);
         if *before != (connections, max_answer_bytes) {
             *before = (connections, max_answer_bytes);
-            let minion = Minion::new(address, connections).max_answer(max_answer_bytes);
+            let minion = Minion::new(address, connections).max_response_bytes(max_answer_bytes);
             self.minion.store(Some(Arc::new(minion)));
         }
     }
--- a/crates/geraniumpost/src/datagram_socket.rs
+++ b/crates/geraniumpost/src/datagram_socket.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use eyre::{Result, WrapErr};
-use geraniumpost_net::{MAX_DATAGRAM, NetError, SharedKey, open_datagram, seal_datagram};
+use geraniumpost_net::{MAX_DATAGRAM_BYTES, NetError, SharedKey, open_datagram, seal_datagram};
 use geraniumpost_schema::Datagram;
 use tokio::net::UdpSocket;
 
@@ -37,7 +37,7 @@
     /// Receives the next datagram and its sender's address. A datagram that cannot be opened with
     /// the shared key is an `Err`, so that the caller can count it.
     pub async fn receive(&self) -> (SocketAddr, Result<Datagram, NetError>) {
-        let mut buf = [0; MAX_DATAGRAM];
+        let mut buf = [0; MAX_DATAGRAM_BYTES];
         loop {
             // An error reports that an earlier datagram was not delivered, which is harmless.
             if let Ok((len, from)) = self.socket.recv_from(&mut buf).await {
