fix(batch): let persistent suspects wait longer after three crashes

What callers would see: a persistent task that crashes minions is started three times after its third crash, if minions are down for 9.4 s or more.

Cause: a persistent suspect waits 2 s for the report on its minion, and each start after that comes before the last crash is counted. After three counted crashes only two more starts are allowed, so that a start that does not count breaks the limit.

Change: from three crashes on, a persistent task waits up to 10 s as any other. A healthy one hardly ever gets there.

From two crashes on it would also hold, but healthy persistent tasks would be down for longer.

--- a/crates/geraniumpost-batch/src/coordinator/report_waits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/report_waits.rs
@@ -18,6 +18,9 @@
 const MAX_WAIT_MS: u64 = 3_000;
 /// The same after more crashes, in milliseconds. Hardly any healthy task meets several.
 const MAX_ISOLATED_WAIT_MS: u64 = 10_000;
+/// Number of crashes from which a persistent task waits as long as any other. Only two more starts
+/// are allowed, so that each has to count.
+const LIMITED_CRASHES: usize = 3;
 /// Maximum time for which a suspect waits for a minion without other suspects, in milliseconds. Most
 /// of the others are short, or start where the minion that was down is back.
 const MAX_LONE_START_WAIT_MS: u64 = 2_000;
@@ -34,11 +37,7 @@
             return 0;
         }
         let persistent = self.step_spec(task).is_some_and(|step| step.persistent);
-        let max_wait_ms = match (persistent, must_be_isolated(crashes)) {
-            (true, _) => MAX_PERSISTENT_WAIT_MS,
-            (false, false) => MAX_WAIT_MS,
-            (false, true) => MAX_ISOLATED_WAIT_MS,
-        };
+        let max_wait_ms = max_wait_ms(crashes, persistent);
         let lost_run = |minion: &&Minion| minion.expired_runs.iter().any(|run| run.task == task);
         let is_due = |minion: &&Minion| minion.linked && self.is_agent_heard(&minion.agent, now);
         let minions = self.minions.values().filter(lost_run).filter(is_due);
@@ -73,3 +72,13 @@
         must_start_alone && minion.runs.iter().any(is_other_suspect)
     }
 }
+
+const fn max_wait_ms(crashes: usize, persistent: bool) -> u64 {
+    if persistent && crashes < LIMITED_CRASHES {
+        MAX_PERSISTENT_WAIT_MS
+    } else if must_be_isolated(crashes) {
+        MAX_ISOLATED_WAIT_MS
+    } else {
+        MAX_WAIT_MS
+    }
+}
--- a/crates/geraniumpost-batch/tests/coordinator/late_crash_reports.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/late_crash_reports.rs
@@ -23,6 +23,8 @@
 const SETTLE_MS: u64 = 60_000;
 /// Maximum number of crashes of a task: three, and two more starts.
 const MAX_CRASHES: usize = 5;
+/// Maximum number of starts of a task after its third crash.
+const MAX_LATER_STARTS: usize = 2;
 const SEEDS: u64 = 20;
 /// Time until the lease of a minion that no longer responds has expired and its tasks are placed
 /// again, in milliseconds.
@@ -72,7 +74,7 @@
     let failed_jobs = fleet.failed_healthy_jobs();
     let is_right = (is_failed_in_time || !is_timed && is_failed)
         && crashes <= MAX_CRASHES
-        && starts <= MAX_CRASHES - 3
+        && starts <= MAX_LATER_STARTS
         && failed_jobs.is_empty();
     (!is_right).then(|| {
         format!(
@@ -120,6 +122,53 @@
     assert_no_violation(cases.map(|case| violation(case, persistent_step(1), false)));
 }
 
+/// Guards against persistent tasks that start again before minions which are down for 10 s or more
+/// are reported, and whose crashes are counted too late.
+#[test]
+fn limit_holds_for_random_tasks_and_downtimes() {
+    let violations = (80..100).map(|seed| {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = CrashingFleet::new(rng.random_range(3..14));
+        fleet.down_ms = rng.random_range(50..130) * 100;
+        fleet.lost_responses = rng.random_bool(0.3);
+        fleet.submit(PERSISTENT_JOB, persistent_step(10), 0);
+        fleet.submit(2, step(10), 20_000);
+        fleet.advance(6_000);
+        let poisons = submit_random_poisons(&mut fleet, &mut rng);
+        for number in 0..120 {
+            fleet.submit(FIRST_SHORT_JOB + number, step(4), rng.random_range(3..40) * 100);
+            fleet.advance(1_000);
+        }
+        let is_failed = |task: &TaskId| fleet.cluster.job_state(task.job.0) == FAILED;
+        let all_failed = poisons.iter().all(is_failed);
+        let starts = poisons.iter().map(|task| fleet.starts_after_third_crash(*task)).max();
+        let failed_jobs = fleet.failed_healthy_jobs();
+        let is_right = all_failed && starts <= Some(MAX_LATER_STARTS) && failed_jobs.is_empty();
+        (!is_right).then(|| {
+            format!(
+                "seed {seed}, down {} ms: all failed {all_failed}, {starts:?} starts after the \
+                 third crash, healthy jobs failed {failed_jobs:?}",
+                fleet.down_ms
+            )
+        })
+    });
+    assert_no_violation(violations);
+}
+
+/// Submits up to three jobs with a task that crashes minions, some of them persistent.
+fn submit_random_poisons(fleet: &mut CrashingFleet, rng: &mut StdRng) -> Vec<TaskId> {
+    let mut poisons = Vec::new();
+    for job in 0..rng.random_range(1..4) {
+        let count = rng.random_range(1..5);
+        let poison = task(100 + job, 0, rng.random_range(0..count));
+        let kind = if rng.random_bool(0.2) { persistent_step(count) } else { step(count) };
+        fleet.submit_poison(poison, kind, rng.random_range(0..41) * 100);
+        fleet.advance(rng.random_range(0..30) * 100);
+        poisons.push(poison);
+    }
+    poisons
+}
+
 /// Returns a fleet with a task that one minion has crashed under, and that runs again.
 fn fleet_with_suspect(spec: StepSpec) -> CrashingFleet {
     let mut fleet = CrashingFleet::new(3);
