fix(batch): isolate no suspect for crashes of a task that was given up

Cause: a crash in a burst of wide jobs makes hundreds of tasks suspect. Those with three crashes start one at a time on each minion, also when the task at fault has been given up since, and no further crash can be put down to it.

Change: the coordinator remembers which runs the latest crashes ended. When a task is given up, the crashes that met it, and those that met siblings with three crashes of their own, are explained. Explained crashes count no more for isolation and for the choice of a minion. They still count towards giving a task up, so that the limit of starts does not change.

Conclusion: suspects wait for each other only while somebody is at fault. A successor does not know earlier crashes, and isolates as before.

--- a/crates/geraniumpost-batch/src/coordinator/commits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -58,6 +58,7 @@
         for id in batch.removed {
             self.jobs.remove(&id);
             self.tasks_given_up.retain(|task| task.job != id);
+            self.explained_crashes.remove_job(id);
         }
         self.acknowledge_ends();
         self.report_recorded_departures();
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -24,7 +24,7 @@
 const MAX_QUEUED_SUSPECTS: usize = 2;
 /// Number of crashes soon after its starts at which a task is given up, if the last one can be put
 /// down to it.
-const MAX_CRASHES_AT_START: usize = 3;
+pub(super) const MAX_CRASHES_AT_START: usize = 3;
 /// Number of crashes at which a task is given up, if the last one can be put down to it.
 const MAX_CERTAIN_CRASHES: usize = 4;
 /// Number of crashes at which a task is given up in any case.
@@ -66,6 +66,7 @@
             // A run of a task that was given up meanwhile explains the crash.
             return;
         }
+        self.record_crashed_runs(young);
         let suspects = self.suspicions(young);
         let main_suspect = main_suspect(&suspects);
         self.crashes.add(now.steady_ms);
@@ -95,6 +96,7 @@
             if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
                 self.log(format!("decision=fail job={} task={task} crashes={crashes}", task.job));
                 self.tasks_given_up.insert(self.suspect_key(task));
+                self.explain_crashes_by(task);
                 self.finish_job(task.job, JobState::Failed, now);
             }
         }
@@ -184,7 +186,7 @@
             self.suspect_key(**other) != key
                 && self.runs.get(*other).is_some_and(super::Run::is_at_start)
         });
-        let others = others.map(|other| self.crash_count(*other));
+        let others = others.map(|other| self.unexplained_crash_count(*other));
         let others: Vec<usize> = others.filter(|crashes| must_be_isolated(*crashes)).collect();
         let most = others.iter().copied().fold(crashes, usize::max);
         let max_others = if most > ISOLATED_CRASHES { 1 } else { self.max_isolated_per_minion };
@@ -198,9 +200,8 @@
     /// minutes. In groups, the next crash leaves only one group under suspicion, and its tasks are
     /// then started one by one.
     pub(super) fn update_isolation_limit(&mut self) {
-        let crashes = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
-        let crashes = crashes.flat_map(|job| job.record.crashes.values());
-        let isolated = crashes.filter(|crashes| must_be_isolated(crashes.runs.len())).count();
+        let crashes = self.unexplained_crash_counts();
+        let isolated = crashes.filter(|crashes| must_be_isolated(*crashes)).count();
         let minions = self.minions.values().filter(|minion| minion.linked && minion.responsive);
         self.max_isolated_per_minion =
             isolated.div_ceil(minions.count().max(1) * MAX_QUEUED_SUSPECTS).max(1);
@@ -218,7 +219,11 @@
         }
         let of_agent = self.agents.get(&minion.agent).map(|agent| &agent.crashes);
         SuspectPenalty {
-            suspects: minion.runs.iter().filter(|other| self.crash_count(**other) > 0).count(),
+            suspects: minion
+                .runs
+                .iter()
+                .filter(|other| self.unexplained_crash_count(**other) > 0)
+                .count(),
             recent_crashes: of_agent.map_or(0, |crashes| crashes.count(now.steady_ms)),
             runs: minion.runs.len(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -22,12 +22,14 @@
     terms: &'a QueueTerms,
     /// Whether the task ran before, in which case it may use the reserve for short tasks.
     ran_before: bool,
-    /// Number of minions that have crashed under the task since it was last cleared.
+    /// Number of minions that have crashed under the task since it was last cleared, without crashes
+    /// that are put down to other tasks.
     crashes: usize,
 }
 
 impl TaskRequirements<'_> {
-    /// Returns how many minions have crashed under the task since it was last cleared.
+    /// Returns how many minions have crashed under the task since it was last cleared, without crashes
+    /// that are put down to other tasks.
     pub(super) const fn crashes(&self) -> usize {
         self.crashes
     }
@@ -42,7 +44,7 @@
     ) -> Option<TaskRequirements<'a>> {
         let terms = &self.jobs.get(&task.job)?.record.terms;
         let ran_before = self.task_record(task).is_some_and(|record| record.run > 0);
-        let crashes = self.crash_count(task);
+        let crashes = self.unexplained_crash_count(task);
         Some(TaskRequirements { task, spec, terms, ran_before, crashes })
     }
 
--- /dev/null
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -0,0 +1,99 @@
+//! Crashes that are put down to tasks which were given up.
+//!
+//! A crash makes all that had begun on the minion suspect, often hundreds of tasks. Once a task is
+//! given up for it, the others need no isolation for it any more; they would run one after the other
+//! for minutes. Their counts stay, so that this affects only where and when tasks are placed.
+
+use std::collections::BTreeSet;
+
+use super::Coordinator;
+use super::crashes::MAX_CRASHES_AT_START;
+use super::young_run::YoungRun;
+use crate::{JobId, TaskCrashes, TaskId};
+
+/// Maximum number of remembered crashes. A task is given up after a few.
+const MAX_REMEMBERED_CRASHES: usize = 32;
+
+/// A run that a crash ended: the task under which the crash is counted, and the run's number.
+type CrashedRun = (TaskId, u32);
+
+#[derive(Debug, Default)]
+pub(super) struct ExplainedCrashes {
+    /// The runs that each of the latest crashes ended, oldest crash first.
+    latest: Vec<Vec<CrashedRun>>,
+    /// Tasks of jobs that were given up, and that are suspected strongly of having crashed minions.
+    culprits: BTreeSet<TaskId>,
+    /// Runs ended by a crash that is put down to a culprit.
+    explained: BTreeSet<CrashedRun>,
+}
+
+impl ExplainedCrashes {
+    fn record(&mut self, runs: Vec<CrashedRun>) {
+        if self.latest.len() == MAX_REMEMBERED_CRASHES {
+            self.latest.remove(0);
+        }
+        self.latest.push(runs);
+        self.explain();
+    }
+
+    fn add_culprits(&mut self, tasks: impl IntoIterator<Item = TaskId>) {
+        self.culprits.extend(tasks);
+        self.explain();
+    }
+
+    fn explain(&mut self) {
+        let is_explained =
+            |runs: &Vec<CrashedRun>| runs.iter().any(|(task, _)| self.culprits.contains(task));
+        let explained = self.latest.extract_if(.., |runs| is_explained(runs));
+        self.explained.extend(explained.flatten());
+    }
+
+    /// Returns how many crashes of a task are not explained.
+    fn unexplained_count(&self, task: TaskId, crashes: &TaskCrashes) -> usize {
+        let is_explained = |run: &&u32| self.explained.contains(&(task, **run));
+        crashes.runs.len() - crashes.runs.iter().filter(is_explained).count()
+    }
+
+    /// Forgets a removed job.
+    pub(super) fn remove_job(&mut self, job: JobId) {
+        self.culprits.retain(|task| task.job != job);
+        self.explained.retain(|(task, _)| task.job != job);
+    }
+}
+
+impl Coordinator {
+    /// Remembers which runs a crash ended.
+    pub(super) fn record_crashed_runs(&mut self, young: &[YoungRun]) {
+        let runs = young.iter().map(|run| (self.suspect_key(run.task), run.number)).collect();
+        self.explained_crashes.record(runs);
+    }
+
+    /// Puts the latest crashes down to a task that is given up, and to those of its siblings that are
+    /// suspected strongly as well. The job is finished only after this call, which drops its counts.
+    pub(super) fn explain_crashes_by(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let is_culprit = |crashes: &TaskCrashes| crashes.runs.len() >= MAX_CRASHES_AT_START;
+        let siblings = job.record.crashes.iter().filter(|(_, crashes)| is_culprit(crashes));
+        let siblings = siblings.map(|(sibling, _)| *sibling);
+        self.explained_crashes.add_culprits(siblings.chain([self.suspect_key(task)]));
+    }
+
+    /// Returns how many minions have crashed under a task since it was last cleared, without crashes
+    /// that are put down to tasks which were given up.
+    pub(super) fn unexplained_crash_count(&self, task: TaskId) -> usize {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        if job.record.crashes.is_empty() {
+            return 0;
+        }
+        let key = self.suspect_key(task);
+        let crashes = job.record.crashes.get(&key);
+        crashes.map_or(0, |crashes| self.explained_crashes.unexplained_count(key, crashes))
+    }
+
+    /// Returns the numbers of unexplained crashes of all tasks of open jobs that have any crashes.
+    pub(super) fn unexplained_crash_counts(&self) -> impl Iterator<Item = usize> {
+        let jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
+        let crashes = jobs.flat_map(|job| &job.record.crashes);
+        crashes.map(|(key, crashes)| self.explained_crashes.unexplained_count(*key, crashes))
+    }
+}
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 mod draining;
 mod effect;
 mod eligibility;
+mod explained_crashes;
 mod headroom;
 mod held_room;
 mod job;
@@ -55,6 +56,7 @@
 use approvals::Approvals;
 use commits::PendingBatch;
 use departures::Departure;
+use explained_crashes::ExplainedCrashes;
 use job::Job;
 use lease_basis::EntrySupport;
 use minion::Minion;
@@ -116,6 +118,8 @@
     unplaceable: BTreeMap<(Name, Name), crate::Demand>,
     /// Tasks that were given up for their crashes, until their jobs are removed; of a gang the first.
     tasks_given_up: BTreeSet<TaskId>,
+    /// Crashes that are put down to tasks which were given up.
+    explained_crashes: ExplainedCrashes,
     /// Maximum number of tasks under which two minions have crashed that a minion starts at the same
     /// time.
     max_isolated_per_minion: usize,
@@ -158,6 +162,7 @@
             interference_written_ms: now.steady_ms,
             unplaceable: BTreeMap::new(),
             tasks_given_up: BTreeSet::new(),
+            explained_crashes: ExplainedCrashes::default(),
             max_isolated_per_minion: 1,
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -133,7 +133,7 @@
                 break;
             }
             let Some(minion) = self.choose_minion(task, &spec, rack.as_ref(), now) else {
-                if must_be_isolated(self.crash_count(task)) && !spec.gang {
+                if must_be_isolated(self.unexplained_crash_count(task)) && !spec.gang {
                     // The others may be placed beside what this one must not be placed beside.
                     continue;
                 }
@@ -146,8 +146,9 @@
             placed.push(task);
         }
         // A suspect that has to be isolated waits for its turn and not for resources.
-        let waits_for_room =
-            |task: &&TaskId| !placed.contains(*task) && !must_be_isolated(self.crash_count(**task));
+        let waits_for_room = |task: &&TaskId| {
+            !placed.contains(*task) && !must_be_isolated(self.unexplained_crash_count(**task))
+        };
         let unplaced: Vec<TaskId> = waiting.iter().filter(waits_for_room).copied().collect();
         let needs_approval = self.jobs.get(&id).is_some_and(|job| job.record.terms.needs_approval);
         if needs_approval && placed.len() < wanted {
