fix(batch): let explained crashes make nobody the main suspect

Cause: when a task is given up, healthy tasks that shared its minions keep the same number of crashes. If a sibling of that task with one crash of its own then crashes the minion of such a healthy task, the healthy one has the lead and is given up at its fourth crash.

Change: the suspicion of a task counts only crashes that no task explains which was given up. The fifth crash gives a task up in any case, as before.

Measured: explained_crashes_make_nobody_the_main_suspect plays this sequence; the healthy job was shown as failed before, and runs on now.

Conclusion: a healthy task is no longer given up by lead for crashes that are put down to somebody else.

--- a/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
+++ b/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
@@ -4,7 +4,7 @@
 
 use super::Coordinator;
 use super::young_run::YoungRun;
-use crate::{TaskCrashes, TaskId};
+use crate::TaskId;
 
 /// The task that is suspected most of having crashed a minion.
 #[derive(Debug, Clone, Copy)]
@@ -35,24 +35,30 @@
         suspicions
     }
 
-    /// Returns how strongly a task is suspected of a crash that ends its present run; 0 without
-    /// earlier crashes.
+    /// Returns how strongly a task is suspected of a crash that ends its present run: the number of
+    /// its earlier crashes that are not explained, and one more if all of its crashes met runs in the
+    /// same stage as this one, at their start or later.
+    ///
+    /// Of two tasks that were suspected equally often, the one that has worked for a while is seldom
+    /// at fault if it met all earlier crashes at its start.
     pub(super) fn suspicion(&self, task: TaskId, is_at_start: bool) -> usize {
-        let Some(job) = self.jobs.get(&task.job) else { return 0 };
-        let crashes = job.record.crashes.get(&self.suspect_key(task));
-        crashes.map_or(0, |crashes| suspicion(crashes, is_at_start))
+        let unexplained = self.unexplained_crash_count(task);
+        if unexplained == 0 {
+            return 0;
+        }
+        unexplained + usize::from(self.met_crashes_in_stage(task, is_at_start))
     }
-}
 
-/// Returns the number of a task's crashes, and one more if all of them met runs in the same stage as
-/// this one: at their start, or later.
-///
-/// Of two tasks that were suspected equally often, the one that has worked for a while is seldom at
-/// fault if it met all earlier crashes at its start.
-fn suspicion(crashes: &TaskCrashes, is_at_start: bool) -> usize {
-    let (count, at_start) = (crashes.runs.len(), crashes.at_start as usize);
-    let in_same_stage = if is_at_start { at_start } else { count.saturating_sub(at_start) };
-    count + usize::from(count > 0 && in_same_stage == count)
+    /// Returns whether all crashes of a task met runs at their start, or all met later runs.
+    fn met_crashes_in_stage(&self, task: TaskId, is_at_start: bool) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let crashes = job.record.crashes.get(&self.suspect_key(task));
+        crashes.is_some_and(|crashes| {
+            let (count, at_start) = (crashes.runs.len(), crashes.at_start as usize);
+            let in_stage = if is_at_start { at_start } else { count.saturating_sub(at_start) };
+            in_stage == count
+        })
+    }
 }
 
 /// Returns the task that is suspected most.
--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -0,0 +1,58 @@
+//! Crashes that are put down to a task which was given up.
+
+use geraniumpost_batch::{CallerResponse, FromAgent, JobState, MinionInfo, StepSpec};
+use geraniumpost_schema::Name;
+
+use crate::cluster::{Cluster, step};
+
+/// Job whose first task crashes minions labelled `a`, and whose second one those labelled `b`.
+const CRASHING_JOB: u64 = 100;
+/// Healthy job of eight tasks that run on minions labelled `h`.
+const HEALTHY_JOB: u64 = 1;
+/// Time after which tasks that were lost with their minion are placed again, in milliseconds.
+const BACKOFF_MS: u64 = 1_000;
+
+fn labelled_step(count: u32, label: &str) -> StepSpec {
+    StepSpec { required_label: label.into(), ..step(count) }
+}
+
+fn join(cluster: &mut Cluster, minion: &str, labels: &[&str]) {
+    let labels: Vec<Name> = labels.iter().map(|label| (*label).into()).collect();
+    cluster.join(minion, |info| MinionInfo { labels: labels.clone(), ..info });
+    cluster.advance(BACKOFF_MS);
+    cluster.carry_out_orders();
+}
+
+fn crash(cluster: &mut Cluster, minion: &str) {
+    cluster.running.remove(&Name::from(minion));
+    cluster.send(minion, FromAgent::MinionTerminated { minion: minion.into(), crashed: true });
+}
+
+/// Guards against a healthy task that is given up for crashes of another one: three minions have crashed
+/// under both, the other one is given up, and a sibling of that one with a single crash crashes the
+/// minion of the healthy task.
+#[test]
+fn explained_crashes_make_nobody_the_main_suspect() {
+    let mut cluster = Cluster::new();
+    join(&mut cluster, "m1-1", &["a", "h"]);
+    join(&mut cluster, "m2-1", &["b"]);
+    cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a"), labelled_step(1, "b")]);
+    cluster.submit(HEALTHY_JOB, vec![labelled_step(8, "h")]);
+    cluster.carry_out_orders();
+    crash(&mut cluster, "m2-1");
+    crash(&mut cluster, "m1-1");
+    join(&mut cluster, "m1-2", &["a", "h"]);
+    crash(&mut cluster, "m1-2");
+    join(&mut cluster, "m1-3", &["a", "h"]);
+    crash(&mut cluster, "m1-3");
+    join(&mut cluster, "m1-4", &["a"]);
+    join(&mut cluster, "m2-2", &["b", "h"]);
+    assert_eq!(cluster.running_tasks().len(), 3, "both crashing tasks and one suspect run");
+    cluster.heartbeat_with_unresponsive_minion("m2-2");
+    crash(&mut cluster, "m1-4");
+    let failed = CallerResponse::State(JobState::Failed);
+    assert_eq!(cluster.job_state(CRASHING_JOB), failed, "four minions have crashed");
+    crash(&mut cluster, "m2-2");
+    let running = CallerResponse::State(JobState::Running);
+    assert_eq!(cluster.job_state(HEALTHY_JOB), running);
+}
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -11,6 +11,7 @@
 mod diagnostic_logs;
 mod draining;
 mod duplicate_orders;
+mod explained_crashes;
 mod job_guarantees;
 mod leases;
 mod longest_wait;
