--- a/crates/geraniumpost-batch/src/coordinator/report_waits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/report_waits.rs
@@ -1,8 +1,8 @@
 //! Suspects whose last run ended with an expired lease, and that wait for the agent's report.
 //!
-//! A crash is reported when the next incarnation responds, which may be later than the expiry of the
-//! lease. A task that was started again in between would crash another minion before the last crash
-//! is counted. Suspects therefore wait for the report, for a limited time.
+//! A crash is reported when the next incarnation responds, which may be later than the expiry of
+//! the lease. A task that was started again in between would crash another minion before the last
+//! crash is counted. Suspects therefore wait for the report, for a limited time.
 
 use super::Coordinator;
 use super::crashes::must_be_isolated;
@@ -13,24 +13,24 @@
 /// Maximum time from the expiry of the lease for which a persistent task waits for the report, in
 /// milliseconds. Its users notice its absence, and the lease has taken more than 6 s.
 const MAX_PERSISTENT_WAIT_MS: u64 = 2_000;
-/// Maximum time for which any other task waits for the report after one crash, in milliseconds. With
-/// the lease this covers a downtime of 9 s.
+/// Maximum time for which any other task waits for the report after one crash, in milliseconds.
+/// With the lease this covers a downtime of 9 s.
 const MAX_WAIT_MS: u64 = 3_000;
 /// The same after more crashes, in milliseconds. Hardly any healthy task meets several.
 const MAX_ISOLATED_WAIT_MS: u64 = 10_000;
 /// Number of crashes from which a persistent task waits as long as any other. Only two more starts
 /// are allowed, so that each has to count.
 const LIMITED_CRASHES: usize = 3;
-/// Maximum time for which a suspect waits for a minion without other suspects, in milliseconds. Most
-/// of the others are short, or start where the minion that was down is back.
+/// Maximum time for which a suspect waits for a minion without other suspects, in milliseconds.
+/// Most of the others are short, or start where the minion that was down is back.
 const MAX_LONE_START_WAIT_MS: u64 = 2_000;
 
 impl Coordinator {
-    /// Returns for how long a task is not placed yet, in milliseconds, because a report on the minion
-    /// of its last run is due; 0 if the task does not wait for a report.
+    /// Returns for how long a task is not placed yet, in milliseconds, because a report on the
+    /// minion of its last run is due; 0 if the task does not wait for a report.
     ///
-    /// The wait ends earlier if the report arrives or the minion responds again, since its young runs
-    /// are forgotten then, and if the agent is silent as well.
+    /// The wait ends earlier if the report arrives or the minion responds again, since its young
+    /// runs are forgotten then, and if the agent is silent as well.
     pub(super) fn remaining_report_wait_ms(&self, task: TaskId, now: Now) -> u64 {
         let crashes = self.crash_count(task);
         if crashes == 0 {
--- a/crates/geraniumpost-batch/tests/coordinator/late_crash_reports.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/late_crash_reports.rs
@@ -109,7 +109,8 @@
 }
 
 /// Guards against starts beyond the limit, and a healthy persistent job that is given up, if all
-/// minions have crashed: persistent tasks stay suspects for seconds, and not every start can be alone.
+/// minions have crashed: persistent tasks stay suspects for seconds, and not every start can be
+/// alone.
 #[test]
 fn limit_holds_beside_persistent_tasks_on_two_minions() {
     assert_no_violation(cases(2, 4).map(|case| violation(case, step(1), false)));
