refactor(xtask): reword the crate and its tests; name arguments, fixtures and errors

The crate called command-line arguments words, its test fixtures victims and sore, and its errors Stray, Twice or NoTest, which a reader has to look up.

The test module victims becomes fixtures with the tests alpha, alpha_long and beta (before: sore, sore_too and sound; one name still contains another). Comments, error and report texts and the names of test cases are reworded; each reason stays.

Conclusion: wording only; every test asserts what it asserted before.

--- a/xtask/src/cargo.rs
+++ b/xtask/src/cargo.rs
@@ -1,16 +1,17 @@
-//! Starts cargo for the chores that build and run other crates.
+//! Starts cargo for the tasks that build and run other crates.
 
 use std::path::Path;
 use std::process::Command;
 
 use eyre::{Result, WrapErr, ensure};
 
-/// Builds the shipped binary and the bench tool in release mode and starts the latter.
+/// Builds the shipped binary, the stand-ins and the bench tool in release mode and runs the bench
+/// tool.
 ///
 /// # Errors
 ///
-/// Fails if a build fails or the chore reports that something was wrong.
-pub fn bench_tool(root: &Path, chore: &str, rest: &[String]) -> Result<()> {
+/// Fails if a build fails or the task reports a failure.
+pub fn bench_tool(root: &Path, task: &str, rest: &[String]) -> Result<()> {
     cargo(
         root,
         &[
@@ -25,7 +26,7 @@
         ],
         &[],
     )?;
-    let run = ["run", "--release", "--quiet", "-p", "geraniumpost-bench", "--", chore];
+    let run = ["run", "--release", "--quiet", "-p", "geraniumpost-bench", "--", task];
     cargo(root, &run, rest)
 }
 
@@ -34,13 +35,13 @@
 /// # Errors
 ///
 /// Fails if cargo cannot be started or reports a failure.
-pub fn cargo(root: &Path, words: &[&str], rest: &[String]) -> Result<()> {
-    let status = command(root).args(words).args(rest).status().wrap_err("starting cargo")?;
-    ensure!(status.success(), "cargo {} failed", words.join(" "));
+pub fn cargo(root: &Path, args: &[&str], rest: &[String]) -> Result<()> {
+    let status = command(root).args(args).args(rest).status().wrap_err("starting cargo")?;
+    ensure!(status.success(), "cargo {} failed", args.join(" "));
     Ok(())
 }
 
-/// Returns a call of cargo in the workspace's root that still lacks its words.
+/// Returns a cargo command in the workspace's root, without arguments.
 pub fn command(root: &Path) -> Command {
     let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
     let mut command = Command::new(cargo);
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -5,10 +5,10 @@
 use eyre::{Result, WrapErr, bail};
 use typify::{TypeSpace, TypeSpaceImpl, TypeSpacePatch, TypeSpaceSettings};
 
-/// Schema files whose definitions together make the generated module.
+/// Schema files whose definitions are translated into the generated module.
 const SOURCES: [&str; 3] = ["wire", "document", "settings"];
 
-/// Definitions that stand for a type written by hand or found in the standard library.
+/// Definitions that are mapped to a handwritten type or one of the standard library.
 const REPLACEMENTS: [(&str, &str); 4] = [
     ("Name", "crate::Name"),
     ("Label", "crate::Name"),
@@ -16,18 +16,18 @@
     ("Address", "::std::net::SocketAddr"),
 ];
 
-/// Small plain values that serve as keys or are copied, with the derives that they need for it.
-const PLAIN: [(&str, &[&str]); 3] = [
+/// Small types that serve as keys or are copied, with the additional derives that this requires.
+const ADDITIONAL_DERIVES: [(&str, &[&str]); 3] = [
     ("RequestId", &["Copy", "Eq", "PartialOrd", "Ord", "Hash"]),
     ("Resources", &["Copy", "Eq", "Hash", "Default"]),
     ("Load", &["Copy", "Eq", "Default"]),
 ];
 
-/// Constraints that a validator checks against the schema before a value is read, so that the
-/// generated types need no wrapper for each of them.
+/// Constraints that a validator checks against the schema before a value is deserialized, so that
+/// the generated types need no wrapper types for them.
 const CHECKED_ELSEWHERE: [&str; 5] = ["pattern", "minLength", "minimum", "maximum", "minItems"];
 
-/// Writes the generated module, or with `check` only compares it with the committed one.
+/// Writes the generated module, or with `check` only compares it to the committed one.
 ///
 /// # Errors
 ///
@@ -42,7 +42,7 @@
     if committed != code {
         bail!("generated.rs is out of date: run `cargo xtask codegen`");
     }
-    println!("generated code is current");
+    println!("generated code is up to date");
     Ok(())
 }
 
@@ -55,7 +55,7 @@
         let impls = [TypeSpaceImpl::FromStr, TypeSpaceImpl::Display];
         settings.with_replacement(definition, rust, impls.into_iter());
     }
-    for (definition, derives) in PLAIN {
+    for (definition, derives) in ADDITIONAL_DERIVES {
         let mut patch = TypeSpacePatch::default();
         for derive in derives {
             patch.with_derive((*derive).to_owned());
@@ -65,31 +65,31 @@
     let mut space = TypeSpace::new(&settings);
     let mut merged = merged(root)?;
     let definitions = merged["definitions"].clone();
-    spell_defaults(&mut merged, &definitions);
+    expand_defaults(&mut merged, &definitions);
     strip_constraints(&mut merged);
     let schema = serde_json::from_value(merged).wrap_err("reading the merged schema")?;
     space.add_root_schema(schema).wrap_err("translating the schema")?;
     let file = syn::parse2(space.to_stream()).wrap_err("parsing the generated code")?;
-    Ok(without_embedded_schemas(&prettyplease::unparse(&file)))
+    Ok(remove_embedded_schemas(&prettyplease::unparse(&file)))
 }
 
-/// Drops the copy of its schema that each type's doc comment carries.
-fn without_embedded_schemas(code: &str) -> String {
-    let mut kept = String::with_capacity(code.len());
+/// Removes the copy of its schema from the doc comment of each type.
+fn remove_embedded_schemas(code: &str) -> String {
+    let mut output = String::with_capacity(code.len());
     let mut inside = false;
     for line in code.lines() {
         let text = line.trim_start();
         inside |= text.starts_with("/// <details>");
         if !inside {
-            kept.push_str(line);
-            kept.push('\n');
+            output.push_str(line);
+            output.push('\n');
         }
         inside &= !text.starts_with("/// </details>");
     }
-    kept
+    output
 }
 
-/// Joins the definitions of every schema file into one schema.
+/// Merges the definitions of all schema files into one schema.
 fn merged(root: &Path) -> Result<serde_json::Value> {
     let mut definitions = serde_json::Map::new();
     for source in SOURCES {
@@ -104,11 +104,11 @@
     Ok(serde_json::json!({ "definitions": definitions }))
 }
 
-/// Writes out the defaults that an empty default of a table stands for.
+/// Replaces the default `{}` of an object by the defaults of the object's properties.
 ///
-/// The generator fills a left-out table whose default is `{}` with zeros, not with the defaults of
-/// the table's own keys, so a customer without a quota could run nothing at all.
-fn spell_defaults(value: &mut serde_json::Value, definitions: &serde_json::Value) {
+/// The generator fills a missing object whose default is `{}` with zeros, not with the defaults of
+/// its properties, so a customer without a quota could run nothing at all.
+fn expand_defaults(value: &mut serde_json::Value, definitions: &serde_json::Value) {
     let name = value["$ref"].as_str().and_then(|text| text.strip_prefix("#/definitions/"));
     let target = name.map_or(&serde_json::Value::Null, |name| &definitions[name]);
     let empty = value["default"].as_object().is_some_and(serde_json::Map::is_empty);
@@ -119,12 +119,12 @@
     match value {
         serde_json::Value::Object(map) => {
             for inner in map.values_mut() {
-                spell_defaults(inner, definitions);
+                expand_defaults(inner, definitions);
             }
         }
         serde_json::Value::Array(items) => {
             for inner in items {
-                spell_defaults(inner, definitions);
+                expand_defaults(inner, definitions);
             }
         }
         _ => {}
--- a/xtask/src/known_red/entry.rs
+++ b/xtask/src/known_red/entry.rs
@@ -2,10 +2,10 @@
 
 use super::TestId;
 
-/// Details that each entry gives, in the order in which they are printed.
+/// Details of each entry, in the order in which they are printed.
 pub(super) const DETAILS: [&str; 4] = ["command", "seed", "seen", "issue"];
 
-/// One test that is known to fail, with what a reader needs to see the failure again.
+/// One test that is known to fail, with what is needed to reproduce the failure.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
     test: TestId,
@@ -13,7 +13,7 @@
 }
 
 impl Entry {
-    /// Makes an entry from a test and its details in the order of the list's comment head.
+    /// Creates an entry from a test and its details, which are in the order of [`DETAILS`].
     pub const fn new(test: TestId, details: [String; DETAILS.len()]) -> Self {
         Self { test, details }
     }
--- a/xtask/src/known_red/list.rs
+++ b/xtask/src/known_red/list.rs
@@ -7,20 +7,20 @@
 use super::entry::DETAILS;
 use super::{Entry, ListError, TestId};
 
-/// Name of the list in the workspace's root.
+/// File name of the list in the workspace's root.
 pub const FILE: &str = "KNOWN-RED.txt";
 
-/// Begins a comment.
+/// Starts a comment line.
 const COMMENT: char = '#';
 
 /// An entry whose details are still being read.
-struct Draft {
+struct PartialEntry {
     line: usize,
     test: TestId,
     details: [Option<String>; DETAILS.len()],
 }
 
-/// Reads the list in the workspace's root; one that does not exist is empty.
+/// Reads the list in the workspace's root; a missing file is an empty list.
 pub(super) fn read(root: &Path) -> Result<Vec<Entry>> {
     let text = match std::fs::read_to_string(root.join(FILE)) {
         Err(e) if e.kind() == ErrorKind::NotFound => String::new(),
@@ -29,66 +29,67 @@
     parse(&text).wrap_err(FILE)
 }
 
-/// Translates the text of a list.
+/// Parses the text of a list.
 ///
-/// Nothing is guessed: a line that is no comment, test or detail is an error, because an entry
-/// that is understood wrongly could hide another failure.
+/// A line that is not a comment, a test or a detail is an error, because a misread entry could hide
+/// another failure.
 ///
 /// # Errors
 ///
-/// Fails at the first line that cannot be read, or at an entry that is not whole.
+/// Fails at the first line that cannot be read, or at an incomplete or repeated entry.
 pub fn parse(text: &str) -> Result<Vec<Entry>, ListError> {
-    let mut drafts: Vec<Draft> = Vec::new();
+    let mut partial_entries: Vec<PartialEntry> = Vec::new();
     for (index, content) in text.lines().enumerate() {
         let line = index + 1;
         if content.trim().is_empty() || content.starts_with(COMMENT) {
             continue;
         }
         if content.starts_with(char::is_whitespace) {
-            let draft = drafts.last_mut().ok_or(ListError::Stray { line })?;
-            read_detail(draft, content, line)?;
+            let partial =
+                partial_entries.last_mut().ok_or(ListError::DetailWithoutTest { line })?;
+            read_detail(partial, content, line)?;
         } else {
-            drafts.push(read_test(content, line)?);
+            partial_entries.push(read_test(content, line)?);
         }
     }
     let mut seen = BTreeSet::new();
-    drafts.into_iter().map(|draft| finish(draft, &mut seen)).collect()
+    partial_entries.into_iter().map(|partial| finish(partial, &mut seen)).collect()
 }
 
-/// Translates the line that names a test.
-fn read_test(content: &str, line: usize) -> Result<Draft, ListError> {
+/// Parses the line that names a test.
+fn read_test(content: &str, line: usize) -> Result<PartialEntry, ListError> {
     let words: Vec<&str> = content.split_whitespace().collect();
     let [package, target, name] = words[..] else {
-        return Err(ListError::Test { line });
+        return Err(ListError::InvalidTest { line });
     };
     let test = TestId::new(package.to_owned(), target.to_owned(), name.to_owned());
-    Ok(Draft { line, test, details: Default::default() })
+    Ok(PartialEntry { line, test, details: Default::default() })
 }
 
-/// Translates the line of one detail.
-fn read_detail(draft: &mut Draft, content: &str, line: usize) -> Result<(), ListError> {
-    let (key, text) = content.split_once(':').ok_or(ListError::Detail { line })?;
+/// Parses the line of one detail.
+fn read_detail(partial: &mut PartialEntry, content: &str, line: usize) -> Result<(), ListError> {
+    let (key, text) = content.split_once(':').ok_or(ListError::InvalidDetail { line })?;
     let found = DETAILS.iter().position(|known| *known == key.trim());
-    let index = found.ok_or(ListError::Detail { line })?;
+    let index = found.ok_or(ListError::InvalidDetail { line })?;
     if text.trim().is_empty() {
-        return Err(ListError::Detail { line });
+        return Err(ListError::InvalidDetail { line });
     }
-    match draft.details[index].replace(text.trim().to_owned()) {
-        Some(_) => Err(ListError::Repeated { line }),
+    match partial.details[index].replace(text.trim().to_owned()) {
+        Some(_) => Err(ListError::DuplicateDetail { line }),
         None => Ok(()),
     }
 }
 
-/// Makes the entry, if it is whole and new.
-fn finish(draft: Draft, seen: &mut BTreeSet<TestId>) -> Result<Entry, ListError> {
-    let line = draft.line;
-    for (key, detail) in DETAILS.into_iter().zip(&draft.details) {
+/// Creates the entry if it is complete and not listed already.
+fn finish(partial: PartialEntry, seen: &mut BTreeSet<TestId>) -> Result<Entry, ListError> {
+    let line = partial.line;
+    for (key, detail) in DETAILS.into_iter().zip(&partial.details) {
         if detail.is_none() {
-            return Err(ListError::Missing { line, key });
+            return Err(ListError::MissingDetail { line, key });
         }
     }
-    if !seen.insert(draft.test.clone()) {
-        return Err(ListError::Twice { line });
+    if !seen.insert(partial.test.clone()) {
+        return Err(ListError::DuplicateTest { line });
     }
-    Ok(Entry::new(draft.test, draft.details.map(Option::unwrap_or_default)))
+    Ok(Entry::new(partial.test, partial.details.map(Option::unwrap_or_default)))
 }
--- a/xtask/src/known_red/outcome.rs
+++ b/xtask/src/known_red/outcome.rs
@@ -3,24 +3,24 @@
 /// Exit code of a test binary with a failed test, as the test library sets it.
 const TEST_FAILED: i32 = 101;
 
-/// What became of a listed test.
+/// Outcome of a listed test.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// It failed, as the list says.
+    /// The test failed, as listed.
     Failed,
-    /// It passed.
+    /// The test passed.
     Passed,
-    /// Its process ended by a signal or with an exit code that no test causes.
+    /// Its process was ended by a signal or by an exit code that a failed test does not cause.
     Crashed,
-    /// The command line does not select it.
+    /// The command line does not select the test.
     LeftOut,
 }
 
 impl Outcome {
-    /// Judges the exit code of a process that ran one test; a signal leaves none.
+    /// Converts the exit code of a process that ran one test; there is none after a signal.
     ///
-    /// A crash does not count as the listed failure: it may be another fault, which nobody has
-    /// looked into.
+    /// A crash does not count as the listed failure, because it may have another cause that nobody
+    /// has examined.
     pub const fn from_code(code: Option<i32>) -> Self {
         match code {
             Some(0) => Self::Passed,
--- a/xtask/src/known_red/plan.rs
+++ b/xtask/src/known_red/plan.rs
@@ -5,52 +5,53 @@
 
 use super::{Entry, PlanError, Target, TestBinary, TestId};
 
-/// The test binaries of this run, and which listed tests belong to which.
+/// The test binaries of this run with the listed tests of each.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Plan {
     binaries: BTreeMap<PathBuf, Vec<TestId>>,
+    /// Listed tests whose targets are not part of this run.
     elsewhere: Vec<TestId>,
 }
 
 impl Plan {
     /// Matches the entries with the binaries that cargo has built.
     ///
-    /// `unbuilt` holds the targets that exist although the command line may not have chosen them;
-    /// their entries are set aside. It is empty where the whole workspace is run.
+    /// `unselected` contains the targets that exist although the command line may not select them;
+    /// their entries are kept apart. It is empty if the whole workspace is run.
     ///
     /// # Errors
     ///
-    /// Fails if no target fits an entry.
+    /// Fails if an entry names a target that does not exist.
     pub fn new(
         entries: &[Entry],
         binaries: &[TestBinary],
-        unbuilt: &[Target],
+        unselected: &[Target],
     ) -> Result<Self, PlanError> {
         let mut plan = Self::default();
         for binary in binaries {
             plan.binaries.insert(binary.path().to_owned(), Vec::new());
         }
         for test in entries.iter().map(|entry| entry.test().clone()) {
-            if let Some(b) = binaries.iter().find(|b| b.target().holds(&test)) {
+            if let Some(b) = binaries.iter().find(|b| b.target().contains(&test)) {
                 plan.binaries.entry(b.path().to_owned()).or_default().push(test);
-            } else if unbuilt.iter().any(|target| target.holds(&test)) {
+            } else if unselected.iter().any(|target| target.contains(&test)) {
                 plan.elsewhere.push(test);
             } else {
-                return Err(PlanError::NoTarget { test });
+                return Err(PlanError::UnknownTarget { test });
             }
         }
         Ok(plan)
     }
 
     /// Returns the binaries with listed tests.
-    pub fn binaries(&self) -> impl Iterator<Item = &Path> {
+    pub fn binaries_with_listed_tests(&self) -> impl Iterator<Item = &Path> {
         let with_listed = self.binaries.iter().filter(|(_, listed)| !listed.is_empty());
         with_listed.map(|(path, _)| path.as_path())
     }
 
-    /// Tells whether cargo has built this binary for a target; those of tests in doc comments are
-    /// built by rustdoc.
-    pub fn knows(&self, binary: &Path) -> bool {
+    /// Returns whether cargo has built this binary for a target; rustdoc builds those of tests in doc
+    /// comments.
+    pub fn contains(&self, binary: &Path) -> bool {
         self.binaries.contains_key(binary)
     }
 
@@ -59,19 +60,19 @@
         self.binaries.get(binary).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the entries that belong to no binary of this run.
+    /// Returns the listed tests that belong to no binary of this run.
     pub fn elsewhere(&self) -> &[TestId] {
         &self.elsewhere
     }
 
-    /// Checks that a binary really would run each of its listed tests.
+    /// Checks that a binary would run each of its listed tests.
     ///
-    /// An entry whose test was renamed would otherwise stay in the list for ever, and could later
-    /// hide a new test of the old name.
+    /// An entry whose test was renamed would otherwise stay in the list unnoticed, and could later
+    /// hide the failure of a new test with the old name.
     ///
     /// # Errors
     ///
-    /// Fails at the first entry without a test, or whose test is ignored.
+    /// Fails at the first entry whose test does not exist or is ignored.
     pub fn check(
         &self,
         binary: &Path,
@@ -81,7 +82,7 @@
         for test in self.listed_in(binary) {
             let is_test = |name: &String| name == test.name();
             if !names.iter().any(is_test) {
-                return Err(PlanError::NoTest { test: test.clone() });
+                return Err(PlanError::UnknownTest { test: test.clone() });
             }
             if ignored.iter().any(is_test) {
                 return Err(PlanError::Ignored { test: test.clone() });
--- a/xtask/src/known_red/plan_error.rs
+++ b/xtask/src/known_red/plan_error.rs
@@ -5,15 +5,15 @@
 /// Why an entry of the list cannot be matched with a test.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub enum PlanError {
-    /// No package has a target of this name.
+    /// No package of this name has a target of this name.
     #[display("`{test}`: there is no such package or target")]
-    NoTarget {
+    UnknownTarget {
         /// The listed test.
         test: TestId,
     },
-    /// The target holds no test of this name.
+    /// The target contains no test of this name.
     #[display("`{test}`: the target has no such test")]
-    NoTest {
+    UnknownTest {
         /// The listed test.
         test: TestId,
     },
--- a/xtask/src/known_red/runs.rs
+++ b/xtask/src/known_red/runs.rs
@@ -3,13 +3,13 @@
 /// Makes the test library compare whole names instead of parts of them.
 const EXACT: &str = "--exact";
 
-/// Leaves out the tests that the next word names.
+/// Leaves out the tests whose names contain the next argument.
 const SKIP: &str = "--skip";
 
-/// Ends the line of a test in the listing that a test binary prints.
-const LISTED: &str = ": test";
+/// Suffix of a test's line in the listing that a test binary prints.
+const TEST_SUFFIX: &str = ": test";
 
-/// How one test binary is started so that each of its tests runs.
+/// The runs of one test binary that together run each selected test once.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Runs {
     ordinary: Vec<Vec<String>>,
@@ -18,24 +18,24 @@
 }
 
 impl Runs {
-    /// Divides the tests that the words `args` select from a binary.
+    /// Divides the tests that `args` select from a binary.
     ///
-    /// The first start leaves out every test whose name contains a listed name, because `--exact`
-    /// would also change what the filters in `args` mean. A second start makes up for the tests
-    /// that were left out only for that.
+    /// The first run leaves out every test whose name contains a listed name, because `--exact`
+    /// would also change the meaning of the filters in `args`. A second run covers the tests that
+    /// are not listed and were left out only for that reason.
     pub fn new(args: &[String], selected: &[String], listed: &[TestId]) -> Self {
-        let mut runs = Self { ordinary: vec![without(args, listed)], ..Self::default() };
-        let hidden = hidden(selected, listed);
-        if !hidden.is_empty() && !args.iter().any(|arg| arg == EXACT) {
-            let mut words = without(args, listed);
-            words.push(EXACT.to_owned());
-            words.extend(hidden);
-            runs.ordinary.push(words);
+        let mut runs = Self { ordinary: vec![skip_listed(args, listed)], ..Self::default() };
+        let also_skipped = also_skipped(selected, listed);
+        if !also_skipped.is_empty() && !args.iter().any(|arg| arg == EXACT) {
+            let mut second = skip_listed(args, listed);
+            second.push(EXACT.to_owned());
+            second.extend(also_skipped);
+            runs.ordinary.push(second);
         }
         for test in listed {
             if selected.iter().any(|name| name == test.name()) {
-                let words = vec![EXACT.to_owned(), test.name().to_owned()];
-                runs.listed.push((test.clone(), words));
+                let alone = vec![EXACT.to_owned(), test.name().to_owned()];
+                runs.listed.push((test.clone(), alone));
             } else {
                 runs.left_out.push(test.clone());
             }
@@ -43,12 +43,12 @@
         runs
     }
 
-    /// Returns the words of the starts whose tests must all pass.
+    /// Returns the arguments of each run whose tests must all pass.
     pub fn ordinary(&self) -> &[Vec<String>] {
         &self.ordinary
     }
 
-    /// Returns each listed test with the words that start it alone.
+    /// Returns each listed test with the arguments that run it alone.
     pub fn listed(&self) -> &[(TestId, Vec<String>)] {
         &self.listed
     }
@@ -59,23 +59,23 @@
     }
 }
 
-/// Takes the names of the tests out of the listing that a test binary prints.
+/// Extracts the names of the tests from the listing that a test binary prints.
 pub fn listed_names(listing: &str) -> Vec<String> {
-    listing.lines().filter_map(|line| line.strip_suffix(LISTED)).map(str::to_owned).collect()
+    listing.lines().filter_map(|line| line.strip_suffix(TEST_SUFFIX)).map(str::to_owned).collect()
 }
 
-/// Adds to the words that the listed tests are left out.
-fn without(args: &[String], listed: &[TestId]) -> Vec<String> {
-    let mut words = args.to_vec();
+/// Returns the arguments with flags that leave out the listed tests.
+fn skip_listed(args: &[String], listed: &[TestId]) -> Vec<String> {
+    let mut skipping = args.to_vec();
     for test in listed {
-        words.push(SKIP.to_owned());
-        words.push(test.name().to_owned());
+        skipping.push(SKIP.to_owned());
+        skipping.push(test.name().to_owned());
     }
-    words
+    skipping
 }
 
-/// Returns the tests that are not listed but whose names contain a listed one.
-fn hidden(selected: &[String], listed: &[TestId]) -> Vec<String> {
+/// Returns the tests that are not listed but whose names contain a listed name.
+fn also_skipped(selected: &[String], listed: &[TestId]) -> Vec<String> {
     let is_listed = |name: &str| listed.iter().any(|test| test.name() == name);
     let contains = |name: &str| listed.iter().any(|test| name.contains(test.name()));
     selected.iter().filter(|name| contains(name) && !is_listed(name)).cloned().collect()
--- a/xtask/src/known_red/target.rs
+++ b/xtask/src/known_red/target.rs
@@ -2,13 +2,13 @@
 
 use super::TestId;
 
-/// Kinds of a target that cargo calls a library.
-const LIBRARIES: [&str; 6] = ["lib", "rlib", "dylib", "cdylib", "staticlib", "proc-macro"];
+/// Kinds of targets that `--lib` selects.
+const LIBRARY_KINDS: [&str; 6] = ["lib", "rlib", "dylib", "cdylib", "staticlib", "proc-macro"];
 
-/// A part of a package that is built into one program of tests.
+/// A part of a package that is built into one test binary.
 ///
-/// Its name is the bare name of an integration test, otherwise cargo's own flag: a package's
-/// library, program and integration test may share one name, so only one kind can go without.
+/// An integration test is identified by its bare name, every other kind by the flag with which cargo
+/// selects it: a package's library, binary and integration test may all have the same name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
     package: String,
@@ -16,19 +16,19 @@
 }
 
 impl Target {
-    /// Translates cargo's description of a target.
+    /// Reads cargo's JSON description of a target.
     pub fn new(package: &str, description: &Value) -> Option<Self> {
         let kind = description["kind"][0].as_str()?;
         let name = description["name"].as_str()?;
         let name = match kind {
             "test" => name.to_owned(),
-            kind if LIBRARIES.contains(&kind) => "--lib".to_owned(),
+            kind if LIBRARY_KINDS.contains(&kind) => "--lib".to_owned(),
             kind => format!("--{kind}={name}"),
         };
         Some(Self { package: package.to_owned(), name })
     }
 
-    /// Returns all targets of the workspace that `cargo metadata` describes.
+    /// Returns all targets in the output of `cargo metadata`.
     pub fn all(metadata: &Value) -> Vec<Self> {
         let mut all = Vec::new();
         for package in metadata["packages"].as_array().into_iter().flatten() {
@@ -39,8 +39,8 @@
         all
     }
 
-    /// Tells whether a listed test belongs here.
-    pub fn holds(&self, test: &TestId) -> bool {
+    /// Returns whether a listed test belongs to this target.
+    pub fn contains(&self, test: &TestId) -> bool {
         self.package == test.package() && self.name == test.target()
     }
 }
--- a/xtask/src/known_red/test_binary.rs
+++ b/xtask/src/known_red/test_binary.rs
@@ -4,7 +4,7 @@
 
 use super::Target;
 
-/// A program that cargo has built to run the tests of one target.
+/// An executable that cargo has built to run the tests of one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TestBinary {
     target: Target,
@@ -12,7 +12,7 @@
 }
 
 impl TestBinary {
-    /// Translates one line of cargo's JSON messages, if it announces a test binary.
+    /// Reads one line of cargo's JSON messages; returns `None` unless it reports a test binary.
     pub fn from_message(line: &str) -> Option<Self> {
         let message: Value = serde_json::from_str(line).ok()?;
         if message["reason"] != "compiler-artifact" || message["profile"]["test"] != true {
@@ -29,17 +29,17 @@
         &self.target
     }
 
-    /// Returns the file of the program.
+    /// Returns the path of the executable.
     pub fn path(&self) -> &Path {
         &self.path
     }
 }
 
-/// Takes the package's name out of its id.
+/// Extracts the package's name from its id.
 ///
-/// An id ends in `#name@version`, or in `/name#version` where the folder bears the name.
+/// An id ends in `#name@version`, or in `/name#version` if the folder has the name of the package.
 fn package_name(id: &str) -> Option<&str> {
-    let (place, version) = id.rsplit_once('#')?;
+    let (location, version) = id.rsplit_once('#')?;
     let named = version.split_once('@').map(|(name, _)| name);
-    named.or_else(|| place.rsplit('/').next())
+    named.or_else(|| location.rsplit('/').next())
 }
--- a/xtask/src/known_red/test_id.rs
+++ b/xtask/src/known_red/test_id.rs
@@ -1,9 +1,9 @@
 use derive_more::{Constructor, Display};
 use serde::{Deserialize, Serialize};
 
-/// Names one test of the workspace.
+/// Identifies one test of the workspace.
 ///
-/// A test's own name can occur in several packages and targets, so all three parts count.
+/// A test's own name can occur in several packages and targets, so all three parts are needed.
 #[derive(
     Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Constructor, Display,
 )]
@@ -20,7 +20,7 @@
         &self.package
     }
 
-    /// Returns the target's name in the form of the list.
+    /// Returns the target as the list writes it, such as `--lib`.
     pub fn target(&self) -> &str {
         &self.target
     }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,4 @@
-//! Every chore of the repository: `cargo xtask help` lists them.
+//! Development tasks of the repository: `cargo xtask help` lists them.
 
 use std::path::{Path, PathBuf};
 
@@ -12,7 +12,7 @@
         Some(("codegen", m)) => codegen::run(&root(), m.get_flag("check")),
         Some(("test", m)) => known_red::test(&root(), &rest(m)),
         Some((known_red::RUNNER, m)) => known_red::run_binary(&rest(m)),
-        Some((chore, m)) => cargo::bench_tool(&root(), chore, &rest(m)),
+        Some((task, m)) => cargo::bench_tool(&root(), task, &rest(m)),
         None => Ok(()),
     }
 }
@@ -20,7 +20,7 @@
 /// Builds the command line.
 fn cli() -> Command {
     Command::new("xtask")
-        .about("Chores of the geraniumpost repository")
+        .about("Development tasks of the geraniumpost repository")
         .subcommand_required(true)
         .subcommand(
             Command::new("codegen").about("Regenerate the schema crate's types").arg(
@@ -30,22 +30,25 @@
                     .help("Only fail if the committed code differs"),
             ),
         )
-        .subcommand(passing("test", "Run all tests; further words go to `cargo test`"))
-        .subcommand(passing(known_red::RUNNER, "Run one test binary for `test`").hide(true))
-        .subcommand(passing("demo", "Run the whole system once on loopback, or hold it up"))
-        .subcommand(passing("bench", "Measure: `bench --help` lists the benches"))
-        .subcommand(passing("soak", "Run random failures against real processes"))
+        .subcommand(passthrough("test", "Run all tests; further arguments go to `cargo test`"))
+        .subcommand(passthrough(known_red::RUNNER, "Run one test binary for `test`").hide(true))
+        .subcommand(passthrough(
+            "demo",
+            "Run the whole system once on loopback, or keep it running",
+        ))
+        .subcommand(passthrough("bench", "Measure: `bench --help` lists the benches"))
+        .subcommand(passthrough("soak", "Run random failures against real processes"))
 }
 
-/// Builds a subcommand whose words are passed on as they are.
-fn passing(name: &'static str, about: &'static str) -> Command {
+/// Builds a subcommand whose arguments are passed on unchanged.
+fn passthrough(name: &'static str, about: &'static str) -> Command {
     Command::new(name)
         .about(about)
         .disable_help_flag(true)
         .arg(Arg::new("rest").num_args(0..).trailing_var_arg(true).allow_hyphen_values(true))
 }
 
-/// Returns the words to pass on.
+/// Returns the arguments to pass on.
 fn rest(m: &ArgMatches) -> Vec<String> {
     m.get_many::<String>("rest").unwrap_or_default().cloned().collect()
 }
--- a/xtask/tests/known_red/runner.rs
+++ b/xtask/tests/known_red/runner.rs
@@ -1,43 +1,45 @@
-//! Running one binary: this one, whose [`victims`](crate::victims) fail as they are told.
+//! Running one test binary: this one, whose [`fixtures`](crate::fixtures) fail on request.
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
 use xtask::known_red::{Outcome, Plan, RUNNER, TestId};
 
-use crate::support::{binary, entry, id, owned};
-use crate::victims::ORDERS;
+use crate::fixtures::FAULTS_VARIABLE;
+use crate::support::{binary, entry, id, words};
 
-/// What the runner made of a binary.
+/// Result of running a binary through the runner.
 struct Run {
     passed: bool,
     outcomes: Vec<(TestId, Outcome)>,
     output: Output,
 }
 
-/// Runs the victims through the runner; `listed` names the victims in the list.
-fn run(case: &str, listed: &str, orders: &str, args: &str) -> Run {
+/// Runs the fixtures through the runner.
+///
+/// `listed` names the fixtures that are listed as known to fail, and `faults` those that do fail.
+fn run(case: &str, listed: &str, faults: &str, args: &str) -> Run {
     let own = std::env::current_exe().unwrap();
     let binaries = [binary("pack", "test", "t", own.to_str().unwrap())];
-    let entries: Vec<_> = listed.split_whitespace().map(|name| entry(&full(name))).collect();
+    let entries: Vec<_> = listed.split_whitespace().map(|name| entry(&test_id_of(name))).collect();
     let plan = Plan::new(&entries, &binaries, &[]).unwrap();
     let (plan_file, outcomes_file) = files(case);
     std::fs::write(&plan_file, serde_json::to_vec(&plan).unwrap()).unwrap();
     std::fs::write(&outcomes_file, []).unwrap();
     let output = Command::new(env!("CARGO_BIN_EXE_xtask"))
         .args([Path::new(RUNNER), &plan_file, &own])
-        .args(owned(args))
-        .env(ORDERS, orders)
+        .args(words(args))
+        .env(FAULTS_VARIABLE, faults)
         .output()
         .unwrap();
-    let noted = std::fs::read_to_string(outcomes_file).unwrap();
-    let outcomes = noted.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    let recorded = std::fs::read_to_string(outcomes_file).unwrap();
+    let outcomes = recorded.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
     Run { passed: output.status.success(), outcomes, output }
 }
 
-/// Returns the three words that name a victim.
-fn full(name: &str) -> String {
-    format!("pack t victims::{name}")
+/// Returns package, target and name of a fixture.
+fn test_id_of(name: &str) -> String {
+    format!("pack t fixtures::{name}")
 }
 
 /// Returns the files of the plan and the outcomes of a case.
@@ -47,67 +49,68 @@
     (plan, outcomes)
 }
 
-// A listed test fails and nobody wants to hear of it again, but next to it, in the same binary,
-// something else goes wrong. The binary's exit code must then still be a failure.
+// A listed test fails, and another test of the same binary fails or crashes as well. The binary's
+// exit code must still report a failure.
 macro_rules! cases {
-    ($($name:ident: [$listed:literal] $orders:literal, $args:literal
-        => $passed:literal, [$($victim:literal $outcome:ident),*];)*) => {
+    ($($name:ident: [$listed:literal] $faults:literal, $args:literal
+        => $passed:literal, [$($fixture:literal $outcome:ident),*];)*) => {
         $(#[test]
         fn $name() {
-            let run = run(stringify!($name), $listed, $orders, $args);
+            let run = run(stringify!($name), $listed, $faults, $args);
             assert_eq!(run.passed, $passed, "{:?}", run.output);
-            let expected: Vec<_> = vec![$((id(&full($victim)), Outcome::$outcome)),*];
+            let expected: Vec<_> = vec![$((id(&test_id_of($fixture)), Outcome::$outcome)),*];
             assert_eq!(run.outcomes, expected);
         })*
     };
 }
 
 cases! {
-    without_a_list_all_pass: [""] "", "victims::" => true, [];
-    without_a_list_a_failure_fails: [""] "sore:fail", "victims::" => false, [];
-    a_listed_failure_is_passed_over: ["sore"] "sore:fail", "victims::"
-        => true, ["sore" Failed];
-    two_listed_failures_are_passed_over: ["sore sore_too"] "sore:fail,sore_too:fail", "victims::"
-        => true, ["sore" Failed, "sore_too" Failed];
-    a_listed_pass_is_told: ["sore"] "", "victims::" => true, ["sore" Passed];
-    a_listed_crash_fails: ["sore"] "sore:crash", "victims::" => false, ["sore" Crashed];
-    another_failure_fails: ["sore"] "sore:fail,sound:fail", "victims::"
-        => false, ["sore" Failed];
-    another_crash_fails: ["sore"] "sore:fail,sound:crash", "victims::"
-        => false, ["sore" Failed];
-    a_failure_of_a_longer_name_fails: ["sore"] "sore:fail,sore_too:fail", "victims::"
-        => false, ["sore" Failed];
-    a_crash_of_a_longer_name_fails: ["sore"] "sore:fail,sore_too:crash", "victims::"
-        => false, ["sore" Failed];
-    a_failure_of_a_shorter_name_fails: ["sore_too"] "sore:fail,sore_too:fail", "victims::"
-        => false, ["sore_too" Failed];
-    a_test_that_is_not_selected_is_left_out: ["sore"] "sore:fail", "victims::sound"
-        => true, ["sore" LeftOut];
-    a_longer_name_fails_though_only_it_is_selected: ["sore"] "sore_too:fail", "victims::sore_too"
-        => false, ["sore" LeftOut];
-    whole_names_are_heeded: ["sore"] "sore:fail,sore_too:fail", "--exact victims::sore"
-        => true, ["sore" Failed];
+    passing_tests_without_a_list_pass: [""] "", "fixtures::" => true, [];
+    without_a_list_a_failure_fails: [""] "alpha:fail", "fixtures::" => false, [];
+    a_listed_failure_is_passed_over: ["alpha"] "alpha:fail", "fixtures::"
+        => true, ["alpha" Failed];
+    two_listed_failures_are_passed_over: ["alpha alpha_long"] "alpha:fail,alpha_long:fail", "fixtures::"
+        => true, ["alpha" Failed, "alpha_long" Failed];
+    a_listed_pass_is_reported: ["alpha"] "", "fixtures::" => true, ["alpha" Passed];
+    a_listed_crash_fails: ["alpha"] "alpha:crash", "fixtures::" => false, ["alpha" Crashed];
+    another_failure_fails: ["alpha"] "alpha:fail,beta:fail", "fixtures::"
+        => false, ["alpha" Failed];
+    another_crash_fails: ["alpha"] "alpha:fail,beta:crash", "fixtures::"
+        => false, ["alpha" Failed];
+    a_failure_of_a_longer_name_fails: ["alpha"] "alpha:fail,alpha_long:fail", "fixtures::"
+        => false, ["alpha" Failed];
+    a_crash_of_a_longer_name_fails: ["alpha"] "alpha:fail,alpha_long:crash", "fixtures::"
+        => false, ["alpha" Failed];
+    a_failure_of_a_shorter_name_fails: ["alpha_long"] "alpha:fail,alpha_long:fail", "fixtures::"
+        => false, ["alpha_long" Failed];
+    an_unselected_listed_test_is_left_out: ["alpha"] "alpha:fail", "fixtures::beta"
+        => true, ["alpha" LeftOut];
+    a_failure_of_a_longer_name_fails_when_only_it_is_selected: ["alpha"] "alpha_long:fail", "fixtures::alpha_long"
+        => false, ["alpha" LeftOut];
+    the_exact_flag_is_respected: ["alpha"] "alpha:fail,alpha_long:fail", "--exact fixtures::alpha"
+        => true, ["alpha" Failed];
 }
 
-/// The reader of CI counts the closing lines of the test library, so none may get lost.
+/// CI counts the summary lines of the test library, so none may be missing.
 #[test]
-fn the_closing_lines_stay_in_the_output() {
-    let run = run("closing_lines", "sore", "sore:fail", "victims::");
+fn the_summary_lines_stay_in_the_output() {
+    let run = run("summary_lines", "alpha", "alpha:fail", "fixtures::");
     let text = String::from_utf8(run.output.stdout).unwrap();
-    let closing: Vec<&str> = text.lines().filter(|line| line.starts_with("test result:")).collect();
-    assert_eq!(closing.len(), 3, "{text}");
-    assert!(closing[0].starts_with("test result: ok. 1 passed; 0 failed"), "{text}");
-    assert!(closing[1].starts_with("test result: ok. 1 passed; 0 failed"), "{text}");
-    assert!(closing[2].starts_with("test result: FAILED. 0 passed; 1 failed"), "{text}");
+    let summaries: Vec<&str> =
+        text.lines().filter(|line| line.starts_with("test result:")).collect();
+    assert_eq!(summaries.len(), 3, "{text}");
+    assert!(summaries[0].starts_with("test result: ok. 1 passed; 0 failed"), "{text}");
+    assert!(summaries[1].starts_with("test result: ok. 1 passed; 0 failed"), "{text}");
+    assert!(summaries[2].starts_with("test result: FAILED. 0 passed; 1 failed"), "{text}");
 }
 
-/// A binary that cannot be started must not look like one without failures.
+/// A binary that cannot be started must not be reported as one without failures.
 #[test]
-fn a_binary_that_is_gone_fails() {
+fn a_missing_binary_fails() {
     let (plan_file, _) = files("gone");
     let plan = Plan::new(&[], &[], &[]).unwrap();
     std::fs::write(&plan_file, serde_json::to_vec(&plan).unwrap()).unwrap();
-    let words = [Path::new(RUNNER), &plan_file, Path::new("/gone")];
-    let output = Command::new(env!("CARGO_BIN_EXE_xtask")).args(words).output().unwrap();
+    let args = [Path::new(RUNNER), &plan_file, Path::new("/gone")];
+    let output = Command::new(env!("CARGO_BIN_EXE_xtask")).args(args).output().unwrap();
     assert!(!output.status.success(), "{output:?}");
 }
--- a/xtask/tests/known_red/support.rs
+++ b/xtask/tests/known_red/support.rs
@@ -1,26 +1,25 @@
-//! Values that several modules of tests need.
+//! Helpers shared by the test modules.
 
 use serde_json::json;
 use xtask::known_red::{Entry, TestBinary, TestId};
 
-/// Returns the test that three words name.
-pub fn id(words: &str) -> TestId {
-    let words: Vec<String> = owned(words);
-    let [package, target, name] = <[String; 3]>::try_from(words).unwrap();
+/// Returns the test named by `PACKAGE TARGET TEST`.
+pub fn id(text: &str) -> TestId {
+    let [package, target, name] = <[String; 3]>::try_from(words(text)).unwrap();
     TestId::new(package, target, name)
 }
 
-/// Returns an entry for the test that three words name.
-pub fn entry(words: &str) -> Entry {
-    Entry::new(id(words), ["command", "seed", "seen", "issue"].map(str::to_owned))
+/// Returns an entry for the test named by `PACKAGE TARGET TEST`.
+pub fn entry(text: &str) -> Entry {
+    Entry::new(id(text), ["command", "seed", "seen", "issue"].map(str::to_owned))
 }
 
-/// Returns the words of a text.
-pub fn owned(words: &str) -> Vec<String> {
-    words.split_whitespace().map(str::to_owned).collect()
+/// Splits a text at white space.
+pub fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
 }
 
-/// Returns the line with which cargo announces a binary.
+/// Returns the JSON message by which cargo reports a built test binary.
 pub fn message(id: &str, kind: &str, name: &str, path: &str) -> String {
     json!({
         "reason": "compiler-artifact",
@@ -32,7 +31,7 @@
     .to_string()
 }
 
-/// Returns the binary of a target whose package has its own folder.
+/// Returns the test binary of a target whose package lies in a folder of the same name.
 pub fn binary(package: &str, kind: &str, name: &str, path: &str) -> TestBinary {
     let id = format!("path+file:///folder/{package}#0.1.0");
     TestBinary::from_message(&message(&id, kind, name, path)).unwrap()
--- a/xtask/tests/known_red/verdict.rs
+++ b/xtask/tests/known_red/verdict.rs
@@ -1,4 +1,4 @@
-//! Judging a run.
+//! Deciding whether a run passes.
 
 use xtask::known_red::{Entry, Outcome, Plan, Verdict};
 
@@ -9,15 +9,15 @@
     [entry("one one a"), entry("two two a")]
 }
 
-/// Returns a plan in which the binary of the first entry takes part.
+/// Returns a plan that runs the binary of the first entry only.
 fn plan() -> Plan {
     let binaries = [binary("one", "test", "one", "/one")];
     let other = binary("two", "test", "two", "/two");
     Plan::new(&entries(), &binaries, &[other.target().clone()]).unwrap()
 }
 
-// The list may excuse the failure of a listed test and nothing else: no failure that cargo
-// reports, no crash, and no test that was silently not run.
+// Only the failure of a listed test is tolerated: no failure that cargo reports, no crash, and no
+// listed test that was not run.
 macro_rules! verdicts {
     ($($name:ident: $cargo:literal, $outcomes:expr => $passed:literal, $remark:literal;)*) => {
         $(#[test]
@@ -32,8 +32,8 @@
 
 verdicts! {
     a_listed_failure_passes: true, [(id("one one a"), Outcome::Failed)] => true, "FAILED";
-    a_listed_test_that_passes_is_told: true, [(id("one one a"), Outcome::Passed)] => true, "PASSED";
-    a_test_that_was_not_selected_is_told: true, [(id("one one a"), Outcome::LeftOut)]
+    a_listed_test_that_passes_is_reported: true, [(id("one one a"), Outcome::Passed)] => true, "PASSED";
+    an_unselected_test_is_reported: true, [(id("one one a"), Outcome::LeftOut)]
         => true, "NOT RUN: the command line";
     a_crash_fails: true, [(id("one one a"), Outcome::Crashed)] => false, "CRASHED";
     a_missing_outcome_fails: true, [] => false, "NOT RUN although";
@@ -49,7 +49,7 @@
 }
 
 #[test]
-fn an_entry_of_another_target_is_told() {
+fn an_entry_of_another_target_is_reported() {
     let outcomes = [(id("one one a"), Outcome::Failed)];
     let verdict = Verdict::new(&entries(), &plan(), &outcomes, true);
     let line = format!("{}\n    => NOT RUN: its target", entries()[1]);
@@ -67,7 +67,7 @@
 
 codes! {
     success_is_a_pass: Some(0) => Outcome::Passed;
-    the_librarys_code_is_a_failure: Some(101) => Outcome::Failed;
+    the_exit_code_of_the_test_library_is_a_failure: Some(101) => Outcome::Failed;
     any_other_code_is_a_crash: Some(1) => Outcome::Crashed;
     a_signal_is_a_crash: None => Outcome::Crashed;
 }
