refactor(bench): reword the demo and the soak runs

Names such as PATIENCE, LOOK and told, and texts such as "all of it was right", are figurative or vague and tell a newcomer little.

The demo's steps are named check_*, its timeouts STEP_TIMEOUT and POLL_INTERVAL; the soak runs have ROUND_LENGTH, FAULT_DURATION, JOBS_PER_ROUND and COMPLETION_TIMEOUT; answers are observed or responses. Comments, help and printed texts are reworded (before: up, all of it was right, exit 0 only if all of it was right; after: started, all checks passed, exit with 0 only if every check passes).

The demo and the soak were not run for this commit.

Conclusion: wording only.

--- a/crates/geraniumpost-bench/src/demo.rs
+++ b/crates/geraniumpost-bench/src/demo.rs
@@ -1,4 +1,4 @@
-//! Runs the whole system once on loopback and says whether all of it was right.
+//! Runs the whole system once on loopback and checks that every step works.
 
 use std::time::Duration;
 
@@ -10,23 +10,23 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-/// Longest time that a step may take to show its effect.
-const PATIENCE: Duration = Duration::from_secs(20);
-/// Pause between two looks.
-const LOOK: Duration = Duration::from_millis(50);
-/// Callers that keep sending while processes are ended.
+/// Time within which a step must take effect.
+const STEP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause between two polls.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Callers that send requests while processes are killed.
 const CALLERS: u64 = 8;
 
 /// Builds the command line of `demo`.
 pub fn cli() -> Command {
     Command::new("demo")
-        .about("Run the whole system on loopback; exit 0 only if all of it was right")
+        .about("Run the whole system on loopback; exit with 0 only if every check passes")
         .arg(
             Arg::new("hold")
                 .long("hold")
                 .value_name("SECONDS")
                 .value_parser(value_parser!(u64))
-                .help("Only keep it up that long and print addresses and process ids as JSON"),
+                .help("Only print addresses and process ids as JSON, then keep running that long"),
         )
 }
 
@@ -34,32 +34,32 @@
 ///
 /// # Errors
 ///
-/// Fails with the first step that was not right.
+/// Fails at the first check that does not pass.
 pub async fn run(m: &ArgMatches) -> Result<()> {
     let binaries = Binaries::beside_current_exe()?;
     let plan = Plan::default().standins_as_processes();
     let mut fleet = Fleet::start(&binaries, &plan).await?;
     if let Some(seconds) = m.get_one::<u64>("hold") {
-        return hold(&fleet, Duration::from_secs(*seconds)).await;
+        return keep_running(&fleet, Duration::from_secs(*seconds)).await;
     }
-    println!("up: {}", addresses(&fleet));
-    requests(&fleet).await?;
-    job(&fleet).await?;
-    configuration(&fleet).await?;
-    restarts(&mut fleet).await?;
-    graceful_stop(&mut fleet).await?;
-    println!("all of it was right");
+    println!("started: {}", describe(&fleet));
+    check_requests(&fleet).await?;
+    check_job(&fleet).await?;
+    check_configuration_change(&fleet).await?;
+    check_restarts(&mut fleet).await?;
+    check_graceful_stop(&mut fleet).await?;
+    println!("all checks passed");
     Ok(())
 }
 
-async fn hold(fleet: &Fleet, time: Duration) -> Result<()> {
-    println!("{}", addresses(fleet));
+async fn keep_running(fleet: &Fleet, time: Duration) -> Result<()> {
+    println!("{}", describe(fleet));
     sleep(time).await;
     Ok(())
 }
 
-/// Describes every process with its addresses.
-fn addresses(fleet: &Fleet) -> Value {
+/// Describes every process with its id and addresses.
+fn describe(fleet: &Fleet) -> Value {
     let entries = fleet.entries().iter().map(|entry| {
         json!({
             "name": entry.process().name(),
@@ -86,25 +86,25 @@
     })
 }
 
-async fn requests(fleet: &Fleet) -> Result<()> {
-    let mut told = Vec::new();
+async fn check_requests(fleet: &Fleet) -> Result<()> {
+    let mut observed = Vec::new();
     for number in 0..100_usize {
-        let send = if number % 2 == 0 { RequestSpec::get() } else { RequestSpec::post() };
-        told.push(fleet.caller(number % 2).send(&send.work_ms(2).answer_bytes(2_000)).await);
+        let spec = if number % 2 == 0 { RequestSpec::get() } else { RequestSpec::post() };
+        observed.push(fleet.caller(number % 2).send(&spec.work_ms(2).answer_bytes(2_000)).await);
     }
-    let summary: Summary = told.iter().collect();
-    ensure!(summary.answered == told.len(), "not every request was answered: {summary}");
-    fleet.assert_promises_to_callers(&told).await;
+    let summary: Summary = observed.iter().collect();
+    ensure!(summary.answered == observed.len(), "not every request was answered: {summary}");
+    fleet.assert_promises_to_callers(&observed).await;
     println!("requests: {summary}");
     Ok(())
 }
 
-async fn job(fleet: &Fleet) -> Result<()> {
+async fn check_job(fleet: &Fleet) -> Result<()> {
     let (status, answer) = fleet.operator(0).submit("study-1", 2_000, "sleep:500").await?;
     ensure!(status.is_success(), "the job was refused: {answer}");
-    let (again, answer) = fleet.operator(1).submit("study-1", 2_000, "sleep:500").await?;
-    ensure!(again.is_success(), "the same submission again was refused: {answer}");
-    let shown = until("the job is done", || async {
+    let (repeated, answer) = fleet.operator(1).submit("study-1", 2_000, "sleep:500").await?;
+    ensure!(repeated.is_success(), "the repeated submission was refused: {answer}");
+    let shown = poll_until("the job is done", || async {
         let (_, job) = fleet.operator(1).get("/api/jobs/study-1").await.ok()?;
         (job["state"] == "done").then_some(job)
     })
@@ -116,7 +116,7 @@
     Ok(())
 }
 
-async fn configuration(fleet: &Fleet) -> Result<()> {
+async fn check_configuration_change(fleet: &Fleet) -> Result<()> {
     let (_, config) = fleet.operator(0).get("/api/config").await?;
     let before = config["revision"].as_u64().unwrap_or(0);
     let mut document = config["document"].clone();
@@ -125,7 +125,7 @@
     let (status, answer) = fleet.operator(0).put_if_match("/api/config", before, &document).await?;
     ensure!(status == StatusCode::OK, "the change was refused: {answer}");
     let all = fleet.entries().len() + fleet.agents().len();
-    until("the change is in force everywhere", || async {
+    poll_until("the change is in force everywhere", || async {
         let (_, shown) = fleet.operator(1).get("/api/in-force").await.ok()?;
         let processes = shown["processes"].as_array()?.clone();
         let newer = |p: &&Value| p["revision"].as_u64().is_some_and(|r| r > before);
@@ -136,8 +136,8 @@
     Ok(())
 }
 
-/// Ends every process of the system once, with callers at work, and starts it again.
-async fn restarts(fleet: &mut Fleet) -> Result<()> {
+/// Kills and restarts every process in turn while callers send requests.
+async fn check_restarts(fleet: &mut Fleet) -> Result<()> {
     let load = Load::start(&fleet.callers_addresses(), CALLERS, 1);
     for agent in 0..fleet.agents().len() {
         fleet.agent(agent).kill();
@@ -151,16 +151,16 @@
         fleet.entry(entry).restart()?;
         fleet.ready().await;
     }
-    let told = load.stop().await;
-    fleet.assert_promises_to_callers(&told).await;
-    let summary: Summary = told.iter().collect();
-    println!("every process killed and started again under load: {summary}");
+    let observed = load.stop().await;
+    fleet.assert_promises_to_callers(&observed).await;
+    let summary: Summary = observed.iter().collect();
+    println!("every process killed and restarted under load: {summary}");
     Ok(())
 }
 
-/// Stops everything as planned, with requests in flight that must not be cut off.
-async fn graceful_stop(fleet: &mut Fleet) -> Result<()> {
-    let flights: Vec<_> = (0..8)
+/// Stops every process gracefully; requests in flight must still be answered.
+async fn check_graceful_stop(fleet: &mut Fleet) -> Result<()> {
+    let calls: Vec<_> = (0..8)
         .map(|number| {
             let caller = fleet.caller(number % 2);
             tokio::spawn(async move { caller.send(&RequestSpec::post().work_ms(800)).await })
@@ -170,41 +170,45 @@
     for entry in 0..fleet.entries().len() {
         fleet.entry(entry).term()?;
     }
-    let mut told: Vec<ObservedRequest> = Vec::new();
-    for flight in flights {
-        told.push(flight.await?);
+    let mut observed: Vec<ObservedRequest> = Vec::new();
+    for call in calls {
+        observed.push(call.await?);
     }
-    let answered = told.iter().all(|told| matches!(told.outcome, Outcome::Answered { .. }));
-    ensure!(answered, "a planned stop cut requests off: {told:#?}");
+    let answered =
+        observed.iter().all(|request| matches!(request.outcome, Outcome::Answered { .. }));
+    ensure!(answered, "requests were not answered during a planned stop: {observed:#?}");
     for agent in 0..fleet.agents().len() {
         fleet.agent(agent).term()?;
     }
-    let ends = Instant::now() + PATIENCE;
-    while anything_runs(fleet) {
-        ensure!(Instant::now() < ends, "a planned stop does not end");
-        sleep(LOOK).await;
+    let deadline = Instant::now() + STEP_TIMEOUT;
+    while any_process_runs(fleet) {
+        ensure!(Instant::now() < deadline, "processes still run after a planned stop");
+        sleep(POLL_INTERVAL).await;
     }
-    println!("planned stop: {} requests in flight were answered, all processes ended", told.len());
+    println!(
+        "planned stop: {} requests in flight were answered, all processes ended",
+        observed.len()
+    );
     Ok(())
 }
 
-fn anything_runs(fleet: &mut Fleet) -> bool {
+fn any_process_runs(fleet: &mut Fleet) -> bool {
     let (entries, agents) = (fleet.entries().len(), fleet.agents().len());
     (0..entries).any(|number| fleet.entry(number).is_running())
         || (0..agents).any(|number| fleet.agent(number).is_running())
 }
 
-/// Looks until something is found.
-async fn until<T, F>(what: &str, mut look: impl FnMut() -> F) -> Result<T>
+/// Polls until `poll` returns a value.
+async fn poll_until<T, F>(what: &str, mut poll: impl FnMut() -> F) -> Result<T>
 where
     F: Future<Output = Option<T>>,
 {
-    let ends = Instant::now() + PATIENCE;
+    let deadline = Instant::now() + STEP_TIMEOUT;
     loop {
-        if let Some(found) = look().await {
+        if let Some(found) = poll().await {
             return Ok(found);
         }
-        ensure!(Instant::now() < ends, "not within {PATIENCE:?}: {what}");
-        sleep(LOOK).await;
+        ensure!(Instant::now() < deadline, "not within {STEP_TIMEOUT:?}: {what}");
+        sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/geraniumpost-bench/src/main.rs
+++ b/crates/geraniumpost-bench/src/main.rs
@@ -1,6 +1,6 @@
-//! Demo, benches and soak runs against real processes, never shipped.
+//! Demo, benchmarks and soak runs against real processes; never shipped.
 //!
-//! `cargo xtask demo`, `cargo xtask bench` and `cargo xtask soak` start it in release mode.
+//! `cargo xtask demo`, `cargo xtask bench` and `cargo xtask soak` run it in release mode.
 
 use clap::{ArgMatches, Command};
 use eyre::Result;
@@ -26,21 +26,21 @@
 /// Builds the command line.
 fn cli() -> Command {
     let bench = Command::new("bench")
-        .about("Measure")
+        .about("Run a benchmark")
         .subcommand_required(true)
         .subcommand(capacity_bench::cli())
         .subcommand(placement_bench::cli())
         .subcommand(requests_bench::cli())
         .subcommand(routing_bench::cli());
     Command::new("geraniumpost-bench")
-        .about("Demo, benches and soak runs of geraniumpost")
+        .about("Demo, benchmarks and soak runs of geraniumpost")
         .subcommand_required(true)
         .subcommand(bench)
         .subcommand(demo::cli())
         .subcommand(soak::cli())
 }
 
-/// Runs one bench.
+/// Runs one benchmark.
 fn bench(m: &ArgMatches) -> Result<()> {
     match m.subcommand() {
         Some(("capacity", m)) => return block_on(capacity_bench::run(m)),
@@ -52,6 +52,7 @@
     Ok(())
 }
 
-fn block_on(work: impl Future<Output = Result<()>>) -> Result<()> {
-    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(work)
+/// Runs a future on a new multi-threaded runtime.
+fn block_on(future: impl Future<Output = Result<()>>) -> Result<()> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()?.block_on(future)
 }
--- a/crates/geraniumpost-bench/src/soak/fault.rs
+++ b/crates/geraniumpost-bench/src/soak/fault.rs
@@ -6,18 +6,19 @@
 use geraniumpost_standin::store::StoreFaults;
 use rand::Rng;
 
-/// Agents and entries of the fleet that faults are drawn for.
+/// Agents of the fleet; a fault affects one of them.
 const AGENTS: usize = 3;
+/// Entries of the fleet; a fault affects one of them.
 const ENTRIES: usize = 2;
 
-/// One thing that goes wrong, until it is repaired.
+/// A fault that is injected and later repaired.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
     /// An agent is killed.
     KillAgent(usize),
     /// An agent is frozen.
     FreezeAgent(usize),
-    /// An agent is stopped as planned.
+    /// An agent is asked to stop, as before a planned restart.
     TermAgent(usize),
     /// An entry is killed.
     KillEntry(usize),
@@ -25,20 +26,20 @@
     FreezeEntry(usize),
     /// The store refuses connections.
     StoreDown,
-    /// The store answers nothing.
+    /// The store reads requests but does not answer them.
     StoreHangs,
-    /// Replies to writes are lost at times.
+    /// Some replies to writes are lost.
     StoreLosesReplies,
-    /// A minion fails all it is given.
+    /// A minion answers every request with a failure.
     MinionFails(usize),
-    /// A minion cuts its answers short.
+    /// A minion truncates its answers.
     MinionTruncates(usize),
-    /// An agent's open connections to its worker carry nothing.
+    /// An agent's open connections to its worker transfer no data.
     WorkerStalls(usize),
 }
 
 impl Fault {
-    /// Draws a fault.
+    /// Draws a random fault.
     pub fn draw(rng: &mut impl Rng) -> Self {
         let (agent, entry) = (rng.random_range(0..AGENTS), rng.random_range(0..ENTRIES));
         match rng.random_range(0..11) {
@@ -56,26 +57,26 @@
         }
     }
 
-    /// Brings the fault about.
+    /// Injects the fault.
     ///
     /// # Errors
     ///
-    /// Fails if the harness cannot do so.
+    /// Fails if a process or stand-in cannot be controlled.
     pub async fn begin(self, fleet: &mut Fleet) -> Result<()> {
         match self {
             Self::KillAgent(number) => fleet.agent(number).kill(),
-            Self::FreezeAgent(number) => signal(fleet.agent(number), Process::freeze)?,
-            Self::TermAgent(number) => signal(fleet.agent(number), Process::term)?,
+            Self::FreezeAgent(number) => signal_if_running(fleet.agent(number), Process::freeze)?,
+            Self::TermAgent(number) => signal_if_running(fleet.agent(number), Process::term)?,
             Self::KillEntry(number) => fleet.entry(number).kill(),
-            Self::FreezeEntry(number) => signal(fleet.entry(number), Process::freeze)?,
-            Self::StoreDown => fleet.set_store_faults(store(Down::Refuse)).await?,
-            Self::StoreHangs => fleet.set_store_faults(store(Down::Hang)).await?,
+            Self::FreezeEntry(number) => signal_if_running(fleet.entry(number), Process::freeze)?,
+            Self::StoreDown => fleet.set_store_faults(store_faults(Down::Refuse)).await?,
+            Self::StoreHangs => fleet.set_store_faults(store_faults(Down::Hang)).await?,
             Self::StoreLosesReplies => {
                 let faults = StoreFaults { lose_permille: 300, seed: 7, ..Default::default() };
                 fleet.set_store_faults(faults).await?;
             }
-            Self::MinionFails(number) => minion(fleet, number, MinionMode::Fail).await?,
-            Self::MinionTruncates(number) => minion(fleet, number, MinionMode::Truncate).await?,
+            Self::MinionFails(number) => set_mode(fleet, number, MinionMode::Fail).await?,
+            Self::MinionTruncates(number) => set_mode(fleet, number, MinionMode::Truncate).await?,
             Self::WorkerStalls(number) => {
                 let stall = Direction { stall: true, ..Direction::default() };
                 let faults = RelayFaults { forward: stall, back: stall, ..Default::default() };
@@ -89,18 +90,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if the harness cannot do so.
+    /// Fails if a process or stand-in cannot be controlled.
     pub async fn end(self, fleet: &mut Fleet) -> Result<()> {
         match self {
             Self::KillAgent(number) | Self::TermAgent(number) => fleet.agent(number).restart()?,
-            Self::FreezeAgent(number) => signal(fleet.agent(number), Process::thaw)?,
+            Self::FreezeAgent(number) => signal_if_running(fleet.agent(number), Process::thaw)?,
             Self::KillEntry(number) => fleet.entry(number).restart()?,
-            Self::FreezeEntry(number) => signal(fleet.entry(number), Process::thaw)?,
+            Self::FreezeEntry(number) => signal_if_running(fleet.entry(number), Process::thaw)?,
             Self::StoreDown | Self::StoreHangs | Self::StoreLosesReplies => {
                 fleet.set_store_faults(StoreFaults::default()).await?;
             }
             Self::MinionFails(number) | Self::MinionTruncates(number) => {
-                minion(fleet, number, MinionMode::Serve).await?;
+                set_mode(fleet, number, MinionMode::Serve).await?;
             }
             Self::WorkerStalls(number) => {
                 let relay = fleet.agents()[number].worker_relay();
@@ -111,16 +112,16 @@
     }
 }
 
-/// A process that the other fault of the pair has ended takes no signal.
-fn signal(process: &mut Process, send: impl Fn(&Process) -> Result<()>) -> Result<()> {
+/// Sends a signal, unless the other fault of the pair has ended the process.
+fn signal_if_running(process: &mut Process, send: impl Fn(&Process) -> Result<()>) -> Result<()> {
     if process.is_running() { send(process) } else { Ok(()) }
 }
 
-fn store(down: Down) -> StoreFaults {
+fn store_faults(down: Down) -> StoreFaults {
     StoreFaults { down, ..StoreFaults::default() }
 }
 
-async fn minion(fleet: &Fleet, number: usize, mode: MinionMode) -> Result<()> {
+async fn set_mode(fleet: &Fleet, number: usize, mode: MinionMode) -> Result<()> {
     let faults = MinionFaults { mode, ..MinionFaults::default() };
     fleet.agents()[number].minion().control().set_faults(&faults).await
 }
--- a/xtask/src/known_red/verdict.rs
+++ b/xtask/src/known_red/verdict.rs
@@ -47,9 +47,7 @@
 const fn describe(outcome: Option<Outcome>, elsewhere: bool) -> (bool, &'static str) {
     match outcome {
         Some(Outcome::Failed) => (true, "FAILED, as listed"),
-        Some(Outcome::Passed) => {
-            (true, "PASSED although listed; remove the entry once the fault is fixed")
-        }
+        Some(Outcome::Passed) => (true, "PASSED although listed; remove the entry once fixed"),
         Some(Outcome::Crashed) => (false, "CRASHED, which is not tolerated"),
         Some(Outcome::LeftOut) => (true, "NOT RUN: the command line leaves it out"),
         None if elsewhere => (true, "NOT RUN: its target is not part of this run"),
--- a/xtask/tests/known_red/support.rs
+++ b/xtask/tests/known_red/support.rs
@@ -5,7 +5,8 @@
 
 /// Returns the test named by `PACKAGE TARGET TEST`.
 pub fn id(text: &str) -> TestId {
-    let [package, target, name] = <[String; 3]>::try_from(words(text)).unwrap();
+    let words: Vec<String> = words(text);
+    let [package, target, name] = <[String; 3]>::try_from(words).unwrap();
     TestId::new(package, target, name)
 }
 
