refactor(bench): reword bench requests; name the client, the request profile and the figures

Comments and one help text are reworded; table headers, scenario names and flags stay.

The bench itself was not run.

Conclusion: wording only.

--- a/crates/geraniumpost-bench/src/capacity_bench/requests.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/requests.rs
@@ -6,13 +6,14 @@
 use super::deployment::Deployment;
 use super::fit::Fit;
 use super::{AGENTS, ENTRIES, SEED, slopes_head};
-use crate::requests_bench::direct::{Ask, Target};
+use crate::requests_bench::load_client::{LoadClient, RequestProfile};
 use crate::requests_bench::open_loop::open_loop;
 
 /// Requests in a second through all entries.
 const PER_SECOND: [f64; 4] = [0.0, 200.0, 400.0, 800.0];
 /// What the minion does for each.
-const ASK: Ask = Ask { work_ms: 1, deadline: Duration::from_secs(10), once: false };
+const PROFILE: RequestProfile =
+    RequestProfile { work_ms: 1, deadline: Duration::from_secs(10), at_most_once: false };
 /// Requests in a second of one process that the table is worked out for.
 const GOAL: f64 = 100.0;
 /// Answers that an agent keeps for whoever asks for one again.
@@ -23,14 +24,14 @@
     println!("\n## Requests through real entries and real agents\n");
     println!("| requests/s | answered | entry % of a core | entry MB | agent % | agent MB |");
     println!("| --- | --- | --- | --- | --- | --- |");
-    let target = Target::new(deployment.fleet().callers_addresses(), CUSTOMER_TOKEN);
+    let target = LoadClient::new(deployment.fleet().callers_addresses(), CUSTOMER_TOKEN);
     let (mut entry, mut agent, mut kept) = (Vec::new(), Vec::new(), Vec::new());
     let mut answers = 0.0;
     for per_second in PER_SECOND {
         let (rates, answered) = if per_second > 0.0 {
-            let load = open_loop(&target, ASK, per_second, time, SEED);
+            let load = open_loop(&target, PROFILE, per_second, time, SEED);
             let (rates, figures) = deployment.measure(load).await?;
-            (rates, figures.count())
+            (rates, figures.answered_count())
         } else {
             (deployment.measure(tokio::time::sleep(time)).await?.0, 0)
         };
--- a/crates/geraniumpost-bench/src/requests_bench.rs
+++ b/crates/geraniumpost-bench/src/requests_bench.rs
@@ -1,7 +1,10 @@
-//! Measures requests: an open loop with a fixed schedule, so that waiting is counted.
+//! `bench requests`: latency and throughput of requests under an open loop.
+//!
+//! Requests are sent on a fixed schedule, so a late answer does not delay the next request and the
+//! waiting time is part of the latency.
 
-pub mod direct;
-pub mod figures;
+pub mod latency_figures;
+pub mod load_client;
 pub mod open_loop;
 mod scenarios;
 
@@ -18,7 +21,7 @@
                 .long("seconds")
                 .value_parser(value_parser!(u64))
                 .default_value("5")
-                .help("Length of each measured part"),
+                .help("Duration of each measurement"),
         )
         .arg(
             Arg::new("only")
--- a/crates/geraniumpost-bench/src/requests_bench/direct.rs
+++ b/crates/geraniumpost-bench/src/requests_bench/load_client.rs
@@ -10,27 +10,27 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
-/// Client that keeps its connections open, to an entry or directly to a minion.
+/// HTTP client with persistent connections to entries, or directly to minions.
 #[derive(Debug, Clone)]
-pub struct Target {
+pub struct LoadClient {
     client: Client<HttpConnector, Full<Bytes>>,
     addresses: Vec<SocketAddr>,
     token: String,
 }
 
-/// What a request asks for.
+/// Work, deadline and semantics of the requests of a measurement.
 #[derive(Debug, Clone, Copy)]
-pub struct Ask {
-    /// Time that the minion works, in milliseconds.
+pub struct RequestProfile {
+    /// Time for which the minion works on a request, in milliseconds.
     pub work_ms: u64,
-    /// Deadline that the request carries.
+    /// Deadline in the request's header.
     pub deadline: Duration,
-    /// Whether it may run at most once.
-    pub once: bool,
+    /// Whether the request is a `POST`, which may run at most once.
+    pub at_most_once: bool,
 }
 
-impl Target {
-    /// Creates a client that spreads its requests over addresses in turn.
+impl LoadClient {
+    /// Creates a client that sends its requests to the addresses in turn.
     pub fn new(addresses: Vec<SocketAddr>, token: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -38,24 +38,24 @@
         Self { client, addresses, token: token.to_owned() }
     }
 
-    /// Sends a request; returns whether a whole answer of the minion came.
-    pub async fn send(&self, number: usize, ask: Ask) -> bool {
-        self.exchange(number, ask).await.unwrap_or(false)
+    /// Sends a request; returns whether a complete, successful response was received.
+    pub async fn send(&self, number: usize, profile: RequestProfile) -> bool {
+        self.exchange(number, profile).await.unwrap_or(false)
     }
 
-    async fn exchange(&self, number: usize, ask: Ask) -> Result<bool> {
+    async fn exchange(&self, number: usize, profile: RequestProfile) -> Result<bool> {
         let address = self.addresses[number % self.addresses.len()];
-        let method = if ask.once { Method::POST } else { Method::GET };
+        let method = if profile.at_most_once { Method::POST } else { Method::GET };
         let req = Request::builder()
             .method(method)
             .uri(format!("http://{address}/{SERVICE}/check"))
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
-            .header("x-request-timeout-ms", ask.deadline.as_millis().to_string())
-            .header("x-work-ms", ask.work_ms)
+            .header("x-request-timeout-ms", profile.deadline.as_millis().to_string())
+            .header("x-work-ms", profile.work_ms)
             .body(Full::default())?;
-        let answer = self.client.request(req).await?;
-        let success = answer.status().is_success();
-        answer.into_body().collect().await?;
+        let response = self.client.request(req).await?;
+        let success = response.status().is_success();
+        response.into_body().collect().await?;
         Ok(success)
     }
 }
--- a/crates/geraniumpost-bench/src/requests_bench/open_loop.rs
+++ b/crates/geraniumpost-bench/src/requests_bench/open_loop.rs
@@ -5,57 +5,59 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
-use super::direct::{Ask, Target};
-use super::figures::Figures;
+use super::latency_figures::LatencyFigures;
+use super::load_client::{LoadClient, RequestProfile};
 
-/// Requests that may be under way at once; beyond that the machine itself is measured.
-const MOST_UNDER_WAY: usize = 20_000;
+/// Results that are buffered until they are counted; with more requests in flight than this, the
+/// machine itself would limit the measurement.
+const RESULT_BUFFER: usize = 20_000;
 
-/// Sends at a rate for a time, whether answers come or not, and counts from when each was due.
+/// Sends requests at a rate whether or not answers arrive, and measures latency from the time at
+/// which each request was due.
 ///
-/// A closed loop would send less as soon as answers come late and so hide the waiting; see the
-/// problem's usual name, coordinated omission.
+/// A closed loop would send fewer requests when answers are late and so hide the waiting time, which
+/// is known as coordinated omission.
 pub async fn open_loop(
-    target: &Target,
-    ask: Ask,
+    target: &LoadClient,
+    profile: RequestProfile,
     per_second: f64,
     time: Duration,
     seed: u64,
-) -> Figures {
+) -> LatencyFigures {
     let mut rng = StdRng::seed_from_u64(seed);
-    let (tx, mut rx) = mpsc::channel(MOST_UNDER_WAY);
+    let (tx, mut rx) = mpsc::channel(RESULT_BUFFER);
     let start = Instant::now();
     let mut due = start;
     let mut number = 0;
     while due < start + time {
         sleep_until(due).await;
-        spawn(target.clone(), number, ask, due, tx.clone());
+        spawn_request(target.clone(), number, profile, due, tx.clone());
         number += 1;
-        // Exponential gaps make Poisson arrivals, as many independent callers do.
+        // Exponential gaps give Poisson arrivals, like those of many independent callers.
         let gap = -(1.0 - rng.random::<f64>()).ln() / per_second;
         due += Duration::from_secs_f64(gap);
     }
     drop(tx);
-    let mut figures = Figures::new();
+    let mut figures = LatencyFigures::new();
     while let Some(took) = rx.recv().await {
         match took {
-            Some(took) => figures.answered(took, ask.deadline),
-            None => figures.refused(),
+            Some(took) => figures.record_answer(took, profile.deadline),
+            None => figures.record_refusal(),
         }
     }
-    figures.spanning(time)
+    figures.period(time)
 }
 
-fn spawn(
-    target: Target,
+fn spawn_request(
+    target: LoadClient,
     number: usize,
-    ask: Ask,
+    profile: RequestProfile,
     due: Instant,
     tx: mpsc::Sender<Option<Duration>>,
 ) {
     tokio::spawn(async move {
-        let answered = target.send(number, ask).await;
-        // The receiver waits for all.
+        let answered = target.send(number, profile).await;
+        // The receiver exists until all senders are dropped.
         let _ = tx.send(answered.then(|| due.elapsed())).await;
     });
 }
