--- a/crates/geraniumpost-bench/src/routing_bench/contender.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/policy_kind.rs
@@ -3,14 +3,14 @@
 };
 use rand::rngs::SmallRng;
 
-/// A routing policy that takes part in the comparison.
+/// A routing policy of the comparison.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Contender {
-    /// The product's policy.
+pub enum PolicyKind {
+    /// The policy of entries.
     Product,
-    /// The product's policy without ejection of failing agents.
+    /// The policy of entries, without ejection of failing agents.
     WithoutEjection,
-    /// The product's policy, with a second attempt elsewhere for what takes long.
+    /// The policy of entries, with a second attempt at another agent for slow requests.
     Hedged,
     RoundRobin,
     LeastReported,
@@ -18,14 +18,14 @@
     WeightedRandom,
 }
 
-/// One entry's state of a policy.
+/// State of a policy at one entry.
 #[derive(Debug)]
 pub enum Policy {
     Router(Router),
     Baseline(BaselineRouter),
 }
 
-impl Contender {
+impl PolicyKind {
     pub const ALL: [Self; 6] = [
         Self::Product,
         Self::WithoutEjection,
@@ -35,7 +35,7 @@
         Self::WeightedRandom,
     ];
 
-    /// The policies of the scenarios on hedging.
+    /// Policies that the hedging scenarios compare.
     pub const HEDGING: [Self; 2] = [Self::Product, Self::Hedged];
 
     pub const fn title(self) -> &'static str {
@@ -50,8 +50,9 @@
         }
     }
 
-    /// Starts the policy at entry number `entry`, so that entries do not go in step.
-    pub fn policy(self, entry: usize) -> Policy {
+    /// Creates the policy's state for an entry; round robin starts at a different agent at each, so
+    /// that entries do not choose the same agents at the same time.
+    pub fn create_policy(self, entry: usize) -> Policy {
         match self {
             Self::Product | Self::WithoutEjection | Self::Hedged => {
                 Policy::Router(Router::default())
@@ -72,12 +73,12 @@
     pub fn choose(
         &mut self,
         service: &ServiceView,
-        ask: &RoutingQuery<'_>,
+        query: &RoutingQuery<'_>,
         rng: &mut SmallRng,
     ) -> Result<RoutingDecision, NoAgent> {
         match self {
-            Self::Router(router) => router.choose(service, ask, rng),
-            Self::Baseline(router) => router.choose(service, ask, rng),
+            Self::Router(router) => router.choose(service, query, rng),
+            Self::Baseline(router) => router.choose(service, query, rng),
         }
     }
 }
--- a/crates/geraniumpost-bench/src/routing_bench/scenario.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/scenario.rs
@@ -1,27 +1,27 @@
-/// What the modelled fleet goes through.
+/// Load, size and faults of a modelled fleet.
 #[derive(Debug, Clone, Copy)]
 pub struct Scenario {
     pub title: &'static str,
     pub agents: usize,
     pub entries: usize,
-    /// Requests as a share of what all agents together can answer at their normal speed.
+    /// Request rate as a share of the rate that all agents together can serve at normal speed.
     pub load: f64,
     /// Interval of heartbeats.
-    pub beat_us: u64,
+    pub heartbeat_us: u64,
     /// Whether answers carry the agent's load.
     pub load_on_answers: bool,
-    pub odd: Odd,
-    /// Whether the service time belongs to the request and is the same wherever it runs.
+    pub minion_fault: MinionFault,
+    /// Whether the service time is a property of the request and thus equal for all its attempts.
     pub inherent: bool,
 }
 
-/// What is wrong with the first agent's minion.
+/// Fault of the first agent's minion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Odd {
-    Nothing,
-    /// It takes this many times as long.
+pub enum MinionFault {
+    None,
+    /// Each request takes this many times as long.
     Slow(u64),
-    /// It fails everything at once.
+    /// Each request fails immediately.
     Fails,
 }
 
@@ -32,17 +32,17 @@
             agents: 11,
             entries: 4,
             load,
-            beat_us: 500_000,
+            heartbeat_us: 500_000,
             load_on_answers: true,
-            odd: Odd::Nothing,
+            minion_fault: MinionFault::None,
             inherent: false,
         }
     }
 
-    /// All scenarios in the order printed.
+    /// Returns the scenarios of the comparison in the order in which they are printed.
     pub const fn all() -> [Self; 7] {
         let stale = Self {
-            beat_us: 2_000_000,
+            heartbeat_us: 2_000_000,
             load_on_answers: false,
             ..Self::new("reports 2 s old, 11 agents, load 0.7", 0.7)
         };
@@ -51,15 +51,24 @@
             Self::new("11 agents, load 0.9", 0.9),
             Self { agents: 100, ..Self::new("100 agents, load 0.7", 0.7) },
             stale,
-            Self { odd: Odd::Slow(5), ..Self::new("one minion 5 times slower, load 0.6", 0.6) },
-            Self { odd: Odd::Fails, ..Self::new("one minion fails at once, load 0.6", 0.6) },
-            Self { entries: 16, ..stale.titled("reports 2 s old, 16 entries, load 0.7") },
+            Self {
+                minion_fault: MinionFault::Slow(5),
+                ..Self::new("one minion 5 times slower, load 0.6", 0.6)
+            },
+            Self {
+                minion_fault: MinionFault::Fails,
+                ..Self::new("one minion fails at once, load 0.6", 0.6)
+            },
+            Self { entries: 16, ..stale.with_title("reports 2 s old, 16 entries, load 0.7") },
         ]
     }
 
-    /// Scenarios on hedging.
+    /// Returns the scenarios that compare hedging.
     pub const fn hedging() -> [Self; 5] {
-        let slow = Self { odd: Odd::Slow(5), ..Self::new("one minion 5 times slower, 0.6", 0.6) };
+        let slow = Self {
+            minion_fault: MinionFault::Slow(5),
+            ..Self::new("one minion 5 times slower, 0.6", 0.6)
+        };
         [
             Self::new("times belong to runs, load 0.3", 0.3),
             Self::new("times belong to runs, load 0.6", 0.6),
@@ -67,12 +76,12 @@
             Self { inherent: true, ..Self::new("times belong to requests, load 0.6", 0.6) },
             Self {
                 inherent: true,
-                ..slow.titled("to requests, one minion 5 times slower, load 0.6")
+                ..slow.with_title("to requests, one minion 5 times slower, load 0.6")
             },
         ]
     }
 
-    const fn titled(self, title: &'static str) -> Self {
+    const fn with_title(self, title: &'static str) -> Self {
         Self { title, ..self }
     }
 }
