refactor(bench): reword bench placement; name policies, requests and the fleet model

The benchmark of placement spoke of a contest with contenders, of wishes, lanes, dice, nature, waves and a world, and of wronged jobs.

Comments are reworded; the units of the work counters and the meaning of black_hole, poison and phase are now written down.

Conclusion: wording only.

--- a/crates/geraniumpost-bench/src/placement_bench.rs
+++ b/crates/geraniumpost-bench/src/placement_bench.rs
@@ -1,17 +1,17 @@
-//! `bench placement`: what a placement policy does to services and to batch work.
+//! `bench placement`: effect of a placement policy on services and on batch work.
 //!
-//! Generated streams with fixed seeds run through the placer and through naive policies on a
-//! small model of workers whose tasks slow each other. The model stands for the effect of
-//! a decision; it is no cluster simulator: nothing is sent, lost or reordered.
+//! Generated streams of jobs with fixed seeds run through the placer and through naive policies on a
+//! small model of workers whose tasks slow each other. The model only covers the effect of a
+//! decision; nothing is sent, lost or reordered as in a cluster simulator.
 
-mod contender;
-mod dice;
-mod naive;
+mod distributions;
+mod fleet_model;
+mod naive_policy;
+mod policy;
 mod scenario;
 mod tally;
 mod timing;
 mod worker_model;
-mod world;
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -20,12 +20,12 @@
 use geraniumpost_core::placement::Placer;
 use geraniumpost_schema::Document;
 
-use contender::Contender;
-use naive::{Naive, Order, Pick};
+use naive_policy::{NaivePolicy, Order, Pick};
+use policy::Policy;
 use scenario::Scenario;
 use tally::Figures;
 
-/// Builds the subcommand.
+/// Builds the command line of `bench placement`.
 pub fn cli() -> Command {
     Command::new("placement")
         .about("Compare the placement policy with naive ones on generated streams")
@@ -47,11 +47,11 @@
             Arg::new("only")
                 .long("only")
                 .default_value("")
-                .help("Run only policies with this word"),
+                .help("Run only policies whose names contain this text"),
         )
 }
 
-/// Runs the bench and prints its tables.
+/// Runs the benchmark and prints its tables.
 pub fn run(matches: &ArgMatches) {
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or(1);
     let only = matches.get_one::<String>("only").cloned().unwrap_or_default();
@@ -62,7 +62,7 @@
     timing::run(seed);
 }
 
-/// Prints the table of one site: the mean over its streams.
+/// Prints the table of one site, with means over its streams.
 fn compare(site: usize, seed: u64, runs: u64, only: &str) {
     let scenarios: Vec<Scenario> =
         (seed..seed + runs).map(|s| scenario::all(s).swap_remove(site)).collect();
@@ -81,16 +81,16 @@
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
     );
     for name in POLICIES.iter().filter(|name| name.contains(only)) {
-        let all: Vec<Figures> = std::thread::scope(|scope| {
+        let runs: Vec<Figures> = std::thread::scope(|scope| {
             let run = |(i, scenario)| {
                 let document = scenario::document(scenario);
-                world::run(scenario, contender(name, &document), seed + i as u64)
+                fleet_model::run(scenario, create_policy(name, &document), seed + i as u64)
             };
             let threads: Vec<_> =
                 scenarios.iter().enumerate().map(|job| scope.spawn(move || run(job))).collect();
             threads.into_iter().map(|t| t.join().expect("a run panicked")).collect()
         });
-        print_row(name, &Figures::mean(&all));
+        print_row(name, &Figures::mean(&runs));
     }
 }
 
@@ -110,25 +110,27 @@
         f.urgent_in_time_percent,
         f.urgent_p99_s,
         f.urgent_max_s,
-        f.wronged,
-        f.overfull_percent,
-        f.kills,
+        f.sound_given_up,
+        f.overcommitted_percent,
+        f.memory_kills,
     );
 }
 
-/// The contest: ours first.
+/// Names of the compared policies, starting with the product's own.
 const POLICIES: [&str; 6] =
     ["placer", "first fit", "random", "dominant share", "dominant share, measured sizes", "sidrf"];
 
-/// Builds a policy by name.
-fn contender(name: &'static str, document: &Document) -> Contender {
+/// Creates a policy by its name.
+fn create_policy(name: &'static str, document: &Document) -> Policy {
     let naive = |order, pick, measures_usage| {
-        let mut policy = Naive::new(order, pick, document);
-        Contender {
+        let mut policy = NaivePolicy::new(order, pick, document);
+        Policy {
             measures_usage,
-            judges_failures: false,
-            decide: Box::new(move |now, wishes, fleet, rng| policy.place(now, wishes, fleet, rng)),
-            learn: Box::new(|_, _| {}),
+            limits_attempts: false,
+            decide: Box::new(move |now, requests, fleet, rng| {
+                policy.place(now, requests, fleet, rng)
+            }),
+            observe: Box::new(|_, _| {}),
         }
     };
     match name {
@@ -137,19 +139,19 @@
         "dominant share" => naive(Order::DominantShare, Pick::Random, false),
         "dominant share, measured sizes" => naive(Order::DominantShare, Pick::Random, true),
         "sidrf" => naive(Order::Sidrf, Pick::Random, false),
-        _ => ours(document),
+        _ => placer(document),
     }
 }
 
-fn ours(document: &Document) -> Contender {
+fn placer(document: &Document) -> Policy {
     let placer = Rc::new(RefCell::new(Placer::new(document)));
-    let learner = Rc::clone(&placer);
-    Contender {
+    let observer = Rc::clone(&placer);
+    Policy {
         measures_usage: true,
-        judges_failures: true,
-        decide: Box::new(move |now, wishes, fleet, rng| {
-            placer.borrow_mut().place(now, wishes, fleet, rng)
+        limits_attempts: true,
+        decide: Box::new(move |now, requests, fleet, rng| {
+            placer.borrow_mut().place(now, requests, fleet, rng)
         }),
-        learn: Box::new(move |now, seen| learner.borrow_mut().observe(now, seen)),
+        observe: Box::new(move |now, observation| observer.borrow_mut().observe(now, observation)),
     }
 }
--- a/crates/geraniumpost-bench/src/placement_bench/scenario.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/scenario.rs
@@ -2,24 +2,24 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::dice::{normal, spread};
+use super::distributions::{draw_log_normal, draw_normal};
 
-/// A class of batch work as it truly is.
+/// True properties of a class of batch work, which policies do not know.
 #[derive(Debug, Clone)]
 pub struct ClassTruth {
     pub name: &'static str,
     pub priority: Priority,
     pub declared: Resources,
-    /// Real need over declared need.
+    /// Ratio of real need to declared need.
     pub bias: f64,
     pub work_ms: f64,
     /// Share of the offered work.
     pub share: f64,
-    /// How much sixteen of its processors slow each service at full load.
+    /// Noise towards each service: how much tasks that use 16 processors slow it at full load.
     pub noise: Vec<f64>,
 }
 
-/// A service as it truly is.
+/// True properties of a service.
 #[derive(Debug, Clone)]
 pub struct ServiceTruth {
     pub name: &'static str,
@@ -27,19 +27,20 @@
     pub target_ms: u64,
 }
 
-/// A worker as it truly is.
+/// True properties of a worker.
 #[derive(Debug, Clone)]
 pub struct WorkerTruth {
     pub name: Name,
     pub domain: Name,
     pub rack: Name,
     pub service: usize,
+    /// Offset of the periodic load, as a fraction of its period.
     pub phase: f64,
-    /// While this lasts, whatever starts here fails at once.
+    /// Period in which every task on this worker fails.
     pub black_hole: (u64, u64),
 }
 
-/// A job as it truly is.
+/// True properties of a job.
 #[derive(Debug, Clone)]
 pub struct JobTruth {
     pub name: Name,
@@ -48,21 +49,22 @@
     pub declared: Resources,
     pub real: Resources,
     pub work_ms: f64,
+    /// Whether the job fails on every worker.
     pub poison: bool,
     pub arrives: u64,
     pub cancelled: u64,
 }
 
-/// A time in which a class is far noisier than usual.
+/// A period in which a class causes more interference than usual.
 #[derive(Debug, Clone)]
-pub struct Wave {
+pub struct NoisePeriod {
     pub class: usize,
     pub from: u64,
     pub to: u64,
     pub factor: f64,
 }
 
-/// A generated stream with its workers.
+/// A generated stream of jobs with the workers and services.
 #[derive(Debug, Clone)]
 pub struct Scenario {
     pub name: &'static str,
@@ -70,33 +72,34 @@
     pub classes: Vec<ClassTruth>,
     pub workers: Vec<WorkerTruth>,
     pub jobs: Vec<JobTruth>,
-    pub waves: Vec<Wave>,
+    pub noise_periods: Vec<NoisePeriod>,
 }
 
-/// What every worker has.
+/// Resources of each worker.
 pub const CAPACITY: Resources =
     Resources { milli_cpus: 64_000, memory_mb: 250_000, accelerators: 0 };
-/// What is kept for the service on every worker.
+/// Resources of each worker that are reserved for its service.
 pub const RESERVE: Resources = Resources { milli_cpus: 16_000, memory_mb: 40_000, accelerators: 0 };
-/// How long a run lasts in milliseconds.
+/// Duration of a run in milliseconds.
 pub const HORIZON_MS: u64 = 3_600_000;
-/// How long the load's wave is in milliseconds.
+/// Period of the services' load in milliseconds.
 const LOAD_PERIOD_MS: f64 = 1_500_000.0;
 /// Customers and their weights.
 const CUSTOMERS: [(&str, u32); 6] =
     [("entel", 4), ("claro", 3), ("bitel", 2), ("telefonica", 2), ("regulator", 1), ("idle", 1)];
 
-/// Shape of a user's site.
+/// Size and workload of a user's site.
 struct Site {
     name: &'static str,
     domains: &'static [&'static str],
     workers: usize,
     services: Vec<ServiceTruth>,
-    /// Offered batch work over what the workers' allowance could do.
+    /// Offered batch work as a share of the capacity that the reserves leave.
     offered: f64,
 }
 
-/// Returns the two users' sites of today, a larger one with several services, and a calm day.
+/// Returns the two users' present sites, a larger site with several services, and a day with little
+/// work.
 pub fn all(seed: u64) -> Vec<Scenario> {
     let service = |name, base_us, target_ms| ServiceTruth { name, base_us, target_ms };
     let sites = [
@@ -136,7 +139,7 @@
     sites.iter().enumerate().map(|(i, site)| build(site, seed * 1000 + i as u64)).collect()
 }
 
-/// Returns the configuration that all policies are given.
+/// Returns the configuration of all policies.
 pub fn document(scenario: &Scenario) -> Document {
     let customers: serde_json::Map<_, _> = CUSTOMERS
         .iter()
@@ -167,10 +170,10 @@
 }
 
 impl WorkerTruth {
-    /// Returns the busy share of the minion at a time, without its short noise.
+    /// Returns the minion's utilization at a time, without short-term variation.
     pub fn load(&self, now: u64) -> f64 {
-        let turn = now as f64 / LOAD_PERIOD_MS + self.phase;
-        0.5 + 0.35 * (std::f64::consts::TAU * turn).sin()
+        let cycles = now as f64 / LOAD_PERIOD_MS + self.phase;
+        0.5 + 0.35 * (std::f64::consts::TAU * cycles).sin()
     }
 }
 
@@ -179,13 +182,21 @@
     let classes = classes(site.services.len(), &mut rng);
     let workers = workers(site, &mut rng);
     let jobs = jobs(site, &classes, &mut rng);
-    let waves = waves(&classes, &mut rng);
-    Scenario { name: site.name, services: site.services.clone(), classes, workers, jobs, waves }
+    let noise_periods = noise_periods(&classes, &mut rng);
+    Scenario {
+        name: site.name,
+        services: site.services.clone(),
+        classes,
+        workers,
+        jobs,
+        noise_periods,
+    }
 }
 
-/// Draws the classes: which is noisy for whom, and how wrong its sizes are, differs by seed.
+/// Draws the classes; their noise towards each service and the bias of their sizes depend on the
+/// seed.
 fn classes(services: usize, rng: &mut StdRng) -> Vec<ClassTruth> {
-    // Name, processors, memory, seconds of work, share of the work, priority.
+    // Name, thousandths of a processor, memory in MB, seconds of work, share of the work, priority.
     let table = [
         ("study", 12_000, 24_000, 500.0, 0.28, Priority::Normal),
         ("logs", 4_000, 6_000, 180.0, 0.18, Priority::Normal),
@@ -196,25 +207,31 @@
         ("mining", 4_000, 16_000, 150.0, 0.08, Priority::Scavenger),
         ("check", 3_000, 4_000, 25.0, 0.02, Priority::Urgent),
     ];
-    let mut draw = |(name, milli_cpus, memory_mb, seconds, share, priority)| {
+    let mut draw_class = |(name, milli_cpus, memory_mb, seconds, share, priority)| {
         let noisy = rng.random_bool(0.35);
         let noise = (0..services)
-            .map(|_| if noisy { 0.9 * spread(rng, 0.5) } else { 0.04 * spread(rng, 0.8) })
+            .map(|_| {
+                if noisy {
+                    0.9 * draw_log_normal(rng, 0.5)
+                } else {
+                    0.04 * draw_log_normal(rng, 0.8)
+                }
+            })
             .collect();
-        let bias = spread(rng, 0.35).clamp(0.5, 1.9);
+        let bias = draw_log_normal(rng, 0.35).clamp(0.5, 1.9);
         let declared = Resources { milli_cpus, memory_mb, accelerators: 0 };
         ClassTruth { name, priority, declared, bias, work_ms: seconds * 1e3, share, noise }
     };
-    let mut classes: Vec<ClassTruth> = table.into_iter().map(&mut draw).collect();
-    // At least one class of weight is noisy in every seed; without one there is nothing to show.
-    let noise = (0..services).map(|_| 1.0 * spread(rng, 0.4)).collect();
+    let mut classes: Vec<ClassTruth> = table.into_iter().map(&mut draw_class).collect();
+    // At least one large class is noisy with every seed; without one the policies would not differ.
+    let noise = (0..services).map(|_| 1.0 * draw_log_normal(rng, 0.4)).collect();
     classes[rng.random_range(0..4)].noise = noise;
     classes
 }
 
 fn workers(site: &Site, rng: &mut StdRng) -> Vec<WorkerTruth> {
     let phases: Vec<f64> = site.domains.iter().map(|_| rng.random()).collect();
-    let hole = rng.random_range(0..site.workers);
+    let black_hole = rng.random_range(0..site.workers);
     let from = rng.random_range(300_000..900_000);
     (0..site.workers)
         .map(|i| {
@@ -225,8 +242,8 @@
                 domain: site.domains[domain].into(),
                 rack: format!("rack-{rack}").into(),
                 service: i % site.services.len(),
-                phase: phases[domain] + 0.08 * normal(rng),
-                black_hole: if i == hole { (from, from + 900_000) } else { (0, 0) },
+                phase: phases[domain] + 0.08 * draw_normal(rng),
+                black_hole: if i == black_hole { (from, from + 900_000) } else { (0, 0) },
             }
         })
         .collect()
@@ -243,7 +260,7 @@
             jobs.push(job(jobs.len(), class, truth, rng));
         }
     }
-    // Two waves of cancellations take a third of one class each, running or not.
+    // Two bulk cancellations end a third of the jobs of one class each, whether running or not.
     for _ in 0..2 {
         let (class, at) = (rng.random_range(0..4), rng.random_range(600_000..3_000_000));
         for job in jobs.iter_mut().filter(|job| job.class == class && job.arrives < at) {
@@ -258,19 +275,19 @@
 
 fn job(number: usize, class: usize, truth: &ClassTruth, rng: &mut StdRng) -> JobTruth {
     let scaled = |amount: u64, factor: f64| ((amount as f64 * factor) as u64).max(100);
-    let size = spread(rng, 0.3);
+    let size = draw_log_normal(rng, 0.3);
     let declared = Resources {
         milli_cpus: scaled(truth.declared.milli_cpus, size),
         memory_mb: scaled(truth.declared.memory_mb, size),
         accelerators: 0,
     };
-    let wrong = truth.bias * spread(rng, 0.2);
+    let bias = truth.bias * draw_log_normal(rng, 0.2);
     let real = Resources {
-        milli_cpus: scaled(declared.milli_cpus, wrong).min(44_000),
-        memory_mb: scaled(declared.memory_mb, wrong).min(190_000),
+        milli_cpus: scaled(declared.milli_cpus, bias).min(44_000),
+        memory_mb: scaled(declared.memory_mb, bias).min(190_000),
         accelerators: 0,
     };
-    // A third of the work comes in bursts of one minute, the rest evenly.
+    // A third of the jobs arrive in bursts of one minute, the others evenly.
     let arrives = if rng.random_bool(0.33) {
         rng.random_range(0..8) * 420_000 + rng.random_range(0..60_000)
     } else {
@@ -282,21 +299,21 @@
         class,
         declared,
         real,
-        work_ms: truth.work_ms * spread(rng, 0.6),
+        work_ms: truth.work_ms * draw_log_normal(rng, 0.6),
         poison: rng.random_bool(0.02),
         arrives,
         cancelled: u64::MAX,
     }
 }
 
-/// Draws the waves in which a class grows noisy for one to four minutes.
-fn waves(classes: &[ClassTruth], rng: &mut StdRng) -> Vec<Wave> {
+/// Draws the periods of one to four minutes in which a class is noisier than usual.
+fn noise_periods(classes: &[ClassTruth], rng: &mut StdRng) -> Vec<NoisePeriod> {
     (0..14)
         .map(|_| {
             let from = rng.random_range(120_000..HORIZON_MS);
             let class = rng.random_range(0..classes.len() - 1);
             let to = from + rng.random_range(60_000..240_000);
-            Wave { class, from, to, factor: rng.random_range(2.0..4.0) }
+            NoisePeriod { class, from, to, factor: rng.random_range(2.0..4.0) }
         })
         .collect()
 }
--- a/crates/geraniumpost-bench/src/placement_bench/timing.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/timing.rs
@@ -10,13 +10,13 @@
 
 use super::scenario::{self, CAPACITY, RESERVE};
 
-/// Fleets that a decision is timed on: workers and tasks.
+/// Workers and tasks of the fleets on which decisions are timed.
 const SIZES: [(usize, usize); 3] = [(11, 100), (100, 900), (570, 5200)];
-/// Decisions timed on each.
+/// Decisions timed on each fleet.
 const DECISIONS: usize = 2000;
-/// Job starts a second that the users expect within two years.
+/// Job starts per second that the users expect within two years.
 const STARTS_PER_SECOND: usize = 80;
-/// Batch jobs that the users expect at once within two years.
+/// Concurrent batch jobs that the users expect within two years.
 const LONG_QUEUE: usize = 2800;
 
 /// Prints the time per decision.
@@ -27,26 +27,28 @@
     println!("| --- | --- | --- | --- | --- | --- |");
     for (workers, tasks) in SIZES {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut fleet = fleet(workers, tasks, &mut rng);
+        let mut fleet = create_fleet(workers, tasks, &mut rng);
         let scenario = scenario::all(seed).swap_remove(0);
         let mut placer = Placer::new(&scenario::document(&scenario));
-        (0..workers).for_each(|at| report(&mut placer, &mut fleet, at, 0));
+        (0..workers).for_each(|at| report_latency(&mut placer, &mut fleet, at, 0));
         let mut times: Vec<f64> =
-            (0..DECISIONS).map(|i| time(&mut placer, &mut fleet, i, &mut rng)).collect();
+            (0..DECISIONS).map(|i| time_decision(&mut placer, &mut fleet, i, &mut rng)).collect();
         times.sort_by(f64::total_cmp);
-        let wishes: Vec<PlacementRequest> =
-            (0..STARTS_PER_SECOND).map(|i| wish(1_000_000 + i, &mut rng)).collect();
-        let begun = Instant::now();
-        let decided = placer.place(Millis(9_000_000), &wishes, &fleet, &mut rng);
-        let each = begun.elapsed().as_secs_f64() * 1e6 / decided.len() as f64;
+        let requests: Vec<PlacementRequest> =
+            (0..STARTS_PER_SECOND).map(|i| create_request(1_000_000 + i, &mut rng)).collect();
+        let started = Instant::now();
+        let decided = placer.place(Millis(9_000_000), &requests, &fleet, &mut rng);
+        let each = started.elapsed().as_secs_f64() * 1e6 / decided.len() as f64;
         let (median, p99) = (times[DECISIONS / 2], times[DECISIONS * 99 / 100]);
-        let in_vain = in_vain(&mut placer, &fleet, &mut rng);
-        println!("| {workers} | {tasks} | {median:.1} | {p99:.1} | {each:.1} | {in_vain:.2} |");
+        let unplaceable_queue = time_unplaceable_queue(&mut placer, &fleet, &mut rng);
+        println!(
+            "| {workers} | {tasks} | {median:.1} | {p99:.1} | {each:.1} | {unplaceable_queue:.2} |"
+        );
     }
 }
 
-/// Reports a worker's latency.
-fn report(placer: &mut Placer, fleet: &mut Fleet, at: usize, now: u64) {
+/// Reports a worker's latency to the placer.
+fn report_latency(placer: &mut Placer, fleet: &mut Fleet, at: usize, now: u64) {
     let worker = Name::from(format!("w{at}"));
     let service = ["filing", "kiosk", "search"][at % 3].into();
     let (load_permille, p99_us) = (300 + (now % 400) as u32, 50_000);
@@ -55,26 +57,26 @@
     placer.observe(at, &Observation::Latency { worker, service, load_permille, p99_us, at });
 }
 
-/// Times one decision between the reports that come in while 80 jobs start in a second; the fleet
-/// stays as full as it is.
-fn time(placer: &mut Placer, fleet: &mut Fleet, number: usize, rng: &mut StdRng) -> f64 {
+/// Times one decision, after as many latency reports as arrive between two starts at 80 starts per
+/// second. The started job is not added to the fleet.
+fn time_decision(placer: &mut Placer, fleet: &mut Fleet, number: usize, rng: &mut StdRng) -> f64 {
     let workers = fleet.workers().count();
     let now = Millis(10_000 + number as u64 * 1000 / STARTS_PER_SECOND as u64);
     for i in 0..workers.div_ceil(STARTS_PER_SECOND) {
         let at = (number * workers.div_ceil(STARTS_PER_SECOND) + i) % workers;
-        report(placer, fleet, at, now.0);
+        report_latency(placer, fleet, at, now.0);
     }
-    let wishes = [wish(number, rng)];
-    let begun = Instant::now();
-    let decided = placer.place(now, &wishes, fleet, rng);
-    let taken = begun.elapsed().as_secs_f64() * 1e6;
+    let requests = [create_request(number, rng)];
+    let started = Instant::now();
+    let decided = placer.place(now, &requests, fleet, rng);
+    let elapsed = started.elapsed().as_secs_f64() * 1e6;
     assert!(matches!(decided[..], [Decision::Start { .. }]), "the fleet has room: {decided:?}");
-    taken
+    elapsed
 }
 
-/// Times one call on a long queue of which nothing fits.
-fn in_vain(placer: &mut Placer, fleet: &Fleet, rng: &mut StdRng) -> f64 {
-    let large = |i| {
+/// Times one call with a long queue of jobs that fit on no worker.
+fn time_unplaceable_queue(placer: &mut Placer, fleet: &Fleet, rng: &mut StdRng) -> f64 {
+    let large_request = |i| {
         let need = Resources { milli_cpus: 0, memory_mb: 190_000, accelerators: 0 };
         let milli_cpus = rng.random_range(1000..40_000);
         PlacementRequest::new(
@@ -84,15 +86,15 @@
             Resources { milli_cpus, ..need },
         )
     };
-    let wishes: Vec<PlacementRequest> = (0..LONG_QUEUE).map(large).collect();
-    let begun = Instant::now();
-    let decided = placer.place(Millis(100_000), &wishes, fleet, rng);
-    let taken = begun.elapsed().as_secs_f64() * 1e3;
-    assert_eq!(decided.len(), LONG_QUEUE, "each job has its answer");
-    taken
+    let requests: Vec<PlacementRequest> = (0..LONG_QUEUE).map(large_request).collect();
+    let started = Instant::now();
+    let decided = placer.place(Millis(100_000), &requests, fleet, rng);
+    let elapsed = started.elapsed().as_secs_f64() * 1e3;
+    assert_eq!(decided.len(), LONG_QUEUE, "each job has a decision");
+    elapsed
 }
 
-fn wish(number: usize, rng: &mut StdRng) -> PlacementRequest {
+fn create_request(number: usize, rng: &mut StdRng) -> PlacementRequest {
     let milli_cpus = rng.random_range(500..4000);
     let need = Resources { milli_cpus, memory_mb: milli_cpus * 2, accelerators: 0 };
     let class = ["study", "logs", "encode", "index"][rng.random_range(0..4)];
@@ -100,7 +102,7 @@
     PlacementRequest::new(format!("new-{number}"), customer, class, need)
 }
 
-fn fleet(workers: usize, tasks: usize, rng: &mut StdRng) -> Fleet {
+fn create_fleet(workers: usize, tasks: usize, rng: &mut StdRng) -> Fleet {
     let mut fleet = Fleet::default();
     for i in 0..workers {
         let rack = format!("rack-{}", i / 3);
--- a/crates/geraniumpost-bench/src/placement_bench/worker_model.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/worker_model.rs
@@ -2,56 +2,56 @@
 
 use super::scenario::CAPACITY;
 
-/// One task as it weighs on its neighbours.
+/// Load that one task puts on its VM.
 #[derive(Debug, Clone, Copy)]
-pub struct Pressing {
-    /// What it really takes, after throttling.
+pub struct TaskLoad {
+    /// Processor use after throttling.
     pub milli_cpus: f64,
-    /// Its present noise towards the worker's service.
+    /// Present noise towards the worker's service.
     pub noise: f64,
 }
 
-/// The effect of tasks on one VM, in place of a cluster simulator.
+/// Effect of tasks on the service and the batch work of one VM.
 ///
-/// Its form is on purpose not that of the placer's model: it is quadratic in the load, convex in
-/// the noise and breaks when processors run out.
+/// The formula deliberately differs from the placer's model: it is quadratic in the load, convex in
+/// the noise, and has a kink where processors become scarce.
 #[derive(Debug, Clone, Copy)]
 pub struct Effect {
-    /// Service's p99 over its p99 alone at the same load.
+    /// Ratio of the service's p99 to its p99 without batch work at the same load.
     pub slowdown: f64,
-    /// Speed of batch tasks, 1 if nothing is short.
+    /// Relative speed of batch tasks; 1 if resources suffice and nothing interferes.
     pub speed: f64,
-    /// Whether more processors are wanted than there are.
-    pub overfull: bool,
-    /// What the service itself takes.
+    /// Whether demand exceeds the VM's processors.
+    pub overcommitted: bool,
+    /// Resources that the service uses.
     pub service: Resources,
 }
 
-/// Processors a service takes at full load.
+/// Processors that a service uses at full load.
 const SERVICE_MILLI_CPUS: f64 = 22_000.0;
-/// Memory a service takes.
+/// Memory that a service uses.
 const SERVICE_MEMORY_MB: u64 = 36_000;
 
-/// Returns the p99 of a service alone, over its p99 when idle.
-pub fn queueing(load: f64) -> f64 {
+/// Returns the ratio of a service's p99 without batch work to its p99 when idle.
+pub fn queueing_factor(load: f64) -> f64 {
     1.0 + 0.5 * load * load
 }
 
-/// Returns how the tasks slow the service and each other.
-pub fn effect(load: f64, tasks: &[Pressing]) -> Effect {
+/// Computes how the tasks slow the service and each other.
+pub fn effect(load: f64, tasks: &[TaskLoad]) -> Effect {
     let service_cpus = SERVICE_MILLI_CPUS * load;
     let batch_cpus: f64 = tasks.iter().map(|task| task.milli_cpus).sum();
     let noise: f64 = tasks.iter().map(|task| task.noise * task.milli_cpus / 16_000.0).sum();
     let total = (service_cpus + batch_cpus) / CAPACITY.milli_cpus as f64;
-    let short = (total - 0.92).max(0.0);
-    let pressing = noise * (0.25 + 0.75 * load * load);
-    let room = (CAPACITY.milli_cpus as f64 - service_cpus).max(1.0);
-    let speed = (room / batch_cpus.max(1.0)).min(1.0) / (1.0 + 0.06 * noise);
+    let shortage = (total - 0.92).max(0.0);
+    let interference = noise * (0.25 + 0.75 * load * load);
+    let free = (CAPACITY.milli_cpus as f64 - service_cpus).max(1.0);
+    let speed = (free / batch_cpus.max(1.0)).min(1.0) / (1.0 + 0.06 * noise);
     let service = Resources {
         milli_cpus: service_cpus as u64,
         memory_mb: SERVICE_MEMORY_MB,
         accelerators: 0,
     };
-    let slowdown = (1.0 + pressing).powf(1.25) + 5.0 * short;
-    Effect { slowdown, speed, overfull: total > 1.0, service }
+    let slowdown = (1.0 + interference).powf(1.25) + 5.0 * shortage;
+    Effect { slowdown, speed, overcommitted: total > 1.0, service }
 }
