refactor(bench): reword bench capacity; name extrapolation targets and time limits

Table headers and titles stay, since docs/CAPACITY.md quotes them; light agents and entries keep their names, which that page defines.

Conclusion: wording only.

--- a/crates/geraniumpost-bench/src/capacity_bench.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench.rs
@@ -1,5 +1,5 @@
-//! Measures how the use of each role grows with agents, requests, documents and job records, and
-//! fits the slopes that `docs/CAPACITY.md` is worked out from.
+//! `bench capacity`: growth of each role's resource usage with agents, requests, documents and job
+//! records, and the fitted slopes on which `docs/CAPACITY.md` is based.
 
 mod agents;
 mod changes;
@@ -28,11 +28,11 @@
 use eyre::Result;
 use geraniumpost_harness::Binaries;
 
-/// Seed of the schedules of requests.
+/// Seed of the request schedules.
 const SEED: u64 = 20_261_202;
-/// Real entries.
+/// Entries that run as processes.
 const ENTRIES: usize = 2;
-/// Real agents.
+/// Agents that run as processes.
 const AGENTS: usize = 2;
 
 /// Builds the command line of `bench capacity`.
@@ -44,45 +44,45 @@
                 .long("seconds")
                 .value_parser(value_parser!(u64).range(1..))
                 .default_value("4")
-                .help("Length of each measured point"),
+                .help("Duration of each measurement"),
         )
 }
 
-/// Runs all parts and prints their tables.
+/// Runs all measurements and prints their tables.
 ///
 /// # Errors
 ///
 /// Fails if a process cannot be started or a change is refused.
 pub async fn run(m: &ArgMatches) -> Result<()> {
     let seconds = *m.get_one::<u64>("seconds").unwrap_or(&4);
-    let time = Duration::from_secs(seconds);
+    let duration = Duration::from_secs(seconds);
     println!("seed {SEED}, {seconds} s a point, {ENTRIES} entries, {AGENTS} real agents");
-    println!("machine: {}", machine());
+    println!("machine: {}", describe_machine());
     records::run()?;
     let binaries = Binaries::beside_current_exe()?;
     let mut deployment = Deployment::start(&binaries, ENTRIES, AGENTS).await?;
-    requests::run(&deployment, time).await?;
-    jobs::run(&deployment, time).await?;
-    agents::run(&mut deployment, time).await?;
-    changes::run(&deployment, time).await?;
-    entries::run(&deployment, time).await?;
-    println!("\nmachine at the end: {}", machine());
+    requests::run(&deployment, duration).await?;
+    jobs::run(&deployment, duration).await?;
+    agents::run(&mut deployment, duration).await?;
+    changes::run(&deployment, duration).await?;
+    entries::run(&deployment, duration).await?;
+    println!("\nmachine at the end: {}", describe_machine());
     Ok(())
 }
 
-/// Returns how many processors there are and how much others use them, since builds beside the
-/// measurement make its processor times larger.
-fn machine() -> String {
+/// Describes the processors and the load average, since other work on the machine increases the
+/// measured processor times.
+fn describe_machine() -> String {
     let cores = std::thread::available_parallelism().map_or(0, usize::from);
     let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
     let load = load.split_whitespace().next().unwrap_or("unknown").to_owned();
     format!("{cores} cores, load average {load}")
 }
 
-/// Returns the head of a table of slopes whose last column is the figure at `goal`.
-fn slopes_head(unit: &str, goal: &str) -> String {
+/// Returns the header of a table of slopes whose last column is the value extrapolated to `target`.
+fn slopes_header(unit: &str, target: &str) -> String {
     format!(
-        "\n| slope per {unit} | slope | standard error | at 0 | R2 | at {goal} |\n\
+        "\n| slope per {unit} | slope | standard error | at 0 | R2 | at {target} |\n\
          | --- | --- | --- | --- | --- | --- |"
     )
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/agents.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/agents.rs
@@ -5,14 +5,14 @@
 use super::deployment::Deployment;
 use super::fit::Fit;
 use super::rates::Rates;
-use super::{ENTRIES, slopes_head};
+use super::{ENTRIES, slopes_header};
 
-/// Light agents.
+/// Numbers of light agents.
 const COUNTS: [usize; 5] = [0, 50, 100, 200, 300];
-/// Agents that the table is worked out for.
-const GOAL: f64 = 570.0;
+/// Number of agents to which the figures are extrapolated.
+const TARGET_AGENTS: f64 = 570.0;
 
-/// One measured point.
+/// One measurement.
 struct Point {
     agents: f64,
     rates: Rates,
@@ -20,7 +20,7 @@
     status_ms: f64,
 }
 
-/// Measures what idle agents cost an entry.
+/// Measures an entry's resource usage by the number of idle agents.
 pub async fn run(deployment: &mut Deployment, time: Duration) -> Result<()> {
     println!("\n## Idle agents, each with heartbeats and a link to each entry\n");
     println!("Figures of one entry; in and out as the light agents counted them.\n");
@@ -36,10 +36,10 @@
         println!("{}", row(&point));
         points.push(point);
     }
-    println!("{}", slopes_head("agent", "570 agents"));
+    println!("{}", slopes_header("agent", "570 agents"));
     let fit = |what: &str, figure: fn(&Point) -> f64| {
         let points: Vec<_> = points.iter().map(|p| (p.agents, figure(p))).collect();
-        println!("{}", Fit::new(&points).row(what, GOAL));
+        println!("{}", Fit::new(&points).row(what, TARGET_AGENTS));
     };
     let entries = ENTRIES as f64;
     fit("entry, % of a core", |p| p.rates.entry_cpu * 100.0);
@@ -51,17 +51,17 @@
     fit("console, status KB", |p| p.status_bytes / 1e3);
     fit("console, status ms", |p| p.status_ms);
     if let Some(last) = points.last() {
-        sizes(last, entries);
+        print_message_sizes(last, entries);
     }
-    idle_calls(&points);
+    print_idle_store_calls(&points);
     Ok(())
 }
 
 async fn measure(deployment: &Deployment, time: Duration) -> Result<Point> {
     let (rates, ()) = deployment.measure(tokio::time::sleep(time)).await?;
-    let begun = Instant::now();
+    let started = Instant::now();
     let (_, status) = deployment.fleet().operator(0).get("/api/status").await?;
-    let status_ms = begun.elapsed().as_secs_f64() * 1e3;
+    let status_ms = started.elapsed().as_secs_f64() * 1e3;
     let agents = deployment.light().len() as f64;
     Ok(Point { agents, rates, status_bytes: status.to_string().len() as f64, status_ms })
 }
@@ -82,22 +82,23 @@
     )
 }
 
-/// Prints what one agent sends and receives, and how long its messages are.
-fn sizes(point: &Point, entries: f64) {
+/// Prints the traffic of one agent and the sizes of its messages.
+fn print_message_sizes(point: &Point, entries: f64) {
     let traffic = point.rates.traffic;
     let agents = point.agents;
-    let (out, received) = (traffic.out() / agents, traffic.received() / agents);
-    let beat = traffic.datagrams_out.bytes / traffic.datagrams_out.count;
+    let (sent, received) = (traffic.sent() / agents, traffic.received() / agents);
+    let heartbeat = traffic.datagrams_out.bytes / traffic.datagrams_out.count;
     let ack = traffic.datagrams_in.bytes / traffic.datagrams_in.count;
     println!(
         "\nan agent beside {entries:.0} entries: {:.0} B/s out, {:.0} B/s in, {:.1} messages/s out, {:.1} in",
-        out.bytes, received.bytes, out.count, received.count
+        sent.bytes, received.bytes, sent.count, received.count
     );
-    println!("a heartbeat is {beat:.0} B long, its answer {ack:.0} B");
+    println!("a heartbeat is {heartbeat:.0} B long, its answer {ack:.0} B");
 }
 
-/// Prints the store's calls over all points: a watch lasts longer than one point.
-fn idle_calls(points: &[Point]) {
+/// Prints the rate of store calls over all measurements, because one call of a watch lasts longer than
+/// one of them.
+fn print_idle_store_calls(points: &[Point]) {
     let seconds: f64 = points.iter().map(|p| p.rates.seconds).sum();
     let calls: f64 = points.iter().map(|p| p.rates.store_calls * p.rates.seconds).sum();
     let writes: f64 = points.iter().map(|p| p.rates.store_writes * p.rates.seconds).sum();
--- a/crates/geraniumpost-bench/src/capacity_bench/changes.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/changes.rs
@@ -8,18 +8,18 @@
 use super::deployment::Deployment;
 use super::fit::Fit;
 use super::rates::Rates;
-use super::slopes_head;
+use super::slopes_header;
 
-/// Customers in the document; each stands for a team.
+/// Numbers of customers in the document; each represents a team.
 const CUSTOMERS: [usize; 4] = [1, 80, 160, 320];
-/// Changes made with each document.
+/// Changes measured with each document.
 const CHANGES: u32 = 4;
-/// Pause after each change, in which all pushes that it sets off end.
+/// Pause after each change, in which all resulting pushes complete.
 const PAUSE: Duration = Duration::from_millis(800);
-/// Bytes of a document that the table is worked out for.
-const GOAL: f64 = 36_000.0;
+/// Document size to which the figures are extrapolated.
+const TARGET_BYTES: f64 = 36_000.0;
 
-/// Measures what a change of the configuration costs, by the size of the document.
+/// Measures the cost of a configuration change by the size of the document.
 pub async fn run(deployment: &Deployment, time: Duration) -> Result<()> {
     let (idle, ()) = deployment.measure(sleep(time)).await?;
     println!("\n## Changes of the configuration with {} light agents\n", deployment.light().len());
@@ -32,11 +32,11 @@
     for customers in CUSTOMERS {
         let (_, document) = deployment.document().await?;
         let document = with_customers(document, customers);
-        let (rates, slowest) = deployment.measure(change(deployment, document)).await?;
+        let (rates, slowest) = deployment.measure(make_changes(deployment, document)).await?;
         let slowest = slowest?;
-        // Entries fill in the defaults, so the document pushed is longer than the one put.
+        // Entries fill in defaults, so the document that they push is larger than the one written here.
         let size = deployment.document().await?.1.to_string().len() as f64;
-        let cost = Cost::of_one(&rates, &idle, deployment.light().len());
+        let cost = Cost::per_change(&rates, &idle, deployment.light().len());
         println!(
             "| {customers} | {size:.0} | {:.2} | {:.0} | {:.1} | {:.1} | {:.0} |",
             cost.pushes,
@@ -49,14 +49,14 @@
         times.push((size, cost.entry_ms));
         in_force.push((size, slowest.as_secs_f64() * 1e3));
     }
-    println!("{}", slopes_head("byte of the document", "36,000 B"));
-    println!("{}", Fit::new(&bytes).row("B to an agent for a change", GOAL));
-    println!("{}", Fit::new(&times).row("entry, ms of a core for a change", GOAL));
-    println!("{}", Fit::new(&in_force).row("slowest in force, ms", GOAL));
+    println!("{}", slopes_header("byte of the document", "36,000 B"));
+    println!("{}", Fit::new(&bytes).row("B to an agent for a change", TARGET_BYTES));
+    println!("{}", Fit::new(&times).row("entry, ms of a core for a change", TARGET_BYTES));
+    println!("{}", Fit::new(&in_force).row("slowest in force, ms", TARGET_BYTES));
     Ok(())
 }
 
-/// What one change costs beyond what runs all the time.
+/// Cost of one change, without the usage of an idle deployment.
 struct Cost {
     pushes: f64,
     bytes: f64,
@@ -65,20 +65,21 @@
 }
 
 impl Cost {
-    fn of_one(rates: &Rates, idle: &Rates, agents: usize) -> Self {
-        let seconds_each = rates.seconds / f64::from(CHANGES);
+    fn per_change(rates: &Rates, idle: &Rates, agents: usize) -> Self {
+        let seconds_per_change = rates.seconds / f64::from(CHANGES);
         let frames = (rates.traffic.frames_in - idle.traffic.frames_in) / agents as f64;
         Self {
-            pushes: frames.count * seconds_each,
-            bytes: frames.bytes * seconds_each,
-            entry_ms: (rates.entry_cpu - idle.entry_cpu) * seconds_each * 1e3,
-            store_calls: (rates.store_calls - idle.store_calls) * seconds_each,
+            pushes: frames.count * seconds_per_change,
+            bytes: frames.bytes * seconds_per_change,
+            entry_ms: (rates.entry_cpu - idle.entry_cpu) * seconds_per_change * 1e3,
+            store_calls: (rates.store_calls - idle.store_calls) * seconds_per_change,
         }
     }
 }
 
-/// Makes some changes one after the other and returns the longest time until all were in force.
-async fn change(deployment: &Deployment, mut document: Value) -> Result<Duration> {
+/// Makes the changes one after the other and returns the longest time until one was in force
+/// everywhere.
+async fn make_changes(deployment: &Deployment, mut document: Value) -> Result<Duration> {
     let mut slowest = Duration::ZERO;
     for number in 0..CHANGES {
         document["customers"]["team-0"]["weight"] = json!(number + 1);
--- a/crates/geraniumpost-bench/src/capacity_bench/deployment.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/deployment.rs
@@ -10,12 +10,12 @@
 use super::probe::Probe;
 use super::rates::Rates;
 
-/// Time for new agents to be linked, and for a change to be in force.
-const PATIENCE: Duration = Duration::from_secs(20);
-/// Time for what a change of the deployment set off to calm down.
-const SETTLE: Duration = Duration::from_secs(1);
+/// Time within which new agents must have a configuration, and a change must be in force.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Pause after new agents are added, until the resulting traffic has ended.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 
-/// Real entries and agents beside light agents.
+/// Real entries and agents, and light agents in this process.
 #[derive(Debug)]
 pub struct Deployment {
     light: LightAgents,
@@ -23,7 +23,7 @@
 }
 
 impl Deployment {
-    /// Starts entries and real agents; light agents are added later.
+    /// Starts entries and real agents, without light agents.
     pub async fn start(binaries: &Binaries, entries: usize, agents: usize) -> Result<Self> {
         let plan = Plan::default()
             .entries(entries)
@@ -35,7 +35,7 @@
         Ok(Self { light: LightAgents::new(datagrams), fleet })
     }
 
-    /// Returns the real processes.
+    /// Returns the entries and agents that run as processes.
     pub const fn fleet(&self) -> &Fleet {
         &self.fleet
     }
@@ -48,21 +48,23 @@
     /// Adds light agents until there are `count`, and waits until all have a configuration.
     pub async fn grow_to(&mut self, count: usize) -> Result<()> {
         self.light.grow_to(count).await?;
-        wait_until("light agents configured", PATIENCE, || async { self.light.revision() > 0 })
-            .await;
-        sleep(SETTLE).await;
+        wait_until("light agents configured", READY_TIMEOUT, || async {
+            self.light.revision() > 0
+        })
+        .await;
+        sleep(SETTLE_TIME).await;
         Ok(())
     }
 
-    /// Measures for a time while `load` runs.
+    /// Measures usage and traffic while `load` runs; returns them with its result.
     pub async fn measure<T>(&self, load: impl Future<Output = T>) -> Result<(Rates, T)> {
         let before = Probe::take(&self.fleet, &self.light).await?;
-        let done = load.await;
+        let result = load.await;
         let after = Probe::take(&self.fleet, &self.light).await?;
-        Ok((after.since(&before), done))
+        Ok((after.since(&before), result))
     }
 
-    /// Returns the document in force with its revision.
+    /// Returns the revision and the document in force.
     pub async fn document(&self) -> Result<(u64, Value)> {
         let (_, mut config) = self.fleet.operator(0).get("/api/config").await?;
         let revision = config["revision"].as_u64().ok_or_else(|| eyre!("no revision: {config}"))?;
@@ -72,13 +74,13 @@
     /// Changes the document and returns the time until it is in force on all light agents.
     pub async fn change(&self, document: &Value) -> Result<Duration> {
         let (revision, _) = self.document().await?;
-        let begun = Instant::now();
+        let started = Instant::now();
         let operator = self.fleet.operator(0);
         let (status, answer) = operator.put_if_match("/api/config", revision, document).await?;
         let written = answer["revision"].as_u64();
         let written = written.ok_or_else(|| eyre!("change refused, {status}: {answer}"))?;
         let in_force = || async { self.light.revision() >= written };
-        wait_until("the change is in force everywhere", PATIENCE, in_force).await;
-        Ok(begun.elapsed())
+        wait_until("the change is in force everywhere", READY_TIMEOUT, in_force).await;
+        Ok(started.elapsed())
     }
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/flow.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/flow.rs
@@ -1,9 +1,9 @@
 use std::ops::{Add, Div, Sub};
 
-/// A number of messages with their bytes, as a sum or in a second.
+/// Messages and their bytes, as totals or per second.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Flow {
-    /// Messages.
+    /// Number of messages.
     pub count: f64,
     /// Bytes of their payload, without the headers of IP, UDP and TCP.
     pub bytes: f64,
@@ -28,7 +28,7 @@
 impl Div<f64> for Flow {
     type Output = Self;
 
-    fn div(self, by: f64) -> Self {
-        Self { count: self.count / by, bytes: self.bytes / by }
+    fn div(self, divisor: f64) -> Self {
+        Self { count: self.count / divisor, bytes: self.bytes / divisor }
     }
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
@@ -21,18 +21,19 @@
 
 use super::traffic::Traffic;
 
-/// Interval of heartbeats, the default of the settings.
+/// Interval of heartbeats, as in the default settings.
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
-/// Bytes of an answer to a request.
-const ANSWER: usize = 64;
+/// Size of an answer's body.
+const ANSWER_BYTES: usize = 64;
 
-/// An agent without a VM: to the entries it looks like a real one, and hundreds fit one process.
+/// An agent without a VM, which entries cannot distinguish from a real one; one process can run
+/// hundreds.
 ///
-/// It sends the real messages at the real interval, takes links, pings, configurations and requests,
-/// and counts the bytes of all of them.
+/// It sends the real messages at the real interval, accepts links, pings, configurations and requests,
+/// and counts the bytes of all messages.
 #[derive(Debug)]
 pub struct LightAgent {
-    me: Identity,
+    identity: Identity,
     key: SharedKey,
     domain: Name,
     rack: Name,
@@ -47,7 +48,7 @@
 }
 
 impl LightAgent {
-    /// Starts an agent; its tasks end with `tasks`.
+    /// Starts an agent whose tasks are added to `tasks` and end with it.
     pub async fn start(
         number: usize,
         domain: &str,
@@ -57,7 +58,7 @@
     ) -> Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let agent = Arc::new(Self {
-            me: Identity {
+            identity: Identity {
                 name: Name::from(format!("light-{number}")),
                 incarnation: rand::random(),
             },
@@ -74,44 +75,44 @@
             traffic,
         });
         tasks.spawn(Arc::clone(&agent).announce());
-        tasks.spawn(Arc::clone(&agent).hear());
+        tasks.spawn(Arc::clone(&agent).receive());
         tasks.spawn(Arc::clone(&agent).serve(listener));
         Ok(agent)
     }
 
-    /// Returns the revision in force here.
+    /// Returns the revision of the configuration in force.
     pub fn revision(&self) -> u64 {
         self.revision.load(Ordering::Relaxed)
     }
 
     async fn announce(self: Arc<Self>) {
-        // Agents of a real fleet do not beat in step.
+        // A random delay, because the agents of a real fleet do not send at the same time.
         sleep(HEARTBEAT.mul_f64(rand::random())).await;
         let mut ticks = interval(HEARTBEAT);
         loop {
             ticks.tick().await;
-            let beat = Datagram::Heartbeat(self.heartbeat());
-            let Ok(sealed) = seal_datagram(&self.key, &beat) else { continue };
+            let datagram = Datagram::Heartbeat(self.heartbeat());
+            let Ok(sealed) = seal_datagram(&self.key, &datagram) else { continue };
             for entry in &self.entries {
                 self.traffic.datagrams_out.add(sealed.len());
-                // A lost heartbeat is made good by the next.
+                // The next heartbeat replaces a lost one.
                 let _ = self.socket.send_to(&sealed, entry).await;
             }
         }
     }
 
-    async fn hear(self: Arc<Self>) {
+    async fn receive(self: Arc<Self>) {
         let mut buf = [0; MAX_DATAGRAM];
         loop {
             let Ok((len, _)) = self.socket.recv_from(&mut buf).await else { continue };
             self.traffic.datagrams_in.add(len);
             if let Ok(Datagram::HeartbeatAck(ack)) = open_datagram(&self.key, &buf[..len]) {
-                self.acknowledged(&ack);
+                self.apply_ack(&ack);
             }
         }
     }
 
-    fn acknowledged(&self, ack: &HeartbeatAck) {
+    fn apply_ack(&self, ack: &HeartbeatAck) {
         self.term.fetch_max(ack.term, Ordering::Relaxed);
         if !ack.entries.is_empty() {
             self.entries_digest.store(ack.entries_digest, Ordering::Relaxed);
@@ -128,14 +129,14 @@
     }
 
     async fn serve_link(self: Arc<Self>, stream: TcpStream) {
-        let Ok((connection, _)) = accept(stream, &self.me, &self.key).await else { return };
+        let Ok((connection, _)) = accept(stream, &self.identity, &self.key).await else { return };
         let (link, mut frames): (LinkSender<ToEntry>, LinkReceiver<ToAgent>) =
             open_link(connection, |_| {});
         while let Some(frame) = frames.next().await {
             self.traffic.frames_in.add(frame_bytes(&frame));
             if let Some(answer) = self.answer(frame) {
                 self.traffic.frames_out.add(frame_bytes(&answer));
-                // A link that has ended takes no frame, and the loop ends, too.
+                // Sending fails if the link has ended, and then the loop ends as well.
                 let _ = link.send(answer);
             }
         }
@@ -152,19 +153,19 @@
             }
             ToAgent::Supersede(term) => {
                 self.term.fetch_max(term, Ordering::Relaxed);
-                let incarnation = self.me.incarnation;
+                let incarnation = self.identity.incarnation;
                 let inventory = Inventory { incarnation, term, tasks: Vec::new() };
                 Some(ToEntry::Inventory(inventory).into())
             }
-            ToAgent::Request(head) => Some(answered(head.id)),
+            ToAgent::Request(head) => Some(success_answer(head.id)),
             _ => None,
         }
     }
 
     fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
-            agent: self.me.name.clone(),
-            incarnation: self.me.incarnation,
+            agent: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
             service: Name::from(SERVICE),
             region: Name::from(REGION),
@@ -191,7 +192,7 @@
     }
 }
 
-fn answered(id: RequestId) -> Frame<ToEntry> {
+fn success_answer(id: RequestId) -> Frame<ToEntry> {
     let head = AnswerHead {
         id,
         outcome: Outcome::Answered,
@@ -200,13 +201,13 @@
         retry_after_ms: 0,
         load: Load::default(),
     };
-    Frame { head: ToEntry::Answer(head), body: Bytes::from_static(&[b'a'; ANSWER]) }
+    Frame { head: ToEntry::Answer(head), body: Bytes::from_static(&[b'a'; ANSWER_BYTES]) }
 }
 
-/// Returns the bytes of a frame on its link.
+/// Returns the encoded size of a frame.
 fn frame_bytes<T: Serialize + Clone>(frame: &Frame<T>) -> usize {
     let mut buf = BytesMut::new();
-    // The body is left out of the encoding, so that measuring a large document copies nothing.
+    // The body is not encoded, so that a large document is not copied to determine its size.
     let head = Frame { head: frame.head.clone(), body: Bytes::new() };
     if encode_frame(&head, &mut buf).is_err() {
         return 0;
--- a/crates/geraniumpost-bench/src/capacity_bench/light_agents.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_agents.rs
@@ -8,10 +8,10 @@
 use super::traffic::Traffic;
 use super::traffic_counts::TrafficCounts;
 
-/// Failure domains that the agents are spread over.
+/// Failure domains over which the agents are distributed.
 const DOMAINS: [&str; 4] = ["miraflores", "surco", "callao", "ate"];
 
-/// A growing number of light agents in this process; they end with this handle.
+/// The light agents in this process, which end when this is dropped.
 #[derive(Debug)]
 pub struct LightAgents {
     entries: Vec<SocketAddr>,
@@ -21,7 +21,7 @@
 }
 
 impl LightAgents {
-    /// Starts with none.
+    /// Creates it without agents.
     pub fn new(entries: Vec<SocketAddr>) -> Self {
         Self { entries, agents: Vec::new(), traffic: Arc::default(), tasks: JoinSet::new() }
     }
@@ -42,12 +42,12 @@
         self.agents.len()
     }
 
-    /// Returns the lowest revision in force on any agent.
+    /// Returns the lowest revision that is in force on any agent.
     pub fn revision(&self) -> u64 {
         self.agents.iter().map(|agent| agent.revision()).min().unwrap_or(u64::MAX)
     }
 
-    /// Returns all messages counted so far.
+    /// Returns the traffic counted so far.
     pub fn traffic(&self) -> TrafficCounts {
         self.traffic.read()
     }
--- a/crates/geraniumpost-bench/src/capacity_bench/light_entries.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_entries.rs
@@ -13,10 +13,10 @@
 use super::light_agent::HEARTBEAT;
 use super::meter::Meter;
 
-/// A growing number of entries that only send and hear beats; they end with this handle.
+/// Entries in this process that only send and receive beats; they end when this is dropped.
 ///
-/// They are the far side on which the beats of real entries and the heartbeats of real agents are
-/// counted: real agents announce themselves to every entry that they are told of.
+/// They receive and count the beats of real entries and the heartbeats of real agents, which send
+/// them to every entry that they know of.
 #[derive(Debug)]
 pub struct LightEntries {
     real: Vec<SocketAddr>,
@@ -27,7 +27,7 @@
 }
 
 impl LightEntries {
-    /// Starts with none beside the real entries.
+    /// Creates it without light entries; `real` are the addresses of the real ones.
     pub fn new(real: Vec<SocketAddr>) -> Self {
         let (beats, heartbeats) = (Arc::default(), Arc::default());
         Self { real, count: 0, beats, heartbeats, tasks: JoinSet::new() }
@@ -37,36 +37,36 @@
     pub async fn grow_to(&mut self, count: usize) -> Result<()> {
         for number in self.count..count {
             let socket = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
-            let beat = beat(number, socket.local_addr()?);
+            let beat = create_beat(number, socket.local_addr()?);
             let (beats, heartbeats) = (Arc::clone(&self.beats), Arc::clone(&self.heartbeats));
             self.tasks.spawn(announce(Arc::clone(&socket), beat, self.real.clone()));
-            self.tasks.spawn(hear(socket, beats, heartbeats));
+            self.tasks.spawn(receive(socket, beats, heartbeats));
         }
         self.count = count;
         Ok(())
     }
 
-    /// Returns the beats of real entries and the heartbeats of real agents heard so far.
-    pub fn heard(&self) -> (Flow, Flow) {
+    /// Returns the beats of real entries and the heartbeats of real agents received so far.
+    pub fn received(&self) -> (Flow, Flow) {
         (self.beats.read(), self.heartbeats.read())
     }
 }
 
-async fn announce(socket: Arc<UdpSocket>, mut beat: EntryBeat, to: Vec<SocketAddr>) {
+async fn announce(socket: Arc<UdpSocket>, mut beat: EntryBeat, entries: Vec<SocketAddr>) {
     let key = SharedKey::from(SHARED_KEY);
     let mut ticks = interval(HEARTBEAT);
     loop {
         ticks.tick().await;
         beat.sequence += 1;
         let Ok(sealed) = seal_datagram(&key, &Datagram::EntryBeat(beat.clone())) else { continue };
-        for entry in &to {
-            // A lost beat is made good by the next.
+        for entry in &entries {
+            // The next beat replaces a lost one.
             let _ = socket.send_to(&sealed, entry).await;
         }
     }
 }
 
-async fn hear(socket: Arc<UdpSocket>, beats: Arc<Meter>, heartbeats: Arc<Meter>) {
+async fn receive(socket: Arc<UdpSocket>, beats: Arc<Meter>, heartbeats: Arc<Meter>) {
     let key = SharedKey::from(SHARED_KEY);
     let mut buf = [0; MAX_DATAGRAM];
     loop {
@@ -79,7 +79,7 @@
     }
 }
 
-fn beat(number: usize, address: SocketAddr) -> EntryBeat {
+fn create_beat(number: usize, address: SocketAddr) -> EntryBeat {
     EntryBeat {
         peer: EntryPeer {
             name: Name::from(format!("light-entry-{number}")),
--- a/crates/geraniumpost-bench/src/capacity_bench/meter.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/meter.rs
@@ -2,7 +2,7 @@
 
 use super::flow::Flow;
 
-/// Counts messages of one kind with their bytes, for many tasks at once.
+/// Counts messages of one kind and their bytes; it can be shared by many tasks.
 #[derive(Debug, Default)]
 pub struct Meter {
     count: AtomicU64,
@@ -16,7 +16,7 @@
         self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    /// Returns what was counted so far.
+    /// Returns the totals so far.
     pub fn read(&self) -> Flow {
         Flow {
             count: self.count.load(Ordering::Relaxed) as f64,
--- a/crates/geraniumpost-bench/src/capacity_bench/probe.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/probe.rs
@@ -9,7 +9,7 @@
 use super::traffic_counts::TrafficCounts;
 use crate::usage::Usage;
 
-/// What had been used and sent by one moment.
+/// Totals of usage, traffic and store calls at one time.
 #[derive(Debug)]
 pub struct Probe {
     at: Instant,
@@ -20,7 +20,7 @@
 }
 
 impl Probe {
-    /// Looks at all processes.
+    /// Reads the totals of all processes.
     pub async fn take(fleet: &Fleet, light: &LightAgents) -> Result<Self> {
         let entries = fleet.entries().iter().filter_map(|entry| entry.process().id());
         let agents = fleet.agents().iter().filter_map(|agent| agent.process().id());
@@ -33,18 +33,19 @@
         })
     }
 
-    /// Returns the use in a second since an earlier moment.
-    pub fn since(&self, then: &Self) -> Rates {
-        let seconds = (self.at - then.at).as_secs_f64();
-        let (now, before) = (&self.store, &then.store);
+    /// Returns the rates per second since an earlier probe.
+    pub fn since(&self, earlier: &Self) -> Rates {
+        let seconds = (self.at - earlier.at).as_secs_f64();
+        let (now, before) = (&self.store, &earlier.store);
         Rates {
             seconds,
-            entry_cpu: busy(&self.entries, &then.entries) / seconds,
-            entries_cpu: busy(&self.entries, &then.entries) * self.entries.len() as f64 / seconds,
-            entry_mb: megabytes(&self.entries),
-            agent_cpu: busy(&self.agents, &then.agents) / seconds,
-            agent_mb: megabytes(&self.agents),
-            traffic: (self.traffic - then.traffic) / seconds,
+            entry_cpu: mean_cpu_s(&self.entries, &earlier.entries) / seconds,
+            entries_cpu: mean_cpu_s(&self.entries, &earlier.entries) * self.entries.len() as f64
+                / seconds,
+            entry_mb: mean_resident_mb(&self.entries),
+            agent_cpu: mean_cpu_s(&self.agents, &earlier.agents) / seconds,
+            agent_mb: mean_resident_mb(&self.agents),
+            traffic: (self.traffic - earlier.traffic) / seconds,
             store_calls: (now.total() - before.total()) as f64 / seconds,
             store_writes: (now.writes() - before.writes()) as f64 / seconds,
             store_bytes: (now.bytes_written - before.bytes_written) as f64 / seconds,
@@ -52,14 +53,14 @@
     }
 }
 
-/// Returns the processor time of one process on average, in seconds.
-fn busy(now: &[Usage], then: &[Usage]) -> f64 {
-    let each = now.iter().zip(then).map(|(now, then)| now.cpu_s - then.cpu_s);
+/// Returns the mean processor time per process since an earlier probe, in seconds.
+fn mean_cpu_s(now: &[Usage], earlier: &[Usage]) -> f64 {
+    let each = now.iter().zip(earlier).map(|(now, earlier)| now.cpu_s - earlier.cpu_s);
     each.sum::<f64>() / now.len().max(1) as f64
 }
 
-/// Returns the resident memory of one process on average.
-fn megabytes(usages: &[Usage]) -> f64 {
+/// Returns the mean resident memory per process, in megabytes.
+fn mean_resident_mb(usages: &[Usage]) -> f64 {
     let sum: u64 = usages.iter().map(|usage| usage.resident).sum();
     sum as f64 / 1e6 / usages.len().max(1) as f64
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/rates.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/rates.rs
@@ -1,9 +1,9 @@
 use super::traffic_counts::TrafficCounts;
 
-/// What processes used and sent in a second.
+/// Usage and traffic per second during a measurement.
 #[derive(Debug, Clone, Copy)]
 pub struct Rates {
-    /// Length of the look in seconds.
+    /// Duration of the measurement in seconds.
     pub seconds: f64,
     /// Processor time of an entry as a share of a core.
     pub entry_cpu: f64,
@@ -15,12 +15,12 @@
     pub agent_cpu: f64,
     /// Resident memory of a real agent in megabytes.
     pub agent_mb: f64,
-    /// What all light agents together sent and received.
+    /// Messages of all light agents together.
     pub traffic: TrafficCounts,
-    /// Calls of the store by all entries.
+    /// Store calls of all entries together.
     pub store_calls: f64,
-    /// Those of them that write.
+    /// Store calls that write.
     pub store_writes: f64,
-    /// Bytes of values written to the store.
+    /// Bytes of the values written to the store.
     pub store_bytes: f64,
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/records.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/records.rs
@@ -5,50 +5,50 @@
 use geraniumpost_schema::Resources;
 
 use super::fit::Fit;
-use super::slopes_head;
+use super::slopes_header;
 
-/// Records in one bucket.
+/// Numbers of records in a bucket.
 const COUNTS: [usize; 5] = [0, 100, 200, 400, 800];
-/// Commits timed for each.
+/// Encodings timed for each number of records.
 const COMMITS: u64 = 200;
-/// Records of a bucket at the size to come, of 2,600 jobs a day that are kept for a day and 2,800
-/// that run, in 16 buckets.
-const GOAL: f64 = 338.0;
+/// Number of records to which the figures are extrapolated: 2,600 jobs a day, which are kept for a
+/// day, and 2,800 running ones, in 16 buckets.
+const TARGET_RECORDS: f64 = 338.0;
 
 /// Measures the size of a bucket and the time to encode it for a commit.
 ///
 /// # Errors
 ///
-/// Fails if a record refuses a step.
+/// Fails if a record does not accept a transition.
 pub fn run() -> Result<()> {
     println!("\n## Job records in one bucket\n");
     println!("| records | bytes | encode us | decode us |\n| --- | --- | --- | --- |");
     let (mut sizes, mut encodings, mut decodings) = (Vec::new(), Vec::new(), Vec::new());
     for count in COUNTS {
-        let mut bucket = filled(count)?;
-        let begun = Instant::now();
+        let mut bucket = filled_bucket(count)?;
+        let started = Instant::now();
         for sequence in 0..COMMITS {
             std::hint::black_box(bucket.encode(1, sequence));
         }
-        let encode = begun.elapsed().as_secs_f64() * 1e6 / COMMITS as f64;
+        let encode = started.elapsed().as_secs_f64() * 1e6 / COMMITS as f64;
         let value = bucket.encode(1, COMMITS);
-        let begun = Instant::now();
+        let started = Instant::now();
         std::hint::black_box(Bucket::decode(&value)?);
-        let decode = begun.elapsed().as_secs_f64() * 1e6;
+        let decode = started.elapsed().as_secs_f64() * 1e6;
         println!("| {count} | {} | {encode:.1} | {decode:.0} |", value.len());
         sizes.push((count as f64, value.len() as f64));
         encodings.push((count as f64, encode));
         decodings.push((count as f64, decode));
     }
-    println!("{}", slopes_head("record", "338 records"));
-    println!("{}", Fit::new(&sizes).row("bytes of a commit", GOAL));
-    println!("{}", Fit::new(&encodings).row("us to encode it", GOAL));
-    println!("{}", Fit::new(&decodings).row("us to decode it at a takeover", GOAL));
+    println!("{}", slopes_header("record", "338 records"));
+    println!("{}", Fit::new(&sizes).row("bytes of a commit", TARGET_RECORDS));
+    println!("{}", Fit::new(&encodings).row("us to encode it", TARGET_RECORDS));
+    println!("{}", Fit::new(&decodings).row("us to decode it at a takeover", TARGET_RECORDS));
     Ok(())
 }
 
-/// Fills a bucket with records of which half have finished, as in a day's mean.
-fn filled(count: usize) -> Result<Bucket> {
+/// Creates a bucket of which half the records are completed, as on average over a day.
+fn filled_bucket(count: usize) -> Result<Bucket> {
     let mut bucket = Bucket::default();
     for number in 0..count {
         let mut record = JobRecord::new(spec(number), 1_796_000_000_000);
--- a/crates/geraniumpost-bench/src/capacity_bench/requests.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/requests.rs
@@ -5,21 +5,21 @@
 
 use super::deployment::Deployment;
 use super::fit::Fit;
-use super::{AGENTS, ENTRIES, SEED, slopes_head};
+use super::{AGENTS, ENTRIES, SEED, slopes_header};
 use crate::requests_bench::load_client::{LoadClient, RequestProfile};
 use crate::requests_bench::open_loop::open_loop;
 
-/// Requests in a second through all entries.
+/// Requests per second through all entries together.
 const PER_SECOND: [f64; 4] = [0.0, 200.0, 400.0, 800.0];
-/// What the minion does for each.
+/// Work, deadline and semantics of each request.
 const PROFILE: RequestProfile =
     RequestProfile { work_ms: 1, deadline: Duration::from_secs(10), at_most_once: false };
-/// Requests in a second of one process that the table is worked out for.
-const GOAL: f64 = 100.0;
-/// Answers that an agent keeps for whoever asks for one again.
-const MOST_KEPT: f64 = 4096.0;
+/// Requests per second of one process to which the figures are extrapolated.
+const TARGET_PER_SECOND: f64 = 100.0;
+/// Highest number of answers that an agent keeps for repeated requests.
+const MAX_KEPT_ANSWERS: f64 = 4096.0;
 
-/// Measures what requests cost a real entry and a real agent.
+/// Measures the cost of requests for a real entry and a real agent.
 pub async fn run(deployment: &Deployment, time: Duration) -> Result<()> {
     println!("\n## Requests through real entries and real agents\n");
     println!("| requests/s | answered | entry % of a core | entry MB | agent % | agent MB |");
@@ -42,16 +42,16 @@
             rates.agent_cpu * 100.0,
             rates.agent_mb
         );
-        let done = answered as f64 / rates.seconds;
-        entry.push((done / ENTRIES as f64, rates.entry_cpu * 100.0));
+        let answered_per_second = answered as f64 / rates.seconds;
+        entry.push((answered_per_second / ENTRIES as f64, rates.entry_cpu * 100.0));
         answers += answered as f64 / AGENTS as f64;
         kept.push((answers, rates.agent_mb));
-        agent.push((done / AGENTS as f64, rates.agent_cpu * 100.0));
+        agent.push((answered_per_second / AGENTS as f64, rates.agent_cpu * 100.0));
     }
-    println!("{}", slopes_head("request/s of one process", "100 requests/s"));
-    println!("{}", Fit::new(&entry).row("entry, % of a core", GOAL));
-    println!("{}", Fit::new(&agent).row("agent, % of a core", GOAL));
-    println!("{}", slopes_head("answer kept by an agent", "4,096 answers, its most"));
-    println!("{}", Fit::new(&kept).row("agent, resident MB", MOST_KEPT));
+    println!("{}", slopes_header("request/s of one process", "100 requests/s"));
+    println!("{}", Fit::new(&entry).row("entry, % of a core", TARGET_PER_SECOND));
+    println!("{}", Fit::new(&agent).row("agent, % of a core", TARGET_PER_SECOND));
+    println!("{}", slopes_header("answer kept by an agent", "4,096 answers, its most"));
+    println!("{}", Fit::new(&kept).row("agent, resident MB", MAX_KEPT_ANSWERS));
     Ok(())
 }
--- a/crates/geraniumpost-bench/src/capacity_bench/traffic.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/traffic.rs
@@ -1,7 +1,7 @@
 use super::meter::Meter;
 use super::traffic_counts::TrafficCounts;
 
-/// All that light agents send and receive.
+/// Counters of the messages that light agents send and receive.
 #[derive(Debug, Default)]
 pub struct Traffic {
     /// Heartbeats sent.
@@ -15,7 +15,7 @@
 }
 
 impl Traffic {
-    /// Returns what was counted so far.
+    /// Returns the totals so far.
     pub fn read(&self) -> TrafficCounts {
         TrafficCounts {
             datagrams_out: self.datagrams_out.read(),
--- a/crates/geraniumpost-bench/src/capacity_bench/traffic_counts.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/traffic_counts.rs
@@ -2,7 +2,7 @@
 
 use super::flow::Flow;
 
-/// What light agents have sent and received, as a sum or in a second.
+/// Messages that light agents have sent and received, as totals or per second.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct TrafficCounts {
     /// Heartbeats sent.
@@ -16,12 +16,12 @@
 }
 
 impl TrafficCounts {
-    /// Returns all that agents sent.
-    pub fn out(&self) -> Flow {
+    /// Returns all messages that the agents sent.
+    pub fn sent(&self) -> Flow {
         self.datagrams_out + self.frames_out
     }
 
-    /// Returns all that agents received.
+    /// Returns all messages that the agents received.
     pub fn received(&self) -> Flow {
         self.datagrams_in + self.frames_in
     }
@@ -43,12 +43,12 @@
 impl Div<f64> for TrafficCounts {
     type Output = Self;
 
-    fn div(self, by: f64) -> Self {
+    fn div(self, divisor: f64) -> Self {
         Self {
-            datagrams_out: self.datagrams_out / by,
-            datagrams_in: self.datagrams_in / by,
-            frames_out: self.frames_out / by,
-            frames_in: self.frames_in / by,
+            datagrams_out: self.datagrams_out / divisor,
+            datagrams_in: self.datagrams_in / divisor,
+            frames_out: self.frames_out / divisor,
+            frames_in: self.frames_in / divisor,
         }
     }
 }
