--- a/crates/geraniumpost-bench/src/capacity_bench/agents.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/agents.rs
@@ -96,8 +96,8 @@
     println!("a heartbeat is {heartbeat:.0} B long, its answer {ack:.0} B");
 }
 
-/// Prints the rate of store calls over all measurements, because one call of a watch lasts longer than
-/// one of them.
+/// Prints the rate of store calls over all measurements, because one call of a watch lasts longer
+/// than one measurement.
 fn print_idle_store_calls(points: &[Point]) {
     let seconds: f64 = points.iter().map(|p| p.rates.seconds).sum();
     let calls: f64 = points.iter().map(|p| p.rates.store_calls * p.rates.seconds).sum();
--- a/crates/geraniumpost-bench/src/capacity_bench/changes.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/changes.rs
@@ -34,7 +34,7 @@
         let document = with_customers(document, customers);
         let (rates, slowest) = deployment.measure(make_changes(deployment, document)).await?;
         let slowest = slowest?;
-        // Entries fill in defaults, so the document that they push is larger than the one written here.
+        // Entries fill in defaults, so the pushed document is larger than the one sent here.
         let size = deployment.document().await?.1.to_string().len() as f64;
         let cost = Cost::per_change(&rates, &idle, deployment.light().len());
         println!(
--- a/crates/geraniumpost-bench/src/capacity_bench/entries.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/entries.rs
@@ -40,8 +40,8 @@
         let beats = (after.0 - before.0) / rates.seconds;
         let heartbeats = (after.1 - before.1) / rates.seconds;
         let all = (count + ENTRIES) as f64;
-        // A real entry sends its beats to every other entry; light entries receive all of them except
-        // those to the other real entry.
+        // A real entry sends its beats to every other entry; light entries receive all of them
+        // except those to the other real entry.
         let to_one = beats.bytes / (ENTRIES * count) as f64;
         let agent = heartbeats / (AGENTS * count) as f64;
         println!(
--- a/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/light_agent.rs
@@ -29,8 +29,8 @@
 /// An agent without a VM, which entries cannot distinguish from a real one; one process can run
 /// hundreds.
 ///
-/// It sends the real messages at the real interval, accepts links, pings, configurations and requests,
-/// and counts the bytes of all messages.
+/// It sends the real messages at the real interval, accepts links, pings, configurations and
+/// requests, and counts the bytes of all messages.
 #[derive(Debug)]
 pub struct LightAgent {
     identity: Identity,
--- a/crates/geraniumpost-bench/src/capacity_bench/requests.rs
+++ b/crates/geraniumpost-bench/src/capacity_bench/requests.rs
@@ -51,7 +51,7 @@
     println!("{}", slopes_header("request/s of one process", "100 requests/s"));
     println!("{}", Fit::new(&entry).row("entry, % of a core", TARGET_PER_SECOND));
     println!("{}", Fit::new(&agent).row("agent, % of a core", TARGET_PER_SECOND));
-    println!("{}", slopes_header("answer kept by an agent", "4,096 answers, its most"));
+    println!("{}", slopes_header("answer kept by an agent", "4,096 answers, the maximum"));
     println!("{}", Fit::new(&kept).row("agent, resident MB", MAX_KEPT_ANSWERS));
     Ok(())
 }
--- a/crates/geraniumpost-bench/src/placement_bench.rs
+++ b/crates/geraniumpost-bench/src/placement_bench.rs
@@ -1,7 +1,7 @@
 //! `bench placement`: effect of a placement policy on services and on batch work.
 //!
-//! Generated streams of jobs with fixed seeds run through the placer and through naive policies on a
-//! small model of workers whose tasks slow each other. The model only covers the effect of a
+//! Generated streams of jobs with fixed seeds run through the placer and through naive policies on
+//! a small model of workers whose tasks slow each other. The model only covers the effect of a
 //! decision; nothing is sent, lost or reordered as in a cluster simulator.
 
 mod distributions;
--- a/crates/geraniumpost-bench/src/placement_bench/fleet_model.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/fleet_model.rs
@@ -26,7 +26,7 @@
 const START_STOP_MS: u64 = 1000;
 /// Time after which a poison job, or any job on a black-hole worker, fails.
 const FAILS_AFTER_MS: u64 = 1500;
-/// Back-off after the first failure; it doubles with each further one.
+/// Base of the exponential back-off, which doubles with each failure.
 const BACK_OFF_MS: u64 = 2000;
 /// Failures after which a job is given up, as in the jobs module.
 const MAX_ATTEMPTS: u32 = 4;
@@ -284,8 +284,8 @@
         }
     }
 
-    /// Kills the task that exceeds its declared memory most if the VM runs out of memory, as the kernel
-    /// would.
+    /// Kills the task that exceeds its declared memory most if the VM runs out of memory, as the
+    /// kernel would.
     fn kill_out_of_memory(&mut self, tasks: &[usize], effect: &Effect) {
         let real = |at: &usize| &self.scenario.jobs[self.running[*at].job];
         let used: u64 = tasks.iter().map(|at| real(at).real.memory_mb).sum();
--- a/crates/geraniumpost-bench/src/placement_bench/naive_policy.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/naive_policy.rs
@@ -178,8 +178,8 @@
         Some(free[at].0.clone())
     }
 
-    /// Preempts as in the paper: if the waiting time outweighs the running time, evicts long-running
-    /// tasks.
+    /// Preempts as in the paper: if the waiting time outweighs the running time, evicts
+    /// long-running tasks.
     fn preempt(
         &mut self,
         now: Millis,
--- a/crates/geraniumpost-bench/src/placement_bench/timing.rs
+++ b/crates/geraniumpost-bench/src/placement_bench/timing.rs
@@ -22,7 +22,7 @@
 /// Prints the time per decision.
 pub fn run(seed: u64) {
     println!(
-        "\n| workers | tasks | one job, median us | p99 us | 80 jobs, us per job | 2,800 waiting in vain, ms |"
+        "\n| workers | tasks | one job, median us | p99 us | 80 jobs, us per job | 2,800 jobs that fit nowhere, ms |"
     );
     println!("| --- | --- | --- | --- | --- | --- |");
     for (workers, tasks) in SIZES {
--- a/crates/geraniumpost-bench/src/requests_bench/open_loop.rs
+++ b/crates/geraniumpost-bench/src/requests_bench/open_loop.rs
@@ -15,8 +15,8 @@
 /// Sends requests at a rate whether or not answers arrive, and measures latency from the time at
 /// which each request was due.
 ///
-/// A closed loop would send fewer requests when answers are late and so hide the waiting time, which
-/// is known as coordinated omission.
+/// A closed loop would send fewer requests when answers are late and so hide the waiting time,
+/// which is known as coordinated omission.
 pub async fn open_loop(
     target: &LoadClient,
     profile: RequestProfile,
--- a/crates/geraniumpost-bench/src/requests_bench/scenarios.rs
+++ b/crates/geraniumpost-bench/src/requests_bench/scenarios.rs
@@ -173,7 +173,7 @@
         ratios
             .push(format!("{used}: {:.2}", contended.quantile_ms(0.99) / alone.quantile_ms(0.99)));
     }
-    println!("\np99 beside over alone, by used share: {}", ratios.join(", "));
+    println!("\nratio of p99 beside the burst to p99 alone, by used share: {}", ratios.join(", "));
     Ok(())
 }
 
@@ -193,7 +193,7 @@
         peak = peak.max(figures.goodput());
         last = figures.goodput();
     }
-    println!("\ngoodput at three times the capacity over its peak: {:.2}", last / peak);
+    println!("\nratio of goodput at three times the capacity to its peak: {:.2}", last / peak);
     Ok(())
 }
 
--- a/crates/geraniumpost-bench/src/routing_bench/policy_kind.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/policy_kind.rs
@@ -6,11 +6,11 @@
 /// A routing policy of the comparison.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PolicyKind {
-    /// The policy of entries.
+    /// The policy that entries use.
     Product,
-    /// The policy of entries, without ejection of failing agents.
+    /// The policy that entries use, without ejection of failing agents.
     WithoutEjection,
-    /// The policy of entries, with a second attempt at another agent for slow requests.
+    /// The policy that entries use, with a second attempt at another agent for slow requests.
     Hedged,
     RoundRobin,
     LeastReported,
--- a/crates/geraniumpost-bench/src/routing_bench/timing.rs
+++ b/crates/geraniumpost-bench/src/routing_bench/timing.rs
@@ -13,8 +13,8 @@
 /// part of the measured time.
 const BATCH: u64 = 1_000;
 
-/// Prints the duration of one decision, including the counting of requests in flight, for the present
-/// and the expected fleet sizes.
+/// Prints the duration of one decision, including the counting of requests in flight, for the
+/// present and the expected fleet sizes.
 pub fn print(decisions: u64, seed: u64) {
     println!("one decision in ns, median of batches of {BATCH} (worst batch), {decisions} each");
     println!("policy                   11 agents         100 agents         570 agents");
--- a/crates/geraniumpost-bench/src/soak.rs
+++ b/crates/geraniumpost-bench/src/soak.rs
@@ -65,12 +65,12 @@
     let jobs = submit_jobs(&fleet, round).await?;
     let began = Instant::now();
     for fault in faults {
-        fault.begin(&mut fleet).await?;
+        fault.inject(&mut fleet).await?;
         sleep(FAULT_DURATION / 4).await;
     }
     sleep(FAULT_DURATION).await;
     for fault in faults.iter().rev() {
-        fault.end(&mut fleet).await?;
+        fault.repair(&mut fleet).await?;
     }
     sleep(ROUND_LENGTH.saturating_sub(began.elapsed())).await;
     let observed = load.stop().await;
--- a/crates/geraniumpost-bench/src/soak/fault.rs
+++ b/crates/geraniumpost-bench/src/soak/fault.rs
@@ -62,7 +62,7 @@
     /// # Errors
     ///
     /// Fails if a process or stand-in cannot be controlled.
-    pub async fn begin(self, fleet: &mut Fleet) -> Result<()> {
+    pub async fn inject(self, fleet: &mut Fleet) -> Result<()> {
         match self {
             Self::KillAgent(number) => fleet.agent(number).kill(),
             Self::FreezeAgent(number) => signal_if_running(fleet.agent(number), Process::freeze)?,
@@ -91,7 +91,7 @@
     /// # Errors
     ///
     /// Fails if a process or stand-in cannot be controlled.
-    pub async fn end(self, fleet: &mut Fleet) -> Result<()> {
+    pub async fn repair(self, fleet: &mut Fleet) -> Result<()> {
         match self {
             Self::KillAgent(number) | Self::TermAgent(number) => fleet.agent(number).restart()?,
             Self::FreezeAgent(number) => signal_if_running(fleet.agent(number), Process::thaw)?,
--- a/crates/geraniumpost-bench/src/usage.rs
+++ b/crates/geraniumpost-bench/src/usage.rs
@@ -17,8 +17,8 @@
 impl Usage {
     /// Reads the usage of a process.
     ///
-    /// Processor time is summed over the threads' `schedstat`, which counts nanoseconds: one tick of
-    /// `stat` is as long as all the time that an idle agent uses in a second.
+    /// Processor time is summed over the threads' `schedstat`, which counts nanoseconds: one tick
+    /// of `stat` is as long as all the time that an idle agent uses in a second.
     ///
     /// # Errors
     ///
--- a/xtask/src/known_red/plan.rs
+++ b/xtask/src/known_red/plan.rs
@@ -49,8 +49,8 @@
         with_listed.map(|(path, _)| path.as_path())
     }
 
-    /// Returns whether cargo has built this binary for a target; rustdoc builds those of tests in doc
-    /// comments.
+    /// Returns whether cargo has built this binary for a target; rustdoc builds those of tests in
+    /// doc comments.
     pub fn contains(&self, binary: &Path) -> bool {
         self.binaries.contains_key(binary)
     }
--- a/xtask/src/known_red/target.rs
+++ b/xtask/src/known_red/target.rs
@@ -7,8 +7,8 @@
 
 /// A part of a package that is built into one test binary.
 ///
-/// An integration test is identified by its bare name, every other kind by the flag with which cargo
-/// selects it: a package's library, binary and integration test may all have the same name.
+/// An integration test is identified by its bare name, every other kind by the flag with which
+/// cargo selects it: a package's library, binary and integration test may all have the same name.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
     package: String,
--- a/xtask/tests/known_red/list.rs
+++ b/xtask/tests/known_red/list.rs
@@ -60,8 +60,8 @@
         => ["pack coordinator leases::some_test", "pack --lib leases::some_test"];
 }
 
-// An entry contains a mistake. If the parser guessed what was meant, the list could hide the failure
-// of a test that nobody has examined; the run fails instead and names the line.
+// An entry contains a mistake. If the parser guessed what was meant, the list could hide the
+// failure of a test that nobody has examined; the run fails instead and names the line.
 macro_rules! unreadable {
     ($($name:ident: $text:expr => $error:expr;)*) => {
         $(#[test]
@@ -81,7 +81,8 @@
         => ListError::InvalidTest { line: 3 };
     an_unknown_detail: ENTRY.replace("seed", "sead") => ListError::InvalidDetail { line: 3 };
     a_detail_without_colon: ENTRY.replace("seed:", "seed") => ListError::InvalidDetail { line: 3 };
-    a_detail_without_text: ENTRY.replace("seed: 7", "seed:") => ListError::InvalidDetail { line: 3 };
+    a_detail_without_text: ENTRY.replace("seed: 7", "seed:")
+        => ListError::InvalidDetail { line: 3 };
     an_indented_comment: ENTRY.replace("    seed", "    # no\n    seed")
         => ListError::InvalidDetail { line: 3 };
     a_detail_given_twice: ENTRY.replace("    issue", "    seed: 8\n    issue")
@@ -89,8 +90,10 @@
     no_command: ENTRY.replace("    command: cargo", "# ")
         => ListError::MissingDetail { line: 1, key: "command" };
     no_seed: ENTRY.replace("    seed", "# ") => ListError::MissingDetail { line: 1, key: "seed" };
-    no_observation: ENTRY.replace("    seen", "# ") => ListError::MissingDetail { line: 1, key: "seen" };
-    no_issue: ENTRY.replace("    issue", "# ") => ListError::MissingDetail { line: 1, key: "issue" };
+    no_observation: ENTRY.replace("    seen", "# ")
+        => ListError::MissingDetail { line: 1, key: "seen" };
+    no_issue: ENTRY.replace("    issue", "# ")
+        => ListError::MissingDetail { line: 1, key: "issue" };
     a_test_without_details_after_a_complete_entry: format!("{ENTRY}pack coordinator other\n")
         => ListError::MissingDetail { line: 6, key: "command" };
     a_test_listed_twice: format!("{ENTRY}{ENTRY}") => ListError::DuplicateTest { line: 6 };
--- a/xtask/tests/known_red/plan.rs
+++ b/xtask/tests/known_red/plan.rs
@@ -40,8 +40,8 @@
     only_the_other_package: "two one a" => "/two-test";
 }
 
-// A target was renamed or its name misspelt. The entry hides nothing now, but could hide a failure in
-// a later target of that name, so the run fails before any test and names the entry.
+// A target was renamed or its name misspelt. The entry hides nothing now, but could hide a failure
+// in a later target of that name, so the run fails before any test and names the entry.
 macro_rules! unknown_targets {
     ($($name:ident: $test:literal;)*) => {
         $(#[test]
@@ -118,7 +118,8 @@
 
 packages! {
     a_package_named_like_its_folder: "path+file:///w/crates/pack#0.1.0" => "pack";
-    a_package_named_unlike_its_folder: "path+file:///w/platform#pack-platform@0.1.0" => "pack-platform";
+    a_package_named_unlike_its_folder: "path+file:///w/platform#pack-platform@0.1.0"
+        => "pack-platform";
 }
 
 /// Other messages of cargo must not be mistaken for test binaries.
--- a/xtask/tests/known_red/runner.rs
+++ b/xtask/tests/known_red/runner.rs
@@ -69,7 +69,8 @@
     without_a_list_a_failure_fails: [""] "alpha:fail", "fixtures::" => false, [];
     a_listed_failure_is_passed_over: ["alpha"] "alpha:fail", "fixtures::"
         => true, ["alpha" Failed];
-    two_listed_failures_are_passed_over: ["alpha alpha_long"] "alpha:fail,alpha_long:fail", "fixtures::"
+    two_listed_failures_are_passed_over:
+        ["alpha alpha_long"] "alpha:fail,alpha_long:fail", "fixtures::"
         => true, ["alpha" Failed, "alpha_long" Failed];
     a_listed_pass_is_reported: ["alpha"] "", "fixtures::" => true, ["alpha" Passed];
     a_listed_crash_fails: ["alpha"] "alpha:crash", "fixtures::" => false, ["alpha" Crashed];
@@ -85,7 +86,8 @@
         => false, ["alpha_long" Failed];
     an_unselected_listed_test_is_left_out: ["alpha"] "alpha:fail", "fixtures::beta"
         => true, ["alpha" LeftOut];
-    a_failure_of_a_longer_name_fails_when_only_it_is_selected: ["alpha"] "alpha_long:fail", "fixtures::alpha_long"
+    a_failure_of_a_longer_name_fails_when_only_it_is_selected:
+        ["alpha"] "alpha_long:fail", "fixtures::alpha_long"
         => false, ["alpha" LeftOut];
     the_exact_flag_is_respected: ["alpha"] "alpha:fail,alpha_long:fail", "--exact fixtures::alpha"
         => true, ["alpha" Failed];
--- a/xtask/tests/known_red/runs.rs
+++ b/xtask/tests/known_red/runs.rs
@@ -12,7 +12,8 @@
 // `--skip` leaves out every test whose name contains the listed name. Without a second run, the
 // failure of a test with a longer name would go unnoticed.
 macro_rules! ordinary {
-    ($($name:ident: $args:literal, $selected:literal, $listed:literal => [$($run:literal),*];)*) => {
+    ($($name:ident: $args:literal, $selected:literal, $listed:literal => [$($run:literal),*];)*)
+        => {
         $(#[test]
         fn $name() {
             let runs = Runs::new(&words($args), &words($selected), &listed($listed));
@@ -25,8 +26,10 @@
     the_listed_test_is_left_out: "", "a b", "a" => ["--skip a"];
     two_listed_tests_are_left_out: "", "a b c", "a b" => ["--skip a --skip b"];
     a_longer_name_runs: "", "a ab c", "a" => ["--skip a", "--skip a --exact ab"];
-    the_same_name_in_another_module_runs: "", "a m::a", "a" => ["--skip a", "--skip a --exact m::a"];
-    a_listed_name_within_another_listed_name_needs_no_second_run: "", "a ab", "a ab" => ["--skip a --skip ab"];
+    the_same_name_in_another_module_runs: "", "a m::a", "a"
+        => ["--skip a", "--skip a --exact m::a"];
+    a_listed_name_within_another_listed_name_needs_no_second_run: "", "a ab", "a ab"
+        => ["--skip a --skip ab"];
     a_longer_name_runs_when_the_listed_test_is_not_selected: "ab", "ab", "a"
         => ["ab --skip a", "ab --skip a --exact ab"];
     arguments_are_passed_on: "--test-threads 4 m", "m::a m::ab", "m::a"
--- a/xtask/tests/known_red/test_args.rs
+++ b/xtask/tests/known_red/test_args.rs
@@ -5,7 +5,8 @@
 use crate::support::words;
 
 macro_rules! divided {
-    ($($name:ident: $all:literal => $cargo:literal, $binaries:literal, $covers_workspace:literal;)*) => {
+    ($($name:ident: $all:literal => $cargo:literal, $binaries:literal, $covers_workspace:literal;)*)
+        => {
         $(#[test]
         fn $name() {
             let all = words($all);
@@ -25,7 +26,7 @@
     both_are_divided_at_the_first_separator: "-p a -- b -- c" => "-p a", "-- b -- c", false;
 }
 
-// Cargo ignores `-p` when `--workspace` is given, so `cargo xtask test -p x` would run every package.
+// Cargo ignores `-p` beside `--workspace`, so `cargo xtask test -p x` would run every package.
 macro_rules! workspace_flags {
     ($($name:ident: $all:literal => $scope:expr;)*) => {
         $(#[test]
--- a/xtask/tests/known_red/verdict.rs
+++ b/xtask/tests/known_red/verdict.rs
@@ -32,7 +32,8 @@
 
 verdicts! {
     a_listed_failure_passes: true, [(id("one one a"), Outcome::Failed)] => true, "FAILED";
-    a_listed_test_that_passes_is_reported: true, [(id("one one a"), Outcome::Passed)] => true, "PASSED";
+    a_listed_test_that_passes_is_reported: true, [(id("one one a"), Outcome::Passed)]
+        => true, "PASSED";
     an_unselected_test_is_reported: true, [(id("one one a"), Outcome::LeftOut)]
         => true, "NOT RUN: the command line";
     a_crash_fails: true, [(id("one one a"), Outcome::Crashed)] => false, "CRASHED";
