fix(batch): put crashes down to every isolated sibling of a given-up task

Cause: only siblings with three crashes explained the crashes that met them when their job was given up. With two, all that they had hit stayed isolated, although the whole job never starts again.

Change: a sibling explains crashes if it had to be isolated itself, from two crashes on. Counts for giving a task up stay as they are.

Conclusion: wide jobs no longer wait for a job that will not start again.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -24,7 +24,7 @@
 const MAX_QUEUED_SUSPECTS: usize = 2;
 /// Number of crashes soon after its starts at which a task is given up, if the last one can be put
 /// down to it.
-pub(super) const MAX_CRASHES_AT_START: usize = 3;
+const MAX_CRASHES_AT_START: usize = 3;
 /// Number of crashes at which a task is given up, if the last one can be put down to it.
 const MAX_CERTAIN_CRASHES: usize = 4;
 /// Number of crashes at which a task is given up in any case.
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use super::Coordinator;
-use super::crashes::MAX_CRASHES_AT_START;
+use super::crashes::must_be_isolated;
 use super::young_run::YoungRun;
 use crate::{JobId, TaskCrashes, TaskId};
 
@@ -21,7 +21,7 @@
 pub(super) struct ExplainedCrashes {
     /// The runs that each of the latest crashes ended, oldest crash first.
     latest: Vec<Vec<CrashedRun>>,
-    /// Tasks of jobs that were given up, and that are suspected strongly of having crashed minions.
+    /// Tasks that were given up, and their siblings that had to be isolated then.
     culprits: BTreeSet<TaskId>,
     /// Runs ended by a crash that is put down to a culprit.
     explained: BTreeSet<CrashedRun>,
@@ -68,11 +68,11 @@
         self.explained_crashes.record(runs);
     }
 
-    /// Puts the latest crashes down to a task that is given up, and to those of its siblings that are
-    /// suspected strongly as well. The job is finished only after this call, which drops its counts.
+    /// Puts the latest crashes down to a task that is given up, and to those of its siblings that had
+    /// to be isolated. The job is finished only after this call, which drops its counts.
     pub(super) fn explain_crashes_by(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get(&task.job) else { return };
-        let is_culprit = |crashes: &TaskCrashes| crashes.runs.len() >= MAX_CRASHES_AT_START;
+        let is_culprit = |crashes: &TaskCrashes| must_be_isolated(crashes.runs.len());
         let siblings = job.record.crashes.iter().filter(|(_, crashes)| is_culprit(crashes));
         let siblings = siblings.map(|(sibling, _)| *sibling);
         self.explained_crashes.add_culprits(siblings.chain([self.suspect_key(task)]));
--- a/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -56,3 +56,30 @@
     let running = CallerResponse::State(JobState::Running);
     assert_eq!(cluster.job_state(HEALTHY_JOB), running);
 }
+
+/// Guards against suspects that start in small groups after a task was given up, because two minions have
+/// crashed under them and a sibling of that task.
+#[test]
+fn crashes_of_a_suspected_sibling_are_explained() {
+    let mut cluster = Cluster::new();
+    join(&mut cluster, "m1-1", &["a"]);
+    join(&mut cluster, "m2-1", &["b", "h"]);
+    cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a"), labelled_step(1, "b")]);
+    cluster.submit(HEALTHY_JOB, vec![labelled_step(8, "h")]);
+    cluster.carry_out_orders();
+    crash(&mut cluster, "m2-1");
+    join(&mut cluster, "m2-2", &["b", "h"]);
+    crash(&mut cluster, "m2-2");
+    for (crashed, next) in [("m1-1", "m1-2"), ("m1-2", "m1-3"), ("m1-3", "m1-4")] {
+        crash(&mut cluster, crashed);
+        join(&mut cluster, next, &["a"]);
+    }
+    let failed = CallerResponse::State(JobState::Failed);
+    assert_eq!(
+        cluster.job_state(CRASHING_JOB),
+        failed,
+        "three minions have crashed under one task"
+    );
+    join(&mut cluster, "m2-3", &["b", "h"]);
+    assert_eq!(cluster.running_tasks().len(), 8, "all healthy tasks start together");
+}
