fix(batch): keep suspected siblings of a task that was given up as suspects

Cause: when a task is given up, the crashes that met its suspected siblings are explained by these, for the siblings as well. Their runs, which are still being stopped, were no suspects any more, and a healthy task on the same minion had the lead.

Change: crashes are not explained away for the tasks that explain them.

suspected_sibling_remains_a_suspect plays the sequence; it failed before and passes.

--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -48,8 +48,11 @@
         self.explained.extend(explained.flatten());
     }
 
-    /// Returns how many crashes of a task are not explained.
+    /// Returns how many crashes of a task are not explained by others.
     fn unexplained_count(&self, task: TaskId, crashes: &TaskCrashes) -> usize {
+        if self.culprits.contains(&task) {
+            return crashes.runs.len();
+        }
         let is_explained = |run: &&u32| self.explained.contains(&(task, **run));
         crashes.runs.len() - crashes.runs.iter().filter(is_explained).count()
     }
--- a/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -83,3 +83,42 @@
     join(&mut cluster, "m2-3", &["b", "h"]);
     assert_eq!(cluster.running_tasks().len(), 8, "all healthy tasks start together");
 }
+
+/// Guards against a healthy task that is given up for the last crash of a suspected sibling of a task that
+/// was given up, because the crashes of that sibling count no more.
+#[test]
+fn suspected_sibling_remains_a_suspect() {
+    let mut cluster = Cluster::new();
+    join(&mut cluster, "m1-1", &["a"]);
+    join(&mut cluster, "m3-1", &["h"]);
+    cluster.submit(HEALTHY_JOB, vec![labelled_step(1, "h")]);
+    cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a"), labelled_step(1, "b")]);
+    cluster.carry_out_orders();
+    crash(&mut cluster, "m3-1");
+    for minion in ["m2-1", "m2-2"] {
+        join(&mut cluster, minion, &["b", "h"]);
+        assert_eq!(cluster.running_tasks().len(), 3, "{minion} runs two tasks");
+        crash(&mut cluster, minion);
+    }
+    join(&mut cluster, "m2-3", &["b", "h"]);
+    for _ in 0..4 {
+        cluster.advance(500);
+        cluster.heartbeat("m2-3");
+        cluster.poll("m2-3");
+        cluster.carry_out_orders();
+    }
+    assert_eq!(cluster.running_tasks().len(), 3, "both suspects run on the minion");
+    cluster.heartbeat_with_unresponsive_minion("m2-3");
+    for (crashed, next) in [("m1-1", "m1-2"), ("m1-2", "m1-3"), ("m1-3", "m1-4")] {
+        crash(&mut cluster, crashed);
+        join(&mut cluster, next, &["a"]);
+    }
+    let failed = CallerResponse::State(JobState::Failed);
+    assert_eq!(
+        cluster.job_state(CRASHING_JOB),
+        failed,
+        "three minions have crashed under one task"
+    );
+    crash(&mut cluster, "m2-3");
+    assert_ne!(cluster.job_state(HEALTHY_JOB), failed);
+}
