--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -16,8 +16,8 @@
 
 /// Number of crashes from which a task is placed apart from other such tasks.
 const ISOLATED_CRASHES: usize = 2;
-/// Number of earlier crashes by which a suspect must lead all others on its minion so that a crash at
-/// its start can be put down to it.
+/// Number of earlier crashes by which a suspect must lead all others on its minion so that a crash
+/// at its start can be put down to it.
 const CLEAR_LEAD: usize = 2;
 /// Maximum number of suspects that a minion starts one after the other. A suspect is known to work
 /// after little more than a second, so that none waits for 3 s.
@@ -111,8 +111,8 @@
     }
 
     /// Counts a crash for the task of a run, and returns the task's crashes. Returns `None` if the
-    /// crash was counted before, or says nothing about the task: it is done, or a later run is known
-    /// to work.
+    /// crash was counted before, or says nothing about the task: it is done, or a later run is
+    /// known to work.
     fn count_crash(&mut self, run: &YoungRun) -> Option<TaskCrashes> {
         let key = self.suspect_key(run.task);
         let is_wanted = self.open_jobs.contains(&key.job)
@@ -181,8 +181,8 @@
         }
     }
 
-    /// Returns whether a minion starts too many other tasks that must be isolated for this one, which
-    /// has `crashes` crashes. Members of the same gang do not count.
+    /// Returns whether a minion starts too many other tasks that must be isolated for this one,
+    /// which has `crashes` crashes. Members of the same gang do not count.
     pub(super) fn starts_isolated_tasks(
         &self,
         minion: &Minion,
@@ -201,8 +201,8 @@
         others.len() >= max_others
     }
 
-    /// Updates how many tasks that must be isolated a minion may start at the same time: one, or more
-    /// if it would otherwise start more than [`MAX_QUEUED_SUSPECTS`] one after the other.
+    /// Updates how many tasks that must be isolated a minion may start at the same time: one, or
+    /// more if it would otherwise start more than [`MAX_QUEUED_SUSPECTS`] one after the other.
     ///
     /// Minions that crash by themselves may make hundreds of tasks suspect, which would wait for
     /// minutes. In groups, the next crash leaves only one group under suspicion, and its tasks are
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -22,14 +22,14 @@
     terms: &'a QueueTerms,
     /// Whether the task ran before, in which case it may use the reserve for short tasks.
     ran_before: bool,
-    /// Number of minions that have crashed under the task since it was last cleared, without crashes
-    /// that are put down to other tasks.
+    /// Number of minions that have crashed under the task since it was last cleared, without
+    /// crashes that are put down to other tasks.
     crashes: usize,
 }
 
 impl TaskRequirements<'_> {
-    /// Returns how many minions have crashed under the task since it was last cleared, without crashes
-    /// that are put down to other tasks.
+    /// Returns how many minions have crashed under the task since it was last cleared, without
+    /// crashes that are put down to other tasks.
     pub(super) const fn crashes(&self) -> usize {
         self.crashes
     }
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -1,8 +1,8 @@
 //! Crashes that are put down to tasks which were given up.
 //!
 //! A crash makes all that had begun on the minion suspect, often hundreds of tasks. Once a task is
-//! given up for it, the others need no isolation for it any more; they would run one after the other
-//! for minutes. Their counts stay, so that this affects only where and when tasks are placed.
+//! given up for it, the others need no isolation for it any more; they would run one after the
+//! other for minutes. Their counts stay, so that this affects only where and when tasks are placed.
 
 use std::collections::BTreeSet;
 
@@ -71,8 +71,8 @@
         self.explained_crashes.record(runs);
     }
 
-    /// Puts the latest crashes down to a task that is given up, and to those of its siblings that had
-    /// to be isolated. The job is finished only after this call, which drops its counts.
+    /// Puts the latest crashes down to a task that is given up, and to those of its siblings that
+    /// had to be isolated. The job is finished only after this call, which drops its counts.
     pub(super) fn explain_crashes_by(&mut self, task: TaskId) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let is_culprit = |crashes: &TaskCrashes| must_be_isolated(crashes.runs.len());
@@ -81,8 +81,8 @@
         self.explained_crashes.add_culprits(siblings.chain([self.suspect_key(task)]));
     }
 
-    /// Returns how many minions have crashed under a task since it was last cleared, without crashes
-    /// that are put down to tasks which were given up.
+    /// Returns how many minions have crashed under a task since it was last cleared, without
+    /// crashes that are put down to tasks which were given up.
     pub(super) fn unexplained_crash_count(&self, task: TaskId) -> usize {
         let Some(job) = self.jobs.get(&task.job) else { return 0 };
         if job.record.crashes.is_empty() {
--- a/crates/geraniumpost-batch/src/coordinator/held_room.rs
+++ b/crates/geraniumpost-batch/src/coordinator/held_room.rs
@@ -29,8 +29,8 @@
         self.held_before = std::mem::take(&mut self.held_for);
     }
 
-    /// Holds resources for those of `waiting` that ran before, if their job has been interrupted too
-    /// long. The tasks belong to one step, and no minion accepts them now.
+    /// Holds resources for those of `waiting` that ran before, if their job has been interrupted
+    /// too long. The tasks belong to one step, and no minion accepts them now.
     ///
     /// Tasks of a lower rank cannot use these resources in this round, so that they accumulate from
     /// round to round until the task fits.
--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -26,8 +26,8 @@
     /// Time of the first placement round that found the job without runs, on the monotonic clock;
     /// `None` if the last round found runs.
     pub(super) idle_since_ms: Option<u64>,
-    /// Time of the first placement round that found a persistent task of the job waiting although it
-    /// ran before, on the monotonic clock; `None` if the last round found no such task.
+    /// Time of the first placement round that found a persistent task of the job waiting although
+    /// it ran before, on the monotonic clock; `None` if the last round found no such task.
     pub(super) interrupted_since_ms: Option<u64>,
     /// Estimated duration of the longest chain of steps, in milliseconds.
     pub(super) critical_path_ms: u64,
--- a/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
+++ b/crates/geraniumpost-batch/src/coordinator/main_suspect.rs
@@ -15,8 +15,8 @@
 }
 
 impl Coordinator {
-    /// Returns how strongly each task with earlier crashes is suspected of the crash that ended these
-    /// runs.
+    /// Returns how strongly each task with earlier crashes is suspected of the crash that ended
+    /// these runs.
     pub(super) fn suspicions(&self, young: &[YoungRun]) -> BTreeMap<TaskId, usize> {
         let mut suspicions = BTreeMap::new();
         for run in young {
@@ -36,11 +36,11 @@
     }
 
     /// Returns how strongly a task is suspected of a crash that ends its present run: the number of
-    /// its earlier crashes that are not explained, and one more if all of its crashes met runs in the
-    /// same stage as this one, at their start or later.
+    /// its earlier crashes that are not explained, and one more if all of its crashes met runs in
+    /// the same stage as this one, at their start or later.
     ///
-    /// Of two tasks that were suspected equally often, the one that has worked for a while is seldom
-    /// at fault if it met all earlier crashes at its start.
+    /// Of two tasks that were suspected equally often, the one that has worked for a while is
+    /// seldom at fault if it met all earlier crashes at its start.
     pub(super) fn suspicion(&self, task: TaskId, is_at_start: bool) -> usize {
         let unexplained = self.unexplained_crash_count(task);
         if unexplained == 0 {
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -119,12 +119,13 @@
     /// Demand of a best-effort step that no minion accepted in the current placement round, by
     /// service and image.
     unplaceable: BTreeMap<(Name, Name), crate::Demand>,
-    /// Tasks that were given up for their crashes, until their jobs are removed; of a gang the first.
+    /// Tasks that were given up for their crashes, until their jobs are removed; of a gang the
+    /// first.
     tasks_given_up: BTreeSet<TaskId>,
     /// Crashes that are put down to tasks which were given up.
     explained_crashes: ExplainedCrashes,
-    /// Maximum number of tasks under which two minions have crashed that a minion starts at the same
-    /// time.
+    /// Maximum number of tasks under which two minions have crashed that a minion starts at the
+    /// same time.
     max_isolated_per_minion: usize,
     /// Persistent tasks for which resources are held since the last placement round.
     held_for: BTreeSet<TaskId>,
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -86,7 +86,8 @@
         }
     }
 
-    /// Gives up a run that its minion refused or that no longer fits there, so that its task can be placed elsewhere.
+    /// Gives up a run that its minion refused or that no longer fits there, so that its task can be
+    /// placed elsewhere.
     ///
     /// A refusal covers only one copy of the start order. Another copy that is in flight or had no
     /// response may still be carried out once the minion has free resources or a lease again, and
--- a/crates/geraniumpost-batch/src/coordinator/orders.rs
+++ b/crates/geraniumpost-batch/src/coordinator/orders.rs
@@ -22,8 +22,8 @@
         }
     }
 
-    /// Sends a start order, or gives up the run if it no longer fits on its minion. The order may be
-    /// sent repeatedly, because a minion starts a run at most once.
+    /// Sends a start order, or gives up the run if it no longer fits on its minion. The order may
+    /// be sent repeatedly, because a minion starts a run at most once.
     pub(super) fn send_start(&mut self, task: TaskId, now: Now) {
         if !self.still_fits(task) {
             self.log_start_dropped(task);
@@ -50,11 +50,11 @@
         }
     }
 
-    /// Returns whether a run that is about to start fits on its minion beside the runs that may exist
-    /// there, including those that are being stopped.
+    /// Returns whether a run that is about to start fits on its minion beside the runs that may
+    /// exist there, including those that are being stopped.
     ///
-    /// The minion's capacity may have shrunk since the run was placed, while the placement was being
-    /// committed or the start order had no response. Some minions do not guard their capacity
+    /// The minion's capacity may have shrunk since the run was placed, while the placement was
+    /// being committed or the start order had no response. Some minions do not guard their capacity
     /// and would start the run nevertheless.
     fn still_fits(&self, task: TaskId) -> bool {
         let Some(run) = self.runs.get(&task) else { return true };
--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -93,9 +93,9 @@
 /// Entries that start together are thus added in one change, and a new coordinator has received
 /// pings from all entries before its first change.
 pub const VOTER_CHANGE_INTERVAL_MS: u64 = 2_000;
-/// Minimum time from the beginning of a term until voters are named in a coordinator's key that names
-/// none, in milliseconds: two pings. Without voters nobody can tell when a lost coordinator no longer
-/// extends leases, so that this change does not wait for [`VOTER_CHANGE_INTERVAL_MS`].
+/// Minimum time from the beginning of a term until voters are named in a coordinator's key that
+/// names none, in milliseconds: two pings. Without voters nobody can tell when a lost coordinator
+/// no longer extends leases, so that this change does not wait for [`VOTER_CHANGE_INTERVAL_MS`].
 pub const FIRST_VOTERS_DELAY_MS: u64 = 500;
 /// Age of the store's last confirmation at which a coordinator starts to report to its peers that
 /// it does not reach the store, in milliseconds.
--- a/crates/geraniumpost-batch/tests/coordinator/changed_capacity.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/changed_capacity.rs
@@ -184,8 +184,8 @@
     }
 }
 
-/// A gang is being committed when its minion shrinks. Its members cannot work without each other, so
-/// that none may be left there.
+/// A gang is being committed when its minion shrinks. Its members cannot work without each other,
+/// so that none may be left there.
 #[test]
 fn gang_that_no_longer_fits_is_withdrawn() {
     let mut cluster = Cluster::new().with_minions(&["m1"]);
@@ -205,9 +205,9 @@
     assert_eq!(cluster.running_tasks().len(), 2, "both start once there is room");
 }
 
-/// Capacities change at random while orders get no response, are carried out late or not at all, and
-/// stops take their time. Whatever the order of events, no start is sent that does not fit beside
-/// what may exist on its minion.
+/// Capacities change at random while orders get no response, are carried out late or not at all,
+/// and stops take their time. Whatever the order of events, no start is sent that does not fit
+/// beside what may exist on its minion.
 #[test]
 fn no_start_exceeds_a_changing_capacity() {
     for seed in 0..200 {
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -103,8 +103,8 @@
         self.submit_unchecked(job, step, duration_ms);
     }
 
-    /// Submits a job of which one task crashes its minion `delay_ms` after its start. The members of
-    /// a gang end only together, and so not at all.
+    /// Submits a job of which one task crashes its minion `delay_ms` after its start. The members
+    /// of a gang end only together, and so not at all.
     pub fn submit_poison(&mut self, task: TaskId, step: StepSpec, delay_ms: u64) {
         self.poisons.insert(task, delay_ms);
         let duration_ms = if step.gang { 0 } else { 1_000 };
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_siblings.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_siblings.rs
@@ -52,9 +52,9 @@
     failed
 }
 
-/// Guards against a crash that is put down to a healthy task: the run that crashes the minion belongs to
-/// a job which is given up for a sibling of that run before the crash is reported, and the crashes of
-/// the job's tasks are forgotten with its last run.
+/// Guards against a crash that is put down to a healthy task: the run that crashes the minion
+/// belongs to a job which is given up for a sibling of that run before the crash is reported, and
+/// the crashes of the job's tasks are forgotten with its last run.
 #[test]
 fn crash_of_a_sibling_of_a_task_that_was_given_up_is_put_down_to_nobody_else() {
     assert_eq!(failed_healthy_jobs(5..15), []);
@@ -75,8 +75,9 @@
     }
 }
 
-/// Guards against hundreds of suspects that run one after the other, for the crashes of a task that was
-/// given up: no later crash could be put down to it, and their jobs would wait for a minute and more.
+/// Guards against hundreds of suspects that run one after the other, for the crashes of a task that
+/// was given up: no later crash could be put down to it, and their jobs would wait for a minute and
+/// more.
 #[test]
 fn suspects_do_not_wait_after_a_task_was_given_up() {
     for seed in 0..2 {
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_tasks.rs
@@ -147,10 +147,10 @@
     }
 }
 
-/// A fifth of all minions crash every 3 s for a minute, all at once or one by one, and no task is at
-/// fault. Each crash makes whatever had just begun there suspect; if that were enough, many healthy
-/// jobs would be shown as failed. A task whose first three starts all meet a crash by chance cannot
-/// be told from one that is at fault, so that one job in a thousand may fail.
+/// A fifth of all minions crash every 3 s for a minute, all at once or one by one, and no task is
+/// at fault. Each crash makes whatever had just begun there suspect; if that were enough, many
+/// healthy jobs would be shown as failed. A task whose first three starts all meet a crash by
+/// chance cannot be told from one that is at fault, so that one job in a thousand may fail.
 #[test]
 fn hardly_any_healthy_job_fails_while_minions_flap() {
     let (mut jobs, mut failed) = (0, Vec::new());
@@ -241,8 +241,8 @@
 }
 
 /// A task under which two minions have crashed waits for a minion without another such task. Its
-/// siblings and other jobs must not wait behind it, and it must not wait longer than the other one is
-/// suspected.
+/// siblings and other jobs must not wait behind it, and it must not wait longer than the other one
+/// is suspected.
 #[test]
 fn isolated_task_delays_nobody() {
     let mut fleet = CrashingFleet::new(1);
@@ -302,8 +302,8 @@
     }
 }
 
-/// Guards against jobs that hardly advance after two crashes under very many tasks: if each minion ran
-/// only one of them at a time, most would wait for minutes.
+/// Guards against jobs that hardly advance after two crashes under very many tasks: if each minion
+/// ran only one of them at a time, most would wait for minutes.
 #[test]
 fn many_suspects_share_minions() {
     let mut fleet = CrashingFleet::new(3);
@@ -337,8 +337,8 @@
     }
 }
 
-/// Guards against a crash that is put down to the healthy siblings of a task that was given up: a second
-/// task that crashes minions, on the same minion, would not be counted.
+/// Guards against a crash that is put down to the healthy siblings of a task that was given up: a
+/// second task that crashes minions, on the same minion, would not be counted.
 #[test]
 fn siblings_of_a_task_that_was_given_up_explain_no_crash() {
     let demand = Demand { milli_cpus: 100, memory_mb: 10, accelerators: 0 };
@@ -371,8 +371,8 @@
     assert!(excessive.is_empty(), "starts after the third crash: {excessive:?}");
 }
 
-/// Guards against tasks that crash their minions some seconds after each start, and whose crashes are
-/// not counted once they are so many that minions seem to crash by themselves.
+/// Guards against tasks that crash their minions some seconds after each start, and whose crashes
+/// are not counted once they are so many that minions seem to crash by themselves.
 #[test]
 fn tasks_that_crash_minions_late_are_given_up() {
     let mut fleet = CrashingFleet::new(11);
@@ -405,8 +405,8 @@
     }
 }
 
-/// Guards against healthy jobs that are given up while minions flap and each of them runs many small
-/// tasks, of which one or the other has met two crashes before.
+/// Guards against healthy jobs that are given up while minions flap and each of them runs many
+/// small tasks, of which one or the other has met two crashes before.
 #[test]
 fn hardly_any_healthy_job_fails_in_a_dense_flapping_fleet() {
     let demand = Demand { milli_cpus: 100, memory_mb: 10, accelerators: 0 };
--- a/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -28,9 +28,9 @@
     cluster.send(minion, FromAgent::MinionTerminated { minion: minion.into(), crashed: true });
 }
 
-/// Guards against a healthy task that is given up for crashes of another one: three minions have crashed
-/// under both, the other one is given up, and a sibling of that one with a single crash crashes the
-/// minion of the healthy task.
+/// Guards against a healthy task that is given up for crashes of another one: three minions have
+/// crashed under both, the other one is given up, and a sibling of that one with a single crash
+/// crashes the minion of the healthy task.
 #[test]
 fn explained_crashes_make_nobody_the_main_suspect() {
     let mut cluster = Cluster::new();
@@ -57,8 +57,8 @@
     assert_eq!(cluster.job_state(HEALTHY_JOB), running);
 }
 
-/// Guards against suspects that start in small groups after a task was given up, because two minions have
-/// crashed under them and a sibling of that task.
+/// Guards against suspects that start in small groups after a task was given up, because two
+/// minions have crashed under them and a sibling of that task.
 #[test]
 fn crashes_of_a_suspected_sibling_are_explained() {
     let mut cluster = Cluster::new();
@@ -84,8 +84,8 @@
     assert_eq!(cluster.running_tasks().len(), 8, "all healthy tasks start together");
 }
 
-/// Guards against a healthy task that is given up for the last crash of a suspected sibling of a task that
-/// was given up, because the crashes of that sibling count no more.
+/// Guards against a healthy task that is given up for the last crash of a suspected sibling of a
+/// task that was given up, because the crashes of that sibling count no more.
 #[test]
 fn suspected_sibling_remains_a_suspect() {
     let mut cluster = Cluster::new();
--- a/crates/geraniumpost-batch/tests/coordinator/persistent_restart.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/persistent_restart.rs
@@ -90,8 +90,8 @@
 }
 
 /// A minion joins while a persistent task is down and more short tasks wait than the minion can
-/// run. If short tasks went first, they would fill the minion at once, and the persistent task would
-/// stay down.
+/// run. If short tasks went first, they would fill the minion at once, and the persistent task
+/// would stay down.
 #[test]
 fn persistent_task_that_lost_its_run_goes_first_on_a_new_minion() {
     let mut cluster = full_cluster();
--- a/crates/geraniumpost-batch/tests/quorum.rs
+++ b/crates/geraniumpost-batch/tests/quorum.rs
@@ -185,8 +185,8 @@
     assert_eq!(Support::new(Voters::default(), 0).supported_until_ms(), u64::MAX);
 }
 
-/// Guards against a handover to nobody: entries that are stopping, or that no longer respond, cannot
-/// take over.
+/// Guards against a handover to nobody: entries that are stopping, or that no longer respond,
+/// cannot take over.
 #[test]
 fn only_a_responding_entry_that_is_not_stopping_is_a_candidate() {
     let mut support = Support::new(voters(2), 0);
