--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -2,7 +2,8 @@
 //!
 //! A crash makes all that had begun on the minion suspect, often hundreds of tasks. Once a task is
 //! given up for it, the others need no isolation for it any more; they would run one after the
-//! other for minutes. Their counts stay, so that this affects only where and when tasks are placed.
+//! other for minutes. Such a crash also gives nobody a lead over other suspects. The counts stay,
+//! so that the number of crashes at which any task is given up is the same.
 
 use std::collections::BTreeSet;
 
