fix(batch): discard messages of replaced agent links

Cause: all that a domain sends is held up for seconds. Its agents find the coordinator silent and open new links once the cut ends; then the old links deliver what they still held. The driver knew an agent by its name only, so that a list of running tasks from before the cut was handled as the newest.

Change: messages carry the number of their link, and those of a link that is not the agent's current one are discarded and counted. An agent reports everything again over a new link. A link that was accepted before the current one does not replace it.

--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 
 use super::super::{BootClock, ToPeer};
+use super::agent_links::{AgentLinks, LinkClosing, LinkOpening};
 use super::process_pause::ProcessPause;
 use super::successor_leases::SuccessorLeases;
 use super::term_support::TermSupport;
@@ -61,8 +62,15 @@
         /// The caller's request, as relayed by the entry.
         request: CallerRequest,
     },
-    /// Message of the agent with this name.
-    AgentMessage(Name, FromAgent),
+    /// Message of an agent.
+    AgentMessage {
+        /// Name of the agent's VM.
+        node: Name,
+        /// Number of the link over which the message arrived.
+        link: u64,
+        /// The message.
+        message: FromAgent,
+    },
     /// The store has committed the batch with this number.
     BatchWritten(u64),
     /// Response of the admission service; `None` if it failed to respond.
@@ -107,8 +115,7 @@
     approval_requests: mpsc::Sender<ApprovalRequest>,
     /// Links of entries, by the number of the link.
     entries: HashMap<u64, LinkSender<ToPeer>>,
-    /// Number and sender of the current link of each agent.
-    agents: HashMap<Name, (u64, LinkSender<ToPeer>)>,
+    agents: AgentLinks<LinkSender<ToPeer>>,
     /// Link of the entry that waits for each response and the entry's id of the request, by the
     /// driver's own id of the request.
     pending_replies: HashMap<u64, (u64, u64)>,
@@ -139,7 +146,7 @@
             writes,
             approval_requests,
             entries: HashMap::new(),
-            agents: HashMap::new(),
+            agents: AgentLinks::default(),
             pending_replies: HashMap::new(),
             next_request_id: 1,
         }
@@ -207,10 +214,12 @@
                 self.entries.insert(link, tx);
             }
             Input::LinkOpened(Peer::Agent { node, link }, tx) => {
-                // A new link replaces the old one, even if messages on the old link are still in
-                // flight.
-                if self.agents.insert(node.clone(), (link, tx)).is_some() {
-                    self.coordinator.handle_agent_disconnected(&node, now);
+                match self.agents.open(&node, link, tx) {
+                    LinkOpening::First => {}
+                    LinkOpening::Replacing => {
+                        self.coordinator.handle_agent_disconnected(&node, now);
+                    }
+                    LinkOpening::Outdated => return,
                 }
                 let hello = FromAgent::Hello { agent: node.clone() };
                 self.coordinator.handle_agent_message(&node, hello, now);
@@ -218,20 +227,25 @@
             Input::LinkClosed(Peer::Entry { link, .. }) => {
                 self.entries.remove(&link);
             }
-            Input::LinkClosed(Peer::Agent { node, link }) => {
-                if self.agents.get(&node).is_some_and(|(current, _)| *current == link) {
-                    self.agents.remove(&node);
+            Input::LinkClosed(Peer::Agent { node, link }) => match self.agents.close(&node, link) {
+                LinkClosing::Disconnected => {
                     self.coordinator.handle_agent_disconnected(&node, now);
                 }
-            }
+                LinkClosing::Replaced { discarded: 0 } => {}
+                LinkClosing::Replaced { discarded } => {
+                    spdlog::info!("agent={node} event=replaced_link_closed discarded={discarded}")
+                }
+            },
             Input::Request { link, request_id, request } => {
                 let own_request_id = self.next_request_id;
                 self.next_request_id += 1;
                 self.pending_replies.insert(own_request_id, (link, request_id));
                 self.coordinator.handle_request(own_request_id, request, now);
             }
-            Input::AgentMessage(node, message) => {
-                self.coordinator.handle_agent_message(&node, message, now);
+            Input::AgentMessage { node, link, message } => {
+                if self.agents.accept_message(&node, link) {
+                    self.coordinator.handle_agent_message(&node, message, now);
+                }
             }
             Input::BatchWritten(batch) => self.coordinator.handle_batch_written(batch, now),
             Input::ApprovalResponse((step, requested_minions), response) => {
@@ -291,7 +305,7 @@
 
     fn send_to_agent(&self, agent: &Name, message: ToAgent) {
         self.count_order(&message);
-        if let Some((_, tx)) = self.agents.get(agent) {
+        if let Some(tx) = self.agents.sender(agent) {
             // An order that is lost when its link closes is repeated over the next link.
             let _ = tx.send(ToPeer::Agent(message));
         }
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! Election of the coordinator, and the process around its state machine: links, store and terms.
 
 mod adaptive_timeout;
+mod agent_links;
 mod candidate;
 mod coordinator_key;
 mod coordinator_loss;
@@ -19,6 +20,7 @@
 mod term_support;
 mod writer;
 
+pub use agent_links::{AgentLinks, LinkClosing, LinkOpening};
 pub use candidate::Candidate;
 pub use coordinator_loss::{CoordinatorLoss, detect_loss};
 pub use handover::HandoverTimes;
--- a/crates/geraniumpost/src/batch/coordination/peer_listener.rs
+++ b/crates/geraniumpost/src/batch/coordination/peer_listener.rs
@@ -5,9 +5,8 @@
 use std::time::Duration;
 
 use geraniumpost_batch::tuning::MAX_CONFIRMATION_AGE_MS;
-use geraniumpost_batch::{FromAgent, FromEntry, ToEntry};
+use geraniumpost_batch::{FromEntry, ToEntry};
 use geraniumpost_net::{LinkReceiver, LinkSender};
-use geraniumpost_schema::Name;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
@@ -170,8 +169,8 @@
                     FromPeer::EntryMessage(FromEntry::Request { request_id, request }),
                     Peer::Entry { link, .. },
                 ) => Input::Request { link: *link, request_id, request },
-                (FromPeer::AgentMessage(message), Peer::Agent { node, .. }) => {
-                    agent_input(node, message)
+                (FromPeer::AgentMessage(message), Peer::Agent { node, link }) => {
+                    Input::AgentMessage { node: node.clone(), link: *link, message }
                 }
                 _ => return,
             };
@@ -198,7 +197,3 @@
             && silent_ms < MAX_COORDINATOR_SILENCE_MS
     }
 }
-
-fn agent_input(node: &Name, message: FromAgent) -> Input {
-    Input::AgentMessage(node.clone(), message)
-}
