feat(batch): start nothing in evacuated failure domains

Operators ask by a key in the store that nothing more be sent to the minions of a failure domain until the key is removed.

Change: a pure state (Evacuations) holds the domains, the revision at which each was requested, and when they were read. A reading shows every request that was acknowledged before the reading was requested; it permits starts for the bound of the settings less 1 s for the delivery of an order. Placement, moves, approvals, racks, held room and isolation of suspects ask the same list of reasons; start orders are checked again when they are sent, also repeated ones and those of a predecessor, and carry the time on the agent's clock until which the agent may send them. A coordinator whose reading is too old starts nothing, and neither does a successor before its first. A job that only evacuated domains could run is refused with the time to come back.

Earlier builds read and send the same orders without the new field (start_orders_are_read_across_versions).

--- a/crates/geraniumpost-batch/src/coordinator/agents.rs
+++ b/crates/geraniumpost-batch/src/coordinator/agents.rs
@@ -26,11 +26,20 @@
     pub(super) lease_expiry_ms: u64,
     /// Time at which the last heartbeat arrived, on the monotonic clock.
     pub(super) last_heard_ms: u64,
+    /// The agent's clock when it sent that heartbeat, in milliseconds.
+    pub(super) heartbeat_sent_at_ms: Option<u64>,
     /// Times of the latest crashes of the agent's minions, on the monotonic clock.
     pub(super) crashes: RecentCrashes,
 }
 
 impl Agent {
+    /// Converts a time from the coordinator's monotonic clock to the agent's. The result is early
+    /// by the time that the last heartbeat took. Returns `None` before the first heartbeat.
+    pub(super) fn to_agent_clock_ms(&self, steady_ms: u64) -> Option<u64> {
+        let sent_at_ms = self.heartbeat_sent_at_ms?;
+        Some((sent_at_ms + steady_ms).saturating_sub(self.last_heard_ms))
+    }
+
     const fn is_heard(&self, now: Now) -> bool {
         now.steady_ms < self.last_heard_ms + HEARTBEAT_TIMEOUT_MS
     }
@@ -42,6 +51,7 @@
     pub(super) fn handle_agent_connected(&mut self, agent: &Name, now: Now) {
         let state = self.agents.entry(agent.clone()).or_default();
         state.linked = true;
+        state.heartbeat_sent_at_ms = None;
         state.first_linked_ms.get_or_insert(now.steady_ms);
         state.link_opened_ms = now.steady_ms;
         for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
--- a/crates/geraniumpost-batch/src/coordinator/caller_requests.rs
+++ b/crates/geraniumpost-batch/src/coordinator/caller_requests.rs
@@ -55,6 +55,11 @@
             self.respond(request_id, CallerResponse::Refused { retry_after_ms: RETRY_AFTER_MS });
             return;
         }
+        if self.fits_only_in_evacuated_domains(&spec, &terms, now) {
+            self.log(format!("decision=refuse job={id} why=\"failure domains are evacuated\""));
+            self.respond(request_id, CallerResponse::Refused { retry_after_ms: RETRY_AFTER_MS });
+            return;
+        }
         self.log(format!(
             "decision=accept job={id} queue={} steps={} tasks={}",
             terms.queue,
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -210,7 +210,9 @@
     pub(super) fn update_isolation_limit(&mut self) {
         let crashes = self.unexplained_crash_counts();
         let isolated = crashes.filter(|crashes| must_be_isolated(*crashes)).count();
-        let minions = self.minions.values().filter(|minion| minion.linked && minion.responsive);
+        let starts_tasks =
+            |minion: &&Minion| minion.linked && minion.responsive && !minion.domain_evacuated;
+        let minions = self.minions.values().filter(starts_tasks);
         self.max_isolated_per_minion =
             isolated.div_ceil(minions.count().max(1) * MAX_QUEUED_SUSPECTS).max(1);
     }
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -57,6 +57,9 @@
         now: Now,
     ) -> Option<Rejection> {
         let TaskRequirements { task, spec, terms, ran_before, crashes } = *requirements;
+        if !self.are_evacuations_known(now) {
+            return Some(Rejection::EvacuationsUnknown);
+        }
         let rejection = step_rejection(minion, &terms.service, spec, now);
         if rejection.is_some() {
             return rejection;
@@ -116,7 +119,10 @@
     if now.steady_ms < minion.quarantined_until_ms {
         return Some(Rejection::Quarantined);
     }
-    minion.info.draining.then_some(Rejection::Draining)
+    if minion.info.draining {
+        return Some(Rejection::Draining);
+    }
+    minion.domain_evacuated.then_some(Rejection::DomainEvacuated)
 }
 
 /// Returns why a minion has no capacity for a task of a step, or `None` if it has capacity.
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -38,7 +38,9 @@
             let state = self.agents.entry(agent.clone()).or_default();
             state.lease_expiry_ms = state.lease_expiry_ms.max(lease_expiry_ms);
         }
-        self.agents.entry(agent.clone()).or_default().last_heard_ms = now.steady_ms;
+        let state = self.agents.entry(agent.clone()).or_default();
+        state.last_heard_ms = now.steady_ms;
+        state.heartbeat_sent_at_ms = Some(sent_at_ms);
         for minion in self.minions.values_mut().filter(|minion| minion.agent == *agent) {
             self.placement_due |= minion_ok && !minion.responsive;
             minion.responsive = minion_ok;
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -23,6 +23,8 @@
     pub(super) polled: bool,
     /// Whether heartbeats arrive and report that the minion responds to its agent.
     pub(super) responsive: bool,
+    /// Whether operators have evacuated the minion's failure domain.
+    pub(super) domain_evacuated: bool,
     /// Resources reserved by the runs on the minion; best-effort runs reserve no processors.
     pub(super) reserved: Demand,
     /// Resources reserved by persistent runs, which do not end by themselves.
@@ -84,6 +86,7 @@
             reported: false,
             polled: false,
             responsive: false,
+            domain_evacuated: false,
             reserved: Demand::default(),
             persistent_reserved: Demand::default(),
             held: Demand::default(),
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -48,6 +48,7 @@
         let starts_draining = info.draining && !(minion.reported && minion.info.draining);
         minion.drain_deadline_ms =
             now.steady_ms + info.remaining_ms.unwrap_or(DEFAULT_DRAIN_DURATION_MS);
+        minion.domain_evacuated = self.evacuated_domains.contains(&info.domain);
         minion.info = info;
         minion.reported = true;
         minion.linked = linked;
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 mod draining;
 mod effect;
 mod eligibility;
+mod evacuated_domains;
 mod explained_crashes;
 mod headroom;
 mod held_room;
@@ -50,6 +51,7 @@
 use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
 
 pub use effect::{Effect, WriteBatch};
+pub use evacuated_domains::EvacuationStatus;
 pub use leases::lease_expiry_bound_ms;
 pub use longest_wait::LongestWait;
 
@@ -57,6 +59,7 @@
 use approvals::Approvals;
 use commits::PendingBatch;
 use departures::Departure;
+use evacuated_domains::EvacuatedDomains;
 use explained_crashes::ExplainedCrashes;
 use job::Job;
 use lease_basis::EntrySupport;
@@ -109,6 +112,7 @@
     unreached_agents: BTreeMap<Name, u64>,
     leases_for_successor_changed: bool,
     approvals: Approvals,
+    evacuated_domains: EvacuatedDomains,
     /// Learned slowdown of serving images by best-effort images.
     interference: InterferenceModel,
     /// Whether something has changed since the last placement round that may allow a waiting task
@@ -162,6 +166,7 @@
             unreached_agents: BTreeMap::new(),
             leases_for_successor_changed: false,
             approvals: Approvals::default(),
+            evacuated_domains: EvacuatedDomains::default(),
             interference: InterferenceModel::default(),
             placement_due: false,
             interference_written_ms: now.steady_ms,
--- a/crates/geraniumpost-batch/src/coordinator/orders.rs
+++ b/crates/geraniumpost-batch/src/coordinator/orders.rs
@@ -2,6 +2,7 @@
 
 use geraniumpost_schema::Name;
 
+use super::evacuated_domains::StartOrderPermission;
 use super::run::OrderState;
 use super::{Coordinator, Effect};
 use crate::{Now, Order, OrderKind, TaskId, ToAgent};
@@ -24,11 +25,24 @@
 
     /// Sends a start order, or gives up the run if it no longer fits on its minion. The order may
     /// be sent repeatedly, because a minion starts a run at most once.
+    ///
+    /// The start is held back, and tried again later, while it is not known whether the minion's
+    /// failure domain is evacuated.
     pub(super) fn send_start(&mut self, task: TaskId, now: Now) {
+        let expires_ms = match self.start_permission(task, now) {
+            StartOrderPermission::Allowed { expires_ms } => expires_ms,
+            StartOrderPermission::Forbidden => {
+                return self.drop_start(task, "domain is evacuated", now);
+            }
+            StartOrderPermission::Unknown => {
+                if let Some(run) = self.runs.get_mut(&task) {
+                    run.order = OrderState::Unknown { since_ms: now.steady_ms };
+                }
+                return;
+            }
+        };
         if !self.still_fits(task) {
-            self.log_start_dropped(task);
-            self.abandon_run(task, now);
-            return;
+            return self.drop_start(task, "capacity has shrunk", now);
         }
         let Some(job) = self.jobs.get(&task.job) else { return };
         let minion = self.runs.get(&task).map(|run| run.place.minion.clone()).unwrap_or_default();
@@ -40,11 +54,13 @@
                 .get(&task)
                 .map_or_else(Name::default, |next| next.checkpoint.clone()),
             ticket,
+            expires_ms,
         };
         let sent = self.send_order(task, kind);
         let Some(run) = self.runs.get_mut(&task) else { return };
         if sent {
             run.record_start_sent(now.steady_ms);
+            self.record_start_in_domain(&minion, now);
         } else {
             run.order = OrderState::Unknown { since_ms: now.steady_ms };
         }
@@ -70,10 +86,16 @@
         used.fits(minion.info.capacity)
     }
 
-    fn log_start_dropped(&mut self, task: TaskId) {
+    /// Gives up a run whose start must not be sent.
+    fn drop_start(&mut self, task: TaskId, why: &str, now: Now) {
+        self.log_start_dropped(task, why);
+        self.abandon_run(task, now);
+    }
+
+    fn log_start_dropped(&mut self, task: TaskId, why: &str) {
         let Some(run) = self.runs.get(&task) else { return };
         self.log(format!(
-            "decision=start_failed job={} task={task} run={} minion={} why=\"capacity has shrunk\" \
+            "decision=start_failed job={} task={task} run={} minion={} why=\"{why}\" \
              starts={} in_flight={} unresolved={}",
             task.job,
             run.number,
--- a/crates/geraniumpost-batch/src/coordinator/rejection.rs
+++ b/crates/geraniumpost-batch/src/coordinator/rejection.rs
@@ -32,6 +32,12 @@
     /// The minion is draining and will terminate.
     #[display("draining")]
     Draining,
+    /// Operators have evacuated the minion's failure domain.
+    #[display("evacuated")]
+    DomainEvacuated,
+    /// It is not known which failure domains are evacuated.
+    #[display("evacuations_unknown")]
+    EvacuationsUnknown,
     /// A serving task on the minion is over its latency bound; the minion gets no further
     /// best-effort tasks meanwhile.
     #[display("over_bound")]
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -17,6 +17,7 @@
         self.expire_leases(now);
         self.update_unreached_agents(now);
         self.log_lease_basis(now);
+        self.log_known_evacuations(now);
         self.begin_due_occurrences(now);
         self.retry_orders(now);
         self.evacuate_draining_minions(now);
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -27,6 +27,7 @@
 mod demand;
 mod departures;
 mod entry_message;
+mod evacuations;
 pub mod interference;
 mod interference_pair;
 mod interference_snapshot;
@@ -47,10 +48,13 @@
 pub mod tuning;
 
 pub use agent_message::{FromAgent, ToAgent};
-pub use coordinator::{Coordinator, Effect, LongestWait, WriteBatch, lease_expiry_bound_ms};
+pub use coordinator::{
+    Coordinator, Effect, EvacuationStatus, LongestWait, WriteBatch, lease_expiry_bound_ms,
+};
 pub use demand::Demand;
 pub use departures::Departures;
 pub use entry_message::{CallerRequest, CallerResponse, FromEntry, TermTime, ToEntry};
+pub use evacuations::{EvacuationChanges, EvacuationReading, Evacuations, StartPermission};
 pub use interference_pair::InterferencePair;
 pub use interference_snapshot::InterferenceSnapshot;
 pub use job_id::{JobId, JobIdError};
--- a/crates/geraniumpost-batch/src/order.rs
+++ b/crates/geraniumpost-batch/src/order.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 use geraniumpost_schema::Name;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::TaskId;
 
@@ -30,6 +30,11 @@
         checkpoint: Name,
         /// Ticket of the admission service; empty if none is required.
         ticket: Name,
+        /// Time on the agent's monotonic clock from which the agent must not send the order any
+        /// more, in milliseconds; `None` for no limit. Coordinators of earlier versions omit this
+        /// field, and agents of earlier versions ignore it.
+        #[serde(deserialize_with = "some_or_none")]
+        expires_ms: Option<u64>,
     },
     /// Stop the run, or prevent it from starting later if it does not exist yet.
     Stop,
@@ -40,6 +45,12 @@
     },
 }
 
+/// Reads the last field of an order, which earlier versions omit.
+#[expect(clippy::unnecessary_wraps, reason = "serde requires this signature")]
+fn some_or_none<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
+}
+
 /// The result of an order, as the agent reports it to the coordinator.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderResult {
--- a/crates/geraniumpost-batch/tests/agent_message.rs
+++ b/crates/geraniumpost-batch/tests/agent_message.rs
@@ -1,6 +1,8 @@
-//! Messages of agents, as read and written by earlier versions.
+//! Messages between coordinators and agents, as read and written by earlier versions.
 
-use geraniumpost_batch::FromAgent;
+use std::sync::Arc;
+
+use geraniumpost_batch::{FromAgent, Order, OrderKind, TaskId, ToAgent};
 use geraniumpost_schema::Name;
 use serde::{Deserialize, Serialize};
 
@@ -26,3 +28,60 @@
     assert_eq!(postcard::from_bytes::<FromAgent>(&bytes), Ok(current));
     assert_eq!(postcard::from_bytes::<EarlierFromAgent>(&bytes), Ok(earlier));
 }
+
+/// The messages to agents as earlier versions know them, up to the variant that was extended.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierToAgent {
+    Lease { sent_at_ms: u64, lease_ms: u64, fence: u64, store_ok: bool },
+    Order(EarlierOrder),
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierOrder {
+    minion: Name,
+    task: TaskId,
+    run: u32,
+    kind: EarlierOrderKind,
+}
+
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierOrderKind {
+    Start { payload: Arc<str>, checkpoint: Name, ticket: Name },
+    Stop,
+    Pace { percent: u8 },
+}
+
+/// Guards against entries and agents of different versions that cannot read each other's start
+/// orders: no task would start until all processes are replaced.
+#[test]
+fn start_orders_are_read_across_versions() {
+    let task: TaskId = "0000000000000001.0.0.0".parse().expect("a task's name");
+    let earlier = EarlierToAgent::Order(EarlierOrder {
+        minion: "m1".into(),
+        task,
+        run: 3,
+        kind: EarlierOrderKind::Start {
+            payload: "work".into(),
+            checkpoint: "0b".into(),
+            ticket: "t-1".into(),
+        },
+    });
+    let current = |expires_ms| {
+        ToAgent::Order(Order {
+            minion: "m1".into(),
+            task,
+            run: 3,
+            kind: OrderKind::Start {
+                payload: "work".into(),
+                checkpoint: "0b".into(),
+                ticket: "t-1".into(),
+                expires_ms,
+            },
+        })
+    };
+    let bytes = postcard::to_stdvec(&earlier).expect("the message can be encoded");
+    assert_eq!(postcard::from_bytes::<ToAgent>(&bytes), Ok(current(None)));
+    let bytes = postcard::to_stdvec(&current(Some(70_000))).expect("the message can be encoded");
+    assert_eq!(postcard::from_bytes::<ToAgent>(&bytes), Ok(current(Some(70_000))));
+    assert_eq!(postcard::from_bytes::<EarlierToAgent>(&bytes), Ok(earlier));
+}
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -16,8 +16,9 @@
 
 use geraniumpost_batch::tuning::PROMISE_DURATION_MS;
 use geraniumpost_batch::{
-    CallerRequest, CallerResponse, Coordinator, EndedTask, InterferenceSnapshot, JobId, JobRecord,
-    JobSpec, JobState, Now, Order, PredecessorLeases, QueueTerms, StepSpec, TaskId, WriteBatch,
+    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, InterferenceSnapshot,
+    JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases, QueueTerms, StepSpec,
+    TaskId, WriteBatch,
 };
 use geraniumpost_schema::Name;
 
@@ -87,6 +88,11 @@
     last_request_id: u64,
     /// Fencing token of the current coordinator.
     fence: u64,
+    /// Time within which the last task may start in an evacuated failure domain, in milliseconds;
+    /// `None` if domains are not evacuated.
+    evacuation_bound_ms: Option<u64>,
+    /// Revision of the store as of the last reading of the evacuated domains.
+    evacuations_revision: u64,
 }
 
 impl Cluster {
@@ -119,9 +125,31 @@
             last_result_number: 0,
             last_request_id: 0,
             fence: 1,
+            evacuation_bound_ms: None,
+            evacuations_revision: 0,
         }
     }
 
+    /// Lets operators evacuate failure domains. Nothing is started before the first
+    /// [`Cluster::read_evacuations`].
+    pub fn with_evacuation_bound_ms(mut self, bound_ms: u64) -> Self {
+        self.evacuation_bound_ms = Some(bound_ms);
+        self.coordinator = Coordinator::new(1, self.now)
+            .with_lease_ms(LEASE_MS)
+            .with_evacuation_bound_ms(Some(bound_ms));
+        self
+    }
+
+    /// Lets the coordinator read that exactly these failure domains are evacuated.
+    pub fn read_evacuations(&mut self, domains: &[&str]) {
+        self.evacuations_revision += 1;
+        let revision = self.evacuations_revision;
+        let domains = domains.iter().map(|domain| (Name::from(*domain), 1)).collect();
+        let reading = EvacuationReading { revision, domains };
+        self.coordinator.handle_evacuations(reading, self.now.steady_ms, self.now);
+        self.process_effects();
+    }
+
     /// Adds minions with 16 processors and 64 GB each, whose agents are linked and have polled
     /// them.
     pub fn with_minions(mut self, names: &[&str]) -> Self {
@@ -243,6 +271,7 @@
         self.coordinator =
             Coordinator::new(self.fence, self.now)
                 .with_lease_ms(LEASE_MS)
+                .with_evacuation_bound_ms(self.evacuation_bound_ms)
                 .with_predecessor_leases(leases, self.now)
                 .with_interference(&self.stored_interference.as_ref().map_or_else(
                     InterferenceSnapshot::default,
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/orders.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/orders.rs
@@ -39,6 +39,15 @@
         self.report_result(&order, kind_tag, OrderOutcome::Done);
     }
 
+    /// Lets minions accept the waiting stops of runs that they do not know, and polls the minions.
+    pub fn carry_out_stop_of_unknown_run(&mut self) {
+        let stops = self.orders.extract_if(.., |order| order.kind == OrderKind::Stop);
+        for stop in stops.collect::<Vec<_>>() {
+            self.report_result(&stop, OrderKindTag::Stop, OrderOutcome::RunIsOver);
+            self.poll(&stop.minion.clone());
+        }
+    }
+
     /// Reports the result of an order to the coordinator, without carrying the order out.
     pub fn report_result(&mut self, order: &Order, kind_tag: OrderKindTag, outcome: OrderOutcome) {
         self.last_result_number += 1;
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -11,6 +11,7 @@
 mod diagnostic_logs;
 mod draining;
 mod duplicate_orders;
+mod evacuations;
 mod explained_crashes;
 mod job_guarantees;
 mod late_crash_reports;
--- a/crates/geraniumpost/src/batch/agent/orders.rs
+++ b/crates/geraniumpost/src/batch/agent/orders.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use geraniumpost_batch::{Order, OrderKindTag, OrderOutcome, OrderResult};
+use geraniumpost_batch::{Order, OrderKind, OrderKindTag, OrderOutcome, OrderResult};
 
+use super::super::BootClock;
 use super::state::State;
 
 /// Timeout of one order. A minion responds within about a millisecond; on a busy VM the agent may
@@ -69,9 +70,16 @@
     });
 }
 
+/// Returns whether an order must not be sent to the minion any more. The order may have been delayed
+/// on its way, and the coordinator cannot revoke it.
+fn is_expired(order: &Order) -> bool {
+    let OrderKind::Start { expires_ms: Some(expires_ms), .. } = order.kind else { return false };
+    BootClock.now_ms() >= expires_ms
+}
+
 async fn forward_order(state: &State, order: &Order, context: OrderContext) -> OrderOutcome {
     let is_start = OrderKindTag::from(&order.kind) == OrderKindTag::Start;
-    if is_start && context.draining {
+    if is_start && (context.draining || is_expired(order)) {
         return OrderOutcome::NotSent;
     }
     let lease_end_ms = match context.lease_end_on_minion_clock_ms {
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -63,6 +63,7 @@
     metrics: Arc<Metrics>,
     confirmed_ms: Arc<AtomicU64>,
     handover_times: HandoverTimes,
+    evacuation_bound_ms: Option<u64>,
     stop_time: StopTime,
     coordinating: watch::Sender<bool>,
 }
@@ -116,11 +117,20 @@
             metrics,
             confirmed_ms: Arc::new(AtomicU64::new(0)),
             handover_times: HandoverTimes::default(),
+            evacuation_bound_ms: None,
             stop_time: StopTime::default(),
             coordinating: watch::Sender::new(false),
         }
     }
 
+    /// Sets the time after the acknowledgement of an evacuation within which the last task may start
+    /// in the evacuated failure domain, in milliseconds; by default domains are not evacuated.
+    #[must_use]
+    pub const fn with_evacuation_bound_ms(mut self, bound_ms: Option<u64>) -> Self {
+        self.evacuation_bound_ms = bound_ms;
+        self
+    }
+
     /// Sets when a term is handed over after the process was asked to stop; by default at once.
     #[must_use]
     pub const fn with_handover_times(mut self, times: HandoverTimes) -> Self {
@@ -357,6 +367,7 @@
             admission_address: self.admission_address,
             handover_times: self.handover_times,
             stop_time: self.stop_time.clone(),
+            evacuation_bound_ms: self.evacuation_bound_ms,
             metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use geraniumpost_batch::{
-    CallerRequest, Coordinator, Effect, FromAgent, LongestWait, OrderKind, TaskId, ToAgent,
-    ToEntry, WriteBatch,
+    CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus, FromAgent,
+    LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
 };
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::ApprovedMinions;
@@ -82,6 +82,13 @@
         /// Time at which the store's response was received, on the monotonic clock.
         received_ms: u64,
     },
+    /// The evacuated failure domains were read from the store.
+    EvacuationsRead {
+        /// The domains, and the revision of the store.
+        reading: EvacuationReading,
+        /// Time at which the reading was requested, on the monotonic clock.
+        requested_ms: u64,
+    },
     /// The silent coordinator at this address has learned that its term has ended.
     PredecessorEnded(SocketAddr),
     /// A silent coordinator cannot extend any lease after `until_ms`.
@@ -124,6 +131,8 @@
     successor_leases: Arc<SuccessorLeases>,
     support: Arc<TermSupport>,
     process_pause: ProcessPause,
+    /// Status whose counts the metrics contain already.
+    evacuation_status: EvacuationStatus,
 }
 
 impl Driver {
@@ -141,6 +150,7 @@
             successor_leases,
             support,
             process_pause: ProcessPause::new(BootClock.now_ms()),
+            evacuation_status: EvacuationStatus::default(),
             metrics,
             coordinator,
             writes,
@@ -204,9 +214,18 @@
         let LongestWait { persistent_ms, other_ms } = self.coordinator.longest_wait(now);
         let [persistent, other] = [persistent_ms, other_ms].map(Duration::from_millis);
         self.metrics.longest_wait(persistent, other);
+        self.report_evacuations(self.coordinator.evacuation_status(now));
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
+    fn report_evacuations(&mut self, status: EvacuationStatus) {
+        let EvacuationStatus { domains, age_ms, dropped_starts, held_starts } = status;
+        self.metrics.evacuations(domains, Duration::from_millis(age_ms));
+        let previous = std::mem::replace(&mut self.evacuation_status, status);
+        self.metrics.withheld_starts("evacuated", dropped_starts - previous.dropped_starts);
+        self.metrics.withheld_starts("unknown", held_starts - previous.held_starts);
+    }
+
     fn handle(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
@@ -258,6 +277,9 @@
                     self.send_to_agent(&agent, message);
                 }
             }
+            Input::EvacuationsRead { reading, requested_ms } => {
+                self.coordinator.handle_evacuations(reading, requested_ms, now);
+            }
             Input::PredecessorEnded(address) => {
                 self.coordinator.record_predecessor_term_end(address, now);
             }
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -6,6 +6,7 @@
 mod coordinator_key;
 mod coordinator_loss;
 mod driver;
+mod evacuations;
 mod handover;
 mod known_coordinator;
 mod local_promises;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -15,6 +15,7 @@
 use super::super::{BootClock, hedged_read};
 use super::adaptive_timeout::AdaptiveTimeout;
 use super::driver::{ApprovalRequest, Driver, Input};
+use super::evacuations::follow_evacuations;
 use super::handover::{HandoverTimes, signal_handover};
 use super::local_promises::LocalPromises;
 use super::peer_listener::{CurrentTermDestinations, TermDestinations};
@@ -67,6 +68,8 @@
     pub admission_address: Option<SocketAddr>,
     pub handover_times: HandoverTimes,
     pub stop_time: StopTime,
+    /// As in [`TimeBounds::evacuation_ms`](geraniumpost_platform::TimeBounds::evacuation_ms).
+    pub evacuation_bound_ms: Option<u64>,
     pub metrics: Arc<Metrics>,
 }
 
@@ -90,6 +93,9 @@
             support: Arc::clone(&support),
         }));
         self.query_silent_coordinators(&tx);
+        if self.evacuation_bound_ms.is_some() {
+            tokio::spawn(follow_evacuations(Arc::clone(&self.store), tx.clone()));
+        }
         let (hand_over_tx, hand_over) = watch::channel(false);
         tokio::spawn(signal_handover(
             stop,
@@ -135,6 +141,7 @@
         let coordinator = Coordinator::new(self.record.term, now)
             .with_lease_ms(self.lease_ms)
             .with_term_requested_ms(self.requested_ms)
+            .with_evacuation_bound_ms(self.evacuation_bound_ms)
             .with_predecessor_leases(&self.predecessor_leases, self.began)
             .with_interference(&interference)
             .with_records(records, now);
@@ -173,6 +180,7 @@
         self.metrics.planner_term(0);
         self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         self.metrics.lease_supporters(0);
+        self.metrics.evacuations(0, Duration::ZERO);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -108,7 +108,8 @@
         candidate_promises,
         metrics,
     )
-    .with_handover_times(shared.stop.handover_times());
+    .with_handover_times(shared.stop.handover_times())
+    .with_evacuation_bound_ms(settings.bounds.evacuation_ms);
     let mut coordinating = candidate.coordinating();
     let peers = candidate.peers();
     tokio::spawn(candidate.run(peer_listener, stop.clone()));
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -165,6 +165,24 @@
         "",
         "Longest wait of any other task for a placement, counted from the last placement of a task of its step, 0 if none waits or this entry does not coordinate.",
     ),
+    Description::new(
+        "evacuated_domains",
+        Kind::Gauge,
+        "",
+        "Failure domains that operators have evacuated, 0 if this entry does not coordinate jobs.",
+    ),
+    Description::new(
+        "evacuations_age_seconds",
+        Kind::Gauge,
+        "",
+        "Age of the latest reading of the evacuated failure domains; nothing is started once it is too old, which `event=evacuations_unknown` reports.",
+    ),
+    Description::new(
+        "withheld_starts",
+        Kind::Counter,
+        "why",
+        "Starts that were not ordered: `evacuated` if the failure domain had been evacuated since the placement, `unknown` if it was not known whether the domain is evacuated.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -42,6 +42,9 @@
     lease_supporters: Gauge<u64>,
     persistent_task_wait: Gauge<f64>,
     other_task_wait: Gauge<f64>,
+    evacuated_domains: Gauge<u64>,
+    evacuations_age: Gauge<f64>,
+    withheld_starts: Counter<u64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -86,6 +89,9 @@
             lease_supporters: gauge(&meter, "lease_supporters"),
             persistent_task_wait: seconds(&meter, "standing_task_wait_seconds"),
             other_task_wait: seconds(&meter, "other_task_wait_seconds"),
+            evacuated_domains: gauge(&meter, "evacuated_domains"),
+            evacuations_age: seconds(&meter, "evacuations_age_seconds"),
+            withheld_starts: counter(&meter, "withheld_starts"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
@@ -96,6 +102,7 @@
         // Alerts on these gauges need a value even if this process never coordinates.
         metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         metrics.lease_supporters(0);
+        metrics.evacuations(0, Duration::ZERO);
         Ok(metrics)
     }
 
@@ -195,6 +202,17 @@
         self.lease_supporters.record(entries, &[]);
     }
 
+    /// Sets the number of evacuated failure domains, and the age of that knowledge.
+    pub fn evacuations(&self, domains: u64, age: Duration) {
+        self.evacuated_domains.record(domains, &[]);
+        self.evacuations_age.record(age.as_secs_f64(), &[]);
+    }
+
+    /// Counts starts that were not ordered because of an evacuation.
+    pub fn withheld_starts(&self, why: &str, count: u64) {
+        self.withheld_starts.add(count, &[label("why", why)]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
