feat: evacuate failure domains in the configuration document

Cause: operators of our own roles could drain single VMs only; nothing kept requests and jobs away from a whole failure domain.

Change: a domain of the document may be `evacuated`. Routing then chooses none of its agents, not as a probe nor as a last resort, and a caller is refused at once if no other domain serves the service; the planner starts no job on its workers and drops reservations there. What runs continues. The console shows the field as a checkbox, and each process logs domain_evacuated and domain_readmitted with the revision. The field is optional and omitted when it is not set, so that earlier builds read documents without it.

Evidence: agents_in_evacuated_domains_are_not_chosen, evacuated_domain_gets_no_job and a_form_evacuates_a_domain_and_readmits_it did not compile or failed before.

--- a/crates/geraniumpost-config/tests/document.rs
+++ b/crates/geraniumpost-config/tests/document.rs
@@ -44,6 +44,7 @@
     out_of_range: "/customers/claro/weight" = 0 => [(1007, "customers.claro.weight")];
     not_a_label: "/classes/Big Study" = {} => [(1008, "classes.Big Study")];
     region_not_a_label: "/domains/ate" = { "region": "Lima" } => [(1008, "domains.ate.region")];
+    evacuated_not_a_boolean: "/domains/surco/evacuated" = "yes" => [(1005, "domains.surco.evacuated")];
     not_a_digest: "/operators/rosa/token_sha256" = "secret" => [(1010, "operators.rosa.token_sha256")];
     not_a_choice: "/classes/study/priority" = "high" => [(1011, "classes.study.priority")];
     reserve_too_large: "/services/filing/reserve" = { "memory_mb": 99999999999_u64 }
--- a/crates/geraniumpost-core/src/placement/placer.rs
+++ b/crates/geraniumpost-core/src/placement/placer.rs
@@ -170,7 +170,9 @@
             return;
         }
         let waiting: HashSet<&Name> = requests.iter().map(|request| &request.job).collect();
-        self.reservations.retain_valid(now, fleet, |job| waiting.contains(job));
+        let policy = &self.policy;
+        let admits_jobs = |worker| policy.admits_jobs(fleet, worker);
+        self.reservations.retain_valid(now, admits_jobs, |job| waiting.contains(job));
         self.failures.retain_jobs(|job| waiting.contains(job));
         self.explanations.trim(now, |job| fleet.worker_of(job).is_some());
     }
@@ -180,7 +182,7 @@
         let mut planned = PlannedFleet::default();
         planned.rows.reserve(fleet.rows().len());
         for (key, row) in fleet.rows() {
-            if !row.accepts_work {
+            if !self.policy.admits_jobs(fleet, key) {
                 continue;
             }
             let forecast_p99 =
--- a/crates/geraniumpost-core/src/placement/policy.rs
+++ b/crates/geraniumpost-core/src/placement/policy.rs
@@ -1,8 +1,8 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use geraniumpost_schema::{Document, JobClass, Name, Resources};
 
-use super::amounts;
+use super::{Fleet, WorkerKey, amounts};
 
 /// Customers, job classes, latency targets and the eviction limit of the configuration document.
 #[derive(Debug, Clone, Default)]
@@ -12,6 +12,7 @@
     /// Latency targets by service, in microseconds.
     targets_us: HashMap<Name, u64>,
     evictions_per_minute: u32,
+    evacuated_domains: HashSet<Name>,
 }
 
 /// Weight and quota of one customer, from the configuration document.
@@ -41,11 +42,26 @@
                 .map(|(name, service)| (name.clone(), target(service.target_p99_ms)))
                 .collect(),
             evictions_per_minute: document.policy.evictions_per_minute,
+            evacuated_domains: document
+                .domains
+                .iter()
+                .filter(|(_, domain)| domain.evacuated == Some(true))
+                .map(|(name, _)| name.clone())
+                .collect(),
         }
     }
 }
 
 impl PlacementPolicy {
+    /// Returns whether jobs may be started on a worker: it is healthy, and its failure domain is
+    /// not evacuated.
+    pub(super) fn admits_jobs(&self, fleet: &Fleet, worker: WorkerKey) -> bool {
+        let accepts_work = fleet.rows().get(worker).is_some_and(|row| row.accepts_work);
+        accepts_work
+            && (self.evacuated_domains.is_empty()
+                || !self.evacuated_domains.contains(&fleet.view(worker).domain))
+    }
+
     pub(super) fn customer(&self, customer: &Name) -> Option<CustomerSettings> {
         self.customers.get(customer).copied()
     }
--- a/crates/geraniumpost-core/src/placement/reservations.rs
+++ b/crates/geraniumpost-core/src/placement/reservations.rs
@@ -2,7 +2,7 @@
 
 use geraniumpost_schema::{Name, Resources};
 
-use super::{Fleet, WorkerKey};
+use super::WorkerKey;
 use crate::Millis;
 
 /// Resources on workers that are reserved for waiting jobs: for an urgent job until the tasks
@@ -30,12 +30,15 @@
 
 impl Reservations {
     /// Drops reservations that have expired, whose job no longer waits, or whose worker no longer
-    /// accepts work.
-    pub fn retain_valid(&mut self, now: Millis, fleet: &Fleet, is_waiting: impl Fn(&Name) -> bool) {
+    /// admits jobs.
+    pub fn retain_valid(
+        &mut self,
+        now: Millis,
+        admits_jobs: impl Fn(WorkerKey) -> bool,
+        is_waiting: impl Fn(&Name) -> bool,
+    ) {
         self.by_job.retain(|job, reservation| {
-            now < reservation.until
-                && is_waiting(job)
-                && fleet.rows().get(reservation.worker).is_some_and(|row| row.accepts_work)
+            now < reservation.until && is_waiting(job) && admits_jobs(reservation.worker)
         });
     }
 
--- a/crates/geraniumpost-core/src/requests/router.rs
+++ b/crates/geraniumpost-core/src/requests/router.rs
@@ -161,14 +161,14 @@
 }
 
 fn is_usable(agent: &AgentView, query: &RoutingQuery<'_>) -> bool {
-    !agent.counters().is_ejected() && !query.tried.contains(agent.name())
+    !agent.counters().is_ejected() && query.admits(agent)
 }
 
 fn claim_due_probe<'a>(
     service: &'a ServiceView,
     query: &RoutingQuery<'_>,
 ) -> Option<&'a Arc<AgentView>> {
-    let mut ejected = service.ejected().filter(|agent| !query.tried.contains(agent.name()));
+    let mut ejected = service.ejected().filter(|agent| query.admits(agent));
     ejected.find(|agent| agent.counters().claim_probe(query.now, query.retryable))
 }
 
@@ -176,11 +176,14 @@
     service: &ServiceView,
     query: &RoutingQuery<'_>,
 ) -> Result<RoutingDecision, NoAgent> {
-    let mut ejected = service.ejected().filter(|agent| !query.tried.contains(agent.name()));
+    let mut ejected = service.ejected().filter(|agent| query.admits(agent));
     if let Some(agent) = ejected.next() {
         return Ok(RoutingDecision::without_candidates(agent, RoutingReason::LastResort));
     }
-    let none_ready = service.routable_count() == 0 && service.ejected().next().is_none();
+    let is_evacuated =
+        |agent: &&Arc<AgentView>| query.evacuated_domains.contains(agent.location().domain());
+    let accepts_work = |agent: &Arc<AgentView>| agent.is_connected() && !agent.is_draining();
+    let none_ready = !service.agents().iter().filter(|a| !is_evacuated(a)).any(accepts_work);
     Err(if none_ready { NoAgent::NoneReady } else { NoAgent::AllTried })
 }
 
--- a/crates/geraniumpost-core/tests/placement_basics.rs
+++ b/crates/geraniumpost-core/tests/placement_basics.rs
@@ -126,3 +126,27 @@
     let decided = place(&[PlacementRequest::new("j", "entel", "study", amount(5000, 1))], &fleet);
     assert_matches!(decided[0], Decision::Wait { reason: Reason::NoCapacity { .. }, .. });
 }
+
+/// Guards against jobs that are started in an evacuated failure domain, although its worker would be
+/// the best or the only place.
+#[test]
+fn evacuated_domain_gets_no_job() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut document = document();
+    let domain = |evacuated| geraniumpost_schema::Domain { evacuated, region: "lima".into() };
+    document.domains.insert("surco".into(), domain(Some(true)));
+    document.domains.insert("ate".into(), domain(Some(false)));
+    let small = PlacementRequest::new("j1", "entel", "study", amount(1000, 1000));
+    let large = PlacementRequest::new("j2", "entel", "study", amount(6000, 1000));
+    let mut placer = Placer::new(&document);
+    let decisions = placer.place(Millis(1000), &[small, large.clone()], &fleet(), &mut rng);
+    let starts = decisions.iter().filter_map(|decision| match decision {
+        Decision::Start { job, worker, .. } => Some((&**job, &**worker)),
+        _ => None,
+    });
+    assert_eq!(starts.collect::<Vec<_>>(), [("j1", "w2")]);
+    document.domains.insert("surco".into(), domain(None));
+    placer.configure(&document);
+    let decisions = placer.place(Millis(2000), &[large], &fleet(), &mut rng);
+    assert_matches!(&decisions[..], [Decision::Start { worker, .. }] if &**worker == "w1");
+}
--- a/crates/geraniumpost-core/tests/requests_routing.rs
+++ b/crates/geraniumpost-core/tests/requests_routing.rs
@@ -399,3 +399,33 @@
     let change = record_failure(&mut ejector, &snapshot, "a0", 60_000);
     assert_eq!(change, EjectionChange::Ejected { probe_at: Millis(61_000), ejections: 1 });
 }
+
+/// Guards against requests that are sent to an evacuated failure domain: by an ordinary choice, as a
+/// probe of an ejected agent, or because no other agent is left.
+#[test]
+fn agents_in_evacuated_domains_are_not_chosen() {
+    let agent = |name: &str, domain: &str| {
+        AgentView::new(name, 1).service("filing").at_location(Location::new("lima", domain))
+    };
+    let snapshot = Snapshot::new([agent("a1", "surco"), agent("a2", "ate")], &here());
+    let service = snapshot.service("filing").unwrap();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let choose = |evacuated: &[Name], tried: &[Name], rng: &mut SmallRng| {
+        let query = RoutingQuery::new(Millis(0)).evacuated_domains(evacuated).tried(tried);
+        Router::default().choose(service, &query, rng).map(|choice| choice.agent().name().clone())
+    };
+    let (surco, ate) = (Name::from("surco"), Name::from("ate"));
+    for _ in 0..20 {
+        assert_eq!(choose(&[surco.clone()], &[], &mut rng), Ok("a2".into()));
+    }
+    assert_eq!(choose(&[surco.clone(), ate], &[], &mut rng), Err(NoAgent::NoneReady));
+    assert_eq!(choose(&[surco.clone()], &["a2".into()], &mut rng), Err(NoAgent::AllTried));
+    let mut ejector = Ejector::new(EjectionLimits::default());
+    for now in 0..40 {
+        record_failure(&mut ejector, &snapshot, "a1", now);
+    }
+    let evacuated = [surco];
+    let query = RoutingQuery::new(Millis(1_000_000)).evacuated_domains(&evacuated).retryable(true);
+    let choice = Router::default().choose(service, &query, &mut rng).unwrap();
+    assert_eq!(&**choice.agent().name(), "a2");
+}
--- a/crates/geraniumpost-schema/src/generated.rs
+++ b/crates/geraniumpost-schema/src/generated.rs
@@ -332,6 +332,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Domain {
+    ///Whether the domain is evacuated: no request is sent to its minions and no job is started there; what runs there continues.
+    #[serde(default, skip_serializing_if = "::std::option::Option::is_none")]
+    pub evacuated: ::std::option::Option<bool>,
     ///Region the domain lies in.
     pub region: crate::Name,
 }
--- a/crates/geraniumpost/src/config/active_config.rs
+++ b/crates/geraniumpost/src/config/active_config.rs
@@ -24,6 +24,7 @@
     callers: HashMap<Digest, Arc<Caller>>,
     operators: HashMap<Digest, Name>,
     services: HashMap<Name, Arc<Service>>,
+    evacuated_domains: Vec<Name>,
 }
 
 impl ActiveConfig {
@@ -38,6 +39,9 @@
             Some((parse_digest(&operator.token_sha256)?, name.clone()))
         });
         let services = document.services.iter();
+        let evacuated =
+            document.domains.iter().filter(|(_, domain)| domain.evacuated == Some(true));
+        let evacuated_domains = evacuated.map(|(name, _)| name.clone()).collect();
         Self {
             revision,
             change_id,
@@ -46,6 +50,7 @@
             services: services
                 .map(|(name, service)| (name.clone(), Arc::new(service.clone())))
                 .collect(),
+            evacuated_domains,
             json: Bytes::from(geraniumpost_config::encode_document(&document)),
             document,
         }
@@ -94,6 +99,11 @@
         self.operators.get(&Digest::from(Sha256::digest(token.as_bytes())))
     }
 
+    /// Returns the failure domains to which no request is sent.
+    pub fn evacuated_domains(&self) -> &[Name] {
+        &self.evacuated_domains
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/geraniumpost/src/config/config_updater.rs
+++ b/crates/geraniumpost/src/config/config_updater.rs
@@ -121,9 +121,22 @@
                 let change =
                     if change_id.is_empty() { "unknown (from a peer)" } else { &change_id };
                 spdlog::info!("configuration {revision} is in force, change {change}");
-                self.active.adopt(ActiveConfig::new(revision, change_id, document));
+                let config = ActiveConfig::new(revision, change_id, document);
+                log_evacuations(self.active.load().evacuated_domains(), &config);
+                self.active.adopt(config);
                 None
             }
         }
     }
 }
+
+/// Logs which failure domains a new configuration evacuates or readmits.
+fn log_evacuations(before: &[Name], config: &ActiveConfig) {
+    let (revision, evacuated) = (config.revision(), config.evacuated_domains());
+    for domain in evacuated.iter().filter(|domain| !before.contains(domain)) {
+        spdlog::info!("event=domain_evacuated domain={domain} revision={revision}");
+    }
+    for domain in before.iter().filter(|domain| !evacuated.contains(domain)) {
+        spdlog::info!("event=domain_readmitted domain={domain} revision={revision}");
+    }
+}
--- a/crates/geraniumpost/src/entry/route.rs
+++ b/crates/geraniumpost/src/entry/route.rs
@@ -85,7 +85,11 @@
         let snapshot = cx.snapshot.load();
         let service = snapshot.service(&req.service_name).ok_or(NoTarget::NoAgent)?;
         let idempotent = req.kind == RequestKind::Idempotent;
-        let query = RoutingQuery::new(cx.clock.now()).tried(&self.tried).retryable(idempotent);
+        let config = cx.config.active().load();
+        let query = RoutingQuery::new(cx.clock.now())
+            .tried(&self.tried)
+            .evacuated_domains(config.evacuated_domains())
+            .retryable(idempotent);
         let mut rng = SmallRng::from_rng(&mut rand::rng());
         let chosen = cx.router.choose(service, &query, &mut rng);
         match &chosen {
@@ -157,14 +161,22 @@
             return Err(NoTarget::Refused(ResultCode::StoreDown));
         }
         let snapshot = cx.snapshot.load();
-        let agent = fallback_agent(routable(&snapshot, &req.service_name), &req.key);
+        let config = cx.config.active().load();
+        let agents = routable(&snapshot, &req.service_name, config.evacuated_domains());
+        let agent = fallback_agent(agents, &req.key);
         let agent = Arc::clone(agent.ok_or(NoTarget::NoAgent)?);
         let key = req.key.clone();
         Ok(Target { incarnation: agent.incarnation(), agent, key, repeat: false })
     }
 }
 
-fn routable<'a>(snapshot: &'a Snapshot, service: &str) -> impl Iterator<Item = &'a Arc<AgentView>> {
+fn routable<'a>(
+    snapshot: &'a Snapshot,
+    service: &str,
+    evacuated_domains: &[Name],
+) -> impl Iterator<Item = &'a Arc<AgentView>> {
     let agents = snapshot.service(service).map(ServiceView::agents).unwrap_or_default();
-    agents.iter().filter(|agent| agent.is_routable())
+    agents.iter().filter(|agent| {
+        agent.is_routable() && !evacuated_domains.contains(agent.location().domain())
+    })
 }
--- a/crates/geraniumpost/tests/console/forms.rs
+++ b/crates/geraniumpost/tests/console/forms.rs
@@ -86,6 +86,30 @@
     assert!(fixture.get("/api/config").await["document"]["customers"]["entel"].is_null());
 }
 
+/// An operator evacuates a failure domain and readmits it, each by one checkbox.
+#[tokio::test]
+async fn a_form_evacuates_a_domain_and_readmits_it() {
+    let (fixture, _) = Fixture::with_document().await;
+    for evacuated in [true, false] {
+        let revision = fixture.get("/api/config").await["revision"].to_string();
+        let change_id = format!("evacuated-{evacuated}");
+        let mut fields = vec![
+            ("revision", &*revision),
+            ("change_id", &*change_id),
+            ("name", "surco"),
+            ("region", "lima"),
+        ];
+        if evacuated {
+            fields.push(("evacuated", "on"));
+        }
+        assert_eq!(fixture.post("/config/domains", &fields).await.0, 303);
+        let domain = &fixture.get("/api/config").await["document"]["domains"]["surco"];
+        assert_eq!(domain["evacuated"], evacuated);
+        let (_, page) = fixture.page("/config/domains").await;
+        assert!(page.contains("<th>evacuated</th>") && page.contains(&evacuated.to_string()));
+    }
+}
+
 #[tokio::test]
 async fn problems_are_shown_beside_their_fields_and_values_are_kept() {
     let (fixture, revision) = Fixture::with_document().await;
