refactor(batch): untie the modules of the coordinator that import each other

Eight files imported each other in a circle. Who may take a task (eligibility) now has the checks that lay in placement, what a job waits for lies with the job, the headroom of one group and the formatting of log fields have files of their own. Moves only: minion, then eligibility, then placement, each knowing only the ones before; a search over all imports of the folder finds no circle.

--- a/crates/geraniumpost-batch/src/coordinator/approvals.rs
+++ b/crates/geraniumpost-batch/src/coordinator/approvals.rs
@@ -117,7 +117,7 @@
             .minions
             .iter()
             .filter(|(_, minion)| {
-                super::placement::is_eligible_for_step(minion, &service, spec, now)
+                super::eligibility::is_eligible_for_step(minion, &service, spec, now)
             })
             .filter(|(id, _)| is_undecided(id))
             .map(|(id, minion)| (-minion.unreserved().milli_cpus, id.clone()))
--- a/crates/geraniumpost-batch/src/coordinator/capacity_shortfall.rs
+++ b/crates/geraniumpost-batch/src/coordinator/capacity_shortfall.rs
@@ -3,9 +3,8 @@
 use std::fmt::Write;
 
 use super::Coordinator;
-use super::eligibility::TaskRequirements;
+use super::eligibility::{TaskRequirements, available_resources};
 use super::minion::Minion;
-use super::placement::available_resources;
 use super::rejection::Rejection;
 use super::run::{Run, reserved_resources};
 use crate::{Demand, Now, StepSpec};
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -9,10 +9,10 @@
 use super::Coordinator;
 use super::crashes::must_be_isolated;
 use super::minion::Minion;
-use super::placement::{available_resources, is_below_limit_per_minion, leaves_short_task_reserve};
 use super::rejection::Rejection;
 use super::run::reserved_resources;
-use crate::{Now, QueueTerms, StepSpec, TaskId};
+use crate::tuning::{MAX_BEST_EFFORT_MEMORY_PERCENT, MAX_PERSISTENT_CPU_PERCENT};
+use crate::{Demand, Now, QueueTerms, StepSpec, TaskId};
 
 /// What a task requires of a minion.
 #[derive(Debug, Clone, Copy)]
@@ -134,3 +134,50 @@
     let fits = reserved_resources(spec).fits(available_resources(minion, spec));
     (!fits).then_some(Rejection::NoCapacity)
 }
+
+/// Returns whether a minion can take a task of a step, apart from the limit per minion, the
+/// approval and the reserve for short tasks.
+pub(super) fn is_eligible_for_step(
+    minion: &Minion,
+    service: &Name,
+    spec: &StepSpec,
+    now: Now,
+) -> bool {
+    step_rejection(minion, service, spec, now).is_none()
+}
+
+/// Returns whether a minion runs fewer tasks of a step than the step allows on one minion.
+#[inline]
+pub(super) fn is_below_limit_per_minion(task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
+    if spec.max_per_minion == 0 {
+        return true;
+    }
+    let first = TaskId { index: 0, ..task };
+    let last = TaskId { index: u32::MAX, ..task };
+    (minion.runs.range(first..=last).count() as u32) < spec.max_per_minion
+}
+
+/// Returns whether a persistent task leaves a reserve of processors for short tasks; true for all
+/// other tasks.
+///
+/// [`Coordinator::task_rejection`] exempts tasks that ran before, because users notice their
+/// absence.
+#[inline]
+fn leaves_short_task_reserve(minion: &Minion, spec: &StepSpec) -> bool {
+    let reserve = minion.info.capacity.milli_cpus * (100 - MAX_PERSISTENT_CPU_PERCENT) / 100;
+    !spec.persistent
+        || spec.best_effort
+        || spec.demand.milli_cpus + reserve <= minion.unreserved().milli_cpus
+}
+
+/// Returns the unreserved resources of a minion without those that are held for persistent tasks;
+/// for best-effort steps without the memory that is kept free for other tasks.
+#[inline]
+pub(super) fn available_resources(minion: &Minion, spec: &StepSpec) -> Demand {
+    let mut free = minion.unreserved() - minion.held;
+    if spec.best_effort {
+        let reserve = minion.info.capacity.memory_mb * (100 - MAX_BEST_EFFORT_MEMORY_PERCENT) / 100;
+        free.memory_mb -= reserve;
+    }
+    free
+}
--- a/crates/geraniumpost-batch/src/coordinator/headroom.rs
+++ b/crates/geraniumpost-batch/src/coordinator/headroom.rs
@@ -4,6 +4,7 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::group_headroom::GroupHeadroom;
 use super::minion::Minion;
 use super::run::reserved_resources;
 use crate::interference::{FullSpeedLoad, ServingGroup, speed_limits};
@@ -13,16 +14,6 @@
 /// Lower bound of the headroom in a division, as a utilization: headroom may be zero or negative.
 const MIN_HEADROOM_DIVISOR: f64 = 0.01;
 
-/// Additional utilization that one group of serving tasks tolerates.
-#[derive(Debug, Clone)]
-pub(super) struct Headroom {
-    /// Image of the group's tasks.
-    image: Name,
-    /// How much the group's utilization may rise before its tail latency reaches
-    /// [`MAX_SERVING_TAIL_LATENCY_RATIO`]; negative if the tail latency is higher already.
-    utilization: f64,
-}
-
 /// Expected speed of a best-effort task on a minion, and its effect on the headroom of serving
 /// tasks.
 #[derive(Debug, Clone, Copy)]
@@ -38,7 +29,7 @@
 impl Coordinator {
     /// Returns the headroom that each group of serving tasks on a minion would have without any
     /// best-effort tasks.
-    fn base_headroom(&self, minion: &Minion) -> Vec<Headroom> {
+    fn base_headroom(&self, minion: &Minion) -> Vec<GroupHeadroom> {
         let mut last = None;
         let mut headroom = Vec::new();
         for task in &minion.runs {
@@ -54,7 +45,7 @@
             let limit =
                 self.interference.utilization_at(&spec.image, MAX_SERVING_TAIL_LATENCY_RATIO);
             let utilization = limit - self.interference.user_utilization(&spec.image, &group);
-            headroom.push(Headroom { image: spec.image.clone(), utilization });
+            headroom.push(GroupHeadroom { image: spec.image.clone(), utilization });
         }
         headroom
     }
--- a/crates/geraniumpost-batch/src/coordinator/held_room.rs
+++ b/crates/geraniumpost-batch/src/coordinator/held_room.rs
@@ -9,8 +9,9 @@
 
 use super::Coordinator;
 use super::capacity_shortfall::{relative_shortfall, shortfall};
+use super::eligibility::is_below_limit_per_minion;
+use super::job::is_interrupted_too_long;
 use super::minion::Minion;
-use super::placement::{is_below_limit_per_minion, is_interrupted_too_long};
 use super::rejection::Rejection;
 use super::run::reserved_resources;
 use crate::{Demand, Now, StepSpec, TaskId};
--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -3,7 +3,12 @@
 use geraniumpost_schema::Name;
 
 use super::commits::DeferredAction;
-use crate::{JobRecord, JobState, TaskId};
+use crate::{JobRecord, JobState, Now, TaskId, TaskPhase, TaskRecord};
+
+/// How long a persistent task that lost its run waits after the tasks of jobs that end, in
+/// milliseconds. Most of these tasks find a minion sooner, and short tasks would otherwise be late
+/// each time that minions are replaced; callers tolerate an interruption of 6 s.
+const MAX_INTERRUPTION_MS: u64 = 2_000;
 
 /// A job's record, and state that is not persisted.
 #[derive(Debug)]
@@ -84,3 +89,32 @@
         }
     }
 }
+
+/// Lists the steps with waiting tasks whose predecessors are done, as occurrence and step.
+pub(super) fn ready_steps(record: &JobRecord) -> Vec<(u32, u16)> {
+    let mut ready = Vec::new();
+    for occurrence in &record.occurrences {
+        for (number, step) in record.spec.steps.iter().enumerate() {
+            let waiting =
+                occurrence.steps[number].iter().any(|task| task.phase == TaskPhase::Waiting);
+            let is_ready =
+                waiting && step.after.iter().all(|&s| occurrence.is_step_done(usize::from(s)));
+            if is_ready {
+                ready.push((occurrence.number, number as u16));
+            }
+        }
+    }
+    ready
+}
+
+/// Returns whether a persistent job has been interrupted for [`MAX_INTERRUPTION_MS`].
+pub(super) fn is_interrupted_too_long(job: &Job, now: Now) -> bool {
+    job.interrupted_since_ms.is_some_and(|since| now.steady_ms >= since + MAX_INTERRUPTION_MS)
+}
+
+/// Returns whether a persistent task of a job waits although it ran before.
+pub(super) fn is_interrupted(record: &JobRecord) -> bool {
+    let steps = record.occurrences.iter().flat_map(|o| o.steps.iter().zip(&record.spec.steps));
+    let lost_run = |task: &TaskRecord| task.phase == TaskPhase::Waiting && task.run > 0;
+    steps.into_iter().any(|(tasks, spec)| spec.persistent && tasks.iter().any(lost_run))
+}
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -3,7 +3,7 @@
 use geraniumpost_schema::Name;
 
 use super::best_effort_tasks::BestEffortTasks;
-use super::headroom::Headroom;
+use super::group_headroom::GroupHeadroom;
 use super::serving_tasks::ServingTasks;
 use super::young_run::YoungRun;
 use crate::tuning::SERVING_UNUSED_CPU_PERCENT;
@@ -72,7 +72,7 @@
     /// Number and tail latency of the serving runs, by image.
     pub(super) serving_images: BTreeMap<Name, ServingTasks>,
     /// Headroom of each group of serving runs at the current paces of the best-effort runs.
-    pub(super) headroom: Vec<Headroom>,
+    pub(super) headroom: Vec<GroupHeadroom>,
     /// Number, processors and pace of the best-effort runs, by image.
     pub(super) best_effort_images: BTreeMap<Name, BestEffortTasks>,
 }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -1,4 +1,7 @@
 //! The coordinator: holds all jobs and the state of all minions, and decides which task runs where.
+//!
+//! `minion` says what a minion is, `eligibility` which minions can take a task and why others cannot,
+//! and `placement` which of them is best; each knows only the ones before it.
 
 mod agents;
 mod approvals;
@@ -14,11 +17,13 @@
 mod eligibility;
 mod evacuated_domains;
 mod explained_crashes;
+mod group_headroom;
 mod headroom;
 mod held_room;
 mod job;
 mod lease_basis;
 mod leases;
+mod log_fields;
 mod longest_wait;
 mod main_suspect;
 mod measurements;
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -5,13 +5,12 @@
 use super::Coordinator;
 use super::commits::DeferredAction;
 use super::crashes::{SuspectPenalty, must_be_isolated};
-use super::eligibility::step_rejection;
+use super::eligibility::{available_resources, is_eligible_for_step};
 use super::headroom::BestEffortSpeed;
-use super::job::Job;
+use super::job::{Job, is_interrupted, is_interrupted_too_long, ready_steps};
 use super::minion::Minion;
 use super::run::{OrderState, Run, reserved_resources};
-use crate::tuning::{MAX_BEST_EFFORT_MEMORY_PERCENT, MAX_PERSISTENT_CPU_PERCENT};
-use crate::{Demand, JobId, JobRecord, Now, Place, StepSpec, TaskId, TaskPhase, TaskRecord};
+use crate::{JobId, JobRecord, Now, Place, StepSpec, TaskId, TaskPhase, TaskRecord};
 
 /// Minimum speed assumed for any minion, as a fraction of full speed, so that minions remain
 /// comparable.
@@ -22,11 +21,6 @@
 /// they are compared in millionths.
 const COST_SCALE: f64 = 1e6;
 const MILLI_CPUS_PER_CPU: i64 = 1_000;
-/// How long a persistent task that lost its run waits after the tasks of jobs that end, in
-/// milliseconds. Most of these tasks find a minion sooner, and short tasks would otherwise be late
-/// each time that minions are replaced; callers tolerate an interruption of 6 s.
-const MAX_INTERRUPTION_MS: u64 = 2_000;
-
 /// Order in which jobs are placed; compared field by field, smaller first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -320,69 +314,6 @@
     }
 }
 
-/// Lists the steps with waiting tasks whose predecessors are done, as occurrence and step.
-pub(super) fn ready_steps(record: &JobRecord) -> Vec<(u32, u16)> {
-    let mut ready = Vec::new();
-    for occurrence in &record.occurrences {
-        for (number, step) in record.spec.steps.iter().enumerate() {
-            let waiting =
-                occurrence.steps[number].iter().any(|task| task.phase == TaskPhase::Waiting);
-            let is_ready =
-                waiting && step.after.iter().all(|&s| occurrence.is_step_done(usize::from(s)));
-            if is_ready {
-                ready.push((occurrence.number, number as u16));
-            }
-        }
-    }
-    ready
-}
-
-#[inline]
-pub(super) fn is_below_limit_per_minion(task: TaskId, spec: &StepSpec, minion: &Minion) -> bool {
-    if spec.max_per_minion == 0 {
-        return true;
-    }
-    let first = TaskId { index: 0, ..task };
-    let last = TaskId { index: u32::MAX, ..task };
-    (minion.runs.range(first..=last).count() as u32) < spec.max_per_minion
-}
-
-/// Returns whether a minion can take a task of a step, apart from the limit per minion, the
-/// approval and the reserve for short tasks.
-pub(super) fn is_eligible_for_step(
-    minion: &Minion,
-    service: &Name,
-    spec: &StepSpec,
-    now: Now,
-) -> bool {
-    step_rejection(minion, service, spec, now).is_none()
-}
-
-/// Returns whether a persistent task leaves a reserve of processors for short tasks; true for all
-/// other tasks.
-///
-/// [`Coordinator::task_rejection`] exempts tasks that ran before, because users notice their
-/// absence.
-#[inline]
-pub(super) fn leaves_short_task_reserve(minion: &Minion, spec: &StepSpec) -> bool {
-    let reserve = minion.info.capacity.milli_cpus * (100 - MAX_PERSISTENT_CPU_PERCENT) / 100;
-    !spec.persistent
-        || spec.best_effort
-        || spec.demand.milli_cpus + reserve <= minion.unreserved().milli_cpus
-}
-
-/// Returns the unreserved resources of a minion without those that are held for persistent tasks;
-/// for best-effort steps without the memory that is kept free for other tasks.
-#[inline]
-pub(super) fn available_resources(minion: &Minion, spec: &StepSpec) -> Demand {
-    let mut free = minion.unreserved() - minion.held;
-    if spec.best_effort {
-        let reserve = minion.info.capacity.memory_mb * (100 - MAX_BEST_EFFORT_MEMORY_PERCENT) / 100;
-        free.memory_mb -= reserve;
-    }
-    free
-}
-
 /// Returns how many tasks of a step a minion can take.
 fn task_capacity(minion: &Minion, spec: &StepSpec) -> usize {
     let (free, need) = (available_resources(minion, spec), reserved_resources(spec));
@@ -428,18 +359,6 @@
     }
 }
 
-/// Returns whether a persistent job has been interrupted for [`MAX_INTERRUPTION_MS`].
-pub(super) fn is_interrupted_too_long(job: &Job, now: Now) -> bool {
-    job.interrupted_since_ms.is_some_and(|since| now.steady_ms >= since + MAX_INTERRUPTION_MS)
-}
-
-/// Returns whether a persistent task of a job waits although it ran before.
-fn is_interrupted(record: &JobRecord) -> bool {
-    let steps = record.occurrences.iter().flat_map(|o| o.steps.iter().zip(&record.spec.steps));
-    let lost_run = |task: &TaskRecord| task.phase == TaskPhase::Waiting && task.run > 0;
-    steps.into_iter().any(|(tasks, spec)| spec.persistent && tasks.iter().any(lost_run))
-}
-
 /// Returns the remaining work of a job by its estimates, in processor milliseconds.
 fn remaining_work(record: &JobRecord) -> u64 {
     let steps = record.occurrences.iter().flat_map(|o| o.steps.iter().zip(&record.spec.steps));
--- a/crates/geraniumpost-batch/src/coordinator/unreachable.rs
+++ b/crates/geraniumpost-batch/src/coordinator/unreachable.rs
@@ -6,8 +6,9 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::log_fields::field_unless_zero;
 use super::minion::Minion;
-use super::wait_monitor::{MAX_LINES_PER_CHECK, field_unless_zero};
+use super::wait_monitor::MAX_LINES_PER_CHECK;
 use crate::Now;
 
 /// Time that a new coordinator gives agents to link before it logs unreachable minions, in
--- a/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
+++ b/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 
 use super::Coordinator;
-use super::placement::ready_steps;
+use super::job::ready_steps;
+use super::log_fields::field_unless_zero;
 use super::rejection::{Rejection, RejectionCounts};
 use super::run::Run;
 use super::wait_state::{StepKey, WaitingStep};
@@ -231,8 +232,3 @@
         rejections.to_string()
     }
 }
-
-/// Returns a field of a log line with a leading space, or an empty string for 0.
-pub(super) fn field_unless_zero(name: &str, value: u64) -> String {
-    if value == 0 { String::new() } else { format!(" {name}={value}") }
-}
--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -1,8 +1,8 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::log_fields::field_unless_zero;
 use super::run::{OrderState, Run};
-use super::wait_monitor::field_unless_zero;
 use crate::{Now, TaskId};
 
 /// Time for which a run must be known to have worked so that it is not suspected of having crashed
