--- a/crates/geraniumpost-batch/src/tuning.rs
+++ b/crates/geraniumpost-batch/src/tuning.rs
@@ -63,8 +63,8 @@
 /// Default maximum number of open jobs. Each job takes some kilobytes in this process and in the
 /// store, and is examined in each placement round; deployments have some hundreds at their peak.
 pub const MAX_OPEN_JOBS: usize = 3_000;
-/// Time after which a refused caller is told to retry, in milliseconds: with [`MAX_OPEN_JOBS`] jobs
-/// open, some end each second.
+/// Retry delay in the response to a refused submission, in milliseconds: with [`MAX_OPEN_JOBS`]
+/// jobs open, some end each second.
 pub const RETRY_AFTER_MS: u64 = 1_000;
 /// How long a coordinator with the support of a majority of entries extends leases without a
 /// confirmation from the store, in milliseconds. This covers the store outages that operators
--- a/crates/geraniumpost-batch/tests/coordinator/evacuations.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/evacuations.rs
@@ -137,7 +137,7 @@
 }
 
 /// Guards against the repetition of a start whose first copy had no response: the first copy may
-/// still start the task, so that the minion is told to stop it before it starts elsewhere.
+/// still start the task, which must therefore be stopped there before it starts elsewhere.
 #[test]
 fn start_without_response_is_not_repeated_in_an_evacuated_domain() {
     let mut cluster = cluster();
--- a/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -85,7 +85,7 @@
 }
 
 /// Guards against a healthy task that is given up for the last crash of a suspected sibling of a
-/// task that was given up, because the crashes of that sibling count no more.
+/// task that was given up, because the crashes of that sibling are not counted any longer.
 #[test]
 fn suspected_sibling_remains_a_suspect() {
     let mut cluster = Cluster::new();
--- a/crates/geraniumpost-harness/src/check/summary.rs
+++ b/crates/geraniumpost-harness/src/check/summary.rs
@@ -35,7 +35,7 @@
         requests.iter().collect()
     }
 
-    /// Counts the idempotent requests, which the system retries by itself.
+    /// Counts the idempotent requests, which the system retries automatically.
     pub fn of_idempotent(requests: &[ObservedRequest]) -> Self {
         requests.iter().filter(|request| request.idempotent).collect()
     }
--- a/crates/geraniumpost/src/batch/entry/relay.rs
+++ b/crates/geraniumpost/src/batch/entry/relay.rs
@@ -59,8 +59,8 @@
     /// Another copy is sent over each new link, and over a link that was silent for a while. The
     /// refusal of one copy does not settle the request while other copies are in flight: the
     /// coordinator may accept another copy later, when it has capacity, and the job would run
-    /// although the caller was told that it was refused. A request that is not settled in time is
-    /// reported as [`NoResponse::Unknown`].
+    /// although the response to the caller says that it was refused. A request that is not settled
+    /// in time is reported as [`NoResponse::Unknown`].
     fn is_settled_by(&mut self, response: CallerResponse) -> bool {
         if !matches!(response, CallerResponse::Refused { .. }) {
             return true;
--- a/crates/geraniumpost/src/entry/callers.rs
+++ b/crates/geraniumpost/src/entry/callers.rs
@@ -46,7 +46,7 @@
 /// Serves callers until the entry is asked to stop, and then drains it.
 ///
 /// The order matters. First the health check fails, so that the load balancer sends no further
-/// connections. Then the entry accepts no more connections, and waits for at most `drain_ms` until
+/// connections. Then the entry stops accepting connections, and waits for at most `drain_ms` until
 /// the requests in flight have finished. Requests that have not finished then are answered.
 pub async fn serve(cx: Arc<EntryContext>, listener: TcpListener, mut stop: watch::Receiver<bool>) {
     let open_connections = OpenConnections::new(FIRST_REQUEST_TIMEOUT);
--- a/crates/geraniumpost/src/planner/lease_calls.rs
+++ b/crates/geraniumpost/src/planner/lease_calls.rs
@@ -62,7 +62,7 @@
             Err(error) => return Err(error),
         },
         LeaseAction::Revoke { lease } => {
-            // A lease that cannot be revoked expires by itself.
+            // A lease that cannot be revoked expires after its duration.
             let _ = store.revoke(lease.into()).await;
             return Ok(None);
         }
