--- a/crates/geraniumpost-batch/tests/coordinator/regressions.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/regressions.rs
@@ -97,6 +97,9 @@
         StepSpec { persistent: true, image: "kiosk".into(), latency_bound_ms: 100, ..step(1) };
     cluster.submit(1, vec![serving]);
     cluster.carry_out_orders();
+    // A low tail latency shows that the minion has capacity for both.
+    cluster.set_measurement(task(1, 0, 0), 25);
+    cluster.poll("m1");
     let demand = Demand { milli_cpus: 4_000, memory_mb: 1_000, accelerators: 0 };
     let estimate_ms = 60_000;
     let best_effort =
--- a/crates/geraniumpost/tests/metrics.rs
+++ b/crates/geraniumpost/tests/metrics.rs
@@ -20,6 +20,7 @@
     metrics.config_read("adopted", 5_000);
     metrics.planner_term(3);
     metrics.jobs("running", 4);
+    metrics.withheld_starts("evacuated", 2);
     metrics.placement("study");
     metrics.eviction("harm");
     metrics.dropped("datagram", "unproved", 1);
