--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -53,7 +53,7 @@
 use geraniumpost_schema::Name;
 
 use crate::interference::InterferenceModel;
-use crate::{FromAgent, JobId, JobRecord, Now, TaskId};
+use crate::{Features, FromAgent, JobId, JobRecord, Now, TaskId};
 
 pub use effect::{Effect, WriteBatch};
 pub use evacuated_domains::EvacuationStatus;
@@ -87,6 +87,8 @@
     fence: u64,
     lease_ms: u64,
     max_open_jobs: usize,
+    /// Optional decisions that this coordinator makes.
+    features: Features,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that have not reached a final state.
     open_jobs: BTreeSet<JobId>,
@@ -152,6 +154,7 @@
             fence,
             lease_ms: 0,
             max_open_jobs: crate::tuning::MAX_OPEN_JOBS,
+            features: Features::default(),
             jobs: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             dirty: BTreeSet::new(),
@@ -200,6 +203,13 @@
         self
     }
 
+    /// Sets which optional decisions the coordinator makes; by default none.
+    #[must_use]
+    pub const fn with_features(mut self, features: Features) -> Self {
+        self.features = features;
+        self
+    }
+
     /// Loads job records from the store, with the runs that may exist.
     #[must_use]
     pub fn with_records(mut self, records: Vec<(JobId, JobRecord)>, now: Now) -> Self {
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use geraniumpost_batch::PredecessorLeases;
 use geraniumpost_batch::quorum::Voters;
+use geraniumpost_batch::{Features, PredecessorLeases};
 use geraniumpost_platform::{CommitError, KeyValue, NodeSettings, Store, Transaction};
 use geraniumpost_schema::Name;
 use rand::Rng as _;
@@ -64,6 +64,7 @@
     confirmed_ms: Arc<AtomicU64>,
     handover_times: HandoverTimes,
     evacuation_bound_ms: Option<u64>,
+    features: Features,
     stop_time: StopTime,
     coordinating: watch::Sender<bool>,
 }
@@ -118,6 +119,7 @@
             confirmed_ms: Arc::new(AtomicU64::new(0)),
             handover_times: HandoverTimes::default(),
             evacuation_bound_ms: None,
+            features: Features::default(),
             stop_time: StopTime::default(),
             coordinating: watch::Sender::new(false),
         }
@@ -131,6 +133,13 @@
         self
     }
 
+    /// Sets which optional decisions this entry makes as coordinator; by default none.
+    #[must_use]
+    pub const fn with_features(mut self, features: Features) -> Self {
+        self.features = features;
+        self
+    }
+
     /// Sets when a term is handed over after the process was asked to stop; by default at once.
     #[must_use]
     pub const fn with_handover_times(mut self, times: HandoverTimes) -> Self {
@@ -368,6 +377,7 @@
             handover_times: self.handover_times,
             stop_time: self.stop_time.clone(),
             evacuation_bound_ms: self.evacuation_bound_ms,
+            features: self.features,
             metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -7,7 +7,7 @@
 
 use geraniumpost_batch::tuning::MAX_CONFIRMATION_AGE_MS;
 use geraniumpost_batch::{
-    Coordinator, InterferenceSnapshot, JobId, JobRecord, Now, PredecessorLeases,
+    Coordinator, Features, InterferenceSnapshot, JobId, JobRecord, Now, PredecessorLeases,
 };
 use geraniumpost_platform::{Admission, GetResponse, Page, Store, StoreError};
 use tokio::sync::{mpsc, watch};
@@ -70,6 +70,8 @@
     pub stop_time: StopTime,
     /// As in [`TimeBounds::evacuation_ms`](geraniumpost_platform::TimeBounds::evacuation_ms).
     pub evacuation_bound_ms: Option<u64>,
+    /// Optional decisions of the coordinator.
+    pub features: Features,
     pub metrics: Arc<Metrics>,
 }
 
@@ -141,6 +143,7 @@
         let coordinator = Coordinator::new(self.record.term, now)
             .with_lease_ms(self.lease_ms)
             .with_term_requested_ms(self.requested_ms)
+            .with_features(self.features)
             .with_evacuation_bound_ms(self.evacuation_bound_ms)
             .with_predecessor_leases(&self.predecessor_leases, self.began)
             .with_interference(&interference)
--- a/crates/geraniumpost/src/batch/entry/mod.rs
+++ b/crates/geraniumpost/src/batch/entry/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use eyre::{ContextCompat, Result};
+use geraniumpost_batch::Features;
 use geraniumpost_platform::{NodeSettings, Store, load_settings};
 use rand::Rng as _;
 use tokio::sync::watch;
@@ -56,6 +57,8 @@
     pub requests: InFlight,
     /// The times of the planned stop.
     pub stop: StopSchedule,
+    /// Optional decisions that this process makes.
+    pub features: Features,
 }
 
 impl EntryState {
@@ -74,7 +77,7 @@
 /// # Errors
 ///
 /// Fails if an address is missing in the settings or in use.
-pub async fn serve(settings: NodeSettings) -> Result<()> {
+pub async fn serve(settings: NodeSettings, features: Features) -> Result<()> {
     let stop = crate::stop_signal::stop_signal()?;
     crate::stop_signal::on_reload(|| load_settings().map(drop))?;
     let callers = settings.caller_address.wrap_err("no address for callers")?;
@@ -94,6 +97,7 @@
         metrics: Arc::clone(&metrics),
         requests: InFlight::default(),
         stop: StopSchedule::new(Duration::from_millis(settings.bounds.grace_ms)),
+        features,
     });
     tokio::spawn(configuration::follow_configuration(Arc::clone(&store), Arc::clone(&shared)));
     let peer_listener = http_server::bind(SocketAddr::new(settings.ip, settings.peer_port)).await?;
@@ -108,6 +112,7 @@
         candidate_promises,
         metrics,
     )
+    .with_features(features)
     .with_handover_times(shared.stop.handover_times())
     .with_evacuation_bound_ms(settings.bounds.evacuation_ms);
     let mut coordinating = candidate.coordinating();
--- a/crates/geraniumpost/src/batch/mod.rs
+++ b/crates/geraniumpost/src/batch/mod.rs
@@ -18,17 +18,18 @@
 pub use peer_message::{FromPeer, ToPeer};
 
 use eyre::Result;
+use geraniumpost_batch::Features;
 use geraniumpost_platform::load_settings;
 
-/// Runs `geraniumpost job-entry` until the process is asked to stop.
+/// Runs `geraniumpost job-entry` with these optional decisions until the process is asked to stop.
 ///
 /// # Errors
 ///
 /// Fails on unusable settings, or if an address cannot be bound.
-pub fn run_entry() -> Result<()> {
+pub fn run_entry(features: Features) -> Result<()> {
     let settings = load_settings()?;
     start_logs(&settings.node)?;
-    crate::runtime::start_small()?.block_on(entry::serve(settings))
+    crate::runtime::start_small()?.block_on(entry::serve(settings, features))
 }
 
 /// Runs `geraniumpost job-agent` until the process is asked to stop.
--- a/crates/geraniumpost/src/cli/command.rs
+++ b/crates/geraniumpost/src/cli/command.rs
@@ -1,4 +1,5 @@
 use clap::{Arg, ArgAction, Command, value_parser};
+use geraniumpost_batch::Feature;
 
 /// Examples, exit codes and environment variables, printed at the end of the help.
 const AFTER_HELP: &str = "\
@@ -53,7 +54,19 @@
         .subcommand(role("agent", "Run the agent beside an endpoint"))
         .subcommand(
             Command::new("job-entry")
-                .about("Run an entry for jobs of many steps; the platform provides its settings"),
+                .about("Run an entry for jobs of many steps; the platform provides its settings")
+                .arg(
+                    Arg::new("enable")
+                        .long("enable")
+                        .value_name("FEATURE")
+                        .action(ArgAction::Append)
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(Feature))
+                        .help(
+                            "Make optional decisions: admission, shares, disturbance-budget, \
+                             stragglers, handover; see docs/SETTINGS.md",
+                        ),
+                ),
         )
         .subcommand(
             Command::new("job-agent")
--- a/crates/geraniumpost/src/cli/roles.rs
+++ b/crates/geraniumpost/src/cli/roles.rs
@@ -1,4 +1,5 @@
 use eyre::Result;
+use geraniumpost_batch::Features;
 use geraniumpost_schema::{AgentSettings, EntrySettings};
 
 /// Functions of the long-running roles. Each runs until the process is asked to stop.
@@ -8,8 +9,8 @@
     pub entry: fn(EntrySettings) -> Result<()>,
     /// Runs `geraniumpost agent`.
     pub agent: fn(AgentSettings) -> Result<()>,
-    /// Runs `geraniumpost job-entry`.
-    pub job_entry: fn() -> Result<()>,
+    /// Runs `geraniumpost job-entry` with these optional decisions.
+    pub job_entry: fn(Features) -> Result<()>,
     /// Runs `geraniumpost job-agent`.
     pub job_agent: fn() -> Result<()>,
 }
--- a/crates/geraniumpost/src/cli/run.rs
+++ b/crates/geraniumpost/src/cli/run.rs
@@ -3,6 +3,7 @@
 
 use clap::ArgMatches;
 use eyre::Result;
+use geraniumpost_batch::Feature;
 use geraniumpost_config::{Report, load_agent, load_entry};
 
 use super::{CommandOutput, ExitStatus, Roles, check, command, execute};
@@ -13,7 +14,10 @@
     let output = match matches.subcommand() {
         Some(("entry", args)) => role(args, load_entry, roles.entry),
         Some(("agent", args)) => role(args, load_agent, roles.agent),
-        Some(("job-entry", _)) => to_output((roles.job_entry)()),
+        Some(("job-entry", args)) => {
+            let enabled = args.get_many::<Feature>("enable").unwrap_or_default();
+            to_output((roles.job_entry)(enabled.copied().collect()))
+        }
         Some(("job-agent", _)) => to_output((roles.job_agent)()),
         _ => operator(&matches),
     };
