--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -58,6 +58,8 @@
     /// Job of the last counted failure; further failures of this job are not counted until another
     /// job fails or a run succeeds.
     pub(super) last_failed_job: Option<JobId>,
+    /// Time at which a poll last listed the running tasks, on the monotonic clock.
+    pub(super) last_polled_ms: u64,
     /// Time before which no task is placed on the minion, on the monotonic clock.
     pub(super) quarantined_until_ms: u64,
     /// Earliest time at which a draining minion terminates, on the monotonic clock.
@@ -102,6 +104,7 @@
             resend_acknowledgement: false,
             consecutive_failures: 0,
             last_failed_job: None,
+            last_polled_ms: 0,
             quarantined_until_ms: 0,
             drain_deadline_ms: 0,
             last_evacuation_ms: 0,
--- a/crates/geraniumpost-batch/src/coordinator/poll_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/poll_results.rs
@@ -40,6 +40,7 @@
             if let Some(minion) = self.minions.get_mut(&id) {
                 self.placement_due |= !minion.polled;
                 minion.polled = true;
+                minion.last_polled_ms = now.steady_ms;
                 minion.expired_runs.clear();
             }
             self.adjust_paces(&id, now);
