feat(batch): tell processes under one id apart by their start time

A minion may start again under the id that it had. Names of incarnations now contain the id and the start time. A start that may still be carried out by the later process is stopped there before its task is placed again.

--- a/crates/geraniumpost-batch/src/agent_message.rs
+++ b/crates/geraniumpost-batch/src/agent_message.rs
@@ -31,6 +31,11 @@
         /// versions ignore it.
         #[serde(deserialize_with = "bool_or_false")]
         crashed: bool,
+        /// Name of the incarnation that runs under the same id now, if the minion has started
+        /// again. Agents of earlier versions omit this field; coordinators of earlier versions
+        /// ignore it.
+        #[serde(deserialize_with = "name_or_none")]
+        replaced_by: Option<Name>,
     },
     /// The minion's lists of running and ended tasks.
     PollResult(PollResult),
@@ -44,6 +49,12 @@
     Ok(bool::deserialize(deserializer).unwrap_or_default())
 }
 
+/// Reads the last field of a message, which earlier versions omit.
+#[expect(clippy::unnecessary_wraps, reason = "serde requires this signature")]
+fn name_or_none<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<Name>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
+}
+
 /// A message from the coordinator to an agent.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToAgent {
--- a/crates/geraniumpost-batch/src/coordinator/departures.rs
+++ b/crates/geraniumpost-batch/src/coordinator/departures.rs
@@ -29,10 +29,13 @@
         agent: &Name,
         id: &Name,
         crashed: bool,
+        replaced_by: Option<&Name>,
         now: Now,
     ) {
         let cause = if crashed { TerminationCause::Crashed } else { TerminationCause::Planned };
-        self.remove_minion(id, cause, now);
+        for terminated in self.terminated_incarnations(agent, id) {
+            self.remove_minion(&terminated, replaced_by, cause, now);
+        }
         // Runs on the minion may have ended earlier, by a stop or an expired lease, and these ends
         // may not be written either.
         let unwritten_jobs = self.jobs.iter().filter(|(_, job)| job.durable_version < job.version);
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -93,6 +93,7 @@
             let runs: Vec<_> = minion.runs.iter().copied().collect();
             self.log(format!("minion={id} event=lease_expired runs={}", runs.len()));
             let young = self.young_runs(&id, now);
+            self.record_late_starts(&id, &runs, now);
             if let Some(minion) = self.minions.get_mut(&id) {
                 minion.expired_runs = young;
                 minion.runs_expired_ms = now.steady_ms;
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -6,7 +6,7 @@
 use super::draining::DEFAULT_DRAIN_DURATION_MS;
 use super::minion::Minion;
 use super::termination_cause::TerminationCause;
-use crate::{EndKind, MinionInfo, Now};
+use crate::{EndKind, Incarnation, MinionInfo, Now};
 
 /// Minimum remaining lease with which a newly reported minion counts as responsive before a
 /// heartbeat reports on it, in milliseconds; with less, the lease may expire before an order
@@ -20,7 +20,7 @@
         let id = info.id.clone();
         let previous = self.agents.entry(agent.clone()).or_default().minion.replace(id.clone());
         if let Some(previous) = previous.filter(|previous| *previous != id) {
-            self.remove_minion(&previous, TerminationCause::Unknown, now);
+            self.replace_minion(&previous, &id, now);
         }
         // Records may refer to earlier incarnations of this agent's minion, which no longer exist.
         let terminated: Vec<Name> = self
@@ -30,7 +30,7 @@
             .map(|(earlier, _)| earlier.clone())
             .collect();
         for earlier in terminated {
-            self.remove_minion(&earlier, TerminationCause::Unknown, now);
+            self.replace_minion(&earlier, &id, now);
         }
         let linked = self.agents.get(agent).is_some_and(|agent| agent.linked);
         let has_lease = self
@@ -59,10 +59,27 @@
         if self.minions.get(&id).is_some_and(|minion| minion.info.draining) {
             self.evacuate(&id, now);
         }
+        self.bar_late_starts(&id, now);
     }
 
-    /// Removes an incarnation that has terminated, and ends all its runs.
-    pub(super) fn remove_minion(&mut self, id: &Name, cause: TerminationCause, now: Now) {
+    /// Removes an incarnation because its agent reports another one.
+    fn replace_minion(&mut self, earlier: &Name, id: &Name, now: Now) {
+        if Incarnation::may_be_same_process(earlier, id) {
+            return self.rename_minion(earlier, id, now);
+        }
+        let restarted = Incarnation::is_other_process(earlier, id).then_some(id);
+        self.remove_minion(earlier, restarted, TerminationCause::Unknown, now);
+    }
+
+    /// Removes an incarnation that has terminated, and ends its runs. If `successor` runs under the
+    /// same id now, runs that may still start are first stopped there.
+    pub(super) fn remove_minion(
+        &mut self,
+        id: &Name,
+        successor: Option<&Name>,
+        cause: TerminationCause,
+        now: Now,
+    ) {
         let Some(minion) = self.minions.get(id) else { return };
         let cause = if minion.info.draining { TerminationCause::Planned } else { cause };
         let runs: Vec<_> = minion.runs.iter().copied().collect();
@@ -74,7 +91,14 @@
         if cause != TerminationCause::Planned {
             self.log_young_runs(id, &young);
         }
-        for task in runs {
+        let ended = match successor {
+            Some(successor) => self.stop_late_runs_on(successor, &agent, runs, now),
+            None => {
+                self.record_late_starts(id, &runs, now);
+                runs
+            }
+        };
+        for task in ended {
             self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
         }
         self.minions.remove(id);
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -21,6 +21,7 @@
 mod headroom;
 mod held_room;
 mod job;
+mod late_starts;
 mod lease_basis;
 mod leases;
 mod log_fields;
@@ -38,6 +39,7 @@
 mod recent_crashes;
 mod rejection;
 mod report_waits;
+mod restarts;
 mod run;
 mod run_ends;
 mod serving_tasks;
@@ -67,6 +69,7 @@
 use evacuated_domains::EvacuatedDomains;
 use explained_crashes::ExplainedCrashes;
 use job::Job;
+use late_starts::LateStarts;
 use lease_basis::EntrySupport;
 use minion::Minion;
 use predecessor_leases::PredecessorExpiry;
@@ -105,6 +108,8 @@
     unexplained_crashes: RecentCrashes,
     /// Terminated minions whose termination the stored records do not contain yet.
     departures: BTreeMap<Name, Departure>,
+    /// Start orders that may still be carried out although their runs are over.
+    late_starts: LateStarts,
     batches: HashMap<u64, PendingBatch>,
     next_batch_number: u64,
     /// Time at which the store's last confirmation of this coordinator was received, on the
@@ -165,6 +170,7 @@
             crashes: RecentCrashes::default(),
             unexplained_crashes: RecentCrashes::default(),
             departures: BTreeMap::new(),
+            late_starts: LateStarts::default(),
             batches: HashMap::new(),
             next_batch_number: 1,
             confirmed_ms: now.steady_ms,
@@ -238,8 +244,8 @@
                 self.handle_heartbeat(agent, sent_at_ms, minion_ok, now);
             }
             FromAgent::Minion(info) => self.handle_minion_info(agent, info, now),
-            FromAgent::MinionTerminated { minion, crashed } => {
-                self.handle_minion_terminated(agent, &minion, crashed, now);
+            FromAgent::MinionTerminated { minion, crashed, replaced_by } => {
+                self.handle_minion_terminated(agent, &minion, crashed, replaced_by.as_ref(), now);
             }
             FromAgent::PollResult(poll) => self.handle_poll_result(agent, poll, now),
             FromAgent::Result(result) => self.handle_order_result(result, now),
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -19,9 +19,12 @@
             return;
         }
         if result.outcome == OrderOutcome::MinionTerminated {
-            self.remove_minion(&result.minion, TerminationCause::Unknown, now);
+            self.remove_minion(&result.minion, None, TerminationCause::Unknown, now);
             return;
         }
+        if result.kind_tag == OrderKindTag::Stop && is_stop_accepted(result.outcome) {
+            self.record_bar_result(&result);
+        }
         let is_current = self
             .runs
             .get(&result.task)
@@ -102,7 +105,7 @@
     }
 
     fn handle_stop_result(&mut self, result: &OrderResult, now: Now) {
-        let accepted = matches!(result.outcome, OrderOutcome::Done | OrderOutcome::RunIsOver);
+        let accepted = is_stop_accepted(result.outcome);
         let Some(run) = self.runs.get_mut(&result.task) else { return };
         if accepted && run.is_stopping() {
             run.order = OrderState::StopConfirmed {
@@ -148,3 +151,8 @@
         }
     }
 }
+
+/// Returns whether a minion has accepted a stop: it starts neither this run nor an earlier one.
+const fn is_stop_accepted(outcome: OrderOutcome) -> bool {
+    matches!(outcome, OrderOutcome::Done | OrderOutcome::RunIsOver)
+}
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -20,6 +20,7 @@
         self.log_known_evacuations(now);
         self.begin_due_occurrences(now);
         self.retry_orders(now);
+        self.retry_bars(now);
         self.evacuate_draining_minions(now);
         self.move_throttled_tasks(now);
         self.expire_finished_jobs(now);
--- a/crates/geraniumpost-batch/tests/agent_message.rs
+++ b/crates/geraniumpost-batch/tests/agent_message.rs
@@ -22,8 +22,12 @@
     let earlier = EarlierFromAgent::MinionTerminated { minion: "m1".into() };
     let bytes = postcard::to_stdvec(&earlier).expect("the message can be encoded");
     let read: FromAgent = postcard::from_bytes(&bytes).expect("an earlier message is read");
-    assert_eq!(read, FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
-    let current = FromAgent::MinionTerminated { minion: "m1".into(), crashed: true };
+    assert_eq!(
+        read,
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None }
+    );
+    let current =
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: true, replaced_by: None };
     let bytes = postcard::to_stdvec(&current).expect("the message can be encoded");
     assert_eq!(postcard::from_bytes::<FromAgent>(&bytes), Ok(current));
     assert_eq!(postcard::from_bytes::<EarlierFromAgent>(&bytes), Ok(earlier));
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -398,5 +398,5 @@
 pub const FAILED: CallerResponse = CallerResponse::State(JobState::Failed);
 
 fn terminated(minion: &Name) -> FromAgent {
-    FromAgent::MinionTerminated { minion: minion.clone(), crashed: true }
+    FromAgent::MinionTerminated { minion: minion.clone(), crashed: true, replaced_by: None }
 }
--- a/crates/geraniumpost-batch/tests/coordinator/draining.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/draining.rs
@@ -89,7 +89,8 @@
 fn departure_is_settled_only_after_it_is_written() {
     let mut cluster = Cluster::with_running_job(&["m1"], persistent_step(1));
     cluster.confirm_writes = false;
-    let departure = || FromAgent::MinionTerminated { minion: "m1".into(), crashed: false };
+    let departure =
+        || FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None };
     cluster.send("m1", departure());
     assert!(cluster.settled_departures.is_empty());
     cluster.confirm_writes = true;
@@ -111,7 +112,11 @@
     for _ in 0..3 {
         cluster.send(
             &departed,
-            FromAgent::MinionTerminated { minion: departed.clone(), crashed: false },
+            FromAgent::MinionTerminated {
+                minion: departed.clone(),
+                crashed: false,
+                replaced_by: None,
+            },
         );
         cluster.advance(300);
     }
--- a/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -25,7 +25,10 @@
 
 fn crash(cluster: &mut Cluster, minion: &str) {
     cluster.running.remove(&Name::from(minion));
-    cluster.send(minion, FromAgent::MinionTerminated { minion: minion.into(), crashed: true });
+    cluster.send(
+        minion,
+        FromAgent::MinionTerminated { minion: minion.into(), crashed: true, replaced_by: None },
+    );
 }
 
 /// Guards against a healthy task that is given up for crashes of another one: three minions have
--- a/crates/geraniumpost-batch/tests/coordinator/job_guarantees.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/job_guarantees.rs
@@ -198,7 +198,10 @@
     cluster.join("m1-b", |info| info);
     cluster.advance(200);
     assert_matches!(cluster.orders[..], [ref order] if &*order.minion == "m1-b" && order.run == 2);
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     assert_eq!(cluster.orders.len(), 1);
 }
 
--- a/crates/geraniumpost-batch/tests/coordinator/persistent_restart.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/persistent_restart.rs
@@ -82,7 +82,10 @@
         .find(|(task, minion, _)| !is_short(*task) && &**minion == "m1");
     let (lost, ..) = lost.expect("each minion runs a persistent task");
     cluster.running.remove(&Name::from("m1"));
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     assert!(!is_running(&cluster, lost));
     let took_ms = time_until_running(&mut cluster, lost);
     assert!(took_ms.is_some(), "{:?}", cluster.log_lines.last());
@@ -101,7 +104,10 @@
         .find(|(task, minion, _)| !is_short(*task) && &**minion == "m1");
     let (lost, ..) = lost.expect("each minion runs a persistent task");
     cluster.running.remove(&Name::from("m1"));
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     cluster.advance(INTERRUPTION_MS);
     cluster.join("m3", |info| info);
     cluster.carry_out_orders();
@@ -115,7 +121,10 @@
     cluster.join("m3", |info| info);
     cluster.carry_out_orders();
     cluster.running.remove(&Name::from("m1"));
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     for _ in 0..4 {
         end_one_short_run_each(&mut cluster);
         let counts = (short_run_count(&cluster, "m2"), short_run_count(&cluster, "m3"));
@@ -133,7 +142,10 @@
     }
     cluster.carry_out_orders();
     cluster.running.remove(&Name::from("m1"));
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     for _ in 0..20 {
         end_one_short_run_each(&mut cluster);
         assert_eq!(short_run_count(&cluster, "m2"), 6);
@@ -154,7 +166,10 @@
     cluster.carry_out_orders();
     assert!(is_running(&cluster, task(6, 0, 0)) && !is_running(&cluster, task(5, 0, 0)));
     cluster.running.remove(&Name::from("m1"));
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     cluster.advance(INTERRUPTION_MS);
     cluster.join("m2", |info| info);
     cluster.carry_out_orders();
--- a/crates/geraniumpost-batch/tests/coordinator/regressions.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/regressions.rs
@@ -59,7 +59,10 @@
     cluster.confirm_writes = false;
     cluster.end_run(&minion, task, EndKind::Stopped);
     cluster.poll("m1");
-    cluster.send("m1", FromAgent::MinionTerminated { minion: minion.clone(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: minion.clone(), crashed: false, replaced_by: None },
+    );
     assert!(
         cluster.settled_departures.is_empty(),
         "the stored record still has a run on this minion"
@@ -80,7 +83,10 @@
     cluster.confirm_writes = false;
     cluster.advance(LEASE_MS + 1_000);
     cluster.send("m1", FromAgent::Hello { agent: agent_name("m1") });
-    cluster.send("m1", FromAgent::MinionTerminated { minion: "m1".into(), crashed: false });
+    cluster.send(
+        "m1",
+        FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None },
+    );
     assert!(
         cluster.settled_departures.is_empty(),
         "the stored record still has a run on this minion"
--- a/crates/geraniumpost-batch/tests/coordinator/simulation/agents.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/simulation/agents.rs
@@ -65,7 +65,7 @@
             self.machines[at].departures.unrecorded_terminations().cloned().collect::<Vec<_>>()
         {
             let crashed = self.machines[at].departures.has_crashed(&minion);
-            self.send(at, FromAgent::MinionTerminated { minion, crashed });
+            self.send(at, FromAgent::MinionTerminated { minion, crashed, replaced_by: None });
         }
         self.report_minion(at);
         self.heartbeat(at);
--- a/crates/geraniumpost-batch/tests/coordinator/simulation/polling.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/simulation/polling.rs
@@ -96,7 +96,10 @@
             "agent records the departure of {id}, reported to the coordinator: {reported}"
         ));
         let crashed = self.machines[at].departures.has_crashed(id);
-        self.send(at, FromAgent::MinionTerminated { minion: id.clone(), crashed });
+        self.send(
+            at,
+            FromAgent::MinionTerminated { minion: id.clone(), crashed, replaced_by: None },
+        );
     }
 
     /// Lets agents drop departures that the coordinator has recorded.
--- a/crates/geraniumpost/src/batch/agent/heartbeats.rs
+++ b/crates/geraniumpost/src/batch/agent/heartbeats.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use geraniumpost_batch::Incarnation;
 use geraniumpost_platform::{
     DEREGISTER_METHOD, MinionReply, decode_heartbeat, heartbeat_minion_id,
 };
@@ -33,9 +34,9 @@
     };
     if req.method() == DEREGISTER_METHOD {
         spdlog::info!("event=minion_deregistered minion={id}");
-        let id = id.into();
-        state.record_deregistration(&id);
-        tokio::spawn(await_termination(id, state));
+        for incarnation in state.record_deregistration(&id.into()) {
+            tokio::spawn(await_termination(incarnation, Arc::clone(&state)));
+        }
         return acknowledgement();
     }
     if req.method() != Method::PUT {
@@ -74,7 +75,15 @@
         tokio::time::sleep(TERMINATION_CHECK_PAUSE).await;
         let fence = state.fence.load(Ordering::SeqCst);
         let poll = state.minion.poll(&id, fence, 0, None, Duration::ZERO, POLL_TIMEOUT);
-        if !matches!(poll.await, MinionReply::Ok(_) | MinionReply::Superseded) {
+        let is_running = match poll.await {
+            MinionReply::Ok(_) | MinionReply::Superseded => true,
+            // The start time of the minion is unknown, so the process that responded may be it.
+            MinionReply::IncarnationMismatch(Some(responded)) => {
+                Incarnation::may_be_same_process(&responded, &id)
+            }
+            _ => false,
+        };
+        if !is_running {
             break;
         }
         if !std::mem::replace(&mut still_running, true) {
--- a/crates/geraniumpost/src/batch/agent/orders.rs
+++ b/crates/geraniumpost/src/batch/agent/orders.rs
@@ -24,6 +24,8 @@
     fence: u64,
     /// As returned by [`State::lease_end_on_minion_clock_ms`].
     lease_end_on_minion_clock_ms: Option<u64>,
+    /// As returned by [`State::last_minion_clock_ms`].
+    minion_clock_ms: u64,
     draining: bool,
 }
 
@@ -32,6 +34,7 @@
         Self {
             fence: state.fence.load(Ordering::SeqCst),
             lease_end_on_minion_clock_ms: state.lease_end_on_minion_clock_ms(),
+            minion_clock_ms: state.last_minion_clock_ms(),
             draining: state.current_minion().is_some_and(|p| p.id == order.minion && p.draining),
         }
     }
@@ -58,7 +61,7 @@
         );
     }
     if outcome == OrderOutcome::MinionTerminated {
-        state.record_replaced(&order.minion);
+        state.record_replaced(&order.minion, None);
     }
     state.send_result(OrderResult {
         minion: order.minion,
@@ -79,6 +82,11 @@
 
 async fn forward_order(state: &State, order: &Order, context: OrderContext) -> OrderOutcome {
     let is_start = OrderKindTag::from(&order.kind) == OrderKindTag::Start;
+    if state.is_restart_known(&order.minion) {
+        // The order would reach the later process, which must not carry it out.
+        let is_restarted = state.is_restarted(&order.minion);
+        return if is_restarted { OrderOutcome::MinionTerminated } else { OrderOutcome::NotSent };
+    }
     if is_start && (context.draining || is_expired(order)) {
         return OrderOutcome::NotSent;
     }
@@ -88,7 +96,14 @@
         None if is_start => return OrderOutcome::NotSent,
         None => 0,
     };
-    let outcome = state.minion.send_order(order, context.fence, lease_end_ms, ORDER_TIMEOUT).await;
+    let floor_ms = context.minion_clock_ms;
+    let outcome =
+        state.minion.send_order(order, context.fence, lease_end_ms, floor_ms, ORDER_TIMEOUT).await;
+    // The response may be from a process that has started meanwhile under the same id. What the
+    // addressed process did is then unknown, and so is whether the later one carries out the order.
+    if outcome != OrderOutcome::Superseded && state.is_restart_known(&order.minion) {
+        return OrderOutcome::NoResponse;
+    }
     // The order may be from an earlier coordinator, and the minion may have refused it because a
     // poll for the current coordinator arrived first. `Superseded` would make the current
     // coordinator end its term. `NotSent` is reported instead, because the order had no effect.
--- a/crates/geraniumpost/src/batch/agent/polling.rs
+++ b/crates/geraniumpost/src/batch/agent/polling.rs
@@ -24,10 +24,37 @@
 /// progress and tail latency of running tasks change slowly.
 const FULL_REPORT_INTERVAL_MS: u64 = 400;
 
+/// Maximum age of a response in milliseconds by which a poll may rely on the minion's being the
+/// same process. A process needs longer to start again.
+const MAX_RESPONSE_AGE_MS: u64 = 1_000;
+
+/// The incarnation that responded to the last poll, and the time of that response on the monotonic
+/// clock.
+///
+/// A poll reaches whichever process runs under the id. A process that has started since the last
+/// response would discard its first ended tasks on an acknowledgement for the earlier process, and
+/// would extend its lease far beyond its end on the earlier process's clock. If a poll has failed
+/// or is long ago, the next one therefore only reads.
+#[derive(Debug, Default)]
+struct LastResponse(Option<(Name, u64)>);
+
+impl LastResponse {
+    fn is_recent_of(&self, id: &Name) -> bool {
+        self.0.as_ref().is_some_and(|(responded, at_ms)| {
+            responded == id && BootClock.now_ms() < at_ms + MAX_RESPONSE_AGE_MS
+        })
+    }
+
+    fn forget(&mut self, id: &Name) {
+        self.0.take_if(|(responded, _)| responded == id);
+    }
+}
+
 /// Polls the minion until the process exits.
 pub async fn poll_continuously(state: Arc<State>) {
     let mut last_full_report_ms = 0;
     let mut has_unacknowledged = false;
+    let mut last_response = LastResponse::default();
     loop {
         let fence = state.fence.load(Ordering::SeqCst);
         let possible_incarnations = state.possible_incarnations();
@@ -36,7 +63,8 @@
             continue;
         }
         for id in possible_incarnations {
-            let unconfirmed = state.current_minion().is_none_or(|current| current.id != id);
+            let unconfirmed = state.current_minion().is_none_or(|current| current.id != id)
+                || !last_response.is_recent_of(&id);
             let wait = if unconfirmed || has_unacknowledged { Duration::ZERO } else { POLL_WAIT };
             let reported_before = state.reported_result_count();
             let (acknowledged, _) = if unconfirmed { (0, 0) } else { state.end_sequences() };
@@ -48,12 +76,15 @@
                 .await;
             match reply {
                 MinionReply::Ok(lists) => {
-                    state.record_response(&id, lists.clock_ms, BootClock.now_ms());
+                    let now_ms = BootClock.now_ms();
+                    state.record_response(&id, lists.clock_ms, now_ms);
+                    last_response = LastResponse(Some((id.clone(), now_ms)));
                     has_unacknowledged =
                         report_lists(&state, &id, lists, reported_before, &mut last_full_report_ms);
                 }
                 other => {
                     handle_failure(&state, &id, &other);
+                    last_response.forget(&id);
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
@@ -109,7 +140,7 @@
 
 fn handle_failure(state: &State, id: &Name, reply: &MinionReply<TaskLists>) {
     match reply {
-        MinionReply::IncarnationMismatch => state.record_replaced(id),
+        MinionReply::IncarnationMismatch(other) => state.record_replaced(id, other.clone()),
         MinionReply::Superseded => {
             // The minion has accepted a call of a newer coordinator.
             spdlog::warn!("event=coordinator_superseded minion={id}");
--- a/crates/geraniumpost/src/batch/agent/state.rs
+++ b/crates/geraniumpost/src/batch/agent/state.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use geraniumpost_batch::{Departures, FromAgent, MinionInfo, OrderResult};
+use geraniumpost_batch::{Departures, FromAgent, Incarnation, MinionInfo, OrderResult};
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::Minion;
 use geraniumpost_schema::Name;
@@ -86,9 +86,16 @@
 
     /// Records a heartbeat. An incarnation becomes the current one only when it responds to a poll,
     /// because a delayed heartbeat of an earlier incarnation may arrive after the first heartbeat
-    /// of its successor.
+    /// of its successor. A heartbeat of an incarnation that started before a known one under the
+    /// same id is such a heartbeat, and is ignored.
     pub fn record_heartbeat(&self, info: MinionInfo) {
         let mut inner = self.lock();
+        if inner
+            .known_incarnations()
+            .any(|known| Incarnation::from_name(known).is_later_than(&info.id))
+        {
+            return;
+        }
         let changed = match &inner.current {
             Some(current) if current.id == info.id => {
                 if info.sequence < current.sequence {
@@ -101,6 +108,9 @@
                 changed
             }
             _ => {
+                inner
+                    .unconfirmed
+                    .retain(|earlier, _| !Incarnation::have_same_id(earlier, &info.id));
                 inner.unconfirmed.insert(info.id.clone(), info);
                 drop(inner);
                 self.poll_wakeup.notify_waiters();
@@ -116,26 +126,42 @@
 
     /// Returns all incarnations that may be running, unconfirmed ones first.
     pub fn possible_incarnations(&self) -> Vec<Name> {
-        let inner = self.lock();
-        let current = inner.current.iter().map(|info| info.id.clone());
-        inner.unconfirmed.keys().cloned().chain(current).collect()
+        self.lock().known_incarnations().cloned().collect()
+    }
+
+    /// Returns whether an incarnation is known that started later than `minion` under the same id.
+    /// Calls that are addressed to `minion` may then reach the later one.
+    pub fn is_restart_known(&self, minion: &Name) -> bool {
+        self.lock()
+            .known_incarnations()
+            .any(|known| Incarnation::from_name(known).is_later_than(minion))
+    }
+
+    /// Returns whether another process under the same id as `minion` responds to calls.
+    pub fn is_restarted(&self, minion: &Name) -> bool {
+        self.lock().restarted_as(minion).is_some()
     }
 
     /// Records that an incarnation has responded to a poll with the time `clock_ms` on its own
     /// clock. An unconfirmed incarnation becomes the current one.
     pub fn record_response(&self, id: &Name, clock_ms: u64, received_ms: u64) {
         let mut inner = self.lock();
-        inner.minion_clock = Some((clock_ms, received_ms));
-        inner.minion_responded_ms = received_ms;
-        let Some(info) = inner.unconfirmed.remove(id) else { return };
+        let Some(info) = inner.unconfirmed.remove(id) else {
+            if inner.current.as_ref().is_some_and(|current| current.id == *id) {
+                inner.record_clock(clock_ms, received_ms);
+            }
+            return;
+        };
         // A crashed minion announces nothing, and the first sign of its end is the response of the
         // next incarnation.
-        if let Some(previous) = inner.current.clone().filter(|previous| previous.id != *id) {
+        let previous = inner.current.replace(info.clone()).filter(|previous| previous.id != *id);
+        if let Some(previous) = previous {
             inner.departures.record_replaced(&previous.id, previous.draining);
-            report_departure(&mut inner, &previous.id);
+            let replaced_by = inner.restarted_as(&previous.id);
+            report_departure(&mut inner, &previous.id, replaced_by);
         }
         spdlog::info!("event=minion_confirmed minion={id}");
-        inner.current = Some(info.clone());
+        inner.record_clock(clock_ms, received_ms);
         inner.departures.remove(id);
         inner.unconfirmed.clear();
         inner.acknowledged_sequence = 0;
@@ -146,19 +172,35 @@
         self.heartbeat_now.notify_one();
     }
 
-    /// Records that another incarnation has responded to a call that was addressed to `id`.
-    pub fn record_replaced(&self, id: &Name) {
+    /// Records that another incarnation has responded to a call that was addressed to `id`;
+    /// `replaced_by` is its name if it has the same id.
+    pub fn record_replaced(&self, id: &Name, replaced_by: Option<Name>) {
         let mut inner = self.lock();
         inner.unconfirmed.remove(id);
         if let Some(current) = inner.current.clone().filter(|current| current.id == *id) {
             inner.departures.record_replaced(id, current.draining);
-            report_departure(&mut inner, id);
+            report_departure(&mut inner, id, replaced_by);
         }
     }
 
-    /// Records that an incarnation has deregistered and is about to terminate.
-    pub fn record_deregistration(&self, id: &Name) {
-        self.lock().departures.record_termination_notice(id);
+    /// Records that a minion has deregistered and is about to terminate. Returns the incarnations
+    /// that this may be, because a deregistration contains no start time: all known ones with the
+    /// minion's id, or the id if there are none.
+    pub fn record_deregistration(&self, id: &Name) -> Vec<Name> {
+        let mut inner = self.lock();
+        let unknown = Incarnation { id: id.clone(), born_ms: None }.to_name();
+        let mut possible: Vec<Name> = inner
+            .known_incarnations()
+            .filter(|known| Incarnation::have_same_id(known, &unknown))
+            .cloned()
+            .collect();
+        if possible.is_empty() {
+            possible.push(unknown);
+        }
+        for minion in &possible {
+            inner.departures.record_termination_notice(minion);
+        }
+        possible
     }
 
     /// Records that an incarnation has terminated after its deregistration. The incarnation may be
@@ -167,7 +209,8 @@
         let mut inner = self.lock();
         inner.unconfirmed.remove(id);
         inner.departures.record_terminated(id);
-        report_departure(&mut inner, id);
+        let replaced_by = inner.restarted_as(id);
+        report_departure(&mut inner, id, replaced_by);
     }
 
     /// Handles the coordinator's confirmation that it has recorded a departure.
@@ -219,6 +262,11 @@
         Some(clock_ms + remaining_ms * MIN_CLOCK_SPEED_PERCENT / 100)
     }
 
+    /// Returns the last reading of the minion's clock; 0 if there is none.
+    pub fn last_minion_clock_ms(&self) -> u64 {
+        self.lock().minion_clock.map_or(0, |(clock_ms, _)| clock_ms)
+    }
+
     /// Records that the coordinator has committed the ends of tasks up to a sequence number. The
     /// minion may then remove these tasks from its list.
     pub fn record_acknowledged(&self, minion: &Name, up_to: u64) {
@@ -258,7 +306,8 @@
         inner.full_report = true;
         for minion in inner.departures.unrecorded_terminations().cloned().collect::<Vec<_>>() {
             let crashed = inner.departures.has_crashed(&minion);
-            send_on_link(&inner, FromAgent::MinionTerminated { minion, crashed });
+            let replaced_by = inner.restarted_as(&minion);
+            send_on_link(&inner, FromAgent::MinionTerminated { minion, crashed, replaced_by });
         }
         if let Some(info) = inner.current.clone() {
             send_on_link(&inner, FromAgent::Minion(info));
@@ -293,20 +342,44 @@
     }
 }
 
+impl Inner {
+    /// Returns the incarnations that have sent heartbeats and may be running, unconfirmed ones
+    /// first.
+    fn known_incarnations(&self) -> impl Iterator<Item = &Name> {
+        self.unconfirmed.keys().chain(self.current.iter().map(|info| &info.id))
+    }
+
+    /// Returns the incarnation that responds to calls if it is another process under the same id
+    /// as `minion`.
+    fn restarted_as(&self, minion: &Name) -> Option<Name> {
+        let current = self.current.as_ref().map(|info| &info.id);
+        current.filter(|current| Incarnation::is_other_process(current, minion)).cloned()
+    }
+
+    const fn record_clock(&mut self, clock_ms: u64, received_ms: u64) {
+        self.minion_clock = Some((clock_ms, received_ms));
+        self.minion_responded_ms = received_ms;
+    }
+}
+
 /// Sends a message to the coordinator; returns false if there is no open link.
 fn send_on_link(inner: &Inner, message: FromAgent) -> bool {
     inner.link.as_ref().is_some_and(|link| link.send(FromPeer::AgentMessage(message)).is_ok())
 }
 
 /// Reports a departure that was just recorded, if there is a link. The departure is kept until a
-/// coordinator confirms it.
-fn report_departure(inner: &mut Inner, id: &Name) {
+/// coordinator confirms it. `replaced_by` is the incarnation that runs under the same id now.
+fn report_departure(inner: &mut Inner, id: &Name, replaced_by: Option<Name>) {
     if inner.current.as_ref().is_some_and(|current| current.id == *id) {
         inner.current = None;
         inner.minion_clock = None;
     }
     let crashed = inner.departures.has_crashed(id);
-    let message = FromAgent::MinionTerminated { minion: id.clone(), crashed };
+    let restarted = replaced_by.is_some();
+    let message = FromAgent::MinionTerminated { minion: id.clone(), crashed, replaced_by };
     let reported = send_on_link(inner, message);
-    spdlog::info!("event=minion_terminated minion={id} crashed={crashed} reported={reported}");
+    spdlog::info!(
+        "event=minion_terminated minion={id} crashed={crashed} restarted={restarted} \
+         reported={reported}"
+    );
 }
