--- a/crates/geraniumpost-batch/tests/coordinator/cluster/fixtures.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/fixtures.rs
@@ -19,8 +19,9 @@
 
 /// Returns the name of a minion's agent, which is the same for all incarnations of the minion.
 pub fn agent_name(minion: &str) -> Name {
-    // The incarnation follows a dash: "m1" and "m1-b" are incarnations of the same minion.
-    Name::from(format!("agent-{}", minion.split('-').next().unwrap_or(minion)))
+    // The incarnation follows a dash: "m1" and "m1-b" are incarnations of the same minion. So are
+    // "m1@1" and "m1@2", which have the same id.
+    Name::from(format!("agent-{}", minion.split(['-', '@']).next().unwrap_or(minion)))
 }
 
 /// Returns queue terms that allow two attempts per task and require no approval.
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -21,5 +21,6 @@
 mod random_faults;
 mod recovery_time;
 mod regressions;
+mod restarts;
 mod simulation;
 mod steps;
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -27,7 +27,7 @@
 pub use handover::HandoverTimes;
 pub use known_coordinator::KnownCoordinator;
 pub use local_promises::LocalPromises;
-pub use peers::Peers;
+pub use peers::{Peers, RegisteredEntry};
 pub use process_pause::ProcessPause;
 pub use record::CoordinatorRecord;
 pub use stop_time::StopTime;
--- a/crates/geraniumpost/src/batch/coordination/peers.rs
+++ b/crates/geraniumpost/src/batch/coordination/peers.rs
@@ -40,7 +40,9 @@
 }
 
 impl RegisteredEntry {
-    fn decode(item: &KeyValue) -> Option<Self> {
+    /// Decodes a registration. Returns `None` if the key or the value is none, because another
+    /// program may have written it.
+    pub fn decode(item: &KeyValue) -> Option<Self> {
         let node = Name::from(item.key.strip_prefix(ENTRY_PREFIX)?);
         let address = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
         Some(Self { node, address, revision: item.revision })
