feat(batch): refuse submissions at once while the store does not commit

Cause: submissions wait for a commit until their deadline has nearly passed, are answered 504, and run later for nobody. Change: the coordinator judges from its writes whether the store commits (CommitHealth); while it does not, new jobs are refused, and jobs that have certainly not reached the store are withdrawn. The writer returns refused and unsent batches instead of repeating them. Entries do not send a submission whose response could not arrive in time. All with the feature admission.

--- a/crates/geraniumpost-batch/src/coordinator/caller_requests.rs
+++ b/crates/geraniumpost-batch/src/coordinator/caller_requests.rs
@@ -28,7 +28,7 @@
         }
     }
 
-    fn respond(&mut self, request_id: u64, response: CallerResponse) {
+    pub(super) fn respond(&mut self, request_id: u64, response: CallerResponse) {
         self.effects.push(Effect::Respond { request_id, response });
     }
 
@@ -49,6 +49,10 @@
             self.respond(request_id, CallerResponse::Invalid);
             return;
         }
+        if self.is_store_not_committing() {
+            self.refuse_unstorable(request_id, id);
+            return;
+        }
         if self.open_jobs.len() >= self.max_open_jobs {
             let open = self.open_jobs.len();
             self.log(format!("decision=refuse job={id} why=\"too many open jobs\" open={open}"));
--- a/crates/geraniumpost-batch/src/coordinator/commits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -1,7 +1,10 @@
 //! Writes of records, and actions that wait for these writes.
 
 use super::{Coordinator, Effect, WriteBatch};
-use crate::tuning::{MAX_BYTES_PER_WRITE, MAX_CONCURRENT_WRITES, MAX_RECORDS_PER_WRITE};
+use crate::tuning::{
+    INTERFERENCE_WRITE_INTERVAL_MS, MAX_BYTES_PER_WRITE, MAX_CONCURRENT_WRITES,
+    MAX_RECORDS_PER_WRITE,
+};
 use crate::{CallerResponse, JobId, JobState, Now, TaskId, ToAgent};
 
 /// A batch whose write is not complete: the records to write, and the jobs whose records are
@@ -10,6 +13,24 @@
 pub(super) struct PendingBatch {
     jobs: Vec<PendingRecord>,
     removed: Vec<JobId>,
+    /// Time at which the batch was gathered, on the monotonic clock.
+    pub(super) gathered_ms: u64,
+    /// Whether an attempt to write the batch had no result, so that it may have reached the store.
+    indeterminate: bool,
+    /// Whether the batch contains the interference snapshot.
+    has_interference: bool,
+}
+
+impl PendingBatch {
+    const fn new(now: Now) -> Self {
+        Self {
+            jobs: Vec::new(),
+            removed: Vec::new(),
+            gathered_ms: now.steady_ms,
+            indeterminate: false,
+            has_interference: false,
+        }
+    }
 }
 
 /// A record that is being written, and the actions that wait for it.
@@ -45,6 +66,7 @@
     /// batch can still change the store; otherwise an older record could replace a newer one.
     pub fn handle_batch_written(&mut self, number: u64, now: Now) {
         let Some(batch) = self.batches.remove(&number) else { return };
+        self.record_commit(now);
         for written in batch.jobs {
             if let Some(job) = self.jobs.get_mut(&written.job) {
                 job.durable_version = job.durable_version.max(written.version);
@@ -57,13 +79,66 @@
         }
         for id in batch.removed {
             self.jobs.remove(&id);
-            self.tasks_given_up.retain(|task| task.job != id);
-            self.explained_crashes.remove_job(id);
+            self.forget_crashes_of_job(id);
         }
         self.acknowledge_ends();
         self.report_recorded_departures();
     }
 
+    /// Takes back a batch that the store refused, and did not and will not apply. Its records are
+    /// gathered anew, and jobs that were never stored may be withdrawn first.
+    pub fn handle_batch_refused(&mut self, number: u64, now: Now) {
+        self.commit_health.record_refusal(now.steady_ms);
+        self.take_back_batch(number);
+    }
+
+    /// Takes back a batch that the driver has not begun to write, because an earlier write had no
+    /// result.
+    pub fn handle_batch_unsent(&mut self, number: u64) {
+        self.take_back_batch(number);
+    }
+
+    /// Records that an attempt to write a batch had no result. The driver must attempt the same
+    /// batch again, once the first attempt can no longer change the store, and before any other.
+    ///
+    /// Until then no further batch is gathered, so that the jobs in it are known not to have reached
+    /// the store. The jobs in this batch are not withdrawn, even if a later attempt is refused.
+    pub fn handle_batch_indeterminate(&mut self, number: u64) {
+        let Some(batch) = self.batches.get_mut(&number) else { return };
+        batch.indeterminate = true;
+        for written in &batch.jobs {
+            if let Some(job) = self.jobs.get_mut(&written.job) {
+                job.may_be_stored = true;
+            }
+        }
+    }
+
+    fn take_back_batch(&mut self, number: u64) {
+        let Some(batch) = self.batches.remove(&number) else { return };
+        for unwritten in batch.jobs {
+            let Some(job) = self.jobs.get_mut(&unwritten.job) else { continue };
+            job.write_in_flight = false;
+            let later = std::mem::replace(&mut job.after_commit, unwritten.actions);
+            job.after_commit.extend(later);
+            self.dirty.insert(unwritten.job);
+        }
+        for id in batch.removed {
+            if !self.expired_jobs.contains(&id) {
+                self.expired_jobs.push(id);
+            }
+        }
+        if batch.has_interference {
+            self.interference_written_ms =
+                self.interference_written_ms.saturating_sub(INTERFERENCE_WRITE_INTERVAL_MS);
+        }
+    }
+
+    /// Removes what is known about crashes under a job that is no longer known.
+    pub(super) fn forget_crashes_of_job(&mut self, id: JobId) {
+        self.tasks_given_up.retain(|task| task.job != id);
+        self.explained_crashes.remove_job(id);
+    }
+
     fn run_deferred_action(&mut self, deferred: DeferredAction, now: Now) {
         match deferred {
             DeferredAction::Respond(request_id, response) => {
@@ -103,13 +178,37 @@
     /// Gathers changed records into writes, up to the limit of concurrent writes.
     pub(super) fn gather_writes(&mut self, now: Now) {
         while self.batches.len() < MAX_CONCURRENT_WRITES {
-            let Some(mut write) = self.gather_batch() else { return };
+            if self.batches.values().any(|batch| batch.indeterminate) {
+                return;
+            }
+            let Some(mut write) = self.gather_batch(now) else { break };
             write.interference = self.interference_to_write(now);
+            if let Some(batch) = self.batches.get_mut(&write.number) {
+                batch.has_interference = write.interference.is_some();
+            }
             self.effects.push(Effect::Write(write));
         }
+        if self.is_store_not_committing() && self.batches.is_empty() {
+            self.write_probe(now);
+        }
+    }
+
+    /// Writes the learned interference, although nothing else is to be written: once all unstored
+    /// jobs are withdrawn, there might be no write that shows that the store commits again.
+    fn write_probe(&mut self, now: Now) {
+        let number = self.next_batch_number;
+        self.next_batch_number += 1;
+        self.batches.insert(number, PendingBatch::new(now));
+        let interference = Some(self.interference.snapshot().encode());
+        self.effects.push(Effect::Write(WriteBatch {
+            number,
+            put: Vec::new(),
+            remove: Vec::new(),
+            interference,
+        }));
     }
 
-    fn gather_batch(&mut self) -> Option<WriteBatch> {
+    fn gather_batch(&mut self, now: Now) -> Option<WriteBatch> {
         let number = self.next_batch_number;
         let mut write =
             WriteBatch { number, put: Vec::new(), remove: Vec::new(), interference: None };
@@ -143,7 +242,8 @@
             return None;
         }
         self.next_batch_number += 1;
-        self.batches.insert(number, PendingBatch { jobs: written, removed });
+        self.batches
+            .insert(number, PendingBatch { jobs: written, removed, ..PendingBatch::new(now) });
         Some(write)
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -20,6 +20,9 @@
     pub(super) durable_version: u64,
     /// Whether a write of this record is in flight; a record is in at most one batch at a time.
     pub(super) write_in_flight: bool,
+    /// Whether an earlier attempt to write the record may have reached the store although it had no
+    /// result.
+    pub(super) may_be_stored: bool,
     /// State in the last committed record; before the first commit, the initial state.
     pub(super) committed_state: JobState,
     /// Whether any task has started; callers then see the job as running.
@@ -61,6 +64,7 @@
             version: 1,
             durable_version: 0,
             write_in_flight: false,
+            may_be_stored: false,
             started: false,
             after_commit: Vec::new(),
             next_placements: HashMap::new(),
@@ -81,6 +85,11 @@
         self.durable_version > 0
     }
 
+    /// Returns whether no attempt to write the record can have reached the store.
+    pub(super) const fn has_certainly_no_stored_record(&self) -> bool {
+        self.durable_version == 0 && !self.may_be_stored && !self.write_in_flight
+    }
+
     /// Returns the state to report to callers.
     pub(super) fn reported_state(&self) -> JobState {
         match self.committed_state {
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -3,6 +3,7 @@
 //! `minion` says what a minion is, `eligibility` which minions can take a task and why others cannot,
 //! and `placement` which of them is best; each knows only the ones before it.
 
+mod admission;
 mod agents;
 mod approvals;
 mod best_effort_placement;
@@ -52,9 +53,11 @@
 
 use geraniumpost_schema::Name;
 
+use crate::admission::CommitHealth;
 use crate::interference::InterferenceModel;
-use crate::{Features, FromAgent, JobId, JobRecord, Now, TaskId};
+use crate::{Feature, Features, FromAgent, JobId, JobRecord, Now, TaskId};
 
+pub use admission::AdmissionStatus;
 pub use effect::{Effect, WriteBatch};
 pub use evacuated_domains::EvacuationStatus;
 pub use leases::lease_expiry_bound_ms;
@@ -107,6 +110,8 @@
     departures: BTreeMap<Name, Departure>,
     batches: HashMap<u64, PendingBatch>,
     next_batch_number: u64,
+    commit_health: CommitHealth,
+    admission_status: AdmissionStatus,
     /// Time at which the store's last confirmation of this coordinator was received, on the
     /// monotonic clock.
     confirmed_ms: u64,
@@ -167,6 +172,8 @@
             departures: BTreeMap::new(),
             batches: HashMap::new(),
             next_batch_number: 1,
+            commit_health: CommitHealth::new(now.steady_ms),
+            admission_status: AdmissionStatus::default(),
             confirmed_ms: now.steady_ms,
             confirmation_requested_ms: now.steady_ms,
             support: EntrySupport::default(),
@@ -249,6 +256,9 @@
     /// Places waiting tasks if something has changed that may allow a placement, gathers records to
     /// write, and returns everything that the driver has to do.
     pub fn take_effects(&mut self, now: Now) -> Vec<Effect> {
+        if self.features.contains(Feature::Admission) {
+            self.update_admission(now);
+        }
         if self.placement_due {
             self.place_waiting_tasks(now);
         }
@@ -273,6 +283,7 @@
     pub fn record_store_confirmation(&mut self, requested_ms: u64, steady_ms: u64) {
         self.confirmation_requested_ms = self.confirmation_requested_ms.max(requested_ms);
         self.confirmed_ms = self.confirmed_ms.max(steady_ms);
+        self.commit_health.record_response(steady_ms.saturating_sub(requested_ms));
     }
 
     fn log(&mut self, line: String) {
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -22,6 +22,7 @@
 //! assert!(matches!(coordinator.take_effects(Now::default())[..], [.., Effect::Write(_)]));
 //! ```
 
+pub mod admission;
 mod agent_message;
 mod coordinator;
 mod demand;
@@ -50,7 +51,8 @@
 
 pub use agent_message::{FromAgent, ToAgent};
 pub use coordinator::{
-    Coordinator, Effect, EvacuationStatus, LongestWait, WriteBatch, lease_expiry_bound_ms,
+    AdmissionStatus, Coordinator, Effect, EvacuationStatus, LongestWait, WriteBatch,
+    lease_expiry_bound_ms,
 };
 pub use demand::Demand;
 pub use departures::Departures;
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -8,6 +8,7 @@
 mod effects;
 mod fixtures;
 mod orders;
+mod store_faults;
 
 pub use fixtures::{agent_name, minion_info, persistent_step, step, task, terms};
 
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -23,3 +23,4 @@
 mod regressions;
 mod simulation;
 mod steps;
+mod store_outages;
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use geraniumpost_batch::{
-    CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus, FromAgent,
-    LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
+    AdmissionStatus, CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus,
+    FromAgent, LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
 };
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::ApprovedMinions;
@@ -73,6 +73,12 @@
     },
     /// The store has committed the batch with this number.
     BatchWritten(u64),
+    /// The store has refused the batch with this number and did nothing.
+    BatchRefused(u64),
+    /// The batch with this number was never sent to the store.
+    BatchUnsent(u64),
+    /// An attempt to write the batch with this number had no result; it is written again.
+    BatchIndeterminate(u64),
     /// Response of the admission service; `None` if it failed to respond.
     ApprovalResponse(ApprovalRequest, Option<ApprovedMinions>),
     /// The store has confirmed the term of this coordinator.
@@ -133,6 +139,8 @@
     process_pause: ProcessPause,
     /// Status whose counts the metrics contain already.
     evacuation_status: EvacuationStatus,
+    /// Status whose counts the metrics contain already.
+    admission_status: AdmissionStatus,
 }
 
 impl Driver {
@@ -151,6 +159,7 @@
             support,
             process_pause: ProcessPause::new(BootClock.now_ms()),
             evacuation_status: EvacuationStatus::default(),
+            admission_status: AdmissionStatus::default(),
             metrics,
             coordinator,
             writes,
@@ -215,6 +224,7 @@
         let [persistent, other] = [persistent_ms, other_ms].map(Duration::from_millis);
         self.metrics.longest_wait(persistent, other);
         self.report_evacuations(self.coordinator.evacuation_status(now));
+        self.report_admission(self.coordinator.admission_status());
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
@@ -226,6 +236,14 @@
         self.metrics.withheld_starts("unknown", held_starts - previous.held_starts);
     }
 
+    fn report_admission(&mut self, status: AdmissionStatus) {
+        let previous = std::mem::replace(&mut self.admission_status, status);
+        let AdmissionStatus { store_not_committing, not_stored, withdrawn } = status;
+        self.metrics.store_not_committing(store_not_committing);
+        self.metrics.refused_submissions("not_stored", not_stored - previous.not_stored);
+        self.metrics.refused_submissions("withdrawn", withdrawn - previous.withdrawn);
+    }
+
     fn handle(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
@@ -267,6 +285,11 @@
                 }
             }
             Input::BatchWritten(batch) => self.coordinator.handle_batch_written(batch, now),
+            Input::BatchRefused(batch) => self.coordinator.handle_batch_refused(batch, now),
+            Input::BatchUnsent(batch) => self.coordinator.handle_batch_unsent(batch),
+            Input::BatchIndeterminate(batch) => {
+                self.coordinator.handle_batch_indeterminate(batch);
+            }
             Input::ApprovalResponse((step, requested_minions), response) => {
                 let response = response.map(|response| (response.tickets, response.valid_ms));
                 self.coordinator.handle_approval(step, &requested_minions, response, now);
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -1,5 +1,6 @@
 //! One term of a coordinator, from the takeover to its end.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -7,7 +8,7 @@
 
 use geraniumpost_batch::tuning::MAX_CONFIRMATION_AGE_MS;
 use geraniumpost_batch::{
-    Coordinator, Features, InterferenceSnapshot, JobId, JobRecord, Now, PredecessorLeases,
+    Coordinator, Feature, Features, InterferenceSnapshot, JobId, JobRecord, Now, PredecessorLeases,
 };
 use geraniumpost_platform::{Admission, GetResponse, Page, Store, StoreError};
 use tokio::sync::{mpsc, watch};
@@ -123,6 +124,8 @@
             peers: Arc::clone(&self.peers),
             term_began_ms: self.began.steady_ms,
             metrics: Arc::clone(&self.metrics),
+            returns_batches: self.features.contains(Feature::Admission),
+            attempted: BTreeSet::new(),
         };
         let (records, interference) =
             tokio::join!(self.read_records(hand_over.clone()), self.read_interference());
@@ -183,6 +186,7 @@
         self.metrics.planner_term(0);
         self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         self.metrics.lease_supporters(0);
+        self.metrics.store_not_committing(false);
         self.metrics.evacuations(0, Duration::ZERO);
     }
 
--- a/crates/geraniumpost/src/batch/coordination/writer.rs
+++ b/crates/geraniumpost/src/batch/coordination/writer.rs
@@ -1,6 +1,6 @@
 //! Writes the coordinator's records to the store, each batch only while this entry coordinates.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -50,6 +50,12 @@
     /// Start of the term, on the monotonic clock.
     pub term_began_ms: u64,
     pub metrics: Arc<Metrics>,
+    /// Whether batches that the store refused, or that wait for an earlier write without a result,
+    /// go back to the coordinator, which may withdraw jobs from them.
+    pub returns_batches: bool,
+    /// Numbers of batches with an attempt that had no result. They are written again, and never
+    /// returned before that.
+    pub attempted: BTreeSet<u64>,
 }
 
 /// The result of a write, with its batch and timing.
@@ -82,8 +88,15 @@
             let ending = *hand_over.borrow();
             let mut key_outdated =
                 !ending && (self.overstates_leases() || self.is_voter_change_due());
+            if indeterminate && self.returns_batches {
+                self.return_unsent(&mut queue).await;
+            }
             if (indeterminate || key_outdated) && in_flight.is_empty() {
-                self.fence_earlier_writes().await?;
+                if indeterminate && self.returns_batches {
+                    self.fence_and_return_batches(batches).await?;
+                } else {
+                    self.fence_earlier_writes().await?;
+                }
                 (indeterminate, key_outdated) = (false, false);
             }
             // A coordinator that hands over drops the batches that it has not begun to write, because an
@@ -157,6 +170,7 @@
         match result {
             Ok(_) => {
                 self.timeout.record_response(elapsed);
+                self.attempted.remove(&batch.number);
                 self.report_confirmed(requested_ms).await;
                 let _ = self.inputs.send(Input::BatchWritten(batch.number)).await;
                 Ok(false)
@@ -164,7 +178,12 @@
             Err(CommitError::Conflict(_)) => Err(TermLost),
             Err(CommitError::NotApplied(why)) => {
                 spdlog::debug!("event=write_refused why=\"{why}\"");
-                queue.push_front(batch);
+                if self.returns_batches {
+                    self.attempted.remove(&batch.number);
+                    let _ = self.inputs.send(Input::BatchRefused(batch.number)).await;
+                } else {
+                    queue.push_front(batch);
+                }
                 tokio::time::sleep(RETRY_PAUSE).await;
                 Ok(false)
             }
@@ -174,9 +193,45 @@
                     "event=write_indeterminate records={} why=\"{why}\"",
                     batch.put.len()
                 );
+                if self.returns_batches {
+                    self.attempted.insert(batch.number);
+                    let _ = self.inputs.send(Input::BatchIndeterminate(batch.number)).await;
+                }
                 queue.push_front(batch);
                 Ok(true)
             }
         }
     }
+
+    /// Returns the batches to the coordinator that were never sent to the store. The coordinator
+    /// gathers them anew, and none before the batches without a result are written.
+    async fn return_unsent(&self, queue: &mut VecDeque<WriteBatch>) {
+        for batch in std::mem::take(queue) {
+            if self.attempted.contains(&batch.number) {
+                queue.push_back(batch);
+            } else {
+                // Sending fails only if the term has ended.
+                let _ = self.inputs.send(Input::BatchUnsent(batch.number)).await;
+            }
+        }
+    }
+
+    /// Rewrites the coordinator's key as [`Self::fence_earlier_writes`], and meanwhile returns
+    /// batches that the coordinator gathered before it learned of the write without a result.
+    async fn fence_and_return_batches(
+        &mut self,
+        batches: &mut mpsc::Receiver<WriteBatch>,
+    ) -> Result<(), TermLost> {
+        let inputs = self.inputs.clone();
+        let mut fence = std::pin::pin!(self.fence_earlier_writes());
+        loop {
+            tokio::select! {
+                result = &mut fence => return result,
+                Some(batch) = batches.recv() => {
+                    // Sending fails only if the term has ended.
+                    let _ = inputs.send(Input::BatchUnsent(batch.number)).await;
+                }
+            }
+        }
+    }
 }
--- a/crates/geraniumpost/src/batch/entry/caller_requests.rs
+++ b/crates/geraniumpost/src/batch/entry/caller_requests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geraniumpost_batch::{CallerRequest, CallerResponse, JobId};
+use geraniumpost_batch::{CallerRequest, CallerResponse, Feature, JobId};
 use geraniumpost_platform::{DEADLINE_HEADER, Route, decode_job, encode_pending, encode_state};
 use http::header::{CONTENT_TYPE, HOST, RETRY_AFTER};
 use http::{HeaderValue, Method, Request, StatusCode};
@@ -26,11 +26,17 @@
 /// Minimum time for which a request that cannot be sent is held, because a link may open at any
 /// moment.
 const MIN_UNSENT_WAIT: Duration = Duration::from_millis(60);
+/// Minimum time within which the response to a submission has to arrive for it to be sent: two round
+/// trips over a link between distant failure domains, one to the coordinator and one to the store.
+/// With less time left, the caller would not hear whether the job was accepted.
+const MIN_RESPONSE_TIME: Duration = Duration::from_millis(100);
 /// Value of the `Retry-After` header of requests that this entry refuses, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
 /// Maximum time for which the body of a request that is refused is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
+/// Reason of refusals of submissions whose response could not arrive in time.
+const WHY_NO_TIME: &str = "no time left for a response";
 /// Reason of refusals by an entry that has no time left to relay a request.
 const WHY_STOPPING: &str = "this entry is shutting down";
 
@@ -126,7 +132,17 @@
     // The wait counts from the start of the coordinator's silence. After a long silence a takeover
     // is not expected soon, and holding the request would only cost the caller time.
     let silent = Duration::from_millis(shared.relay.coordinator_silence_ms());
-    let unsent_wait = MAX_UNSENT_WAIT.saturating_sub(silent).max(MIN_UNSENT_WAIT);
+    let mut unsent_wait = MAX_UNSENT_WAIT.saturating_sub(silent).max(MIN_UNSENT_WAIT);
+    let is_submission = matches!(request, CallerRequest::Submit { .. });
+    let bounded = is_submission && shared.features.contains(Feature::Admission);
+    if bounded {
+        // A request that is not sent within this time never is.
+        unsent_wait = unsent_wait.min(response_timeout.saturating_sub(MIN_RESPONSE_TIME));
+        if unsent_wait.is_zero() {
+            shared.metrics.refused_submissions("no_time", 1);
+            return refuse(log, WHY_NO_TIME);
+        }
+    }
     let response_due = shared.stop.response_due();
     match shared.relay.request(request, unsent_wait, response_timeout, response_due).await {
         Ok(CallerResponse::Accepted | CallerResponse::Cancelled) => empty_response(StatusCode::OK),
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -183,6 +183,18 @@
         "why",
         "Starts that were not ordered: `evacuated` if the failure domain had been evacuated since the placement, `unknown` if it was not known whether the domain is evacuated.",
     ),
+    Description::new(
+        "store_not_committing",
+        Kind::Gauge,
+        "",
+        "1 while this entry coordinates and refuses new jobs because the store does not commit, else 0.",
+    ),
+    Description::new(
+        "refused_submissions",
+        Kind::Counter,
+        "why",
+        "Jobs refused with `--enable admission`: `not_stored` at once because the store does not commit, `withdrawn` after they were held in memory meanwhile, `no_time` by an entry whose caller could not hear of the answer.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -45,6 +45,8 @@
     evacuated_domains: Gauge<u64>,
     evacuations_age: Gauge<f64>,
     withheld_starts: Counter<u64>,
+    store_not_committing: Gauge<u64>,
+    refused_submissions: Counter<u64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -92,6 +94,8 @@
             evacuated_domains: gauge(&meter, "evacuated_domains"),
             evacuations_age: seconds(&meter, "evacuations_age_seconds"),
             withheld_starts: counter(&meter, "withheld_starts"),
+            store_not_committing: gauge(&meter, "store_not_committing"),
+            refused_submissions: counter(&meter, "refused_submissions"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
@@ -103,6 +107,7 @@
         metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         metrics.lease_supporters(0);
         metrics.evacuations(0, Duration::ZERO);
+        metrics.store_not_committing(false);
         Ok(metrics)
     }
 
@@ -213,6 +218,16 @@
         self.withheld_starts.add(count, &[label("why", why)]);
     }
 
+    /// Sets whether new jobs are refused because the store does not commit.
+    pub fn store_not_committing(&self, refusing: bool) {
+        self.store_not_committing.record(u64::from(refusing), &[]);
+    }
+
+    /// Counts refused submissions by the reason `why`.
+    pub fn refused_submissions(&self, why: &str, count: u64) {
+        self.refused_submissions.add(count, &[label("why", why)]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
