fix(batch): answer copies of a request that arrive during the write with its commit

Cause: a copy of a submission that arrives while the first record is being written waits for the next write of the job, which may come with the end of its first task; a caller meanwhile times out. Found by the new random test of writes (minimal case: a submission and a copy of it before the commit). Change: the commit of the current version runs all actions that wait for it. Independent of any feature.

Also a random test that no refused job is ever stored or started.

--- a/crates/geraniumpost-batch/src/coordinator/commits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/commits.rs
@@ -67,11 +67,16 @@
     pub fn handle_batch_written(&mut self, number: u64, now: Now) {
         let Some(batch) = self.batches.remove(&number) else { return };
         self.record_commit(now);
-        for written in batch.jobs {
+        for mut written in batch.jobs {
             if let Some(job) = self.jobs.get_mut(&written.job) {
                 job.durable_version = job.durable_version.max(written.version);
                 job.write_in_flight = false;
                 job.committed_state = written.state;
+                // Copies of a request that arrived during the write wait for the same version, and
+                // there may be no further write for long.
+                if job.durable_version == job.version {
+                    written.actions.append(&mut job.after_commit);
+                }
             }
             for deferred in written.actions {
                 self.run_deferred_action(deferred, now);
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/effects.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/effects.rs
@@ -44,7 +44,7 @@
         }
     }
 
-    fn apply_write(&mut self, batch: WriteBatch) {
+    pub(super) fn apply_write(&mut self, batch: WriteBatch) {
         for (job, record) in batch.put {
             self.store.insert(job, record);
         }
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -17,9 +17,9 @@
 
 use geraniumpost_batch::tuning::PROMISE_DURATION_MS;
 use geraniumpost_batch::{
-    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, InterferenceSnapshot,
-    JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases, QueueTerms, StepSpec,
-    TaskId, WriteBatch,
+    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, Features,
+    InterferenceSnapshot, JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases,
+    QueueTerms, StepSpec, TaskId, WriteBatch,
 };
 use geraniumpost_schema::Name;
 
@@ -89,6 +89,8 @@
     last_request_id: u64,
     /// Fencing token of the current coordinator.
     fence: u64,
+    /// Optional decisions of the coordinator and its successors.
+    features: Features,
     /// Time within which the last task may start in an evacuated failure domain, in milliseconds;
     /// `None` if domains are not evacuated.
     evacuation_bound_ms: Option<u64>,
@@ -126,6 +128,7 @@
             last_result_number: 0,
             last_request_id: 0,
             fence: 1,
+            features: Features::default(),
             evacuation_bound_ms: None,
             evacuations_revision: 0,
         }
@@ -273,6 +276,7 @@
             Coordinator::new(self.fence, self.now)
                 .with_lease_ms(LEASE_MS)
                 .with_evacuation_bound_ms(self.evacuation_bound_ms)
+                .with_features(self.features)
                 .with_predecessor_leases(leases, self.now)
                 .with_interference(&self.stored_interference.as_ref().map_or_else(
                     InterferenceSnapshot::default,
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/store_faults.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/store_faults.rs
@@ -10,9 +10,9 @@
 impl Cluster {
     /// Switches the refusal of jobs on. Must be called before minions join.
     pub fn with_admission(mut self) -> Self {
-        let features = Features::default().with(Feature::Admission);
+        self.features = Features::default().with(Feature::Admission);
         self.coordinator =
-            Coordinator::new(1, self.now).with_lease_ms(LEASE_MS).with_features(features);
+            Coordinator::new(1, self.now).with_lease_ms(LEASE_MS).with_features(self.features);
         self
     }
 
@@ -33,6 +33,24 @@
         self.process_effects();
     }
 
+    /// Lets the store refuse the oldest write that is held back, if any.
+    pub fn refuse_first_write(&mut self) {
+        if !self.pending_writes.is_empty() {
+            let batch = self.pending_writes.remove(0);
+            self.coordinator.handle_batch_refused(batch.number, self.now);
+            self.process_effects();
+        }
+    }
+
+    /// Lets the store commit the oldest write that is held back, if any.
+    pub fn commit_first_write(&mut self) {
+        if !self.pending_writes.is_empty() {
+            let batch = self.pending_writes.remove(0);
+            self.apply_write(batch);
+            self.process_effects();
+        }
+    }
+
     /// Lets an attempt to write the oldest batch that is held back have no result. The driver
     /// returns the other batches.
     pub fn lose_result_of_first_write(&mut self) {
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -19,6 +19,7 @@
 mod longest_wait;
 mod persistent_restart;
 mod random_faults;
+mod random_store_faults;
 mod recovery_time;
 mod regressions;
 mod simulation;
--- a/crates/geraniumpost-batch/tests/coordinator/store_outages.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/store_outages.rs
@@ -224,3 +224,17 @@
     assert_matches!(cluster.job_state(1), CallerResponse::State(_));
     assert_eq!(cluster.job_state(2), CallerResponse::Unknown);
 }
+
+/// A caller's connection is lost during the write of its job, and a copy of its submission arrives
+/// before the commit. The copy must not wait for the next write of the job, which may be seconds
+/// later.
+#[test]
+fn copy_that_arrives_during_the_write_is_answered_with_the_commit() {
+    let mut cluster = Cluster::new().with_minions(&["m1"]);
+    cluster.confirm_writes = false;
+    cluster.submit(1, vec![step(1)]);
+    let copy = cluster.submit(1, vec![step(1)]);
+    assert_eq!(cluster.response(copy), None);
+    cluster.confirm_pending_writes();
+    assert_eq!(cluster.response(copy), Some(CallerResponse::Accepted));
+}
