--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -91,12 +91,11 @@
         if cause != TerminationCause::Planned {
             self.log_young_runs(id, &young);
         }
-        let ended = match successor {
-            Some(successor) => self.stop_late_runs_on(successor, &agent, runs, now),
-            None => {
-                self.record_late_starts(id, &runs, now);
-                runs
-            }
+        let ended = if let Some(successor) = successor {
+            self.stop_late_runs_on(successor, &agent, runs, now)
+        } else {
+            self.record_late_starts(id, &runs, now);
+            runs
         };
         for task in ended {
             self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
--- a/crates/geraniumpost-batch/tests/agent_message.rs
+++ b/crates/geraniumpost-batch/tests/agent_message.rs
@@ -26,8 +26,11 @@
         read,
         FromAgent::MinionTerminated { minion: "m1".into(), crashed: false, replaced_by: None }
     );
-    let current =
-        FromAgent::MinionTerminated { minion: "m1".into(), crashed: true, replaced_by: None };
+    let current = FromAgent::MinionTerminated {
+        minion: "m1".into(),
+        crashed: true,
+        replaced_by: Some("m1@2".into()),
+    };
     let bytes = postcard::to_stdvec(&current).expect("the message can be encoded");
     assert_eq!(postcard::from_bytes::<FromAgent>(&bytes), Ok(current));
     assert_eq!(postcard::from_bytes::<EarlierFromAgent>(&bytes), Ok(earlier));
--- a/crates/geraniumpost-batch/tests/coordinator/restarts.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/restarts.rs
@@ -236,11 +236,11 @@
     cluster.join(LATER, |info| info);
     let expected =
         Order { minion: LATER.into(), task: start.task, run: start.run, kind: OrderKind::Stop };
-    assert_eq!(cluster.orders, [expected.clone()]);
+    assert_eq!(cluster.orders, std::slice::from_ref(&expected));
     // The stop is repeated until the minion accepts it.
     cluster.orders.clear();
     cluster.advance(2_000);
-    assert_eq!(cluster.orders, [expected.clone()]);
+    assert_eq!(cluster.orders, std::slice::from_ref(&expected));
     cluster.report_result(&expected, OrderKindTag::Stop, OrderOutcome::Done);
     cluster.orders.clear();
     cluster.advance(4_000);
