fix(batch): give a store that becomes slow a third of the deadline before jobs are refused

Cause: with a bound of 750 ms, a store that suddenly took 350 ms a call was refused to for 529 ms in a whole-path test.

--- a/crates/geraniumpost-batch/src/admission/commit_health.rs
+++ b/crates/geraniumpost-batch/src/admission/commit_health.rs
@@ -1,7 +1,7 @@
 /// Minimum age of an outstanding write from which the store counts as not committing, in
-/// milliseconds: a quarter of the usual deadline of callers, so that a refused caller has the time
-/// to try again.
-const MIN_OUTSTANDING_MS: u64 = 750;
+/// milliseconds: a third of the usual deadline of callers, so that a refused caller has the time to
+/// try again. A fast store that suddenly takes 400 ms for each call answers the fence before that.
+const MIN_OUTSTANDING_MS: u64 = 1_000;
 /// Maximum age of an outstanding write up to which a slow store counts as committing, in
 /// milliseconds. Callers with the usual deadline hardly hear of a later commit.
 const MAX_OUTSTANDING_MS: u64 = 2_000;
@@ -27,11 +27,11 @@
 /// use geraniumpost_batch::admission::CommitHealth;
 ///
 /// let mut health = CommitHealth::new(0);
-/// health.update(Some(0), 700);
+/// health.update(Some(0), 900);
 /// assert!(health.is_committing());
-/// health.update(Some(0), 800);
+/// health.update(Some(0), 1_100);
 /// assert!(!health.is_committing());
-/// assert_eq!(health.record_commit(1_000), Some(200));
+/// assert_eq!(health.record_commit(1_300), Some(200));
 /// assert!(health.is_committing());
 /// ```
 #[derive(Debug, Clone)]
