--- a/crates/geraniumpost-batch/src/coordinator/draining.rs
+++ b/crates/geraniumpost-batch/src/coordinator/draining.rs
@@ -8,7 +8,7 @@
 /// Remaining time assumed for a draining minion that reports none, in milliseconds.
 pub(super) const DEFAULT_DRAIN_DURATION_MS: u64 = 2_000;
 /// Minimum time that moving a task takes, in milliseconds: a stop, a commit and a start.
-const MIN_MOVE_DURATION_MS: u64 = 400;
+pub(super) const MIN_MOVE_DURATION_MS: u64 = 400;
 /// Interval between two evacuations of a minion, in milliseconds. Minions terminate seconds after
 /// they begin to drain, and each evacuation checks every minion for each remaining task.
 const EVACUATION_INTERVAL_MS: u64 = 300;
@@ -84,7 +84,7 @@
 
     /// Returns the estimated remaining time of a run in milliseconds; `None` for a persistent task
     /// or an unknown run.
-    fn remaining_run_ms(&self, task: TaskId, now: Now) -> Option<u64> {
+    pub(super) fn remaining_run_ms(&self, task: TaskId, now: Now) -> Option<u64> {
         let step = self.step_spec(task).filter(|step| !step.persistent)?;
         let run = self.runs.get(&task)?;
         let estimate_ms = u64::from(step.estimate_ms);
--- a/crates/geraniumpost-batch/src/coordinator/held_room.rs
+++ b/crates/geraniumpost-batch/src/coordinator/held_room.rs
@@ -1,4 +1,5 @@
-//! Resources that are held for persistent tasks that lost their run.
+//! Resources that are held for persistent tasks that lost their run, and for tasks for which other
+//! runs were stopped.
 //!
 //! Persistent tasks are large and short tasks are small. In a full fleet, each short run that ends
 //! frees too little for a persistent task, and the next short task takes it. A persistent task that
@@ -44,7 +45,8 @@
         let max_held = (self.minions.len() / MINIONS_PER_HELD_TASK).max(1);
         for task in waiting {
             let ran = self.task_record(*task).is_some_and(|record| record.run > 0);
-            if !ran || self.held_for.len() >= max_held {
+            let is_held = self.held_for.contains(task);
+            if !ran || is_held || self.held_for.len() >= max_held {
                 continue;
             }
             let Some(id) = self.minion_to_hold(*task, spec, now) else { return };
@@ -62,6 +64,13 @@
         }
     }
 
+    /// Holds resources on a minion for a task for which runs were stopped there.
+    pub(super) fn hold_preempted_room(&mut self, task: TaskId, spec: &StepSpec, minion: &Name) {
+        let Some(minion) = self.minions.get_mut(minion) else { return };
+        minion.held += reserved_resources(spec);
+        self.held_for.insert(task);
+    }
+
     /// Returns the minion that lacks the least for a task and will have capacity for it once its
     /// runs with an end are over; `None` if there is no such minion.
     fn minion_to_hold(&self, task: TaskId, spec: &StepSpec, now: Now) -> Option<Name> {
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -35,12 +35,14 @@
 mod placement;
 mod poll_results;
 mod predecessor_leases;
+mod preemption;
 mod recent_crashes;
 mod rejection;
 mod report_waits;
 mod run;
 mod run_ends;
 mod serving_tasks;
+mod shares;
 mod termination_cause;
 mod timers;
 mod unreachable;
@@ -70,8 +72,10 @@
 use lease_basis::EntrySupport;
 use minion::Minion;
 use predecessor_leases::PredecessorExpiry;
+use preemption::Preemption;
 use recent_crashes::RecentCrashes;
 use run::Run;
+use shares::Shares;
 use wait_state::WaitState;
 
 /// Decides which task runs where, for one service or several, while its fencing token is the
@@ -138,10 +142,14 @@
     /// Maximum number of tasks under which two minions have crashed that a minion starts at the
     /// same time.
     max_isolated_per_minion: usize,
-    /// Persistent tasks for which resources are held since the last placement round.
+    /// Tasks for which resources are held since the last placement round.
     held_for: BTreeSet<TaskId>,
     /// The same as of the round before, for log lines only.
     held_before: BTreeSet<TaskId>,
+    /// Division of capacity between queues.
+    shares: Shares,
+    /// Runs that were stopped for more urgent tasks.
+    preemption: Preemption,
     /// Waiting tasks, for log lines and metrics only; no decision depends on this state.
     wait_state: WaitState,
     effects: Vec<Effect>,
@@ -184,6 +192,8 @@
             max_isolated_per_minion: 1,
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
+            shares: Shares::default(),
+            preemption: Preemption::new(now.steady_ms),
             wait_state: WaitState::new(now.steady_ms),
             effects: Vec::new(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -23,13 +23,16 @@
 const MILLI_CPUS_PER_CPU: i64 = 1_000;
 /// Order in which jobs are placed; compared field by field, smaller first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+pub(super) struct Rank {
     /// 0 for a job within its objective, 1 for a late job that still has value, 2 for any other.
     lateness: u8,
     /// The queue's priority; 0 is the most urgent.
     priority: u32,
     /// Whether the job ends, and whether it is interrupted.
     kind: JobKind,
+    /// Whether the job has not waited long enough to go ahead of others (see
+    /// [`Coordinator::update_jobs_ahead`]); always true without [`Feature::Shares`].
+    in_turn: bool,
     /// Remaining work, in processor milliseconds. Under overload, placing the job with the least
     /// work first completes the most jobs in time; ordered by the end of their objectives, all jobs
     /// would be late together.
@@ -71,17 +74,22 @@
     pub(super) fn place_waiting_tasks(&mut self, now: Now) {
         self.placement_due = false;
         self.record_interruptions(now);
+        self.update_jobs_ahead(now);
         let mut order: Vec<(Rank, JobId)> = self
             .open_jobs
             .iter()
-            .filter_map(|id| Some((rank(self.jobs.get(id)?, now), *id)))
+            .filter_map(|id| Some((rank(self.jobs.get(id)?, !self.is_ahead(*id), now), *id)))
             .collect();
         order.sort_unstable();
         self.unplaceable.clear();
         self.update_isolation_limit();
         self.release_held_room();
+        self.begin_preemption_round(now);
+        if self.divides_by_weights() {
+            return self.place_by_shares(&order, now);
+        }
         for (_, id) in order {
-            self.place_job(id, now);
+            self.place_job(id, usize::MAX, now);
         }
     }
 
@@ -95,25 +103,41 @@
         }
     }
 
-    fn place_job(&mut self, id: JobId, now: Now) {
+    /// Places waiting tasks of a job, and returns how many were placed. No further step is begun
+    /// once `limit` tasks are placed, and only a gang exceeds the limit.
+    pub(super) fn place_job(&mut self, id: JobId, limit: usize, now: Now) -> usize {
         let idle = self.tasks_with_runs(id).is_empty();
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return 0 };
         job.idle_since_ms = idle.then(|| job.idle_since_ms.unwrap_or(now.steady_ms));
         let ready = ready_steps(&job.record);
         let mut placed = 0;
         for (occurrence, step) in ready {
-            placed += self.place_step(id, occurrence, step, now);
+            if placed >= limit {
+                break;
+            }
+            placed += self.place_step(id, occurrence, step, limit - placed, now);
         }
         if placed > 0 {
             self.mark_dirty(id);
         }
+        placed
     }
 
-    /// Places the waiting tasks of one step, and returns how many were placed.
-    fn place_step(&mut self, id: JobId, occurrence: u32, step: u16, now: Now) -> u32 {
+    /// Places up to `limit` waiting tasks of one step, or a gang, and returns how many were placed.
+    fn place_step(
+        &mut self,
+        id: JobId,
+        occurrence: u32,
+        step: u16,
+        limit: usize,
+        now: Now,
+    ) -> usize {
         let first = TaskId { job: id, occurrence, step, index: 0 };
         let Some(spec) = self.step_spec(first).cloned() else { return 0 };
-        let waiting = self.tasks_to_place(first, &spec, now);
+        let mut waiting = self.tasks_to_place(first, &spec, now);
+        if !spec.gang {
+            waiting.truncate(limit);
+        }
         if waiting.is_empty() || (spec.gang && waiting.len() < spec.count as usize) {
             return 0;
         }
@@ -153,6 +177,7 @@
             return 0;
         }
         self.hold_room(&unplaced, &spec, now);
+        self.preempt_for(&unplaced, &spec, now);
         if let Some(task) = placed.first() {
             let count = placed.len();
             let minion =
@@ -161,7 +186,7 @@
                 "decision=place job={id} step={occurrence}.{step} tasks={count} first_on={minion}"
             ));
         }
-        placed.len() as u32
+        placed.len()
     }
 
     /// Reverts placements of this round, because the rest of their gang was not placed.
@@ -192,6 +217,7 @@
             .map(|index| TaskId { index, ..first })
             .filter(|task| is_ready(task) && waits(task))
             .filter(|task| self.remaining_report_wait_ms(*task, now) == 0)
+            .filter(|task| !self.preemption.is_held_back(*task, now))
             .collect()
     }
 
@@ -324,29 +350,51 @@
         .min(i64::from(spec.count)) as usize
 }
 
-fn rank(job: &Job, now: Now) -> Rank {
+impl Rank {
+    /// Returns whether jobs of two ranks compete for shares; if they do not, the smaller rank goes
+    /// first whatever its queue uses.
+    pub(super) fn shares_with(&self, other: &Self) -> bool {
+        let class = |rank: &Self| (rank.lateness, rank.priority, rank.kind, rank.in_turn);
+        class(self) == class(other)
+    }
+}
+
+fn rank(job: &Job, in_turn: bool, now: Now) -> Rank {
     let terms = &job.record.terms;
-    let objective_ms = terms.objective_ms(job.critical_path_ms);
-    let due_ms = job.record.occurrences.first().map_or(job.record.accepted_ms, |o| o.due_ms);
-    let age_ms = now.wall_ms.saturating_sub(due_ms);
+    Rank {
+        lateness: lateness(job, now),
+        priority: terms.priority,
+        kind: job_kind(job, now),
+        in_turn,
+        remaining_work: if job.record.spec.is_persistent() {
+            0
+        } else {
+            remaining_work(&job.record)
+        },
+        objective_ends_ms: due_ms(job) + terms.objective_ms(job.critical_path_ms),
+    }
+}
+
+/// Returns 0 for a job within its objective, 1 for a late job that still has value, 2 for any
+/// other.
+pub(super) fn lateness(job: &Job, now: Now) -> u8 {
+    let objective_ms = job.record.terms.objective_ms(job.critical_path_ms);
+    let age_ms = now.wall_ms.saturating_sub(due_ms(job));
     // A late job still has value up to three times its objective, and none after that.
-    let lateness = if job.record.spec.is_persistent() || age_ms <= objective_ms {
+    if job.record.spec.is_persistent() || age_ms <= objective_ms {
         0
     } else if age_ms <= 3 * objective_ms {
         1
     } else {
         2
-    };
-    let persistent = job.record.spec.is_persistent();
-    Rank {
-        lateness,
-        priority: terms.priority,
-        kind: job_kind(job, now),
-        remaining_work: if persistent { 0 } else { remaining_work(&job.record) },
-        objective_ends_ms: due_ms + objective_ms,
     }
 }
 
+/// Returns when the oldest occurrence of a job was due, in milliseconds since 1970.
+pub(super) fn due_ms(job: &Job) -> u64 {
+    job.record.occurrences.first().map_or(job.record.accepted_ms, |o| o.due_ms)
+}
+
 fn job_kind(job: &Job, now: Now) -> JobKind {
     if !job.record.spec.is_persistent() {
         JobKind::Ending
@@ -360,7 +408,7 @@
 }
 
 /// Returns the remaining work of a job by its estimates, in processor milliseconds.
-fn remaining_work(record: &JobRecord) -> u64 {
+pub(super) fn remaining_work(record: &JobRecord) -> u64 {
     let steps = record.occurrences.iter().flat_map(|o| o.steps.iter().zip(&record.spec.steps));
     let of_step = |(tasks, spec): (&Vec<TaskRecord>, &StepSpec)| {
         let left = tasks.iter().filter(|task| task.phase != TaskPhase::Done).count() as u64;
--- a/crates/geraniumpost-batch/src/job_spec.rs
+++ b/crates/geraniumpost-batch/src/job_spec.rs
@@ -52,10 +52,17 @@
 
     /// Returns the estimated duration of the longest chain of steps in milliseconds.
     pub fn critical_path_ms(&self) -> u64 {
+        self.longest_chain_ms(|_| true)
+    }
+
+    /// Returns the estimated duration of the longest chain of steps in milliseconds, in which only
+    /// steps for whose number `counts` returns true take time.
+    pub fn longest_chain_ms(&self, counts: impl Fn(usize) -> bool) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (number, step) in self.steps.iter().enumerate() {
             let begin = step.after.iter().map(|&s| ends[usize::from(s)]).max().unwrap_or(0);
-            ends.push(begin + u64::from(step.estimate_ms));
+            let duration_ms = if counts(number) { u64::from(step.estimate_ms) } else { 0 };
+            ends.push(begin + duration_ms);
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -42,6 +42,7 @@
 mod poll_result;
 mod predecessor_leases;
 pub mod quorum;
+pub mod shares;
 mod spec_error;
 mod step_spec;
 mod task_crashes;
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -16,9 +16,9 @@
 
 use geraniumpost_batch::tuning::PROMISE_DURATION_MS;
 use geraniumpost_batch::{
-    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, InterferenceSnapshot,
-    JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases, QueueTerms, StepSpec,
-    TaskId, WriteBatch,
+    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, Feature, Features,
+    InterferenceSnapshot, JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases,
+    QueueTerms, StepSpec, TaskId, WriteBatch,
 };
 use geraniumpost_schema::Name;
 
@@ -93,6 +93,8 @@
     evacuation_bound_ms: Option<u64>,
     /// Revision of the store as of the last reading of the evacuated domains.
     evacuations_revision: u64,
+    /// Optional decisions of the coordinator and its successors.
+    features: Features,
 }
 
 impl Cluster {
@@ -127,9 +129,18 @@
             fence: 1,
             evacuation_bound_ms: None,
             evacuations_revision: 0,
+            features: Features::default(),
         }
     }
 
+    /// Switches features on. Must be called before anything else happens.
+    pub fn with_features(mut self, features: &[Feature]) -> Self {
+        self.features = features.iter().copied().collect();
+        self.coordinator =
+            Coordinator::new(1, self.now).with_lease_ms(LEASE_MS).with_features(self.features);
+        self
+    }
+
     /// Lets operators evacuate failure domains. Nothing is started before the first
     /// [`Cluster::read_evacuations`].
     pub fn with_evacuation_bound_ms(mut self, bound_ms: u64) -> Self {
@@ -271,6 +282,7 @@
         self.coordinator =
             Coordinator::new(self.fence, self.now)
                 .with_lease_ms(LEASE_MS)
+                .with_features(self.features)
                 .with_evacuation_bound_ms(self.evacuation_bound_ms)
                 .with_predecessor_leases(leases, self.now)
                 .with_interference(&self.stored_interference.as_ref().map_or_else(
--- a/crates/geraniumpost/src/batch/coordination/candidate.rs
+++ b/crates/geraniumpost/src/batch/coordination/candidate.rs
@@ -378,6 +378,7 @@
             stop_time: self.stop_time.clone(),
             evacuation_bound_ms: self.evacuation_bound_ms,
             features: self.features,
+            configuration: Arc::clone(&self.configuration),
             metrics: Arc::clone(&self.metrics),
         };
         let fence = term.record.term;
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumpost_batch::shares::{StopCounts, StopReason};
 use geraniumpost_batch::{
     CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus, FromAgent,
     LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
@@ -14,6 +15,7 @@
 use geraniumpost_schema::Name;
 use tokio::sync::mpsc;
 
+use super::super::entry::ActiveConfiguration;
 use super::super::{BootClock, ToPeer};
 use super::agent_links::{AgentLinks, LinkClosing, LinkOpening};
 use super::process_pause::ProcessPause;
@@ -133,6 +135,11 @@
     process_pause: ProcessPause,
     /// Status whose counts the metrics contain already.
     evacuation_status: EvacuationStatus,
+    preemption_counts: StopCounts,
+    /// Configuration of this entry, from which the coordinator takes the weights of queues.
+    configuration: Arc<ActiveConfiguration>,
+    /// Version of the configuration whose weights the coordinator has; 0 for none.
+    weights_version: u64,
 }
 
 impl Driver {
@@ -144,9 +151,13 @@
         approval_requests: mpsc::Sender<ApprovalRequest>,
         successor_leases: Arc<SuccessorLeases>,
         support: Arc<TermSupport>,
+        configuration: Arc<ActiveConfiguration>,
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
+            configuration,
+            weights_version: 0,
+            preemption_counts: StopCounts::new(),
             successor_leases,
             support,
             process_pause: ProcessPause::new(BootClock.now_ms()),
@@ -210,7 +221,9 @@
 
     fn tick(&mut self) {
         let now = BootClock.now();
+        self.update_queue_weights();
         self.coordinator.tick(now);
+        self.report_shares();
         let LongestWait { persistent_ms, other_ms } = self.coordinator.longest_wait(now);
         let [persistent, other] = [persistent_ms, other_ms].map(Duration::from_millis);
         self.metrics.longest_wait(persistent, other);
@@ -218,6 +231,29 @@
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
+    /// Passes the weights of queues to the coordinator if the active configuration has changed.
+    fn update_queue_weights(&mut self) {
+        let Some(routes) = self.configuration.routes() else { return };
+        if routes.version != self.weights_version {
+            self.weights_version = routes.version;
+            self.coordinator.set_queue_weights(routes.queue_weights());
+        }
+    }
+
+    fn report_shares(&mut self) {
+        let counts = self.coordinator.preemption_counts();
+        let previous = std::mem::replace(&mut self.preemption_counts, counts);
+        for reason in StopReason::ALL {
+            let new = counts.get(reason) - previous.get(reason);
+            if new > 0 {
+                self.metrics.preemptions(&reason.to_string(), new);
+            }
+        }
+        for (queue, share) in self.coordinator.queue_shares() {
+            self.metrics.queue_share(&queue, share);
+        }
+    }
+
     fn report_evacuations(&mut self, status: EvacuationStatus) {
         let EvacuationStatus { domains, age_ms, dropped_starts, held_starts } = status;
         self.metrics.evacuations(domains, Duration::from_millis(age_ms));
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -12,6 +12,7 @@
 use geraniumpost_platform::{Admission, GetResponse, Page, Store, StoreError};
 use tokio::sync::{mpsc, watch};
 
+use super::super::entry::ActiveConfiguration;
 use super::super::{BootClock, hedged_read};
 use super::adaptive_timeout::AdaptiveTimeout;
 use super::driver::{ApprovalRequest, Driver, Input};
@@ -72,6 +73,8 @@
     pub evacuation_bound_ms: Option<u64>,
     /// Optional decisions of the coordinator.
     pub features: Features,
+    /// Configuration of this entry, from which the coordinator takes the weights of queues.
+    pub configuration: Arc<ActiveConfiguration>,
     pub metrics: Arc<Metrics>,
 }
 
@@ -163,6 +166,7 @@
             approval_requests_tx,
             successor_leases,
             support,
+            Arc::clone(&self.configuration),
             metrics,
         );
         let ended = tokio::select! {
@@ -184,6 +188,10 @@
         self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         self.metrics.lease_supporters(0);
         self.metrics.evacuations(0, Duration::ZERO);
+        if let Some(routes) = self.configuration.routes() {
+            let weights = routes.queue_weights();
+            weights.queues().for_each(|queue| self.metrics.queue_share(queue, 0.0));
+        }
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -183,6 +183,18 @@
         "why",
         "Starts that were not ordered: `evacuated` if the failure domain had been evacuated since the placement, `unknown` if it was not known whether the domain is evacuated.",
     ),
+    Description::new(
+        "preemptions",
+        Kind::Counter,
+        "why",
+        "Runs stopped for more urgent tasks: `past_value` if their job had no value any more, `stands_still` if they were suspended, `best_effort` or `lower_priority` if their queue has a lower priority.",
+    ),
+    Description::new(
+        "queue_share_percent",
+        Kind::Gauge,
+        "queue",
+        "Share of its service's capacity that a queue holds, for queues with a weight; 0 if this entry does not coordinate.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -45,6 +45,8 @@
     evacuated_domains: Gauge<u64>,
     evacuations_age: Gauge<f64>,
     withheld_starts: Counter<u64>,
+    preemptions: Counter<u64>,
+    queue_share_percent: Gauge<u64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -92,6 +94,8 @@
             evacuated_domains: gauge(&meter, "evacuated_domains"),
             evacuations_age: seconds(&meter, "evacuations_age_seconds"),
             withheld_starts: counter(&meter, "withheld_starts"),
+            preemptions: counter(&meter, "preemptions"),
+            queue_share_percent: gauge(&meter, "queue_share_percent"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
@@ -213,6 +217,17 @@
         self.withheld_starts.add(count, &[label("why", why)]);
     }
 
+    /// Counts runs that were stopped for more urgent tasks.
+    pub fn preemptions(&self, why: &str, count: u64) {
+        self.preemptions.add(count, &[label("why", why)]);
+    }
+
+    /// Sets the share of its service's capacity that a queue holds, as a fraction.
+    pub fn queue_share(&self, queue: &str, share: f64) {
+        let percent = (share * 100.0).round() as u64;
+        self.queue_share_percent.record(percent, &[label("queue", queue)]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
