--- a/crates/geraniumpost-batch/src/coordinator/preemption.rs
+++ b/crates/geraniumpost-batch/src/coordinator/preemption.rs
@@ -29,9 +29,9 @@
 /// How long a stopped task is not placed, in milliseconds, so that it does not take the resources
 /// back before the task for which it was stopped is placed.
 const STOPPED_TASK_DELAY_MS: u64 = 1_000;
-/// How long freed resources are held for a task, in milliseconds: several times as long as a stop
-/// and the poll that reports the end take. After that, other runs may be stopped for the task.
-const HOLD_DURATION_MS: u64 = 2_500;
+/// How long freed resources are held for a task, in milliseconds: longer than a stop and the poll
+/// that reports the end may take. After that, other runs may be stopped for the task.
+const HOLD_DURATION_MS: u64 = 1_500;
 /// Interval in which [`MAX_SEARCHES_PER_INTERVAL`] applies, in milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 100;
 /// Maximum number of tasks for which runs to stop are searched in an interval, because each search
@@ -139,8 +139,7 @@
             if self.held_for.contains(task) {
                 continue;
             }
-            if let Some((minion, _)) = self.preemption.held.get(task) {
-                let minion = minion.clone();
+            if let Some(minion) = self.minion_held_for(*task, spec, now) {
                 self.hold_preempted_room(*task, spec, &minion);
                 continue;
             }
@@ -165,6 +164,15 @@
         }
     }
 
+    /// Returns the minion on which runs were stopped for a task, if it still lacks nothing but their
+    /// resources; it may have been lost since, or begun to drain.
+    fn minion_held_for(&self, task: TaskId, spec: &StepSpec, now: Now) -> Option<Name> {
+        let (id, _) = self.preemption.held.get(&task)?;
+        let requirements = self.requirements(task, spec)?;
+        let rejection = self.task_rejection(&requirements, self.minions.get(id)?, now);
+        (rejection == Some(Rejection::NoCapacity)).then(|| id.clone())
+    }
+
     /// Returns whether runs may be stopped now for waiting tasks of one step.
     ///
     /// While the store commits nothing, a stop would only lose work, because no placement can be
@@ -190,7 +198,9 @@
         let urgent = self.jobs.get(&task.job)?;
         let mut options = Vec::new();
         for (id, minion) in &self.minions {
-            if self.task_rejection(&requirements, minion, now) != Some(Rejection::NoCapacity) {
+            if self.task_rejection(&requirements, minion, now) != Some(Rejection::NoCapacity)
+                || self.has_overdue_stop(minion, now)
+            {
                 continue;
             }
             let lacking = self.lacking_soon(minion, spec, now);
@@ -220,11 +230,22 @@
         reserved_resources(spec) + claimed - available_resources(minion, spec) - freed
     }
 
+    /// Returns whether a run is being stopped, or ends about as soon as a stop would take. A run
+    /// whose minion has not carried out the stop in time may go on for long.
     fn ends_soon(&self, task: TaskId, now: Now) -> bool {
-        self.runs.get(&task).is_some_and(Run::is_stopping)
-            || self
-                .remaining_run_ms(task, now)
-                .is_some_and(|remaining_ms| remaining_ms < MIN_MOVE_DURATION_MS)
+        if self.runs.get(&task).is_some_and(Run::is_stopping) {
+            return self.preemption.stop_count(task) == 0
+                || self.preemption.is_held_back(task, now);
+        }
+        self.remaining_run_ms(task, now)
+            .is_some_and(|remaining_ms| remaining_ms < MIN_MOVE_DURATION_MS)
+    }
+
+    /// Returns whether a minion has not carried out a stop in time. It may carry out further stops
+    /// no sooner.
+    fn has_overdue_stop(&self, minion: &Minion, now: Now) -> bool {
+        let is_stopping = |task: &TaskId| self.runs.get(task).is_some_and(Run::is_stopping);
+        minion.runs.iter().any(|task| is_stopping(task) && !self.ends_soon(*task, now))
     }
 
     /// Lists the runs of a minion that may be stopped for a job.
--- a/crates/geraniumpost-batch/tests/coordinator/preemption.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/preemption.rs
@@ -37,7 +37,7 @@
 
 /// Polls minions whose tasks have made some progress, so that no run counts as stalled.
 fn poll_all(cluster: &mut Cluster, minions: &[&str]) {
-    cluster.default_percent = (cluster.default_percent + 1).min(60);
+    cluster.default_percent += u8::from(cluster.default_percent < 60);
     for minion in minions {
         cluster.poll(minion);
     }
@@ -98,20 +98,26 @@
     cluster.carry_out_orders();
     cluster.submit_with_terms(1, vec![best_effort_step(4)], terms_with_priority(1));
     cluster.carry_out_orders();
-    let runs = running_tasks_of(&cluster, 1);
-    assert!(runs > 0);
+    cluster.task_percent.insert(task(9, 0, 0), 100);
+    let minion = Name::from("m1");
+    for run in cluster.running[&minion].keys().copied().collect::<Vec<_>>() {
+        cluster.set_measurement(run, if run.job == JobId(9) { 30 } else { 1_000 });
+    }
+    poll_all(&mut cluster, &["m1"]);
     cluster.set_measurement(task(9, 0, 0), 400);
     for _ in 0..10 {
         cluster.advance(400);
         poll_all(&mut cluster, &["m1"]);
         cluster.carry_out_orders();
     }
-    assert!(cluster.paces.values().all(|pace| *pace == 0), "{:?}", cluster.paces);
+    let are_suspended = |cluster: &Cluster| cluster.paces.values().all(|pace| *pace == 0);
+    assert!(are_suspended(&cluster), "{:?}", cluster.paces);
+    assert_eq!(cluster.paces.len(), 4);
     let demand = Demand { milli_cpus: 1_000, memory_mb: 30_000, accelerators: 0 };
     // The same priority suffices, because the suspended tasks do nothing.
     cluster.submit_with_terms(2, vec![StepSpec { demand, ..step(1) }], terms_with_priority(1));
     settle(&mut cluster, &["m1"]);
-    assert_eq!(running_tasks_of(&cluster, 2), 1);
+    assert_eq!(running_tasks_of(&cluster, 2), 1, "{:?}", cluster.log_lines);
     assert!(cluster.coordinator.preemption_counts().get(StopReason::StandsStill) > 0);
     assert_eq!(running_tasks_of(&cluster, 9), 1);
 }
@@ -229,15 +235,14 @@
     assert_eq!(stopped_tasks(&cluster), []);
 }
 
-/// A minion does not respond to a stop. Resources of another minion are used after a while, and the
-/// task is not started twice.
+/// A minion does not carry out a stop, although its agent responds. Resources of another minion are
+/// used after a while, and the task is not started twice.
 #[test]
 fn stop_without_response_does_not_hold_up_the_urgent_task() {
     let mut cluster = cluster_with_runs(&["m1", "m2"], long_step(32));
-    cluster.submit_with_terms(2, vec![step(1)], terms_with_priority(0));
+    cluster.submit_with_terms(2, vec![long_step(1)], terms_with_priority(0));
     let first = cluster.orders.remove(0);
     assert_eq!(first.kind, OrderKind::Stop);
-    cluster.stop_heartbeats(first.minion.as_str());
     let other = if first.minion == Name::from("m1") { "m2" } else { "m1" };
     for _ in 0..40 {
         cluster.advance(100);
@@ -248,6 +253,22 @@
     assert!(cluster.running_tasks().iter().any(|(t, at, _)| t.job == JobId(2) && &**at == other));
 }
 
+/// The minion on which runs were stopped is lost before their ends are reported. The urgent task
+/// does not wait for it.
+#[test]
+fn lost_minion_does_not_hold_up_the_urgent_task() {
+    let mut cluster = cluster_with_runs(&["m1", "m2"], long_step(32));
+    cluster.submit_with_terms(2, vec![step(1)], terms_with_priority(0));
+    let first = cluster.orders.remove(0);
+    cluster.disconnect_agent(first.minion.as_str());
+    let other = if first.minion == Name::from("m1") { "m2" } else { "m1" };
+    for _ in 0..5 {
+        cluster.advance(100);
+        settle(&mut cluster, &[other]);
+    }
+    assert_eq!(running_tasks_of(&cluster, 2), 1);
+}
+
 /// The store stops to commit after runs were stopped. No further runs are stopped for the tasks
 /// that could not be started anyway, and the placement is made up for once the store is back.
 #[test]
