--- a/crates/geraniumpost-batch/tests/job_record.rs
+++ b/crates/geraniumpost-batch/tests/job_record.rs
@@ -33,6 +33,19 @@
     }
 }
 
+/// Terms of a queue as versions know them that have no weights. They are part of each record and of
+/// each submission that an entry relays.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierQueueTerms {
+    queue: String,
+    service: String,
+    priority: u32,
+    max_attempts: u32,
+    stretch_percent: u32,
+    target_ms: u32,
+    needs_approval: bool,
+}
+
 const TASK: TaskId = TaskId { job: JobId(7), occurrence: 0, step: 0, index: 1 };
 
 /// Returns a record of a job with a placed task, under which two minions have crashed.
@@ -107,3 +120,22 @@
     record.compact();
     assert!(record.crashes.is_empty());
 }
+
+/// Entries with and without weights of queues run side by side. Terms in the middle of a record or
+/// of a submission that had a further field could not be read by the others.
+#[test]
+fn terms_are_the_same_for_versions_without_weights() {
+    let earlier = EarlierQueueTerms {
+        queue: "lookups".to_owned(),
+        service: "meters".to_owned(),
+        priority: 2,
+        max_attempts: 4,
+        stretch_percent: 150,
+        target_ms: 300,
+        needs_approval: true,
+    };
+    let bytes = postcard::to_stdvec(&earlier).expect("the terms can be encoded");
+    let terms: QueueTerms = postcard::from_bytes(&bytes).expect("a later version reads the terms");
+    assert_eq!(terms.queue, "lookups".into());
+    assert_eq!(postcard::to_stdvec(&terms), Ok(bytes));
+}
