--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -184,14 +184,7 @@
             Err(error) => spdlog::warn!("event=term_lost why=\"{error}\""),
         }
         destinations.send_replace(None);
-        self.metrics.planner_term(0);
-        self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
-        self.metrics.lease_supporters(0);
-        self.metrics.evacuations(0, Duration::ZERO);
-        if let Some(routes) = self.configuration.routes() {
-            let weights = routes.queue_weights();
-            weights.queues().for_each(|queue| self.metrics.queue_share(queue, 0.0));
-        }
+        reset_metrics(&self.metrics, &self.configuration);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
@@ -343,3 +336,15 @@
         }
     }
 }
+
+/// Resets the metrics that only a coordinator sets.
+fn reset_metrics(metrics: &Metrics, configuration: &ActiveConfiguration) {
+    metrics.planner_term(0);
+    metrics.longest_wait(Duration::ZERO, Duration::ZERO);
+    metrics.lease_supporters(0);
+    metrics.evacuations(0, Duration::ZERO);
+    if let Some(routes) = configuration.routes() {
+        let weights = routes.queue_weights();
+        weights.queues().for_each(|queue| metrics.queue_share(queue, 0.0));
+    }
+}
