--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -44,6 +44,7 @@
 mod poll_result;
 mod predecessor_leases;
 pub mod quorum;
+pub mod shares;
 mod spec_error;
 mod step_spec;
 mod task_crashes;
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -17,7 +17,7 @@
 
 use geraniumpost_batch::tuning::PROMISE_DURATION_MS;
 use geraniumpost_batch::{
-    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, Features,
+    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, Feature, Features,
     InterferenceSnapshot, JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases,
     QueueTerms, StepSpec, TaskId, WriteBatch,
 };
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Switches features on. Must be called before anything else happens.
+    pub fn with_features(mut self, features: &[Feature]) -> Self {
+        self.features = features.iter().copied().collect();
+        self.coordinator =
+            Coordinator::new(1, self.now).with_lease_ms(LEASE_MS).with_features(self.features);
+        self
+    }
+
     /// Lets operators evacuate failure domains. Nothing is started before the first
     /// [`Cluster::read_evacuations`].
     pub fn with_evacuation_bound_ms(mut self, bound_ms: u64) -> Self {
@@ -275,8 +283,8 @@
         self.coordinator =
             Coordinator::new(self.fence, self.now)
                 .with_lease_ms(LEASE_MS)
-                .with_evacuation_bound_ms(self.evacuation_bound_ms)
                 .with_features(self.features)
+                .with_evacuation_bound_ms(self.evacuation_bound_ms)
                 .with_predecessor_leases(leases, self.now)
                 .with_interference(&self.stored_interference.as_ref().map_or_else(
                     InterferenceSnapshot::default,
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -13,6 +13,7 @@
 use geraniumpost_platform::{Admission, GetResponse, Page, Store, StoreError};
 use tokio::sync::{mpsc, watch};
 
+use super::super::entry::ActiveConfiguration;
 use super::super::{BootClock, hedged_read};
 use super::adaptive_timeout::AdaptiveTimeout;
 use super::driver::{ApprovalRequest, Driver, Input};
@@ -73,6 +74,8 @@
     pub evacuation_bound_ms: Option<u64>,
     /// Optional decisions of the coordinator.
     pub features: Features,
+    /// Configuration of this entry, from which the coordinator takes the weights of queues.
+    pub configuration: Arc<ActiveConfiguration>,
     pub metrics: Arc<Metrics>,
 }
 
@@ -166,6 +169,7 @@
             approval_requests_tx,
             successor_leases,
             support,
+            Arc::clone(&self.configuration),
             metrics,
         );
         let ended = tokio::select! {
@@ -183,11 +187,7 @@
             Err(error) => spdlog::warn!("event=term_lost why=\"{error}\""),
         }
         destinations.send_replace(None);
-        self.metrics.planner_term(0);
-        self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
-        self.metrics.lease_supporters(0);
-        self.metrics.store_not_committing(false);
-        self.metrics.evacuations(0, Duration::ZERO);
+        reset_metrics(&self.metrics, &self.configuration);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
@@ -339,3 +339,16 @@
         }
     }
 }
+
+/// Resets the metrics that only a coordinator sets.
+fn reset_metrics(metrics: &Metrics, configuration: &ActiveConfiguration) {
+    metrics.planner_term(0);
+    metrics.longest_wait(Duration::ZERO, Duration::ZERO);
+    metrics.lease_supporters(0);
+    metrics.evacuations(0, Duration::ZERO);
+    metrics.store_not_committing(false);
+    if let Some(routes) = configuration.routes() {
+        let weights = routes.queue_weights();
+        weights.queues().for_each(|queue| metrics.queue_share(queue, 0.0));
+    }
+}
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -195,6 +195,18 @@
         "why",
         "Jobs refused with `--enable admission`: `not_stored` at once because the store does not commit, `withdrawn` after they were held in memory meanwhile, `no_time` by an entry whose caller could not hear of the answer.",
     ),
+    Description::new(
+        "preemptions",
+        Kind::Counter,
+        "why",
+        "Runs stopped for more urgent tasks: `past_value` if their job had no value any more, `stands_still` if they were suspended, `best_effort` or `lower_priority` if their queue has a lower priority.",
+    ),
+    Description::new(
+        "queue_share_percent",
+        Kind::Gauge,
+        "queue",
+        "Share of its service's capacity that a queue holds, for queues with a weight; 0 if this entry does not coordinate.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
