feat(batch): learn failure odds by class and minion, and give slow runs a second copy

A step that allows copies waited for its slowest run however much room was free.

With the feature stragglers, each end adds a log-likelihood ratio between a sound and a faulty minion; odds are learned by image or queue and by job. A task's last attempt goes to a minion on which runs succeeded lately. A run far beyond its class gets a copy while no task waits for room; the first that ends as done completes the task.

--- a/crates/geraniumpost-batch/src/coordinator/agents.rs
+++ b/crates/geraniumpost-batch/src/coordinator/agents.rs
@@ -73,6 +73,10 @@
                 let Some(run) = self.runs.get_mut(task) else { continue };
                 run.record_link_loss(now.steady_ms);
             }
+            for task in &minion.copies {
+                let Some(copy) = self.copies.get_mut(task) else { continue };
+                copy.record_link_loss(now.steady_ms);
+            }
         }
         self.log(format!("agent={agent} event=lost"));
     }
--- a/crates/geraniumpost-batch/src/coordinator/evacuated_domains.rs
+++ b/crates/geraniumpost-batch/src/coordinator/evacuated_domains.rs
@@ -120,8 +120,14 @@
     }
 
     fn current_start_permission(&self, task: TaskId, now: Now) -> StartOrderPermission {
-        let run = self.runs.get(&task);
-        let Some(minion) = run.and_then(|run| self.minions.get(&run.place.minion)) else {
+        self.runs.get(&task).map_or(StartOrderPermission::Allowed { expires_ms: None }, |run| {
+            self.minion_start_permission(&run.place.minion, now)
+        })
+    }
+
+    /// Returns whether a start order may be sent to a minion.
+    pub(super) fn minion_start_permission(&self, minion: &Name, now: Now) -> StartOrderPermission {
+        let Some(minion) = self.minions.get(minion) else {
             return StartOrderPermission::Allowed { expires_ms: None };
         };
         let evacuations = &self.evacuated_domains.evacuations;
--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -50,6 +50,8 @@
     /// Time until which the task is placed only on minions without other suspects, on the monotonic
     /// clock.
     pub(super) alone_until_ms: u64,
+    /// Number of the task's last copy; 0 for none. Later runs get higher numbers.
+    pub(super) last_copy_run: u32,
 }
 
 impl Job {
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -83,7 +83,8 @@
             .minions
             .iter()
             .filter(|(_, minion)| {
-                !minion.runs.is_empty() && self.is_lease_expired(&minion.agent, now)
+                let is_busy = !minion.runs.is_empty() || !minion.copies.is_empty();
+                is_busy && self.is_lease_expired(&minion.agent, now)
             })
             .filter(|(_, minion)| !self.is_awaiting_poll(minion, now))
             .map(|(id, _)| id.clone())
@@ -97,6 +98,7 @@
                 minion.expired_runs = young;
                 minion.runs_expired_ms = now.steady_ms;
             }
+            self.drop_copies_of_minion(&id);
             for task in runs {
                 self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
             }
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -6,6 +6,7 @@
 use super::group_headroom::GroupHeadroom;
 use super::serving_tasks::ServingTasks;
 use super::young_run::YoungRun;
+use crate::failure_odds::MinionEvidence;
 use crate::tuning::SERVING_UNUSED_CPU_PERCENT;
 use crate::{Demand, JobId, MinionInfo, TaskId};
 
@@ -39,6 +40,8 @@
     /// Number of runs that serve users within a latency bound.
     pub(super) serving_run_count: u32,
     pub(super) runs: BTreeSet<TaskId>,
+    /// Tasks whose second run is on the minion.
+    pub(super) copies: BTreeSet<TaskId>,
     /// Young runs that ended with the last expiry of the minion's lease. They are suspected if the
     /// minion turns out to have crashed, and forgotten if it responds again.
     pub(super) expired_runs: Vec<YoungRun>,
@@ -58,6 +61,9 @@
     /// Job of the last counted failure; further failures of this job are not counted until another
     /// job fails or a run succeeds.
     pub(super) last_failed_job: Option<JobId>,
+    /// What the ends of runs tell about the minion, with
+    /// [`Feature::Stragglers`](crate::Feature::Stragglers) instead of the two counts above.
+    pub(super) evidence: MinionEvidence,
     /// Time before which no task is placed on the minion, on the monotonic clock.
     pub(super) quarantined_until_ms: u64,
     /// Earliest time at which a draining minion terminates, on the monotonic clock.
@@ -94,6 +100,7 @@
             serving_milli_cpus: 0,
             serving_run_count: 0,
             runs: BTreeSet::new(),
+            copies: BTreeSet::new(),
             expired_runs: Vec::new(),
             runs_expired_ms: 0,
             last_end_sequence: 0,
@@ -102,6 +109,7 @@
             resend_acknowledgement: false,
             consecutive_failures: 0,
             last_failed_job: None,
+            evidence: MinionEvidence::default(),
             quarantined_until_ms: 0,
             drain_deadline_ms: 0,
             last_evacuation_ms: 0,
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -74,6 +74,7 @@
         if cause != TerminationCause::Planned {
             self.log_young_runs(id, &young);
         }
+        self.drop_copies_of_minion(id);
         for task in runs {
             self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
         }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -10,6 +10,8 @@
 mod caller_requests;
 mod capacity_shortfall;
 mod commits;
+mod copies;
+mod copy_events;
 mod crashes;
 mod departures;
 mod draining;
@@ -17,6 +19,7 @@
 mod eligibility;
 mod evacuated_domains;
 mod explained_crashes;
+mod failure_odds;
 mod group_headroom;
 mod headroom;
 mod held_room;
@@ -52,9 +55,12 @@
 
 use geraniumpost_schema::Name;
 
+use crate::failure_odds::FailureOdds;
 use crate::interference::InterferenceModel;
+use crate::stragglers::RunDurations;
 use crate::{Features, FromAgent, JobId, JobRecord, Now, TaskId};
 
+pub use copies::CopyCounts;
 pub use effect::{Effect, WriteBatch};
 pub use evacuated_domains::EvacuationStatus;
 pub use leases::lease_expiry_bound_ms;
@@ -97,6 +103,13 @@
     /// Finished jobs whose records are to be removed from the store.
     expired_jobs: Vec<JobId>,
     runs: BTreeMap<TaskId, Run>,
+    /// Second runs of tasks, which no record contains; at most one for each task.
+    copies: BTreeMap<TaskId, Run>,
+    copy_counts: CopyCounts,
+    /// How long ended runs took, by class of work.
+    run_durations: RunDurations,
+    /// Whether the last placement round left tasks that wait for room, without best-effort tasks.
+    tasks_wait_for_room: bool,
     minions: BTreeMap<Name, Minion>,
     agents: HashMap<Name, Agent>,
     /// Latest crashes of any minions.
@@ -142,6 +155,8 @@
     held_for: BTreeSet<TaskId>,
     /// The same as of the round before, for log lines only.
     held_before: BTreeSet<TaskId>,
+    /// Odds of failure by class of work and by job, with [`Feature::Stragglers`](crate::Feature).
+    failure_odds: FailureOdds,
     /// Waiting tasks, for log lines and metrics only; no decision depends on this state.
     wait_state: WaitState,
     effects: Vec<Effect>,
@@ -160,6 +175,10 @@
             dirty: BTreeSet::new(),
             expired_jobs: Vec::new(),
             runs: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            copy_counts: CopyCounts::default(),
+            run_durations: RunDurations::default(),
+            tasks_wait_for_room: false,
             minions: BTreeMap::new(),
             agents: HashMap::new(),
             crashes: RecentCrashes::default(),
@@ -184,6 +203,7 @@
             max_isolated_per_minion: 1,
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
+            failure_odds: FailureOdds::default(),
             wait_state: WaitState::new(now.steady_ms),
             effects: Vec::new(),
         }
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -27,6 +27,7 @@
             .get(&result.task)
             .is_some_and(|run| run.number == result.run && run.place.minion == result.minion);
         if !is_current {
+            self.handle_copy_result(&result, now);
             return;
         }
         match result.kind_tag {
--- a/crates/geraniumpost-batch/src/coordinator/orders.rs
+++ b/crates/geraniumpost-batch/src/coordinator/orders.rs
@@ -83,6 +83,8 @@
         let used = others
             .filter(|other| other.order != OrderState::Committing)
             .fold(run.reserved, |used, other| used + other.reserved);
+        let copies = minion.copies.iter().filter_map(|copy| self.copies.get(copy));
+        let used = copies.fold(used, |used, copy| used + copy.reserved);
         used.fits(minion.info.capacity)
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -6,6 +6,7 @@
 use super::commits::DeferredAction;
 use super::crashes::{SuspectPenalty, must_be_isolated};
 use super::eligibility::{available_resources, is_eligible_for_step};
+use super::failure_odds::MinionDoubt;
 use super::headroom::BestEffortSpeed;
 use super::job::{Job, is_interrupted, is_interrupted_too_long, ready_steps};
 use super::minion::Minion;
@@ -59,6 +60,8 @@
     suspect: SuspectPenalty,
     /// Whether the task's last run failed or was refused on the minion.
     avoided: bool,
+    /// How little is known in favor of the minion.
+    doubt: MinionDoubt,
     /// Whether the minion is not on the preferred rack.
     off_rack: bool,
     /// Cost of the minion's load; for best-effort tasks the negative speed in millionths, corrected
@@ -78,6 +81,7 @@
             .collect();
         order.sort_unstable();
         self.unplaceable.clear();
+        self.tasks_wait_for_room = false;
         self.update_isolation_limit();
         self.release_held_room();
         for (_, id) in order {
@@ -148,6 +152,7 @@
         if needs_approval && placed.len() < wanted {
             self.request_approval(first, &spec, now);
         }
+        self.tasks_wait_for_room |= !spec.best_effort && !unplaced.is_empty();
         if spec.gang && placed.len() < spec.count as usize {
             self.roll_back_placements(&placed);
             return 0;
@@ -186,6 +191,7 @@
         };
         let waits = |task: &TaskId| {
             !self.runs.contains_key(task)
+                && !self.copies.contains_key(task)
                 && self.task_record(*task).is_some_and(|r| r.phase == TaskPhase::Waiting)
         };
         (0..spec.count)
@@ -205,9 +211,11 @@
     fn assign_task(&mut self, task: TaskId, minion: &Name, run: Option<u32>, now: Now) {
         let Some(agent) = self.minions.get(minion).map(|m| m.agent.clone()) else { return };
         let place = Place { minion: minion.clone(), agent };
+        let next = self.jobs.get(&task.job).and_then(|job| job.next_placements.get(&task));
+        let last_copy_run = next.map_or(0, |next| next.last_copy_run);
         let mut number = 0;
         self.update_tasks(task, false, |record| {
-            record.run = run.unwrap_or(record.run + 1);
+            record.run = run.unwrap_or(record.run.max(last_copy_run) + 1);
             record.phase = TaskPhase::Placed(place.clone());
             number = record.run;
         });
@@ -232,6 +240,30 @@
         spec: &StepSpec,
         rack: Option<&Name>,
         now: Now,
+    ) -> Option<Name> {
+        self.choose_other_minion(task, spec, rack, None, now)
+    }
+
+    /// Returns the minion that suits a copy of a task best, or `None` if no minion accepts it
+    /// beside `original`, the minion of the task's run.
+    pub(super) fn choose_minion_for_copy(
+        &self,
+        task: TaskId,
+        spec: &StepSpec,
+        original: &Name,
+        now: Now,
+    ) -> Option<Name> {
+        let rack = self.preferred_rack(task, spec, 1, now);
+        self.choose_other_minion(task, spec, rack.as_ref(), Some(original), now)
+    }
+
+    fn choose_other_minion(
+        &self,
+        task: TaskId,
+        spec: &StepSpec,
+        rack: Option<&Name>,
+        excluded: Option<&Name>,
+        now: Now,
     ) -> Option<Name> {
         let job = self.jobs.get(&task.job)?;
         let requirements = self.requirements(task, spec)?;
@@ -239,18 +271,27 @@
             job.next_placements.get(&task).and_then(|next| next.avoided_minion.as_ref());
         let is_eligible =
             |minion: &&Minion| self.task_rejection(&requirements, minion, now).is_none();
+        let is_other = |minion: &&Minion| excluded != Some(&minion.info.id);
+        let is_last_attempt = self.is_last_attempt(task, spec);
         let penalty = |minion: &&Minion| -> PlacementPenalty {
             let off_rack = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoided_minion == Some(&minion.info.id);
             let suspect = self.suspect_penalty(requirements.crashes(), minion, now);
-            PlacementPenalty { suspect, avoided, off_rack, cost: self.placement_cost(minion, spec) }
+            let doubt = self.minion_doubt(minion, is_last_attempt, now);
+            let cost = self.placement_cost(minion, spec);
+            PlacementPenalty { suspect, avoided, doubt, off_rack, cost }
         };
         let is_fast_enough = |minion: &&Minion| {
             !spec.best_effort
                 || self.accepts_speed(task, spec, self.best_effort_speed(minion, spec), now)
         };
-        let best =
-            self.minions.values().filter(is_eligible).filter(is_fast_enough).min_by_key(penalty)?;
+        let best = self
+            .minions
+            .values()
+            .filter(is_other)
+            .filter(is_eligible)
+            .filter(is_fast_enough)
+            .min_by_key(penalty)?;
         Some(best.info.id.clone())
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/poll_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/poll_results.rs
@@ -36,6 +36,7 @@
             }
             if !poll.more_ends {
                 self.handle_missing_runs(&id, &listed, poll.orders_reported_before, now);
+                self.handle_missing_copies(&id, &listed, poll.orders_reported_before, now);
             }
             if let Some(minion) = self.minions.get_mut(&id) {
                 self.placement_due |= !minion.polled;
@@ -54,6 +55,9 @@
         orders_reported_before: u64,
         now: Now,
     ) {
+        if self.update_listed_copy(minion, &row, orders_reported_before, now) {
+            return;
+        }
         let Some(run) = self.runs.get_mut(&row.task) else {
             self.stop_unknown_run(minion, row.task, row.run);
             return;
--- a/crates/geraniumpost-batch/src/coordinator/run_ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run_ends.rs
@@ -5,7 +5,9 @@
 use super::Coordinator;
 use super::run::{OrderState, Run};
 use crate::tuning::{FAILURE_BACKOFF_MS, QUARANTINE_DURATION_MS, QUARANTINE_FAILURES};
-use crate::{EndKind, EndedTask, JobId, JobState, Now, StepSpec, TaskId, TaskPhase, TaskRecord};
+use crate::{
+    EndKind, EndedTask, Feature, JobId, JobState, Now, StepSpec, TaskId, TaskPhase, TaskRecord,
+};
 
 impl Coordinator {
     /// Handles the end of a run that a minion lists. An end that was handled before has no effect,
@@ -31,7 +33,7 @@
             let version = self.end_run(end.task, end.kind, &end.checkpoint, now);
             Some((end.task.job, version))
         } else {
-            None
+            self.handle_copy_end(minion, &end, now)
         };
         if let Some(state) = self.minions.get_mut(minion) {
             state.unacknowledged.push_back((end.sequence, change));
@@ -47,7 +49,16 @@
         checkpoint: &Name,
         now: Now,
     ) -> u64 {
+        let version = self.end_current_run(task, kind, checkpoint, now);
+        self.settle_copy(task, now);
+        version
+    }
+
+    fn end_current_run(&mut self, task: TaskId, kind: EndKind, checkpoint: &Name, now: Now) -> u64 {
         let run = self.remove_run(task);
+        if kind == EndKind::Done && self.features.contains(Feature::Stragglers) {
+            self.record_duration(task, run.as_ref(), now);
+        }
         self.record_persistent_run_end(task, run.as_ref(), now);
         self.placement_due = true;
         let Some(job) = self.jobs.get_mut(&task.job) else { return 0 };
@@ -56,6 +67,9 @@
             return self.mark_finished_record_dirty(task.job);
         }
         let spec = job.record.spec.steps[usize::from(task.step)].clone();
+        if self.is_done_by_copy(task) {
+            return self.mark_dirty(task.job);
+        }
         if !checkpoint.is_empty() && spec.checkpoints {
             self.record_checkpoint(task, &spec, checkpoint);
         }
@@ -74,7 +88,7 @@
         self.mark_dirty(task.job)
     }
 
-    fn complete_task(&mut self, task: TaskId, spec: &StepSpec, now: Now) {
+    pub(super) fn complete_task(&mut self, task: TaskId, spec: &StepSpec, now: Now) {
         let all = spec.gang;
         self.update_tasks(task, all, |record| record.phase = TaskPhase::Done);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
@@ -91,16 +105,23 @@
         let run = self.task_record(task).map_or(0, |record| record.run);
         // Several members of a gang may fail in the same run, which counts as one failure.
         self.update_tasks(task, spec.gang, |record| {
-            if record.failed_run < run {
-                record.failed_run = run;
+            if !spec.gang || record.failed_run < run {
+                record.failed_run = record.failed_run.max(run);
                 record.failures += 1;
             }
         });
         self.mark_waiting(task, spec, now);
+        if !spec.persistent {
+            self.fail_job_after_last_attempt(task, now);
+        }
+    }
+
+    /// Fails a job if a task of it has failed as often as it may.
+    pub(super) fn fail_job_after_last_attempt(&mut self, task: TaskId, now: Now) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         let max_attempts = job.record.terms.max_attempts.max(1);
         let failures = self.task_record(task).map_or(0, |record| record.failures);
-        if !spec.persistent && failures >= max_attempts {
+        if failures >= max_attempts {
             self.log(format!("decision=fail job={} task={task} failures={failures}", task.job));
             self.finish_job(task.job, JobState::Failed, now);
         }
@@ -127,6 +148,7 @@
         for task in self.tasks_with_runs(id) {
             self.stop_run(task, now);
         }
+        self.stop_copies_of_job(id, now);
         self.mark_finished_record_dirty(id);
     }
 
@@ -177,7 +199,12 @@
     /// A minion that fails every run frees up faster than others, so it would attract ever more
     /// tasks and use up their attempts. A single failed run does not show whether the minion or the
     /// job is at fault, but consecutive failures of different jobs point to the minion.
-    fn track_failures(&mut self, minion: &Name, end: &EndedTask, now: Now) {
+    ///
+    /// With [`Feature::Stragglers`], learned odds take the place of the count.
+    pub(super) fn track_failures(&mut self, minion: &Name, end: &EndedTask, now: Now) {
+        if self.features.contains(Feature::Stragglers) {
+            return self.weigh_end(minion, end, now);
+        }
         let Some(state) = self.minions.get_mut(minion) else { return };
         match end.kind {
             EndKind::Done => {
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -18,8 +18,10 @@
         self.update_unreached_agents(now);
         self.log_lease_basis(now);
         self.log_known_evacuations(now);
+        self.start_copies(now);
         self.begin_due_occurrences(now);
         self.retry_orders(now);
+        self.retry_copy_orders(now);
         self.evacuate_draining_minions(now);
         self.move_throttled_tasks(now);
         self.expire_finished_jobs(now);
@@ -131,7 +133,7 @@
 }
 
 /// Returns whether the last order for a run has to be sent again.
-fn is_resend_due(order: OrderState, now_ms: u64) -> bool {
+pub(super) fn is_resend_due(order: OrderState, now_ms: u64) -> bool {
     match order {
         OrderState::Unknown { since_ms } => now_ms >= since_ms + ORDER_RETRY_DELAY_MS,
         OrderState::Sent { at_ms } => now_ms >= at_ms + ORDER_RESULT_TIMEOUT_MS,
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -28,6 +28,7 @@
 mod departures;
 mod entry_message;
 mod evacuations;
+pub mod failure_odds;
 mod feature;
 pub mod interference;
 mod interference_pair;
@@ -44,13 +45,15 @@
 pub mod quorum;
 mod spec_error;
 mod step_spec;
+pub mod stragglers;
 mod task_crashes;
 mod task_id;
 pub mod tuning;
 
 pub use agent_message::{FromAgent, ToAgent};
 pub use coordinator::{
-    Coordinator, Effect, EvacuationStatus, LongestWait, WriteBatch, lease_expiry_bound_ms,
+    Coordinator, CopyCounts, Effect, EvacuationStatus, LongestWait, WriteBatch,
+    lease_expiry_bound_ms,
 };
 pub use demand::Demand;
 pub use departures::Departures;
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -16,9 +16,9 @@
 
 use geraniumpost_batch::tuning::PROMISE_DURATION_MS;
 use geraniumpost_batch::{
-    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, InterferenceSnapshot,
-    JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases, QueueTerms, StepSpec,
-    TaskId, WriteBatch,
+    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, Feature, Features,
+    InterferenceSnapshot, JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases,
+    QueueTerms, StepSpec, TaskId, WriteBatch,
 };
 use geraniumpost_schema::Name;
 
@@ -38,6 +38,8 @@
 /// A coordinator, and the state of the store, agents and minions that it communicates with.
 pub struct Cluster {
     pub coordinator: Coordinator,
+    /// Optional decisions of the coordinator and its successors.
+    features: Features,
     pub now: Now,
     /// Encoded job records that were written.
     pub store: BTreeMap<JobId, Vec<u8>>,
@@ -100,6 +102,7 @@
         let now = Now { steady_ms: 100_000, wall_ms: 1_000_000 };
         Self {
             coordinator: Coordinator::new(1, now).with_lease_ms(LEASE_MS),
+            features: Features::default(),
             now,
             store: BTreeMap::new(),
             stored_interference: None,
@@ -130,12 +133,20 @@
         }
     }
 
+    /// Lets the coordinator and its successors make an optional decision.
+    pub fn with_feature(mut self, feature: Feature) -> Self {
+        self.features = self.features.with(feature);
+        self.coordinator = self.coordinator.with_features(self.features);
+        self
+    }
+
     /// Lets operators evacuate failure domains. Nothing is started before the first
     /// [`Cluster::read_evacuations`].
     pub fn with_evacuation_bound_ms(mut self, bound_ms: u64) -> Self {
         self.evacuation_bound_ms = Some(bound_ms);
         self.coordinator = Coordinator::new(1, self.now)
             .with_lease_ms(LEASE_MS)
+            .with_features(self.features)
             .with_evacuation_bound_ms(Some(bound_ms));
         self
     }
@@ -271,6 +282,7 @@
         self.coordinator =
             Coordinator::new(self.fence, self.now)
                 .with_lease_ms(LEASE_MS)
+                .with_features(self.features)
                 .with_evacuation_bound_ms(self.evacuation_bound_ms)
                 .with_predecessor_leases(leases, self.now)
                 .with_interference(&self.stored_interference.as_ref().map_or_else(
--- a/crates/geraniumpost-batch/tests/coordinator/random_faults.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/random_faults.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use geraniumpost_batch::{
-    CallerResponse, EndKind, JobState, Order, OrderKind, OrderKindTag, OrderOutcome, TaskId,
-    lease_expiry_bound_ms,
+    CallerResponse, EndKind, Feature, JobState, Order, OrderKind, OrderKindTag, OrderOutcome,
+    StepSpec, TaskId, lease_expiry_bound_ms,
 };
 use geraniumpost_schema::Name;
 use proptest::collection::vec;
@@ -128,6 +128,8 @@
     ended_runs: BTreeMap<(Name, TaskId), u32>,
     /// Number of submitted jobs, which is also the id of the last one.
     jobs: u64,
+    /// Whether every second job allows copies.
+    copies_allowed: bool,
 }
 
 impl Scenario {
@@ -140,15 +142,36 @@
             delayed: Vec::new(),
             ended_runs: BTreeMap::new(),
             jobs: 0,
+            copies_allowed: false,
         }
     }
 
+    /// Returns a scenario in which ended runs have shown how long runs take, so that slow ones get
+    /// copies if their jobs allow that.
+    fn with_copies() -> Self {
+        let mut scenario = Self::new();
+        scenario.cluster = Cluster::new().with_feature(Feature::Stragglers).with_minions(&MINIONS);
+        scenario.copies_allowed = true;
+        scenario.jobs = 1;
+        scenario.cluster.submit(1, vec![step(12)]);
+        scenario.cluster.carry_out_orders();
+        scenario.cluster.advance(100);
+        for (task, minion, run) in scenario.cluster.running_tasks() {
+            scenario.ended_runs.insert((minion, task), run);
+        }
+        scenario.cluster.end_all_runs(EndKind::Done);
+        scenario.cluster.default_percent = 0;
+        scenario.apply_event(Event::Advance { ms: 100 });
+        scenario
+    }
+
     fn apply_event(&mut self, event: Event) {
         match event {
             Event::Submit { count } => {
                 self.jobs += 1;
                 let id = self.jobs;
-                self.cluster.submit(id, vec![step(count)]);
+                let copies_allowed = self.copies_allowed && id.is_multiple_of(2);
+                self.cluster.submit(id, vec![StepSpec { copies_allowed, ..step(count) }]);
             }
             Event::CarryOut { response_arrives } => {
                 if let Some(order) = self.take_order(0) {
@@ -362,6 +385,9 @@
     fn check_no_duplicate_runs(&self) {
         let mut seen: BTreeMap<TaskId, Name> = BTreeMap::new();
         for (task, minion, _) in self.cluster.running_tasks() {
+            if self.copies_allowed && task.job.0.is_multiple_of(2) {
+                continue;
+            }
             let other = seen.insert(task, minion.clone());
             assert!(other.is_none(), "{task} runs on {minion} and {other:?}");
         }
@@ -370,7 +396,11 @@
 
 /// Applies events, lets all pending orders and tasks finish, and checks that all jobs have ended.
 fn run_to_completion(events: Vec<Event>) {
-    let mut scenario = Scenario::new();
+    complete_scenario(Scenario::new(), events);
+}
+
+/// Does the same with a scenario, and returns it.
+fn complete_scenario(mut scenario: Scenario, events: Vec<Event>) -> Scenario {
     for event in events {
         scenario.apply_event(event);
         scenario.check_no_duplicate_runs();
@@ -405,6 +435,7 @@
             task(id, 0, 0)
         );
     }
+    scenario
 }
 
 proptest! {
@@ -417,6 +448,33 @@
     fn no_task_runs_twice_at_once_and_all_jobs_end(events in vec(any_event(), 1..120)) {
         run_to_completion(events);
     }
+
+    /// The same faults happen while slow runs have copies. Tasks of jobs that forbid copies never
+    /// run on two minions at once, all jobs end, and no run remains accounted.
+    #[test]
+    fn copies_end_under_faults(events in vec(any_event(), 1..120)) {
+        let scenario = complete_scenario(Scenario::with_copies(), events);
+        prop_assert_eq!(scenario.cluster.running_tasks(), []);
+        prop_assert_eq!(scenario.cluster.coordinator.job_and_run_counts().1, 0);
+        let counts = scenario.cluster.coordinator.copy_counts();
+        let ended = counts.won + counts.promoted + counts.wasted;
+        prop_assert_eq!(counts.started, ended);
+    }
+}
+
+/// The property above tests nothing if its scenarios have no copies.
+#[test]
+fn scenarios_with_copies_have_copies() {
+    let mut scenario = Scenario::with_copies();
+    let events = vec![
+        Event::Submit { count: 1 },
+        Event::CarryOut { response_arrives: true },
+        Event::Advance { ms: 1_000 },
+    ];
+    for event in events {
+        scenario.apply_event(event);
+    }
+    assert_eq!(scenario.cluster.coordinator.copy_counts().started, 1);
 }
 
 /// Defines regression tests from minimal sequences of events that made a task run on two minions at
