--- a/crates/geraniumpost-batch/src/coordinator/copy_events.rs
+++ b/crates/geraniumpost-batch/src/coordinator/copy_events.rs
@@ -169,11 +169,10 @@
         let Some(copy) = self.copies.get_mut(&result.task) else { return };
         let results_reported = result.results_reported;
         match (result.kind_tag, result.outcome) {
-            (OrderKindTag::Stop, OrderOutcome::Done | OrderOutcome::RunIsOver) => {
-                if copy.is_stopping() {
-                    copy.order =
-                        OrderState::StopConfirmed { at_ms: now.steady_ms, results_reported };
-                }
+            (OrderKindTag::Stop, OrderOutcome::Done | OrderOutcome::RunIsOver)
+                if copy.is_stopping() =>
+            {
+                copy.order = OrderState::StopConfirmed { at_ms: now.steady_ms, results_reported };
             }
             (OrderKindTag::Start, outcome) => {
                 copy.record_start_result();
--- a/crates/geraniumpost-batch/src/coordinator/failure_odds.rs
+++ b/crates/geraniumpost-batch/src/coordinator/failure_odds.rs
@@ -23,6 +23,12 @@
 }
 
 impl Coordinator {
+    /// Returns how many quarantines of minions the learned odds led to since the start of this
+    /// coordinator.
+    pub const fn quarantine_count(&self) -> u64 {
+        self.quarantine_count
+    }
+
     /// Adds the end of a run to the evidence on its minion and to the odds of its class and job, and
     /// quarantines the minion if the evidence suffices.
     pub(super) fn weigh_end(&mut self, minion: &Name, end: &EndedTask, now: Now) {
@@ -41,6 +47,7 @@
         }
         self.failure_odds.record_end(&class, end.task.job, failed, soundness, now.steady_ms);
         if let Some(quarantine) = quarantine {
+            self.quarantine_count += 1;
             self.log(format!(
                 "decision=quarantine minion={minion} log_odds={:.2} class={class} \
                  class_odds={odds:.3} count={} for_ms={}",
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -157,6 +157,8 @@
     held_before: BTreeSet<TaskId>,
     /// Odds of failure by class of work and by job, with [`Feature::Stragglers`](crate::Feature).
     failure_odds: FailureOdds,
+    /// Number of quarantines that these odds led to.
+    quarantine_count: u64,
     /// Waiting tasks, for log lines and metrics only; no decision depends on this state.
     wait_state: WaitState,
     effects: Vec<Effect>,
@@ -204,6 +206,7 @@
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
             failure_odds: FailureOdds::default(),
+            quarantine_count: 0,
             wait_state: WaitState::new(now.steady_ms),
             effects: Vec::new(),
         }
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use geraniumpost_batch::{
-    CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus, FromAgent,
+    CallerRequest, Coordinator, CopyCounts, Effect, EvacuationReading, EvacuationStatus, FromAgent,
     LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
 };
 use geraniumpost_net::LinkSender;
@@ -133,6 +133,9 @@
     process_pause: ProcessPause,
     /// Status whose counts the metrics contain already.
     evacuation_status: EvacuationStatus,
+    /// Numbers that the metrics contain already.
+    copy_counts: CopyCounts,
+    quarantine_count: u64,
 }
 
 impl Driver {
@@ -151,6 +154,8 @@
             support,
             process_pause: ProcessPause::new(BootClock.now_ms()),
             evacuation_status: EvacuationStatus::default(),
+            copy_counts: CopyCounts::default(),
+            quarantine_count: 0,
             metrics,
             coordinator,
             writes,
@@ -215,6 +220,7 @@
         let [persistent, other] = [persistent_ms, other_ms].map(Duration::from_millis);
         self.metrics.longest_wait(persistent, other);
         self.report_evacuations(self.coordinator.evacuation_status(now));
+        self.report_stragglers();
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
@@ -226,6 +232,18 @@
         self.metrics.withheld_starts("unknown", held_starts - previous.held_starts);
     }
 
+    fn report_stragglers(&mut self) {
+        let counts = self.coordinator.copy_counts();
+        let before = std::mem::replace(&mut self.copy_counts, counts);
+        self.metrics.copies("started", counts.started - before.started);
+        self.metrics.copies("won", counts.won - before.won);
+        self.metrics.copies("promoted", counts.promoted - before.promoted);
+        self.metrics.copies("wasted", counts.wasted - before.wasted);
+        let quarantines = self.coordinator.quarantine_count();
+        let before = std::mem::replace(&mut self.quarantine_count, quarantines);
+        self.metrics.quarantines(quarantines - before);
+    }
+
     fn handle(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -183,6 +183,18 @@
         "why",
         "Starts that were not ordered: `evacuated` if the failure domain had been evacuated since the placement, `unknown` if it was not known whether the domain is evacuated.",
     ),
+    Description::new(
+        "copies",
+        Kind::Counter,
+        "result",
+        "Second copies of slow runs that were `started`, that completed their task (`won`), that took the place of a lost or failed run (`promoted`), or that were of no use (`wasted`).",
+    ),
+    Description::new(
+        "quarantines",
+        Kind::Counter,
+        "",
+        "Quarantines of minions that probably fail their runs, with the feature `stragglers`.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -45,6 +45,8 @@
     evacuated_domains: Gauge<u64>,
     evacuations_age: Gauge<f64>,
     withheld_starts: Counter<u64>,
+    copies: Counter<u64>,
+    quarantines: Counter<u64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -92,6 +94,8 @@
             evacuated_domains: gauge(&meter, "evacuated_domains"),
             evacuations_age: seconds(&meter, "evacuations_age_seconds"),
             withheld_starts: counter(&meter, "withheld_starts"),
+            copies: counter(&meter, "copies"),
+            quarantines: counter(&meter, "quarantines"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
@@ -213,6 +217,16 @@
         self.withheld_starts.add(count, &[label("why", why)]);
     }
 
+    /// Counts second copies of slow runs, by what became of them.
+    pub fn copies(&self, result: &str, count: u64) {
+        self.copies.add(count, &[label("result", result)]);
+    }
+
+    /// Counts quarantines of minions.
+    pub fn quarantines(&self, count: u64) {
+        self.quarantines.add(count, &[]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
