fix(batch): let copies leave a twentieth of the processors free

A twentieth is what short urgent tasks usually need, for which persistent tasks are limited as well.

--- a/crates/geraniumpost-batch/src/coordinator/copies.rs
+++ b/crates/geraniumpost-batch/src/coordinator/copies.rs
@@ -17,9 +17,9 @@
 const MAX_COPIES_PERCENT: usize = 3;
 /// Number of copies that are always within the limit.
 const MIN_COPY_LIMIT: usize = 2;
-/// Share of a service's processors that must be free for a copy, in percent. With less, the copy
-/// would take the place of tasks that are about to be submitted.
-const MIN_FREE_CPU_PERCENT: i64 = 20;
+/// Share of a service's processors that must be free for a copy, in percent. Short urgent tasks
+/// usually need about a twentieth of the fleet, and must not wait for copies.
+const MIN_FREE_CPU_PERCENT: i64 = 5;
 
 /// Numbers of copies since the start of this coordinator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
