--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -97,6 +97,7 @@
             self.record_late_starts(id, &runs, now);
             runs
         };
+        self.drop_copies_of_minion(id);
         for task in ended {
             self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
         }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -11,6 +11,8 @@
 mod caller_requests;
 mod capacity_shortfall;
 mod commits;
+mod copies;
+mod copy_events;
 mod crashes;
 mod departures;
 mod draining;
@@ -18,6 +20,7 @@
 mod eligibility;
 mod evacuated_domains;
 mod explained_crashes;
+mod failure_odds;
 mod group_headroom;
 mod headroom;
 mod held_room;
@@ -58,10 +61,13 @@
 use geraniumpost_schema::Name;
 
 use crate::admission::CommitHealth;
+use crate::failure_odds::FailureOdds;
 use crate::interference::InterferenceModel;
+use crate::stragglers::RunDurations;
 use crate::{Feature, Features, FromAgent, JobId, JobRecord, Now, TaskId};
 
 pub use admission::AdmissionStatus;
+pub use copies::CopyCounts;
 pub use effect::{Effect, WriteBatch};
 pub use evacuated_domains::EvacuationStatus;
 pub use leases::lease_expiry_bound_ms;
@@ -107,6 +113,13 @@
     /// Finished jobs whose records are to be removed from the store.
     expired_jobs: Vec<JobId>,
     runs: BTreeMap<TaskId, Run>,
+    /// Second runs of tasks, which no record contains; at most one for each task.
+    copies: BTreeMap<TaskId, Run>,
+    copy_counts: CopyCounts,
+    /// How long ended runs took, by class of work.
+    run_durations: RunDurations,
+    /// Whether the last placement round left tasks that wait for room, without best-effort tasks.
+    tasks_wait_for_room: bool,
     minions: BTreeMap<Name, Minion>,
     agents: HashMap<Name, Agent>,
     /// Latest crashes of any minions.
@@ -160,6 +173,10 @@
     shares: Shares,
     /// Runs that were stopped for more urgent tasks.
     preemption: Preemption,
+    /// Odds of failure by class of work and by job, with [`Feature::Stragglers`](crate::Feature).
+    failure_odds: FailureOdds,
+    /// Number of quarantines that these odds led to.
+    quarantine_count: u64,
     /// Waiting tasks, for log lines and metrics only; no decision depends on this state.
     wait_state: WaitState,
     effects: Vec<Effect>,
@@ -178,6 +195,10 @@
             dirty: BTreeSet::new(),
             expired_jobs: Vec::new(),
             runs: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            copy_counts: CopyCounts::default(),
+            run_durations: RunDurations::default(),
+            tasks_wait_for_room: false,
             minions: BTreeMap::new(),
             agents: HashMap::new(),
             crashes: RecentCrashes::default(),
@@ -207,6 +228,8 @@
             held_before: BTreeSet::new(),
             shares: Shares::default(),
             preemption: Preemption::new(now.steady_ms),
+            failure_odds: FailureOdds::default(),
+            quarantine_count: 0,
             wait_state: WaitState::new(now.steady_ms),
             effects: Vec::new(),
         }
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -29,6 +29,7 @@
 mod departures;
 mod entry_message;
 mod evacuations;
+pub mod failure_odds;
 mod feature;
 mod incarnation;
 pub mod interference;
@@ -47,13 +48,14 @@
 pub mod shares;
 mod spec_error;
 mod step_spec;
+pub mod stragglers;
 mod task_crashes;
 mod task_id;
 pub mod tuning;
 
 pub use agent_message::{FromAgent, ToAgent};
 pub use coordinator::{
-    AdmissionStatus, Coordinator, Effect, EvacuationStatus, LongestWait, WriteBatch,
+    AdmissionStatus, Coordinator, CopyCounts, Effect, EvacuationStatus, LongestWait, WriteBatch,
     lease_expiry_bound_ms,
 };
 pub use demand::Demand;
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -39,6 +39,8 @@
 /// A coordinator, and the state of the store, agents and minions that it communicates with.
 pub struct Cluster {
     pub coordinator: Coordinator,
+    /// Optional decisions of the coordinator and its successors.
+    features: Features,
     pub now: Now,
     /// Encoded job records that were written.
     pub store: BTreeMap<JobId, Vec<u8>>,
@@ -89,8 +91,6 @@
     last_request_id: u64,
     /// Fencing token of the current coordinator.
     fence: u64,
-    /// Optional decisions of the coordinator and its successors.
-    features: Features,
     /// Time within which the last task may start in an evacuated failure domain, in milliseconds;
     /// `None` if domains are not evacuated.
     evacuation_bound_ms: Option<u64>,
@@ -103,6 +103,7 @@
         let now = Now { steady_ms: 100_000, wall_ms: 1_000_000 };
         Self {
             coordinator: Coordinator::new(1, now).with_lease_ms(LEASE_MS),
+            features: Features::default(),
             now,
             store: BTreeMap::new(),
             stored_interference: None,
@@ -128,7 +129,6 @@
             last_result_number: 0,
             last_request_id: 0,
             fence: 1,
-            features: Features::default(),
             evacuation_bound_ms: None,
             evacuations_revision: 0,
         }
@@ -148,6 +148,7 @@
         self.evacuation_bound_ms = Some(bound_ms);
         self.coordinator = Coordinator::new(1, self.now)
             .with_lease_ms(LEASE_MS)
+            .with_features(self.features)
             .with_evacuation_bound_ms(Some(bound_ms));
         self
     }
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -7,8 +7,8 @@
 
 use geraniumpost_batch::shares::{StopCounts, StopReason};
 use geraniumpost_batch::{
-    AdmissionStatus, CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus,
-    FromAgent, LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
+    AdmissionStatus, CallerRequest, Coordinator, CopyCounts, Effect, EvacuationReading,
+    EvacuationStatus, FromAgent, LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
 };
 use geraniumpost_net::LinkSender;
 use geraniumpost_platform::ApprovedMinions;
@@ -148,6 +148,9 @@
     configuration: Arc<ActiveConfiguration>,
     /// Version of the configuration whose weights the coordinator has; 0 for none.
     weights_version: u64,
+    /// Numbers that the metrics contain already.
+    copy_counts: CopyCounts,
+    quarantine_count: u64,
 }
 
 impl Driver {
@@ -171,6 +174,8 @@
             process_pause: ProcessPause::new(BootClock.now_ms()),
             evacuation_status: EvacuationStatus::default(),
             admission_status: AdmissionStatus::default(),
+            copy_counts: CopyCounts::default(),
+            quarantine_count: 0,
             metrics,
             coordinator,
             writes,
@@ -238,6 +243,7 @@
         self.metrics.longest_wait(persistent, other);
         self.report_evacuations(self.coordinator.evacuation_status(now));
         self.report_admission(self.coordinator.admission_status());
+        self.report_stragglers();
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
@@ -280,6 +286,18 @@
         self.metrics.refused_submissions("withdrawn", withdrawn - previous.withdrawn);
     }
 
+    fn report_stragglers(&mut self) {
+        let counts = self.coordinator.copy_counts();
+        let before = std::mem::replace(&mut self.copy_counts, counts);
+        self.metrics.copies("started", counts.started - before.started);
+        self.metrics.copies("won", counts.won - before.won);
+        self.metrics.copies("promoted", counts.promoted - before.promoted);
+        self.metrics.copies("wasted", counts.wasted - before.wasted);
+        let quarantines = self.coordinator.quarantine_count();
+        let before = std::mem::replace(&mut self.quarantine_count, quarantines);
+        self.metrics.quarantines(quarantines - before);
+    }
+
     fn handle(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -207,6 +207,18 @@
         "queue",
         "Share of its service's capacity that a queue holds, for queues with a weight; 0 if this entry does not coordinate.",
     ),
+    Description::new(
+        "copies",
+        Kind::Counter,
+        "result",
+        "Second copies of slow runs that were `started`, that completed their task (`won`), that took the place of a lost or failed run (`promoted`), or that were of no use (`wasted`).",
+    ),
+    Description::new(
+        "quarantines",
+        Kind::Counter,
+        "",
+        "Quarantines of minions that probably fail their runs, with the feature `stragglers`.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -49,6 +49,8 @@
     refused_submissions: Counter<u64>,
     preemptions: Counter<u64>,
     queue_share_percent: Gauge<u64>,
+    copies: Counter<u64>,
+    quarantines: Counter<u64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -100,6 +102,8 @@
             refused_submissions: counter(&meter, "refused_submissions"),
             preemptions: counter(&meter, "preemptions"),
             queue_share_percent: gauge(&meter, "queue_share_percent"),
+            copies: counter(&meter, "copies"),
+            quarantines: counter(&meter, "quarantines"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
@@ -243,6 +247,16 @@
         self.queue_share_percent.record(percent, &[label("queue", queue)]);
     }
 
+    /// Counts second copies of slow runs, by what became of them.
+    pub fn copies(&self, result: &str, count: u64) {
+        self.copies.add(count, &[label("result", result)]);
+    }
+
+    /// Counts quarantines of minions.
+    pub fn quarantines(&self, count: u64) {
+        self.quarantines.add(count, &[]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
