--- a/crates/geraniumpost-batch/tests/coordinator/store_outages.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/store_outages.rs
@@ -63,7 +63,9 @@
         })
         .collect();
     assert!(requests.len() as u64 * 100 > MAX_NOTICE_MS);
-    requests.iter().for_each(|request| assert_refused(&cluster, *request));
+    for request in &requests {
+        assert_refused(&cluster, *request);
+    }
     assert_eq!(cluster.response(first), None);
     cluster.confirm_pending_writes();
     assert_eq!(cluster.response(first), Some(CallerResponse::Accepted));
@@ -172,7 +174,9 @@
     cluster.refuse_writes_for(60);
     let requests = [1, 1, 1].map(|job| cluster.submit(job, vec![step(1)]));
     cluster.refuse_writes_for(400);
-    requests.iter().for_each(|request| assert_refused(&cluster, *request));
+    for request in &requests {
+        assert_refused(&cluster, *request);
+    }
 }
 
 /// A caller cancels a job that is not stored yet. The job is kept: a late copy of its submission
@@ -214,7 +218,9 @@
     let (mut cluster, unknown) = cluster_with_silent_store();
     let requests = [2, 3, 4].map(|job| cluster.submit(job, vec![step(1)]));
     cluster.advance(MAX_NOTICE_MS);
-    requests.iter().for_each(|request| assert_refused(&cluster, *request));
+    for request in &requests {
+        assert_refused(&cluster, *request);
+    }
     // The store has applied the write without a result.
     let written = cluster.pending_writes[0].put.clone();
     cluster.store.extend(written);
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -183,11 +183,7 @@
             Err(error) => spdlog::warn!("event=term_lost why=\"{error}\""),
         }
         destinations.send_replace(None);
-        self.metrics.planner_term(0);
-        self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
-        self.metrics.lease_supporters(0);
-        self.metrics.store_not_committing(false);
-        self.metrics.evacuations(0, Duration::ZERO);
+        reset_coordinator_metrics(&self.metrics);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
@@ -279,6 +275,15 @@
     }
 }
 
+/// Sets the metrics of a process that does not coordinate.
+fn reset_coordinator_metrics(metrics: &Metrics) {
+    metrics.planner_term(0);
+    metrics.longest_wait(Duration::ZERO, Duration::ZERO);
+    metrics.lease_supporters(0);
+    metrics.store_not_committing(false);
+    metrics.evacuations(0, Duration::ZERO);
+}
+
 /// Sends queued requests to the admission service, one at a time, and passes the responses to the
 /// driver.
 async fn serve_approval_requests(
