--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -188,6 +188,7 @@
         }
         destinations.send_replace(None);
         reset_metrics(&self.metrics, &self.configuration);
+        reset_coordinator_metrics(&self.metrics);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
@@ -279,6 +280,15 @@
     }
 }
 
+/// Sets the metrics of a process that does not coordinate.
+fn reset_coordinator_metrics(metrics: &Metrics) {
+    metrics.planner_term(0);
+    metrics.longest_wait(Duration::ZERO, Duration::ZERO);
+    metrics.lease_supporters(0);
+    metrics.store_not_committing(false);
+    metrics.evacuations(0, Duration::ZERO);
+}
+
 /// Sends queued requests to the admission service, one at a time, and passes the responses to the
 /// driver.
 async fn serve_approval_requests(
