--- a/crates/geraniumpost-batch/src/coordinator/copies.rs
+++ b/crates/geraniumpost-batch/src/coordinator/copies.rs
@@ -1,7 +1,7 @@
 //! Second copies of runs that take far longer than others of their class.
 //!
-//! A copy is a second run of a task on another minion. The first of both that ends as done completes
-//! the task. A copy is in no record: its number is above that of the task's run, and a successor
+//! A copy is a second run of a task on another minion. The first of both that ends as done
+//! completes the task. A copy is in no record: its number is above that of the task's run, and a successor
 //! that sees it as an unknown run stops it, which the step allows. `copy_events` says how the ends,
 //! results and losses of copies are handled.
 
--- a/crates/geraniumpost-batch/src/coordinator/copy_events.rs
+++ b/crates/geraniumpost-batch/src/coordinator/copy_events.rs
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Completes a task whose copy has ended as done, and stops its other runs, which stay accounted
-    /// until they have ended.
+    /// Completes a task whose copy has ended as done, and stops its other runs, which stay
+    /// accounted until they have ended.
     fn complete_by_copy(&mut self, task: TaskId, now: Now) -> u64 {
         let Some(spec) = self.step_spec(task).cloned() else { return 0 };
         if self.runs.get(&task).is_some_and(|run| run.order == OrderState::Committing) {
@@ -87,8 +87,8 @@
         Some((task.job, self.mark_dirty(task.job)))
     }
 
-    /// Decides on a copy after its task's run has ended: stops it if the task is over, and otherwise
-    /// lets it take the place of that run.
+    /// Decides on a copy after its task's run has ended: stops it if the task is over, and
+    /// otherwise lets it take the place of that run.
     pub(super) fn settle_copy(&mut self, task: TaskId, now: Now) {
         let Some(copy) = self.copies.get(&task) else { return };
         if !self.is_open_with_copies(task) {
