feat(batch): bound the disturbance of each serving job over all its minions

Cause: paces and places of best-effort tasks are decided minion by minion. An image that was never seen beside a serving image begins at full speed on several minions at once, and one serving job is disturbed in many places at the same time, which is what its users feel.

Uncertain pairs begin at half speed on one minion of a step (trial); the start order carries the pace and the agent sets it directly after the start. Placement counts deviations where a budget is used up or a trial runs. A step over its budget is relieved at once on all its minions, and paces return by doubling per poll.

Tests of the agent's pace call and of the platform and geraniumpost crates were not run.

--- a/crates/geraniumpost-batch/src/coordinator/headroom.rs
+++ b/crates/geraniumpost-batch/src/coordinator/headroom.rs
@@ -24,12 +24,15 @@
     pub(super) tolerated_speed: f64,
     /// Largest fraction, from 0 to 1, of any group's headroom that the task would use.
     pub(super) headroom_share: f64,
+    /// Largest fraction, from 0 to 1, of any serving step's disturbance budget that is in use; 0
+    /// without [`Feature::DisturbanceBudget`](crate::Feature::DisturbanceBudget).
+    pub(super) budget_share: f64,
 }
 
 impl Coordinator {
     /// Returns the headroom that each group of serving tasks on a minion would have without any
     /// best-effort tasks.
-    fn base_headroom(&self, minion: &Minion) -> Vec<GroupHeadroom> {
+    pub(super) fn base_headroom(&self, minion: &Minion) -> Vec<GroupHeadroom> {
         let mut last = None;
         let mut headroom = Vec::new();
         for task in &minion.runs {
@@ -45,7 +48,7 @@
             let limit =
                 self.interference.utilization_at(&spec.image, MAX_SERVING_TAIL_LATENCY_RATIO);
             let utilization = limit - self.interference.user_utilization(&spec.image, &group);
-            headroom.push(GroupHeadroom { image: spec.image.clone(), utilization });
+            headroom.push(GroupHeadroom { step, image: spec.image.clone(), utilization });
         }
         headroom
     }
@@ -57,7 +60,7 @@
         let mut headroom = self.base_headroom(minion);
         for group in &mut headroom {
             let added = |(image, tasks): (&Name, &super::best_effort_tasks::BestEffortTasks)| {
-                let share = minion.cpu_share(tasks.milli_cpus_at(tasks.pace_percent));
+                let share = minion.cpu_share(tasks.milli_cpus_at(tasks.expected_pace_percent()));
                 self.interference.added_utilization(&group.image, image, share)
             };
             group.utilization -= minion.best_effort_images.iter().map(added).sum::<f64>();
@@ -75,10 +78,14 @@
         let wanted = (minion.best_effort_milli_cpus + milli_cpus).max(1) as f64;
         let share = minion.cpu_share(milli_cpus as f64);
         let speed_on_unused_cpus = (unused / wanted).min(1.0);
-        let mut speed =
-            BestEffortSpeed { speed_on_unused_cpus, tolerated_speed: 1.0, headroom_share: 0.0 };
+        let mut speed = BestEffortSpeed {
+            speed_on_unused_cpus,
+            tolerated_speed: 1.0,
+            headroom_share: 0.0,
+            budget_share: 0.0,
+        };
         for group in &minion.headroom {
-            let added = self.interference.added_utilization(&group.image, &spec.image, share);
+            let added = self.added_at_placement(minion, group, &spec.image, share);
             if added > group.utilization {
                 speed.tolerated_speed =
                     speed.tolerated_speed.min((group.utilization / added).max(0.0));
@@ -86,6 +93,7 @@
             speed.headroom_share = speed
                 .headroom_share
                 .max((added / group.utilization.max(MIN_HEADROOM_DIVISOR)).min(1.0));
+            speed.budget_share = speed.budget_share.max(self.budget_share(group.step));
         }
         speed
     }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -12,6 +12,7 @@
 mod commits;
 mod crashes;
 mod departures;
+mod disturbance;
 mod draining;
 mod effect;
 mod eligibility;
@@ -52,6 +53,7 @@
 
 use geraniumpost_schema::Name;
 
+use crate::disturbance::DisturbanceLedger;
 use crate::interference::InterferenceModel;
 use crate::{Features, FromAgent, JobId, JobRecord, Now, TaskId};
 
@@ -122,6 +124,9 @@
     evacuated_domains: EvacuatedDomains,
     /// Learned slowdown of serving images by best-effort images.
     interference: InterferenceModel,
+    /// Disturbed tasks of serving steps; empty without
+    /// [`Feature::DisturbanceBudget`](crate::Feature::DisturbanceBudget).
+    disturbance: DisturbanceLedger,
     /// Whether something has changed since the last placement round that may allow a waiting task
     /// to be placed.
     placement_due: bool,
@@ -176,6 +181,7 @@
             approvals: Approvals::default(),
             evacuated_domains: EvacuatedDomains::default(),
             interference: InterferenceModel::default(),
+            disturbance: DisturbanceLedger::default(),
             placement_due: false,
             interference_written_ms: now.steady_ms,
             unplaceable: BTreeMap::new(),
--- a/crates/geraniumpost-batch/src/coordinator/orders.rs
+++ b/crates/geraniumpost-batch/src/coordinator/orders.rs
@@ -47,6 +47,7 @@
         let Some(job) = self.jobs.get(&task.job) else { return };
         let minion = self.runs.get(&task).map(|run| run.place.minion.clone()).unwrap_or_default();
         let ticket = self.approvals.ticket(task, &minion, now).cloned().unwrap_or_default();
+        let pace_percent = self.first_pace(task);
         let kind = OrderKind::Start {
             payload: job.record.spec.payload.clone(),
             checkpoint: job
@@ -55,11 +56,18 @@
                 .map_or_else(Name::default, |next| next.checkpoint.clone()),
             ticket,
             expires_ms,
+            pace_percent,
         };
         let sent = self.send_order(task, kind);
         let Some(run) = self.runs.get_mut(&task) else { return };
         if sent {
             run.record_start_sent(now.steady_ms);
+            if let Some(percent) = pace_percent {
+                // An agent of an earlier version ignores the pace in the start order, and a copy
+                // of the order may carry another pace: the pace is sent again after the start.
+                run.pace_percent = percent;
+                run.pace_confirmed = false;
+            }
             self.record_start_in_domain(&minion, now);
         } else {
             run.order = OrderState::Unknown { since_ms: now.steady_ms };
--- a/crates/geraniumpost-batch/src/coordinator/pacing.rs
+++ b/crates/geraniumpost-batch/src/coordinator/pacing.rs
@@ -36,6 +36,7 @@
     /// all best-effort tasks on the minion are suspended.
     pub(super) fn adjust_paces(&mut self, id: &Name, now: Now) {
         self.learn_from_measurements(id, now);
+        self.update_disturbance(id, now);
         self.order_due_pace_changes(id, now);
         self.refresh_headroom(id);
     }
@@ -43,7 +44,7 @@
     /// Sends pace orders for the images whose tolerated pace differs enough from their current pace
     /// (see [`is_pace_order_due`]). Suspends all best-effort tasks if a tail latency has exceeded
     /// its bound for [`MAX_OVER_LATENCY_BOUND_MS`].
-    fn order_due_pace_changes(&mut self, id: &Name, now: Now) {
+    pub(super) fn order_due_pace_changes(&mut self, id: &Name, now: Now) {
         let Some(minion) = self.minions.get(id) else { return };
         if minion.best_effort_images.is_empty() {
             return;
@@ -58,6 +59,9 @@
         for (image, tolerated) in self.tolerated_paces(minion) {
             let current =
                 minion.best_effort_images.get(&image).map_or(100, |tasks| tasks.pace_percent);
+            let limit =
+                minion.best_effort_images.get(&image).map_or(100, |t| t.ramp.limit_percent());
+            let tolerated = tolerated.min(limit);
             let wanted = if suspend || tolerated < MIN_PACE_PERCENT { 0 } else { tolerated };
             if is_pace_order_due(current, wanted) {
                 changes.push((image, wanted));
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -214,6 +214,7 @@
         let spec = self.step_spec(task).cloned().unwrap_or_default();
         let run = Run::new(place, number, OrderState::Committing, &spec, now.steady_ms);
         self.insert_run(task, run);
+        self.limit_first_pace(task, minion, now);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.after_commit.push(DeferredAction::Start(task, number));
         }
@@ -265,12 +266,16 @@
         const IMAGE_MIXING_WEIGHT: i64 = 1_000_000;
         let free_milli_cpus = minion.unreserved().milli_cpus;
         if spec.best_effort {
-            let BestEffortSpeed { speed_on_unused_cpus, tolerated_speed, headroom_share } =
-                self.best_effort_speed(minion, spec);
+            let BestEffortSpeed {
+                speed_on_unused_cpus,
+                tolerated_speed,
+                headroom_share,
+                budget_share,
+            } = self.best_effort_speed(minion, spec);
             // Among minions at full speed, the minion with the most unused processors can sustain
             // full speed longest.
             let unused_milli_cpus = minion.unused_milli_cpus() - minion.best_effort_milli_cpus;
-            let cost = HEADROOM_WEIGHT * headroom_share
+            let cost = HEADROOM_WEIGHT * headroom_share * (1.0 + budget_share)
                 - speed_on_unused_cpus * tolerated_speed.max(MIN_ASSUMED_SPEED);
             return (cost * COST_SCALE) as i64 - unused_milli_cpus / MILLI_CPUS_PER_CPU;
         }
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -24,6 +24,7 @@
         self.move_throttled_tasks(now);
         self.expire_finished_jobs(now);
         self.prune_serving_groups();
+        self.remove_outdated_disturbance(now);
         self.monitor_waits(now);
         // The backoff of a waiting task may have ended.
         self.placement_due |= !self.open_jobs.is_empty();
--- a/crates/geraniumpost-batch/src/interference/mod.rs
+++ b/crates/geraniumpost-batch/src/interference/mod.rs
@@ -26,9 +26,9 @@
 
 pub use model::InterferenceModel;
 pub use serving_group::ServingGroup;
+pub use slope::Slope;
 pub use speed_limits::{FullSpeedLoad, speed_limits};
 
 use baseline::Baseline;
 use serving_image::ServingImage;
-use slope::Slope;
 use slopes::Slopes;
--- a/crates/geraniumpost-batch/src/interference/model.rs
+++ b/crates/geraniumpost-batch/src/interference/model.rs
@@ -70,12 +70,16 @@
     /// Returns the utilization that a best-effort image adds to a serving image if it uses a share,
     /// from 0 to 1, of the minion's processors.
     pub fn added_utilization(&self, serving: &Name, best_effort: &Name, share: f64) -> f64 {
+        self.slope(serving, best_effort).mean * share
+    }
+
+    /// Returns the estimated slope of a best-effort image for a serving image.
+    pub fn slope(&self, serving: &Name, best_effort: &Name) -> Slope {
         let index = self
             .best_effort
             .get(best_effort)
             .map(|index| (index as usize).min(MAX_BEST_EFFORT_IMAGES - 1));
-        let slope = self.serving.get(serving).map_or(Slope::UNKNOWN, |known| known.slope(index));
-        slope.mean * share
+        self.serving.get(serving).map_or(Slope::UNKNOWN, |known| known.slope(index))
     }
 
     /// Returns a snapshot for a successor. If there are too many pairs, the snapshot holds those
--- a/crates/geraniumpost-batch/src/lib.rs
+++ b/crates/geraniumpost-batch/src/lib.rs
@@ -26,6 +26,7 @@
 mod coordinator;
 mod demand;
 mod departures;
+pub mod disturbance;
 mod entry_message;
 mod evacuations;
 mod feature;
--- a/crates/geraniumpost-batch/src/order.rs
+++ b/crates/geraniumpost-batch/src/order.rs
@@ -35,6 +35,11 @@
         /// field, and agents of earlier versions ignore it.
         #[serde(deserialize_with = "some_or_none")]
         expires_ms: Option<u64>,
+        /// Pace that the agent sets directly after the start, in percent; `None` for full speed.
+        /// Coordinators of earlier versions omit this field, and agents of earlier versions ignore
+        /// it, so that the coordinator repeats the pace after the start.
+        #[serde(deserialize_with = "some_or_none")]
+        pace_percent: Option<u8>,
     },
     /// Stop the run, or prevent it from starting later if it does not exist yet.
     Stop,
@@ -45,9 +50,13 @@
     },
 }
 
-/// Reads the last field of an order, which earlier versions omit.
+/// Reads one of the last fields of an order, which earlier versions omit.
 #[expect(clippy::unnecessary_wraps, reason = "serde requires this signature")]
-fn some_or_none<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+fn some_or_none<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
     Ok(Option::deserialize(deserializer).unwrap_or_default())
 }
 
--- a/crates/geraniumpost-batch/tests/agent_message.rs
+++ b/crates/geraniumpost-batch/tests/agent_message.rs
@@ -66,7 +66,7 @@
             ticket: "t-1".into(),
         },
     });
-    let current = |expires_ms| {
+    let current = |expires_ms, pace_percent| {
         ToAgent::Order(Order {
             minion: "m1".into(),
             task,
@@ -76,12 +76,21 @@
                 checkpoint: "0b".into(),
                 ticket: "t-1".into(),
                 expires_ms,
+                pace_percent,
             },
         })
     };
     let bytes = postcard::to_stdvec(&earlier).expect("the message can be encoded");
-    assert_eq!(postcard::from_bytes::<ToAgent>(&bytes), Ok(current(None)));
-    let bytes = postcard::to_stdvec(&current(Some(70_000))).expect("the message can be encoded");
-    assert_eq!(postcard::from_bytes::<ToAgent>(&bytes), Ok(current(Some(70_000))));
-    assert_eq!(postcard::from_bytes::<EarlierToAgent>(&bytes), Ok(earlier));
+    assert_eq!(postcard::from_bytes::<ToAgent>(&bytes), Ok(current(None, None)));
+    for pace_percent in [None, Some(50)] {
+        let order = current(Some(70_000), pace_percent);
+        let bytes = postcard::to_stdvec(&order).expect("the message can be encoded");
+        assert_eq!(postcard::from_bytes::<ToAgent>(&bytes), Ok(order));
+        assert_eq!(postcard::from_bytes::<EarlierToAgent>(&bytes).as_ref(), Ok(&earlier));
+    }
+    // The version before this one wrote the time limit last.
+    let order = postcard::to_stdvec(&current(Some(70_000), None)).expect("it can be encoded");
+    let without_pace = &order[..order.len() - 1];
+    let read = postcard::from_bytes::<ToAgent>(without_pace);
+    assert_eq!(read, Ok(current(Some(70_000), None)));
 }
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -16,9 +16,9 @@
 
 use geraniumpost_batch::tuning::PROMISE_DURATION_MS;
 use geraniumpost_batch::{
-    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, InterferenceSnapshot,
-    JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases, QueueTerms, StepSpec,
-    TaskId, WriteBatch,
+    CallerRequest, CallerResponse, Coordinator, EndedTask, EvacuationReading, Feature, Features,
+    InterferenceSnapshot, JobId, JobRecord, JobSpec, JobState, Now, Order, PredecessorLeases,
+    QueueTerms, StepSpec, TaskId, WriteBatch,
 };
 use geraniumpost_schema::Name;
 
@@ -68,6 +68,8 @@
     /// Pace at which each task was last ordered to run, in percent. A task that is missing runs at
     /// full speed.
     pub paces: BTreeMap<TaskId, u8>,
+    /// Whether agents set the pace that a start order carries; agents of earlier versions do not.
+    pub agents_know_first_pace: bool,
     /// Lease extensions sent to agents: the agent, the time at which it sent its heartbeat, and the
     /// duration in milliseconds, which is 0 if the lease is not extended.
     pub lease_extensions: Vec<(Name, u64, u64)>,
@@ -83,6 +85,8 @@
     /// Ended runs that minions list, oldest first, including acknowledged ones.
     ended_tasks: BTreeMap<Name, Vec<EndedTask>>,
     measurements: BTreeMap<TaskId, u32>,
+    /// Optional decisions that coordinators make.
+    features: Features,
     /// Number of order results reported by agents since the last restart of an agent.
     last_result_number: u64,
     last_request_id: u64,
@@ -115,6 +119,7 @@
             default_percent: 100,
             task_percent: BTreeMap::new(),
             paces: BTreeMap::new(),
+            agents_know_first_pace: true,
             lease_extensions: Vec::new(),
             store_confirms: true,
             entries_support: true,
@@ -122,6 +127,7 @@
             heartbeating_minions: BTreeSet::new(),
             ended_tasks: BTreeMap::new(),
             measurements: BTreeMap::new(),
+            features: Features::default(),
             last_result_number: 0,
             last_request_id: 0,
             fence: 1,
@@ -140,6 +146,14 @@
         self
     }
 
+    /// Switches on a feature of this coordinator and its successors.
+    pub fn with_feature(mut self, feature: Feature) -> Self {
+        self.features = self.features.with(feature);
+        self.coordinator =
+            Coordinator::new(1, self.now).with_lease_ms(LEASE_MS).with_features(self.features);
+        self
+    }
+
     /// Lets the coordinator read that exactly these failure domains are evacuated.
     pub fn read_evacuations(&mut self, domains: &[&str]) {
         self.evacuations_revision += 1;
@@ -271,6 +285,7 @@
         self.coordinator =
             Coordinator::new(self.fence, self.now)
                 .with_lease_ms(LEASE_MS)
+                .with_features(self.features)
                 .with_evacuation_bound_ms(self.evacuation_bound_ms)
                 .with_predecessor_leases(leases, self.now)
                 .with_interference(&self.stored_interference.as_ref().map_or_else(
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/orders.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/orders.rs
@@ -23,8 +23,11 @@
         let runs = self.running.entry(order.minion.clone()).or_default();
         let kind_tag = OrderKindTag::from(&order.kind);
         match &order.kind {
-            OrderKind::Start { .. } => {
+            OrderKind::Start { pace_percent, .. } => {
                 self.paces.remove(&order.task);
+                if let Some(percent) = pace_percent.filter(|_| self.agents_know_first_pace) {
+                    self.paces.insert(order.task, percent);
+                }
                 runs.insert(order.task, order.run);
             }
             OrderKind::Stop => {
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -9,6 +9,7 @@
 mod crashing_siblings;
 mod crashing_tasks;
 mod diagnostic_logs;
+mod disturbance;
 mod draining;
 mod duplicate_orders;
 mod evacuations;
--- a/crates/geraniumpost/src/batch/agent/orders.rs
+++ b/crates/geraniumpost/src/batch/agent/orders.rs
@@ -43,7 +43,27 @@
     let context = OrderContext::read(&state, &order);
     async move {
         let outcome = forward_order(&state, &order, context).await;
+        let pace = pace_after_start(&order).filter(|_| outcome == OrderOutcome::Done);
         report_outcome(&state, order, outcome);
+        if let Some(pace) = pace {
+            set_first_pace(&state, pace, context).await;
+        }
+    }
+}
+
+/// Returns the order for the pace that a start order carries.
+fn pace_after_start(order: &Order) -> Option<Order> {
+    let OrderKind::Start { pace_percent: Some(percent), .. } = order.kind else { return None };
+    Some(Order { kind: OrderKind::Pace { percent }, ..order.clone() })
+}
+
+/// Sets the pace of a run that has just started, without waiting for the coordinator: until its
+/// pace is set, the run slows serving tasks at full speed. The result of the start was reported
+/// already. Only a failure is reported, so that the coordinator repeats the pace.
+async fn set_first_pace(state: &State, pace: Order, context: OrderContext) {
+    let outcome = forward_order(state, &pace, context).await;
+    if outcome != OrderOutcome::Done {
+        report_outcome(state, pace, outcome);
     }
 }
 
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumpost_batch::disturbance::DisturbanceStatus;
 use geraniumpost_batch::{
     CallerRequest, Coordinator, Effect, EvacuationReading, EvacuationStatus, FromAgent,
     LongestWait, OrderKind, TaskId, ToAgent, ToEntry, WriteBatch,
@@ -133,6 +134,8 @@
     process_pause: ProcessPause,
     /// Status whose counts the metrics contain already.
     evacuation_status: EvacuationStatus,
+    /// The same for the disturbance of serving steps.
+    disturbance_status: DisturbanceStatus,
 }
 
 impl Driver {
@@ -151,6 +154,7 @@
             support,
             process_pause: ProcessPause::new(BootClock.now_ms()),
             evacuation_status: EvacuationStatus::default(),
+            disturbance_status: DisturbanceStatus::default(),
             metrics,
             coordinator,
             writes,
@@ -215,6 +219,7 @@
         let [persistent, other] = [persistent_ms, other_ms].map(Duration::from_millis);
         self.metrics.longest_wait(persistent, other);
         self.report_evacuations(self.coordinator.evacuation_status(now));
+        self.report_disturbance(self.coordinator.disturbance_status());
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
@@ -226,6 +231,13 @@
         self.metrics.withheld_starts("unknown", held_starts - previous.held_starts);
     }
 
+    fn report_disturbance(&mut self, status: DisturbanceStatus) {
+        let DisturbanceStatus { steps_over_budget, over_bound_ms, trials } = status;
+        let previous = std::mem::replace(&mut self.disturbance_status, status);
+        self.metrics.steps_over_disturbance_budget(steps_over_budget);
+        self.metrics.disturbance(over_bound_ms - previous.over_bound_ms, trials - previous.trials);
+    }
+
     fn handle(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -184,6 +184,7 @@
         self.metrics.longest_wait(Duration::ZERO, Duration::ZERO);
         self.metrics.lease_supporters(0);
         self.metrics.evacuations(0, Duration::ZERO);
+        self.metrics.steps_over_disturbance_budget(0);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
--- a/crates/geraniumpost/src/metrics/description.rs
+++ b/crates/geraniumpost/src/metrics/description.rs
@@ -183,6 +183,24 @@
         "why",
         "Starts that were not ordered: `evacuated` if the failure domain had been evacuated since the placement, `unknown` if it was not known whether the domain is evacuated.",
     ),
+    Description::new(
+        "steps_over_disturbance_budget",
+        Kind::Gauge,
+        "",
+        "Serving steps of which best-effort tasks disturb more tasks than allowed, 0 if this entry does not coordinate or `disturbance-budget` is off.",
+    ),
+    Description::new(
+        "disturbed_task_milliseconds",
+        Kind::Counter,
+        "",
+        "Time for which serving tasks were over their latency bound beside best-effort tasks, summed over tasks.",
+    ),
+    Description::new(
+        "trials",
+        Kind::Counter,
+        "",
+        "Trials of a best-effort image beside a serving step that it was not known with.",
+    ),
     Description::new("placements", Kind::Counter, "class", "Tasks placed on a worker."),
     Description::new("evictions", Kind::Counter, "why", "Tasks evicted from their worker."),
     Description::new(
--- a/crates/geraniumpost/src/metrics/instruments.rs
+++ b/crates/geraniumpost/src/metrics/instruments.rs
@@ -45,6 +45,9 @@
     evacuated_domains: Gauge<u64>,
     evacuations_age: Gauge<f64>,
     withheld_starts: Counter<u64>,
+    steps_over_disturbance_budget: Gauge<u64>,
+    disturbed_task_milliseconds: Counter<u64>,
+    trials: Counter<u64>,
     placements: Counter<u64>,
     evictions: Counter<u64>,
     dropped: Counter<u64>,
@@ -92,6 +95,9 @@
             evacuated_domains: gauge(&meter, "evacuated_domains"),
             evacuations_age: seconds(&meter, "evacuations_age_seconds"),
             withheld_starts: counter(&meter, "withheld_starts"),
+            steps_over_disturbance_budget: gauge(&meter, "steps_over_disturbance_budget"),
+            disturbed_task_milliseconds: counter(&meter, "disturbed_task_milliseconds"),
+            trials: counter(&meter, "trials"),
             placements: counter(&meter, "placements"),
             evictions: counter(&meter, "evictions"),
             dropped: counter(&meter, "dropped"),
@@ -213,6 +219,17 @@
         self.withheld_starts.add(count, &[label("why", why)]);
     }
 
+    /// Sets the number of serving steps that are over their disturbance budget.
+    pub fn steps_over_disturbance_budget(&self, steps: u64) {
+        self.steps_over_disturbance_budget.record(steps, &[]);
+    }
+
+    /// Counts time of serving tasks over their bound, in milliseconds, and trials.
+    pub fn disturbance(&self, over_bound_ms: u64, trials: u64) {
+        self.disturbed_task_milliseconds.add(over_bound_ms, &[]);
+        self.trials.add(trials, &[]);
+    }
+
     /// Counts a task placed.
     pub fn placement(&self, class: &str) {
         self.placements.add(1, &[label("class", class)]);
