--- a/crates/geraniumpost-batch/src/coordinator/copies.rs
+++ b/crates/geraniumpost-batch/src/coordinator/copies.rs
@@ -129,6 +129,7 @@
             checkpoint: next.checkpoint.clone(),
             ticket: Name::default(),
             expires_ms,
+            pace_percent: None,
         };
         let place = Place { minion: minion.clone(), agent };
         let order = OrderState::Sent { at_ms: now.steady_ms };
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -15,6 +15,7 @@
 mod copy_events;
 mod crashes;
 mod departures;
+mod disturbance;
 mod draining;
 mod effect;
 mod eligibility;
@@ -61,6 +62,7 @@
 use geraniumpost_schema::Name;
 
 use crate::admission::CommitHealth;
+use crate::disturbance::DisturbanceLedger;
 use crate::failure_odds::FailureOdds;
 use crate::interference::InterferenceModel;
 use crate::stragglers::RunDurations;
@@ -149,6 +151,9 @@
     evacuated_domains: EvacuatedDomains,
     /// Learned slowdown of serving images by best-effort images.
     interference: InterferenceModel,
+    /// Disturbed tasks of serving steps; empty without
+    /// [`Feature::DisturbanceBudget`](crate::Feature::DisturbanceBudget).
+    disturbance: DisturbanceLedger,
     /// Whether something has changed since the last placement round that may allow a waiting task
     /// to be placed.
     placement_due: bool,
@@ -218,6 +223,7 @@
             approvals: Approvals::default(),
             evacuated_domains: EvacuatedDomains::default(),
             interference: InterferenceModel::default(),
+            disturbance: DisturbanceLedger::default(),
             placement_due: false,
             interference_written_ms: now.steady_ms,
             unplaceable: BTreeMap::new(),
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -71,6 +71,8 @@
     /// Pace at which each task was last ordered to run, in percent. A task that is missing runs at
     /// full speed.
     pub paces: BTreeMap<TaskId, u8>,
+    /// Whether agents set the pace that a start order carries; agents of earlier versions do not.
+    pub agents_know_first_pace: bool,
     /// Lease extensions sent to agents: the agent, the time at which it sent its heartbeat, and the
     /// duration in milliseconds, which is 0 if the lease is not extended.
     pub lease_extensions: Vec<(Name, u64, u64)>,
@@ -119,6 +121,7 @@
             default_percent: 100,
             task_percent: BTreeMap::new(),
             paces: BTreeMap::new(),
+            agents_know_first_pace: true,
             lease_extensions: Vec::new(),
             store_confirms: true,
             entries_support: true,
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumpost_batch::disturbance::DisturbanceStatus;
 use geraniumpost_batch::shares::{StopCounts, StopReason};
 use geraniumpost_batch::{
     AdmissionStatus, CallerRequest, Coordinator, CopyCounts, Effect, EvacuationReading,
@@ -151,6 +152,8 @@
     /// Numbers that the metrics contain already.
     copy_counts: CopyCounts,
     quarantine_count: u64,
+    /// The same for the disturbance of serving steps.
+    disturbance_status: DisturbanceStatus,
 }
 
 impl Driver {
@@ -176,6 +179,7 @@
             admission_status: AdmissionStatus::default(),
             copy_counts: CopyCounts::default(),
             quarantine_count: 0,
+            disturbance_status: DisturbanceStatus::default(),
             metrics,
             coordinator,
             writes,
@@ -244,6 +248,7 @@
         self.report_evacuations(self.coordinator.evacuation_status(now));
         self.report_admission(self.coordinator.admission_status());
         self.report_stragglers();
+        self.report_disturbance(self.coordinator.disturbance_status());
         self.metrics.lease_supporters(self.support.support_end_and_supporter_count().1 as u64);
     }
 
@@ -298,6 +303,13 @@
         self.metrics.quarantines(quarantines - before);
     }
 
+    fn report_disturbance(&mut self, status: DisturbanceStatus) {
+        let DisturbanceStatus { steps_over_budget, over_bound_ms, trials } = status;
+        let previous = std::mem::replace(&mut self.disturbance_status, status);
+        self.metrics.steps_over_disturbance_budget(steps_over_budget);
+        self.metrics.disturbance(over_bound_ms - previous.over_bound_ms, trials - previous.trials);
+    }
+
     fn handle(&mut self, input: Input) {
         let now = BootClock.now();
         match input {
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -188,7 +188,6 @@
         }
         destinations.send_replace(None);
         reset_metrics(&self.metrics, &self.configuration);
-        reset_coordinator_metrics(&self.metrics);
     }
 
     /// Starts to probe silent coordinators, and to request that their voters withdraw support. The
@@ -280,15 +279,6 @@
     }
 }
 
-/// Sets the metrics of a process that does not coordinate.
-fn reset_coordinator_metrics(metrics: &Metrics) {
-    metrics.planner_term(0);
-    metrics.longest_wait(Duration::ZERO, Duration::ZERO);
-    metrics.lease_supporters(0);
-    metrics.store_not_committing(false);
-    metrics.evacuations(0, Duration::ZERO);
-}
-
 /// Sends queued requests to the admission service, one at a time, and passes the responses to the
 /// driver.
 async fn serve_approval_requests(
@@ -357,6 +347,7 @@
     metrics.lease_supporters(0);
     metrics.evacuations(0, Duration::ZERO);
     metrics.store_not_committing(false);
+    metrics.steps_over_disturbance_budget(0);
     if let Some(routes) = configuration.routes() {
         let weights = routes.queue_weights();
         weights.queues().for_each(|queue| metrics.queue_share(queue, 0.0));
