--- a/crates/geraniumpost/tests/metrics.rs
+++ b/crates/geraniumpost/tests/metrics.rs
@@ -21,6 +21,14 @@
     metrics.planner_term(3);
     metrics.jobs("running", 4);
     metrics.withheld_starts("evacuated", 2);
+    metrics.store_not_committing(true);
+    metrics.refused_submissions("not_stored", 1);
+    metrics.preemptions("past_value", 1);
+    metrics.queue_share("checks", 0.5);
+    metrics.copies("started", 1);
+    metrics.quarantines(1);
+    metrics.steps_over_disturbance_budget(1);
+    metrics.disturbance(400, 1);
     metrics.placement("study");
     metrics.eviction("harm");
     metrics.dropped("datagram", "unproved", 1);
