--- a/crates/geraniumpost-batch/src/feature.rs
+++ b/crates/geraniumpost-batch/src/feature.rs
@@ -1,10 +1,12 @@
 use derive_more::{Display, Error};
 
-/// A set of decisions that a deployment may switch on, see docs/design/0700-decisions-under-scarcity.md.
+/// A set of decisions that a deployment may switch on, see
+/// docs/design/0700-decisions-under-scarcity.md.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 #[display(rename_all = "kebab-case")]
 pub enum Feature {
-    /// Jobs that surely cannot be served, or cannot be stored now, are refused at once.
+    /// Jobs that cannot be stored now, or whose callers could not hear of the answer, are refused at
+    /// once.
     Admission,
     /// Queues divide scarce capacity by weight, and urgent work takes capacity from other work.
     Shares,
@@ -12,14 +14,12 @@
     DisturbanceBudget,
     /// Slow runs get a second copy, and failure odds are learned by image and by minion.
     Stragglers,
-    /// A coordinator with little capacity hands over to an entry with more.
-    Handover,
 }
 
 impl Feature {
     /// All features, in the order of their documentation.
-    pub const ALL: [Self; 5] =
-        [Self::Admission, Self::Shares, Self::DisturbanceBudget, Self::Stragglers, Self::Handover];
+    pub const ALL: [Self; 4] =
+        [Self::Admission, Self::Shares, Self::DisturbanceBudget, Self::Stragglers];
 }
 
 /// No feature has this name.
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -140,19 +140,16 @@
     successor_leases: Arc<SuccessorLeases>,
     support: Arc<TermSupport>,
     process_pause: ProcessPause,
-    /// Status whose counts the metrics contain already.
-    evacuation_status: EvacuationStatus,
-    /// Status whose counts the metrics contain already.
-    admission_status: AdmissionStatus,
-    preemption_counts: StopCounts,
     /// Configuration of this entry, from which the coordinator takes the weights of queues.
     configuration: Arc<ActiveConfiguration>,
     /// Version of the configuration whose weights the coordinator has; 0 for none.
     weights_version: u64,
-    /// Numbers that the metrics contain already.
+    // The metrics contain the counts of the following fields already.
+    evacuation_status: EvacuationStatus,
+    admission_status: AdmissionStatus,
+    preemption_counts: StopCounts,
     copy_counts: CopyCounts,
     quarantine_count: u64,
-    /// The same for the disturbance of serving steps.
     disturbance_status: DisturbanceStatus,
 }
 
--- a/crates/geraniumpost/src/cli/command.rs
+++ b/crates/geraniumpost/src/cli/command.rs
@@ -64,7 +64,7 @@
                         .value_parser(value_parser!(Feature))
                         .help(
                             "Make optional decisions: admission, shares, disturbance-budget, \
-                             stragglers, handover; see docs/SETTINGS.md",
+                             stragglers; see docs/SETTINGS.md",
                         ),
                 ),
         )
