feat(batch): log how each crash of a minion was counted, and the strongest suspects first

The lines after a crash named up to eight suspects in the order of their ids.

One line now gives the number of young runs, of runs at their start, the main suspect with its lead and how many tasks have how many crashes; the tasks with the most crashes are named.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -6,6 +6,8 @@
 //! apart from each other, so that the next crash tells which of them is at fault, and are cleared
 //! once they are known to work.
 
+use std::collections::BTreeMap;
+
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
@@ -58,6 +60,13 @@
     runs: usize,
 }
 
+/// A young run for which a crash was counted, and all counted crashes of its task.
+#[derive(Debug)]
+struct CountedRun {
+    run: YoungRun,
+    crashes: TaskCrashes,
+}
+
 impl Coordinator {
     /// Counts a crash for each task that had a young run on the minion, and gives up tasks with too
     /// many crashes. The runs have ended already.
@@ -85,30 +94,37 @@
         let recent = self.crashes.count(now.steady_ms);
         let unexplained = self.unexplained_crashes.count(now.steady_ms);
         let is_explained = recent <= MAX_EXPLAINED_CRASHES;
-        let mut lines = 0;
         let counts_all = unexplained <= MAX_UNEXPLAINED_CRASHES;
-        for run in young.iter().filter(|run| run.is_at_start || counts_all) {
-            let Some(TaskCrashes { runs, at_start }) = self.count_crash(run) else { continue };
-            let (task, crashes) = (run.task, runs.len());
-            if crashes > 1 && lines < MAX_SUSPECT_LINES {
-                lines += 1;
-                self.log(format!(
-                    "decision=suspect job={} task={task} run={} minion={minion} crashes={crashes} \
-                     at_start={at_start} suspects={} recent_crashes={recent} \
-                     unexplained_crashes={unexplained}",
-                    task.job,
-                    run.number,
-                    suspects.len()
-                ));
+        let counted = young.iter().filter(|run| run.is_at_start || counts_all);
+        let counted: Vec<CountedRun> = counted.filter_map(|run| self.count_crash(run)).collect();
+        self.log(format!(
+            "event=crash_counted minion={minion} young={} at_start={} suspects={} \
+             recent_crashes={recent} unexplained_crashes={unexplained} main={} lead={}{}",
+            young.len(),
+            young.iter().filter(|run| run.is_at_start).count(),
+            suspects.len(),
+            main_suspect.map_or("none".into(), |main| main.task.to_string()),
+            main_suspect.map_or(0, |main| main.lead),
+            tasks_by_crashes(&counted)
+        ));
+        self.log_suspects(minion, &counted);
+        for CountedRun { run, crashes } in counted {
+            if !self.open_jobs.contains(&run.task.job) {
+                // The job was given up for another of its tasks.
+                continue;
             }
-            let at_start = at_start as usize;
+            let task = run.task;
+            let (crashes, at_start) = (crashes.runs.len(), crashes.at_start as usize);
             let lead = main_suspect
                 .filter(|main| is_explained && main.task == self.suspect_key(task))
                 .map_or(0, |main| main.lead);
             let is_at_fault = (lead >= CLEAR_LEAD && at_start >= MAX_CRASHES_AT_START)
                 || (lead > 0 && crashes >= MAX_CERTAIN_CRASHES);
             if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
-                self.log(format!("decision=fail job={} task={task} crashes={crashes}", task.job));
+                self.log(format!(
+                    "decision=fail job={} task={task} crashes={crashes} lead={lead}",
+                    task.job
+                ));
                 self.tasks_given_up.insert(self.suspect_key(task));
                 self.explain_crashes_by(task);
                 self.finish_job(task.job, JobState::Failed, now);
@@ -116,10 +132,27 @@
         }
     }
 
+    /// Logs the tasks with the most crashes, out of those for which a crash was counted.
+    fn log_suspects(&mut self, minion: &Name, counted: &[CountedRun]) {
+        let is_known = |counted: &&CountedRun| counted.crashes.runs.len() > 1;
+        let mut known: Vec<_> = counted.iter().filter(is_known).collect();
+        known.sort_by_key(|counted| std::cmp::Reverse(counted.crashes.runs.len()));
+        for CountedRun { run, crashes } in known.into_iter().take(MAX_SUSPECT_LINES) {
+            self.log(format!(
+                "decision=suspect job={} task={} run={} minion={minion} crashes={} at_start={}",
+                run.task.job,
+                run.task,
+                run.number,
+                crashes.runs.len(),
+                crashes.at_start
+            ));
+        }
+    }
+
     /// Counts a crash for the task of a run, and returns the task's crashes. Returns `None` if the
     /// crash was counted before, or says nothing about the task: it is done, or a later run is
     /// known to work.
-    fn count_crash(&mut self, run: &YoungRun) -> Option<TaskCrashes> {
+    fn count_crash(&mut self, run: &YoungRun) -> Option<CountedRun> {
         let key = self.suspect_key(run.task);
         let is_wanted = self.open_jobs.contains(&key.job)
             && self.task_record(run.task).is_some_and(|record| record.phase != TaskPhase::Done);
@@ -133,7 +166,7 @@
         crashes.at_start += u32::from(run.is_at_start);
         let crashes = crashes.clone();
         self.mark_dirty(key.job);
-        Some(crashes)
+        Some(CountedRun { run: *run, crashes })
     }
 
     /// Returns how many minions have crashed under a task since it was last cleared.
@@ -254,3 +287,14 @@
 pub(super) const fn must_be_isolated(crashes: usize) -> bool {
     crashes >= ISOLATED_CRASHES
 }
+
+/// Formats how many tasks have how many crashes, as ` tasks_with_1=30 tasks_with_2=4`.
+fn tasks_by_crashes(counted: &[CountedRun]) -> String {
+    let mut tasks = BTreeMap::<usize, usize>::new();
+    for counted in counted {
+        *tasks.entry(counted.crashes.runs.len()).or_default() += 1;
+    }
+    tasks.iter().fold(String::new(), |text, (crashes, tasks)| {
+        text + &format!(" tasks_with_{crashes}={tasks}")
+    })
+}
