fix(batch): start tasks with three crashes in groups when they are many

Callers saw: jobs of wide steps that wait for a minute and more after three minions have crashed, and a crashing task that is found late.

Cause: tasks with two crashes start in groups, those with three one by one on each minion, about 1.4 s each.

Tasks with three crashes now form groups as well, so that a minion starts at most twelve one after the other; up to 36 on three minions they start one by one as before, and tasks with four crashes always do. The limits and the verdict on a crash are modules of their own; the verdict is unchanged here.

many_suspects_with_three_crashes_start_in_groups: failed before, passes.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -11,26 +11,13 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
+use super::crash_verdict::{CountedRun, CrashVerdict};
+use super::isolation_limits::{IsolationLimits, must_be_isolated};
 use super::main_suspect::main_suspect;
 use super::minion::Minion;
 use super::young_run::YoungRun;
-use crate::{JobState, Now, TaskCrashes, TaskId, TaskPhase};
+use crate::{JobState, Now, TaskId, TaskPhase};
 
-/// Number of crashes from which a task is placed apart from other such tasks.
-const ISOLATED_CRASHES: usize = 2;
-/// Number of earlier crashes by which a suspect must lead all others on its minion so that a crash
-/// at its start can be put down to it.
-const CLEAR_LEAD: usize = 2;
-/// Maximum number of suspects that a minion starts one after the other. A suspect is known to work
-/// after little more than a second, so that none waits for 3 s.
-const MAX_QUEUED_SUSPECTS: usize = 2;
-/// Number of crashes soon after its starts at which a task is given up, if the last one can be put
-/// down to it.
-const MAX_CRASHES_AT_START: usize = 3;
-/// Number of crashes at which a task is given up, if the last one can be put down to it.
-const MAX_CERTAIN_CRASHES: usize = 4;
-/// Number of crashes at which a task is given up in any case.
-const MAX_CRASHES: usize = 5;
 /// Number of recent crashes of any minions up to which a crash is put down to the only suspect. Two
 /// tasks that crash minions cause six until they are given up; more crashes point to the minions.
 const MAX_EXPLAINED_CRASHES: usize = 8;
@@ -60,13 +47,6 @@
     runs: usize,
 }
 
-/// A young run for which a crash was counted, and all counted crashes of its task.
-#[derive(Debug)]
-struct CountedRun {
-    run: YoungRun,
-    crashes: TaskCrashes,
-}
-
 impl Coordinator {
     /// Counts a crash for each task that had a young run on the minion, and gives up tasks with too
     /// many crashes. The runs have ended already.
@@ -93,7 +73,6 @@
         }
         let recent = self.crashes.count(now.steady_ms);
         let unexplained = self.unexplained_crashes.count(now.steady_ms);
-        let is_explained = recent <= MAX_EXPLAINED_CRASHES;
         let counts_all = unexplained <= MAX_UNEXPLAINED_CRASHES;
         let counted = young.iter().filter(|run| run.is_at_start || counts_all);
         let counted: Vec<CountedRun> = counted.filter_map(|run| self.count_crash(run)).collect();
@@ -108,36 +87,38 @@
             tasks_by_crashes(&counted)
         ));
         self.log_suspects(minion, &counted);
-        for CountedRun { run, crashes } in counted {
-            if !self.open_jobs.contains(&run.task.job) {
-                // The job was given up for another of its tasks.
-                continue;
-            }
-            let task = run.task;
-            let (crashes, at_start) = (crashes.runs.len(), crashes.at_start as usize);
-            let lead = main_suspect
-                .filter(|main| is_explained && main.task == self.suspect_key(task))
-                .map_or(0, |main| main.lead);
-            let is_at_fault = (lead >= CLEAR_LEAD && at_start >= MAX_CRASHES_AT_START)
-                || (lead > 0 && crashes >= MAX_CERTAIN_CRASHES);
-            if is_at_fault || if counts_all { crashes } else { at_start } >= MAX_CRASHES {
-                self.log(format!(
-                    "decision=fail job={} task={task} crashes={crashes} lead={lead}",
-                    task.job
-                ));
-                self.tasks_given_up.insert(self.suspect_key(task));
-                self.explain_crashes_by(task);
-                self.finish_job(task.job, JobState::Failed, now);
-            }
+        let verdict = CrashVerdict {
+            main: main_suspect,
+            blames_main: recent <= MAX_EXPLAINED_CRASHES,
+            counts_all,
+        };
+        for counted in verdict.given_up(counted) {
+            self.give_up(&counted, verdict.lead(&counted), now);
         }
     }
 
+    /// Gives up a task and fails its job, unless the job was given up for another of its tasks.
+    fn give_up(&mut self, counted: &CountedRun, lead: usize, now: Now) {
+        let task = counted.run.task;
+        if !self.open_jobs.contains(&task.job) {
+            return;
+        }
+        let crashes = counted.crashes.runs.len();
+        self.log(format!(
+            "decision=fail job={} task={task} crashes={crashes} lead={lead}",
+            task.job
+        ));
+        self.tasks_given_up.insert(counted.key);
+        self.explain_crashes_by(task);
+        self.finish_job(task.job, JobState::Failed, now);
+    }
+
     /// Logs the tasks with the most crashes, out of those for which a crash was counted.
     fn log_suspects(&mut self, minion: &Name, counted: &[CountedRun]) {
         let is_known = |counted: &&CountedRun| counted.crashes.runs.len() > 1;
         let mut known: Vec<_> = counted.iter().filter(is_known).collect();
         known.sort_by_key(|counted| std::cmp::Reverse(counted.crashes.runs.len()));
-        for CountedRun { run, crashes } in known.into_iter().take(MAX_SUSPECT_LINES) {
+        for CountedRun { run, crashes, .. } in known.into_iter().take(MAX_SUSPECT_LINES) {
             self.log(format!(
                 "decision=suspect job={} task={} run={} minion={minion} crashes={} at_start={}",
                 run.task.job,
@@ -166,7 +147,7 @@
         crashes.at_start += u32::from(run.is_at_start);
         let crashes = crashes.clone();
         self.mark_dirty(key.job);
-        Some(CountedRun { run: *run, crashes })
+        Some(CountedRun { run: *run, key, crashes })
     }
 
     /// Returns how many minions have crashed under a task since it was last cleared.
@@ -236,24 +217,15 @@
         let others = others.map(|other| self.unexplained_crash_count(*other));
         let others: Vec<usize> = others.filter(|crashes| must_be_isolated(*crashes)).collect();
         let most = others.iter().copied().fold(crashes, usize::max);
-        let max_others = if most > ISOLATED_CRASHES { 1 } else { self.max_isolated_per_minion };
-        others.len() >= max_others
+        others.len() >= self.isolation_limits.tasks_per_minion(most)
     }
 
-    /// Updates how many tasks that must be isolated a minion may start at the same time: one, or
-    /// more if it would otherwise start more than [`MAX_QUEUED_SUSPECTS`] one after the other.
-    ///
-    /// Minions that crash by themselves may make hundreds of tasks suspect, which would wait for
-    /// minutes. In groups, the next crash leaves only one group under suspicion, and its tasks are
-    /// then started one by one.
-    pub(super) fn update_isolation_limit(&mut self) {
-        let crashes = self.unexplained_crash_counts();
-        let isolated = crashes.filter(|crashes| must_be_isolated(*crashes)).count();
+    /// Updates how many tasks that must be isolated a minion may start at the same time.
+    pub(super) fn update_isolation(&mut self) {
         let starts_tasks =
             |minion: &&Minion| minion.linked && minion.responsive && !minion.domain_evacuated;
-        let minions = self.minions.values().filter(starts_tasks);
-        self.max_isolated_per_minion =
-            isolated.div_ceil(minions.count().max(1) * MAX_QUEUED_SUSPECTS).max(1);
+        let minions = self.minions.values().filter(starts_tasks).count();
+        self.isolation_limits = IsolationLimits::new(self.unexplained_crash_counts(), minions);
     }
 
     /// Returns the reasons against placing a task with so many crashes on a minion.
@@ -280,14 +252,6 @@
     }
 }
 
-/// Returns whether a task with so many crashes is placed apart from other such tasks. A crash would
-/// not tell which of them is at fault.
-///
-/// The other task is known to work soon, or gone, so that a task does not wait long for this.
-pub(super) const fn must_be_isolated(crashes: usize) -> bool {
-    crashes >= ISOLATED_CRASHES
-}
-
 /// Formats how many tasks have how many crashes, as ` tasks_with_1=30 tasks_with_2=4`.
 fn tasks_by_crashes(counted: &[CountedRun]) -> String {
     let mut tasks = BTreeMap::<usize, usize>::new();
--- a/crates/geraniumpost-batch/src/coordinator/eligibility.rs
+++ b/crates/geraniumpost-batch/src/coordinator/eligibility.rs
@@ -7,7 +7,7 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
-use super::crashes::must_be_isolated;
+use super::isolation_limits::must_be_isolated;
 use super::minion::Minion;
 use super::rejection::Rejection;
 use super::run::reserved_resources;
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 
 use super::Coordinator;
-use super::crashes::must_be_isolated;
+use super::isolation_limits::must_be_isolated;
 use super::young_run::YoungRun;
 use crate::{JobId, TaskCrashes, TaskId};
 
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 mod commits;
 mod copies;
 mod copy_events;
+mod crash_verdict;
 mod crashes;
 mod departures;
 mod disturbance;
@@ -25,6 +26,7 @@
 mod group_headroom;
 mod headroom;
 mod held_room;
+mod isolation_limits;
 mod job;
 mod late_starts;
 mod lease_basis;
@@ -81,6 +83,7 @@
 use departures::Departure;
 use evacuated_domains::EvacuatedDomains;
 use explained_crashes::ExplainedCrashes;
+use isolation_limits::IsolationLimits;
 use job::Job;
 use late_starts::LateStarts;
 use lease_basis::EntrySupport;
@@ -167,9 +170,8 @@
     tasks_given_up: BTreeSet<TaskId>,
     /// Crashes that are put down to tasks which were given up.
     explained_crashes: ExplainedCrashes,
-    /// Maximum number of tasks under which two minions have crashed that a minion starts at the
-    /// same time.
-    max_isolated_per_minion: usize,
+    /// How many tasks under which two minions have crashed a minion starts at the same time.
+    isolation_limits: IsolationLimits,
     /// Tasks for which resources are held since the last placement round.
     held_for: BTreeSet<TaskId>,
     /// The same as of the round before, for log lines only.
@@ -229,7 +231,7 @@
             unplaceable: BTreeMap::new(),
             tasks_given_up: BTreeSet::new(),
             explained_crashes: ExplainedCrashes::default(),
-            max_isolated_per_minion: 1,
+            isolation_limits: IsolationLimits::default(),
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
             shares: Shares::default(),
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -4,10 +4,11 @@
 
 use super::Coordinator;
 use super::commits::DeferredAction;
-use super::crashes::{SuspectPenalty, must_be_isolated};
+use super::crashes::SuspectPenalty;
 use super::eligibility::{available_resources, is_eligible_for_step};
 use super::failure_odds::MinionDoubt;
 use super::headroom::BestEffortSpeed;
+use super::isolation_limits::must_be_isolated;
 use super::job::{Job, is_interrupted, is_interrupted_too_long, ready_steps};
 use super::minion::Minion;
 use super::run::{OrderState, Run, reserved_resources};
@@ -86,7 +87,7 @@
         order.sort_unstable();
         self.unplaceable.clear();
         self.tasks_wait_for_room = false;
-        self.update_isolation_limit();
+        self.update_isolation();
         self.release_held_room();
         self.begin_preemption_round(now);
         if self.divides_by_weights() {
--- a/crates/geraniumpost-batch/src/coordinator/report_waits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/report_waits.rs
@@ -5,7 +5,7 @@
 //! crash is counted. Suspects therefore wait for the report, for a limited time.
 
 use super::Coordinator;
-use super::crashes::must_be_isolated;
+use super::isolation_limits::must_be_isolated;
 use super::minion::Minion;
 use super::young_run::YoungRun;
 use crate::{Now, TaskId};
--- /dev/null
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -0,0 +1,98 @@
+//! To which task a crash of a minion is put down, and which tasks start beside a suspect.
+
+use geraniumpost_batch::TaskId;
+use geraniumpost_batch::{
+    CallerResponse, Demand, EndKind, FromAgent, JobState, MinionInfo, StepSpec,
+};
+use geraniumpost_schema::Name;
+
+use crate::cluster::{Cluster, persistent_step, step, task};
+use crate::crashing_fleet::{CrashingFleet, FAILED};
+
+/// Job whose task crashes minions labelled `a`.
+const CRASHING_JOB: u64 = 100;
+const CRASHING: TaskId = task(CRASHING_JOB, 0, 0);
+/// Healthy job of two tasks that run on minions labelled `h`.
+const HEALTHY_JOB: u64 = 1;
+const HEALTHY: TaskId = task(HEALTHY_JOB, 0, 0);
+const SECOND: TaskId = task(HEALTHY_JOB, 0, 1);
+/// Further healthy job.
+const OTHER_JOB: u64 = 2;
+/// Time after which tasks that were lost with their minion are placed again, in milliseconds.
+const BACKOFF_MS: u64 = 1_000;
+/// Time in which suspects in groups must be complete, in milliseconds: twelve groups that start one
+/// after the other, each known to work after 1.5 s, and some time for the first of them to start.
+const GROUPS_MS: u64 = 12 * 1_500 + 4_000;
+/// Interval between two polls, in milliseconds.
+const POLL_MS: u64 = 400;
+/// Time for which a suspect waits for a minion of its own, and in which it starts, in milliseconds.
+const LONE_START_MS: u64 = 3_000;
+
+fn labelled_step(count: u32, label: &str) -> StepSpec {
+    StepSpec { required_label: label.into(), ..step(count) }
+}
+
+/// Joins a minion with labels, whose tasks start after [`BACKOFF_MS`].
+fn join(cluster: &mut Cluster, minion: &str, labels: &[&str]) {
+    let labels: Vec<Name> = labels.iter().map(|label| (*label).into()).collect();
+    cluster.join(minion, |info| MinionInfo { labels: labels.clone(), ..info });
+    cluster.advance(BACKOFF_MS);
+    cluster.poll(minion);
+    cluster.carry_out_orders();
+}
+
+fn crash(cluster: &mut Cluster, minion: &str) {
+    cluster.running.remove(&Name::from(minion));
+    cluster.send(
+        minion,
+        FromAgent::MinionTerminated { minion: minion.into(), crashed: true, replaced_by: None },
+    );
+}
+
+fn is_running(cluster: &Cluster, task: TaskId) -> bool {
+    cluster.running_tasks().iter().any(|(running, ..)| *running == task)
+}
+
+const RUNNING: CallerResponse = CallerResponse::State(JobState::Running);
+
+/// Returns a cluster in which a minion has crashed under the crashing task and both tasks of the
+/// healthy job.
+fn cluster_after_first_crash() -> Cluster {
+    let mut cluster = Cluster::new();
+    join(&mut cluster, "m1-1", &["a", "h"]);
+    cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a")]);
+    cluster.submit(HEALTHY_JOB, vec![labelled_step(2, "h")]);
+    cluster.carry_out_orders();
+    crash(&mut cluster, "m1-1");
+    cluster
+}
+
+/// Lets two more minions crash under the crashing task and the first task of the healthy job.
+/// `prepare_last` is called before the last crash.
+fn crash_twice_more(cluster: &mut Cluster, prepare_last: impl Fn(&mut Cluster)) {
+    for (minion, running) in [("m1-2", 3), ("m1-3", 2)] {
+        join(cluster, minion, &["a", "h"]);
+        assert!(is_running(cluster, CRASHING) && is_running(cluster, HEALTHY), "{minion}");
+        assert_eq!(cluster.running_tasks().len(), running, "{minion}");
+        if minion == "m1-3" {
+            prepare_last(cluster);
+        }
+        crash(cluster, minion);
+    }
+}
+
+/// Guards against jobs that wait for a minute and more after three crashes under very many tasks,
+/// which each minion would start one by one.
+#[test]
+fn many_suspects_with_three_crashes_start_in_groups() {
+    let mut fleet = CrashingFleet::new(3);
+    let demand = Demand { milli_cpus: 100, memory_mb: 10, accelerators: 0 };
+    fleet.submit(1, StepSpec { demand, ..step(150) }, 1_000);
+    for _ in 0..3 {
+        fleet.advance(500);
+        (0..3).for_each(|machine| fleet.crash(machine));
+        fleet.advance(2_500);
+    }
+    fleet.advance(GROUPS_MS);
+    assert_eq!(fleet.incomplete_healthy_jobs(), [0; 0]);
+}
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod contention;
 mod copies;
+mod crash_attribution;
 mod crashing_fleet;
 mod crashing_siblings;
 mod crashing_tasks;
