fix(batch): give up only the task whose start has crashed the minion

Callers saw: healthy jobs shown as failed together with the job at fault.

Cause: a task with five crashes was given up in any case, also if the same crash gave up the main suspect, which had just started, and the healthy task had worked before that start. One crash has one cause.

Such a task is spared. A task that just starts, or a crash without a leading suspect, is decided as before, so that the limit of starts holds for tasks that crash their minions late (tests unchanged, pass).

task_that_had_worked_is_not_given_up_with_the_one_that_started: failed before, passes.

--- a/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
@@ -12,7 +12,7 @@
 pub(super) const MAX_CRASHES_AT_START: usize = 3;
 /// Number of crashes at which a task is given up, if the last one can be put down to it.
 const MAX_CERTAIN_CRASHES: usize = 4;
-/// Number of crashes at which a task is given up in any case.
+/// Number of crashes at which a task is given up unless the last one has another cause.
 const MAX_CRASHES: usize = 5;
 
 /// A young run for which a crash was counted, and all counted crashes of its task.
@@ -39,7 +39,13 @@
     pub(super) fn given_up(self, counted: Vec<CountedRun>) -> Vec<CountedRun> {
         let is_given_up =
             |counted: &CountedRun| self.is_at_fault(counted) || self.exceeds_limit(counted);
-        counted.into_iter().filter(is_given_up).collect()
+        let is_cause = |counted: &CountedRun| {
+            counted.run.is_at_start && self.lead(counted) > 0 && is_given_up(counted)
+        };
+        let has_cause = counted.iter().any(is_cause);
+        // The start of the main suspect is the cause, and not a task that had worked for a while.
+        let is_spared = |counted: &CountedRun| has_cause && !counted.run.is_at_start;
+        counted.into_iter().filter(|counted| is_given_up(counted) && !is_spared(counted)).collect()
     }
 
     /// Returns by how much a task is suspected more than all others; 0 if it is not the main
--- a/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -96,3 +96,24 @@
     fleet.advance(GROUPS_MS);
     assert_eq!(fleet.incomplete_healthy_jobs(), [0; 0]);
 }
+
+/// Guards against a healthy job that is given up at its fifth crash together with the task whose
+/// start has caused it, although the healthy task had worked before that start.
+#[test]
+fn task_that_had_worked_is_not_given_up_with_the_one_that_started() {
+    let mut fleet = CrashingFleet::new(1);
+    fleet.submit(HEALTHY_JOB, persistent_step(1), 0);
+    fleet.submit_poison(CRASHING, step(1), 0);
+    for crashes in 1..=5 {
+        while fleet.crash_count(CRASHING) < crashes {
+            fleet.advance(100);
+        }
+        if crashes == 3 || crashes == 4 {
+            // The successor does not know that the healthy task had worked.
+            fleet.take_over();
+        }
+    }
+    fleet.advance(10_000);
+    assert_eq!(fleet.cluster.job_state(CRASHING_JOB), FAILED);
+    assert!(fleet.failed_healthy_jobs().is_empty());
+}
