fix(batch): do not count explained crashes towards an early verdict

Cause, from its log: the task had met three crashes together with one of two crashing tasks. That one was given up 12 ms before the fourth crash, which explained two of the three; the first was older than a takeover and not remembered. One unexplained crash gave it a lead of one, and the verdict at four crashes counted all of them.

Verdicts at three and four crashes now count unexplained crashes only. The limit of five counts all as before.

explained_crashes_do_not_count_towards_an_early_verdict: failed before, passes.

--- a/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
@@ -22,6 +22,8 @@
     /// The task under which the crash is counted.
     pub(super) key: TaskId,
     pub(super) crashes: TaskCrashes,
+    /// Number of these crashes that are not put down to tasks which were given up.
+    pub(super) unexplained: usize,
 }
 
 /// What is known about a crash, as far as it decides which tasks are given up.
@@ -56,8 +58,9 @@
 
     fn is_at_fault(self, counted: &CountedRun) -> bool {
         let lead = if self.blames_main { self.lead(counted) } else { 0 };
-        (lead >= CLEAR_LEAD && counted.crashes.at_start as usize >= MAX_CRASHES_AT_START)
-            || (lead > 0 && counted.crashes.runs.len() >= MAX_CERTAIN_CRASHES)
+        let at_start = counted.unexplained.min(counted.crashes.at_start as usize);
+        (lead >= CLEAR_LEAD && at_start >= MAX_CRASHES_AT_START)
+            || (lead > 0 && counted.unexplained >= MAX_CERTAIN_CRASHES)
     }
 
     fn exceeds_limit(self, counted: &CountedRun) -> bool {
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -146,8 +146,9 @@
         crashes.runs.push(run.number);
         crashes.at_start += u32::from(run.is_at_start);
         let crashes = crashes.clone();
+        let unexplained = self.explained_crashes.unexplained_count(key, &crashes);
         self.mark_dirty(key.job);
-        Some(CountedRun { run: *run, key, crashes })
+        Some(CountedRun { run: *run, key, crashes, unexplained })
     }
 
     /// Returns how many minions have crashed under a task since it was last cleared.
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -50,7 +50,7 @@
     }
 
     /// Returns how many crashes of a task are not explained by others.
-    fn unexplained_count(&self, task: TaskId, crashes: &TaskCrashes) -> usize {
+    pub(super) fn unexplained_count(&self, task: TaskId, crashes: &TaskCrashes) -> usize {
         if self.culprits.contains(&task) {
             return crashes.runs.len();
         }
--- a/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -117,3 +117,22 @@
     assert_eq!(fleet.cluster.job_state(CRASHING_JOB), FAILED);
     assert!(fleet.failed_healthy_jobs().is_empty());
 }
+
+/// Guards against a healthy job that is given up at its fourth crash although two of the four are
+/// put down to a task that was given up.
+#[test]
+fn explained_crashes_do_not_count_towards_an_early_verdict() {
+    let mut cluster = cluster_after_first_crash();
+    // The successor does not know which crashes the tasks had in common.
+    cluster.take_over();
+    crash_twice_more(&mut cluster, |_| {});
+    join(&mut cluster, "m1-4", &["a"]);
+    crash(&mut cluster, "m1-4");
+    assert_eq!(cluster.job_state(CRASHING_JOB), FAILED);
+    join(&mut cluster, "m2-1", &["h"]);
+    cluster.end_run(&"m2-1".into(), SECOND, EndKind::Done);
+    cluster.poll("m2-1");
+    assert!(is_running(&cluster, HEALTHY));
+    crash(&mut cluster, "m2-1");
+    assert_eq!(cluster.job_state(HEALTHY_JOB), RUNNING);
+}
