fix(batch): give up no suspect for a crash that another one may have caused

Cause, from the logs of six failed plays: two tasks of one job crash minions. A healthy task meets the first three crashes with one of them, and its fourth start happens beside dozens of tasks with one crash, the other one among them. It leads by two, and is given up.

- The lead counts for nothing while others start on the minion and a task elsewhere has met the same earlier crashes, as often, and is not known to work.
- A suspect that the next crash may give up starts apart, for up to 2 s, from all that were lost in its last crash, which start at the same time.
Not while minions crash by themselves, as no crash is put down to a single task then.

suspect_with_a_rival_elsewhere_is_not_given_up_early and suspect_with_three_crashes_starts_apart_from_those_lost_with_it: failed before, pass.

--- a/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
@@ -30,7 +30,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct CrashVerdict {
     pub(super) main: Option<MainSuspect>,
-    /// Whether so few minions have crashed lately that a crash can be put down to one suspect.
+    /// Whether a crash can be put down to one suspect: few minions have crashed lately, and no task
+    /// elsewhere is suspected of the same earlier crashes.
     pub(super) blames_main: bool,
     /// Whether crashes count that met a task some time after its start.
     pub(super) counts_all: bool,
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -65,6 +65,7 @@
         self.record_crashed_runs(young);
         let suspects = self.suspicions(young);
         let main_suspect = main_suspect(&suspects);
+        let has_rival = main_suspect.is_some_and(|main| self.has_rival(main.task, young));
         self.crashes.add(now.steady_ms);
         let has_known_suspect = main_suspect
             .is_some_and(|main| main.lead > 0 && must_be_isolated(self.crash_count(main.task)));
@@ -78,7 +79,7 @@
         let counted: Vec<CountedRun> = counted.filter_map(|run| self.count_crash(run)).collect();
         self.log(format!(
             "event=crash_counted minion={minion} young={} at_start={} suspects={} \
-             recent_crashes={recent} unexplained_crashes={unexplained} main={} lead={}{}",
+             recent_crashes={recent} unexplained_crashes={unexplained} main={} lead={} rival={has_rival}{}",
             young.len(),
             young.iter().filter(|run| run.is_at_start).count(),
             suspects.len(),
@@ -89,12 +90,15 @@
         self.log_suspects(minion, &counted);
         let verdict = CrashVerdict {
             main: main_suspect,
-            blames_main: recent <= MAX_EXPLAINED_CRASHES,
+            blames_main: recent <= MAX_EXPLAINED_CRASHES && !has_rival,
             counts_all,
         };
         for counted in verdict.given_up(counted) {
             self.give_up(&counted, verdict.lead(&counted), now);
         }
+        if recent <= MAX_EXPLAINED_CRASHES {
+            self.require_separate_starts(young, now);
+        }
     }
 
     /// Gives up a task and fails its job, unless the job was given up for another of its tasks.
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -29,7 +29,8 @@
 }
 
 impl ExplainedCrashes {
-    fn record(&mut self, runs: Vec<CrashedRun>) {
+    fn record(&mut self, mut runs: Vec<CrashedRun>) {
+        runs.sort_unstable();
         if self.latest.len() == MAX_REMEMBERED_CRASHES {
             self.latest.remove(0);
         }
@@ -49,6 +50,25 @@
         self.explained.extend(explained.flatten());
     }
 
+    /// Returns whether a task was lost in the last remembered crash of another one.
+    pub(super) fn shares_last_crash(&self, task: TaskId, other: TaskId) -> bool {
+        let met = |runs: &[CrashedRun], task: TaskId| {
+            let first = runs.partition_point(|(crashed, _)| *crashed < task);
+            runs.get(first).is_some_and(|(crashed, _)| *crashed == task)
+        };
+        let last = self.latest.iter().rev().find(|runs| met(runs, task));
+        last.is_some_and(|runs| met(runs, other))
+    }
+
+    /// Returns the tasks that met all remembered crashes of a task before the latest one.
+    fn companions(&self, task: TaskId) -> BTreeSet<TaskId> {
+        let met = |runs: &&Vec<CrashedRun>| runs.iter().any(|(other, _)| *other == task);
+        let earlier = self.latest.split_last().map_or(&[][..], |(_, earlier)| earlier);
+        let tasks = earlier.iter().filter(met).map(|runs| runs.iter().map(|(other, _)| *other));
+        let common = tasks.map(BTreeSet::from_iter).reduce(|common, tasks| &common & &tasks);
+        common.unwrap_or_default()
+    }
+
     /// Returns how many crashes of a task are not explained by others.
     pub(super) fn unexplained_count(&self, task: TaskId, crashes: &TaskCrashes) -> usize {
         if self.culprits.contains(&task) {
@@ -94,6 +114,22 @@
         crashes.map_or(0, |crashes| self.explained_crashes.unexplained_count(key, crashes))
     }
 
+    /// Returns whether a crash may have been caused by another run than that of its main suspect:
+    /// others had just begun there as well, and all earlier crashes of the suspect may be put down to
+    /// a task elsewhere, which has met them too, has as many crashes and is not known to work.
+    pub(super) fn has_rival(&self, suspect: TaskId, young: &[YoungRun]) -> bool {
+        let is_here = |task| young.iter().any(|run| self.suspect_key(run.task) == task);
+        let is_other = |run: &YoungRun| run.is_at_start && self.suspect_key(run.task) != suspect;
+        if !young.iter().any(is_other) {
+            return false;
+        }
+        let crashes = self.unexplained_crash_count(suspect);
+        let works = |task| self.runs.get(&task).is_some_and(|run| !run.is_at_start());
+        self.explained_crashes.companions(suspect).into_iter().any(|task| {
+            self.unexplained_crash_count(task) >= crashes && !is_here(task) && !works(task)
+        })
+    }
+
     /// Returns the numbers of unexplained crashes of all tasks of open jobs that have any crashes.
     pub(super) fn unexplained_crash_counts(&self) -> impl Iterator<Item = usize> {
         let jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
--- a/crates/geraniumpost-batch/src/coordinator/isolation_limits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/isolation_limits.rs
@@ -36,7 +36,7 @@
         let (mut twice, mut thrice) = (0_usize, 0_usize);
         for crashes in crash_counts {
             twice += usize::from(must_be_isolated(crashes));
-            thrice += usize::from(crashes > ISOLATED_CRASHES);
+            thrice += usize::from(is_decisive(crashes));
         }
         let group = |tasks: usize, queued| tasks.div_ceil(minions.max(1) * queued).max(1);
         Self { twice: group(twice, MAX_QUEUED_TWICE), thrice: group(thrice, MAX_QUEUED_THRICE) }
@@ -59,3 +59,9 @@
 pub(super) const fn must_be_isolated(crashes: usize) -> bool {
     crashes >= ISOLATED_CRASHES
 }
+
+/// Returns whether a task with so many crashes is given up at the next one, if that can be put down
+/// to it.
+pub(super) const fn is_decisive(crashes: usize) -> bool {
+    crashes > ISOLATED_CRASHES
+}
--- a/crates/geraniumpost-batch/src/coordinator/job.rs
+++ b/crates/geraniumpost-batch/src/coordinator/job.rs
@@ -53,6 +53,9 @@
     /// Time until which the task is placed only on minions without other suspects, on the monotonic
     /// clock.
     pub(super) alone_until_ms: u64,
+    /// Time until which the task is placed only on minions without other tasks that were lost in the
+    /// same crash, on the monotonic clock.
+    pub(super) apart_until_ms: u64,
     /// Number of the task's last copy; 0 for none. Later runs get higher numbers.
     pub(super) last_copy_run: u32,
 }
--- a/crates/geraniumpost-batch/src/coordinator/report_waits.rs
+++ b/crates/geraniumpost-batch/src/coordinator/report_waits.rs
@@ -5,7 +5,8 @@
 //! crash is counted. Suspects therefore wait for the report, for a limited time.
 
 use super::Coordinator;
-use super::isolation_limits::must_be_isolated;
+use super::isolation_limits::{is_decisive, must_be_isolated};
+use super::job::NextPlacement;
 use super::minion::Minion;
 use super::young_run::YoungRun;
 use crate::{Now, TaskId};
@@ -52,24 +53,49 @@
     /// minion for longer than a lease.
     pub(super) fn require_lone_starts(&mut self, late: &[YoungRun], now: Now) {
         for task in late.iter().map(|run| run.task) {
-            let waits = self.open_jobs.contains(&task.job) && !self.runs.contains_key(&task);
-            if !waits || !must_be_isolated(self.crash_count(task)) {
-                continue;
+            if must_be_isolated(self.crash_count(task))
+                && let Some(next) = self.next_placement_of_waiting(task)
+            {
+                next.alone_until_ms = now.steady_ms + MAX_LONE_START_WAIT_MS;
             }
-            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
-            let next = job.next_placements.entry(task).or_default();
-            next.alone_until_ms = now.steady_ms + MAX_LONE_START_WAIT_MS;
         }
     }
 
-    /// Returns whether a task must start alone and another suspect is on the minion.
+    /// Lets suspects that the next crash may give up start apart from all that were lost in the same
+    /// crash.
+    ///
+    /// All of them start at the same time. If one that has met fewer crashes causes the next one,
+    /// the suspect would be given up for it.
+    pub(super) fn require_separate_starts(&mut self, young: &[YoungRun], now: Now) {
+        for task in young.iter().map(|run| run.task) {
+            if is_decisive(self.unexplained_crash_count(task))
+                && let Some(next) = self.next_placement_of_waiting(task)
+            {
+                next.apart_until_ms = now.steady_ms + MAX_LONE_START_WAIT_MS;
+            }
+        }
+    }
+
+    fn next_placement_of_waiting(&mut self, task: TaskId) -> Option<&mut NextPlacement> {
+        let waits = self.open_jobs.contains(&task.job) && !self.runs.contains_key(&task);
+        let job = self.jobs.get_mut(&task.job).filter(|_| waits)?;
+        Some(job.next_placements.entry(task).or_default())
+    }
+
+    /// Returns whether a task must start alone and another suspect is on the minion, or must start
+    /// apart from one that was lost in the same crash.
     pub(super) fn prevents_lone_start(&self, minion: &Minion, task: TaskId, now: Now) -> bool {
         let next = self.jobs.get(&task.job).and_then(|job| job.next_placements.get(&task));
-        let must_start_alone = next.is_some_and(|next| now.steady_ms < next.alone_until_ms);
+        let Some(next) = next else { return false };
         let key = self.suspect_key(task);
-        let is_other_suspect =
-            |other: &TaskId| self.suspect_key(*other) != key && self.crash_count(*other) > 0;
-        must_start_alone && minion.runs.iter().any(is_other_suspect)
+        let others = || minion.runs.iter().filter(|other| self.suspect_key(**other) != key);
+        let is_suspect = |other: &TaskId| self.crash_count(*other) > 0;
+        let shares_crash = |other: &TaskId| {
+            is_suspect(other)
+                && self.explained_crashes.shares_last_crash(key, self.suspect_key(*other))
+        };
+        (now.steady_ms < next.alone_until_ms && others().any(is_suspect))
+            || (now.steady_ms < next.apart_until_ms && others().any(shares_crash))
     }
 }
 
--- a/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -136,3 +136,48 @@
     crash(&mut cluster, "m2-1");
     assert_eq!(cluster.job_state(HEALTHY_JOB), RUNNING);
 }
+
+/// Guards against a healthy job that is given up for a crash which another suspect may have caused,
+/// while the task that has caused all earlier ones is elsewhere and not given up yet.
+#[test]
+fn suspect_with_a_rival_elsewhere_is_not_given_up_early() {
+    let mut cluster = cluster_after_first_crash();
+    crash_twice_more(&mut cluster, |_| {});
+    cluster.submit(OTHER_JOB, vec![labelled_step(1, "q")]);
+    join(&mut cluster, "m3-1", &["q"]);
+    crash(&mut cluster, "m3-1");
+    join(&mut cluster, "m1-4", &["a"]);
+    cluster.heartbeat_with_unresponsive_minion("m1-4");
+    join(&mut cluster, "m2-1", &["h", "q"]);
+    assert!(is_running(&cluster, HEALTHY) && is_running(&cluster, task(OTHER_JOB, 0, 0)));
+    crash(&mut cluster, "m2-1");
+    assert_eq!(cluster.job_state(HEALTHY_JOB), RUNNING);
+}
+
+/// Guards against a suspect with three crashes that starts together with all that was lost in the
+/// last of them, so that it is given up for the crash of a task with fewer.
+#[test]
+fn suspect_with_three_crashes_starts_apart_from_those_lost_with_it() {
+    let mut cluster = cluster_after_first_crash();
+    crash_twice_more(&mut cluster, |cluster| {
+        // The second task completes elsewhere, and would have to be isolated otherwise.
+        join(cluster, "m2-1", &["h"]);
+        cluster.end_run(&"m2-1".into(), SECOND, EndKind::Done);
+        cluster.poll("m2-1");
+        crash(cluster, "m2-1");
+        cluster.submit(OTHER_JOB, vec![labelled_step(4, "h")]);
+        cluster.carry_out_orders();
+    });
+    let others = |cluster: &Cluster| {
+        (0..4).filter(|index| is_running(cluster, task(OTHER_JOB, 0, *index))).count()
+    };
+    join(&mut cluster, "m1-4", &["h"]);
+    assert_eq!(others(&cluster), 4);
+    assert!(!is_running(&cluster, HEALTHY), "the others start beside it");
+    for _ in 0..LONE_START_MS / POLL_MS {
+        cluster.advance(POLL_MS);
+        cluster.poll("m1-4");
+        cluster.carry_out_orders();
+    }
+    assert!(is_running(&cluster, HEALTHY), "the suspect waits no longer than necessary");
+}
