fix(batch): start nothing beside a starting suspect if there is room elsewhere

Callers saw: tasks that had hardly started lost their run again and again beside a crashing task, and became suspects themselves.

Cause: only suspects avoided each other. Any other task went where the most processors were free, often the minion that had just come back and on which the suspect was started at the same moment.

The first criterion of a placement is now whether the minion starts a task with two crashes or more. The set of these minions is computed once a round from the suspects alone.

task_does_not_start_beside_a_starting_suspect: failed before, passes.

--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -225,12 +225,26 @@
         others.len() >= self.isolation_limits.tasks_per_minion(most)
     }
 
-    /// Updates how many tasks that must be isolated a minion may start at the same time.
+    /// Updates how many tasks that must be isolated a minion may start at the same time, and which
+    /// minions start one.
     pub(super) fn update_isolation(&mut self) {
         let starts_tasks =
             |minion: &&Minion| minion.linked && minion.responsive && !minion.domain_evacuated;
         let minions = self.minions.values().filter(starts_tasks).count();
-        self.isolation_limits = IsolationLimits::new(self.unexplained_crash_counts(), minions);
+        let suspects: Vec<(TaskId, usize)> = self.unexplained_crash_counts().collect();
+        let crashes = suspects.iter().map(|(_, crashes)| *crashes);
+        self.isolation_limits = IsolationLimits::new(crashes, minions);
+        let isolated = suspects.iter().filter(|(_, crashes)| must_be_isolated(*crashes));
+        let runs = isolated.filter_map(|(task, _)| self.runs.get(task));
+        let starting = runs.filter(|run| run.is_at_start());
+        self.suspect_starts = starting.map(|run| run.place.minion.clone()).collect();
+    }
+
+    /// Records that a task is started on a minion, for the rest of the placement round.
+    pub(super) fn record_suspect_start(&mut self, task: TaskId, minion: &Name) {
+        if must_be_isolated(self.unexplained_crash_count(task)) {
+            self.suspect_starts.insert(minion.clone());
+        }
     }
 
     /// Returns the reasons against placing a task with so many crashes on a minion.
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -130,10 +130,11 @@
         })
     }
 
-    /// Returns the numbers of unexplained crashes of all tasks of open jobs that have any crashes.
-    pub(super) fn unexplained_crash_counts(&self) -> impl Iterator<Item = usize> {
+    /// Returns the number of unexplained crashes of each task of an open job that has any crashes.
+    pub(super) fn unexplained_crash_counts(&self) -> impl Iterator<Item = (TaskId, usize)> {
         let jobs = self.open_jobs.iter().filter_map(|id| self.jobs.get(id));
         let crashes = jobs.flat_map(|job| &job.record.crashes);
-        crashes.map(|(key, crashes)| self.explained_crashes.unexplained_count(*key, crashes))
+        crashes
+            .map(|(key, crashes)| (*key, self.explained_crashes.unexplained_count(*key, crashes)))
     }
 }
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -172,6 +172,8 @@
     explained_crashes: ExplainedCrashes,
     /// How many tasks under which two minions have crashed a minion starts at the same time.
     isolation_limits: IsolationLimits,
+    /// Minions that start a task which must be isolated, as of the last placement round.
+    suspect_starts: BTreeSet<Name>,
     /// Tasks for which resources are held since the last placement round.
     held_for: BTreeSet<TaskId>,
     /// The same as of the round before, for log lines only.
@@ -232,6 +234,7 @@
             tasks_given_up: BTreeSet::new(),
             explained_crashes: ExplainedCrashes::default(),
             isolation_limits: IsolationLimits::default(),
+            suspect_starts: BTreeSet::new(),
             held_for: BTreeSet::new(),
             held_before: BTreeSet::new(),
             shares: Shares::default(),
--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -60,6 +60,9 @@
 /// Reasons against placing a task on a minion; compared field by field, smaller is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct PlacementPenalty {
+    /// Whether the minion starts a suspect. If that crashes the minion, whatever is started beside it
+    /// is lost and suspected as well.
+    starts_suspect: bool,
     /// Reasons against a task under which minions have crashed.
     suspect: SuspectPenalty,
     /// Whether the task's last run failed or was refused on the minion.
@@ -249,6 +252,7 @@
         let spec = self.step_spec(task).cloned().unwrap_or_default();
         let run = Run::new(place, number, OrderState::Committing, &spec, now.steady_ms);
         self.insert_run(task, run);
+        self.record_suspect_start(task, minion);
         self.limit_first_pace(task, minion, now);
         if let Some(job) = self.jobs.get_mut(&task.job) {
             job.after_commit.push(DeferredAction::Start(task, number));
@@ -304,10 +308,11 @@
         let penalty = |minion: &&Minion| -> PlacementPenalty {
             let off_rack = rack.is_some_and(|rack| !minion.has_label(rack));
             let avoided = avoided_minion == Some(&minion.info.id);
+            let starts_suspect = self.suspect_starts.contains(&minion.info.id);
             let suspect = self.suspect_penalty(requirements.crashes(), minion, now);
             let doubt = self.minion_doubt(minion, is_last_attempt, now);
             let cost = self.placement_cost(minion, spec);
-            PlacementPenalty { suspect, avoided, doubt, off_rack, cost }
+            PlacementPenalty { starts_suspect, suspect, avoided, doubt, off_rack, cost }
         };
         let is_fast_enough = |minion: &&Minion| {
             !spec.best_effort
--- a/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -181,3 +181,27 @@
     }
     assert!(is_running(&cluster, HEALTHY), "the suspect waits no longer than necessary");
 }
+
+/// Guards against tasks that are lost because they start beside a suspect while there is room
+/// elsewhere.
+#[test]
+fn task_does_not_start_beside_a_starting_suspect() {
+    let mut cluster = Cluster::new();
+    join(&mut cluster, "m1-1", &["a", "h"]);
+    cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a")]);
+    cluster.carry_out_orders();
+    for (crashed, next) in [("m1-1", "m1-2"), ("m1-2", "m1-3")] {
+        crash(&mut cluster, crashed);
+        join(&mut cluster, next, &["a", "h"]);
+    }
+    assert!(is_running(&cluster, CRASHING));
+    join(&mut cluster, "m2-1", &["b", "h"]);
+    cluster.submit(OTHER_JOB, vec![labelled_step(8, "b")]);
+    cluster.submit(HEALTHY_JOB, vec![labelled_step(1, "h")]);
+    cluster.carry_out_orders();
+    let on_busy_minion = cluster
+        .running_tasks()
+        .iter()
+        .any(|(running, minion, _)| *running == HEALTHY && *minion == Name::from("m2-1"));
+    assert!(on_busy_minion, "the minion with eight tasks is preferred");
+}
