fix(batch): put a crash down to the stopping sibling of a task that was given up

Callers saw: healthy jobs shown as failed just after the job at fault.

Cause: when a task is given up, its siblings are stopped, but one that has already crashed its minion is reported later.

A crash whose main suspect by a clear lead is such a sibling, isolated before and known to have started, counts for nobody.

--- a/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crash_verdict.rs
@@ -6,7 +6,7 @@
 
 /// Number of earlier crashes by which a suspect must lead all others on its minion so that a crash
 /// at its start can be put down to it.
-const CLEAR_LEAD: usize = 2;
+pub(super) const CLEAR_LEAD: usize = 2;
 /// Number of crashes soon after its starts at which a task is given up, if the last one can be put
 /// down to it.
 pub(super) const MAX_CRASHES_AT_START: usize = 3;
--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -11,9 +11,9 @@
 use geraniumpost_schema::Name;
 
 use super::Coordinator;
-use super::crash_verdict::{CountedRun, CrashVerdict};
+use super::crash_verdict::{CLEAR_LEAD, CountedRun, CrashVerdict};
 use super::isolation_limits::{IsolationLimits, must_be_isolated};
-use super::main_suspect::main_suspect;
+use super::main_suspect::{MainSuspect, main_suspect};
 use super::minion::Minion;
 use super::young_run::YoungRun;
 use crate::{JobState, Now, TaskId, TaskPhase};
@@ -65,6 +65,10 @@
         self.record_crashed_runs(young);
         let suspects = self.suspicions(young);
         let main_suspect = main_suspect(&suspects);
+        if main_suspect.is_some_and(|main| self.is_crash_of_stopping_sibling(main, young)) {
+            return self
+                .log(format!("event=crash_explained minion={minion} young={}", young.len()));
+        }
         let has_rival = main_suspect.is_some_and(|main| self.has_rival(main.task, young));
         self.crashes.add(now.steady_ms);
         let has_known_suspect = main_suspect
@@ -117,6 +121,16 @@
         self.finish_job(task.job, JobState::Failed, now);
     }
 
+    /// Returns whether a crash is put down to a sibling of a task that was given up, and counts for
+    /// nobody: the sibling is the main suspect by a clear lead, had to be isolated itself and is
+    /// known to have started. It is being stopped and causes no further crash.
+    fn is_crash_of_stopping_sibling(&self, main: MainSuspect, young: &[YoungRun]) -> bool {
+        let mut runs = young.iter().filter(|run| self.suspect_key(run.task) == main.task);
+        main.lead >= CLEAR_LEAD
+            && self.explained_crashes.is_culprit(main.task)
+            && runs.any(YoungRun::is_known_to_have_started)
+    }
+
     /// Logs the tasks with the most crashes, out of those for which a crash was counted.
     fn log_suspects(&mut self, minion: &Name, counted: &[CountedRun]) {
         let is_known = |counted: &&CountedRun| counted.crashes.runs.len() > 1;
--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -50,6 +50,11 @@
         self.explained.extend(explained.flatten());
     }
 
+    /// Returns whether a task was given up, or is a sibling of such a task that had to be isolated.
+    pub(super) fn is_culprit(&self, task: TaskId) -> bool {
+        self.culprits.contains(&task)
+    }
+
     /// Returns whether a task was lost in the last remembered crash of another one.
     pub(super) fn shares_last_crash(&self, task: TaskId, other: TaskId) -> bool {
         let met = |runs: &[CrashedRun], task: TaskId| {
--- a/crates/geraniumpost-batch/src/coordinator/young_run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/young_run.rs
@@ -28,6 +28,13 @@
     pub(super) suspicion: usize,
 }
 
+impl YoungRun {
+    /// Returns whether the minion is known to have started the run.
+    pub(super) const fn is_known_to_have_started(&self) -> bool {
+        self.since_start_ms.is_some()
+    }
+}
+
 impl Run {
     /// Returns whether polls show that the run has worked for [`MIN_KNOWN_WORK_MS`].
     pub(super) fn is_known_to_work(&self) -> bool {
--- a/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crashing_fleet.rs
@@ -225,6 +225,13 @@
         self.cluster.running.remove(&*self.machines[at].minion());
     }
 
+    /// Pauses the minion of a machine for `ms`, unless it is down.
+    pub fn pause_responsive(&mut self, at: usize, ms: u64) {
+        if self.machines[at].down.is_none() {
+            self.pause(at, ms);
+        }
+    }
+
     /// Loses a machine with its agent, whose link stays open.
     pub fn lose(&mut self, at: usize) {
         self.crash(at);
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -7,6 +7,7 @@
 mod contention;
 mod copies;
 mod crash_attribution;
+mod crashes_beside_wide_jobs;
 mod crashing_fleet;
 mod crashing_siblings;
 mod crashing_tasks;
