--- a/crates/geraniumpost-batch/src/coordinator/crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/crashes.rs
@@ -25,9 +25,9 @@
 /// minions crash by themselves that they also meet tasks which have worked for seconds. A task that
 /// crashes minions causes two before it is a known suspect.
 const MAX_UNEXPLAINED_CRASHES: usize = 14;
-/// Age of the last poll from which a minion may be down, in milliseconds. Minions that work are
-/// polled every 0.4 s.
-const MAX_POLL_AGE_MS: u64 = 500;
+/// Age of the last poll from which suspects avoid a minion, in milliseconds: one poll, which is due
+/// every 0.4 s, is late.
+const LATE_POLL_AGE_MS: u64 = 500;
 /// Maximum number of lines on suspects after one crash.
 const MAX_SUSPECT_LINES: usize = 8;
 
@@ -35,9 +35,9 @@
 /// the same on all minions for any other task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub(super) struct SuspectPenalty {
-    /// Whether the minion has missed a poll and may be down. A start there that gets no response
-    /// would count as another crash of the task.
-    silent: bool,
+    /// Whether a poll of the minion is late. The minion may be down, and a start there that gets no
+    /// response would count as another crash of the task.
+    poll_late: bool,
     /// Number of other suspects on the minion.
     suspects: usize,
     /// Number of recent crashes of minions on the same VM. The next crash of one that crashes by
@@ -273,7 +273,7 @@
         }
         let of_agent = self.agents.get(&minion.agent).map(|agent| &agent.crashes);
         SuspectPenalty {
-            silent: now.steady_ms > minion.last_polled_ms + MAX_POLL_AGE_MS,
+            poll_late: now.steady_ms > minion.last_polled_ms + LATE_POLL_AGE_MS,
             suspects: minion
                 .runs
                 .iter()
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -10,8 +10,9 @@
 use crate::tuning::SERVING_UNUSED_CPU_PERCENT;
 use crate::{Demand, JobId, MinionInfo, Now, TaskId};
 
-/// Age of the last poll from which a minion may be down, in milliseconds: two polls.
-const MAX_POLL_AGE_MS: u64 = 800;
+/// Age of the last poll from which a minion may be down, in milliseconds: two polls, which are due
+/// every 0.4 s, were missed.
+const MISSED_POLLS_AGE_MS: u64 = 800;
 
 /// A minion as the coordinator knows it: reported properties, link and reserved resources.
 #[derive(Debug)]
@@ -145,7 +146,7 @@
     /// Returns whether the minion has missed polls. A suspect that is started there now may get no
     /// response, and the crash that has happened would count against it.
     pub(super) const fn may_be_down(&self, now: Now) -> bool {
-        now.steady_ms > self.last_polled_ms + MAX_POLL_AGE_MS
+        now.steady_ms > self.last_polled_ms + MISSED_POLLS_AGE_MS
     }
 
     /// Converts thousandths of a processor to a fraction of the minion's capacity.
