--- a/crates/geraniumpost-batch/src/coordinator/admission.rs
+++ b/crates/geraniumpost-batch/src/coordinator/admission.rs
@@ -81,8 +81,8 @@
     /// its submission.
     ///
     /// Nothing of the job has started, because starts wait for the commit. A cancelled job is not
-    /// open and stays: its caller was told that it does not run, so that a late copy of its
-    /// submission must find it.
+    /// open and stays: the response to its cancellation says that it does not run, so that a late
+    /// copy of its submission must find it.
     fn withdraw(&mut self, id: JobId) {
         let tasks = self.tasks_with_runs(id);
         let is_unsent = |run: &super::Run| run.order == OrderState::Committing;
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/agents.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/agents.rs
@@ -16,6 +16,22 @@
         self.poll(name);
     }
 
+    /// Like [`Self::join`], for a minion with these labels.
+    pub fn join_labelled(&mut self, name: &str, labels: &[&str]) {
+        let labels: Vec<Name> = labels.iter().map(|label| (*label).into()).collect();
+        self.join(name, |info| MinionInfo { labels: labels.clone(), ..info });
+    }
+
+    /// Ends a minion with all its runs, and lets its agent report the crash.
+    pub fn crash(&mut self, minion: &str) {
+        let name = Name::from(minion);
+        self.running.remove(&name);
+        self.send(
+            minion,
+            FromAgent::MinionTerminated { minion: name, crashed: true, replaced_by: None },
+        );
+    }
+
     /// Sends a message of a minion's agent to the coordinator, and performs the resulting effects.
     /// After a heartbeat that reports a responsive minion, [`Cluster::advance`] sends further
     /// heartbeats.
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/fixtures.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/fixtures.rs
@@ -47,6 +47,11 @@
     }
 }
 
+/// Like [`step`], for minions with a label.
+pub fn labelled_step(count: u32, label: &str) -> StepSpec {
+    StepSpec { required_label: label.into(), ..step(count) }
+}
+
 /// Returns a step of `count` persistent tasks that need one processor and 1 GB each.
 pub fn persistent_step(count: u32) -> StepSpec {
     StepSpec { persistent: true, ..step(count) }
--- a/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/cluster/mod.rs
@@ -10,7 +10,7 @@
 mod orders;
 mod store_faults;
 
-pub use fixtures::{agent_name, minion_info, persistent_step, step, task, terms};
+pub use fixtures::{agent_name, labelled_step, minion_info, persistent_step, step, task, terms};
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -1,12 +1,9 @@
 //! To which task a crash of a minion is put down, and which tasks start beside a suspect.
 
-use geraniumpost_batch::TaskId;
-use geraniumpost_batch::{
-    CallerResponse, Demand, EndKind, FromAgent, JobState, MinionInfo, StepSpec,
-};
+use geraniumpost_batch::{CallerResponse, Demand, EndKind, JobState, StepSpec, TaskId};
 use geraniumpost_schema::Name;
 
-use crate::cluster::{Cluster, persistent_step, step, task};
+use crate::cluster::{Cluster, labelled_step, persistent_step, step, task};
 use crate::crashing_fleet::{CrashingFleet, FAILED};
 
 /// Job whose task crashes minions labelled `a`.
@@ -28,27 +25,14 @@
 /// Time for which a suspect waits for a minion of its own, and in which it starts, in milliseconds.
 const LONE_START_MS: u64 = 3_000;
 
-fn labelled_step(count: u32, label: &str) -> StepSpec {
-    StepSpec { required_label: label.into(), ..step(count) }
-}
-
 /// Joins a minion with labels, whose tasks start after [`BACKOFF_MS`].
 fn join(cluster: &mut Cluster, minion: &str, labels: &[&str]) {
-    let labels: Vec<Name> = labels.iter().map(|label| (*label).into()).collect();
-    cluster.join(minion, |info| MinionInfo { labels: labels.clone(), ..info });
+    cluster.join_labelled(minion, labels);
     cluster.advance(BACKOFF_MS);
     cluster.poll(minion);
     cluster.carry_out_orders();
 }
 
-fn crash(cluster: &mut Cluster, minion: &str) {
-    cluster.running.remove(&Name::from(minion));
-    cluster.send(
-        minion,
-        FromAgent::MinionTerminated { minion: minion.into(), crashed: true, replaced_by: None },
-    );
-}
-
 fn is_running(cluster: &Cluster, task: TaskId) -> bool {
     cluster.running_tasks().iter().any(|(running, ..)| *running == task)
 }
@@ -63,7 +47,7 @@
     cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a")]);
     cluster.submit(HEALTHY_JOB, vec![labelled_step(2, "h")]);
     cluster.carry_out_orders();
-    crash(&mut cluster, "m1-1");
+    cluster.crash("m1-1");
     cluster
 }
 
@@ -77,7 +61,7 @@
         if minion == "m1-3" {
             prepare_last(cluster);
         }
-        crash(cluster, minion);
+        cluster.crash(minion);
     }
 }
 
@@ -127,13 +111,13 @@
     cluster.take_over();
     crash_twice_more(&mut cluster, |_| {});
     join(&mut cluster, "m1-4", &["a"]);
-    crash(&mut cluster, "m1-4");
+    cluster.crash("m1-4");
     assert_eq!(cluster.job_state(CRASHING_JOB), FAILED);
     join(&mut cluster, "m2-1", &["h"]);
     cluster.end_run(&"m2-1".into(), SECOND, EndKind::Done);
     cluster.poll("m2-1");
     assert!(is_running(&cluster, HEALTHY));
-    crash(&mut cluster, "m2-1");
+    cluster.crash("m2-1");
     assert_eq!(cluster.job_state(HEALTHY_JOB), RUNNING);
 }
 
@@ -145,12 +129,12 @@
     crash_twice_more(&mut cluster, |_| {});
     cluster.submit(OTHER_JOB, vec![labelled_step(1, "q")]);
     join(&mut cluster, "m3-1", &["q"]);
-    crash(&mut cluster, "m3-1");
+    cluster.crash("m3-1");
     join(&mut cluster, "m1-4", &["a"]);
     cluster.heartbeat_with_unresponsive_minion("m1-4");
     join(&mut cluster, "m2-1", &["h", "q"]);
     assert!(is_running(&cluster, HEALTHY) && is_running(&cluster, task(OTHER_JOB, 0, 0)));
-    crash(&mut cluster, "m2-1");
+    cluster.crash("m2-1");
     assert_eq!(cluster.job_state(HEALTHY_JOB), RUNNING);
 }
 
@@ -164,7 +148,7 @@
         join(cluster, "m2-1", &["h"]);
         cluster.end_run(&"m2-1".into(), SECOND, EndKind::Done);
         cluster.poll("m2-1");
-        crash(cluster, "m2-1");
+        cluster.crash("m2-1");
         cluster.submit(OTHER_JOB, vec![labelled_step(4, "h")]);
         cluster.carry_out_orders();
     });
@@ -191,7 +175,7 @@
     cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a")]);
     cluster.carry_out_orders();
     for (crashed, next) in [("m1-1", "m1-2"), ("m1-2", "m1-3")] {
-        crash(&mut cluster, crashed);
+        cluster.crash(crashed);
         join(&mut cluster, next, &["a", "h"]);
     }
     assert!(is_running(&cluster, CRASHING));
--- a/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/explained_crashes.rs
@@ -1,9 +1,8 @@
 //! Crashes that are put down to a task which was given up.
 
-use geraniumpost_batch::{CallerResponse, FromAgent, JobState, MinionInfo, StepSpec};
-use geraniumpost_schema::Name;
+use geraniumpost_batch::{CallerResponse, JobState};
 
-use crate::cluster::{Cluster, step};
+use crate::cluster::{Cluster, labelled_step};
 
 /// Job whose first task crashes minions labelled `a`, and whose second one those labelled `b`.
 const CRASHING_JOB: u64 = 100;
@@ -12,25 +11,12 @@
 /// Time after which tasks that were lost with their minion are placed again, in milliseconds.
 const BACKOFF_MS: u64 = 1_000;
 
-fn labelled_step(count: u32, label: &str) -> StepSpec {
-    StepSpec { required_label: label.into(), ..step(count) }
-}
-
 fn join(cluster: &mut Cluster, minion: &str, labels: &[&str]) {
-    let labels: Vec<Name> = labels.iter().map(|label| (*label).into()).collect();
-    cluster.join(minion, |info| MinionInfo { labels: labels.clone(), ..info });
+    cluster.join_labelled(minion, labels);
     cluster.advance(BACKOFF_MS);
     cluster.carry_out_orders();
 }
 
-fn crash(cluster: &mut Cluster, minion: &str) {
-    cluster.running.remove(&Name::from(minion));
-    cluster.send(
-        minion,
-        FromAgent::MinionTerminated { minion: minion.into(), crashed: true, replaced_by: None },
-    );
-}
-
 /// Guards against a healthy task that is given up for crashes of another one: three minions have
 /// crashed under both, the other one is given up, and a sibling of that one with a single crash
 /// crashes the minion of the healthy task.
@@ -42,20 +28,20 @@
     cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a"), labelled_step(1, "b")]);
     cluster.submit(HEALTHY_JOB, vec![labelled_step(8, "h")]);
     cluster.carry_out_orders();
-    crash(&mut cluster, "m2-1");
-    crash(&mut cluster, "m1-1");
+    cluster.crash("m2-1");
+    cluster.crash("m1-1");
     join(&mut cluster, "m1-2", &["a", "h"]);
-    crash(&mut cluster, "m1-2");
+    cluster.crash("m1-2");
     join(&mut cluster, "m1-3", &["a", "h"]);
-    crash(&mut cluster, "m1-3");
+    cluster.crash("m1-3");
     join(&mut cluster, "m1-4", &["a"]);
     join(&mut cluster, "m2-2", &["b", "h"]);
     assert_eq!(cluster.running_tasks().len(), 3, "both crashing tasks and one suspect run");
     cluster.heartbeat_with_unresponsive_minion("m2-2");
-    crash(&mut cluster, "m1-4");
+    cluster.crash("m1-4");
     let failed = CallerResponse::State(JobState::Failed);
     assert_eq!(cluster.job_state(CRASHING_JOB), failed, "four minions have crashed");
-    crash(&mut cluster, "m2-2");
+    cluster.crash("m2-2");
     let running = CallerResponse::State(JobState::Running);
     assert_eq!(cluster.job_state(HEALTHY_JOB), running);
 }
@@ -70,11 +56,11 @@
     cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a"), labelled_step(1, "b")]);
     cluster.submit(HEALTHY_JOB, vec![labelled_step(8, "h")]);
     cluster.carry_out_orders();
-    crash(&mut cluster, "m2-1");
+    cluster.crash("m2-1");
     join(&mut cluster, "m2-2", &["b", "h"]);
-    crash(&mut cluster, "m2-2");
+    cluster.crash("m2-2");
     for (crashed, next) in [("m1-1", "m1-2"), ("m1-2", "m1-3"), ("m1-3", "m1-4")] {
-        crash(&mut cluster, crashed);
+        cluster.crash(crashed);
         join(&mut cluster, next, &["a"]);
     }
     let failed = CallerResponse::State(JobState::Failed);
@@ -97,11 +83,11 @@
     cluster.submit(HEALTHY_JOB, vec![labelled_step(1, "h")]);
     cluster.submit(CRASHING_JOB, vec![labelled_step(1, "a"), labelled_step(1, "b")]);
     cluster.carry_out_orders();
-    crash(&mut cluster, "m3-1");
+    cluster.crash("m3-1");
     for minion in ["m2-1", "m2-2"] {
         join(&mut cluster, minion, &["b", "h"]);
         assert_eq!(cluster.running_tasks().len(), 3, "{minion} runs two tasks");
-        crash(&mut cluster, minion);
+        cluster.crash(minion);
     }
     join(&mut cluster, "m2-3", &["b", "h"]);
     for _ in 0..4 {
@@ -113,7 +99,7 @@
     assert_eq!(cluster.running_tasks().len(), 3, "both suspects run on the minion");
     cluster.heartbeat_with_unresponsive_minion("m2-3");
     for (crashed, next) in [("m1-1", "m1-2"), ("m1-2", "m1-3"), ("m1-3", "m1-4")] {
-        crash(&mut cluster, crashed);
+        cluster.crash(crashed);
         join(&mut cluster, next, &["a"]);
     }
     let failed = CallerResponse::State(JobState::Failed);
@@ -122,6 +108,6 @@
         failed,
         "three minions have crashed under one task"
     );
-    crash(&mut cluster, "m2-3");
+    cluster.crash("m2-3");
     assert_ne!(cluster.job_state(HEALTHY_JOB), failed);
 }
--- a/crates/geraniumpost-batch/tests/coordinator/random_store_faults.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/random_store_faults.rs
@@ -164,8 +164,8 @@
     #![proptest_config(ProptestConfig::with_cases(400))]
 
     /// Writes are committed, refused or without a result in any order, and the coordinator is
-    /// replaced. A job that is stored or started although its caller was told that it never runs
-    /// would be done twice by a caller that hands the work in anew.
+    /// replaced. A job that is stored or started although the response to its caller says that it
+    /// never runs would be done twice by a caller that submits the work again.
     #[test]
     fn refused_jobs_are_never_stored_or_started(events in vec(any_event(), 1..80)) {
         let mut callers = Callers::new();
--- a/crates/geraniumpost-batch/tests/coordinator/store_outages.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/store_outages.rs
@@ -133,7 +133,7 @@
 }
 
 /// A refused write contains records of a job that is stored already and of one that is not. Written
-/// again as it was, it would store and run the job whose caller was told that it never runs.
+/// again unchanged, it would store and run the job that was refused.
 #[test]
 fn refused_batch_is_written_later_without_the_withdrawn_job() {
     let mut cluster = cluster();
