fix(batch): let only suspects that start beside the main one cast doubt on it

Cause, from its log: the crash of i-2-1 met a restart of its agent and was not counted (cause=unknown). At the fourth crash that was counted the task led by four, but rival=true: the other crashing task of its job had met the same crashes, and three tasks without any crash started beside it. The verdict came one start too late.

suspect_that_starts_beside_new_tasks_is_given_up_in_spite_of_a_rival: failed before, passes; 47 tests of crashes pass.

--- a/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
+++ b/crates/geraniumpost-batch/src/coordinator/explained_crashes.rs
@@ -119,13 +119,20 @@
         crashes.map_or(0, |crashes| self.explained_crashes.unexplained_count(key, crashes))
     }
 
-    /// Returns whether a crash may have been caused by another run than that of its main suspect:
-    /// others had just begun there as well, and all earlier crashes of the suspect may be put down to
-    /// a task elsewhere, which has met them too, has as many crashes and is not known to work.
+    /// Returns whether a crash may have been caused by another suspect than its main one: others had
+    /// just begun there as well, and all earlier crashes of the main suspect may be put down to a task
+    /// elsewhere, which has met them too, has as many crashes and is not known to work.
+    ///
+    /// Tasks without earlier crashes do not count, because a crash that was not reported may have
+    /// used up the reserve of starts.
     pub(super) fn has_rival(&self, suspect: TaskId, young: &[YoungRun]) -> bool {
         let is_here = |task| young.iter().any(|run| self.suspect_key(run.task) == task);
-        let is_other = |run: &YoungRun| run.is_at_start && self.suspect_key(run.task) != suspect;
-        if !young.iter().any(is_other) {
+        let is_other_suspect = |run: &YoungRun| {
+            run.is_at_start
+                && self.suspect_key(run.task) != suspect
+                && self.unexplained_crash_count(run.task) > 0
+        };
+        if !young.iter().any(is_other_suspect) {
             return false;
         }
         let crashes = self.unexplained_crash_count(suspect);
--- a/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/crash_attribution.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// Completes the second task of the healthy job on a minion of its own. It would have to be isolated
+/// otherwise, and keep the first one waiting.
+fn complete_second_task(cluster: &mut Cluster) {
+    join(cluster, "m2-1", &["h"]);
+    cluster.end_run(&"m2-1".into(), SECOND, EndKind::Done);
+    cluster.poll("m2-1");
+    cluster.crash("m2-1");
+}
+
 /// Guards against jobs that wait for a minute and more after three crashes under very many tasks,
 /// which each minion would start one by one.
 #[test]
@@ -138,17 +147,29 @@
     assert_eq!(cluster.job_state(HEALTHY_JOB), RUNNING);
 }
 
+/// Guards against a crashing task that is started three times after its third crash: one of its crashes
+/// was not reported, and two crashing tasks that have met the same crashes excuse each other.
+#[test]
+fn suspect_that_starts_beside_new_tasks_is_given_up_in_spite_of_a_rival() {
+    let mut cluster = cluster_after_first_crash();
+    crash_twice_more(&mut cluster, complete_second_task);
+    join(&mut cluster, "m2-2", &["h"]);
+    assert!(is_running(&cluster, HEALTHY), "the rival starts elsewhere");
+    cluster.heartbeat_with_unresponsive_minion("m2-2");
+    cluster.submit(OTHER_JOB, vec![labelled_step(2, "a")]);
+    join(&mut cluster, "m1-4", &["a"]);
+    assert!(is_running(&cluster, CRASHING) && is_running(&cluster, task(OTHER_JOB, 0, 0)));
+    cluster.crash("m1-4");
+    assert_eq!(cluster.job_state(CRASHING_JOB), FAILED);
+}
+
 /// Guards against a suspect with three crashes that starts together with all that was lost in the
 /// last of them, so that it is given up for the crash of a task with fewer.
 #[test]
 fn suspect_with_three_crashes_starts_apart_from_those_lost_with_it() {
     let mut cluster = cluster_after_first_crash();
     crash_twice_more(&mut cluster, |cluster| {
-        // The second task completes elsewhere, and would have to be isolated otherwise.
-        join(cluster, "m2-1", &["h"]);
-        cluster.end_run(&"m2-1".into(), SECOND, EndKind::Done);
-        cluster.poll("m2-1");
-        cluster.crash("m2-1");
+        complete_second_task(cluster);
         cluster.submit(OTHER_JOB, vec![labelled_step(4, "h")]);
         cluster.carry_out_orders();
     });
