--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,6 +1,8 @@
 //! The cases. Each returns 0 if the rule held, 1 if it was broken and 2 if it could not run.
 
+mod freeze;
 mod gang;
+mod soak;
 mod advice_burst;
 
 use std::time::{Duration, Instant};
@@ -19,8 +21,10 @@
     }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case {
+        "freeze" => freeze::run(trouble),
         "gang" => gang::run(trouble),
         "advice-burst" => advice_burst::run(trouble),
+        "soak" => soak::run(trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (code, why) = match result {
--- a/review/standin/cases/gang.rs
+++ b/review/standin/cases/gang.rs
@@ -47,7 +47,7 @@
         let seen = cluster.fleet.seen.lock().unwrap();
         let start = seen.iter().rev().find(|seen| seen.task == second && seen.what == "start");
         let minion = start.map(|seen| seen.minion.clone()).unwrap_or_default();
-        cluster.minions.iter().position(|other| other.id == minion).unwrap_or(0)
+        cluster.minions.iter().position(|other| other.id() == minion).unwrap_or(0)
     };
     if trouble {
         cluster.cut(machine, true);
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -32,15 +32,34 @@
 
 pub struct Cluster {
     pub entries: Vec<SocketAddr>,
+    /// Address of each entry for the balancer's readiness checks.
+    pub readiness: Vec<SocketAddr>,
     pub store: Arc<Store>,
     pub fleet: Arc<Fleet>,
     pub minions: Vec<Arc<Minion>>,
     /// Whether an agent is cut off from all entries, by agent.
     pub cuts: Vec<Cut>,
-    processes: Vec<(String, Child)>,
+    pub processes: Vec<Program>,
     folder: PathBuf,
 }
 
+/// A process of the project, with what is needed to start it again.
+pub struct Program {
+    pub name: String,
+    command: Vec<String>,
+    child: Child,
+}
+
+/// Signals of Linux that the cases send.
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// Extra text for the configuration and the settings.
 #[derive(Debug, Default, Clone)]
 pub struct Extras {
@@ -109,6 +128,7 @@
         store.listen(store_address, Vec::new())?;
         let mut cluster = Self {
             entries: (1..=entries).map(|number| at(entry_ip(number), front)).collect(),
+            readiness: (1..=entries).map(|number| at(entry_ip(number), ready)).collect(),
             store: Arc::clone(&store),
             fleet: Arc::default(),
             minions: Vec::new(),
@@ -141,7 +161,7 @@
             let name = format!("side-z1-{number}");
             cluster.spawn(&name, ip, peer, own_store, &commands.agent, &top, &listen, head)?;
             let minion = Minion::start(
-                &format!("i-{number:08x}"),
+                &format!("i-{number:06x}"),
                 &format!("r1-{number}"),
                 at(ip, app),
                 at(ip, control),
@@ -176,9 +196,18 @@
         );
         let file = self.folder.join(format!("{name}.toml"));
         std::fs::write(&file, settings)?;
-        let log = File::create(self.folder.join(format!("{name}.log")))?;
+        let child = self.start_process(name, command)?;
+        let command = command.to_vec();
+        self.processes.push(Program { name: name.to_owned(), command, child });
+        Ok(())
+    }
+
+    fn start_process(&self, name: &str, command: &[String]) -> std::io::Result<Child> {
+        let log = self.folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log)?;
         let mut process = Command::new(&command[0]);
-        process.args(&command[1..]).env_clear().env("GERANIUMPOST_SETTINGS", &file);
+        let settings = self.folder.join(format!("{name}.toml"));
+        process.args(&command[1..]).env_clear().env("GERANIUMPOST_SETTINGS", settings);
         for variable in ["PATH", "HOME", "LANG"] {
             if let Ok(value) = std::env::var(variable) {
                 process.env(variable, value);
@@ -188,8 +217,38 @@
         let child = process.spawn()?;
         record::line(&format!("started {name} {}", command.join(" ")));
         note_process(child.id())?;
-        self.processes.push((name.to_owned(), child));
-        Ok(())
+        Ok(child)
+    }
+
+    /// Sends a signal to a process that this cluster has started.
+    pub fn signal(&mut self, index: usize, signal: i32) {
+        let Program { name, child, .. } = &mut self.processes[index];
+        if child.try_wait().is_ok_and(|ended| ended.is_none()) {
+            record::line(&format!("signal {signal} to {name}"));
+            // The process is a child that has not been waited for, so that its id is still its own.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Starts processes again that have ended.
+    pub fn restart_ended(&mut self) {
+        for index in 0..self.processes.len() {
+            let Program { name, command, child } = &mut self.processes[index];
+            if child.try_wait().is_ok_and(|ended| ended.is_some()) {
+                let (name, command) = (name.clone(), command.clone());
+                if let Ok(child) = self.start_process(&name, &command) {
+                    self.processes[index].child = child;
+                }
+            }
+        }
+    }
+
+    /// Returns the index of the entry that the store names as the coordinator, if any.
+    pub fn coordinator(&self) -> Option<usize> {
+        let value = self.store.value("geraniumpost/coordinator")?;
+        let length = usize::from(*value.first()?);
+        let node = String::from_utf8_lossy(value.get(1..1 + length)?).into_owned();
+        self.processes.iter().position(|program| program.name == node)
     }
 
     /// Cuts an agent off from all entries, or heals the cut.
@@ -201,7 +260,7 @@
     /// Returns whether all programs still run.
     pub fn all_run(&mut self) -> bool {
         let mut all = true;
-        for (name, child) in &mut self.processes {
+        for Program { name, child, .. } in &mut self.processes {
             if let Ok(Some(status)) = child.try_wait() {
                 record::line(&format!("{name} has ended: {status}"));
                 all = false;
@@ -213,7 +272,7 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        for (_, child) in &mut self.processes {
+        for Program { child, .. } in &mut self.processes {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,8 @@
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 const TICK: Duration = Duration::from_millis(10);
+/// Work of tasks that last, which are at work at once.
+const LASTS: Duration = Duration::from_secs(1_000);
 
 /// Settings of the platform that minions follow.
 #[derive(Debug, Clone, Copy)]
@@ -45,6 +48,14 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Number of crashes so far; part of the id.
+    lives: u32,
+    /// Time until which the minion is down.
+    down_until: Option<Instant>,
+    /// Time at which the minion leaves, if it drains.
+    leaves_at: Option<Instant>,
+    /// Whether the lease has expired since the end with this number or later ones were listed.
+    lapsed_ends: BTreeSet<u64>,
     fence: u64,
     lease_until_ms: u64,
     running: BTreeMap<String, Running>,
@@ -57,10 +68,13 @@
 /// A minion and what it shares with the others.
 #[derive(Debug)]
 pub struct Minion {
-    pub id: String,
+    name: String,
     rack: String,
+    label: &'static str,
     bounds: Bounds,
     epoch: Instant,
+    /// Whether orders get no answer and are carried out later.
+    pub late_orders: AtomicBool,
     state: Mutex<State>,
     ended: Condvar,
     fleet: Arc<Fleet>,
@@ -77,7 +91,7 @@
     /// Tickets that the advice service has given, with the time until which each is valid.
     pub tickets: Mutex<BTreeMap<String, u64>>,
     /// Whether starts need a ticket.
-    pub needs_ticket: std::sync::atomic::AtomicBool,
+    pub needs_ticket: AtomicBool,
 }
 
 impl Fleet {
@@ -96,7 +110,7 @@
     /// Returns the number of runs of a job that have begun and not ended.
     pub fn running(&self, job: &str) -> usize {
         let seen = self.seen.lock().unwrap();
-        let of_job = seen.iter().filter(|seen| seen.task.starts_with(job));
+        let of_job = seen.iter().filter(|seen| seen.task.starts_with(job) && seen.what != "noted");
         let (starts, ends): (Vec<_>, Vec<_>) = of_job.partition(|seen| seen.what == "start");
         starts.len() - ends.len()
     }
@@ -112,8 +126,10 @@
         fleet: Arc<Fleet>,
     ) -> std::io::Result<Arc<Self>> {
         let minion = Arc::new(Self {
-            id: id.to_owned(),
+            name: id.to_owned(),
             rack: rack.to_owned(),
+            label: if id.ends_with('1') { "b" } else { "a" },
+            late_orders: AtomicBool::new(false),
             bounds,
             epoch: Instant::now(),
             state: Mutex::default(),
@@ -133,30 +149,115 @@
         self.epoch.elapsed().as_millis() as u64
     }
 
+    /// Returns the id of the present life.
+    pub fn id(&self) -> String {
+        self.state.lock().unwrap().id(&self.name)
+    }
+
+    /// Ends this life without a notice. The next one begins after `down`.
+    pub fn crash(&self, down: Duration) {
+        let mut state = self.state.lock().unwrap();
+        self.end_life(&mut state, down);
+    }
+
+    fn end_life(&self, state: &mut State, down: Duration) {
+        let id = state.id(&self.name);
+        record::line(&format!("minion {id} ends its life"));
+        for (task, running) in std::mem::take(&mut state.running) {
+            self.fleet.saw(&id, &task, running.run, "lost");
+            if running.gang > 0 {
+                let mut over = self.fleet.over.lock().unwrap();
+                over.entry((step_of(&task), running.run)).or_insert("lost");
+            }
+        }
+        *state = State {
+            lives: state.lives + 1,
+            down_until: Some(Instant::now() + down),
+            ..State::default()
+        };
+    }
+
+    /// Announces that the minion leaves after `remaining`; the next life begins 2 s later.
+    pub fn drain(&self, remaining: Duration) {
+        let mut state = self.state.lock().unwrap();
+        state.leaves_at = Some(Instant::now() + remaining);
+        record::line(&format!("minion {} drains", state.id(&self.name)));
+    }
+
     fn send_heartbeats(&self, agent: SocketAddr, own: SocketAddr) {
         for seq in 1.. {
+            let (id, is_down, remaining) = {
+                let state = self.state.lock().unwrap();
+                let left = |at: Instant| at.saturating_duration_since(Instant::now());
+                (state.id(&self.name), state.is_down(), state.leaves_at.map(left))
+            };
+            if is_down {
+                std::thread::sleep(Duration::from_millis(50));
+                continue;
+            }
+            if remaining.is_some_and(|left| left.is_zero()) {
+                let path = format!("/v1/instances/{id}");
+                let (status, _) = call(agent, "agent", "DELETE", &path, "", "", Duration::from_secs(1));
+                record::line(&format!("minion {id} leaves: {status}"));
+                if status != 200 {
+                    std::thread::sleep(Duration::from_secs(2));
+                }
+                let mut state = self.state.lock().unwrap();
+                self.end_life(&mut state, Duration::from_secs(2));
+                continue;
+            }
+            let (shown, more) = match remaining {
+                Some(left) => ("draining", format!(",\"remainingMs\":{}", left.as_millis())),
+                None => ("ready", String::new()),
+            };
             let body = format!(
                 "{{\"service\":\"study\",\"address\":\"{own}\",\"zone\":\"z1\",\"version\":\"v1\",\
-                 \"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{{\"cpu\":64000,\
-                 \"memMb\":256000,\"gpu\":0}},\"labels\":[\"a\",\"{}\"],\"clockMs\":{},\"seq\":{seq}}}",
+                 \"slots\":8,\"state\":\"{shown}\"{more},\"coldLeftMs\":0,\"capacity\":{{\"cpu\":64000,\
+                 \"memMb\":256000,\"gpu\":0}},\"labels\":[\"{}\",\"{}\"],\"clockMs\":{},\"seq\":{seq}}}",
+                self.label,
                 self.rack,
                 self.clock_ms()
             );
-            let path = format!("/v1/instances/{}", self.id);
+            let path = format!("/v1/instances/{id}");
             let timeout = Duration::from_secs(1);
             let (status, _) = call(agent, "agent", "PUT", &path, "", &body, timeout);
             // Until an agent listens, the minion asks again soon.
             let pause = if status == 200 { HEARTBEAT_INTERVAL } else { Duration::from_millis(300) };
-            std::thread::sleep(pause);
+            let until = Instant::now() + pause;
+            let is_draining = || self.state.lock().unwrap().leaves_at.is_some();
+            let was_draining = remaining.is_some();
+            while Instant::now() < until && is_draining() == was_draining {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            if was_draining {
+                std::thread::sleep(Duration::from_millis(200));
+            }
         }
     }
 
-    fn respond(&self, request: &Request) -> Response {
-        if request.instance != self.id {
-            return Some((421, "{}".to_owned()));
+    /// Answers a request, or carries an order out later without an answer.
+    fn respond(self: &Arc<Self>, request: &Request) -> Response {
+        if request.path != "/v1/hold" && self.late_orders.load(Ordering::SeqCst) {
+            let (late, request) = (Arc::clone(self), request.clone());
+            let delay = 2_000 + record::now_ms() * 7_919 % 10_000;
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(delay));
+                late.carry_out(&request);
+            });
+            return None;
         }
+        self.carry_out(request)
+    }
+
+    fn carry_out(&self, request: &Request) -> Response {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let mut state = self.state.lock().unwrap();
+        if state.is_down() {
+            return None;
+        }
+        if request.instance != state.id(&self.name) {
+            return Some((421, "{}".to_owned()));
+        }
         let fence = body.get("fence").number();
         if fence < state.fence {
             return Some(self.refuse("fence"));
@@ -177,7 +278,14 @@
             "/v1/hold" => {
                 self.extend(&mut state, &body);
                 let last_seen = body.get("lastSeen").number();
-                state.ends.retain(|(number, ..)| *number > last_seen);
+                let id = state.id(&self.name);
+                let State { ends, lapsed_ends, .. } = &mut *state;
+                for (number, task, run, how) in ends.extract_if(.., |(n, ..)| *n <= last_seen) {
+                    if how == "done" && !lapsed_ends.remove(&number) {
+                        self.fleet.saw(&id, &task, run, "noted");
+                    }
+                }
+                let lives = state.lives;
                 let wait = Duration::from_millis(body.get("waitMs").number());
                 let deadline = Instant::now() + wait;
                 while state.ends.is_empty() {
@@ -185,7 +293,10 @@
                     if left.is_zero() {
                         break;
                     }
-                    state = self.ended.wait_timeout(state, left).unwrap().0;
+                    state = self.ended.wait_timeout(state, left.min(TICK)).unwrap().0;
+                    if state.lives != lives {
+                        return None;
+                    }
                 }
                 Some((200, self.lists(&state)))
             }
@@ -221,8 +332,9 @@
         if is_old || state.running.contains_key(task) {
             return self.refuse("old");
         }
-        if self.fleet.needs_ticket.load(std::sync::atomic::Ordering::SeqCst) {
-            let key = format!("{}/{}/{}", step_of(task), self.id, body.get("ticket").text());
+        if self.fleet.needs_ticket.load(Ordering::SeqCst) {
+            let id = state.id(&self.name);
+            let key = format!("{}/{id}/{}", step_of(task), body.get("ticket").text());
             let until_ms = self.fleet.tickets.lock().unwrap().get(&key).copied().unwrap_or(0);
             if until_ms < record::now_ms() {
                 return self.refuse("ticket");
@@ -239,7 +351,7 @@
         let works_since = (gang == 0).then_some(began);
         let work = Duration::from_millis(field("work="));
         state.running.insert(task.to_owned(), Running { run, began, works_since, work, gang });
-        self.fleet.saw(&self.id, task, run, "start");
+        self.fleet.saw(&state.id(&self.name), task, run, "start");
         if gang > 0 {
             let mut present = self.fleet.present.lock().unwrap();
             present.entry((step_of(task), run)).or_default().insert(task.to_owned());
@@ -254,7 +366,7 @@
         state.last_end += 1;
         let number = state.last_end;
         state.ends.push((number, task.to_owned(), running.run, how));
-        self.fleet.saw(&self.id, task, running.run, how);
+        self.fleet.saw(&state.id(&self.name), task, running.run, how);
         if running.gang > 0 {
             let mut over = self.fleet.over.lock().unwrap();
             over.entry((step_of(task), running.run)).or_insert(how);
@@ -264,6 +376,9 @@
 
     fn lists(&self, state: &State) -> String {
         let percent = |running: &Running| {
+            if running.work >= LASTS {
+                return 100;
+            }
             let since = running.works_since.map_or(Duration::ZERO, |since| since.elapsed());
             (100.0 * since.as_secs_f64() / running.work.as_secs_f64().max(0.001)).min(99.0) as u32
         };
@@ -287,6 +402,10 @@
             std::thread::sleep(TICK);
             let mut state = self.state.lock().unwrap();
             let lapsed = self.clock_ms() > state.lease_until_ms;
+            if lapsed {
+                let State { ends, lapsed_ends, .. } = &mut *state;
+                lapsed_ends.extend(ends.iter().map(|(number, ..)| *number));
+            }
             let mut ending = Vec::new();
             for (task, running) in &mut state.running {
                 if lapsed {
@@ -306,6 +425,7 @@
             let key = (step_of(task), running.run);
             match self.fleet.over.lock().unwrap().get(&key) {
                 Some(&"done") => return Some("done"),
+                Some(&"alone") if running.works_since.is_none() => {}
                 Some(_) => return Some("broken"),
                 None => {}
             }
@@ -323,6 +443,16 @@
     }
 }
 
+impl State {
+    fn id(&self, name: &str) -> String {
+        format!("{name}{:02x}", self.lives)
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+}
+
 /// Returns the step of a task's name ID.K.STEP.INDEX, without the index.
 fn step_of(task: &str) -> String {
     task.rsplit_once('.').map_or(String::new(), |(step, _)| step.to_owned())
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -28,8 +29,27 @@
     answers: BTreeMap<u16, u64>,
 }
 
+/// What is wrong with the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    #[default]
+    None,
+    /// All calls get 503.
+    Busy,
+    /// No call gets an answer.
+    Silent,
+    /// A third of the writes is done and gets no answer.
+    Lost,
+    /// A third of the writes gets no answer and is done 1 to 6 s later, if its condition still holds.
+    Late,
+    /// Answers take 240 ms.
+    Slow,
+}
+
 #[derive(Debug, Default)]
 pub struct Store {
+    pub fault: Mutex<Fault>,
+    writes: AtomicU64,
     state: Mutex<State>,
     changed: Condvar,
 }
@@ -45,13 +65,47 @@
         store
     }
 
+    /// Answers through a fault.
+    fn answer(self: &Arc<Self>, request: &Request, replace: &Replacements) -> Response {
+        let fault = *self.fault.lock().unwrap();
+        let is_third = request.path == "/v1/kv-txn"
+            && self.writes.fetch_add(1, Ordering::SeqCst) % 3 == 0;
+        match fault {
+            Fault::Busy => return Some((503, "{}".to_owned())),
+            Fault::Silent => {
+                while *self.fault.lock().unwrap() == Fault::Silent {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                return None;
+            }
+            Fault::Lost if is_third => {
+                self.respond(request, replace);
+                std::thread::sleep(Duration::from_secs(2));
+                return None;
+            }
+            Fault::Late if is_third => {
+                let (store, request) = (Arc::clone(self), request.clone());
+                let delay = 1_000 + crate::record::now_ms() * 7_919 % 5_000;
+                std::thread::spawn(move || {
+                    std::thread::sleep(Duration::from_millis(delay));
+                    store.respond(&request, &Vec::new());
+                });
+                std::thread::sleep(Duration::from_secs(2));
+                return None;
+            }
+            Fault::Slow => std::thread::sleep(Duration::from_millis(240)),
+            _ => std::thread::sleep(Duration::from_millis(4)),
+        }
+        self.respond(request, replace)
+    }
+
     pub fn listen(
         self: &Arc<Self>,
         address: SocketAddr,
         replace: Replacements,
     ) -> std::io::Result<()> {
         let store = Arc::clone(self);
-        serve(address, move |request| store.respond(&request, &replace))
+        serve(address, move |request| store.answer(&request, &replace))
     }
 
     /// Writes a key as the operator does.
