--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -4,6 +4,7 @@
 mod gang;
 mod soak;
 mod advice_burst;
+mod advice_grows;
 
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,7 @@
     }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case {
+        "advice-grows" => advice_grows::run(trouble),
         "freeze" => freeze::run(trouble),
         "gang" => gang::run(trouble),
         "advice-burst" => advice_burst::run(trouble),
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -40,9 +40,19 @@
     /// Whether an agent is cut off from all entries, by agent.
     pub cuts: Vec<Cut>,
     pub processes: Vec<Program>,
+    ports: Ports,
     folder: PathBuf,
 }
 
+/// Ports that agents, minions and their views of the store use on their addresses.
+#[derive(Debug, Clone, Copy)]
+struct Ports {
+    control: u16,
+    peer: u16,
+    app: u16,
+    store: u16,
+}
+
 /// A process of the project, with what is needed to start it again.
 pub struct Program {
     pub name: String,
@@ -122,6 +132,7 @@
         let [front, ready, control, peer, app, store_port] = ports[..] else {
             return Err(std::io::Error::other("no free ports"));
         };
+        let ports = Ports { control, peer, app, store: store_port };
         let store = Store::new();
         store.put("op/config", &configuration(&extras.route));
         let store_address = at(Ipv4Addr::new(127, 0, 3, 1), store_port);
@@ -134,6 +145,7 @@
             minions: Vec::new(),
             cuts: Vec::new(),
             processes: Vec::new(),
+            ports,
             folder,
         };
         for number in 1..=entries {
@@ -144,36 +156,45 @@
             let name = format!("front-z1-{number}");
             cluster.spawn(&name, ip, peer, store_address, &commands.entry, &advice, &listen, head)?;
         }
-        for number in 1..=agents {
-            let ip = agent_ip(number);
-            let cut: Cut = Arc::new(AtomicBool::new(false));
-            let mut replace = Vec::new();
-            for entry in 1..=entries {
-                let (from, to) = (entry_ip(entry), proxy_ip(number, entry));
-                proxy::relay(at(to, peer), at(from, peer), Arc::clone(&cut))?;
-                replace.push((from.octets().to_vec(), to.octets().to_vec()));
-            }
-            let own_store = at(Ipv4Addr::new(127, 0, 4, number as u8), store_port);
-            store.listen(own_store, replace)?;
-            let listen = format!("control = \"{ip}:{control}\"\n");
-            let top = format!("app = \"{ip}:{app}\"\nservice = \"study\"\n");
-            let head = "cpuShare = 0.15\ncores = 1\nmemoryMb = 128\nmaxFds = 4096\n";
-            let name = format!("side-z1-{number}");
-            cluster.spawn(&name, ip, peer, own_store, &commands.agent, &top, &listen, head)?;
-            let minion = Minion::start(
-                &format!("i-{number:06x}"),
-                &format!("r1-{number}"),
-                at(ip, app),
-                at(ip, control),
-                MINION_BOUNDS,
-                Arc::clone(&cluster.fleet),
-            )?;
-            cluster.minions.push(minion);
-            cluster.cuts.push(cut);
+        for _ in 0..agents {
+            cluster.add_agent()?;
         }
         Ok(cluster)
     }
 
+    /// Adds a machine with an agent and a minion.
+    pub fn add_agent(&mut self) -> std::io::Result<()> {
+        let number = self.minions.len() + 1;
+        let Ports { control, peer, app, store: store_port } = self.ports;
+        let command = read_commands()?.agent;
+        let ip = agent_ip(number);
+        let cut: Cut = Arc::new(AtomicBool::new(false));
+        let mut replace = Vec::new();
+        for entry in 1..=self.entries.len() {
+            let (from, to) = (entry_ip(entry), proxy_ip(number, entry));
+            proxy::relay(at(to, peer), at(from, peer), Arc::clone(&cut))?;
+            replace.push((from.octets().to_vec(), to.octets().to_vec()));
+        }
+        let own_store = at(Ipv4Addr::new(127, 0, 4, number as u8), store_port);
+        self.store.listen(own_store, replace)?;
+        let listen = format!("control = \"{ip}:{control}\"\n");
+        let top = format!("app = \"{ip}:{app}\"\nservice = \"study\"\n");
+        let limits = "cpuShare = 0.15\ncores = 1\nmemoryMb = 128\nmaxFds = 4096\n";
+        let name = format!("side-z1-{number}");
+        self.spawn(&name, ip, peer, own_store, &command, &top, &listen, limits)?;
+        let minion = Minion::start(
+            &format!("i-{number:06x}"),
+            &format!("r1-{}", number.div_ceil(3)),
+            at(ip, app),
+            at(ip, control),
+            MINION_BOUNDS,
+            Arc::clone(&self.fleet),
+        )?;
+        self.minions.push(minion);
+        self.cuts.push(cut);
+        Ok(())
+    }
+
     #[allow(clippy::too_many_arguments)]
     fn spawn(
         &mut self,
