--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,5 +1,6 @@
 //! The cases. Each returns 0 if the rule held, 1 if it was broken and 2 if it could not run.
 
+mod flap;
 mod freeze;
 mod gang;
 mod soak;
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case {
         "advice-grows" => advice_grows::run(trouble),
+        "flap" => flap::run(trouble),
         "freeze" => freeze::run(trouble),
         "gang" => gang::run(trouble),
         "advice-burst" => advice_burst::run(trouble),
