--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,11 +1,11 @@
 //! The cases. Each returns 0 if the rule held, 1 if it was broken and 2 if it could not run.
 
+mod advice_burst;
+mod advice_grows;
 mod flap;
 mod freeze;
 mod gang;
 mod soak;
-mod advice_burst;
-mod advice_grows;
 
 use std::time::{Duration, Instant};
 
--- a/review/standin/cluster.rs
+++ b/review/standin/cluster.rs
@@ -154,7 +154,16 @@
             let head = "cpuShare = 0.25\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\n";
             let advice = extras.advice.map_or(String::new(), |a| format!("advice = \"{a}\"\n"));
             let name = format!("front-z1-{number}");
-            cluster.spawn(&name, ip, peer, store_address, &commands.entry, &advice, &listen, head)?;
+            cluster.spawn(
+                &name,
+                ip,
+                peer,
+                store_address,
+                &commands.entry,
+                &advice,
+                &listen,
+                head,
+            )?;
         }
         for _ in 0..agents {
             cluster.add_agent()?;
@@ -274,7 +283,11 @@
 
     /// Cuts an agent off from all entries, or heals the cut.
     pub fn cut(&self, agent: usize, is_cut: bool) {
-        record::line(&format!("{} of side-z1-{}", if is_cut { "cut" } else { "healing" }, agent + 1));
+        record::line(&format!(
+            "{} of side-z1-{}",
+            if is_cut { "cut" } else { "healing" },
+            agent + 1
+        ));
         self.cuts[agent].store(is_cut, Ordering::SeqCst);
     }
 
