--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -5,6 +5,7 @@
 mod flap;
 mod freeze;
 mod gang;
+mod late_start;
 mod soak;
 
 use std::time::{Duration, Instant};
@@ -28,6 +29,7 @@
         "freeze" => freeze::run(trouble),
         "gang" => gang::run(trouble),
         "advice-burst" => advice_burst::run(trouble),
+        "late-start" => late_start::run(trouble),
         "soak" => soak::run(trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin/cases/soak.rs
+++ b/review/standin/cases/soak.rs
@@ -8,6 +8,7 @@
 use super::{BROKEN, HELD, wait_until};
 use crate::client::{attempt, send, state, submit};
 use crate::cluster::{Cluster, Extras, SIGCONT, SIGKILL, SIGSTOP, SIGTERM};
+use crate::minion::KEEPS_ID;
 use crate::record;
 use crate::store::Fault;
 
@@ -94,6 +95,7 @@
 pub fn run(trouble: bool) -> std::io::Result<(i32, String)> {
     let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1_u64);
     let mut random = Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
+    KEEPS_ID.store(std::env::var("BORN").is_ok(), Ordering::SeqCst);
     let mut cluster = Cluster::start(3, 4, &Extras::default())?;
     let entries = cluster.entries.clone();
     std::thread::sleep(Duration::from_secs(1));
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -78,6 +78,8 @@
     epoch: Instant,
     /// Whether orders get no answer and are carried out later.
     pub late_orders: AtomicBool,
+    /// For how long the next start is held up on its way, in milliseconds; 0 for not at all.
+    pub next_start_late_ms: AtomicU64,
     state: Mutex<State>,
     ended: Condvar,
     fleet: Arc<Fleet>,
@@ -133,6 +135,7 @@
             rack: rack.to_owned(),
             label: if id.ends_with('1') { "b" } else { "a" },
             late_orders: AtomicBool::new(false),
+            next_start_late_ms: AtomicU64::new(0),
             bounds,
             epoch: Instant::now(),
             state: Mutex::new(State { born_ms: unix_ms(), ..State::default() }),
@@ -247,11 +250,19 @@
 
     /// Answers a request, or carries an order out later without an answer.
     fn respond(self: &Arc<Self>, request: &Request) -> Response {
+        let mut delay_ms = 0;
+        if request.path == "/v1/run-start" {
+            delay_ms = self.next_start_late_ms.swap(0, Ordering::SeqCst);
+        }
         if request.path != "/v1/hold" && self.late_orders.load(Ordering::SeqCst) {
+            delay_ms = 2_000 + record::now_ms() * 7_919 % 10_000;
+        }
+        if delay_ms > 0 {
+            // The call gets no answer, and reaches whichever life has the id when it arrives.
             let (late, request) = (Arc::clone(self), request.clone());
-            let delay = 2_000 + record::now_ms() * 7_919 % 10_000;
+            record::line(&format!("an order to {} is held up for {delay_ms} ms", request.instance));
             std::thread::spawn(move || {
-                std::thread::sleep(Duration::from_millis(delay));
+                std::thread::sleep(Duration::from_millis(delay_ms));
                 late.carry_out(&request);
             });
             return None;
@@ -454,8 +465,11 @@
     }
 }
 
+/// Whether a minion starts again under the id that it had, and tells its lives apart by `born`.
+pub static KEEPS_ID: AtomicBool = AtomicBool::new(false);
+
 fn keeps_id() -> bool {
-    std::env::var("BORN").is_ok()
+    KEEPS_ID.load(Ordering::SeqCst)
 }
 
 fn unix_ms() -> u64 {
@@ -464,7 +478,7 @@
 }
 
 impl State {
-    /// Returns the id; with `BORN` set, each life has the same one.
+    /// Returns the id; with [`KEEPS_ID`], each life has the same one.
     fn id(&self, name: &str) -> String {
         if keeps_id() { name.to_owned() } else { format!("{name}{:02x}", self.lives) }
     }
