fix(batch): keep an unanswered start order however its run ends

Cause: a copy of the start order had no response and was carried out 8 s late, after the minion had restarted under its id. The coordinator knew of the copy only by a mark on the run, and took it out of the run at two of its ends: an expired lease, and the loss of the minion. At any other end the copy was forgotten, and nothing stopped the run on the later process.

Evidence: log of the case on: the start has no answer at 10.57 s, the run ends at 11.54 s, the later process is known from 13.0 s, and no stop goes out before the run is listed at 18.7 s. Ruled out by the same log: a stop that comes too late, or to the wrong process.

Why it works: every removal of a run or copy now passes through keep_late_start, and a result without a response marks the run in any state. The run is stopped on each later process as soon as it is reported, before the late order comes.

The line on stopped runs says why.

--- a/crates/geraniumpost-batch/src/coordinator/copy_events.rs
+++ b/crates/geraniumpost-batch/src/coordinator/copy_events.rs
@@ -38,6 +38,7 @@
             ));
             self.track_failures(minion, end, now);
             let copy = self.remove_copy(task);
+            self.keep_late_start(task, copy.as_ref(), now);
             if end.kind == EndKind::Done {
                 self.record_duration(task, copy.as_ref(), now);
             }
@@ -138,15 +139,16 @@
     }
 
     /// Drops the copies on a minion that has terminated or whose lease has expired.
-    pub(super) fn drop_copies_of_minion(&mut self, id: &Name) {
+    pub(super) fn drop_copies_of_minion(&mut self, id: &Name, now: Now) {
         let Some(minion) = self.minions.get(id) else { return };
         for task in minion.copies.clone() {
-            self.drop_copy(task, "lost");
+            self.drop_copy(task, "lost", now);
         }
     }
 
-    fn drop_copy(&mut self, task: TaskId, why: &str) {
+    fn drop_copy(&mut self, task: TaskId, why: &str, now: Now) {
         let Some(copy) = self.remove_copy(task) else { return };
+        self.keep_late_start(task, Some(&copy), now);
         self.copy_counts.wasted += 1;
         self.log(format!(
             "decision=copy_end job={} task={task} run={} minion={} end={why}",
@@ -175,7 +177,7 @@
                 copy.order = OrderState::StopConfirmed { at_ms: now.steady_ms, results_reported };
             }
             (OrderKindTag::Start, outcome) => {
-                copy.record_start_result();
+                copy.record_start_result(outcome);
                 if copy.is_stopping() {
                     return;
                 }
@@ -187,12 +189,8 @@
                     OrderOutcome::RunIsOver => {
                         copy.order = OrderState::Ended { results_reported };
                     }
-                    OrderOutcome::NoResponse => {
-                        copy.start_unresolved = true;
-                        self.send_copy_stop(result.task, now);
-                    }
                     _ if copy.may_still_start() => self.send_copy_stop(result.task, now),
-                    _ => self.drop_copy(result.task, "refused"),
+                    _ => self.drop_copy(result.task, "refused", now),
                 }
             }
             _ => {}
@@ -242,7 +240,7 @@
                     | OrderState::Ended { results_reported }
                     | OrderState::StopConfirmed { results_reported, .. },
                 ) if results_reported <= orders_reported_before => {
-                    self.drop_copy(task, "missing");
+                    self.drop_copy(task, "missing", now);
                 }
                 // Its start may still be on its way.
                 Some(OrderState::Unknown { .. }) => self.send_copy_stop(task, now),
--- a/crates/geraniumpost-batch/src/coordinator/leases.rs
+++ b/crates/geraniumpost-batch/src/coordinator/leases.rs
@@ -94,12 +94,11 @@
             let runs: Vec<_> = minion.runs.iter().copied().collect();
             self.log(format!("minion={id} event=lease_expired runs={}", runs.len()));
             let young = self.young_runs(&id, now);
-            self.record_late_starts(&id, &runs, now);
             if let Some(minion) = self.minions.get_mut(&id) {
                 minion.expired_runs = young;
                 minion.runs_expired_ms = now.steady_ms;
             }
-            self.drop_copies_of_minion(&id);
+            self.drop_copies_of_minion(&id, now);
             for task in runs {
                 self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
             }
--- a/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion_lifecycle.rs
@@ -94,10 +94,9 @@
         let ended = if let Some(successor) = successor {
             self.stop_late_runs_on(successor, &agent, runs, now)
         } else {
-            self.record_late_starts(id, &runs, now);
             runs
         };
-        self.drop_copies_of_minion(id);
+        self.drop_copies_of_minion(id, now);
         for task in ended {
             self.end_run(task, EndKind::LeaseExpired, &Name::default(), now);
         }
--- a/crates/geraniumpost-batch/src/coordinator/order_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/order_results.rs
@@ -70,7 +70,7 @@
 
     fn handle_start_result(&mut self, result: &OrderResult, now: Now) {
         let Some(run) = self.runs.get_mut(&result.task) else { return };
-        run.record_start_result();
+        run.record_start_result(result.outcome);
         if run.is_stopping() {
             return;
         }
@@ -95,7 +95,6 @@
             // of the run.
             _ if run.has_started() => {}
             OrderOutcome::NoResponse => {
-                run.start_unresolved = true;
                 run.order = OrderState::Unknown { since_ms: now.steady_ms };
                 if run.start_count >= MAX_START_ORDERS {
                     self.send_stop(task, now);
--- a/crates/geraniumpost-batch/src/coordinator/orders.rs
+++ b/crates/geraniumpost-batch/src/coordinator/orders.rs
@@ -143,12 +143,14 @@
         }
     }
 
-    /// Stops a run that this coordinator does not expect on a minion.
-    pub(super) fn stop_unknown_run(&mut self, minion: &Name, task: TaskId, run: u32) {
+    /// Stops a run that this coordinator does not expect on a minion, or that must not start there.
+    pub(super) fn stop_unknown_run(&mut self, minion: &Name, task: TaskId, run: u32, why: &str) {
         let Some(state) = self.minions.get(minion) else { return };
         let agent = state.agent.clone();
         let order = Order { minion: minion.clone(), task, run, kind: OrderKind::Stop };
-        self.log(format!("decision=stop_unknown_run task={task} run={run} minion={minion}"));
+        self.log(format!(
+            "decision=stop_unknown_run task={task} run={run} minion={minion} why=\"{why}\""
+        ));
         self.effects.push(Effect::Send { agent, message: ToAgent::Order(order) });
     }
 
--- a/crates/geraniumpost-batch/src/coordinator/poll_results.rs
+++ b/crates/geraniumpost-batch/src/coordinator/poll_results.rs
@@ -61,13 +61,13 @@
             return;
         }
         let Some(run) = self.runs.get_mut(&row.task) else {
-            self.stop_unknown_run(minion, row.task, row.run);
+            self.stop_unknown_run(minion, row.task, row.run, "listed");
             return;
         };
         if run.place.minion != *minion || run.number != row.run {
             let is_unexpected = run.place.minion != *minion || run.number > row.run;
             if is_unexpected {
-                self.stop_unknown_run(minion, row.task, row.run);
+                self.stop_unknown_run(minion, row.task, row.run, "listed");
             }
             return;
         }
--- a/crates/geraniumpost-batch/src/coordinator/restarts.rs
+++ b/crates/geraniumpost-batch/src/coordinator/restarts.rs
@@ -76,13 +76,20 @@
         minion.linked = linked;
     }
 
-    /// Keeps the start orders of runs that are about to end and that may still be carried out.
-    pub(super) fn record_late_starts(&mut self, minion: &Name, runs: &[TaskId], now: Now) {
-        for task in runs {
-            let Some(run) = self.runs.get(task) else { continue };
-            if run.may_still_start() && run.order != OrderState::Committing {
-                self.late_starts.record(minion, *task, run.number, now.steady_ms);
-            }
+    /// Keeps the start order of a run, or of a copy of one, that is over for this coordinator, if a
+    /// copy of the order may still be carried out. Must be called however the run has ended: only
+    /// the process that ran it rejects such an order.
+    pub(super) fn keep_late_start(&mut self, task: TaskId, run: Option<&Run>, now: Now) {
+        let Some(run) = run.filter(|run| run.may_still_start()) else { return };
+        if run.order != OrderState::Committing {
+            self.late_starts.record(&run.place.minion, task, run.number, now.steady_ms);
+        }
+    }
+
+    /// Logs how many start orders are no longer kept although they may still be carried out.
+    pub(super) fn report_dropped_late_starts(&mut self, now: Now) {
+        if let Some(count) = self.late_starts.take_dropped_count(now.steady_ms) {
+            self.log(format!("event=late_starts_dropped count={count}"));
         }
     }
 
@@ -106,7 +113,7 @@
                 .get(&bar.task)
                 .is_some_and(|run| run.number == bar.number && run.place.minion == bar.minion);
             if !is_expected {
-                self.stop_unknown_run(&bar.minion, bar.task, bar.number);
+                self.stop_unknown_run(&bar.minion, bar.task, bar.number, "late start");
             }
         }
     }
--- a/crates/geraniumpost-batch/src/coordinator/run.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run.rs
@@ -1,4 +1,4 @@
-use crate::{Demand, Place, StepSpec};
+use crate::{Demand, OrderOutcome, Place, StepSpec};
 
 /// A run that exists, may exist or may still come into existence on a minion.
 #[derive(Debug, Clone)]
@@ -103,12 +103,14 @@
         self.order = OrderState::Sent { at_ms: now_ms };
     }
 
-    /// Counts one copy of the start order as no longer in flight, whatever its result.
+    /// Counts one copy of the start order as no longer in flight. A copy without a response may
+    /// still be carried out, whatever state the run is in.
     ///
     /// A result of a copy that was sent over an earlier link is counted for the current link. That
     /// does no harm, because [`Run::record_link_loss`] has already marked the run as unresolved.
-    pub(super) const fn record_start_result(&mut self) {
+    pub(super) fn record_start_result(&mut self, outcome: OrderOutcome) {
         self.starts_in_flight = self.starts_in_flight.saturating_sub(1);
+        self.start_unresolved |= outcome == OrderOutcome::NoResponse;
     }
 
     /// Records the loss of the link to the run's agent. Copies of the start order may still be on
--- a/crates/geraniumpost-batch/src/coordinator/run_ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run_ends.rs
@@ -56,6 +56,7 @@
 
     fn end_current_run(&mut self, task: TaskId, kind: EndKind, checkpoint: &Name, now: Now) -> u64 {
         let run = self.remove_run(task);
+        self.keep_late_start(task, run.as_ref(), now);
         if kind == EndKind::Done && self.features.contains(Feature::Stragglers) {
             self.record_duration(task, run.as_ref(), now);
         }
--- a/crates/geraniumpost-batch/src/coordinator/timers.rs
+++ b/crates/geraniumpost-batch/src/coordinator/timers.rs
@@ -22,6 +22,7 @@
         self.begin_due_occurrences(now);
         self.retry_orders(now);
         self.retry_bars(now);
+        self.report_dropped_late_starts(now);
         self.retry_copy_orders(now);
         self.evacuate_draining_minions(now);
         self.move_throttled_tasks(now);
--- a/crates/geraniumpost-batch/src/incarnation.rs
+++ b/crates/geraniumpost-batch/src/incarnation.rs
@@ -55,11 +55,15 @@
     /// may then reach the other. False if a start time is unknown, because the names may then stand
     /// for the same process.
     pub fn is_other_process(one: &Name, other: &Name) -> bool {
-        let (one, other) = (Self::from_name(one), Self::from_name(other));
-        one.id == other.id
-            && one.born_ms.is_some()
+        Self::from_name(one).is_other_process_than(&Self::from_name(other))
+    }
+
+    /// Like [`Self::is_other_process`], for incarnations whose names are decoded already.
+    pub fn is_other_process_than(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.born_ms.is_some()
             && other.born_ms.is_some()
-            && one.born_ms != other.born_ms
+            && self.born_ms != other.born_ms
     }
 
     /// Returns whether two different names may stand for the same process: they have the same id,
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -20,6 +20,7 @@
 mod failure_odds;
 mod job_guarantees;
 mod late_crash_reports;
+mod late_starts;
 mod leases;
 mod longest_wait;
 mod persistent_restart;
