feat(batch): log unused approvals and rounds that take long to carry out

A response for a job that is over is now logged (event=approval_unused), as are the time since the request (waited_ms) and a round whose effects take over 200 ms to carry out (event=effects_slow).

--- a/crates/geraniumpost-batch/src/coordinator/approvals.rs
+++ b/crates/geraniumpost-batch/src/coordinator/approvals.rs
@@ -76,7 +76,11 @@
         response: Option<(Vec<(Name, Name)>, u64)>,
         now: Now,
     ) {
-        let Some(approval) = self.approvals.0.get_mut(&step_key(step)) else { return };
+        let Some(approval) = self.approvals.0.get_mut(&step_key(step)) else {
+            self.log(format!("event=approval_unused job={} step={step}", step.job));
+            return;
+        };
+        let waited_ms = approval.requested_ms.map_or(0, |at_ms| now.steady_ms - at_ms);
         if approval.requested == *requested {
             approval.requested_ms = None;
         }
@@ -91,7 +95,8 @@
         }
         let (approved, refused) = (approval.tickets.len(), approval.refused.len());
         self.log(format!(
-            "decision=approval job={} step={step} approved={approved} refused={refused}",
+            "decision=approval job={} step={step} approved={approved} refused={refused} \
+             waited_ms={waited_ms}",
             step.job
         ));
         self.placement_due = true;
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use geraniumpost_batch::disturbance::DisturbanceStatus;
 use geraniumpost_batch::shares::{StopCounts, StopReason};
@@ -29,6 +29,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of inputs that are handled in one round, before the coordinator makes decisions.
 const MAX_INPUTS_PER_ROUND: usize = 64;
+/// Time to carry out the effects of a round from which it is logged: links, writes and requests are
+/// queued, so that a round usually takes a millisecond, and everything else waits meanwhile.
+const SLOW_EFFECTS: Duration = Duration::from_millis(200);
 
 /// The process at the other end of a link.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -206,12 +209,18 @@
             }
             let effects = self.coordinator.take_effects(BootClock.now());
             self.update_successor_leases();
+            let began = Instant::now();
+            let count = effects.len();
             for effect in effects {
                 if effect == Effect::Superseded {
                     return TermEnd::Superseded;
                 }
                 self.perform(effect).await;
             }
+            if began.elapsed() >= SLOW_EFFECTS {
+                let took_ms = began.elapsed().as_millis();
+                spdlog::warn!("event=effects_slow effects={count} took_ms={took_ms}");
+            }
         }
     }
 
