fix(batch): send one approval request at a time, and never wait for the service

Cause: a step was requested again after 2 s although its first request still stood in line, and what stood there was sent even if the step had its approval or its job was over. Load rose with the delay that it caused. When the queue of 4,096 requests was full, the coordinator waited for a place while it carried out an effect. The task of the service in turn waits for a place in the coordinator's queue of inputs: with both full, nothing goes on.

Ruled out: a slow service, which handled 20 requests a second throughout.

The coordinator now has one request in flight and chooses step and minions when it sends the next one, in turns of queues and jobs. The driver carries out effects without waiting; a request or write without a place is taken back. No service in the settings closes the queue, and no longer fills it.

Why it works: each request serves a step that waits, so that a backlog shrinks as long as less arrives than the service can decide.

--- a/crates/geraniumpost-batch/src/coordinator/placement.rs
+++ b/crates/geraniumpost-batch/src/coordinator/placement.rs
@@ -93,12 +93,15 @@
         self.update_isolation();
         self.release_held_room();
         self.begin_preemption_round(now);
+        self.approvals.begin_round();
         if self.divides_by_weights() {
-            return self.place_by_shares(&order, now);
-        }
-        for (_, id) in order {
-            self.place_job(id, usize::MAX, now);
+            self.place_by_shares(&order, now);
+        } else {
+            for (_, id) in order {
+                self.place_job(id, usize::MAX, now);
+            }
         }
+        self.request_next_approval(now);
     }
 
     /// Records since when persistent jobs have been interrupted.
@@ -176,9 +179,8 @@
             !placed.contains(*task) && !must_be_isolated(self.unexplained_crash_count(**task))
         };
         let unplaced: Vec<TaskId> = waiting.iter().filter(waits_for_room).copied().collect();
-        let needs_approval = self.jobs.get(&id).is_some_and(|job| job.record.terms.needs_approval);
-        if needs_approval && placed.len() < wanted {
-            self.request_approval(first, &spec, now);
+        if placed.len() < wanted {
+            self.await_approval(first, now);
         }
         self.tasks_wait_for_room |= !spec.best_effort && !unplaced.is_empty();
         if spec.gang && placed.len() < spec.count as usize {
--- a/crates/geraniumpost-batch/tests/coordinator/main.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the coordinator's decisions, without I/O.
 
+mod approvals;
 mod best_effort;
 mod best_effort_fleet;
 mod changed_capacity;
--- a/crates/geraniumpost/src/batch/coordination/driver.rs
+++ b/crates/geraniumpost/src/batch/coordination/driver.rs
@@ -15,6 +15,7 @@
 use geraniumpost_platform::ApprovedMinions;
 use geraniumpost_schema::Name;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 
 use super::super::entry::ActiveConfiguration;
 use super::super::{BootClock, ToPeer};
@@ -33,6 +34,9 @@
 /// queued, so that a round usually takes a millisecond, and everything else waits meanwhile.
 const SLOW_EFFECTS: Duration = Duration::from_millis(200);
 
+/// Minimum interval between two log lines on approval requests that could not be passed on.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The process at the other end of a link.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Peer {
@@ -132,6 +136,8 @@
     metrics: Arc<Metrics>,
     writes: mpsc::Sender<WriteBatch>,
     approval_requests: mpsc::Sender<ApprovalRequest>,
+    /// Time of the last log line on a request that could not be passed on.
+    approval_failure_logged: Option<Instant>,
     /// Links of entries, by the number of the link.
     entries: HashMap<u64, LinkSender<ToPeer>>,
     agents: AgentLinks<LinkSender<ToPeer>>,
@@ -184,6 +190,7 @@
             coordinator,
             writes,
             approval_requests,
+            approval_failure_logged: None,
             entries: HashMap::new(),
             agents: AgentLinks::default(),
             pending_replies: HashMap::new(),
@@ -215,7 +222,7 @@
                 if effect == Effect::Superseded {
                     return TermEnd::Superseded;
                 }
-                self.perform(effect).await;
+                self.perform(effect);
             }
             if began.elapsed() >= SLOW_EFFECTS {
                 let took_ms = began.elapsed().as_millis();
@@ -384,15 +391,11 @@
         }
     }
 
-    async fn perform(&mut self, effect: Effect) {
+    /// Carries out an effect, without waiting: all other decisions would wait too, and a task that
+    /// waits for a place in the queue of inputs would never make room for this one.
+    fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Write(batch) => {
-                // Sending does not wait: the queue has capacity for all batches that the
-                // coordinator has in flight.
-                if self.writes.send(batch).await.is_err() {
-                    spdlog::debug!("event=writer_ended");
-                }
-            }
+            Effect::Write(batch) => self.write(batch),
             Effect::Respond { request_id, response } => {
                 let Some((link, request_id)) = self.pending_replies.remove(&request_id) else {
                     return;
@@ -409,17 +412,39 @@
                     self.send_to_agent(&agent, message);
                 }
             }
-            Effect::RequestApproval { step, minions } => {
-                // If no admission service is configured, the step keeps waiting.
-                if self.approval_requests.send((step, minions)).await.is_err() {
-                    spdlog::warn!("event=no_admission_service step={step}");
-                }
-            }
+            Effect::RequestApproval { step, minions } => self.request_approval(step, minions),
             Effect::Log(line) => spdlog::info!("{line}"),
             Effect::Superseded => {}
         }
     }
 
+    fn write(&mut self, batch: WriteBatch) {
+        match self.writes.try_send(batch) {
+            Ok(()) => {}
+            // The queue has capacity for all batches that the coordinator has in flight.
+            Err(TrySendError::Full(batch)) => {
+                spdlog::error!("event=write_queue_full batch={}", batch.number);
+                self.coordinator.handle_batch_unsent(batch.number);
+            }
+            Err(TrySendError::Closed(_)) => spdlog::debug!("event=writer_ended"),
+        }
+    }
+
+    fn request_approval(&mut self, step: TaskId, minions: Vec<Name>) {
+        let (why, (step, minions)) = match self.approval_requests.try_send((step, minions)) {
+            Ok(()) => return,
+            Err(TrySendError::Full(request)) => ("earlier requests have no response", request),
+            Err(TrySendError::Closed(request)) => ("no admission service is configured", request),
+        };
+        let is_log_due =
+            self.approval_failure_logged.is_none_or(|at| at.elapsed() >= FAILURE_LOG_INTERVAL);
+        if is_log_due {
+            self.approval_failure_logged = Some(Instant::now());
+            spdlog::warn!("event=approval_not_requested step={step} why=\"{why}\"");
+        }
+        self.coordinator.handle_approval(step, &minions, None, BootClock.now());
+    }
+
     fn send_to_agent(&self, agent: &Name, message: ToAgent) {
         self.count_order(&message);
         if let Some(tx) = self.agents.sender(agent) {
--- a/crates/geraniumpost/src/batch/coordination/mod.rs
+++ b/crates/geraniumpost/src/batch/coordination/mod.rs
@@ -24,6 +24,7 @@
 pub use agent_links::{AgentLinks, LinkClosing, LinkOpening};
 pub use candidate::Candidate;
 pub use coordinator_loss::{CoordinatorLoss, detect_loss};
+pub use driver::{ApprovalRequest, Driver, Input, Peer, TermEnd};
 pub use handover::HandoverTimes;
 pub use known_coordinator::KnownCoordinator;
 pub use local_promises::LocalPromises;
@@ -31,6 +32,8 @@
 pub use process_pause::ProcessPause;
 pub use record::CoordinatorRecord;
 pub use stop_time::StopTime;
+pub use successor_leases::SuccessorLeases;
+pub use term_support::TermSupport;
 
 /// Store key of the [`CoordinatorRecord`].
 pub const COORDINATOR_KEY: &str = "geraniumpost/coordinator";
--- a/crates/geraniumpost/src/batch/coordination/term.rs
+++ b/crates/geraniumpost/src/batch/coordination/term.rs
@@ -31,8 +31,10 @@
 use super::{INTERFERENCE_KEY, JOB_PREFIX};
 use crate::metrics::Metrics;
 
-/// Capacity of the input queue, and of the queue of requests to the admission service.
 const INPUT_QUEUE_CAPACITY: usize = 4_096;
+/// Capacity of the queue of requests to the admission service. The coordinator has one request in
+/// flight; it may have given up another one that still has no response.
+const APPROVAL_QUEUE_CAPACITY: usize = 1;
 /// Capacity of the writer's queue, in batches. The coordinator never has more batches in flight.
 const WRITE_QUEUE_CAPACITY: usize = 8;
 /// Interval at which further attempts to read records start, until one succeeds.
@@ -155,9 +157,12 @@
             .with_interference(&interference)
             .with_records(records, now);
         let (writes_tx, mut writes) = mpsc::channel(WRITE_QUEUE_CAPACITY);
-        let (approval_requests_tx, approval_requests) = mpsc::channel(INPUT_QUEUE_CAPACITY);
+        let (approval_requests_tx, approval_requests) = mpsc::channel(APPROVAL_QUEUE_CAPACITY);
         if let Some(address) = self.admission_address {
             tokio::spawn(serve_approval_requests(Admission::new(address), approval_requests, tx));
+        } else {
+            // Closes the queue, so that steps which need an approval keep waiting.
+            drop(approval_requests);
         }
         self.metrics.planner_term(writer.record.term);
         let confirmed_ms = Arc::clone(&writer.confirmed_ms);
