refactor: one StepKey and reference task; tests of approvals in one file

approvals and wait_state each had a StepKey, scan and interference_model a constant for the same reference task; the count of serving runs and a parameter of on_draining had no use. The four tests of approvals move from steps to approvals unchanged.

--- a/crates/geraniumpost-batch/src/coordinator/approvals.rs
+++ b/crates/geraniumpost-batch/src/coordinator/approvals.rs
@@ -10,6 +10,7 @@
 
 use geraniumpost_schema::Name;
 
+use super::step_key::{StepKey, step_key};
 use super::{Coordinator, Effect};
 use crate::{JobId, Now, TaskId};
 
@@ -25,9 +26,6 @@
 /// time to arrive.
 const MIN_TICKET_VALIDITY_MS: u64 = 250;
 
-/// Identifies a step of one occurrence: job, number of the occurrence, number of the step.
-type StepKey = (JobId, u32, u16);
-
 /// Tickets and refusals of one step.
 #[derive(Debug, Default)]
 struct StepApprovals {
@@ -255,7 +253,3 @@
         minions.into_iter().take(MAX_MINIONS_PER_REQUEST).map(|(_, id)| id.clone()).collect()
     }
 }
-
-const fn step_key(task: TaskId) -> StepKey {
-    (task.job, task.occurrence, task.step)
-}
--- a/crates/geraniumpost-batch/src/coordinator/minion.rs
+++ b/crates/geraniumpost-batch/src/coordinator/minion.rs
@@ -44,8 +44,6 @@
     pub(super) best_effort_milli_cpus: i64,
     /// Processors that its serving runs reserve, in thousandths of a processor.
     pub(super) serving_milli_cpus: i64,
-    /// Number of runs that serve users within a latency bound.
-    pub(super) serving_run_count: u32,
     pub(super) runs: BTreeSet<TaskId>,
     /// Tasks whose second run is on the minion.
     pub(super) copies: BTreeSet<TaskId>,
@@ -108,7 +106,6 @@
             held: Demand::default(),
             best_effort_milli_cpus: 0,
             serving_milli_cpus: 0,
-            serving_run_count: 0,
             runs: BTreeSet::new(),
             copies: BTreeSet::new(),
             expired_runs: Vec::new(),
--- a/crates/geraniumpost-batch/src/coordinator/mod.rs
+++ b/crates/geraniumpost-batch/src/coordinator/mod.rs
@@ -52,6 +52,7 @@
 mod run_ends;
 mod serving_tasks;
 mod shares;
+mod step_key;
 mod termination_cause;
 mod timers;
 mod unreachable;
--- a/crates/geraniumpost-batch/src/coordinator/run_ends.rs
+++ b/crates/geraniumpost-batch/src/coordinator/run_ends.rs
@@ -287,7 +287,6 @@
         minion.runs.insert(task);
         minion.reserved += run.reserved;
         minion.best_effort_milli_cpus += run.best_effort_milli_cpus;
-        minion.serving_run_count += u32::from(run.serving_milli_cpus.is_some());
         minion.serving_milli_cpus += run.serving_milli_cpus.unwrap_or(0);
         let id = run.place.minion.clone();
         self.runs.insert(task, run);
@@ -302,7 +301,6 @@
             minion.runs.remove(&task);
             minion.reserved -= run.reserved;
             minion.best_effort_milli_cpus -= run.best_effort_milli_cpus;
-            minion.serving_run_count -= u32::from(run.serving_milli_cpus.is_some());
             minion.serving_milli_cpus -= run.serving_milli_cpus.unwrap_or(0);
         }
         Some(run)
--- a/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
+++ b/crates/geraniumpost-batch/src/coordinator/wait_monitor.rs
@@ -10,7 +10,8 @@
 use super::log_fields::field_unless_zero;
 use super::rejection::{Rejection, RejectionCounts};
 use super::run::Run;
-use super::wait_state::{StepKey, WaitingStep};
+use super::step_key::StepKey;
+use super::wait_state::WaitingStep;
 use crate::{Now, StepSpec, TaskId, TaskPhase};
 
 /// Interval between two checks of waiting tasks, in milliseconds; metrics and log lines have a
--- a/crates/geraniumpost-batch/src/coordinator/wait_state.rs
+++ b/crates/geraniumpost-batch/src/coordinator/wait_state.rs
@@ -2,10 +2,8 @@
 
 use geraniumpost_schema::Name;
 
-use crate::{JobId, TaskId};
-
-/// Identifies a step of one occurrence: job, number of the occurrence, number of the step.
-pub(super) type StepKey = (JobId, u32, u16);
+use super::step_key::StepKey;
+use crate::TaskId;
 
 /// State of waiting tasks between two checks, for log lines and metrics.
 #[derive(Debug)]
--- a/crates/geraniumpost-batch/tests/coordinator/approvals.rs
+++ b/crates/geraniumpost-batch/tests/coordinator/approvals.rs
@@ -1,6 +1,9 @@
 //! Requests to the admission service, which handles one request at a time.
 
-use geraniumpost_batch::{CallerRequest, EndKind, JobId, MinionInfo, QueueTerms, StepSpec, TaskId};
+use geraniumpost_batch::{
+    CallerRequest, Demand, EndKind, JobId, MinionInfo, OrderKind, OrderKindTag, OrderOutcome,
+    QueueTerms, StepSpec, TaskId,
+};
 use geraniumpost_schema::Name;
 
 use crate::cluster::{COMPLETED, Cluster, step, task, terms};
@@ -42,6 +45,82 @@
         .collect()
 }
 
+/// The terms of the queue require approval. Tasks start only on approved minions, with the ticket
+/// of the admission service, and one approval request covers all tasks of a step.
+#[test]
+fn tasks_start_only_on_approved_minions() {
+    let mut cluster = Cluster::new().with_minions(&["m1", "m2"]);
+    let terms = terms_of("studies");
+    cluster.submit_with_terms(1, vec![step(3)], terms);
+    assert!(cluster.orders.is_empty());
+    assert_eq!(cluster.approval_requests.len(), 1);
+    let request = cluster.approval_requests.remove(0);
+    assert_eq!(request.1.len(), 2);
+    cluster.respond_to_approval_request(&request, Some(&["m2"]));
+    assert_eq!(cluster.orders.len(), 3);
+    for order in &cluster.orders {
+        assert_eq!(&*order.minion, "m2");
+        assert!(matches!(&order.kind, OrderKind::Start { ticket, .. } if &**ticket == "t-1"));
+    }
+    assert!(cluster.approval_requests.is_empty());
+}
+
+/// A ticket expires before the minion receives the start. The start is refused, and approval is
+/// requested again.
+#[test]
+fn approval_is_requested_again_after_a_ticket_expires() {
+    let mut cluster = Cluster::new().with_minions(&["m1"]);
+    let terms = terms_of("studies");
+    cluster.submit_with_terms(1, vec![step(1)], terms);
+    let request = cluster.approval_requests.remove(0);
+    cluster.respond_to_approval_request(&request, Some(&["m1"]));
+    let order = cluster.orders.remove(0);
+    cluster.report_result(&order, OrderKindTag::Start, OrderOutcome::BadTicket);
+    cluster.advance(300);
+    assert!(cluster.orders.is_empty());
+    assert_eq!(cluster.approval_requests.len(), 1);
+}
+
+/// The admission service is slow. A second request, which includes a minion that has just joined,
+/// is sent before the response to the first. That late response rejects the first minion, and does
+/// not cover the new one. If the new minion counted as refused, approval for it would never be
+/// requested again, and the job would wait forever although a minion is free.
+#[test]
+fn late_approval_response_covers_only_the_requested_minions() {
+    let mut cluster = Cluster::new().with_minions(&["m1"]);
+    let terms = terms_of("studies");
+    cluster.submit_with_terms(1, vec![step(1)], terms);
+    let first = cluster.approval_requests.remove(0);
+    cluster.join("m2", |info| info);
+    cluster.advance(2_100);
+    let second = cluster.approval_requests.remove(0);
+    assert_eq!((first.1.len(), second.1.len()), (1, 2));
+    cluster.respond_to_approval_request(&first, Some(&[]));
+    cluster.respond_to_approval_request(&second, None);
+    cluster.advance(2_100);
+    let third = cluster.approval_requests.remove(0);
+    assert_eq!(third.1, ["m2".into()]);
+    cluster.respond_to_approval_request(&third, Some(&["m2"]));
+    assert!(matches!(&cluster.orders[..], [order] if &*order.minion == "m2"));
+}
+
+/// The response to the second approval request arrives first and approves both minions. The late
+/// response to the first request, which did not include m2, must not withdraw the approval of m2.
+#[test]
+fn late_approval_response_withdraws_no_approval() {
+    let mut cluster = Cluster::new().with_minions(&["m1"]);
+    let terms = terms_of("studies");
+    cluster.submit_with_terms(1, vec![step(18)], terms);
+    let first = cluster.approval_requests.remove(0);
+    cluster.join("m2", |info| info);
+    cluster.advance(2_100);
+    let second = cluster.approval_requests.remove(0);
+    cluster.respond_to_approval_request(&second, Some(&["m1", "m2"]));
+    cluster.respond_to_approval_request(&first, Some(&["m1"]));
+    cluster.carry_out_orders();
+    assert_eq!(cluster.running_tasks().len(), 18);
+}
+
 /// Guards against requests that are repeated while they wait: a burst of jobs left a backlog that
 /// grew forever, although the usual load is well below what the service can decide.
 #[test]
@@ -176,7 +255,7 @@
 fn minions_without_room_are_not_requested() {
     let mut cluster = Cluster::new();
     cluster.join("m1", |info| MinionInfo {
-        capacity: geraniumpost_batch::Demand { milli_cpus: 500, ..info.capacity },
+        capacity: Demand { milli_cpus: 500, ..info.capacity },
         ..info
     });
     cluster.join("m2", |info| info);
--- a/crates/geraniumpost-core/src/jobs/planner/agents.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/agents.rs
@@ -63,7 +63,7 @@
         let busy = heartbeat.load.in_flight.saturating_mul(1000) / heartbeat.slots.max(1);
         self.fleet.set_load(agent, busy, heartbeat.load.p99_us);
         if starts_draining {
-            self.on_draining(agent, Now { clock: now, ..Now::default() });
+            self.on_draining(agent);
         }
     }
 
@@ -93,7 +93,7 @@
     }
 
     /// Marks the agent as draining and evicts the evictable runs from its VM.
-    pub(super) fn on_draining(&mut self, agent: &Name, _now: Now) {
+    pub(super) fn on_draining(&mut self, agent: &Name) {
         let Some(view) = self.agents.get_mut(agent) else { return };
         view.draining = true;
         let evicted: Vec<Name> = self
--- a/crates/geraniumpost-core/src/jobs/planner/planner.rs
+++ b/crates/geraniumpost-core/src/jobs/planner/planner.rs
@@ -146,7 +146,7 @@
             PlannerEvent::LinkDown { agent, incarnation } => {
                 self.on_link_down(&agent, incarnation);
             }
-            PlannerEvent::Draining { agent } => self.on_draining(&agent, now),
+            PlannerEvent::Draining { agent } => self.on_draining(&agent),
             PlannerEvent::CommitDone { bucket, revision } => {
                 self.on_commit_done(bucket, revision, now, actions);
             }
--- a/crates/geraniumpost-core/src/placement/interference_model.rs
+++ b/crates/geraniumpost-core/src/placement/interference_model.rs
@@ -9,7 +9,7 @@
 /// load squared.
 const BASELINE_COEFFICIENTS: usize = 3;
 /// Processors, in thousandths, of the reference task to which a slope refers.
-const REFERENCE_TASK_MILLI_CPUS: f64 = 16_000.0;
+pub(super) const REFERENCE_TASK_MILLI_CPUS: f64 = 16_000.0;
 /// Slope that is assumed before there are measurements, as a multiple of the target.
 const DEFAULT_SLOPE: f64 = 0.15;
 /// [Evidence](RidgeRegression::evidence) on a pair of service and class at which measurements of
--- a/crates/geraniumpost-core/src/placement/scan.rs
+++ b/crates/geraniumpost-core/src/placement/scan.rs
@@ -1,6 +1,6 @@
 use geraniumpost_schema::Resources;
 
-use super::interference_model::load_factor;
+use super::interference_model::{REFERENCE_TASK_MILLI_CPUS, load_factor};
 use super::planned_fleet::{PlannedFleet, PlannedWorker};
 use super::weighted_location_counts::WeightedLocationCounts;
 use super::worker_row::NO_SERVICE;
@@ -14,8 +14,6 @@
 /// Weight of each task of the same customer and class on the same rack. Each task in the same
 /// failure domain counts half.
 const SPREADING_WEIGHT: f64 = 0.01;
-/// Processors, in thousandths, of the reference task to which a slope refers.
-const REFERENCE_TASK_MILLI_CPUS: f64 = 16_000.0;
 
 /// Search over all workers for those with the lowest scores for a job.
 #[derive(Debug)]
